Agree the headers: tables, timers, edges, resources, board, decisions

Cause: the parts are built side by side and need one set of contracts first. Change: status values, handles into tables, timer service on a given time, seeded random numbers, vtables for HTTP, peers, consensus and claims, the board, the typed resources, and docs/INTERFACES.md. Measured: the 7 unit tests of the base pass under the address and undefined-behaviour sanitizers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,118 @@
+# cherryarch: the targets below are the manual.
+#
+#   make            build ./cherryarch and the programs under bench/
+#   make demo       install what is missing, run 3 hosts and fakes, send 200 requests, check every byte
+#   make test       install what is missing, then every check that CI makes
+#   make unit       unit tests under the address and undefined-behaviour sanitizers
+#   make whole      the failure tests and the whole path, on real processes
+#   make bench      the table of experiments (see docs/MEASUREMENTS.md)
+#   make format     rewrite the sources to the house layout
+#   make lint       formatter and linter, as errors
+#   make clean
+
+CC ?= gcc
+CXX ?= g++
+BUILD ?= build/release
+VERSION := $(shell cat VERSION)
+PACKAGES := libwebsockets libzmq log4c inih jansson mpack talloc libxxhash libsodium libssl libcrypto
+WARN := -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wvla -Wformat=2
+CWARN := $(WARN) -Wstrict-prototypes -Wmissing-prototypes
+OPT ?= -O2 -g
+SAN := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer
+CPPFLAGS += -D_GNU_SOURCE -DCHERRYARCH_VERSION='"$(VERSION)"' -Isrc -Ibench \
+            $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm
+
+# src/*.c but main.c is the library; bench/cmd_*.c are programs, other bench/*.c what they share.
+SRC := $(filter-out src/main.c,$(wildcard src/*.c))
+BENCH_SHARED := $(filter-out $(wildcard bench/cmd_*.c),$(wildcard bench/*.c))
+BENCH_PROGRAMS := $(patsubst bench/cmd_%.c,%,$(wildcard bench/cmd_*.c))
+UNIT := $(wildcard tests/unit_*.cc)
+WHOLE := $(wildcard tests/whole_*.cc)
+FORMATTED := $(wildcard src/*.[ch] bench/*.[ch] tests/*.cc tests/*.h)
+
+OBJ = $(SRC:%.c=$(BUILD)/%.o)
+BENCH_OBJ = $(BENCH_SHARED:%.c=$(BUILD)/%.o)
+UNIT_OBJ = $(UNIT:%.cc=$(BUILD)/%.o)
+WHOLE_OBJ = $(WHOLE:%.cc=$(BUILD)/%.o)
+PROGRAMS = $(BENCH_PROGRAMS:%=$(BUILD)/bin/%)
+
+.PHONY: all demo test unit whole bench format lint clean packages programs format-check tidy
+.SECONDARY:
+
+all: cherryarch programs
+
+cherryarch: $(BUILD)/bin/cherryarch
+	cp -f $< $@
+
+programs: $(PROGRAMS)
+
+$(BUILD)/bin/cherryarch: $(BUILD)/src/main.o $(OBJ)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/bin/unit: $(UNIT_OBJ) $(BENCH_OBJ) $(OBJ)
+	@mkdir -p $(@D)
+	$(CXX) $(OPT) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
+
+$(BUILD)/bin/whole: $(WHOLE_OBJ) $(BENCH_OBJ) $(OBJ)
+	@mkdir -p $(@D)
+	$(CXX) $(OPT) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LIBS) -lpthread
+
+$(BUILD)/bin/%: $(BUILD)/bench/cmd_%.o $(BENCH_OBJ) $(OBJ)
+	@mkdir -p $(@D)
+	$(CC) $(OPT) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu17 $(OPT) $(CWARN) $(CPPFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) -std=gnu++20 $(OPT) $(WARN) $(CPPFLAGS) -MMD -c -o $@ $<
+
+# Installs what pkg-config or the path does not find; a machine that has it all is left alone.
+packages:
+	@if ! pkg-config --exists $(PACKAGES) gtest uuid 2>/dev/null && \
+	    ! pkg-config --exists $(PACKAGES) gtest; then \
+	  apt-get update && DEBIAN_FRONTEND=noninteractive apt-get install -y $$(cat packages.txt); fi
+
+demo: packages
+	$(MAKE) all
+	bench/demo.sh
+
+test: packages
+	$(MAKE) lint
+	$(MAKE) all
+	$(MAKE) unit
+	$(MAKE) whole
+
+unit:
+	$(MAKE) BUILD=build/asan OPT="$(SAN)" build/asan/bin/unit
+	ASAN_OPTIONS=detect_leaks=1 UBSAN_OPTIONS=print_stacktrace=1 build/asan/bin/unit --gtest_brief=1
+
+whole:
+	$(MAKE) all
+	$(MAKE) build/release/bin/whole
+	build/release/bin/whole --gtest_brief=1
+
+bench:
+	$(MAKE) all
+	bench/bench.sh
+
+format:
+	clang-format -i $(FORMATTED)
+
+lint: format-check tidy
+
+format-check:
+	clang-format --dry-run -Werror $(FORMATTED)
+
+tidy:
+	@printf '%s\n' $(wildcard src/*.c bench/*.c) | \
+	  xargs -P 8 -n 4 clang-tidy --quiet -- 2>/dev/null -std=gnu17 $(CPPFLAGS)
+
+clean:
+	rm -rf build cherryarch
+
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/board.h
@@ -0,0 +1,213 @@
+/* The blackboard: the tables that controllers read and write.
+ *
+ * Each field says who writes it.  Everyone else only reads.  A controller that needs to know of a
+ * change subscribes with board_subscribe() or looks on its own timer. */
+#ifndef BOARD_H
+#define BOARD_H
+
+#include "decls.h"
+#include "resource.h"
+#include "table.h"
+#include "usec.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+#define BOARD_HOSTS_MAX 1024
+#define BOARD_TARGETS_MAX 8192
+#define BOARD_POOLS_MAX 256
+#define BOARD_PIPELINES_MAX 256
+#define BOARD_ORGANISATIONS_MAX 2048
+#define BOARD_MODELS_MAX 8
+#define BOARD_KEY_SIZE 48 /* Z85 public key and NUL */
+
+/* name, text */
+#define HOST_STATE_LIST(X)                                                                         \
+  X (ALIVE, "alive")                                                                               \
+  X (SUSPECT, "suspect")                                                                           \
+  X (DEAD, "dead")                                                                                 \
+  X (LEAVING, "leaving")                                                                           \
+  X (LEFT, "left")
+
+enum host_state
+{
+#define X(name, text) HOST_##name,
+  HOST_STATE_LIST (X)
+#undef X
+      HOST_STATE_COUNT
+};
+
+const char *host_state_text (enum host_state state);
+
+/* A host of the system, ourselves among them.  Writer: member.c. */
+struct board_host
+{
+  char name[RESOURCE_NAME_SIZE];
+  char domain[RESOURCE_NAME_SIZE];
+  char region[RESOURCE_NAME_SIZE];
+  char entry_address[RESOURCE_ADDRESS_SIZE];    /* for callers */
+  char operator_address[RESOURCE_ADDRESS_SIZE]; /* for operators */
+  char peer_address[RESOURCE_ADDRESS_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  enum host_state state;
+  bool self;
+  bool voter;           /* has a data folder and may vote */
+  uint64_t incarnation; /* grows at each start of its process */
+  uint64_t revision;    /* of the configuration it has in force */
+  double load;          /* 0 idle to 1 full */
+  int64_t heard_at;     /* USEC monotonic, ours */
+};
+
+/* name, text */
+#define TARGET_STATE_LIST(X)                                                                       \
+  X (READY, "ready")                                                                               \
+  X (LEAVING, "leaving")
+
+enum target_state
+{
+#define X(name, text) TARGET_##name,
+  TARGET_STATE_LIST (X)
+#undef X
+      TARGET_STATE_COUNT
+};
+
+/* What a target last said of its load; late and with gaps.  Writer: directory.c. */
+struct load_report
+{
+  int64_t received_at; /* 0: none yet */
+  int64_t measured_at; /* our clock, from the age the target gives */
+  uint32_t running;
+  uint32_t waiting;
+  double kv_used; /* share of the KV cache in use */
+};
+
+struct decide_target;
+
+/* A target that announced itself.  Writer: directory.c, but for the fields marked. */
+struct board_target
+{
+  char name[RESOURCE_NAME_SIZE];
+  char pool[RESOURCE_NAME_SIZE];
+  char domain[RESOURCE_NAME_SIZE];
+  char address[RESOURCE_ADDRESS_SIZE];
+  enum stage_kind kind;
+  char models[BOARD_MODELS_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_models;
+  char adapters[BOARD_MODELS_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_adapters;
+  char version[RESOURCE_NAME_SIZE];
+  char home[RESOURCE_NAME_SIZE]; /* the host it announces itself to */
+  bool checks_orders;            /* refuses an old fencing number */
+  bool reports_load;
+  uint32_t slots;       /* concurrent calls, 0 when not announced */
+  uint64_t incarnation; /* of the target's process */
+  uint64_t sequence;    /* of its announcements within the incarnation */
+  enum target_state state;
+  int64_t lease_until; /* no new work after this, whatever else is known */
+  struct load_report report;
+  uint32_t in_flight;           /* our own attempts on it.  Writer: flow.c */
+  struct decide_target *decide; /* what was learned of it.  Writer: decide.c */
+  struct handle pool_handle;    /* none while the pool is not declared */
+};
+
+/* Writer of pools, pipelines and organisations: config.c, revision by revision. */
+struct board_pool
+{
+  struct pool_spec spec;
+  uint64_t revision;
+};
+
+struct board_pipeline
+{
+  struct pipeline_spec spec;
+  uint64_t revision;
+  struct handle pools[RESOURCE_STAGES_MAX]; /* of the stages */
+};
+
+struct board_organisation
+{
+  struct organisation_spec spec;
+  uint64_t revision;
+};
+
+/* name */
+#define BOARD_EVENT_LIST(X)                                                                        \
+  X (TARGET_ADDED)                                                                                 \
+  X (TARGET_CHANGED)                                                                               \
+  X (TARGET_REMOVED) /* sent before the entry goes */                                              \
+  X (HOST_ADDED)                                                                                   \
+  X (HOST_CHANGED)                                                                                 \
+  X (CONFIG_CHANGED) /* a revision came into force; the handle is none */
+
+enum board_event
+{
+#define X(name) BOARD_##name,
+  BOARD_EVENT_LIST (X)
+#undef X
+      BOARD_EVENT_COUNT
+};
+
+struct board_subscriber
+{
+  const struct board_subscriber_ops *ops;
+  struct board_subscriber *next;
+};
+
+struct board_subscriber_ops
+{
+  void (*changed) (struct board_subscriber *subscriber,
+                   enum board_event event,
+                   struct handle handle,
+                   int64_t now);
+};
+
+struct board
+{
+  struct table *hosts;         /* struct board_host */
+  struct table *targets;       /* struct board_target */
+  struct table *pools;         /* struct board_pool */
+  struct table *pipelines;     /* struct board_pipeline: services too */
+  struct table *organisations; /* struct board_organisation */
+  struct handle self;          /* our own entry in hosts */
+  uint64_t revision;           /* of the configuration in force here.  Writer: config.c */
+  int64_t confirmed_at;        /* when a quorum last confirmed it, 0 never.  Writer: config.c */
+  bool config_ready;           /* a confirmed revision is in force: may serve.  Writer: config.c */
+  bool leaving;                /* we are shutting down.  Writer: drain.c */
+  bool refusing;               /* new requests are refused as not run.  Writer: drain.c */
+  uint32_t requests_in_flight; /* Writer: flow.c */
+  double load;                 /* ours, 0 to 1.  Writer: flow.c */
+  struct board_subscriber *subscribers;
+};
+
+struct board *board_new (void *parent);
+void board_subscribe (struct board *board, struct board_subscriber *subscriber);
+void board_publish (struct board *board, enum board_event event, struct handle handle, int64_t now);
+
+/* By name; NULL when there is none. */
+struct board_host *board_find_host (const struct board *board,
+                                    const char *name,
+                                    struct handle *out);
+struct board_target *board_find_target (const struct board *board,
+                                        const char *name,
+                                        struct handle *out);
+struct board_pool *board_find_pool (const struct board *board,
+                                    const char *name,
+                                    struct handle *out);
+struct board_pipeline *board_find_pipeline (const struct board *board,
+                                            const char *name,
+                                            struct handle *out);
+struct board_organisation *board_find_organisation (const struct board *board,
+                                                    const char *name,
+                                                    struct handle *out);
+
+/* May new work go to this target at `now`? */
+static inline bool
+board_target_usable (const struct board_target *target, int64_t now)
+{
+  return target->state == TARGET_READY && now < target->lease_until;
+}
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/bytes.h
@@ -0,0 +1,41 @@
+/* A growable byte buffer that keeps a terminating NUL after its content.
+ *
+ * A failed allocation sticks: later writes do nothing and bytes_failed() tells, so that a run of
+ * writes is checked once at its end. */
+#ifndef BYTES_H
+#define BYTES_H
+
+#include "decls.h"
+#include <stdbool.h>
+#include <stddef.h>
+
+BEGIN_DECLS
+
+struct bytes
+{
+  void *parent; /* talloc parent of `data` */
+  char *data;   /* NULL while nothing was written */
+  size_t length;
+  size_t capacity;
+  bool failed;
+};
+
+void bytes_init (struct bytes *bytes, void *parent);
+void bytes_clear (struct bytes *bytes); /* frees the content and the sticky failure */
+void bytes_append (struct bytes *bytes, const void *data, size_t length);
+void bytes_append_text (struct bytes *bytes, const char *text);
+void bytes_append_format (struct bytes *bytes, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* Drop `length` bytes from the front. */
+void bytes_consume (struct bytes *bytes, size_t length);
+
+static inline bool
+bytes_failed (const struct bytes *bytes)
+{
+  return bytes->failed;
+}
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/http_client.h
@@ -0,0 +1,26 @@
+/* The HTTP client on libwebsockets, with connections kept and used again per address. */
+#ifndef HTTP_CLIENT_H
+#define HTTP_CLIENT_H
+
+#include "counter.h"
+#include "decls.h"
+#include "http.h"
+#include "loop.h"
+
+BEGIN_DECLS
+
+struct http_client_config
+{
+  struct loop *loop;
+  struct counters *counters;
+  uint32_t calls_max;        /* at one time, in all */
+  uint32_t answer_bytes_max; /* of one answer, where the call does not say */
+  int64_t connect_timeout;
+  const char *tls_ca; /* file; NULL for plain HTTP */
+};
+
+struct http_client *http_client_new (void *parent, const struct http_client_config *config);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,63 @@
+/* Structured logs: one JSON object a line, through log4c.
+ *
+ * Each line has time (RFC 3339, UTC, microseconds), level, module, event and the fields given. */
+#ifndef LOG_H
+#define LOG_H
+
+#include "decls.h"
+#include "status.h"
+
+BEGIN_DECLS
+
+/* name, text */
+#define LOG_MODULE_LIST(X)                                                                         \
+  X (HOST, "host")                                                                                 \
+  X (HTTP, "http")                                                                                 \
+  X (PEER, "peer")                                                                                 \
+  X (FLOW, "flow")                                                                                 \
+  X (DECIDE, "decide")                                                                             \
+  X (CONSENSUS, "consensus")                                                                       \
+  X (STORE, "store")                                                                               \
+  X (MEMBER, "member")                                                                             \
+  X (DIRECTORY, "directory")                                                                       \
+  X (AUDIT, "audit")
+
+enum log_module
+{
+#define X(name, text) LOG_MODULE_##name,
+  LOG_MODULE_LIST (X)
+#undef X
+      LOG_MODULE_COUNT
+};
+
+/* name, text */
+#define LOG_LEVEL_LIST(X)                                                                          \
+  X (ERROR, "error")                                                                               \
+  X (WARNING, "warning")                                                                           \
+  X (INFO, "info")                                                                                 \
+  X (DEBUG, "debug")
+
+enum log_level
+{
+#define X(name, text) LOG_LEVEL_##name,
+  LOG_LEVEL_LIST (X)
+#undef X
+      LOG_LEVEL_COUNT
+};
+
+/* Before the first event; events before it go nowhere.  `path` NULL means standard error. */
+enum status log_open (const char *path, enum log_level level);
+void log_close (void);
+void log_set_level (enum log_module module, enum log_level level);
+
+/* Write an event.  `fields` is a jansson json_pack() format of an object, such as
+ * "{s:s,s:I}", with its arguments after it; NULL for none. */
+void log_event (
+    enum log_module module, enum log_level level, const char *event, const char *fields, ...);
+
+/* So that costly fields are built only when the line will be written. */
+int log_enabled (enum log_module module, enum log_level level);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/resource.h
@@ -0,0 +1,117 @@
+/* The resources operators declare, as typed specs.
+ *
+ * The store keeps each resource as JSON; these are what it parses them to, and what the board and
+ * the decisions read. */
+#ifndef RESOURCE_H
+#define RESOURCE_H
+
+#include "decls.h"
+#include "status.h"
+#include "usec.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+#define RESOURCE_NAME_SIZE 64 /* with the NUL; letters, digits, '-' and '.' */
+#define RESOURCE_STAGES_MAX 8
+#define RESOURCE_TOKENS_MAX 8
+#define RESOURCE_TOKEN_HASH_SIZE 32
+#define RESOURCE_ADDRESS_SIZE 64 /* "ip:port" */
+
+/* name, plural used in paths */
+#define RESOURCE_KIND_LIST(X)                                                                      \
+  X (PIPELINE, "pipelines")                                                                        \
+  X (SERVICE, "services")                                                                          \
+  X (POOL, "pools")                                                                                \
+  X (ORGANISATION, "organisations")                                                                \
+  X (HOST, "hosts")                                                                                \
+  X (OPERATOR, "operators")                                                                        \
+  X (ASSIGNMENT, "assignments") /* models, adapters, versions and roles targets should have */
+
+enum resource_kind
+{
+#define X(name, plural) RESOURCE_##name,
+  RESOURCE_KIND_LIST (X)
+#undef X
+      RESOURCE_KIND_COUNT
+};
+
+/* name, text */
+#define STAGE_KIND_LIST(X)                                                                         \
+  X (ENCODE, "encode")                                                                             \
+  X (RETRIEVE, "retrieve")                                                                         \
+  X (RERANK, "rerank")                                                                             \
+  X (GENERATE, "generate")                                                                         \
+  X (CALL, "call") /* a plain service */
+
+enum stage_kind
+{
+#define X(name, text) STAGE_##name,
+  STAGE_KIND_LIST (X)
+#undef X
+      STAGE_KIND_COUNT
+};
+
+const char *stage_kind_text (enum stage_kind kind);
+const char *resource_kind_plural (enum resource_kind kind);
+
+/* What a pipeline's owner weighs more. */
+enum objective
+{
+  OBJECTIVE_ATTAINMENT,
+  OBJECTIVE_COST
+};
+
+struct stage_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  enum stage_kind kind;
+  char pool[RESOURCE_NAME_SIZE];
+  char model[RESOURCE_NAME_SIZE];   /* "" for any the pool has */
+  char adapter[RESOURCE_NAME_SIZE]; /* "" for none */
+  uint32_t max_tokens;              /* generated at most, for STAGE_GENERATE */
+  uint32_t top;                     /* documents kept, for STAGE_RETRIEVE and STAGE_RERANK */
+};
+
+/* A pipeline; a plain service is one with the single stage STAGE_CALL. */
+struct pipeline_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  bool service;
+  struct stage_spec stages[RESOURCE_STAGES_MAX];
+  uint32_t n_stages;
+  int64_t deadline; /* a request's window when it names none, and the longest it may name */
+  enum objective objective;
+  uint32_t max_attempts; /* of one stage, from 1 */
+  double retry_share;    /* retries at most, as a share of recent successes */
+  double hedge_share;    /* hedges at most, as a share of recent requests; 0 turns them off */
+  uint32_t priority;     /* 0 lowest to 9; the request's default and ceiling */
+  bool repeatable;       /* a request's default: false marks it unrepeatable */
+};
+
+struct pool_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  enum stage_kind kind;
+  double cost_per_second; /* of one busy slot, in the operator's money */
+  uint32_t slots;         /* concurrent calls of one target where it announces none */
+  double eject_share_max; /* of the pool's targets ejected at one time */
+};
+
+struct organisation_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  double weight;           /* its share when there is not enough for all */
+  double requests_per_sec; /* 0 for no limit, over all hosts */
+  double burst;            /* requests above the rate at once */
+  double tokens_per_sec;   /* 0 for no limit; input and generated */
+  uint32_t concurrency;    /* 0 for no limit, over all hosts */
+  uint8_t token_hashes[RESOURCE_TOKENS_MAX][RESOURCE_TOKEN_HASH_SIZE];
+  uint32_t n_tokens;
+};
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/text.h
@@ -0,0 +1,31 @@
+/* Copies of short texts into fixed fields. */
+#ifndef TEXT_H
+#define TEXT_H
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Copy `text` with its NUL; false, and "" in `out`, when it does not fit. */
+static inline bool
+text_copy (char *out, size_t size, const char *text)
+{
+  size_t length = strlen (text);
+
+  if (length >= size)
+    {
+      out[0] = '\0';
+      return false;
+    }
+  memcpy (out, text, length + 1);
+  return true;
+}
+
+/* Copy `text`, cut where it does not fit. */
+static inline void
+text_copy_cut (char *out, size_t size, const char *text)
+{
+  snprintf (out, size, "%s", text);
+}
+
+#endif
--- /dev/null
+++ b/tests/unit_base.cc
@@ -0,0 +1,142 @@
+// Tables, timers, buffers and random numbers: the parts that every other part stands on.
+#include "bytes.h"
+#include "rng.h"
+#include "status.h"
+#include "table.h"
+#include "timer.h"
+#include <gtest/gtest.h>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+// A late event names a request that has ended; its slot already serves another request.
+// The handle's generation differs, so the event must find nothing rather than the new request.
+TEST (Table, StaleHandleFindsNothingAfterTheSlotIsReused)
+{
+  struct table *table = table_new (nullptr, sizeof (int), 4);
+  struct handle first;
+  struct handle second;
+
+  ASSERT_NE (table_add (table, &first), nullptr);
+  ASSERT_TRUE (table_remove (table, first));
+  ASSERT_NE (table_add (table, &second), nullptr);
+  EXPECT_EQ (first.index, second.index);
+  EXPECT_EQ (table_get (table, first), nullptr);
+  EXPECT_NE (table_get (table, second), nullptr);
+  EXPECT_FALSE (table_remove (table, first));
+  talloc_free (table);
+}
+
+TEST (Table, EntriesStayWhereTheyAreWhileItGrowsToItsBound)
+{
+  struct table *table = table_new (nullptr, sizeof (int), 200);
+  struct handle handle;
+  int *entry = static_cast<int *> (table_add (table, &handle));
+  struct handle other;
+
+  *entry = 7;
+  for (int i = 1; i < 200; i++)
+    ASSERT_NE (table_add (table, &other), nullptr);
+  EXPECT_EQ (table_add (table, &other), nullptr);
+  EXPECT_EQ (table_get (table, handle), entry);
+  EXPECT_EQ (*entry, 7);
+  EXPECT_EQ (table_count (table), 200u);
+  talloc_free (table);
+}
+
+struct recorder
+{
+  struct timer timer;
+  std::vector<int> *order;
+  int id;
+  struct timer_service *again;
+};
+
+void
+record (struct timer *timer, int64_t now)
+{
+  auto *self = reinterpret_cast<struct recorder *> (timer);
+
+  self->order->push_back (self->id);
+  if (self->again != nullptr)
+    timer_arm (self->again, timer, now);
+}
+
+const struct timer_ops recorder_ops = { .fire = record };
+
+TEST (Timer, FiresInOrderOfTimeAndNotWhenDisarmed)
+{
+  struct timer_service *service = timer_service_new (nullptr);
+  std::vector<int> order;
+  struct recorder r[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      r[i] = { .timer = { .ops = &recorder_ops, .due = 0, .position = 0 },
+               .order = &order,
+               .id = i,
+               .again = nullptr };
+      timer_arm (service, &r[i].timer, 30 - i * 10);
+    }
+  timer_disarm (service, &r[1].timer);
+  EXPECT_EQ (timer_service_next (service), 10);
+  EXPECT_EQ (timer_service_run (service, 9), 0u);
+  EXPECT_EQ (timer_service_run (service, 30), 2u);
+  EXPECT_EQ (order, (std::vector<int>{ 2, 0 }));
+  EXPECT_EQ (timer_service_next (service), USEC_NEVER);
+  talloc_free (service);
+}
+
+// A part that arms its timer for "now" each time it fires would keep the loop for itself and every
+// connection would hang.
+TEST (Timer, OneThatArmsItselfAgainDoesNotHoldTheLoop)
+{
+  struct timer_service *service = timer_service_new (nullptr);
+  std::vector<int> order;
+  struct recorder r = { .timer = { .ops = &recorder_ops, .due = 0, .position = 0 },
+                        .order = &order,
+                        .id = 1,
+                        .again = service };
+
+  timer_arm (service, &r.timer, 5);
+  EXPECT_EQ (timer_service_run (service, 5), 1u);
+  EXPECT_EQ (timer_service_run (service, 5), 1u);
+  talloc_free (service);
+}
+
+TEST (Rng, ReplaysFromItsSeed)
+{
+  struct rng a;
+  struct rng b;
+
+  rng_init (&a, 42);
+  rng_init (&b, 42);
+  for (int i = 0; i < 1000; i++)
+    ASSERT_EQ (rng_u64 (&a), rng_u64 (&b));
+  for (int i = 0; i < 1000; i++)
+    ASSERT_LT (rng_below (&a, 7), 7u);
+}
+
+TEST (Bytes, GrowsAndConsumes)
+{
+  struct bytes bytes;
+
+  bytes_init (&bytes, nullptr);
+  for (int i = 0; i < 1000; i++)
+    bytes_append_format (&bytes, "%d,", i);
+  bytes_consume (&bytes, 4);
+  EXPECT_EQ (std::string (bytes.data, 4), "2,3,");
+  EXPECT_FALSE (bytes_failed (&bytes));
+  bytes_clear (&bytes);
+}
+
+TEST (Status, KeepsTheLastMessage)
+{
+  EXPECT_EQ (status_fail (STATUS_CORRUPT, "record %d", 3), STATUS_CORRUPT);
+  EXPECT_STREQ (status_message (), "record 3");
+  EXPECT_STREQ (status_text (STATUS_CORRUPT), "corrupt data");
+}
+
+} // namespace
