Run the checks on all cores and install what is missing by name

Cause: a fresh machine may lack the formatter as well as the libraries, and a serial build is slow. Change: the packages target asks for each of them; the test targets pass the number of cores.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 CC ?= gcc
 CXX ?= g++
 BUILD ?= build/release
+JOBS ?= -j$(shell nproc)
 VERSION := $(shell cat VERSION)
 PACKAGES := libwebsockets libzmq log4c inih jansson mpack talloc libxxhash libsodium libssl libcrypto
 WARN := -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wvla -Wformat=2
@@ -73,19 +74,18 @@
 
 # Installs what pkg-config or the path does not find; a machine that has it all is left alone.
 packages:
-	@if ! pkg-config --exists $(PACKAGES) gtest uuid 2>/dev/null && \
-	    ! pkg-config --exists $(PACKAGES) gtest; then \
-	  apt-get update && DEBIAN_FRONTEND=noninteractive apt-get install -y $$(cat packages.txt); fi
+	@if ! pkg-config --exists $(PACKAGES) gtest || ! command -v clang-format clang-tidy >/dev/null; \
+	then apt-get update && DEBIAN_FRONTEND=noninteractive apt-get install -y $$(cat packages.txt); fi
 
 demo: packages
-	$(MAKE) all
+	$(MAKE) $(JOBS) all
 	bench/demo.sh
 
 test: packages
-	$(MAKE) lint
-	$(MAKE) all
-	$(MAKE) unit
-	$(MAKE) whole
+	$(MAKE) $(JOBS) lint
+	$(MAKE) $(JOBS) all
+	$(MAKE) $(JOBS) unit
+	$(MAKE) $(JOBS) whole
 
 unit:
 	$(MAKE) BUILD=build/asan OPT="$(SAN)" build/asan/bin/unit
@@ -110,7 +110,7 @@
 
 tidy:
 	@printf '%s\n' $(wildcard src/*.c bench/*.c) | \
-	  xargs -P 8 -n 4 clang-tidy --quiet -- 2>/dev/null -std=gnu17 $(CPPFLAGS)
+	  xargs -P $$(nproc) -n 2 clang-tidy --quiet -- 2>/dev/null -std=gnu17 $(CPPFLAGS)
 
 clean:
 	rm -rf build cherryarch
