Count and expose: counters, gauges, log-bucket histograms

Every part needs to count what it does, and nothing in the language's libraries keeps quantiles within a stated error in fixed memory. counter.c keeps metrics by name and label text and writes the text exposition format; a histogram's buckets are 64 bits wide, since a busy bucket of 32 would wrap within months.

--- a/src/counter.h
+++ b/src/counter.h
@@ -15,7 +15,8 @@
   double value;
 };
 
-/* 16 buckets a factor of two from 1 up to 2^40: a quantile is within 4.5% of the sample. */
+/* 16 equal buckets in each factor of two from 1 up to 2^41: a quantile is within 3.2% of the
+ * sample. Samples under 1 count in the first bucket, those above in the last. */
 #define HISTOGRAM_SUB 16
 #define HISTOGRAM_BUCKETS (41 * HISTOGRAM_SUB)
 
@@ -23,7 +24,7 @@
 {
   uint64_t count;
   double sum;
-  uint32_t buckets[HISTOGRAM_BUCKETS];
+  uint64_t buckets[HISTOGRAM_BUCKETS];
 };
 
 struct counters;
