Write logs as one JSON object a line through log4c

log4c's own layouts write plain text and its stderr appender puts a prefix before it. log.c registers a layout built with jansson and an appender that writes a line with one call and never waits: a pipe that is full costs lines, which are counted and the count logged, and not time; a line cut by a pipe is finished before the next one; a disk that is full is said once on standard error. A field that is no UTF-8 costs the fields and not the event.

--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,351 @@
+/* Structured logs through log4c, with a layout and an appender of our own.
+ *
+ * The stock layouts and appenders do not write JSON; log4c keeps what it is good at, the levels of
+ * the modules.  A line is written with one system call and never waits: what the other side does
+ * not take at once is dropped and counted, and the count is the next line written. */
+#include "log.h"
+#include <errno.h>
+#include <fcntl.h>
+#include <jansson.h>
+#include <log4c.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LOG_TYPE_NAME "json-line"
+#define LOG_CATEGORY_SIZE 64
+#define LOG_FILE_MODE 0640
+/* A line that a pipe took in part: its rest goes out before the next line. */
+#define LOG_REST_SIZE 65536
+
+static const char *const module_names[] = {
+#define X(name, text) [LOG_MODULE_##name] = text,
+  LOG_MODULE_LIST (X)
+#undef X
+};
+
+static const char *const level_names[] = {
+#define X(name, text) [LOG_LEVEL_##name] = text,
+  LOG_LEVEL_LIST (X)
+#undef X
+};
+
+static const int priorities[] = {
+  [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
+  [LOG_LEVEL_WARNING] = LOG4C_PRIORITY_WARN,
+  [LOG_LEVEL_INFO] = LOG4C_PRIORITY_INFO,
+  [LOG_LEVEL_DEBUG] = LOG4C_PRIORITY_DEBUG,
+};
+
+/* Process-wide, as log4c's own registries are. */
+static struct
+{
+  log4c_category_t *categories[LOG_MODULE_COUNT]; /* NULL while closed */
+  log4c_appender_t *appender;
+  int fd;
+  bool is_socket;
+  bool complained;      /* the failure to write was said */
+  uint64_t dropped;     /* lines since the last one written */
+  json_t *fields;       /* of the event being written, or NULL */
+  enum log_level level; /* of the event being written */
+  char *line;           /* the layout's last result */
+  size_t line_length;
+  char rest[LOG_REST_SIZE];
+  size_t rest_length;
+} state = { .fd = -1 };
+
+/* ---- layout ---- */
+
+static void
+format_time (char *out, size_t size, const struct timeval *at)
+{
+  struct tm broken;
+  char seconds[32];
+
+  gmtime_r (&at->tv_sec, &broken);
+  strftime (seconds, sizeof seconds, "%Y-%m-%dT%H:%M:%S", &broken);
+  snprintf (out, size, "%s.%06ldZ", seconds, (long) at->tv_usec);
+}
+
+/* The part after the last dot of a category's name. */
+static const char *
+module_of (const char *category)
+{
+  const char *dot = strrchr (category, '.');
+
+  return dot == NULL ? category : dot + 1;
+}
+
+/* The line of an event, to be freed; NULL when memory is out. */
+static char *
+render (const struct timeval *at,
+        enum log_level level,
+        const char *module,
+        const char *event,
+        json_t *fields)
+{
+  char time_text[48];
+  json_t *object;
+  char *line = NULL;
+
+  format_time (time_text, sizeof time_text, at);
+  object = json_pack ("{s:s,s:s,s:s,s:s}", "time", time_text, "level", level_names[level], "module",
+                      module, "event", event);
+  if (object != NULL && fields != NULL)
+    json_object_update_missing (object, fields);
+  if (object != NULL)
+    line = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  return line;
+}
+
+static const char *
+layout_format (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  (void) layout;
+  free (state.line);
+  state.line = render (&event->evt_timestamp, state.level, module_of (event->evt_category),
+                       event->evt_msg, state.fields);
+  return state.line == NULL ? "" : state.line;
+}
+
+static const log4c_layout_type_t layout_type = {
+  .name = LOG_TYPE_NAME,
+  .format = layout_format,
+};
+
+/* ---- appender ---- */
+
+static ssize_t
+write_some (const char *data, size_t length)
+{
+  if (state.is_socket)
+    return send (state.fd, data, length, MSG_DONTWAIT | MSG_NOSIGNAL);
+  return write (state.fd, data, length);
+}
+
+/* Say once, on standard error, that lines are lost for a reason other than a slow reader. */
+static void
+complain (int error)
+{
+  char text[128];
+  int length;
+
+  if (state.complained)
+    return;
+  state.complained = true;
+  length = snprintf (text, sizeof text, "cherryarch: log not written: %s\n", strerror (error));
+  if (length > 0 && write (STDERR_FILENO, text, (size_t) length) < 0)
+    return; /* nobody to tell */
+}
+
+/* The rest of a line that was cut must precede anything else, or two lines run into one. */
+static bool
+flush_rest (void)
+{
+  ssize_t written;
+
+  if (state.rest_length == 0)
+    return true;
+  written = write_some (state.rest, state.rest_length);
+  if (written > 0)
+    {
+      state.rest_length -= (size_t) written;
+      memmove (state.rest, state.rest + written, state.rest_length);
+    }
+  return state.rest_length == 0;
+}
+
+/* Write a line with its line feed at `data[length - 1]`; false when it was dropped. */
+static bool
+write_line (const char *data, size_t length)
+{
+  ssize_t written;
+
+  if (!flush_rest ())
+    return false;
+  written = write_some (data, length);
+  if (written < 0)
+    {
+      if (errno != EAGAIN && errno != EINTR)
+        complain (errno);
+      return false;
+    }
+  state.complained = false;
+  if ((size_t) written < length)
+    {
+      state.rest_length = length - (size_t) written;
+      if (state.rest_length > sizeof state.rest)
+        {
+          /* Too long to keep: end the torn line so that it spoils no other. */
+          state.rest[0] = '\n';
+          state.rest_length = 1;
+          return false;
+        }
+      memcpy (state.rest, data + written, state.rest_length);
+    }
+  return true;
+}
+
+/* Write `line`, which was allocated for its NUL: the line feed takes that place. */
+static bool
+write_text (char *line)
+{
+  size_t length = strlen (line);
+
+  line[length] = '\n';
+  return write_line (line, length + 1);
+}
+
+static void
+report_dropped (const struct timeval *at)
+{
+  json_t *fields = json_pack ("{s:I}", "lines", (json_int_t) state.dropped);
+  char *line =
+      render (at, LOG_LEVEL_WARNING, module_names[LOG_MODULE_HOST], "log_lines_dropped", fields);
+
+  if (line != NULL && write_text (line))
+    state.dropped = 0;
+  free (line);
+  json_decref (fields);
+}
+
+static int
+appender_append (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void) appender;
+  if (state.line == NULL || state.fd < 0)
+    return -1;
+  if (state.dropped > 0)
+    report_dropped (&event->evt_timestamp);
+  if (state.dropped > 0 || !write_text (state.line))
+    state.dropped++;
+  return 0;
+}
+
+static int
+appender_open (log4c_appender_t *appender)
+{
+  (void) appender;
+  return 0;
+}
+
+static int
+appender_close (log4c_appender_t *appender)
+{
+  (void) appender;
+  return 0;
+}
+
+static const log4c_appender_type_t appender_type = {
+  .name = LOG_TYPE_NAME,
+  .open = appender_open,
+  .append = appender_append,
+  .close = appender_close,
+};
+
+/* ---- public ---- */
+
+/* A description of our own of standard error, so that O_NONBLOCK does not change the one shared
+ * with the shell; a socket cannot be opened so and is written with MSG_DONTWAIT. */
+static int
+open_stderr (void)
+{
+  int fd = open ("/proc/self/fd/2", O_WRONLY | O_APPEND | O_NONBLOCK | O_CLOEXEC);
+
+  return fd >= 0 ? fd : fcntl (STDERR_FILENO, F_DUPFD_CLOEXEC, 3);
+}
+
+enum status
+log_open (const char *path, enum log_level level)
+{
+  struct stat about;
+  int module;
+
+  log_close ();
+  state.fd = path == NULL ? open_stderr ()
+                          : open (path, O_WRONLY | O_APPEND | O_CREAT | O_NONBLOCK | O_CLOEXEC,
+                                  LOG_FILE_MODE);
+  if (state.fd < 0)
+    return status_fail (STATUS_IO, "log file %s: %s", path == NULL ? "(standard error)" : path,
+                        strerror (errno));
+  state.is_socket = fstat (state.fd, &about) == 0 && S_ISSOCK (about.st_mode);
+  /* A reader of our standard error that goes away must not end the process. */
+  signal (SIGPIPE, SIG_IGN);
+  log4c_layout_type_set (&layout_type);
+  log4c_appender_type_set (&appender_type);
+  state.appender = log4c_appender_get (LOG_TYPE_NAME);
+  log4c_appender_set_type (state.appender, &appender_type);
+  log4c_appender_set_layout (state.appender, log4c_layout_get (LOG_TYPE_NAME));
+  log4c_layout_set_type (log4c_layout_get (LOG_TYPE_NAME), &layout_type);
+  for (module = 0; module < LOG_MODULE_COUNT; module++)
+    {
+      char name[LOG_CATEGORY_SIZE];
+
+      snprintf (name, sizeof name, "cherryarch.%s", module_names[module]);
+      state.categories[module] = log4c_category_get (name);
+      log4c_category_set_appender (state.categories[module], state.appender);
+      log4c_category_set_additivity (state.categories[module], 0);
+      log_set_level ((enum log_module) module, level);
+    }
+  return STATUS_OK;
+}
+
+void
+log_close (void)
+{
+  if (state.fd >= 0)
+    {
+      flush_rest ();
+      close (state.fd);
+    }
+  free (state.line);
+  memset (&state, 0, sizeof state);
+  state.fd = -1;
+}
+
+void
+log_set_level (enum log_module module, enum log_level level)
+{
+  if (state.categories[module] != NULL)
+    log4c_category_set_priority (state.categories[module], priorities[level]);
+}
+
+int
+log_enabled (enum log_module module, enum log_level level)
+{
+  const log4c_category_t *category = state.categories[module];
+
+  return category != NULL && log4c_category_is_priority_enabled (category, priorities[level]);
+}
+
+void
+log_event (enum log_module module, enum log_level level, const char *event, const char *fields, ...)
+{
+  json_error_t error;
+  va_list args;
+
+  if (!log_enabled (module, level))
+    return;
+  if (fields != NULL)
+    {
+      va_start (args, fields);
+      state.fields = json_vpack_ex (&error, 0, fields, args);
+      va_end (args);
+      /* A field that is no UTF-8 must not cost the event. */
+      if (state.fields == NULL)
+        state.fields = json_pack ("{s:s}", "fields_error", error.text);
+    }
+  state.level = level;
+  log4c_category_log (state.categories[module], priorities[level], "%s", event);
+  json_decref (state.fields);
+  state.fields = NULL;
+}
