--- /dev/null
+++ b/src/cli_commands.c
@@ -0,0 +1,7 @@
+/* The table of commands. */
+#include "cli.h"
+#include <stddef.h>
+
+const struct cli_command cli_commands[] = {
+  { .name = NULL },
+};
