--- a/src/board.h
+++ b/src/board.h
@@ -48,11 +48,14 @@
   char region[RESOURCE_NAME_SIZE];
   char entry_address[RESOURCE_ADDRESS_SIZE];    /* for callers */
   char operator_address[RESOURCE_ADDRESS_SIZE]; /* for operators */
+  char target_address[RESOURCE_ADDRESS_SIZE];   /* for targets */
   char peer_address[RESOURCE_ADDRESS_SIZE];
   char public_key[BOARD_KEY_SIZE];
   enum host_state state;
   bool self;
   bool voter;           /* has a data folder and may vote */
+  bool behind;          /* says that its configuration is old or not confirmed */
+  bool cut_off;         /* says that it reaches less than half of the hosts */
   uint64_t incarnation; /* grows at each start of its process */
   uint64_t revision;    /* of the configuration it has in force */
   double load;          /* 0 idle to 1 full */
