Read resources' specs from JSON, with errors that name the field

Cause: operators declare pipelines, services, pools, organisations, hosts, operators and assignments; nothing read them yet. Change: one table of fields a kind gives type, range and default; unknown fields, wrong types and values out of range are refused with the path of the field, so that a misspelt option is not taken for an absent one. The references of a spec are listed for the store to check.

--- a/src/resource.h
+++ b/src/resource.h
@@ -57,6 +57,12 @@
 const char *stage_kind_text (enum stage_kind kind);
 const char *resource_kind_plural (enum resource_kind kind);
 
+/* RESOURCE_KIND_COUNT when no kind has that plural. */
+enum resource_kind resource_kind_find (const char *plural);
+
+/* 1 to 63 letters, digits, '-' and '.', the first a letter or digit. */
+bool resource_name_valid (const char *name);
+
 /* What a pipeline's owner weighs more. */
 enum objective
 {
@@ -112,6 +118,54 @@
   uint32_t n_tokens;
 };
 
+/* A host that operators have declared: what others may trust of it. */
+struct host_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  char domain[RESOURCE_NAME_SIZE];
+  char region[RESOURCE_NAME_SIZE];
+  char address[RESOURCE_ADDRESS_SIZE]; /* for peers */
+  char public_key[RESOURCE_NAME_SIZE]; /* Z85 */
+  bool voter;                          /* may become a voter: it has a disk */
+};
+
+/* name, text: what an operator may do */
+#define OPERATOR_ROLE_LIST(X)                                                                      \
+  X (READ, "read")                                                                                 \
+  X (WRITE, "write")                                                                               \
+  X (ADMIN, "admin")
+
+enum operator_role
+{
+#define X(name, text) OPERATOR_ROLE_##name,
+  OPERATOR_ROLE_LIST (X)
+#undef X
+      OPERATOR_ROLE_COUNT
+};
+
+struct operator_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  enum operator_role role;
+  uint8_t token_hash[RESOURCE_TOKEN_HASH_SIZE];
+};
+
+#define RESOURCE_ASSIGNED_MAX 8
+
+/* What targets should have loaded: of one target, or of every target of a pool. */
+struct assignment_spec
+{
+  char name[RESOURCE_NAME_SIZE];
+  char pool[RESOURCE_NAME_SIZE];   /* "" when `target` is given */
+  char target[RESOURCE_NAME_SIZE]; /* "" when `pool` is given */
+  char models[RESOURCE_ASSIGNED_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_models;
+  char adapters[RESOURCE_ASSIGNED_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_adapters;
+  char version[RESOURCE_NAME_SIZE]; /* "" leaves it */
+  char role[RESOURCE_NAME_SIZE];    /* "" leaves it */
+};
+
 END_DECLS
 
 #endif
--- /dev/null
+++ b/src/store_group.h
@@ -0,0 +1,32 @@
+/* One log, several machines: entries and snapshots carry the part they belong to.
+ *
+ * A group holds the resources, a share of the claims, or both; a claim shard of its own is a group
+ * with the claims alone. */
+#ifndef STORE_GROUP_H
+#define STORE_GROUP_H
+
+#include "consensus.h"
+#include "decls.h"
+
+BEGIN_DECLS
+
+/* Written into entries: never renumbered. */
+enum store_part
+{
+  STORE_PART_RESOURCES = 1,
+  STORE_PART_CLAIMS = 2,
+  STORE_PART_COUNT
+};
+
+struct store_group;
+
+struct store_group *store_group_new (void *parent);
+void store_group_add (struct store_group *group, enum store_part part, struct machine *machine);
+struct machine *store_group_machine (struct store_group *group);
+
+/* Begin an entry of that part: the machine's own entry follows. */
+void store_group_begin (enum store_part part, struct bytes *entry);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/store_history.h
@@ -0,0 +1,73 @@
+/* The changes of late, for watches and followers: bounded, oldest dropped first.
+ *
+ * Not part of a snapshot: a host that restarts has the history since its snapshot, and answers
+ * older watches with "too old: list again". */
+#ifndef STORE_HISTORY_H
+#define STORE_HISTORY_H
+
+#include "bytes.h"
+#include "decls.h"
+#include "resource.h"
+#include "status.h"
+#include "store_pack.h"
+
+BEGIN_DECLS
+
+/* name, text of a watch's events */
+#define STORE_EVENT_LIST(X)                                                                        \
+  X (ADDED, "ADDED")                                                                               \
+  X (MODIFIED, "MODIFIED")                                                                         \
+  X (DELETED, "DELETED")
+
+enum store_event_type
+{
+#define X(name, text) STORE_EVENT_##name,
+  STORE_EVENT_LIST (X)
+#undef X
+      STORE_EVENT_COUNT
+};
+
+const char *store_event_text (enum store_event_type type);
+
+/* One change: what it left of its object (of a deleted one, the last state). */
+struct store_event
+{
+  uint64_t revision;
+  enum store_event_type type;
+  enum resource_kind kind;
+  char name[RESOURCE_NAME_SIZE];
+  uint64_t generation;
+  const char *spec;
+  const char *status; /* NULL for none */
+};
+
+void store_event_pack (const struct store_event *event, struct bytes *out);
+
+/* The texts are allocated under `parent`. */
+enum status store_event_unpack (struct store_event *event, struct unpack *in, void *parent);
+
+/* The object as JSON, as a watch shows it. */
+void store_event_write (const struct store_event *event, struct bytes *out);
+
+struct store_history;
+
+struct store_history *store_history_new (void *parent, uint32_t events_max, size_t bytes_max);
+
+/* Copies the event; its revision is the last one's plus 1. */
+void store_history_add (struct store_history *history, const struct store_event *event);
+
+/* Forget everything: the next event follows `revision`. */
+void store_history_reset (struct store_history *history, uint64_t revision);
+
+/* The change after `revision`, NULL when there is none yet.  STATUS_EXPIRED when it is no longer
+ * held. */
+enum status store_history_after (const struct store_history *history,
+                                 uint64_t revision,
+                                 const struct store_event **out);
+
+/* The oldest revision a watch may resume from. */
+uint64_t store_history_oldest (const struct store_history *history);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/store_ids.h
@@ -0,0 +1,52 @@
+/* The change ids of late, each with its first answer and the hash of its body.
+ *
+ * Failure guarded against: an operator loses the answer to a change and sends it again, to this or
+ * another host.  Every replica remembers the id from the log, so the resend gets the first answer.
+ * Ids are kept for a set span of the log's time and never dropped sooner: when there is no room a
+ * new id is refused instead. */
+#ifndef STORE_IDS_H
+#define STORE_IDS_H
+
+#include "decls.h"
+#include "store_entry.h"
+#include "store_pack.h"
+
+BEGIN_DECLS
+
+struct store_ids;
+
+struct store_ids_config
+{
+  uint32_t count_max;
+  size_t bytes_max; /* of answers */
+  int64_t keep_ms;
+};
+
+struct store_ids *store_ids_new (void *parent, const struct store_ids_config *config);
+
+/* Forget what is older than the span. */
+void store_ids_expire (struct store_ids *ids, int64_t now_ms);
+
+/* NULL when the id is not known; `answer` as packed at first. */
+const struct bytes *store_ids_find (const struct store_ids *ids,
+                                    const char *change_id,
+                                    const uint8_t body_hash[STORE_BODY_HASH_SIZE],
+                                    bool *same_body);
+
+bool store_ids_full (const struct store_ids *ids);
+
+void store_ids_add (struct store_ids *ids,
+                    const char *change_id,
+                    const uint8_t body_hash[STORE_BODY_HASH_SIZE],
+                    int64_t now_ms,
+                    const void *answer,
+                    size_t length);
+
+uint32_t store_ids_count (const struct store_ids *ids);
+void store_ids_clear (struct store_ids *ids);
+void store_ids_save (const struct store_ids *ids, struct bytes *out);
+void store_ids_load (struct store_ids *ids, struct unpack *in);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/store_pack.h
@@ -0,0 +1,53 @@
+/* What entries and snapshots need beyond pack.h. */
+#ifndef STORE_PACK_H
+#define STORE_PACK_H
+
+#include "pack.h"
+#include "status.h"
+#include <string.h>
+
+#define STORE_DATA_MAX (64u << 20) /* of one value inside an entry or a snapshot */
+
+/* Wall-clock milliseconds: a clock before 1970 counts as 0. */
+static inline void
+store_pack_time (struct bytes *out, int64_t time_ms)
+{
+  pack_uint (out, time_ms < 0 ? 0 : (uint64_t) time_ms);
+}
+
+static inline int64_t
+store_read_time (struct pack_reader *in)
+{
+  return (int64_t) pack_read_uint (in, INT64_MAX);
+}
+
+static inline const char *
+store_read_data (struct pack_reader *in, size_t *length)
+{
+  return pack_read_binary (in, STORE_DATA_MAX, length);
+}
+
+/* Data of exactly `size` bytes; zeros on failure. */
+static inline void
+store_read_fixed (struct pack_reader *in, void *out, size_t size)
+{
+  size_t length;
+  const void *data = pack_read_binary (in, size, &length);
+
+  if (length != size)
+    in->failed = true;
+  if (in->failed)
+    memset (out, 0, size);
+  else
+    memcpy (out, data, size);
+}
+
+static inline enum status
+store_read_end (const struct pack_reader *in)
+{
+  if (!pack_read_end (in))
+    return status_fail (STATUS_MALFORMED, "entry or message is malformed");
+  return STATUS_OK;
+}
+
+#endif
