--- a/src/store.c
+++ b/src/store.c
@@ -297,22 +297,22 @@
 {
   struct store *store = (struct store *) machine;
   struct store_objects objects;
-  struct unpack in;
+  struct pack_reader in;
   enum status status;
 
   (void) index;
   store_objects_init (&objects, store);
-  unpack_init (&in, data, length);
-  if (unpack_uint (&in, UINT64_MAX) != STORE_FORMAT)
+  pack_reader_init (&in, data, length);
+  if (pack_read_uint (&in, UINT64_MAX) != STORE_FORMAT)
     return status_fail (STATUS_UNSUPPORTED, "snapshot of resources has another format");
-  store->revision = unpack_uint (&in, UINT64_MAX);
+  store->revision = pack_read_uint (&in, UINT64_MAX);
   store_clock_load (&store->clock, &in);
   store_objects_load (&objects, &in);
   store_ids_clear (store->ids);
   store_ids_load (store->ids, &in);
   store_objects_clear (&store->objects);
   store->objects = objects;
-  status = unpack_end (&in);
+  status = store_read_end (&in);
   publish_all (store);
   return status;
 }
@@ -387,7 +387,7 @@
 }
 
 const struct store_history *
-store_history (const struct store *store)
+store_changes (const struct store *store)
 {
   return store->history;
 }
--- a/src/store.h
+++ b/src/store.h
@@ -62,7 +62,7 @@
                                         enum resource_kind kind,
                                         const char *name);
 uint32_t store_count (const struct store *store, enum resource_kind kind);
-const struct store_history *store_history (const struct store *store);
+const struct store_history *store_changes (const struct store *store);
 void store_listen (struct store *store, struct store_listener *listener);
 void store_unlisten (struct store *store, struct store_listener *listener);
 
--- a/src/store_clock.c
+++ b/src/store_clock.c
@@ -69,28 +69,28 @@
   uint32_t i;
 
   pack_uint (out, clock->entries);
-  pack_int (out, clock->now_ms);
+  store_pack_time (out, clock->now_ms);
   pack_array (out, clock->n_seen);
   for (i = 0; i < clock->n_seen; i++)
     {
       pack_text (out, clock->seen[i].host);
-      pack_int (out, clock->seen[i].time_ms);
+      store_pack_time (out, clock->seen[i].time_ms);
       pack_uint (out, clock->seen[i].entry);
     }
 }
 
 void
-store_clock_load (struct store_clock *clock, struct unpack *in)
+store_clock_load (struct store_clock *clock, struct pack_reader *in)
 {
   uint32_t i;
 
-  clock->entries = unpack_uint (in, UINT64_MAX);
-  clock->now_ms = unpack_int (in);
-  clock->n_seen = unpack_array (in, STORE_CLOCK_HOSTS);
+  clock->entries = pack_read_uint (in, UINT64_MAX);
+  clock->now_ms = store_read_time (in);
+  clock->n_seen = pack_read_array (in, STORE_CLOCK_HOSTS);
   for (i = 0; i < clock->n_seen; i++)
     {
-      unpack_text (in, clock->seen[i].host, sizeof clock->seen[i].host);
-      clock->seen[i].time_ms = unpack_int (in);
-      clock->seen[i].entry = unpack_uint (in, UINT64_MAX);
+      pack_read_text (in, clock->seen[i].host, sizeof clock->seen[i].host);
+      clock->seen[i].time_ms = store_read_time (in);
+      clock->seen[i].entry = pack_read_uint (in, UINT64_MAX);
     }
 }
--- a/src/store_clock.h
+++ b/src/store_clock.h
@@ -31,7 +31,7 @@
 
 void store_clock_observe (struct store_clock *clock, const char *host, int64_t time_ms);
 void store_clock_save (const struct store_clock *clock, struct bytes *out);
-void store_clock_load (struct store_clock *clock, struct unpack *in);
+void store_clock_load (struct store_clock *clock, struct pack_reader *in);
 
 END_DECLS
 
--- a/src/store_group.c
+++ b/src/store_group.c
@@ -47,7 +47,7 @@
   status = part->ops->save (part, &inner);
   pack_array (out, GROUP_PART_FIELDS);
   pack_uint (out, number);
-  pack_data (out, inner.data, inner.length);
+  pack_binary (out, inner.data, inner.length);
   bytes_clear (&inner);
   return status;
 }
@@ -72,11 +72,11 @@
 load (struct machine *machine, uint64_t index, const void *data, size_t length)
 {
   struct store_group *group = (struct store_group *) machine;
-  struct unpack in;
+  struct pack_reader in;
   enum status status = STATUS_OK;
 
-  unpack_init (&in, data, length);
-  if (unpack_uint (&in, UINT64_MAX) != GROUP_FORMAT)
+  pack_reader_init (&in, data, length);
+  if (pack_read_uint (&in, UINT64_MAX) != GROUP_FORMAT)
     return status_fail (STATUS_UNSUPPORTED, "snapshot has another format");
   while (in.left > 0 && !in.failed && status == STATUS_OK)
     {
@@ -84,15 +84,15 @@
       size_t part_length;
       const void *part;
 
-      if (unpack_array (&in, GROUP_PART_FIELDS) != GROUP_PART_FIELDS)
+      if (pack_read_array (&in, GROUP_PART_FIELDS) != GROUP_PART_FIELDS)
         in.failed = true;
-      number = unpack_uint (&in, STORE_PART_COUNT - 1);
-      part = unpack_data (&in, &part_length);
+      number = pack_read_uint (&in, STORE_PART_COUNT - 1);
+      part = store_read_data (&in, &part_length);
       if (in.failed || group->parts[number] == NULL)
         return status_fail (STATUS_CORRUPT, "snapshot has a part that is not known here");
       status = group->parts[number]->ops->load (group->parts[number], index, part, part_length);
     }
-  return status == STATUS_OK ? unpack_end (&in) : status;
+  return status == STATUS_OK ? store_read_end (&in) : status;
 }
 
 static const struct machine_ops machine_ops = { .apply = apply, .save = save, .load = load };
--- a/src/store_history.c
+++ b/src/store_history.c
@@ -37,12 +37,12 @@
   pack_uint (out, event->kind);
   pack_text (out, event->name);
   pack_uint (out, event->generation);
-  pack_data (out, event->spec, strlen (event->spec));
-  pack_data (out, event->status, event->status == NULL ? 0 : strlen (event->status));
+  pack_binary (out, event->spec, strlen (event->spec));
+  pack_binary (out, event->status, event->status == NULL ? 0 : strlen (event->status));
 }
 
 enum status
-store_event_unpack (struct store_event *event, struct unpack *in, void *parent)
+store_event_unpack (struct store_event *event, struct pack_reader *in, void *parent)
 {
   size_t spec_length;
   size_t status_length;
@@ -50,15 +50,15 @@
   const char *status;
 
   memset (event, 0, sizeof *event);
-  if (unpack_array (in, EVENT_FIELDS) != EVENT_FIELDS)
+  if (pack_read_array (in, EVENT_FIELDS) != EVENT_FIELDS)
     in->failed = true;
-  event->revision = unpack_uint (in, UINT64_MAX);
-  event->type = (enum store_event_type) unpack_uint (in, STORE_EVENT_COUNT - 1);
-  event->kind = (enum resource_kind) unpack_uint (in, RESOURCE_KIND_COUNT - 1);
-  unpack_text (in, event->name, sizeof event->name);
-  event->generation = unpack_uint (in, UINT64_MAX);
-  spec = unpack_data (in, &spec_length);
-  status = unpack_data (in, &status_length);
+  event->revision = pack_read_uint (in, UINT64_MAX);
+  event->type = (enum store_event_type) pack_read_uint (in, STORE_EVENT_COUNT - 1);
+  event->kind = (enum resource_kind) pack_read_uint (in, RESOURCE_KIND_COUNT - 1);
+  pack_read_text (in, event->name, sizeof event->name);
+  event->generation = pack_read_uint (in, UINT64_MAX);
+  spec = store_read_data (in, &spec_length);
+  status = store_read_data (in, &status_length);
   if (in->failed)
     return status_fail (STATUS_MALFORMED, "configuration event is malformed");
   event->spec = talloc_strndup (parent, spec, spec_length);
--- a/src/store_history.h
+++ b/src/store_history.h
@@ -44,7 +44,7 @@
 void store_event_pack (const struct store_event *event, struct bytes *out);
 
 /* The texts are allocated under `parent`. */
-enum status store_event_unpack (struct store_event *event, struct unpack *in, void *parent);
+enum status store_event_unpack (struct store_event *event, struct pack_reader *in, void *parent);
 
 /* The object as JSON, as a watch shows it. */
 void store_event_write (const struct store_event *event, struct bytes *out);
--- a/src/store_ids.c
+++ b/src/store_ids.c
@@ -52,6 +52,7 @@
 {
   struct store_id *id = ids->oldest;
 
+  INVARIANT (ids->by_id != NULL);
   HASH_DEL (ids->by_id, id);
   DL_DELETE (ids->oldest, id);
   ids->count--;
@@ -135,16 +136,16 @@
     {
       pack_array (out, ID_FIELDS);
       pack_text (out, id->change_id);
-      pack_data (out, id->body_hash, sizeof id->body_hash);
-      pack_int (out, id->since_ms);
-      pack_data (out, id->answer.data, id->answer.length);
+      pack_binary (out, id->body_hash, sizeof id->body_hash);
+      store_pack_time (out, id->since_ms);
+      pack_binary (out, id->answer.data, id->answer.length);
     }
 }
 
 void
-store_ids_load (struct store_ids *ids, struct unpack *in)
+store_ids_load (struct store_ids *ids, struct pack_reader *in)
 {
-  uint32_t count = unpack_array (in, ids->config.count_max);
+  uint32_t count = pack_read_array (in, ids->config.count_max);
   uint32_t i;
 
   for (i = 0; i < count && !in->failed; i++)
@@ -155,12 +156,12 @@
       const void *answer;
       size_t length;
 
-      if (unpack_array (in, ID_FIELDS) != ID_FIELDS)
+      if (pack_read_array (in, ID_FIELDS) != ID_FIELDS)
         in->failed = true;
-      unpack_text (in, change_id, sizeof change_id);
-      unpack_fixed (in, body_hash, sizeof body_hash);
-      since_ms = unpack_int (in);
-      answer = unpack_data (in, &length);
+      pack_read_text (in, change_id, sizeof change_id);
+      store_read_fixed (in, body_hash, sizeof body_hash);
+      since_ms = store_read_time (in);
+      answer = store_read_data (in, &length);
       if (!in->failed)
         store_ids_add (ids, change_id, body_hash, since_ms, answer, length);
     }
--- a/src/store_ids.h
+++ b/src/store_ids.h
@@ -45,7 +45,7 @@
 uint32_t store_ids_count (const struct store_ids *ids);
 void store_ids_clear (struct store_ids *ids);
 void store_ids_save (const struct store_ids *ids, struct bytes *out);
-void store_ids_load (struct store_ids *ids, struct unpack *in);
+void store_ids_load (struct store_ids *ids, struct pack_reader *in);
 
 END_DECLS
 
--- a/src/store_object.c
+++ b/src/store_object.c
@@ -109,7 +109,7 @@
   struct store_object **sorted = objects->kinds[kind].sorted;
   uint32_t after = objects->kinds[kind].count - position - 1;
 
-  memmove (sorted + position, sorted + position + 1, after * sizeof (struct store_object *));
+  memmove (sorted + position, sorted + position + 1, after * sizeof *sorted);
   objects->kinds[kind].count--;
   talloc_free (object);
 }
@@ -164,8 +164,8 @@
   pack_text (out, object->name);
   pack_uint (out, object->generation);
   pack_uint (out, object->revision);
-  pack_data (out, object->spec, strlen (object->spec));
-  pack_data (out, object->status, object->status == NULL ? 0 : strlen (object->status));
+  pack_binary (out, object->spec, strlen (object->spec));
+  pack_binary (out, object->status, object->status == NULL ? 0 : strlen (object->status));
   pack_array (out, object->n_references * 2);
   for (i = 0; i < object->n_references; i++)
     {
@@ -190,57 +190,58 @@
 }
 
 static char *
-load_text (struct store_object *object, struct unpack *in)
+load_text (struct store_object *object, struct pack_reader *in)
 {
   size_t length;
-  const char *text = unpack_data (in, &length);
+  const char *text = store_read_data (in, &length);
 
   return length == 0 ? NULL : talloc_strndup (object, text, length);
 }
 
 static void
-load_object (struct store_objects *objects, enum resource_kind kind, struct unpack *in)
+load_object (struct store_objects *objects, enum resource_kind kind, struct pack_reader *in)
 {
   char name[RESOURCE_NAME_SIZE];
   struct store_object *object;
   uint32_t i;
 
-  if (unpack_array (in, OBJECT_FIELDS) != OBJECT_FIELDS)
+  if (pack_read_array (in, OBJECT_FIELDS) != OBJECT_FIELDS)
     in->failed = true;
-  unpack_text (in, name, sizeof name);
+  pack_read_text (in, name, sizeof name);
   if (in->failed || store_objects_find (objects, kind, name) != NULL)
     {
       in->failed = true;
       return;
     }
   object = store_objects_add (objects, kind, name);
-  object->generation = unpack_uint (in, UINT64_MAX);
-  object->revision = unpack_uint (in, UINT64_MAX);
+  object->generation = pack_read_uint (in, UINT64_MAX);
+  object->revision = pack_read_uint (in, UINT64_MAX);
   object->spec = load_text (object, in);
   object->status = load_text (object, in);
-  object->n_references = unpack_array (in, RESOURCE_REFERENCES_MAX * 2) / 2;
+  object->n_references = pack_read_array (in, RESOURCE_REFERENCES_MAX * 2) / 2;
   object->references = talloc_zero_array (object, struct resource_reference, object->n_references);
   if (object->spec == NULL || object->references == NULL)
     in->failed = true;
   for (i = 0; i < object->n_references && !in->failed; i++)
     {
-      object->references[i].kind = (enum resource_kind) unpack_uint (in, RESOURCE_KIND_COUNT - 1);
-      unpack_text (in, object->references[i].name, sizeof object->references[i].name);
+      object->references[i].kind =
+          (enum resource_kind) pack_read_uint (in, RESOURCE_KIND_COUNT - 1);
+      pack_read_text (in, object->references[i].name, sizeof object->references[i].name);
     }
 }
 
 void
-store_objects_load (struct store_objects *objects, struct unpack *in)
+store_objects_load (struct store_objects *objects, struct pack_reader *in)
 {
   int kind;
   uint32_t count;
   uint32_t i;
 
-  if (unpack_array (in, RESOURCE_KIND_COUNT) != RESOURCE_KIND_COUNT)
+  if (pack_read_array (in, RESOURCE_KIND_COUNT) != RESOURCE_KIND_COUNT)
     in->failed = true;
   for (kind = 0; kind < RESOURCE_KIND_COUNT && !in->failed; kind++)
     {
-      count = unpack_array (in, OBJECTS_LOAD_MAX);
+      count = pack_read_array (in, OBJECTS_LOAD_MAX);
       for (i = 0; i < count && !in->failed; i++)
         load_object (objects, (enum resource_kind) kind, in);
     }
--- a/src/store_object.h
+++ b/src/store_object.h
@@ -61,7 +61,7 @@
 void store_object_write (const struct store_object *object, struct bytes *out);
 
 void store_objects_save (const struct store_objects *objects, struct bytes *out);
-void store_objects_load (struct store_objects *objects, struct unpack *in);
+void store_objects_load (struct store_objects *objects, struct pack_reader *in);
 
 END_DECLS
 
--- a/src/store_pack.h
+++ b/src/store_pack.h
@@ -24,7 +24,7 @@
 static inline const char *
 store_read_data (struct pack_reader *in, size_t *length)
 {
-  return pack_read_binary (in, STORE_DATA_MAX, length);
+  return (const char *) pack_read_binary (in, STORE_DATA_MAX, length);
 }
 
 /* Data of exactly `size` bytes; zeros on failure. */
