Read and check settings from one table of keys

A key that is misspelt, doubled or out of range must not start a host on a default. `cherryarch check` prints every fault of a file and looks for the files it names.

--- a/src/cli.h
+++ b/src/cli.h
@@ -36,6 +36,9 @@
 /* The commands, ended by one without a name. */
 extern const struct cli_command cli_commands[];
 
+/* The commands, one a file. */
+enum cli_exit cli_check (int argc, char **argv);
+
 /* Run the command that `argv` names. */
 int cli_main (int argc, char **argv);
 
--- /dev/null
+++ b/src/cli_check.c
@@ -0,0 +1,120 @@
+/* `cherryarch check`: is the settings file in order? */
+#include "cli.h"
+#include "settings.h"
+#include <argp.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define OPTION_KEYS 'k'
+
+struct check_options
+{
+  const char *path;
+  bool keys;
+};
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *argp)
+{
+  struct check_options *options = argp->input;
+
+  switch (key)
+    {
+    case OPTION_KEYS:
+      options->keys = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (options->path != NULL)
+        argp_error (argp, "one settings file at a time");
+      options->path = arg;
+      return 0;
+    case ARGP_KEY_END:
+      if (options->path == NULL && !options->keys)
+        argp_error (argp, "which settings file?");
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+print_and_clear (struct bytes *text, FILE *stream)
+{
+  if (text->data != NULL)
+    fputs (text->data, stream);
+  bytes_clear (text);
+}
+
+/* A file that the settings name must be there, or `run` fails where `check` did not. */
+static bool
+check_readable (const char *path, const char *what)
+{
+  if (path[0] == '\0' || access (path, R_OK) == 0)
+    return true;
+  fprintf (stderr, "%s %s: %s\n", what, path, strerror (errno));
+  return false;
+}
+
+static bool
+check_files (const struct settings *settings)
+{
+  bool good = check_readable (settings->key_file, "[keys] file");
+
+  good = check_readable (settings->tls_certificate, "[keys] tls_certificate") && good;
+  good = check_readable (settings->tls_key, "[keys] tls_key") && good;
+  return check_readable (settings->data_folder, "[data] folder") && good;
+}
+
+static void
+print_summary (const struct settings *settings)
+{
+  printf ("%s in %s (%s): callers %s, operators %s, targets %s, peers %s\n", settings->name,
+          settings->domain, settings->region, settings->listen_callers, settings->listen_operators,
+          settings->listen_targets, settings->listen_peers);
+  if (settings->key_file[0] == '\0')
+    printf ("note: no [keys] file, so messages between hosts are not encrypted\n");
+  if (settings->admin_token_hash[0] == '\0')
+    printf ("note: no [keys] admin_token_hash, so anybody who reaches the operators' address is "
+            "an operator until an operator resource is applied\n");
+}
+
+enum cli_exit
+cli_check (int argc, char **argv)
+{
+  static const struct argp_option options_table[] = {
+    { "keys", OPTION_KEYS, NULL, 0, "Print the tables of keys for docs/SETTINGS.md", 0 },
+    { 0 },
+  };
+  const struct argp parser = {
+    .options = options_table,
+    .parser = parse_option,
+    .args_doc = "FILE",
+    .doc = "Check a settings file and the files it names.\v"
+           "Prints every fault as FILE:LINE: [section] key: expected ..., got ...",
+  };
+  struct check_options options = { .path = NULL };
+  struct settings settings;
+  struct bytes text;
+
+  argp_parse (&parser, argc, argv, 0, NULL, &options);
+  bytes_init (&text, NULL);
+  if (options.keys)
+    {
+      settings_write_table (&text);
+      print_and_clear (&text, stdout);
+      if (options.path == NULL)
+        return CLI_EXIT_OK;
+    }
+  if (settings_check (options.path, &settings, &text) != STATUS_OK)
+    {
+      print_and_clear (&text, stderr);
+      return CLI_EXIT_SETTINGS;
+    }
+  bytes_clear (&text);
+  if (!check_files (&settings))
+    return CLI_EXIT_SETTINGS;
+  print_summary (&settings);
+  return CLI_EXIT_OK;
+}
--- a/src/cli_commands.c
+++ b/src/cli_commands.c
@@ -3,5 +3,6 @@
 #include <stddef.h>
 
 const struct cli_command cli_commands[] = {
-  { .name = NULL },
+  { "check", "check a settings file", cli_check },
+  { NULL, NULL, NULL },
 };
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,459 @@
+/* Settings: a file's keys against the table, and the checks that concern several keys.
+ *
+ * inih splits the lines.  They come to it through a reader of ours, which counts them, so that
+ * every problem names its line. */
+#include "settings.h"
+#include "settings_keys.h"
+#include "text.h"
+#include <errno.h>
+#include <ini.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SETTINGS_FILE_MAX (256u << 10)
+#define SETTINGS_LINE_MAX 8192
+#define SETTINGS_MESSAGE_SIZE 500
+#define SETTINGS_SHOWN_VALUE 60
+
+struct parser
+{
+  const char *name; /* of the file */
+  const char *text; /* what was not read yet */
+  size_t left;
+  int line;
+  int lines[SETTING_KEYS_MAX]; /* where a key was set, 0 for not yet */
+  struct settings *out;
+  struct bytes *problems; /* may be NULL */
+  enum status status;
+  char message[SETTINGS_MESSAGE_SIZE]; /* of the first problem */
+};
+
+/* Values come from a file that may hold anything: only printable characters are shown. */
+static void
+make_printable (char *text)
+{
+  for (; *text != '\0'; text++)
+    {
+      if (*text < ' ' || *text > '~')
+        *text = '?';
+    }
+}
+
+/* `line` 0 for a problem that no line causes. */
+static void __attribute__ ((format (printf, 3, 4)))
+problem (struct parser *parser, int line, const char *format, ...)
+{
+  char about[SETTINGS_MESSAGE_SIZE - 100];
+  char message[SETTINGS_MESSAGE_SIZE];
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (about, sizeof about, format, args);
+  va_end (args);
+  make_printable (about);
+  if (line > 0)
+    snprintf (message, sizeof message, "%.80s:%d: %s", parser->name, line, about);
+  else
+    snprintf (message, sizeof message, "%.80s: %s", parser->name, about);
+  if (parser->problems != NULL)
+    bytes_append_format (parser->problems, "%s\n", message);
+  if (parser->status == STATUS_OK)
+    {
+      parser->status = STATUS_INVALID;
+      text_copy_cut (parser->message, sizeof parser->message, message);
+    }
+}
+
+/* inih's fgets(). */
+static char *
+read_line (char *out, int size, void *stream)
+{
+  struct parser *parser = stream;
+  const char *end = memchr (parser->text, '\n', parser->left);
+  size_t length = end == NULL ? parser->left : (size_t) (end - parser->text) + 1;
+  size_t kept = length;
+
+  if (parser->left == 0)
+    return NULL;
+  parser->line++;
+  if (length >= (size_t) size || memchr (parser->text, '\0', length) != NULL)
+    {
+      problem (parser, parser->line, "expected a line of text of at most %d bytes", size - 2);
+      kept = 0;
+    }
+  memcpy (out, parser->text, kept);
+  out[kept] = '\0';
+  parser->text += length;
+  parser->left -= length;
+  return out;
+}
+
+static const char *
+section_known (const char *section)
+{
+  size_t i;
+
+  for (i = 0; i < n_setting_keys; i++)
+    {
+      if (strcmp (setting_keys[i].section, section) == 0)
+        return setting_keys[i].section;
+    }
+  return NULL;
+}
+
+static size_t
+find_key (const char *section, const char *name)
+{
+  size_t i;
+
+  for (i = 0; i < n_setting_keys; i++)
+    {
+      if (strcmp (setting_keys[i].section, section) == 0
+          && strcmp (setting_keys[i].name, name) == 0)
+        break;
+    }
+  return i;
+}
+
+/* The names a section may hold, for the message about one it may not. */
+static void
+list_names (const char *section, char *out, size_t size)
+{
+  size_t used = 0;
+  size_t i;
+
+  out[0] = '\0';
+  for (i = 0; i < n_setting_keys && used < size; i++)
+    {
+      if (section == NULL
+              ? find_key (setting_keys[i].section, setting_keys[i].name) == i
+                    && (i == 0
+                        || strcmp (setting_keys[i].section, setting_keys[i - 1].section) != 0)
+              : strcmp (setting_keys[i].section, section) == 0)
+        used +=
+            (size_t) snprintf (out + used, size - used, "%s%s", used == 0 ? "" : ", ",
+                               section == NULL ? setting_keys[i].section : setting_keys[i].name);
+    }
+}
+
+/* inih's handler: problems are noted by the parser, so that the rest of the file is checked too. */
+static int
+take_value (void *user, const char *section, const char *name, const char *value)
+{
+  struct parser *parser = user;
+  const char *known = section_known (section);
+  size_t i = find_key (section, name);
+  char expected[SETTING_TEXT_SIZE];
+  char names[SETTINGS_MESSAGE_SIZE / 2];
+
+  if (i == n_setting_keys)
+    {
+      list_names (known, names, sizeof names);
+      if (known == NULL)
+        problem (parser, parser->line, "[%.50s]: unknown section, expected one of %s", section,
+                 names);
+      else
+        problem (parser, parser->line, "[%s] %.50s: unknown key, expected one of %s", section, name,
+                 names);
+      return 1;
+    }
+  if (parser->lines[i] != 0)
+    {
+      problem (parser, parser->line, "[%s] %s: given twice, expected once; first on line %d",
+               section, name, parser->lines[i]);
+      return 1;
+    }
+  parser->lines[i] = parser->line;
+  if (!setting_read (&setting_keys[i], value, parser->out))
+    {
+      setting_expected (&setting_keys[i], expected);
+      problem (parser, parser->line, "[%s] %s: expected %s, got \"%.*s\"", section, name, expected,
+               SETTINGS_SHOWN_VALUE, value);
+    }
+  return 1;
+}
+
+void
+settings_default (struct settings *out)
+{
+  size_t i;
+
+  memset (out, 0, sizeof *out);
+  for (i = 0; i < n_setting_keys; i++)
+    {
+      if (setting_keys[i].fallback != NULL)
+        INVARIANT (setting_read (&setting_keys[i], setting_keys[i].fallback, out));
+    }
+  for (i = 0; i < LOG_MODULE_COUNT; i++)
+    out->module_levels[i] = out->log_level;
+}
+
+/* ---- checks over several keys ---- */
+
+static int
+line_of (const struct parser *parser, const char *section, const char *name)
+{
+  return parser->lines[find_key (section, name)];
+}
+
+static void
+check_required (struct parser *parser)
+{
+  char expected[SETTING_TEXT_SIZE];
+  size_t i;
+
+  for (i = 0; i < n_setting_keys; i++)
+    {
+      if (!setting_keys[i].required || parser->lines[i] != 0)
+        continue;
+      setting_expected (&setting_keys[i], expected);
+      problem (parser, 0, "[%s] %s: missing, expected %s", setting_keys[i].section,
+               setting_keys[i].name, expected);
+    }
+}
+
+/* Two listeners on one port: the second would fail to bind only when the host starts. */
+static void
+check_listeners (struct parser *parser)
+{
+  const struct settings *out = parser->out;
+  const struct
+  {
+    const char *name;
+    const char *address;
+  } listeners[] = {
+    { "callers", out->listen_callers },
+    { "operators", out->listen_operators },
+    { "targets", out->listen_targets },
+    { "peers", out->listen_peers },
+  };
+  size_t n = sizeof listeners / sizeof listeners[0];
+  size_t i;
+  size_t j;
+
+  for (i = 0; i < n; i++)
+    {
+      for (j = 0; j < i; j++)
+        {
+          if (strcmp (listeners[i].address, listeners[j].address) == 0
+              && strcmp (strrchr (listeners[i].address, ':'), ":0") != 0)
+            problem (parser, line_of (parser, "listen", listeners[i].name),
+                     "[listen] %s: expected another address than `%s` has", listeners[i].name,
+                     listeners[j].name);
+        }
+    }
+}
+
+/* With a key file every other host is pinned by its key; without one a key would be ignored, which
+ * a reader of the file would not expect. */
+static void
+check_peer_key (struct parser *parser, const char *key, const struct settings_peer *peer)
+{
+  const struct settings *out = parser->out;
+  int line = line_of (parser, "cluster", key);
+
+  if (out->key_file[0] == '\0' && peer->public_key[0] != '\0')
+    problem (parser, line, "[cluster] %s: %s has a key, expected [keys] file too", key, peer->name);
+  if (out->key_file[0] != '\0' && peer->public_key[0] == '\0'
+      && strcmp (peer->name, out->name) != 0)
+    problem (parser, line, "[cluster] %s: expected %s@%s/KEY, since [keys] file is given", key,
+             peer->name, peer->address);
+}
+
+static void
+check_peers (struct parser *parser,
+             const char *key,
+             const struct settings_peer *peers,
+             uint32_t n_peers)
+{
+  const struct settings *out = parser->out;
+  int line = line_of (parser, "cluster", key);
+  uint32_t i;
+  uint32_t j;
+
+  for (i = 0; i < n_peers; i++)
+    {
+      check_peer_key (parser, key, &peers[i]);
+      for (j = 0; j < i; j++)
+        {
+          if (strcmp (peers[i].name, peers[j].name) == 0)
+            problem (parser, line, "[cluster] %s: %s given twice, expected once", key,
+                     peers[i].name);
+          else if (strcmp (peers[i].address, peers[j].address) == 0)
+            problem (parser, line, "[cluster] %s: %s and %s share an address, expected one each",
+                     key, peers[j].name, peers[i].name);
+        }
+      if (strcmp (peers[i].name, out->name) == 0
+          && strcmp (peers[i].address, out->listen_peers) != 0)
+        problem (parser, line, "[cluster] %s: this host is at %s, expected its [listen] peers, %s",
+                 key, peers[i].address, out->listen_peers);
+    }
+}
+
+static void
+check_voters (struct parser *parser)
+{
+  const struct settings *out = parser->out;
+  int line = line_of (parser, "cluster", "voters");
+  uint32_t i;
+
+  if (out->n_voters == 0 && out->n_seeds == 0)
+    problem (parser, line,
+             "[cluster] voters: expected voters or seeds; a host alone names itself as voter");
+  for (i = 0; i < out->n_voters; i++)
+    {
+      if (strcmp (out->voters[i].name, out->name) == 0 && out->data_folder[0] == '\0')
+        problem (parser, line,
+                 "[cluster] voters: this host is a voter, expected [data] folder too");
+    }
+}
+
+static void
+check_together (struct parser *parser)
+{
+  const struct settings *out = parser->out;
+
+  check_listeners (parser);
+  check_peers (parser, "seeds", out->seeds, out->n_seeds);
+  check_peers (parser, "voters", out->voters, out->n_voters);
+  check_voters (parser);
+  if ((out->tls_certificate[0] == '\0') != (out->tls_key[0] == '\0'))
+    problem (parser,
+             line_of (parser, "keys", "tls_key") + line_of (parser, "keys", "tls_certificate"),
+             "[keys] tls_key: expected both tls_certificate and tls_key, or neither");
+  if (out->connections_per_caller > out->connections)
+    problem (parser, line_of (parser, "limits", "connections_per_caller"),
+             "[limits] connections_per_caller: expected at most `connections`, %u",
+             out->connections);
+  /* A host that leaves serves as long as an old list may be kept, then ends what is in flight. */
+  if (out->drain_bound <= out->list_keep)
+    problem (parser, line_of (parser, "entry", "drain_bound_ms"),
+             "[entry] drain_bound_ms: expected more than list_keep_ms, %lld",
+             (long long) (out->list_keep / USEC_PER_MSEC));
+}
+
+/* Module levels that were not given are the general one. */
+static void
+fill_levels (struct parser *parser)
+{
+  static const char *const modules[] = {
+#define X(name, text) [LOG_MODULE_##name] = text,
+    LOG_MODULE_LIST (X)
+#undef X
+  };
+  int i;
+
+  for (i = 0; i < LOG_MODULE_COUNT; i++)
+    {
+      if (line_of (parser, "log", modules[i]) == 0)
+        parser->out->module_levels[i] = parser->out->log_level;
+    }
+}
+
+enum status
+settings_parse (
+    const char *name, const char *text, size_t length, struct settings *out, struct bytes *problems)
+{
+  struct parser parser = {
+    .name = name, .text = text, .left = length, .out = out, .problems = problems
+  };
+  int bad_line;
+
+  INVARIANT (n_setting_keys <= SETTING_KEYS_MAX);
+  settings_default (out);
+  ini_use_stack = false;
+  ini_max_line = SETTINGS_LINE_MAX;
+  ini_initial_alloc = SETTINGS_LINE_MAX;
+  ini_allow_multiline = false;
+  bad_line = ini_parse_stream (read_line, &parser, take_value, &parser);
+  if (bad_line < 0)
+    return status_fail (STATUS_NO_MEMORY, "%s: out of memory", name);
+  if (bad_line > 0)
+    problem (&parser, bad_line, "expected [section], key = value, or a comment after ';'");
+  check_required (&parser);
+  fill_levels (&parser);
+  if (parser.status == STATUS_OK)
+    check_together (&parser);
+  if (parser.status == STATUS_OK)
+    return STATUS_OK;
+  return status_fail (parser.status, "%s", parser.message);
+}
+
+/* The whole file, to be freed; NULL with the status set when it cannot be read. */
+static char *
+read_file (const char *path, size_t *length, enum status *status)
+{
+  FILE *file = fopen (path, "re");
+  char *text;
+
+  if (file == NULL)
+    {
+      *status = status_fail (STATUS_IO, "%s: %s", path, strerror (errno));
+      return NULL;
+    }
+  text = malloc (SETTINGS_FILE_MAX + 1);
+  *length = text == NULL ? 0 : fread (text, 1, SETTINGS_FILE_MAX + 1, file);
+  *status = STATUS_OK;
+  if (text == NULL)
+    *status = status_fail (STATUS_NO_MEMORY, "%s: out of memory", path);
+  else if (ferror (file))
+    *status = status_fail (STATUS_IO, "%s: %s", path, strerror (errno));
+  else if (*length > SETTINGS_FILE_MAX)
+    *status = status_fail (STATUS_TOO_LARGE, "%s: expected a file of at most %u bytes", path,
+                           SETTINGS_FILE_MAX);
+  fclose (file);
+  if (*status == STATUS_OK)
+    return text;
+  free (text);
+  return NULL;
+}
+
+enum status
+settings_check (const char *path, struct settings *out, struct bytes *problems)
+{
+  enum status status;
+  size_t length;
+  char *text = read_file (path, &length, &status);
+
+  if (text == NULL)
+    {
+      if (problems != NULL)
+        bytes_append_format (problems, "%s\n", status_message ());
+      return status;
+    }
+  status = settings_parse (path, text, length, out, problems);
+  free (text);
+  return status;
+}
+
+enum status
+settings_load (const char *path, struct settings *out)
+{
+  return settings_check (path, out, NULL);
+}
+
+void
+settings_write_table (struct bytes *out)
+{
+  char expected[SETTING_TEXT_SIZE];
+  const char *section = "";
+  size_t i;
+
+  for (i = 0; i < n_setting_keys; i++)
+    {
+      const struct setting_key *key = &setting_keys[i];
+      const char *fallback = key->fallback == NULL ? "" : key->fallback;
+
+      if (strcmp (section, key->section) != 0)
+        bytes_append_format (
+            out, "%s## [%s]\n\n| key | expects | default | what it sets |\n|---|---|---|---|\n",
+            i == 0 ? "" : "\n", key->section);
+      section = key->section;
+      setting_expected (key, expected);
+      bytes_append_format (out, "| `%s` | %s | %s | %s |\n", key->name, expected,
+                           key->required ? "required" : (fallback[0] == '\0' ? "none" : fallback),
+                           key->help);
+    }
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -2,6 +2,7 @@
 #ifndef SETTINGS_H
 #define SETTINGS_H
 
+#include "bytes.h"
 #include "decls.h"
 #include "log.h"
 #include "resource.h"
@@ -81,6 +82,23 @@
  * expected. */
 enum status settings_load (const char *path, struct settings *out);
 
+/* The same, with every problem found appended to `problems`, one a line; the status and its message
+ * are of the first. */
+enum status settings_check (const char *path, struct settings *out, struct bytes *problems);
+
+/* Read from memory; `name` stands for the file in messages and `problems` may be NULL. */
+enum status settings_parse (const char *name,
+                            const char *text,
+                            size_t length,
+                            struct settings *out,
+                            struct bytes *problems);
+
+/* Every key at its default, and "" where there is none. */
+void settings_default (struct settings *out);
+
+/* The keys as a table in Markdown, for docs/SETTINGS.md. */
+void settings_write_table (struct bytes *out);
+
 END_DECLS
 
 #endif
