--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,279 @@
+/* The process's loop: libwebsockets' poll loop, woken in time for the earliest timer. */
+#include "loop.h"
+#include <errno.h>
+#include <libwebsockets.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <talloc.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Descriptors of the loop itself beside connections: wake-up pipe, signals, listeners, peers. */
+#define LOOP_SPARE_FDS 32
+
+/* Bounds of what one HTTP header set may take; see http_server.c for the limits that callers meet.
+ * A header set lives only while headers arrive and until its request or answer head was copied. */
+#define LOOP_HEADER_BYTES 32768
+#define LOOP_HEADER_SETS 256
+
+/* What lws reads or writes at one go; larger answers go out in pieces of this size. */
+#define LOOP_SERVICE_BUFFER 16384
+
+/* lws's own bound on a handshake or a header that does not arrive, in seconds. */
+#define LOOP_HANDSHAKE_SECONDS 10
+
+struct loop
+{
+  struct lws_context *context;
+  struct lws_vhost *vhost; /* of watched descriptors */
+  struct timer_service *timers;
+  lws_sorted_usec_list_t wake;
+  bool stopped;
+  struct loop_watch signal_watch;
+  struct loop_signal *signal_handler;
+  int signal_fd;
+};
+
+/* Outlives its watch until lws has closed the adopted descriptor. */
+struct watch_slot
+{
+  struct loop *loop;
+  struct loop_watch *watch; /* NULL once unwatched */
+  struct lws *wsi;
+};
+
+int64_t
+loop_now (const struct loop *loop)
+{
+  struct timespec now;
+
+  (void) loop;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return now.tv_sec * USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
+static int
+on_watch_event (struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in, size_t len)
+{
+  struct watch_slot *slot = wsi == NULL ? NULL : lws_get_opaque_user_data (wsi);
+
+  (void) user;
+  (void) in;
+  (void) len;
+  if (slot == NULL)
+    return 0;
+  if (reason == LWS_CALLBACK_RAW_RX_FILE)
+    {
+      if (slot->watch == NULL)
+        return -1;
+      slot->watch->ops->ready (slot->watch, loop_now (slot->loop));
+      return slot->watch == NULL ? -1 : 0;
+    }
+  if (reason == LWS_CALLBACK_RAW_CLOSE_FILE)
+    {
+      if (slot->watch != NULL)
+        slot->watch->owner = NULL;
+      lws_set_opaque_user_data (wsi, NULL);
+      talloc_free (slot);
+    }
+  return 0;
+}
+
+static const struct lws_protocols watch_protocols[] = {
+  { .name = "watch", .callback = on_watch_event },
+  { .name = NULL },
+};
+
+static int
+destroy_loop (struct loop *loop)
+{
+  /* Children hold connections of the context: they go first. */
+  talloc_free_children (loop);
+  lws_sul_cancel (&loop->wake);
+  if (loop->context != NULL)
+    lws_context_destroy (loop->context);
+  if (loop->signal_fd >= 0)
+    close (loop->signal_fd);
+  return 0;
+}
+
+static bool
+make_context (struct loop *loop, uint32_t connections_max)
+{
+  struct lws_context_creation_info info = {
+    .port = CONTEXT_PORT_NO_LISTEN,
+    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT
+               | LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
+    .fd_limit_per_thread = connections_max + LOOP_SPARE_FDS,
+    .max_http_header_data2 = LOOP_HEADER_BYTES,
+    .max_http_header_pool2 = LOOP_HEADER_SETS,
+    .pt_serv_buf_size = LOOP_SERVICE_BUFFER,
+    .timeout_secs = LOOP_HANDSHAKE_SECONDS,
+    .timeout_secs_ah_idle = LOOP_HANDSHAKE_SECONDS,
+    .alpn = "http/1.1",
+    .protocols = watch_protocols,
+    .vhost_name = "watch",
+  };
+
+  lws_set_log_level (0, NULL);
+  loop->context = lws_create_context (&info);
+  if (loop->context == NULL)
+    return false;
+  loop->vhost = lws_create_vhost (loop->context, &info);
+  return loop->vhost != NULL;
+}
+
+struct loop *
+loop_new (void *parent, uint32_t connections_max)
+{
+  struct loop *loop = talloc_zero (parent, struct loop);
+
+  if (loop == NULL)
+    return NULL;
+  loop->signal_fd = -1;
+  talloc_set_destructor (loop, destroy_loop);
+  loop->timers = timer_service_new (loop);
+  if (loop->timers == NULL || !make_context (loop, connections_max))
+    {
+      status_fail (STATUS_NO_MEMORY, "cannot make the loop for %u connections", connections_max);
+      talloc_free (loop);
+      return NULL;
+    }
+  return loop;
+}
+
+struct timer_service *
+loop_timers (struct loop *loop)
+{
+  return loop->timers;
+}
+
+struct lws_context *
+loop_context (struct loop *loop)
+{
+  return loop->context;
+}
+
+enum status
+loop_watch_fd (struct loop *loop, struct loop_watch *watch, int fd)
+{
+  /* lws closes what it adopts, so it gets a descriptor of its own. */
+  lws_sock_file_fd_type own = { .filefd = dup (fd) };
+  struct watch_slot *slot;
+  lws_adopt_desc_t adopt = {
+    .vh = loop->vhost,
+    .type = LWS_ADOPT_RAW_FILE_DESC,
+    .fd = own,
+    .vh_prot_name = watch_protocols[0].name,
+  };
+
+  if (own.filefd < 0)
+    return status_fail (STATUS_IO, "cannot watch descriptor %d: %s", fd, strerror (errno));
+  slot = talloc_zero (NULL, struct watch_slot);
+  if (slot == NULL)
+    {
+      close (own.filefd);
+      return status_fail (STATUS_NO_MEMORY, "cannot watch descriptor %d", fd);
+    }
+  slot->loop = loop;
+  slot->watch = watch;
+  adopt.opaque = slot;
+  slot->wsi = lws_adopt_descriptor_vhost_via_info (&adopt);
+  if (slot->wsi == NULL)
+    {
+      talloc_free (slot);
+      return status_fail (STATUS_LIMIT, "too many descriptors in the loop");
+    }
+  watch->owner = slot;
+  return STATUS_OK;
+}
+
+void
+loop_unwatch (struct loop *loop, struct loop_watch *watch)
+{
+  struct watch_slot *slot = watch->owner;
+
+  (void) loop;
+  if (slot == NULL)
+    return;
+  slot->watch = NULL;
+  watch->owner = NULL;
+  lws_set_timeout (slot->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+static void
+read_signals (struct loop_watch *watch, int64_t now)
+{
+  struct loop *loop = lws_container_of (watch, struct loop, signal_watch);
+  struct signalfd_siginfo info;
+
+  while (read (loop->signal_fd, &info, sizeof info) == (ssize_t) sizeof info)
+    loop->signal_handler->ops->raised (loop->signal_handler, (int) info.ssi_signo, now);
+}
+
+static const struct loop_watch_ops signal_watch_ops = { .ready = read_signals };
+
+enum status
+loop_on_signal (struct loop *loop, struct loop_signal *handler, const int *signals, int n_signals)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  for (int i = 0; i < n_signals; i++)
+    sigaddset (&set, signals[i]);
+  if (sigprocmask (SIG_BLOCK, &set, NULL) != 0)
+    return status_fail (STATUS_IO, "cannot block signals: %s", strerror (errno));
+  loop->signal_fd = signalfd (loop->signal_fd, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (loop->signal_fd < 0)
+    return status_fail (STATUS_IO, "cannot wait for signals: %s", strerror (errno));
+  loop->signal_handler = handler;
+  if (loop->signal_watch.owner != NULL)
+    return STATUS_OK;
+  loop->signal_watch.ops = &signal_watch_ops;
+  return loop_watch_fd (loop, &loop->signal_watch, loop->signal_fd);
+}
+
+/* Its only use is to end the poll in time: timers run after every turn. */
+static void
+on_wake (lws_sorted_usec_list_t *wake)
+{
+  (void) wake;
+}
+
+static void
+serve (struct loop *loop, int64_t latest)
+{
+  int64_t next = timer_service_next (loop->timers);
+  int64_t now = loop_now (loop);
+
+  if (next > latest)
+    next = latest;
+  if (next == USEC_NEVER)
+    lws_sul_cancel (&loop->wake);
+  else
+    lws_sul_schedule (loop->context, 0, &loop->wake, on_wake, next > now ? next - now : 1);
+  if (lws_service (loop->context, 0) < 0)
+    loop->stopped = true;
+  timer_service_run (loop->timers, loop_now (loop));
+}
+
+void
+loop_run (struct loop *loop)
+{
+  loop->stopped = false;
+  while (!loop->stopped)
+    serve (loop, USEC_NEVER);
+}
+
+void
+loop_stop (struct loop *loop)
+{
+  loop->stopped = true;
+}
+
+void
+loop_once (struct loop *loop, int64_t wait)
+{
+  serve (loop, loop_now (loop) + wait);
+}
--- a/src/loop.h
+++ b/src/loop.h
@@ -52,7 +52,7 @@
 struct lws_context *loop_context (struct loop *loop);
 
 /* Watch a descriptor for reading; the descriptor stays the caller's. */
-enum status loop_watch (struct loop *loop, struct loop_watch *watch, int fd);
+enum status loop_watch_fd (struct loop *loop, struct loop_watch *watch, int fd);
 void loop_unwatch (struct loop *loop, struct loop_watch *watch);
 
 /* Have `handler` called from the loop when the signal comes.  One handler for all signals. */
