--- a/src/decide.h
+++ b/src/decide.h
@@ -59,8 +59,9 @@
   uint32_t stage; /* the stage now running or next */
   uint64_t prefix[DECIDE_PREFIX_BLOCKS];
   uint32_t n_prefix;
-  bool admitted;         /* decide's own: counted against the limits */
-  double estimated_work; /* decide's own: slot seconds held against the share */
+  bool admitted;                          /* decide's own: counted against the limits */
+  double estimated_work;                  /* decide's own: slot seconds held against the share */
+  double stage_work[RESOURCE_STAGES_MAX]; /* decide's own: the same by stage, until it is done */
 };
 
 struct decide_admission
@@ -133,13 +134,14 @@
                                   int64_t now,
                                   struct decide_choice *out);
 
-/* The attempt was started on, and ended at, its target. */
+/* The attempt was started on, and ended at, its target.  `request->stage` is still the attempt's
+ * stage when it ends. */
 void decide_started (struct decide *decide,
                      const struct decide_request *request,
                      const struct decide_choice *choice,
                      int64_t now);
 void decide_ended (struct decide *decide,
-                   const struct decide_request *request,
+                   struct decide_request *request,
                    const struct decide_result *result,
                    int64_t now);
 
--- /dev/null
+++ b/src/decide_admit.c
@@ -0,0 +1,258 @@
+/* Admission: limits, then whether the request can end inside its window, then priority and the
+ * organisations' shares. */
+#include "decide_state.h"
+#include <math.h>
+
+#define WINDOW_MARGIN 0.9  /* of the time left that the expected time may take */
+#define OVERLOAD 0.7       /* of the window taken by waiting, from where shares count */
+#define PRIORITY_STEP 0.05 /* less waiting tolerated for each priority below 9 */
+#define PRIORITY_TOP 9
+#define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
+
+static double
+limit_tokens (const struct decide_request *request)
+{
+  return (double) request->input_tokens + request->output_tokens;
+}
+
+static enum decide_reason
+check_limits (struct decide *decide,
+              const struct decide_request *request,
+              int64_t now,
+              int64_t *retry_after)
+{
+  struct decide_organisation *organisation =
+      decide_organisation_get (decide, request->organisation);
+  const struct board_organisation *entry =
+      table_get (decide->board->organisations, request->organisation);
+
+  if (organisation == NULL || entry == NULL)
+    return DECIDE_ADMITTED;
+  limit_demand_add (&organisation->limit, now);
+  switch (limit_take (&organisation->limit, &entry->spec, limit_tokens (request), now, retry_after))
+    {
+    case LIMIT_REQUESTS:
+      return DECIDE_RATE;
+    case LIMIT_TOKENS:
+      return DECIDE_TOKENS;
+    case LIMIT_RUNNING:
+      return DECIDE_CONCURRENCY;
+    default:
+      return DECIDE_ADMITTED;
+    }
+}
+
+static void
+undo_limits (struct decide *decide, const struct decide_request *request)
+{
+  struct decide_organisation *organisation =
+      decide_organisation_get (decide, request->organisation);
+  const struct board_organisation *entry =
+      table_get (decide->board->organisations, request->organisation);
+
+  if (organisation != NULL && entry != NULL)
+    limit_undo (&organisation->limit, &entry->spec, limit_tokens (request));
+}
+
+/* How long a stage's work waits behind what we have admitted: our work over the slots that are
+ * ours, which are an even share of the pool, or what others leave free where reports show it. */
+static double
+pool_wait (const struct decide *decide, const struct decide_pool *pool)
+{
+  double ours = pool->slots / decide_hosts (decide);
+  double others = fmax (0, pool->reported - pool->running);
+  double slots = fmax (ours, (pool->slots - others) * pool->reports);
+
+  return slots > 0 ? pool->admitted_work * USEC_PER_SEC / slots : (double) USEC_PER_SEC;
+}
+
+struct outlook
+{
+  double work; /* slot seconds over all stages */
+  double service;
+  double wait;
+  bool known;
+  bool served; /* every stage has a usable target */
+};
+
+static struct outlook
+look_ahead (struct decide *decide,
+            struct decide_request *request,
+            const struct board_pipeline *pipeline,
+            int64_t now)
+{
+  struct outlook outlook = { .known = true, .served = true };
+  uint32_t stage;
+
+  for (stage = request->stage; stage < pipeline->spec.n_stages; stage++)
+    {
+      const struct stage_spec *spec = &pipeline->spec.stages[stage];
+      struct decide_pool *pool = decide_pool_get (decide, spec->pool);
+      uint32_t tokens = decide_stage_tokens (decide, request, stage);
+      struct decide_work work = decide_stage_time (decide, request, spec, tokens, 0);
+
+      if (pool == NULL)
+        continue;
+      decide_pool_refresh (decide, pool, now);
+      outlook.served = outlook.served && pool->n_usable > 0;
+      outlook.known = outlook.known && work.known;
+      outlook.service += work.span.middle;
+      outlook.wait = fmax (outlook.wait, pool_wait (decide, pool) - work.span.middle);
+      request->stage_work[stage] = work.span.middle / USEC_PER_SEC;
+      outlook.work += request->stage_work[stage];
+    }
+  return outlook;
+}
+
+/* Is the organisation over its weighted share of what runs here?  One more organisation of the
+ * mean weight counts as present, so that one that has the host to itself leaves room for the next:
+ * otherwise a flood would fill the whole window with its own waiting work, and small organisations
+ * that come later would find every request refused. */
+static bool
+over_share (struct decide *decide, const struct decide_request *request)
+{
+  const struct decide_organisation *own = decide_organisation_get (decide, request->organisation);
+  const struct board_organisation *entry;
+  struct handle handle;
+  double weights = 0;
+  double work = 0;
+  double weight = 1;
+  uint32_t count = 0;
+  uint32_t cursor = 0;
+
+  if (own == NULL)
+    return false;
+  while ((entry = table_next (decide->board->organisations, &cursor, &handle)) != NULL)
+    {
+      const struct decide_organisation *other = decide->organisations[handle.index];
+
+      if (other == own)
+        weight = entry->spec.weight;
+      if (other == NULL || other->generation != handle.generation || other->work <= 0)
+        continue;
+      weights += entry->spec.weight;
+      work += other->work;
+      count++;
+    }
+  if (count == 0)
+    return false;
+  return own->work * (weights + weights / count) > work * weight;
+}
+
+static struct decide_admission
+check_window (struct decide *decide,
+              const struct decide_request *request,
+              const struct outlook *outlook,
+              int64_t now)
+{
+  double left = (double) (request->deadline - now) * WINDOW_MARGIN;
+  double spare = left - outlook->service;
+  uint32_t below = request->priority < PRIORITY_TOP ? PRIORITY_TOP - request->priority : 0;
+  double excess = outlook->wait - spare;
+
+  if (!outlook->known)
+    return (struct decide_admission){ .reason = DECIDE_ADMITTED };
+  if (spare < 0)
+    return (struct decide_admission){ .reason = DECIDE_WINDOW };
+  if (excess > 0)
+    return (struct decide_admission){ .reason = DECIDE_WINDOW,
+                                      .retry_after = RETRY_AFTER_MIN + (int64_t) excess };
+  excess = outlook->wait - spare * (1 - PRIORITY_STEP * below);
+  if (excess > 0)
+    return (struct decide_admission){ .reason = DECIDE_PRIORITY,
+                                      .retry_after = RETRY_AFTER_MIN + (int64_t) excess };
+  excess = outlook->wait - spare * OVERLOAD;
+  if (excess > 0 && over_share (decide, request))
+    return (struct decide_admission){ .reason = DECIDE_SHARE,
+                                      .retry_after = RETRY_AFTER_MIN + (int64_t) excess };
+  return (struct decide_admission){ .reason = DECIDE_ADMITTED };
+}
+
+/* Count the admitted work in, or with -1 out, of its stages' pools. */
+void
+decide_count_stage (struct decide *decide,
+                    struct decide_request *request,
+                    uint32_t stage,
+                    double sign)
+{
+  const struct board_pipeline *pipeline = table_get (decide->board->pipelines, request->pipeline);
+  struct decide_pool *pool;
+
+  if (pipeline == NULL || stage >= pipeline->spec.n_stages)
+    return;
+  pool = decide_pool_get (decide, pipeline->spec.stages[stage].pool);
+  if (pool != NULL)
+    pool->admitted_work = fmax (0, pool->admitted_work + sign * request->stage_work[stage]);
+  if (sign < 0)
+    request->stage_work[stage] = 0;
+}
+
+static void
+count_request (struct decide *decide, struct decide_request *request, double work)
+{
+  struct decide_organisation *organisation =
+      decide_organisation_get (decide, request->organisation);
+  uint32_t stage;
+
+  request->estimated_work = work;
+  request->admitted = true;
+  decide->n_running++;
+  if (organisation != NULL)
+    organisation->work += work;
+  for (stage = request->stage; stage < RESOURCE_STAGES_MAX; stage++)
+    decide_count_stage (decide, request, stage, 1);
+}
+
+struct decide_admission
+decide_admit (struct decide *decide, struct decide_request *request, int64_t now)
+{
+  const struct board_pipeline *pipeline = table_get (decide->board->pipelines, request->pipeline);
+  struct decide_admission admission = { .reason = DECIDE_NO_TARGET };
+  struct outlook outlook;
+
+  if (pipeline == NULL)
+    return admission;
+  admission.reason = check_limits (decide, request, now, &admission.retry_after);
+  if (admission.reason == DECIDE_ADMITTED)
+    {
+      outlook = look_ahead (decide, request, pipeline, now);
+      if (outlook.served)
+        admission = check_window (decide, request, &outlook, now);
+      else
+        admission =
+            (struct decide_admission){ .reason = DECIDE_NO_TARGET, .retry_after = USEC_PER_SEC };
+      if (admission.reason == DECIDE_ADMITTED)
+        count_request (decide, request, outlook.work);
+      else
+        undo_limits (decide, request);
+      if (admission.reason == DECIDE_WINDOW)
+        counter_add (decide->saved_work, outlook.work);
+    }
+  counter_add (decide->verdicts[admission.reason], 1);
+  return admission;
+}
+
+void
+decide_finish (struct decide *decide, struct decide_request *request, bool whole, int64_t now)
+{
+  struct decide_organisation *organisation =
+      decide_organisation_get (decide, request->organisation);
+  const struct board_organisation *entry =
+      table_get (decide->board->organisations, request->organisation);
+  uint32_t stage;
+
+  (void) now;
+  if (!request->admitted)
+    return;
+  request->admitted = false;
+  counter_add (whole ? decide->finished_whole : decide->finished_other, 1);
+  for (stage = 0; stage < RESOURCE_STAGES_MAX; stage++)
+    decide_count_stage (decide, request, stage, -1);
+  if (decide->n_running > 0)
+    decide->n_running--;
+  if (organisation == NULL)
+    return;
+  organisation->work = fmax (0, organisation->work - request->estimated_work);
+  if (entry != NULL)
+    limit_finish (&organisation->limit, &entry->spec, 0);
+}
--- /dev/null
+++ b/src/decide_pool.c
@@ -0,0 +1,232 @@
+/* The index of targets by pool, kept by the board's events, so that a choice looks at one pool's
+ * targets and not at all that are known. */
+#include "decide_state.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+
+#define DEFAULT_SLOTS 8 /* of a target that announces none in a pool that declares none */
+
+/* uthash's macros are long; the function is not.
+ * NOLINTBEGIN(readability-function-size) */
+struct decide_pool *
+decide_pool_get (struct decide *decide, const char *name)
+{
+  struct decide_pool *pool;
+
+  HASH_FIND_STR (decide->pools, name, pool);
+  if (pool != NULL)
+    return pool;
+  pool = talloc_zero (decide, struct decide_pool);
+  if (pool == NULL)
+    return NULL;
+  text_copy_cut (pool->name, sizeof pool->name, name);
+  HASH_ADD_STR (decide->pools, name, pool);
+  return pool;
+}
+
+/* NOLINTEND(readability-function-size) */
+
+struct decide_class *
+decide_class_get (struct decide_pool *pool, const char *model)
+{
+  uint32_t i;
+
+  for (i = 0; i < pool->n_classes; i++)
+    if (strcmp (pool->classes[i].model, model) == 0)
+      return &pool->classes[i];
+  /* More models than are learned apart share the last class. */
+  if (pool->n_classes == DECIDE_CLASSES_MAX)
+    return &pool->classes[DECIDE_CLASSES_MAX - 1];
+  text_copy_cut (pool->classes[pool->n_classes].model, RESOURCE_NAME_SIZE, model);
+  return &pool->classes[pool->n_classes++];
+}
+
+static bool
+pool_append (struct decide_pool *pool, struct decide_target *target)
+{
+  if (pool->n_targets == pool->capacity)
+    {
+      uint32_t capacity = pool->capacity == 0 ? 16 : pool->capacity * 2;
+      struct decide_target **targets =
+          talloc_realloc (pool, pool->targets, struct decide_target *, capacity);
+
+      if (targets == NULL)
+        return false;
+      pool->targets = targets;
+      pool->capacity = capacity;
+    }
+  target->pool = pool;
+  target->position = pool->n_targets;
+  pool->targets[pool->n_targets++] = target;
+  return true;
+}
+
+static void
+pool_remove (struct decide_target *target)
+{
+  struct decide_pool *pool = target->pool;
+  struct decide_target *last = pool->targets[--pool->n_targets];
+
+  pool->log_slowness -= target->log_slowness;
+  pool->targets[target->position] = last;
+  last->position = target->position;
+  if (target->eject.until != 0 && pool->n_ejected > 0)
+    pool->n_ejected--;
+  /* Its attempts end without a target to count them down on. */
+  pool->running -= target->in_flight < pool->running ? target->in_flight : pool->running;
+}
+
+static void
+target_removed (struct decide *decide, struct handle handle)
+{
+  struct board_target *entry = table_get (decide->board->targets, handle);
+
+  if (entry == NULL || entry->decide == NULL)
+    return;
+  pool_remove (entry->decide);
+  TALLOC_FREE (entry->decide);
+}
+
+static void
+target_added (struct decide *decide, struct handle handle, int64_t now)
+{
+  struct board_target *entry = table_get (decide->board->targets, handle);
+  struct decide_pool *pool;
+  struct decide_target *target;
+
+  if (entry == NULL || entry->decide != NULL)
+    return;
+  pool = decide_pool_get (decide, entry->pool);
+  target = pool == NULL ? NULL : talloc_zero (decide, struct decide_target);
+  if (target == NULL)
+    return;
+  target->handle = handle;
+  target->added_at = now;
+  if (!pool_append (pool, target))
+    {
+      talloc_free (target);
+      return;
+    }
+  entry->decide = target;
+}
+
+/* A target that moved to another pool is a new one to us. */
+static void
+target_changed (struct decide *decide, struct handle handle, int64_t now)
+{
+  struct board_target *entry = table_get (decide->board->targets, handle);
+
+  if (entry == NULL)
+    return;
+  if (entry->decide != NULL && strcmp (entry->decide->pool->name, entry->pool) != 0)
+    target_removed (decide, handle);
+  target_added (decide, handle, now);
+}
+
+void
+decide_index_changed (struct board_subscriber *subscriber,
+                      enum board_event event,
+                      struct handle handle,
+                      int64_t now)
+{
+  struct decide *decide = (struct decide *) subscriber;
+
+  switch (event)
+    {
+    case BOARD_TARGET_ADDED:
+    case BOARD_TARGET_CHANGED:
+      target_changed (decide, handle, now);
+      break;
+    case BOARD_TARGET_REMOVED:
+      target_removed (decide, handle);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+decide_index_all (struct decide *decide, int64_t now)
+{
+  uint32_t cursor = 0;
+  struct handle handle;
+
+  while (table_next (decide->board->targets, &cursor, &handle) != NULL)
+    target_added (decide, handle, now);
+}
+
+static uint32_t
+slots_of (const struct decide *decide, const struct board_target *entry)
+{
+  const struct board_pool *declared = table_get (decide->board->pools, entry->pool_handle);
+
+  if (entry->slots > 0)
+    return entry->slots;
+  return declared != NULL && declared->spec.slots > 0 ? declared->spec.slots : DEFAULT_SLOTS;
+}
+
+double
+decide_target_slots (const struct decide *decide, const struct decide_target *target)
+{
+  const struct board_target *entry = table_get (decide->board->targets, target->handle);
+
+  return entry == NULL ? 0 : slots_of (decide, entry);
+}
+
+/* Hosts that share the targets with us, ourselves among them. */
+double
+decide_hosts (const struct decide *decide)
+{
+  uint32_t cursor = 0;
+  uint32_t alive = 0;
+  const struct board_host *host;
+
+  while ((host = table_next (decide->board->hosts, &cursor, NULL)) != NULL)
+    alive += host->self || host->state == HOST_ALIVE || host->state == HOST_SUSPECT;
+  return alive == 0 ? 1 : alive;
+}
+
+/* The share of a report that still counts: none once it is older than REPORT_LIFE. */
+double
+decide_report_weight (const struct load_report *report, int64_t now)
+{
+  int64_t age = now - report->measured_at;
+
+  if (report->received_at == 0 || age >= REPORT_LIFE)
+    return 0;
+  return age <= 0 ? 1 : 1 - (double) age / REPORT_LIFE;
+}
+
+/* Count anew what the pool can take and what others have running there.  Reports are lagging, so
+ * counting a few times a second is as good as at each decision. */
+void
+decide_pool_refresh (struct decide *decide, struct decide_pool *pool, int64_t now)
+{
+  double reported = 0;
+  double weight = 0;
+  uint32_t usable = 0;
+  uint32_t i;
+
+  if (pool->refreshed_at != 0 && now - pool->refreshed_at < REFRESH_SPAN)
+    return;
+  pool->refreshed_at = now;
+  pool->slots = 0;
+  for (i = 0; i < pool->n_targets; i++)
+    {
+      const struct decide_target *target = pool->targets[i];
+      const struct board_target *entry = table_get (decide->board->targets, target->handle);
+      double fresh;
+
+      if (entry == NULL || !board_target_usable (entry, now) || target->eject.until > now)
+        continue;
+      usable++;
+      pool->slots += slots_of (decide, entry) / decide_target_slowness (target);
+      fresh = decide_report_weight (&entry->report, now);
+      reported += fresh * (entry->report.running + entry->report.waiting);
+      weight += fresh;
+    }
+  pool->n_usable = usable;
+  pool->reports = usable == 0 ? 0 : weight / usable;
+  pool->reported = weight > 0 ? reported / weight * usable : 0;
+}
--- /dev/null
+++ b/src/decide_state.h
@@ -0,0 +1,149 @@
+/* What the decisions keep between calls; private to decide*.c. */
+#ifndef DECIDE_STATE_H
+#define DECIDE_STATE_H
+
+#include "budget.h"
+#include "decide.h"
+#include "eject.h"
+#include "learn.h"
+#include "limit.h"
+#include "rng.h"
+#include <uthash.h>
+
+#define DECIDE_CLASSES_MAX 8           /* models learned apart in one pool */
+#define REPORT_LIFE (4 * USEC_PER_SEC) /* a load report is unknown once it is this old */
+#define REFRESH_SPAN (100 * USEC_PER_MSEC)
+
+/* What was learned of one model of a pool. */
+struct decide_class
+{
+  char model[RESOURCE_NAME_SIZE];
+  struct learn_sizes first; /* time to the first output by tokens not cached */
+  struct learn_sizes token; /* time between generated tokens, by tokens generated */
+};
+
+struct decide_pool
+{
+  char name[RESOURCE_NAME_SIZE];
+  struct decide_target **targets;
+  uint32_t n_targets;
+  uint32_t capacity; /* of `targets` */
+  uint32_t n_ejected;
+  struct decide_class classes[DECIDE_CLASSES_MAX];
+  uint32_t n_classes;
+  double admitted_work; /* slot seconds of admitted requests' stages not yet done */
+  double log_slowness;  /* the sum of its targets' */
+  uint32_t running;     /* our attempts */
+  double slots;         /* of its usable targets, as last counted */
+  uint32_t n_usable;    /* the same */
+  double reported;      /* calls running and waiting there, from all hosts, by fresh reports */
+  double reports;       /* how far `reported` can be trusted, 0 to 1 */
+  int64_t refreshed_at;
+  UT_hash_handle hh;
+};
+
+/* What was learned of one target. */
+struct decide_target
+{
+  struct handle handle;
+  struct decide_pool *pool;
+  uint32_t position;   /* in the pool's `targets` */
+  uint32_t in_flight;  /* our attempts on it */
+  double work;         /* expected slot seconds of them */
+  double log_slowness; /* its time over the pool's, learned; 0 when unknown */
+  int64_t added_at;    /* for slow start */
+  struct eject eject;
+};
+
+struct decide_stage
+{
+  double extra_tokens; /* a stage's tokens beyond the request's, learned */
+  bool known;
+};
+
+struct decide_pipeline
+{
+  uint32_t generation; /* of the board's handle this was learned for */
+  struct budget retries;
+  struct budget hedges;
+  struct decide_stage stages[RESOURCE_STAGES_MAX];
+};
+
+struct decide_organisation
+{
+  uint32_t generation;
+  struct limit limit;
+  double work; /* slot seconds held by its admitted requests */
+};
+
+struct decide
+{
+  struct board_subscriber subscriber; /* first: the board calls back with it */
+  struct board *board;
+  struct rng rng;
+  struct decide_pool *pools;                  /* by name */
+  struct decide_pipeline **pipelines;         /* by the handle's index, NULL until used */
+  struct decide_organisation **organisations; /* the same */
+  uint32_t n_running;                         /* admitted requests not finished */
+  struct counter *verdicts[DECIDE_REASON_COUNT];
+  struct counter *ends[DECIDE_END_COUNT];
+  struct counter *finished_whole; /* admitted requests that ended whole */
+  struct counter *finished_other;
+  struct counter *ejections;
+  struct counter *saved_work; /* slot seconds not spent: refused or hopeless */
+};
+
+/* decide_pool.c: the index of targets by pool */
+struct decide_pool *decide_pool_get (struct decide *decide, const char *name);
+void decide_index_all (struct decide *decide, int64_t now);
+void decide_index_changed (struct board_subscriber *subscriber,
+                           enum board_event event,
+                           struct handle handle,
+                           int64_t now);
+struct decide_class *decide_class_get (struct decide_pool *pool, const char *model);
+double decide_target_slots (const struct decide *decide, const struct decide_target *target);
+double decide_hosts (const struct decide *decide);
+double decide_report_weight (const struct load_report *report, int64_t now);
+void decide_pool_refresh (struct decide *decide, struct decide_pool *pool, int64_t now);
+
+/* decide_time.c: what stages are expected to take */
+struct decide_work
+{
+  struct learn_span span; /* microseconds on a target that has nothing else to do */
+  bool known;
+};
+
+struct decide_work decide_stage_time (struct decide *decide,
+                                      const struct decide_request *request,
+                                      const struct stage_spec *spec,
+                                      uint32_t tokens,
+                                      uint32_t cached_tokens);
+uint32_t decide_stage_tokens (struct decide *decide,
+                              const struct decide_request *request,
+                              uint32_t stage);
+
+/* Of the stages from `stage` on; known when all of them are. */
+struct decide_work decide_rest_time (struct decide *decide,
+                                     const struct decide_request *request,
+                                     const struct board_pipeline *pipeline,
+                                     uint32_t stage);
+double decide_target_slowness (const struct decide_target *target);
+void decide_time_learn (struct decide *decide,
+                        const struct decide_request *request,
+                        const struct stage_spec *spec,
+                        struct decide_target *target,
+                        const struct decide_result *result);
+
+/* decide_admit.c: count a stage's admitted work in, or with -1 out, of its pool */
+void decide_count_stage (struct decide *decide,
+                         struct decide_request *request,
+                         uint32_t stage,
+                         double sign);
+
+/* decide.c */
+struct decide_pipeline *decide_pipeline_get (struct decide *decide, struct handle handle);
+struct decide_organisation *decide_organisation_get (struct decide *decide, struct handle handle);
+const struct stage_spec *decide_stage_spec (const struct decide *decide,
+                                            const struct decide_request *request);
+
+#endif
--- /dev/null
+++ b/src/decide_target.c
@@ -0,0 +1,280 @@
+/* The choice of a target: the least expected finish among a few drawn at random.
+ *
+ * Two random choices instead of one make the longest queue exponentially shorter (Mitzenmacher,
+ * "The power of two choices in randomized load balancing", 2001), and sampling keeps hosts that
+ * see the same old reports from all running to the target that looks idle. */
+#include "decide_state.h"
+#include <math.h>
+#include <string.h>
+
+#define SAMPLES 4
+#define RETRY_SAMPLES 16
+#define DRAWS_MAX 16     /* random draws before targets are looked at in turn */
+#define BATCH_SLOPE 0.5  /* a full batch takes this much longer than an empty one */
+#define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
+#define SLOW_START (5 * USEC_PER_SEC)
+#define SLOW_START_FACTOR 4.0 /* a fresh target's score, down to 1 over SLOW_START */
+#define GIVE_UP_TIMES 3.0
+#define GIVE_UP_MIN (250.0 * USEC_PER_MSEC)
+
+struct candidate
+{
+  struct decide_target *target;
+  const struct board_target *entry;
+  double expected; /* microseconds */
+  double score;
+};
+
+struct search
+{
+  struct decide *decide;
+  struct decide_pool *pool;
+  const struct stage_spec *spec;
+  const struct decide_request *request;
+  const struct handle *tried;
+  uint32_t n_tried;
+  double service; /* microseconds */
+  double hosts;
+  int64_t now;
+};
+
+static bool
+has_name (const char names[][RESOURCE_NAME_SIZE], uint32_t count, const char *name)
+{
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    if (strcmp (names[i], name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+serves (const struct board_target *entry, const struct stage_spec *spec)
+{
+  if (spec->model[0] != '\0' && !has_name (entry->models, entry->n_models, spec->model))
+    return false;
+  return spec->adapter[0] == '\0' || has_name (entry->adapters, entry->n_adapters, spec->adapter);
+}
+
+static bool
+was_tried (const struct search *search, struct handle handle)
+{
+  uint32_t i;
+
+  for (i = 0; i < search->n_tried; i++)
+    if (handle_equal (search->tried[i], handle))
+      return true;
+  return false;
+}
+
+static bool
+same_domain_tried (const struct search *search, const struct board_target *entry)
+{
+  uint32_t i;
+
+  for (i = 0; i < search->n_tried; i++)
+    {
+      const struct board_target *tried =
+          table_get (search->decide->board->targets, search->tried[i]);
+
+      if (tried != NULL && strcmp (tried->domain, entry->domain) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Calls of other hosts on the target: what its report shows beyond ours, fading to what the other
+ * hosts would have there if they were like us. */
+static double
+others_on (const struct search *search, const struct candidate *candidate)
+{
+  double fresh = decide_report_weight (&candidate->entry->report, search->now);
+  double reported = (double) candidate->entry->report.running + candidate->entry->report.waiting;
+  double beyond = fmax (0, reported - candidate->target->in_flight);
+  double like_us = search->pool->running * (search->hosts - 1) / search->pool->n_targets;
+
+  return fresh * beyond + (1 - fresh) * like_us;
+}
+
+static void
+estimate (const struct search *search, struct candidate *candidate)
+{
+  const struct decide_target *target = candidate->target;
+  double slots = decide_target_slots (search->decide, target);
+  double others = others_on (search, candidate);
+  double load = target->in_flight + others;
+  double mean =
+      target->in_flight > 0 ? target->work / target->in_flight * USEC_PER_SEC : search->service;
+  double filled = fmin (load / slots, 1);
+  double wait = load < slots ? 0 : load * mean / slots;
+  int64_t age = search->now - target->added_at;
+
+  candidate->expected =
+      decide_target_slowness (target) * (search->service * (1 + BATCH_SLOPE * filled) + wait);
+  candidate->score = candidate->expected;
+  if (age < SLOW_START)
+    candidate->score *= 1 + (SLOW_START_FACTOR - 1) * (1 - (double) age / SLOW_START);
+  if (search->n_tried > 0 && !same_domain_tried (search, candidate->entry))
+    candidate->score *= OTHER_DOMAIN;
+}
+
+/* Is the target one to consider; fills the candidate when it is. */
+static bool
+consider (const struct search *search, struct decide_target *target, struct candidate *out)
+{
+  const struct board_target *entry = table_get (search->decide->board->targets, target->handle);
+
+  if (entry == NULL || !board_target_usable (entry, search->now))
+    return false;
+  if (eject_state (&target->eject, search->now) == EJECT_OUT)
+    return false;
+  if (!serves (entry, search->spec) || was_tried (search, target->handle))
+    return false;
+  *out = (struct candidate){ .target = target, .entry = entry };
+  estimate (search, out);
+  return true;
+}
+
+static void
+keep_better (struct candidate *best, const struct candidate *other)
+{
+  if (best->target == NULL || other->score < best->score)
+    *best = *other;
+}
+
+/* From a random place, every target in turn until enough were found. */
+static void
+sweep (struct search *search, uint32_t enough, struct candidate *best)
+{
+  uint32_t n = search->pool->n_targets;
+  uint32_t start = (uint32_t) rng_below (&search->decide->rng, n);
+  uint32_t found = 0;
+  uint32_t i;
+
+  for (i = 0; i < n && found < enough; i++)
+    {
+      struct candidate candidate;
+
+      if (!consider (search, search->pool->targets[(start + i) % n], &candidate))
+        continue;
+      keep_better (best, &candidate);
+      found++;
+    }
+}
+
+/* Random draws; the same target drawn twice counts once. */
+static void
+sample (struct search *search, struct candidate *best)
+{
+  uint32_t places[SAMPLES];
+  uint32_t found = 0;
+  uint32_t draws;
+
+  for (draws = 0; draws < DRAWS_MAX && found < SAMPLES; draws++)
+    {
+      uint32_t place = (uint32_t) rng_below (&search->decide->rng, search->pool->n_targets);
+      struct candidate candidate;
+      uint32_t i;
+
+      for (i = 0; i < found && places[i] != place; i++)
+        continue;
+      if (i < found || !consider (search, search->pool->targets[place], &candidate))
+        continue;
+      keep_better (best, &candidate);
+      places[found++] = place;
+    }
+  /* Most of the pool cannot be used, or it is small: look at what there is. */
+  if (found < SAMPLES)
+    sweep (search, SAMPLES, best);
+}
+
+static void
+search_pool (struct search *search, struct candidate *best)
+{
+  /* A retry has lost time already: it looks further, to find another failure domain. */
+  if (search->n_tried > 0)
+    sweep (search, RETRY_SAMPLES, best);
+  else
+    sample (search, best);
+}
+
+/* An attempt that hangs must end while another can still make the window: at a multiple of what
+ * was expected, where what is left after it covers the rest. */
+static int64_t
+give_up_at (const struct search *search,
+            const struct board_pipeline *pipeline,
+            const struct candidate *best,
+            const struct decide_work *work)
+{
+  const struct decide_request *request = search->request;
+  double span = fmax (GIVE_UP_TIMES * fmax (best->expected, work->span.high), GIVE_UP_MIN);
+  struct decide_work rest;
+  double latest;
+
+  if (!request->repeatable || search->n_tried + 1 >= pipeline->spec.max_attempts)
+    return USEC_NEVER;
+  rest = decide_rest_time (search->decide, request, pipeline, request->stage);
+  latest = (double) (request->deadline - search->now) - rest.span.middle;
+  if (!work->known)
+    span = latest / 2;
+  if (span >= latest)
+    return USEC_NEVER;
+  return search->now + (int64_t) span;
+}
+
+static void
+fill_choice (const struct search *search,
+             const struct board_pipeline *pipeline,
+             const struct candidate *best,
+             const struct decide_work *work,
+             struct decide_choice *out)
+{
+  bool hedges = search->request->repeatable && pipeline->spec.hedge_share > 0 && work->known;
+
+  *out = (struct decide_choice){ .target = best->target->handle,
+                                 .expected = search->now + (int64_t) best->expected,
+                                 .give_up = give_up_at (search, pipeline, best, work),
+                                 .hedge_at = USEC_NEVER,
+                                 .work = search->service / USEC_PER_SEC };
+  if (hedges)
+    out->hedge_at = search->now + (int64_t) fmax (best->expected, work->span.high);
+}
+
+enum decide_reason
+decide_choose (struct decide *decide,
+               const struct decide_request *request,
+               uint32_t stage_tokens,
+               const struct handle *tried,
+               uint32_t n_tried,
+               int64_t now,
+               struct decide_choice *out)
+{
+  const struct board_pipeline *pipeline = table_get (decide->board->pipelines, request->pipeline);
+  const struct stage_spec *spec = decide_stage_spec (decide, request);
+  struct candidate best = { .target = NULL };
+  struct search search;
+  struct decide_work work;
+
+  if (pipeline == NULL || spec == NULL)
+    return DECIDE_NO_TARGET;
+  search = (struct search){ .decide = decide,
+                            .pool = decide_pool_get (decide, spec->pool),
+                            .spec = spec,
+                            .request = request,
+                            .tried = tried,
+                            .n_tried = n_tried,
+                            .hosts = decide_hosts (decide),
+                            .now = now };
+  if (search.pool == NULL || search.pool->n_targets == 0)
+    return DECIDE_NO_TARGET;
+  work = decide_stage_time (decide, request, spec, stage_tokens, 0);
+  search.service = work.span.middle;
+  search_pool (&search, &best);
+  if (best.target == NULL)
+    return DECIDE_NO_TARGET;
+  if (work.known && now + (int64_t) work.span.low >= request->deadline)
+    return DECIDE_WINDOW;
+  fill_choice (&search, pipeline, &best, &work, out);
+  return DECIDE_ADMITTED;
+}
--- /dev/null
+++ b/src/limit.c
@@ -0,0 +1,118 @@
+/* Token buckets and counts of one organisation's limits on this host. */
+#include "limit.h"
+#include "usec.h"
+#include <math.h>
+
+#define DEMAND_SPAN (2.0 * USEC_PER_SEC) /* time constant of the demand's decay */
+#define RUNNING_RETRY_AFTER (100 * USEC_PER_MSEC)
+#define TOKENS_BURST_SECONDS 2.0
+#define RETRY_AFTER_MAX (10 * USEC_PER_SEC)
+
+static void
+fill (struct limit_bucket *bucket, double rate, double burst, int64_t now)
+{
+  if (bucket->filled_at == 0)
+    bucket->held = burst;
+  else if (now > bucket->filled_at)
+    bucket->held += rate * (double) (now - bucket->filled_at) / USEC_PER_SEC;
+  if (bucket->held > burst)
+    bucket->held = burst;
+  bucket->filled_at = now;
+}
+
+static int64_t
+span_until (double missing, double rate)
+{
+  double span = rate > 0 ? missing / rate * USEC_PER_SEC : (double) RETRY_AFTER_MAX;
+
+  return span < (double) RETRY_AFTER_MAX ? (int64_t) span + 1 : RETRY_AFTER_MAX;
+}
+
+/* A share of the limit, rounded up, so that a small limit lets one request through on each host:
+ * the overshoot is under one request a host. */
+static uint32_t
+running_max (const struct limit *limit, const struct organisation_spec *spec)
+{
+  double bound = ceil (spec->concurrency * limit->share);
+
+  return bound < 1 ? 1 : (uint32_t) bound;
+}
+
+static double
+requests_burst (const struct limit *limit, const struct organisation_spec *spec)
+{
+  double burst = (spec->burst + 1) * limit->share;
+
+  return burst < 1 ? 1 : burst;
+}
+
+enum limit_verdict
+limit_take (struct limit *limit,
+            const struct organisation_spec *spec,
+            double tokens,
+            int64_t now,
+            int64_t *retry_after)
+{
+  double rate = spec->requests_per_sec * limit->share;
+  double token_rate = spec->tokens_per_sec * limit->share;
+
+  fill (&limit->requests, rate, requests_burst (limit, spec), now);
+  fill (&limit->tokens, token_rate, token_rate * TOKENS_BURST_SECONDS, now);
+  *retry_after = 0;
+  if (spec->concurrency > 0 && limit->running >= running_max (limit, spec))
+    {
+      *retry_after = RUNNING_RETRY_AFTER;
+      return LIMIT_RUNNING;
+    }
+  if (spec->requests_per_sec > 0 && limit->requests.held < 1)
+    {
+      *retry_after = span_until (1 - limit->requests.held, rate);
+      return LIMIT_REQUESTS;
+    }
+  if (spec->tokens_per_sec > 0 && limit->tokens.held <= 0)
+    {
+      *retry_after = span_until (1 - limit->tokens.held, token_rate);
+      return LIMIT_TOKENS;
+    }
+  limit->requests.held -= 1;
+  limit->tokens.held -= tokens;
+  limit->running++;
+  return LIMIT_OK;
+}
+
+void
+limit_undo (struct limit *limit, const struct organisation_spec *spec, double tokens)
+{
+  limit->requests.held += 1;
+  limit_finish (limit, spec, tokens);
+}
+
+void
+limit_finish (struct limit *limit, const struct organisation_spec *spec, double unused_tokens)
+{
+  if (spec->tokens_per_sec > 0)
+    limit->tokens.held += unused_tokens;
+  if (limit->running > 0)
+    limit->running--;
+}
+
+static double
+decayed (const struct limit *limit, int64_t now)
+{
+  double age = (double) (now - limit->demand_at);
+
+  return age > 0 ? limit->demand * exp (-age / DEMAND_SPAN) : limit->demand;
+}
+
+void
+limit_demand_add (struct limit *limit, int64_t now)
+{
+  limit->demand = decayed (limit, now) + USEC_PER_SEC / DEMAND_SPAN;
+  limit->demand_at = now;
+}
+
+double
+limit_demand (const struct limit *limit, int64_t now)
+{
+  return decayed (limit, now);
+}
--- /dev/null
+++ b/tests/unit_decide.cc
@@ -0,0 +1,433 @@
+// The decisions under load: each test tells the failure it guards against.
+#include "decide.h"
+#include "text.h"
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t SECOND = USEC_PER_SEC;
+
+// A board with one pipeline of one stage over one pool, and the decisions of one host.
+class DecideTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    board = board_new (nullptr);
+    add_host ("host-1", true);
+    auto *entry = static_cast<struct board_pool *> (table_add (board->pools, &pool));
+    text_copy (entry->spec.name, sizeof entry->spec.name, "encoders");
+    entry->spec.kind = STAGE_ENCODE;
+    entry->spec.cost_per_second = 1;
+    entry->spec.slots = 4;
+    entry->spec.eject_share_max = 0.34;
+    auto *line = static_cast<struct board_pipeline *> (table_add (board->pipelines, &pipeline));
+    text_copy (line->spec.name, sizeof line->spec.name, "claims");
+    text_copy (line->spec.stages[0].pool, RESOURCE_NAME_SIZE, "encoders");
+    line->spec.stages[0].kind = STAGE_ENCODE;
+    line->spec.n_stages = 1;
+    line->spec.deadline = 4 * SECOND;
+    line->spec.max_attempts = 3;
+    line->spec.retry_share = 0.1;
+    line->spec.priority = 9;
+    line->spec.repeatable = true;
+    line->pools[0] = pool;
+    decide = decide_new (board, board, counters_new (board), 7);
+  }
+
+  void
+  TearDown () override
+  {
+    talloc_free (board);
+  }
+
+  void
+  add_host (const char *name, bool self)
+  {
+    struct handle handle;
+    auto *host = static_cast<struct board_host *> (table_add (board->hosts, &handle));
+
+    text_copy (host->name, sizeof host->name, name);
+    host->self = self;
+    host->state = HOST_ALIVE;
+  }
+
+  struct handle
+  add_target (const std::string &name, const char *domain)
+  {
+    struct handle handle;
+    auto *entry = static_cast<struct board_target *> (table_add (board->targets, &handle));
+
+    text_copy (entry->name, sizeof entry->name, name.c_str ());
+    text_copy (entry->pool, sizeof entry->pool, "encoders");
+    text_copy (entry->domain, sizeof entry->domain, domain);
+    entry->kind = STAGE_ENCODE;
+    entry->slots = 4;
+    entry->lease_until = 1000 * SECOND;
+    entry->pool_handle = pool;
+    board_publish (board, BOARD_TARGET_ADDED, handle, 0);
+    return handle;
+  }
+
+  struct handle
+  add_organisation (const char *name, double weight)
+  {
+    struct handle handle;
+    auto *entry =
+        static_cast<struct board_organisation *> (table_add (board->organisations, &handle));
+
+    text_copy (entry->spec.name, sizeof entry->spec.name, name);
+    entry->spec.weight = weight;
+    return handle;
+  }
+
+  struct decide_request
+  request_at (int64_t now)
+  {
+    struct decide_request request = {};
+
+    request.pipeline = pipeline;
+    request.arrived = now;
+    request.deadline = now + 4 * SECOND;
+    request.input_tokens = 1000;
+    request.priority = 9;
+    request.repeatable = true;
+    return request;
+  }
+
+  struct decide_choice
+  choose (struct decide_request *request,
+          int64_t now,
+          enum decide_reason expected = DECIDE_ADMITTED,
+          const std::vector<struct handle> &tried = {})
+  {
+    struct decide_choice choice = {};
+
+    EXPECT_EQ (decide_choose (decide, request, request->input_tokens, tried.data (),
+                              static_cast<uint32_t> (tried.size ()), now, &choice),
+               expected);
+    return choice;
+  }
+
+  void
+  end (struct decide_request *request,
+       const struct decide_choice &choice,
+       enum decide_end how,
+       int64_t started,
+       int64_t now)
+  {
+    struct decide_result result = {};
+
+    result.target = choice.target;
+    result.end = how;
+    result.started = started;
+    result.ended = now;
+    result.input_tokens = request->input_tokens;
+    result.choice = choice;
+    decide_ended (decide, request, &result, now);
+  }
+
+  // One attempt from choice to end.
+  void
+  run_one (enum decide_end how, int64_t now, int64_t span)
+  {
+    struct decide_request request = request_at (now);
+    struct decide_choice choice = choose (&request, now);
+
+    decide_started (decide, &request, &choice, now);
+    end (&request, choice, how, now, now + span);
+  }
+
+  struct board *board = nullptr;
+  struct decide *decide = nullptr;
+  struct handle pool = {};
+  struct handle pipeline = {};
+};
+
+// Six hosts see the same report, two seconds old, in which one target is idle and eight are busy.
+// Were the report believed, all of them would send all they have to that target, which is then the
+// busiest; the next report moves the whole crowd to another.
+TEST_F (DecideTest, OldReportsDoNotDrawEveryChoiceToOneTarget)
+{
+  std::vector<struct handle> targets;
+  std::vector<int> chosen (9);
+
+  for (int i = 0; i < 9; i++)
+    targets.push_back (add_target ("t" + std::to_string (i), "a"));
+  for (int i = 0; i < 9; i++)
+    {
+      auto *entry = static_cast<struct board_target *> (table_get (board->targets, targets[i]));
+      entry->report = { .received_at = 8 * SECOND,
+                        .measured_at = 8 * SECOND,
+                        .running = i == 0 ? 0u : 4u,
+                        .waiting = i == 0 ? 0u : 4u,
+                        .kv_used = 0 };
+    }
+  for (int i = 0; i < 90; i++)
+    {
+      struct decide_request request = request_at (10 * SECOND);
+      struct decide_choice choice = choose (&request, 10 * SECOND);
+
+      decide_started (decide, &request, &choice, 10 * SECOND);
+      for (int t = 0; t < 9; t++)
+        chosen[t] += handle_equal (choice.target, targets[t]);
+    }
+  for (int t = 0; t < 9; t++)
+    EXPECT_LE (chosen[t], 25) << t;
+}
+
+// A report said "idle" and then the target's reports stopped.  A minute later it must count for
+// nothing: a target known from recent reports to be idle is to be preferred.
+TEST_F (DecideTest, ReportThatStoppedComingIsNotTrusted)
+{
+  struct handle silent = add_target ("silent", "a");
+  struct handle fresh = add_target ("fresh", "a");
+  auto *entry = static_cast<struct board_target *> (table_get (board->targets, silent));
+  int to_fresh = 0;
+
+  add_host ("host-2", false);
+  add_host ("host-3", false);
+  entry->report = { .received_at = 1, .measured_at = 1, .running = 0, .waiting = 0, .kv_used = 0 };
+  entry = static_cast<struct board_target *> (table_get (board->targets, fresh));
+  entry->report = {
+    .received_at = 60 * SECOND, .measured_at = 60 * SECOND, .running = 0, .waiting = 0, .kv_used = 0
+  };
+  for (int i = 0; i < 12; i++)
+    {
+      struct decide_request request = request_at (60 * SECOND);
+      struct decide_choice choice = choose (&request, 60 * SECOND);
+
+      decide_started (decide, &request, &choice, 60 * SECOND);
+      to_fresh += handle_equal (choice.target, fresh);
+    }
+  EXPECT_GT (to_fresh, 6);
+}
+
+// Every target fails.  Each request asks to be sent again, the load doubles, and what could have
+// recovered does not.  The budget must end that after what it held at the start.
+TEST_F (DecideTest, RetryStormEndsWithTheBudget)
+{
+  struct decide_request request = request_at (0);
+  int granted = 0;
+
+  for (int i = 0; i < 100; i++)
+    granted += decide_retry (decide, &request, 1, 0) == DECIDE_ADMITTED;
+  EXPECT_LE (granted, 2);
+  EXPECT_EQ (decide_retry (decide, &request, 1, 0), DECIDE_BUDGET);
+  EXPECT_EQ (decide_retry (decide, &request, 3, 0), DECIDE_ATTEMPTS);
+}
+
+TEST_F (DecideTest, RetriesAreAShareOfSuccesses)
+{
+  struct decide_request request = request_at (0);
+  int granted = 0;
+
+  add_target ("t", "a");
+  while (decide_retry (decide, &request, 1, 0) == DECIDE_ADMITTED)
+    continue;
+  for (int i = 0; i < 100; i++)
+    run_one (DECIDE_END_WHOLE, i * SECOND, SECOND / 10);
+  while (decide_retry (decide, &request, 1, 0) == DECIDE_ADMITTED)
+    granted++;
+  EXPECT_GE (granted, 9);
+  EXPECT_LE (granted, 10);
+}
+
+// A shared cause (a bad model version, a cut network) makes every target of a pool fail.  Ejecting
+// all of them turns slow answers into none, so a pool keeps its share in use.
+TEST_F (DecideTest, WholePoolIsNeverEjected)
+{
+  std::vector<struct handle> targets;
+  int seen = 0;
+
+  for (int i = 0; i < 9; i++)
+    targets.push_back (add_target ("t" + std::to_string (i), "a"));
+  for (int i = 0; i < 200; i++)
+    run_one (DECIDE_END_FAILED, SECOND + i, 1);
+  for (int t = 0; t < 9; t++)
+    {
+      auto *entry = static_cast<struct board_target *> (table_get (board->targets, targets[t]));
+      bool used = false;
+
+      for (int i = 0; i < 200 && !used; i++)
+        {
+          struct decide_request request = request_at (SECOND + 300);
+          used = handle_equal (choose (&request, SECOND + 300).target, targets[t]);
+        }
+      seen += used;
+      EXPECT_NE (entry->decide, nullptr);
+    }
+  EXPECT_GE (seen, 6);
+  EXPECT_LE (seen, 8);
+}
+
+// A target fails three times, is left alone for a while, then gets one attempt to show that it is
+// back: not a full load at once, which would cost every request sent to it.
+TEST_F (DecideTest, EjectedTargetIsProbedOnce)
+{
+  struct handle bad = add_target ("bad", "a");
+  add_target ("good-1", "a");
+  add_target ("good-2", "b");
+  int probes = 0;
+
+  for (int i = 0; i < 3;)
+    {
+      struct decide_request request = request_at (SECOND);
+      struct decide_choice choice = choose (&request, SECOND);
+
+      if (!handle_equal (choice.target, bad))
+        continue;
+      decide_started (decide, &request, &choice, SECOND);
+      end (&request, choice, DECIDE_END_BROKEN, SECOND, SECOND + 1);
+      i++;
+    }
+  for (int i = 0; i < 100; i++)
+    {
+      struct decide_request request = request_at (2 * SECOND);
+      EXPECT_FALSE (handle_equal (choose (&request, 2 * SECOND).target, bad));
+    }
+  for (int i = 0; i < 100; i++)
+    {
+      struct decide_request request = request_at (30 * SECOND);
+      struct decide_choice choice = choose (&request, 30 * SECOND);
+
+      decide_started (decide, &request, &choice, 30 * SECOND);
+      probes += handle_equal (choice.target, bad);
+    }
+  EXPECT_EQ (probes, 1);
+}
+
+// A target that is leaving, or whose lease ran out, gets nothing, even when it is the only one.
+TEST_F (DecideTest, UnusableTargetsGetNothing)
+{
+  struct handle leaving = add_target ("leaving", "a");
+  struct handle expired = add_target ("expired", "a");
+  struct decide_request request = request_at (SECOND);
+
+  static_cast<struct board_target *> (table_get (board->targets, leaving))->state = TARGET_LEAVING;
+  static_cast<struct board_target *> (table_get (board->targets, expired))->lease_until = SECOND;
+  choose (&request, SECOND, DECIDE_NO_TARGET);
+  EXPECT_EQ (decide_admit (decide, &request, SECOND).reason, DECIDE_NO_TARGET);
+}
+
+// A failure domain goes down: the second attempt must not go to another target in it.
+TEST_F (DecideTest, RetryPrefersAnotherFailureDomain)
+{
+  struct handle first = add_target ("a-1", "a");
+  add_target ("a-2", "a");
+  struct handle other = add_target ("b-1", "b");
+
+  for (int i = 0; i < 50; i++)
+    {
+      struct decide_request request = request_at (10 * SECOND);
+      struct decide_choice choice = choose (&request, 10 * SECOND, DECIDE_ADMITTED, { first });
+      EXPECT_TRUE (handle_equal (choice.target, other));
+    }
+}
+
+// A stage takes three seconds; a request with one second left is started all the same, costs its
+// three seconds of a slot, and its answer is thrown away.
+TEST_F (DecideTest, WorkThatCannotEndInTimeIsRefusedBeforeItCosts)
+{
+  add_target ("t", "a");
+  for (int i = 0; i < 20; i++)
+    run_one (DECIDE_END_WHOLE, i * 10 * SECOND, 3 * SECOND);
+  struct decide_request request = request_at (300 * SECOND);
+  request.deadline = 301 * SECOND;
+  EXPECT_EQ (decide_admit (decide, &request, 300 * SECOND).reason, DECIDE_WINDOW);
+  request.deadline = 304 * SECOND;
+  EXPECT_EQ (decide_admit (decide, &request, 300 * SECOND).reason, DECIDE_ADMITTED);
+  decide_finish (decide, &request, false, 300 * SECOND);
+}
+
+// More arrives than can end inside the window.  Admitting all of it makes every answer late; what
+// cannot end in time is refused and told when to come back.
+TEST_F (DecideTest, OverloadIsRefusedWithATimeToComeBack)
+{
+  int admitted = 0;
+  int refused = 0;
+
+  add_target ("t", "a");
+  for (int i = 0; i < 20; i++)
+    run_one (DECIDE_END_WHOLE, i * 10 * SECOND, SECOND);
+  for (int i = 0; i < 100; i++)
+    {
+      struct decide_request request = request_at (300 * SECOND);
+      struct decide_admission admission = decide_admit (decide, &request, 300 * SECOND);
+
+      admitted += admission.reason == DECIDE_ADMITTED;
+      if (admission.reason == DECIDE_ADMITTED)
+        continue;
+      EXPECT_EQ (admission.reason, DECIDE_WINDOW);
+      EXPECT_GT (admission.retry_after, 0);
+      refused++;
+    }
+  EXPECT_GE (admitted, 8); // four slots, one second each, a window of four seconds
+  EXPECT_LE (admitted, 18);
+  EXPECT_EQ (admitted + refused, 100);
+}
+
+// A large organisation floods the system.  Small ones send little and must still be served.
+TEST_F (DecideTest, FloodingOrganisationDoesNotTakeTheOthersShare)
+{
+  struct handle large = add_organisation ("large", 1);
+  struct handle small = add_organisation ("small", 1);
+  int served = 0;
+
+  add_target ("t", "a");
+  for (int i = 0; i < 20; i++)
+    run_one (DECIDE_END_WHOLE, i * 10 * SECOND, SECOND);
+  for (int i = 0; i < 100; i++)
+    {
+      struct decide_request request = request_at (300 * SECOND);
+      request.organisation = large;
+      decide_admit (decide, &request, 300 * SECOND);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      struct decide_request request = request_at (300 * SECOND);
+      request.organisation = small;
+      served += decide_admit (decide, &request, 300 * SECOND).reason == DECIDE_ADMITTED;
+    }
+  EXPECT_EQ (served, 2);
+}
+
+// A request's window is nearly over and later stages need longer than is left; running on costs
+// slots and can give nothing.
+TEST_F (DecideTest, HopelessOnceTheWindowIsOver)
+{
+  struct decide_request request = request_at (0);
+
+  EXPECT_FALSE (decide_hopeless (decide, &request, SECOND));
+  EXPECT_TRUE (decide_hopeless (decide, &request, 4 * SECOND));
+}
+
+TEST_F (DecideTest, ConcurrencyAndRateAreTheHostsShare)
+{
+  struct handle handle = add_organisation ("o", 1);
+  auto *entry = static_cast<struct board_organisation *> (table_get (board->organisations, handle));
+  std::vector<struct decide_request> running;
+  struct decide_request request = request_at (SECOND);
+
+  entry->spec.concurrency = 8;
+  add_target ("t", "a");
+  decide_set_share (decide, handle, 0.5, 0);
+  for (int i = 0; i < 4; i++)
+    {
+      running.push_back (request);
+      running.back ().organisation = handle;
+      ASSERT_EQ (decide_admit (decide, &running.back (), SECOND).reason, DECIDE_ADMITTED);
+    }
+  request.organisation = handle;
+  EXPECT_EQ (decide_admit (decide, &request, SECOND).reason, DECIDE_CONCURRENCY);
+  decide_finish (decide, &running[0], true, SECOND);
+  EXPECT_EQ (decide_admit (decide, &request, SECOND).reason, DECIDE_ADMITTED);
+}
+
+} // namespace
