Make host keys and tokens with keygen

Hosts pin each other by CURVE keys and callers show tokens; both had no maker. A key file that others may open, or whose halves do not belong together, is refused when it is read. Tests: torn, mixed and doubled files, a lax mode, a second keygen.

--- a/src/cli.h
+++ b/src/cli.h
@@ -38,6 +38,7 @@
 
 /* The commands, one a file. */
 enum cli_exit cli_check (int argc, char **argv);
+enum cli_exit cli_keygen (int argc, char **argv);
 
 /* Run the command that `argv` names. */
 int cli_main (int argc, char **argv);
--- /dev/null
+++ b/tests/unit_product_keyfile.cc
@@ -0,0 +1,97 @@
+// Key files: what `keygen` makes and a host reads.
+#include "keyfile.h"
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace
+{
+
+struct folder : testing::Test
+{
+  char path[64] = "/tmp/cherryarch-keys-XXXXXX";
+  std::string file;
+
+  void
+  SetUp () override
+  {
+    ASSERT_NE (mkdtemp (path), nullptr);
+    file = std::string (path) + "/host.key";
+  }
+
+  void
+  TearDown () override
+  {
+    unlink (file.c_str ());
+    rmdir (path);
+  }
+};
+
+using KeyFile = folder;
+
+TEST_F (KeyFile, GivesBackTheSecretAndHasItsOwnersMode)
+{
+  struct key_pair made;
+  struct key_pair read;
+  struct stat about;
+
+  ASSERT_EQ (key_pair_make (&made), STATUS_OK);
+  ASSERT_EQ (keyfile_write (file.c_str (), &made), STATUS_OK);
+  ASSERT_EQ (stat (file.c_str (), &about), 0);
+  EXPECT_EQ (about.st_mode & 0777, 0600u);
+  ASSERT_EQ (keyfile_read (file.c_str (), &read), STATUS_OK) << status_message ();
+  EXPECT_STREQ (read.public_key, made.public_key);
+  EXPECT_STREQ (read.secret_key, made.secret_key);
+}
+
+// An operator runs keygen twice on one host.  A new key would lock the host out of every peer that
+// has pinned the old one, and the old key would be gone.
+TEST_F (KeyFile, IsNeverOverwritten)
+{
+  struct key_pair first;
+  struct key_pair second;
+  struct key_pair read;
+
+  ASSERT_EQ (key_pair_make (&first), STATUS_OK);
+  ASSERT_EQ (key_pair_make (&second), STATUS_OK);
+  ASSERT_EQ (keyfile_write (file.c_str (), &first), STATUS_OK);
+  EXPECT_EQ (keyfile_write (file.c_str (), &second), STATUS_EXISTS);
+  ASSERT_EQ (keyfile_read (file.c_str (), &read), STATUS_OK);
+  EXPECT_STREQ (read.public_key, first.public_key);
+}
+
+// A key copied with a lax umask could be read by every user of the machine.
+TEST_F (KeyFile, ThatOthersMayReadIsRefused)
+{
+  struct key_pair pair;
+
+  ASSERT_EQ (key_pair_make (&pair), STATUS_OK);
+  ASSERT_EQ (keyfile_write (file.c_str (), &pair), STATUS_OK);
+  ASSERT_EQ (chmod (file.c_str (), 0640), 0);
+  EXPECT_EQ (keyfile_read (file.c_str (), &pair), STATUS_DENIED);
+}
+
+// Halves of two pairs are pasted together: each peer would refuse the host without a word.
+TEST_F (KeyFile, ThatIsTornOrMixedIsRefused)
+{
+  struct key_pair a;
+  struct key_pair b;
+  struct key_pair out;
+
+  ASSERT_EQ (key_pair_make (&a), STATUS_OK);
+  ASSERT_EQ (key_pair_make (&b), STATUS_OK);
+  std::string mine = std::string ("public_key = ") + a.public_key + "\n";
+  std::string other = std::string ("secret_key = ") + b.secret_key + "\n";
+
+  for (const std::string &text :
+       { std::string (), mine, mine + other, mine + mine, mine + "secret_key = short\n",
+         "[x]\n" + mine, mine + std::string ("secret_key = ") + std::string (40, '~') })
+    EXPECT_EQ (keyfile_parse ("k", text.c_str (), &out), STATUS_CORRUPT) << text;
+  EXPECT_EQ (keyfile_read ((file + "none").c_str (), &out), STATUS_IO);
+}
+
+} // namespace
