--- a/src/access_token.c
+++ b/src/access_token.c
@@ -6,6 +6,6 @@
 void
 access_hash_token (const char *token, uint8_t out[RESOURCE_TOKEN_HASH_SIZE])
 {
-  crypto_generichash (
-      out, RESOURCE_TOKEN_HASH_SIZE, (const unsigned char *) token, strlen (token), NULL, 0);
+  crypto_generichash (out, RESOURCE_TOKEN_HASH_SIZE, (const unsigned char *) token, strlen (token),
+                      NULL, 0);
 }
