--- /dev/null
+++ b/src/sse.h
@@ -0,0 +1,49 @@
+/* A line decoder of server-sent events (WHATWG HTML, section 9.2.6), fed in pieces.
+ *
+ * Only what the targets' streams use: `event` and `data` fields, comments, events ended by an empty
+ * line.  Lines end in LF or CR LF. */
+#ifndef SSE_H
+#define SSE_H
+
+#include "bytes.h"
+#include "decls.h"
+#include "status.h"
+#include <stddef.h>
+
+BEGIN_DECLS
+
+#define SSE_NAME_SIZE 32
+
+struct sse_sink
+{
+  const struct sse_sink_ops *ops;
+};
+
+struct sse_sink_ops
+{
+  /* One event; `name` is "" when the stream gave none.  False stops the feed at once, and the sink
+   * may have freed the decoder. */
+  bool (*event) (struct sse_sink *sink, const char *name, const char *data, size_t length);
+};
+
+struct sse_decoder
+{
+  struct bytes line; /* of a line not yet ended */
+  struct bytes data; /* of an event not yet ended */
+  char name[SSE_NAME_SIZE];
+  size_t max; /* bytes of one event */
+};
+
+void sse_init (struct sse_decoder *decoder, void *parent, size_t max_event_bytes);
+void sse_clear (struct sse_decoder *decoder);
+
+/* STATUS_TOO_LARGE for an event over the bound, STATUS_CANCELLED when the sink stopped the feed,
+ * STATUS_NO_MEMORY. */
+enum status sse_feed (struct sse_decoder *decoder,
+                      const void *data,
+                      size_t length,
+                      struct sse_sink *sink);
+
+END_DECLS
+
+#endif
