--- /dev/null
+++ b/src/directory.c
@@ -0,0 +1,519 @@
+/* The directory: entries by name, what targets say, and the ends that time brings. */
+#include "directory.h"
+#include "directory_state.h"
+#include "log.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+
+#define TICK (100 * USEC_PER_MSEC)
+
+static int
+free_directory (struct directory *directory)
+{
+  HASH_CLEAR (hh, directory->entries);
+  HASH_CLEAR (hh, directory->homes);
+  return 0;
+}
+
+static void
+register_counters (struct directory *directory, struct counters *counters)
+{
+  directory->refused_old =
+      counter_get (counters, "directory_refused_old_total", "Targets' words that were old", NULL);
+  directory->malformed = counter_get (counters, "directory_malformed_total",
+                                      "Messages about targets that could not be read", NULL);
+  directory->lapsed =
+      counter_get (counters, "directory_lapsed_total", "Leases of targets that ended", NULL);
+  directory->cache_gaps =
+      counter_get (counters, "directory_cache_gaps_total", "Gaps in targets' cache events", NULL);
+  directory->messages_out =
+      counter_get (counters, "directory_messages_out_total", "Messages about targets sent", NULL);
+  directory->bytes_out = counter_get (counters, "directory_bytes_out_total",
+                                      "Bytes of messages about targets sent", NULL);
+}
+
+struct directory *
+directory_new (void *parent, const struct directory_config *config)
+{
+  struct directory *directory = talloc_zero (parent, struct directory);
+
+  if (directory == NULL)
+    return NULL;
+  talloc_set_destructor (directory, free_directory);
+  directory->board = config->board;
+  directory->wire = config->wire;
+  directory->cache = config->cache;
+  directory->push_at = USEC_NEVER;
+  rng_init (&directory->rng, config->seed);
+  register_counters (directory, config->counters);
+  directory->ours = directory_home_of (directory, config->self);
+  if (directory->ours == NULL)
+    {
+      talloc_free (directory);
+      return NULL;
+    }
+  directory->ours->epoch = config->incarnation;
+  return directory;
+}
+
+/* ---- entries ---- */
+
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
+struct directory_entry *
+directory_find (const struct directory *directory, const char *name)
+{
+  struct directory_entry *entry;
+
+  HASH_FIND_STR (directory->entries, name, entry);
+  return entry;
+}
+
+struct directory_entry *
+directory_add (struct directory *directory, const char *name)
+{
+  struct directory_entry *entry;
+
+  if (HASH_COUNT (directory->entries) >= DIRECTORY_ENTRIES_MAX)
+    return NULL;
+  entry = talloc_zero (directory, struct directory_entry);
+  if (entry == NULL)
+    return NULL;
+  text_copy_cut (entry->name, sizeof entry->name, name);
+  entry->phase = DIRECTORY_GONE;
+  HASH_ADD_STR (directory->entries, name, entry);
+  return entry;
+}
+
+/* NOLINTEND(readability-function-size) */
+
+int
+directory_compare (const struct directory_entry *entry, uint64_t incarnation, uint64_t sequence)
+{
+  if (incarnation != entry->incarnation)
+    return incarnation < entry->incarnation ? -1 : 1;
+  if (sequence != entry->sequence)
+    return sequence < entry->sequence ? -1 : 1;
+  return 0;
+}
+
+static struct board_target *
+target_of (const struct directory *directory, const struct directory_entry *entry)
+{
+  return table_get (directory->board->targets, entry->target);
+}
+
+static void
+copy_said (struct board_target *target, const struct directory_record *said)
+{
+  memcpy (target->name, said->name, sizeof target->name);
+  memcpy (target->pool, said->pool, sizeof target->pool);
+  memcpy (target->domain, said->domain, sizeof target->domain);
+  memcpy (target->address, said->address, sizeof target->address);
+  target->kind = said->kind;
+  memcpy (target->models, said->models, sizeof target->models);
+  target->n_models = said->n_models;
+  memcpy (target->adapters, said->adapters, sizeof target->adapters);
+  target->n_adapters = said->n_adapters;
+  memcpy (target->version, said->version, sizeof target->version);
+  target->checks_orders = said->checks_orders;
+  target->reports_load = said->reports_load;
+  target->slots = said->slots;
+  target->incarnation = said->incarnation;
+  target->sequence = said->sequence;
+}
+
+enum status
+directory_show (struct directory *directory,
+                struct directory_entry *entry,
+                const struct directory_record *said,
+                int64_t now)
+{
+  struct board_target *target = target_of (directory, entry);
+  bool added = false;
+
+  /* A restarted process must not inherit what is still on its way for the old one: late answers
+   * hold the old handle, which finds nothing from here on. */
+  if (target != NULL && target->incarnation != said->incarnation)
+    {
+      directory_hide (directory, entry, now);
+      target = NULL;
+    }
+  if (target == NULL)
+    {
+      target = table_add (directory->board->targets, &entry->target);
+      if (target == NULL)
+        return status_fail (STATUS_LIMIT, "no room for target %s", said->name);
+      added = true;
+    }
+  copy_said (target, said);
+  if (added)
+    {
+      target->state = entry->phase == DIRECTORY_LEAVING ? TARGET_LEAVING : TARGET_READY;
+      text_copy_cut (target->home, sizeof target->home,
+                     entry->home != NULL ? entry->home->name : "");
+    }
+  entry->incarnation = said->incarnation;
+  entry->sequence = said->sequence;
+  entry->changed_at = now;
+  board_publish (directory->board, added ? BOARD_TARGET_ADDED : BOARD_TARGET_CHANGED, entry->target,
+                 now);
+  return STATUS_OK;
+}
+
+void
+directory_hide (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  if (target_of (directory, entry) == NULL)
+    return;
+  board_publish (directory->board, BOARD_TARGET_REMOVED, entry->target, now);
+  table_remove (directory->board->targets, entry->target);
+  entry->target = (struct handle){ 0 };
+  entry->cache_next = 0;
+}
+
+static bool
+counts_ready (enum directory_phase phase)
+{
+  return phase == DIRECTORY_READY || phase == DIRECTORY_LEAVING;
+}
+
+void
+directory_set_lease (struct directory *directory,
+                     const struct directory_entry *entry,
+                     int64_t until)
+{
+  struct board_target *target = target_of (directory, entry);
+
+  if (target != NULL)
+    target->lease_until = until;
+}
+
+void
+directory_set_phase (struct directory *directory,
+                     struct directory_entry *entry,
+                     enum directory_phase phase,
+                     int64_t now)
+{
+  struct board_target *target = target_of (directory, entry);
+
+  if (entry->phase == phase)
+    return;
+  if (entry->home != NULL)
+    {
+      entry->home->n_ready -= counts_ready (entry->phase) ? 1 : 0;
+      entry->home->n_ready += counts_ready (phase) ? 1 : 0;
+    }
+  entry->phase = phase;
+  entry->changed_at = now;
+  if (target == NULL)
+    return;
+  if (phase == DIRECTORY_LEAVING)
+    target->state = TARGET_LEAVING;
+  if (phase == DIRECTORY_READY)
+    target->state = TARGET_READY;
+  if (!counts_ready (phase))
+    target->lease_until = 0;
+  board_publish (directory->board, BOARD_TARGET_CHANGED, entry->target, now);
+}
+
+static bool
+grow_slots (struct directory_home *home, uint32_t slot)
+{
+  uint32_t count = home->n_slots;
+  struct directory_entry **slots;
+
+  if (slot < count)
+    return true;
+  while (count <= slot)
+    count = count == 0 ? 16 : count * 2;
+  slots = talloc_realloc (home, home->slots, struct directory_entry *, count);
+  if (slots == NULL)
+    return false;
+  for (uint32_t i = home->n_slots; i < count; i++)
+    slots[i] = NULL;
+  home->slots = slots;
+  home->n_slots = count;
+  return true;
+}
+
+enum status
+directory_attach (struct directory *directory,
+                  struct directory_entry *entry,
+                  struct directory_home *home,
+                  uint32_t slot)
+{
+  struct board_target *target = target_of (directory, entry);
+
+  INVARIANT (entry->home == NULL);
+  if (!grow_slots (home, slot))
+    return status_fail (STATUS_NO_MEMORY, "out of memory for the list of %s", home->name);
+  home->slots[slot] = entry;
+  entry->home = home;
+  entry->slot = slot;
+  home->n_ready += counts_ready (entry->phase) ? 1 : 0;
+  if (target != NULL)
+    memcpy (target->home, home->name, sizeof target->home);
+  return STATUS_OK;
+}
+
+void
+directory_detach (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  struct directory_home *home = entry->home;
+
+  if (home == NULL)
+    return;
+  directory_set_phase (directory, entry, DIRECTORY_GONE, now);
+  home->slots[entry->slot] = NULL;
+  entry->home = NULL;
+}
+
+/* ---- what targets say ---- */
+
+static enum status
+refuse_old (struct directory *directory, const char *name)
+{
+  counter_add (directory->refused_old, 1);
+  return status_fail (STATUS_CONFLICT, "target %s has said newer words", name);
+}
+
+static enum status
+renew (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  entry->renewed_at = now;
+  if (entry->phase == DIRECTORY_LAPSED)
+    {
+      directory_set_phase (directory, entry, DIRECTORY_READY, now);
+      directory_list_changed (directory, entry->slot, now);
+    }
+  directory_set_lease (directory, entry, now + DIRECTORY_LEASE);
+  return STATUS_OK;
+}
+
+enum status
+directory_announce (struct directory *directory, const struct directory_record *said, int64_t now)
+{
+  struct directory_entry *entry = directory_find (directory, said->name);
+  enum status status;
+  int order;
+
+  if (entry == NULL)
+    entry = directory_add (directory, said->name);
+  if (entry == NULL)
+    return status_fail (STATUS_LIMIT, "no room for target %s", said->name);
+  order = directory_compare (entry, said->incarnation, said->sequence);
+  if (order < 0 || (order == 0 && entry->phase == DIRECTORY_LEAVING))
+    return refuse_old (directory, said->name);
+  if (order == 0 && entry->home == directory->ours)
+    return renew (directory, entry, now);
+  if (entry->home != directory->ours)
+    directory_detach (directory, entry, now);
+  status = directory_show (directory, entry, said, now);
+  if (status == STATUS_OK && entry->home == NULL)
+    status = directory_list_add (directory, entry, now);
+  if (status != STATUS_OK)
+    return status;
+  entry->renewed_at = now;
+  directory_set_phase (directory, entry, DIRECTORY_READY, now);
+  directory_set_lease (directory, entry, now + DIRECTORY_LEASE);
+  directory_list_changed (directory, entry->slot, now);
+  return STATUS_OK;
+}
+
+/* The entry these words are about, if it is at home here and they are not old; else NULL, with the
+ * reason in `status`. */
+static struct directory_entry *
+at_home (struct directory *directory,
+         const struct directory_key *key,
+         bool with_sequence,
+         enum status *status)
+{
+  struct directory_entry *entry = directory_find (directory, key->name);
+  uint64_t sequence;
+
+  *status = STATUS_OK;
+  if (entry == NULL || entry->home != directory->ours)
+    {
+      *status = status_fail (STATUS_NOT_FOUND, "target %s is not at home here", key->name);
+      return NULL;
+    }
+  sequence = with_sequence ? key->sequence : entry->sequence;
+  if (directory_compare (entry, key->incarnation, sequence) < 0)
+    *status = refuse_old (directory, key->name);
+  else if (key->incarnation != entry->incarnation)
+    *status =
+        status_fail (STATUS_NOT_FOUND, "target %s did not announce this incarnation", key->name);
+  return *status == STATUS_OK ? entry : NULL;
+}
+
+enum status
+directory_renew (struct directory *directory, const struct directory_key *key, int64_t now)
+{
+  enum status status;
+  struct directory_entry *entry = at_home (directory, key, true, &status);
+
+  if (entry == NULL)
+    return status;
+  if (key->sequence != entry->sequence)
+    return status_fail (STATUS_NOT_FOUND, "target %s said something unknown here", key->name);
+  return renew (directory, entry, now);
+}
+
+enum status
+directory_leave (struct directory *directory, const struct directory_key *key, int64_t now)
+{
+  enum status status;
+  struct directory_entry *entry = at_home (directory, key, true, &status);
+  struct board_target *target;
+
+  if (entry == NULL)
+    return status;
+  entry->sequence = key->sequence;
+  target = target_of (directory, entry);
+  if (target != NULL)
+    target->sequence = key->sequence;
+  directory_set_phase (directory, entry, DIRECTORY_LEAVING, now);
+  directory_list_changed (directory, entry->slot, now);
+  return STATUS_OK;
+}
+
+enum status
+directory_load (struct directory *directory,
+                const struct directory_key *key,
+                const struct load_report *report,
+                int64_t now)
+{
+  enum status status;
+  struct directory_entry *entry = at_home (directory, key, false, &status);
+  struct board_target *target;
+
+  if (entry == NULL)
+    return status;
+  target = target_of (directory, entry);
+  /* Reports may overtake each other; an older one tells nothing. */
+  if (target != NULL && report->measured_at >= target->report.measured_at)
+    {
+      target->report = *report;
+      target->report.received_at = now;
+    }
+  return STATUS_OK;
+}
+
+enum status
+directory_cache (struct directory *directory,
+                 const struct directory_key *key,
+                 uint64_t first,
+                 const struct directory_cache_event *events,
+                 size_t n_events,
+                 int64_t now)
+{
+  enum status status;
+  struct directory_entry *entry = at_home (directory, key, false, &status);
+
+  if (entry == NULL)
+    return status;
+  if (entry->cache_next != 0 && first > entry->cache_next)
+    {
+      counter_add (directory->cache_gaps, 1);
+      log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "cache_gap", "{s:s,s:I}", "target",
+                 entry->name, "lost", (json_int_t) (first - entry->cache_next));
+    }
+  for (size_t i = 0; i < n_events; i++)
+    {
+      /* A resend after a lost answer begins with events that were taken. */
+      if (first + i < entry->cache_next)
+        continue;
+      entry->cache_next = first + i + 1;
+      if (directory->cache != NULL)
+        directory->cache->ops->event (directory->cache, entry->target, &events[i], now);
+    }
+  return STATUS_OK;
+}
+
+/* ---- what time ends ---- */
+
+/* A target at home that stopped renewing.  One that was leaving is gone; another may only be slow
+ * and keeps its place for a while. */
+static void
+lapse_at_home (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  if (counts_ready (entry->phase) && now - entry->renewed_at >= DIRECTORY_LEASE)
+    {
+      counter_add (directory->lapsed, 1);
+      log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_WARNING, "lapsed", "{s:s,s:s}", "target",
+                 entry->name, "phase", directory_phase_text (entry->phase));
+      if (entry->phase == DIRECTORY_LEAVING)
+        {
+          directory_list_remove (directory, entry, now);
+          return;
+        }
+      directory_set_phase (directory, entry, DIRECTORY_LAPSED, now);
+      directory_list_changed (directory, entry->slot, now);
+    }
+  if (entry->phase == DIRECTORY_LAPSED && now - entry->renewed_at >= DIRECTORY_KEEP_LAPSED)
+    directory_list_remove (directory, entry, now);
+}
+
+static void
+forget (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  if (entry->home == NULL && now - entry->changed_at >= DIRECTORY_KEEP_LAPSED)
+    directory_hide (directory, entry, now);
+  if (entry->home == NULL && now - entry->changed_at >= DIRECTORY_REMEMBER)
+    {
+      HASH_DEL (directory->entries, entry);
+      talloc_free (entry);
+    }
+}
+
+static void
+entry_tick (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  const struct board_target *target = target_of (directory, entry);
+
+  if (target != NULL && target->in_flight > 0)
+    entry->used_at = now;
+  if (entry->home == directory->ours)
+    lapse_at_home (directory, entry, now);
+  else if (entry->home != NULL && now - entry->renewed_at >= DIRECTORY_KEEP_LAPSED)
+    directory_detach (directory, entry, now); /* its home is dead or lost it */
+  forget (directory, entry, now);
+}
+
+int64_t
+directory_tick (struct directory *directory, int64_t now)
+{
+  struct directory_entry *entry;
+  struct directory_entry *next;
+
+  HASH_ITER (hh, directory->entries, entry, next)
+    {
+      entry_tick (directory, entry, now);
+    }
+  directory_list_tick (directory, now);
+  directory_sync_tick (directory, now);
+  return now + TICK;
+}
+
+uint32_t
+directory_at_home (const struct directory *directory)
+{
+  return directory->ours->n_ready;
+}
+
+json_t *
+directory_describe (const struct directory *directory)
+{
+  json_t *homes = json_array ();
+  const struct directory_home *home;
+
+  for (home = directory->homes; home != NULL; home = home->hh.next)
+    json_array_append_new (homes, json_pack ("{s:s,s:I,s:I,s:I}", "host", home->name, "epoch",
+                                             (json_int_t) home->epoch, "version",
+                                             (json_int_t) home->version, "targets",
+                                             (json_int_t) home->n_ready));
+  return json_pack ("{s:i,s:i,s:o}", "known", (int) HASH_COUNT (directory->entries), "at_home",
+                    (int) directory->ours->n_ready, "homes", homes);
+}
--- /dev/null
+++ b/src/directory_sync.c
@@ -0,0 +1,467 @@
+/* The directory between hosts: questions, answers that renew leases, and pushes of changes.
+ *
+ * What holds without any message: a lease that no answer renews ends.  A push only makes a change
+ * known sooner; a lost one is made good by the next answer, because versions differ. */
+#include "directory_state.h"
+#include "load_report.h"
+#include "log.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+/* A host without targets is asked so seldom that all of these questions together stay at a few a
+ * second; its first target comes by a push. */
+#define ASK_IDLE_MIN (5 * USEC_PER_SEC)
+#define ASK_IDLE_PER_HOST (400 * USEC_PER_MSEC)
+
+/* Between two pushes. */
+#define PUSH_INTERVAL (100 * USEC_PER_MSEC)
+
+/* uthash's macros are long; the function is not.
+ * NOLINTBEGIN(readability-function-size) */
+struct directory_home *
+directory_home_of (struct directory *directory, const char *name)
+{
+  struct directory_home *home;
+
+  HASH_FIND_STR (directory->homes, name, home);
+  if (home != NULL)
+    return home;
+  if (HASH_COUNT (directory->homes) >= BOARD_HOSTS_MAX)
+    return NULL;
+  home = talloc_zero (directory, struct directory_home);
+  if (home == NULL)
+    return NULL;
+  text_copy_cut (home->name, sizeof home->name, name);
+  HASH_ADD_STR (directory->homes, name, home);
+  return home;
+}
+
+/* NOLINTEND(readability-function-size) */
+
+static void
+send_message (struct directory *directory, const char *host, const struct bytes *message)
+{
+  if (bytes_failed (message))
+    return;
+  counter_add (directory->messages_out, 1);
+  counter_add (directory->bytes_out, (double) message->length);
+  directory->wire->ops->send (directory->wire, host, message->data, message->length);
+}
+
+static void
+ask (struct directory *directory, struct directory_home *home, int64_t now)
+{
+  struct directory_ask_message message = {
+    .asked_at = (uint64_t) now,
+    .epoch = home->epoch,
+    .version = home->version,
+    .base = home->base,
+  };
+  struct bytes out;
+
+  load_report_interest (directory, home, &message, now);
+  bytes_init (&out, directory);
+  directory_write_ask (&out, &message);
+  send_message (directory, home->name, &out);
+  bytes_clear (&out);
+}
+
+static bool
+is_there (const struct board_host *host)
+{
+  return !host->self && host->state != HOST_DEAD && host->state != HOST_LEFT;
+}
+
+static int64_t
+ask_span (struct directory *directory, const struct directory_home *home)
+{
+  int64_t span = DIRECTORY_ASK;
+  int64_t idle = (int64_t) table_count (directory->board->hosts) * ASK_IDLE_PER_HOST;
+
+  if (home->n_ready == 0)
+    span = idle > ASK_IDLE_MIN ? idle : ASK_IDLE_MIN;
+  /* Up to a tenth earlier, so that hosts do not ask in step. */
+  return span - (int64_t) rng_below (&directory->rng, (uint64_t) span / 10);
+}
+
+static void
+ask_due (struct directory *directory, int64_t now)
+{
+  const struct board_host *host;
+  uint32_t cursor = 0;
+
+  while ((host = table_next (directory->board->hosts, &cursor, NULL)) != NULL)
+    {
+      struct directory_home *home =
+          is_there (host) ? directory_home_of (directory, host->name) : NULL;
+
+      if (home == NULL || now < home->ask_at)
+        continue;
+      ask (directory, home, now);
+      home->ask_at = now + ask_span (directory, home);
+    }
+}
+
+/* ---- what we tell ---- */
+
+static void
+write_item (const struct directory *directory, struct bytes *out, const struct directory_item *item)
+{
+  struct directory_change change = { .slot = item->slot, .version = item->version };
+  const struct directory_entry *entry = item->entry;
+  const struct board_target *target =
+      entry != NULL ? table_get (directory->board->targets, entry->target) : NULL;
+
+  change.phase = target != NULL ? entry->phase : DIRECTORY_GONE;
+  text_copy_cut (change.said.name, sizeof change.said.name,
+                 entry != NULL ? entry->name : item->name);
+  change.said.incarnation = entry != NULL ? entry->incarnation : item->incarnation;
+  change.said.sequence = entry != NULL ? entry->sequence : item->sequence;
+  directory_write_change (out, &change, target);
+}
+
+/* Write what changed after `head->since` to `out`, as far as one message takes it, and say in the
+ * head how far that is. */
+static void
+write_changes (const struct directory *directory, struct directory_head *head, struct bytes *out)
+{
+  const struct directory_item *item =
+      directory->items != NULL ? directory->items->prev : NULL; /* the last */
+
+  head->epoch = directory->ours->epoch;
+  head->current = directory->ours->version;
+  head->version = head->current;
+  head->n_changes = 0;
+  while (item != NULL && item->version > head->since && item != directory->items)
+    item = item->prev;
+  if (item != NULL && item->version <= head->since)
+    item = item->next;
+  for (; item != NULL; item = item->next)
+    {
+      if (head->n_changes == DIRECTORY_CHANGES_MAX || out->length >= DIRECTORY_MESSAGE_MAX)
+        {
+          head->version = item->prev->version;
+          return;
+        }
+      write_item (directory, out, item);
+      head->n_changes++;
+    }
+}
+
+static void
+send_head (struct directory *directory,
+           const char *host,
+           const struct directory_head *head,
+           const struct bytes *changes)
+{
+  struct bytes out;
+
+  bytes_init (&out, directory);
+  directory_write_head (&out, head);
+  if (changes->length > 0)
+    bytes_append (&out, changes->data, changes->length);
+  if (!bytes_failed (changes))
+    send_message (directory, host, &out);
+  bytes_clear (&out);
+}
+
+/* One lease for the list, and by name those that have less of it left. */
+static void
+write_leases (const struct directory *directory, struct directory_head *head, int64_t now)
+{
+  head->lease_ms = (uint32_t) (DIRECTORY_SHARE_LEASE / USEC_PER_MSEC);
+  for (uint32_t slot = 0; slot < directory->ours->n_slots; slot++)
+    {
+      const struct directory_entry *entry = directory->ours->slots[slot];
+      int64_t left;
+
+      if (entry == NULL || entry->phase != DIRECTORY_READY)
+        continue;
+      left = entry->renewed_at + DIRECTORY_LEASE - now;
+      if (left >= DIRECTORY_SHARE_LEASE)
+        continue;
+      left = left > 0 ? left / USEC_PER_MSEC : 0;
+      if (head->n_exceptions < DIRECTORY_EXCEPTIONS_MAX)
+        head->exceptions[head->n_exceptions++] =
+            (struct directory_exception){ .slot = slot, .left_ms = (uint32_t) left };
+      else if (left < head->lease_ms)
+        head->lease_ms = (uint32_t) left;
+    }
+}
+
+static void
+answer (struct directory *directory,
+        const char *host,
+        const struct directory_ask_message *question,
+        int64_t now)
+{
+  struct directory_head head = { .kind = DIRECTORY_ANSWER_MESSAGE, .asked_at = question->asked_at };
+  struct bytes changes;
+
+  head.since = question->version;
+  head.reset = question->epoch != directory->ours->epoch || question->base < directory->dropped
+               || question->version > directory->ours->version;
+  if (head.reset)
+    head.since = 0;
+  bytes_init (&changes, directory);
+  write_changes (directory, &head, &changes);
+  write_leases (directory, &head, now);
+  load_report_choose (directory, question, &head, now);
+  send_head (directory, host, &head, &changes);
+  bytes_clear (&changes);
+}
+
+static void
+push (struct directory *directory, int64_t now)
+{
+  struct directory_head head = { .kind = DIRECTORY_PUSH_MESSAGE, .since = directory->pushed };
+  const struct board_host *host;
+  struct bytes changes;
+  uint32_t cursor = 0;
+
+  bytes_init (&changes, directory);
+  write_changes (directory, &head, &changes);
+  while ((host = table_next (directory->board->hosts, &cursor, NULL)) != NULL)
+    if (is_there (host))
+      send_head (directory, host->name, &head, &changes);
+  bytes_clear (&changes);
+  directory->pushed = head.version;
+  directory->push_at = head.version < head.current ? now + PUSH_INTERVAL : USEC_NEVER;
+}
+
+void
+directory_sync_tick (struct directory *directory, int64_t now)
+{
+  if (now >= directory->push_at)
+    push (directory, now);
+  ask_due (directory, now);
+}
+
+/* ---- what we are told ---- */
+
+static void
+leave_list (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  if (entry->home == directory->ours)
+    directory_list_remove (directory, entry, now);
+  else
+    directory_detach (directory, entry, now);
+}
+
+/* Does `home` speak for the target now?  Newer words win.  The same words at another home are a
+ * target that moved without a new sequence, unless that home too has lost it. */
+static bool
+takes (const struct directory_entry *entry,
+       const struct directory_home *home,
+       const struct directory_change *change)
+{
+  int order = directory_compare (entry, change->said.incarnation, change->said.sequence);
+
+  if (order == 0 && entry->home != NULL && entry->home != home)
+    return change->phase != DIRECTORY_LAPSED;
+  return order >= 0;
+}
+
+static void
+apply_gone (struct directory *directory,
+            const struct directory_home *home,
+            const struct directory_change *change,
+            int64_t now)
+{
+  struct directory_entry *entry = directory_find (directory, change->said.name);
+
+  if (entry == NULL || entry->home != home)
+    return;
+  if (directory_compare (entry, change->said.incarnation, change->said.sequence) >= 0)
+    {
+      entry->incarnation = change->said.incarnation;
+      entry->sequence = change->said.sequence;
+    }
+  directory_detach (directory, entry, now);
+}
+
+static void
+apply_change (struct directory *directory,
+              struct directory_home *home,
+              const struct directory_change *change,
+              int64_t now)
+{
+  struct directory_entry *entry = directory_find (directory, change->said.name);
+
+  if (entry == NULL)
+    entry = directory_add (directory, change->said.name);
+  if (entry == NULL)
+    return;
+  if (!takes (entry, home, change))
+    {
+      counter_add (directory->refused_old, 1);
+      return;
+    }
+  if (entry->home != NULL && (entry->home != home || entry->slot != change->slot))
+    leave_list (directory, entry, now);
+  if (directory_show (directory, entry, &change->said, now) != STATUS_OK)
+    log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_ERROR, "not_shown", "{s:s,s:s}", "target",
+               entry->name, "message", status_message ());
+  if (entry->home == NULL)
+    {
+      if (change->slot < home->n_slots && home->slots[change->slot] != NULL)
+        directory_detach (directory, home->slots[change->slot], now);
+      if (directory_attach (directory, entry, home, change->slot) != STATUS_OK)
+        return;
+      entry->renewed_at = now;
+    }
+  directory_set_phase (directory, entry, change->phase, now);
+}
+
+static void
+forget_list (struct directory *directory, struct directory_home *home, int64_t now)
+{
+  for (uint32_t slot = 0; slot < home->n_slots; slot++)
+    if (home->slots[slot] != NULL)
+      directory_detach (directory, home->slots[slot], now);
+  home->version = 0;
+  home->base = 0;
+}
+
+/* With `apply` false only the reading is tried, so that a message that is cut changes nothing. */
+static bool
+read_changes (struct directory *directory,
+              struct directory_home *home,
+              struct pack_reader reader,
+              const struct directory_head *head,
+              bool apply,
+              int64_t now)
+{
+  struct directory_change change;
+
+  for (uint32_t i = 0; i < head->n_changes; i++)
+    {
+      if (!directory_read_change (&reader, &change))
+        return false;
+      if (!apply || change.version <= home->version)
+        continue;
+      if (change.phase == DIRECTORY_GONE)
+        apply_gone (directory, home, &change, now);
+      else
+        apply_change (directory, home, &change, now);
+    }
+  return pack_read_end (&reader);
+}
+
+/* The lease of a slot; slots are asked for in rising order, as the exceptions are listed. */
+static int64_t
+lease_of (const struct directory_head *head, uint32_t slot, uint32_t *cursor)
+{
+  while (*cursor < head->n_exceptions && head->exceptions[*cursor].slot < slot)
+    (*cursor)++;
+  if (*cursor < head->n_exceptions && head->exceptions[*cursor].slot == slot)
+    return head->exceptions[*cursor].left_ms * USEC_PER_MSEC;
+  return head->lease_ms * USEC_PER_MSEC;
+}
+
+static void
+apply_leases (struct directory *directory,
+              const struct directory_home *home,
+              const struct directory_head *head,
+              int64_t now)
+{
+  int64_t asked_at = (int64_t) head->asked_at;
+  uint32_t cursor = 0;
+
+  /* Not an answer to a question of ours that a lease could still count from. */
+  if (asked_at > now || now - asked_at >= DIRECTORY_LEASE)
+    return;
+  for (uint32_t slot = 0; slot < home->n_slots; slot++)
+    {
+      struct directory_entry *entry = home->slots[slot];
+      int64_t until = asked_at + lease_of (head, slot, &cursor);
+      struct board_target *target;
+
+      if (entry == NULL)
+        continue;
+      entry->renewed_at = now;
+      target = table_get (directory->board->targets, entry->target);
+      if (target != NULL && entry->phase == DIRECTORY_READY && until > target->lease_until)
+        target->lease_until = until;
+    }
+}
+
+static void
+take_list (struct directory *directory,
+           struct directory_home *home,
+           const struct pack_reader *reader,
+           const struct directory_head *head,
+           int64_t now)
+{
+  bool known;
+
+  if (head->epoch < home->epoch)
+    return;
+  if (head->epoch > home->epoch || head->reset)
+    forget_list (directory, home, now);
+  home->epoch = head->epoch;
+  if (head->reset)
+    home->base = head->current;
+  if (head->since > home->version)
+    {
+      home->ask_at = now;
+      return;
+    }
+  read_changes (directory, home, *reader, head, true, now);
+  if (head->version > home->version)
+    home->version = head->version;
+  known = home->version >= head->current;
+  if (known)
+    home->base = home->version;
+  if (known && head->kind == DIRECTORY_ANSWER_MESSAGE)
+    {
+      apply_leases (directory, home, head, now);
+      load_report_apply (directory, home, head, now);
+      return;
+    }
+  /* A push grants no lease; a part of a list neither. */
+  if (!known || home->n_ready > 0)
+    home->ask_at = now;
+}
+
+static void
+receive (struct directory *directory,
+         struct directory_home *home,
+         struct pack_reader *reader,
+         int64_t now)
+{
+  struct directory_ask_message question;
+  struct directory_head head = { 0 };
+  uint64_t kind = pack_read_uint (reader, DIRECTORY_PUSH_MESSAGE);
+
+  if (kind == DIRECTORY_ASK_MESSAGE && directory_read_ask (reader, &question))
+    {
+      answer (directory, home->name, &question, now);
+      return;
+    }
+  head.kind = (enum directory_message_kind) kind;
+  if ((kind == DIRECTORY_ANSWER_MESSAGE || kind == DIRECTORY_PUSH_MESSAGE)
+      && directory_read_head (reader, &head)
+      && read_changes (directory, home, *reader, &head, false, now))
+    {
+      take_list (directory, home, reader, &head, now);
+      return;
+    }
+  counter_add (directory->malformed, 1);
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_WARNING, "malformed", "{s:s}", "host", home->name);
+}
+
+void
+directory_receive (
+    struct directory *directory, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct directory_home *home = directory_home_of (directory, from);
+  struct pack_reader reader;
+
+  if (home == NULL || home == directory->ours)
+    return;
+  pack_reader_init (&reader, data, length);
+  receive (directory, home, &reader, now);
+}
--- /dev/null
+++ b/src/directory_wire.c
@@ -0,0 +1,175 @@
+/* Encoding of the messages about targets. */
+#include "directory_wire.h"
+#include "text.h"
+#include <string.h>
+
+#define SLOTS_MAX BOARD_TARGETS_MAX
+
+static const char *const phases[] = {
+#define X(name, text) [DIRECTORY_##name] = text,
+  DIRECTORY_PHASE_LIST (X)
+#undef X
+};
+
+const char *
+directory_phase_text (enum directory_phase phase)
+{
+  return (unsigned) phase < DIRECTORY_PHASE_COUNT ? phases[phase] : "unknown";
+}
+
+void
+directory_write_ask (struct bytes *out, const struct directory_ask_message *ask)
+{
+  pack_uint (out, DIRECTORY_ASK_MESSAGE);
+  pack_uint (out, ask->asked_at);
+  pack_uint (out, ask->epoch);
+  pack_uint (out, ask->version);
+  pack_uint (out, ask->base);
+  pack_array (out, ask->n_interest);
+  for (uint32_t i = 0; i < ask->n_interest; i++)
+    pack_uint (out, ask->interest[i]);
+}
+
+bool
+directory_read_ask (struct pack_reader *reader, struct directory_ask_message *ask)
+{
+  ask->asked_at = pack_read_uint (reader, INT64_MAX);
+  ask->epoch = pack_read_uint (reader, UINT64_MAX);
+  ask->version = pack_read_uint (reader, UINT64_MAX);
+  ask->base = pack_read_uint (reader, UINT64_MAX);
+  ask->n_interest = pack_read_array (reader, DIRECTORY_INTEREST_MAX);
+  for (uint32_t i = 0; i < ask->n_interest; i++)
+    ask->interest[i] = (uint32_t) pack_read_uint (reader, SLOTS_MAX - 1);
+  return pack_read_end (reader);
+}
+
+void
+directory_write_head (struct bytes *out, const struct directory_head *head)
+{
+  pack_uint (out, head->kind);
+  pack_uint (out, head->asked_at);
+  pack_uint (out, head->epoch);
+  pack_uint (out, head->since);
+  pack_uint (out, head->version);
+  pack_uint (out, head->current);
+  pack_uint (out, head->lease_ms);
+  pack_bool (out, head->reset);
+  pack_array (out, head->n_exceptions);
+  for (uint32_t i = 0; i < head->n_exceptions; i++)
+    {
+      pack_uint (out, head->exceptions[i].slot);
+      pack_uint (out, head->exceptions[i].left_ms);
+    }
+  pack_array (out, head->n_loads);
+  for (uint32_t i = 0; i < head->n_loads; i++)
+    {
+      pack_uint (out, head->loads[i].slot);
+      pack_uint (out, head->loads[i].age_ms);
+      pack_uint (out, head->loads[i].running);
+      pack_uint (out, head->loads[i].waiting);
+      pack_uint (out, head->loads[i].kv_percent);
+    }
+  pack_array (out, head->n_changes);
+}
+
+bool
+directory_read_head (struct pack_reader *reader, struct directory_head *head)
+{
+  head->asked_at = pack_read_uint (reader, INT64_MAX);
+  head->epoch = pack_read_uint (reader, UINT64_MAX);
+  head->since = pack_read_uint (reader, UINT64_MAX);
+  head->version = pack_read_uint (reader, UINT64_MAX);
+  head->current = pack_read_uint (reader, UINT64_MAX);
+  head->lease_ms = (uint32_t) pack_read_uint (reader, DIRECTORY_SHARE_LEASE / USEC_PER_MSEC);
+  head->reset = pack_read_bool (reader);
+  head->n_exceptions = pack_read_array (reader, DIRECTORY_EXCEPTIONS_MAX);
+  for (uint32_t i = 0; i < head->n_exceptions; i++)
+    {
+      head->exceptions[i].slot = (uint32_t) pack_read_uint (reader, SLOTS_MAX - 1);
+      head->exceptions[i].left_ms =
+          (uint32_t) pack_read_uint (reader, DIRECTORY_LEASE / USEC_PER_MSEC);
+      if (i > 0 && head->exceptions[i].slot <= head->exceptions[i - 1].slot)
+        reader->failed = true;
+    }
+  head->n_loads = pack_read_array (reader, DIRECTORY_LOADS_MAX);
+  for (uint32_t i = 0; i < head->n_loads; i++)
+    {
+      head->loads[i].slot = (uint32_t) pack_read_uint (reader, SLOTS_MAX - 1);
+      head->loads[i].age_ms = (uint32_t) pack_read_uint (reader, UINT32_MAX);
+      head->loads[i].running = (uint32_t) pack_read_uint (reader, UINT32_MAX);
+      head->loads[i].waiting = (uint32_t) pack_read_uint (reader, UINT32_MAX);
+      head->loads[i].kv_percent = (uint32_t) pack_read_uint (reader, 100);
+    }
+  head->n_changes = pack_read_array (reader, DIRECTORY_CHANGES_MAX);
+  return pack_read_ok (reader);
+}
+
+static void
+write_names (struct bytes *out, const char names[][RESOURCE_NAME_SIZE], uint32_t count)
+{
+  pack_array (out, count);
+  for (uint32_t i = 0; i < count; i++)
+    pack_text (out, names[i]);
+}
+
+static uint32_t
+read_names (struct pack_reader *reader, char names[][RESOURCE_NAME_SIZE])
+{
+  uint32_t count = pack_read_array (reader, BOARD_MODELS_MAX);
+
+  for (uint32_t i = 0; i < count; i++)
+    pack_read_text (reader, names[i], RESOURCE_NAME_SIZE);
+  return count;
+}
+
+void
+directory_write_change (struct bytes *out,
+                        const struct directory_change *change,
+                        const struct board_target *target)
+{
+  pack_uint (out, change->slot);
+  pack_uint (out, change->version);
+  pack_uint (out, change->phase);
+  pack_text (out, change->said.name);
+  pack_uint (out, change->said.incarnation);
+  pack_uint (out, change->said.sequence);
+  if (change->phase == DIRECTORY_GONE)
+    return;
+  pack_text (out, target->pool);
+  pack_text (out, target->domain);
+  pack_text (out, target->address);
+  pack_uint (out, target->kind);
+  write_names (out, target->models, target->n_models);
+  write_names (out, target->adapters, target->n_adapters);
+  pack_text (out, target->version);
+  pack_bool (out, target->checks_orders);
+  pack_bool (out, target->reports_load);
+  pack_uint (out, target->slots);
+}
+
+bool
+directory_read_change (struct pack_reader *reader, struct directory_change *change)
+{
+  struct directory_record *said = &change->said;
+
+  memset (change, 0, sizeof *change);
+  change->slot = (uint32_t) pack_read_uint (reader, SLOTS_MAX - 1);
+  change->version = pack_read_uint (reader, UINT64_MAX);
+  change->phase = (enum directory_phase) pack_read_uint (reader, DIRECTORY_PHASE_COUNT - 1);
+  pack_read_text (reader, said->name, sizeof said->name);
+  said->incarnation = pack_read_uint (reader, UINT64_MAX);
+  said->sequence = pack_read_uint (reader, UINT64_MAX);
+  if (change->phase == DIRECTORY_GONE)
+    return pack_read_ok (reader) && said->name[0] != '\0';
+  pack_read_text (reader, said->pool, sizeof said->pool);
+  pack_read_text (reader, said->domain, sizeof said->domain);
+  pack_read_text (reader, said->address, sizeof said->address);
+  said->kind = (enum stage_kind) pack_read_uint (reader, STAGE_KIND_COUNT - 1);
+  said->n_models = read_names (reader, said->models);
+  said->n_adapters = read_names (reader, said->adapters);
+  pack_read_text (reader, said->version, sizeof said->version);
+  said->checks_orders = pack_read_bool (reader);
+  said->reports_load = pack_read_bool (reader);
+  said->slots = (uint32_t) pack_read_uint (reader, UINT32_MAX);
+  return pack_read_ok (reader) && said->name[0] != '\0';
+}
--- /dev/null
+++ b/tests/unit_directory.cc
@@ -0,0 +1,575 @@
+// Targets, their homes and the leases that end new work, with several hosts on virtual time.
+#include "directory.h"
+#include "directory_wire.h"
+#include "text.h"
+#include <cstring>
+#include <gtest/gtest.h>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t STEP = 10 * USEC_PER_MSEC;
+
+struct net;
+
+struct node
+{
+  struct directory_wire wire; // first member
+  struct directory_cache_sink cache;
+  struct net *net;
+  std::string name;
+  struct board *board;
+  struct directory *directory;
+  int64_t next_tick = 0;
+  bool stopped = false;
+  std::vector<uint64_t> cached;
+};
+
+struct letter
+{
+  int64_t at;
+  std::string from;
+  std::string to;
+  std::string data;
+};
+
+// Hosts, each with its board and directory; messages take 1 ms unless a link is cut or held up.
+struct net
+{
+  void *memory = talloc_new (nullptr);
+  struct counters *counters = counters_new (memory);
+  std::map<std::string, std::unique_ptr<node>> nodes;
+  std::vector<letter> queue;
+  std::set<std::pair<std::string, std::string>> cut; // from, to
+  std::map<std::pair<std::string, std::string>, int64_t> delay;
+  int64_t now = 1000 * USEC_PER_SEC;
+  uint64_t bytes = 0;
+  uint64_t pushes_lost = 0;
+  bool lose_pushes = false;
+  std::string last_push;
+
+  explicit net (int n)
+  {
+    for (int i = 0; i < n; i++)
+      start ("h" + std::to_string (i), 1);
+  }
+  ~net ()
+  {
+    talloc_free (memory);
+  }
+  net (const net &) = delete;
+  net &operator= (const net &) = delete;
+
+  node &
+  operator[] (int i)
+  {
+    return *nodes["h" + std::to_string (i)];
+  }
+
+  static void
+  send (struct directory_wire *wire, const char *host, const void *data, size_t length)
+  {
+    auto *self = reinterpret_cast<struct node *> (wire);
+    struct net *n = self->net;
+    auto link = std::make_pair (self->name, std::string (host));
+    std::string copy (static_cast<const char *> (data), length);
+
+    n->bytes += length;
+    if (copy[0] == DIRECTORY_PUSH_MESSAGE)
+      n->last_push = copy;
+    if (n->lose_pushes && copy[0] == DIRECTORY_PUSH_MESSAGE)
+      n->pushes_lost++;
+    else if (n->cut.count (link) == 0)
+      n->queue.push_back (
+          { n->now + USEC_PER_MSEC + n->delay[link], self->name, host, std::move (copy) });
+  }
+
+  static void
+  event (struct directory_cache_sink *sink,
+         struct handle,
+         const struct directory_cache_event *event,
+         int64_t)
+  {
+    auto *self = reinterpret_cast<struct node *> (reinterpret_cast<char *> (sink)
+                                                  - offsetof (struct node, cache));
+    self->cached.push_back (event->block);
+  }
+
+  static inline const struct directory_wire_ops wire_ops = { .send = send };
+  static inline const struct directory_cache_sink_ops cache_ops = { .event = event };
+
+  void
+  add_host (struct board *board, const std::string &name, bool self)
+  {
+    struct handle handle;
+    auto *host = static_cast<struct board_host *> (table_add (board->hosts, &handle));
+
+    text_copy (host->name, sizeof host->name, name.c_str ());
+    host->self = self;
+    if (self)
+      board->self = handle;
+  }
+
+  void
+  start (const std::string &name, uint64_t incarnation)
+  {
+    auto fresh = std::make_unique<node> ();
+
+    fresh->wire.ops = &wire_ops;
+    fresh->cache.ops = &cache_ops;
+    fresh->net = this;
+    fresh->name = name;
+    fresh->board = board_new (memory);
+    for (auto &[other, n] : nodes)
+      if (other != name)
+        {
+          add_host (fresh->board, other, false);
+          if (board_find_host (n->board, name.c_str (), nullptr) == nullptr)
+            add_host (n->board, name, false);
+        }
+    add_host (fresh->board, name, true);
+    struct directory_config config = { .board = fresh->board,
+                                       .counters = counters,
+                                       .wire = &fresh->wire,
+                                       .cache = &fresh->cache,
+                                       .self = fresh->name.c_str (),
+                                       .incarnation = incarnation,
+                                       .seed = std::hash<std::string>{}(name) };
+    fresh->directory = directory_new (memory, &config);
+    nodes[name] = std::move (fresh);
+  }
+
+  void
+  deliver ()
+  {
+    std::vector<letter> due;
+    std::vector<letter> later;
+
+    for (auto &l : queue)
+      (l.at <= now ? due : later).push_back (l);
+    queue = later;
+    for (auto &l : due)
+      if (!nodes[l.to]->stopped)
+        directory_receive (nodes[l.to]->directory, l.from.c_str (), l.data.data (), l.data.size (),
+                           now);
+  }
+
+  void
+  run (int64_t span)
+  {
+    for (int64_t end = now + span; now < end; now += STEP)
+      {
+        deliver ();
+        for (auto &[name, n] : nodes)
+          if (!n->stopped && now >= n->next_tick)
+            n->next_tick = directory_tick (n->directory, now);
+      }
+  }
+
+  // Run while the targets renew with their homes each second.
+  void
+  run_renewing (int64_t span, int home, const std::vector<struct directory_record> &targets)
+  {
+    for (int64_t done = 0; done < span; done += USEC_PER_SEC)
+      {
+        for (const auto &t : targets)
+          {
+            struct directory_key key = { t.name, t.incarnation, t.sequence };
+
+            directory_renew ((*this)[home].directory, &key, now);
+          }
+        run (std::min (USEC_PER_SEC, span - done));
+      }
+  }
+
+  bool
+  usable (int host, const char *target)
+  {
+    const struct board_target *t = board_find_target ((*this)[host].board, target, nullptr);
+
+    return t != nullptr && board_target_usable (t, now);
+  }
+};
+
+struct directory_record
+record_of (const char *name, uint64_t incarnation, uint64_t sequence)
+{
+  struct directory_record r = {};
+
+  text_copy (r.name, sizeof r.name, name);
+  text_copy (r.pool, sizeof r.pool, "runners");
+  text_copy (r.domain, sizeof r.domain, "bkk-a");
+  text_copy (r.address, sizeof r.address, "127.0.0.1:9000");
+  text_copy (r.models[0], sizeof r.models[0], "claims-7b");
+  r.n_models = 1;
+  r.kind = STAGE_GENERATE;
+  r.incarnation = incarnation;
+  r.sequence = sequence;
+  return r;
+}
+
+enum status
+announce (struct net &n, int host, const struct directory_record &r)
+{
+  return directory_announce (n[host].directory, &r, n.now);
+}
+
+TEST (Directory, AnAnnouncedTargetIsUsableOnEveryHostAndStaysSo)
+{
+  struct net n (9);
+  auto t = record_of ("t", 1, 1);
+
+  ASSERT_EQ (announce (n, 0, t), STATUS_OK);
+  n.run (200 * USEC_PER_MSEC);
+  for (int i = 0; i < 9; i++)
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+  const struct board_target *seen = board_find_target (n[5].board, "t", nullptr);
+  EXPECT_STREQ (seen->home, "h0");
+  EXPECT_STREQ (seen->models[0], "claims-7b");
+  for (int second = 0; second < 120; second++)
+    {
+      n.run_renewing (USEC_PER_SEC, 0, { t });
+      for (int i = 0; i < 9; i++)
+        ASSERT_TRUE (n.usable (i, "t")) << i << " after " << second;
+    }
+}
+
+// A target's process dies without a word.  Requests sent to it until the others notice are lost
+// time; every host must stop by itself 3 s after the last renewal, its home among them.
+TEST (Directory, NoNewWorkThreeSecondsAfterTheLastRenewal)
+{
+  struct net n (5);
+  auto t = record_of ("t", 1, 1);
+  struct directory_key key = { "t", 1, 1 };
+
+  announce (n, 0, t);
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  directory_renew (n[0].directory, &key, n.now);
+  n.run (DIRECTORY_LEASE);
+  for (int i = 0; i < 5; i++)
+    EXPECT_FALSE (n.usable (i, "t")) << i;
+  // It was only slow: it renews, and is used again.
+  EXPECT_EQ (directory_renew (n[0].directory, &key, n.now), STATUS_OK);
+  n.run (300 * USEC_PER_MSEC);
+  for (int i = 0; i < 5; i++)
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+}
+
+// The link between one host and the target's home goes silent.  That host must stop sending new
+// work within the lease; the others must not notice anything.
+TEST (Directory, LostRenewalsOnOneHostEndNewWorkThereOnly)
+{
+  struct net n (5);
+  auto t = record_of ("t", 1, 1);
+
+  announce (n, 0, t);
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  n.cut.insert ({ "h0", "h3" });
+  n.run_renewing (2 * USEC_PER_SEC, 0, { t });
+  EXPECT_FALSE (n.usable (3, "t"));
+  for (int i : { 0, 1, 2, 4 })
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+  n.cut.clear ();
+  n.run_renewing (USEC_PER_SEC, 0, { t });
+  EXPECT_TRUE (n.usable (3, "t"));
+}
+
+// A target says that it leaves, and every message that would tell the other hosts at once is lost;
+// one host's link to the home is cut besides.  Work sent after 2 s would be cut by the shutdown.
+TEST (Directory, ALeavingTargetGetsNoNewWorkAfterTwoSecondsWhateverIsLost)
+{
+  struct net n (5);
+  auto t = record_of ("t", 1, 1);
+  struct directory_key leave = { "t", 1, 2 };
+
+  announce (n, 0, t);
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  n.lose_pushes = true;
+  n.cut.insert ({ "h0", "h4" });
+  ASSERT_EQ (directory_leave (n[0].directory, &leave, n.now), STATUS_OK);
+  EXPECT_FALSE (n.usable (0, "t"));
+  n.run (2 * USEC_PER_SEC);
+  EXPECT_GT (n.pushes_lost, 0u);
+  for (int i = 0; i < 5; i++)
+    EXPECT_FALSE (n.usable (i, "t")) << i;
+}
+
+// A home's answer waits in a queue for ten seconds while a link is stuck, and arrives after the
+// target has died.  A lease counted from arrival would send work to the dead target; it counts
+// from the question.
+TEST (Directory, AnAnswerThatWasHeldUpGrantsNothing)
+{
+  struct net n (2);
+  auto t = record_of ("t", 1, 1);
+
+  announce (n, 0, t);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { t });
+  EXPECT_TRUE (n.usable (1, "t"));
+  n.delay[{ "h0", "h1" }] = 10 * USEC_PER_SEC;
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  EXPECT_FALSE (n.usable (1, "t"));
+  n[0].stopped = true;
+  n.run (10 * USEC_PER_SEC);
+  EXPECT_FALSE (n.usable (1, "t"));
+}
+
+// A target's home host is killed.  The target announces itself to another host, and work goes on
+// everywhere under the new home; the old home returns with its old list and must not take it back.
+TEST (Directory, AnotherHostTakesOverWhenTheHomeDies)
+{
+  struct net n (4);
+  auto t = record_of ("t", 1, 1);
+
+  announce (n, 0, t);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { t });
+  n[0].stopped = true;
+  n.run (3 * USEC_PER_SEC);
+  for (int i = 1; i < 4; i++)
+    EXPECT_FALSE (n.usable (i, "t")) << i;
+  t.sequence = 2;
+  ASSERT_EQ (announce (n, 2, t), STATUS_OK);
+  n.run (300 * USEC_PER_MSEC);
+  for (int i = 1; i < 4; i++)
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+  n[0].stopped = false;
+  n.run_renewing (10 * USEC_PER_SEC, 2, { t });
+  for (int i = 0; i < 4; i++)
+    {
+      EXPECT_TRUE (n.usable (i, "t")) << i;
+      EXPECT_STREQ (board_find_target (n[i].board, "t", nullptr)->home, "h2") << i;
+    }
+  EXPECT_EQ (directory_at_home (n[0].directory), 0u);
+}
+
+// The answer to an announcement is lost, and the target sends the same words to another host.
+// Both are its home for a moment; one must remain.
+TEST (Directory, TheSameWordsAtTwoHostsLeaveOneHome)
+{
+  struct net n (4);
+  auto t = record_of ("t", 1, 1);
+  struct directory_key key = { "t", 1, 1 };
+
+  announce (n, 0, t);
+  n.run (500 * USEC_PER_MSEC);
+  announce (n, 1, t);
+  n.run (500 * USEC_PER_MSEC);
+  EXPECT_EQ (directory_renew (n[0].directory, &key, n.now), STATUS_NOT_FOUND);
+  n.run_renewing (5 * USEC_PER_SEC, 1, { t });
+  for (int i = 0; i < 4; i++)
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+  EXPECT_EQ (directory_at_home (n[0].directory), 0u);
+  EXPECT_EQ (directory_at_home (n[1].directory), 1u);
+}
+
+// A target restarts at the same address.  Its old process's announcement, delayed on the way or
+// sent again by someone, arrives after the new one: taking it would bring back what is gone.
+TEST (Directory, AnOldAnnouncementAfterARestartIsRefusedOnEveryHost)
+{
+  struct net n (3);
+  auto old = record_of ("t", 1, 7);
+  auto fresh = record_of ("t", 2, 1);
+  struct directory_key old_key = { "t", 1, 8 };
+  struct handle before;
+  struct handle after;
+
+  announce (n, 0, old);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { old });
+  ASSERT_NE (board_find_target (n[1].board, "t", &before), nullptr);
+  ASSERT_EQ (announce (n, 0, fresh), STATUS_OK);
+  n.run_renewing (USEC_PER_SEC, 0, { fresh });
+  // Late answers hold the old handle.
+  ASSERT_NE (board_find_target (n[1].board, "t", &after), nullptr);
+  EXPECT_FALSE (handle_equal (before, after));
+  EXPECT_EQ (table_get (n[1].board->targets, before), nullptr);
+  for (int i = 0; i < 3; i++)
+    EXPECT_EQ (announce (n, i, old), STATUS_CONFLICT) << i;
+  EXPECT_EQ (directory_leave (n[0].directory, &old_key, n.now), STATUS_CONFLICT);
+  EXPECT_EQ (directory_renew (n[0].directory, &old_key, n.now), STATUS_CONFLICT);
+  n.run_renewing (USEC_PER_SEC, 0, { fresh });
+  for (int i = 0; i < 3; i++)
+    EXPECT_TRUE (n.usable (i, "t")) << i;
+}
+
+// A target leaves for good.  An hour is not over when its announcement is sent again by someone
+// who kept it: it must not come back.
+TEST (Directory, AnAnnouncementReplayedAfterLeavingIsRefused)
+{
+  struct net n (2);
+  auto t = record_of ("t", 1, 1);
+  struct directory_key leave = { "t", 1, 2 };
+
+  announce (n, 0, t);
+  n.run (USEC_PER_SEC);
+  directory_leave (n[0].directory, &leave, n.now);
+  n.run (200 * USEC_PER_SEC);
+  for (int i = 0; i < 2; i++)
+    {
+      EXPECT_EQ (board_find_target (n[i].board, "t", nullptr), nullptr) << i;
+      EXPECT_EQ (announce (n, i, t), STATUS_CONFLICT) << i;
+    }
+}
+
+// A home restarts: its list is empty and its version small.  Hosts that remember the old list must
+// not mistake the new one for a part of it.
+TEST (Directory, ARestartedHomeStartsANewList)
+{
+  struct net n (3);
+  auto a = record_of ("a", 1, 1);
+  auto b = record_of ("b", 1, 1);
+
+  announce (n, 0, a);
+  announce (n, 0, b);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { a, b });
+  n.start ("h0", 2);
+  b.sequence = 2;
+  announce (n, 0, b);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { b });
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_FALSE (n.usable (i, "a")) << i;
+      EXPECT_TRUE (n.usable (i, "b")) << i;
+    }
+}
+
+// A host is cut off for minutes.  Meanwhile a target left and its tombstone was dropped from the
+// home's list; when the host is back it must not go on with the target for ever.
+TEST (Directory, AHostBackFromALongPartitionForgetsWhatItMissed)
+{
+  struct net n (2);
+  auto a = record_of ("a", 1, 1);
+  auto b = record_of ("b", 1, 1);
+  struct directory_key leave = { "a", 1, 2 };
+
+  announce (n, 0, a);
+  announce (n, 0, b);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { a, b });
+  n.cut.insert ({ "h0", "h1" });
+  directory_leave (n[0].directory, &leave, n.now);
+  // "a" ends, is kept as a tombstone and dropped, all before h1 hears again; h1 keeps it as long.
+  n.run_renewing (70 * USEC_PER_SEC, 0, { b });
+  n.cut.clear ();
+  n.run_renewing (70 * USEC_PER_SEC, 0, { b });
+  EXPECT_EQ (board_find_target (n[1].board, "a", nullptr), nullptr);
+  EXPECT_TRUE (n.usable (1, "b"));
+}
+
+TEST (Directory, ALongListComesInPartsAndIsLeasedWhenWhole)
+{
+  struct net n (2);
+  std::vector<struct directory_record> targets;
+
+  for (int i = 0; i < 700; i++)
+    targets.push_back (record_of (("t" + std::to_string (i)).c_str (), 1, 1));
+  n.cut.insert ({ "h0", "h1" });
+  for (auto &t : targets)
+    ASSERT_EQ (announce (n, 0, t), STATUS_OK);
+  n.run (USEC_PER_SEC);
+  n.cut.clear ();
+  n.run_renewing (8 * USEC_PER_SEC, 0, targets);
+  for (auto &t : targets)
+    ASSERT_TRUE (n.usable (1, t.name)) << t.name;
+  // Nothing changes, so the list is not sent again.
+  n.bytes = 0;
+  n.run_renewing (10 * USEC_PER_SEC, 0, targets);
+  EXPECT_LT (n.bytes, 10u * 500u);
+}
+
+// Some targets of a home renew late.  The one lease for the whole list must not stretch theirs.
+TEST (Directory, LateRenewalsShortenOnlyTheirOwnLeases)
+{
+  struct net n (2);
+  std::vector<struct directory_record> prompt;
+  std::vector<struct directory_record> late;
+
+  for (int i = 0; i < 100; i++)
+    {
+      prompt.push_back (record_of (("p" + std::to_string (i)).c_str (), 1, 1));
+      late.push_back (record_of (("l" + std::to_string (i)).c_str (), 1, 1));
+      announce (n, 0, prompt.back ());
+      announce (n, 0, late.back ());
+    }
+  n.run_renewing (DIRECTORY_LEASE, 0, prompt);
+  for (int i = 0; i < 100; i++)
+    {
+      EXPECT_TRUE (n.usable (1, prompt[i].name));
+      EXPECT_FALSE (n.usable (1, late[i].name));
+    }
+}
+
+TEST (Directory, LoadReportsReachHostsWithWorkOnTheTargetWithTheirAge)
+{
+  struct net n (3);
+  auto t = record_of ("t", 1, 1);
+  struct directory_key key = { "t", 1, 1 };
+  struct load_report report = {
+    .received_at = 0, .measured_at = 0, .running = 3, .waiting = 5, .kv_used = 0.25
+  };
+
+  announce (n, 0, t);
+  n.run (USEC_PER_SEC);
+  board_find_target (n[1].board, "t", nullptr)->in_flight = 1;
+  report.measured_at = n.now - 2 * USEC_PER_SEC;
+  ASSERT_EQ (directory_load (n[0].directory, &key, &report, n.now), STATUS_OK);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { t });
+  const struct board_target *user = board_find_target (n[1].board, "t", nullptr);
+  EXPECT_EQ (user->report.running, 3u);
+  EXPECT_EQ (user->report.waiting, 5u);
+  EXPECT_DOUBLE_EQ (user->report.kv_used, 0.25);
+  // Never stated younger than it is.
+  EXPECT_LE (user->report.measured_at, report.measured_at + USEC_PER_MSEC);
+  EXPECT_GE (user->report.measured_at, report.measured_at - 100 * USEC_PER_MSEC);
+  EXPECT_EQ (board_find_target (n[2].board, "t", nullptr)->report.received_at, 0);
+}
+
+// An engine's cache events are resent after a lost answer, and some are lost for good.  Doubled
+// ones must be passed over and the gap must be counted.
+TEST (Directory, CacheEventsAreTakenOnceAndGapsAreCounted)
+{
+  struct net n (1);
+  struct directory_key key = { "t", 1, 1 };
+  struct directory_cache_event events[] = { { 10, true }, { 11, true }, { 12, false } };
+  struct counter *gaps = counter_get (n.counters, "directory_cache_gaps_total", "", nullptr);
+
+  announce (n, 0, record_of ("t", 1, 1));
+  directory_cache (n[0].directory, &key, 5, events, 2, n.now);
+  directory_cache (n[0].directory, &key, 5, events, 3, n.now);
+  EXPECT_EQ (n[0].cached, (std::vector<uint64_t>{ 10, 11, 12 }));
+  EXPECT_EQ (gaps->value, 0);
+  directory_cache (n[0].directory, &key, 9, events, 1, n.now);
+  EXPECT_EQ (gaps->value, 1);
+}
+
+// A peer sends messages that are cut or altered.  They must be refused whole: half a list applied
+// would name targets that are not there.
+TEST (Directory, CutAndAlteredMessagesChangeNothing)
+{
+  struct net n (2);
+  struct counter *malformed = counter_get (n.counters, "directory_malformed_total", "", nullptr);
+
+  for (int i = 0; i < 3; i++)
+    announce (n, 0, record_of (("t" + std::to_string (i)).c_str (), 1, 1));
+  n.cut.insert ({ "h0", "h1" });
+  n.run (200 * USEC_PER_MSEC);
+  std::string whole = n.last_push;
+  ASSERT_FALSE (whole.empty ());
+  for (size_t cut = 0; cut < whole.size (); cut++)
+    directory_receive (n[1].directory, "h0", whole.data (), cut, n.now);
+  EXPECT_EQ (malformed->value, (double) whole.size ());
+  EXPECT_EQ (table_count (n[1].board->targets), 0u);
+  for (size_t i = 0; i < whole.size (); i++)
+    for (int bit = 0; bit < 8; bit++)
+      {
+        std::string altered = whole;
+
+        altered[i] = (char) (altered[i] ^ (1 << bit));
+        directory_receive (n[1].directory, "h0", altered.data (), altered.size (), n.now);
+      }
+}
+
+} // namespace
