Order entries by Raft, as a pure state machine

Configuration, claims and fencing numbers need one order that survives the loss of hosts, and every failure of it has to be replayed exactly in tests. Messages and time go in; messages and what to store come out.

--- /dev/null
+++ b/src/raft.c
@@ -0,0 +1,445 @@
+/* Raft: making a server, taking messages in, and handing out what to store and send. */
+#include "raft.h"
+#include "raft_private.h"
+#include <string.h>
+#include <talloc.h>
+
+static const char *const role_texts[] = {
+#define X(name, text) [RAFT_##name] = text,
+  RAFT_ROLE_LIST (X)
+#undef X
+};
+
+const char *
+raft_role_text (enum raft_role role)
+{
+  return (unsigned) role < RAFT_ROLE_COUNT ? role_texts[role] : "unknown";
+}
+
+struct raft *
+raft_new (void *parent,
+          const struct raft_options *options,
+          const struct raft_state *state,
+          const struct raft_snapshot *snapshot,
+          uint64_t base_index,
+          uint64_t base_term,
+          int64_t now)
+{
+  struct raft *raft = talloc_zero (parent, struct raft);
+
+  if (raft == NULL)
+    return NULL;
+  INVARIANT (options->id != 0 && base_index <= snapshot->index);
+  raft->spare = talloc_zero (raft, struct raft_message);
+  if (raft->spare == NULL)
+    {
+      talloc_free (raft);
+      return NULL;
+    }
+  raft->options = *options;
+  rng_init (&raft->rng, options->seed);
+  raft->state = *state;
+  raft->snapshot = *snapshot;
+  raft_log_init (&raft->log, base_index, base_term);
+  raft->commit = snapshot->index;
+  raft->applied = snapshot->index;
+  raft_configs_add (raft, snapshot->index, &snapshot->members);
+  bytes_init (&raft->incoming.data, raft);
+  /* A restart forgets when the leader was last heard, and that leader may count on our promise not
+   * to vote so soon after: hold to it from the start.  A server that never had a term made none. */
+  raft->heard_at = state->term > 0 ? now : now - options->election_min;
+  raft_set_election_time (raft, now);
+  return raft;
+}
+
+enum status
+raft_restore_entry (struct raft *raft, const struct raft_entry *entry)
+{
+  struct raft_members members;
+  enum status status;
+
+  INVARIANT (entry->index == raft_log_last (&raft->log) + 1);
+  if (entry->kind == RAFT_ENTRY_MEMBERS && entry->index > raft->snapshot.index)
+    {
+      status = raft_members_read (entry->data, entry->length, &members);
+      if (status != STATUS_OK)
+        return status;
+      raft_configs_add (raft, entry->index, &members);
+    }
+  status = raft_log_append (raft, &raft->log, entry->term, entry->kind, entry->data, entry->length);
+  raft->log.stored = raft_log_last (&raft->log);
+  return status;
+}
+
+enum status
+raft_append_own (struct raft *raft, enum raft_entry_kind kind, const void *data, uint32_t length)
+{
+  return raft_log_append (raft, &raft->log, raft->state.term, kind, data, length);
+}
+
+enum status
+raft_bootstrap (struct raft *raft, const struct raft_members *members)
+{
+  struct bytes out;
+  enum status status;
+
+  INVARIANT (raft_log_last (&raft->log) == 0 && raft->state.term == 0);
+  raft->state.term = 1;
+  raft->state_changed = true;
+  bytes_init (&out, raft);
+  raft_members_write (members, &out);
+  if (bytes_failed (&out))
+    return status_fail (STATUS_NO_MEMORY, "members of a new group");
+  status = raft_append_own (raft, RAFT_ENTRY_MEMBERS, out.data, (uint32_t) out.length);
+  bytes_clear (&out);
+  if (status == STATUS_OK)
+    raft_configs_add (raft, 1, members);
+  raft->election_at = 0;
+  return status;
+}
+
+int64_t
+raft_next (const struct raft *raft)
+{
+  if (raft->lost)
+    return USEC_NEVER;
+  if (raft->role == RAFT_LEADER)
+    return raft->heartbeat_at;
+  if (!raft_members_is_voter (raft_current_members (raft), raft->options.id))
+    return USEC_NEVER;
+  return raft->election_at;
+}
+
+void
+raft_tick (struct raft *raft, int64_t now)
+{
+  if (now < raft_next (raft))
+    return;
+  if (raft->role == RAFT_LEADER)
+    raft_tick_leader (raft, now);
+  else
+    raft_campaign (raft, true, false, now);
+}
+
+/* A message of an older term.  Its sender may be a leader that does not know yet, or a server
+ * whose pre-vote cannot succeed: tell it our term. */
+static void
+answer_old_term (struct raft *raft, const struct raft_message *m)
+{
+  if (m->kind == RAFT_APPEND || m->kind == RAFT_SNAPSHOT)
+    raft_send (raft, RAFT_APPEND_REPLY, m->from);
+  else if (m->kind == RAFT_PRE_VOTE)
+    raft_send (raft, RAFT_PRE_VOTE_REPLY, m->from);
+}
+
+/* Take over a higher term; false when the message is not to be acted on. */
+static bool
+take_term (struct raft *raft, const struct raft_message *m, int64_t now)
+{
+  bool from_leader = m->kind == RAFT_APPEND || m->kind == RAFT_SNAPSHOT;
+
+  if ((m->kind == RAFT_PRE_VOTE || m->kind == RAFT_VOTE) && raft_votes_refused (raft, m, now))
+    return false;
+  if (m->kind == RAFT_PRE_VOTE || (m->kind == RAFT_PRE_VOTE_REPLY && m->ok))
+    return true;
+  if (m->term > raft->state.term)
+    raft_become_follower (raft, m->term, from_leader ? m->from : 0, now);
+  return true;
+}
+
+void
+raft_step (struct raft *raft, const struct raft_message *m, int64_t now)
+{
+  INVARIANT (!raft->ready_out);
+  if (m->to != raft->options.id || m->from == raft->options.id || raft->lost)
+    return;
+  if (m->term < raft->state.term)
+    {
+      answer_old_term (raft, m);
+      return;
+    }
+  if (!take_term (raft, m, now))
+    return;
+  switch (m->kind)
+    {
+    case RAFT_PRE_VOTE:
+    case RAFT_VOTE:
+      raft_on_vote (raft, m, now);
+      break;
+    case RAFT_PRE_VOTE_REPLY:
+    case RAFT_VOTE_REPLY:
+      raft_on_vote_reply (raft, m, now);
+      break;
+    case RAFT_APPEND:
+      raft_on_append (raft, m, now);
+      break;
+    case RAFT_APPEND_REPLY:
+      raft_on_append_reply (raft, m, now);
+      break;
+    case RAFT_SNAPSHOT:
+      raft_on_snapshot (raft, m, now);
+      break;
+    case RAFT_SNAPSHOT_REPLY:
+      raft_on_snapshot_reply (raft, m, now);
+      break;
+    case RAFT_TIMEOUT_NOW:
+      raft_on_timeout_now (raft, m, now);
+      break;
+    case RAFT_LOST:
+      raft_on_lost (raft, m);
+      break;
+    case RAFT_MESSAGE_KIND_COUNT:
+      break;
+    }
+}
+
+enum status
+raft_propose (struct raft *raft, const void *data, size_t length, uint64_t *index, uint64_t *term)
+{
+  enum status status;
+
+  if (raft->role != RAFT_LEADER || raft->transfer_to != 0)
+    return status_fail (STATUS_NOT_LEADER, "not the leader");
+  if (length > RAFT_ENTRY_MAX)
+    return status_fail (STATUS_TOO_LARGE, "entry of %zu bytes, %u at most", length, RAFT_ENTRY_MAX);
+  status = raft_append_own (raft, RAFT_ENTRY_DATA, data, (uint32_t) length);
+  *index = raft_log_last (&raft->log);
+  *term = raft->state.term;
+  return status;
+}
+
+static struct raft_message *
+queue (struct raft *raft,
+       struct raft_message ***list,
+       uint32_t *n,
+       enum raft_message_kind kind,
+       uint64_t to)
+{
+  struct raft_message *m = talloc_zero (raft, struct raft_message);
+
+  /* A message that cannot be made is one that was lost. */
+  if (m == NULL)
+    return raft->spare;
+  if ((*n & (*n - 1)) == 0)
+    {
+      struct raft_message **grown =
+          talloc_realloc (raft, *list, struct raft_message *, *n == 0 ? 1 : *n * 2);
+
+      if (grown == NULL)
+        {
+          talloc_free (m);
+          return raft->spare;
+        }
+      *list = grown;
+    }
+  (*list)[(*n)++] = m;
+  m->kind = kind;
+  m->from = raft->options.id;
+  m->to = to;
+  m->term = raft->state.term;
+  return m;
+}
+
+struct raft_message *
+raft_send (struct raft *raft, enum raft_message_kind kind, uint64_t to)
+{
+  return queue (raft, &raft->out, &raft->n_out, kind, to);
+}
+
+struct raft_message *
+raft_send_early (struct raft *raft, enum raft_message_kind kind, uint64_t to)
+{
+  return queue (raft, &raft->early, &raft->n_early, kind, to);
+}
+
+bool
+raft_ready (struct raft *raft, struct raft_ready *out, int64_t now)
+{
+  INVARIANT (!raft->ready_out);
+  memset (out, 0, sizeof *out);
+  if (raft->lost)
+    return false;
+  if (raft->role == RAFT_LEADER)
+    raft_generate_appends (raft, now);
+  if (!raft->state_changed && !raft->install_ready && raft->n_out == 0 && raft->n_early == 0
+      && raft->log.stored == raft_log_last (&raft->log))
+    return false;
+  out->state_changed = raft->state_changed;
+  out->state = raft->state;
+  out->install = raft->install_ready ? &raft->install : NULL;
+  out->first = raft->log.stored + 1;
+  out->last = raft_log_last (&raft->log);
+  out->early = raft->early;
+  out->n_early = raft->n_early;
+  out->late = raft->out;
+  out->n_late = raft->n_out;
+  raft->ready_out = true;
+  raft->ready_last = out->last;
+  raft->ready_term = raft->state.term;
+  return true;
+}
+
+static void
+free_messages (struct raft_message ***list, uint32_t *n)
+{
+  for (uint32_t i = 0; i < *n; i++)
+    talloc_free ((*list)[i]);
+  TALLOC_FREE (*list);
+  *n = 0;
+}
+
+void
+raft_synced (struct raft *raft, int64_t now)
+{
+  INVARIANT (raft->ready_out);
+  raft->ready_out = false;
+  raft->state_changed = false;
+  raft->log.stored = raft->ready_last;
+  free_messages (&raft->early, &raft->n_early);
+  free_messages (&raft->out, &raft->n_out);
+  if (raft->install_ready)
+    raft_finish_install (raft);
+  if (raft->role == RAFT_CANDIDATE && raft->ready_term == raft->state.term)
+    raft_count_own_vote (raft, now);
+  if (raft->role == RAFT_LEADER)
+    raft_advance_commit (raft);
+}
+
+/* The acknowledgements of what could not be stored must not leave; they look like lost messages. */
+void
+raft_drop_unstored (struct raft *raft, int64_t now)
+{
+  uint64_t from = raft->log.stored + 1;
+
+  INVARIANT (raft->ready_out);
+  raft_log_truncate (&raft->log, from);
+  raft_configs_truncate (raft, from);
+  if (raft->commit > raft->log.stored)
+    raft->commit = raft->log.stored > raft->applied ? raft->log.stored : raft->applied;
+  raft->ready_last = raft->log.stored;
+  raft->install_ready = false;
+  bytes_clear (&raft->incoming.data);
+  for (uint32_t i = 0; i < raft->n_out; i++)
+    if (raft->out[i]->kind == RAFT_APPEND_REPLY && raft->out[i]->index >= from)
+      {
+        raft->out[i]->ok = true;
+        raft->out[i]->hold = true;
+        raft->out[i]->index = raft->commit;
+        raft->out[i]->last = raft->log.stored;
+      }
+  if (raft->role == RAFT_LEADER)
+    raft_become_follower (raft, raft->state.term, 0, now);
+}
+
+void
+raft_hold (struct raft *raft, bool hold)
+{
+  raft->hold = hold;
+}
+
+const struct raft_entry *
+raft_next_committed (struct raft *raft)
+{
+  uint64_t bound = raft->commit < raft->log.stored ? raft->commit : raft->log.stored;
+
+  if (raft->applied >= bound)
+    return NULL;
+  return raft_log_at (&raft->log, raft->applied + 1);
+}
+
+void
+raft_applied_one (struct raft *raft)
+{
+  INVARIANT (raft->applied < raft->commit);
+  raft->applied++;
+}
+
+void
+raft_compacted (struct raft *raft, const struct raft_snapshot *snapshot, uint64_t keep_from)
+{
+  INVARIANT (snapshot->index <= raft->applied && keep_from <= snapshot->index);
+  raft->snapshot = *snapshot;
+  raft_log_compact (&raft->log, keep_from);
+  raft_configs_compact (raft, snapshot->index);
+  for (uint32_t i = 0; i < raft->n_peers; i++)
+    if (raft->peers[i].state == PEER_SNAPSHOT)
+      raft_start_snapshot (raft, &raft->peers[i]);
+}
+
+const struct raft_entry *
+raft_entry_at (const struct raft *raft, uint64_t index)
+{
+  return raft_log_at (&raft->log, index);
+}
+
+uint64_t
+raft_id (const struct raft *raft)
+{
+  return raft->options.id;
+}
+
+uint64_t
+raft_term (const struct raft *raft)
+{
+  return raft->state.term;
+}
+
+enum raft_role
+raft_role (const struct raft *raft)
+{
+  return raft->role;
+}
+
+uint64_t
+raft_leader (const struct raft *raft)
+{
+  return raft->leader;
+}
+
+uint64_t
+raft_committed (const struct raft *raft)
+{
+  return raft->commit;
+}
+
+uint64_t
+raft_applied (const struct raft *raft)
+{
+  return raft->applied;
+}
+
+uint64_t
+raft_first (const struct raft *raft)
+{
+  return raft->log.base_index + 1;
+}
+
+uint64_t
+raft_last (const struct raft *raft)
+{
+  return raft_log_last (&raft->log);
+}
+
+uint64_t
+raft_log_bytes (const struct raft *raft)
+{
+  return raft->log.bytes;
+}
+
+const struct raft_members *
+raft_members (const struct raft *raft)
+{
+  return raft_current_members (raft);
+}
+
+const struct raft_snapshot *
+raft_last_snapshot (const struct raft *raft)
+{
+  return &raft->snapshot;
+}
+
+bool
+raft_lost_entries (const struct raft *raft)
+{
+  return raft->lost;
+}
--- /dev/null
+++ b/src/raft_follow.c
@@ -0,0 +1,108 @@
+/* The follower's side of replication. */
+#include "raft_private.h"
+
+/* Member sets in the message must be readable before anything of it is taken. */
+static bool
+members_readable (const struct raft_message *m)
+{
+  struct raft_members members;
+
+  for (uint32_t i = 0; i < m->n_entries; i++)
+    if (m->entries[i].kind == RAFT_ENTRY_MEMBERS
+        && raft_members_read (m->entries[i].data, m->entries[i].length, &members) != STATUS_OK)
+      return false;
+  return true;
+}
+
+static enum status
+take_entry (struct raft *raft, const struct raft_entry *entry)
+{
+  struct raft_members members;
+  uint64_t term;
+  enum status status;
+
+  if (entry->index <= raft->commit)
+    return STATUS_OK;
+  if (raft_log_term (&raft->log, entry->index, &term))
+    {
+      if (term == entry->term)
+        return STATUS_OK;
+      raft_log_truncate (&raft->log, entry->index);
+      raft_configs_truncate (raft, entry->index);
+    }
+  status = raft_log_append (raft, &raft->log, entry->term, entry->kind, entry->data, entry->length);
+  if (status != STATUS_OK || entry->kind != RAFT_ENTRY_MEMBERS)
+    return status;
+  status = raft_members_read (entry->data, entry->length, &members);
+  INVARIANT (status == STATUS_OK);
+  raft_configs_add (raft, entry->index, &members);
+  return STATUS_OK;
+}
+
+/* The entry before the first of the message is in our log.  What is committed is the same in every
+ * log, and its terms may be gone from memory. */
+static bool
+matches (const struct raft *raft, const struct raft_message *m)
+{
+  uint64_t term;
+
+  if (m->index <= raft->commit)
+    return true;
+  return raft_log_term (&raft->log, m->index, &term) && term == m->log_term;
+}
+
+/* Where the leader had better try next: before the whole run of entries of the term that differs,
+ * so that it does not walk back one entry a message. */
+static uint64_t
+hint (const struct raft *raft, const struct raft_message *m)
+{
+  uint64_t first;
+
+  if (m->index > raft_log_last (&raft->log))
+    return raft_log_last (&raft->log) + 1;
+  first = raft_log_term_start (&raft->log, m->index);
+  return first > raft->commit ? first : raft->commit + 1;
+}
+
+void
+raft_on_append (struct raft *raft, const struct raft_message *m, int64_t now)
+{
+  struct raft_message *reply;
+  uint32_t taken = 0;
+
+  if (raft->role == RAFT_LEADER)
+    return;
+  raft_become_follower (raft, m->term, m->from, now);
+  raft->heard_at = now;
+  raft_set_election_time (raft, now);
+  if (!members_readable (m))
+    return;
+  reply = raft_send (raft, RAFT_APPEND_REPLY, m->from);
+  reply->round = m->round;
+  reply->hold = raft->hold;
+  reply->index = m->index;
+  if (!matches (raft, m))
+    {
+      reply->log_term = hint (raft, m);
+      reply->last = raft_log_last (&raft->log);
+      return;
+    }
+  while (!raft->hold && taken < m->n_entries && take_entry (raft, &m->entries[taken]) == STATUS_OK)
+    taken++;
+  reply->ok = true;
+  reply->index = m->index + taken;
+  reply->last = raft_log_last (&raft->log);
+  if (m->commit > raft->commit && reply->index > raft->commit)
+    raft->commit = m->commit < reply->index ? m->commit : reply->index;
+}
+
+/* Our leader proved that we acknowledged an entry in this term that we no longer hold.  The folder
+ * was put back from an older copy, or its disk lost what it said was synced: any vote or
+ * acknowledgement of ours may be forgotten too, so taking part further could lose what others count
+ * as committed. */
+void
+raft_on_lost (struct raft *raft, const struct raft_message *m)
+{
+  if (m->from == raft->leader && m->index > raft_log_last (&raft->log))
+    raft->lost = true;
+}
--- /dev/null
+++ b/src/raft_log.h
@@ -0,0 +1,60 @@
+/* The part of the log held in memory: entries after a base, some of them not stored yet. */
+#ifndef RAFT_LOG_H
+#define RAFT_LOG_H
+
+#include "decls.h"
+#include "raft_message.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+struct raft_log
+{
+  struct raft_entry *entries; /* of base_index + 1 and on; data owned by the array */
+  uint32_t count;
+  uint32_t capacity;
+  uint64_t base_index;
+  uint64_t base_term;
+  uint64_t stored; /* durable up to here */
+  uint64_t bytes;  /* of the entries' data */
+};
+
+void raft_log_init (struct raft_log *log, uint64_t base_index, uint64_t base_term);
+
+static inline uint64_t
+raft_log_last (const struct raft_log *log)
+{
+  return log->base_index + log->count;
+}
+
+/* NULL outside of what is held. */
+const struct raft_entry *raft_log_at (const struct raft_log *log, uint64_t index);
+
+/* The term of an entry or of the base; false when it is not known. */
+bool raft_log_term (const struct raft_log *log, uint64_t index, uint64_t *term);
+uint64_t raft_log_last_term (const struct raft_log *log);
+
+/* Append a copy with the next index.  STATUS_NO_MEMORY. */
+enum status raft_log_append (void *parent,
+                             struct raft_log *log,
+                             uint64_t term,
+                             enum raft_entry_kind kind,
+                             const void *data,
+                             uint32_t length);
+
+/* Forget entries from `from` on. */
+void raft_log_truncate (struct raft_log *log, uint64_t from);
+
+/* Forget entries up to `index`, which becomes the base. */
+void raft_log_compact (struct raft_log *log, uint64_t index);
+
+/* Forget all; the log continues after a snapshot. */
+void raft_log_reset (struct raft_log *log, uint64_t base_index, uint64_t base_term);
+
+/* The first index of the run of entries with the term that `index` has. */
+uint64_t raft_log_term_start (const struct raft_log *log, uint64_t index);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/raft_private.h
@@ -0,0 +1,192 @@
+/* What the files of raft share. */
+#ifndef RAFT_PRIVATE_H
+#define RAFT_PRIVATE_H
+
+#include "raft.h"
+#include "raft_log.h"
+#include "rng.h"
+
+#define RAFT_ROUNDS 64        /* send times of the latest rounds, for the lease */
+#define RAFT_IN_FLIGHT_MAX 64 /* bound of max_in_flight */
+#define RAFT_READS_MAX 65536  /* waiting at once */
+#define RAFT_CONFIGS_MAX 64   /* member sets held: in the log's memory and before */
+
+enum raft_peer_state
+{
+  PEER_PROBE,     /* where the logs part is not known: one message at a time */
+  PEER_REPLICATE, /* entries stream, up to max_in_flight messages */
+  PEER_SNAPSHOT,  /* the entries it needs are gone: chunks, one at a time */
+};
+
+/* What a leader knows of another member. */
+struct raft_peer
+{
+  uint64_t id;
+  enum raft_peer_state state;
+  uint64_t match;                         /* acknowledged as stored */
+  uint64_t match_round;                   /* our round when that became known */
+  uint64_t next;                          /* entry to send next */
+  uint64_t in_flight[RAFT_IN_FLIGHT_MAX]; /* last entry of each message not acknowledged */
+  uint32_t in_flight_first;
+  uint32_t n_in_flight;
+  uint64_t commit_sent;
+  uint64_t round;    /* highest round given back */
+  int64_t heard_at;  /* 0: not since the election */
+  bool probing;      /* the one probe is out */
+  bool heartbeat;    /* send something at the next ready, entries or not */
+  bool hold;         /* it has no room; wait for the next heartbeat */
+  uint64_t offset;   /* of the snapshot chunk to send */
+  uint64_t snapshot; /* index of the snapshot being sent */
+  bool chunk_out;
+};
+
+struct raft_round
+{
+  uint64_t round;
+  int64_t sent_at;
+};
+
+/* The members from `index` on. */
+struct raft_members_from
+{
+  uint64_t index;
+  struct raft_members members;
+};
+
+struct raft_read_wait
+{
+  uint64_t token;
+  uint64_t index;
+  uint64_t round; /* confirmed once a quorum gave this round back */
+};
+
+struct raft_incoming
+{
+  uint64_t index;
+  uint64_t term;
+  uint64_t total;
+  uint64_t leader_term;
+  struct raft_members members;
+  struct bytes data;
+};
+
+struct raft
+{
+  struct raft_options options;
+  struct rng rng;
+  enum raft_role role;
+  struct raft_state state;
+  bool state_changed;
+  uint64_t leader;
+  struct raft_log log;
+  uint64_t commit;
+  uint64_t applied;
+  struct raft_snapshot snapshot; /* the last stored one */
+  struct raft_members_from configs[RAFT_CONFIGS_MAX];
+  uint32_t n_configs;
+  bool hold;
+  bool lost;
+
+  int64_t heard_at;    /* from a leader; no vote before heard_at + election_min */
+  int64_t election_at; /* when to stand, unless a leader is heard */
+
+  /* as a candidate */
+  uint64_t granted[RAFT_MEMBERS_MAX];
+  uint32_t n_granted;
+  bool by_transfer;
+
+  /* as a leader */
+  struct raft_peer peers[RAFT_MEMBERS_MAX];
+  uint32_t n_peers;
+  uint64_t round;
+  struct raft_round rounds[RAFT_ROUNDS];
+  int64_t heartbeat_at;
+  int64_t quorum_at;     /* send time of the latest round a quorum gave back */
+  uint64_t quorum_round; /* that round */
+  int64_t elected_at;
+  uint64_t first_index; /* our no-op: reads and changes wait until it is committed */
+  bool lease_given_up;  /* a transfer was begun in this term */
+  uint64_t transfer_to;
+  int64_t transfer_until;
+  bool transfer_sent;
+
+  struct raft_read_wait *reads;
+  uint32_t n_reads;
+  struct raft_read *reads_done;
+  uint32_t n_reads_done;
+  uint32_t reads_taken;
+  bool reads_new; /* some wait for a round that was not sent yet */
+
+  struct raft_incoming incoming;
+  struct raft_install install; /* whole, to be stored */
+  bool install_ready;
+
+  /* the ready that is out */
+  bool ready_out;
+  uint64_t ready_last;
+  uint64_t ready_term;
+  struct raft_message **out; /* replies and votes, leave after the sync */
+  uint32_t n_out;
+  struct raft_message **early; /* appends of a leader */
+  uint32_t n_early;
+  struct raft_message *spare; /* written to when memory is out, never sent */
+};
+
+/* raft.c */
+struct raft_message *raft_send (struct raft *raft, enum raft_message_kind kind, uint64_t to);
+struct raft_message *raft_send_early (struct raft *raft, enum raft_message_kind kind, uint64_t to);
+enum status raft_append_own (struct raft *raft,
+                             enum raft_entry_kind kind,
+                             const void *data,
+                             uint32_t length);
+
+/* raft_election.c */
+void raft_become_follower (struct raft *raft, uint64_t term, uint64_t leader, int64_t now);
+void raft_set_election_time (struct raft *raft, int64_t now);
+void raft_campaign (struct raft *raft, bool pre_vote, bool transfer, int64_t now);
+void raft_on_vote (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_on_vote_reply (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_on_timeout_now (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_count_own_vote (struct raft *raft, int64_t now);
+bool raft_votes_refused (const struct raft *raft, const struct raft_message *m, int64_t now);
+
+/* raft_replicate.c: the leader's side */
+void raft_lead (struct raft *raft, int64_t now);
+void raft_tick_leader (struct raft *raft, int64_t now);
+void raft_on_append_reply (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_generate_appends (struct raft *raft, int64_t now);
+void raft_advance_commit (struct raft *raft);
+void raft_sync_peers (struct raft *raft);
+struct raft_peer *raft_peer_find (struct raft *raft, uint64_t id);
+void raft_peer_heard (struct raft *raft, struct raft_peer *peer, uint64_t round, int64_t now);
+void raft_new_round (struct raft *raft, int64_t now);
+void raft_drive_transfer (struct raft *raft);
+
+/* raft_follow.c: the follower's side */
+void raft_on_append (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_on_lost (struct raft *raft, const struct raft_message *m);
+
+/* raft_snapshot.c */
+void raft_generate_chunk (struct raft *raft, struct raft_peer *peer);
+void raft_start_snapshot (struct raft *raft, struct raft_peer *peer);
+void raft_on_snapshot (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_on_snapshot_reply (struct raft *raft, const struct raft_message *m, int64_t now);
+void raft_finish_install (struct raft *raft);
+
+/* raft_read.c */
+void raft_confirm_reads (struct raft *raft);
+void raft_fail_reads (struct raft *raft);
+
+/* raft_change.c */
+void raft_configs_add (struct raft *raft, uint64_t index, const struct raft_members *members);
+void raft_configs_truncate (struct raft *raft, uint64_t from);
+void raft_configs_compact (struct raft *raft, uint64_t index);
+bool raft_log_members_at (const struct raft *raft, uint64_t index, struct raft_members *out);
+
+static inline const struct raft_members *
+raft_current_members (const struct raft *raft)
+{
+  return &raft->configs[raft->n_configs - 1].members;
+}
+
+#endif
