--- /dev/null
+++ b/src/journal_format.h
@@ -0,0 +1,75 @@
+/* The bytes of the journal's files: little-endian words, XXH3 checksums. */
+#ifndef JOURNAL_FORMAT_H
+#define JOURNAL_FORMAT_H
+
+#include "bytes.h"
+#include <endian.h>
+#include <stdint.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define JOURNAL_MAGIC "cherryj\n"
+#define JOURNAL_MAGIC_SIZE 8
+#define JOURNAL_NAME_PREFIX "journal-"
+#define JOURNAL_NAME_FORMAT JOURNAL_NAME_PREFIX "%016" PRIx64
+#define JOURNAL_ALIGN 8u
+
+/* Segment header: magic, version (4), flags (4), then words. */
+#define SEGMENT_RESET 1u /* what earlier segments hold does not count */
+enum segment_word
+{
+  SEGMENT_ID,
+  SEGMENT_PREV_INDEX, /* the last entry before the segment */
+  SEGMENT_PREV_TERM,
+  SEGMENT_TERM, /* the voter's state when the segment began */
+  SEGMENT_VOTE,
+  SEGMENT_CHECKSUM,
+  SEGMENT_WORDS
+};
+#define SEGMENT_HEADER_SIZE (JOURNAL_MAGIC_SIZE + 8 + SEGMENT_WORDS * 8)
+
+/* Record header: words; payload and padding behind.  The checksum is over all that follows it and
+ * is seeded with the voter's id and the record's offset. */
+#define RECORD_STATE 1u
+#define RECORD_ENTRY 2u
+enum record_word
+{
+  RECORD_CHECKSUM,
+  RECORD_LENGTH, /* of the payload; kind << 32, entry kind << 48 */
+  RECORD_SYNCED, /* the segment was synced up to here when this was written */
+  RECORD_INDEX,  /* of the entry; for a state the vote */
+  RECORD_TERM,
+  RECORD_WORDS
+};
+#define RECORD_HEADER_SIZE ((size_t) RECORD_WORDS * 8)
+
+static inline void
+format_put (char *at, uint64_t word)
+{
+  uint64_t little = htole64 (word);
+
+  memcpy (at, &little, sizeof little);
+}
+
+static inline uint64_t
+format_get (const char *at)
+{
+  uint64_t little;
+
+  memcpy (&little, at, sizeof little);
+  return le64toh (little);
+}
+
+static inline size_t
+record_size (size_t length)
+{
+  return RECORD_HEADER_SIZE + (length + JOURNAL_ALIGN - 1) / JOURNAL_ALIGN * JOURNAL_ALIGN;
+}
+
+static inline uint64_t
+record_checksum (const char *record, size_t size, uint64_t id, uint64_t offset)
+{
+  return XXH3_64bits_withSeed (record + 8, size - 8, id ^ offset);
+}
+
+#endif
