Drive the log: voters, forwarding hosts, forming a group, repair

One flush a turn of the loop syncs all that was proposed in it; a host that does not lead forwards and follows hints. The first named voter forms the group once it has heard the identities of all; a host with a new identity is taken in by the leader as a learner and takes the place of the one that is gone. A failed sync, an older folder or damage stops the voter for good.

--- /dev/null
+++ b/src/consensus_flush.c
@@ -0,0 +1,301 @@
+/* Once a turn of the loop: store what is new, send, apply, answer. */
+#include "consensus_voter_private.h"
+#include "log.h"
+#include "snapshot.h"
+#include <talloc.h>
+
+#define FLUSH_ROUNDS 8
+#define SNAPSHOT_RETRY (60 * USEC_PER_SEC)
+
+/* A snapshot from the leader: stored before it is loaded, loaded before it is acknowledged. */
+static enum status
+install (struct consensus_voter *self, const struct raft_install *in)
+{
+  struct machine *machine = self->config.machine;
+  size_t length;
+  enum status status = snapshot_check (in->data, in->snapshot.length, &length);
+
+  if (status != STATUS_OK)
+    return STATUS_MALFORMED;
+  status = snapshot_store (self->config.disk, &in->snapshot, in->data);
+  if (status == STATUS_OK && !in->keeps_log)
+    status = journal_reset (self->journal, in->snapshot.index, in->snapshot.term);
+  if (status == STATUS_OK)
+    status = machine->ops->load (machine, in->snapshot.index, in->data, length);
+  return status;
+}
+
+static enum status
+store_records (struct consensus_voter *self, const struct raft_ready *ready, bool entries)
+{
+  if (ready->state_changed)
+    journal_add_state (self->journal, &ready->state);
+  for (uint64_t i = ready->first; entries && i <= ready->last; i++)
+    journal_add_entry (self->journal, raft_entry_at (self->raft, i));
+  if (self->syncs != NULL && (ready->state_changed || (entries && ready->last >= ready->first)))
+    counter_add (self->syncs, 1);
+  return journal_commit (self->journal);
+}
+
+/* Without room the entries are given back as a restart would forget them, but a vote must be kept:
+ * it is small, and the reserve leaves room for it. */
+static enum status
+store (struct consensus_voter *self, const struct raft_ready *ready, int64_t now)
+{
+  enum status status = STATUS_OK;
+  bool entries = true;
+
+  if (ready->install != NULL)
+    {
+      entries = ready->install->keeps_log;
+      status = install (self, ready->install);
+    }
+  if (status == STATUS_OK)
+    status = store_records (self, ready, entries);
+  if (status != STATUS_DISK_FULL && status != STATUS_MALFORMED)
+    return status;
+  if (status == STATUS_DISK_FULL)
+    {
+      self->low_space = true;
+      raft_hold (self->raft, true);
+    }
+  raft_drop_unstored (self->raft, now);
+  return store_records (self, ready, false);
+}
+
+static void
+send_all (struct consensus_voter *self, struct raft_message **messages, uint32_t n)
+{
+  for (uint32_t i = 0; i < n; i++)
+    voter_send (self, messages[i]);
+}
+
+/* The leader's appends leave before its own sync, since the two may go on at once; but not while
+ * its term is not stored, which it must not outlive. */
+static bool
+store_and_send (struct consensus_voter *self, const struct raft_ready *ready, int64_t now)
+{
+  enum status status;
+
+  if (!ready->state_changed)
+    send_all (self, ready->early, ready->n_early);
+  status = store (self, ready, now);
+  if (status != STATUS_OK)
+    {
+      voter_fail (self, status, "storing", now);
+      return false;
+    }
+  if (ready->state_changed)
+    send_all (self, ready->early, ready->n_early);
+  send_all (self, ready->late, ready->n_late);
+  raft_synced (self->raft, now);
+  return true;
+}
+
+/* Who proposed the entry at `index`, if it was one of ours and still is. */
+static struct request *
+take_pending (struct consensus_voter *self, uint64_t index, uint64_t term)
+{
+  struct request *request = NULL;
+
+  while (self->n_pending > 0 && self->pending[self->pending_first].index <= index)
+    {
+      const struct voter_pending *pending = &self->pending[self->pending_first];
+
+      if (pending->index == index && pending->term == term)
+        request = request_find (&self->requests, pending->request);
+      self->pending_first++;
+      self->n_pending--;
+    }
+  return request;
+}
+
+static void
+apply_one (struct consensus_voter *self, const struct raft_entry *entry, int64_t now)
+{
+  struct machine *machine = self->config.machine;
+  struct request *request = take_pending (self, entry->index, entry->term);
+  struct bytes result;
+
+  bytes_init (&result, self);
+  if (entry->kind == RAFT_ENTRY_DATA)
+    machine->ops->apply (machine, entry->index, entry->data, entry->length, &result);
+  raft_applied_one (self->raft);
+  if (self->applied_entries != NULL)
+    counter_add (self->applied_entries, 1);
+  if (request != NULL)
+    request_finish (request, STATUS_OK, result.data, result.length, now);
+  bytes_clear (&result);
+}
+
+static void
+apply (struct consensus_voter *self, int64_t now)
+{
+  const struct raft_entry *entry;
+
+  while ((entry = raft_next_committed (self->raft)) != NULL)
+    apply_one (self, entry, now);
+}
+
+static void
+take_reads (struct consensus_voter *self, int64_t now)
+{
+  struct raft_read read;
+
+  while (raft_take_read (self->raft, &read))
+    {
+      struct request *request = request_find (&self->requests, read.token);
+
+      if (request == NULL || request->place != REQUEST_READING)
+        continue;
+      if (!read.ok)
+        {
+          request->place = REQUEST_FORWARDED;
+          if (request->proposal != NULL)
+            request_arm (request, now);
+          else
+            request_finish (request, STATUS_UNAVAILABLE, NULL, 0, now);
+          continue;
+        }
+      request->place = REQUEST_APPLYING;
+      request->index = read.index;
+      self->reads_waiting = true;
+    }
+}
+
+static bool
+read_reached (const struct consensus_voter *self, const struct request *request)
+{
+  return request->place == REQUEST_APPLYING
+         && (request->proposal == NULL || request->index <= raft_applied (self->raft));
+}
+
+/* Answer reads whose index the machine has reached; one that another host asked for waits there.
+ * They are looked up anew one by one, since an answer may withdraw or propose others. */
+static void
+finish_reads (struct consensus_voter *self, int64_t now)
+{
+  uint64_t *numbers;
+  uint32_t n = 0;
+
+  if (!self->reads_waiting)
+    return;
+  self->reads_waiting = false;
+  numbers = talloc_array (self, uint64_t, HASH_COUNT (self->requests.by_number));
+  for (struct request *request = self->requests.by_number; request != NULL;
+       request = request->hh.next)
+    if (numbers != NULL && read_reached (self, request))
+      numbers[n++] = request->number;
+    else if (request->place == REQUEST_APPLYING)
+      self->reads_waiting = true;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct request *request = request_find (&self->requests, numbers[i]);
+
+      if (request != NULL)
+        request_finish (request, STATUS_OK, NULL, 0, now);
+    }
+  talloc_free (numbers);
+}
+
+static enum status
+take_snapshot (struct consensus_voter *self)
+{
+  struct raft_snapshot snapshot = { .index = raft_applied (self->raft) };
+  struct machine *machine = self->config.machine;
+  uint64_t keep = CONSENSUS_KEEP_ENTRIES;
+  uint64_t keep_from;
+  struct bytes payload;
+  enum status status;
+
+  if (!raft_members_at (self->raft, snapshot.index, &snapshot.members))
+    return STATUS_AGAIN;
+  snapshot.term = raft_entry_at (self->raft, snapshot.index)->term;
+  bytes_init (&payload, self);
+  status = machine->ops->save (machine, &payload);
+  snapshot_seal (&payload);
+  snapshot.length = payload.length;
+  if (status == STATUS_OK && bytes_failed (&payload))
+    status = status_fail (STATUS_NO_MEMORY, "snapshot");
+  if (status == STATUS_OK)
+    status = snapshot_store (self->config.disk, &snapshot, payload.data);
+  bytes_clear (&payload);
+  if (status != STATUS_OK)
+    return status;
+  if (raft_log_bytes (self->raft) > CONSENSUS_SNAPSHOT_BYTES
+      || self->config.snapshot_entries < CONSENSUS_KEEP_ENTRIES)
+    keep = 0;
+  keep_from = snapshot.index > keep ? snapshot.index - keep : 0;
+  raft_compacted (self->raft, &snapshot, keep_from);
+  if (self->snapshots != NULL)
+    counter_add (self->snapshots, 1);
+  return journal_drop (self->journal, keep_from);
+}
+
+/* A snapshot that finds no room is tried again later; any other failure of the disk stops us. */
+static void
+snapshot_if_due (struct consensus_voter *self, int64_t now)
+{
+  uint64_t since = raft_applied (self->raft) - raft_last_snapshot (self->raft)->index;
+  enum status status;
+
+  if (since == 0 || now < self->snapshot_retry_at
+      || (since < self->config.snapshot_entries
+          && raft_log_bytes (self->raft) <= CONSENSUS_SNAPSHOT_BYTES))
+    return;
+  status = take_snapshot (self);
+  if (status == STATUS_OK)
+    return;
+  self->snapshot_retry_at = now + SNAPSHOT_RETRY;
+  if (status == STATUS_IO)
+    voter_fail (self, status, "snapshot", now);
+  else
+    log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_WARNING, "snapshot put off", "{s:s}", "message",
+               status_message ());
+}
+
+static void
+show (struct consensus_voter *self)
+{
+  if (self->term_gauge == NULL)
+    return;
+  gauge_set (self->term_gauge, (double) raft_term (self->raft));
+  gauge_set (self->leader_gauge, raft_role (self->raft) == RAFT_LEADER);
+}
+
+void
+voter_flush (struct consensus_voter *self, int64_t now)
+{
+  struct raft_ready ready;
+  unsigned rounds = 0;
+
+  if (self->health != STATUS_OK)
+    return;
+  timer_disarm (self->config.timers, &self->flush_timer);
+  while (rounds < FLUSH_ROUNDS && raft_poll (self->raft, &ready, now))
+    {
+      if (!store_and_send (self, &ready, now))
+        return;
+      apply (self, now);
+      rounds++;
+    }
+  take_reads (self, now);
+  finish_reads (self, now);
+  voter_role_changed (self, now);
+  if (raft_lost_entries (self->raft))
+    {
+      status_fail (STATUS_CORRUPT, "the data folder is older than what this voter acknowledged");
+      voter_fail (self, STATUS_CORRUPT, "entries lost", now);
+      return;
+    }
+  snapshot_if_due (self, now);
+  show (self);
+  if (self->health != STATUS_OK)
+    return;
+  if (rounds == FLUSH_ROUNDS)
+    voter_wake (self, now);
+  if (raft_next (self->raft) == USEC_NEVER)
+    timer_disarm (self->config.timers, &self->tick_timer);
+  else
+    timer_arm (self->config.timers, &self->tick_timer, raft_next (self->raft));
+}
--- /dev/null
+++ b/src/consensus_form.c
@@ -0,0 +1,106 @@
+/* Forming a group from the first voters' names, and being taken into one.
+ *
+ * The first voter named in the settings forms the group, once, after it has heard from every other
+ * and none of them belongs to a group: the identities it heard become the first members.  Everyone
+ * else takes the group of the first message of raft that is addressed to its identity; only who
+ * heard that identity from it can send one.  A host that lost its disk has a new identity and no
+ * group.  It forms none while any of the others remembers one, and waits to be taken in. */
+#include "consensus_voter_private.h"
+#include "log.h"
+#include "text.h"
+#include <inttypes.h>
+#include <string.h>
+
+#define FORM_FRESH (2 * USEC_PER_SEC) /* how new what was heard must be */
+#define STANDBY_PERIOD (2 * USEC_PER_SEC)
+
+enum status
+voter_join_group (struct consensus_voter *self, uint64_t group)
+{
+  enum status status;
+
+  if (self->identity.group == group)
+    return STATUS_OK;
+  if (self->identity.group != 0)
+    return status_fail (STATUS_CONFLICT, "a message of another group");
+  self->identity.group = group;
+  status = journal_identity_write (self->config.disk, &self->identity);
+  if (status != STATUS_OK)
+    voter_fail (self, status, "taking the group", 0);
+  return status;
+}
+
+static const struct voter_contact *
+newest_contact (const struct consensus_voter *self, const char *name)
+{
+  const struct voter_contact *newest = NULL;
+
+  for (uint32_t i = 0; i < self->n_contacts; i++)
+    if (strcmp (self->contacts[i].name, name) == 0
+        && (newest == NULL || self->contacts[i].heard_at > newest->heard_at))
+      newest = &self->contacts[i];
+  return newest;
+}
+
+/* The members of a new group; false while not all were heard, or when one has a group. */
+static bool
+gather (const struct consensus_voter *self, struct raft_members *members, int64_t now)
+{
+  *members = (struct raft_members){ .n = self->n_first_voters, .wanted = self->n_first_voters };
+  for (uint32_t i = 0; i < self->n_first_voters; i++)
+    {
+      const char *name = self->first_voters[i];
+      struct raft_member *member = &members->members[i];
+      const struct voter_contact *contact = newest_contact (self, name);
+
+      text_copy_cut (member->name, sizeof member->name, name);
+      member->voter = true;
+      if (strcmp (name, self->name) == 0)
+        member->id = self->identity.id;
+      else if (contact == NULL || contact->group != 0 || now - contact->heard_at > FORM_FRESH)
+        return false;
+      else
+        member->id = contact->id;
+    }
+  return true;
+}
+
+/* The journal holds the first entry before anyone hears of the group. */
+static void
+form_group (struct consensus_voter *self, const struct raft_members *members, int64_t now)
+{
+  uint64_t group = 0;
+
+  while (group == 0)
+    group = rng_u64 (&self->rng);
+  if (voter_join_group (self, group) != STATUS_OK)
+    return;
+  if (raft_bootstrap (self->raft, members) != STATUS_OK)
+    {
+      voter_fail (self, STATUS_NO_MEMORY, "forming the group", now);
+      return;
+    }
+  log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "group formed", "{s:i}", "voters",
+             (int) members->n);
+  voter_flush (self, now);
+}
+
+void
+voter_form (struct consensus_voter *self, int64_t now)
+{
+  struct raft_members members;
+  bool first = self->n_first_voters > 0 && strcmp (self->first_voters[0], self->name) == 0;
+
+  if (raft_member_set (self->raft)->n > 0 || raft_last (self->raft) > 0)
+    return;
+  if (first && self->identity.group == 0 && gather (self, &members, now))
+    {
+      form_group (self, &members, now);
+      return;
+    }
+  if (self->config.port == NULL || now < self->hello_at)
+    return;
+  self->hello_at = now + (first ? 0 : STANDBY_PERIOD);
+  for (uint32_t i = 0; i < self->n_first_voters; i++)
+    voter_send_hello (self, self->first_voters[i], true);
+}
--- /dev/null
+++ b/src/consensus_peer.c
@@ -0,0 +1,318 @@
+/* Messages between voters: their envelope, and who they are from. */
+#include "consensus_voter_private.h"
+#include "log.h"
+#include "pack.h"
+#include "snapshot.h"
+#include "text.h"
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Each message starts with its type, the group, and the sender's count of starts. */
+#define MESSAGE_RAFT 1
+#define MESSAGE_HELLO 2      /* id, wants a reply: who I am */
+#define MESSAGE_OLD_FOLDER 3 /* id, starts: a later start of that voter was heard */
+#define MESSAGE_TYPE_MAX 3
+
+struct head
+{
+  uint64_t type;
+  uint64_t group;
+  uint64_t starts;
+};
+
+static void
+write_head (const struct consensus_voter *self, uint64_t type, struct bytes *out)
+{
+  bytes_init (out, (void *) (uintptr_t) self);
+  pack_uint (out, type);
+  pack_uint (out, self->identity.group);
+  pack_uint (out, self->identity.starts);
+}
+
+static void
+send_bytes (struct consensus_voter *self, const char *host, struct bytes *out)
+{
+  struct peer_port *port = self->config.port;
+
+  if (!bytes_failed (out))
+    port->ops->send (port, host, PEER_CHANNEL_CONSENSUS, out->data, out->length);
+  bytes_clear (out);
+}
+
+void
+voter_send_hello (struct consensus_voter *self, const char *host, bool wants_reply)
+{
+  struct bytes out;
+
+  if (strcmp (host, self->name) == 0)
+    return;
+  write_head (self, MESSAGE_HELLO, &out);
+  pack_uint (&out, self->identity.id);
+  pack_bool (&out, wants_reply);
+  pack_text (&out, voter_leader_name (self));
+  send_bytes (self, host, &out);
+}
+
+static void
+send_old_folder (struct consensus_voter *self, const struct voter_contact *contact)
+{
+  struct bytes out;
+
+  write_head (self, MESSAGE_OLD_FOLDER, &out);
+  pack_uint (&out, contact->id);
+  pack_uint (&out, contact->starts);
+  send_bytes (self, contact->name, &out);
+}
+
+const struct voter_contact *
+voter_contact_by_id (const struct consensus_voter *self, uint64_t id)
+{
+  for (uint32_t i = 0; i < self->n_contacts; i++)
+    if (self->contacts[i].id == id)
+      return &self->contacts[i];
+  return NULL;
+}
+
+/* The record of a server heard from; a new one takes the place of the one not heard for longest. */
+static struct voter_contact *
+contact_of (struct consensus_voter *self, uint64_t id)
+{
+  const struct voter_contact *known = voter_contact_by_id (self, id);
+  struct voter_contact *oldest = &self->contacts[0];
+
+  if (known != NULL)
+    return &self->contacts[known - self->contacts];
+  if (self->n_contacts < VOTER_CONTACTS_MAX)
+    oldest = &self->contacts[self->n_contacts++];
+  else
+    for (uint32_t i = 1; i < self->n_contacts; i++)
+      if (self->contacts[i].heard_at < oldest->heard_at)
+        oldest = &self->contacts[i];
+  *oldest = (struct voter_contact){ .id = id };
+  return oldest;
+}
+
+/* Note who sent this; false for a message of an earlier start than one heard already.  Either it
+ * was under way for long, or an older copy of the folder was put back and started: tell the sender,
+ * who knows which. */
+static bool
+note_contact (struct consensus_voter *self,
+              uint64_t id,
+              const char *from,
+              const struct head *head,
+              int64_t now)
+{
+  struct voter_contact *contact = contact_of (self, id);
+
+  if (head->starts < contact->starts)
+    {
+      send_old_folder (self, contact);
+      return false;
+    }
+  contact->starts = head->starts;
+  contact->group = head->group;
+  contact->heard_at = now;
+  text_copy_cut (contact->name, sizeof contact->name, from);
+  return true;
+}
+
+static void
+got_hello (struct consensus_voter *self,
+           const struct head *head,
+           struct pack_reader *in,
+           const char *from,
+           int64_t now)
+{
+  uint64_t id = pack_read_uint (in, UINT64_MAX);
+  bool wants_reply = pack_read_bool (in);
+  char leader[RESOURCE_NAME_SIZE];
+
+  pack_read_text (in, leader, sizeof leader);
+  if (!pack_read_end (in) || !note_contact (self, id, from, head, now))
+    return;
+  if (wants_reply)
+    voter_send_hello (self, from, false);
+  /* Whoever waits to be taken in has to reach the leader, which may be none of the first voters. */
+  else if (self->identity.group == 0 && leader[0] != '\0' && strcmp (leader, from) != 0)
+    voter_send_hello (self, leader, false);
+}
+
+static void
+got_old_folder (struct consensus_voter *self, struct pack_reader *in, int64_t now)
+{
+  uint64_t id = pack_read_uint (in, UINT64_MAX);
+  uint64_t starts = pack_read_uint (in, UINT64_MAX);
+
+  if (!pack_read_end (in) || id != self->identity.id || starts <= self->identity.starts)
+    return;
+  status_fail (STATUS_CORRUPT, "a later start of this data folder was seen by another voter");
+  voter_fail (self, STATUS_CORRUPT, "older folder", now);
+}
+
+static void
+got_raft (struct consensus_voter *self,
+          const struct head *head,
+          const struct pack_reader *in,
+          const char *from,
+          int64_t now)
+{
+  struct raft_message message;
+  void *parent;
+
+  if (head->group == 0)
+    return;
+  parent = talloc_new (self);
+  if (raft_message_read (parent, in->data, in->left, &message) == STATUS_OK
+      && message.to == self->identity.id && note_contact (self, message.from, from, head, now)
+      && voter_join_group (self, head->group) == STATUS_OK)
+    {
+      raft_step (self->raft, &message, now);
+      voter_wake (self, now);
+    }
+  talloc_free (parent);
+}
+
+static void
+consensus_received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct consensus_voter *self =
+      (struct consensus_voter *) ((char *) listener
+                                  - offsetof (struct consensus_voter, consensus_listener));
+  struct pack_reader in;
+  struct head head;
+
+  if (self->health != STATUS_OK)
+    return;
+  pack_reader_init (&in, data, length);
+  head.type = pack_read_uint (&in, MESSAGE_TYPE_MAX);
+  head.group = pack_read_uint (&in, UINT64_MAX);
+  head.starts = pack_read_uint (&in, UINT64_MAX);
+  if (!pack_read_ok (&in))
+    return;
+  if (head.type == MESSAGE_HELLO)
+    got_hello (self, &head, &in, from, now);
+  else if (head.type == MESSAGE_OLD_FOLDER)
+    got_old_folder (self, &in, now);
+  else if (head.type == MESSAGE_RAFT)
+    got_raft (self, &head, &in, from, now);
+}
+
+/* A request from another host: taken when we lead, else the leader is named. */
+static void
+got_ask (struct consensus_voter *self, const struct client_ask *ask, const char *from, int64_t now)
+{
+  enum status status;
+  struct request *request = request_new (&self->requests, ask->kind, ask->data, ask->length,
+                                         now + ask->time_left, &status);
+
+  if (request == NULL)
+    return;
+  text_copy_cut (request->origin, sizeof request->origin, from);
+  request->origin_number = ask->number;
+  voter_submit (self, request, now);
+}
+
+static void
+got_answer (struct consensus_voter *self,
+            const struct client_answer *answer,
+            const char *from,
+            int64_t now)
+{
+  struct request *request = client_answered (&self->client, answer, from, now);
+  char index[24];
+
+  if (request == NULL)
+    return;
+  if (request->kind == REQUEST_PROPOSE || answer->status != STATUS_OK)
+    {
+      request_finish (request, answer->status, answer->result, answer->length, now);
+      return;
+    }
+  /* Without entries coming in this host is like one without a folder: the asker gets the index. */
+  if (self->health != STATUS_OK || raft_member_set (self->raft)->n == 0)
+    {
+      snprintf (index, sizeof index, "%" PRIu64, answer->index);
+      request_finish (request, STATUS_OK, index, strlen (index), now);
+      return;
+    }
+  request->place = REQUEST_APPLYING;
+  request->index = answer->index;
+  self->reads_waiting = true;
+  request_arm (request, request->deadline);
+  voter_wake (self, now);
+}
+
+static void
+proposal_received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct consensus_voter *self =
+      (struct consensus_voter *) ((char *) listener
+                                  - offsetof (struct consensus_voter, proposal_listener));
+  struct client_ask ask;
+  struct client_answer answer;
+  bool is_ask;
+
+  if (client_read_message (data, length, &is_ask, &ask, &answer) != STATUS_OK)
+    return;
+  if (is_ask)
+    got_ask (self, &ask, from, now);
+  else
+    got_answer (self, &answer, from, now);
+}
+
+static const struct peer_listener_ops consensus_ops = { .received = consensus_received };
+static const struct peer_listener_ops proposal_ops = { .received = proposal_received };
+
+void
+voter_listen (struct consensus_voter *self)
+{
+  struct peer_port *port = self->config.port;
+
+  self->consensus_listener.ops = &consensus_ops;
+  self->proposal_listener.ops = &proposal_ops;
+  port->ops->listen (port, PEER_CHANNEL_CONSENSUS, &self->consensus_listener);
+  port->ops->listen (port, PEER_CHANNEL_PROPOSAL, &self->proposal_listener);
+}
+
+static const char *
+name_of (const struct consensus_voter *self, uint64_t id)
+{
+  const struct raft_member *member = raft_members_find (raft_member_set (self->raft), id);
+  const struct voter_contact *contact;
+
+  if (member != NULL)
+    return member->name;
+  contact = voter_contact_by_id (self, id);
+  return contact != NULL ? contact->name : NULL;
+}
+
+void
+voter_send (struct consensus_voter *self, const struct raft_message *message)
+{
+  const char *host = name_of (self, message->to);
+  struct raft_message filled = *message;
+  struct bytes chunk;
+  struct bytes out;
+  enum status status = STATUS_OK;
+
+  if (self->config.port == NULL || host == NULL)
+    return;
+  bytes_init (&chunk, self);
+  if (message->kind == RAFT_SNAPSHOT)
+    {
+      status = snapshot_read (self->config.disk, raft_last_snapshot (self->raft), message->offset,
+                              message->length, &chunk);
+      filled.data = chunk.data;
+    }
+  if (status == STATUS_OK)
+    {
+      write_head (self, MESSAGE_RAFT, &out);
+      raft_message_write (&filled, &out);
+      send_bytes (self, host, &out);
+    }
+  bytes_clear (&chunk);
+}
--- /dev/null
+++ b/src/consensus_repair.c
@@ -0,0 +1,173 @@
+/* Replacing a voter that is gone, by the leader, from the hosts with data folders that wait.
+ *
+ * A waiting host becomes a learner; once it holds everything the voter that is gone is removed, and
+ * the learner takes its place.  While the old one is gone, removing it first costs nothing: with
+ * one of three silent both others are needed before and after; promoting first would need three of
+ * four.  Each step is one entry in the log and looks only at the state, so the next leader goes on
+ * where this one stopped. */
+#include "consensus_voter_private.h"
+#include "log.h"
+#include <string.h>
+
+/* A waiting host must have been heard so lately. */
+#define WAITING_FRESH (6 * USEC_PER_SEC)
+
+/* For how long a member has been silent. */
+static int64_t
+silence (const struct consensus_voter *self, const struct raft_member *member, int64_t now)
+{
+  struct raft_progress progress;
+  int64_t heard_at = self->led_at;
+
+  if (member->id == self->identity.id)
+    return 0;
+  if (raft_progress_of (self->raft, member->id, &progress) && progress.heard_at > heard_at)
+    heard_at = progress.heard_at;
+  return now - heard_at;
+}
+
+static bool
+is_waiting (const struct consensus_voter *self, const struct voter_contact *contact, int64_t now)
+{
+  return contact->group == 0 && now - contact->heard_at <= WAITING_FRESH
+         && raft_members_find (raft_member_set (self->raft), contact->id) == NULL;
+}
+
+/* The host of this name waits with a new identity: its old folder is gone, and the member with it.
+ */
+static bool
+came_back_empty (const struct consensus_voter *self, const struct raft_member *member, int64_t now)
+{
+  for (uint32_t i = 0; i < self->n_contacts; i++)
+    if (is_waiting (self, &self->contacts[i], now)
+        && strcmp (self->contacts[i].name, member->name) == 0)
+      return true;
+  return false;
+}
+
+/* A later member has the name: this one's folder is gone. */
+static bool
+is_superseded (const struct raft_members *members, const struct raft_member *member)
+{
+  for (const struct raft_member *later = member + 1; later < members->members + members->n; later++)
+    if (strcmp (later->name, member->name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_gone (const struct consensus_voter *self, const struct raft_member *member, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+
+  if (member->id == self->identity.id)
+    return false;
+  if (silence (self, member, now) < self->config.timing.election_max)
+    return false;
+  return is_superseded (members, member) || came_back_empty (self, member, now)
+         || (self->config.timing.replace_after > 0
+             && silence (self, member, now) >= self->config.timing.replace_after);
+}
+
+static const struct raft_member *
+find_gone (const struct consensus_voter *self, bool voter, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+
+  for (uint32_t i = 0; i < members->n; i++)
+    if (members->members[i].voter == voter && is_gone (self, &members->members[i], now))
+      return &members->members[i];
+  return NULL;
+}
+
+static const struct raft_member *
+find_learner (const struct consensus_voter *self, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+
+  for (uint32_t i = 0; i < members->n; i++)
+    if (!members->members[i].voter && !is_gone (self, &members->members[i], now))
+      return &members->members[i];
+  return NULL;
+}
+
+static bool
+caught_up (const struct consensus_voter *self, const struct raft_member *learner, int64_t now)
+{
+  struct raft_progress progress;
+
+  return raft_progress_of (self->raft, learner->id, &progress)
+         && progress.match >= raft_committed (self->raft)
+         && silence (self, learner, now) < self->config.timing.election_max;
+}
+
+/* The host that waits: the one with the name of who is gone before any other. */
+static const struct voter_contact *
+find_waiting (const struct consensus_voter *self, const struct raft_member *gone, int64_t now)
+{
+  const struct voter_contact *found = NULL;
+
+  for (uint32_t i = 0; i < self->n_contacts; i++)
+    {
+      const struct voter_contact *contact = &self->contacts[i];
+
+      if (!is_waiting (self, contact, now))
+        continue;
+      if (found == NULL || (gone != NULL && strcmp (contact->name, gone->name) == 0))
+        found = contact;
+    }
+  return found;
+}
+
+/* The next step of the repair; false when none is due. */
+static bool
+next_change (const struct consensus_voter *self, struct raft_change *change, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+  const struct raft_member *gone = find_gone (self, true, now);
+  const struct raft_member *gone_learner = find_gone (self, false, now);
+  const struct raft_member *learner = find_learner (self, now);
+  const struct voter_contact *waiting;
+
+  *change = (struct raft_change){ .kind = RAFT_REMOVE };
+  if (gone_learner != NULL)
+    {
+      change->member = *gone_learner;
+      return true;
+    }
+  if (gone == NULL && raft_members_voters (members) >= members->wanted)
+    return false;
+  if (learner == NULL)
+    {
+      waiting = find_waiting (self, gone, now);
+      if (waiting == NULL)
+        return false;
+      change->kind = RAFT_ADD_LEARNER;
+      change->member.id = waiting->id;
+      memcpy (change->member.name, waiting->name, sizeof change->member.name);
+      return true;
+    }
+  if (!caught_up (self, learner, now))
+    return false;
+  if (gone != NULL)
+    {
+      change->member = *gone;
+      return true;
+    }
+  change->kind = RAFT_PROMOTE;
+  change->member = *learner;
+  return true;
+}
+
+void
+voter_repair (struct consensus_voter *self, int64_t now)
+{
+  struct raft_change change;
+
+  if (raft_role (self->raft) != RAFT_LEADER || !next_change (self, &change, now)
+      || raft_change_members (self->raft, &change, now) != STATUS_OK)
+    return;
+  log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "members change", "{s:s,s:s}", "change",
+             raft_change_text (change.kind), "host", change.member.name);
+  voter_wake (self, now);
+}
--- /dev/null
+++ b/src/consensus_request.h
@@ -0,0 +1,104 @@
+/* A proposal or a read on its way, from whoever made it to its answer. */
+#ifndef CONSENSUS_REQUEST_H
+#define CONSENSUS_REQUEST_H
+
+#include "consensus.h"
+#include "decls.h"
+#include "resource.h"
+#include "timer.h"
+#include <uthash.h>
+
+BEGIN_DECLS
+
+#define REQUESTS_MAX 16384 /* at once on one host */
+
+enum request_kind
+{
+  REQUEST_PROPOSE,
+  REQUEST_READ,
+  REQUEST_KIND_COUNT
+};
+
+/* Where a request is. */
+enum request_place
+{
+  REQUEST_FORWARDED, /* with another host, or waiting for one to send it to */
+  REQUEST_PENDING,   /* in our log at `index`, `term` */
+  REQUEST_READING,   /* the quorum is asked */
+  REQUEST_APPLYING,  /* a read, until the machine holds `index` */
+};
+
+struct request
+{
+  struct timer timer; /* the next resend or the deadline */
+  struct requests *requests;
+  uint64_t number;
+  enum request_kind kind;
+  enum request_place place;
+  struct proposal *proposal; /* NULL: it came from the host `origin` */
+  char origin[RESOURCE_NAME_SIZE];
+  uint64_t origin_number;
+  char asked[RESOURCE_NAME_SIZE]; /* the host it was last sent to */
+  uint32_t tries;
+  int64_t deadline;
+  uint64_t index;
+  uint64_t term;
+  size_t length;
+  char *data;
+  UT_hash_handle hh;
+};
+
+struct requests_ops
+{
+  /* The timer of a request fired before its deadline. */
+  void (*due) (struct requests *requests, struct request *request, int64_t now);
+
+  /* Answer a request that came from another host. */
+  void (*answer) (struct requests *requests,
+                  struct request *request,
+                  enum status status,
+                  const void *result,
+                  size_t length);
+};
+
+struct requests
+{
+  const struct requests_ops *ops;
+  void *parent; /* talloc parent of the requests */
+  struct timer_service *timers;
+  struct request *by_number;
+  uint64_t last_number;
+};
+
+void requests_init (struct requests *requests,
+                    const struct requests_ops *ops,
+                    void *parent,
+                    struct timer_service *timers);
+
+/* Disarm every timer; the requests go with their parent.  Proposals are not touched: whoever made
+ * them may be gone already. */
+void requests_clear (struct requests *requests);
+
+/* A copy of `data` is kept.  NULL with STATUS_NO_MEMORY or STATUS_LIMIT in `status`. */
+struct request *request_new (struct requests *requests,
+                             enum request_kind kind,
+                             const void *data,
+                             size_t length,
+                             int64_t deadline,
+                             enum status *status);
+struct request *request_find (const struct requests *requests, uint64_t number);
+
+/* Fire at `due`, or at the deadline when that is earlier. */
+void request_arm (struct request *request, int64_t due);
+
+/* Give the outcome to who asked, and free the request. */
+void request_finish (
+    struct request *request, enum status status, const void *result, size_t length, int64_t now);
+
+/* Free without an outcome. */
+void request_free (struct request *request);
+void requests_withdraw (struct requests *requests, struct proposal *proposal);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/consensus_voter_private.h
@@ -0,0 +1,98 @@
+/* What the files of the voter share. */
+#ifndef CONSENSUS_VOTER_PRIVATE_H
+#define CONSENSUS_VOTER_PRIVATE_H
+
+#include "consensus_client.h"
+#include "consensus_request.h"
+#include "consensus_voter.h"
+#include "journal.h"
+#include "rng.h"
+
+#define VOTER_CONTACTS_MAX 32
+#define VOTER_HEALTH_SIZE 256
+
+/* A server heard from: how to reach it, and its newest start. */
+struct voter_contact
+{
+  uint64_t id;
+  uint64_t group;
+  uint64_t starts;
+  int64_t heard_at;
+  char name[RESOURCE_NAME_SIZE];
+};
+
+/* A proposal of ours in the log. */
+struct voter_pending
+{
+  uint64_t index;
+  uint64_t term;
+  uint64_t request;
+};
+
+struct consensus_voter
+{
+  struct consensus consensus;
+  struct consensus_voter_config config;
+  struct peer_listener consensus_listener;
+  struct peer_listener proposal_listener;
+  struct timer flush_timer; /* once a turn of the loop */
+  struct timer tick_timer;  /* when raft wants it */
+  struct timer slow_timer;  /* forming, room on the disk, repair */
+  struct rng rng;
+  char name[RESOURCE_NAME_SIZE];
+  char first_voters[CLIENT_HOSTS_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_first_voters;
+
+  struct raft *raft;
+  struct journal *journal;
+  struct journal_identity identity;
+  enum status health;
+  char health_message[VOTER_HEALTH_SIZE];
+  bool low_space; /* proposals are refused */
+  bool led;       /* at the end of the last flush */
+  int64_t led_at;
+  int64_t snapshot_retry_at;
+  int64_t hello_at; /* while waiting to be taken into a group */
+
+  bool reads_waiting; /* some reads wait for the machine */
+  struct requests requests;
+  struct client client;
+  struct voter_pending *pending; /* from pending_first; indices grow */
+  uint32_t pending_first;
+  uint32_t n_pending;
+
+  struct voter_contact contacts[VOTER_CONTACTS_MAX];
+  uint32_t n_contacts;
+
+  struct counter *applied_entries;
+  struct counter *syncs;
+  struct counter *snapshots;
+  struct counter *term_gauge;
+  struct counter *leader_gauge;
+  struct counter *health_gauge;
+};
+
+/* consensus_voter.c */
+void voter_fail (struct consensus_voter *self, enum status status, const char *what, int64_t now);
+void voter_submit (struct consensus_voter *self, struct request *request, int64_t now);
+void voter_wake (struct consensus_voter *self, int64_t now);
+void voter_role_changed (struct consensus_voter *self, int64_t now);
+const char *voter_leader_name (const struct consensus_voter *self);
+
+/* consensus_flush.c */
+void voter_flush (struct consensus_voter *self, int64_t now);
+
+/* consensus_peer.c */
+void voter_listen (struct consensus_voter *self);
+void voter_send (struct consensus_voter *self, const struct raft_message *message);
+void voter_send_hello (struct consensus_voter *self, const char *host, bool wants_reply);
+const struct voter_contact *voter_contact_by_id (const struct consensus_voter *self, uint64_t id);
+
+/* consensus_form.c */
+enum status voter_join_group (struct consensus_voter *self, uint64_t group);
+void voter_form (struct consensus_voter *self, int64_t now);
+
+/* consensus_repair.c */
+void voter_repair (struct consensus_voter *self, int64_t now);
+
+#endif
--- a/src/journal.h
+++ b/src/journal.h
@@ -31,6 +31,7 @@
   struct raft_state state;
   struct raft_log log; /* entries; a child of the parent given */
   uint64_t torn_bytes; /* cut from the tail */
+  bool fresh;          /* there was no segment */
 };
 
 /* Open, or begin in an empty folder, the journal of voter `id`.  `snapshot` is the stored one,
--- a/src/journal_replay.c
+++ b/src/journal_replay.c
@@ -269,7 +269,8 @@
     else
       status = replay_segment (journal, numbers.list[i], i == 0, i + 1 == numbers.n, found);
   talloc_free (numbers.list);
-  if (status != STATUS_OK || numbers.n == 0)
+  found->fresh = numbers.n == 0;
+  if (status != STATUS_OK || found->fresh)
     {
       if (status == STATUS_OK && snapshot->index > 0)
         status = status_fail (STATUS_CORRUPT, "a snapshot without a journal");
--- a/src/raft.c
+++ b/src/raft.c
@@ -253,7 +253,7 @@
 }
 
 bool
-raft_ready (struct raft *raft, struct raft_ready *out, int64_t now)
+raft_poll (struct raft *raft, struct raft_ready *out, int64_t now)
 {
   INVARIANT (!raft->ready_out);
   memset (out, 0, sizeof *out);
@@ -266,7 +266,11 @@
     return false;
   out->state_changed = raft->state_changed;
   out->state = raft->state;
-  out->install = raft->install_ready ? &raft->install : NULL;
+  if (raft->install_ready)
+    {
+      raft->install.keeps_log = raft_log_holds (raft, &raft->install.snapshot);
+      out->install = &raft->install;
+    }
   out->first = raft->log.stored + 1;
   out->last = raft_log_last (&raft->log);
   out->early = raft->early;
@@ -427,7 +431,7 @@
 }
 
 const struct raft_members *
-raft_members (const struct raft *raft)
+raft_member_set (const struct raft *raft)
 {
   return raft_current_members (raft);
 }
--- a/src/raft.h
+++ b/src/raft.h
@@ -5,10 +5,13 @@
  * transfer (3.10), read index and leases (6.4), writing to the leader's disk in parallel (10.2.1).
  *
  * The driver's contract, which the safety rests on:
- *   raft_ready() says what is new.  Messages in `early` may leave at once.  Everything in `ready`
+ *   raft_poll() says what is new.  Messages in `early` may leave at once.  Everything in the ready
  *   that has to last (snapshot, term and vote, entries) is then stored and synced; only after that
- *   raft_synced() is called, the messages in `late` leave, and this server's own copy and vote
- *   count.  A driver that cannot store must never call raft_synced() again for what it lost. */
+ *   the messages in `late` leave and raft_synced() is called, by which this server's own copy and
+ *   vote count.  Nothing else is called between raft_poll() and raft_synced().  A driver that
+ *   cannot store calls raft_drop_unstored() where nothing was stored for want of room, and
+ *   otherwise never calls raft again.
+ */
 #ifndef RAFT_H
 #define RAFT_H
 
@@ -75,6 +78,7 @@
 {
   struct raft_snapshot snapshot;
   const void *data;
+  bool keeps_log; /* our log goes on after it; else the log is emptied */
 };
 
 /* Reads confirmed by a quorum: done once the machine has applied `index`. */
@@ -132,13 +136,13 @@
 
 /* One change at a time: STATUS_AGAIN while the last is not committed, STATUS_CONFLICT when it does
  * not fit the current members, STATUS_UNAVAILABLE when the learner has not caught up. */
-enum status raft_change (struct raft *raft, const struct raft_change *change, int64_t now);
+enum status raft_change_members (struct raft *raft, const struct raft_change *change, int64_t now);
 
 /* Hand leadership to the voter `to`, 0 for the most advanced one. */
 enum status raft_transfer (struct raft *raft, uint64_t to, int64_t now);
 
 /* False when there is nothing to do.  Valid until the next call of raft_synced(). */
-bool raft_ready (struct raft *raft, struct raft_ready *out, int64_t now);
+bool raft_poll (struct raft *raft, struct raft_ready *out, int64_t now);
 void raft_synced (struct raft *raft, int64_t now);
 
 /* The entries of the last ready could not be stored for want of room, and nothing of them was:
@@ -167,7 +171,7 @@
 uint64_t raft_first (const struct raft *raft); /* first entry held in memory */
 uint64_t raft_last (const struct raft *raft);
 uint64_t raft_log_bytes (const struct raft *raft);
-const struct raft_members *raft_members (const struct raft *raft);
+const struct raft_members *raft_member_set (const struct raft *raft);
 bool raft_members_at (const struct raft *raft, uint64_t index, struct raft_members *out);
 bool raft_lease_valid (const struct raft *raft, int64_t now);
 const struct raft_snapshot *raft_last_snapshot (const struct raft *raft);
--- a/src/raft_private.h
+++ b/src/raft_private.h
@@ -172,6 +172,7 @@
 void raft_on_snapshot (struct raft *raft, const struct raft_message *m, int64_t now);
 void raft_on_snapshot_reply (struct raft *raft, const struct raft_message *m, int64_t now);
 void raft_finish_install (struct raft *raft);
+bool raft_log_holds (const struct raft *raft, const struct raft_snapshot *snapshot);
 
 /* raft_read.c */
 void raft_confirm_reads (struct raft *raft);
@@ -181,7 +182,6 @@
 void raft_configs_add (struct raft *raft, uint64_t index, const struct raft_members *members);
 void raft_configs_truncate (struct raft *raft, uint64_t from);
 void raft_configs_compact (struct raft *raft, uint64_t index);
-bool raft_log_members_at (const struct raft *raft, uint64_t index, struct raft_members *out);
 
 static inline const struct raft_members *
 raft_current_members (const struct raft *raft)
--- a/src/raft_snapshot.c
+++ b/src/raft_snapshot.c
@@ -33,6 +33,14 @@
   peer->heartbeat = false;
 }
 
+bool
+raft_log_holds (const struct raft *raft, const struct raft_snapshot *snapshot)
+{
+  uint64_t term;
+
+  return raft_log_term (&raft->log, snapshot->index, &term) && term == snapshot->term;
+}
+
 static void
 reply_held (struct raft *raft, const struct raft_message *m, uint64_t held)
 {
@@ -119,11 +127,10 @@
 {
   const struct raft_snapshot *snapshot = &raft->install.snapshot;
   struct raft_message *reply;
-  uint64_t term;
 
   raft->install_ready = false;
   raft->snapshot = *snapshot;
-  if (raft_log_term (&raft->log, snapshot->index, &term) && term == snapshot->term)
+  if (raft->install.keeps_log)
     {
       raft_log_compact (&raft->log, snapshot->index);
       raft_configs_compact (raft, snapshot->index);
