Run many voters on virtual time over fakes of network and disk

Failures of a group must replay from a seed and be checked after each event: one leader a term, one order, reads that see all that was applied before. Groups of one and of three form and commit through any member (unit tests).

--- /dev/null
+++ b/tests/unit_consensus.cc
@@ -0,0 +1,81 @@
+// Groups of voters through what fails: partitions, lost hosts, lost disks, restarts.
+#include "fake_group.h"
+#include <gtest/gtest.h>
+#include <talloc.h>
+
+namespace
+{
+
+constexpr int64_t second = USEC_PER_SEC;
+
+struct fake_group_config
+voters (uint32_t n)
+{
+  struct fake_group_config config = {};
+
+  config.seed = 1;
+  config.voters = n;
+  return config;
+}
+
+class Group : public testing::Test
+{
+protected:
+  void
+  start (const struct fake_group_config &config)
+  {
+    group = fake_group_new (nullptr, &config);
+    leader = fake_group_await_leader (group, 10 * second);
+    ASSERT_GE (leader, 0);
+  }
+
+  void
+  TearDown () override
+  {
+    EXPECT_STREQ (fake_group_breach (group), "");
+    talloc_free (group);
+  }
+
+  // Propose `n` entries through `host`, one after the other; how many were committed.
+  uint64_t
+  propose (uint32_t host, int n)
+  {
+    struct fake_group_count before;
+    struct fake_group_count after;
+
+    fake_group_counts (group, &before);
+    for (int i = 0; i < n; i++)
+      {
+        fake_group_propose (group, host, 3 * second);
+        fake_group_run (group, second / 100);
+      }
+    fake_group_run (group, 4 * second);
+    fake_group_counts (group, &after);
+    return after.committed - before.committed;
+  }
+
+  uint32_t
+  other (uint32_t host)
+  {
+    return (host + 1) % 3;
+  }
+
+  struct fake_group *group = nullptr;
+  int leader = -1;
+};
+
+TEST_F (Group, OneVoterFormsAGroupAndCommits)
+{
+  start (voters (1));
+  EXPECT_EQ (propose (0, 10), 10u);
+}
+
+TEST_F (Group, ThreeVotersFormAGroupAndCommitThroughAnyOfThem)
+{
+  start (voters (3));
+  for (uint32_t i = 0; i < 3; i++)
+    EXPECT_EQ (propose (i, 10), 10u);
+  EXPECT_TRUE (fake_group_await_equal (group, second));
+}
+
+} // namespace
