Prefer targets that have the prompt's prefix cached, within a bound

Case files and ledgers are asked about again and again; reading one anew is a quarter of a generation's cost. A bounded index of sampled block hashes takes own routing, answers and late or lost cache events; the holders found join the random draws and are scored with what is left to read, unless they are over 1.5 times their even share + 2.

--- a/src/decide.c
+++ b/src/decide.c
@@ -82,7 +82,8 @@
   decide->pipelines = talloc_zero_array (decide, struct decide_pipeline *, BOARD_PIPELINES_MAX);
   decide->organisations =
       talloc_zero_array (decide, struct decide_organisation *, BOARD_ORGANISATIONS_MAX);
-  if (decide->pipelines == NULL || decide->organisations == NULL)
+  decide->prefixes = prefix_index_new (decide, PREFIX_SETS);
+  if (decide->prefixes == NULL || decide->pipelines == NULL || decide->organisations == NULL)
     {
       talloc_free (decide);
       return NULL;
@@ -164,6 +165,7 @@
   target->work += choice->work;
   target->pool->running++;
   eject_started (&target->eject, now);
+  decide_prefix_started (decide, request, choice->target, now);
 }
 
 /* One more may be ejected while the pool's bound leaves room; a pool keeps one target at least. */
@@ -243,7 +245,10 @@
     target->pool->running--;
   judge_target (decide, target, result->end, now);
   if (result->end == DECIDE_END_WHOLE && spec != NULL)
-    decide_time_learn (decide, request, spec, target, result);
+    {
+      decide_time_learn (decide, request, spec, target, result);
+      decide_prefix_ended (decide, request, target->pool, result, now);
+    }
 }
 
 enum decide_reason
@@ -295,13 +300,6 @@
   return rest.known && (double) now + rest.span.low > (double) request->deadline;
 }
 
-/* XXX: cache events are not used yet. */
-void
-decide_cache_event (
-    struct decide *decide, struct handle target, uint64_t block, bool stored, int64_t now)
-{
-}
-
 void
 decide_set_share (struct decide *decide, struct handle organisation, double share, int64_t now)
 {
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -5,7 +5,8 @@
 #include <string.h>
 #include <talloc.h>
 
-#define DEFAULT_SLOTS 8 /* of a target that announces none in a pool that declares none */
+#define BEYOND_START 0.5 /* until it is learned */
+#define DEFAULT_SLOTS 8  /* of a target that announces none in a pool that declares none */
 
 /* uthash's macros are long; the function is not.
  * NOLINTBEGIN(readability-function-size) */
@@ -21,6 +22,7 @@
   if (pool == NULL)
     return NULL;
   text_copy_cut (pool->name, sizeof pool->name, name);
+  pool->beyond = BEYOND_START;
   HASH_ADD_STR (decide->pools, name, pool);
   return pool;
 }
--- /dev/null
+++ b/src/decide_prefix.c
@@ -0,0 +1,82 @@
+/* Prefix locality: what is known of targets' caches, from own routing, from cache events, and from
+ * what answers say was cached. */
+#include "decide_state.h"
+#include <math.h>
+
+#define BEYOND_WEIGHT 0.05
+#define WRONG_SHARE                                                                                \
+  0.5 /* of the hashed blocks; with less cached the answer says nothing of the rest */
+
+static bool
+has_prefix (const struct decide *decide, const struct decide_request *request)
+{
+  const struct stage_spec *spec = decide_stage_spec (decide, request);
+
+  return spec != NULL && spec->kind == STAGE_GENERATE && request->n_prefix > 0;
+}
+
+/* Tokens cached when `blocks` of the prompt's hashed blocks are.  Only the first blocks of a long
+ * prompt are hashed; when all of those are there, a learned share of the rest is too. */
+uint32_t
+decide_prefix_tokens (const struct decide_pool *pool,
+                      const struct decide_request *request,
+                      uint32_t blocks,
+                      uint32_t tokens)
+{
+  uint32_t hashed = request->n_prefix * DECIDE_BLOCK_TOKENS;
+  uint32_t held = blocks * DECIDE_BLOCK_TOKENS;
+
+  if (request->n_prefix == DECIDE_PREFIX_BLOCKS
+      && blocks + 2 * PREFIX_SAMPLING >= DECIDE_PREFIX_BLOCKS && tokens > hashed)
+    held += (uint32_t) (pool->beyond * (tokens - hashed));
+  return held < tokens ? held : tokens;
+}
+
+/* Own routing is the earliest news of a prefix: the target will hold it once it has read it. */
+void
+decide_prefix_started (struct decide *decide,
+                       const struct decide_request *request,
+                       struct handle target,
+                       int64_t now)
+{
+  uint32_t i;
+
+  if (!has_prefix (decide, request))
+    return;
+  for (i = 0; i < request->n_prefix; i++)
+    prefix_note (decide->prefixes, request->prefix[i], target, now);
+}
+
+/* The target has read the prompt and holds it now, whatever was known before.  What it had cached
+ * teaches how much of a long prompt is shared past the hashed blocks. */
+void
+decide_prefix_ended (struct decide *decide,
+                     const struct decide_request *request,
+                     struct decide_pool *pool,
+                     const struct decide_result *result,
+                     int64_t now)
+{
+  uint32_t hashed = request->n_prefix * DECIDE_BLOCK_TOKENS;
+  double found;
+
+  if (!has_prefix (decide, request))
+    return;
+  decide_prefix_started (decide, request, result->target, now);
+  if (result->cached_tokens < hashed * WRONG_SHARE || result->input_tokens <= hashed
+      || request->n_prefix < DECIDE_PREFIX_BLOCKS)
+    return;
+  found = fmax (0, (double) result->cached_tokens - hashed) / (result->input_tokens - hashed);
+  pool->beyond += (found - pool->beyond) * BEYOND_WEIGHT;
+}
+
+void
+decide_cache_event (
+    struct decide *decide, struct handle target, uint64_t block, bool stored, int64_t now)
+{
+  if (table_get (decide->board->targets, target) == NULL)
+    return;
+  if (stored)
+    prefix_note (decide->prefixes, block, target, now);
+  else
+    prefix_drop (decide->prefixes, block, target);
+}
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -7,11 +7,13 @@
 #include "eject.h"
 #include "learn.h"
 #include "limit.h"
+#include "prefix.h"
 #include "rng.h"
 #include <uthash.h>
 
 #define DECIDE_CLASSES_MAX 8           /* models learned apart in one pool */
 #define REPORT_LIFE (4 * USEC_PER_SEC) /* a load report is unknown once it is this old */
+#define PREFIX_SETS 8192               /* 768 KiB; 65,536 sampled blocks */
 #define REFRESH_SPAN (100 * USEC_PER_MSEC)
 
 /* What was learned of one model of a pool. */
@@ -33,6 +35,7 @@
   uint32_t n_classes;
   double admitted_work; /* slot seconds of admitted requests' stages not yet done */
   double log_slowness;  /* the sum of its targets' */
+  double beyond;        /* share cached of a prompt's tokens past its hashed blocks, learned */
   uint32_t running;     /* our attempts */
   double slots;         /* of its usable targets, as last counted */
   uint32_t n_usable;    /* the same */
@@ -81,6 +84,7 @@
   struct board_subscriber subscriber; /* first: the board calls back with it */
   struct board *board;
   struct rng rng;
+  struct prefix_index *prefixes;
   struct decide_pool *pools;                  /* by name */
   struct decide_pipeline **pipelines;         /* by the handle's index, NULL until used */
   struct decide_organisation **organisations; /* the same */
@@ -106,6 +110,21 @@
 double decide_report_weight (const struct load_report *report, int64_t now);
 void decide_pool_refresh (struct decide *decide, struct decide_pool *pool, int64_t now);
 
+/* decide_prefix.c: prompts cached on targets */
+uint32_t decide_prefix_tokens (const struct decide_pool *pool,
+                               const struct decide_request *request,
+                               uint32_t blocks,
+                               uint32_t tokens);
+void decide_prefix_started (struct decide *decide,
+                            const struct decide_request *request,
+                            struct handle target,
+                            int64_t now);
+void decide_prefix_ended (struct decide *decide,
+                          const struct decide_request *request,
+                          struct decide_pool *pool,
+                          const struct decide_result *result,
+                          int64_t now);
+
 /* decide_time.c: what stages are expected to take */
 struct decide_work
 {
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -14,6 +14,8 @@
 #define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
 #define SLOW_START (5 * USEC_PER_SEC)
 #define SLOW_START_FACTOR 4.0 /* a fresh target's score, down to 1 over SLOW_START */
+#define LOAD_BOUND 1.5
+#define LOAD_BOUND_EXTRA 2
 #define GIVE_UP_TIMES 3.0
 #define GIVE_UP_MIN (250.0 * USEC_PER_MSEC)
 
@@ -21,6 +23,8 @@
 {
   struct decide_target *target;
   const struct board_target *entry;
+  uint32_t cached; /* tokens of the prompt thought to be in its cache */
+  double service;  /* microseconds, alone on the target */
   double expected; /* microseconds */
   double score;
 };
@@ -33,7 +37,8 @@
   const struct decide_request *request;
   const struct handle *tried;
   uint32_t n_tried;
-  double service; /* microseconds */
+  uint32_t tokens;
+  double service; /* microseconds, with nothing cached */
   double hosts;
   int64_t now;
 };
@@ -111,7 +116,7 @@
   int64_t age = search->now - target->added_at;
 
   candidate->expected =
-      decide_target_slowness (target) * (search->service * (1 + BATCH_SLOPE * filled) + wait);
+      decide_target_slowness (target) * (candidate->service * (1 + BATCH_SLOPE * filled) + wait);
   candidate->score = candidate->expected;
   if (age < SLOW_START)
     candidate->score *= 1 + (SLOW_START_FACTOR - 1) * (1 - (double) age / SLOW_START);
@@ -131,7 +136,7 @@
     return false;
   if (!serves (entry, search->spec) || was_tried (search, target->handle))
     return false;
-  *out = (struct candidate){ .target = target, .entry = entry };
+  *out = (struct candidate){ .target = target, .entry = entry, .service = search->service };
   estimate (search, out);
   return true;
 }
@@ -189,6 +194,47 @@
     sweep (search, SAMPLES, best);
 }
 
+/* More than BOUND times its even share of our work, and a few: a popular prefix must not sink its
+ * target (Mirrokni et al., "Consistent hashing with bounded loads", 2018). */
+static bool
+is_over_bound (const struct search *search, const struct decide_target *target)
+{
+  double even = (double) search->pool->running / search->pool->n_targets;
+
+  return target->in_flight > LOAD_BOUND * even + LOAD_BOUND_EXTRA;
+}
+
+/* Targets that hold part of the prompt, at the time they would need for the rest. */
+static void
+consider_holders (struct search *search, struct candidate *best)
+{
+  const struct decide_request *request = search->request;
+  struct prefix_holder holders[PREFIX_HOLDERS];
+  uint32_t count = 0;
+  uint32_t i;
+
+  if (search->spec->kind == STAGE_GENERATE)
+    count = prefix_find (search->decide->prefixes, request->prefix, request->n_prefix, search->now,
+                         holders);
+  for (i = 0; i < count; i++)
+    {
+      const struct board_target *entry =
+          table_get (search->decide->board->targets, holders[i].target);
+      struct candidate candidate;
+
+      if (entry == NULL || entry->decide == NULL || entry->decide->pool != search->pool
+          || !consider (search, entry->decide, &candidate) || is_over_bound (search, entry->decide))
+        continue;
+      candidate.cached =
+          decide_prefix_tokens (search->pool, request, holders[i].blocks, search->tokens);
+      candidate.service = decide_stage_time (search->decide, request, search->spec, search->tokens,
+                                             candidate.cached)
+                              .span.middle;
+      estimate (search, &candidate);
+      keep_better (best, &candidate);
+    }
+}
+
 static void
 search_pool (struct search *search, struct candidate *best)
 {
@@ -197,6 +243,7 @@
     sweep (search, RETRY_SAMPLES, best);
   else
     sample (search, best);
+  consider_holders (search, best);
 }
 
 /* An attempt that hangs must end while another can still make the window: at a multiple of what
@@ -236,7 +283,8 @@
                                  .expected = search->now + (int64_t) best->expected,
                                  .give_up = give_up_at (search, pipeline, best, work),
                                  .hedge_at = USEC_NEVER,
-                                 .work = search->service / USEC_PER_SEC };
+                                 .prefix_tokens = best->cached,
+                                 .work = best->service / USEC_PER_SEC };
   if (hedges)
     out->hedge_at = search->now + (int64_t) fmax (best->expected, work->span.high);
 }
@@ -264,6 +312,7 @@
                             .request = request,
                             .tried = tried,
                             .n_tried = n_tried,
+                            .tokens = stage_tokens,
                             .hosts = decide_hosts (decide),
                             .now = now };
   if (search.pool == NULL || search.pool->n_targets == 0)
--- a/tests/unit_decide.cc
+++ b/tests/unit_decide.cc
@@ -331,6 +331,36 @@
     }
 }
 
+// Everyone asks about the same case file.  Its cache makes one target look best for all of them,
+// and without a bound that one would queue the whole pool's work.
+TEST_F (DecideTest, PopularPrefixDoesNotSinkItsTarget)
+{
+  auto *line = static_cast<struct board_pipeline *> (table_get (board->pipelines, pipeline));
+  std::vector<struct handle> targets;
+  std::vector<int> chosen (6);
+
+  line->spec.stages[0].kind = STAGE_GENERATE;
+  for (int i = 0; i < 6; i++)
+    targets.push_back (add_target ("t" + std::to_string (i), "a"));
+  for (int i = 0; i < 60; i++)
+    {
+      struct decide_request request = request_at (10 * SECOND);
+
+      request.n_prefix = 16;
+      for (uint32_t block = 0; block < 16; block++)
+        {
+          request.prefix[block] = (block + 1) * 0x10000;
+          decide_cache_event (decide, targets[0], request.prefix[block], true, 10 * SECOND);
+        }
+      struct decide_choice choice = choose (&request, 10 * SECOND);
+      decide_started (decide, &request, &choice, 10 * SECOND);
+      for (int t = 0; t < 6; t++)
+        chosen[t] += handle_equal (choice.target, targets[t]);
+    }
+  EXPECT_GE (chosen[0], 5);
+  EXPECT_LE (chosen[0], 20);
+}
+
 // A stage takes three seconds; a request with one second left is started all the same, costs its
 // three seconds of a slot, and its answer is thrown away.
 TEST_F (DecideTest, WorkThatCannotEndInTimeIsRefusedBeforeItCosts)
--- /dev/null
+++ b/tests/unit_decide_prefix.cc
@@ -0,0 +1,95 @@
+// The index of cached prefixes, which is told things late, twice or not at all.
+#include "prefix.h"
+#include "usec.h"
+#include <gtest/gtest.h>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t SECOND = USEC_PER_SEC;
+
+class PrefixTest : public ::testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    index = prefix_index_new (nullptr, 64);
+    // Every fourth block is a sampled one.
+    for (uint64_t i = 0; i < 32; i++)
+      prompt.push_back ((i * 0x9e3779b97f4a7c15u & ~7ull) | (i % 4));
+  }
+
+  void
+  TearDown () override
+  {
+    talloc_free (index);
+  }
+
+  void
+  store (struct handle target, uint32_t blocks, int64_t now)
+  {
+    for (uint32_t i = 0; i < blocks; i++)
+      prefix_note (index, prompt[i], target, now);
+  }
+
+  std::vector<struct prefix_holder>
+  find (int64_t now)
+  {
+    struct prefix_holder out[PREFIX_HOLDERS];
+    uint32_t count = prefix_find (index, prompt.data (), 32, now, out);
+
+    return { out, out + count };
+  }
+
+  struct prefix_index *index = nullptr;
+  std::vector<uint64_t> prompt;
+  struct handle a = { .index = 1, .generation = 1 };
+  struct handle b = { .index = 2, .generation = 7 };
+};
+
+TEST_F (PrefixTest, DeepestHolderComesFirst)
+{
+  store (a, 9, SECOND);
+  store (b, 32, SECOND);
+  auto found = find (SECOND);
+
+  ASSERT_EQ (found.size (), 2u);
+  EXPECT_TRUE (handle_equal (found[0].target, b));
+  EXPECT_EQ (found[0].blocks, 29u); // the last sampled block
+  EXPECT_TRUE (handle_equal (found[1].target, a));
+  EXPECT_EQ (found[1].blocks, 9u);
+}
+
+// An engine drops the end of a prompt from its cache and says so; some of the events are lost.
+// What is left must not claim the blocks that were dropped.
+TEST_F (PrefixTest, DroppedBlocksAreNotClaimed)
+{
+  store (a, 32, SECOND);
+  for (uint32_t i = 10; i < 32; i++)
+    prefix_drop (index, prompt[i], a);
+  ASSERT_EQ (find (SECOND).size (), 1u);
+  EXPECT_EQ (find (SECOND)[0].blocks, 9u);
+}
+
+// The drop was never told.  After two minutes without use the note must count for nothing.
+TEST_F (PrefixTest, OldNotesAreForgotten)
+{
+  store (a, 32, SECOND);
+  EXPECT_EQ (find (100 * SECOND).size (), 1u);
+  EXPECT_TRUE (find (200 * SECOND).empty ());
+}
+
+// Far more is stored than the index can keep.  It must stay bounded and keep the newest.
+TEST_F (PrefixTest, NewestNotesStayWhenItIsFull)
+{
+  for (uint64_t i = 1; i < 100000; i++)
+    prefix_note (index, i * 4 * 0x9e3779b97f4a7c15u, a, SECOND);
+  store (b, 32, 2 * SECOND);
+  ASSERT_FALSE (find (2 * SECOND).empty ());
+  EXPECT_TRUE (handle_equal (find (2 * SECOND)[0].target, b));
+}
+
+} // namespace
