Mutate what every decoder takes from outside

A decoder that trusts a length crashes the host and every request in flight on it. XXX: HTTP heads are libwebsockets' own and are not in the table.

--- /dev/null
+++ b/bench/fuzz_decoders.c
@@ -0,0 +1,23 @@
+/* The table of decoders. */
+#include "fuzz_parts.h"
+#include <stddef.h>
+
+const struct fuzz_decoder *const fuzz_decoders[] = {
+  /* text */
+  &fuzz_settings,
+  &fuzz_keyfile,
+  &fuzz_sse,
+  &fuzz_answer,
+  &fuzz_piece,
+  &fuzz_resource,
+  /* messages between hosts, and what the log carries */
+  &fuzz_raft,
+  &fuzz_members,
+  &fuzz_proposal,
+  &fuzz_change,
+  &fuzz_answer_of_store,
+  &fuzz_store_entry,
+  &fuzz_store_snapshot,
+  &fuzz_directory,
+  NULL,
+};
--- /dev/null
+++ b/bench/fuzz_parts.h
@@ -0,0 +1,30 @@
+/* The decoders by the file that has them; fuzz_decoders[] puts them together. */
+#ifndef FUZZ_PARTS_H
+#define FUZZ_PARTS_H
+
+#include "decls.h"
+#include "fuzz.h"
+
+BEGIN_DECLS
+
+/* fuzz_text.c */
+extern const struct fuzz_decoder fuzz_settings;
+extern const struct fuzz_decoder fuzz_keyfile;
+extern const struct fuzz_decoder fuzz_sse;
+extern const struct fuzz_decoder fuzz_answer;
+extern const struct fuzz_decoder fuzz_piece;
+extern const struct fuzz_decoder fuzz_resource;
+
+/* fuzz_message.c */
+extern const struct fuzz_decoder fuzz_raft;
+extern const struct fuzz_decoder fuzz_members;
+extern const struct fuzz_decoder fuzz_proposal;
+extern const struct fuzz_decoder fuzz_change;
+extern const struct fuzz_decoder fuzz_answer_of_store;
+extern const struct fuzz_decoder fuzz_store_entry;
+extern const struct fuzz_decoder fuzz_store_snapshot;
+extern const struct fuzz_decoder fuzz_directory;
+
+END_DECLS
+
+#endif
