Keep a view of the hosts by probes with suspicion and refutation

Cause: hosts come, go, are cut off silently or one way, and a bad link must condemn nobody; heartbeats of all to all cost more with each host.

--- /dev/null
+++ b/src/member.c
@@ -0,0 +1,580 @@
+/* Membership: the view of all hosts, and what is taken into it. */
+#include "member.h"
+#include "log.h"
+#include "member_state.h"
+#include "text.h"
+#include <math.h>
+#include <string.h>
+#include <talloc.h>
+
+#define CHECK_SPAN (250 * USEC_PER_MSEC)
+#define TICK_SPAN (50 * USEC_PER_MSEC)
+
+/* A dead host, and one that left, stay in the view for this long: so long is their return a return,
+ * and so long do the dead count when we ask whether we are the ones who are cut off. */
+#define KEEP_DEAD (3600 * USEC_PER_SEC)
+
+/* A host behind the newest revision it heard of for this long says so (what is accepted must be in
+ * force everywhere within 11 s). */
+#define BEHIND_AFTER (11 * USEC_PER_SEC)
+
+/* So does one whose revision no quorum confirmed for this long. */
+#define UNCONFIRMED_AFTER (30 * USEC_PER_SEC)
+
+/* Load and revision are made news at most this often, so that hosts whose load swings cost no more
+ * than hosts at rest; flags are news at once. */
+#define VITALS_SPAN (5 * USEC_PER_SEC)
+#define VITALS_SPAN_PER_HOST (100 * USEC_PER_MSEC)
+#define LOAD_STEP 12 /* percent */
+
+static int
+free_member (struct member *member)
+{
+  HASH_CLEAR (hh, member->hosts);
+  return 0;
+}
+
+static void
+register_counters (struct member *member, struct counters *counters)
+{
+  member->messages_out =
+      counter_get (counters, "member_messages_out_total", "Messages of membership sent", NULL);
+  member->bytes_out = counter_get (counters, "member_bytes_out_total",
+                                   "Bytes of messages of membership sent", NULL);
+  member->malformed = counter_get (counters, "member_malformed_total",
+                                   "Messages of membership that could not be read", NULL);
+  member->suspicions =
+      counter_get (counters, "member_suspicions_total", "Hosts suspected after a probe", NULL);
+  member->deaths = counter_get (counters, "member_deaths_total", "Hosts taken for dead", NULL);
+  member->refutations = counter_get (counters, "member_refutations_total",
+                                     "Suspicions of ourselves that we refuted", NULL);
+}
+
+/* ---- the view ---- */
+
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
+struct member_host *
+member_find (const struct member *member, const char *name)
+{
+  struct member_host *host;
+
+  HASH_FIND_STR (member->hosts, name, host);
+  return host;
+}
+
+static struct member_host *
+add_host (struct member *member, const char *name, int64_t now)
+{
+  struct member_host *host = talloc_zero (member, struct member_host);
+  struct board_host *entry;
+
+  if (host == NULL)
+    return NULL;
+  entry = table_add (member->board->hosts, &host->handle);
+  if (entry == NULL)
+    {
+      talloc_free (host);
+      return NULL;
+    }
+  text_copy_cut (host->name, sizeof host->name, name);
+  text_copy_cut (entry->name, sizeof entry->name, name);
+  host->state_at = now;
+  /* A place in the order of probes by chance, so that not all hosts probe a new one at once. */
+  host->probed_at =
+      now - (int64_t) rng_below (&member->rng, MEMBER_PERIOD * (HASH_COUNT (member->hosts) + 1));
+  HASH_ADD_STR (member->hosts, name, host);
+  return host;
+}
+
+/* NOLINTEND(readability-function-size) */
+
+static void
+drop_host (struct member *member, struct member_host *host)
+{
+  member->wire->ops->forget (member->wire, host->name);
+  member_forget_news (member, host);
+  table_remove (member->board->hosts, host->handle);
+  HASH_DEL (member->hosts, host);
+  talloc_free (host);
+}
+
+struct board_host *
+member_board (const struct member *member, const struct member_host *host)
+{
+  return table_get (member->board->hosts, host->handle);
+}
+
+bool
+member_present (enum host_state state)
+{
+  return state != HOST_DEAD && state != HOST_LEFT;
+}
+
+uint32_t
+member_count_present (const struct member *member)
+{
+  const struct member_host *host;
+  uint32_t count = 0;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    count += member_present (member_board (member, host)->state) ? 1 : 0;
+  return count;
+}
+
+/* Time for a suspect to hear of it and to refute: news needs rounds that grow as the logarithm of
+ * the hosts. */
+static int64_t
+suspicion_span (const struct member *member)
+{
+  return (int64_t) ((double) MEMBER_PERIOD * (2 + log2 (HASH_COUNT (member->hosts) + 1)));
+}
+
+static void
+set_state (struct member *member, struct member_host *host, enum host_state state, int64_t now)
+{
+  struct board_host *entry = member_board (member, host);
+
+  if (state == HOST_SUSPECT)
+    host->suspect_until = now + suspicion_span (member);
+  if (entry->state == state)
+    return;
+  if (state == HOST_DEAD)
+    counter_add (member->deaths, 1);
+  log_event (LOG_MODULE_MEMBER, LOG_LEVEL_INFO, "state", "{s:s,s:s,s:s,s:b}", "host", host->name,
+             "from", host_state_text (entry->state), "to", host_state_text (state), "local",
+             host->local);
+  entry->state = state;
+  host->state_at = now;
+  board_publish (member->board, BOARD_HOST_CHANGED, host->handle, now);
+}
+
+void
+member_suspect (struct member *member, struct member_host *host, bool told, int64_t now)
+{
+  enum host_state state = member_board (member, host)->state;
+
+  if (state != HOST_ALIVE && state != HOST_LEAVING)
+    return;
+  counter_add (member->suspicions, 1);
+  host->local = !told;
+  host->accused = told;
+  set_state (member, host, HOST_SUSPECT, now);
+  if (told)
+    member_make_news (member, host, false);
+}
+
+/* ---- what others say ---- */
+
+static unsigned
+rank (enum host_state state)
+{
+  static const unsigned ranks[] = {
+    [HOST_ALIVE] = 0, [HOST_LEAVING] = 0, [HOST_SUSPECT] = 1, [HOST_DEAD] = 2, [HOST_LEFT] = 3,
+  };
+
+  return ranks[state];
+}
+
+/* Words about ourselves.  A suspicion is refuted with a higher sequence; words of a later
+ * incarnation are of a process whose clock was ahead of ours, and we go past it. */
+static void
+apply_self (struct member *member, const struct member_item *item, int64_t now)
+{
+  struct board_host *entry = member_board (member, member->self);
+  const struct board_host *said = &item->host;
+
+  if (said->incarnation > entry->incarnation)
+    {
+      entry->incarnation = said->incarnation + 1;
+      member->self->sequence = 1;
+      member->vitals.beat = 0;
+      member_make_news (member, member->self, true);
+      board_publish (member->board, BOARD_HOST_CHANGED, member->self->handle, now);
+      return;
+    }
+  if (said->incarnation < entry->incarnation || rank (said->state) == 0
+      || rank (entry->state) >= rank (said->state) || item->sequence < member->self->sequence)
+    return;
+  counter_add (member->refutations, 1);
+  member->self->sequence = item->sequence + 1;
+  member_make_news (member, member->self, false);
+}
+
+static void
+take_record (struct member *member, struct member_host *host, const struct board_host *said)
+{
+  struct board_host *entry = member_board (member, host);
+  bool moved = strcmp (entry->peer_address, said->peer_address) != 0
+               || strcmp (entry->public_key, said->public_key) != 0;
+
+  memcpy (entry->domain, said->domain, sizeof entry->domain);
+  memcpy (entry->region, said->region, sizeof entry->region);
+  memcpy (entry->entry_address, said->entry_address, sizeof entry->entry_address);
+  memcpy (entry->operator_address, said->operator_address, sizeof entry->operator_address);
+  memcpy (entry->target_address, said->target_address, sizeof entry->target_address);
+  memcpy (entry->peer_address, said->peer_address, sizeof entry->peer_address);
+  memcpy (entry->public_key, said->public_key, sizeof entry->public_key);
+  entry->voter = said->voter;
+  if (moved && entry->peer_address[0] != '\0')
+    member->wire->ops->set_address (member->wire, host->name, entry->peer_address,
+                                    entry->public_key);
+}
+
+static bool
+is_news (const struct member *member,
+         const struct member_host *host,
+         const struct member_item *item)
+{
+  const struct board_host *entry = member_board (member, host);
+  const struct board_host *said = &item->host;
+
+  if (said->incarnation != entry->incarnation)
+    return said->incarnation > entry->incarnation;
+  if (item->sequence != host->sequence)
+    return item->sequence > host->sequence;
+  /* What we alone held against the host gives way to anyone who reaches it. */
+  if (host->local && rank (said->state) == 0)
+    return true;
+  return rank (said->state) > rank (entry->state);
+}
+
+/* A record of a host that is new here. */
+static void
+apply_unknown (struct member *member, const char *from, const struct member_item *item, int64_t now)
+{
+  struct member_host *host;
+
+  if (!member_present (item->host.state))
+    return;
+  if (item->form != MEMBER_FORM_RECORD)
+    {
+      member_send (member, from, MEMBER_WANT, 0, item->host.name);
+      return;
+    }
+  host = add_host (member, item->host.name, now);
+  if (host == NULL)
+    return;
+  host->sequence = item->sequence;
+  member_board (member, host)->incarnation = item->host.incarnation;
+  member_board (member, host)->heard_at = now;
+  take_record (member, host, &item->host);
+  board_publish (member->board, BOARD_HOST_ADDED, host->handle, now);
+  set_state (member, host, item->host.state, now);
+  member_make_news (member, host, true);
+}
+
+void
+member_apply (struct member *member, const char *from, const struct member_item *item, int64_t now)
+{
+  struct member_host *host = member_find (member, item->host.name);
+  struct board_host *entry;
+
+  if (host == member->self)
+    {
+      apply_self (member, item, now);
+      return;
+    }
+  if (host == NULL)
+    {
+      apply_unknown (member, from, item, now);
+      return;
+    }
+  entry = member_board (member, host);
+  if (!is_news (member, host, item))
+    return;
+  if (item->host.incarnation != entry->incarnation)
+    {
+      /* A restarted process may have other addresses. */
+      if (item->form != MEMBER_FORM_RECORD)
+        {
+          member_send (member, from, MEMBER_WANT, 0, host->name);
+          return;
+        }
+      host->beat = 0;
+      entry->incarnation = item->host.incarnation;
+    }
+  if (item->form == MEMBER_FORM_RECORD)
+    take_record (member, host, &item->host);
+  host->sequence = item->sequence;
+  host->local = false;
+  host->accused = false;
+  set_state (member, host, item->host.state, now);
+  member_make_news (member, host, item->form == MEMBER_FORM_RECORD);
+}
+
+bool
+member_take_vitals (struct member *member,
+                    const char *name,
+                    const struct member_vitals *vitals,
+                    int64_t now)
+{
+  struct member_host *host = member_find (member, name);
+  struct board_host *entry;
+  bool flags;
+
+  if (host == NULL || host == member->self)
+    return false;
+  entry = member_board (member, host);
+  if (vitals->incarnation != entry->incarnation || vitals->beat <= host->beat)
+    return false;
+  host->beat = vitals->beat;
+  flags = entry->behind != vitals->behind || entry->cut_off != vitals->cut_off;
+  entry->revision = vitals->revision;
+  entry->load = vitals->load_percent / 100.0;
+  entry->behind = vitals->behind;
+  entry->cut_off = vitals->cut_off;
+  if (vitals->revision > member->newest_revision)
+    member->newest_revision = vitals->revision;
+  if (flags)
+    board_publish (member->board, BOARD_HOST_CHANGED, host->handle, now);
+  return true;
+}
+
+/* ---- what we say of ourselves ---- */
+
+static bool
+is_behind (struct member *member, int64_t now)
+{
+  const struct board *board = member->board;
+
+  if (board->revision >= member->newest_revision)
+    member->behind_since = 0;
+  else if (member->behind_since == 0)
+    member->behind_since = now;
+  return !board->config_ready
+         || (member->behind_since != 0 && now - member->behind_since >= BEHIND_AFTER)
+         || (board->confirmed_at != 0 && now - board->confirmed_at >= UNCONFIRMED_AFTER);
+}
+
+static bool
+vitals_equal (const struct member_vitals *a, const struct member_vitals *b)
+{
+  return a->incarnation == b->incarnation && a->revision == b->revision
+         && a->load_percent == b->load_percent && a->behind == b->behind
+         && a->cut_off == b->cut_off;
+}
+
+void
+member_refresh_vitals (struct member *member, int64_t now)
+{
+  struct board_host *entry = member_board (member, member->self);
+  struct member_vitals fresh = member->vitals;
+  double load = member->board->load;
+
+  fresh.incarnation = entry->incarnation;
+  fresh.revision = member->board->revision;
+  fresh.load_percent = load <= 0 ? 0 : load >= 1 ? 100 : (uint32_t) (load * 100);
+  fresh.behind = is_behind (member, now);
+  fresh.cut_off = member->cut_off;
+  if (vitals_equal (&fresh, &member->vitals))
+    return;
+  fresh.beat++;
+  member->vitals = fresh;
+  entry->revision = fresh.revision;
+  entry->load = load;
+  entry->behind = fresh.behind;
+  entry->cut_off = fresh.cut_off;
+  entry->heard_at = now;
+}
+
+static void
+tell_vitals (struct member *member, int64_t now)
+{
+  const struct member_vitals *fresh = &member->vitals;
+  const struct member_vitals *told = &member->told;
+  int64_t span = (int64_t) HASH_COUNT (member->hosts) * VITALS_SPAN_PER_HOST;
+  bool flags = fresh->behind != told->behind || fresh->cut_off != told->cut_off;
+  uint32_t step = fresh->load_percent > told->load_percent
+                      ? fresh->load_percent - told->load_percent
+                      : told->load_percent - fresh->load_percent;
+
+  if (span < VITALS_SPAN)
+    span = VITALS_SPAN;
+  if (!flags
+      && (now - member->told_at < span || (step < LOAD_STEP && fresh->revision == told->revision)))
+    return;
+  member->told = *fresh;
+  member->told_at = now;
+  member_make_vitals_news (member, member->self);
+}
+
+/* Less than half of the hosts that were here answer, so the fault is likely ours. */
+static void
+look_around (struct member *member, int64_t now)
+{
+  const struct member_host *host;
+  uint32_t reached = 0;
+  uint32_t expected = 0;
+  bool cut_off;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    {
+      enum host_state state = member_board (member, host)->state;
+
+      expected += state != HOST_LEFT ? 1 : 0;
+      reached += state == HOST_ALIVE || state == HOST_LEAVING ? 1 : 0;
+    }
+  cut_off = reached * 2 < expected;
+  if (cut_off == member->cut_off)
+    return;
+  member->cut_off = cut_off;
+  log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, cut_off ? "cut_off" : "reached_again",
+             "{s:i,s:i}", "reached", (int) reached, "expected", (int) expected);
+  member_refresh_vitals (member, now);
+  board_publish (member->board, BOARD_HOST_CHANGED, member->self->handle, now);
+}
+
+static void
+check_host (struct member *member, struct member_host *host, int64_t now)
+{
+  enum host_state state = member_board (member, host)->state;
+
+  if (state == HOST_SUSPECT && now >= host->suspect_until)
+    {
+      set_state (member, host, HOST_DEAD, now);
+      if (host->accused)
+        member_make_news (member, host, false);
+    }
+  if (!member_present (state) && now - host->state_at >= KEEP_DEAD)
+    drop_host (member, host);
+}
+
+static void
+check (struct member *member, int64_t now)
+{
+  struct member_host *host;
+  struct member_host *next;
+
+  HASH_ITER (hh, member->hosts, host, next)
+    {
+      if (host != member->self)
+        check_host (member, host, now);
+    }
+  look_around (member, now);
+  member_refresh_vitals (member, now);
+  tell_vitals (member, now);
+}
+
+int64_t
+member_tick (struct member *member, int64_t now)
+{
+  if (now >= member->next_check)
+    {
+      check (member, now);
+      member->next_check = now + CHECK_SPAN;
+    }
+  member_probe_tick (member, now);
+  member_gossip (member, now);
+  return now + TICK_SPAN;
+}
+
+static void
+set_own_state (struct member *member, enum host_state state, int64_t now)
+{
+  member->self->sequence++;
+  set_state (member, member->self, state, now);
+  member_make_news (member, member->self, false);
+  member_tell_all (member);
+}
+
+void
+member_leave (struct member *member, int64_t now)
+{
+  set_own_state (member, HOST_LEAVING, now);
+}
+
+void
+member_left (struct member *member, int64_t now)
+{
+  set_own_state (member, HOST_LEFT, now);
+}
+
+bool
+member_cut_off (const struct member *member)
+{
+  return member->cut_off;
+}
+
+/* ---- start ---- */
+
+static bool
+add_self (struct member *member, const struct member_config *config)
+{
+  struct board_host *entry;
+
+  member->self = add_host (member, config->self.name, config->now);
+  if (member->self == NULL)
+    return false;
+  entry = member_board (member, member->self);
+  *entry = config->self;
+  entry->self = true;
+  entry->state = HOST_ALIVE;
+  entry->heard_at = config->now;
+  member->self->sequence = 1;
+  member->board->self = member->self->handle;
+  board_publish (member->board, BOARD_HOST_ADDED, member->self->handle, config->now);
+  return true;
+}
+
+static void
+take_seeds (struct member *member, const struct member_config *config)
+{
+  for (uint32_t i = 0; i < config->n_seeds && member->n_seeds < MEMBER_SEEDS_MAX; i++)
+    {
+      const struct member_seed *seed = &config->seeds[i];
+
+      if (strcmp (seed->name, config->self.name) == 0)
+        continue;
+      member->seeds[member->n_seeds++] = *seed;
+      member->wire->ops->set_address (member->wire, seed->name, seed->address, seed->public_key);
+    }
+}
+
+struct member *
+member_new (void *parent, const struct member_config *config)
+{
+  struct member *member = talloc_zero (parent, struct member);
+
+  if (member == NULL)
+    return NULL;
+  talloc_set_destructor (member, free_member);
+  member->board = config->board;
+  member->wire = config->wire;
+  rng_init (&member->rng, config->seed);
+  register_counters (member, config->counters);
+  if (!add_self (member, config))
+    {
+      talloc_free (member);
+      return NULL;
+    }
+  take_seeds (member, config);
+  member_make_news (member, member->self, true);
+  member_refresh_vitals (member, config->now);
+  member->next_probe = config->now + (int64_t) rng_below (&member->rng, MEMBER_PERIOD);
+  return member;
+}
+
+static json_t *
+describe_host (const struct member *member, const struct member_host *host, int64_t now)
+{
+  const struct board_host *entry = member_board (member, host);
+
+  return json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I,s:f,s:b,s:b,s:I}", "name", host->name, "domain",
+                    entry->domain, "state", host_state_text (entry->state), "incarnation",
+                    (json_int_t) entry->incarnation, "sequence", (json_int_t) host->sequence,
+                    "revision", (json_int_t) entry->revision, "load", entry->load, "behind",
+                    (int) entry->behind, "cut_off", (int) entry->cut_off, "heard_ms_ago",
+                    (json_int_t) ((now - entry->heard_at) / USEC_PER_MSEC));
+}
+
+json_t *
+member_describe (const struct member *member, int64_t now)
+{
+  const struct member_host *host;
+  json_t *hosts = json_array ();
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    json_array_append_new (hosts, describe_host (member, host, now));
+  return json_pack ("{s:b,s:o}", "cut_off", (int) member->cut_off, "hosts", hosts);
+}
--- /dev/null
+++ b/src/member_news.c
@@ -0,0 +1,337 @@
+/* What is sent: every message carries our vitals and as much news as it takes. */
+#include "member_state.h"
+#include "text.h"
+#include <math.h>
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+/* Of news in one message. */
+#define NEWS_BYTES 1200
+
+/* Of a view in one message. */
+#define VIEW_BYTES (8u << 10)
+
+/* News of a state that is not spread yet goes out between probes too. */
+#define GOSSIP_SPAN (200 * USEC_PER_MSEC)
+#define GOSSIP_FANOUT 2
+
+#define STATE_COPIES 3  /* times the logarithm of the hosts */
+#define VITALS_COPIES 1 /* likewise; a lost one is made good by the next */
+
+/* ---- the list of news ---- */
+
+static uint32_t
+copies (const struct member *member, uint32_t factor)
+{
+  return factor * (uint32_t) ceil (log2 (HASH_COUNT (member->hosts) + 1));
+}
+
+static void
+enlist (struct member *member, struct member_host *host)
+{
+  if (host->in_news)
+    return;
+  host->in_news = true;
+  DL_PREPEND (member->news, host);
+}
+
+void
+member_make_news (struct member *member, struct member_host *host, bool record)
+{
+  /* A record that is still going round must not shrink to a state others cannot use. */
+  bool kept = host->state_news.waiting && host->state_news.record;
+
+  host->state_news = (struct member_news){ .waiting = true, .record = record || kept, .sent = 0 };
+  enlist (member, host);
+}
+
+void
+member_make_vitals_news (struct member *member, struct member_host *host)
+{
+  host->vitals_news = (struct member_news){ .waiting = true, .record = false, .sent = 0 };
+  enlist (member, host);
+}
+
+void
+member_forget_news (struct member *member, struct member_host *host)
+{
+  if (host->in_news)
+    DL_DELETE (member->news, host);
+  host->in_news = false;
+}
+
+static void
+settle (struct member *member, struct member_host *host)
+{
+  if (host->state_news.sent >= copies (member, STATE_COPIES))
+    host->state_news.waiting = false;
+  if (host->vitals_news.sent >= copies (member, VITALS_COPIES))
+    host->vitals_news.waiting = false;
+  if (!host->state_news.waiting && !host->vitals_news.waiting)
+    member_forget_news (member, host);
+}
+
+static uint32_t
+least_sent (const struct member_host *host)
+{
+  return host->state_news.waiting ? host->state_news.sent : host->vitals_news.sent;
+}
+
+/* News of a state first, and of these what was sent least. */
+static int
+by_need (const struct member_host *a, const struct member_host *b)
+{
+  if (a->state_news.waiting != b->state_news.waiting)
+    return a->state_news.waiting ? -1 : 1;
+  return (int) least_sent (a) - (int) least_sent (b);
+}
+
+/* utlist's macros are long; the function is not.
+ * NOLINTBEGIN(readability-function-size) */
+static void
+sort_news (struct member *member)
+{
+  DL_SORT (member->news, by_need);
+}
+
+/* NOLINTEND(readability-function-size) */
+
+/* ---- messages ---- */
+
+static void
+write_state (const struct member *member,
+             const struct member_host *host,
+             bool record,
+             struct bytes *out)
+{
+  struct member_item item = {
+    .form = record ? MEMBER_FORM_RECORD : MEMBER_FORM_STATE,
+    .sequence = host->sequence,
+    .host = *member_board (member, host),
+  };
+
+  member_write_item (out, &item);
+}
+
+static void
+write_vitals (const struct member *member, const struct member_host *host, struct bytes *out)
+{
+  const struct board_host *entry = member_board (member, host);
+  struct member_item item = { .form = MEMBER_FORM_VITALS };
+
+  text_copy_cut (item.host.name, sizeof item.host.name, host->name);
+  item.vitals = (struct member_vitals){
+    .incarnation = entry->incarnation,
+    .beat = host == member->self ? member->vitals.beat : host->beat,
+    .revision = entry->revision,
+    .load_percent = (uint32_t) (entry->load * 100 + 0.5),
+    .behind = entry->behind,
+    .cut_off = entry->cut_off,
+  };
+  member_write_item (out, &item);
+}
+
+uint32_t
+member_digest (const struct member *member)
+{
+  const struct member_host *host;
+  uint64_t sum = 0;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    {
+      const struct board_host *entry = member_board (member, host);
+
+      if (member_present (entry->state))
+        sum ^= XXH3_64bits_withSeed (host->name, strlen (host->name), entry->incarnation);
+    }
+  return (uint32_t) (sum ^ sum >> 32);
+}
+
+static void
+send_items (struct member *member,
+            const char *host,
+            struct member_head *head,
+            const struct bytes *items)
+{
+  struct bytes out;
+
+  head->vitals = member->vitals;
+  head->digest = member_digest (member);
+  bytes_init (&out, member);
+  member_write_head (&out, head);
+  if (items->length > 0)
+    bytes_append (&out, items->data, items->length);
+  if (!bytes_failed (&out) && !bytes_failed (items))
+    {
+      counter_add (member->messages_out, 1);
+      counter_add (member->bytes_out, (double) out.length);
+      member->wire->ops->send (member->wire, host, out.data, out.length);
+    }
+  bytes_clear (&out);
+}
+
+/* A host that we hold for suspect or dead hears it from us, so that it can refute (Lifeguard's
+ * buddy system); without this a host that is back after a partition would not know. */
+static uint32_t
+write_suspicion (const struct member *member, const char *name, struct bytes *out)
+{
+  const struct member_host *host = member_find (member, name);
+  enum host_state state = host != NULL ? member_board (member, host)->state : HOST_ALIVE;
+
+  if (state == HOST_ALIVE || state == HOST_LEAVING)
+    return 0;
+  write_state (member, host, false, out);
+  return 1;
+}
+
+static uint32_t
+write_news (struct member *member, struct bytes *out)
+{
+  struct member_host *host;
+  struct member_host *next;
+  uint32_t count = 0;
+
+  sort_news (member);
+  DL_FOREACH_SAFE (member->news, host, next)
+    {
+      if (out->length >= NEWS_BYTES || count + 2 > MEMBER_ITEMS_MAX)
+        break;
+      if (host->state_news.waiting)
+        {
+          /* Nothing is told of a host on evidence that is ours alone. */
+          if (!host->local)
+            write_state (member, host, host->state_news.record, out);
+          count += host->local ? 0 : 1;
+          host->state_news.sent++;
+        }
+      if (host->vitals_news.waiting)
+        {
+          write_vitals (member, host, out);
+          count++;
+          host->vitals_news.sent++;
+        }
+      settle (member, host);
+    }
+  return count;
+}
+
+void
+member_send (struct member *member,
+             const char *host,
+             enum member_kind kind,
+             uint64_t number,
+             const char *about)
+{
+  struct member_head head = { .kind = kind, .number = number };
+  struct bytes items;
+
+  text_copy_cut (head.about, sizeof head.about, about);
+  bytes_init (&items, member);
+  head.n_items = write_suspicion (member, host, &items);
+  /* Who joins has no view yet, and news that we have to tell is only ourselves. */
+  if (kind == MEMBER_JOIN)
+    {
+      write_state (member, member->self, true, &items);
+      head.n_items++;
+    }
+  else
+    head.n_items += write_news (member, &items);
+  send_items (member, host, &head, &items);
+  bytes_clear (&items);
+}
+
+void
+member_send_record (struct member *member, const char *host, const struct member_host *about)
+{
+  struct member_head head = { .kind = MEMBER_GOSSIP, .n_items = 1 };
+  struct bytes items;
+
+  bytes_init (&items, member);
+  write_state (member, about, true, &items);
+  send_items (member, host, &head, &items);
+  bytes_clear (&items);
+}
+
+void
+member_send_view (struct member *member, const char *host, enum member_kind kind, bool records)
+{
+  struct member_head head = { .kind = kind };
+  const struct member_host *about;
+  struct bytes items;
+
+  bytes_init (&items, member);
+  for (about = member->hosts; about != NULL; about = about->hh.next)
+    {
+      if (about->local)
+        continue;
+      write_state (member, about, records, &items);
+      head.n_items++;
+      if (items.length < VIEW_BYTES && head.n_items < MEMBER_ITEMS_MAX)
+        continue;
+      send_items (member, host, &head, &items);
+      bytes_clear (&items);
+      head = (struct member_head){ .kind = MEMBER_GOSSIP };
+    }
+  if (head.n_items > 0)
+    send_items (member, host, &head, &items);
+  bytes_clear (&items);
+}
+
+void
+member_tell_all (struct member *member)
+{
+  struct member_host *host;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    {
+      struct member_head head = { .kind = MEMBER_GOSSIP, .n_items = 1 };
+      struct bytes items;
+
+      if (host == member->self || !member_present (member_board (member, host)->state))
+        continue;
+      bytes_init (&items, member);
+      write_state (member, member->self, false, &items);
+      send_items (member, host->name, &head, &items);
+      bytes_clear (&items);
+    }
+}
+
+const struct member_host *
+member_pick (struct member *member, const char *not_this)
+{
+  const struct member_host *picked = NULL;
+  const struct member_host *host;
+  uint32_t seen = 0;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    {
+      enum host_state state = member_board (member, host)->state;
+
+      if (host == member->self || (state != HOST_ALIVE && state != HOST_LEAVING)
+          || strcmp (host->name, not_this) == 0)
+        continue;
+      if (rng_below (&member->rng, ++seen) == 0)
+        picked = host;
+    }
+  return picked;
+}
+
+void
+member_gossip (struct member *member, int64_t now)
+{
+  if (now < member->next_gossip || member->news == NULL)
+    return;
+  sort_news (member);
+  if (!member->news->state_news.waiting)
+    return;
+  member->next_gossip = now + GOSSIP_SPAN;
+  for (int i = 0; i < GOSSIP_FANOUT; i++)
+    {
+      const struct member_host *host = member_pick (member, "");
+
+      if (host == NULL)
+        return;
+      member_send (member, host->name, MEMBER_GOSSIP, 0, "");
+    }
+}
--- /dev/null
+++ b/src/member_probe.c
@@ -0,0 +1,361 @@
+/* Who lives: probes, helpers, joining, and the way back after a partition. */
+#include "log.h"
+#include "member_state.h"
+#include "text.h"
+#include <string.h>
+
+#define JOIN_SPAN_MIN (500 * USEC_PER_MSEC)
+#define JOIN_SPAN_MAX (10 * USEC_PER_SEC)
+
+/* One of the dead, or a seed that is not here, is tried this often; cut off, more often. */
+#define REACH_SPAN (10 * USEC_PER_SEC)
+#define REACH_SPAN_CUT_OFF (1 * USEC_PER_SEC)
+
+/* News needs a moment: views that differ for this long have missed some. */
+#define DIFFERENT_FOR (10 * USEC_PER_SEC)
+#define SYNC_SPAN (30 * USEC_PER_SEC)
+#define SYNC_SPAN_CUT_OFF (1 * USEC_PER_SEC)
+
+/* ---- our own probe ---- */
+
+/* The host that answered longest ago: each gets its turn, and one that answered another part of the
+ * process needs no probe. */
+static struct member_host *
+next_host (const struct member *member)
+{
+  struct member_host *host;
+  struct member_host *oldest = NULL;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    if (host != member->self && member_present (member_board (member, host)->state)
+        && (oldest == NULL || host->probed_at < oldest->probed_at))
+      oldest = host;
+  return oldest;
+}
+
+static void
+start_probe (struct member *member, int64_t now)
+{
+  struct member_host *host = next_host (member);
+
+  /* A tenth either way, so that hosts do not probe in step. */
+  member->next_probe =
+      now + MEMBER_PERIOD * 9 / 10 + (int64_t) rng_below (&member->rng, MEMBER_PERIOD / 5);
+  if (host == NULL)
+    return;
+  host->probed_at = now;
+  member->probe = (struct member_probe){
+    .running = true,
+    .number = ++member->next_number,
+    .started = now,
+  };
+  text_copy_cut (member->probe.host, sizeof member->probe.host, host->name);
+  member_send (member, host->name, MEMBER_PING, member->probe.number, "");
+}
+
+static void
+ask_helpers (struct member *member)
+{
+  char last[RESOURCE_NAME_SIZE] = "";
+
+  member->probe.indirect = true;
+  for (int i = 0; i < MEMBER_HELPERS; i++)
+    {
+      const struct member_host *helper = member_pick (member, member->probe.host);
+
+      if (helper == NULL)
+        return;
+      if (strcmp (helper->name, last) != 0)
+        member_send (member, helper->name, MEMBER_PROBE_FOR, member->probe.number,
+                     member->probe.host);
+      text_copy_cut (last, sizeof last, helper->name);
+    }
+}
+
+static void
+end_probe (struct member *member, int64_t now)
+{
+  struct member_host *host = member_find (member, member->probe.host);
+
+  member->probe.running = false;
+  if (host == NULL)
+    return;
+  member_suspect (member, host, member->probe.helper_heard, now);
+  /* Nobody answered, not even a helper: likely we are cut off, and want to know soon. */
+  if (!member->probe.helper_heard)
+    member->next_probe = now;
+}
+
+static void
+probe_step (struct member *member, int64_t now)
+{
+  if (!member->probe.running)
+    {
+      if (now >= member->next_probe)
+        start_probe (member, now);
+      return;
+    }
+  if (!member->probe.indirect && now - member->probe.started >= MEMBER_DIRECT)
+    ask_helpers (member);
+  if (now - member->probe.started >= MEMBER_INDIRECT)
+    end_probe (member, now);
+}
+
+/* ---- probes for others ---- */
+
+static void
+relay_start (struct member *member, const char *asker, const struct member_head *head, int64_t now)
+{
+  for (int i = 0; i < MEMBER_RELAYS; i++)
+    {
+      struct member_relay *relay = &member->relays[i];
+
+      if (relay->number != 0)
+        continue;
+      relay->number = ++member->next_number;
+      relay->their_number = head->number;
+      relay->until = now + MEMBER_DIRECT;
+      text_copy_cut (relay->asker, sizeof relay->asker, asker);
+      text_copy_cut (relay->about, sizeof relay->about, head->about);
+      member_send (member, head->about, MEMBER_PING, relay->number, "");
+      return;
+    }
+}
+
+static void
+relay_end (struct member *member, struct member_relay *relay, enum member_kind kind)
+{
+  relay->number = 0;
+  member_send (member, relay->asker, kind, relay->their_number, relay->about);
+}
+
+static void
+relays_step (struct member *member, int64_t now)
+{
+  for (int i = 0; i < MEMBER_RELAYS; i++)
+    if (member->relays[i].number != 0 && now >= member->relays[i].until)
+      relay_end (member, &member->relays[i], MEMBER_NACK);
+}
+
+/* ---- joining, and the way back ---- */
+
+static void
+join_step (struct member *member, int64_t now)
+{
+  if (now < member->next_join || member_count_present (member) > 1)
+    return;
+  for (uint32_t i = 0; i < member->n_seeds; i++)
+    member_send (member, member->seeds[i].name, MEMBER_JOIN, 0, "");
+  if (member->join_span < JOIN_SPAN_MIN)
+    member->join_span = JOIN_SPAN_MIN;
+  member->next_join = now + member->join_span;
+  member->join_span = member->join_span * 2 > JOIN_SPAN_MAX ? JOIN_SPAN_MAX : member->join_span * 2;
+}
+
+static const char *
+absent_host (struct member *member)
+{
+  const struct member_host *host;
+  const char *picked = NULL;
+  uint32_t seen = 0;
+
+  for (host = member->hosts; host != NULL; host = host->hh.next)
+    if (member_board (member, host)->state == HOST_DEAD && rng_below (&member->rng, ++seen) == 0)
+      picked = host->name;
+  return picked;
+}
+
+static const char *
+absent_seed (struct member *member)
+{
+  uint32_t start = (uint32_t) rng_below (&member->rng, member->n_seeds);
+
+  for (uint32_t i = 0; i < member->n_seeds; i++)
+    {
+      const char *name = member->seeds[(start + i) % member->n_seeds].name;
+
+      if (member_find (member, name) == NULL)
+        return name;
+    }
+  return NULL;
+}
+
+/* Two halves that took each other for dead find together again from any one message between them:
+ * it carries the suspicion, its receiver refutes, and the views are compared. */
+static void
+reach_step (struct member *member, int64_t now)
+{
+  const char *name;
+
+  if (now < member->next_reach)
+    return;
+  member->next_reach = now + (member->cut_off ? REACH_SPAN_CUT_OFF : REACH_SPAN) * 9 / 10
+                       + (int64_t) rng_below (&member->rng, USEC_PER_SEC / 5);
+  name = absent_host (member);
+  if (name != NULL)
+    member_send (member, name, MEMBER_PING, 0, "");
+  name = absent_seed (member);
+  if (name != NULL)
+    member_send (member, name, MEMBER_JOIN, 0, "");
+}
+
+void
+member_probe_tick (struct member *member, int64_t now)
+{
+  relays_step (member, now);
+  join_step (member, now);
+  reach_step (member, now);
+  probe_step (member, now);
+}
+
+/* ---- messages ---- */
+
+static void
+compare_views (struct member *member, const char *from, const struct member_head *head, int64_t now)
+{
+  int64_t span = member->cut_off ? SYNC_SPAN_CUT_OFF : SYNC_SPAN;
+  int64_t different = member->cut_off ? 0 : DIFFERENT_FOR;
+
+  if (head->digest == member_digest (member))
+    {
+      member->differs_since = 0;
+      return;
+    }
+  if (member->differs_since == 0)
+    member->differs_since = now;
+  if (now - member->differs_since < different || now - member->synced_at < span)
+    return;
+  member->synced_at = now;
+  member_send_view (member, from, MEMBER_SYNC, false);
+}
+
+static void
+take_ack (struct member *member, const char *from, const struct member_head *head, int64_t now)
+{
+  struct member_host *host;
+
+  if (member->probe.running && head->number == member->probe.number)
+    {
+      host = member_find (member, member->probe.host);
+      if (host != NULL)
+        host->probed_at = now;
+      member->probe.running = false;
+      return;
+    }
+  for (int i = 0; i < MEMBER_RELAYS; i++)
+    if (member->relays[i].number != 0 && member->relays[i].number == head->number
+        && strcmp (member->relays[i].about, from) == 0)
+      {
+        relay_end (member, &member->relays[i], MEMBER_ACK);
+        return;
+      }
+}
+
+static void
+take_want (struct member *member, const char *from, const struct member_head *head)
+{
+  const struct member_host *about = member_find (member, head->about);
+
+  if (about != NULL)
+    member_send_record (member, from, about);
+}
+
+void
+member_probe_message (struct member *member,
+                      const char *from,
+                      const struct member_head *head,
+                      int64_t now)
+{
+  switch (head->kind)
+    {
+    case MEMBER_PING:
+      member_send (member, from, MEMBER_ACK, head->number, "");
+      compare_views (member, from, head, now);
+      break;
+    case MEMBER_ACK:
+      take_ack (member, from, head, now);
+      compare_views (member, from, head, now);
+      break;
+    case MEMBER_PROBE_FOR:
+      relay_start (member, from, head, now);
+      break;
+    case MEMBER_NACK:
+      if (member->probe.running && head->number == member->probe.number)
+        member->probe.helper_heard = true;
+      break;
+    case MEMBER_WANT:
+      take_want (member, from, head);
+      break;
+    case MEMBER_JOIN:
+      member_send_view (member, from, MEMBER_GOSSIP, true);
+      break;
+    case MEMBER_SYNC:
+      member_send_view (member, from, MEMBER_GOSSIP, false);
+      break;
+    case MEMBER_GOSSIP:
+    case MEMBER_KIND_COUNT:
+      break;
+    }
+}
+
+/* With `apply` false only the reading is tried, so that a message that is cut changes nothing. */
+static bool
+read_items (struct member *member,
+            const char *from,
+            struct pack_reader reader,
+            uint32_t count,
+            bool apply,
+            int64_t now)
+{
+  struct member_item item;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (!member_read_item (&reader, &item))
+        return false;
+      if (!apply)
+        continue;
+      if (item.form != MEMBER_FORM_VITALS)
+        member_apply (member, from, &item, now);
+      else if (member_take_vitals (member, item.host.name, &item.vitals, now))
+        member_make_vitals_news (member, member_find (member, item.host.name));
+    }
+  return pack_read_end (&reader);
+}
+
+void
+member_receive (
+    struct member *member, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct member_host *host;
+  struct member_head head;
+  struct pack_reader reader;
+
+  pack_reader_init (&reader, data, length);
+  if (!member_read_head (&reader, &head)
+      || !read_items (member, from, reader, head.n_items, false, now))
+    {
+      counter_add (member->malformed, 1);
+      log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, "malformed", "{s:s}", "host", from);
+      return;
+    }
+  if (strcmp (from, member->self->name) == 0)
+    return;
+  read_items (member, from, reader, head.n_items, true, now);
+  member_take_vitals (member, from, &head.vitals, now);
+  host = member_find (member, from);
+  if (host != NULL)
+    member_board (member, host)->heard_at = now;
+  else if (head.kind != MEMBER_JOIN)
+    member_send (member, from, MEMBER_WANT, 0, from);
+  member_probe_message (member, from, &head, now);
+}
+
+void
+member_heard (struct member *member, const char *name, int64_t now)
+{
+  struct member_host *host = member_find (member, name);
+
+  if (host != NULL)
+    host->probed_at = now;
+}
--- /dev/null
+++ b/src/member_wire.h
@@ -0,0 +1,78 @@
+/* The messages of membership: typed, encoded and decoded with limits. */
+#ifndef MEMBER_WIRE_H
+#define MEMBER_WIRE_H
+
+#include "board.h"
+#include "bytes.h"
+#include "decls.h"
+#include "pack.h"
+
+BEGIN_DECLS
+
+#define MEMBER_ITEMS_MAX 1024 /* in one message */
+
+/* name, text */
+#define MEMBER_KIND_LIST(X)                                                                        \
+  X (PING, "ping")                                                                                 \
+  X (ACK, "ack")                                                                                   \
+  X (PROBE_FOR, "probe-for") /* probe `about` for the sender */                                    \
+  X (NACK, "nack")           /* `about` did not answer in time; the helper lives */                \
+  X (GOSSIP, "gossip")       /* news alone */                                                      \
+  X (WANT, "want")           /* the whole record of `about` is asked for */                        \
+  X (JOIN, "join")           /* a host without a view asks for one */                              \
+  X (SYNC, "sync")           /* views differ: the receiver's is asked for */
+
+enum member_kind
+{
+#define X(name, text) MEMBER_##name,
+  MEMBER_KIND_LIST (X)
+#undef X
+      MEMBER_KIND_COUNT
+};
+
+/* What changes often and is only the latest word, never evidence of life. */
+struct member_vitals
+{
+  uint64_t incarnation;
+  uint64_t beat; /* orders vitals within the incarnation */
+  uint64_t revision;
+  uint32_t load_percent;
+  bool behind;
+  bool cut_off;
+};
+
+struct member_head
+{
+  enum member_kind kind;
+  uint64_t number;                /* of a probe; comes back in ACK and NACK */
+  char about[RESOURCE_NAME_SIZE]; /* "" where there is none */
+  struct member_vitals vitals;    /* the sender's */
+  uint32_t digest;                /* of the sender's view */
+  uint32_t n_items;
+};
+
+enum member_form
+{
+  MEMBER_FORM_STATE, /* of a host whose record is known */
+  MEMBER_FORM_RECORD,
+  MEMBER_FORM_VITALS,
+  MEMBER_FORM_COUNT
+};
+
+struct member_item
+{
+  enum member_form form;
+  uint64_t sequence; /* not of vitals */
+  struct board_host host;
+  struct member_vitals vitals;
+};
+
+void member_write_head (struct bytes *out, const struct member_head *head);
+bool member_read_head (struct pack_reader *reader, struct member_head *head);
+
+void member_write_item (struct bytes *out, const struct member_item *item);
+bool member_read_item (struct pack_reader *reader, struct member_item *item);
+
+END_DECLS
+
+#endif
