--- a/bench/fuzz_parts.h
+++ b/bench/fuzz_parts.h
@@ -25,6 +25,14 @@
 extern const struct fuzz_decoder fuzz_store_snapshot;
 extern const struct fuzz_decoder fuzz_directory;
 
+/* fuzz_claim.c */
+extern const struct fuzz_decoder fuzz_claim_entry;
+extern const struct fuzz_decoder fuzz_claim_result;
+extern const struct fuzz_decoder fuzz_claim_snapshot;
+
+/* fuzz_member.c */
+extern const struct fuzz_decoder fuzz_member;
+
 END_DECLS
 
 #endif
