Shut down in steps that cut no request

Cause: after SIGTERM a host is still on lists that callers hold, and has work in flight; a second signal or a hanging target must still end it. Conclusion: each step and both early ends are tested on virtual time.

--- /dev/null
+++ b/tests/unit_drain.cc
@@ -0,0 +1,175 @@
+// Graceful shutdown step by step, on virtual time.
+#include "drain.h"
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+constexpr int64_t LIST_KEEP = 10 * USEC_PER_SEC;
+constexpr int64_t BOUND = 60 * USEC_PER_SEC;
+
+// What the process does, recorded; requests in flight and the hand-over are set by the test.
+struct process
+{
+  struct drain_actions actions; // first member
+  void *memory;
+  struct board *board;
+  struct timer_service *timers;
+  struct drain *drain;
+  int64_t now = 1000 * USEC_PER_SEC;
+  unsigned in_flight = 0;
+  bool handed_over = true;
+  std::vector<std::string> steps;
+  int exit_code = -1;
+
+  static struct process *
+  of (struct drain_actions *a)
+  {
+    return reinterpret_cast<process *> (a);
+  }
+  static void
+  leave (struct drain_actions *a, int64_t)
+  {
+    of (a)->steps.push_back ("leave");
+  }
+  static bool
+  idle (struct drain_actions *a)
+  {
+    return of (a)->in_flight == 0;
+  }
+  static void
+  hand_over (struct drain_actions *a, int64_t)
+  {
+    of (a)->steps.push_back ("hand");
+  }
+  static bool
+  is_over (struct drain_actions *a)
+  {
+    return of (a)->handed_over;
+  }
+  static uint32_t
+  unfinished (struct drain_actions *a, int64_t)
+  {
+    return of (a)->in_flight;
+  }
+  static void
+  end (struct drain_actions *a, int exit_code, int64_t)
+  {
+    of (a)->steps.push_back ("end");
+    of (a)->exit_code = exit_code;
+  }
+  static inline const struct drain_ops ops = { .leave = leave,
+                                               .idle = idle,
+                                               .hand_over = hand_over,
+                                               .handed_over = is_over,
+                                               .log_unfinished = unfinished,
+                                               .end = end };
+
+  process ()
+      : actions{ &ops }, memory (talloc_new (nullptr)), board (board_new (memory)),
+        timers (timer_service_new (memory))
+  {
+    struct drain_config config = { .board = board,
+                                   .timers = timers,
+                                   .actions = &actions,
+                                   .dump = nullptr,
+                                   .list_keep = LIST_KEEP,
+                                   .drain_bound = BOUND };
+    drain = drain_new (memory, &config);
+  }
+  ~process ()
+  {
+    talloc_free (memory);
+  }
+  process (const process &) = delete;
+  process &operator= (const process &) = delete;
+
+  void
+  run (int64_t span)
+  {
+    for (int64_t until = now + span; now < until; now += 10 * USEC_PER_MSEC)
+      timer_service_run (timers, now);
+  }
+};
+
+// A host is restarted under load.  Callers still hold lists that name it, and its own requests take
+// a while: nothing may be refused before the lists are old, nothing cut before it is answered.
+TEST (Drain, ServesWhileListsNameItThenFinishesWhatIsInFlight)
+{
+  struct process p;
+
+  p.in_flight = 3;
+  drain_signal (p.drain, p.now);
+  EXPECT_TRUE (p.board->leaving);
+  p.run (LIST_KEEP - 100 * USEC_PER_MSEC);
+  EXPECT_FALSE (p.board->refusing);
+  EXPECT_EQ (drain_state (p.drain), DRAIN_LEAVING);
+  p.run (200 * USEC_PER_MSEC);
+  EXPECT_TRUE (p.board->refusing);
+  p.run (20 * USEC_PER_SEC);
+  EXPECT_EQ (drain_state (p.drain), DRAIN_REFUSING);
+  EXPECT_EQ (p.exit_code, -1);
+  p.in_flight = 0;
+  p.run (100 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, 0);
+  EXPECT_EQ (p.steps, (std::vector<std::string>{ "leave", "hand", "end" }));
+}
+
+// An idle host asked to stop has nothing in flight, but a list given a moment ago still names it.
+TEST (Drain, AnIdleHostStaysUntilNoListNamesIt)
+{
+  struct process p;
+
+  drain_signal (p.drain, p.now);
+  p.run (LIST_KEEP - 100 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, -1);
+  p.run (200 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, 0);
+}
+
+TEST (Drain, WaitsForTheHandOverButNotForEver)
+{
+  struct process p;
+
+  p.handed_over = false;
+  drain_signal (p.drain, p.now);
+  p.run (LIST_KEEP + DRAIN_HAND_OVER_MAX - 100 * USEC_PER_MSEC);
+  EXPECT_EQ (drain_state (p.drain), DRAIN_HANDING_OVER);
+  p.run (300 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, 0);
+}
+
+// An operator cannot wait and sends the signal again: the process ends at once, and its exit code
+// says that something was left.
+TEST (Drain, ASecondSignalEndsAtOnceAndSaysWhatWasUnfinished)
+{
+  struct process p;
+
+  p.in_flight = 2;
+  drain_signal (p.drain, p.now);
+  p.run (USEC_PER_SEC);
+  drain_signal (p.drain, p.now);
+  EXPECT_EQ (p.exit_code, DRAIN_EXIT_UNFINISHED);
+  p.steps.clear ();
+  drain_signal (p.drain, p.now);
+  p.run (BOUND);
+  EXPECT_TRUE (p.steps.empty ());
+}
+
+// A request never ends, its target hangs.  The shutdown ends by its bound all the same.
+TEST (Drain, TheBoundEndsAShutdownWithWorkThatNeverEnds)
+{
+  struct process p;
+
+  p.in_flight = 1;
+  drain_signal (p.drain, p.now);
+  p.run (BOUND - 100 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, -1);
+  p.run (200 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, DRAIN_EXIT_UNFINISHED);
+}
+
+} // namespace
