Let check open the key and the data folder as run does

A lax mode, torn halves or a folder without write permission showed only when the host was started. check now reads the key file through the same code, asks for read, write and search on the data folder, and notes an even number of voters, which stands no more losses than one voter less.

--- a/src/cli_check.c
+++ b/src/cli_check.c
@@ -1,8 +1,10 @@
 /* `cherryarch check`: is the settings file in order? */
 #include "cli.h"
+#include "keyfile.h"
 #include "settings.h"
 #include <argp.h>
 #include <errno.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -54,22 +56,35 @@
 
 /* A file that the settings name must be there, or `run` fails where `check` did not. */
 static bool
-check_readable (const char *path, const char *what)
+check_access (const char *path, int mode, const char *what)
 {
-  if (path[0] == '\0' || access (path, R_OK) == 0)
+  if (path[0] == '\0' || access (path, mode) == 0)
     return true;
   fprintf (stderr, "on this machine: %s %s: %s\n", what, path, strerror (errno));
   return false;
 }
 
+/* Read as `run` reads it: a lax mode or torn halves show here. */
+static bool
+check_key (const char *path)
+{
+  struct key_pair pair;
+  bool good = path[0] == '\0' || keyfile_read (path, &pair) == STATUS_OK;
+
+  if (!good)
+    fprintf (stderr, "on this machine: [keys] file %s\n", status_message ());
+  sodium_memzero (&pair, sizeof pair);
+  return good;
+}
+
 static bool
 check_files (const struct settings *settings)
 {
-  bool good = check_readable (settings->key_file, "[keys] file");
+  bool good = check_key (settings->key_file);
 
-  good = check_readable (settings->tls_certificate, "[keys] tls_certificate") && good;
-  good = check_readable (settings->tls_key, "[keys] tls_key") && good;
-  return check_readable (settings->data_folder, "[data] folder") && good;
+  good = check_access (settings->tls_certificate, R_OK, "[keys] tls_certificate") && good;
+  good = check_access (settings->tls_key, R_OK, "[keys] tls_key") && good;
+  return check_access (settings->data_folder, R_OK | W_OK | X_OK, "[data] folder") && good;
 }
 
 static void
@@ -78,6 +93,9 @@
   printf ("%s in %s (%s): callers %s, operators %s, targets %s, peers %s\n", settings->name,
           settings->domain, settings->region, settings->listen_callers, settings->listen_operators,
           settings->listen_targets, settings->listen_peers);
+  if (settings->n_voters > 0 && settings->n_voters % 2 == 0)
+    printf ("note: %u voters stand no more losses than %u\n", settings->n_voters,
+            settings->n_voters - 1);
   if (settings->key_file[0] == '\0')
     printf ("note: no [keys] file, so messages between hosts are not encrypted\n");
   if (settings->admin_token_hash[0] == '\0')
