--- a/src/consensus_form.c
+++ b/src/consensus_form.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define FORM_FRESH (2 * USEC_PER_SEC) /* how new what was heard must be */
+#define FORM_SILENCE (4 * USEC_PER_SEC)
 #define STANDBY_PERIOD (2 * USEC_PER_SEC)
 
 enum status
@@ -85,13 +86,24 @@
   voter_flush (self, now);
 }
 
+/* Having a group is not enough: a learner whose addition was never committed, because its leader
+ * lost a race, has taken the group and is a member for nobody else.  A member that is only cut off
+ * says hello too, and the leader, to whom it is a member, takes no notice. */
+bool
+voter_is_waiting (const struct consensus_voter *self, int64_t now)
+{
+  return self->identity.group == 0
+         || (raft_role (self->raft) != RAFT_LEADER
+             && now - raft_heard_at (self->raft) > FORM_SILENCE);
+}
+
 void
 voter_form (struct consensus_voter *self, int64_t now)
 {
   struct raft_members members;
   bool first = self->n_first_voters > 0 && strcmp (self->first_voters[0], self->name) == 0;
 
-  if (raft_member_set (self->raft)->n > 0 || raft_last (self->raft) > 0)
+  if (!voter_is_waiting (self, now))
     return;
   if (first && self->identity.group == 0 && gather (self, &members, now))
     {
@@ -100,7 +112,7 @@
     }
   if (self->config.port == NULL || now < self->hello_at)
     return;
-  self->hello_at = now + (first ? 0 : STANDBY_PERIOD);
+  self->hello_at = now + (first && self->identity.group == 0 ? 0 : STANDBY_PERIOD);
   for (uint32_t i = 0; i < self->n_first_voters; i++)
-    voter_send_hello (self, self->first_voters[i], true);
+    voter_send_hello (self, self->first_voters[i], true, now);
 }
--- a/src/consensus_peer.c
+++ b/src/consensus_peer.c
@@ -11,7 +11,7 @@
 
 /* Each message starts with its type, the group, and the sender's count of starts. */
 #define MESSAGE_RAFT 1
-#define MESSAGE_HELLO 2      /* id, wants a reply: who I am */
+#define MESSAGE_HELLO 2      /* id, wants a reply, waits to be taken in, leader */
 #define MESSAGE_OLD_FOLDER 3 /* id, starts: a later start of that voter was heard */
 #define MESSAGE_TYPE_MAX 3
 
@@ -42,7 +42,7 @@
 }
 
 void
-voter_send_hello (struct consensus_voter *self, const char *host, bool wants_reply)
+voter_send_hello (struct consensus_voter *self, const char *host, bool wants_reply, int64_t now)
 {
   struct bytes out;
 
@@ -51,6 +51,7 @@
   write_head (self, MESSAGE_HELLO, &out);
   pack_uint (&out, self->identity.id);
   pack_bool (&out, wants_reply);
+  pack_bool (&out, voter_is_waiting (self, now));
   pack_text (&out, voter_leader_name (self));
   send_bytes (self, host, &out);
 }
@@ -127,16 +128,19 @@
 {
   uint64_t id = pack_read_uint (in, UINT64_MAX);
   bool wants_reply = pack_read_bool (in);
+  bool waits = pack_read_bool (in);
   char leader[RESOURCE_NAME_SIZE];
 
   pack_read_text (in, leader, sizeof leader);
   if (!pack_read_end (in) || !note_contact (self, id, from, head, now))
     return;
+  if (waits)
+    contact_of (self, id)->hello_at = now;
   if (wants_reply)
-    voter_send_hello (self, from, false);
+    voter_send_hello (self, from, false, now);
   /* Whoever waits to be taken in has to reach the leader, which may be none of the first voters. */
-  else if (self->identity.group == 0 && leader[0] != '\0' && strcmp (leader, from) != 0)
-    voter_send_hello (self, leader, false);
+  else if (leader[0] != '\0' && strcmp (leader, from) != 0 && voter_is_waiting (self, now))
+    voter_send_hello (self, leader, false, now);
 }
 
 static void
--- a/src/consensus_remote.c
+++ b/src/consensus_remote.c
@@ -81,6 +81,7 @@
 static bool
 remote_is_leader (const struct consensus *consensus)
 {
+  (void) consensus;
   return false;
 }
 
@@ -121,6 +122,11 @@
                const void *result,
                size_t length)
 {
+  (void) requests;
+  (void) request;
+  (void) status;
+  (void) result;
+  (void) length;
 }
 
 static const struct requests_ops requests_ops = { .due = due, .answer = answer_nobody };
@@ -163,14 +169,16 @@
 consensus_remote_new (void *parent, const struct consensus_remote_config *config)
 {
   struct consensus_remote *self = talloc_zero (parent, struct consensus_remote);
+  struct rng rng;
 
   if (self == NULL)
     return NULL;
   self->consensus.ops = &ops;
   self->listener.ops = &listener_ops;
-  requests_init (&self->requests, &requests_ops, self, config->timers);
+  rng_init (&rng, config->seed);
+  requests_init (&self->requests, &requests_ops, self, config->timers, rng_u64 (&rng));
   client_init (&self->client, &self->requests, config->port, "", config->voters, config->n_voters,
-               config->seed);
+               rng_u64 (&rng));
   talloc_set_destructor (self, free_remote);
   config->port->ops->listen (config->port, PEER_CHANNEL_PROPOSAL, &self->listener);
   return &self->consensus;
--- a/src/consensus_repair.c
+++ b/src/consensus_repair.c
@@ -29,7 +29,8 @@
 static bool
 is_waiting (const struct consensus_voter *self, const struct voter_contact *contact, int64_t now)
 {
-  return contact->group == 0 && now - contact->heard_at <= WAITING_FRESH
+  return contact->hello_at > 0 && now - contact->hello_at <= WAITING_FRESH
+         && (contact->group == 0 || contact->group == self->identity.group)
          && raft_members_find (raft_member_set (self->raft), contact->id) == NULL;
 }
 
@@ -165,7 +166,7 @@
   struct raft_change change;
 
   if (raft_role (self->raft) != RAFT_LEADER || !next_change (self, &change, now)
-      || raft_change_members (self->raft, &change, now) != STATUS_OK)
+      || raft_change_members (self->raft, &change) != STATUS_OK)
     return;
   log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "members change", "{s:s,s:s}", "change",
              raft_change_text (change.kind), "host", change.member.name);
--- a/src/consensus_request.c
+++ b/src/consensus_request.c
@@ -19,9 +19,15 @@
 requests_init (struct requests *requests,
                const struct requests_ops *ops,
                void *parent,
-               struct timer_service *timers)
+               struct timer_service *timers,
+               uint64_t first_number)
 {
-  *requests = (struct requests){ .ops = ops, .parent = parent, .timers = timers };
+  *requests = (struct requests){
+    .ops = ops,
+    .parent = parent,
+    .timers = timers,
+    .last_number = first_number,
+  };
 }
 
 void
@@ -32,6 +38,8 @@
   HASH_CLEAR (hh, requests->by_number);
 }
 
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
 struct request *
 request_new (struct requests *requests,
              enum request_kind kind,
@@ -77,6 +85,8 @@
   return request;
 }
 
+/* NOLINTEND(readability-function-size) */
+
 void
 request_arm (struct request *request, int64_t due)
 {
@@ -113,6 +123,6 @@
 {
   struct request *request = proposal->owner;
 
-  if (request != NULL && request->proposal == proposal)
+  if (request != NULL && request->requests == requests && request->proposal == proposal)
     request_free (request);
 }
--- a/src/consensus_request.h
+++ b/src/consensus_request.h
@@ -70,10 +70,13 @@
   uint64_t last_number;
 };
 
+/* `first_number` is random: with numbers that begin anew at each start, a late answer to a request
+ * of the process before could pass for the answer to one of this. */
 void requests_init (struct requests *requests,
                     const struct requests_ops *ops,
                     void *parent,
-                    struct timer_service *timers);
+                    struct timer_service *timers,
+                    uint64_t first_number);
 
 /* Disarm every timer; the requests go with their parent.  Proposals are not touched: whoever made
  * them may be gone already. */
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -567,7 +567,7 @@
   for (uint32_t i = 0; i < config->n_voters && i < CLIENT_HOSTS_MAX; i++)
     text_copy_cut (self->first_voters[self->n_first_voters++], RESOURCE_NAME_SIZE,
                    config->voters[i]);
-  requests_init (&self->requests, &requests_ops, self, config->timers);
+  requests_init (&self->requests, &requests_ops, self, config->timers, rng_u64 (&self->rng));
   client_init (&self->client, &self->requests, config->port, self->name, config->voters,
                config->n_voters, rng_u64 (&self->rng));
   take_counters (self, config->counters);
@@ -609,7 +609,7 @@
   enum status status = STATUS_NOT_LEADER;
 
   if (leads (self))
-    status = raft_change_members (self->raft, change, now);
+    status = raft_change_members (self->raft, change);
   if (status == STATUS_OK)
     voter_wake (self, now);
   return status;
--- a/src/consensus_voter_private.h
+++ b/src/consensus_voter_private.h
@@ -18,6 +18,7 @@
   uint64_t group;
   uint64_t starts;
   int64_t heard_at;
+  int64_t hello_at; /* when it last said that it hears no leader; 0: never */
   char name[RESOURCE_NAME_SIZE];
 };
 
@@ -85,13 +86,19 @@
 /* consensus_peer.c */
 void voter_listen (struct consensus_voter *self);
 void voter_send (struct consensus_voter *self, const struct raft_message *message);
-void voter_send_hello (struct consensus_voter *self, const char *host, bool wants_reply);
+void voter_send_hello (struct consensus_voter *self,
+                       const char *host,
+                       bool wants_reply,
+                       int64_t now);
 const struct voter_contact *voter_contact_by_id (const struct consensus_voter *self, uint64_t id);
 
 /* consensus_form.c */
 enum status voter_join_group (struct consensus_voter *self, uint64_t group);
 void voter_form (struct consensus_voter *self, int64_t now);
 
+/* No leader sends to this host: it may have to be taken in. */
+bool voter_is_waiting (const struct consensus_voter *self, int64_t now);
+
 /* consensus_repair.c */
 void voter_repair (struct consensus_voter *self, int64_t now);
 
--- a/src/disk_posix.c
+++ b/src/disk_posix.c
@@ -47,12 +47,14 @@
 static void
 posix_close (struct disk *disk, int file)
 {
+  (void) disk;
   close (file);
 }
 
 static enum status
 posix_append (struct disk *disk, int file, const void *data, size_t length)
 {
+  (void) disk;
   const char *at = data;
 
   while (length > 0)
@@ -72,12 +74,14 @@
 static enum status
 posix_truncate (struct disk *disk, int file, uint64_t length)
 {
+  (void) disk;
   return ftruncate (file, (off_t) length) == 0 ? STATUS_OK : fail_errno ("truncate", "a file");
 }
 
 static enum status
 posix_sync (struct disk *disk, int file)
 {
+  (void) disk;
   return fdatasync (file) == 0 ? STATUS_OK : fail_errno ("sync", "a file");
 }
 
--- a/src/journal.c
+++ b/src/journal.c
@@ -64,7 +64,7 @@
 {
   char *words = header + JOURNAL_MAGIC_SIZE + 8;
 
-  memcpy (header, JOURNAL_MAGIC, JOURNAL_MAGIC_SIZE);
+  format_put (header, JOURNAL_MAGIC);
   format_put (header + JOURNAL_MAGIC_SIZE, JOURNAL_VERSION | (uint64_t) flags << 32);
   format_put (words + SEGMENT_ID * 8, journal->id);
   format_put (words + SEGMENT_PREV_INDEX * 8, journal->last_index);
--- a/src/journal_format.h
+++ b/src/journal_format.h
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define JOURNAL_MAGIC "cherryj\n"
+#define JOURNAL_MAGIC UINT64_C (0x0a6a797272656863) /* "cherryj\n" */
 #define JOURNAL_MAGIC_SIZE 8
 #define JOURNAL_NAME_PREFIX "journal-"
 #define JOURNAL_NAME_FORMAT JOURNAL_NAME_PREFIX "%016" PRIx64
--- a/src/journal_replay.c
+++ b/src/journal_replay.c
@@ -96,8 +96,7 @@
   uint64_t prev_term;
   uint64_t version;
 
-  if (file->length < SEGMENT_HEADER_SIZE
-      || memcmp (file->data, JOURNAL_MAGIC, JOURNAL_MAGIC_SIZE) != 0)
+  if (file->length < SEGMENT_HEADER_SIZE || format_get (file->data) != JOURNAL_MAGIC)
     return corrupt (number, 0, "no segment header");
   version = format_get (file->data + JOURNAL_MAGIC_SIZE);
   if ((uint32_t) version > JOURNAL_VERSION)
@@ -129,9 +128,15 @@
   uint64_t index = format_get (record + RECORD_INDEX * 8);
   uint64_t entry_kind = format_get (record + RECORD_LENGTH * 8) >> 48;
 
-  if (index > raft_log_last (&found->log) + 1 || index <= found->log.base_index
-      || entry_kind >= RAFT_ENTRY_KIND_COUNT)
+  if (index > raft_log_last (&found->log) + 1 || index == 0 || entry_kind >= RAFT_ENTRY_KIND_COUNT)
     return status_fail (STATUS_CORRUPT, "journal entry %" PRIu64 " out of place", index);
+  /* A leader replaced entries from before this segment, and the segment that held the replaced ones
+   * was dropped since, below a snapshot: what the header says came before is not so any more. */
+  if (index <= found->log.base_index)
+    {
+      raft_log_reset (&found->log, index, format_get (record + RECORD_TERM * 8));
+      return STATUS_OK;
+    }
   raft_log_truncate (&found->log, index);
   return raft_log_append (talloc_parent (journal), &found->log,
                           format_get (record + RECORD_TERM * 8), (enum raft_entry_kind) entry_kind,
--- a/src/raft.c
+++ b/src/raft.c
@@ -400,6 +400,12 @@
   return raft->leader;
 }
 
+int64_t
+raft_heard_at (const struct raft *raft)
+{
+  return raft->heard_at;
+}
+
 uint64_t
 raft_committed (const struct raft *raft)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -136,7 +136,7 @@
 
 /* One change at a time: STATUS_AGAIN while the last is not committed, STATUS_CONFLICT when it does
  * not fit the current members, STATUS_UNAVAILABLE when the learner has not caught up. */
-enum status raft_change_members (struct raft *raft, const struct raft_change *change, int64_t now);
+enum status raft_change_members (struct raft *raft, const struct raft_change *change);
 
 /* Hand leadership to the voter `to`, 0 for the most advanced one. */
 enum status raft_transfer (struct raft *raft, uint64_t to, int64_t now);
@@ -165,7 +165,8 @@
 uint64_t raft_id (const struct raft *raft);
 uint64_t raft_term (const struct raft *raft);
 enum raft_role raft_role (const struct raft *raft);
-uint64_t raft_leader (const struct raft *raft); /* 0: unknown */
+uint64_t raft_leader (const struct raft *raft);  /* 0: unknown */
+int64_t raft_heard_at (const struct raft *raft); /* when a leader was last heard */
 uint64_t raft_committed (const struct raft *raft);
 uint64_t raft_applied (const struct raft *raft);
 uint64_t raft_first (const struct raft *raft); /* first entry held in memory */
--- a/src/raft_change.c
+++ b/src/raft_change.c
@@ -72,7 +72,7 @@
 }
 
 enum status
-raft_change_members (struct raft *raft, const struct raft_change *change, int64_t now)
+raft_change_members (struct raft *raft, const struct raft_change *change)
 {
   struct raft_members members;
   struct bytes out;
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -5,7 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define MAGIC "cherrys\n"
+#define MAGIC UINT64_C (0x0a73797272656863) /* "cherrys\n" */
 #define MAGIC_SIZE 8
 #define VERSION 1
 #define NAME_PREFIX "snapshot-"
@@ -67,7 +67,7 @@
   if (bytes_failed (out))
     return;
   members_length = out->length - HEADER_SIZE;
-  memcpy (header, MAGIC, MAGIC_SIZE);
+  format_put (header, MAGIC);
   format_put (header + MAGIC_SIZE, VERSION | (uint64_t) members_length << 32);
   format_put (words + WORD_INDEX * 8, snapshot->index);
   format_put (words + WORD_TERM * 8, snapshot->term);
@@ -140,7 +140,7 @@
   size_t data_length;
   enum status status;
 
-  if (file->length < HEADER_SIZE || memcmp (file->data, MAGIC, MAGIC_SIZE) != 0)
+  if (file->length < HEADER_SIZE || format_get (file->data) != MAGIC)
     return status_fail (STATUS_CORRUPT, "a snapshot without a header");
   version = format_get (file->data + MAGIC_SIZE);
   members_length = version >> 32;
