--- /dev/null
+++ b/bench/explore.c
@@ -0,0 +1,259 @@
+/* A seeded random walk through what can fail in a group. */
+#include "explore.h"
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#define STEP_MAX (200 * USEC_PER_MSEC)
+#define CALL_TIMEOUT (3 * USEC_PER_SEC)
+#define HEAL_TIME (60 * USEC_PER_SEC)
+#define JUMP_MAX (5 * USEC_PER_SEC)
+#define SLOW_MAX (300 * USEC_PER_MSEC)
+#define DISK_STOP_MAX 20
+
+struct walk
+{
+  struct fake_group *group;
+  struct rng rng;
+  uint32_t voters;
+  uint32_t n;
+  bool jumps;        /* clocks jump while running; then there are no leases */
+  bool disk_missing; /* a disk was lost and the group is not whole again */
+};
+
+static uint32_t
+any_host (struct walk *walk)
+{
+  return (uint32_t) rng_below (&walk->rng, walk->n);
+}
+
+static bool
+is_up (struct walk *walk, uint32_t host)
+{
+  return fake_group_consensus (walk->group, host) != NULL;
+}
+
+static void
+do_propose (struct walk *walk)
+{
+  uint32_t n = 1 + (uint32_t) rng_below (&walk->rng, 8);
+
+  for (uint32_t i = 0; i < n; i++)
+    fake_group_propose (walk->group, any_host (walk), CALL_TIMEOUT);
+}
+
+static void
+do_read (struct walk *walk)
+{
+  for (uint32_t i = 0; i < walk->n; i++)
+    fake_group_read (walk->group, i, CALL_TIMEOUT);
+}
+
+static void
+do_cut_one_way (struct walk *walk)
+{
+  fake_group_cut (walk->group, any_host (walk), any_host (walk), true);
+}
+
+static void
+do_isolate (struct walk *walk)
+{
+  fake_group_isolate (walk->group, any_host (walk), true);
+}
+
+/* Two parts that do not hear each other. */
+static void
+do_split (struct walk *walk)
+{
+  uint64_t side = rng_u64 (&walk->rng);
+
+  for (uint32_t i = 0; i < walk->n; i++)
+    for (uint32_t j = 0; j < walk->n; j++)
+      if ((side >> i & 1) != (side >> j & 1))
+        fake_group_cut (walk->group, i, j, true);
+}
+
+static void
+do_heal (struct walk *walk)
+{
+  fake_group_heal (walk->group);
+}
+
+static void
+do_crash (struct walk *walk)
+{
+  uint32_t host = any_host (walk);
+
+  if (is_up (walk, host))
+    fake_group_stop (walk->group, host, rng_below (&walk->rng, 4) != 0);
+}
+
+/* The power goes between two operations on files. */
+static void
+do_stop_disk (struct walk *walk)
+{
+  disk_fake_stop_after (fake_group_disk (walk->group, any_host (walk)),
+                        1 + rng_below (&walk->rng, DISK_STOP_MAX));
+}
+
+static void
+start (struct walk *walk, uint32_t host, char *breach)
+{
+  enum status status;
+
+  if (is_up (walk, host))
+    return;
+  status = fake_group_start (walk->group, host);
+  /* The disk may stop during the start; anything else is a fault of ours. */
+  if (status != STATUS_OK && status != STATUS_IO && breach[0] == '\0')
+    snprintf (breach, GROUP_BREACH_SIZE, "v%u cannot start: %s", host, status_message ());
+}
+
+/* At most one disk at a time: more than a group is made to survive would prove nothing. */
+static void
+do_lose_disk (struct walk *walk)
+{
+  uint32_t host = any_host (walk);
+
+  if (walk->disk_missing || !fake_group_whole (walk->group))
+    return;
+  fake_group_stop (walk->group, host, true);
+  fake_group_set_disk (walk->group, host, NULL);
+  walk->disk_missing = true;
+}
+
+static void
+do_slow_disk (struct walk *walk)
+{
+  int64_t delay = rng_below (&walk->rng, 2) == 0 ? 0 : (int64_t) rng_below (&walk->rng, SLOW_MAX);
+
+  fake_group_slow_disk (walk->group, any_host (walk), delay);
+}
+
+static void
+do_jump_clock (struct walk *walk)
+{
+  uint32_t host = any_host (walk);
+
+  if (walk->jumps || !is_up (walk, host))
+    fake_group_jump_clock (walk->group, host, (int64_t) rng_below (&walk->rng, JUMP_MAX));
+}
+
+static void
+do_transfer (struct walk *walk)
+{
+  uint32_t host = any_host (walk);
+
+  if (is_up (walk, host))
+    consensus_voter_transfer (fake_group_consensus (walk->group, host),
+                              fake_group_local (walk->group, host));
+}
+
+static void
+do_nothing (struct walk *walk)
+{
+  (void) walk;
+}
+
+struct deed
+{
+  void (*act) (struct walk *walk);
+  uint32_t weight;
+};
+
+static const struct deed deeds[] = {
+  { do_propose, 40 },  { do_read, 20 },     { do_cut_one_way, 5 }, { do_isolate, 3 },
+  { do_split, 3 },     { do_heal, 20 },     { do_crash, 6 },       { do_stop_disk, 6 },
+  { do_lose_disk, 8 }, { do_slow_disk, 3 }, { do_jump_clock, 3 },  { do_transfer, 3 },
+  { do_nothing, 20 },
+};
+
+static void
+do_any (struct walk *walk)
+{
+  uint32_t total = 0;
+  uint64_t pick;
+  size_t i = 0;
+
+  for (size_t j = 0; j < sizeof deeds / sizeof deeds[0]; j++)
+    total += deeds[j].weight;
+  pick = rng_below (&walk->rng, total);
+  while (pick >= deeds[i].weight)
+    pick -= deeds[i++].weight;
+  deeds[i].act (walk);
+}
+
+static void
+step (struct walk *walk, char *breach)
+{
+  do_any (walk);
+  fake_group_run (walk->group, (int64_t) rng_below (&walk->rng, STEP_MAX));
+  if (rng_below (&walk->rng, 3) != 0)
+    start (walk, any_host (walk), breach);
+  if (walk->disk_missing && fake_group_whole (walk->group))
+    walk->disk_missing = false;
+}
+
+static void
+make_walk (struct walk *walk, const struct explore_config *config)
+{
+  struct fake_group_config group = {
+    .voters = config->voters,
+    .entry_bytes = 40,
+    .snapshot_entries = 60,
+    .replace_after = 0,
+  };
+
+  memset (walk, 0, sizeof *walk);
+  rng_init (&walk->rng, config->seed);
+  group.seed = rng_u64 (&walk->rng);
+  walk->jumps = rng_below (&walk->rng, 2) == 0;
+  group.no_lease = walk->jumps;
+  group.clock_ppm = (uint32_t) rng_below (&walk->rng, 20000);
+  group.drop = (uint32_t) rng_below (&walk->rng, 100);
+  group.duplicate = (uint32_t) rng_below (&walk->rng, 100);
+  group.delay_max =
+      1000 + (int64_t) rng_below (&walk->rng, rng_below (&walk->rng, 2) == 0 ? 4000 : SLOW_MAX);
+  walk->voters = config->voters;
+  walk->n = config->voters;
+  walk->group = fake_group_new (NULL, &group);
+}
+
+/* What was broken mends: then the group must, too. */
+static void
+finish (struct walk *walk, char *breach)
+{
+  int64_t until = fake_group_now (walk->group) + HEAL_TIME;
+
+  fake_group_heal (walk->group);
+  for (uint32_t i = 0; i < walk->n; i++)
+    {
+      fake_group_slow_disk (walk->group, i, 0);
+      disk_fake_stop_after (fake_group_disk (walk->group, i), 0);
+      start (walk, i, breach);
+    }
+  while (fake_group_now (walk->group) < until && fake_group_breach (walk->group)[0] == '\0'
+         && !(fake_group_whole (walk->group) && fake_group_await_equal (walk->group, 0)))
+    fake_group_run (walk->group, USEC_PER_SEC);
+  if (breach[0] == '\0' && fake_group_breach (walk->group)[0] == '\0'
+      && !(fake_group_whole (walk->group) && fake_group_await_equal (walk->group, 0)))
+    snprintf (breach, GROUP_BREACH_SIZE, "the group did not become whole after all was mended");
+}
+
+void
+explore (const struct explore_config *config, struct explore_result *out)
+{
+  struct walk walk;
+
+  memset (out, 0, sizeof *out);
+  make_walk (&walk, config);
+  fake_group_await_leader (walk.group, HEAL_TIME);
+  for (uint32_t i = 0; i < config->steps && out->breach[0] == '\0'; i++)
+    step (&walk, out->breach);
+  finish (&walk, out->breach);
+  if (fake_group_breach (walk.group)[0] != '\0')
+    snprintf (out->breach, sizeof out->breach, "%s", fake_group_breach (walk.group));
+  out->events = fake_group_events (walk.group);
+  fake_group_counts (walk.group, &out->count);
+  talloc_free (walk.group);
+}
--- a/bench/fake_group.c
+++ b/bench/fake_group.c
@@ -197,6 +197,10 @@
                   const char *address,
                   const char *public_key)
 {
+  (void) port;
+  (void) name;
+  (void) address;
+  (void) public_key;
   return STATUS_OK;
 }
 
@@ -310,6 +314,7 @@
 static enum status
 machine_load (struct machine *base, uint64_t index, const void *data, size_t length)
 {
+  (void) index;
   struct fake_machine *machine = (struct fake_machine *) base;
 
   if (length != 16)
@@ -367,6 +372,7 @@
 call_done (
     struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
+  (void) now;
   struct call *call = (struct call *) proposal;
   struct fake_group *group = call->group;
   const struct host *host = &group->hosts[call->host];
@@ -697,6 +703,12 @@
   return group->now;
 }
 
+int64_t
+fake_group_local (const struct fake_group *group, uint32_t host)
+{
+  return local (&group->hosts[host], group->now);
+}
+
 uint64_t
 fake_group_events (const struct fake_group *group)
 {
--- a/bench/fake_group.h
+++ b/bench/fake_group.h
@@ -49,6 +49,7 @@
 const char *fake_group_breach (const struct fake_group *group);
 
 int64_t fake_group_now (const struct fake_group *group);
+int64_t fake_group_local (const struct fake_group *group, uint32_t host); /* on its own clock */
 uint64_t fake_group_events (const struct fake_group *group);
 struct consensus *fake_group_consensus (struct fake_group *group, uint32_t host); /* NULL: down */
 struct disk_fake *fake_group_disk (struct fake_group *group, uint32_t host);
