Reconcile what targets have loaded with what assignments want

Cause: some targets refuse an order with an old fencing number and others ignore the number; a cut-off leader's last order must not undo a new one's. Change: one leader compares each target's own state with its assignment and sends one order at a time, with a fencing number from the log. It sends nothing until the former leader's lease and last call have ended, cuts its calls when it leads no more, looks before ordering again when an answer is lost, and counts an order as done when the target's state shows it.

--- /dev/null
+++ b/src/order.c
@@ -0,0 +1,315 @@
+/* Orders to targets: leading, fencing numbers, and the pass over the board. */
+#include "log.h"
+#include "order_private.h"
+#include "store_group.h"
+#include "text.h"
+#include <string.h>
+#include <utlist.h>
+
+#define PASS_PERIOD (USEC_PER_SEC / 4)
+#define FENCE_WITHIN (2 * USEC_PER_SEC)
+#define FENCE_PERIOD (2 * USEC_PER_SEC) /* between two asks for a number */
+
+#define ORDERS_OF(pointer, member)                                                                 \
+  ((struct orders *) ((char *) (pointer) -offsetof (struct orders, member)))
+
+/* An assignment of the target itself goes before one of its pool; the first by name wins. */
+const struct assignment_spec *
+order_wanted (const struct orders *orders, const struct board_target *target)
+{
+  const struct assignment_spec *of_pool = NULL;
+  uint32_t i;
+
+  for (i = 0; i < orders->n_assignments; i++)
+    {
+      const struct assignment_spec *spec = &orders->assignments[i];
+
+      if (strcmp (spec->target, target->name) == 0)
+        return spec;
+      if (of_pool == NULL && spec->pool[0] != '\0' && strcmp (spec->pool, target->pool) == 0)
+        of_pool = spec;
+    }
+  return of_pool;
+}
+
+static void
+read_assignments (struct orders *orders)
+{
+  const struct store *store = orders->config.store;
+  const struct store_object *object = store_after (store, RESOURCE_ASSIGNMENT, "");
+  uint32_t count = store_count (store, RESOURCE_ASSIGNMENT);
+
+  talloc_free (orders->assignments);
+  orders->n_assignments = 0;
+  orders->assignments = talloc_zero_array (orders, struct assignment_spec, count + 1);
+  if (orders->assignments == NULL)
+    return; /* `stale` stays */
+  for (; object != NULL; object = store_after (store, RESOURCE_ASSIGNMENT, object->name))
+    {
+      union resource_spec spec;
+      struct resource_problem problem;
+      json_t *json = json_loads (object->spec, JSON_REJECT_DUPLICATES, NULL);
+
+      if (resource_parse (RESOURCE_ASSIGNMENT, object->name, json, &spec, &problem) == STATUS_OK)
+        orders->assignments[orders->n_assignments++] = spec.assignment;
+      json_decref (json);
+    }
+  orders->stale = false;
+}
+
+static struct order_target *
+find_target (const struct orders *orders, const char *name)
+{
+  struct order_target *target;
+
+  DL_FOREACH (orders->targets, target)
+    if (strcmp (target->name, name) == 0)
+      return target;
+  return NULL;
+}
+
+static struct order_target *
+add_target (struct orders *orders, const char *name, int64_t now)
+{
+  struct order_target *target = talloc_zero (orders, struct order_target);
+
+  if (target == NULL)
+    return NULL;
+  target->sink.ops = &order_target_sink_ops;
+  target->orders = orders;
+  target->next_at = now;
+  target->pause = USEC_PER_SEC;
+  bytes_init (&target->body, target);
+  text_copy_cut (target->name, sizeof target->name, name);
+  DL_APPEND (orders->targets, target);
+  return target;
+}
+
+static void
+drop_all (struct orders *orders)
+{
+  while (orders->targets != NULL)
+    order_target_drop (orders->targets);
+}
+
+/* A leaving target gets no orders; one whose lease ran out is not there. */
+static void
+pass (struct orders *orders, int64_t now)
+{
+  const struct board_target *entry;
+  struct order_target *target;
+  struct order_target *following;
+  uint32_t cursor = 0;
+
+  DL_FOREACH (orders->targets, target)
+    target->seen = false;
+  while ((entry = table_next (orders->config.board->targets, &cursor, NULL)) != NULL)
+    {
+      const struct assignment_spec *wanted = order_wanted (orders, entry);
+
+      if (wanted == NULL || !board_target_usable (entry, now))
+        continue;
+      target = find_target (orders, entry->name);
+      if (target == NULL)
+        target = add_target (orders, entry->name, now);
+      if (target == NULL)
+        continue;
+      target->seen = true;
+      text_copy_cut (target->assignment, sizeof target->assignment, wanted->name);
+      order_target_step (target, entry, now);
+    }
+  DL_FOREACH_SAFE (orders->targets, target, following)
+    if (!target->seen)
+      order_target_drop (target);
+}
+
+/* The assignments changed: look at every target anew. */
+static void
+look_again (struct orders *orders, int64_t now)
+{
+  struct order_target *target;
+
+  DL_FOREACH (orders->targets, target)
+    if (target->call == NULL && target->phase == ORDER_PHASE_DONE)
+      target->next_at = now;
+}
+
+static void
+ask_fence (struct orders *orders, int64_t now)
+{
+  struct consensus *consensus = orders->config.consensus;
+  struct store_change change = {
+    .op = STORE_FENCE,
+    .text = "",
+    .version = orders->fence_seen,
+    .time_ms = now / USEC_PER_MSEC + orders->config.wall_offset_ms,
+  };
+  struct bytes entry;
+
+  if (orders->fence_proposed
+      || (orders->fence_asked_at != 0 && now < orders->fence_asked_at + FENCE_PERIOD))
+    return;
+  orders->fence_asked_at = now;
+  text_copy_cut (change.host, sizeof change.host, orders->config.host);
+  bytes_init (&entry, orders);
+  store_group_begin (STORE_PART_RESOURCES, &entry);
+  store_change_pack (&change, &entry);
+  orders->fence_proposed =
+      !bytes_failed (&entry)
+      && consensus->ops->propose (consensus, entry.data, entry.length, &orders->fence_proposal,
+                                  now + FENCE_WITHIN, now)
+             == STATUS_OK;
+  bytes_clear (&entry);
+}
+
+static void
+fence_done (
+    struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
+{
+  struct orders *orders = ORDERS_OF (proposal, fence_proposal);
+  struct store_answer answer;
+
+  (void) now;
+  orders->fence_proposed = false;
+  if (status == STATUS_OK && store_answer_unpack (&answer, result, length) == STATUS_OK
+      && answer.verdict == STORE_CHANGED && orders->leading)
+    orders->fence = answer.revision;
+}
+
+static void
+take_over (struct orders *orders, int64_t now)
+{
+  orders->leading = true;
+  orders->led_since = now;
+  orders->fence = 0;
+  orders->fence_asked_at = 0;
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "orders-take-over", NULL);
+}
+
+/* Calls in flight are cut: what a follower sends could cross the new leader's orders. */
+static void
+step_down (struct orders *orders)
+{
+  orders->leading = false;
+  orders->fence = 0;
+  drop_all (orders);
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "orders-step-down", NULL);
+}
+
+/* Failure guarded against: the former leader, cut off, has sent an order that arrives after ours
+ * at a target that ignores the number, and undoes it.  By then its lease is over, so it sends
+ * nothing new, and its last call has met its deadline. */
+static bool
+former_leader_done (const struct orders *orders, int64_t now)
+{
+  int64_t lease = orders->config.former_lease;
+
+  return now >= orders->led_since + (lease > 0 ? lease : ORDER_FORMER_LEASE) + ORDER_CALL_WITHIN;
+}
+
+static void
+due (struct timer *timer, int64_t now)
+{
+  struct orders *orders = ORDERS_OF (timer, timer);
+  struct consensus *consensus = orders->config.consensus;
+  bool leads = consensus->ops->is_leader (consensus);
+
+  timer_arm (orders->config.timers, timer, now + PASS_PERIOD);
+  if (leads && !orders->leading)
+    take_over (orders, now);
+  else if (!leads && orders->leading)
+    step_down (orders);
+  if (!orders->leading || !orders->config.board->config_ready || !former_leader_done (orders, now))
+    return;
+  if (orders->stale)
+    {
+      read_assignments (orders);
+      look_again (orders, now);
+    }
+  if (orders->n_assignments == 0 && orders->targets == NULL)
+    return;
+  if (orders->fence == 0)
+    ask_fence (orders, now);
+  else
+    pass (orders, now);
+  order_status_write (orders, now);
+}
+
+static void
+changed (struct store_listener *listener, const struct store_event *event)
+{
+  if (event == NULL || event->kind == RESOURCE_ASSIGNMENT)
+    ORDERS_OF (listener, listener)->stale = true;
+}
+
+static void
+replaced (struct store_listener *listener)
+{
+  changed (listener, NULL);
+}
+
+static json_t *
+describe (struct dump_source *source, int64_t now)
+{
+  const struct orders *orders = ORDERS_OF (source, source);
+  const struct order_target *target;
+  json_t *targets = json_array ();
+
+  (void) now;
+  DL_FOREACH (orders->targets, target)
+    json_array_append_new (targets,
+                           json_pack ("{s:s,s:s,s:s,s:s}", "target", target->name, "assignment",
+                                      target->assignment, "phase", order_phase_text (target->phase),
+                                      "fault", target->fault));
+  return json_pack ("{s:b,s:I,s:I,s:o}", "leading", orders->leading, "fence",
+                    (json_int_t) orders->fence, "in_flight", (json_int_t) orders->in_flight,
+                    "targets", targets);
+}
+
+static const struct timer_ops timer_ops = { .fire = due };
+static const struct store_listener_ops listener_ops = { .changed = changed, .replaced = replaced };
+static const struct proposal_ops fence_ops = { .done = fence_done };
+static const struct dump_source_ops source_ops = { .describe = describe };
+
+static int
+destroy (struct orders *orders)
+{
+  struct consensus *consensus = orders->config.consensus;
+
+  drop_all (orders);
+  timer_disarm (orders->config.timers, &orders->timer);
+  store_unlisten (orders->config.store, &orders->listener);
+  if (orders->fence_proposed)
+    consensus->ops->withdraw (consensus, &orders->fence_proposal);
+  if (orders->status_proposed)
+    consensus->ops->withdraw (consensus, &orders->status_proposal);
+  return 0;
+}
+
+struct orders *
+order_new (void *parent, const struct order_config *config, int64_t now)
+{
+  struct orders *orders = talloc_zero (parent, struct orders);
+
+  if (orders == NULL)
+    return NULL;
+  orders->config = *config;
+  orders->timer.ops = &timer_ops;
+  orders->listener.ops = &listener_ops;
+  orders->fence_proposal.ops = &fence_ops;
+  orders->status_proposal.ops = &order_status_ops;
+  orders->source.ops = &source_ops;
+  orders->source.name = "orders";
+  orders->stale = true;
+  orders->sent = counter_get (config->counters, "orders_sent_total", "Orders to targets.", NULL);
+  orders->done = counter_get (config->counters, "orders_done_total",
+                              "Targets brought to what their assignment wants.", NULL);
+  orders->refused =
+      counter_get (config->counters, "orders_refused_total", "Orders that targets refused.", NULL);
+  store_listen (config->store, &orders->listener);
+  if (config->dump != NULL)
+    dump_add (config->dump, &orders->source);
+  timer_arm (config->timers, &orders->timer, now);
+  talloc_set_destructor (orders, destroy);
+  return orders;
+}
--- /dev/null
+++ b/src/order_plan.h
@@ -0,0 +1,61 @@
+/* What a target should have against what it has: the next order, as a pure function. */
+#ifndef ORDER_PLAN_H
+#define ORDER_PLAN_H
+
+#include "decls.h"
+#include "resource.h"
+#include "status.h"
+
+BEGIN_DECLS
+
+#define ORDER_LOADED_MAX 64
+
+/* name, text */
+#define ORDER_KIND_LIST(X)                                                                         \
+  X (SET_VERSION, "set_version")                                                                   \
+  X (LOAD_MODEL, "load_model")                                                                     \
+  X (LOAD_ADAPTER, "load_adapter")                                                                 \
+  X (SET_ROLE, "set_role")                                                                         \
+  X (UNLOAD_MODEL, "unload_model")
+
+enum order_kind
+{
+#define X(name, text) ORDER_##name,
+  ORDER_KIND_LIST (X)
+#undef X
+      ORDER_KIND_COUNT
+};
+
+const char *order_kind_text (enum order_kind kind);
+
+/* A target's own word on what it has: GET /v1/state. */
+struct order_state
+{
+  char models[ORDER_LOADED_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_models;
+  char adapters[ORDER_LOADED_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_adapters;
+  char version[RESOURCE_NAME_SIZE];
+  char role[RESOURCE_NAME_SIZE];
+  uint64_t fence;
+  uint64_t incarnation;
+};
+
+enum status order_state_parse (const char *text, size_t length, struct order_state *out);
+
+struct order_step
+{
+  enum order_kind kind;
+  char value[RESOURCE_NAME_SIZE];
+};
+
+/* The next order towards what is wanted; false when the state is as wanted.  The version first, for
+ * it may reload the rest; what is to go last, so that the target serves meanwhile.  An assignment
+ * that names no models leaves the models alone, and so on. */
+bool order_next (const struct assignment_spec *wanted,
+                 const struct order_state *state,
+                 struct order_step *out);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/order_target.c
@@ -0,0 +1,264 @@
+/* One target: look, order, look again until the order shows. */
+#include "log.h"
+#include "order_private.h"
+#include "text.h"
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define LOOK_PERIOD (15 * USEC_PER_SEC) /* of a target that is as wanted */
+#define SETTLE_FIRST (USEC_PER_SEC)
+#define SETTLE_MAX (15 * USEC_PER_SEC)
+#define ORDER_AGAIN (60 * USEC_PER_SEC) /* an order that does not show is sent again */
+#define IN_FLIGHT_MAX 64
+#define STATE_BYTES_MAX (64u << 10)
+
+static const char *const phases[] = {
+#define X(name, text) [ORDER_PHASE_##name] = text,
+  ORDER_PHASE_LIST (X)
+#undef X
+};
+
+const char *
+order_phase_text (enum order_phase phase)
+{
+  return (unsigned) phase < ORDER_PHASE_COUNT ? phases[phase] : "unknown";
+}
+
+static void
+end_call (struct order_target *target)
+{
+  if (target->call != NULL)
+    target->orders->in_flight--;
+  target->call = NULL;
+}
+
+void
+order_target_drop (struct order_target *target)
+{
+  struct orders *orders = target->orders;
+
+  if (target->call != NULL)
+    orders->config.client->ops->cancel (orders->config.client, target->call);
+  end_call (target);
+  DL_DELETE (orders->targets, target);
+  talloc_free (target);
+}
+
+static void
+slow_down (struct order_target *target, int64_t now)
+{
+  target->next_at = now + target->pause;
+  target->pause = target->pause * 2 < SETTLE_MAX ? target->pause * 2 : SETTLE_MAX;
+}
+
+static void
+fail (struct order_target *target, const char *message, int64_t now)
+{
+  text_copy_cut (target->fault, sizeof target->fault, message);
+  target->phase = target->stepped ? ORDER_PHASE_SETTLING : ORDER_PHASE_IDLE;
+  slow_down (target, now);
+}
+
+static void
+start (struct order_target *target,
+       const struct board_target *entry,
+       const char *method,
+       const char *path,
+       const char *body,
+       int64_t now)
+{
+  static const struct http_field type = { "content-type", "application/json" };
+  struct http_client *client = target->orders->config.client;
+  const struct http_call_spec spec = {
+    .address = entry->address,
+    .method = method,
+    .path = path,
+    .headers = &type,
+    .n_headers = body == NULL ? 0 : 1,
+    .body = body,
+    .body_length = body == NULL ? 0 : strlen (body),
+    .deadline = now + ORDER_CALL_WITHIN,
+    .max_body_bytes = STATE_BYTES_MAX,
+  };
+
+  bytes_clear (&target->body);
+  target->code = 0;
+  if (client->ops->start (client, &spec, &target->sink, now, &target->call) != STATUS_OK)
+    {
+      target->call = NULL;
+      fail (target, status_message (), now);
+      return;
+    }
+  target->orders->in_flight++;
+}
+
+static void
+look (struct order_target *target, const struct board_target *entry, int64_t now)
+{
+  target->posting = false;
+  target->phase = target->stepped ? ORDER_PHASE_SETTLING : ORDER_PHASE_READING;
+  start (target, entry, "GET", "/v1/state", NULL, now);
+}
+
+static void
+order (struct order_target *target, const struct board_target *entry, int64_t now)
+{
+  json_t *body = json_pack ("{s:I,s:s,s:s}", "fence", (json_int_t) target->orders->fence, "order",
+                            order_kind_text (target->step.kind), "value", target->step.value);
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  json_decref (body);
+  if (text == NULL)
+    {
+      fail (target, "out of memory", now);
+      return;
+    }
+  target->posting = true;
+  target->phase = ORDER_PHASE_ORDERING;
+  target->stepped = true;
+  target->ordered_at = now;
+  target->pause = SETTLE_FIRST;
+  target->sent++;
+  counter_add (target->orders->sent, 1);
+  log_event (LOG_MODULE_AUDIT, LOG_LEVEL_INFO, "order", "{s:s,s:s,s:s,s:I}", "target", target->name,
+             "order", order_kind_text (target->step.kind), "value", target->step.value, "fence",
+             (json_int_t) target->orders->fence);
+  start (target, entry, "POST", "/v1/orders", text, now);
+  free (text);
+}
+
+void
+order_target_step (struct order_target *target, const struct board_target *entry, int64_t now)
+{
+  if (target->call != NULL || now < target->next_at || target->orders->in_flight >= IN_FLIGHT_MAX)
+    return;
+  if (target->phase == ORDER_PHASE_ORDERING)
+    order (target, entry, now);
+  else
+    look (target, entry, now);
+}
+
+static void
+as_wanted (struct order_target *target, int64_t now)
+{
+  if (target->phase != ORDER_PHASE_DONE)
+    counter_add (target->orders->done, target->sent > 0);
+  target->phase = ORDER_PHASE_DONE;
+  target->stepped = false;
+  target->sent = 0;
+  target->pause = SETTLE_FIRST;
+  target->next_at = now + LOOK_PERIOD;
+  target->fault[0] = '\0';
+}
+
+/* The target's own word: what is missing is ordered next, unless it was ordered just now and the
+ * target needs its time. */
+static void
+take_state (struct order_target *target, int64_t now)
+{
+  const struct board_target *entry =
+      board_find_target (target->orders->config.board, target->name, NULL);
+  const struct assignment_spec *wanted =
+      entry == NULL ? NULL : order_wanted (target->orders, entry);
+  struct order_state state;
+  struct order_step step;
+
+  if (wanted == NULL)
+    return; /* the next pass drops it */
+  if (order_state_parse (target->body.data, target->body.length, &state) != STATUS_OK)
+    {
+      fail (target, status_message (), now);
+      return;
+    }
+  if (state.fence > target->orders->fence_seen)
+    target->orders->fence_seen = state.fence;
+  if (!order_next (wanted, &state, &step))
+    {
+      as_wanted (target, now);
+      return;
+    }
+  if (target->stepped && step.kind == target->step.kind
+      && strcmp (step.value, target->step.value) == 0 && now < target->ordered_at + ORDER_AGAIN)
+    {
+      target->phase = ORDER_PHASE_SETTLING;
+      slow_down (target, now);
+      return;
+    }
+  target->step = step;
+  target->stepped = false;
+  target->phase = ORDER_PHASE_ORDERING;
+  target->next_at = now;
+}
+
+/* 409: the target has seen a higher number than ours.  Another leader was there, or the log of an
+ * earlier life of the system had got further: a new number is asked for. */
+static void
+take_refusal (struct order_target *target, int64_t now)
+{
+  struct orders *orders = target->orders;
+
+  counter_add (orders->refused, 1);
+  target->stepped = false;
+  if (target->code == 409 && now >= orders->fence_asked_at + ORDER_CALL_WITHIN)
+    orders->fence = 0;
+  fail (target, target->code == 409 ? "refused: old fencing number" : "refused", now);
+}
+
+static void
+sink_head (struct http_call_sink *sink,
+           int code,
+           const struct http_field *headers,
+           size_t n_headers,
+           int64_t now)
+{
+  (void) headers;
+  (void) n_headers;
+  (void) now;
+  ((struct order_target *) sink)->code = code;
+}
+
+static void
+sink_data (struct http_call_sink *sink, const void *data, size_t length, int64_t now)
+{
+  (void) now;
+  bytes_append (&((struct order_target *) sink)->body, data, length);
+}
+
+static void
+sink_end (struct http_call_sink *sink, int64_t now)
+{
+  struct order_target *target = (struct order_target *) sink;
+
+  end_call (target);
+  if (target->code == 200 && target->posting)
+    {
+      target->phase = ORDER_PHASE_SETTLING;
+      target->next_at = now;
+    }
+  else if (target->code == 200)
+    take_state (target, now);
+  else if (target->posting)
+    take_refusal (target, now);
+  else
+    fail (target, "its state is not to be had", now);
+}
+
+/* An order whose answer is lost may have been taken: looking comes before ordering again. */
+static void
+sink_failed (struct http_call_sink *sink, enum status why, bool sent, int64_t now)
+{
+  struct order_target *target = (struct order_target *) sink;
+
+  end_call (target);
+  if (target->posting && !sent)
+    target->stepped = false;
+  fail (target, status_text (why), now);
+}
+
+const struct http_call_sink_ops order_target_sink_ops = {
+  .head = sink_head,
+  .data = sink_data,
+  .end = sink_end,
+  .failed = sink_failed,
+};
--- a/src/store.c
+++ b/src/store.c
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #define STORE_FORMAT 1
+#define STORE_FENCE_MAX (UINT64_C (1) << 52) /* a target that states more is not believed */
 
 struct store
 {
@@ -19,6 +20,7 @@
   struct store_ids *ids;
   struct store_history *history;
   uint64_t revision;
+  uint64_t fence; /* the last fencing number given out */
   struct store_listener *listeners;
 };
 
@@ -221,6 +223,18 @@
   store_answer_pack (&answer, result);
 }
 
+/* Above every number given out, and above the one that a target is known to have seen. */
+static void
+answer_fence (struct store *store, const struct store_change *change, struct bytes *result)
+{
+  struct store_answer answer = { .verdict = STORE_CHANGED };
+
+  if (change->version > store->fence && change->version < STORE_FENCE_MAX)
+    store->fence = change->version;
+  answer.revision = ++store->fence;
+  store_answer_pack (&answer, result);
+}
+
 /* The id is known: its first answer, or a refusal. */
 static void
 answer_again (const struct store *store,
@@ -271,6 +285,11 @@
           return;
         }
     }
+  if (change.op == STORE_FENCE)
+    {
+      answer_fence (store, &change, result);
+      return;
+    }
   verdict = apply_change (store, &change, result);
   if (change.change_id[0] != '\0' && verdict != STORE_FULL
       && !(verdict == STORE_CONFLICT && change.again))
@@ -285,6 +304,7 @@
 
   pack_uint (out, STORE_FORMAT);
   pack_uint (out, store->revision);
+  pack_uint (out, store->fence);
   store_clock_save (&store->clock, out);
   store_objects_save (&store->objects, out);
   store_ids_save (store->ids, out);
@@ -306,6 +326,7 @@
   if (pack_read_uint (&in, UINT64_MAX) != STORE_FORMAT)
     return status_fail (STATUS_UNSUPPORTED, "snapshot of resources has another format");
   store->revision = pack_read_uint (&in, UINT64_MAX);
+  store->fence = pack_read_uint (&in, UINT64_MAX);
   store_clock_load (&store->clock, &in);
   store_objects_load (&objects, &in);
   store_ids_clear (store->ids);
--- a/src/store_entry.h
+++ b/src/store_entry.h
@@ -21,6 +21,7 @@
   STORE_PUT,
   STORE_DELETE,
   STORE_STATUS, /* replaces the status; the generation stays */
+  STORE_FENCE,  /* no object: the answer's revision is a fencing number above `version` */
   STORE_OP_COUNT
 };
 
