Let servers of the log take mutated messages

A field may be in range for the codec and still out of range for who acts on it: an index near the end of 64 bits, a term of nobody, entries that do not follow.

--- a/bench/fuzz_decoders.c
+++ b/bench/fuzz_decoders.c
@@ -12,6 +12,8 @@
   &fuzz_resource,
   /* messages between hosts, and what the log carries */
   &fuzz_raft,
+  &fuzz_raft_follower,
+  &fuzz_raft_leader,
   &fuzz_members,
   &fuzz_proposal,
   &fuzz_change,
--- a/bench/fuzz_parts.h
+++ b/bench/fuzz_parts.h
@@ -25,6 +25,10 @@
 extern const struct fuzz_decoder fuzz_store_snapshot;
 extern const struct fuzz_decoder fuzz_directory;
 
+/* fuzz_raft.c */
+extern const struct fuzz_decoder fuzz_raft_follower;
+extern const struct fuzz_decoder fuzz_raft_leader;
+
 /* fuzz_claim.c */
 extern const struct fuzz_decoder fuzz_claim_entry;
 extern const struct fuzz_decoder fuzz_claim_result;
--- /dev/null
+++ b/bench/fuzz_raft.c
@@ -0,0 +1,133 @@
+/* Messages of consensus, taken by a follower and by a leader. */
+#include "fuzz_parts.h"
+#include "raft.h"
+#include "text.h"
+#include <talloc.h>
+
+#define SELF 101
+#define OTHER 100
+#define SEED 1
+#define ENTRIES 4
+#define SPAN USEC_PER_SEC
+
+static const struct raft_options options = {
+  .id = SELF,
+  .seed = SEED,
+  .heartbeat = 50 * USEC_PER_MSEC,
+  .election_min = 200 * USEC_PER_MSEC,
+  .election_max = 400 * USEC_PER_MSEC,
+  .drift_ppm = 500,
+  .lease_reads = true,
+  .batch_bytes = 4096,
+  .max_in_flight = 4,
+  .chunk_bytes = 1024,
+};
+
+static void
+fill_members (struct raft_members *members)
+{
+  static const char *const names[] = { "a", "b", "c" };
+  uint32_t i;
+
+  *members = (struct raft_members){ .n = 3, .wanted = 3 };
+  for (i = 0; i < members->n; i++)
+    {
+      members->members[i].id = OTHER + i;
+      members->members[i].voter = true;
+      text_copy (members->members[i].name, sizeof members->members[i].name, names[i]);
+    }
+}
+
+/* What a driver does with a ready, on a disk that never fails. */
+static void
+store_all (struct raft *raft, int64_t now)
+{
+  struct raft_ready ready;
+
+  while (raft_poll (raft, &ready, now))
+    raft_synced (raft, now);
+  while (raft_next_committed (raft) != NULL)
+    raft_applied_one (raft);
+}
+
+/* A server with a few entries, the first of them committed. */
+static struct raft *
+filled_raft (void *parent, bool leads)
+{
+  const struct raft_state state = { .term = 0 };
+  struct raft_message vote = { .from = OTHER, .to = SELF, .ok = true, .kind = RAFT_PRE_VOTE_REPLY };
+  struct raft *raft =
+      raft_new (parent, &options, &state, &(struct raft_snapshot){ .index = 0 }, 0, 0, 0);
+  struct raft_members members;
+  uint64_t index;
+  uint64_t term;
+  int i;
+
+  fill_members (&members);
+  raft_bootstrap (raft, &members);
+  store_all (raft, 0);
+  if (!leads)
+    return raft;
+  raft_tick (raft, SPAN);
+  store_all (raft, SPAN);
+  vote.term = raft_term (raft) + 1;
+  raft_step (raft, &vote, SPAN);
+  store_all (raft, SPAN);
+  vote.kind = RAFT_VOTE_REPLY;
+  vote.term = raft_term (raft);
+  raft_step (raft, &vote, SPAN);
+  store_all (raft, SPAN);
+  INVARIANT (raft_role (raft) == RAFT_LEADER);
+  for (i = 0; i < ENTRIES; i++)
+    raft_propose (raft, "x", 1, &index, &term);
+  store_all (raft, SPAN);
+  return raft;
+}
+
+static enum status
+take (void *parent, const void *data, size_t length, bool leads)
+{
+  struct raft *raft = filled_raft (parent, leads);
+  struct raft_message message;
+  enum status status = raft_message_read (parent, data, length, &message);
+
+  if (status != STATUS_OK)
+    return status;
+  raft_step (raft, &message, 2 * SPAN);
+  store_all (raft, 2 * SPAN);
+  raft_tick (raft, 3 * SPAN);
+  store_all (raft, 3 * SPAN);
+  return STATUS_OK;
+}
+
+static enum status
+follower_decode (void *parent, const void *data, size_t length)
+{
+  return take (parent, data, length, false);
+}
+
+static enum status
+leader_decode (void *parent, const void *data, size_t length)
+{
+  return take (parent, data, length, true);
+}
+
+static void
+sample (uint32_t i, struct bytes *out)
+{
+  fuzz_raft.sample (i, out);
+}
+
+const struct fuzz_decoder fuzz_raft_follower = {
+  .name = "raft-follower",
+  .n_samples = RAFT_MESSAGE_KIND_COUNT,
+  .sample = sample,
+  .decode = follower_decode,
+};
+
+const struct fuzz_decoder fuzz_raft_leader = {
+  .name = "raft-leader",
+  .n_samples = RAFT_MESSAGE_KIND_COUNT,
+  .sample = sample,
+  .decode = leader_decode,
+};
