Bring the configuration into force on every host, and never back

Cause: what operators declare must be what runs, on voters and on hosts that do not vote, after restarts and partitions. Voters feed followers revision by revision, or a whole copy when the history is too short; a follower takes no revision out of order, and its voter answers only what a quorum confirmed after the ask.

--- /dev/null
+++ b/src/config.c
@@ -0,0 +1,211 @@
+/* The configuration in force on this host. */
+#include "config.h"
+#include "config_board.h"
+#include "log.h"
+#include <talloc.h>
+
+struct config
+{
+  struct config_config config;
+  struct config_board *entries;
+  struct store_listener listener;
+  struct timer bring; /* due when the store has what the board has not */
+  struct timer ask;   /* a quorum */
+  struct proposal proposal;
+  struct dump_source source;
+  bool asking;
+  int64_t asked_at;
+  uint32_t unread; /* specs that this release cannot read */
+  bool replaced;   /* the store was replaced: its history does not tell what changed */
+  struct counter *changes;
+  struct counter *revision;
+};
+
+#define CONFIG_OF(pointer, member)                                                                 \
+  ((struct config *) ((char *) (pointer) -offsetof (struct config, member)))
+
+static void
+bring_all (struct config *config)
+{
+  config->unread = config_board_replace (config->entries, config->config.store);
+  config->config.board->revision = store_revision (config->config.store);
+  config->replaced = false;
+}
+
+static void
+bring_one (struct config *config, const struct store_event *event)
+{
+  if (config_board_change (config->entries, event) != STATUS_OK)
+    {
+      config->unread++;
+      log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "spec-not-read", "{s:s}", "message",
+                 status_message ());
+    }
+  config->config.board->revision = event->revision;
+  counter_add (config->changes, 1);
+}
+
+/* Bring the board up to the store. */
+static void
+bring (struct config *config, int64_t now)
+{
+  struct board *board = config->config.board;
+  const struct store_history *changes = store_changes (config->config.store);
+  const struct store_event *event;
+  uint64_t before = board->revision;
+
+  if (!board->config_ready
+      || (!config->replaced && store_revision (config->config.store) == before))
+    return;
+  while (!config->replaced)
+    {
+      if (store_history_after (changes, board->revision, &event) != STATUS_OK)
+        config->replaced = true;
+      else if (event == NULL)
+        break;
+      else
+        bring_one (config, event);
+    }
+  if (config->replaced)
+    bring_all (config);
+  INVARIANT (board->revision >= before);
+  gauge_set (config->revision, (double) board->revision);
+  board_publish (board, BOARD_CONFIG_CHANGED, (struct handle){ 0 }, now);
+}
+
+static void
+bring_due (struct timer *timer, int64_t now)
+{
+  bring (CONFIG_OF (timer, bring), now);
+}
+
+/* From the loop, not from inside the machine: the listener has no time and must not block a voter
+ * that applies a long run of entries. */
+static void
+changed (struct store_listener *listener, const struct store_event *event)
+{
+  struct config *config = CONFIG_OF (listener, listener);
+
+  (void) event;
+  if (config->config.board->config_ready && !timer_is_armed (&config->bring))
+    timer_arm (config->config.timers, &config->bring, 0);
+}
+
+static void
+replaced (struct store_listener *listener)
+{
+  CONFIG_OF (listener, listener)->replaced = true;
+  changed (listener, NULL);
+}
+
+void
+config_confirmed (struct config *config, int64_t at, int64_t now)
+{
+  struct board *board = config->config.board;
+
+  if (at > board->confirmed_at)
+    board->confirmed_at = at;
+  if (board->config_ready)
+    return;
+  board->config_ready = true;
+  config->replaced = true;
+  bring (config, now);
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "config-ready", "{s:I}", "revision",
+             (json_int_t) board->revision);
+}
+
+/* Ask a quorum whether the store holds everything. */
+static void
+ask_due (struct timer *timer, int64_t now)
+{
+  struct config *config = CONFIG_OF (timer, ask);
+  struct consensus *consensus = config->config.consensus;
+
+  config->asked_at = now;
+  config->asking =
+      consensus->ops->read (consensus, &config->proposal, now + CONFIG_CONFIRM_PERIOD, now)
+      == STATUS_OK;
+  if (!config->asking)
+    timer_arm (config->config.timers, timer, now + CONFIG_ASK_PERIOD);
+}
+
+static void
+asked (
+    struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
+{
+  struct config *config = CONFIG_OF (proposal, proposal);
+  int64_t period = CONFIG_ASK_PERIOD;
+
+  (void) result;
+  (void) length;
+  config->asking = false;
+  if (status == STATUS_OK)
+    {
+      config_confirmed (config, config->asked_at, now);
+      period = CONFIG_CONFIRM_PERIOD;
+    }
+  timer_arm (config->config.timers, &config->ask, now + period);
+}
+
+static json_t *
+describe (struct dump_source *source, int64_t now)
+{
+  const struct config *config = CONFIG_OF (source, source);
+  const struct board *board = config->config.board;
+  json_int_t age = board->config_ready ? (now - board->confirmed_at) / USEC_PER_MSEC : -1;
+
+  return json_pack ("{s:I,s:b,s:b,s:I,s:I,s:o}", "revision", (json_int_t) board->revision, "ready",
+                    board->config_ready, "confirmed", config_is_confirmed (board, now),
+                    "confirmed_ms_ago", age, "specs_not_read", (json_int_t) config->unread, "store",
+                    store_describe (config->config.store));
+}
+
+static const struct store_listener_ops listener_ops = { .changed = changed, .replaced = replaced };
+static const struct timer_ops bring_ops = { .fire = bring_due };
+static const struct timer_ops ask_ops = { .fire = ask_due };
+static const struct proposal_ops proposal_ops = { .done = asked };
+static const struct dump_source_ops source_ops = { .describe = describe };
+
+static int
+destroy (struct config *config)
+{
+  timer_disarm (config->config.timers, &config->bring);
+  timer_disarm (config->config.timers, &config->ask);
+  store_unlisten (config->config.store, &config->listener);
+  if (config->asking)
+    config->config.consensus->ops->withdraw (config->config.consensus, &config->proposal);
+  return 0;
+}
+
+struct config *
+config_new (void *parent, const struct config_config *config, int64_t now)
+{
+  struct config *self = talloc_zero (parent, struct config);
+
+  if (self == NULL)
+    return NULL;
+  self->config = *config;
+  self->entries = config_board_new (self, config->board, config->access);
+  if (self->entries == NULL)
+    {
+      talloc_free (self);
+      return NULL;
+    }
+  self->listener.ops = &listener_ops;
+  self->bring.ops = &bring_ops;
+  self->ask.ops = &ask_ops;
+  self->proposal.ops = &proposal_ops;
+  self->source.ops = &source_ops;
+  self->source.name = "config";
+  self->changes = counter_get (config->counters, "config_changes_total",
+                               "Changes of configuration brought into force here.", NULL);
+  self->revision = gauge_get (config->counters, "config_revision",
+                              "Revision of the configuration in force here.", NULL);
+  store_listen (config->store, &self->listener);
+  if (config->dump != NULL)
+    dump_add (config->dump, &self->source);
+  if (config->consensus != NULL)
+    timer_arm (config->timers, &self->ask, now);
+  talloc_set_destructor (self, destroy);
+  return self;
+}
--- /dev/null
+++ b/src/config_follow.c
@@ -0,0 +1,254 @@
+/* Keeps the store of a host that does not vote up to a voter's. */
+#include "config_follow.h"
+#include "log.h"
+#include "text.h"
+#include <talloc.h>
+#include <xxhash.h>
+
+#define EVENTS_MAX 65536
+#define UNANSWERED_MAX 2 /* asks before the next voter is tried */
+#define ASKS_KEPT 16     /* an answer to an older ask comes too late to count */
+
+struct config_follow
+{
+  struct config_follow_config config;
+  struct config_handler handler;
+  struct timer timer;
+  struct dump_source source;
+  char voters[SETTINGS_VOTERS_MAX][RESOURCE_NAME_SIZE];
+  uint32_t n_voters;
+  uint32_t voter; /* the one we ask */
+  uint32_t unanswered;
+  uint64_t nonce;
+  int64_t asked_at[ASKS_KEPT]; /* by nonce */
+  uint64_t copy_revision;      /* of the whole copy that is arriving, */
+  uint32_t copy_next;          /* and its next part; 0 when none is */
+  struct counter *asks;
+};
+
+#define FOLLOW_OF(pointer, member)                                                                 \
+  ((struct config_follow *) ((char *) (pointer) -offsetof (struct config_follow, member)))
+
+static int64_t
+last_asked (const struct config_follow *follow)
+{
+  return follow->asked_at[follow->nonce % ASKS_KEPT];
+}
+
+static void
+ask (struct config_follow *follow, int64_t now)
+{
+  struct bytes message;
+
+  bytes_init (&message, follow);
+  follow->nonce++;
+  follow->asked_at[follow->nonce % ASKS_KEPT] = now;
+  follow->unanswered++;
+  config_link_begin (CONFIG_ASK, &message);
+  pack_uint (&message, follow->nonce);
+  pack_uint (&message, store_revision (follow->config.store));
+  config_link_send (follow->config.link, follow->voters[follow->voter], &message);
+  counter_add (follow->asks, 1);
+}
+
+/* A voter that does not answer is down, cut off from us, or cut off from its quorum: the silence
+ * is the only sign, and another voter may still confirm. */
+static void
+due (struct timer *timer, int64_t now)
+{
+  struct config_follow *follow = FOLLOW_OF (timer, timer);
+  bool settled = follow->config.board->config_ready && follow->unanswered == 0;
+
+  if (follow->unanswered >= UNANSWERED_MAX && follow->n_voters > 0)
+    {
+      follow->voter = (follow->voter + 1) % follow->n_voters;
+      follow->unanswered = 0;
+    }
+  if (follow->n_voters > 0)
+    ask (follow, now);
+  timer_arm (follow->config.timers, timer,
+             now + (settled ? CONFIG_CONFIRM_PERIOD : CONFIG_ASK_PERIOD));
+}
+
+/* A gap: a message was lost.  Ask again soon, with what we hold. */
+static void
+ask_soon (struct config_follow *follow, int64_t now)
+{
+  int64_t at = last_asked (follow) + CONFIG_ASK_PERIOD;
+
+  follow->copy_next = 0;
+  if (at < follow->timer.due)
+    timer_arm (follow->config.timers, &follow->timer, at < now ? now : at);
+}
+
+static void
+take_changes (struct config_follow *follow, struct pack_reader *body, int64_t now)
+{
+  uint32_t count = pack_read_array (body, EVENTS_MAX);
+  uint32_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      struct store_event event;
+      void *scratch = talloc_new (follow);
+      enum status status = store_event_unpack (&event, body, scratch);
+
+      if (status == STATUS_OK && event.revision > store_revision (follow->config.store))
+        status = store_follow (follow->config.store, &event);
+      talloc_free (scratch);
+      if (status == STATUS_OK)
+        continue;
+      ask_soon (follow, now);
+      return;
+    }
+}
+
+static void
+take_part (struct config_follow *follow, struct pack_reader *body, int64_t now)
+{
+  uint64_t revision = pack_read_uint (body, UINT64_MAX);
+  uint32_t number = (uint32_t) pack_read_uint (body, UINT32_MAX);
+  bool last = pack_read_bool (body);
+  uint32_t count = pack_read_array (body, EVENTS_MAX);
+  uint32_t i;
+
+  if (!pack_read_ok (body))
+    return;
+  if (number == 0)
+    store_replace_begin (follow->config.store);
+  else if (number != follow->copy_next || revision != follow->copy_revision)
+    {
+      ask_soon (follow, now);
+      return;
+    }
+  for (i = 0; i < count; i++)
+    {
+      struct store_event event;
+      void *scratch = talloc_new (follow);
+      enum status status = store_event_unpack (&event, body, scratch);
+
+      if (status == STATUS_OK)
+        store_replace_add (follow->config.store, &event);
+      talloc_free (scratch);
+      if (status == STATUS_OK)
+        continue;
+      ask_soon (follow, now);
+      return;
+    }
+  follow->copy_revision = revision;
+  follow->copy_next = last ? 0 : number + 1;
+  if (last && store_replace_end (follow->config.store, revision) != STATUS_OK)
+    log_event (LOG_MODULE_STORE, LOG_LEVEL_WARNING, "old-copy-refused", "{s:s}", "message",
+               status_message ());
+}
+
+/* What was confirmed is as new as the ask that the answer is to. */
+static void
+take_current (struct config_follow *follow, struct pack_reader *body, int64_t now)
+{
+  uint64_t nonce = pack_read_uint (body, UINT64_MAX);
+  uint64_t revision = pack_read_uint (body, UINT64_MAX);
+
+  if (!pack_read_end (body) || nonce > follow->nonce || nonce + ASKS_KEPT <= follow->nonce)
+    return;
+  follow->unanswered = 0;
+  if (store_revision (follow->config.store) < revision)
+    ask_soon (follow, now);
+  else
+    config_confirmed (follow->config.config, follow->asked_at[nonce % ASKS_KEPT], now);
+}
+
+static bool
+is_voter (const struct config_follow *follow, const char *host)
+{
+  uint32_t i;
+
+  for (i = 0; i < follow->n_voters; i++)
+    if (strcmp (follow->voters[i], host) == 0)
+      return true;
+  return false;
+}
+
+static void
+received (struct config_handler *handler,
+          enum config_message type,
+          const char *from,
+          struct pack_reader *body,
+          int64_t now)
+{
+  struct config_follow *follow = FOLLOW_OF (handler, handler);
+
+  /* Parts of two voters' copies must not mix, nor may another host hand out a configuration. */
+  if (!is_voter (follow, from)
+      || (type != CONFIG_CHANGES && strcmp (follow->voters[follow->voter], from) != 0))
+    return;
+  if (type == CONFIG_CHANGES)
+    take_changes (follow, body, now);
+  else if (type == CONFIG_PART)
+    take_part (follow, body, now);
+  else
+    take_current (follow, body, now);
+}
+
+static json_t *
+describe (struct dump_source *source, int64_t now)
+{
+  const struct config_follow *follow = FOLLOW_OF (source, source);
+
+  return json_pack ("{s:s,s:I,s:I}", "voter",
+                    follow->n_voters > 0 ? follow->voters[follow->voter] : "", "unanswered",
+                    (json_int_t) follow->unanswered, "asked_ms_ago",
+                    (json_int_t) ((now - last_asked (follow)) / USEC_PER_MSEC));
+}
+
+static const struct config_handler_ops handler_ops = { .received = received };
+static const struct timer_ops timer_ops = { .fire = due };
+static const struct dump_source_ops source_ops = { .describe = describe };
+
+static int
+destroy (struct config_follow *follow)
+{
+  timer_disarm (follow->config.timers, &follow->timer);
+  return 0;
+}
+
+struct config_follow *
+config_follow_new (void *parent, const struct config_follow_config *config, int64_t now)
+{
+  struct config_follow *follow = talloc_zero (parent, struct config_follow);
+
+  if (follow == NULL)
+    return NULL;
+  follow->config = *config;
+  follow->handler.ops = &handler_ops;
+  follow->timer.ops = &timer_ops;
+  follow->source.ops = &source_ops;
+  follow->source.name = "config_follow";
+  follow->asks = counter_get (config->counters, "config_asks_total",
+                              "Times a voter was asked to confirm the configuration.", NULL);
+  config_link_handle (config->link, CONFIG_CHANGES, &follow->handler);
+  config_link_handle (config->link, CONFIG_PART, &follow->handler);
+  config_link_handle (config->link, CONFIG_CURRENT, &follow->handler);
+  if (config->dump != NULL)
+    dump_add (config->dump, &follow->source);
+  timer_arm (config->timers, &follow->timer, now);
+  talloc_set_destructor (follow, destroy);
+  return follow;
+}
+
+void
+config_follow_set_voters (struct config_follow *follow,
+                          const struct settings_peer *voters,
+                          uint32_t n_voters)
+{
+  uint32_t i;
+
+  follow->n_voters = n_voters > SETTINGS_VOTERS_MAX ? SETTINGS_VOTERS_MAX : n_voters;
+  for (i = 0; i < follow->n_voters; i++)
+    text_copy_cut (follow->voters[i], sizeof follow->voters[i], voters[i].name);
+  follow->voter = follow->n_voters == 0
+                      ? 0
+                      : (uint32_t) (XXH3_64bits (follow->config.host, strlen (follow->config.host))
+                                    % follow->n_voters);
+  follow->unanswered = 0;
+}
