Serve operators: resources, watches, changes that wait

Cause: operators drive the system through resources over HTTP. Change: get, list in pages of one revision, put, merge patch, delete, watch with bookmarks and "too old", revision, dump, counters and health, with roles and an audit line for each change. A change with an id is repeated until it is answered; without one an open outcome is said to be open. `wait` names the hosts where the change is not in force yet.

--- /dev/null
+++ b/src/operator.h
@@ -0,0 +1,42 @@
+/* The operators' interface: resources, watches, revision, dump, counters, health. */
+#ifndef OPERATOR_H
+#define OPERATOR_H
+
+#include "access.h"
+#include "board.h"
+#include "config.h"
+#include "consensus.h"
+#include "counter.h"
+#include "decls.h"
+#include "dump.h"
+#include "http.h"
+#include "store.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+struct operator_api;
+struct config_wait;
+
+struct operator_api_config
+{
+  struct store *store;
+  struct board *board;
+  struct access *access; /* NULL: every operator may do all */
+  struct consensus *consensus;
+  struct config_wait *wait; /* NULL: `wait` knows of this host alone */
+  struct timer_service *timers;
+  struct counters *counters;
+  struct dump *dump;
+  const char *host;       /* our name, */
+  int64_t wall_offset_ms; /* wall clock minus monotonic clock at the start, milliseconds */
+};
+
+struct operator_api *operator_api_new (void *parent, const struct operator_api_config *config);
+
+/* The routes to add to the server; their count.  They live as long as the interface. */
+uint32_t operator_api_routes (struct operator_api *api, struct http_route ***out);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/operator_change.c
@@ -0,0 +1,465 @@
+/* Changes of resources: proposed, repeated where that is safe, answered, audited. */
+#include "config_wait.h"
+#include "log.h"
+#include "operator_body.h"
+#include "store_group.h"
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CHANGE_WITHIN (8 * USEC_PER_SEC) /* from the request to its answer, without the wait */
+#define CHANGE_TRY (2 * USEC_PER_SEC)    /* of one proposal */
+#define CHANGE_PAUSE (USEC_PER_SEC / 10) /* between tries */
+#define PATCH_CONFLICTS_MAX 8
+#define WAIT_MAX_MS 60000
+
+/* One change between its request and its answer. */
+struct operator_pending
+{
+  struct http_watcher watcher;
+  struct operator_api *api;
+  struct http_exchange *exchange; /* NULL once the operator went away */
+  struct proposal proposal;
+  struct timer retry;
+  struct config_waiter waiter;
+  struct store_change change;
+  char who[RESOURCE_NAME_SIZE];
+  json_t *patch; /* NULL but for a PATCH */
+  bool pinned;   /* the PATCH names the version it is of, */
+  uint64_t version;
+  uint32_t conflicts;
+  bool proposed;
+  bool waiting;
+  int64_t deadline;
+  int64_t wait; /* span, 0 for none */
+  int code;     /* of the answer while waiting for hosts */
+  struct bytes object;
+};
+
+#define PENDING_OF(pointer, member)                                                                \
+  ((struct operator_pending *) ((char *) (pointer) -offsetof (struct operator_pending, member)))
+
+static int
+pending_destroy (struct operator_pending *pending)
+{
+  const struct operator_api_config *config = &pending->api->config;
+
+  timer_disarm (config->timers, &pending->retry);
+  if (pending->proposed)
+    config->consensus->ops->withdraw (config->consensus, &pending->proposal);
+  if (pending->waiting)
+    config_wait_cancel (config->wait, &pending->waiter);
+  if (pending->exchange != NULL && pending->exchange->watcher == &pending->watcher)
+    pending->exchange->watcher = NULL;
+  json_decref (pending->patch);
+  return 0;
+}
+
+static void
+audit (const struct operator_pending *pending, const char *result, uint64_t revision)
+{
+  static const char *const ops[] = {
+    [STORE_PUT] = "put",
+    [STORE_DELETE] = "delete",
+    [STORE_STATUS] = "status",
+    [STORE_FENCE] = "fence",
+  };
+
+  log_event (LOG_MODULE_AUDIT, LOG_LEVEL_INFO, "change", "{s:s,s:s,s:s,s:s,s:s,s:s,s:I}",
+             "operator", pending->who, "op",
+             pending->patch != NULL ? "patch" : ops[pending->change.op], "kind",
+             resource_kind_plural (pending->change.kind), "name", pending->change.name, "change_id",
+             pending->change.change_id, "result", result, "revision", (json_int_t) revision);
+}
+
+/* The operator went away; the change runs on, and a resend gets its answer. */
+static void
+closed (struct http_watcher *watcher, int64_t now)
+{
+  (void) now;
+  PENDING_OF (watcher, watcher)->exchange = NULL;
+}
+
+static void
+end_problem (struct operator_pending *pending,
+             int code,
+             const char *field,
+             const char *message,
+             const char *object,
+             size_t length,
+             int64_t now)
+{
+  struct http_exchange *exchange = pending->exchange;
+
+  pending->exchange = NULL;
+  if (exchange != NULL)
+    operator_reply_problem (pending->api, exchange, code, field, message, object, length, now);
+  talloc_free (pending);
+}
+
+static void
+end_object (struct operator_pending *pending, int64_t now)
+{
+  struct http_exchange *exchange = pending->exchange;
+
+  pending->exchange = NULL;
+  if (exchange != NULL)
+    operator_reply (pending->api, exchange, pending->code, pending->object.data,
+                    pending->object.length, now);
+  talloc_free (pending);
+}
+
+static void try_again (struct operator_pending *pending, int64_t now);
+
+static uint64_t
+version_of (const struct store_answer *answer)
+{
+  json_t *object = json_loadb (answer->text, answer->length, 0, NULL);
+  json_t *metadata = json_object_get (object, "metadata");
+  uint64_t version = (uint64_t) json_integer_value (json_object_get (metadata, "resourceVersion"));
+
+  json_decref (object);
+  return version;
+}
+
+static void
+final_conflict (struct operator_pending *pending, const struct store_answer *answer, int64_t now)
+{
+  audit (pending, store_verdict_message (STORE_CONFLICT), answer->revision);
+  counter_add (pending->api->conflicts, 1);
+  end_problem (pending, 409, "metadata.resourceVersion", store_verdict_message (STORE_CONFLICT),
+               answer->text, answer->length, now);
+}
+
+/* Build the spec of a PATCH from `current`; false when the change was answered. */
+static bool
+merge_patch (struct operator_pending *pending, const char *current, size_t length, int64_t now)
+{
+  json_t *object = json_loadb (current, length, 0, NULL);
+  json_t *metadata = json_object_get (object, "metadata");
+  json_t *spec = json_deep_copy (json_object_get (object, "spec"));
+  struct operator_fault fault;
+  bool good;
+
+  pending->change.has_version = true;
+  pending->change.version =
+      (uint64_t) json_integer_value (json_object_get (metadata, "resourceVersion"));
+  spec = operator_merge (spec, json_deep_copy (pending->patch));
+  good = operator_body_check (spec, pending, &pending->change, &fault);
+  json_decref (spec);
+  json_decref (object);
+  if (!good)
+    end_problem (pending, fault.code, fault.field, fault.message, NULL, 0, now);
+  return good;
+}
+
+/* Another change came between this host's copy and ours: merge onto the current object. */
+static void
+patch_conflict (struct operator_pending *pending, const struct store_answer *answer, int64_t now)
+{
+  if (answer->length == 0)
+    end_problem (pending, 404, NULL, "no such object", NULL, 0, now);
+  else if (pending->pinned && version_of (answer) != pending->version)
+    final_conflict (pending, answer, now);
+  else if (++pending->conflicts > PATCH_CONFLICTS_MAX)
+    end_problem (pending, 409, NULL, "the object keeps changing: try again", answer->text,
+                 answer->length, now);
+  else if (merge_patch (pending, answer->text, answer->length, now))
+    try_again (pending, now);
+}
+
+static void
+waited (struct config_waiter *waiter, const struct config_wait_result *result, int64_t now)
+{
+  struct operator_pending *pending = PENDING_OF (waiter, waiter);
+  json_t *object = json_loadb (pending->object.data, pending->object.length, 0, NULL);
+  char *text;
+
+  pending->waiting = false;
+  json_object_set_new (object, "inForce",
+                       json_pack ("{s:I,s:b,s:I,s:O,s:O}", "revision",
+                                  (json_int_t) result->revision, "everywhere", result->everywhere,
+                                  "hosts", (json_int_t) result->hosts, "behind", result->behind,
+                                  "unreachable", result->cut_off));
+  text = json_dumps (object, JSON_COMPACT);
+  json_decref (object);
+  if (text != NULL)
+    {
+      bytes_clear (&pending->object);
+      bytes_append_text (&pending->object, text);
+    }
+  free (text);
+  end_object (pending, now);
+}
+
+static const struct config_waiter_ops waiter_ops = { .done = waited };
+
+static void
+accepted (struct operator_pending *pending, const struct store_answer *answer, int64_t now)
+{
+  struct operator_api *api = pending->api;
+
+  counter_add (answer->resent ? api->resent : api->changes, 1);
+  pending->code = store_verdict_code (answer->verdict);
+  bytes_append (&pending->object, answer->text, answer->length);
+  pending->waiter.ops = &waiter_ops;
+  pending->waiting = pending->wait > 0 && api->config.wait != NULL
+                     && config_wait_start (api->config.wait, &pending->waiter, answer->revision,
+                                           now + pending->wait, now)
+                            == STATUS_OK;
+  if (!pending->waiting)
+    end_object (pending, now);
+}
+
+static void
+answered (struct operator_pending *pending, const struct store_answer *answer, int64_t now)
+{
+  char message[256];
+
+  if (answer->verdict == STORE_CONFLICT && pending->change.again)
+    {
+      patch_conflict (pending, answer, now);
+      return;
+    }
+  if (answer->verdict == STORE_CONFLICT)
+    {
+      final_conflict (pending, answer, now);
+      return;
+    }
+  audit (pending, answer->resent ? "resent" : store_verdict_message (answer->verdict),
+         answer->revision);
+  if (answer->verdict < STORE_CONFLICT)
+    {
+      accepted (pending, answer, now);
+      return;
+    }
+  snprintf (message, sizeof message, "%s%s%.*s", store_verdict_message (answer->verdict),
+            answer->length > 0 ? ": " : "", (int) answer->length,
+            answer->length > 0 ? answer->text : "");
+  end_problem (pending, store_verdict_code (answer->verdict), NULL, message, NULL, 0, now);
+}
+
+/* It is open whether the entry was or will be applied.  With a change id the machine knows a
+ * repeat; without one only the operator can decide. */
+static void
+left_open (struct operator_pending *pending, enum status status, int64_t now)
+{
+  bool certain = status != STATUS_TIMEOUT && status != STATUS_UNAVAILABLE;
+
+  if ((certain || pending->change.change_id[0] != '\0') && now + CHANGE_PAUSE < pending->deadline)
+    {
+      timer_arm (pending->api->config.timers, &pending->retry, now + CHANGE_PAUSE);
+      return;
+    }
+  audit (pending, certain ? "not applied" : "unknown", 0);
+  if (certain)
+    end_problem (pending, 503, NULL, "not applied: the configuration has no leader", NULL, 0, now);
+  else
+    end_problem (pending, 504, NULL,
+                 "it is not known whether the change was applied: send it again with the same "
+                 "x-change-id, or read the object",
+                 NULL, 0, now);
+}
+
+static void
+done (struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
+{
+  struct operator_pending *pending = PENDING_OF (proposal, proposal);
+  struct store_answer answer;
+
+  pending->proposed = false;
+  if (status == STATUS_OK)
+    status = store_answer_unpack (&answer, result, length);
+  if (status == STATUS_OK)
+    answered (pending, &answer, now);
+  else
+    left_open (pending, status, now);
+}
+
+static const struct proposal_ops proposal_ops = { .done = done };
+static const struct http_watcher_ops watcher_ops = { .closed = closed };
+
+static void
+try_again (struct operator_pending *pending, int64_t now)
+{
+  struct consensus *consensus = pending->api->config.consensus;
+  int64_t deadline = now + CHANGE_TRY < pending->deadline ? now + CHANGE_TRY : pending->deadline;
+  struct bytes entry;
+  enum status status;
+
+  bytes_init (&entry, pending);
+  store_group_begin (STORE_PART_RESOURCES, &entry);
+  store_change_pack (&pending->change, &entry);
+  status = bytes_failed (&entry) ? status_fail (STATUS_NO_MEMORY, "no memory for an entry")
+                                 : consensus->ops->propose (consensus, entry.data, entry.length,
+                                                            &pending->proposal, deadline, now);
+  bytes_clear (&entry);
+  pending->proposed = status == STATUS_OK;
+  if (status != STATUS_OK)
+    left_open (pending, STATUS_NOT_LEADER, now);
+}
+
+static void
+retry_due (struct timer *timer, int64_t now)
+{
+  try_again (PENDING_OF (timer, retry), now);
+}
+
+static const struct timer_ops retry_ops = { .fire = retry_due };
+
+/* The change id and the hash of what was asked under it; false when the exchange was answered. */
+static bool
+read_change_id (const struct operator_request *request, struct store_change *change)
+{
+  const struct http_exchange *exchange = request->exchange;
+  const char *id = http_header (exchange, "x-change-id");
+  char version[24] = "";
+  crypto_generichash_state state;
+
+  if (id != NULL && (id[0] == '\0' || !text_copy (change->change_id, sizeof change->change_id, id)))
+    {
+      http_reply_error (request->exchange, 400, "x-change-id", "expected 1 to 128 characters");
+      return false;
+    }
+  http_query (exchange, "resourceVersion", version, sizeof version);
+  crypto_generichash_init (&state, NULL, 0, sizeof change->body_hash);
+  crypto_generichash_update (&state, (const uint8_t *) version, strlen (version) + 1);
+  crypto_generichash_update (&state, (const uint8_t *) exchange->method,
+                             strlen (exchange->method) + 1);
+  crypto_generichash_update (&state, (const uint8_t *) exchange->path, strlen (exchange->path) + 1);
+  crypto_generichash_update (&state, (const uint8_t *) exchange->body, exchange->body_length);
+  crypto_generichash_final (&state, change->body_hash, sizeof change->body_hash);
+  return true;
+}
+
+static bool
+refuse (struct operator_request *request, const struct operator_fault *fault)
+{
+  http_reply_error (request->exchange, fault->code, fault->field[0] == '\0' ? NULL : fault->field,
+                    fault->message);
+  return false;
+}
+
+/* Merged onto this host's copy where that is of the version named; else the log tells: as a resend
+ * the change has a first answer, and this host may lag.  No object has the version UINT64_MAX, so
+ * the empty spec is never put. */
+static bool
+read_patch (struct operator_pending *pending,
+            const struct operator_body *body,
+            struct operator_fault *fault)
+{
+  const struct store_object *object =
+      store_find (pending->api->config.store, pending->change.kind, pending->change.name);
+  json_t *spec;
+  bool good;
+
+  pending->patch = json_incref (body->spec);
+  pending->pinned = body->has_version;
+  pending->version = body->version;
+  pending->change.again = true;
+  pending->change.has_version = true;
+  if (object == NULL || (body->has_version && body->version != object->revision))
+    {
+      pending->change.version = UINT64_MAX;
+      pending->change.text = "{}";
+      pending->change.length = 2;
+      return true;
+    }
+  pending->change.version = object->revision;
+  spec = operator_merge (json_loads (object->spec, 0, NULL), json_deep_copy (body->spec));
+  good = operator_body_check (spec, pending, &pending->change, fault);
+  json_decref (spec);
+  return good;
+}
+
+static bool
+read_delete (const struct operator_request *request, struct store_change *change)
+{
+  char text[24];
+
+  change->op = STORE_DELETE;
+  change->text = "";
+  change->has_version =
+      http_query (request->exchange, "resourceVersion", text, sizeof text) && text[0] != '\0';
+  if (change->has_version)
+    change->version = strtoull (text, NULL, 10);
+  return true;
+}
+
+/* False when the exchange was answered. */
+static bool
+read_change (struct operator_request *request, struct operator_pending *pending)
+{
+  const char *method = request->exchange->method;
+  struct store_change *change = &pending->change;
+  struct operator_fault fault;
+  struct operator_body body;
+  bool good;
+
+  if (strcmp (method, "DELETE") == 0)
+    return read_delete (request, change);
+  if (strcmp (method, "PUT") != 0 && strcmp (method, "PATCH") != 0)
+    {
+      http_reply_error (request->exchange, 405, NULL, "GET, PUT, PATCH or DELETE");
+      return false;
+    }
+  if (!operator_body_read (request, &body, &fault))
+    return refuse (request, &fault);
+  change->op = STORE_PUT;
+  change->has_version = body.has_version;
+  change->version = body.version;
+  if (strcmp (method, "PATCH") == 0)
+    good = read_patch (pending, &body, &fault);
+  else
+    good = operator_body_check (body.spec, pending, change, &fault);
+  json_decref (body.spec);
+  return good || refuse (request, &fault);
+}
+
+static int64_t
+read_wait (const struct http_exchange *exchange)
+{
+  char text[16];
+  long wait;
+
+  if (!http_query (exchange, "wait", text, sizeof text))
+    return 0;
+  wait = strtol (text, NULL, 10);
+  if (wait < 0)
+    wait = 0;
+  return (wait > WAIT_MAX_MS ? WAIT_MAX_MS : wait) * USEC_PER_MSEC;
+}
+
+void
+operator_change (struct operator_request *request)
+{
+  struct operator_api *api = request->api;
+  struct operator_pending *pending = talloc_zero (api, struct operator_pending);
+
+  if (pending == NULL)
+    {
+      http_reply_error (request->exchange, 500, NULL, "out of memory");
+      return;
+    }
+  pending->api = api;
+  pending->watcher.ops = &watcher_ops;
+  pending->proposal.ops = &proposal_ops;
+  pending->retry.ops = &retry_ops;
+  bytes_init (&pending->object, pending);
+  talloc_set_destructor (pending, pending_destroy);
+  pending->change.kind = request->kind;
+  text_copy_cut (pending->change.name, sizeof pending->change.name, request->name);
+  text_copy_cut (pending->change.host, sizeof pending->change.host, api->config.host);
+  text_copy_cut (pending->who, sizeof pending->who, request->who);
+  pending->change.time_ms = request->now / USEC_PER_MSEC + api->config.wall_offset_ms;
+  pending->deadline = request->now + CHANGE_WITHIN;
+  pending->wait = read_wait (request->exchange);
+  if (!read_change_id (request, &pending->change) || !read_change (request, pending))
+    {
+      talloc_free (pending);
+      return;
+    }
+  pending->exchange = request->exchange;
+  request->exchange->watcher = &pending->watcher;
+  try_again (pending, request->now);
+}
--- /dev/null
+++ b/src/operator_watch.c
@@ -0,0 +1,278 @@
+/* Watches: a stream of changes from a revision on, with bookmarks. */
+#include "operator_private.h"
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define WATCHES_MAX 256
+#define WATCH_UNSENT_MAX (1u << 20)     /* a slow watcher waits above this */
+#define WATCH_PERIOD (2 * USEC_PER_SEC) /* of bookmarks, and of looking at slow watchers again */
+
+struct operator_one_watch
+{
+  struct http_watcher watcher;
+  struct operator_watches *watches;
+  struct operator_one_watch *prev;
+  struct operator_one_watch *next;
+  struct http_exchange *exchange;
+  enum resource_kind kind;
+  uint64_t revision; /* sent up to here */
+};
+
+struct operator_watches
+{
+  struct operator_api *api;
+  struct store_listener listener;
+  struct timer pump;
+  struct timer period;
+  struct operator_one_watch *list;
+  uint32_t count;
+  struct counter *gauge;
+};
+
+#define WATCHES_OF(pointer, member)                                                                \
+  ((struct operator_watches *) ((char *) (pointer) -offsetof (struct operator_watches, member)))
+
+static void
+forget (struct operator_one_watch *watch)
+{
+  struct operator_watches *watches = watch->watches;
+
+  DL_DELETE (watches->list, watch);
+  watches->count--;
+  gauge_set (watches->gauge, watches->count);
+  talloc_free (watch);
+}
+
+static void
+closed (struct http_watcher *watcher, int64_t now)
+{
+  (void) now;
+  forget ((struct operator_one_watch *) watcher);
+}
+
+static const struct http_watcher_ops watcher_ops = { .closed = closed };
+
+/* One event of the stream around an object's JSON. */
+static void
+send_object (const struct operator_one_watch *watch, const char *type, const struct bytes *object)
+{
+  struct bytes line;
+
+  bytes_init (&line, watch->watches);
+  bytes_append_format (&line, "data: {\"type\":\"%s\",\"object\":", type);
+  bytes_append (&line, object->data, object->length);
+  bytes_append_text (&line, "}\n\n");
+  watch->exchange->ops->write (watch->exchange, line.data, line.length);
+  bytes_clear (&line);
+}
+
+static void
+send_bookmark (const struct operator_one_watch *watch)
+{
+  struct bytes object;
+
+  bytes_init (&object, watch->watches);
+  bytes_append_format (&object, "{\"kind\":\"%s\",\"metadata\":{\"resourceVersion\":%llu}}",
+                       resource_kind_plural (watch->kind), (unsigned long long) watch->revision);
+  send_object (watch, "BOOKMARK", &object);
+  bytes_clear (&object);
+}
+
+/* The watcher was slower than the history is long. */
+static void
+end_too_old (struct operator_one_watch *watch)
+{
+  static const char text[] = "data: {\"type\":\"ERROR\",\"object\":{\"code\":410,\"message\":\"too "
+                             "old: list again\"}}\n\n";
+  struct http_exchange *exchange = watch->exchange;
+
+  exchange->watcher = NULL;
+  forget (watch);
+  exchange->ops->write (exchange, text, sizeof text - 1);
+  exchange->ops->finish (exchange);
+}
+
+static void
+pump (struct operator_one_watch *watch)
+{
+  const struct store_history *changes = store_changes (watch->watches->api->config.store);
+  const struct store_event *event;
+  struct bytes object;
+
+  while (watch->exchange->ops->unsent (watch->exchange) < WATCH_UNSENT_MAX)
+    {
+      if (store_history_after (changes, watch->revision, &event) != STATUS_OK)
+        {
+          end_too_old (watch);
+          return;
+        }
+      if (event == NULL)
+        return;
+      watch->revision = event->revision;
+      if (event->kind != watch->kind)
+        continue;
+      bytes_init (&object, watch->watches);
+      store_event_write (event, &object);
+      send_object (watch, store_event_text (event->type), &object);
+      bytes_clear (&object);
+    }
+}
+
+static void
+pump_all (struct operator_watches *watches)
+{
+  struct operator_one_watch *watch;
+  struct operator_one_watch *following;
+
+  DL_FOREACH_SAFE (watches->list, watch, following)
+    pump (watch);
+}
+
+static void
+pump_due (struct timer *timer, int64_t now)
+{
+  (void) now;
+  pump_all (WATCHES_OF (timer, pump));
+}
+
+static void
+period_due (struct timer *timer, int64_t now)
+{
+  struct operator_watches *watches = WATCHES_OF (timer, period);
+  const struct operator_one_watch *watch;
+
+  pump_all (watches);
+  DL_FOREACH (watches->list, watch)
+    if (watch->exchange->ops->unsent (watch->exchange) == 0)
+      send_bookmark (watch);
+  if (watches->list != NULL)
+    timer_arm (watches->api->config.timers, timer, now + WATCH_PERIOD);
+}
+
+static void
+store_changed (struct store_listener *listener, const struct store_event *event)
+{
+  struct operator_watches *watches = WATCHES_OF (listener, listener);
+
+  (void) event;
+  if (watches->list != NULL && !timer_is_armed (&watches->pump))
+    timer_arm (watches->api->config.timers, &watches->pump, 0);
+}
+
+static void
+store_replaced (struct store_listener *listener)
+{
+  store_changed (listener, NULL);
+}
+
+/* A watch without a revision begins with all objects as they are. */
+static void
+send_all (const struct operator_one_watch *watch, const struct store *store)
+{
+  const struct store_object *object = store_after (store, watch->kind, "");
+  struct bytes text;
+
+  for (; object != NULL; object = store_after (store, watch->kind, object->name))
+    {
+      bytes_init (&text, watch->watches);
+      store_object_write (object, &text);
+      send_object (watch, store_event_text (STORE_EVENT_ADDED), &text);
+      bytes_clear (&text);
+    }
+}
+
+static struct operator_one_watch *
+add_watch (struct operator_request *request, uint64_t revision)
+{
+  struct operator_watches *watches = request->api->watches;
+  struct operator_one_watch *watch = talloc_zero (watches, struct operator_one_watch);
+
+  if (watch == NULL)
+    return NULL;
+  watch->watcher.ops = &watcher_ops;
+  watch->watches = watches;
+  watch->exchange = request->exchange;
+  watch->kind = request->kind;
+  watch->revision = revision;
+  request->exchange->watcher = &watch->watcher;
+  DL_APPEND (watches->list, watch);
+  watches->count++;
+  gauge_set (watches->gauge, watches->count);
+  return watch;
+}
+
+void
+operator_watch (struct operator_request *request)
+{
+  static const struct http_field fields[] = {
+    { "content-type", "text/event-stream" },
+    { "cache-control", "no-cache" },
+  };
+  struct operator_watches *watches = request->api->watches;
+  const struct store *store = request->api->config.store;
+  struct http_exchange *exchange = request->exchange;
+  const struct store_event *event;
+  struct operator_one_watch *watch;
+  uint64_t revision = store_revision (store);
+  char text[24] = "";
+  char *end = text;
+
+  if (http_query (exchange, "resourceVersion", text, sizeof text))
+    revision = strtoull (text, &end, 10);
+  if (text[0] != '\0' && (end == text || *end != '\0'))
+    http_reply_error (exchange, 400, "resourceVersion", "expected a whole number");
+  else if (store_history_after (store_changes (store), revision, &event) != STATUS_OK)
+    http_reply_error (exchange, 410, "resourceVersion", status_message ());
+  else if (watches->count >= WATCHES_MAX)
+    http_reply_error (exchange, 503, NULL, "too many watches on this host: use another");
+  else if ((watch = add_watch (request, revision)) == NULL)
+    http_reply_error (exchange, 500, NULL, "out of memory");
+  else
+    {
+      exchange->ops->begin (exchange, 200, fields, sizeof fields / sizeof *fields);
+      if (text[0] == '\0')
+        send_all (watch, store);
+      send_bookmark (watch);
+      timer_arm (request->api->config.timers, &watches->pump, 0);
+      if (!timer_is_armed (&watches->period))
+        timer_arm (request->api->config.timers, &watches->period, request->now + WATCH_PERIOD);
+    }
+}
+
+static const struct store_listener_ops listener_ops = {
+  .changed = store_changed,
+  .replaced = store_replaced,
+};
+static const struct timer_ops pump_ops = { .fire = pump_due };
+static const struct timer_ops period_ops = { .fire = period_due };
+
+static int
+destroy (struct operator_watches *watches)
+{
+  struct operator_one_watch *watch;
+
+  timer_disarm (watches->api->config.timers, &watches->pump);
+  timer_disarm (watches->api->config.timers, &watches->period);
+  store_unlisten (watches->api->config.store, &watches->listener);
+  DL_FOREACH (watches->list, watch)
+    watch->exchange->watcher = NULL;
+  return 0;
+}
+
+struct operator_watches *
+operator_watches_new (struct operator_api *api)
+{
+  struct operator_watches *watches = talloc_zero (api, struct operator_watches);
+
+  if (watches == NULL)
+    return NULL;
+  watches->api = api;
+  watches->listener.ops = &listener_ops;
+  watches->pump.ops = &pump_ops;
+  watches->period.ops = &period_ops;
+  watches->gauge = gauge_get (api->config.counters, "operator_watches", "Open watches.", NULL);
+  store_listen (api->config.store, &watches->listener);
+  talloc_set_destructor (watches, destroy);
+  return watches;
+}
