Learn apart what a target's other calls add to a time

A stage's times were learned as they came, so a burst's full batches made every later estimate too long, and a long document was thought as slow to read when cached as when not. Times are now those of a target alone; two slopes a model (to the first output, between tokens) take out the fill, as continuous batching slows with the batch; waiting calls teach no first output.

--- a/src/decide.c
+++ b/src/decide.c
@@ -259,12 +259,12 @@
 {
   struct decide_pipeline *pipeline = decide_pipeline_get (decide, request->pipeline);
   const struct board_pipeline *entry = table_get (decide->board->pipelines, request->pipeline);
-  struct decide_work rest;
+  struct decide_rest rest;
 
   if (pipeline == NULL || entry == NULL || attempts >= entry->spec.max_attempts)
     return DECIDE_ATTEMPTS;
   rest = decide_rest_time (decide, request, entry, request->stage);
-  if (now >= request->deadline || (rest.known && now + rest.span.low > request->deadline))
+  if (now >= request->deadline || (rest.known && now + rest.low > request->deadline))
     return DECIDE_WINDOW;
   return budget_take (&pipeline->retries) ? DECIDE_ADMITTED : DECIDE_BUDGET;
 }
@@ -274,12 +274,12 @@
 {
   struct decide_pipeline *pipeline = decide_pipeline_get (decide, request->pipeline);
   const struct board_pipeline *entry = table_get (decide->board->pipelines, request->pipeline);
-  struct decide_work rest;
+  struct decide_rest rest;
 
   if (pipeline == NULL || entry == NULL || !request->repeatable || entry->spec.hedge_share <= 0)
     return DECIDE_ATTEMPTS;
   rest = decide_rest_time (decide, request, entry, request->stage);
-  if (rest.known && (double) now + rest.span.middle > (double) request->deadline)
+  if (rest.known && (double) now + rest.middle > (double) request->deadline)
     return DECIDE_WINDOW;
   return budget_take (&pipeline->hedges) ? DECIDE_ADMITTED : DECIDE_BUDGET;
 }
@@ -289,7 +289,7 @@
 decide_hopeless (const struct decide *decide, const struct decide_request *request, int64_t now)
 {
   const struct board_pipeline *pipeline = table_get (decide->board->pipelines, request->pipeline);
-  struct decide_work rest;
+  struct decide_rest rest;
 
   if (now >= request->deadline)
     return true;
@@ -297,7 +297,7 @@
     return false;
   /* Reading may register a pool or class by name, which is no decision's state. */
   rest = decide_rest_time ((struct decide *) decide, request, pipeline, request->stage + 1);
-  return rest.known && (double) now + rest.span.low > (double) request->deadline;
+  return rest.known && (double) now + rest.low > (double) request->deadline;
 }
 
 void
--- a/src/decide.h
+++ b/src/decide.h
@@ -97,7 +97,9 @@
   int64_t give_up;        /* end the attempt then; USEC_NEVER to leave it to the deadline */
   int64_t hedge_at;       /* start a second attempt then if budgets allow; USEC_NEVER for none */
   uint32_t prefix_tokens; /* expected in the target's cache */
-  double work;            /* expected slot seconds */
+  double work;            /* expected slot seconds, on a target with nothing else to do */
+  double fill;            /* of its slots when chosen, 0 to 1; decide's own */
+  double wait;            /* expected microseconds before it begins; decide's own */
 };
 
 /* One attempt that ended, for learning. */
--- a/src/decide_admit.c
+++ b/src/decide_admit.c
@@ -89,16 +89,18 @@
       const struct stage_spec *spec = &pipeline->spec.stages[stage];
       struct decide_pool *pool = decide_pool_get (decide, spec->pool);
       uint32_t tokens = decide_stage_tokens (decide, request, stage);
-      struct decide_work work = decide_stage_time (decide, request, spec, tokens, 0);
+      uint32_t cached = decide_stage_cached (decide, request, stage, tokens);
+      struct decide_work work = decide_stage_time (decide, request, spec, tokens, cached);
+      double alone = decide_work_alone (&work);
 
       if (pool == NULL)
         continue;
       decide_pool_refresh (decide, pool, now);
       outlook.served = outlook.served && pool->n_usable > 0;
       outlook.known = outlook.known && work.known;
-      outlook.service += work.span.middle;
-      outlook.wait = fmax (outlook.wait, pool_wait (decide, pool) - work.span.middle);
-      request->stage_work[stage] = work.span.middle / USEC_PER_SEC;
+      outlook.service += decide_work_at (&work, decide_pool_fill (decide, pool));
+      outlook.wait = fmax (outlook.wait, pool_wait (decide, pool) - alone);
+      request->stage_work[stage] = alone / USEC_PER_SEC;
       outlook.work += request->stage_work[stage];
     }
   return outlook;
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -6,7 +6,9 @@
 #include <talloc.h>
 
 #define BEYOND_START 0.5 /* until it is learned */
-#define DEFAULT_SLOTS 8  /* of a target that announces none in a pool that declares none */
+#define SLOPE_START 0.5  /* a full batch takes half as long again: until it is learned */
+#define FILL_START 0.3
+#define DEFAULT_SLOTS 8 /* of a target that announces none in a pool that declares none */
 
 /* uthash's macros are long; the function is not.
  * NOLINTBEGIN(readability-function-size) */
@@ -32,6 +34,7 @@
 struct decide_class *
 decide_class_get (struct decide_pool *pool, const char *model)
 {
+  struct decide_class *class;
   uint32_t i;
 
   for (i = 0; i < pool->n_classes; i++)
@@ -40,8 +43,11 @@
   /* More models than are learned apart share the last class. */
   if (pool->n_classes == DECIDE_CLASSES_MAX)
     return &pool->classes[DECIDE_CLASSES_MAX - 1];
-  text_copy_cut (pool->classes[pool->n_classes].model, RESOURCE_NAME_SIZE, model);
-  return &pool->classes[pool->n_classes++];
+  class = &pool->classes[pool->n_classes++];
+  text_copy_cut (class->model, sizeof class->model, model);
+  class->first_slope = (struct decide_slope){ .slope = SLOPE_START, .mean_fill = FILL_START };
+  class->token_slope = class->first_slope;
+  return class;
 }
 
 static bool
@@ -176,6 +182,16 @@
   return entry == NULL ? 0 : slots_of (decide, entry);
 }
 
+/* The share of the pool's slots in use, as far as we can tell. */
+double
+decide_pool_fill (const struct decide *decide, const struct decide_pool *pool)
+{
+  double like_us = pool->running * decide_hosts (decide);
+  double load = pool->reports * pool->reported + (1 - pool->reports) * like_us;
+
+  return pool->slots > 0 && load < pool->slots ? load / pool->slots : 1;
+}
+
 /* Hosts that share the targets with us, ourselves among them. */
 double
 decide_hosts (const struct decide *decide)
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -16,12 +16,22 @@
 #define PREFIX_SETS 8192               /* 768 KiB; 65,536 sampled blocks */
 #define REFRESH_SPAN (100 * USEC_PER_MSEC)
 
-/* What was learned of one model of a pool. */
+/* How a time grows with the share of the target's slots in use: 1 + slope * fill. */
+struct decide_slope
+{
+  double slope;
+  double mean_fill; /* of the samples, so that slope and times are learned apart */
+};
+
+/* What was learned of one model of a pool.  Times are those of a target with nothing else to do:
+ * what its other calls add is taken out by the slopes. */
 struct decide_class
 {
   char model[RESOURCE_NAME_SIZE];
   struct learn_sizes first; /* time to the first output by tokens not cached */
   struct learn_sizes token; /* time between generated tokens, by tokens generated */
+  struct decide_slope first_slope;
+  struct decide_slope token_slope;
 };
 
 struct decide_pool
@@ -61,6 +71,7 @@
 struct decide_stage
 {
   double extra_tokens; /* a stage's tokens beyond the request's, learned */
+  double cached_share; /* of its tokens, learned */
   bool known;
 };
 
@@ -105,6 +116,7 @@
                            struct handle handle,
                            int64_t now);
 struct decide_class *decide_class_get (struct decide_pool *pool, const char *model);
+double decide_pool_fill (const struct decide *decide, const struct decide_pool *pool);
 double decide_target_slots (const struct decide *decide, const struct decide_target *target);
 double decide_hosts (const struct decide *decide);
 double decide_report_weight (const struct load_report *report, int64_t now);
@@ -128,10 +140,41 @@
 /* decide_time.c: what stages are expected to take */
 struct decide_work
 {
-  struct learn_span span; /* microseconds on a target that has nothing else to do */
+  struct learn_span first;  /* microseconds to the first output, alone on the target */
+  struct learn_span tokens; /* from there to the end */
+  double first_slope;
+  double token_slope;
   bool known;
 };
 
+/* Alone on the target. */
+static inline double
+decide_work_alone (const struct decide_work *work)
+{
+  return work->first.middle + work->tokens.middle;
+}
+
+/* With `fill` of the target's slots in use. */
+static inline double
+decide_work_at (const struct decide_work *work, double fill)
+{
+  return work->first.middle * (1 + work->first_slope * fill)
+         + work->tokens.middle * (1 + work->token_slope * fill);
+}
+
+static inline double
+decide_work_high_at (const struct decide_work *work, double fill)
+{
+  return work->first.high * (1 + work->first_slope * fill)
+         + work->tokens.high * (1 + work->token_slope * fill);
+}
+
+static inline double
+decide_work_low (const struct decide_work *work)
+{
+  return work->first.low + work->tokens.low;
+}
+
 struct decide_work decide_stage_time (struct decide *decide,
                                       const struct decide_request *request,
                                       const struct stage_spec *spec,
@@ -141,8 +184,22 @@
                               const struct decide_request *request,
                               uint32_t stage);
 
-/* Of the stages from `stage` on; known when all of them are. */
-struct decide_work decide_rest_time (struct decide *decide,
+/* Tokens of a stage that are expected in some target's cache. */
+uint32_t decide_stage_cached (struct decide *decide,
+                              const struct decide_request *request,
+                              uint32_t stage,
+                              uint32_t tokens);
+
+/* Of the stages from `stage` on, microseconds: what they take at least, and as expected at the
+ * fill their pools have now; known when all of them are. */
+struct decide_rest
+{
+  double low;
+  double middle;
+  bool known;
+};
+
+struct decide_rest decide_rest_time (struct decide *decide,
                                      const struct decide_request *request,
                                      const struct board_pipeline *pipeline,
                                      uint32_t stage);
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -10,7 +10,6 @@
 #define SAMPLES 4
 #define RETRY_SAMPLES 16
 #define DRAWS_MAX 16     /* random draws before targets are looked at in turn */
-#define BATCH_SLOPE 0.5  /* a full batch takes this much longer than an empty one */
 #define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
 #define SLOW_START (5 * USEC_PER_SEC)
 #define SLOW_START_FACTOR 4.0 /* a fresh target's score, down to 1 over SLOW_START */
@@ -24,7 +23,9 @@
   struct decide_target *target;
   const struct board_target *entry;
   uint32_t cached; /* tokens of the prompt thought to be in its cache */
-  double service;  /* microseconds, alone on the target */
+  struct decide_work work;
+  double fill;     /* of its slots, with this call */
+  double wait;     /* microseconds */
   double expected; /* microseconds */
   double score;
 };
@@ -38,7 +39,7 @@
   const struct handle *tried;
   uint32_t n_tried;
   uint32_t tokens;
-  double service; /* microseconds, with nothing cached */
+  struct decide_work work; /* with nothing cached */
   double hosts;
   int64_t now;
 };
@@ -107,16 +108,17 @@
 {
   const struct decide_target *target = candidate->target;
   double slots = decide_target_slots (search->decide, target);
-  double others = others_on (search, candidate);
-  double load = target->in_flight + others;
-  double mean =
-      target->in_flight > 0 ? target->work / target->in_flight * USEC_PER_SEC : search->service;
-  double filled = fmin (load / slots, 1);
-  double wait = load < slots ? 0 : load * mean / slots;
+  double load = target->in_flight + others_on (search, candidate);
+  double alone = decide_work_alone (&candidate->work);
+  double mean = target->in_flight > 0 ? target->work / target->in_flight * USEC_PER_SEC : alone;
   int64_t age = search->now - target->added_at;
 
-  candidate->expected =
-      decide_target_slowness (target) * (candidate->service * (1 + BATCH_SLOPE * filled) + wait);
+  candidate->fill = fmin ((load + 1) / slots, 1);
+  /* Every end frees a slot: who stands n-th in the queue waits for n of them. */
+  candidate->wait = load < slots ? 0 : (load - slots + 1) * mean / slots;
+  candidate->wait *= 1 + candidate->work.token_slope;
+  candidate->expected = decide_target_slowness (target)
+                        * (decide_work_at (&candidate->work, candidate->fill) + candidate->wait);
   candidate->score = candidate->expected;
   if (age < SLOW_START)
     candidate->score *= 1 + (SLOW_START_FACTOR - 1) * (1 - (double) age / SLOW_START);
@@ -136,7 +138,7 @@
     return false;
   if (!serves (entry, search->spec) || was_tried (search, target->handle))
     return false;
-  *out = (struct candidate){ .target = target, .entry = entry, .service = search->service };
+  *out = (struct candidate){ .target = target, .entry = entry, .work = search->work };
   estimate (search, out);
   return true;
 }
@@ -227,9 +229,8 @@
         continue;
       candidate.cached =
           decide_prefix_tokens (search->pool, request, holders[i].blocks, search->tokens);
-      candidate.service = decide_stage_time (search->decide, request, search->spec, search->tokens,
-                                             candidate.cached)
-                              .span.middle;
+      candidate.work = decide_stage_time (search->decide, request, search->spec, search->tokens,
+                                          candidate.cached);
       estimate (search, &candidate);
       keep_better (best, &candidate);
     }
@@ -251,19 +252,19 @@
 static int64_t
 give_up_at (const struct search *search,
             const struct board_pipeline *pipeline,
-            const struct candidate *best,
-            const struct decide_work *work)
+            const struct candidate *best)
 {
   const struct decide_request *request = search->request;
-  double span = fmax (GIVE_UP_TIMES * fmax (best->expected, work->span.high), GIVE_UP_MIN);
-  struct decide_work rest;
+  double high = decide_work_high_at (&best->work, 1) + best->wait;
+  double span = fmax (GIVE_UP_TIMES * fmax (best->expected, high), GIVE_UP_MIN);
+  struct decide_rest rest;
   double latest;
 
   if (!request->repeatable || search->n_tried + 1 >= pipeline->spec.max_attempts)
     return USEC_NEVER;
   rest = decide_rest_time (search->decide, request, pipeline, request->stage);
-  latest = (double) (request->deadline - search->now) - rest.span.middle;
-  if (!work->known)
+  latest = (double) (request->deadline - search->now) - rest.middle;
+  if (!best->work.known)
     span = latest / 2;
   if (span >= latest)
     return USEC_NEVER;
@@ -274,19 +275,22 @@
 fill_choice (const struct search *search,
              const struct board_pipeline *pipeline,
              const struct candidate *best,
-             const struct decide_work *work,
              struct decide_choice *out)
 {
-  bool hedges = search->request->repeatable && pipeline->spec.hedge_share > 0 && work->known;
+  bool hedges = search->request->repeatable && pipeline->spec.hedge_share > 0 && best->work.known;
 
   *out = (struct decide_choice){ .target = best->target->handle,
                                  .expected = search->now + (int64_t) best->expected,
-                                 .give_up = give_up_at (search, pipeline, best, work),
+                                 .give_up = give_up_at (search, pipeline, best),
                                  .hedge_at = USEC_NEVER,
                                  .prefix_tokens = best->cached,
-                                 .work = best->service / USEC_PER_SEC };
+                                 .work = decide_work_alone (&best->work) / USEC_PER_SEC,
+                                 .fill = best->fill,
+                                 .wait = best->wait };
   if (hedges)
-    out->hedge_at = search->now + (int64_t) fmax (best->expected, work->span.high);
+    out->hedge_at =
+        search->now
+        + (int64_t) fmax (best->expected, decide_work_high_at (&best->work, best->fill));
 }
 
 enum decide_reason
@@ -302,7 +306,6 @@
   const struct stage_spec *spec = decide_stage_spec (decide, request);
   struct candidate best = { .target = NULL };
   struct search search;
-  struct decide_work work;
 
   if (pipeline == NULL || spec == NULL)
     return DECIDE_NO_TARGET;
@@ -317,13 +320,12 @@
                             .now = now };
   if (search.pool == NULL || search.pool->n_targets == 0)
     return DECIDE_NO_TARGET;
-  work = decide_stage_time (decide, request, spec, stage_tokens, 0);
-  search.service = work.span.middle;
+  search.work = decide_stage_time (decide, request, spec, stage_tokens, 0);
   search_pool (&search, &best);
   if (best.target == NULL)
     return DECIDE_NO_TARGET;
-  if (work.known && now + (int64_t) work.span.low >= request->deadline)
+  if (best.work.known && now + (int64_t) decide_work_low (&best.work) >= request->deadline)
     return DECIDE_WINDOW;
-  fill_choice (&search, pipeline, &best, &work, out);
+  fill_choice (&search, pipeline, &best, out);
   return DECIDE_ADMITTED;
 }
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -7,14 +7,18 @@
                            */
 #define EXTRA_WEIGHT 0.1  /* of a new sample of a stage's extra tokens */
 #define SLOWNESS_WEIGHT 0.15
+#define SLOPE_RATE 0.5
+#define SLOPE_MAX 8.0
+#define SLOPE_MEAN_WEIGHT 0.02
+#define REST_MAX 1.0         /* a sample far off is an accident, not a slope */
 #define LOG_SLOWNESS_MAX 3.5 /* 33 times slower or faster */
 
 static struct learn_span
-span_add (struct learn_span a, struct learn_span b, double times)
+span_times (struct learn_span span, double times)
 {
-  return (struct learn_span){ .low = a.low + b.low * times,
-                              .middle = a.middle + b.middle * times,
-                              .high = a.high + b.high * times };
+  return (struct learn_span){ .low = span.low * times,
+                              .middle = span.middle * times,
+                              .high = span.high * times };
 }
 
 static uint32_t
@@ -36,25 +40,24 @@
                    uint32_t tokens,
                    uint32_t cached_tokens)
 {
-  struct decide_work work = { .span = { .middle = UNKNOWN_MIDDLE, .high = UNKNOWN_MIDDLE } };
+  struct decide_work work = { .first = { .middle = UNKNOWN_MIDDLE, .high = UNKNOWN_MIDDLE } };
   struct decide_pool *pool = decide_pool_get (decide, spec->pool);
   uint32_t generated = generated_tokens (request, spec);
   const struct decide_class *class;
-  struct learn_span first;
   struct learn_span token;
 
   if (pool == NULL)
     return work;
   class = decide_class_get (pool, spec->model);
-  if (!learn_read (&class->first, tokens > cached_tokens ? tokens - cached_tokens : 0, &first))
-    return work;
-  work.span = first;
-  work.known = true;
-  if (generated == 0)
+  work.first_slope = class->first_slope.slope;
+  work.token_slope = class->token_slope.slope;
+  work.known =
+      learn_read (&class->first, tokens > cached_tokens ? tokens - cached_tokens : 0, &work.first);
+  if (!work.known || generated == 0)
     return work;
   work.known = learn_read (&class->token, generated, &token);
   if (work.known)
-    work.span = span_add (first, token, generated);
+    work.tokens = span_times (token, generated);
   return work;
 }
 
@@ -69,28 +72,56 @@
   return tokens < 1 ? 1 : (uint32_t) tokens;
 }
 
-struct decide_work
+static double
+cached_share (struct decide *decide, const struct decide_request *request, uint32_t stage)
+{
+  const struct decide_pipeline *pipeline = decide_pipeline_get (decide, request->pipeline);
+
+  return pipeline != NULL && stage < RESOURCE_STAGES_MAX ? pipeline->stages[stage].cached_share : 0;
+}
+
+uint32_t
+decide_stage_cached (struct decide *decide,
+                     const struct decide_request *request,
+                     uint32_t stage,
+                     uint32_t tokens)
+{
+  return (uint32_t) (cached_share (decide, request, stage) * tokens);
+}
+
+/* The least time counts nearly all as cached once anything was: a long document that is in a cache
+ * takes hardly any time, and a request must not be cancelled that could still end. */
+struct decide_rest
 decide_rest_time (struct decide *decide,
                   const struct decide_request *request,
                   const struct board_pipeline *pipeline,
                   uint32_t stage)
 {
-  struct decide_work rest = { .known = true };
+  struct decide_rest rest = { .known = true };
 
   for (; stage < pipeline->spec.n_stages; stage++)
     {
+      const struct stage_spec *spec = &pipeline->spec.stages[stage];
+      struct decide_pool *pool = decide_pool_get (decide, spec->pool);
       uint32_t tokens = decide_stage_tokens (decide, request, stage);
-      struct decide_work work =
-          decide_stage_time (decide, request, &pipeline->spec.stages[stage], tokens, 0);
-
-      rest.span = span_add (rest.span, work.span, 1);
+      uint32_t cached = decide_stage_cached (decide, request, stage, tokens);
+      struct decide_work work = decide_stage_time (decide, request, spec, tokens, cached);
+      double low = decide_work_low (&work);
+
+      if (cached > 0)
+        low = work.tokens.low;
+      rest.low += low;
+      rest.middle += decide_work_at (&work, pool == NULL ? 0 : decide_pool_fill (decide, pool));
       rest.known = rest.known && work.known;
     }
   return rest;
 }
 
 static void
-learn_tokens (struct decide *decide, const struct decide_request *request, uint32_t tokens)
+learn_tokens (struct decide *decide,
+              const struct decide_request *request,
+              uint32_t tokens,
+              uint32_t cached)
 {
   struct decide_pipeline *pipeline = decide_pipeline_get (decide, request->pipeline);
   double extra = (double) tokens - request->input_tokens;
@@ -101,6 +132,7 @@
   stage = &pipeline->stages[request->stage];
   if (!stage->known)
     stage->extra_tokens = extra;
+  stage->cached_share += ((double) cached / fmax (tokens, 1) - stage->cached_share) * EXTRA_WEIGHT;
   stage->known = true;
   stage->extra_tokens += (extra - stage->extra_tokens) * EXTRA_WEIGHT;
 }
@@ -127,9 +159,42 @@
   return exp (target->log_slowness - mean);
 }
 
-/* What the attempt took over what was expected, split into what its target's queue and slowness
- * explain (the expected time over the work), which is taken out, and the rest, which the target's
- * slowness and the pool's times learn. */
+/* Take out of `span` what the target's other calls added, and teach the slope with the rest.  Only
+ * the way the rest goes with the fill teaches the slope; its mean teaches the time. */
+static double
+learn_slope (struct decide_slope *slope, double fill, double span, double expected_alone)
+{
+  double factor = 1 + slope->slope * fill;
+
+  if (expected_alone > 0 && span > 0)
+    {
+      double rest = log (span / (expected_alone * factor));
+
+      rest = fmin (fmax (rest, -REST_MAX), REST_MAX);
+      slope->slope += SLOPE_RATE * rest * (fill - slope->mean_fill);
+      slope->slope = fmin (fmax (slope->slope, 0), SLOPE_MAX);
+      slope->mean_fill += SLOPE_MEAN_WEIGHT * (fill - slope->mean_fill);
+    }
+  return span / factor;
+}
+
+/* A time on this target, without its slowness. */
+static void
+learn_part (struct decide *decide,
+            struct learn_sizes *times,
+            struct decide_slope *slope,
+            uint32_t tokens,
+            double span,
+            double fill)
+{
+  struct learn_span known = { .middle = 0 };
+
+  learn_read (times, tokens, &known);
+  learn_record (times, decide, tokens, learn_slope (slope, fill, span, known.middle));
+}
+
+/* What the attempt took is split into waiting, as was expected, the target's slowness, what its
+ * other calls added, and the pool's times, which learn what is left. */
 void
 decide_time_learn (struct decide *decide,
                    const struct decide_request *request,
@@ -140,23 +205,23 @@
   struct decide_class *class = decide_class_get (target->pool, spec->model);
   double expected = (double) (result->choice.expected - result->started);
   double took = (double) (result->ended - result->started);
-  double service = result->choice.work * USEC_PER_SEC;
+  double slowness = decide_target_slowness (target);
   bool generates = spec->kind == STAGE_GENERATE && result->first_data > 0;
   double first = generates ? (double) (result->first_data - result->started) : took;
-  double crowding = 1;
-  struct learn_span known;
   uint32_t uncached = result->input_tokens > result->cached_tokens
                           ? result->input_tokens - result->cached_tokens
                           : 1;
+  struct learn_span known;
+  bool was_known = learn_read (&class->first, uncached, &known);
 
-  learn_tokens (decide, request, result->input_tokens);
-  if (learn_read (&class->first, uncached, &known) && service > 0 && expected > 0 && took > 0)
-    {
-      crowding = expected / service;
-      learn_slowness (target, took / expected);
-    }
-  learn_record (&class->first, decide, uncached, first / crowding);
+  learn_tokens (decide, request, result->input_tokens, result->cached_tokens);
+  /* A call that waited says little of the time to the first output. */
+  if (result->choice.wait <= 0 || !was_known)
+    learn_part (decide, &class->first, &class->first_slope, uncached, first / slowness,
+                result->choice.fill);
   if (generates && result->output_tokens > 0)
-    learn_record (&class->token, decide, result->output_tokens,
-                  (took - first) / result->output_tokens / crowding);
+    learn_part (decide, &class->token, &class->token_slope, result->output_tokens,
+                (took - first) / result->output_tokens / slowness, result->choice.fill);
+  if (was_known && expected > 0 && took > 0)
+    learn_slowness (target, took / expected);
 }
