Estimate waiting from calls ahead by priority, not from all admitted work

Admitted work over our slots counted calls that run at once as waiting, so short windows were refused at 90% load, and low priorities saw the same waiting as high ones though engines serve by priority. Waiting is now for the calls of the same or a higher priority beyond our slots, longer by the share that higher priorities keep taking; a refusal that the highest priority would not get says so.

--- a/src/decide.c
+++ b/src/decide.c
@@ -234,7 +234,7 @@
       if (pipeline != NULL && entry != NULL)
         budget_earn (&pipeline->retries, entry->spec.retry_share);
       if (request->admitted)
-        decide_count_stage (decide, request, request->stage, -1);
+        decide_stage_over (decide, request, request->stage);
     }
   if (target == NULL)
     return;
--- a/src/decide_admit.c
+++ b/src/decide_admit.c
@@ -3,10 +3,8 @@
 #include "decide_state.h"
 #include <math.h>
 
-#define WINDOW_MARGIN 0.9  /* of the time left that the expected time may take */
-#define OVERLOAD 0.7       /* of the window taken by waiting, from where shares count */
-#define PRIORITY_STEP 0.05 /* less waiting tolerated for each priority below 9 */
-#define PRIORITY_TOP 9
+#define WINDOW_MARGIN 0.9 /* of the time left that the expected time may take */
+#define OVERLOAD 0.7      /* of the window taken by waiting, from where shares count */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 
 static double
@@ -54,27 +52,31 @@
     limit_undo (&organisation->limit, &entry->spec, limit_tokens (request));
 }
 
-/* How long a stage's work waits behind what we have admitted: our work over the slots that are
- * ours, which are an even share of the pool, or what others leave free where reports show it. */
-static double
-pool_wait (const struct decide *decide, const struct decide_pool *pool)
-{
-  double ours = pool->slots / decide_hosts (decide);
-  double others = fmax (0, pool->reported - pool->running);
-  double slots = fmax (ours, (pool->slots - others) * pool->reports);
-
-  return slots > 0 ? pool->admitted_work * USEC_PER_SEC / slots : (double) USEC_PER_SEC;
-}
-
 struct outlook
 {
   double work; /* slot seconds over all stages */
   double service;
-  double wait;
+  double wait;     /* of a call of its priority */
+  double top_wait; /* of one of the highest */
   bool known;
   bool served; /* every stage has a usable target */
 };
 
+static uint32_t
+priority_of (const struct decide_request *request)
+{
+  return request->priority < DECIDE_PRIORITIES ? request->priority : DECIDE_PRIORITIES - 1;
+}
+
+/* How much longer the work takes with all slots in use. */
+static double
+stage_slope (const struct decide_work *work)
+{
+  double alone = decide_work_alone (work);
+
+  return alone > 0 ? decide_work_at (work, 1) / alone - 1 : 0;
+}
+
 static struct outlook
 look_ahead (struct decide *decide,
             struct decide_request *request,
@@ -99,7 +101,10 @@
       outlook.served = outlook.served && pool->n_usable > 0;
       outlook.known = outlook.known && work.known;
       outlook.service += decide_work_at (&work, decide_pool_fill (decide, pool));
-      outlook.wait = fmax (outlook.wait, pool_wait (decide, pool) - alone);
+      outlook.wait +=
+          decide_queue_wait (decide, pool, priority_of (request), stage_slope (&work), now);
+      outlook.top_wait +=
+          decide_queue_wait (decide, pool, DECIDE_PRIORITIES - 1, stage_slope (&work), now);
       request->stage_work[stage] = alone / USEC_PER_SEC;
       outlook.work += request->stage_work[stage];
     }
@@ -149,7 +154,6 @@
 {
   double left = (double) (request->deadline - now) * WINDOW_MARGIN;
   double spare = left - outlook->service;
-  uint32_t below = request->priority < PRIORITY_TOP ? PRIORITY_TOP - request->priority : 0;
   double excess = outlook->wait - spare;
 
   if (!outlook->known)
@@ -157,12 +161,10 @@
   if (spare < 0)
     return (struct decide_admission){ .reason = DECIDE_WINDOW };
   if (excess > 0)
-    return (struct decide_admission){ .reason = DECIDE_WINDOW,
-                                      .retry_after = RETRY_AFTER_MIN + (int64_t) excess };
-  excess = outlook->wait - spare * (1 - PRIORITY_STEP * below);
-  if (excess > 0)
-    return (struct decide_admission){ .reason = DECIDE_PRIORITY,
-                                      .retry_after = RETRY_AFTER_MIN + (int64_t) excess };
+    return (struct decide_admission){
+      .reason = outlook->top_wait > spare ? DECIDE_WINDOW : DECIDE_PRIORITY,
+      .retry_after = RETRY_AFTER_MIN + (int64_t) excess,
+    };
   excess = outlook->wait - spare * OVERLOAD;
   if (excess > 0 && over_share (decide, request))
     return (struct decide_admission){ .reason = DECIDE_SHARE,
@@ -170,27 +172,30 @@
   return (struct decide_admission){ .reason = DECIDE_ADMITTED };
 }
 
-/* Count the admitted work in, or with -1 out, of its stages' pools. */
-void
-decide_count_stage (struct decide *decide,
-                    struct decide_request *request,
-                    uint32_t stage,
-                    double sign)
+static struct decide_queue *
+queue_of (struct decide *decide, const struct decide_request *request, uint32_t stage)
 {
   const struct board_pipeline *pipeline = table_get (decide->board->pipelines, request->pipeline);
   struct decide_pool *pool;
 
   if (pipeline == NULL || stage >= pipeline->spec.n_stages)
-    return;
+    return NULL;
   pool = decide_pool_get (decide, pipeline->spec.stages[stage].pool);
-  if (pool != NULL)
-    pool->admitted_work = fmax (0, pool->admitted_work + sign * request->stage_work[stage]);
-  if (sign < 0)
-    request->stage_work[stage] = 0;
+  return pool == NULL ? NULL : &pool->queues[priority_of (request)];
+}
+
+void
+decide_stage_over (struct decide *decide, struct decide_request *request, uint32_t stage)
+{
+  struct decide_queue *queue = queue_of (decide, request, stage);
+
+  if (queue != NULL && request->stage_work[stage] > 0)
+    decide_queue_remove (queue, request->stage_work[stage]);
+  request->stage_work[stage] = 0;
 }
 
 static void
-count_request (struct decide *decide, struct decide_request *request, double work)
+count_request (struct decide *decide, struct decide_request *request, double work, int64_t now)
 {
   struct decide_organisation *organisation =
       decide_organisation_get (decide, request->organisation);
@@ -202,7 +207,12 @@
   if (organisation != NULL)
     organisation->work += work;
   for (stage = request->stage; stage < RESOURCE_STAGES_MAX; stage++)
-    decide_count_stage (decide, request, stage, 1);
+    {
+      struct decide_queue *queue = queue_of (decide, request, stage);
+
+      if (queue != NULL && request->stage_work[stage] > 0)
+        decide_queue_add (queue, request->stage_work[stage], now);
+    }
 }
 
 struct decide_admission
@@ -224,7 +234,7 @@
         admission =
             (struct decide_admission){ .reason = DECIDE_NO_TARGET, .retry_after = USEC_PER_SEC };
       if (admission.reason == DECIDE_ADMITTED)
-        count_request (decide, request, outlook.work);
+        count_request (decide, request, outlook.work, now);
       else
         undo_limits (decide, request);
       if (admission.reason == DECIDE_WINDOW)
@@ -249,7 +259,7 @@
   request->admitted = false;
   counter_add (whole ? decide->finished_whole : decide->finished_other, 1);
   for (stage = 0; stage < RESOURCE_STAGES_MAX; stage++)
-    decide_count_stage (decide, request, stage, -1);
+    decide_stage_over (decide, request, stage);
   if (decide->n_running > 0)
     decide->n_running--;
   if (organisation == NULL)
--- a/src/decide_dump.c
+++ b/src/decide_dump.c
@@ -38,6 +38,17 @@
   return json_pack ("{s:s,s:o}", "model", class->model, "first_output", sizes);
 }
 
+static double
+admitted_work (const struct decide_pool *pool)
+{
+  double work = 0;
+  uint32_t i;
+
+  for (i = 0; i < DECIDE_PRIORITIES; i++)
+    work += pool->queues[i].work;
+  return work;
+}
+
 static json_t *
 describe_pool (const struct decide *decide, const struct decide_pool *pool, int64_t now)
 {
@@ -55,7 +66,7 @@
   for (i = 0; i < pool->n_classes; i++)
     json_array_append_new (classes, describe_class (&pool->classes[i]));
   return json_pack ("{s:s,s:f,s:f,s:i,s:i,s:f,s:f,s:o,s:o}", "name", pool->name, "admitted_work",
-                    pool->admitted_work, "slots", pool->slots, "running", (int) pool->running,
+                    admitted_work (pool), "slots", pool->slots, "running", (int) pool->running,
                     "ejected", (int) pool->n_ejected, "reported", pool->reported, "report_trust",
                     pool->reports, "targets", targets, "models", classes);
 }
--- /dev/null
+++ b/src/decide_queue.c
@@ -0,0 +1,76 @@
+/* How long admitted work waits at a pool, by priority.
+ *
+ * Engines honour priorities, so a call waits behind what has its priority or a higher one, and a
+ * higher one that comes later still goes before it. */
+#include "decide_state.h"
+#include <math.h>
+
+#define RATE_SPAN (5.0 * USEC_PER_SEC) /* time constant of the rate's decay */
+#define HIGHER_MAX 0.9 /* of the slots that higher priorities can be thought to take */
+
+static double
+rate_now (const struct decide_queue *queue, int64_t now)
+{
+  double age = (double) (now - queue->rate_at);
+
+  return age > 0 ? queue->rate * exp (-age / RATE_SPAN) : queue->rate;
+}
+
+void
+decide_queue_add (struct decide_queue *queue, double work, int64_t now)
+{
+  queue->count++;
+  queue->work += work;
+  queue->rate = rate_now (queue, now) + work * USEC_PER_SEC / RATE_SPAN;
+  queue->rate_at = now;
+}
+
+void
+decide_queue_remove (struct decide_queue *queue, double work)
+{
+  if (queue->count > 0)
+    queue->count--;
+  queue->work = queue->count == 0 ? 0 : fmax (0, queue->work - work);
+}
+
+/* The slots that are ours: an even share, or what others leave free where reports show it. */
+static double
+our_slots (const struct decide *decide, const struct decide_pool *pool)
+{
+  double even = pool->slots / decide_hosts (decide);
+  double others = fmax (0, pool->reported - pool->running);
+
+  return fmax (even, (pool->slots - others) * pool->reports);
+}
+
+/* Microseconds before a new call of that priority begins; `slope` is how much longer work takes
+ * with all slots in use. */
+double
+decide_queue_wait (const struct decide *decide,
+                   const struct decide_pool *pool,
+                   uint32_t priority,
+                   double slope,
+                   int64_t now)
+{
+  double slots = our_slots (decide, pool);
+  double count = 0;
+  double work = 0;
+  double higher = 0;
+  double ahead;
+  uint32_t i;
+
+  if (slots <= 0)
+    return USEC_PER_SEC;
+  for (i = priority; i < DECIDE_PRIORITIES; i++)
+    {
+      count += pool->queues[i].count;
+      work += pool->queues[i].work;
+      if (i > priority)
+        higher += rate_now (&pool->queues[i], now);
+    }
+  if (count < slots)
+    return 0;
+  ahead = work * (count - slots + 1) / count;
+  higher = fmin (higher * (1 + slope) / slots, HIGHER_MAX);
+  return ahead * (1 + slope) / slots / (1 - higher) * USEC_PER_SEC;
+}
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -13,7 +13,8 @@
 
 #define DECIDE_CLASSES_MAX 8           /* models learned apart in one pool */
 #define REPORT_LIFE (4 * USEC_PER_SEC) /* a load report is unknown once it is this old */
-#define PREFIX_SETS 8192               /* 768 KiB; 65,536 sampled blocks */
+#define DECIDE_PRIORITIES 10
+#define PREFIX_SETS 8192 /* 768 KiB; 65,536 sampled blocks */
 #define REFRESH_SPAN (100 * USEC_PER_MSEC)
 
 /* How a time grows with the share of the target's slots in use: 1 + slope * fill. */
@@ -34,6 +35,15 @@
   struct decide_slope token_slope;
 };
 
+/* Stages of our admitted requests at one pool and priority that are not done. */
+struct decide_queue
+{
+  uint32_t count;
+  double work; /* slot seconds */
+  double rate; /* slot seconds admitted a second, decayed */
+  int64_t rate_at;
+};
+
 struct decide_pool
 {
   char name[RESOURCE_NAME_SIZE];
@@ -43,14 +53,14 @@
   uint32_t n_ejected;
   struct decide_class classes[DECIDE_CLASSES_MAX];
   uint32_t n_classes;
-  double admitted_work; /* slot seconds of admitted requests' stages not yet done */
-  double log_slowness;  /* the sum of its targets' */
-  double beyond;        /* share cached of a prompt's tokens past its hashed blocks, learned */
-  uint32_t running;     /* our attempts */
-  double slots;         /* of its usable targets, as last counted */
-  uint32_t n_usable;    /* the same */
-  double reported;      /* calls running and waiting there, from all hosts, by fresh reports */
-  double reports;       /* how far `reported` can be trusted, 0 to 1 */
+  struct decide_queue queues[DECIDE_PRIORITIES];
+  double log_slowness; /* the sum of its targets' */
+  double beyond;       /* share cached of a prompt's tokens past its hashed blocks, learned */
+  uint32_t running;    /* our attempts */
+  double slots;        /* of its usable targets, as last counted */
+  uint32_t n_usable;   /* the same */
+  double reported;     /* calls running and waiting there, from all hosts, by fresh reports */
+  double reports;      /* how far `reported` can be trusted, 0 to 1 */
   int64_t refreshed_at;
   UT_hash_handle hh;
 };
@@ -210,11 +220,17 @@
                         struct decide_target *target,
                         const struct decide_result *result);
 
-/* decide_admit.c: count a stage's admitted work in, or with -1 out, of its pool */
-void decide_count_stage (struct decide *decide,
-                         struct decide_request *request,
-                         uint32_t stage,
-                         double sign);
+/* decide_queue.c: what was admitted to a pool and how long it waits there */
+void decide_queue_add (struct decide_queue *queue, double work, int64_t now);
+void decide_queue_remove (struct decide_queue *queue, double work);
+double decide_queue_wait (const struct decide *decide,
+                          const struct decide_pool *pool,
+                          uint32_t priority,
+                          double slope,
+                          int64_t now);
+
+/* decide_admit.c: a stage of an admitted request is done or will not be run */
+void decide_stage_over (struct decide *decide, struct decide_request *request, uint32_t stage);
 
 /* decide.c */
 struct decide_pipeline *decide_pipeline_get (struct decide *decide, struct handle handle);
