--- a/src/decide_admit.c
+++ b/src/decide_admit.c
@@ -3,7 +3,7 @@
 #include "decide_state.h"
 #include <math.h>
 
-#define WINDOW_MARGIN 0.9 /* of the time left that the expected time may take */
+#define WINDOW_MARGIN 1.0 /* of the time left that the expected time may take */
 #define OVERLOAD 0.7      /* of the window taken by waiting, from where shares count */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 
