Learn the time of a token in one size, whatever the answer's length

Token times were kept by size of the answer and scaled up from the nearest known size, so the first long answers of a fresh host were thought to take twice as long a token and were refused though nothing was wrong.

--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -30,7 +30,7 @@
 {
   char model[RESOURCE_NAME_SIZE];
   struct learn_sizes first; /* time to the first output by tokens not cached */
-  struct learn_sizes token; /* time between generated tokens, by tokens generated */
+  struct learn_sizes token; /* time between generated tokens, all in one size */
   struct decide_slope first_slope;
   struct decide_slope token_slope;
 };
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -7,6 +7,7 @@
                            */
 #define EXTRA_WEIGHT 0.1  /* of a new sample of a stage's extra tokens */
 #define SLOWNESS_WEIGHT 0.15
+#define TOKEN_SIZE 1 /* a token takes what it takes, however many there are */
 #define SLOPE_RATE 0.5
 #define SLOPE_MAX 8.0
 #define SLOPE_MEAN_WEIGHT 0.02
@@ -55,7 +56,7 @@
       learn_read (&class->first, tokens > cached_tokens ? tokens - cached_tokens : 0, &work.first);
   if (!work.known || generated == 0)
     return work;
-  work.known = learn_read (&class->token, generated, &token);
+  work.known = learn_read (&class->token, TOKEN_SIZE, &token);
   if (work.known)
     work.tokens = span_times (token, generated);
   return work;
@@ -220,7 +221,7 @@
     learn_part (decide, &class->first, &class->first_slope, uncached, first / slowness,
                 result->choice.fill);
   if (generates && result->output_tokens > 0)
-    learn_part (decide, &class->token, &class->token_slope, result->output_tokens,
+    learn_part (decide, &class->token, &class->token_slope, TOKEN_SIZE,
                 (took - first) / result->output_tokens / slowness, result->choice.fill);
   if (was_known && expected > 0 && took > 0)
     learn_slowness (target, took / expected);
