--- a/bench/policy.h
+++ b/bench/policy.h
@@ -103,6 +103,7 @@
 struct policy_attempt
 {
   struct timer done; /* arrival at the target, first output, end */
+  struct timer first_due;
   struct timer give_up;
   struct timer hedge;
   struct policy_request *request;
--- a/bench/policy_flow.c
+++ b/bench/policy_flow.c
@@ -89,6 +89,7 @@
                                   .choice = attempt->choice };
   uint32_t i;
 
+  timer_disarm (run->timers, &attempt->first_due);
   timer_disarm (run->timers, &attempt->give_up);
   timer_disarm (run->timers, &attempt->hedge);
   if (attempt->state != ATTEMPT_OVER)
@@ -135,12 +136,21 @@
   struct policy_attempt *attempt =
       (struct policy_attempt *) ((char *) timer - offsetof (struct policy_attempt, give_up));
 
-  /* A generation that gives tokens is alive. */
-  if (attempt->state == ATTEMPT_DECODE || attempt->state == ATTEMPT_ANSWERED)
+  if (attempt->state == ATTEMPT_ANSWERED)
     return;
   policy_attempt_ended (attempt, DECIDE_END_TIMED_OUT, now);
 }
 
+static void
+first_due (struct timer *timer, int64_t now)
+{
+  struct policy_attempt *attempt =
+      (struct policy_attempt *) ((char *) timer - offsetof (struct policy_attempt, first_due));
+
+  if (attempt->state != ATTEMPT_DECODE && attempt->state != ATTEMPT_ANSWERED)
+    policy_attempt_ended (attempt, DECIDE_END_TIMED_OUT, now);
+}
+
 static void start_attempt (struct policy_request *request,
                            const struct decide_choice *choice,
                            bool is_hedge,
@@ -170,6 +180,7 @@
 }
 
 static const struct timer_ops give_up_ops = { .fire = give_up };
+static const struct timer_ops first_due_ops = { .fire = first_due };
 static const struct timer_ops hedge_ops = { .fire = hedge };
 
 static struct policy_target *
@@ -200,12 +211,15 @@
   attempt->tokens = stage_tokens (request, attempt->stage);
   attempt->sent_at = now;
   attempt->give_up.ops = &give_up_ops;
+  attempt->first_due.ops = &first_due_ops;
   attempt->hedge.ops = &hedge_ops;
   request->live[is_hedge] = attempt;
   request->stage_attempts += !is_hedge;
   run->result.attempts++;
   if (!request->decide.repeatable && request->sent[attempt->stage]++ > 0)
     run->result.duplicates++;
+  if (request->decide.repeatable && choice->first_by < request->decide.deadline)
+    timer_arm (run->timers, &attempt->first_due, choice->first_by);
   if (request->decide.repeatable && choice->give_up < request->decide.deadline)
     timer_arm (run->timers, &attempt->give_up, choice->give_up);
   if (request->decide.repeatable && !is_hedge && choice->hedge_at < request->decide.deadline)
--- a/src/decide.h
+++ b/src/decide.h
@@ -94,6 +94,7 @@
 {
   struct handle target;
   int64_t expected;       /* when the answer is expected */
+  int64_t first_by;       /* end the attempt then if nothing came of it yet; USEC_NEVER for never */
   int64_t give_up;        /* end the attempt then; USEC_NEVER to leave it to the deadline */
   int64_t hedge_at;       /* start a second attempt then if budgets allow; USEC_NEVER for none */
   uint32_t prefix_tokens; /* expected in the target's cache */
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -16,6 +16,7 @@
 #define LOAD_BOUND 1.5
 #define LOAD_BOUND_EXTRA 2
 #define GIVE_UP_TIMES 3.0
+#define GIVE_UP_LEAST 1.5
 #define GIVE_UP_MIN (250.0 * USEC_PER_MSEC)
 
 struct candidate
@@ -247,16 +248,12 @@
   consider_holders (search, best);
 }
 
-/* An attempt that hangs must end while another can still make the window: at a multiple of what
- * was expected, where what is left after it covers the rest. */
+/* An attempt that hangs must end while another can still make the window: once it has taken a
+ * multiple of what nearly all take, or at the latest when what is left covers the rest. */
 static int64_t
-give_up_at (const struct search *search,
-            const struct board_pipeline *pipeline,
-            const struct candidate *best)
+end_by (const struct search *search, const struct board_pipeline *pipeline, double span)
 {
   const struct decide_request *request = search->request;
-  double high = decide_work_high_at (&best->work, 1) + best->wait;
-  double span = fmax (GIVE_UP_TIMES * fmax (best->expected, high), GIVE_UP_MIN);
   struct decide_rest rest;
   double latest;
 
@@ -264,11 +261,36 @@
     return USEC_NEVER;
   rest = decide_rest_time (search->decide, request, pipeline, request->stage);
   latest = (double) (request->deadline - search->now) - rest.middle;
-  if (!best->work.known)
-    span = latest / 2;
-  if (span >= latest)
-    return USEC_NEVER;
-  return search->now + (int64_t) span;
+  span = fmax (span, GIVE_UP_MIN);
+  if (span * GIVE_UP_TIMES <= latest)
+    return search->now + (int64_t) (span * GIVE_UP_TIMES);
+  return span * GIVE_UP_LEAST <= latest ? search->now + (int64_t) latest : USEC_NEVER;
+}
+
+/* A time that is not known yet: half of the window, so that a hang leaves room for another. */
+static void
+bound_attempt (const struct search *search,
+               const struct board_pipeline *pipeline,
+               const struct candidate *best,
+               struct decide_choice *out)
+{
+  /* What is thought to be cached may be gone: that is no hang. */
+  const struct decide_work *work = &search->work;
+  double slowness = fmax (1, decide_target_slowness (best->target));
+  double first = work->first.high * (1 + work->first_slope * best->fill);
+  double half = (double) (search->request->deadline - search->now) / 2;
+
+  if (!work->known)
+    {
+      out->first_by = end_by (search, pipeline, half / GIVE_UP_TIMES);
+      return;
+    }
+  out->first_by = end_by (search, pipeline, (first + best->wait) * slowness);
+  if (work->tokens.middle <= 0)
+    out->give_up = out->first_by;
+  else
+    out->give_up =
+        end_by (search, pipeline, (decide_work_high_at (work, best->fill) + best->wait) * slowness);
 }
 
 static void
@@ -281,12 +303,14 @@
 
   *out = (struct decide_choice){ .target = best->target->handle,
                                  .expected = search->now + (int64_t) best->expected,
-                                 .give_up = give_up_at (search, pipeline, best),
+                                 .first_by = USEC_NEVER,
+                                 .give_up = USEC_NEVER,
                                  .hedge_at = USEC_NEVER,
                                  .prefix_tokens = best->cached,
                                  .work = decide_work_alone (&best->work) / USEC_PER_SEC,
                                  .fill = best->fill,
                                  .wait = best->wait };
+  bound_attempt (search, pipeline, best, out);
   if (hedges)
     out->hedge_at =
         search->now
