Follow a pool that turns slow within its next answers

Times by size need hundreds of samples to follow a fivefold slow stage, and until then its answers look like hangs and are ended and tried again. A drift of the whole pool takes up what is off in the last answers beyond chance (40%), and fades with a half life of 5 s so that a pool thought too slow is tried again. Waiting calls don't teach it.

--- a/src/decide.c
+++ b/src/decide.c
@@ -244,6 +244,8 @@
   if (target->pool->running > 0)
     target->pool->running--;
   judge_target (decide, target, result->end, now);
+  if (result->end == DECIDE_END_TIMED_OUT)
+    decide_time_timed_out (target, result, now);
   if (result->end == DECIDE_END_WHOLE && spec != NULL)
     {
       decide_time_learn (decide, request, spec, target, result);
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -25,6 +25,7 @@
     return NULL;
   text_copy_cut (pool->name, sizeof pool->name, name);
   pool->beyond = BEYOND_START;
+  pool->drift = 1;
   HASH_ADD_STR (decide->pools, name, pool);
   return pool;
 }
@@ -229,6 +230,7 @@
   if (pool->refreshed_at != 0 && now - pool->refreshed_at < REFRESH_SPAN)
     return;
   pool->refreshed_at = now;
+  decide_drift_refresh (pool, now);
   pool->slots = 0;
   for (i = 0; i < pool->n_targets; i++)
     {
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -54,6 +54,9 @@
   struct decide_class classes[DECIDE_CLASSES_MAX];
   uint32_t n_classes;
   struct decide_queue queues[DECIDE_PRIORITIES];
+  double log_drift; /* how far the whole pool is off its learned times now */
+  double drift;     /* from log_drift */
+  int64_t drift_at;
   double log_slowness; /* the sum of its targets' */
   double beyond;       /* share cached of a prompt's tokens past its hashed blocks, learned */
   uint32_t running;    /* our attempts */
@@ -214,6 +217,10 @@
                                      const struct board_pipeline *pipeline,
                                      uint32_t stage);
 double decide_target_slowness (const struct decide_target *target);
+void decide_time_timed_out (struct decide_target *target,
+                            const struct decide_result *result,
+                            int64_t now);
+void decide_drift_refresh (struct decide_pool *pool, int64_t now);
 void decide_time_learn (struct decide *decide,
                         const struct decide_request *request,
                         const struct stage_spec *spec,
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -7,6 +7,10 @@
                            */
 #define EXTRA_WEIGHT 0.1  /* of a new sample of a stage's extra tokens */
 #define SLOWNESS_WEIGHT 0.15
+#define DRIFT_WEIGHT 0.1
+#define DRIFT_IGNORED 0.4
+#define DRIFT_HALF_LIFE (5.0 * USEC_PER_SEC)
+#define LOG_DRIFT_MAX 2.5
 #define TOKEN_SIZE 1 /* a token takes what it takes, however many there are */
 #define SLOPE_RATE 0.5
 #define SLOPE_MAX 8.0
@@ -54,11 +58,12 @@
   work.token_slope = class->token_slope.slope;
   work.known =
       learn_read (&class->first, tokens > cached_tokens ? tokens - cached_tokens : 0, &work.first);
+  work.first = span_times (work.first, pool->drift);
   if (!work.known || generated == 0)
     return work;
   work.known = learn_read (&class->token, TOKEN_SIZE, &token);
   if (work.known)
-    work.tokens = span_times (token, generated);
+    work.tokens = span_times (token, generated * pool->drift);
   return work;
 }
 
@@ -160,6 +165,51 @@
   return exp (target->log_slowness - mean);
 }
 
+/* Only a drift beyond what chance makes counts. */
+static double
+drift_factor (double log_drift)
+{
+  if (fabs (log_drift) <= DRIFT_IGNORED)
+    return 1;
+  return exp (log_drift > 0 ? log_drift - DRIFT_IGNORED : log_drift + DRIFT_IGNORED);
+}
+
+/* The drift fades with time, so that a pool thought too slow for any work is tried again. */
+void
+decide_drift_refresh (struct decide_pool *pool, int64_t now)
+{
+  if (now > pool->drift_at)
+    pool->log_drift *= exp2 (-(double) (now - pool->drift_at) / DRIFT_HALF_LIFE);
+  pool->drift_at = now;
+  pool->drift = drift_factor (pool->log_drift);
+}
+
+/* A whole pool that turns slow shows in its next few answers; the times by size need hundreds.
+ * The drift takes it up at once and gives it over to the times in the long run. */
+static void
+learn_drift (struct decide_pool *pool, double ratio, int64_t now)
+{
+  double rest = fmin (fmax (log (ratio), -REST_MAX), REST_MAX);
+
+  decide_drift_refresh (pool, now);
+  pool->log_drift += DRIFT_WEIGHT * rest;
+  pool->log_drift = fmin (fmax (pool->log_drift, -LOG_DRIFT_MAX), LOG_DRIFT_MAX);
+  pool->drift = drift_factor (pool->log_drift);
+}
+
+/* An attempt that timed out took at least that long. */
+void
+decide_time_timed_out (struct decide_target *target,
+                       const struct decide_result *result,
+                       int64_t now)
+{
+  double expected = (double) (result->choice.expected - result->started);
+  double took = (double) (result->ended - result->started);
+
+  if (expected > 0 && took > expected && result->choice.wait <= 0)
+    learn_drift (target->pool, took / expected, now);
+}
+
 /* Take out of `span` what the target's other calls added, and teach the slope with the rest.  Only
  * the way the rest goes with the fill teaches the slope; its mean teaches the time. */
 static double
@@ -206,7 +256,7 @@
   struct decide_class *class = decide_class_get (target->pool, spec->model);
   double expected = (double) (result->choice.expected - result->started);
   double took = (double) (result->ended - result->started);
-  double slowness = decide_target_slowness (target);
+  double slowness = decide_target_slowness (target) * target->pool->drift;
   bool generates = spec->kind == STAGE_GENERATE && result->first_data > 0;
   double first = generates ? (double) (result->first_data - result->started) : took;
   uint32_t uncached = result->input_tokens > result->cached_tokens
@@ -224,5 +274,9 @@
     learn_part (decide, &class->token, &class->token_slope, TOKEN_SIZE,
                 (took - first) / result->output_tokens / slowness, result->choice.fill);
   if (was_known && expected > 0 && took > 0)
-    learn_slowness (target, took / expected);
+    {
+      learn_slowness (target, took / expected);
+      if (result->choice.wait <= 0)
+        learn_drift (target->pool, took / expected, result->ended);
+    }
 }
