Believe half of the expected waiting at admission

In a burst drafts with a window of 25 s were refused for a wait that ended with the burst, while queued ones cost nothing until they begin.

--- a/src/decide_queue.c
+++ b/src/decide_queue.c
@@ -6,7 +6,9 @@
 #include <math.h>
 
 #define RATE_SPAN (5.0 * USEC_PER_SEC) /* time constant of the rate's decay */
-#define HIGHER_MAX 0.9 /* of the slots that higher priorities can be thought to take */
+/* A burst may end before the wait does, and waiting costs nothing: half of it is believed. */
+#define WAIT_TRUST 0.5
+#define HIGHER_MAX 0.8 /* of the slots that higher priorities can be thought to take */
 
 static double
 rate_now (const struct decide_queue *queue, int64_t now)
@@ -72,5 +74,5 @@
     return 0;
   ahead = work * (count - slots + 1) / count;
   higher = fmin (higher * (1 + slope) / slots, HIGHER_MAX);
-  return ahead * (1 + slope) / slots / (1 - higher) * USEC_PER_SEC;
+  return WAIT_TRUST * ahead * (1 + slope) / slots / (1 - higher) * USEC_PER_SEC;
 }
