--- a/bench/cmd_policy.c
+++ b/bench/cmd_policy.c
@@ -155,6 +155,8 @@
   sum->p99 += one->p99;
   for (i = 0; i < STAGE_KIND_COUNT; i++)
     sum->cost[i] += one->cost[i];
+  sum->prompt_tokens += one->prompt_tokens;
+  sum->cached_tokens += one->cached_tokens;
   sum->wasted += one->wasted;
   sum->retries += one->retries;
   sum->hedges += one->hedges;
@@ -182,13 +184,15 @@
 {
   if (options->csv)
     printf ("site,experiment,arm,attainment,p50_s,p99_s,cost_encode,cost_retrieve,cost_rerank,"
-            "cost_generate,cost_call,cost_per_attained,wasted_share,refused_share,retry_share,"
+            "cost_generate,cost_call,cost_per_attained,cached_share,wasted_share,refused_share,"
+            "retry_share,"
             "hedge_share,worst_organisation,goodput_share,duplicates,to_unusable\n");
   else
-    printf ("| site | experiment | arm | attained | p50 s | p99 s | encode | retrieve | rerank | "
-            "generate | call | cost/att. | wasted | refused | retries | hedges | worst org. | "
-            "goodput | dup. | unusable |\n"
-            "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    printf (
+        "| site | experiment | arm | attained | p50 s | p99 s | encode | retrieve | rerank | "
+        "generate | call | cost/att. | cached | wasted | refused | retries | hedges | worst org. | "
+        "goodput | dup. | unusable |\n"
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
 }
 
 static void
@@ -199,20 +203,22 @@
            const struct policy_result *sum,
            double capacity)
 {
-  static const char *const csv = "%s,%s,%s,%.4f,%.3f,%.3f,%.1f,%.1f,%.1f,%.1f,%.1f,%.4f,%.4f,%.4f,"
-                                 "%.4f,%.4f,%.4f,%.3f,%u,%u\n";
-  static const char *const table =
-      "| %s | %s | %s | %.4f | %.3f | %.2f | %.0f | %.0f | %.0f | %.0f | %.0f | %.4f | %.3f | "
-      "%.3f | %.4f | %.4f | %.3f | %.2f | %u | %u |\n";
+  static const char *const csv =
+      "%s,%s,%s,%.4f,%.3f,%.3f,%.1f,%.1f,%.1f,%.1f,%.1f,%.4f,%.4f,%.4f,%.4f,"
+      "%.4f,%.4f,%.4f,%.3f,%u,%u\n";
+  static const char *const table = "| %s | %s | %s | %.4f | %.3f | %.2f | %.0f | %.0f | %.0f | "
+                                   "%.0f | %.0f | %.4f | %.3f | %.3f | "
+                                   "%.3f | %.4f | %.4f | %.3f | %.2f | %u | %u |\n";
   double cost = all_cost (sum);
   double n = options->seeds;
 
   printf (options->csv ? csv : table, site, experiment, arm, (double) sum->attained / sum->requests,
           sum->p50 / n, sum->p99 / n, sum->cost[STAGE_ENCODE] / n, sum->cost[STAGE_RETRIEVE] / n,
           sum->cost[STAGE_RERANK] / n, sum->cost[STAGE_GENERATE] / n, sum->cost[STAGE_CALL] / n,
-          cost / sum->attained, sum->wasted / cost, (double) sum->refused / sum->requests,
-          (double) sum->retries / sum->attempts, (double) sum->hedges / sum->attempts,
-          sum->worst_organisation, sum->goodput / n / capacity, sum->duplicates, sum->to_unusable);
+          cost / sum->attained, sum->cached_tokens / sum->prompt_tokens, sum->wasted / cost,
+          (double) sum->refused / sum->requests, (double) sum->retries / sum->attempts,
+          (double) sum->hedges / sum->attempts, sum->worst_organisation,
+          sum->goodput / n / capacity, sum->duplicates, sum->to_unusable);
   fflush (stdout);
 }
 
--- a/bench/policy.h
+++ b/bench/policy.h
@@ -84,7 +84,9 @@
   double p50;       /* seconds, of the whole answers */
   double p99;
   double cost[STAGE_KIND_COUNT];
-  double wasted; /* cost that went into no attained answer */
+  double prompt_tokens; /* of generations begun */
+  double cached_tokens; /* of those */
+  double wasted;        /* cost that went into no attained answer */
   uint32_t retries;
   uint32_t hedges;
   uint32_t attempts;
--- a/bench/policy_target.c
+++ b/bench/policy_target.c
@@ -127,7 +127,11 @@
   attempt->state = ATTEMPT_PREFILL;
   attempt->begun_at = now;
   if (spec->kind == STAGE_GENERATE)
-    attempt->cached = match_cache (target, attempt->request->trace);
+    {
+      attempt->cached = match_cache (target, attempt->request->trace);
+      target->run->result.cached_tokens += attempt->cached;
+      target->run->result.prompt_tokens += attempt->tokens;
+    }
   arm (attempt, now + service_time_first (spec->kind, attempt->tokens, attempt->cached, &load));
 }
 
