Doubt the load still to come, not the queue that is there

Halving the whole expected wait let a host admit 20 calls of a second to four slots in a window of four seconds, which the test of late work caught. What is queued is certain; only what higher priorities would add later is uncertain, and 0.4 of that is believed. Scanned 0, 0.2, 0.4.

--- a/src/decide_queue.c
+++ b/src/decide_queue.c
@@ -6,8 +6,9 @@
 #include <math.h>
 
 #define RATE_SPAN (5.0 * USEC_PER_SEC) /* time constant of the rate's decay */
-/* A burst may end before the wait does, and waiting costs nothing: half of it is believed. */
-#define WAIT_TRUST 0.5
+/* Higher priorities go on coming only as long as the burst does, and waiting costs nothing: of
+ * what they would add, this is believed. */
+#define LATER_TRUST 0.4
 #define HIGHER_MAX 0.8 /* of the slots that higher priorities can be thought to take */
 
 static double
@@ -74,5 +75,5 @@
     return 0;
   ahead = work * (count - slots + 1) / count;
   higher = fmin (higher * (1 + slope) / slots, HIGHER_MAX);
-  return WAIT_TRUST * ahead * (1 + slope) / slots / (1 - higher) * USEC_PER_SEC;
+  return ahead * (1 + slope) / slots * (1 + LATER_TRUST * higher / (1 - higher)) * USEC_PER_SEC;
 }
