Judge a target's slowness by its tokens, and let the judgement fade

Equal targets were thought 0.8 to 2.6 times as slow as the pool: a wrong guess of the cache made the whole time long, and a target thought slow got no work to show better. The time between tokens is compared, which no cache changes; what is within 20% is ignored as chance and the rest fades with a half life of 20 s.

--- a/src/decide_dump.c
+++ b/src/decide_dump.c
@@ -11,8 +11,7 @@
   return json_pack (
       "{s:s,s:b,s:i,s:f,s:f,s:b,s:I,s:f}", "name", entry->name, "usable",
       board_target_usable (entry, now), "in_flight", (int) target->in_flight, "work", target->work,
-      "slowness", decide_target_slowness (target), "ejected", target->eject.until != 0,
-      "ejected_for_ms",
+      "slowness", target->slowness, "ejected", target->eject.until != 0, "ejected_for_ms",
       (json_int_t) (target->eject.until > now ? (target->eject.until - now) / USEC_PER_MSEC : 0),
       "report_weight", decide_report_weight (&entry->report, now));
 }
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -112,6 +112,7 @@
     return;
   target->handle = handle;
   target->added_at = now;
+  target->slowness = 1;
   if (!pool_append (pool, target))
     {
       talloc_free (target);
@@ -225,23 +226,26 @@
   double reported = 0;
   double weight = 0;
   uint32_t usable = 0;
+  int64_t since;
   uint32_t i;
 
   if (pool->refreshed_at != 0 && now - pool->refreshed_at < REFRESH_SPAN)
     return;
+  since = pool->refreshed_at == 0 ? 0 : now - pool->refreshed_at;
   pool->refreshed_at = now;
   decide_drift_refresh (pool, now);
   pool->slots = 0;
   for (i = 0; i < pool->n_targets; i++)
     {
-      const struct decide_target *target = pool->targets[i];
+      struct decide_target *target = pool->targets[i];
       const struct board_target *entry = table_get (decide->board->targets, target->handle);
       double fresh;
 
+      decide_slowness_fade (target, since);
       if (entry == NULL || !board_target_usable (entry, now) || target->eject.until > now)
         continue;
       usable++;
-      pool->slots += slots_of (decide, entry) / decide_target_slowness (target);
+      pool->slots += slots_of (decide, entry) / target->slowness;
       fresh = decide_report_weight (&entry->report, now);
       reported += fresh * (entry->report.running + entry->report.waiting);
       weight += fresh;
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -77,6 +77,7 @@
   uint32_t in_flight;  /* our attempts on it */
   double work;         /* expected slot seconds of them */
   double log_slowness; /* its time over the pool's, learned; 0 when unknown */
+  double slowness;     /* what of it is beyond chance, as a factor */
   int64_t added_at;    /* for slow start */
   struct eject eject;
 };
@@ -216,7 +217,7 @@
                                      const struct decide_request *request,
                                      const struct board_pipeline *pipeline,
                                      uint32_t stage);
-double decide_target_slowness (const struct decide_target *target);
+void decide_slowness_fade (struct decide_target *target, int64_t span);
 void decide_time_timed_out (struct decide_target *target,
                             const struct decide_result *result,
                             int64_t now);
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -118,8 +118,8 @@
   /* Every end frees a slot: who stands n-th in the queue waits for n of them. */
   candidate->wait = load < slots ? 0 : (load - slots + 1) * mean / slots;
   candidate->wait *= 1 + candidate->work.token_slope;
-  candidate->expected = decide_target_slowness (target)
-                        * (decide_work_at (&candidate->work, candidate->fill) + candidate->wait);
+  candidate->expected =
+      target->slowness * (decide_work_at (&candidate->work, candidate->fill) + candidate->wait);
   candidate->score = candidate->expected;
   if (age < SLOW_START)
     candidate->score *= 1 + (SLOW_START_FACTOR - 1) * (1 - (double) age / SLOW_START);
@@ -276,7 +276,7 @@
 {
   /* What is thought to be cached may be gone: that is no hang. */
   const struct decide_work *work = &search->work;
-  double slowness = fmax (1, decide_target_slowness (best->target));
+  double slowness = fmax (1, best->target->slowness);
   double first = work->first.high * (1 + work->first_slope * best->fill);
   double half = (double) (search->request->deadline - search->now) / 2;
 
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -7,6 +7,8 @@
                            */
 #define EXTRA_WEIGHT 0.1  /* of a new sample of a stage's extra tokens */
 #define SLOWNESS_WEIGHT 0.15
+#define SLOWNESS_IGNORED 0.2 /* what chance makes */
+#define SLOWNESS_HALF_LIFE (20.0 * USEC_PER_SEC)
 #define DRIFT_WEIGHT 0.1
 #define DRIFT_IGNORED 0.4
 #define DRIFT_HALF_LIFE (5.0 * USEC_PER_SEC)
@@ -143,45 +145,53 @@
   stage->extra_tokens += (extra - stage->extra_tokens) * EXTRA_WEIGHT;
 }
 
-/* A target's slowness is relative to its pool: what all have in common belongs to the pool's
- * times, or the two would drift apart. */
+static double
+beyond (double log_ratio, double ignored)
+{
+  if (fabs (log_ratio) <= ignored)
+    return 0;
+  return log_ratio > 0 ? log_ratio - ignored : log_ratio + ignored;
+}
+
 static void
-learn_slowness (struct decide_target *target, double ratio)
+set_slowness (struct decide_target *target, double log_slowness)
 {
   struct decide_pool *pool = target->pool;
-  double before = target->log_slowness;
-  double after = before + SLOWNESS_WEIGHT * log (ratio);
+  double mean;
 
-  after = fmin (fmax (after, -LOG_SLOWNESS_MAX), LOG_SLOWNESS_MAX);
-  target->log_slowness = after;
-  pool->log_slowness += after - before;
+  pool->log_slowness += log_slowness - target->log_slowness;
+  target->log_slowness = log_slowness;
+  mean = pool->log_slowness / pool->n_targets;
+  target->slowness = exp (beyond (log_slowness - mean, SLOWNESS_IGNORED));
 }
 
-double
-decide_target_slowness (const struct decide_target *target)
+/* A target's slowness is relative to its pool: what all have in common belongs to the pool's
+ * times, or the two would drift apart.  `ratio` is its time over the pool's. */
+static void
+learn_slowness (struct decide_target *target, double ratio)
 {
-  double mean = target->pool->log_slowness / target->pool->n_targets;
+  double sample = fmin (fmax (log (ratio), -LOG_SLOWNESS_MAX), LOG_SLOWNESS_MAX);
 
-  return exp (target->log_slowness - mean);
+  set_slowness (target, target->log_slowness + SLOWNESS_WEIGHT * (sample - target->log_slowness));
 }
 
-/* Only a drift beyond what chance makes counts. */
-static double
-drift_factor (double log_drift)
+/* A target thought slow gets less work and so fewer samples to show that it is not: what is thought
+ * of it fades. */
+void
+decide_slowness_fade (struct decide_target *target, int64_t span)
 {
-  if (fabs (log_drift) <= DRIFT_IGNORED)
-    return 1;
-  return exp (log_drift > 0 ? log_drift - DRIFT_IGNORED : log_drift + DRIFT_IGNORED);
+  set_slowness (target, target->log_slowness * exp2 (-(double) span / SLOWNESS_HALF_LIFE));
 }
 
-/* The drift fades with time, so that a pool thought too slow for any work is tried again. */
+/* Only a drift beyond what chance makes counts; it fades with time, so that a pool thought too slow
+ * for any work is tried again. */
 void
 decide_drift_refresh (struct decide_pool *pool, int64_t now)
 {
   if (now > pool->drift_at)
     pool->log_drift *= exp2 (-(double) (now - pool->drift_at) / DRIFT_HALF_LIFE);
   pool->drift_at = now;
-  pool->drift = drift_factor (pool->log_drift);
+  pool->drift = exp (beyond (pool->log_drift, DRIFT_IGNORED));
 }
 
 /* A whole pool that turns slow shows in its next few answers; the times by size need hundreds.
@@ -194,7 +204,7 @@
   decide_drift_refresh (pool, now);
   pool->log_drift += DRIFT_WEIGHT * rest;
   pool->log_drift = fmin (fmax (pool->log_drift, -LOG_DRIFT_MAX), LOG_DRIFT_MAX);
-  pool->drift = drift_factor (pool->log_drift);
+  pool->drift = exp (beyond (pool->log_drift, DRIFT_IGNORED));
 }
 
 /* An attempt that timed out took at least that long. */
@@ -229,19 +239,25 @@
   return span / factor;
 }
 
-/* A time on this target, without its slowness. */
-static void
+/* A time on this target: teaches the pool's times, without the target's slowness.  Returns the time
+ * over the pool's; 0 when that is not known. */
+static double
 learn_part (struct decide *decide,
             struct learn_sizes *times,
             struct decide_slope *slope,
             uint32_t tokens,
             double span,
+            const struct decide_target *target,
             double fill)
 {
   struct learn_span known = { .middle = 0 };
+  double normal = span / target->slowness / target->pool->drift;
+  double alone;
 
   learn_read (times, tokens, &known);
-  learn_record (times, decide, tokens, learn_slope (slope, fill, span, known.middle));
+  alone = learn_slope (slope, fill, normal, known.middle);
+  learn_record (times, decide, tokens, alone);
+  return known.middle > 0 ? alone * target->slowness / known.middle : 0;
 }
 
 /* What the attempt took is split into waiting, as was expected, the target's slowness, what its
@@ -256,27 +272,26 @@
   struct decide_class *class = decide_class_get (target->pool, spec->model);
   double expected = (double) (result->choice.expected - result->started);
   double took = (double) (result->ended - result->started);
-  double slowness = decide_target_slowness (target) * target->pool->drift;
   bool generates = spec->kind == STAGE_GENERATE && result->first_data > 0;
   double first = generates ? (double) (result->first_data - result->started) : took;
   uint32_t uncached = result->input_tokens > result->cached_tokens
                           ? result->input_tokens - result->cached_tokens
                           : 1;
+  double fill = result->choice.fill;
   struct learn_span known;
   bool was_known = learn_read (&class->first, uncached, &known);
+  double ratio = 0;
 
   learn_tokens (decide, request, result->input_tokens, result->cached_tokens);
   /* A call that waited says little of the time to the first output. */
   if (result->choice.wait <= 0 || !was_known)
-    learn_part (decide, &class->first, &class->first_slope, uncached, first / slowness,
-                result->choice.fill);
+    ratio = learn_part (decide, &class->first, &class->first_slope, uncached, first, target, fill);
+  /* Tokens come one like the other, and whatever was cached: they say most of the target. */
   if (generates && result->output_tokens > 0)
-    learn_part (decide, &class->token, &class->token_slope, TOKEN_SIZE,
-                (took - first) / result->output_tokens / slowness, result->choice.fill);
-  if (was_known && expected > 0 && took > 0)
-    {
-      learn_slowness (target, took / expected);
-      if (result->choice.wait <= 0)
-        learn_drift (target->pool, took / expected, result->ended);
-    }
+    ratio = learn_part (decide, &class->token, &class->token_slope, TOKEN_SIZE,
+                        (took - first) / result->output_tokens, target, fill);
+  if (ratio > 0)
+    learn_slowness (target, ratio);
+  if (was_known && expected > 0 && took > 0 && result->choice.wait <= 0)
+    learn_drift (target->pool, took / expected, result->ended);
 }
