Read and check callers' requests

A caller's path, headers and body become one checked struct, or an error with its HTTP status and the field at fault. A service's body is checked as JSON and otherwise left as it came.

--- /dev/null
+++ b/src/caller.h
@@ -0,0 +1,63 @@
+/* A caller's request as it comes over HTTP: its path, headers and body, checked. */
+#ifndef CALLER_H
+#define CALLER_H
+
+#include "decls.h"
+#include "http.h"
+#include "resource.h"
+#include "settings.h"
+#include "status.h"
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+#define CALLER_ID_SIZE 129 /* with the NUL */
+#define CALLER_PREFIX_PIPELINES "/v1/pipelines"
+#define CALLER_PREFIX_SERVICES "/v1/services"
+#define CALLER_TOKENS_MAX 1000000 /* asked for at most */
+
+/* yes, no, or not said */
+enum caller_choice
+{
+  CALLER_NOT_SAID,
+  CALLER_YES,
+  CALLER_NO
+};
+
+struct caller_request
+{
+  char pipeline[RESOURCE_NAME_SIZE];
+  bool service;
+  char id[CALLER_ID_SIZE]; /* "" when the caller gave none */
+  int64_t window;          /* span, USEC; 0 when not said */
+  enum caller_choice repeatable;
+  int priority; /* -1 when not said */
+  bool stream;
+  uint32_t max_tokens; /* 0 when not said */
+  json_t *input;       /* a new reference; NULL for a service */
+};
+
+/* Why a request is not taken: an HTTP status, the field at fault (NULL for none), a message. */
+struct caller_error
+{
+  int code;
+  const char *field;
+  char message[160];
+};
+
+/* Read all of a request; STATUS_INVALID fills `error`. */
+enum status caller_read (const struct http_exchange *exchange,
+                         const struct settings *settings,
+                         struct caller_request *out,
+                         struct caller_error *error);
+
+void caller_clear (struct caller_request *request);
+
+/* Is `id` 1 to 128 printable characters without spaces? */
+bool caller_id_is_valid (const char *id);
+
+END_DECLS
+
+#endif
