--- /dev/null
+++ b/src/flow_attempt.c
@@ -0,0 +1,374 @@
+/* One call to a target: its start and its end.  flow_reply.c checks its answer.
+ *
+ * The call's events come to an entry of the attempts table.  An attempt that ended has closed its
+ * call and left the table, so that a late or doubled answer finds nothing to change. */
+#include "flow_private.h"
+#include "text.h"
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define HEADERS_MAX 8
+#define NUMBER_SIZE 24
+
+/* ---- the live attempts of a request ---- */
+
+static bool
+add_live (struct flow_request *request, struct handle attempt)
+{
+  int i;
+
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      if (!handle_is_none (request->live[i]))
+        continue;
+      request->live[i] = attempt;
+      return true;
+    }
+  return false;
+}
+
+static void
+drop_live (struct flow_request *request, struct handle attempt)
+{
+  int i;
+
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      if (handle_equal (request->live[i], attempt))
+        request->live[i] = (struct handle){ 0 };
+    }
+}
+
+void
+flow_attempts_cancel (struct flow_request *request, int64_t now)
+{
+  int i;
+
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      struct flow_attempt *attempt = flow_find_attempt (request->flow, request->live[i]);
+
+      if (attempt != NULL)
+        flow_attempt_cancel (attempt, DECIDE_END_LOST, now);
+    }
+}
+
+/* ---- the end ---- */
+
+static double
+cost_per_second (const struct flow *flow, const char *pool)
+{
+  const struct board_pool *found = board_find_pool (flow->config.board, pool, NULL);
+
+  return found != NULL ? found->spec.cost_per_second : 0;
+}
+
+static void
+record_end (struct flow_request *request,
+            const struct flow_attempt *attempt,
+            enum decide_end end,
+            int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct flow_stage_record *record = &request->stages[attempt->stage];
+  double seconds = (double) (now - attempt->started) / USEC_PER_SEC;
+  double cost = seconds * cost_per_second (flow, request->spec->stages[attempt->stage].pool);
+
+  record->cost += cost;
+  text_copy_cut (record->target, sizeof record->target, attempt->target);
+  if (end == DECIDE_END_WHOLE)
+    {
+      record->usage = attempt->usage;
+      record->whole_seconds = seconds;
+    }
+  else
+    flow_count_wasted (flow, seconds);
+  flow_count_attempt (flow, request, attempt, end, cost, now - attempt->started);
+}
+
+static void
+tell_decide (struct flow_request *request,
+             const struct flow_attempt *attempt,
+             enum decide_end end,
+             int64_t now)
+{
+  struct decide_result result = {
+    .target = attempt->choice.target,
+    .end = end,
+    .started = attempt->started,
+    .first_data = attempt->first_data,
+    .ended = now,
+    .input_tokens = attempt->input_tokens,
+    .output_tokens = attempt->usage.output_tokens,
+    .cached_tokens = attempt->usage.cached_tokens,
+    .choice = attempt->choice,
+  };
+
+  decide_ended (request->flow->config.decide, &request->decide, &result, now);
+}
+
+/* A call that may have had its effect and whose end was not told. */
+static bool
+puts_in_doubt (const struct flow_request *request,
+               const struct flow_attempt *attempt,
+               enum decide_end end)
+{
+  return !request->decide.repeatable
+         && flow_stage_has_effect (request->spec->stages[attempt->stage].kind)
+         && (end == DECIDE_END_WRONG || end == DECIDE_END_TIMED_OUT || end == DECIDE_END_BROKEN
+             || end == DECIDE_END_LOST);
+}
+
+void
+flow_attempt_finish (struct flow_attempt *attempt, enum decide_end end, int64_t now)
+{
+  struct flow *flow = attempt->flow;
+  struct flow_request *request = flow_find_request (flow, attempt->request);
+  struct board_target *target = table_get (flow->config.board->targets, attempt->choice.target);
+
+  INVARIANT (request != NULL);
+  if (target != NULL && target->in_flight > 0)
+    target->in_flight--;
+  record_end (request, attempt, end, now);
+  tell_decide (request, attempt, end, now);
+  if (attempt->sent && puts_in_doubt (request, attempt, end))
+    request->in_doubt = true;
+  drop_live (request, attempt->self);
+  timer_disarm (flow->config.timers, &attempt->give_up);
+  timer_disarm (flow->config.timers, &attempt->hedge);
+  sse_clear (&attempt->sse);
+  bytes_clear (&attempt->body);
+  table_remove (flow->attempts, attempt->self);
+}
+
+static void
+close_call (struct flow_attempt *attempt)
+{
+  struct http_call *call = attempt->call;
+  struct http_client *client = attempt->flow->config.client;
+
+  attempt->call = NULL;
+  if (call != NULL)
+    client->ops->cancel (client, call);
+}
+
+void
+flow_attempt_cancel (struct flow_attempt *attempt, enum decide_end end, int64_t now)
+{
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+
+  if (attempt->call != NULL)
+    {
+      close_call (attempt);
+      /* An unrepeatable call is left alone: what it did cannot be taken back by ending it. */
+      if (request->decide.repeatable)
+        flow_cancel_send (attempt->flow, attempt->address, request->id, attempt->number, now);
+    }
+  flow_attempt_finish (attempt, end, now);
+}
+
+void
+flow_attempt_fail (
+    struct flow_attempt *attempt, enum decide_end end, bool not_run, bool rejected, int64_t now)
+{
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  struct flow_failure failure = {
+    .end = end,
+    .target = attempt->choice.target,
+    .not_run = not_run,
+    .rejected = rejected,
+  };
+
+  close_call (attempt);
+  flow_attempt_finish (attempt, end, now);
+  flow_stage_failed (request, &failure, now);
+}
+
+void
+flow_attempt_win (struct flow_attempt *attempt, struct flow_request *request, int64_t now)
+{
+  close_call (attempt);
+  flow_attempt_finish (attempt, DECIDE_END_WHOLE, now);
+  flow_attempts_cancel (request, now);
+  flow_stage_done (request, now);
+}
+
+/* ---- timers ---- */
+
+static void
+give_up (struct timer *timer, int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (timer, struct flow_attempt, give_up);
+  struct flow *flow = attempt->flow;
+  struct flow_request *request = flow_find_request (flow, attempt->request);
+  struct flow_failure failure = { .end = DECIDE_END_TIMED_OUT, .target = attempt->choice.target };
+
+  if (flow_stream_is_whole (attempt, request))
+    return flow_stream_end (attempt, DECIDE_END_TIMED_OUT, now);
+  flow_attempt_cancel (attempt, DECIDE_END_TIMED_OUT, now);
+  flow_stage_failed (request, &failure, now);
+}
+
+static void
+hedge (struct timer *timer, int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (timer, struct flow_attempt, hedge);
+
+  flow_stage_hedge (flow_find_request (attempt->flow, attempt->request), attempt, now);
+}
+
+static const struct timer_ops give_up_ops = { .fire = give_up };
+static const struct timer_ops hedge_ops = { .fire = hedge };
+
+static void
+arm_timers (struct flow_attempt *attempt, const struct flow_request *request)
+{
+  struct timer_service *timers = attempt->flow->config.timers;
+  const struct decide_choice *choice = &attempt->choice;
+
+  /* Giving up on an unrepeatable call would only make its outcome unknown: it has its window. */
+  if (request->decide.repeatable && choice->give_up < request->decide.deadline)
+    timer_arm (timers, &attempt->give_up, choice->give_up);
+  if (request->decide.repeatable && !attempt->is_hedge
+      && choice->hedge_at < request->decide.deadline)
+    timer_arm (timers, &attempt->hedge, choice->hedge_at);
+}
+
+/* ---- the start ---- */
+
+static char *
+make_body (const struct flow_request *request, size_t *length)
+{
+  const struct stage_spec *spec = flow_stage_spec (request);
+  struct stage_call call = {
+    .max_tokens = spec->max_tokens,
+    .priority = request->decide.priority,
+    .resume_from = request->text.pieces,
+  };
+  char *body;
+
+  if (request->max_tokens > 0 && request->max_tokens < spec->max_tokens)
+    call.max_tokens = request->max_tokens;
+  body = stage_body (spec, &request->data, &call);
+  *length = body != NULL ? strlen (body) : 0;
+  return body;
+}
+
+static enum status
+start_call (struct flow_attempt *attempt,
+            const struct flow_request *request,
+            const char *body,
+            size_t length,
+            int64_t now)
+{
+  struct http_client *client = attempt->flow->config.client;
+  const struct stage_spec *spec = flow_stage_spec (request);
+  int64_t left = request->decide.deadline - now;
+  char number[NUMBER_SIZE];
+  char left_ms[NUMBER_SIZE];
+  char priority[NUMBER_SIZE];
+  struct http_field headers[HEADERS_MAX] = {
+    { .name = "content-type", .value = "application/json" },
+    { .name = "x-request-id", .value = request->id },
+    { .name = "x-attempt", .value = number },
+    { .name = "x-stage", .value = spec->name },
+    { .name = "x-deadline-ms", .value = left_ms },
+    { .name = "x-priority", .value = priority },
+    { .name = "x-organisation", .value = request->organisation },
+    { .name = "accept",
+      .value = spec->kind == STAGE_GENERATE ? "text/event-stream" : "application/json" },
+  };
+  struct http_call_spec call = {
+    .address = attempt->address,
+    .method = "POST",
+    .path = stage_path (spec->kind),
+    .headers = headers,
+    .n_headers = HEADERS_MAX,
+    .body = body,
+    .body_length = length,
+    .deadline = request->decide.deadline + (request->decide.repeatable ? 0 : FLOW_SETTLE_GRACE),
+  };
+
+  snprintf (number, sizeof number, "%" PRIu32, attempt->number);
+  snprintf (left_ms, sizeof left_ms, "%" PRId64, left > 0 ? left / USEC_PER_MSEC : 0);
+  snprintf (priority, sizeof priority, "%" PRIu32, request->decide.priority);
+  return client->ops->start (client, &call, &attempt->sink, now, &attempt->call);
+}
+
+static struct flow_attempt *
+add_attempt (struct flow_request *request,
+             const struct decide_choice *choice,
+             const struct board_target *target,
+             int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct handle handle;
+  struct flow_attempt *attempt = table_add (flow->attempts, &handle);
+
+  if (attempt == NULL)
+    return NULL;
+  attempt->sink.ops = &flow_reply_ops;
+  attempt->pieces.ops = &flow_stream_ops;
+  attempt->give_up.ops = &give_up_ops;
+  attempt->hedge.ops = &hedge_ops;
+  attempt->flow = flow;
+  attempt->self = handle;
+  attempt->request = request->self;
+  attempt->choice = *choice;
+  attempt->number = ++request->n_attempts;
+  attempt->stage = request->decide.stage;
+  attempt->input_tokens = request->raw != NULL
+                              ? request->decide.input_tokens
+                              : stage_tokens (flow_stage_spec (request), &request->data);
+  attempt->resumed_from = request->text.pieces;
+  attempt->started = now;
+  text_copy (attempt->target, sizeof attempt->target, target->name);
+  text_copy (attempt->address, sizeof attempt->address, target->address);
+  bytes_init (&attempt->body, request->memory);
+  sse_init (&attempt->sse, request->memory, FLOW_EVENT_BYTES_MAX);
+  return attempt;
+}
+
+enum status
+flow_attempt_start (struct flow_request *request,
+                    const struct decide_choice *choice,
+                    bool is_hedge,
+                    int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct board_target *target = table_get (flow->config.board->targets, choice->target);
+  bool service = request->spec->service;
+  struct flow_attempt *attempt;
+  enum status status;
+  size_t length = request->raw_length;
+  char *body;
+
+  if (target == NULL)
+    return status_fail (STATUS_NOT_FOUND, "the target is gone");
+  attempt = add_attempt (request, choice, target, now);
+  if (attempt == NULL)
+    return status_fail (STATUS_LIMIT, "too many attempts in flight");
+  flow_stage_record (request)->attempts++;
+  body = service ? request->raw : make_body (request, &length);
+  status = body != NULL ? start_call (attempt, request, body, length, now)
+                        : status_fail (STATUS_NO_MEMORY, "no memory for a call's body");
+  if (!service)
+    free (body);
+  if (status != STATUS_OK)
+    {
+      table_remove (flow->attempts, attempt->self);
+      return status;
+    }
+  attempt->is_hedge = is_hedge;
+  attempt->sent = true;
+  request->n_sent++;
+  INVARIANT (add_live (request, attempt->self));
+  target->in_flight++;
+  decide_started (flow->config.decide, &request->decide, choice, now);
+  if (attempt->resumed_from > 0)
+    flow_count_resume (flow);
+  arm_timers (attempt, request);
+  return STATUS_OK;
+}
--- /dev/null
+++ b/src/flow_claim.c
@@ -0,0 +1,164 @@
+/* Claims on unrepeatable requests: taken before the first byte to any target, settled with the
+ * outcome, given back when nothing was sent. */
+#include "flow_private.h"
+#include <string.h>
+#include <talloc.h>
+
+static void
+end_unclaimed (struct flow_request *request,
+               enum flow_outcome outcome,
+               enum flow_reason reason,
+               int64_t retry_after,
+               int64_t now)
+{
+  struct flow_verdict verdict = { .outcome = outcome,
+                                  .reason = reason,
+                                  .retry_after = retry_after };
+
+  flow_end (request, &verdict, now);
+}
+
+/* The first run's outcome, byte for byte; the work is not done again. */
+static void
+replay (struct flow_request *request, const struct claim_answer *answer, int64_t now)
+{
+  struct flow_verdict verdict = { .outcome = FLOW_UNKNOWN, .reason = FLOW_REASON_REPLAYED };
+  struct http_exchange *exchange = request->exchange;
+  int outcome;
+
+  if (request->refused)
+    return flow_end (request, &verdict, now);
+  for (outcome = 0; outcome < FLOW_OUTCOME_COUNT; outcome++)
+    {
+      if (strcmp (answer->outcome, flow_outcome_text (outcome)) == 0)
+        verdict.outcome = (enum flow_outcome) outcome;
+    }
+  verdict.replayed_code = answer->code;
+  if (exchange != NULL)
+    {
+      request->exchange = NULL;
+      exchange->watcher = NULL;
+      flow_answer_send (exchange, request->id, &verdict, request->stream, false, answer->body,
+                        answer->body_length);
+    }
+  flow_end (request, &verdict, now);
+}
+
+static void
+granted (struct flow_request *request, int64_t now)
+{
+  request->claimed = true;
+  /* Nothing was sent: a caller that went away, or was told not-run when its window closed, may
+   * send the request again, so the claim goes back. */
+  if (request->refused || request->exchange == NULL)
+    return flow_end_for (request, FLOW_REASON_CALLER_GONE, 0, now);
+  request->phase = FLOW_PHASE_RUNNING;
+  flow_stage_begin (request, now);
+}
+
+static void
+answered (struct claim_waiter *waiter, const struct claim_answer *answer, int64_t now)
+{
+  struct flow_request *request = FLOW_OF (waiter, struct flow_request, waiter);
+
+  request->awaits_claim = false;
+  switch (answer->verdict)
+    {
+    case CLAIM_GRANTED:
+      return granted (request, now);
+    case CLAIM_SETTLED:
+      return replay (request, answer, now);
+    case CLAIM_IN_FLIGHT:
+      /* This host did not run it, but "not-run" would invite the caller to send it elsewhere while
+       * its holder may well be running it. */
+      return end_unclaimed (request, FLOW_UNKNOWN, FLOW_REASON_IN_FLIGHT, FLOW_RETRY_AFTER, now);
+    case CLAIM_MISMATCH:
+      return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_MISMATCH, 0, now);
+    case CLAIM_EXPIRED:
+      return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_EXPIRED, 0, now);
+    case CLAIM_FULL:
+      return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_CLAIMS_FULL, FLOW_RETRY_AFTER, now);
+    case CLAIM_UNREACHABLE:
+      return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_CLAIMS_UNREACHABLE, FLOW_RETRY_AFTER,
+                            now);
+    case CLAIM_UNKNOWN:
+    case CLAIM_VERDICT_COUNT:
+    default:
+      return end_unclaimed (request, FLOW_UNKNOWN, FLOW_REASON_HOLDER_LOST, 0, now);
+    }
+}
+
+static const struct claim_waiter_ops waiter_ops = { .answered = answered };
+
+void
+flow_claim_take (struct flow_request *request, int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct claims *claims = flow->config.claims;
+  struct claim_request ask = {
+    .key = { .organisation = request->organisation, .request_id = request->id },
+    .issued_at_ms = flow->config.wall_clock_ms != NULL ? flow->config.wall_clock_ms () : 0,
+  };
+
+  if (claims == NULL)
+    return flow_end_for (request, FLOW_REASON_CLAIMS_OFF, 0, now);
+  memcpy (ask.body_hash, request->body_hash, CLAIM_HASH_SIZE);
+  request->waiter.ops = &waiter_ops;
+  if (claims->ops->take (claims, &ask, &request->waiter, request->decide.deadline, now)
+      != STATUS_OK)
+    return flow_end_for (request, FLOW_REASON_CLAIMS_UNREACHABLE, FLOW_RETRY_AFTER, now);
+  request->awaits_claim = true;
+}
+
+void
+flow_claim_forget (struct flow_request *request)
+{
+  struct claims *claims = request->flow->config.claims;
+
+  if (!request->awaits_claim)
+    return;
+  claims->ops->withdraw (claims, &request->waiter);
+  request->awaits_claim = false;
+}
+
+/* A stored outcome must never pass a part of an answer for the whole: an answer over the bound is
+ * stored as a failure that says it ran. */
+static void
+settle_too_long (struct flow_request *request, const struct claim_key *key, int64_t now)
+{
+  struct claims *claims = request->flow->config.claims;
+  struct flow_verdict verdict = { .outcome = FLOW_FAILED, .reason = FLOW_REASON_ANSWER_NOT_KEPT };
+  size_t length;
+  char *body = flow_answer_body (request, &verdict, &length);
+
+  claims->ops->settle (claims, key, flow_http_code (&verdict), flow_outcome_text (FLOW_FAILED),
+                       body, length, now);
+  free (body);
+}
+
+void
+flow_claim_end (struct flow_request *request,
+                const struct flow_verdict *verdict,
+                const char *body,
+                size_t length,
+                int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct claims *claims = flow->config.claims;
+  struct claim_key key = { .organisation = request->organisation, .request_id = request->id };
+  enum status status;
+
+  if (!request->claimed)
+    return;
+  request->claimed = false;
+  if (request->n_sent == 0)
+    status = claims->ops->release (claims, &key, now);
+  else if (length > flow->config.settings->claim_answer_bytes)
+    return settle_too_long (request, &key, now);
+  else
+    status = claims->ops->settle (claims, &key, flow_http_code (verdict),
+                                  flow_outcome_text (verdict->outcome), body, length, now);
+  if (status != STATUS_OK)
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_ERROR, "claim-not-settled", "{s:s,s:s,s:s}", "request_id",
+               request->id, "organisation", request->organisation, "error", status_message ());
+}
--- /dev/null
+++ b/src/flow_end.c
@@ -0,0 +1,185 @@
+/* The end of a request: its outcome decided, told, settled, logged. */
+#include "flow_private.h"
+#include <stdlib.h>
+#include <talloc.h>
+
+static void
+log_outcome (const struct flow_request *request,
+             const struct flow_verdict *verdict,
+             const char *event,
+             int64_t now)
+{
+  if (!log_enabled (LOG_MODULE_FLOW, LOG_LEVEL_INFO))
+    return;
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, event, "{s:s,s:s,s:s,s:s,s:s,s:s*,s:b,s:b,s:I,s:o}",
+             "request_id", request->id, "organisation", request->organisation, "pipeline",
+             request->spec->name, "outcome", flow_outcome_text (verdict->outcome), "reason",
+             flow_reason_code (verdict->reason), "detail", verdict->detail, "repeatable",
+             request->decide.repeatable, "sent", request->n_sent > 0, "us",
+             (json_int_t) (now - request->decide.arrived), "stages", flow_answer_stages (request));
+}
+
+static void
+tell (struct flow_request *request,
+      const struct flow_verdict *verdict,
+      const char *body,
+      size_t length,
+      int64_t now)
+{
+  struct flow *flow = request->flow;
+  struct http_exchange *exchange = request->exchange;
+
+  if (request->told)
+    {
+      log_outcome (request, verdict, "settled", now);
+      return;
+    }
+  request->told = true;
+  log_outcome (request, verdict, "outcome", now);
+  flow_count_outcome (flow, verdict);
+  flow_count_time (flow, verdict->outcome, now - request->decide.arrived);
+  if (exchange == NULL)
+    return;
+  request->exchange = NULL;
+  exchange->watcher = NULL;
+  flow_answer_send (exchange, request->id, verdict, request->stream, request->begun, body, length);
+}
+
+void
+flow_tell (struct flow_request *request, const struct flow_verdict *verdict, int64_t now)
+{
+  size_t length;
+  char *body = flow_answer_body (request, verdict, &length);
+
+  tell (request, verdict, body, length, now);
+  free (body);
+}
+
+static double
+stage_seconds (const struct flow_request *request)
+{
+  double seconds = 0;
+  uint32_t i;
+
+  for (i = 0; i < request->n_begun_stages; i++)
+    seconds += request->stages[i].whole_seconds;
+  return seconds;
+}
+
+static void
+forget (struct flow_request *request)
+{
+  struct flow *flow = request->flow;
+
+  timer_disarm (flow->config.timers, &request->deadline);
+  timer_disarm (flow->config.timers, &request->check);
+  stage_data_clear (&request->data);
+  talloc_free (request->memory);
+  table_remove (flow->requests, request->self);
+  flow_set_load (flow);
+}
+
+void
+flow_end (struct flow_request *request, const struct flow_verdict *verdict, int64_t now)
+{
+  struct flow *flow = request->flow;
+  size_t length;
+  char *body;
+
+  flow_attempts_cancel (request, now);
+  if (request->n_begun_stages > 0 && flow_stage_record (request)->ended == 0)
+    flow_stage_record (request)->ended = now;
+  if (verdict->outcome != FLOW_WHOLE)
+    flow_count_wasted (flow, stage_seconds (request));
+  body = flow_answer_body (request, verdict, &length);
+  flow_claim_end (request, verdict, body, length, now);
+  tell (request, verdict, body, length, now);
+  free (body);
+  if (request->admitted)
+    decide_finish (flow->config.decide, &request->decide, verdict->outcome == FLOW_WHOLE, now);
+  request->admitted = false;
+  /* The claims still hold the waiter: the entry stays, without its caller, until they answer. */
+  request->refused = true;
+  if (!request->awaits_claim)
+    forget (request);
+}
+
+/* What is true of a request that ends without its answer.  An unrepeatable one is in doubt once a
+ * call that may have had its effect was sent and did not say how it ended. */
+static enum flow_outcome
+outcome_without_answer (const struct flow_request *request)
+{
+  if (request->n_sent == 0)
+    return FLOW_NOT_RUN;
+  return !request->decide.repeatable && request->in_doubt ? FLOW_UNKNOWN : FLOW_FAILED;
+}
+
+void
+flow_end_for (struct flow_request *request,
+              enum flow_reason reason,
+              int64_t retry_after,
+              int64_t now)
+{
+  struct flow_verdict verdict = { .reason = reason, .retry_after = retry_after };
+
+  /* Closing a call may put the request in doubt, so it comes before the outcome. */
+  flow_attempts_cancel (request, now);
+  verdict.outcome = outcome_without_answer (request);
+  flow_end (request, &verdict, now);
+}
+
+static bool
+has_live_effect (const struct flow_request *request)
+{
+  int i;
+
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      if (!handle_is_none (request->live[i]))
+        return flow_stage_has_effect (flow_stage_spec (request)->kind);
+    }
+  return false;
+}
+
+/* The window of an unrepeatable request closed while its call runs.  The caller hears "unknown" at
+ * once; closing the call would leave it unknown for good, so it goes on for a while and its real
+ * outcome is what a resend gets. */
+static void
+go_on_settling (struct flow_request *request, int64_t now)
+{
+  struct flow_verdict verdict = { .outcome = FLOW_UNKNOWN,
+                                  .reason = FLOW_REASON_WINDOW,
+                                  .retry_after = FLOW_RETRY_AFTER };
+
+  request->phase = FLOW_PHASE_SETTLING;
+  timer_disarm (request->flow->config.timers, &request->check);
+  timer_arm (request->flow->config.timers, &request->deadline, now + FLOW_SETTLE_GRACE);
+  flow_tell (request, &verdict, now);
+}
+
+void
+flow_deadline_fire (struct timer *timer, int64_t now)
+{
+  struct flow_request *request = FLOW_OF (timer, struct flow_request, deadline);
+
+  if (request->phase == FLOW_PHASE_SETTLING)
+    flow_end_for (request, FLOW_REASON_TARGET_TIMEOUT, 0, now);
+  else if (!request->decide.repeatable && has_live_effect (request))
+    go_on_settling (request, now);
+  else
+    flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+}
+
+/* Work for a caller that is gone is worth nothing, but an unrepeatable call that was sent has its
+ * effect: it goes on, so that a resend can be told how it ended. */
+void
+flow_caller_closed (struct http_watcher *watcher, int64_t now)
+{
+  struct flow_request *request = FLOW_OF (watcher, struct flow_request, watcher);
+
+  request->exchange = NULL;
+  if (request->awaits_claim)
+    return;
+  if (request->decide.repeatable || request->n_sent == 0)
+    flow_end_for (request, FLOW_REASON_CALLER_GONE, 0, now);
+}
--- /dev/null
+++ b/src/flow_reply.c
@@ -0,0 +1,153 @@
+/* The events of one call: only a whole answer to this very attempt counts. */
+#include "flow_private.h"
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+
+#define NUMBER_SIZE 24
+
+static const char *
+field_of (const struct http_field *headers, size_t n, const char *name)
+{
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      if (strcmp (headers[i].name, name) == 0)
+        return headers[i].value;
+    }
+  return NULL;
+}
+
+/* Is the answer to this very attempt?  An answer to another request, or to an attempt that was
+ * given up, must not be delivered: a target, or a proxy before it, may mix answers up. */
+static bool
+is_ours (const struct flow_attempt *attempt,
+         const struct flow_request *request,
+         const struct http_field *headers,
+         size_t n)
+{
+  const char *id = field_of (headers, n, "x-request-id");
+  const char *number = field_of (headers, n, "x-attempt");
+  char expected[NUMBER_SIZE];
+
+  snprintf (expected, sizeof expected, "%" PRIu32, attempt->number);
+  return id != NULL && strcmp (id, request->id) == 0 && number != NULL
+         && strcmp (number, expected) == 0;
+}
+
+/* The request itself is at fault: every target would say the same. */
+static bool
+is_rejection (int code)
+{
+  return code == 400 || code == 413 || code == 422;
+}
+
+static void
+take_head (struct http_call_sink *sink,
+           int code,
+           const struct http_field *headers,
+           size_t n_headers,
+           int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  const char *not_run = field_of (headers, n_headers, "x-not-run");
+
+  if (!is_ours (attempt, request, headers, n_headers))
+    {
+      flow_count_dropped (attempt->flow);
+      return flow_attempt_fail (attempt, DECIDE_END_WRONG, false, false, now);
+    }
+  attempt->code = code;
+  if (code == 200)
+    return;
+  /* The target says so itself, about this attempt: it is the one answer after a sent byte that
+   * proves the work was not taken.  The byte was sent all the same, so the caller never hears
+   * "not-run" of it. */
+  if (code == 503 && not_run != NULL && strcmp (not_run, "yes") == 0)
+    return flow_attempt_fail (attempt, DECIDE_END_REFUSED, true, false, now);
+  flow_attempt_fail (attempt, DECIDE_END_FAILED, false, is_rejection (code), now);
+}
+
+static void
+take_data (struct http_call_sink *sink, const void *data, size_t length, int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+
+  if (request->spec->stages[attempt->stage].kind == STAGE_GENERATE)
+    return flow_stream_data (attempt, data, length, now);
+  if (attempt->first_data == 0)
+    attempt->first_data = now;
+  bytes_append (&attempt->body, data, length);
+}
+
+/* A service's answer is passed on as it came. */
+static enum status
+take_raw (struct flow_request *request, const struct bytes *body)
+{
+  char *copy;
+
+  if (stage_check_json (body->data, body->length, STAGE_JSON_DEPTH) != STATUS_OK)
+    return STATUS_MALFORMED;
+  copy = talloc_memdup (request->memory, body->data, body->length + 1);
+  if (copy == NULL)
+    return STATUS_NO_MEMORY;
+  talloc_free (request->raw);
+  request->raw = copy;
+  request->raw_length = body->length;
+  return STATUS_OK;
+}
+
+static void
+take_end (struct http_call_sink *sink, int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  const struct stage_spec *spec = &request->spec->stages[attempt->stage];
+  enum status status;
+
+  attempt->call = NULL;
+  if (spec->kind == STAGE_GENERATE)
+    return flow_stream_end (attempt, DECIDE_END_BROKEN, now);
+  if (attempt->body.length == 0 || bytes_failed (&attempt->body))
+    status = STATUS_MALFORMED;
+  else if (request->spec->service)
+    status = take_raw (request, &attempt->body);
+  else
+    status = stage_take (spec, &request->data, attempt->body.data, attempt->body.length,
+                         &attempt->usage);
+  if (status == STATUS_OK)
+    return flow_attempt_win (attempt, request, now);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "answer-malformed", "{s:s,s:s,s:s,s:s}",
+             "request_id", request->id, "target", attempt->target, "stage", spec->name, "error",
+             status_message ());
+  flow_count_dropped (attempt->flow);
+  flow_attempt_fail (attempt, DECIDE_END_WRONG, false, false, now);
+}
+
+static void
+take_failure (struct http_call_sink *sink, enum status why, bool sent, int64_t now)
+{
+  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  enum decide_end end = why == STATUS_TIMEOUT ? DECIDE_END_TIMED_OUT : DECIDE_END_BROKEN;
+
+  attempt->call = NULL;
+  if (!sent)
+    {
+      attempt->sent = false;
+      request->n_sent--;
+    }
+  if (request->spec->stages[attempt->stage].kind == STAGE_GENERATE)
+    return flow_stream_end (attempt, end, now);
+  flow_attempt_fail (attempt, end, !sent, false, now);
+}
+
+const struct http_call_sink_ops flow_reply_ops = {
+  .head = take_head,
+  .data = take_data,
+  .end = take_end,
+  .failed = take_failure,
+};
--- /dev/null
+++ b/src/flow_stage.c
@@ -0,0 +1,258 @@
+/* Stage after stage: whom to ask, when to ask again, when to give up.  The decisions are
+ * decide.c's; this is their order. */
+#include "flow_private.h"
+#include <string.h>
+#include <xxhash.h>
+
+#define PREFIX_BLOCK_BYTES (DECIDE_BLOCK_TOKENS * STAGE_BYTES_PER_TOKEN)
+
+static const enum flow_reason reasons_of_end[] = {
+  [DECIDE_END_WHOLE] = FLOW_REASON_DONE,
+  [DECIDE_END_FAILED] = FLOW_REASON_TARGET_FAILED,
+  [DECIDE_END_REFUSED] = FLOW_REASON_TARGET_REFUSED,
+  [DECIDE_END_WRONG] = FLOW_REASON_TARGET_WRONG,
+  [DECIDE_END_TIMED_OUT] = FLOW_REASON_TARGET_TIMEOUT,
+  [DECIDE_END_BROKEN] = FLOW_REASON_TARGET_BROKEN,
+  [DECIDE_END_LOST] = FLOW_REASON_TARGET_TIMEOUT,
+};
+
+static uint32_t
+tokens_now (const struct flow_request *request)
+{
+  if (request->raw != NULL)
+    return request->decide.input_tokens;
+  return stage_tokens (flow_stage_spec (request), &request->data);
+}
+
+/* The hashes by which engines name the blocks of a prompt: see docs/INTERFACES.md. */
+static void
+hash_prefix (struct flow_request *request)
+{
+  json_t *prompt = stage_prompt (&request->data);
+  const char *text = json_string_value (prompt);
+  size_t blocks = json_string_length (prompt) / PREFIX_BLOCK_BYTES;
+  uint64_t hash = 0;
+  uint32_t i;
+
+  if (blocks > DECIDE_PREFIX_BLOCKS)
+    blocks = DECIDE_PREFIX_BLOCKS;
+  for (i = 0; i < blocks; i++)
+    {
+      hash =
+          XXH3_64bits_withSeed (text + (size_t) i * PREFIX_BLOCK_BYTES, PREFIX_BLOCK_BYTES, hash);
+      request->decide.prefix[i] = hash;
+    }
+  request->decide.n_prefix = (uint32_t) blocks;
+  json_decref (prompt);
+}
+
+static void
+add_tried (struct flow_request *request, struct handle target)
+{
+  /* Over the bound the oldest failure is forgotten: a target that failed long ago may be asked
+   * again rather than the one that just did. */
+  if (request->n_tried == DECIDE_TRIED_MAX)
+    memmove (request->tried, request->tried + 1, --request->n_tried * sizeof *request->tried);
+  request->tried[request->n_tried++] = target;
+}
+
+static bool
+has_live (const struct flow_request *request)
+{
+  int i;
+
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      if (!handle_is_none (request->live[i]))
+        return true;
+    }
+  return false;
+}
+
+bool
+flow_may_send_again (const struct flow_request *request, bool certainly_not_run)
+{
+  /* An unrepeatable request runs at most once.  Its next attempt may start only when the last one
+   * surely did not: no byte of it left, or its target answered, with our id and attempt, that it
+   * did not take the work.  Nothing is inferred from a closed connection or from silence.
+   *
+   * The rule is the same for stages that only read (encode, retrieve, rerank), though running
+   * those twice would be harmless: a pipeline's owner who marks it unrepeatable may have put a
+   * stage with an effect behind any of the interfaces, and one rule is easier to rely on. */
+  return request->decide.repeatable || certainly_not_run;
+}
+
+/* ---- looking for a target ---- */
+
+/* No target now.  Work already done would be lost by giving up at once, so it waits a little for
+ * one to be back; a request that has done nothing yet is refused while that costs nothing. */
+static void
+no_target (struct flow_request *request, enum decide_reason reason, int64_t now)
+{
+  struct flow_stage_record *record = flow_stage_record (request);
+  bool may_pass = reason == DECIDE_NO_TARGET || reason == DECIDE_FULL;
+
+  if (may_pass && request->n_sent > 0 && record->waits < FLOW_WAITS_MAX)
+    {
+      record->waits++;
+      request->n_tried = 0;
+      request->waiting = true;
+      timer_arm (request->flow->config.timers, &request->check, now + FLOW_WAIT_TIME);
+      return;
+    }
+  if (reason == DECIDE_WINDOW)
+    flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  else if (reason == DECIDE_FULL)
+    flow_end_for (request, FLOW_REASON_FULL, FLOW_RETRY_AFTER, now);
+  else
+    flow_end_for (request, FLOW_REASON_NO_TARGET, FLOW_RETRY_AFTER, now);
+}
+
+static bool
+take_retry (struct flow_request *request, enum decide_end end, int64_t now)
+{
+  enum decide_reason reason = decide_retry (request->flow->config.decide, &request->decide,
+                                            flow_stage_record (request)->attempts, now);
+
+  if (reason == DECIDE_ADMITTED)
+    {
+      flow_count_retry (request->flow);
+      return true;
+    }
+  if (reason == DECIDE_WINDOW)
+    flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  else if (reason == DECIDE_BUDGET)
+    flow_end_for (request, FLOW_REASON_BUDGET, FLOW_RETRY_AFTER, now);
+  else
+    flow_end_for (request, reasons_of_end[end], FLOW_RETRY_AFTER, now);
+  return false;
+}
+
+static void
+try_targets (struct flow_request *request, int64_t now)
+{
+  struct decide *decide = request->flow->config.decide;
+  struct decide_choice choice;
+  enum decide_reason reason;
+
+  do
+    {
+      reason = decide_choose (decide, &request->decide, tokens_now (request), request->tried,
+                              request->n_tried, now, &choice);
+      if (reason != DECIDE_ADMITTED)
+        return no_target (request, reason, now);
+      if (flow_attempt_start (request, &choice, false, now) == STATUS_OK)
+        return;
+      add_tried (request, choice.target);
+    }
+  while (take_retry (request, DECIDE_END_BROKEN, now));
+}
+
+/* ---- the life of a stage ---- */
+
+void
+flow_stage_begin (struct flow_request *request, int64_t now)
+{
+  struct flow_stage_record *record = flow_stage_record (request);
+
+  request->phase = FLOW_PHASE_RUNNING;
+  request->n_begun_stages = request->decide.stage + 1;
+  request->n_tried = 0;
+  record->started = now;
+  bytes_clear (&request->text.text);
+  request->text.pieces = 0;
+  request->text.finished = false;
+  request->text.feeder = (struct handle){ 0 };
+  if (flow_stage_spec (request)->kind == STAGE_GENERATE)
+    hash_prefix (request);
+  if (decide_hopeless (request->flow->config.decide, &request->decide, now))
+    return flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  flow_check_arm (request, now);
+  try_targets (request, now);
+}
+
+void
+flow_stage_done (struct flow_request *request, int64_t now)
+{
+  struct flow_verdict verdict = { .outcome = FLOW_WHOLE, .reason = FLOW_REASON_DONE };
+
+  flow_stage_record (request)->ended = now;
+  if (request->decide.stage + 1 == request->spec->n_stages)
+    return flow_end (request, &verdict, now);
+  /* Its caller was told "unknown" when the window closed: nothing more is worth running. */
+  if (request->phase == FLOW_PHASE_SETTLING)
+    return flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  request->decide.stage++;
+  flow_stage_begin (request, now);
+}
+
+void
+flow_stage_failed (struct flow_request *request, const struct flow_failure *failure, int64_t now)
+{
+  if (has_live (request))
+    return;
+  add_tried (request, failure->target);
+  if (failure->rejected)
+    return flow_end_for (request, FLOW_REASON_TARGET_REJECTED, 0, now);
+  if (!flow_may_send_again (request, failure->not_run) || request->phase == FLOW_PHASE_SETTLING)
+    return flow_end_for (request, reasons_of_end[failure->end], 0, now);
+  if (decide_hopeless (request->flow->config.decide, &request->decide, now))
+    return flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  if (take_retry (request, failure->end, now))
+    try_targets (request, now);
+}
+
+void
+flow_stage_hedge (struct flow_request *request, struct flow_attempt *slow, int64_t now)
+{
+  struct decide *decide = request->flow->config.decide;
+  struct handle tried[DECIDE_TRIED_MAX + 1];
+  struct decide_choice choice;
+
+  /* A second copy of unrepeatable work is never sent.  A generation that gives pieces is alive:
+   * a second one would start from nothing. */
+  if (!request->decide.repeatable || slow->first_data > 0 || request->phase != FLOW_PHASE_RUNNING
+      || !handle_is_none (request->live[0]) == !handle_is_none (request->live[1]))
+    return;
+  memcpy (tried, request->tried, request->n_tried * sizeof *tried);
+  tried[request->n_tried] = slow->choice.target;
+  if (decide_choose (decide, &request->decide, tokens_now (request), tried, request->n_tried + 1,
+                     now, &choice)
+          != DECIDE_ADMITTED
+      || handle_equal (choice.target, slow->choice.target))
+    return;
+  if (decide_hedge (decide, &request->decide, now) != DECIDE_ADMITTED)
+    return;
+  if (flow_attempt_start (request, &choice, true, now) != STATUS_OK)
+    return;
+  flow_stage_record (request)->hedges++;
+  flow_count_hedge (request->flow);
+}
+
+/* ---- is there still a way to end in time? ---- */
+
+void
+flow_check_arm (struct flow_request *request, int64_t now)
+{
+  int64_t step = (request->decide.deadline - now) / FLOW_CHECK_SHARE;
+
+  timer_arm (request->flow->config.timers, &request->check,
+             now + (step > FLOW_CHECK_MIN ? step : FLOW_CHECK_MIN));
+}
+
+void
+flow_check_fire (struct timer *timer, int64_t now)
+{
+  struct flow_request *request = FLOW_OF (timer, struct flow_request, check);
+  bool may_end = request->decide.repeatable || !has_live (request);
+
+  if (request->phase != FLOW_PHASE_RUNNING)
+    return;
+  if (may_end && decide_hopeless (request->flow->config.decide, &request->decide, now))
+    return flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
+  flow_check_arm (request, now);
+  if (!request->waiting)
+    return;
+  request->waiting = false;
+  try_targets (request, now);
+}
--- /dev/null
+++ b/src/flow_stream.c
@@ -0,0 +1,160 @@
+/* A generation's pieces: each counts once, in order, from one attempt at a time.
+ *
+ * Pieces that were taken are kept when their attempt breaks; the next attempt is asked for those
+ * after them (`resume_from`), so that the caller's text neither repeats nor misses a piece. */
+#include "flow_private.h"
+#include <string.h>
+
+static const char done_mark[] = "[DONE]";
+
+static bool
+goes_to_caller (const struct flow_request *request)
+{
+  return request->stream && request->exchange != NULL
+         && request->decide.stage + 1 == request->spec->n_stages;
+}
+
+/* The first attempt that gives a piece owns the text; a hedge beside it has lost and ends now,
+ * before it costs more.  Two attempts never write one text. */
+static void
+claim_text (struct flow_attempt *attempt, struct flow_request *request, int64_t now)
+{
+  int i;
+
+  request->text.feeder = attempt->self;
+  for (i = 0; i < FLOW_LIVE_MAX; i++)
+    {
+      struct flow_attempt *other = flow_find_attempt (request->flow, request->live[i]);
+
+      if (other != NULL && other != attempt)
+        flow_attempt_cancel (other, DECIDE_END_LOST, now);
+    }
+}
+
+/* What became of a piece. */
+enum piece_fate
+{
+  PIECE_TAKEN,
+  PIECE_DROPPED, /* known already: doubled, or an engine that began at the start again */
+  PIECE_WRONG    /* cannot be of this text */
+};
+
+static enum piece_fate
+take_piece (struct flow_text *text, const struct stage_piece *piece)
+{
+  if (piece->text_length == 0)
+    return PIECE_TAKEN;
+  if (piece->index < text->pieces)
+    return PIECE_DROPPED;
+  if (piece->index > text->pieces)
+    return PIECE_WRONG;
+  bytes_append (&text->text, piece->text, piece->text_length);
+  text->pieces++;
+  return bytes_failed (&text->text) ? PIECE_WRONG : PIECE_TAKEN;
+}
+
+/* An engine that leaves its stream open after the last piece must not cost the request its window:
+ * the text is whole, only framing is still due. */
+static void
+expect_end (struct flow_attempt *attempt, const struct flow_request *request, int64_t now)
+{
+  int64_t due = now + FLOW_FRAMING_TIME;
+
+  if (due >= request->decide.deadline && request->phase == FLOW_PHASE_RUNNING)
+    due = request->decide.deadline - 1;
+  timer_arm (attempt->flow->config.timers, &attempt->give_up, due);
+}
+
+/* Takes one piece; false when the attempt cannot go on, or is gone. */
+static bool
+take_event_piece (struct flow_attempt *attempt,
+                  struct flow_request *request,
+                  const struct stage_piece *piece)
+{
+  struct flow *flow = attempt->flow;
+  struct handle self = attempt->self;
+  enum piece_fate fate;
+
+  if (!handle_equal (request->text.feeder, self))
+    claim_text (attempt, request, attempt->event_at);
+  fate = take_piece (&request->text, piece);
+  if (fate == PIECE_WRONG)
+    return false;
+  if (fate == PIECE_DROPPED)
+    flow_count_dropped (flow);
+  if (piece->finished)
+    {
+      request->text.finished = true;
+      attempt->usage = piece->usage;
+      expect_end (attempt, request, attempt->event_at);
+    }
+  if (fate == PIECE_TAKEN && piece->text_length > 0 && goes_to_caller (request))
+    flow_answer_piece (request, piece->text, piece->text_length, piece->index);
+  /* The write may have found the caller gone, and that ends the request and this attempt. */
+  return flow_find_attempt (flow, self) != NULL;
+}
+
+static bool
+take_event (struct sse_sink *sink, const char *name, const char *data, size_t length)
+{
+  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, pieces);
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  struct stage_piece piece;
+  bool go_on;
+
+  (void) name;
+  if (length == sizeof done_mark - 1 && memcmp (data, done_mark, length) == 0)
+    return true;
+  if (request->text.finished)
+    {
+      flow_count_dropped (attempt->flow);
+      return true;
+    }
+  if (stage_piece_read (data, length, &piece) != STATUS_OK)
+    return false;
+  go_on = take_event_piece (attempt, request, &piece);
+  stage_piece_clear (&piece);
+  return go_on;
+}
+
+const struct sse_sink_ops flow_stream_ops = { .event = take_event };
+
+void
+flow_stream_data (struct flow_attempt *attempt, const void *data, size_t length, int64_t now)
+{
+  struct flow *flow = attempt->flow;
+  struct handle self = attempt->self;
+
+  if (attempt->first_data == 0)
+    attempt->first_data = now;
+  attempt->event_at = now;
+  if (sse_feed (&attempt->sse, data, length, &attempt->pieces) == STATUS_OK
+      || flow_find_attempt (flow, self) == NULL)
+    return;
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "stream-malformed", "{s:s,s:s}", "target",
+             attempt->target, "error", status_message ());
+  flow_count_dropped (flow);
+  flow_stream_end (attempt, DECIDE_END_WRONG, now);
+}
+
+bool
+flow_stream_is_whole (const struct flow_attempt *attempt, const struct flow_request *request)
+{
+  return request->text.finished && handle_equal (request->text.feeder, attempt->self);
+}
+
+void
+flow_stream_end (struct flow_attempt *attempt, enum decide_end otherwise, int64_t now)
+{
+  struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
+  struct flow_text *text = &request->text;
+
+  /* The last piece says that the text is whole.  What may be missing after it is framing. */
+  if (!flow_stream_is_whole (attempt, request))
+    return flow_attempt_fail (attempt, otherwise, !attempt->sent, false, now);
+  if (stage_take_text (&request->data, text->text.data, text->text.length) != STATUS_OK)
+    return flow_attempt_fail (attempt, DECIDE_END_FAILED, false, false, now);
+  if (attempt->usage.output_tokens < text->pieces)
+    attempt->usage.output_tokens = text->pieces;
+  flow_attempt_win (attempt, request, now);
+}
--- /dev/null
+++ b/tests/unit_flow.cc
@@ -0,0 +1,194 @@
+// The request path, whole answers and refusals: stage after stage, outcome by outcome.
+#include "flow_harness.h"
+#include <jansson.h>
+
+namespace
+{
+
+using flow_harness::fields;
+
+class Flow : public flow_harness::world
+{
+};
+
+TEST_F (Flow, FourStagesGiveOneWholeAnswer)
+{
+  auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q", "max_tokens": 8})",
+                  { { "x-request-id", "r1" } });
+
+  for (size_t i = 0; i < 4; i++)
+    {
+      ASSERT_EQ (client.calls.size (), i + 1);
+      EXPECT_EQ (call (i).headers["x-request-id"], "r1");
+      EXPECT_EQ (call (i).headers["x-organisation"], "acme");
+      advance (1000);
+      answer_well (call (i));
+    }
+  EXPECT_EQ (call (1).body, R"({"query":"q","embedding":[0.5,1],"top":3})");
+  EXPECT_EQ (call (2).body, R"({"model":"m1","query":"q","documents":["A","B","C"],"top_n":2})");
+  EXPECT_EQ (call (3).body, R"({"model":"m1","prompt":"q\nC\nA","max_tokens":8,"stream":true,)"
+                            R"("priority":5,"resume_from":0})");
+  EXPECT_EQ (x->code, 200);
+  EXPECT_EQ (x->outcome (), "whole");
+  json_t *json = json_loads (x->answer.c_str (), 0, nullptr);
+  EXPECT_STREQ (json_string_value (json_object_get (json_object_get (json, "result"), "text")),
+                "ab");
+  json_t *last = json_array_get (json_object_get (json, "stages"), 3);
+  EXPECT_EQ (json_integer_value (json_object_get (last, "cached_tokens")), 4);
+  EXPECT_DOUBLE_EQ (json_real_value (json_object_get (last, "cost")), 0.002);
+  EXPECT_DOUBLE_EQ (json_real_value (json_object_get (last, "ms")), 1);
+  json_decref (json);
+  expect_all_over ();
+}
+
+// A service's body and answer must pass byte for byte: numbers that a JSON library would write
+// differently, and spaces, come out as they went in.
+TEST_F (Flow, AServicePassesBytesAsTheyCame)
+{
+  auto *x = send ("/v1/services/orders/requests", R"({"price": 1.10,  "n": 12345678901234567890})");
+
+  EXPECT_EQ (last_call ().body, R"({"price": 1.10,  "n": 12345678901234567890})");
+  answer (last_call (), "{\"total\": 2.20 }");
+  EXPECT_EQ (x->answer, "{\"total\": 2.20 }");
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
+TEST_F (Flow, BadInputNamesTheFieldAndNothingIsSent)
+{
+  struct
+  {
+    const char *path, *body, *header, *value, *field;
+    int code;
+  } cases[] = {
+    { "/v1/pipelines/none/requests", R"({"input": "q"})", "a", "b", "path", 404 },
+    { "/v1/pipelines/orders/requests", R"({"input": "q"})", "a", "b", "path", 404 },
+    { "/v1/pipelines/draft", R"({"input": "q"})", "a", "b", "path", 404 },
+    { "/v1/pipelines/draft/requests", "{", "a", "b", "body", 400 },
+    { "/v1/pipelines/draft/requests", "[]", "a", "b", "body", 400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q", "input": "r"})", "a", "b", "body", 400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q", "x": 1})", "a", "b", "body", 400 },
+    { "/v1/pipelines/draft/requests", R"({"input": 3})", "a", "b", "input", 400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q", "max_tokens": 0})", "a", "b", "max_tokens",
+      400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q"})", "x-deadline-ms", "soon", "x-deadline-ms",
+      400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q"})", "x-priority", "10", "x-priority", 400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q"})", "x-request-id", "a b", "x-request-id",
+      400 },
+    { "/v1/pipelines/draft/requests", R"({"input": "q"})", "x-repeatable", "no", "x-request-id",
+      400 },
+    { "/v1/services/orders/requests", "[[[[[[[[[[[[[[[[[1]]]]]]]]]]]]]]]]]", "a", "b", "body",
+      400 },
+  };
+
+  for (const auto &c : cases)
+    {
+      auto *x = send (c.path, c.body, { { c.header, c.value } });
+
+      EXPECT_EQ (x->code, c.code) << c.path << c.body;
+      EXPECT_EQ (x->outcome (), "not-run");
+      EXPECT_NE (x->answer.find (std::string ("\"field\":\"") + c.field), std::string::npos)
+          << x->answer;
+    }
+  EXPECT_TRUE (client.calls.empty ());
+  expect_all_over ();
+}
+
+TEST_F (Flow, RefusalsBeforeTheFirstByteAreNotRun)
+{
+  board->refusing = true;
+  EXPECT_EQ (send_draft ()->outcome (), "not-run");
+  board->refusing = false;
+  board->config_ready = false;
+  EXPECT_EQ (send_draft ()->code, 503);
+  board->config_ready = true;
+  for (uint32_t i = 0; i < settings.requests_in_flight; i++)
+    EXPECT_EQ (send_draft ()->answers, 0);
+  EXPECT_DOUBLE_EQ (board->load, 1);
+  auto *full = send_draft ();
+  EXPECT_EQ (full->code, 503);
+  EXPECT_EQ (full->outcome (), "not-run");
+  EXPECT_EQ (full->answer_fields["retry-after"], "1");
+  for (size_t i = 0; i < client.calls.size (); i++)
+    answer_well (call (i));
+  expect_all_over ();
+}
+
+// Nobody can be asked: every target's lease has run out.  Nothing left this host, so the caller may
+// send the request again anywhere.
+TEST_F (Flow, NoTargetIsNotRun)
+{
+  uint32_t cursor = 0;
+
+  while (auto *target =
+             static_cast<struct board_target *> (table_next (board->targets, &cursor, nullptr)))
+    target->lease_until = now;
+  auto *x = send_draft ();
+  EXPECT_EQ (x->code, 503);
+  EXPECT_EQ (x->outcome (), "not-run");
+  EXPECT_NE (x->answer.find ("\"retry_after_ms\":"), std::string::npos);
+  expect_all_over ();
+}
+
+// A caller gets "504 failed" when its window closes: the target hangs, the timer ends the call,
+// and the target is told so that it stops.
+TEST_F (Flow, AClosedWindowIsFailedAndTheTargetIsTold)
+{
+  auto *x = send_draft ({ { "x-deadline-ms", "500" } });
+
+  advance (500 * USEC_PER_MSEC);
+  EXPECT_EQ (x->code, 504);
+  EXPECT_EQ (x->outcome (), "failed");
+  ASSERT_FALSE (client.cancels.empty ());
+  EXPECT_NE (client.cancels[0]->body.find (call (0).attempt ()), std::string::npos);
+  EXPECT_EQ (client.cancels[0]->address, call (0).address);
+  expect_all_over ();
+}
+
+// The caller closes its connection while the second of four stages runs: its work is worth
+// nothing now, so the call is closed and the target told at once.
+TEST_F (Flow, ACallerThatGoesAwayEndsRepeatableWork)
+{
+  auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q"})");
+
+  answer_well (call (0));
+  x->base.watcher->ops->closed (x->base.watcher, now);
+  EXPECT_TRUE (call (1).closed);
+  EXPECT_EQ (client.cancels.size (), 1u);
+  EXPECT_EQ (x->answers, 0);
+  EXPECT_GT (counted ("cherryarch_requests_total", "outcome=\"failed\",reason=\"caller-gone\""), 0);
+  expect_all_over ();
+}
+
+// A shutdown past its bound: each request is answered with what is true of it and none stays.
+TEST_F (Flow, AbortAnswersEveryRequestTruly)
+{
+  auto *draft = send_draft ();
+  auto *order = send_order ();
+
+  claim_says (CLAIM_GRANTED);
+  auto *claiming = send_order ({ { "x-request-id", "order-2" } });
+  flow_abort_all (flow, "drain bound", now);
+  EXPECT_EQ (draft->outcome (), "failed");
+  EXPECT_EQ (order->outcome (), "unknown");
+  EXPECT_EQ (claiming->outcome (), "not-run");
+  EXPECT_EQ (claims.withdrawn, 1);
+  expect_all_over ();
+}
+
+TEST_F (Flow, TheDumpShowsWhatIsInFlight)
+{
+  send_draft ({ { "x-request-id", "shown" } });
+  json_t *json = dump_describe (&dump, now);
+  char *text = json_dumps (json, 0);
+
+  EXPECT_NE (std::string (text).find ("\"shown\""), std::string::npos);
+  EXPECT_NE (std::string (text).find ("\"attempts_in_flight\": 1"), std::string::npos);
+  free (text);
+  json_decref (json);
+  answer_well (call (0));
+  expect_all_over ();
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit_flow_retry.cc
@@ -0,0 +1,213 @@
+// Targets that fail: retries, hedges, foreign and late answers, work that is kept.
+#include "flow_harness.h"
+
+namespace
+{
+
+using flow_harness::fields;
+
+class FlowRetry : public flow_harness::world
+{
+protected:
+  // Teach the decisions that answers take a millisecond, and fill the retry and hedge budgets.
+  void
+  warm_up ()
+  {
+    for (int i = 0; i < 100; i++)
+      {
+        auto *x = send_draft ();
+
+        advance (USEC_PER_MSEC);
+        answer_well (last_call ());
+        ASSERT_EQ (x->outcome (), "whole");
+      }
+    client.calls.clear ();
+  }
+};
+
+// A generator's process dies in the middle of an answer, in the last of four stages.  The caller
+// sees only a whole answer: the three stages before are not computed again, and the generation
+// goes on at another target.
+TEST_F (FlowRetry, ATargetThatDiesMidAnswerCostsOnlyItsOwnStage)
+{
+  auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q"})");
+
+  for (size_t i = 0; i < 3; i++)
+    answer_well (call (i));
+  head (call (3));
+  data (call (3), piece (0, "a") + "data: {\"cho");
+  fail (call (3));
+  ASSERT_EQ (client.calls.size (), 5u);
+  EXPECT_EQ (call (4).path, "/v1/completions");
+  EXPECT_NE (call (4).address, call (3).address);
+  EXPECT_NE (call (4).attempt (), call (3).attempt ());
+  EXPECT_NE (call (4).body.find ("\"resume_from\":1"), std::string::npos);
+  answer (call (4), piece (1, "b") + last_piece (2));
+  EXPECT_NE (x->answer.find ("\"text\":\"ab\""), std::string::npos) << x->answer;
+  EXPECT_NE (x->answer.find ("\"attempts\":2"), std::string::npos);
+  EXPECT_DOUBLE_EQ (counted ("cherryarch_resumes_total"), 1);
+  expect_all_over ();
+}
+
+// A target mixes up two callers' answers, or sends the answer of an attempt given up before, or
+// leaves the id out.  The caller must never see it: it gets the right answer from another target.
+TEST_F (FlowRetry, AnswersToOtherRequestsAreDropped)
+{
+  const fields wrong[] = { { { "x-request-id", "other" } }, { { "x-attempt", "1" } } };
+
+  for (const auto &extra : wrong)
+    {
+      auto *x = send ("/v1/services/orders/requests", "{}", { { "x-request-id", "r1" } });
+
+      answer (last_call (), R"({"order": "of somebody else"})", 200, extra);
+      answer (last_call (), R"({"order": "mine"})");
+      EXPECT_EQ (x->answer, R"({"order": "mine"})");
+    }
+  EXPECT_DOUBLE_EQ (counted ("cherryarch_answers_dropped_total"), 2);
+  expect_all_over ();
+}
+
+// A target sends its answer twice in one body.  Taking the first half would hide that something is
+// wrong with it, so the answer is malformed and another target is asked.
+TEST_F (FlowRetry, ADoubledAnswerIsMalformed)
+{
+  auto *x = send ("/v1/services/orders/requests", "{}");
+
+  answer (last_call (), R"({"order": 1}{"order": 1})");
+  answer (last_call (), R"({"order": 2})");
+  EXPECT_EQ (x->answer, R"({"order": 2})");
+  expect_all_over ();
+}
+
+// Two targets are slow to answer one after the other.  The first attempt was given up and its call
+// closed, so that its late answer has no way in; the second one's counts.
+TEST_F (FlowRetry, ALateAnswerFindsItsCallClosed)
+{
+  warm_up ();
+  auto *x = send_draft ();
+
+  while (client.calls.size () < 2 && x->answers == 0)
+    advance (USEC_PER_MSEC);
+  ASSERT_EQ (client.calls.size (), 2u);
+  answer_well (call (1));
+  EXPECT_FALSE (call (0).open);
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
+// An engine hangs.  A second attempt starts beside it, answers, and the caller has its answer long
+// before the window closes; the first is closed and its engine told to stop.
+TEST_F (FlowRetry, AHedgeWinsAndTheLoserIsCancelled)
+{
+  warm_up ();
+  auto *x = send_draft ();
+
+  while (counted ("cherryarch_hedges_total") < 1 && x->answers == 0)
+    advance (USEC_PER_MSEC);
+  ASSERT_EQ (client.calls.size (), 2u);
+  EXPECT_TRUE (call (0).open);
+  EXPECT_NE (call (0).address, call (1).address);
+  // The first piece decides: two engines never write one text.
+  head (call (1));
+  data (call (1), piece (0, "a"));
+  EXPECT_TRUE (call (0).closed);
+  ASSERT_EQ (client.cancels.size (), 1u);
+  EXPECT_EQ (client.cancels[0]->address, call (0).address);
+  EXPECT_NE (client.cancels[0]->body.find (call (0).attempt ()), std::string::npos);
+  data (call (1), piece (1, "b") + last_piece (2));
+  end (call (1));
+  EXPECT_NE (x->answer.find ("\"text\":\"ab\""), std::string::npos);
+  expect_all_over ();
+}
+
+// A full target says so.  Another takes the work; the caller sees nothing of it.
+TEST_F (FlowRetry, ARefusalGoesToAnotherTarget)
+{
+  auto *x = send_draft ();
+
+  answer (call (0), "{}", 503, { { "x-not-run", "yes" } });
+  ASSERT_EQ (client.calls.size (), 2u);
+  EXPECT_NE (call (1).address, call (0).address);
+  answer_well (call (1));
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
+// Every target fails.  The caller hears "failed" at once, not when its window closes, and when to
+// come back; it is never told "not-run" of work that reached a target.
+TEST_F (FlowRetry, FailuresEndAtOnceWhenAttemptsAreUsedUp)
+{
+  auto *x = send_draft ();
+
+  while (x->answers == 0)
+    answer (last_call (), "{}", 500);
+  EXPECT_EQ (client.calls.size (), 3u);
+  EXPECT_EQ (x->code, 502);
+  EXPECT_EQ (x->outcome (), "failed");
+  EXPECT_NE (x->answer.find ("\"code\":\"target-failed\""), std::string::npos) << x->answer;
+  EXPECT_NE (x->answer.find ("\"retry_after_ms\":1000"), std::string::npos);
+  expect_all_over ();
+}
+
+// A target finds the request itself invalid.  Every other would too: no attempt is spent on it.
+TEST_F (FlowRetry, ARejectedRequestIsNotTriedElsewhere)
+{
+  auto *x = send_draft ();
+
+  answer (call (0), "{}", 422);
+  EXPECT_EQ (client.calls.size (), 1u);
+  EXPECT_EQ (x->outcome (), "failed");
+  expect_all_over ();
+}
+
+// All connections are in use: no call could be started, no byte left, and the caller may send the
+// request again anywhere.
+TEST_F (FlowRetry, ACallThatCannotStartIsNotRun)
+{
+  client.refuse = STATUS_LIMIT;
+  auto *x = send_draft ();
+
+  EXPECT_EQ (x->outcome (), "not-run");
+  EXPECT_EQ (x->code, 503);
+  expect_all_over ();
+}
+
+// Connections are refused by hosts that are down: nothing was sent, so the outcome is "not-run".
+TEST_F (FlowRetry, AConnectionThatFailsBeforeAByteIsNotRun)
+{
+  auto *x = send_draft ();
+
+  while (x->answers == 0)
+    fail (last_call (), false);
+  EXPECT_EQ (x->outcome (), "not-run");
+  expect_all_over ();
+}
+
+// All rerankers are gone when the third stage begins.  The work of two stages is kept while one
+// may be back soon; it is, and the answer is whole.
+TEST_F (FlowRetry, WorkDoneWaitsForATargetToBeBack)
+{
+  auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q"})");
+  struct board_target *rerankers[3];
+
+  for (int i = 0; i < 3; i++)
+    {
+      rerankers[i] =
+          board_find_target (board, ("rerank" + std::to_string (i + 1)).c_str (), nullptr);
+      rerankers[i]->lease_until = now;
+    }
+  answer_well (call (0));
+  answer_well (call (1));
+  EXPECT_EQ (client.calls.size (), 2u);
+  advance (120 * USEC_PER_MSEC);
+  EXPECT_EQ (x->answers, 0);
+  rerankers[1]->lease_until = USEC_NEVER;
+  advance (50 * USEC_PER_MSEC);
+  ASSERT_EQ (client.calls.size (), 3u);
+  answer_well (call (2));
+  answer_well (call (3));
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit_flow_stream.cc
@@ -0,0 +1,168 @@
+// Streams: every piece reaches the caller once, in order, and a stream without its end is not
+// whole.
+#include "flow_harness.h"
+
+namespace
+{
+
+using flow_harness::fake_exchange;
+
+class FlowStream : public flow_harness::world
+{
+protected:
+  fake_exchange *
+  send_stream ()
+  {
+    return send_draft ({ { "accept", "text/event-stream" }, { "x-request-id", "s1" } });
+  }
+
+  static std::string
+  token (int index, const std::string &text)
+  {
+    return "event: token\ndata: {\"text\":\"" + text + "\",\"index\":" + std::to_string (index)
+           + "}\n\n";
+  }
+
+  static size_t
+  count (const std::string &text, const std::string &part)
+  {
+    size_t n = 0;
+
+    for (size_t at = text.find (part); at != std::string::npos; at = text.find (part, at + 1))
+      n++;
+    return n;
+  }
+};
+
+TEST_F (FlowStream, PiecesPassAsTheyComeAndTheEndHoldsTheWholeText)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a"));
+  EXPECT_EQ (x->answer, token (0, "a"));
+  EXPECT_EQ (x->answer_fields["content-type"], "text/event-stream");
+  EXPECT_EQ (x->answer_fields["x-request-id"], "s1");
+  data (call (0), piece (1, "b") + last_piece (2));
+  end (call (0));
+  EXPECT_EQ (x->answer.find (token (0, "a") + token (1, "b") + "event: end\n"), 0u);
+  EXPECT_NE (x->answer.find ("\"outcome\":\"whole\",\"result\":{\"text\":\"ab\"}"),
+             std::string::npos);
+  EXPECT_TRUE (x->ended);
+  expect_all_over ();
+}
+
+// An engine dies after two pieces went to the caller.  Another goes on from the third; it also
+// repeats the second, as an engine that resumes a little early does.  The caller reads each piece
+// once and the end holds the whole text.
+TEST_F (FlowStream, ABrokenGenerationResumesWithoutRepeatingAPiece)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a") + piece (1, "b"));
+  fail (call (0));
+  ASSERT_EQ (client.calls.size (), 2u);
+  EXPECT_NE (call (1).body.find ("\"resume_from\":2"), std::string::npos);
+  answer (call (1), piece (1, "b") + piece (2, "c") + last_piece (3));
+  EXPECT_EQ (x->answer.find (token (0, "a") + token (1, "b") + token (2, "c") + "event: end\n"),
+             0u);
+  EXPECT_NE (x->answer.find ("{\"text\":\"abc\"}"), std::string::npos);
+  EXPECT_EQ (count (x->answer, "event: token"), 3u);
+  expect_all_over ();
+}
+
+// An engine skips a piece.  Passing the next one on would make a text with a hole; the attempt is
+// wrong and another engine goes on from the hole.
+TEST_F (FlowStream, AGapInThePiecesIsNotPassedOn)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a") + piece (2, "c"));
+  EXPECT_TRUE (call (0).closed);
+  EXPECT_EQ (x->answer, token (0, "a"));
+  answer (call (1), piece (1, "b") + piece (2, "c") + last_piece (3));
+  EXPECT_NE (x->answer.find ("{\"text\":\"abc\"}"), std::string::npos);
+  expect_all_over ();
+}
+
+// A stream ends by its framing but without its last piece: the engine stopped early.  Half a text
+// must not be taken for the whole.
+TEST_F (FlowStream, AnEndWithoutTheLastPieceIsNotWhole)
+{
+  auto *x = send_stream ();
+
+  answer (call (0), piece (0, "a"));
+  EXPECT_EQ (x->answers, 0);
+  ASSERT_EQ (client.calls.size (), 2u);
+  answer (call (1), piece (1, "b") + last_piece (2));
+  EXPECT_NE (x->answer.find ("{\"text\":\"ab\"}"), std::string::npos);
+  expect_all_over ();
+}
+
+// An engine sends its whole stream twice over one connection: what follows the end is dropped.
+TEST_F (FlowStream, WhatFollowsTheEndIsDropped)
+{
+  auto *x = send_stream ();
+  const std::string whole = piece (0, "a") + last_piece (1);
+
+  answer (call (0), whole + whole);
+  EXPECT_EQ (count (x->answer, "event: token"), 1u);
+  EXPECT_EQ (count (x->answer, "event: end"), 1u);
+  EXPECT_NE (x->answer.find ("{\"text\":\"a\"}"), std::string::npos);
+  EXPECT_DOUBLE_EQ (counted ("cherryarch_answers_dropped_total"), 2);
+  expect_all_over ();
+}
+
+// An engine leaves its stream open after the last piece.  The text is whole, and the caller has it
+// then, not when the window closes.
+TEST_F (FlowStream, AStreamLeftOpenAfterItsLastPieceIsWhole)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a") + last_piece (1));
+  advance (60 * USEC_PER_MSEC);
+  EXPECT_TRUE (x->ended);
+  EXPECT_NE (x->answer.find ("\"outcome\":\"whole\""), std::string::npos);
+  expect_all_over ();
+}
+
+// The window closes after pieces went out with "200".  The stream's one end event says "failed",
+// so that the caller cannot take the part for the whole.
+TEST_F (FlowStream, AStreamThatFailsSaysSoInItsEnd)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a"));
+  advance (5 * USEC_PER_SEC);
+  EXPECT_EQ (count (x->answer, "event: end"), 1u);
+  EXPECT_NE (x->answer.find ("\"outcome\":\"failed\""), std::string::npos) << x->answer;
+  EXPECT_TRUE (x->ended);
+  expect_all_over ();
+}
+
+// The caller goes away during the write of a piece: its server reports the closed connection from
+// within the write.  The request ends there; the pieces after it find nothing.
+TEST_F (FlowStream, ACallerThatGoesAwayDuringAWriteEndsTheStream)
+{
+  struct http_exchange_ops ops = flow_harness::exchange_ops;
+  auto *x = send_stream ();
+
+  ops.write = [] (struct http_exchange *exchange, const void *, size_t) {
+    struct http_watcher *watcher = exchange->watcher;
+
+    exchange->watcher = nullptr;
+    if (watcher != nullptr)
+      watcher->ops->closed (watcher, 1000 * USEC_PER_SEC);
+  };
+  x->base.ops = &ops;
+  head (call (0));
+  data (call (0), piece (0, "a") + piece (1, "b") + last_piece (2));
+  EXPECT_TRUE (call (0).closed);
+  expect_all_over ();
+}
+
+} // namespace
