Write an input's JSON text once, not once a stage

Callgrind showed that for a 32 KiB input through four stages 65% of the instructions of a request went into escaping the same input into each stage's body. Its JSON text is now kept with the request and bodies are put together from it, straight into one buffer.

--- a/bench/fuzz_text.c
+++ b/bench/fuzz_text.c
@@ -179,7 +179,6 @@
   enum status status = STATUS_MALFORMED;
   size_t i;
 
-  (void) parent;
   for (i = 0; i < COUNT (answer_kinds); i++)
     {
       struct stage_spec spec = { .name = "s", .kind = answer_kinds[i], .top = 2 };
@@ -192,7 +191,11 @@
 
       if (stage_take (&spec, &carried, data, length, &usage) == STATUS_OK)
         {
-          free (stage_body (&spec, &carried, &(struct stage_call){ .max_tokens = 1 }));
+          struct bytes body;
+
+          bytes_init (&body, parent);
+          stage_body (&spec, &carried, &(struct stage_call){ .max_tokens = 1 }, &body);
+          bytes_clear (&body);
           status = STATUS_OK;
         }
       stage_data_clear (&carried);
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -5,7 +5,6 @@
 #include "flow_private.h"
 #include "text.h"
 #include <inttypes.h>
-#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -238,8 +237,8 @@
 
 /* ---- the start ---- */
 
-static char *
-make_body (const struct flow_request *request, size_t *length)
+static void
+make_body (struct flow_request *request, struct bytes *out)
 {
   const struct stage_spec *spec = flow_stage_spec (request);
   struct stage_call call = {
@@ -247,13 +246,10 @@
     .priority = request->decide.priority,
     .resume_from = request->text.pieces,
   };
-  char *body;
 
   if (request->max_tokens > 0 && request->max_tokens < spec->max_tokens)
     call.max_tokens = request->max_tokens;
-  body = stage_body (spec, &request->data, &call);
-  *length = body != NULL ? strlen (body) : 0;
-  return body;
+  stage_body (spec, &request->data, &call, out);
 }
 
 static enum status
@@ -339,11 +335,9 @@
 {
   struct flow *flow = request->flow;
   struct board_target *target = table_get (flow->config.board->targets, choice->target);
-  bool service = request->spec->service;
   struct flow_attempt *attempt;
   enum status status;
-  size_t length = request->raw_length;
-  char *body;
+  struct bytes body;
 
   if (target == NULL)
     return status_fail (STATUS_NOT_FOUND, "the target is gone");
@@ -351,11 +345,16 @@
   if (attempt == NULL)
     return status_fail (STATUS_LIMIT, "too many attempts in flight");
   flow_stage_record (request)->attempts++;
-  body = service ? request->raw : make_body (request, &length);
-  status = body != NULL ? start_call (attempt, request, body, length, now)
-                        : status_fail (STATUS_NO_MEMORY, "no memory for a call's body");
-  if (!service)
-    free (body);
+  bytes_init (&body, request->memory);
+  if (request->raw == NULL)
+    make_body (request, &body);
+  if (bytes_failed (&body))
+    status = status_fail (STATUS_NO_MEMORY, "no memory for a call's body");
+  else if (request->raw != NULL)
+    status = start_call (attempt, request, request->raw, request->raw_length, now);
+  else
+    status = start_call (attempt, request, body.data, body.length, now);
+  bytes_clear (&body);
   if (status != STATUS_OK)
     {
       table_remove (flow->attempts, attempt->self);
--- a/src/flow_stage.c
+++ b/src/flow_stage.c
@@ -28,22 +28,20 @@
 static void
 hash_prefix (struct flow_request *request)
 {
-  json_t *prompt = stage_prompt (&request->data);
-  const char *text = json_string_value (prompt);
-  size_t blocks = json_string_length (prompt) / PREFIX_BLOCK_BYTES;
+  struct bytes prompt;
   uint64_t hash = 0;
-  uint32_t i;
+  uint32_t n;
 
-  if (blocks > DECIDE_PREFIX_BLOCKS)
-    blocks = DECIDE_PREFIX_BLOCKS;
-  for (i = 0; i < blocks; i++)
+  bytes_init (&prompt, request->memory);
+  stage_prompt_start (&request->data, (size_t) DECIDE_PREFIX_BLOCKS * PREFIX_BLOCK_BYTES, &prompt);
+  for (n = 0; (n + 1) * PREFIX_BLOCK_BYTES <= prompt.length; n++)
     {
-      hash =
-          XXH3_64bits_withSeed (text + (size_t) i * PREFIX_BLOCK_BYTES, PREFIX_BLOCK_BYTES, hash);
-      request->decide.prefix[i] = hash;
+      hash = XXH3_64bits_withSeed (prompt.data + (size_t) n * PREFIX_BLOCK_BYTES,
+                                   PREFIX_BLOCK_BYTES, hash);
+      request->decide.prefix[n] = hash;
     }
-  request->decide.n_prefix = (uint32_t) blocks;
-  json_decref (prompt);
+  request->decide.n_prefix = n;
+  bytes_clear (&prompt);
 }
 
 static void
--- a/src/stage.h
+++ b/src/stage.h
@@ -4,6 +4,7 @@
 #ifndef STAGE_H
 #define STAGE_H
 
+#include "bytes.h"
 #include "decls.h"
 #include "resource.h"
 #include "status.h"
@@ -24,6 +25,7 @@
   json_t *embedding;
   json_t *documents; /* of {"id", "text"} */
   json_t *result;    /* of the last STAGE_CALL */
+  char *input_text;  /* `input` as JSON text, made once: stage_body() */
 };
 
 /* What varies from call to call of one stage. */
@@ -57,14 +59,16 @@
 
 void stage_data_clear (struct stage_data *data);
 
-/* The prompt of a generation: the input, then a newline and the text of each document.  A new
- * reference, NULL when out of memory. */
-json_t *stage_prompt (const struct stage_data *data);
+/* The first `max` bytes of a generation's prompt: the input, then a newline and the text of each
+ * document. */
+void stage_prompt_start (const struct stage_data *data, size_t max, struct bytes *out);
 
-/* The body of the call, to be freed with free(); NULL when out of memory. */
-char *stage_body (const struct stage_spec *spec,
-                  const struct stage_data *data,
-                  const struct stage_call *call);
+/* Append the body of the call; check bytes_failed().  Keeps the input's JSON text in `data`: a long
+ * document goes to several stages, and escaping it is most of the work of a body. */
+void stage_body (const struct stage_spec *spec,
+                 struct stage_data *data,
+                 const struct stage_call *call,
+                 struct bytes *out);
 
 /* Tokens the stage reads, estimated from bytes. */
 uint32_t stage_tokens (const struct stage_spec *spec, const struct stage_data *data);
--- a/src/stage_answer.c
+++ b/src/stage_answer.c
@@ -263,6 +263,8 @@
   if (input == NULL)
     return status_fail (STATUS_NO_MEMORY, "no memory for the text");
   replace (&data->input, input);
+  free (data->input_text);
+  data->input_text = NULL;
   return STATUS_OK;
 }
 
--- a/src/stage_body.c
+++ b/src/stage_body.c
@@ -1,7 +1,7 @@
 /* What goes to targets, by stage kind. */
-#include "bytes.h"
 #include "stage.h"
-#include <string.h>
+#include <inttypes.h>
+#include <stdlib.h>
 
 static const char *const paths[] = {
   [STAGE_ENCODE] = "/v1/embeddings", [STAGE_RETRIEVE] = "/v1/retrieve",
@@ -22,124 +22,203 @@
   json_decref (data->embedding);
   json_decref (data->documents);
   json_decref (data->result);
+  free (data->input_text);
   *data = (struct stage_data){ 0 };
 }
 
+void
+stage_prompt_start (const struct stage_data *data, size_t max, struct bytes *out)
+{
+  size_t length = json_string_length (data->input);
+  json_t *document;
+  size_t i;
+
+  bytes_append (out, json_string_value (data->input), length < max ? length : max);
+  json_array_foreach (data->documents, i, document)
+    {
+      const json_t *text = json_object_get (document, "text");
+
+      if (out->length >= max)
+        return;
+      bytes_append (out, "\n", 1);
+      length = json_string_length (text);
+      bytes_append (out, json_string_value (text),
+                    length < max - out->length ? length : max - out->length);
+    }
+}
+
+/* ---- JSON text, straight into the body ---- */
+
+static int
+take_text (const char *buffer, size_t size, void *out)
+{
+  bytes_append (out, buffer, size);
+  return 0;
+}
+
+static void
+append_json (struct bytes *out, const json_t *json)
+{
+  if (json_dump_callback (json, take_text, out, JSON_COMPACT | JSON_ENCODE_ANY) != 0)
+    out->failed = true;
+}
+
 static void
-append_string (struct bytes *out, const json_t *string)
+append_input (struct bytes *out, struct stage_data *data)
 {
-  bytes_append (out, json_string_value (string), json_string_length (string));
+  if (data->input_text == NULL)
+    data->input_text = json_dumps (data->input, JSON_ENCODE_ANY);
+  if (data->input_text == NULL)
+    out->failed = true;
+  else
+    bytes_append_text (out, data->input_text);
 }
 
-json_t *
-stage_prompt (const struct stage_data *data)
+/* Model names are letters, digits, '-' and '.': nothing to escape. */
+static void
+append_model (struct bytes *out, const char *model)
+{
+  bytes_append_format (out, "{\"model\":\"%s\"", model);
+}
+
+/* The input, and the documents after it, as one JSON string. */
+static void
+append_prompt (struct bytes *out, struct stage_data *data)
 {
   struct bytes text;
-  json_t *prompt = NULL;
   json_t *document;
   size_t i;
 
-  if (json_array_size (data->documents) == 0)
-    return json_incref (data->input);
-  bytes_init (&text, NULL);
-  append_string (&text, data->input);
+  append_input (out, data);
+  bytes_init (&text, out->parent);
   json_array_foreach (data->documents, i, document)
     {
-      bytes_append (&text, "\n", 1);
-      append_string (&text, json_object_get (document, "text"));
+      bytes_consume (&text, text.length);
+      append_json (&text, json_object_get (document, "text"));
+      if (bytes_failed (&text) || bytes_failed (out))
+        break;
+      /* Its text without the quotes takes the place of the closing quote so far. */
+      out->length--;
+      bytes_append_text (out, "\\n");
+      bytes_append (out, text.data + 1, text.length - 1);
     }
-  if (!bytes_failed (&text))
-    prompt = json_stringn_nocheck (text.data, text.length);
+  out->failed = out->failed || text.failed;
   bytes_clear (&text);
-  return prompt;
 }
 
-static json_t *
-texts_of (const json_t *documents)
+static void
+append_texts (struct bytes *out, const json_t *documents)
 {
-  json_t *texts = json_array ();
   json_t *document;
   size_t i;
 
+  bytes_append_text (out, "[");
   json_array_foreach (documents, i, document)
     {
-      if (json_array_append (texts, json_object_get (document, "text")) != 0)
-        break;
+      if (i > 0)
+        bytes_append_text (out, ",");
+      append_json (out, json_object_get (document, "text"));
     }
-  return texts;
+  bytes_append_text (out, "]");
 }
 
-static json_t *
+/* ---- bodies ---- */
+
+static void
 encode_body (const struct stage_spec *spec,
-             const struct stage_data *data,
-             const struct stage_call *call)
+             struct stage_data *data,
+             const struct stage_call *call,
+             struct bytes *out)
 {
   (void) call;
-  return json_pack ("{s:s,s:O}", "model", spec->model, "input", data->input);
+  append_model (out, spec->model);
+  bytes_append_text (out, ",\"input\":");
+  append_input (out, data);
+  bytes_append_text (out, "}");
 }
 
-static json_t *
+static void
 retrieve_body (const struct stage_spec *spec,
-               const struct stage_data *data,
-               const struct stage_call *call)
+               struct stage_data *data,
+               const struct stage_call *call,
+               struct bytes *out)
 {
   (void) call;
-  return json_pack ("{s:O,s:O?,s:I}", "query", data->input, "embedding", data->embedding, "top",
-                    (json_int_t) spec->top);
+  bytes_append_text (out, "{\"query\":");
+  append_input (out, data);
+  bytes_append_text (out, ",\"embedding\":");
+  if (data->embedding != NULL)
+    append_json (out, data->embedding);
+  else
+    bytes_append_text (out, "null");
+  bytes_append_format (out, ",\"top\":%" PRIu32 "}", spec->top);
 }
 
-static json_t *
+static void
 rerank_body (const struct stage_spec *spec,
-             const struct stage_data *data,
-             const struct stage_call *call)
+             struct stage_data *data,
+             const struct stage_call *call,
+             struct bytes *out)
 {
   (void) call;
-  return json_pack ("{s:s,s:O,s:o,s:I}", "model", spec->model, "query", data->input, "documents",
-                    texts_of (data->documents), "top_n", (json_int_t) spec->top);
+  append_model (out, spec->model);
+  bytes_append_text (out, ",\"query\":");
+  append_input (out, data);
+  bytes_append_text (out, ",\"documents\":");
+  append_texts (out, data->documents);
+  bytes_append_format (out, ",\"top_n\":%" PRIu32 "}", spec->top);
 }
 
-static json_t *
+static void
 generate_body (const struct stage_spec *spec,
-               const struct stage_data *data,
-               const struct stage_call *call)
+               struct stage_data *data,
+               const struct stage_call *call,
+               struct bytes *out)
 {
-  return json_pack (
-      "{s:s,s:o,s:I,s:b,s:I,s:I}", "model", spec->adapter[0] != '\0' ? spec->adapter : spec->model,
-      "prompt", stage_prompt (data), "max_tokens", (json_int_t) call->max_tokens, "stream", 1,
-      "priority", (json_int_t) call->priority, "resume_from", (json_int_t) call->resume_from);
+  append_model (out, spec->adapter[0] != '\0' ? spec->adapter : spec->model);
+  bytes_append_text (out, ",\"prompt\":");
+  append_prompt (out, data);
+  bytes_append_format (out,
+                       ",\"max_tokens\":%" PRIu32 ",\"stream\":true,\"priority\":%" PRIu32
+                       ",\"resume_from\":%" PRIu32 "}",
+                       call->max_tokens, call->priority, call->resume_from);
 }
 
-static json_t *
+static void
 call_body (const struct stage_spec *spec,
-           const struct stage_data *data,
-           const struct stage_call *call)
+           struct stage_data *data,
+           const struct stage_call *call,
+           struct bytes *out)
 {
   (void) spec;
   (void) call;
-  if (data->documents == NULL)
-    return json_pack ("{s:O,s:[]}", "input", data->input, "documents");
-  return json_pack ("{s:O,s:O}", "input", data->input, "documents", data->documents);
+  bytes_append_text (out, "{\"input\":");
+  append_input (out, data);
+  bytes_append_text (out, ",\"documents\":");
+  if (data->documents != NULL)
+    append_json (out, data->documents);
+  else
+    bytes_append_text (out, "[]");
+  bytes_append_text (out, "}");
 }
 
-typedef json_t *body_function (const struct stage_spec *spec,
-                               const struct stage_data *data,
-                               const struct stage_call *call);
+typedef void body_function (const struct stage_spec *spec,
+                            struct stage_data *data,
+                            const struct stage_call *call,
+                            struct bytes *out);
 
 static body_function *const bodies[] = {
   [STAGE_ENCODE] = encode_body,     [STAGE_RETRIEVE] = retrieve_body, [STAGE_RERANK] = rerank_body,
   [STAGE_GENERATE] = generate_body, [STAGE_CALL] = call_body,
 };
 
-char *
+void
 stage_body (const struct stage_spec *spec,
-            const struct stage_data *data,
-            const struct stage_call *call)
+            struct stage_data *data,
+            const struct stage_call *call,
+            struct bytes *out)
 {
-  json_t *body = bodies[spec->kind](spec, data, call);
-  char *text = json_dumps (body, JSON_COMPACT | JSON_ENCODE_ANY);
-
-  json_decref (body);
-  return text;
+  bodies[spec->kind](spec, data, call, out);
 }
 
 static size_t
--- a/tests/unit_stage.cc
+++ b/tests/unit_stage.cc
@@ -216,10 +216,12 @@
   struct stage_call call = { .max_tokens = 5, .priority = 9, .resume_from = 2 };
 
   spec.kind = STAGE_GENERATE;
-  char *body = stage_body (&spec, &data, &call);
-  EXPECT_STREQ (body, R"({"model":"","prompt":"query\nA\nB\nC","max_tokens":5,"stream":true,)"
-                      R"("priority":9,"resume_from":2})");
-  free (body);
+  struct bytes body;
+  bytes_init (&body, nullptr);
+  stage_body (&spec, &data, &call, &body);
+  EXPECT_STREQ (body.data, R"({"model":"","prompt":"query\nA\nB\nC","max_tokens":5,"stream":true,)"
+                           R"("priority":9,"resume_from":2})");
+  bytes_clear (&body);
 }
 
 } // namespace
