Say unknown where the claims have not answered in time

A resend may wait for its claim on one host while its first run is in flight on another. When the window closed first, the caller heard not-run of a request that was running. The claims now get a deadline a little before the window's end, so that their own verdict comes first, and without one the outcome is unknown. flow_abort_all() gives the count that the shutdown asks for.

--- a/src/flow.c
+++ b/src/flow.c
@@ -128,18 +128,21 @@
   return table_count (flow->requests) == 0 && table_count (flow->cancels) == 0;
 }
 
-void
+uint32_t
 flow_abort_all (struct flow *flow, const char *why, int64_t now)
 {
   uint32_t cursor = 0;
+  uint32_t count = 0;
   struct flow_request *request;
 
   while ((request = table_next (flow->requests, &cursor, NULL)) != NULL)
     {
+      count++;
       log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "unfinished", "{s:s,s:s,s:s,s:b}",
                  "request_id", request->id, "organisation", request->organisation, "why", why,
                  "repeatable", request->decide.repeatable);
       flow_claim_forget (request);
       flow_end_for (request, FLOW_REASON_ABORTED, 0, now);
     }
+  return count;
 }
--- a/src/flow.h
+++ b/src/flow.h
@@ -111,8 +111,8 @@
 bool flow_idle (const struct flow *flow);
 
 /* End every request now, for a shutdown past its bound: each gets the outcome that is true of it
- * and is logged by its id.  `why` goes into the log. */
-void flow_abort_all (struct flow *flow, const char *why, int64_t now);
+ * and is logged by its id.  `why` goes into the log.  How many there were. */
+uint32_t flow_abort_all (struct flow *flow, const char *why, int64_t now);
 
 const char *flow_outcome_text (enum flow_outcome outcome);
 const char *flow_reason_code (enum flow_reason reason);
--- a/src/flow_claim.c
+++ b/src/flow_claim.c
@@ -48,8 +48,8 @@
 granted (struct flow_request *request, int64_t now)
 {
   request->claimed = true;
-  /* Nothing was sent: a caller that went away, or was told not-run when its window closed, may
-   * send the request again, so the claim goes back. */
+  /* Nothing was sent: a caller that went away, or whose window closed, may send the request again,
+   * so the claim goes back. */
   if (request->refused || request->exchange == NULL)
     return flow_end_for (request, FLOW_REASON_CALLER_GONE, 0, now);
   request->phase = FLOW_PHASE_RUNNING;
@@ -90,6 +90,16 @@
 
 static const struct claim_waiter_ops waiter_ops = { .answered = answered };
 
+/* The claims know best what to say when time runs out (in flight elsewhere, no quorum), so theirs
+ * comes a little before the window closes. */
+static int64_t
+claim_deadline (const struct flow_request *request, int64_t now)
+{
+  int64_t quarter = (request->decide.deadline - now) / 4;
+
+  return request->decide.deadline - (quarter < FLOW_CLAIM_MARGIN ? quarter : FLOW_CLAIM_MARGIN);
+}
+
 void
 flow_claim_take (struct flow_request *request, int64_t now)
 {
@@ -104,7 +114,7 @@
     return flow_end_for (request, FLOW_REASON_CLAIMS_OFF, 0, now);
   memcpy (ask.body_hash, request->body_hash, CLAIM_HASH_SIZE);
   request->waiter.ops = &waiter_ops;
-  if (claims->ops->take (claims, &ask, &request->waiter, request->decide.deadline, now)
+  if (claims->ops->take (claims, &ask, &request->waiter, claim_deadline (request, now), now)
       != STATUS_OK)
     return flow_end_for (request, FLOW_REASON_CLAIMS_UNREACHABLE, FLOW_RETRY_AFTER, now);
   request->awaits_claim = true;
--- a/src/flow_end.c
+++ b/src/flow_end.c
@@ -157,12 +157,26 @@
   flow_tell (request, &verdict, now);
 }
 
+/* The window closed and the claims have not answered.  This host sent nothing, but the request may
+ * be a resend whose first run is in flight elsewhere: only "unknown" is surely true. */
+static void
+end_unclaimed (struct flow_request *request, int64_t now)
+{
+  struct flow_verdict verdict = { .outcome = FLOW_UNKNOWN,
+                                  .reason = FLOW_REASON_CLAIMS_UNREACHABLE,
+                                  .retry_after = FLOW_RETRY_AFTER };
+
+  flow_end (request, &verdict, now);
+}
+
 void
 flow_deadline_fire (struct timer *timer, int64_t now)
 {
   struct flow_request *request = FLOW_OF (timer, struct flow_request, deadline);
 
-  if (request->phase == FLOW_PHASE_SETTLING)
+  if (request->awaits_claim)
+    end_unclaimed (request, now);
+  else if (request->phase == FLOW_PHASE_SETTLING)
     flow_end_for (request, FLOW_REASON_TARGET_TIMEOUT, 0, now);
   else if (!request->decide.repeatable && has_live_effect (request))
     go_on_settling (request, now);
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -31,6 +31,7 @@
 #define FLOW_SETTLE_GRACE (10 * USEC_PER_SEC)  /* past the window, to learn an outcome */
 #define FLOW_WAIT_TIME (50 * USEC_PER_MSEC)    /* between looks for a usable target */
 #define FLOW_WAITS_MAX 10                      /* of a stage */
+#define FLOW_CLAIM_MARGIN (20 * USEC_PER_MSEC) /* the claims answer so long before the window */
 #define FLOW_CHECK_MIN (20 * USEC_PER_MSEC)    /* between looks whether it is hopeless */
 #define FLOW_CHECK_SHARE 16                    /* of the time left, between looks */
 #define FLOW_FRAMING_TIME (50 * USEC_PER_MSEC) /* from a text's last piece to its end */
@@ -97,7 +98,7 @@
   bool waiting;      /* for a usable target: nothing runs */
   bool told;         /* the caller has its outcome, or went away and the log has it */
   bool in_doubt;     /* unrepeatable, and a call that may have had its effect did not say so */
-  bool refused;      /* a claim that comes yet is given back: the caller was told not-run */
+  bool refused;      /* it ended: a claim that comes yet is given back */
 
   /* Attempts of which a byte may have left.  While 0 the request was surely not run. */
   uint32_t n_sent;
