Test that a hedged stage closes its slow call, and slow orders wait

Trial mutations of the request path showed rules that no test held: a hedge's loser closed before the next stage, and the claims' deadline before the window's end. Both have a test now, and one shows that a slow unrepeatable call is neither given up nor hedged. The fakes are named functions: the formatter takes lambdas in designated initialisers apart.

--- a/tests/flow_harness.h
+++ b/tests/flow_harness.h
@@ -55,43 +55,64 @@
     self->answer_fields[list[i].name] = list[i].value;
 }
 
+inline void
+reply_whole (struct http_exchange *exchange,
+             int code,
+             const struct http_field *list,
+             size_t n,
+             const void *body,
+             size_t length)
+{
+  auto *self = exchange_of (exchange);
+
+  EXPECT_FALSE (self->begun);
+  take_fields (self, code, list, n);
+  self->answer.assign (static_cast<const char *> (body), length);
+  self->ended = true;
+  self->answers++;
+}
+
+inline void
+begin_parts (struct http_exchange *exchange, int code, const struct http_field *list, size_t n)
+{
+  EXPECT_FALSE (exchange_of (exchange)->begun);
+  take_fields (exchange_of (exchange), code, list, n);
+  exchange_of (exchange)->begun = true;
+}
+
+inline void
+write_part (struct http_exchange *exchange, const void *data, size_t length)
+{
+  exchange_of (exchange)->answer.append (static_cast<const char *> (data), length);
+}
+
+inline void
+finish_parts (struct http_exchange *exchange)
+{
+  exchange_of (exchange)->ended = true;
+  exchange_of (exchange)->answers++;
+}
+
+inline void
+abort_answer (struct http_exchange *exchange)
+{
+  exchange_of (exchange)->aborted = true;
+  exchange_of (exchange)->answers++;
+}
+
+inline size_t
+none_unsent (const struct http_exchange *)
+{
+  return 0;
+}
+
 inline const struct http_exchange_ops exchange_ops = {
-  .reply =
-      [] (struct http_exchange *exchange,
-          int code,
-          const struct http_field *list,
-          size_t n,
-          const void *body,
-          size_t length) {
-        auto *self = exchange_of (exchange);
-
-        EXPECT_FALSE (self->begun);
-        take_fields (self, code, list, n);
-        self->answer.assign (static_cast<const char *> (body), length);
-        self->ended = true;
-        self->answers++;
-      },
-  .begin =
-      [] (struct http_exchange *exchange, int code, const struct http_field *list, size_t n) {
-        EXPECT_FALSE (exchange_of (exchange)->begun);
-        take_fields (exchange_of (exchange), code, list, n);
-        exchange_of (exchange)->begun = true;
-      },
-  .write =
-      [] (struct http_exchange *exchange, const void *data, size_t length) {
-        exchange_of (exchange)->answer.append (static_cast<const char *> (data), length);
-      },
-  .finish =
-      [] (struct http_exchange *exchange) {
-        exchange_of (exchange)->ended = true;
-        exchange_of (exchange)->answers++;
-      },
-  .abort =
-      [] (struct http_exchange *exchange) {
-        exchange_of (exchange)->aborted = true;
-        exchange_of (exchange)->answers++;
-      },
-  .unsent = [] (const struct http_exchange *) -> size_t { return 0; },
+  .reply = reply_whole,
+  .begin = begin_parts,
+  .write = write_part,
+  .finish = finish_parts,
+  .abort = abort_answer,
+  .unsent = none_unsent,
 };
 
 struct fake_call
@@ -125,35 +146,40 @@
   return reinterpret_cast<fake_client *> (client);
 }
 
-inline const struct http_client_ops client_ops = {
-  .start = [](struct http_client * client,
-              const struct http_call_spec *spec,
-              struct http_call_sink *sink,
-              int64_t,
-              struct http_call **out) -> enum status{ auto *self = client_of (client);
-auto call = std::make_unique<fake_call> ();
-
-if (self->refuse != STATUS_OK)
-  return self->refuse;
-call->address = spec->address;
-call->path = spec->path;
-call->body.assign (static_cast<const char *> (spec->body), spec->body_length);
-for (size_t i = 0; i < spec->n_headers; i++)
-  call->headers[spec->headers[i].name] = spec->headers[i].value;
-call->sink = sink;
-*out = reinterpret_cast<struct http_call *> (call.get ());
-(call->path == "/v1/cancel" ? self->cancels : self->calls).push_back (std::move (call));
-return STATUS_OK;
+inline enum status
+start_call (struct http_client *client,
+            const struct http_call_spec *spec,
+            struct http_call_sink *sink,
+            int64_t,
+            struct http_call **out)
+{
+  auto *self = client_of (client);
+  auto call = std::make_unique<fake_call> ();
+
+  if (self->refuse != STATUS_OK)
+    return self->refuse;
+  call->address = spec->address;
+  call->path = spec->path;
+  call->body.assign (static_cast<const char *> (spec->body), spec->body_length);
+  for (size_t i = 0; i < spec->n_headers; i++)
+    call->headers[spec->headers[i].name] = spec->headers[i].value;
+  call->sink = sink;
+  *out = reinterpret_cast<struct http_call *> (call.get ());
+  (call->path == "/v1/cancel" ? self->cancels : self->calls).push_back (std::move (call));
+  return STATUS_OK;
 }
-, .cancel = [] (struct http_client *, struct http_call *call) {
+
+inline void
+close_call (struct http_client *, struct http_call *call)
+{
   auto *self = reinterpret_cast<fake_call *> (call);
 
   EXPECT_TRUE (self->open);
   self->open = false;
   self->closed = true;
-},
 }
-;
+
+inline const struct http_client_ops client_ops = { .start = start_call, .cancel = close_call };
 
 struct fake_claims
 {
@@ -169,6 +195,7 @@
   std::vector<struct claim_waiter *> waiting;
   std::map<std::string, settled> settlements;
   int taken = 0, released = 0, withdrawn = 0;
+  int64_t deadline = 0; // of the last take
 };
 
 inline fake_claims *
@@ -177,38 +204,54 @@
   return reinterpret_cast<fake_claims *> (claims);
 }
 
-inline const struct claims_ops claims_ops = {
-  .take = [](struct claims * claims,
-             const struct claim_request *,
-             struct claim_waiter *waiter,
-             int64_t,
-             int64_t) -> enum status{ claims_of (claims)->taken++;
-claims_of (claims)->waiting.push_back (waiter);
-return STATUS_OK;
+inline enum status
+take_claim (struct claims *claims,
+            const struct claim_request *,
+            struct claim_waiter *waiter,
+            int64_t deadline,
+            int64_t)
+{
+  claims_of (claims)->taken++;
+  claims_of (claims)->deadline = deadline;
+  claims_of (claims)->waiting.push_back (waiter);
+  return STATUS_OK;
+}
+
+inline enum status
+settle_claim (struct claims *claims,
+              const struct claim_key *key,
+              int code,
+              const char *outcome,
+              const void *body,
+              size_t length,
+              int64_t)
+{
+  claims_of (claims)->settlements[key->request_id] = {
+    code, outcome, std::string (static_cast<const char *> (body), length)
+  };
+  return STATUS_OK;
 }
-,
-    .settle = [](struct claims * claims,
-                 const struct claim_key *key,
-                 int code,
-                 const char *outcome,
-                 const void *body,
-                 size_t length,
-                 int64_t) -> enum status {
-      claims_of (claims)->settlements[key->request_id] = { code, outcome,
-                                                           std::string (
-                                                               static_cast<const char *> (body),
-                                                               length) };
-      return STATUS_OK;
-    }
-, .release = [](struct claims * claims, const struct claim_key *, int64_t) -> enum status {
-  claims_of (claims)->released++; return STATUS_OK;
+
+inline enum status
+release_claim (struct claims *claims, const struct claim_key *, int64_t)
+{
+  claims_of (claims)->released++;
+  return STATUS_OK;
 }
-, .withdraw = [] (struct claims *claims, struct claim_waiter *) {
+
+inline void
+withdraw_claim (struct claims *claims, struct claim_waiter *)
+{
   claims_of (claims)->withdrawn++;
   claims_of (claims)->waiting.clear ();
-},
 }
-;
+
+inline const struct claims_ops claims_ops = {
+  .take = take_claim,
+  .settle = settle_claim,
+  .release = release_claim,
+  .withdraw = withdraw_claim,
+};
 
 class world : public ::testing::Test
 {
@@ -520,6 +563,37 @@
       waiter->ops->answered (waiter, &answer, now);
   }
 
+  // Teach the decisions that answers take a millisecond, and fill the retry and hedge budgets.
+  void
+  warm_up (const std::string &path, const std::string &body)
+  {
+    for (int i = 0; i < 100; i++)
+      {
+        auto *x = send (path, body);
+
+        advance (USEC_PER_MSEC);
+        answer_well (last_call ());
+        ASSERT_EQ (x->outcome (), "whole");
+      }
+    client.calls.clear ();
+    forget_cancels ();
+  }
+
+  void
+  forget_cancels ()
+  {
+    end_cancels ();
+    client.cancels.clear ();
+  }
+
+  void
+  end_cancels ()
+  {
+    for (const auto &c : client.cancels)
+      if (c->open)
+        end (*c);
+  }
+
   double
   counted (const char *name, const char *labels = nullptr)
   {
@@ -532,9 +606,7 @@
   {
     for (const auto &x : exchanges)
       EXPECT_LE (x->answers, 1);
-    for (const auto &c : client.cancels)
-      if (c->open)
-        end (*c);
+    end_cancels ();
     EXPECT_TRUE (flow_idle (flow));
     for (const auto &c : client.calls)
       EXPECT_FALSE (c->open);
--- a/tests/unit_flow_claim.cc
+++ b/tests/unit_flow_claim.cc
@@ -25,6 +25,7 @@
   auto *x = send_order ();
 
   EXPECT_EQ (claims.taken, 1);
+  EXPECT_LT (claims.deadline, now + 4 * USEC_PER_SEC);
   EXPECT_TRUE (client.calls.empty ());
   claim_says (CLAIM_GRANTED);
   ASSERT_EQ (client.calls.size (), 1u);
@@ -201,6 +202,22 @@
   expect_all_over ();
 }
 
+// Orders usually take a millisecond and this one takes long.  A repeatable call would be given up
+// or hedged; this one keeps its only call until its window closes.
+TEST_F (FlowClaim, ASlowOrderIsNeitherGivenUpNorHedged)
+{
+  warm_up ("/v1/services/orders/requests", "{}");
+  auto *x = send_order ();
+
+  claim_says (CLAIM_GRANTED);
+  advance (3900 * USEC_PER_MSEC);
+  EXPECT_EQ (client.calls.size (), 1u);
+  EXPECT_TRUE (call (0).open);
+  answer_well (call (0));
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
 // The dealer's connection breaks while the order runs.  The order goes on and is settled, so that
 // the resend gets its answer.
 TEST_F (FlowClaim, ACallerThatGoesAwayDoesNotEndAnOrder)
--- a/tests/unit_flow_retry.cc
+++ b/tests/unit_flow_retry.cc
@@ -9,19 +9,10 @@
 class FlowRetry : public flow_harness::world
 {
 protected:
-  // Teach the decisions that answers take a millisecond, and fill the retry and hedge budgets.
   void
-  warm_up ()
+  warm_up_draft ()
   {
-    for (int i = 0; i < 100; i++)
-      {
-        auto *x = send_draft ();
-
-        advance (USEC_PER_MSEC);
-        answer_well (last_call ());
-        ASSERT_EQ (x->outcome (), "whole");
-      }
-    client.calls.clear ();
+    warm_up ("/v1/pipelines/draft/requests", R"({"input": "hello"})");
   }
 };
 
@@ -83,7 +74,7 @@
 // closed, so that its late answer has no way in; the second one's counts.
 TEST_F (FlowRetry, ALateAnswerFindsItsCallClosed)
 {
-  warm_up ();
+  warm_up_draft ();
   auto *x = send_draft ();
 
   while (client.calls.size () < 2 && x->answers == 0)
@@ -99,7 +90,7 @@
 // before the window closes; the first is closed and its engine told to stop.
 TEST_F (FlowRetry, AHedgeWinsAndTheLoserIsCancelled)
 {
-  warm_up ();
+  warm_up_draft ();
   auto *x = send_draft ();
 
   while (counted ("cherryarch_hedges_total") < 1 && x->answers == 0)
@@ -120,6 +111,38 @@
   expect_all_over ();
 }
 
+// An encoder hangs and a second call beside it answers whole.  The first must be closed before the
+// next stage begins: left open, its answer would come to a stage that is over.
+TEST_F (FlowRetry, AHedgedStageClosesTheSlowCallBeforeTheNext)
+{
+  for (int i = 0; i < 50; i++)
+    {
+      auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q"})");
+
+      while (x->answers == 0)
+        {
+          advance (USEC_PER_MSEC);
+          answer_well (last_call ());
+        }
+    }
+  client.calls.clear ();
+  forget_cancels ();
+  auto *x = send ("/v1/pipelines/claims/requests", R"({"input": "q"})");
+
+  while (client.calls.size () < 2 && x->answers == 0)
+    advance (USEC_PER_MSEC);
+  ASSERT_EQ (client.calls.size (), 2u);
+  ASSERT_TRUE (call (0).open);
+  answer_well (call (1));
+  EXPECT_TRUE (call (0).closed);
+  EXPECT_EQ (client.cancels.size (), 1u);
+  EXPECT_EQ (last_call ().path, "/v1/retrieve");
+  for (int i = 0; i < 3; i++)
+    answer_well (last_call ());
+  EXPECT_EQ (x->outcome (), "whole");
+  expect_all_over ();
+}
+
 // A full target says so.  Another takes the work; the caller sees nothing of it.
 TEST_F (FlowRetry, ARefusalGoesToAnotherTarget)
 {
