--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -14,7 +14,7 @@
 #define DRIFT_HALF_LIFE (5.0 * USEC_PER_SEC)
 #define LOG_DRIFT_MAX 2.5
 #define TOKEN_SIZE 1 /* a token takes what it takes, however many there are */
-#define SLOPE_RATE 0.5
+#define SLOPE_RATE 2.0
 #define SLOPE_MAX 8.0
 #define SLOPE_MEAN_WEIGHT 0.02
 #define REST_MAX 1.0         /* a sample far off is an accident, not a slope */
