--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -7,7 +7,7 @@
 #include <math.h>
 #include <string.h>
 
-#define SAMPLES 4
+#define SAMPLES 2
 #define RETRY_SAMPLES 16
 #define DRAWS_MAX 16     /* random draws before targets are looked at in turn */
 #define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
