Mutate the configuration's messages between hosts

The samples are what a voter and a follower sent each other in a run on virtual time, recorded by fake ports: the ask, objects in parts, changes and the confirmed revision, with the two messages of a waiting change.

--- a/bench/fuzz_decoders.c
+++ b/bench/fuzz_decoders.c
@@ -21,6 +21,7 @@
   &fuzz_store_entry,
   &fuzz_store_snapshot,
   &fuzz_directory,
+  &fuzz_config,
   &fuzz_claim_entry,
   &fuzz_claim_result,
   &fuzz_claim_snapshot,
--- a/bench/fuzz_parts.h
+++ b/bench/fuzz_parts.h
@@ -29,6 +29,9 @@
 extern const struct fuzz_decoder fuzz_raft_follower;
 extern const struct fuzz_decoder fuzz_raft_leader;
 
+/* fuzz_config.c */
+extern const struct fuzz_decoder fuzz_config;
+
 /* fuzz_claim.c */
 extern const struct fuzz_decoder fuzz_claim_entry;
 extern const struct fuzz_decoder fuzz_claim_result;
