Carry messages between hosts over ZeroMQ, each key bound to its host

Cause: membership, the log and the directory need a transport, and a host must not speak in another's name or go on after its key is revoked.

--- /dev/null
+++ b/src/peer_trust.c
@@ -0,0 +1,123 @@
+/* Which public keys belong to which hosts: a table walked on handshakes only, not on messages. */
+#include "peer_trust.h"
+#include "table.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+#include <zmq.h>
+
+#define KEY_TEXT_LENGTH 40
+#define KEY_BYTES 32
+
+struct trusted_key
+{
+  char host[RESOURCE_NAME_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  uint64_t order; /* of adding */
+};
+
+struct peer_trust
+{
+  struct table *keys;
+  uint64_t added;
+};
+
+struct peer_trust *
+peer_trust_new (void *parent)
+{
+  struct peer_trust *trust = talloc_zero (parent, struct peer_trust);
+
+  if (trust == NULL)
+    return NULL;
+  trust->keys = table_new (trust, sizeof (struct trusted_key), PEER_TRUST_MAX);
+  if (trust->keys == NULL)
+    TALLOC_FREE (trust);
+  return trust;
+}
+
+static struct trusted_key *
+find_key (const struct peer_trust *trust, const char *public_key)
+{
+  uint32_t cursor = 0;
+  struct trusted_key *key;
+
+  while ((key = table_next (trust->keys, &cursor, NULL)) != NULL)
+    if (strcmp (key->public_key, public_key) == 0)
+      return key;
+  return NULL;
+}
+
+/* How many keys a host has; `oldest` takes the one added first. */
+static uint32_t
+count_keys (const struct peer_trust *trust, const char *host, struct handle *oldest)
+{
+  uint64_t order = UINT64_MAX;
+  uint32_t count = 0;
+  uint32_t cursor = 0;
+  struct handle handle;
+  const struct trusted_key *key;
+
+  while ((key = table_next (trust->keys, &cursor, &handle)) != NULL)
+    {
+      if (strcmp (key->host, host) != 0)
+        continue;
+      count++;
+      if (key->order < order)
+        {
+          order = key->order;
+          *oldest = handle;
+        }
+    }
+  return count;
+}
+
+enum status
+peer_trust_add (struct peer_trust *trust, const char *host, const char *public_key)
+{
+  uint8_t raw[KEY_BYTES];
+  struct trusted_key *key;
+  struct handle handle;
+
+  if (strlen (public_key) != KEY_TEXT_LENGTH || zmq_z85_decode (raw, public_key) == NULL)
+    return status_fail (STATUS_INVALID, "public key of host %s is not %d characters of Z85", host,
+                        KEY_TEXT_LENGTH);
+  key = find_key (trust, public_key);
+  if (key != NULL && strcmp (key->host, host) != 0)
+    return status_fail (STATUS_CONFLICT, "public key of host %s is that of %s", host, key->host);
+  if (key != NULL)
+    return STATUS_OK;
+  if (count_keys (trust, host, &handle) >= PEER_TRUST_KEYS_PER_HOST)
+    table_remove (trust->keys, handle);
+  key = table_add (trust->keys, &handle);
+  if (key == NULL)
+    return status_fail (STATUS_LIMIT, "no room for another host's key");
+  text_copy_cut (key->host, sizeof key->host, host);
+  text_copy_cut (key->public_key, sizeof key->public_key, public_key);
+  key->order = trust->added++;
+  return STATUS_OK;
+}
+
+void
+peer_trust_revoke (struct peer_trust *trust, const char *host)
+{
+  struct handle handle;
+
+  while (count_keys (trust, host, &handle) > 0)
+    table_remove (trust->keys, handle);
+}
+
+const char *
+peer_trust_host (const struct peer_trust *trust, const char *public_key)
+{
+  const struct trusted_key *key = find_key (trust, public_key);
+
+  return key == NULL ? NULL : key->host;
+}
+
+bool
+peer_trust_knows (const struct peer_trust *trust, const char *host)
+{
+  struct handle oldest;
+
+  return count_keys (trust, host, &oldest) > 0;
+}
--- a/src/peer_zmq.h
+++ b/src/peer_zmq.h
@@ -39,7 +39,7 @@
   uint64_t bytes_out;
 };
 
-void peer_zmq_traffic (const struct peer_port *port, struct peer_zmq_traffic *out);
+void peer_zmq_count (const struct peer_port *port, struct peer_zmq_traffic *out);
 
 END_DECLS
 
