Part the follower's side from the store's machine

Change: what a follower takes from a voter is store_replica.c; both share store_private.h. No behaviour changes.

--- a/src/store.c
+++ b/src/store.c
@@ -1,8 +1,6 @@
 /* The resources' state machine. */
-#include "store.h"
 #include "board.h"
-#include "store_clock.h"
-#include "store_ids.h"
+#include "store_private.h"
 #include "text.h"
 #include <talloc.h>
 #include <utlist.h>
@@ -10,20 +8,6 @@
 #define STORE_FORMAT 1
 #define STORE_FENCE_MAX (UINT64_C (1) << 52) /* a target that states more is not believed */
 
-struct store
-{
-  struct machine machine;
-  struct store_config config;
-  struct store_objects objects;
-  struct store_objects incoming; /* between store_replace_begin() and _end() */
-  struct store_clock clock;
-  struct store_ids *ids;
-  struct store_history *history;
-  uint64_t revision;
-  uint64_t fence; /* the last fencing number given out */
-  struct store_listener *listeners;
-};
-
 /* No more of a kind than the board can hold. */
 static const uint32_t kind_limits[] = {
   [RESOURCE_PIPELINE] = BOARD_PIPELINES_MAX, [RESOURCE_SERVICE] = BOARD_PIPELINES_MAX,
@@ -44,8 +28,8 @@
   return count >= kind_limits[kind];
 }
 
-static void
-publish (struct store *store, const struct store_object *object, enum store_event_type type)
+void
+store_publish (struct store *store, const struct store_object *object, enum store_event_type type)
 {
   struct store_listener *listener;
   struct store_listener *following;
@@ -64,8 +48,8 @@
   listener->ops->changed (listener, &event);
 }
 
-static void
-publish_all (struct store *store)
+void
+store_publish_all (struct store *store)
 {
   struct store_listener *listener;
   struct store_listener *following;
@@ -165,7 +149,7 @@
     {
       store->revision++;
       object->revision = store->revision;
-      publish (store, object, STORE_EVENT_DELETED);
+      store_publish (store, object, STORE_EVENT_DELETED);
       return object;
     }
   if (object == NULL)
@@ -186,7 +170,8 @@
       object->generation++;
       set_references (object, change);
     }
-  publish (store, object, *verdict == STORE_CREATED ? STORE_EVENT_ADDED : STORE_EVENT_MODIFIED);
+  store_publish (store, object,
+                 *verdict == STORE_CREATED ? STORE_EVENT_ADDED : STORE_EVENT_MODIFIED);
   return object;
 }
 
@@ -334,7 +319,7 @@
   store_objects_clear (&store->objects);
   store->objects = objects;
   status = store_read_end (&in);
-  publish_all (store);
+  store_publish_all (store);
   return status;
 }
 
@@ -425,69 +410,6 @@
   LL_DELETE (store->listeners, listener);
 }
 
-/* Bring one object of `objects` to the state of the event. */
-static struct store_object *
-take_event (struct store_objects *objects, const struct store_event *event)
-{
-  struct store_object *object = store_objects_find (objects, event->kind, event->name);
-
-  if (object == NULL)
-    object = store_objects_add (objects, event->kind, event->name);
-  object->generation = event->generation;
-  object->revision = event->revision;
-  talloc_free (object->spec);
-  talloc_free (object->status);
-  object->spec = talloc_strdup (object, event->spec);
-  object->status = event->status == NULL ? NULL : talloc_strdup (object, event->status);
-  INVARIANT (object->spec != NULL);
-  return object;
-}
-
-enum status
-store_follow (struct store *store, const struct store_event *event)
-{
-  struct store_object *object;
-
-  if (event->revision != store->revision + 1)
-    return status_fail (STATUS_CONFLICT, "revision %llu does not follow ours, %llu",
-                        (unsigned long long) event->revision, (unsigned long long) store->revision);
-  store->revision = event->revision;
-  object = take_event (&store->objects, event);
-  publish (store, object, event->type);
-  if (event->type == STORE_EVENT_DELETED)
-    store_objects_remove (&store->objects, object);
-  return STATUS_OK;
-}
-
-void
-store_replace_begin (struct store *store)
-{
-  store_objects_clear (&store->incoming);
-}
-
-void
-store_replace_add (struct store *store, const struct store_event *event)
-{
-  take_event (&store->incoming, event);
-}
-
-enum status
-store_replace_end (struct store *store, uint64_t revision)
-{
-  if (revision < store->revision)
-    {
-      store_objects_clear (&store->incoming);
-      return status_fail (STATUS_CONFLICT, "configuration at %llu is older than ours, %llu",
-                          (unsigned long long) revision, (unsigned long long) store->revision);
-    }
-  store_objects_clear (&store->objects);
-  store->objects = store->incoming;
-  store_objects_init (&store->incoming, store);
-  store->revision = revision;
-  publish_all (store);
-  return STATUS_OK;
-}
-
 json_t *
 store_describe (const struct store *store)
 {
