Copy the host's name where a part keeps it

Cause: parts kept the caller's pointer to the host's name; a caller whose text went away had entries proposed under whatever lay there. An explorer of claims showed it: all its hosts had one name, and claims were granted twice. Change: constructors copy the name.

--- a/src/config_follow.c
+++ b/src/config_follow.c
@@ -220,6 +220,12 @@
   if (follow == NULL)
     return NULL;
   follow->config = *config;
+  follow->config.host = talloc_strdup (follow, config->host);
+  if (follow->config.host == NULL)
+    {
+      talloc_free (follow);
+      return NULL;
+    }
   follow->handler.ops = &handler_ops;
   follow->timer.ops = &timer_ops;
   follow->source.ops = &source_ops;
--- a/src/operator.c
+++ b/src/operator.c
@@ -257,6 +257,7 @@
   if (api == NULL)
     return NULL;
   api->config = *config;
+  api->config.host = talloc_strdup (api, config->host);
   for (i = 0; i < RESOURCE_KIND_COUNT; i++)
     {
       snprintf (path, sizeof path, "/v1/%s", resource_kind_plural ((enum resource_kind) i));
@@ -271,7 +272,7 @@
   api->resent = counter_get (config->counters, "operator_resent_total",
                              "Changes sent again and given their first answer.", NULL);
   api->watches = operator_watches_new (api);
-  if (api->watches == NULL)
+  if (api->watches == NULL || api->config.host == NULL)
     {
       talloc_free (api);
       return NULL;
--- a/src/order.c
+++ b/src/order.c
@@ -294,6 +294,12 @@
   if (orders == NULL)
     return NULL;
   orders->config = *config;
+  orders->config.host = talloc_strdup (orders, config->host);
+  if (orders->config.host == NULL)
+    {
+      talloc_free (orders);
+      return NULL;
+    }
   orders->timer.ops = &timer_ops;
   orders->listener.ops = &listener_ops;
   orders->fence_proposal.ops = &fence_ops;
