Move shares of organisations' limits between hosts by demand

An even split of a limit refuses callers who all come to one host though they are inside it; a split by everyone's own view has no bound. Each organisation has a keeper by rendezvous hashing that leases shares for 6 s, never more than the whole; a fifth is always even, and no caller waits. Messages in MessagePack, read whole or refused.

--- /dev/null
+++ b/src/share.c
@@ -0,0 +1,240 @@
+/* The keeper's book of leases, the asker's hold, and their messages. */
+#include "share.h"
+#include "pack.h"
+#include "text.h"
+#include <math.h>
+#include <string.h>
+#include <talloc.h>
+#include <uthash.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#define DEMAND_MAX 1e9
+
+struct lease
+{
+  char host[RESOURCE_NAME_SIZE];
+  double demand;
+  double granted;
+  int64_t until;
+  struct lease *next;
+};
+
+struct account
+{
+  char organisation[RESOURCE_NAME_SIZE];
+  struct lease *leases;
+  int64_t since; /* we keep it since then: an earlier keeper's leases may be out */
+  UT_hash_handle hh;
+};
+
+struct share_book
+{
+  struct account *accounts;
+};
+
+static int
+book_free (struct share_book *book)
+{
+  HASH_CLEAR (hh, book->accounts);
+  return 0;
+}
+
+struct share_book *
+share_book_new (void *parent)
+{
+  struct share_book *book = talloc_zero (parent, struct share_book);
+
+  if (book != NULL)
+    talloc_set_destructor (book, book_free);
+  return book;
+}
+
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
+static struct account *
+account_get (struct share_book *book, const char *organisation, int64_t now)
+{
+  struct account *account;
+
+  HASH_FIND_STR (book->accounts, organisation, account);
+  if (account != NULL)
+    return account;
+  account = talloc_zero (book, struct account);
+  if (account == NULL)
+    return NULL;
+  text_copy_cut (account->organisation, sizeof account->organisation, organisation);
+  account->since = now;
+  HASH_ADD_STR (book->accounts, organisation, account);
+  return account;
+}
+
+static void
+account_remove (struct share_book *book, struct account *account)
+{
+  HASH_DEL (book->accounts, account);
+  talloc_free (account);
+}
+
+/* NOLINTEND(readability-function-size) */
+
+static void
+drop_ended (struct account *account, int64_t now)
+{
+  struct lease *lease;
+  struct lease *next;
+
+  LL_FOREACH_SAFE (account->leases, lease, next)
+  {
+    if (now < lease->until)
+      continue;
+    LL_DELETE (account->leases, lease);
+    talloc_free (lease);
+  }
+}
+
+static struct lease *
+lease_get (struct account *account, const char *host)
+{
+  struct lease *lease;
+
+  LL_FOREACH (account->leases, lease)
+    if (strcmp (lease->host, host) == 0)
+      return lease;
+  lease = talloc_zero (account, struct lease);
+  if (lease == NULL)
+    return NULL;
+  text_copy_cut (lease->host, sizeof lease->host, host);
+  LL_PREPEND (account->leases, lease);
+  return lease;
+}
+
+double
+share_book_ask (struct share_book *book,
+                const char *organisation,
+                const char *host,
+                double demand,
+                uint32_t n_hosts,
+                int64_t now)
+{
+  struct account *account = account_get (book, organisation, now);
+  struct lease *own;
+  const struct lease *lease;
+  double whole = 1 - SHARE_RESERVE;
+  double demands = 0;
+  double others = 0;
+  double part;
+
+  if (account == NULL)
+    return 0;
+  drop_ended (account, now);
+  own = lease_get (account, host);
+  if (own == NULL)
+    return 0;
+  own->demand = demand;
+  LL_FOREACH (account->leases, lease)
+    {
+      demands += lease->demand;
+      others += lease == own ? 0 : lease->granted;
+    }
+  part = demands > 0 ? whole * demand / demands : 0;
+  /* An earlier keeper may have the whole out still: no more than an even part until that ended. */
+  if (now - account->since < SHARE_LEASE)
+    part = fmin (part, whole / (n_hosts > 0 ? n_hosts : 1));
+  /* What others hold comes free only as they ask again and get less, or their leases end. */
+  own->granted = fmax (0, fmin (part, whole - others));
+  own->until = now + SHARE_LEASE;
+  return own->granted;
+}
+
+void
+share_book_expire (struct share_book *book, int64_t now)
+{
+  struct account *account;
+  struct account *next;
+
+  for (account = book->accounts; account != NULL; account = next)
+    {
+      next = account->hh.next;
+      drop_ended (account, now);
+      if (account->leases == NULL)
+        account_remove (book, account);
+    }
+}
+
+uint32_t
+share_book_count (const struct share_book *book)
+{
+  return HASH_COUNT (book->accounts);
+}
+
+double
+share_hold_now (const struct share_hold *hold, uint32_t n_hosts, int64_t now)
+{
+  double even = 1.0 / (n_hosts > 0 ? n_hosts : 1);
+
+  return now < hold->until ? SHARE_RESERVE * even + hold->granted : even;
+}
+
+/* Rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+ * 1998): when a host dies only what it kept moves. */
+uint64_t
+share_keeper_weight (const char *organisation, const char *host)
+{
+  uint64_t seed = XXH3_64bits (organisation, strlen (organisation));
+
+  return XXH3_64bits_withSeed (host, strlen (host), seed);
+}
+
+void
+share_message_write (const struct share_message *message, struct bytes *out)
+{
+  uint32_t i;
+
+  pack_uint (out, message->kind);
+  pack_array (out, message->n_items);
+  for (i = 0; i < message->n_items; i++)
+    {
+      pack_text (out, message->items[i].organisation);
+      pack_double (out, message->items[i].value);
+      pack_uint (out, message->items[i].sent_at);
+    }
+}
+
+static bool
+is_in_range (enum share_message_kind kind, double value)
+{
+  return value >= 0 && value <= (kind == SHARE_GRANT ? 1 : DEMAND_MAX);
+}
+
+enum status
+share_message_read (void *parent, const void *data, size_t length, struct share_message *out)
+{
+  struct pack_reader reader;
+  bool valid = true;
+  uint32_t i;
+
+  *out = (struct share_message){ .n_items = 0 };
+  pack_reader_init (&reader, data, length);
+  out->kind = (enum share_message_kind) pack_read_uint (&reader, SHARE_GRANT);
+  out->n_items = pack_read_array (&reader, SHARE_ITEMS_MAX);
+  if (!pack_read_ok (&reader) || out->kind < SHARE_ASK)
+    return status_fail (STATUS_MALFORMED, "not a message about shares");
+  out->items = talloc_zero_array (parent, struct share_item, out->n_items + 1);
+  if (out->items == NULL)
+    return status_fail (STATUS_NO_MEMORY, "no memory for %u shares", out->n_items);
+  for (i = 0; i < out->n_items && pack_read_ok (&reader); i++)
+    {
+      struct share_item *item = &out->items[i];
+
+      pack_read_text (&reader, item->organisation, sizeof item->organisation);
+      item->value = pack_read_double (&reader);
+      item->sent_at = pack_read_uint (&reader, INT64_MAX);
+      valid = valid && is_in_range (out->kind, item->value);
+    }
+  if (valid && pack_read_end (&reader))
+    return STATUS_OK;
+  TALLOC_FREE (out->items);
+  out->n_items = 0;
+  return status_fail (STATUS_MALFORMED, "a message about shares is cut or out of range");
+}
--- /dev/null
+++ b/src/share_control.c
@@ -0,0 +1,274 @@
+/* Asks keepers for shares each period, answers those who ask us, and hands shares to decide.c.
+ *
+ * Only organisations with a limit and with demand here are asked for.  Asks for one keeper go in
+ * one message. */
+#include "share_control.h"
+#include "share.h"
+#include <string.h>
+#include <talloc.h>
+
+#define DEMAND_MIN 0.01 /* requests a second; less is as good as none */
+
+/* What we hold of one organisation's limits. */
+struct holding
+{
+  uint32_t generation; /* of its handle on the board */
+  struct share_hold hold;
+};
+
+struct share_control
+{
+  struct peer_listener listener; /* first: the port calls back with it */
+  struct share_control_config config;
+  struct timer timer;
+  struct share_book *book;
+  struct holding *holdings; /* by the organisation's index on the board */
+};
+
+static bool
+is_alive (const struct board_host *host)
+{
+  return host->self || host->state == HOST_ALIVE || host->state == HOST_SUSPECT;
+}
+
+static uint32_t
+count_hosts (const struct board *board)
+{
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+  const struct board_host *host;
+
+  while ((host = table_next (board->hosts, &cursor, NULL)) != NULL)
+    count += is_alive (host);
+  return count;
+}
+
+static bool
+is_limited (const struct organisation_spec *spec)
+{
+  return spec->requests_per_sec > 0 || spec->tokens_per_sec > 0 || spec->concurrency > 0;
+}
+
+static struct handle
+keeper_of (const struct board *board, const char *organisation)
+{
+  struct handle best = { .generation = 0 };
+  uint64_t best_weight = 0;
+  uint32_t cursor = 0;
+  struct handle handle;
+  const struct board_host *host;
+
+  while ((host = table_next (board->hosts, &cursor, &handle)) != NULL)
+    {
+      uint64_t weight = share_keeper_weight (organisation, host->name);
+
+      if (!is_alive (host) || (best.generation != 0 && weight <= best_weight))
+        continue;
+      best = handle;
+      best_weight = weight;
+    }
+  return best;
+}
+
+static struct holding *
+holding_of (struct share_control *control, struct handle organisation)
+{
+  struct holding *holding = &control->holdings[organisation.index];
+
+  if (holding->generation != organisation.generation)
+    *holding = (struct holding){ .generation = organisation.generation };
+  return holding;
+}
+
+static void
+apply (struct share_control *control, struct handle organisation, int64_t now)
+{
+  const struct holding *holding = holding_of (control, organisation);
+  double share = share_hold_now (&holding->hold, count_hosts (control->config.board), now);
+
+  decide_set_share (control->config.decide, organisation, share, now);
+}
+
+/* A grant counts from when it was asked for, so that it ends here before it ends at the keeper. */
+static void
+take_grant (struct share_control *control, const struct share_item *item, int64_t now)
+{
+  struct handle handle;
+  struct holding *holding;
+  int64_t until = (int64_t) item->sent_at + SHARE_LEASE;
+
+  if (board_find_organisation (control->config.board, item->organisation, &handle) == NULL)
+    return;
+  holding = holding_of (control, handle);
+  if ((int64_t) item->sent_at > now || until <= holding->hold.until)
+    return;
+  holding->hold = (struct share_hold){ .granted = item->value, .until = until };
+  apply (control, handle, now);
+}
+
+static void
+send (struct share_control *control, const char *host, const struct share_message *message)
+{
+  struct bytes bytes;
+
+  bytes_init (&bytes, control);
+  share_message_write (message, &bytes);
+  /* A message that is not sent is as one lost: the next period asks again. */
+  if (!bytes_failed (&bytes))
+    control->config.port->ops->send (control->config.port, host, PEER_CHANNEL_LIMIT, bytes.data,
+                                     bytes.length);
+  bytes_clear (&bytes);
+}
+
+static void
+answer_ask (struct share_control *control,
+            const char *from,
+            struct share_message *message,
+            int64_t now)
+{
+  uint32_t n_hosts = count_hosts (control->config.board);
+  uint32_t i;
+
+  for (i = 0; i < message->n_items; i++)
+    message->items[i].value = share_book_ask (control->book, message->items[i].organisation, from,
+                                              message->items[i].value, n_hosts, now);
+  message->kind = SHARE_GRANT;
+  send (control, from, message);
+}
+
+static void
+received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct share_control *control = (struct share_control *) listener;
+  struct share_message message;
+  uint32_t i;
+
+  if (share_message_read (control, data, length, &message) != STATUS_OK)
+    return;
+  if (message.kind == SHARE_ASK)
+    answer_ask (control, from, &message, now);
+  else
+    for (i = 0; i < message.n_items; i++)
+      take_grant (control, &message.items[i], now);
+  talloc_free (message.items);
+}
+
+/* The asks of one period, with their keepers. */
+struct asks
+{
+  uint32_t count;
+  struct share_item items[SHARE_ITEMS_MAX];
+  struct handle keepers[SHARE_ITEMS_MAX];
+};
+
+static void
+collect (struct share_control *control, struct asks *asks, int64_t now)
+{
+  const struct board *board = control->config.board;
+  const struct board_organisation *entry;
+  struct handle handle;
+  uint32_t cursor = 0;
+
+  while ((entry = table_next (board->organisations, &cursor, &handle)) != NULL)
+    {
+      double demand = decide_demand (control->config.decide, handle, now);
+
+      if (!is_limited (&entry->spec))
+        continue;
+      apply (control, handle, now);
+      if (demand < DEMAND_MIN || asks->count == SHARE_ITEMS_MAX)
+        continue;
+      asks->keepers[asks->count] = keeper_of (board, entry->spec.name);
+      asks->items[asks->count] = (struct share_item){ .value = demand, .sent_at = (uint64_t) now };
+      memcpy (asks->items[asks->count].organisation, entry->spec.name, RESOURCE_NAME_SIZE);
+      asks->count++;
+    }
+}
+
+/* All asks for the keeper of the ask at `first`, which are marked as sent. */
+static void
+ask_keeper (struct share_control *control, struct asks *asks, uint32_t first, int64_t now)
+{
+  struct handle keeper = asks->keepers[first];
+  const struct board_host *host = table_get (control->config.board->hosts, keeper);
+  struct share_message message = { .kind = SHARE_ASK };
+  uint32_t i;
+
+  message.items = talloc_array (control, struct share_item, asks->count);
+  if (message.items == NULL || host == NULL)
+    {
+      talloc_free (message.items);
+      return;
+    }
+  for (i = first; i < asks->count; i++)
+    {
+      if (!handle_equal (asks->keepers[i], keeper))
+        continue;
+      message.items[message.n_items++] = asks->items[i];
+      asks->keepers[i] = (struct handle){ .generation = 0 };
+    }
+  if (host->self)
+    for (i = 0; i < message.n_items; i++)
+      {
+        message.items[i].value =
+            share_book_ask (control->book, message.items[i].organisation, host->name,
+                            message.items[i].value, count_hosts (control->config.board), now);
+        take_grant (control, &message.items[i], now);
+      }
+  else
+    send (control, host->name, &message);
+  talloc_free (message.items);
+}
+
+static void
+fire (struct timer *timer, int64_t now)
+{
+  struct share_control *control =
+      (struct share_control *) ((char *) timer - offsetof (struct share_control, timer));
+  struct asks *asks = talloc_zero (control, struct asks);
+  uint32_t i;
+
+  timer_arm (control->config.timers, timer, now + SHARE_PERIOD);
+  if (asks == NULL)
+    return;
+  collect (control, asks, now);
+  for (i = 0; i < asks->count; i++)
+    if (!handle_is_none (asks->keepers[i]))
+      ask_keeper (control, asks, i, now);
+  talloc_free (asks);
+  share_book_expire (control->book, now);
+}
+
+static const struct peer_listener_ops listener_ops = { .received = received };
+static const struct timer_ops timer_ops = { .fire = fire };
+
+static int
+control_free (struct share_control *control)
+{
+  timer_disarm (control->config.timers, &control->timer);
+  return 0;
+}
+
+struct share_control *
+share_control_new (void *parent, const struct share_control_config *config)
+{
+  struct share_control *control = talloc_zero (parent, struct share_control);
+
+  if (control == NULL)
+    return NULL;
+  control->config = *config;
+  control->listener.ops = &listener_ops;
+  control->timer.ops = &timer_ops;
+  control->book = share_book_new (control);
+  control->holdings = talloc_zero_array (control, struct holding, BOARD_ORGANISATIONS_MAX);
+  if (control->book == NULL || control->holdings == NULL)
+    {
+      talloc_free (control);
+      return NULL;
+    }
+  config->port->ops->listen (config->port, PEER_CHANNEL_LIMIT, &control->listener);
+  timer_arm (config->timers, &control->timer, config->now + SHARE_PERIOD);
+  talloc_set_destructor (control, control_free);
+  return control;
+}
