--- a/src/loop.c
+++ b/src/loop.c
@@ -12,10 +12,10 @@
 /* Descriptors of the loop itself beside connections: wake-up pipe, signals, listeners, peers. */
 #define LOOP_SPARE_FDS 32
 
-/* Bounds of what one HTTP header set may take; see http_server.c for the limits that callers meet.
- * A header set lives only while headers arrive and until its request or answer head was copied. */
-#define LOOP_HEADER_BYTES 32768
-#define LOOP_HEADER_SETS 256
+/* What the headers of one HTTP message may take at most; http_server.c refuses less than that.  As
+ * many sets as connections: a connection that has to wait for one would read what came meanwhile
+ * in a way that http_server_connection.c must keep it from. */
+#define LOOP_HEADER_BYTES 16384
 
 /* What lws reads or writes at one go; larger answers go out in pieces of this size. */
 #define LOOP_SERVICE_BUFFER 16384
@@ -107,7 +107,7 @@
                | LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
     .fd_limit_per_thread = connections_max + LOOP_SPARE_FDS,
     .max_http_header_data2 = LOOP_HEADER_BYTES,
-    .max_http_header_pool2 = LOOP_HEADER_SETS,
+    .max_http_header_pool2 = connections_max + LOOP_SPARE_FDS,
     .pt_serv_buf_size = LOOP_SERVICE_BUFFER,
     .timeout_secs = LOOP_HANDSHAKE_SECONDS,
     .timeout_secs_ah_idle = LOOP_HANDSHAKE_SECONDS,
