--- /dev/null
+++ b/src/host.h
@@ -0,0 +1,28 @@
+/* A host's process: every part built, wired and run until it is told to leave. */
+#ifndef HOST_H
+#define HOST_H
+
+#include "decls.h"
+#include "settings.h"
+
+BEGIN_DECLS
+
+/* name, value: the exit status of `cherryarch run` */
+#define HOST_EXIT_LIST(X)                                                                          \
+  X (OK, 0)           /* left in order, nothing cut off */                                         \
+  X (UNFINISHED, 3)   /* the bound on leaving passed or a second signal came: see the log */       \
+  X (START_FAILED, 4) /* an address, key or data folder could not be used */
+
+enum host_exit
+{
+#define X(name, value) HOST_EXIT_##name = value,
+  HOST_EXIT_LIST (X)
+#undef X
+};
+
+/* Runs until a signal ends it.  Returns an enum host_exit. */
+int host_run (const struct settings *settings);
+
+END_DECLS
+
+#endif
