--- a/src/settings.c
+++ b/src/settings.c
@@ -3,7 +3,7 @@
  * inih splits the lines.  They come to it through a reader of ours, which counts them, so that
  * every problem names its line. */
 #include "settings.h"
-#include "settings_keys.h"
+#include "settings_private.h"
 #include "text.h"
 #include <errno.h>
 #include <ini.h>
@@ -14,22 +14,8 @@
 
 #define SETTINGS_FILE_MAX (256u << 10)
 #define SETTINGS_LINE_MAX 8192
-#define SETTINGS_MESSAGE_SIZE 500
 #define SETTINGS_SHOWN_VALUE 60
 
-struct parser
-{
-  const char *name; /* of the file */
-  const char *text; /* what was not read yet */
-  size_t left;
-  int line;
-  int lines[SETTING_KEYS_MAX]; /* where a key was set, 0 for not yet */
-  struct settings *out;
-  struct bytes *problems; /* may be NULL */
-  enum status status;
-  char message[SETTINGS_MESSAGE_SIZE]; /* of the first problem */
-};
-
 /* Values come from a file that may hold anything: only printable characters are shown. */
 static void
 make_printable (char *text)
@@ -41,9 +27,8 @@
     }
 }
 
-/* `line` 0 for a problem that no line causes. */
-static void __attribute__ ((format (printf, 3, 4)))
-problem (struct parser *parser, int line, const char *format, ...)
+void
+settings_problem (struct settings_parser *parser, int line, const char *format, ...)
 {
   char about[SETTINGS_MESSAGE_SIZE - 100];
   char message[SETTINGS_MESSAGE_SIZE];
@@ -70,7 +55,7 @@
 static char *
 read_line (char *out, int size, void *stream)
 {
-  struct parser *parser = stream;
+  struct settings_parser *parser = stream;
   const char *end = memchr (parser->text, '\n', parser->left);
   size_t length = end == NULL ? parser->left : (size_t) (end - parser->text) + 1;
   size_t kept = length;
@@ -80,7 +65,8 @@
   parser->line++;
   if (length >= (size_t) size || memchr (parser->text, '\0', length) != NULL)
     {
-      problem (parser, parser->line, "expected a line of text of at most %d bytes", size - 2);
+      settings_problem (parser, parser->line, "expected a line of text of at most %d bytes",
+                        size - 2);
       kept = 0;
     }
   memcpy (out, parser->text, kept);
@@ -142,7 +128,7 @@
 static int
 take_value (void *user, const char *section, const char *name, const char *value)
 {
-  struct parser *parser = user;
+  struct settings_parser *parser = user;
   const char *known = section_known (section);
   size_t i = find_key (section, name);
   char expected[SETTING_TEXT_SIZE];
@@ -152,25 +138,26 @@
     {
       list_names (known, names, sizeof names);
       if (known == NULL)
-        problem (parser, parser->line, "[%.50s]: unknown section, expected one of %s", section,
-                 names);
+        settings_problem (parser, parser->line, "[%.50s]: unknown section, expected one of %s",
+                          section, names);
       else
-        problem (parser, parser->line, "[%s] %.50s: unknown key, expected one of %s", section, name,
-                 names);
+        settings_problem (parser, parser->line, "[%s] %.50s: unknown key, expected one of %s",
+                          section, name, names);
       return 1;
     }
   if (parser->lines[i] != 0)
     {
-      problem (parser, parser->line, "[%s] %s: given twice, expected once; first on line %d",
-               section, name, parser->lines[i]);
+      settings_problem (parser, parser->line,
+                        "[%s] %s: given twice, expected once; first on line %d", section, name,
+                        parser->lines[i]);
       return 1;
     }
   parser->lines[i] = parser->line;
   if (!setting_read (&setting_keys[i], value, parser->out))
     {
       setting_expected (&setting_keys[i], expected);
-      problem (parser, parser->line, "[%s] %s: expected %s, got \"%.*s\"", section, name, expected,
-               SETTINGS_SHOWN_VALUE, value);
+      settings_problem (parser, parser->line, "[%s] %s: expected %s, got \"%.*s\"", section, name,
+                        expected, SETTINGS_SHOWN_VALUE, value);
     }
   return 1;
 }
@@ -190,16 +177,14 @@
     out->module_levels[i] = out->log_level;
 }
 
-/* ---- checks over several keys ---- */
-
-static int
-line_of (const struct parser *parser, const char *section, const char *name)
+int
+settings_line_of (const struct settings_parser *parser, const char *section, const char *name)
 {
   return parser->lines[find_key (section, name)];
 }
 
 static void
-check_required (struct parser *parser)
+check_required (struct settings_parser *parser)
 {
   char expected[SETTING_TEXT_SIZE];
   size_t i;
@@ -209,134 +194,14 @@
       if (!setting_keys[i].required || parser->lines[i] != 0)
         continue;
       setting_expected (&setting_keys[i], expected);
-      problem (parser, 0, "[%s] %s: missing, expected %s", setting_keys[i].section,
-               setting_keys[i].name, expected);
-    }
-}
-
-/* Two listeners on one port: the second would fail to bind only when the host starts. */
-static void
-check_listeners (struct parser *parser)
-{
-  const struct settings *out = parser->out;
-  const struct
-  {
-    const char *name;
-    const char *address;
-  } listeners[] = {
-    { "callers", out->listen_callers },
-    { "operators", out->listen_operators },
-    { "targets", out->listen_targets },
-    { "peers", out->listen_peers },
-  };
-  size_t n = sizeof listeners / sizeof listeners[0];
-  size_t i;
-  size_t j;
-
-  for (i = 0; i < n; i++)
-    {
-      for (j = 0; j < i; j++)
-        {
-          if (strcmp (listeners[i].address, listeners[j].address) == 0
-              && strcmp (strrchr (listeners[i].address, ':'), ":0") != 0)
-            problem (parser, line_of (parser, "listen", listeners[i].name),
-                     "[listen] %s: expected another address than `%s` has", listeners[i].name,
-                     listeners[j].name);
-        }
+      settings_problem (parser, 0, "[%s] %s: missing, expected %s", setting_keys[i].section,
+                        setting_keys[i].name, expected);
     }
 }
 
-/* With a key file every other host is pinned by its key; without one a key would be ignored, which
- * a reader of the file would not expect. */
-static void
-check_peer_key (struct parser *parser, const char *key, const struct settings_peer *peer)
-{
-  const struct settings *out = parser->out;
-  int line = line_of (parser, "cluster", key);
-
-  if (out->key_file[0] == '\0' && peer->public_key[0] != '\0')
-    problem (parser, line, "[cluster] %s: %s has a key, expected [keys] file too", key, peer->name);
-  if (out->key_file[0] != '\0' && peer->public_key[0] == '\0'
-      && strcmp (peer->name, out->name) != 0)
-    problem (parser, line, "[cluster] %s: expected %s@%s/KEY, since [keys] file is given", key,
-             peer->name, peer->address);
-}
-
-static void
-check_peers (struct parser *parser,
-             const char *key,
-             const struct settings_peer *peers,
-             uint32_t n_peers)
-{
-  const struct settings *out = parser->out;
-  int line = line_of (parser, "cluster", key);
-  uint32_t i;
-  uint32_t j;
-
-  for (i = 0; i < n_peers; i++)
-    {
-      check_peer_key (parser, key, &peers[i]);
-      for (j = 0; j < i; j++)
-        {
-          if (strcmp (peers[i].name, peers[j].name) == 0)
-            problem (parser, line, "[cluster] %s: %s given twice, expected once", key,
-                     peers[i].name);
-          else if (strcmp (peers[i].address, peers[j].address) == 0)
-            problem (parser, line, "[cluster] %s: %s and %s share an address, expected one each",
-                     key, peers[j].name, peers[i].name);
-        }
-      if (strcmp (peers[i].name, out->name) == 0
-          && strcmp (peers[i].address, out->listen_peers) != 0)
-        problem (parser, line, "[cluster] %s: this host is at %s, expected its [listen] peers, %s",
-                 key, peers[i].address, out->listen_peers);
-    }
-}
-
-static void
-check_voters (struct parser *parser)
-{
-  const struct settings *out = parser->out;
-  int line = line_of (parser, "cluster", "voters");
-  uint32_t i;
-
-  if (out->n_voters == 0 && out->n_seeds == 0)
-    problem (parser, line,
-             "[cluster] voters: expected voters or seeds; a host alone names itself as voter");
-  for (i = 0; i < out->n_voters; i++)
-    {
-      if (strcmp (out->voters[i].name, out->name) == 0 && out->data_folder[0] == '\0')
-        problem (parser, line,
-                 "[cluster] voters: this host is a voter, expected [data] folder too");
-    }
-}
-
-static void
-check_together (struct parser *parser)
-{
-  const struct settings *out = parser->out;
-
-  check_listeners (parser);
-  check_peers (parser, "seeds", out->seeds, out->n_seeds);
-  check_peers (parser, "voters", out->voters, out->n_voters);
-  check_voters (parser);
-  if ((out->tls_certificate[0] == '\0') != (out->tls_key[0] == '\0'))
-    problem (parser,
-             line_of (parser, "keys", "tls_key") + line_of (parser, "keys", "tls_certificate"),
-             "[keys] tls_key: expected both tls_certificate and tls_key, or neither");
-  if (out->connections_per_caller > out->connections)
-    problem (parser, line_of (parser, "limits", "connections_per_caller"),
-             "[limits] connections_per_caller: expected at most `connections`, %u",
-             out->connections);
-  /* A host that leaves serves as long as an old list may be kept, then ends what is in flight. */
-  if (out->drain_bound <= out->list_keep)
-    problem (parser, line_of (parser, "entry", "drain_bound_ms"),
-             "[entry] drain_bound_ms: expected more than list_keep_ms, %lld",
-             (long long) (out->list_keep / USEC_PER_MSEC));
-}
-
 /* Module levels that were not given are the general one. */
 static void
-fill_levels (struct parser *parser)
+fill_levels (struct settings_parser *parser)
 {
   static const char *const modules[] = {
 #define X(name, text) [LOG_MODULE_##name] = text,
@@ -347,7 +212,7 @@
 
   for (i = 0; i < LOG_MODULE_COUNT; i++)
     {
-      if (line_of (parser, "log", modules[i]) == 0)
+      if (settings_line_of (parser, "log", modules[i]) == 0)
         parser->out->module_levels[i] = parser->out->log_level;
     }
 }
@@ -356,7 +221,7 @@
 settings_parse (
     const char *name, const char *text, size_t length, struct settings *out, struct bytes *problems)
 {
-  struct parser parser = {
+  struct settings_parser parser = {
     .name = name, .text = text, .left = length, .out = out, .problems = problems
   };
   int bad_line;
@@ -371,11 +236,11 @@
   if (bad_line < 0)
     return status_fail (STATUS_NO_MEMORY, "%s: out of memory", name);
   if (bad_line > 0)
-    problem (&parser, bad_line, "expected [section], key = value, or a comment after ';'");
+    settings_problem (&parser, bad_line, "expected [section], key = value, or a comment after ';'");
   check_required (&parser);
   fill_levels (&parser);
   if (parser.status == STATUS_OK)
-    check_together (&parser);
+    settings_check_together (&parser);
   if (parser.status == STATUS_OK)
     return STATUS_OK;
   return status_fail (parser.status, "%s", parser.message);
