Call targets over HTTP/1.1 with one call a connection at a time

Stages are calls to targets: each answer must be whole and its own call's, one slow call must not hold up others, and a failure must say whether a byte may have been sent.

An answer counts as whole only by its own framing: the library says that a chunked answer is completed also when its connection just ended, and only the failed read tells the two apart. Answers without a length or chunks are refused; nothing is sent a second time.

The loop could sleep over a timer that was due as it went to wait: the library runs what is due before it polls and then waits for the next. Due again at once, it does not.

--- a/src/loop.c
+++ b/src/loop.c
@@ -234,11 +234,14 @@
   return loop_watch_fd (loop, &loop->signal_watch, loop->signal_fd);
 }
 
-/* Its only use is to end the poll in time: timers run after every turn. */
+/* Its only use is to end the poll in time: timers run after every turn.  lws runs what is due also
+ * before it polls, and would then wait for whatever comes next; due again at once, it does not. */
 static void
 on_wake (lws_sorted_usec_list_t *wake)
 {
-  (void) wake;
+  struct loop *loop = lws_container_of (wake, struct loop, wake);
+
+  lws_sul_schedule (loop->context, 0, wake, on_wake, 1);
 }
 
 static void
--- /dev/null
+++ b/tests/unit_edges_client.cc
@@ -0,0 +1,597 @@
+// The HTTP client met by servers that are whole, slow, cut their answers short or go away.
+#include "http_client.h"
+#include "unit_edges_support.h"
+#include <memory>
+
+namespace
+{
+
+// What came of one call.
+struct call_probe
+{
+  struct http_call_sink sink; // first
+  std::vector<std::string> events;
+  std::string body;
+  std::string id;
+  int code = 0;
+  int ends = 0;
+  int failures = 0;
+  enum status why = STATUS_OK;
+  bool sent = false;
+  std::function<void ()> on_data;
+
+  static call_probe *
+  of (struct http_call_sink *to)
+  {
+    return reinterpret_cast<call_probe *> (to);
+  }
+
+  static void
+  on_head (struct http_call_sink *to,
+           int status_code,
+           const struct http_field *fields,
+           size_t n,
+           int64_t)
+  {
+    of (to)->code = status_code;
+    for (size_t i = 0; i < n; i++)
+      if (strcmp (fields[i].name, "x-request-id") == 0)
+        of (to)->id = fields[i].value;
+  }
+
+  static void
+  on_bytes (struct http_call_sink *to, const void *data, size_t length, int64_t)
+  {
+    of (to)->body.append (static_cast<const char *> (data), length);
+    if (of (to)->on_data)
+      of (to)->on_data ();
+  }
+
+  static void
+  on_end (struct http_call_sink *to, int64_t)
+  {
+    of (to)->ends++;
+  }
+
+  static void
+  on_failed (struct http_call_sink *to, enum status status, bool was_sent, int64_t)
+  {
+    of (to)->failures++;
+    of (to)->why = status;
+    of (to)->sent = was_sent;
+  }
+
+  call_probe ()
+  {
+    static const struct http_call_sink_ops ops = {
+      .head = on_head, .data = on_bytes, .end = on_end, .failed = on_failed
+    };
+
+    sink.ops = &ops;
+  }
+
+  call_probe (const call_probe &) = delete;
+
+  bool
+  over () const
+  {
+    return ends + failures > 0;
+  }
+};
+
+// A client of its own, on the loop of the test.
+struct test_client
+{
+  struct loop *loop;
+  struct http_client *client;
+  struct counters *counters;
+
+  explicit test_client (struct loop *on, uint32_t calls_max = 2000) : loop (on)
+  {
+    struct http_client_config config = {};
+
+    counters = counters_new (loop);
+    config.loop = loop;
+    config.counters = counters;
+    config.calls_max = calls_max;
+    config.answer_bytes_max = 4 << 20;
+    config.connect_timeout = 5 * USEC_PER_SEC;
+    client = http_client_new (loop, &config);
+  }
+
+  struct http_call *
+  start (call_probe &probe,
+         uint16_t port,
+         const std::string &path,
+         const std::string &body = "",
+         int64_t span = EVENT_WAIT)
+  {
+    std::string address = "127.0.0.1:" + std::to_string (port);
+    const struct http_field headers[] = { { "x-request-id", path.c_str () } };
+    struct http_call_spec spec = {};
+    struct http_call *call = nullptr;
+
+    spec.address = address.c_str ();
+    spec.method = body.empty () ? "GET" : "POST";
+    spec.path = path.c_str ();
+    spec.headers = headers;
+    spec.n_headers = 1;
+    spec.body = body.data ();
+    spec.body_length = body.size ();
+    spec.deadline = loop_now (loop) + span;
+    EXPECT_EQ (client->ops->start (client, &spec, &probe.sink, loop_now (loop), &call), STATUS_OK)
+        << status_message ();
+    EXPECT_FALSE (probe.over ());
+    return call;
+  }
+
+  double
+  counted (const char *name) const
+  {
+    return counter_get (counters, name, "", nullptr)->value;
+  }
+};
+
+// A server of raw bytes: takes connections, and sends what the test says.
+struct raw_server
+{
+  struct loop *loop;
+  int listener;
+  std::vector<int> taken;
+  std::string got;
+
+  explicit raw_server (struct loop *on) : loop (on)
+  {
+    struct sockaddr_in address = {};
+
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    EXPECT_EQ (bind (listener, reinterpret_cast<struct sockaddr *> (&address), sizeof address), 0);
+    EXPECT_EQ (listen (listener, 16), 0);
+  }
+
+  raw_server (const raw_server &) = delete;
+
+  ~raw_server ()
+  {
+    for (int fd : taken)
+      close (fd);
+    close (listener);
+  }
+
+  uint16_t
+  port () const
+  {
+    return inet_address_bound_port (listener);
+  }
+
+  // Until a whole request head came on the newest connection.
+  bool
+  wait_request (const std::string &mark = "\r\n\r\n")
+  {
+    got.clear ();
+    return run_until (loop, [&] {
+      int fd = accept4 (listener, nullptr, nullptr, SOCK_NONBLOCK);
+      char buffer[4096];
+      ssize_t n;
+
+      if (fd >= 0)
+        taken.push_back (fd);
+      while (!taken.empty () && (n = recv (taken.back (), buffer, sizeof buffer, 0)) > 0)
+        got.append (buffer, static_cast<size_t> (n));
+      return got.find (mark) != std::string::npos;
+    });
+  }
+
+  void
+  send (const std::string &bytes) const
+  {
+    EXPECT_EQ (::send (taken.back (), bytes.data (), bytes.size (), MSG_NOSIGNAL),
+               static_cast<ssize_t> (bytes.size ()));
+  }
+
+  void
+  hang_up (bool reset = false)
+  {
+    struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+    if (reset)
+      setsockopt (taken.back (), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+    close (taken.back ());
+    taken.pop_back ();
+  }
+};
+
+TEST (HttpClient, BringsWholeAnswersOverOneConnection)
+{
+  struct test_server server;
+  struct test_client client (server.loop);
+  std::string body (100000, 'b');
+
+  server.on_request = [&] (struct http_exchange *exchange) {
+    const struct http_field field = { "x-request-id", http_header (exchange, "x-request-id") };
+
+    EXPECT_STREQ (http_header (exchange, "connection"), nullptr);
+    exchange->ops->reply (exchange, 201, &field, 1, exchange->body, exchange->body_length);
+  };
+  for (int i = 0; i < 20; i++)
+    {
+      call_probe probe;
+      std::string path = "/p" + std::to_string (i);
+
+      client.start (probe, server.port (), path, i % 2 == 0 ? body : "");
+      ASSERT_TRUE (run_until (server.loop, [&] { return probe.over (); }));
+      ASSERT_EQ (probe.ends, 1) << i << status_message ();
+      EXPECT_EQ (probe.code, 201);
+      EXPECT_EQ (probe.id, path);
+      EXPECT_EQ (probe.body, i % 2 == 0 ? body : "");
+    }
+  EXPECT_EQ (server.counted ("http_connections_accepted"), 1);
+}
+
+// One stage of a request takes long; calls of other requests to the same target must neither wait
+// behind it nor get its answer, in whatever order the answers come.
+TEST (HttpClient, KeepsCallsOfOneAddressApartAndNotBehindEachOther)
+{
+  struct test_server server;
+  struct test_client client (server.loop);
+  std::vector<struct http_exchange *> held;
+  std::vector<std::unique_ptr<call_probe>> probes;
+
+  server.on_request = [&] (struct http_exchange *exchange) { held.push_back (exchange); };
+  for (int round = 0; round < 2; round++)
+    {
+      probes.clear ();
+      held.clear ();
+      for (int i = 0; i < 200; i++)
+        {
+          probes.push_back (std::make_unique<call_probe> ());
+          client.start (*probes.back (), server.port (), "/p" + std::to_string (i), "x");
+        }
+      ASSERT_TRUE (run_until (server.loop, [&] { return held.size () == 200; })) << held.size ();
+      for (size_t i = held.size (); i-- > 0;)
+        {
+          const struct http_field field = { "x-request-id", http_header (held[i], "x-request-id") };
+
+          held[i]->ops->reply (held[i], 200, &field, 1, field.value, strlen (field.value));
+        }
+      ASSERT_TRUE (run_until (server.loop, [&] {
+        for (auto &probe : probes)
+          if (!probe->over ())
+            return false;
+        return true;
+      }));
+      for (int i = 0; i < 200; i++)
+        {
+          EXPECT_EQ (probes[i]->ends, 1);
+          EXPECT_EQ (probes[i]->id, "/p" + std::to_string (i));
+          EXPECT_EQ (probes[i]->body, "/p" + std::to_string (i));
+        }
+    }
+  // The second round found the connections of the first.
+  EXPECT_EQ (server.counted ("http_connections_accepted"), 200);
+}
+
+struct cut_answer
+{
+  const char *story;
+  const char *bytes;
+};
+
+// A target dies in the middle of its answer, in one way or another.  What came must never pass for
+// the whole answer.
+TEST (HttpClient, FailsAnAnswerCutShort)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  const std::vector<cut_answer> answers = {
+    { "nothing", "" },
+    { "half a head", "HTTP/1.1 200 OK\r\ncontent-le" },
+    { "head without its body", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n" },
+    { "half a body", "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello" },
+    { "no chunk", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" },
+    { "half a chunk", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\nhello" },
+    { "chunks without an end",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" },
+    { "an end without its last line",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r" },
+    { "neither length nor chunks", "HTTP/1.1 200 OK\r\n\r\nhello" },
+    { "neither, and the connection closes", "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello" },
+    { "no HTTP", "hello, world, this is no HTTP\r\n\r\n" },
+    { "length not a number", "HTTP/1.1 200 OK\r\ncontent-length: 5x\r\n\r\nhello" },
+    { "negative length", "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\nhello" },
+    { "chunk size not a number",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n" },
+    { "chunk with an extension, which lws does not read",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\r\nllo\r\n0\r\n\r\n" },
+    { "a redirect",
+      "HTTP/1.1 302 Found\r\nlocation: http://127.0.0.1:1/\r\ncontent-length: 5\r\n\r\nhe" },
+  };
+
+  for (bool at_once : { true, false })
+    for (const cut_answer &answer : answers)
+      {
+        struct test_client client (loop);
+        struct raw_server server (loop);
+        call_probe probe;
+
+        client.start (probe, server.port (), "/x", "body");
+        ASSERT_TRUE (server.wait_request ("body"));
+        for (const char *at = answer.bytes; *at != '\0'; at += at_once ? strlen (at) : 1)
+          {
+            ::send (server.taken.back (), at, at_once ? strlen (at) : 1, MSG_NOSIGNAL);
+            if (!at_once || at[1] == '\0')
+              loop_once (loop, 0);
+          }
+        for (int i = 0; i < 3; i++)
+          loop_once (loop, USEC_PER_MSEC);
+        server.hang_up (at_once);
+        ASSERT_TRUE (run_until (loop, [&] { return probe.over (); })) << answer.story;
+        EXPECT_EQ (probe.failures, 1) << answer.story;
+        EXPECT_EQ (probe.ends, 0) << answer.story;
+        EXPECT_TRUE (probe.sent) << answer.story;
+        for (int i = 0; i < 3; i++)
+          loop_once (loop, USEC_PER_MSEC);
+        EXPECT_EQ (probe.failures + probe.ends, 1) << answer.story;
+      }
+  talloc_free (loop);
+}
+
+// Servers end an answer in several ways, some closing the connection right behind it.
+TEST (HttpClient, TakesAWholeAnswerHoweverItsConnectionEnds)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  const std::vector<std::string> answers = {
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nconnection: close\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n"
+    "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+    "HTTP/1.0 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+  };
+
+  for (bool at_once : { true, false })
+    for (const std::string &answer : answers)
+      {
+        struct test_client client (loop);
+        struct raw_server server (loop);
+        call_probe probe;
+
+        client.start (probe, server.port (), "/x", "body");
+        ASSERT_TRUE (server.wait_request ("body"));
+        for (size_t at = 0; at < answer.size (); at += at_once ? answer.size () : 1)
+          {
+            server.send (at_once ? answer : answer.substr (at, 1));
+            if (!at_once)
+              loop_once (loop, 0);
+          }
+        server.hang_up ();
+        ASSERT_TRUE (run_until (loop, [&] { return probe.over (); })) << answer;
+        EXPECT_EQ (probe.ends, 1) << answer << at_once;
+        EXPECT_EQ (probe.body, "hello") << answer << at_once;
+        for (int i = 0; i < 3; i++)
+          loop_once (loop, USEC_PER_MSEC);
+        EXPECT_EQ (probe.failures + probe.ends, 1) << answer;
+      }
+  talloc_free (loop);
+}
+
+// Nothing listens at the address.  Nothing was sent, so the request may go to another target.
+TEST (HttpClient, SaysThatNothingWasSentWhereNothingListens)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  struct test_client client (loop);
+  uint16_t port;
+
+  {
+    struct raw_server gone (loop);
+    port = gone.port ();
+  }
+  for (int i = 0; i < 3; i++)
+    {
+      call_probe probe;
+
+      client.start (probe, port, "/x", "body");
+      ASSERT_TRUE (run_until (loop, [&] { return probe.over (); }));
+      EXPECT_EQ (probe.failures, 1);
+      EXPECT_EQ (probe.why, STATUS_UNAVAILABLE);
+      EXPECT_FALSE (probe.sent);
+    }
+  talloc_free (loop);
+}
+
+// A target closes the idle connection between two calls.  The second call goes over a new one; and
+// where the close crosses the request on the way, the call fails as sent and is not sent again.
+TEST (HttpClient, GoesOnAfterTheServerClosedAnIdleConnection)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  struct test_client client (loop);
+  struct raw_server server (loop);
+  const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+  for (int round = 0; round < 3; round++)
+    {
+      call_probe probe;
+
+      client.start (probe, server.port (), "/x", "body");
+      ASSERT_TRUE (server.wait_request ("body"));
+      server.send (answer);
+      ASSERT_TRUE (run_until (loop, [&] { return probe.over (); }));
+      EXPECT_EQ (probe.ends, 1) << round;
+      server.hang_up ();
+      for (int i = 0; i < 3; i++)
+        loop_once (loop, USEC_PER_MSEC);
+    }
+
+  call_probe first;
+  client.start (first, server.port (), "/x", "body");
+  ASSERT_TRUE (server.wait_request ("body"));
+  server.send (answer);
+  ASSERT_TRUE (run_until (loop, [&] { return first.over (); }));
+  server.hang_up (); // and no turn of the loop before the next call
+  call_probe crossed;
+  client.start (crossed, server.port (), "/y", "body");
+  ASSERT_TRUE (run_until (loop, [&] {
+    int fd = accept4 (server.listener, nullptr, nullptr, SOCK_NONBLOCK);
+
+    if (fd >= 0)
+      server.taken.push_back (fd);
+    return crossed.over () || !server.taken.empty ();
+  }));
+  if (!crossed.over ())
+    { // a new connection: then the first byte must come on it
+      EXPECT_TRUE (server.wait_request ("body"));
+      server.send (answer);
+      EXPECT_TRUE (run_until (loop, [&] { return crossed.over (); }));
+      EXPECT_EQ (crossed.ends, 1);
+    }
+  else
+    {
+      EXPECT_EQ (crossed.failures, 1);
+      EXPECT_TRUE (crossed.sent);
+      for (int i = 0; i < 3; i++)
+        loop_once (loop, USEC_PER_MSEC);
+      EXPECT_LT (accept4 (server.listener, nullptr, nullptr, SOCK_NONBLOCK), 0);
+    }
+  talloc_free (loop);
+}
+
+// A target takes the request and says nothing.  The call ends at its deadline; the connection is
+// not used for another call, whose answer could be the late one of the first.
+TEST (HttpClient, EndsACallAtItsDeadlineAndDropsTheConnection)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  struct test_client client (loop);
+  struct raw_server server (loop);
+  call_probe late;
+  call_probe next;
+
+  client.start (late, server.port (), "/late", "body", 50 * USEC_PER_MSEC);
+  ASSERT_TRUE (server.wait_request ("body"));
+  ASSERT_TRUE (run_until (loop, [&] { return late.over (); }));
+  EXPECT_EQ (late.why, STATUS_TIMEOUT);
+  EXPECT_TRUE (late.sent);
+  client.start (next, server.port (), "/next", "other");
+  ASSERT_TRUE (server.wait_request ("other"));
+  ASSERT_EQ (server.taken.size (), 2u);
+  ::send (server.taken[0], "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", 41, MSG_NOSIGNAL);
+  for (int i = 0; i < 3; i++)
+    loop_once (loop, USEC_PER_MSEC);
+  EXPECT_FALSE (next.over ());
+  server.send ("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nnext");
+  ASSERT_TRUE (run_until (loop, [&] { return next.over (); }));
+  EXPECT_EQ (next.body, "next");
+  talloc_free (loop);
+}
+
+// The caller went away, and the call is cancelled: before it is connected, while it waits, and from
+// within an event.  The other side sees the connection close, and no event comes after.
+TEST (HttpClient, CancelsAtAnyPoint)
+{
+  struct test_server server;
+  struct test_client client (server.loop);
+  static int closed;
+  static const struct http_watcher_ops ops = { .closed = [] (struct http_watcher *, int64_t) {
+    closed++;
+  } };
+  struct http_watcher watcher = { &ops };
+  struct http_exchange *held = nullptr;
+
+  closed = 0;
+  server.on_request = [&] (struct http_exchange *exchange) {
+    exchange->watcher = &watcher;
+    held = exchange;
+  };
+  call_probe early;
+  client.client->ops->cancel (client.client, client.start (early, server.port (), "/early", "x"));
+  call_probe waiting;
+  struct http_call *call = client.start (waiting, server.port (), "/waiting", "x");
+  ASSERT_TRUE (run_until (server.loop, [&] { return held != nullptr; }));
+  client.client->ops->cancel (client.client, call);
+  ASSERT_TRUE (run_until (server.loop, [&] { return closed == 1; }));
+  call_probe inside;
+  held = nullptr;
+  call = client.start (inside, server.port (), "/inside", "x");
+  inside.on_data = [&] { client.client->ops->cancel (client.client, call); };
+  ASSERT_TRUE (run_until (server.loop, [&] { return held != nullptr; }));
+  held->ops->begin (held, 200, nullptr, 0);
+  held->ops->write (held, "one", 3);
+  ASSERT_TRUE (run_until (server.loop, [&] { return closed == 2; }));
+  EXPECT_EQ (inside.body, "one");
+  EXPECT_FALSE (early.over () || waiting.over () || inside.over ());
+  call_probe after;
+  server.on_request = test_server::echo;
+  client.start (after, server.port (), "/after", "x");
+  ASSERT_TRUE (run_until (server.loop, [&] { return after.over (); }));
+  EXPECT_EQ (after.ends, 1);
+}
+
+TEST (HttpClient, BringsAStreamInOrderAndBoundsAnAnswer)
+{
+  struct test_server server;
+  struct test_client client (server.loop);
+  struct http_exchange *held = nullptr;
+  call_probe probe;
+  std::string all;
+
+  server.on_request = [&] (struct http_exchange *exchange) { held = exchange; };
+  client.start (probe, server.port (), "/stream", "x");
+  ASSERT_TRUE (run_until (server.loop, [&] { return held != nullptr; }));
+  held->ops->begin (held, 200, nullptr, 0);
+  for (int i = 0; i < 500; i++)
+    {
+      std::string piece = "data: " + std::to_string (i) + "\n\n";
+
+      held->ops->write (held, piece.data (), piece.size ());
+      all += piece;
+      if (i % 50 == 0)
+        loop_once (server.loop, 0);
+    }
+  held->ops->finish (held);
+  ASSERT_TRUE (run_until (server.loop, [&] { return probe.over (); }));
+  EXPECT_EQ (probe.ends, 1);
+  EXPECT_EQ (probe.body, all);
+
+  call_probe large;
+  std::string body (5 << 20, 'l');
+  server.on_request = [&] (struct http_exchange *exchange) {
+    exchange->ops->reply (exchange, 200, nullptr, 0, body.data (), body.size ());
+  };
+  client.start (large, server.port (), "/large", "x");
+  ASSERT_TRUE (run_until (server.loop, [&] { return large.over (); }));
+  EXPECT_EQ (large.why, STATUS_TOO_LARGE);
+}
+
+TEST (HttpClient, RefusesCallsOverItsBoundAndHeadersThatWouldAddLines)
+{
+  struct test_server server;
+  struct test_client client (server.loop, 1);
+  call_probe first;
+  call_probe second;
+  const struct http_field bad = { "x-request-id", "a\r\nx-organisation: other" };
+  struct http_call_spec spec = {};
+  struct http_call *call = nullptr;
+
+  server.on_request = [] (struct http_exchange *) {};
+  spec.address = "127.0.0.1:1";
+  spec.method = "GET";
+  spec.path = "/";
+  spec.headers = &bad;
+  spec.n_headers = 1;
+  EXPECT_EQ (client.client->ops->start (client.client, &spec, &first.sink, 0, &call),
+             STATUS_INVALID);
+  spec.n_headers = 0;
+  spec.path = "/ HTTP/1.1\r\n";
+  EXPECT_EQ (client.client->ops->start (client.client, &spec, &first.sink, 0, &call),
+             STATUS_INVALID);
+  spec.path = "/";
+  spec.address = "localhost:1";
+  EXPECT_EQ (client.client->ops->start (client.client, &spec, &first.sink, 0, &call),
+             STATUS_INVALID);
+  client.start (first, server.port (), "/first");
+  spec.address = "127.0.0.1:1";
+  EXPECT_EQ (client.client->ops->start (client.client, &spec, &second.sink, 0, &call),
+             STATUS_LIMIT);
+}
+
+} // namespace
--- a/tests/unit_edges_loop.cc
+++ b/tests/unit_edges_loop.cc
@@ -3,6 +3,7 @@
 #include "loop.h"
 #include <csignal>
 #include <gtest/gtest.h>
+#include <libwebsockets.h>
 #include <string>
 #include <talloc.h>
 #include <unistd.h>
@@ -42,6 +43,23 @@
   talloc_free (loop);
 }
 
+// A timer is due just as the loop goes to wait, while a much later one is armed in the library
+// itself.  The loop must not sleep until the later one: deadlines would pass unseen.
+TEST (Loop, DoesNotSleepOverATimerThatIsDueAlready)
+{
+  struct loop *loop = loop_new (nullptr, 64);
+  lws_sorted_usec_list_t later = {};
+  int64_t start = loop_now (loop);
+
+  lws_sul_schedule (
+      loop_context (loop), 0, &later, [] (lws_sorted_usec_list_t *) {}, 60 * USEC_PER_SEC);
+  for (int64_t wait = 0; wait < 200; wait++)
+    loop_once (loop, wait);
+  EXPECT_LT (loop_now (loop), start + 30 * USEC_PER_SEC);
+  lws_sul_cancel (&later);
+  talloc_free (loop);
+}
+
 struct pipe_probe
 {
   struct loop_watch watch;
