--- a/tests/unit_consensus.cc
+++ b/tests/unit_consensus.cc
@@ -78,4 +78,290 @@
   EXPECT_TRUE (fake_group_await_equal (group, second));
 }
 
+// A switch fails without a sign and cuts the leader off for an hour.  Callers on its side must get
+// an end of their requests, callers on the other side a new leader within seconds, and what the old
+// one took in alone must not come back when the switch is mended.
+TEST_F (Group, LeaderCutOffForLongIsReplacedAndComesBackClean)
+{
+  start (voters (3));
+  uint32_t old = static_cast<uint32_t> (leader);
+  fake_group_isolate (group, old, true);
+  EXPECT_EQ (propose (old, 5), 0u);
+  EXPECT_EQ (propose (other (old), 5), 5u);
+  EXPECT_NE (fake_group_await_leader (group, second), leader);
+  fake_group_run (group, 3600 * second);
+  uint64_t before = fake_group_most_applied (group);
+  fake_group_heal (group);
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+  EXPECT_EQ (fake_group_most_applied (group), before);
+  EXPECT_EQ (propose (old, 5), 5u);
+}
+
+// A voter is cut off for an hour.  Nobody may notice when it comes back: no election, no pause.
+TEST_F (Group, VoterCutOffForLongComesBackWithoutAnElection)
+{
+  struct fake_group_count before;
+  struct fake_group_count after;
+
+  start (voters (3));
+  uint32_t cut = other (static_cast<uint32_t> (leader));
+  fake_group_isolate (group, cut, true);
+  EXPECT_EQ (propose (static_cast<uint32_t> (leader), 50), 50u);
+  fake_group_run (group, 3600 * second);
+  fake_group_counts (group, &before);
+  fake_group_heal (group);
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+  EXPECT_EQ (propose (cut, 5), 5u);
+  fake_group_counts (group, &after);
+  EXPECT_EQ (after.elections, before.elections);
+}
+
+// The leader's messages arrive but what it is sent does not.  Its followers hear heartbeats and
+// would follow for ever, while nothing commits: it has to step down by itself.
+TEST_F (Group, LeaderThatCannotHearIsReplaced)
+{
+  start (voters (3));
+  uint32_t deaf = static_cast<uint32_t> (leader);
+  for (uint32_t i = 0; i < 3; i++)
+    fake_group_cut (group, i, deaf, i != deaf);
+  fake_group_run (group, 8 * second);
+  EXPECT_EQ (propose (other (deaf), 5), 5u);
+  fake_group_heal (group);
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+}
+
+// A disk dies, its host comes back with an empty one and is repaired; right after that a second
+// host is lost for good.  Everything committed has to be there still, and the group must go on.
+TEST_F (Group, SecondHostLostRightAfterRepairLosesNothing)
+{
+  start (voters (3));
+  uint32_t first = other (static_cast<uint32_t> (leader));
+  EXPECT_EQ (propose (0, 100), 100u);
+  fake_group_stop (group, first, true);
+  fake_group_set_disk (group, first, nullptr);
+  ASSERT_EQ (fake_group_start (group, first), STATUS_OK);
+  for (int i = 0; i < 60 && !fake_group_whole (group); i++)
+    fake_group_run (group, second);
+  ASSERT_TRUE (fake_group_whole (group));
+  uint64_t before = fake_group_most_applied (group);
+  fake_group_stop (group, static_cast<uint32_t> (leader), true);
+  EXPECT_GE (fake_group_await_leader (group, 10 * second), 0);
+  EXPECT_GE (fake_group_applied (group, first), before);
+  EXPECT_EQ (propose (first, 5), 5u);
+}
+
+// A host dies and stays dead.  Another host with a data folder waits; after the set time it takes
+// the place, without an operator, and the loss of one more voter is survived.
+TEST_F (Group, VoterGoneForTheSetTimeIsReplacedByAHostThatWaits)
+{
+  struct fake_group_config config = voters (3);
+
+  config.waiting = 1;
+  config.replace_after = 60 * second;
+  start (config);
+  uint32_t gone = other (static_cast<uint32_t> (leader));
+  EXPECT_EQ (propose (static_cast<uint32_t> (leader), 20), 20u);
+  fake_group_stop (group, gone, true);
+  fake_group_run (group, 50 * second);
+  EXPECT_FALSE (fake_group_whole (group));
+  fake_group_run (group, 30 * second);
+  EXPECT_TRUE (fake_group_whole (group));
+  fake_group_stop (group, static_cast<uint32_t> (leader), true);
+  EXPECT_EQ (propose (3, 5), 5u);
+}
+
+// A host was down while 500 changes piled up, and more than the snapshot keeps.  It must serve the
+// newest configuration within seconds of its start, by snapshot and by entries.
+TEST_F (Group, RestartAfterFiveHundredChangesPiledUp)
+{
+  struct fake_group_config config = voters (3);
+
+  config.snapshot_entries = 200;
+  start (config);
+  uint32_t down = other (static_cast<uint32_t> (leader));
+  fake_group_stop (group, down, false);
+  EXPECT_EQ (propose (static_cast<uint32_t> (leader), 500), 500u);
+  ASSERT_EQ (fake_group_start (group, down), STATUS_OK);
+  EXPECT_TRUE (fake_group_await_equal (group, 3 * second));
+}
+
+// All hosts lose power at once, in the middle of changes.  Whatever was answered as done is there.
+TEST_F (Group, PowerLossOfAllHostsLosesNothingThatWasAnswered)
+{
+  start (voters (3));
+  EXPECT_EQ (propose (0, 30), 30u);
+  uint64_t before = fake_group_most_applied (group);
+  fake_group_propose (group, 0, second);
+  for (uint32_t i = 0; i < 3; i++)
+    fake_group_stop (group, i, true);
+  for (uint32_t i = 0; i < 3; i++)
+    ASSERT_EQ (fake_group_start (group, i), STATUS_OK);
+  EXPECT_GE (fake_group_await_leader (group, 10 * second), 0);
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+  EXPECT_GE (fake_group_applied (group, 0), before);
+}
+
+// The leader's data folder fills up.  Changes are refused with the reason, reads still work, and
+// once there is room changes are taken again; nothing that was answered is lost.
+TEST_F (Group, FullDiskRefusesChangesAndStillReads)
+{
+  struct fake_group_count counts;
+
+  start (voters (3));
+  uint32_t full = static_cast<uint32_t> (leader);
+  EXPECT_EQ (propose (full, 5), 5u);
+  disk_fake_set_reported (fake_group_disk (group, full), 0);
+  fake_group_run (group, 2 * second);
+  fake_group_propose (group, full, second);
+  EXPECT_EQ (fake_group_last_status (group), STATUS_DISK_FULL);
+  fake_group_read (group, full, second);
+  fake_group_run (group, second);
+  EXPECT_EQ (fake_group_last_status (group), STATUS_OK);
+  disk_fake_set_reported (fake_group_disk (group, full), UINT64_MAX);
+  fake_group_run (group, 2 * second);
+  EXPECT_EQ (propose (full, 5), 5u);
+  fake_group_counts (group, &counts);
+  EXPECT_EQ (counts.reads_ok, 1u);
+}
+
+// Another process takes the last bytes between two looks at the free room, so that the write itself
+// fails.  The leader must not number other entries alike: it steps down and another takes over.
+TEST_F (Group, WriteWithoutRoomHandsTheLeadOver)
+{
+  start (voters (3));
+  uint32_t full = static_cast<uint32_t> (leader);
+  EXPECT_EQ (propose (full, 5), 5u);
+  disk_fake_set_capacity (fake_group_disk (group, full), 0);
+  disk_fake_set_reported (fake_group_disk (group, full), 1 << 20);
+  propose (full, 5);
+  fake_group_run (group, 10 * second);
+  EXPECT_EQ (propose (other (full), 5), 5u);
+  disk_fake_set_capacity (fake_group_disk (group, full), UINT64_MAX);
+  disk_fake_set_reported (fake_group_disk (group, full), UINT64_MAX);
+  if (consensus_voter_health (fake_group_consensus (group, full)) != STATUS_OK)
+    {
+      // It had to store a vote meanwhile and could not.
+      fake_group_stop (group, full, false);
+      ASSERT_EQ (fake_group_start (group, full), STATUS_OK);
+    }
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+}
+
+// A disk reports an error of a sync.  The system may have dropped the data and report success the
+// next time, so the voter stops for good; the others go on, and its callers are served by them.
+TEST_F (Group, FailedSyncStopsTheVoterForGood)
+{
+  start (voters (3));
+  uint32_t bad = static_cast<uint32_t> (leader);
+  disk_fake_fail_sync (fake_group_disk (group, bad));
+  EXPECT_EQ (propose (bad, 5), 5u);
+  EXPECT_EQ (consensus_voter_health (fake_group_consensus (group, bad)), STATUS_IO);
+  EXPECT_EQ (propose (other (bad), 5), 5u);
+  fake_group_stop (group, bad, true);
+  ASSERT_EQ (fake_group_start (group, bad), STATUS_OK);
+  EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
+}
+
+// Someone restores a voter's folder from last night's backup.  Its entries and its vote are older
+// than what it told the others; it must not take part with them.
+TEST_F (Group, OlderFolderPutBackIsRefusedByTheRunningLeader)
+{
+  start (voters (3));
+  uint32_t host = other (static_cast<uint32_t> (leader));
+  EXPECT_EQ (propose (0, 10), 10u);
+  struct disk *backup = disk_fake_copy (group, fake_group_disk (group, host));
+  EXPECT_EQ (propose (0, 10), 10u);
+  fake_group_stop (group, host, false);
+  fake_group_set_disk (group, host, backup);
+  ASSERT_EQ (fake_group_start (group, host), STATUS_OK);
+  fake_group_run (group, 5 * second);
+  EXPECT_EQ (consensus_voter_health (fake_group_consensus (group, host)), STATUS_CORRUPT);
+  EXPECT_EQ (propose (other (host), 5), 5u);
+}
+
+// The same with several starts since the backup: others have heard of a later start of that folder.
+TEST_F (Group, OlderFolderIsRefusedByItsCountOfStarts)
+{
+  start (voters (3));
+  uint32_t host = other (static_cast<uint32_t> (leader));
+  struct disk *backup = disk_fake_copy (group, fake_group_disk (group, host));
+  for (int i = 0; i < 3; i++)
+    {
+      fake_group_stop (group, host, false);
+      ASSERT_EQ (fake_group_start (group, host), STATUS_OK);
+      fake_group_run (group, second);
+    }
+  fake_group_stop (group, host, false);
+  fake_group_set_disk (group, host, backup);
+  ASSERT_EQ (fake_group_start (group, host), STATUS_OK);
+  fake_group_run (group, 3 * second);
+  EXPECT_EQ (consensus_voter_health (fake_group_consensus (group, host)), STATUS_CORRUPT);
+}
+
+// Power fails between any two operations on files, again and again, while snapshots are written and
+// the journal is cut behind them.  After each the voter starts again from its folder and holds
+// everything that was answered as done.
+TEST_F (Group, CrashBetweenAnyTwoFileOperationsOfASnapshot)
+{
+  struct fake_group_config config = voters (1);
+
+  config.snapshot_entries = 4;
+  start (config);
+  for (uint64_t stop = 1; stop <= 60; stop++)
+    {
+      uint64_t before = fake_group_most_applied (group);
+      disk_fake_stop_after (fake_group_disk (group, 0), stop);
+      for (int i = 0; i < 30 && fake_group_consensus (group, 0) != nullptr; i++)
+        {
+          fake_group_propose (group, 0, second);
+          fake_group_run (group, second / 10);
+        }
+      ASSERT_EQ (fake_group_consensus (group, 0), nullptr);
+      ASSERT_EQ (fake_group_start (group, 0), STATUS_OK) << status_message ();
+      ASSERT_GE (fake_group_await_leader (group, 10 * second), 0);
+      ASSERT_GE (fake_group_applied (group, 0), before);
+      ASSERT_STREQ (fake_group_breach (group), "");
+    }
+}
+
+// The same for a follower that gets snapshots from its leader.
+TEST_F (Group, CrashBetweenAnyTwoFileOperationsOfAReceivedSnapshot)
+{
+  struct fake_group_config config = voters (3);
+
+  config.snapshot_entries = 10;
+  start (config);
+  uint32_t host = other (static_cast<uint32_t> (leader));
+  for (uint64_t stop = 1; stop <= 20; stop++)
+    {
+      fake_group_stop (group, host, true);
+      EXPECT_EQ (propose (static_cast<uint32_t> (leader), 25), 25u);
+      disk_fake_stop_after (fake_group_disk (group, host), stop);
+      enum status status = fake_group_start (group, host);
+      fake_group_run (group, 3 * second);
+      if (status != STATUS_OK || fake_group_consensus (group, host) == nullptr)
+        {
+          ASSERT_EQ (fake_group_start (group, host), STATUS_OK) << status_message ();
+        }
+      disk_fake_stop_after (fake_group_disk (group, host), 0);
+      ASSERT_TRUE (fake_group_await_equal (group, 10 * second)) << stop;
+    }
+}
+
+// A graceful shutdown of the leader: another leads within a fraction of the time that an election
+// after a silence takes.
+TEST_F (Group, LeadershipIsHandedOverBeforeAShutdown)
+{
+  start (voters (3));
+  uint32_t old = static_cast<uint32_t> (leader);
+  ASSERT_EQ (
+      consensus_voter_transfer (fake_group_consensus (group, old), fake_group_local (group, old)),
+      STATUS_OK);
+  fake_group_run (group, second / 10);
+  EXPECT_FALSE (
+      fake_group_consensus (group, old)->ops->is_leader (fake_group_consensus (group, old)));
+  fake_group_stop (group, old, false);
+  EXPECT_GE (fake_group_await_leader (group, second / 10), 0);
+}
+
 } // namespace
