--- a/src/journal.c
+++ b/src/journal.c
@@ -244,9 +244,9 @@
 {
   enum status status;
 
-  INVARIANT (journal->batch.length == 0);
   if (journal->failed)
     return status_fail (STATUS_IO, "the journal failed before");
+  INVARIANT (journal->batch.length == 0);
   journal->last_index = index;
   journal->last_term = term;
   status = journal_begin_segment (journal, SEGMENT_RESET);
