Call the operators' rights without a way round

Cause: the operators' interface had landed before access.c, whose functions it named as weak symbols. Change: access.c is there; the weak names and their notes go. Conclusion: nothing is left that would pass without the rights' code.

--- a/src/config_board.c
+++ b/src/config_board.c
@@ -8,9 +8,6 @@
 
 #define OPERATORS_MAX 1024
 
-/* XXX: until access.c is there; without it there is no struct access to call it with. */
-#pragma weak access_set_operator
-
 /* An operator that access.c was told of: so that one deleted while this host was cut off is taken
  * back, too. */
 struct known_operator
--- a/src/operator.c
+++ b/src/operator.c
@@ -2,9 +2,6 @@
 #include "operator_private.h"
 #include <string.h>
 
-/* XXX: until access.c is there; without it there is no struct access to call it with. */
-#pragma weak access_operator
-
 /* name, path: the routes that are not of a kind, after those of the kinds */
 #define OTHER_ROUTE_LIST(X)                                                                        \
   X (REVISION, "/v1/revision")                                                                     \
