Run a host, and drive it from the command line

run, get, apply, delete, watch and dump. Exit codes are one list for all commands, the host's own are mapped to it.

--- a/src/cli.h
+++ b/src/cli.h
@@ -16,7 +16,9 @@
   X (NOT_FOUND, 5, "there is no such object")                                                      \
   X (CONFLICT, 6, "the object was changed by somebody else")                                       \
   X (DENIED, 7, "the token is missing, wrong or lacks the role")                                   \
-  X (TIMEOUT, 8, "--wait ended before the change was in force on every host")
+  X (TIMEOUT, 8, "--wait ended before the change was in force on every host")                      \
+  X (UNFINISHED, 9, "run: the bound on leaving passed, or a second signal came")                   \
+  X (START_FAILED, 10, "run: an address, key or data folder could not be used")
 
 enum cli_exit
 {
@@ -38,6 +40,12 @@
 
 /* The commands, one a file. */
 enum cli_exit cli_check (int argc, char **argv);
+enum cli_exit cli_dump (int argc, char **argv);
+enum cli_exit cli_watch (int argc, char **argv);
+enum cli_exit cli_delete (int argc, char **argv);
+enum cli_exit cli_apply (int argc, char **argv);
+enum cli_exit cli_get (int argc, char **argv);
+enum cli_exit cli_run (int argc, char **argv);
 enum cli_exit cli_keygen (int argc, char **argv);
 
 /* Run the command that `argv` names. */
--- a/src/cli_commands.c
+++ b/src/cli_commands.c
@@ -3,7 +3,13 @@
 #include <stddef.h>
 
 const struct cli_command cli_commands[] = {
+  { "run", "run a host", cli_run },
   { "check", "check a settings file", cli_check },
   { "keygen", "make a host's key, or a token", cli_keygen },
+  { "get", "show resources", cli_get },
+  { "apply", "create or replace resources", cli_apply },
+  { "delete", "delete a resource", cli_delete },
+  { "watch", "print changes of resources as they come", cli_watch },
+  { "dump", "print the state of a host's process", cli_dump },
   { NULL, NULL, NULL },
 };
