Wire orders, limit shares and declared hosts' keys into the process

Change: voters reconcile assignments, every host moves limit shares, and with keys on, host resources add and revoke peers' keys, a missed deletion included.

--- a/src/host_serving.c
+++ b/src/host_serving.c
@@ -1,6 +1,7 @@
 /* What a host serves with: membership, targets, decisions, the request path, the entry list. */
 #include "entries_api.h"
 #include "host_private.h"
+#include "share_control.h"
 #include "text.h"
 #include <string.h>
 #include <talloc.h>
@@ -188,6 +189,20 @@
   return http_server_add_route (host->server, entries_route (entries));
 }
 
+static enum status
+build_shares (struct host *host, int64_t now)
+{
+  struct share_control_config config = {
+    .board = host->board,
+    .decide = host->decide,
+    .timers = host->timers,
+    .port = host->port,
+    .now = now,
+  };
+
+  return share_control_new (host, &config) == NULL ? no_memory () : STATUS_OK;
+}
+
 enum status
 host_build_serving (struct host *host, int64_t now)
 {
@@ -198,7 +213,9 @@
   host->decide = decide_new (host, host->board, host->counters, host_seed ());
   if (host->decide == NULL)
     return no_memory ();
-  status = build_targets (host, now);
+  status = build_shares (host, now);
+  if (status == STATUS_OK)
+    status = build_targets (host, now);
   if (status == STATUS_OK)
     status = build_flow (host);
   if (status == STATUS_OK)
--- a/src/host_state.c
+++ b/src/host_state.c
@@ -4,6 +4,8 @@
 #include "consensus_remote.h"
 #include "consensus_voter.h"
 #include "host_private.h"
+#include "host_trust.h"
+#include "order.h"
 #include "store_group.h"
 #include <string.h>
 #include <talloc.h>
@@ -224,6 +226,37 @@
   return STATUS_OK;
 }
 
+/* Only a voter may lead, and only the leader gives orders. */
+static enum status
+build_orders (struct host *host, int64_t now)
+{
+  struct order_config config = {
+    .store = host->store,
+    .board = host->board,
+    .consensus = host->consensus,
+    .client = host->client,
+    .timers = host->timers,
+    .counters = host->counters,
+    .dump = &host->dump,
+    .host = host->settings->name,
+    .wall_offset_ms = host->wall_offset_ms,
+  };
+
+  if (!host->voter)
+    return STATUS_OK;
+  return order_new (host, &config, now) == NULL ? no_memory () : STATUS_OK;
+}
+
+static enum status
+build_trust (struct host *host)
+{
+  if (host->keys.secret_key[0] == '\0')
+    return STATUS_OK;
+  if (host_trust_new (host, host->store, host->port, host->settings->name) == NULL)
+    return no_memory ();
+  return STATUS_OK;
+}
+
 enum status
 host_build_state (struct host *host, int64_t now)
 {
@@ -242,6 +275,10 @@
     status = host->voter ? build_config_feed (host) : build_config_follow (host, now);
   if (status == STATUS_OK)
     status = build_claims (host, now);
+  if (status == STATUS_OK)
+    status = build_trust (host);
+  if (status == STATUS_OK)
+    status = build_orders (host, now);
   if (status == STATUS_OK)
     status = build_operators (host);
   return status;
