--- a/bench/trace.h
+++ b/bench/trace.h
@@ -45,6 +45,14 @@
 struct trace *trace_generate (
     void *parent, enum trace_site site, uint64_t seed, int64_t length, double rate, double burst);
 
+/* Add as many requests again, all of one organisation: ids end in "-flood". */
+void trace_flood (struct trace *trace,
+                  enum trace_site site,
+                  uint64_t seed,
+                  int64_t length,
+                  double rate,
+                  const char *organisation);
+
 END_DECLS
 
 #endif
--- a/bench/trace_generate.c
+++ b/bench/trace_generate.c
@@ -10,6 +10,8 @@
 #include "text.h"
 #include "trace.h"
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 #include <talloc.h>
 
 #define DOCUMENTS_KNOWN 200 /* a ring of those that are still asked about */
@@ -195,3 +197,40 @@
   talloc_free (generator);
   return trace;
 }
+
+static int
+compare_arrivals (const void *a, const void *b)
+{
+  const struct trace_request *x = a;
+  const struct trace_request *y = b;
+
+  if (x->at != y->at)
+    return x->at < y->at ? -1 : 1;
+  return strcmp (x->id, y->id);
+}
+
+void
+trace_flood (struct trace *trace,
+             enum trace_site site,
+             uint64_t seed,
+             int64_t length,
+             double rate,
+             const char *organisation)
+{
+  struct trace *flood = trace_generate (trace, site, seed, length, rate, 1);
+  uint32_t count = trace->count + flood->count;
+
+  trace->requests = talloc_realloc (trace, trace->requests, struct trace_request, count);
+  INVARIANT (trace->requests);
+  for (uint32_t i = 0; i < flood->count; i++)
+    {
+      struct trace_request *request = &flood->requests[i];
+
+      text_copy_cut (request->organisation, sizeof request->organisation, organisation);
+      snprintf (request->id, sizeof request->id, "%s-%06u-flood", site_get (site)->name, i);
+      trace->requests[trace->count + i] = *request;
+    }
+  trace->count = count;
+  qsort (trace->requests, count, sizeof *trace->requests, compare_arrivals);
+  talloc_free (flood);
+}
