--- a/bench/site.h
+++ b/bench/site.h
@@ -58,6 +58,12 @@
 
 const struct site *site_get (enum trace_site site);
 
+/* A site of six targets, for the demo and for tests on real processes. */
+const struct site *site_demo (void);
+
+/* `count` requests to it, `spacing` apart, their ids begun with `prefix`. */
+struct trace *site_demo_trace (void *parent, const char *prefix, uint32_t count, int64_t spacing);
+
 /* The resource specs that operators of the site would apply. */
 void site_pipeline_spec (const struct site *site, uint32_t index, struct pipeline_spec *out);
 void site_pool_spec (const struct site *site, uint32_t index, struct pool_spec *out);
