Replay traces through real hosts and check every byte of every answer

Callers keep their own lists of hosts, resend under the same id while time is left, and compare each answer, whole or streamed, with the one computed from the request.

--- /dev/null
+++ b/bench/replay.h
@@ -0,0 +1,180 @@
+/* The replayer: callers who drive hosts with a trace and check every byte of every answer.
+ *
+ * Each caller keeps its own list of hosts from /v1/entries for as long as it may be kept, goes to
+ * the next host when one refuses or is gone, and resends under the same id while time is left. */
+#ifndef REPLAY_H
+#define REPLAY_H
+
+#include "bytes.h"
+#include "call.h"
+#include "decls.h"
+#include "resource.h"
+#include "site.h"
+#include "sse.h"
+#include "trace.h"
+#include <jansson.h>
+#include <stdio.h>
+
+BEGIN_DECLS
+
+#define REPLAY_ENTRIES_MAX 16
+#define REPLAY_CALLERS_MAX 64
+
+/* name, text */
+#define REPLAY_OUTCOME_LIST(X)                                                                     \
+  X (PENDING, "pending")                                                                           \
+  X (ATTAINED, "attained") /* whole, checked, inside the window */                                 \
+  X (LATE, "late")         /* whole and checked, after the window */                               \
+  X (NOT_RUN, "not-run")                                                                           \
+  X (FAILED, "failed")                                                                             \
+  X (UNKNOWN, "unknown")                                                                           \
+  X (NO_ANSWER, "no-answer") /* none came, or only part of one */                                  \
+  X (REJECTED, "rejected")   /* 4xx that is not an outcome */                                      \
+  X (WRONG, "wrong")         /* said to be whole, and is not this request's answer */
+
+enum replay_outcome
+{
+#define X(name, text) REPLAY_##name,
+  REPLAY_OUTCOME_LIST (X)
+#undef X
+      REPLAY_OUTCOME_COUNT
+};
+
+const char *replay_outcome_text (enum replay_outcome outcome);
+
+struct replay_record
+{
+  enum replay_outcome outcome;
+  int64_t latency; /* from its time in the trace to its last answer */
+  uint32_t tries;
+  uint32_t cuts;     /* answers that ended before their end */
+  uint32_t ran;      /* tries whose host did not say "not run" */
+  bool said_not_run; /* the last answer */
+  char detail[160];  /* of what was not attained, for people */
+};
+
+/* Sums over the answers' own stage reports. */
+struct replay_stage
+{
+  char name[RESOURCE_NAME_SIZE];
+  uint64_t answers;
+  uint64_t attempts;
+  double msec;
+  double cost;
+};
+
+struct replay_result
+{
+  struct replay_record *records; /* one for each request of the trace */
+  uint32_t count;
+  uint32_t outcomes[REPLAY_OUTCOME_COUNT];
+  uint32_t resends;
+  uint32_t cuts;
+  struct replay_stage stages[RESOURCE_STAGES_MAX];
+  uint32_t n_stages;
+};
+
+struct replay_options
+{
+  struct caller *caller;
+  const struct trace *trace;
+  const struct site *site; /* its pipelines, for the expected answers */
+  char entries[REPLAY_ENTRIES_MAX][RESOURCE_ADDRESS_SIZE]; /* to ask for the list at first */
+  uint32_t n_entries;
+  double time_scale;     /* of arrivals and windows */
+  uint32_t callers;      /* 0: 8 */
+  uint32_t stream_every; /* each so many pipeline requests are streamed; 0: none */
+
+  /* Called between events with the count of requests that have ended; may run calls of its own.
+   * NULL for none. */
+  void (*step) (void *user, const struct replay_result *so_far, uint32_t ended);
+  void *user;
+};
+
+/* Run the whole trace; the result is a talloc child of `parent`. */
+struct replay_result *replay_run (void *parent, const struct replay_options *options);
+
+/* ---- reports ---- */
+
+double replay_attainment (const struct replay_result *result);
+
+/* A quantile of the latency of whole answers; 0 when there are none. */
+int64_t replay_latency (const struct replay_result *result, double q);
+
+/* The organisation with the lowest attainment, among those with at least 10 requests. */
+double replay_worst_organisation (const struct replay_result *result,
+                                  const struct replay_options *options,
+                                  const char **name);
+
+/* What a system must never do, counted after the run: a wrong answer, an unrepeatable call executed
+ * more than once, work done for a request that only ever was "not run".  `counts` as
+ * launch_counts() gives it. */
+uint32_t replay_broken_promises (const struct replay_result *result,
+                                 const struct replay_options *options,
+                                 const json_t *counts,
+                                 FILE *explain);
+
+struct replay_cost
+{
+  double by_kind[STAGE_KIND_COUNT]; /* in the pools' money, work that was wasted included */
+  double wasted;
+  uint64_t calls;
+};
+
+/* Cost of the fakes' busy time at the site's prices, scaled back to whole time. */
+void replay_cost_of (const struct site *site,
+                     const json_t *counts,
+                     double time_scale,
+                     struct replay_cost *out);
+
+/* The outcomes and the first few that were not attained. */
+void replay_print (const struct replay_result *result, const struct trace *trace, FILE *file);
+
+/* ---- parts, for each other ---- */
+
+struct replay;
+struct replay_list;
+
+/* Hosts as one caller knows them (replay_entries.c). */
+struct replay_list *replay_list_new (struct replay *replay,
+                                     const struct replay_options *options,
+                                     uint32_t caller);
+/* The host to use now; asks for a new list when the old one may no longer be kept. */
+const char *replay_list_current (struct replay_list *list, int64_t now);
+/* That one refused or is gone: the next one, and a new list soon. */
+void replay_list_skip (struct replay_list *list, const char *address, int64_t now);
+bool replay_list_idle (const struct replay_list *list);
+
+/* What one try ended with (replay_try.c). */
+struct replay_try_end
+{
+  bool whole_http; /* the answer ended by its own framing */
+  bool sent;
+  int code;
+  char outcome[CALL_OUTCOME_SIZE];
+  char request_id[160];
+  int64_t retry_after; /* span, 0 for none */
+  bool streamed;
+  struct bytes body;   /* of a stream: the data of its end event */
+  struct bytes pieces; /* of a stream: the text of its token events */
+  bool pieces_in_order;
+};
+
+struct replay_try;
+
+struct replay_try_ops
+{
+  void (*ended) (void *user, struct replay_try_end *end, int64_t now);
+};
+
+/* Start a try; false when nothing was sent.  `end` lives during the callback. */
+bool replay_try_start (void *parent,
+                       struct http_client *client,
+                       const struct http_call_spec *spec,
+                       const struct replay_try_ops *ops,
+                       void *user,
+                       int64_t now);
+
+END_DECLS
+
+#endif
