Probe in random rounds and bound what vitals cost

Cause: counted with 60 instances, hosts probed in the same order, so that a dead host could go unprobed for 16 s (p99 of no longer naming it 16.3 s); and load and revision of every host, as news, cost 2306 bytes a second a host. Change: each round probes the hosts in an order of its own; four probes may run at once, one starts each 500 ms; load and revision of at most four others ride on a message; flags are news of the state; a copy heard counts as sent.

--- a/src/member.c
+++ b/src/member.c
@@ -21,8 +21,7 @@
 /* So does one whose revision no quorum confirmed for this long. */
 #define UNCONFIRMED_AFTER (30 * USEC_PER_SEC)
 
-/* Load and revision are made news at most this often, so that hosts whose load swings cost no more
- * than hosts at rest; flags are news at once. */
+/* Load and revision are made news at most this often; probes carry the latest anyway. */
 #define VITALS_SPAN (5 * USEC_PER_SEC)
 #define VITALS_SPAN_PER_HOST (100 * USEC_PER_MSEC)
 #define LOAD_STEP 12 /* percent */
@@ -81,8 +80,7 @@
   text_copy_cut (entry->name, sizeof entry->name, name);
   host->state_at = now;
   /* A place in the order of probes by chance, so that not all hosts probe a new one at once. */
-  host->probed_at =
-      now - (int64_t) rng_below (&member->rng, MEMBER_PERIOD * (HASH_COUNT (member->hosts) + 1));
+  host->round = member->round;
   HASH_ADD_STR (member->hosts, name, host);
   return host;
 }
@@ -127,7 +125,7 @@
 static int64_t
 suspicion_span (const struct member *member)
 {
-  return (int64_t) ((double) MEMBER_PERIOD * (2 + log2 (HASH_COUNT (member->hosts) + 1)));
+  return (int64_t) ((double) USEC_PER_SEC * (2 + log2 (HASH_COUNT (member->hosts) + 1)));
 }
 
 static void
@@ -258,6 +256,8 @@
   host->sequence = item->sequence;
   member_board (member, host)->incarnation = item->host.incarnation;
   member_board (member, host)->heard_at = now;
+  member_board (member, host)->behind = item->host.behind;
+  member_board (member, host)->cut_off = item->host.cut_off;
   take_record (member, host, &item->host);
   board_publish (member->board, BOARD_HOST_ADDED, host->handle, now);
   set_state (member, host, item->host.state, now);
@@ -282,7 +282,13 @@
     }
   entry = member_board (member, host);
   if (!is_news (member, host, item))
-    return;
+    {
+      /* Who tells us what we know needs no copy from us (Demers et al., Epidemic algorithms, 1987:
+       * feedback). */
+      if (item->sequence == host->sequence && item->host.state == entry->state)
+        host->state_news.sent++;
+      return;
+    }
   if (item->host.incarnation != entry->incarnation)
     {
       /* A restarted process may have other addresses. */
@@ -297,6 +303,8 @@
   if (item->form == MEMBER_FORM_RECORD)
     take_record (member, host, &item->host);
   host->sequence = item->sequence;
+  entry->behind = item->host.behind;
+  entry->cut_off = item->host.cut_off;
   host->local = false;
   host->accused = false;
   set_state (member, host, item->host.state, now);
@@ -311,7 +319,6 @@
 {
   struct member_host *host = member_find (member, name);
   struct board_host *entry;
-  bool flags;
 
   if (host == NULL || host == member->self)
     return false;
@@ -319,15 +326,10 @@
   if (vitals->incarnation != entry->incarnation || vitals->beat <= host->beat)
     return false;
   host->beat = vitals->beat;
-  flags = entry->behind != vitals->behind || entry->cut_off != vitals->cut_off;
   entry->revision = vitals->revision;
   entry->load = vitals->load_percent / 100.0;
-  entry->behind = vitals->behind;
-  entry->cut_off = vitals->cut_off;
   if (vitals->revision > member->newest_revision)
     member->newest_revision = vitals->revision;
-  if (flags)
-    board_publish (member->board, BOARD_HOST_CHANGED, host->handle, now);
   return true;
 }
 
@@ -351,8 +353,7 @@
 vitals_equal (const struct member_vitals *a, const struct member_vitals *b)
 {
   return a->incarnation == b->incarnation && a->revision == b->revision
-         && a->load_percent == b->load_percent && a->behind == b->behind
-         && a->cut_off == b->cut_off;
+         && a->load_percent == b->load_percent;
 }
 
 void
@@ -365,16 +366,12 @@
   fresh.incarnation = entry->incarnation;
   fresh.revision = member->board->revision;
   fresh.load_percent = load <= 0 ? 0 : load >= 1 ? 100 : (uint32_t) (load * 100);
-  fresh.behind = is_behind (member, now);
-  fresh.cut_off = member->cut_off;
   if (vitals_equal (&fresh, &member->vitals))
     return;
   fresh.beat++;
   member->vitals = fresh;
   entry->revision = fresh.revision;
   entry->load = load;
-  entry->behind = fresh.behind;
-  entry->cut_off = fresh.cut_off;
   entry->heard_at = now;
 }
 
@@ -384,21 +381,35 @@
   const struct member_vitals *fresh = &member->vitals;
   const struct member_vitals *told = &member->told;
   int64_t span = (int64_t) HASH_COUNT (member->hosts) * VITALS_SPAN_PER_HOST;
-  bool flags = fresh->behind != told->behind || fresh->cut_off != told->cut_off;
   uint32_t step = fresh->load_percent > told->load_percent
                       ? fresh->load_percent - told->load_percent
                       : told->load_percent - fresh->load_percent;
 
   if (span < VITALS_SPAN)
     span = VITALS_SPAN;
-  if (!flags
-      && (now - member->told_at < span || (step < LOAD_STEP && fresh->revision == told->revision)))
+  if (now - member->told_at < span || (step < LOAD_STEP && fresh->revision == told->revision))
     return;
   member->told = *fresh;
   member->told_at = now;
   member_make_vitals_news (member, member->self);
 }
 
+/* Our flags are our word about ourselves, and news at once. */
+static void
+tell_flags (struct member *member, int64_t now)
+{
+  struct board_host *entry = member_board (member, member->self);
+  bool behind = is_behind (member, now);
+
+  if (entry->behind == behind && entry->cut_off == member->cut_off)
+    return;
+  entry->behind = behind;
+  entry->cut_off = member->cut_off;
+  member->self->sequence++;
+  member_make_news (member, member->self, false);
+  board_publish (member->board, BOARD_HOST_CHANGED, member->self->handle, now);
+}
+
 /* Less than half of the hosts that were here answer, so the fault is likely ours. */
 static void
 look_around (struct member *member, int64_t now)
@@ -421,8 +432,6 @@
   member->cut_off = cut_off;
   log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, cut_off ? "cut_off" : "reached_again",
              "{s:i,s:i}", "reached", (int) reached, "expected", (int) expected);
-  member_refresh_vitals (member, now);
-  board_publish (member->board, BOARD_HOST_CHANGED, member->self->handle, now);
 }
 
 static void
@@ -452,6 +461,7 @@
         check_host (member, host, now);
     }
   look_around (member, now);
+  tell_flags (member, now);
   member_refresh_vitals (member, now);
   tell_vitals (member, now);
 }
@@ -549,6 +559,8 @@
       return NULL;
     }
   take_seeds (member, config);
+  member->round = 1;
+  member_board (member, member->self)->behind = !config->board->config_ready;
   member_make_news (member, member->self, true);
   member_refresh_vitals (member, config->now);
   member->next_probe = config->now + (int64_t) rng_below (&member->rng, MEMBER_PERIOD);
--- a/src/member.h
+++ b/src/member.h
@@ -71,9 +71,9 @@
 /* Does what is due; when to call again. */
 int64_t member_tick (struct member *member, int64_t now);
 
-/* Another part had an answer of the host to a question it asked since `now` less a second: as good
+/* Another part had an answer of the host to a question it asked just now: as good
  * as a probe. */
-void member_heard (struct member *member, const char *host, int64_t now);
+void member_heard (struct member *member, const char *host);
 
 /* We are shutting down, or have ended; told to everyone at once and spread as news besides. */
 void member_leave (struct member *member, int64_t now);
--- a/src/member_news.c
+++ b/src/member_news.c
@@ -19,6 +19,9 @@
 #define STATE_COPIES 3  /* times the logarithm of the hosts */
 #define VITALS_COPIES 1 /* likewise; a lost one is made good by the next */
 
+/* Vitals of others in one message: their bytes stay the same however many hosts there are. */
+#define VITALS_ITEMS 4
+
 /* ---- the list of news ---- */
 
 static uint32_t
@@ -126,8 +129,6 @@
     .beat = host == member->self ? member->vitals.beat : host->beat,
     .revision = entry->revision,
     .load_percent = (uint32_t) (entry->load * 100 + 0.5),
-    .behind = entry->behind,
-    .cut_off = entry->cut_off,
   };
   member_write_item (out, &item);
 }
@@ -143,7 +144,9 @@
       const struct board_host *entry = member_board (member, host);
 
       if (member_present (entry->state))
-        sum ^= XXH3_64bits_withSeed (host->name, strlen (host->name), entry->incarnation);
+        sum ^= XXH3_64bits_withSeed (host->name, strlen (host->name),
+                                     entry->incarnation * 4 + (entry->behind ? 2 : 0)
+                                         + (entry->cut_off ? 1 : 0));
     }
   return (uint32_t) (sum ^ sum >> 32);
 }
@@ -190,6 +193,7 @@
 {
   struct member_host *host;
   struct member_host *next;
+  uint32_t vitals = 0;
   uint32_t count = 0;
 
   sort_news (member);
@@ -205,9 +209,10 @@
           count += host->local ? 0 : 1;
           host->state_news.sent++;
         }
-      if (host->vitals_news.waiting)
+      if (host->vitals_news.waiting && vitals < VITALS_ITEMS)
         {
           write_vitals (member, host, out);
+          vitals++;
           count++;
           host->vitals_news.sent++;
         }
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -18,87 +18,117 @@
 
 /* ---- our own probe ---- */
 
-/* The host that answered longest ago: each gets its turn, and one that answered another part of the
- * process needs no probe. */
 static struct member_host *
-next_host (const struct member *member)
+pick_of_round (struct member *member)
 {
   struct member_host *host;
-  struct member_host *oldest = NULL;
+  struct member_host *picked = NULL;
+  uint32_t seen = 0;
 
   for (host = member->hosts; host != NULL; host = host->hh.next)
-    if (host != member->self && member_present (member_board (member, host)->state)
-        && (oldest == NULL || host->probed_at < oldest->probed_at))
-      oldest = host;
-  return oldest;
+    if (host != member->self && host->round < member->round
+        && member_present (member_board (member, host)->state)
+        && rng_below (&member->rng, ++seen) == 0)
+      picked = host;
+  return picked;
+}
+
+/* Rounds in an order that is random and each host's own: each host is probed once a round, and
+ * hosts do not all probe the same one at the same time. */
+static struct member_host *
+next_host (struct member *member)
+{
+  struct member_host *host = pick_of_round (member);
+
+  if (host != NULL)
+    return host;
+  member->round++;
+  return pick_of_round (member);
+}
+
+static struct member_probe *
+free_probe (struct member *member)
+{
+  for (int i = 0; i < MEMBER_PROBES; i++)
+    if (member->probes[i].number == 0)
+      return &member->probes[i];
+  return NULL;
+}
+
+static struct member_probe *
+find_probe (struct member *member, uint64_t number)
+{
+  for (int i = 0; i < MEMBER_PROBES; i++)
+    if (number != 0 && member->probes[i].number == number)
+      return &member->probes[i];
+  return NULL;
 }
 
 static void
 start_probe (struct member *member, int64_t now)
 {
-  struct member_host *host = next_host (member);
+  struct member_probe *probe = free_probe (member);
+  struct member_host *host = probe != NULL ? next_host (member) : NULL;
 
   /* A tenth either way, so that hosts do not probe in step. */
   member->next_probe =
       now + MEMBER_PERIOD * 9 / 10 + (int64_t) rng_below (&member->rng, MEMBER_PERIOD / 5);
   if (host == NULL)
     return;
-  host->probed_at = now;
-  member->probe = (struct member_probe){
-    .running = true,
-    .number = ++member->next_number,
-    .started = now,
-  };
-  text_copy_cut (member->probe.host, sizeof member->probe.host, host->name);
-  member_send (member, host->name, MEMBER_PING, member->probe.number, "");
+  host->round = member->round;
+  *probe = (struct member_probe){ .number = ++member->next_number, .started = now };
+  text_copy_cut (probe->host, sizeof probe->host, host->name);
+  member_send (member, host->name, MEMBER_PING, probe->number, "");
 }
 
 static void
-ask_helpers (struct member *member)
+ask_helpers (struct member *member, struct member_probe *probe)
 {
   char last[RESOURCE_NAME_SIZE] = "";
 
-  member->probe.indirect = true;
+  probe->indirect = true;
   for (int i = 0; i < MEMBER_HELPERS; i++)
     {
-      const struct member_host *helper = member_pick (member, member->probe.host);
+      const struct member_host *helper = member_pick (member, probe->host);
 
       if (helper == NULL)
         return;
       if (strcmp (helper->name, last) != 0)
-        member_send (member, helper->name, MEMBER_PROBE_FOR, member->probe.number,
-                     member->probe.host);
+        member_send (member, helper->name, MEMBER_PROBE_FOR, probe->number, probe->host);
       text_copy_cut (last, sizeof last, helper->name);
     }
 }
 
 static void
-end_probe (struct member *member, int64_t now)
+end_probe (struct member *member, struct member_probe *probe, int64_t now)
 {
-  struct member_host *host = member_find (member, member->probe.host);
+  struct member_host *host = member_find (member, probe->host);
 
-  member->probe.running = false;
+  probe->number = 0;
   if (host == NULL)
     return;
-  member_suspect (member, host, member->probe.helper_heard, now);
+  member_suspect (member, host, probe->helper_heard, now);
   /* Nobody answered, not even a helper: likely we are cut off, and want to know soon. */
-  if (!member->probe.helper_heard)
+  if (!probe->helper_heard)
     member->next_probe = now;
 }
 
 static void
 probe_step (struct member *member, int64_t now)
 {
-  if (!member->probe.running)
+  for (int i = 0; i < MEMBER_PROBES; i++)
     {
-      if (now >= member->next_probe)
-        start_probe (member, now);
-      return;
+      struct member_probe *probe = &member->probes[i];
+
+      if (probe->number == 0)
+        continue;
+      if (!probe->indirect && now - probe->started >= MEMBER_DIRECT)
+        ask_helpers (member, probe);
+      if (now - probe->started >= MEMBER_INDIRECT)
+        end_probe (member, probe, now);
     }
-  if (!member->probe.indirect && now - member->probe.started >= MEMBER_DIRECT)
-    ask_helpers (member);
-  if (now - member->probe.started >= MEMBER_INDIRECT)
-    end_probe (member, now);
+  if (now >= member->next_probe)
+    start_probe (member, now);
 }
 
 /* ---- probes for others ---- */
@@ -230,16 +260,14 @@
 }
 
 static void
-take_ack (struct member *member, const char *from, const struct member_head *head, int64_t now)
+take_ack (struct member *member, const char *from, const struct member_head *head)
 {
-  struct member_host *host;
+  struct member_probe *probe = find_probe (member, head->number);
 
-  if (member->probe.running && head->number == member->probe.number)
+  /* From the host itself, or from a helper that reached it. */
+  if (probe != NULL && (strcmp (from, probe->host) == 0 || strcmp (head->about, probe->host) == 0))
     {
-      host = member_find (member, member->probe.host);
-      if (host != NULL)
-        host->probed_at = now;
-      member->probe.running = false;
+      probe->number = 0;
       return;
     }
   for (int i = 0; i < MEMBER_RELAYS; i++)
@@ -251,6 +279,15 @@
       }
 }
 
+static void
+take_nack (struct member *member, const struct member_head *head)
+{
+  struct member_probe *probe = find_probe (member, head->number);
+
+  if (probe != NULL && strcmp (head->about, probe->host) == 0)
+    probe->helper_heard = true;
+}
+
 static void
 take_want (struct member *member, const char *from, const struct member_head *head)
 {
@@ -273,15 +310,14 @@
       compare_views (member, from, head, now);
       break;
     case MEMBER_ACK:
-      take_ack (member, from, head, now);
+      take_ack (member, from, head);
       compare_views (member, from, head, now);
       break;
     case MEMBER_PROBE_FOR:
       relay_start (member, from, head, now);
       break;
     case MEMBER_NACK:
-      if (member->probe.running && head->number == member->probe.number)
-        member->probe.helper_heard = true;
+      take_nack (member, head);
       break;
     case MEMBER_WANT:
       take_want (member, from, head);
@@ -352,10 +388,10 @@
 }
 
 void
-member_heard (struct member *member, const char *name, int64_t now)
+member_heard (struct member *member, const char *name)
 {
   struct member_host *host = member_find (member, name);
 
   if (host != NULL)
-    host->probed_at = now;
+    host->round = member->round;
 }
--- a/src/member_state.h
+++ b/src/member_state.h
@@ -8,7 +8,7 @@
 #include "rng.h"
 #include <uthash.h>
 
-#define MEMBER_PERIOD (1 * USEC_PER_SEC)
+#define MEMBER_PERIOD (500 * USEC_PER_MSEC)
 
 /* Of a direct probe, before others are asked to try.  Far above a round trip between regions. */
 #define MEMBER_DIRECT (300 * USEC_PER_MSEC)
@@ -17,6 +17,7 @@
 #define MEMBER_INDIRECT (900 * USEC_PER_MSEC)
 
 #define MEMBER_HELPERS 3
+#define MEMBER_PROBES 4 /* at one time */
 #define MEMBER_RELAYS 64
 
 /* News waiting to be sent on with a host's name.  `sent` counts the copies. */
@@ -36,7 +37,7 @@
   uint64_t beat;
   int64_t state_at;      /* when its state changed here */
   int64_t suspect_until; /* a suspect is dead then */
-  int64_t probed_at;     /* by us, or answered us */
+  uint64_t round;        /* of our probes, in which it had its turn or answered us */
   bool local;            /* suspect or dead on our evidence alone, told to nobody */
   bool accused;          /* by us, with a helper's evidence: its death is for us to tell */
   struct member_news state_news;
@@ -58,8 +59,7 @@
 
 struct member_probe
 {
-  bool running;
-  uint64_t number;
+  uint64_t number; /* 0 for a free place */
   char host[RESOURCE_NAME_SIZE];
   bool indirect;
   bool helper_heard;
@@ -82,7 +82,8 @@
   uint64_t newest_revision; /* any host has */
   int64_t behind_since;     /* 0: we have the newest */
   uint64_t next_number;
-  struct member_probe probe;
+  struct member_probe probes[MEMBER_PROBES];
+  uint64_t round;
   struct member_relay relays[MEMBER_RELAYS];
   int64_t next_probe;
   int64_t next_gossip;
@@ -142,7 +143,7 @@
 /* Our own state to everyone, once. */
 void member_tell_all (struct member *member);
 
-/* Equal for equal views: who is here, with which incarnation. */
+/* Equal for equal views: who is here, with which incarnation and flags. */
 uint32_t member_digest (const struct member *member);
 
 /* One of the hosts alive or leaving by chance, but not the one named; NULL when there is none. */
--- a/src/member_wire.c
+++ b/src/member_wire.c
@@ -2,6 +2,9 @@
 #include "member_wire.h"
 #include <string.h>
 
+#define FLAG_BEHIND 1u
+#define FLAG_CUT_OFF 2u
+
 static void
 write_vitals (struct bytes *out, const struct member_vitals *vitals)
 {
@@ -9,21 +12,15 @@
   pack_uint (out, vitals->beat);
   pack_uint (out, vitals->revision);
   pack_uint (out, vitals->load_percent);
-  pack_uint (out, (vitals->behind ? 1u : 0u) | (vitals->cut_off ? 2u : 0u));
 }
 
 static void
 read_vitals (struct pack_reader *reader, struct member_vitals *vitals)
 {
-  uint64_t flags;
-
   vitals->incarnation = pack_read_uint (reader, UINT64_MAX);
   vitals->beat = pack_read_uint (reader, UINT64_MAX);
   vitals->revision = pack_read_uint (reader, UINT64_MAX);
   vitals->load_percent = (uint32_t) pack_read_uint (reader, 100);
-  flags = pack_read_uint (reader, 3);
-  vitals->behind = (flags & 1) != 0;
-  vitals->cut_off = (flags & 2) != 0;
 }
 
 void
@@ -65,6 +62,7 @@
   pack_uint (out, host->incarnation);
   pack_uint (out, item->sequence);
   pack_uint (out, host->state);
+  pack_uint (out, (host->behind ? FLAG_BEHIND : 0u) | (host->cut_off ? FLAG_CUT_OFF : 0u));
   if (item->form == MEMBER_FORM_STATE)
     return;
   pack_text (out, host->domain);
@@ -81,6 +79,7 @@
 member_read_item (struct pack_reader *reader, struct member_item *item)
 {
   struct board_host *host = &item->host;
+  uint64_t flags;
 
   memset (item, 0, sizeof *item);
   item->form = (enum member_form) pack_read_uint (reader, MEMBER_FORM_COUNT - 1);
@@ -93,6 +92,9 @@
   host->incarnation = pack_read_uint (reader, UINT64_MAX);
   item->sequence = pack_read_uint (reader, UINT64_MAX);
   host->state = (enum host_state) pack_read_uint (reader, HOST_STATE_COUNT - 1);
+  flags = pack_read_uint (reader, FLAG_BEHIND | FLAG_CUT_OFF);
+  host->behind = (flags & FLAG_BEHIND) != 0;
+  host->cut_off = (flags & FLAG_CUT_OFF) != 0;
   if (item->form == MEMBER_FORM_STATE)
     return pack_read_ok (reader) && host->name[0] != '\0';
   pack_read_text (reader, host->domain, sizeof host->domain);
--- a/src/member_wire.h
+++ b/src/member_wire.h
@@ -37,8 +37,6 @@
   uint64_t beat; /* orders vitals within the incarnation */
   uint64_t revision;
   uint32_t load_percent;
-  bool behind;
-  bool cut_off;
 };
 
 struct member_head
