Count ways to spread membership and the directory on virtual time

Cause: heartbeats of all to all, probes with news, and bounded neighbours with a broadcast tree are to be compared by counts, not by reputation. Change: the program spread runs each with many instances on one driver: cost at rest and under change, time to notice, false alarms, a bad link, and the directory's bytes and the end of new work to a target.

--- /dev/null
+++ b/bench/spread_directory.c
@@ -0,0 +1,284 @@
+/* Measurements of the directory: bytes with few and many targets, and the end of new work. */
+#include "counter.h"
+#include "directory.h"
+#include "rng.h"
+#include "spread_measure.h"
+#include "status.h"
+#include "text.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define DELAY (1 * USEC_PER_MSEC)
+#define HOME 0
+#define POLL (10 * USEC_PER_MSEC)
+#define RENEWAL_BYTES_EACH 22 /* name, incarnation, sequence: one renewal passed on by itself */
+
+struct follower
+{
+  struct spread_node node; /* first member */
+  struct directory_wire wire;
+  struct board *board;
+  struct directory *directory;
+};
+
+struct bed
+{
+  void *memory;
+  struct spread_net *net;
+  struct counters *counters;
+  struct follower *hosts[SPREAD_HOSTS_MAX];
+  uint32_t n_hosts;
+  uint32_t n_targets;
+  struct directory_record *targets;
+  int64_t *renew_at; /* each target renews at its own moment; USEC_NEVER when it is dead */
+};
+
+static void
+wire_send (struct directory_wire *wire, const char *host, const void *data, size_t length)
+{
+  struct follower *self = (struct follower *) ((char *) wire - offsetof (struct follower, wire));
+
+  spread_net_send (self->node.net, self->node.index, (uint32_t) strtoul (host + 1, NULL, 10), data,
+                   length);
+}
+
+static const struct directory_wire_ops wire_ops = { .send = wire_send };
+
+static void
+receive (struct spread_node *node, uint32_t from, const void *data, size_t length, int64_t now)
+{
+  char name[RESOURCE_NAME_SIZE];
+
+  snprintf (name, sizeof name, "h%u", from);
+  directory_receive (((struct follower *) node)->directory, name, data, length, now);
+}
+
+static int64_t
+tick (struct spread_node *node, int64_t now)
+{
+  return directory_tick (((struct follower *) node)->directory, now);
+}
+
+static const struct spread_node_ops node_ops = { .receive = receive, .tick = tick };
+
+static void
+start_host (struct bed *bed, uint32_t index, uint64_t seed)
+{
+  struct follower *self = talloc_zero (bed, struct follower);
+  struct directory_config config = { 0 };
+  char name[RESOURCE_NAME_SIZE];
+
+  INVARIANT (self != NULL);
+  self->node.ops = &node_ops;
+  self->wire.ops = &wire_ops;
+  self->board = board_new (self);
+  for (uint32_t i = 0; i < bed->n_hosts; i++)
+    {
+      struct handle handle;
+      struct board_host *host = table_add (self->board->hosts, &handle);
+
+      snprintf (host->name, sizeof host->name, "h%u", i);
+      host->self = i == index;
+      if (host->self)
+        self->board->self = handle;
+    }
+  snprintf (name, sizeof name, "h%u", index);
+  config.board = self->board;
+  config.counters = bed->counters;
+  config.wire = &self->wire;
+  config.self = name;
+  config.incarnation = 1700000000000;
+  config.seed = seed + index;
+  self->directory = directory_new (self, &config);
+  INVARIANT (self->directory != NULL);
+  bed->hosts[index] = self;
+  spread_net_put (bed->net, index, &self->node);
+}
+
+static void
+announce_all (struct bed *bed, struct rng *rng)
+{
+  int64_t now = spread_net_now (bed->net);
+
+  for (uint32_t i = 0; i < bed->n_targets; i++)
+    {
+      struct directory_record *t = &bed->targets[i];
+
+      snprintf (t->name, sizeof t->name, "runner-%04u", i);
+      snprintf (t->pool, sizeof t->pool, "pool-%02u", i % 20);
+      snprintf (t->domain, sizeof t->domain, "bkk-%u", i % 8);
+      snprintf (t->address, sizeof t->address, "10.1.%u.%u:9000", i / 250, i % 250);
+      text_copy_cut (t->models[0], sizeof t->models[0], "claims-letters-7b");
+      text_copy_cut (t->version, sizeof t->version, "2026-11-28");
+      t->n_models = 1;
+      t->kind = STAGE_GENERATE;
+      t->slots = 16;
+      t->incarnation = 1700000000000;
+      t->sequence = 1;
+      INVARIANT (directory_announce (bed->hosts[HOME]->directory, t, now) == STATUS_OK);
+      bed->renew_at[i] = now + (int64_t) rng_below (rng, DIRECTORY_RENEW);
+    }
+}
+
+static struct bed *
+start_bed (uint32_t n_hosts, uint32_t n_targets, uint64_t seed)
+{
+  struct bed *bed = talloc_zero (NULL, struct bed);
+  struct rng rng;
+
+  INVARIANT (bed != NULL);
+  rng_init (&rng, seed);
+  bed->net = spread_net_new (bed, seed, DELAY);
+  bed->counters = counters_new (bed);
+  bed->n_hosts = n_hosts;
+  bed->n_targets = n_targets;
+  bed->targets = talloc_zero_array (bed, struct directory_record, n_targets);
+  bed->renew_at = talloc_zero_array (bed, int64_t, n_targets);
+  INVARIANT (bed->targets != NULL && bed->renew_at != NULL);
+  for (uint32_t i = 0; i < n_hosts; i++)
+    start_host (bed, i, seed);
+  announce_all (bed, &rng);
+  return bed;
+}
+
+static void
+run_bed (struct bed *bed, int64_t span)
+{
+  int64_t end = spread_net_now (bed->net) + span;
+
+  while (spread_net_now (bed->net) < end)
+    {
+      int64_t now = spread_net_now (bed->net);
+
+      for (uint32_t i = 0; i < bed->n_targets; i++)
+        {
+          const struct directory_record *t = &bed->targets[i];
+          struct directory_key key = { t->name, t->incarnation, t->sequence };
+
+          if (now < bed->renew_at[i])
+            continue;
+          (void) directory_renew (bed->hosts[HOME]->directory, &key, now);
+          bed->renew_at[i] += DIRECTORY_RENEW;
+        }
+      spread_net_run (bed->net, POLL);
+    }
+}
+
+static uint32_t
+count_usable (const struct bed *bed, uint32_t host)
+{
+  const struct board_target *target;
+  uint32_t cursor = 0;
+  uint32_t count = 0;
+
+  while ((target = table_next (bed->hosts[host]->board->targets, &cursor, NULL)) != NULL)
+    count += board_target_usable (target, spread_net_now (bed->net)) ? 1 : 0;
+  return count;
+}
+
+void
+spread_measure_directory (uint32_t n_hosts, uint32_t n_targets, int64_t span, uint64_t seed)
+{
+  struct bed *bed = start_bed (n_hosts, n_targets, seed);
+  double seconds = (double) span / USEC_PER_SEC;
+  struct spread_traffic home[3];
+  struct spread_traffic other[3];
+  uint32_t usable;
+
+  home[0] = spread_net_traffic (bed->net, HOME);
+  other[0] = spread_net_traffic (bed->net, 1);
+  run_bed (bed, 30 * USEC_PER_SEC);
+  home[1] = spread_net_traffic (bed->net, HOME);
+  other[1] = spread_net_traffic (bed->net, 1);
+  run_bed (bed, span);
+  home[2] = spread_net_traffic (bed->net, HOME);
+  other[2] = spread_net_traffic (bed->net, 1);
+  usable = count_usable (bed, 1);
+  printf (
+      "directory hosts=%u targets=%u start_bytes_home=%llu home_bytes_s=%.0f home_messages_s=%.2f "
+      "host_bytes_s=%.0f host_messages_s=%.2f usable=%u each_renewal_passed_on_bytes_s=%.0f\n",
+      n_hosts, n_targets, (unsigned long long) (home[1].bytes - home[0].bytes),
+      (double) (home[2].bytes - home[1].bytes) / seconds,
+      (double) (home[2].messages - home[1].messages) / seconds,
+      (double) (other[2].bytes - other[1].bytes) / seconds,
+      (double) (other[2].messages - other[1].messages) / seconds, usable,
+      (double) n_targets * (n_hosts - 1) * RENEWAL_BYTES_EACH);
+  talloc_free (bed);
+}
+
+/* ---- the end of new work ---- */
+
+enum ending
+{
+  LEAVES,        /* says so to its home */
+  LEAVES_UNTOLD, /* and the link from its home to one host is cut at that moment */
+  DIES,          /* no renewal any more */
+  ENDING_COUNT
+};
+
+static const char *const endings[] = { "leaves", "leaves-untold", "dies" };
+
+/* How long some host still uses the target, in seconds. */
+static double
+trial_ending (enum ending ending, uint32_t n_hosts, double loss, uint64_t seed)
+{
+  struct bed *bed = start_bed (n_hosts, 18, seed);
+  const struct directory_record *t = &bed->targets[7];
+  struct directory_key key = { t->name, t->incarnation, t->sequence + 1 };
+  int64_t last = 0;
+  int64_t from;
+
+  spread_net_set_loss (bed->net, loss);
+  run_bed (bed, 5 * USEC_PER_SEC + (int64_t) (seed % 100) * POLL);
+  from = spread_net_now (bed->net);
+  if (ending == LEAVES_UNTOLD)
+    spread_net_cut (bed->net, HOME, 1 + (uint32_t) (seed % (n_hosts - 1)), true);
+  if (ending == DIES)
+    from = bed->renew_at[7] - DIRECTORY_RENEW; /* its last renewal */
+  else
+    INVARIANT (directory_leave (bed->hosts[HOME]->directory, &key, from) == STATUS_OK);
+  bed->renew_at[7] = USEC_NEVER;
+  for (int step = 0; step < 500; step++)
+    {
+      for (uint32_t i = 0; i < n_hosts; i++)
+        {
+          const struct board_target *seen = board_find_target (bed->hosts[i]->board, t->name, NULL);
+
+          if (seen != NULL && board_target_usable (seen, spread_net_now (bed->net)))
+            last = spread_net_now (bed->net) - from;
+        }
+      run_bed (bed, POLL);
+    }
+  talloc_free (bed);
+  return (double) last / USEC_PER_SEC;
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  double left = *(const double *) a;
+  double right = *(const double *) b;
+
+  return left < right ? -1 : left > right ? 1 : 0;
+}
+
+void
+spread_measure_target_leave (uint32_t n_hosts, uint32_t trials, double loss, uint64_t seed)
+{
+  for (int ending = 0; ending < ENDING_COUNT; ending++)
+    {
+      double *values = talloc_array (NULL, double, trials);
+
+      INVARIANT (values != NULL);
+      for (uint32_t trial = 0; trial < trials; trial++)
+        values[trial] = trial_ending ((enum ending) ending, n_hosts, loss, seed + trial);
+      qsort (values, trials, sizeof values[0], by_value);
+      printf (
+          "target %s hosts=%u trials=%u loss=%.3f until_no_new_work_s p50=%.2f p99=%.2f max=%.2f\n",
+          endings[ending], n_hosts, trials, loss, values[trials / 2],
+          values[(uint32_t) (0.99 * (trials - 1))], values[trials - 1]);
+      talloc_free (values);
+    }
+}
--- /dev/null
+++ b/bench/spread_measure.h
@@ -0,0 +1,41 @@
+/* The measurements of the ways to spread membership and of the directory of targets. */
+#ifndef SPREAD_MEASURE_H
+#define SPREAD_MEASURE_H
+
+#include "decls.h"
+#include "spread_way.h"
+
+BEGIN_DECLS
+
+struct spread_case
+{
+  const struct spread_way *way;
+  uint32_t n_hosts;
+  uint32_t trials;
+  int64_t span;
+  double loss;
+  uint64_t seed;
+};
+
+/* Each prints one line. */
+void spread_measure_idle (const struct spread_case *c);
+
+/* As idle, while every host's load jumps each second and the configuration changes every 20 s
+ * (4,000 changes a day). */
+void spread_measure_busy (const struct spread_case *c);
+void spread_measure_dead (const struct spread_case *c);
+void spread_measure_silent (const struct spread_case *c);
+void spread_measure_leave (const struct spread_case *c);
+void spread_measure_alarms (const struct spread_case *c);
+void spread_measure_link (const struct spread_case *c);
+
+/* One home with targets, and hosts that follow it. */
+void spread_measure_directory (uint32_t n_hosts, uint32_t n_targets, int64_t span, uint64_t seed);
+
+/* How long after a target says that it leaves, dies or loses its home new work may still go to it.
+ */
+void spread_measure_target_leave (uint32_t n_hosts, uint32_t trials, double loss, uint64_t seed);
+
+END_DECLS
+
+#endif
--- a/bench/spread_member.c
+++ b/bench/spread_member.c
@@ -126,12 +126,58 @@
 }
 
 enum host_state
-spread_member_sees (const struct spread_member *self, uint32_t about)
+spread_member_sees (struct spread_member *self, uint32_t about)
 {
+  const struct board_host *host = table_get (self->board->hosts, self->seen[about]);
   char name[RESOURCE_NAME_SIZE];
-  const struct board_host *host;
 
-  name_of (about, name);
-  host = board_find_host (self->board, name, NULL);
+  if (host == NULL)
+    {
+      name_of (about, name);
+      host = board_find_host (self->board, name, &self->seen[about]);
+    }
   return host != NULL ? host->state : HOST_STATE_COUNT;
 }
+
+static struct spread_node *
+start (void *parent, struct spread_net *net, uint32_t index, uint32_t n_hosts, uint64_t incarnation)
+{
+  (void) n_hosts;
+  return &spread_member_new (parent, net, index, UINT64_C (1700000000000) + incarnation)->node;
+}
+
+static bool
+sees (const struct spread_node *node, uint32_t about)
+{
+  return spread_member_sees ((struct spread_member *) node, about) == HOST_ALIVE;
+}
+
+static bool
+holds_dead (const struct spread_node *node, uint32_t about)
+{
+  return spread_member_sees ((struct spread_member *) node, about) == HOST_DEAD;
+}
+
+static void
+leave (struct spread_node *node, int64_t now)
+{
+  member_leave (((struct spread_member *) node)->member, now);
+}
+
+static void
+stir (struct spread_node *node, double load, uint64_t revision)
+{
+  struct spread_member *self = (struct spread_member *) node;
+
+  self->board->load = load;
+  self->board->revision = revision;
+}
+
+const struct spread_way spread_way_probe = {
+  .name = "probe",
+  .start = start,
+  .sees = sees,
+  .holds_dead = holds_dead,
+  .leave = leave,
+  .stir = stir,
+};
--- a/bench/spread_member.h
+++ b/bench/spread_member.h
@@ -6,6 +6,7 @@
 #include "decls.h"
 #include "member.h"
 #include "spread_net.h"
+#include "spread_way.h"
 
 BEGIN_DECLS
 
@@ -17,6 +18,7 @@
   struct board *board;
   struct counters *counters;
   struct member *member;
+  struct handle seen[SPREAD_HOSTS_MAX]; /* places on the board, looked up once */
 };
 
 struct spread_member *spread_member_new (void *parent,
@@ -25,7 +27,7 @@
                                          uint64_t incarnation);
 
 /* How the instance sees host `about`; HOST_STATE_COUNT when it does not know it. */
-enum host_state spread_member_sees (const struct spread_member *self, uint32_t about);
+enum host_state spread_member_sees (struct spread_member *self, uint32_t about);
 
 END_DECLS
 
