Test that a hopeless request does not close its order

A trial mutation that let the look for hopeless requests close an unrepeatable call was caught by no test. The new one learns a slow second stage, holds an order until the rest cannot end in time, and expects the order to go on.

--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -51,7 +51,9 @@
 
 /* Another request in flight here with the same organisation and id.  Only for unrepeatable ones:
  * asking the claims would do, but a second take by the same host could not be told from the first
- * when one of them is given back. */
+ * when one of them is given back.
+ * XXX: a walk over what is in flight, for unrepeatable arrivals only; an index is due when it shows
+ * in a profile. */
 static const struct flow_request *
 find_twin (const struct flow *flow, const struct flow_request *request)
 {
--- a/tests/unit_flow_claim.cc
+++ b/tests/unit_flow_claim.cc
@@ -218,6 +218,37 @@
   expect_all_over ();
 }
 
+// An order whose text is encoded afterwards takes so long that the encoding cannot end in time any
+// more.  A repeatable request would end there and save the cost; this one has an order
+// running, which is not closed.  When it is done the rest is not begun, and the outcome says so.
+TEST_F (FlowClaim, AHopelessRequestDoesNotCloseItsOrder)
+{
+  add_pipeline ("confirm", false, { stage ("orders", STAGE_CALL), stage ("encode", STAGE_ENCODE) });
+  board_publish (board, BOARD_CONFIG_CHANGED, {}, now);
+  for (int i = 0; i < 50; i++)
+    {
+      auto *x = send ("/v1/pipelines/confirm/requests", R"({"input": "q"})");
+
+      answer_well (last_call ());
+      advance (2 * USEC_PER_SEC);
+      answer_well (last_call ());
+      ASSERT_EQ (x->outcome (), "whole");
+    }
+  client.calls.clear ();
+  auto *x = send ("/v1/pipelines/confirm/requests", R"({"input": "q"})",
+                  { { "x-request-id", "order-1" }, { "x-repeatable", "no" } });
+
+  claim_says (CLAIM_GRANTED);
+  advance (3 * USEC_PER_SEC);
+  EXPECT_EQ (x->answers, 0);
+  ASSERT_TRUE (call (0).open);
+  answer_well (call (0));
+  EXPECT_EQ (x->outcome (), "failed");
+  EXPECT_EQ (settled ().outcome, "failed");
+  EXPECT_EQ (client.calls.size (), 1u);
+  expect_all_over ();
+}
+
 // The dealer's connection breaks while the order runs.  The order goes on and is settled, so that
 // the resend gets its answer.
 TEST_F (FlowClaim, ACallerThatGoesAwayDoesNotEndAnOrder)
