Keep no connection that the other side says it closes

A target or host answers with `connection: close`. The client kept the connection for the next call, which was written into a closing socket and failed as sent: for an unrepeatable request an unknown outcome with nothing wrong anywhere. The answer's header now decides.

--- a/src/http_client_call.c
+++ b/src/http_client_call.c
@@ -150,6 +150,16 @@
   return STATUS_OK;
 }
 
+/* The other side closes the connection after this answer.  A call that was given it meanwhile would
+ * count as sent and lost, which an unrepeatable one must not be for nothing. */
+static bool
+says_close (const struct http_headers *headers)
+{
+  const char *value = http_headers_find (headers->fields, headers->count, "connection");
+
+  return value != NULL && strcasecmp (value, "close") == 0;
+}
+
 static int
 on_head (struct http_call *call, struct lws *wsi, int64_t now)
 {
@@ -166,6 +176,7 @@
       return -1;
     }
   call->head_seen = true;
+  call->closes = says_close (&headers);
   settle_soon (call, now);
   call->sink->ops->head (call->sink, (int) code, headers.fields, headers.count, now);
   return slot->call == call ? 0 : -1;
@@ -201,7 +212,7 @@
       client_call_fail (call, status_fail (STATUS_IO, "the answer was cut short"), now);
       return -1;
     }
-  client_call_free (call, true);
+  client_call_free (call, !call->closes);
   sink->ops->end (sink, now);
   return 0;
 }
--- a/src/http_client_private.h
+++ b/src/http_client_private.h
@@ -83,6 +83,7 @@
   bool settled;  /* lws's own timeout was taken off */
   bool head_seen;
   bool chunked;
+  bool closes;     /* the other side closes the connection after the answer */
   bool reading;    /* within lws_http_client_read() */
   bool completed;  /* lws says so */
   size_t expected; /* bytes of the answer, where not chunked */
