--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -1,93 +1,194 @@
-/* Messages between hosts over ZeroMQ: peers, their keys, and sending. */
+/* Messages between hosts over ZeroMQ.
+ *
+ * One ROUTER is bound and only receives; a DEALER a peer only sends.  ZeroMQ has one I/O thread of
+ * its own inside the library; everything here runs on the loop.
+ *
+ * ZeroMQ's own heartbeats stay off: to 359 peers they cost more than a host may spend on control,
+ * and membership probes notice a silent peer anyway.  What they would guard against, a connection
+ * that is dead without an error and holds its queue, ends by ZMQ_TCP_MAXRT.  ZMQ_IMMEDIATE keeps
+ * messages from queueing for a peer without a connection, so that a partition's end brings no
+ * burst of old messages and holds no memory. */
 #include "peer_zmq.h"
-#include "peer_zmq_private.h"
+#include "log.h"
+#include "pack.h"
+#include "peer_trust.h"
+#include "peer_zap.h"
 #include "text.h"
-#include <libwebsockets.h>
+#include <errno.h>
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
+#include <uthash.h>
 #include <zmq.h>
 
-/* A silent partition shows no error on a socket: a connection without a sign of life for this long
- * is dropped and made again.  It only frees what is stuck; membership has its own probes. */
-#define HEARTBEAT_MS 10000
+#define PEER_ENVELOPE_VERSION 1
+#define PEER_ENVELOPE_FIELDS 4
+#define PEER_ENVELOPE_ROOM 128
+#define PEER_SOCKETS_MAX 1100
+#define PEER_RECONNECT_MS 100
+#define PEER_RECONNECT_MAX_MS 2000
+#define PEER_CONNECT_TIMEOUT_MS 2000
+#define PEER_RETRANSMIT_MAX_MS 5000
+#define PEER_HANDSHAKE_MS 3000
 
-#define HANDSHAKE_MS 5000
-#define RECONNECT_MS 100
-#define RECONNECT_MAX_MS 2000
+/* Messages taken in one turn of the loop, so that a flood leaves time for everything else. */
+#define PEER_BATCH 256
 
-#define ENDPOINT_SIZE 128
+struct peer
+{
+  char name[RESOURCE_NAME_SIZE];
+  char address[RESOURCE_ADDRESS_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  void *socket;
+  UT_hash_handle hh;
+};
 
-/* A rare large message does not keep its buffer. */
-#define SCRATCH_KEPT 65536
+struct peer_zmq
+{
+  struct peer_port port; /* first: the vtable */
+  struct loop_watch watch;
+  struct timer again; /* more messages than one turn takes */
+  struct loop *loop;
+  struct peer_trust *trust;
+  void *context;
+  void *router;
+  bool curve;
+  char name[RESOURCE_NAME_SIZE];
+  char secret_key[BOARD_KEY_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  int queue_messages;
+  uint16_t bound_port;
+  struct peer *peers; /* by name */
+  struct peer_listener *listeners[PEER_CHANNEL_COUNT];
+  struct peer_zmq_traffic traffic;
+  struct counter *malformed;
+  struct counter *wrong_name;
+  struct counter *not_sent;
+};
 
-/* What one frame may be; over it libzmq closes the connection.  A little over the limit of a
- * message, so that one just over it is counted here. */
-#define FRAME_MAX ((int64_t) PEER_MESSAGE_MAX + 65536)
+/* ---- receiving ---- */
 
-/* uthash's macros are long; the functions are not.
- * NOLINTBEGIN(readability-function-size) */
+struct envelope
+{
+  char from[RESOURCE_NAME_SIZE];
+  enum peer_channel channel;
+  const void *payload;
+  size_t length;
+};
 
-struct zmq_peer *
-peer_zmq_find (struct zmq_port *port, const char *name)
+static bool
+open_envelope (const void *data, size_t length, struct envelope *out)
 {
-  struct zmq_peer *peer;
+  struct pack_reader reader;
 
-  HASH_FIND_STR (port->peers, name, peer);
-  return peer;
+  pack_reader_init (&reader, data, length);
+  if (pack_read_array (&reader, PEER_ENVELOPE_FIELDS) != PEER_ENVELOPE_FIELDS
+      || pack_read_uint (&reader, UINT32_MAX) != PEER_ENVELOPE_VERSION)
+    return false;
+  pack_read_text (&reader, out->from, sizeof out->from);
+  out->channel = (enum peer_channel) pack_read_uint (&reader, PEER_CHANNEL_COUNT - 1);
+  out->payload = pack_read_binary (&reader, PEER_MESSAGE_MAX, &out->length);
+  return pack_read_end (&reader) && out->from[0] != '\0';
 }
 
-static struct zmq_peer *
-find_or_add (struct zmq_port *port, const char *name)
+/* Failure: a host with a good key speaks in another's name, or goes on after its key was revoked on
+ * a connection that is still open.  The key of the connection says who it is, and it is looked up
+ * for each message, so neither gets through. */
+static bool
+is_sender (const struct peer_zmq *peer, zmq_msg_t *message, const char *from)
 {
-  struct zmq_peer *peer = peer_zmq_find (port, name);
+  const char *host;
 
-  if (peer != NULL)
-    return peer;
-  peer = talloc_zero (port, struct zmq_peer);
-  if (peer == NULL || !text_copy (peer->name, sizeof peer->name, name))
-    {
-      talloc_free (peer);
-      return NULL;
-    }
-  HASH_ADD_STR (port->peers, name, peer);
-  return peer;
+  if (!peer->curve)
+    return true;
+  host = zmq_msg_gets (message, "User-Id");
+  return host != NULL && strcmp (host, from) == 0 && peer_trust_knows (peer->trust, host);
 }
 
 static void
-drop_when_empty (struct zmq_port *port, struct zmq_peer *peer)
+deliver (struct peer_zmq *peer, zmq_msg_t *message, int64_t now)
 {
-  if (peer->dealer != NULL || peer->trusted_key[0] != '\0')
-    return;
-  HASH_DEL (port->peers, peer);
-  talloc_free (peer);
+  struct envelope envelope;
+  struct peer_listener *listener;
+
+  peer->traffic.messages_in++;
+  peer->traffic.bytes_in += zmq_msg_size (message);
+  if (!open_envelope (zmq_msg_data (message), zmq_msg_size (message), &envelope))
+    {
+      counter_add (peer->malformed, 1);
+      return;
+    }
+  if (!is_sender (peer, message, envelope.from))
+    {
+      counter_add (peer->wrong_name, 1);
+      return;
+    }
+  listener = peer->listeners[envelope.channel];
+  if (listener != NULL)
+    listener->ops->received (listener, envelope.from, envelope.payload, envelope.length, now);
 }
 
-/* NOLINTEND(readability-function-size) */
+/* One message of any number of frames; its last frame is the envelope, the first the routing id.
+ * False when there is none. */
+static bool
+receive_one (struct peer_zmq *peer, int64_t now)
+{
+  unsigned frames = 0;
+  int more = 1;
+
+  while (more)
+    {
+      zmq_msg_t message;
+
+      zmq_msg_init (&message);
+      if (zmq_msg_recv (&message, peer->router, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&message);
+          return false;
+        }
+      more = zmq_msg_more (&message);
+      frames++;
+      if (!more && frames == 2)
+        deliver (peer, &message, now);
+      else if (!more)
+        counter_add (peer->malformed, 1);
+      zmq_msg_close (&message);
+    }
+  return true;
+}
 
-bool
-peer_zmq_key_is (struct zmq_port *port, const char *name, const char *key)
+/* The descriptor tells of changes only, so what is left after a full batch is asked for again by
+ * the timer. */
+static void
+receive_batch (struct peer_zmq *peer, int64_t now)
 {
-  const struct zmq_peer *peer = peer_zmq_find (port, name);
+  unsigned n = 0;
 
-  return peer != NULL && peer->trusted_key[0] != '\0' && strcmp (peer->trusted_key, key) == 0;
+  while (n < PEER_BATCH && receive_one (peer, now))
+    n++;
+  if (n == PEER_BATCH)
+    timer_arm (loop_timers (peer->loop), &peer->again, now);
 }
 
-bool
-peer_zmq_key_known (struct zmq_port *port, const char *key)
+static void
+ready (struct loop_watch *watch, int64_t now)
 {
-  struct zmq_peer *peer;
-  struct zmq_peer *next;
+  receive_batch ((struct peer_zmq *) ((char *) watch - offsetof (struct peer_zmq, watch)), now);
+}
 
-  HASH_ITER (hh, port->peers, peer, next)
-    {
-      if (peer->trusted_key[0] != '\0' && strcmp (peer->trusted_key, key) == 0)
-        return true;
-    }
-  return false;
+static void
+again (struct timer *timer, int64_t now)
+{
+  receive_batch ((struct peer_zmq *) ((char *) timer - offsetof (struct peer_zmq, again)), now);
 }
 
+static const struct loop_watch_ops watch_ops = { .ready = ready };
+static const struct timer_ops again_ops = { .fire = again };
+
+/* ---- sending ---- */
+
 static bool
 set_int (void *socket, int option, int value)
 {
@@ -95,323 +196,322 @@
 }
 
 static bool
-set_common (struct zmq_port *port, void *socket, const char *address)
-{
-  int64_t frame_max = FRAME_MAX;
-
-  return set_int (socket, ZMQ_LINGER, 0) && set_int (socket, ZMQ_SNDHWM, port->queue_messages)
-         && set_int (socket, ZMQ_RCVHWM, port->queue_messages)
-         && set_int (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS)
-         && set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_MS)
-         && set_int (socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS)
-         && set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS)
-         && set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-         && set_int (socket, ZMQ_IPV6, address[0] == '[')
-         && zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &frame_max, sizeof frame_max) == 0;
+set_text (void *socket, int option, const char *text)
+{
+  return zmq_setsockopt (socket, option, text, strlen (text)) == 0;
 }
 
 static bool
-set_key (void *socket, int option, const char *key)
+set_common (struct peer_zmq *peer, void *socket)
 {
-  return zmq_setsockopt (socket, option, key, PEER_KEY_SIZE) == 0;
+  return set_int (socket, ZMQ_LINGER, 0) && set_int (socket, ZMQ_SNDHWM, peer->queue_messages)
+         && set_int (socket, ZMQ_RCVHWM, peer->queue_messages)
+         && set_int (socket, ZMQ_TCP_MAXRT, PEER_RETRANSMIT_MAX_MS)
+         && set_int (socket, ZMQ_TCP_KEEPALIVE, 1)
+         && set_int (socket, ZMQ_HANDSHAKE_IVL, PEER_HANDSHAKE_MS);
 }
 
-/* A connection that is not there takes no messages (ZMQ_IMMEDIATE): they would arrive stale once it
- * is, and who sends repeats anyway. */
-static void *
-connect_dealer (struct zmq_port *port, const char *address, const char *server_key)
+static bool
+set_client (struct peer_zmq *peer, void *socket, const char *server_key)
 {
-  void *dealer = zmq_socket (port->context, ZMQ_DEALER);
-  char endpoint[ENDPOINT_SIZE];
-  bool good;
+  if (!set_common (peer, socket) || !set_int (socket, ZMQ_IMMEDIATE, 1)
+      || !set_int (socket, ZMQ_RECONNECT_IVL, PEER_RECONNECT_MS)
+      || !set_int (socket, ZMQ_RECONNECT_IVL_MAX, PEER_RECONNECT_MAX_MS)
+      || !set_int (socket, ZMQ_CONNECT_TIMEOUT, PEER_CONNECT_TIMEOUT_MS))
+    return false;
+  if (!peer->curve)
+    return true;
+  return set_text (socket, ZMQ_CURVE_SERVERKEY, server_key)
+         && set_text (socket, ZMQ_CURVE_PUBLICKEY, peer->public_key)
+         && set_text (socket, ZMQ_CURVE_SECRETKEY, peer->secret_key);
+}
 
-  if (dealer == NULL)
-    return NULL;
-  good = set_common (port, dealer, address) && set_int (dealer, ZMQ_IMMEDIATE, 1);
-  if (good && port->curve)
-    good = set_key (dealer, ZMQ_CURVE_SERVERKEY, server_key)
-           && set_key (dealer, ZMQ_CURVE_PUBLICKEY, port->public_key)
-           && set_key (dealer, ZMQ_CURVE_SECRETKEY, port->secret_key);
-  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
-  if (good && zmq_connect (dealer, endpoint) == 0)
-    return dealer;
-  zmq_close (dealer);
-  return NULL;
+static enum status
+connect_peer (struct peer_zmq *peer, struct peer *to)
+{
+  char endpoint[RESOURCE_ADDRESS_SIZE + 8];
+
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", to->address);
+  to->socket = zmq_socket (peer->context, ZMQ_DEALER);
+  if (to->socket == NULL)
+    return status_fail (STATUS_LIMIT, "no socket for peer %s: %s", to->name, zmq_strerror (errno));
+  if (set_client (peer, to->socket, to->public_key) && zmq_connect (to->socket, endpoint) == 0)
+    return STATUS_OK;
+  status_fail (STATUS_INVALID, "cannot connect to peer %s at %s: %s", to->name, to->address,
+               zmq_strerror (errno));
+  zmq_close (to->socket);
+  to->socket = NULL;
+  return STATUS_INVALID;
+}
+
+static struct peer *
+find_peer (const struct peer_zmq *peer, const char *host)
+{
+  struct peer *found;
+
+  HASH_FIND_STR (peer->peers, host, found);
+  return found;
+}
+
+static void
+remove_peer (struct peer_zmq *peer, struct peer *gone)
+{
+  HASH_DEL (peer->peers, gone);
+  if (gone->socket != NULL)
+    zmq_close (gone->socket);
+  talloc_free (gone);
 }
 
 static enum status
-set_address (struct peer_port *self, const char *host, const char *address, const char *public_key)
+set_address (struct peer_port *port, const char *host, const char *address, const char *public_key)
 {
-  struct zmq_port *port = (struct zmq_port *) self;
+  struct peer_zmq *peer = (struct peer_zmq *) port;
+  struct peer *to = find_peer (peer, host);
   const char *key = public_key == NULL ? "" : public_key;
-  struct zmq_peer *peer;
+  enum status status;
 
-  if (port->curve && strlen (key) != PEER_KEY_SIZE - 1)
-    return status_fail (STATUS_INVALID, "host %s has no key", host);
-  peer = find_or_add (port, host);
-  if (peer == NULL)
-    return status_fail (STATUS_INVALID, "host name \"%s\" is too long", host);
-  if (peer->dealer != NULL && strcmp (peer->address, address) == 0
-      && (!port->curve || strcmp (peer->server_key, key) == 0))
+  if (peer->curve && key[0] == '\0')
+    return status_fail (STATUS_DENIED, "peer %s has no public key", host);
+  if (to != NULL && strcmp (to->address, address) == 0 && strcmp (to->public_key, key) == 0)
     return STATUS_OK;
-  if (peer->dealer != NULL)
-    zmq_close (peer->dealer);
-  talloc_free (peer->address);
-  peer->address = talloc_strdup (peer, address);
-  text_copy_cut (peer->server_key, sizeof peer->server_key, key);
-  peer->dealer = peer->address == NULL ? NULL : connect_dealer (port, address, key);
-  if (peer->dealer != NULL)
-    return STATUS_OK;
-  status_fail (STATUS_INVALID, "cannot connect to host %s at %s: %s", host, address,
-               zmq_strerror (zmq_errno ()));
-  drop_when_empty (port, peer);
-  return STATUS_INVALID;
+  if (to != NULL)
+    remove_peer (peer, to);
+  to = talloc_zero (peer, struct peer);
+  if (to == NULL)
+    return status_fail (STATUS_NO_MEMORY, "no memory for peer %s", host);
+  text_copy_cut (to->name, sizeof to->name, host);
+  text_copy_cut (to->address, sizeof to->address, address);
+  text_copy_cut (to->public_key, sizeof to->public_key, key);
+  status = connect_peer (peer, to);
+  if (status != STATUS_OK)
+    {
+      talloc_free (to);
+      return status;
+    }
+  HASH_ADD_STR (peer->peers, name, to);
+  return STATUS_OK;
 }
 
 static void
-forget (struct peer_port *self, const char *host)
+forget (struct peer_port *port, const char *host)
 {
-  struct zmq_port *port = (struct zmq_port *) self;
-  struct zmq_peer *peer = peer_zmq_find (port, host);
+  struct peer_zmq *peer = (struct peer_zmq *) port;
+  struct peer *gone = find_peer (peer, host);
 
-  if (peer == NULL || peer->dealer == NULL)
-    return;
-  zmq_close (peer->dealer);
-  peer->dealer = NULL;
-  drop_when_empty (port, peer);
+  if (gone != NULL)
+    remove_peer (peer, gone);
 }
 
 static enum status
-send_message (struct peer_port *self,
+send_message (struct peer_port *port,
               const char *host,
               enum peer_channel channel,
               const void *data,
               size_t length)
 {
-  struct zmq_port *port = (struct zmq_port *) self;
-  struct zmq_peer *peer = peer_zmq_find (port, host);
-  struct bytes *scratch = &port->scratch;
-  size_t sent;
+  struct peer_zmq *peer = (struct peer_zmq *) port;
+  struct peer *to = find_peer (peer, host);
+  struct bytes envelope;
+  int sent;
 
-  if (peer == NULL || peer->dealer == NULL)
-    return status_fail (STATUS_NOT_FOUND, "host %s is not known", host);
+  if (to == NULL)
+    return status_fail (STATUS_NOT_FOUND, "no peer %s", host);
   if (length > PEER_MESSAGE_MAX)
-    return status_fail (STATUS_TOO_LARGE, "a message of %zu bytes", length);
-  scratch->length = 0;
-  peer_envelope_write (scratch, port->name, channel, data, length);
-  sent = scratch->length;
-  if (bytes_failed (scratch))
+    return status_fail (STATUS_TOO_LARGE, "message of %zu bytes to %s", length, host);
+  bytes_init (&envelope, NULL);
+  pack_array (&envelope, PEER_ENVELOPE_FIELDS);
+  pack_uint (&envelope, PEER_ENVELOPE_VERSION);
+  pack_text (&envelope, peer->name);
+  pack_uint (&envelope, (uint64_t) channel);
+  pack_binary (&envelope, data, length);
+  if (bytes_failed (&envelope))
     {
-      bytes_clear (scratch);
-      return status_fail (STATUS_NO_MEMORY, "no memory for a message of %zu bytes", length);
+      bytes_clear (&envelope);
+      return status_fail (STATUS_NO_MEMORY, "no memory for a message to %s", host);
     }
-  if (zmq_send (peer->dealer, scratch->data, sent, ZMQ_DONTWAIT) < 0)
+  sent = zmq_send (to->socket, envelope.data, envelope.length, ZMQ_DONTWAIT);
+  if (sent >= 0)
     {
-      peer_count (port, PEER_COUNT_queue_full, 1);
-      return status_fail (STATUS_AGAIN, "host %s takes no message now", host);
+      peer->traffic.messages_out++;
+      peer->traffic.bytes_out += envelope.length;
     }
-  if (scratch->capacity > SCRATCH_KEPT)
-    bytes_clear (scratch);
-  port->traffic.messages_out++;
-  port->traffic.bytes_out += sent;
-  peer_count (port, PEER_COUNT_messages_out, 1);
-  peer_count (port, PEER_COUNT_bytes_out, (double) sent);
-  return STATUS_OK;
+  else
+    counter_add (peer->not_sent, 1);
+  bytes_clear (&envelope);
+  return sent >= 0 ? STATUS_OK : STATUS_AGAIN;
 }
 
 static void
-set_listener (struct peer_port *self, enum peer_channel channel, struct peer_listener *listener)
+listen_channel (struct peer_port *port, enum peer_channel channel, struct peer_listener *listener)
 {
-  ((struct zmq_port *) self)->listeners[channel] = listener;
+  ((struct peer_zmq *) port)->listeners[channel] = listener;
 }
 
 static const struct peer_port_ops port_ops = {
   .set_address = set_address,
   .forget = forget,
   .send = send_message,
-  .listen = set_listener,
+  .listen = listen_channel,
 };
 
-static void
-router_ready (struct loop_watch *watch, int64_t now)
-{
-  peer_zmq_serve (lws_container_of (watch, struct zmq_port, router_watch), now);
-}
-
-static void
-zap_ready (struct loop_watch *watch, int64_t now)
-{
-  peer_zmq_serve (lws_container_of (watch, struct zmq_port, zap_watch), now);
-}
-
-static void
-more_ready (struct timer *timer, int64_t now)
-{
-  peer_zmq_serve (lws_container_of (timer, struct zmq_port, more), now);
-}
+/* ---- making ---- */
 
-static const struct loop_watch_ops router_watch_ops = { .ready = router_ready };
-static const struct loop_watch_ops zap_watch_ops = { .ready = zap_ready };
-static const struct timer_ops more_ops = { .fire = more_ready };
-
-static enum status
-watch_socket (struct zmq_port *port, struct loop_watch *watch, void *socket)
+static bool
+set_server (struct peer_zmq *peer)
 {
-  int fd = -1;
-  size_t size = sizeof fd;
+  int64_t message_max = PEER_MESSAGE_MAX + PEER_ENVELOPE_ROOM;
 
-  zmq_getsockopt (socket, ZMQ_FD, &fd, &size);
-  return loop_watch_fd (port->loop, watch, fd);
+  if (!set_common (peer, peer->router)
+      || zmq_setsockopt (peer->router, ZMQ_MAXMSGSIZE, &message_max, sizeof message_max) != 0)
+    return false;
+  if (!peer->curve)
+    return true;
+  return set_int (peer->router, ZMQ_CURVE_SERVER, 1)
+         && set_text (peer->router, ZMQ_ZAP_DOMAIN, "cherryarch")
+         && set_text (peer->router, ZMQ_CURVE_SECRETKEY, peer->secret_key);
 }
 
 static enum status
-bind_router (struct zmq_port *port, const char *address)
+bind_router (struct peer_zmq *peer, const char *listen)
 {
-  char endpoint[ENDPOINT_SIZE];
+  char endpoint[RESOURCE_ADDRESS_SIZE + 8];
   size_t size = sizeof endpoint;
-  bool good;
-
-  port->router = zmq_socket (port->context, ZMQ_ROUTER);
-  good = port->router != NULL && set_common (port, port->router, address);
-  if (good && port->curve)
-    good = set_int (port->router, ZMQ_CURVE_SERVER, 1)
-           && set_key (port->router, ZMQ_CURVE_SECRETKEY, port->secret_key)
-           && zmq_setsockopt (port->router, ZMQ_ZAP_DOMAIN, "peers", 5) == 0;
-  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
-  if (!good || zmq_bind (port->router, endpoint) != 0)
-    return status_fail (STATUS_IO, "peers address %s: %s", address, zmq_strerror (zmq_errno ()));
-  if (zmq_getsockopt (port->router, ZMQ_LAST_ENDPOINT, endpoint, &size) == 0)
-    port->bound = (uint16_t) strtoul (strrchr (endpoint, ':') + 1, NULL, 10);
+  const char *colon;
+
+  peer->router = zmq_socket (peer->context, ZMQ_ROUTER);
+  if (peer->router == NULL || !set_server (peer))
+    return status_fail (STATUS_IO, "cannot make the peers' socket: %s", zmq_strerror (errno));
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", listen);
+  if (zmq_bind (peer->router, endpoint) != 0)
+    return status_fail (STATUS_IO, "cannot listen to peers on %s: %s", listen,
+                        zmq_strerror (errno));
+  if (zmq_getsockopt (peer->router, ZMQ_LAST_ENDPOINT, endpoint, &size) != 0)
+    return status_fail (STATUS_IO, "no address of the peers' socket");
+  colon = strrchr (endpoint, ':');
+  peer->bound_port = colon == NULL ? 0 : (uint16_t) strtoul (colon + 1, NULL, 10);
   return STATUS_OK;
 }
 
 static enum status
-open_port (struct zmq_port *port, const char *address)
-{
-  enum status status = STATUS_OK;
-
-  port->context = zmq_ctx_new ();
-  if (port->context == NULL)
-    return status_fail (STATUS_NO_MEMORY, "cannot start ZeroMQ");
-  /* Before the router: without a handler libzmq would let every key in. */
-  if (port->curve)
-    status = peer_zmq_zap_open (port);
-  if (status == STATUS_OK)
-    status = bind_router (port, address);
-  if (status == STATUS_OK)
-    status = watch_socket (port, &port->router_watch, port->router);
-  if (status == STATUS_OK && port->curve)
-    status = watch_socket (port, &port->zap_watch, port->zap);
-  /* What came before the descriptors were watched gave its one sign already. */
-  timer_arm (loop_timers (port->loop), &port->more, loop_now (port->loop));
-  return status;
+watch_router (struct peer_zmq *peer)
+{
+  size_t size = sizeof (int);
+  int fd;
+
+  if (zmq_getsockopt (peer->router, ZMQ_FD, &fd, &size) != 0)
+    return status_fail (STATUS_IO, "no descriptor of the peers' socket");
+  return loop_watch_fd (peer->loop, &peer->watch, fd);
 }
 
 static int
-destroy_port (struct zmq_port *port)
+free_port (struct peer_zmq *peer)
 {
-  struct zmq_peer *peer;
-  struct zmq_peer *next;
+  struct peer *each;
+  struct peer *next;
 
-  timer_disarm (loop_timers (port->loop), &port->more);
-  loop_unwatch (port->loop, &port->router_watch);
-  loop_unwatch (port->loop, &port->zap_watch);
-  HASH_ITER (hh, port->peers, peer, next)
+  timer_disarm (loop_timers (peer->loop), &peer->again);
+  loop_unwatch (peer->loop, &peer->watch);
+  HASH_ITER (hh, peer->peers, each, next)
     {
-      if (peer->dealer != NULL)
-        zmq_close (peer->dealer);
+      remove_peer (peer, each);
     }
-  HASH_CLEAR (hh, port->peers);
-  if (port->router != NULL)
-    zmq_close (port->router);
-  if (port->zap != NULL)
-    zmq_close (port->zap);
-  if (port->context != NULL)
-    zmq_ctx_term (port->context);
+  if (peer->router != NULL)
+    zmq_close (peer->router);
   return 0;
 }
 
-static bool
-copy_config (struct zmq_port *port, const struct peer_zmq_config *config)
-{
-  port->port.ops = &port_ops;
-  port->loop = config->loop;
-  port->queue_messages = (int) config->queue_messages;
-  port->curve = config->secret_key != NULL;
-  port->router_watch.ops = &router_watch_ops;
-  port->zap_watch.ops = &zap_watch_ops;
-  port->more.ops = &more_ops;
-  bytes_init (&port->scratch, port);
-  if (!text_copy (port->name, sizeof port->name, config->name))
-    return false;
-  if (!port->curve)
-    return true;
-  return config->public_key != NULL && strlen (config->secret_key) == PEER_KEY_SIZE - 1
-         && strlen (config->public_key) == PEER_KEY_SIZE - 1
-         && text_copy (port->secret_key, sizeof port->secret_key, config->secret_key)
-         && text_copy (port->public_key, sizeof port->public_key, config->public_key);
+/* Ends the library's thread once every socket is closed, the authentication's too: it is a child of
+ * the port and so gone before its parent's other children. */
+static int
+free_context (void **context)
+{
+  zmq_ctx_term (*context);
+  return 0;
+}
+
+static void
+register_counters (struct peer_zmq *peer, struct counters *counters)
+{
+  peer->malformed = counter_get (counters, "cherryarch_peer_malformed_total",
+                                 "Messages of peers that could not be read.", NULL);
+  peer->wrong_name = counter_get (counters, "cherryarch_peer_wrong_name_total",
+                                  "Messages whose sender's key is not that of its name.", NULL);
+  peer->not_sent = counter_get (counters, "cherryarch_peer_not_sent_total",
+                                "Messages dropped for want of a connection or of room.", NULL);
+}
+
+static enum status
+open_port (struct peer_zmq *peer, const struct peer_zmq_config *config)
+{
+  void **holder = talloc (peer, void *);
+  enum status status;
+
+  if (holder == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  peer->context = zmq_ctx_new ();
+  if (peer->context == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  *holder = peer->context;
+  talloc_set_destructor (holder, free_context);
+  zmq_ctx_set (peer->context, ZMQ_MAX_SOCKETS, PEER_SOCKETS_MAX);
+  peer->trust = peer_trust_new (peer);
+  if (peer->trust == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  if (peer->curve
+      && peer_zap_new (peer, peer->context, config->loop, config->counters, peer->trust) == NULL)
+    return STATUS_IO;
+  status = bind_router (peer, config->listen);
+  return status == STATUS_OK ? watch_router (peer) : status;
 }
 
 struct peer_port *
 peer_zmq_new (void *parent, const struct peer_zmq_config *config)
 {
-  static const char *const names[][2] = {
-#define X(name, help) { "peer_" #name, help },
-    PEER_COUNTER_LIST (X)
-#undef X
-  };
-  struct zmq_port *port = talloc_zero (parent, struct zmq_port);
+  struct peer_zmq *peer = talloc_zero (parent, struct peer_zmq);
 
-  if (port == NULL)
+  if (peer == NULL)
     return NULL;
-  if (!copy_config (port, config))
+  peer->port.ops = &port_ops;
+  peer->watch.ops = &watch_ops;
+  peer->again.ops = &again_ops;
+  peer->loop = config->loop;
+  peer->curve = config->secret_key != NULL;
+  peer->queue_messages = (int) config->queue_messages;
+  text_copy_cut (peer->name, sizeof peer->name, config->name);
+  if (peer->curve)
     {
-      status_fail (STATUS_INVALID, "the host's name or keys are not well formed");
-      talloc_free (port);
-      return NULL;
+      text_copy_cut (peer->secret_key, sizeof peer->secret_key, config->secret_key);
+      text_copy_cut (peer->public_key, sizeof peer->public_key, config->public_key);
     }
-  for (int i = 0; i < PEER_COUNT_N && config->counters != NULL; i++)
-    port->counters[i] = counter_get (config->counters, names[i][0], names[i][1], NULL);
-  talloc_set_destructor (port, destroy_port);
-  if (open_port (port, config->listen) != STATUS_OK)
+  register_counters (peer, config->counters);
+  talloc_set_destructor (peer, free_port);
+  if (open_port (peer, config) != STATUS_OK)
     {
-      talloc_free (port);
+      talloc_free (peer);
       return NULL;
     }
-  return &port->port;
+  return &peer->port;
 }
 
 uint16_t
 peer_zmq_port (const struct peer_port *port)
 {
-  return ((const struct zmq_port *) port)->bound;
+  return ((const struct peer_zmq *) port)->bound_port;
 }
 
 enum status
-peer_zmq_trust (struct peer_port *self, const char *host, const char *public_key)
+peer_zmq_trust (struct peer_port *port, const char *host, const char *public_key)
 {
-  struct zmq_port *port = (struct zmq_port *) self;
-  struct zmq_peer *peer =
-      public_key == NULL ? peer_zmq_find (port, host) : find_or_add (port, host);
+  struct peer_zmq *peer = (struct peer_zmq *) port;
 
-  if (peer == NULL)
-    return public_key == NULL ? STATUS_OK
-                              : status_fail (STATUS_INVALID, "host name \"%s\" is too long", host);
-  if (public_key == NULL)
-    peer->trusted_key[0] = '\0';
-  else if (strlen (public_key) != PEER_KEY_SIZE - 1)
-    {
-      drop_when_empty (port, peer);
-      return status_fail (STATUS_INVALID, "the key of host %s is not well formed", host);
-    }
-  else
-    text_copy_cut (peer->trusted_key, sizeof peer->trusted_key, public_key);
-  drop_when_empty (port, peer);
+  if (public_key != NULL)
+    return peer_trust_add (peer->trust, host, public_key);
+  peer_trust_revoke (peer->trust, host);
   return STATUS_OK;
 }
 
 void
 peer_zmq_count (const struct peer_port *port, struct peer_zmq_traffic *out)
 {
-  *out = ((const struct zmq_port *) port)->traffic;
+  *out = ((const struct peer_zmq *) port)->traffic;
 }
