Part the peer port's receiving from its sending

Moved as it was; the shared structs are in a private header. No change of behaviour: the port's six tests pass as they are.

--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -9,10 +9,9 @@
  * messages from queueing for a peer without a connection, so that a partition's end brings no
  * burst of old messages and holds no memory. */
 #include "peer_zmq.h"
-#include "log.h"
 #include "pack.h"
-#include "peer_trust.h"
 #include "peer_zap.h"
+#include "peer_zmq_private.h"
 #include "text.h"
 #include <errno.h>
 #include <stddef.h>
@@ -20,11 +19,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
-#include <uthash.h>
 #include <zmq.h>
 
-#define PEER_ENVELOPE_VERSION 1
-#define PEER_ENVELOPE_FIELDS 4
 #define PEER_ENVELOPE_ROOM 128
 #define PEER_SOCKETS_MAX 1100
 #define PEER_RECONNECT_MS 100
@@ -33,155 +29,16 @@
 #define PEER_RETRANSMIT_MAX_MS 5000
 #define PEER_HANDSHAKE_MS 3000
 
-/* Messages taken in one turn of the loop, so that a flood leaves time for everything else. */
-#define PEER_BATCH 256
-
-struct peer
-{
-  char name[RESOURCE_NAME_SIZE];
-  char address[RESOURCE_ADDRESS_SIZE];
-  char public_key[BOARD_KEY_SIZE];
-  void *socket;
-  UT_hash_handle hh;
-};
-
-struct peer_zmq
-{
-  struct peer_port port; /* first: the vtable */
-  struct loop_watch watch;
-  struct timer again; /* more messages than one turn takes */
-  struct loop *loop;
-  struct peer_trust *trust;
-  void *context;
-  void *router;
-  bool curve;
-  char name[RESOURCE_NAME_SIZE];
-  char secret_key[BOARD_KEY_SIZE];
-  char public_key[BOARD_KEY_SIZE];
-  int queue_messages;
-  uint16_t bound_port;
-  struct peer *peers; /* by name */
-  struct peer_listener *listeners[PEER_CHANNEL_COUNT];
-  struct peer_zmq_traffic traffic;
-  struct counter *malformed;
-  struct counter *wrong_name;
-  struct counter *not_sent;
-};
-
-/* ---- receiving ---- */
-
-struct envelope
-{
-  char from[RESOURCE_NAME_SIZE];
-  enum peer_channel channel;
-  const void *payload;
-  size_t length;
-};
-
-static bool
-open_envelope (const void *data, size_t length, struct envelope *out)
-{
-  struct pack_reader reader;
-
-  pack_reader_init (&reader, data, length);
-  if (pack_read_array (&reader, PEER_ENVELOPE_FIELDS) != PEER_ENVELOPE_FIELDS
-      || pack_read_uint (&reader, UINT32_MAX) != PEER_ENVELOPE_VERSION)
-    return false;
-  pack_read_text (&reader, out->from, sizeof out->from);
-  out->channel = (enum peer_channel) pack_read_uint (&reader, PEER_CHANNEL_COUNT - 1);
-  out->payload = pack_read_binary (&reader, PEER_MESSAGE_MAX, &out->length);
-  return pack_read_end (&reader) && out->from[0] != '\0';
-}
-
-/* Failure: a host with a good key speaks in another's name, or goes on after its key was revoked on
- * a connection that is still open.  The key of the connection says who it is, and it is looked up
- * for each message, so neither gets through. */
-static bool
-is_sender (const struct peer_zmq *peer, zmq_msg_t *message, const char *from)
-{
-  const char *host;
-
-  if (!peer->curve)
-    return true;
-  host = zmq_msg_gets (message, "User-Id");
-  return host != NULL && strcmp (host, from) == 0 && peer_trust_knows (peer->trust, host);
-}
-
-static void
-deliver (struct peer_zmq *peer, zmq_msg_t *message, int64_t now)
-{
-  struct envelope envelope;
-  struct peer_listener *listener;
-
-  peer->traffic.messages_in++;
-  peer->traffic.bytes_in += zmq_msg_size (message);
-  if (!open_envelope (zmq_msg_data (message), zmq_msg_size (message), &envelope))
-    {
-      counter_add (peer->malformed, 1);
-      return;
-    }
-  if (!is_sender (peer, message, envelope.from))
-    {
-      counter_add (peer->wrong_name, 1);
-      return;
-    }
-  listener = peer->listeners[envelope.channel];
-  if (listener != NULL)
-    listener->ops->received (listener, envelope.from, envelope.payload, envelope.length, now);
-}
-
-/* One message of any number of frames; its last frame is the envelope, the first the routing id.
- * False when there is none. */
-static bool
-receive_one (struct peer_zmq *peer, int64_t now)
-{
-  unsigned frames = 0;
-  int more = 1;
-
-  while (more)
-    {
-      zmq_msg_t message;
-
-      zmq_msg_init (&message);
-      if (zmq_msg_recv (&message, peer->router, ZMQ_DONTWAIT) < 0)
-        {
-          zmq_msg_close (&message);
-          return false;
-        }
-      more = zmq_msg_more (&message);
-      frames++;
-      if (!more && frames == 2)
-        deliver (peer, &message, now);
-      else if (!more)
-        counter_add (peer->malformed, 1);
-      zmq_msg_close (&message);
-    }
-  return true;
-}
-
-/* The descriptor tells of changes only, so what is left after a full batch is asked for again by
- * the timer. */
-static void
-receive_batch (struct peer_zmq *peer, int64_t now)
-{
-  unsigned n = 0;
-
-  while (n < PEER_BATCH && receive_one (peer, now))
-    n++;
-  if (n == PEER_BATCH)
-    timer_arm (loop_timers (peer->loop), &peer->again, now);
-}
-
 static void
 ready (struct loop_watch *watch, int64_t now)
 {
-  receive_batch ((struct peer_zmq *) ((char *) watch - offsetof (struct peer_zmq, watch)), now);
+  peer_zmq_receive ((struct peer_zmq *) ((char *) watch - offsetof (struct peer_zmq, watch)), now);
 }
 
 static void
 again (struct timer *timer, int64_t now)
 {
-  receive_batch ((struct peer_zmq *) ((char *) timer - offsetof (struct peer_zmq, again)), now);
+  peer_zmq_receive ((struct peer_zmq *) ((char *) timer - offsetof (struct peer_zmq, again)), now);
 }
 
 static const struct loop_watch_ops watch_ops = { .ready = ready };
--- /dev/null
+++ b/src/peer_zmq_private.h
@@ -0,0 +1,50 @@
+/* Shared by the files of the peer port: peer_zmq.c makes it and sends, peer_zmq_receive.c checks
+ * and hands over what comes. */
+#ifndef PEER_ZMQ_PRIVATE_H
+#define PEER_ZMQ_PRIVATE_H
+
+#include "peer_trust.h"
+#include "peer_zmq.h"
+#include "resource.h"
+#include "timer.h"
+#include <uthash.h>
+
+#define PEER_ENVELOPE_VERSION 1
+#define PEER_ENVELOPE_FIELDS 4
+
+struct peer
+{
+  char name[RESOURCE_NAME_SIZE];
+  char address[RESOURCE_ADDRESS_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  void *socket;
+  UT_hash_handle hh;
+};
+
+struct peer_zmq
+{
+  struct peer_port port; /* first: the vtable */
+  struct loop_watch watch;
+  struct timer again; /* more messages than one turn takes */
+  struct loop *loop;
+  struct peer_trust *trust;
+  void *context;
+  void *router;
+  bool curve;
+  char name[RESOURCE_NAME_SIZE];
+  char secret_key[BOARD_KEY_SIZE];
+  char public_key[BOARD_KEY_SIZE];
+  int queue_messages;
+  uint16_t bound_port;
+  struct peer *peers; /* by name */
+  struct peer_listener *listeners[PEER_CHANNEL_COUNT];
+  struct peer_zmq_traffic traffic;
+  struct counter *malformed;
+  struct counter *wrong_name;
+  struct counter *not_sent;
+};
+
+/* Take a batch of messages; a timer asks for the rest. */
+void peer_zmq_receive (struct peer_zmq *peer, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/peer_zmq_receive.c
@@ -0,0 +1,110 @@
+/* What peers send: envelopes opened, their senders checked, payloads handed to listeners. */
+#include "pack.h"
+#include "peer_zmq_private.h"
+#include <string.h>
+#include <zmq.h>
+
+/* Messages taken in one turn of the loop, so that a flood leaves time for everything else. */
+#define PEER_BATCH 256
+
+struct envelope
+{
+  char from[RESOURCE_NAME_SIZE];
+  enum peer_channel channel;
+  const void *payload;
+  size_t length;
+};
+
+static bool
+open_envelope (const void *data, size_t length, struct envelope *out)
+{
+  struct pack_reader reader;
+
+  pack_reader_init (&reader, data, length);
+  if (pack_read_array (&reader, PEER_ENVELOPE_FIELDS) != PEER_ENVELOPE_FIELDS
+      || pack_read_uint (&reader, UINT32_MAX) != PEER_ENVELOPE_VERSION)
+    return false;
+  pack_read_text (&reader, out->from, sizeof out->from);
+  out->channel = (enum peer_channel) pack_read_uint (&reader, PEER_CHANNEL_COUNT - 1);
+  out->payload = pack_read_binary (&reader, PEER_MESSAGE_MAX, &out->length);
+  return pack_read_end (&reader) && out->from[0] != '\0';
+}
+
+/* Failure: a host with a good key speaks in another's name, or goes on after its key was revoked on
+ * a connection that is still open.  The key of the connection says who it is, and it is looked up
+ * for each message, so neither gets through. */
+static bool
+is_sender (const struct peer_zmq *peer, zmq_msg_t *message, const char *from)
+{
+  const char *host;
+
+  if (!peer->curve)
+    return true;
+  host = zmq_msg_gets (message, "User-Id");
+  return host != NULL && strcmp (host, from) == 0 && peer_trust_knows (peer->trust, host);
+}
+
+static void
+deliver (struct peer_zmq *peer, zmq_msg_t *message, int64_t now)
+{
+  struct envelope envelope;
+  struct peer_listener *listener;
+
+  peer->traffic.messages_in++;
+  peer->traffic.bytes_in += zmq_msg_size (message);
+  if (!open_envelope (zmq_msg_data (message), zmq_msg_size (message), &envelope))
+    {
+      counter_add (peer->malformed, 1);
+      return;
+    }
+  if (!is_sender (peer, message, envelope.from))
+    {
+      counter_add (peer->wrong_name, 1);
+      return;
+    }
+  listener = peer->listeners[envelope.channel];
+  if (listener != NULL)
+    listener->ops->received (listener, envelope.from, envelope.payload, envelope.length, now);
+}
+
+/* One message of any number of frames; its last frame is the envelope, the first the routing id.
+ * False when there is none. */
+static bool
+receive_one (struct peer_zmq *peer, int64_t now)
+{
+  unsigned frames = 0;
+  int more = 1;
+
+  while (more)
+    {
+      zmq_msg_t message;
+
+      zmq_msg_init (&message);
+      if (zmq_msg_recv (&message, peer->router, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&message);
+          return false;
+        }
+      more = zmq_msg_more (&message);
+      frames++;
+      if (!more && frames == 2)
+        deliver (peer, &message, now);
+      else if (!more)
+        counter_add (peer->malformed, 1);
+      zmq_msg_close (&message);
+    }
+  return true;
+}
+
+/* The descriptor tells of changes only, so what is left after a full batch is asked for again by
+ * the timer. */
+void
+peer_zmq_receive (struct peer_zmq *peer, int64_t now)
+{
+  unsigned n = 0;
+
+  while (n < PEER_BATCH && receive_one (peer, now))
+    n++;
+  if (n == PEER_BATCH)
+    timer_arm (loop_timers (peer->loop), &peer->again, now);
+}
