Hold a message to the key its connection showed, not to a name

A host's key was revoked and a new one given: who held the old key was heard again on the connection that was still open, because the connection was known by its host's name and the name had a key once more.

The connection now carries the key itself and each message looks up whose it is, by hash instead of two walks of the table. A message a little over the limit is counted and dropped instead of ending its connection and what came behind it.

--- a/src/peer_trust.c
+++ b/src/peer_trust.c
@@ -1,9 +1,11 @@
-/* Which public keys belong to which hosts: a table walked on handshakes only, not on messages. */
+/* Which public keys belong to which hosts.  Keys are looked up for each message, by hash; hosts
+ * only when trust changes, by a walk. */
 #include "peer_trust.h"
 #include "table.h"
 #include "text.h"
 #include <string.h>
 #include <talloc.h>
+#include <uthash.h>
 #include <zmq.h>
 
 #define KEY_TEXT_LENGTH 40
@@ -14,14 +16,54 @@
   char host[RESOURCE_NAME_SIZE];
   char public_key[BOARD_KEY_SIZE];
   uint64_t order; /* of adding */
+  UT_hash_handle hh;
 };
 
 struct peer_trust
 {
   struct table *keys;
+  struct trusted_key *by_key; /* hash */
   uint64_t added;
 };
 
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
+
+static struct trusted_key *
+find_key (const struct peer_trust *trust, const char *public_key)
+{
+  struct trusted_key *key;
+
+  HASH_FIND_STR (trust->by_key, public_key, key);
+  return key;
+}
+
+static void
+insert_key (struct peer_trust *trust, struct trusted_key *key)
+{
+  HASH_ADD_STR (trust->by_key, public_key, key);
+}
+
+static void
+remove_key (struct peer_trust *trust, struct handle handle)
+{
+  struct trusted_key *key = table_get (trust->keys, handle);
+
+  if (key == NULL)
+    return;
+  HASH_DEL (trust->by_key, key);
+  table_remove (trust->keys, handle);
+}
+
+/* NOLINTEND(readability-function-size) */
+
+static int
+free_trust (struct peer_trust *trust)
+{
+  HASH_CLEAR (hh, trust->by_key);
+  return 0;
+}
+
 struct peer_trust *
 peer_trust_new (void *parent)
 {
@@ -31,22 +73,14 @@
     return NULL;
   trust->keys = table_new (trust, sizeof (struct trusted_key), PEER_TRUST_MAX);
   if (trust->keys == NULL)
-    TALLOC_FREE (trust);
+    {
+      talloc_free (trust);
+      return NULL;
+    }
+  talloc_set_destructor (trust, free_trust);
   return trust;
 }
 
-static struct trusted_key *
-find_key (const struct peer_trust *trust, const char *public_key)
-{
-  uint32_t cursor = 0;
-  struct trusted_key *key;
-
-  while ((key = table_next (trust->keys, &cursor, NULL)) != NULL)
-    if (strcmp (key->public_key, public_key) == 0)
-      return key;
-  return NULL;
-}
-
 /* How many keys a host has; `oldest` takes the one added first. */
 static uint32_t
 count_keys (const struct peer_trust *trust, const char *host, struct handle *oldest)
@@ -87,13 +121,14 @@
   if (key != NULL)
     return STATUS_OK;
   if (count_keys (trust, host, &handle) >= PEER_TRUST_KEYS_PER_HOST)
-    table_remove (trust->keys, handle);
+    remove_key (trust, handle);
   key = table_add (trust->keys, &handle);
   if (key == NULL)
     return status_fail (STATUS_LIMIT, "no room for another host's key");
   text_copy_cut (key->host, sizeof key->host, host);
   text_copy_cut (key->public_key, sizeof key->public_key, public_key);
   key->order = trust->added++;
+  insert_key (trust, key);
   return STATUS_OK;
 }
 
@@ -103,7 +138,7 @@
   struct handle handle;
 
   while (count_keys (trust, host, &handle) > 0)
-    table_remove (trust->keys, handle);
+    remove_key (trust, handle);
 }
 
 const char *
@@ -113,11 +148,3 @@
 
   return key == NULL ? NULL : key->host;
 }
-
-bool
-peer_trust_knows (const struct peer_trust *trust, const char *host)
-{
-  struct handle oldest;
-
-  return count_keys (trust, host, &oldest) > 0;
-}
--- a/src/peer_trust.h
+++ b/src/peer_trust.h
@@ -25,9 +25,6 @@
 /* The host whose key it is, NULL for an unknown key. */
 const char *peer_trust_host (const struct peer_trust *trust, const char *public_key);
 
-/* Has the host any key that is not revoked? */
-bool peer_trust_knows (const struct peer_trust *trust, const char *host);
-
 END_DECLS
 
 #endif
--- a/src/peer_zap.c
+++ b/src/peer_zap.c
@@ -65,33 +65,30 @@
   return true;
 }
 
-/* The host whose key was shown, NULL for none. */
-static const char *
-known_host (const struct peer_zap *zap, const struct zap_request *request)
+/* The Z85 text of a key that some host has; false for any other. */
+static bool
+known_key (const struct peer_zap *zap, const struct zap_request *request, char key[BOARD_KEY_SIZE])
 {
-  char key[BOARD_KEY_SIZE];
-
   if (request->n_frames != ZAP_FRAMES || strcmp (request->frames[ZAP_FRAME_MECHANISM], "CURVE") != 0
       || request->lengths[ZAP_FRAME_KEY] != ZAP_KEY_BYTES)
-    return NULL;
+    return false;
   zmq_z85_encode (key, (const uint8_t *) request->frames[ZAP_FRAME_KEY], ZAP_KEY_BYTES);
-  return peer_trust_host (zap->trust, key);
+  return peer_trust_host (zap->trust, key) != NULL;
 }
 
+/* The key goes with every message of the connection as its "User-Id". */
 static void
 answer (struct peer_zap *zap, const struct zap_request *request)
 {
-  const char *host = known_host (zap, request);
-  const char *parts[] = { ZAP_VERSION,
-                          request->frames[ZAP_FRAME_REQUEST],
-                          host != NULL ? "200" : "400",
-                          host != NULL ? "OK" : "unknown key",
-                          host != NULL ? host : "",
-                          "" };
+  char key[BOARD_KEY_SIZE] = "";
+  bool known = known_key (zap, request, key);
+  const char *parts[] = { ZAP_VERSION,           request->frames[ZAP_FRAME_REQUEST],
+                          known ? "200" : "400", known ? "OK" : "unknown key",
+                          known ? key : "",      "" };
   size_t n_parts = sizeof parts / sizeof parts[0];
   size_t i;
 
-  if (host == NULL)
+  if (!known)
     {
       counter_add (zap->refused, 1);
       log_event (LOG_MODULE_PEER, LOG_LEVEL_WARNING, "key-refused", "{s:s}", "address",
--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -21,7 +21,10 @@
 #include <talloc.h>
 #include <zmq.h>
 
-#define PEER_ENVELOPE_ROOM 128
+/* Over the largest message and this, ZeroMQ closes the connection; a message just over the limit is
+ * counted and dropped here. */
+#define PEER_ENVELOPE_ROOM 65536
+
 #define PEER_SOCKETS_MAX 1100
 #define PEER_RECONNECT_MS 100
 #define PEER_RECONNECT_MAX_MS 2000
@@ -101,6 +104,9 @@
   return STATUS_INVALID;
 }
 
+/* uthash's macros are long; the functions are not.
+ * NOLINTBEGIN(readability-function-size) */
+
 static struct peer *
 find_peer (const struct peer_zmq *peer, const char *host)
 {
@@ -119,6 +125,14 @@
   talloc_free (gone);
 }
 
+static void
+add_peer (struct peer_zmq *peer, struct peer *new_peer)
+{
+  HASH_ADD_STR (peer->peers, name, new_peer);
+}
+
+/* NOLINTEND(readability-function-size) */
+
 static enum status
 set_address (struct peer_port *port, const char *host, const char *address, const char *public_key)
 {
@@ -145,7 +159,7 @@
       talloc_free (to);
       return status;
     }
-  HASH_ADD_STR (peer->peers, name, to);
+  add_peer (peer, to);
   return STATUS_OK;
 }
 
--- a/src/peer_zmq_receive.c
+++ b/src/peer_zmq_receive.c
@@ -30,18 +30,20 @@
   return pack_read_end (&reader) && out->from[0] != '\0';
 }
 
-/* Failure: a host with a good key speaks in another's name, or goes on after its key was revoked on
- * a connection that is still open.  The key of the connection says who it is, and it is looked up
- * for each message, so neither gets through. */
+/* Failure: a host with a good key speaks in another's name, or goes on after its key was revoked or
+ * replaced, on a connection that is still open.  Each message brings the key that its connection
+ * showed, and the key's host is looked up anew, so none of these gets through. */
 static bool
 is_sender (const struct peer_zmq *peer, zmq_msg_t *message, const char *from)
 {
+  const char *key;
   const char *host;
 
   if (!peer->curve)
     return true;
-  host = zmq_msg_gets (message, "User-Id");
-  return host != NULL && strcmp (host, from) == 0 && peer_trust_knows (peer->trust, host);
+  key = zmq_msg_gets (message, "User-Id");
+  host = key == NULL ? NULL : peer_trust_host (peer->trust, key);
+  return host != NULL && strcmp (host, from) == 0;
 }
 
 static void
