Give a handle its empty value before a search may leave it unset

The linter cannot see that a count above zero always sets the oldest handle. The empty handle names no entry, so the removal would find nothing. No change of behaviour.

--- a/src/peer_trust.c
+++ b/src/peer_trust.c
@@ -88,7 +88,7 @@
   uint64_t order = UINT64_MAX;
   uint32_t count = 0;
   uint32_t cursor = 0;
-  struct handle handle;
+  struct handle handle = { 0 };
   const struct trusted_key *key;
 
   while ((key = table_next (trust->keys, &cursor, &handle)) != NULL)
@@ -110,7 +110,7 @@
 {
   uint8_t raw[KEY_BYTES];
   struct trusted_key *key;
-  struct handle handle;
+  struct handle handle = { 0 };
 
   if (strlen (public_key) != KEY_TEXT_LENGTH || zmq_z85_decode (raw, public_key) == NULL)
     return status_fail (STATUS_INVALID, "public key of host %s is not %d characters of Z85", host,
@@ -135,7 +135,7 @@
 void
 peer_trust_revoke (struct peer_trust *trust, const char *host)
 {
-  struct handle handle;
+  struct handle handle = { 0 };
 
   while (count_keys (trust, host, &handle) > 0)
     remove_key (trust, handle);
