--- a/src/decide_admit.c
+++ b/src/decide_admit.c
@@ -224,6 +224,7 @@
 
   if (pipeline == NULL)
     return admission;
+  decide_hosts_refresh (decide, now);
   admission.reason = check_limits (decide, request, now, &admission.retry_after);
   if (admission.reason == DECIDE_ADMITTED)
     {
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -151,6 +151,10 @@
     case BOARD_TARGET_REMOVED:
       target_removed (decide, handle);
       break;
+    case BOARD_HOST_ADDED:
+    case BOARD_HOST_CHANGED:
+      decide->hosts = 0;
+      break;
     default:
       break;
     }
@@ -194,19 +198,35 @@
   return pool->slots > 0 && load < pool->slots ? load / pool->slots : 1;
 }
 
-/* Hosts that share the targets with us, ourselves among them. */
-double
-decide_hosts (const struct decide *decide)
+static double
+count_hosts (const struct board *board)
 {
   uint32_t cursor = 0;
   uint32_t alive = 0;
   const struct board_host *host;
 
-  while ((host = table_next (decide->board->hosts, &cursor, NULL)) != NULL)
+  while ((host = table_next (board->hosts, &cursor, NULL)) != NULL)
     alive += host->self || host->state == HOST_ALIVE || host->state == HOST_SUSPECT;
   return alive == 0 ? 1 : alive;
 }
 
+/* Counted anew when a host changed and a few times a second, not at each decision. */
+void
+decide_hosts_refresh (struct decide *decide, int64_t now)
+{
+  if (decide->hosts > 0 && now - decide->hosts_at < REFRESH_SPAN)
+    return;
+  decide->hosts = count_hosts (decide->board);
+  decide->hosts_at = now;
+}
+
+/* Hosts that share the targets with us, ourselves among them. */
+double
+decide_hosts (const struct decide *decide)
+{
+  return decide->hosts > 0 ? decide->hosts : count_hosts (decide->board);
+}
+
 /* The share of a report that still counts: none once it is older than REPORT_LIFE. */
 double
 decide_report_weight (const struct load_report *report, int64_t now)
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -113,7 +113,9 @@
   struct decide_pool *pools;                  /* by name */
   struct decide_pipeline **pipelines;         /* by the handle's index, NULL until used */
   struct decide_organisation **organisations; /* the same */
-  uint32_t n_running;                         /* admitted requests not finished */
+  double hosts;       /* that share the targets, ourselves among them; 0: to be counted */
+  int64_t hosts_at;   /* when last counted */
+  uint32_t n_running; /* admitted requests not finished */
   struct counter *verdicts[DECIDE_REASON_COUNT];
   struct counter *ends[DECIDE_END_COUNT];
   struct counter *finished_whole; /* admitted requests that ended whole */
@@ -132,6 +134,7 @@
 struct decide_class *decide_class_get (struct decide_pool *pool, const char *model);
 double decide_pool_fill (const struct decide *decide, const struct decide_pool *pool);
 double decide_target_slots (const struct decide *decide, const struct decide_target *target);
+void decide_hosts_refresh (struct decide *decide, int64_t now);
 double decide_hosts (const struct decide *decide);
 double decide_report_weight (const struct load_report *report, int64_t now);
 void decide_pool_refresh (struct decide *decide, struct decide_pool *pool, int64_t now);
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -333,6 +333,7 @@
 
   if (pipeline == NULL || spec == NULL)
     return DECIDE_NO_TARGET;
+  decide_hosts_refresh (decide, now);
   search = (struct search){ .decide = decide,
                             .pool = decide_pool_get (decide, spec->pool),
                             .spec = spec,
