--- a/src/decide_admit.c
+++ b/src/decide_admit.c
@@ -3,8 +3,7 @@
 #include "decide_state.h"
 #include <math.h>
 
-#define WINDOW_MARGIN 1.0 /* of the time left that the expected time may take */
-#define OVERLOAD 0.7      /* of the window taken by waiting, from where shares count */
+#define OVERLOAD 0.7 /* of the window taken by waiting, from where shares count */
 #define RETRY_AFTER_MIN (100 * USEC_PER_MSEC)
 
 static double
@@ -52,6 +51,10 @@
     limit_undo (&organisation->limit, &entry->spec, limit_tokens (request));
 }
 
+/* Of the time left, what the expected time may take: the cost objective leaves more to what may
+ * come between. */
+static const double margins[] = { [OBJECTIVE_ATTAINMENT] = 1.0, [OBJECTIVE_COST] = 0.9 };
+
 struct outlook
 {
   double work; /* slot seconds over all stages */
@@ -59,6 +62,7 @@
   double wait;     /* of a call of its priority */
   double top_wait; /* of one of the highest */
   bool known;
+  enum objective objective;
   bool served; /* every stage has a usable target */
 };
 
@@ -83,7 +87,7 @@
             const struct board_pipeline *pipeline,
             int64_t now)
 {
-  struct outlook outlook = { .known = true, .served = true };
+  struct outlook outlook = { .known = true, .served = true, .objective = pipeline->spec.objective };
   uint32_t stage;
 
   for (stage = request->stage; stage < pipeline->spec.n_stages; stage++)
@@ -152,7 +156,7 @@
               const struct outlook *outlook,
               int64_t now)
 {
-  double left = (double) (request->deadline - now) * WINDOW_MARGIN;
+  double left = (double) (request->deadline - now) * margins[outlook->objective];
   double spare = left - outlook->service;
   double excess = outlook->wait - spare;
 
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -11,6 +11,9 @@
 #define RETRY_SAMPLES 16
 #define DRAWS_MAX 16     /* random draws before targets are looked at in turn */
 #define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
+/* For the cost objective reading a prompt counts this much more than waiting: it also drives
+ * another prompt out of a cache. */
+#define READING_WEIGHT 3
 #define SLOW_START (5 * USEC_PER_SEC)
 #define SLOW_START_FACTOR 4.0 /* a fresh target's score, down to 1 over SLOW_START */
 #define LOAD_BOUND 1.5
@@ -40,6 +43,7 @@
   const struct handle *tried;
   uint32_t n_tried;
   uint32_t tokens;
+  enum objective objective;
   struct decide_work work; /* with nothing cached */
   double hosts;
   int64_t now;
@@ -121,6 +125,9 @@
   candidate->expected =
       target->slowness * (decide_work_at (&candidate->work, candidate->fill) + candidate->wait);
   candidate->score = candidate->expected;
+  if (search->objective == OBJECTIVE_COST)
+    candidate->score += READING_WEIGHT * candidate->work.first.middle
+                        * (1 + candidate->work.first_slope * candidate->fill);
   if (age < SLOW_START)
     candidate->score *= 1 + (SLOW_START_FACTOR - 1) * (1 - (double) age / SLOW_START);
   if (search->n_tried > 0 && !same_domain_tried (search, candidate->entry))
@@ -341,6 +348,7 @@
                             .tried = tried,
                             .n_tried = n_tried,
                             .tokens = stage_tokens,
+                            .objective = pipeline->spec.objective,
                             .hosts = decide_hosts (decide),
                             .now = now };
   if (search.pool == NULL || search.pool->n_targets == 0)
