Be patient with a pool of which many targets time out

In a slow stage every attempt looked like a hang: 3.4% of the attempts were ended and sent again to targets just as slow. When a quarter of the targets timed out within some ten seconds, each counted once until it answers, attempts get four times as long.

--- a/src/decide.c
+++ b/src/decide.c
@@ -194,6 +194,7 @@
   switch (end)
     {
     case DECIDE_END_WHOLE:
+      target->timed_out = false;
       eject_success (&target->eject);
       break;
     case DECIDE_END_WRONG:
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -57,6 +57,8 @@
   double log_drift; /* how far the whole pool is off its learned times now */
   double drift;     /* from log_drift */
   int64_t drift_at;
+  double timeouts; /* of the last seconds, each target once until it answers */
+  int64_t timeouts_at;
   double log_slowness; /* the sum of its targets' */
   double beyond;       /* share cached of a prompt's tokens past its hashed blocks, learned */
   uint32_t running;    /* our attempts */
@@ -79,6 +81,7 @@
   double log_slowness; /* its time over the pool's, learned; 0 when unknown */
   double slowness;     /* what of it is beyond chance, as a factor */
   int64_t added_at;    /* for slow start */
+  bool timed_out;      /* and gave no whole answer since */
   struct eject eject;
 };
 
@@ -224,6 +227,9 @@
 void decide_time_timed_out (struct decide_target *target,
                             const struct decide_result *result,
                             int64_t now);
+/* How much longer than usual an attempt may take: a pool of which many targets time out is slow,
+ * and ending its attempts to start them again only makes it slower. */
+double decide_patience (const struct decide_pool *pool, int64_t now);
 void decide_drift_refresh (struct decide_pool *pool, int64_t now);
 void decide_time_learn (struct decide *decide,
                         const struct decide_request *request,
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -283,7 +283,7 @@
 {
   /* What is thought to be cached may be gone: that is no hang. */
   const struct decide_work *work = &search->work;
-  double slowness = fmax (1, best->target->slowness);
+  double slowness = fmax (1, best->target->slowness) * decide_patience (search->pool, search->now);
   double first = work->first.high * (1 + work->first_slope * best->fill);
   double half = (double) (search->request->deadline - search->now) / 2;
 
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -9,6 +9,9 @@
 #define SLOWNESS_WEIGHT 0.15
 #define SLOWNESS_IGNORED 0.2 /* what chance makes */
 #define SLOWNESS_HALF_LIFE (20.0 * USEC_PER_SEC)
+#define TIMEOUTS_HALF_LIFE (10.0 * USEC_PER_SEC)
+#define PATIENT_SHARE 0.25 /* of the targets */
+#define PATIENCE 4
 #define DRIFT_WEIGHT 0.1
 #define DRIFT_IGNORED 0.4
 #define DRIFT_HALF_LIFE (5.0 * USEC_PER_SEC)
@@ -207,6 +210,20 @@
   pool->drift = exp (beyond (pool->log_drift, DRIFT_IGNORED));
 }
 
+static double
+timeouts_now (const struct decide_pool *pool, int64_t now)
+{
+  return pool->timeouts * exp2 (-(double) (now - pool->timeouts_at) / TIMEOUTS_HALF_LIFE);
+}
+
+double
+decide_patience (const struct decide_pool *pool, int64_t now)
+{
+  double share = pool->n_usable > 0 ? timeouts_now (pool, now) / pool->n_usable : 0;
+
+  return share < PATIENT_SHARE ? 1 : PATIENCE;
+}
+
 /* An attempt that timed out took at least that long. */
 void
 decide_time_timed_out (struct decide_target *target,
@@ -216,6 +233,12 @@
   double expected = (double) (result->choice.expected - result->started);
   double took = (double) (result->ended - result->started);
 
+  if (!target->timed_out)
+    {
+      target->pool->timeouts = timeouts_now (target->pool, now) + 1;
+      target->pool->timeouts_at = now;
+    }
+  target->timed_out = true;
   if (expected > 0 && took > expected && result->choice.wait <= 0)
     learn_drift (target->pool, took / expected, now);
 }
