--- a/bench/policy.h
+++ b/bench/policy.h
@@ -241,7 +241,7 @@
                                          struct decide_choice *out);
 
 /* policy_run.c */
-struct policy_result policy_run (const struct policy_config *config);
+struct policy_result policy_play (const struct policy_config *config);
 
 /* Nominal generation work a second that the site's generating pool can do, kept full. */
 double policy_capacity (enum trace_site site, uint32_t scale, uint64_t seed);
--- a/bench/policy_run.c
+++ b/bench/policy_run.c
@@ -513,7 +513,7 @@
 }
 
 struct policy_result
-policy_run (const struct policy_config *config)
+policy_play (const struct policy_config *config)
 {
   struct policy_run *run = run_new (config);
   struct policy_result result;
--- a/tests/unit_decide.cc
+++ b/tests/unit_decide.cc
@@ -438,6 +438,81 @@
   EXPECT_TRUE (decide_hopeless (decide, &request, 4 * SECOND));
 }
 
+// An engine accepts a generation and gives nothing.  Waiting for the time of a whole answer leaves
+// none for another target, so the first output has a bound of its own, well inside the window.
+TEST_F (DecideTest, GenerationThatGivesNothingIsEndedWhileAnotherCanStillMakeIt)
+{
+  auto *line = static_cast<struct board_pipeline *> (table_get (board->pipelines, pipeline));
+
+  line->spec.stages[0].kind = STAGE_GENERATE;
+  add_target ("t", "a");
+  for (int i = 0; i < 20; i++)
+    {
+      struct decide_request request = request_at (i * 10 * SECOND);
+      request.output_tokens = 50;
+      struct decide_choice choice = choose (&request, request.arrived);
+      struct decide_result result = {};
+
+      result.target = choice.target;
+      result.end = DECIDE_END_WHOLE;
+      result.started = request.arrived;
+      result.first_data = request.arrived + SECOND / 10;
+      result.ended = request.arrived + SECOND;
+      result.input_tokens = request.input_tokens;
+      result.output_tokens = 50;
+      result.choice = choice;
+      decide_started (decide, &request, &choice, request.arrived);
+      decide_ended (decide, &request, &result, result.ended);
+    }
+  struct decide_request request = request_at (300 * SECOND);
+  request.output_tokens = 50;
+  struct decide_choice choice = choose (&request, 300 * SECOND);
+  EXPECT_LT (choice.first_by, 301 * SECOND);
+  EXPECT_GT (choice.first_by, 300 * SECOND + SECOND / 10);
+  EXPECT_GE (choice.give_up, choice.first_by);
+  request.repeatable = false; // its outcome would be unknown, and it may not be sent again
+  EXPECT_EQ (choose (&request, 300 * SECOND).first_by, USEC_NEVER);
+  EXPECT_EQ (choose (&request, 300 * SECOND).give_up, USEC_NEVER);
+}
+
+// Drafting fills the slots.  A price at the counter goes before it at the engines, so it must not
+// be refused for a wait that it will not have.
+TEST_F (DecideTest, HighPriorityIsAdmittedPastQueuedLowPriority)
+{
+  add_target ("t", "a");
+  for (int i = 0; i < 20; i++)
+    run_one (DECIDE_END_WHOLE, i * 10 * SECOND, SECOND);
+  enum decide_reason last = DECIDE_ADMITTED;
+  for (int i = 0; i < 60; i++)
+    {
+      struct decide_request request = request_at (300 * SECOND);
+      request.priority = 2;
+      last = decide_admit (decide, &request, 300 * SECOND).reason;
+    }
+  EXPECT_EQ (last, DECIDE_PRIORITY);
+  struct decide_request price = request_at (300 * SECOND);
+  price.priority = 9;
+  EXPECT_EQ (decide_admit (decide, &price, 300 * SECOND).reason, DECIDE_ADMITTED);
+}
+
+// A target that was removed while it had our attempts must not leave them counted for ever, or the
+// pool looks full to every later choice.
+TEST_F (DecideTest, AttemptsOnARemovedTargetAreNotCountedForEver)
+{
+  struct handle gone = add_target ("gone", "a");
+  struct decide_request request = request_at (SECOND);
+  struct decide_choice choice = choose (&request, SECOND);
+
+  decide_started (decide, &request, &choice, SECOND);
+  board_publish (board, BOARD_TARGET_REMOVED, gone, SECOND);
+  table_remove (board->targets, gone);
+  end (&request, choice, DECIDE_END_BROKEN, SECOND, 2 * SECOND);
+  json_t *state = decide_describe (decide, 2 * SECOND);
+  json_t *first = json_array_get (json_object_get (state, "pools"), 0);
+  EXPECT_EQ (json_integer_value (json_object_get (first, "running")), 0);
+  json_decref (state);
+}
+
 TEST_F (DecideTest, ConcurrencyAndRateAreTheHostsShare)
 {
   struct handle handle = add_organisation ("o", 1);
