Count a target as known when the host holds a lease on it

The readiness check counted what a host's directory lists; a listed target is not usable until the host's first lease on it, so the first call to a host could be answered "no usable target" (seen once in 3 runs of the path test). The check now reads the leases in the dump's board.

--- a/bench/launch.h
+++ b/bench/launch.h
@@ -102,7 +102,7 @@
 /* Wait until every running host says that it is healthy. */
 enum status launch_wait_healthy (struct launch *launch);
 
-/* Wait until every running host knows `targets` usable targets. */
+/* Wait until every running host may send work to `targets` targets. */
 enum status launch_wait_targets (struct launch *launch, uint32_t targets);
 
 /* Wait until every running host has the newest revision in force. */
@@ -133,7 +133,7 @@
 /* How often the pool's targets executed the request. */
 uint32_t launch_executions (struct launch *launch, const char *pool, const char *request_id);
 
-/* Ready targets that a host knows. */
+/* Targets that a host may send new work to: ready, with a lease on them. */
 uint32_t launch_known_targets (struct launch *launch, uint32_t host);
 
 /* Start the fakes of all the site's pools; `more` as in struct launch_fakes. */
--- a/bench/launch_control.c
+++ b/bench/launch_control.c
@@ -62,17 +62,21 @@
 launch_known_targets (struct launch *launch, uint32_t host)
 {
   json_t *dump = ask_host (launch, host, "/v1/dump", NULL);
-  json_t *homes = json_object_get (json_object_get (dump, "directory"), "homes");
-  json_t *home;
-  uint32_t known = 0;
+  json_t *targets = json_object_get (json_object_get (dump, "board"), "targets");
+  json_t *target;
+  uint32_t usable = 0;
   size_t i;
 
-  json_array_foreach (homes, i, home)
+  /* A host may know of a target before it holds a lease on it. */
+  json_array_foreach (targets, i, target)
     {
-      known += (uint32_t) json_integer_value (json_object_get (home, "targets"));
+      const char *state = json_string_value (json_object_get (target, "state"));
+
+      usable += state && strcmp (state, "ready") == 0
+                && json_integer_value (json_object_get (target, "lease_ms")) > 0;
     }
   json_decref (dump);
-  return known;
+  return usable;
 }
 
 static bool
@@ -89,7 +93,7 @@
 enum status
 launch_wait_targets (struct launch *launch, uint32_t targets)
 {
-  return wait_until (launch, targets_known, &targets, "every host knows the targets");
+  return wait_until (launch, targets_known, &targets, "every host may use the targets");
 }
 
 /* Every host that runs is reachable and at the same revision. */
