Drop unused parameters in membership and clear the counts at the start

Cause: the linter names two parameters that nothing reads and a count that a loop over no host would leave unset. Change: they are gone, and the arrays start at zero.

--- a/bench/spread_measure.c
+++ b/bench/spread_measure.c
@@ -74,8 +74,8 @@
 measure_cost (const struct spread_case *c, bool busy)
 {
   struct group *group = start_group (c, c->seed);
-  struct spread_traffic before[SPREAD_HOSTS_MAX];
-  struct spread_traffic after[SPREAD_HOSTS_MAX];
+  struct spread_traffic before[SPREAD_HOSTS_MAX] = { 0 };
+  struct spread_traffic after[SPREAD_HOSTS_MAX] = { 0 };
   double seconds = (double) c->span / USEC_PER_SEC;
   double messages = 0;
   double bytes = 0;
--- a/src/member.c
+++ b/src/member.c
@@ -312,10 +312,7 @@
 }
 
 bool
-member_take_vitals (struct member *member,
-                    const char *name,
-                    const struct member_vitals *vitals,
-                    int64_t now)
+member_take_vitals (struct member *member, const char *name, const struct member_vitals *vitals)
 {
   struct member_host *host = member_find (member, name);
   struct board_host *entry;
@@ -412,7 +409,7 @@
 
 /* Less than half of the hosts that were here answer, so the fault is likely ours. */
 static void
-look_around (struct member *member, int64_t now)
+look_around (struct member *member)
 {
   const struct member_host *host;
   uint32_t reached = 0;
@@ -460,7 +457,7 @@
       if (host != member->self)
         check_host (member, host, now);
     }
-  look_around (member, now);
+  look_around (member);
   tell_flags (member, now);
   member_refresh_vitals (member, now);
   tell_vitals (member, now);
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -353,7 +353,7 @@
         continue;
       if (item.form != MEMBER_FORM_VITALS)
         member_apply (member, from, &item, now);
-      else if (member_take_vitals (member, item.host.name, &item.vitals, now))
+      else if (member_take_vitals (member, item.host.name, &item.vitals))
         member_make_vitals_news (member, member_find (member, item.host.name));
     }
   return pack_read_end (&reader);
@@ -378,7 +378,7 @@
   if (strcmp (from, member->self->name) == 0)
     return;
   read_items (member, from, reader, head.n_items, true, now);
-  member_take_vitals (member, from, &head.vitals, now);
+  member_take_vitals (member, from, &head.vitals);
   host = member_find (member, from);
   if (host != NULL)
     member_board (member, host)->heard_at = now;
--- a/src/member_state.h
+++ b/src/member_state.h
@@ -119,8 +119,7 @@
 /* True when they were newer than what was known. */
 bool member_take_vitals (struct member *member,
                          const char *name,
-                         const struct member_vitals *vitals,
-                         int64_t now);
+                         const struct member_vitals *vitals);
 
 /* Bring our own vitals up to date. */
 void member_refresh_vitals (struct member *member, int64_t now);
