Take the share of the calls that are ours as our share of the slots

Callers keep the host they were told of, so hosts are loaded unevenly; in overload a host with many callers counted only an even share of the slots and refused what could end.

--- a/src/decide_queue.c
+++ b/src/decide_queue.c
@@ -36,14 +36,16 @@
   queue->work = queue->count == 0 ? 0 : fmax (0, queue->work - work);
 }
 
-/* The slots that are ours: an even share, or what others leave free where reports show it. */
+/* The slots that are ours: an even share; or, where reports show it, what others leave free or the
+ * share of the calls that are ours, since callers come to hosts unevenly. */
 static double
 our_slots (const struct decide *decide, const struct decide_pool *pool)
 {
   double even = pool->slots / decide_hosts (decide);
   double others = fmax (0, pool->reported - pool->running);
+  double ours = pool->running > 0 ? pool->slots * pool->running / (pool->running + others) : 0;
 
-  return fmax (even, (pool->slots - others) * pool->reports);
+  return fmax (even, fmax (ours, pool->slots - others) * pool->reports);
 }
 
 /* Microseconds before a new call of that priority begins; `slope` is how much longer work takes
