Let refused attempts draw on no retry budget

An attempt that was certainly not run costs no target any work, so it is bounded by the number of attempts alone. The new unit test fails without the change.

--- a/src/flow_stage.c
+++ b/src/flow_stage.c
@@ -106,11 +106,22 @@
     flow_end_for (request, FLOW_REASON_NO_TARGET, FLOW_RETRY_AFTER, now);
 }
 
+/* An attempt that was certainly not run cost no target any work, so it draws on no budget: one full
+ * target would otherwise use up the retries that failures need, and fail requests that its
+ * neighbour has room for.  The bound on attempts holds all the same. */
+static enum decide_reason
+ask_retry (const struct flow_request *request, uint32_t attempts, bool not_run, int64_t now)
+{
+  if (!not_run)
+    return decide_retry (request->flow->config.decide, &request->decide, attempts, now);
+  return attempts < request->spec->max_attempts ? DECIDE_ADMITTED : DECIDE_ATTEMPTS;
+}
+
 static bool
-take_retry (struct flow_request *request, enum decide_end end, int64_t now)
+take_retry (struct flow_request *request, enum decide_end end, bool not_run, int64_t now)
 {
-  enum decide_reason reason = decide_retry (request->flow->config.decide, &request->decide,
-                                            flow_stage_record (request)->attempts, now);
+  enum decide_reason reason =
+      ask_retry (request, flow_stage_record (request)->attempts, not_run, now);
 
   if (reason == DECIDE_ADMITTED)
     {
@@ -143,7 +154,7 @@
         return;
       add_tried (request, choice.target);
     }
-  while (take_retry (request, DECIDE_END_BROKEN, now));
+  while (take_retry (request, DECIDE_END_BROKEN, true, now));
 }
 
 /* ---- the life of a stage ---- */
@@ -196,7 +207,7 @@
     return flow_end_for (request, reasons_of_end[failure->end], 0, now);
   if (decide_hopeless (request->flow->config.decide, &request->decide, now))
     return flow_end_for (request, FLOW_REASON_WINDOW, 0, now);
-  if (take_retry (request, failure->end, now))
+  if (take_retry (request, failure->end, failure->not_run, now))
     try_targets (request, now);
 }
 
--- a/tests/unit_flow_retry.cc
+++ b/tests/unit_flow_retry.cc
@@ -156,6 +156,25 @@
   expect_all_over ();
 }
 
+// One of three targets is full for a while and refuses all its calls.  A pipeline whose owner
+// allows no retries at all still gets every answer: refusals cost nothing and draw on no budget.
+TEST_F (FlowRetry, RefusalsDrawOnNoRetryBudget)
+{
+  add_pipeline ("frugal", false, { stage ("generate", STAGE_GENERATE) })->spec.retry_share = 0;
+  board_publish (board, BOARD_CONFIG_CHANGED, {}, now);
+  for (int i = 0; i < 200; i++)
+    {
+      auto *x = send ("/v1/pipelines/frugal/requests", R"({"input": "hello"})");
+
+      if (last_call ().address == "generate1")
+        answer (last_call (), "{}", 503, { { "x-not-run", "yes" } });
+      advance (USEC_PER_MSEC);
+      answer_well (last_call ());
+      ASSERT_EQ (x->outcome (), "whole") << i << x->answer;
+    }
+  expect_all_over ();
+}
+
 // Every target fails.  The caller hears "failed" at once, not when its window closes, and when to
 // come back; it is never told "not-run" of work that reached a target.
 TEST_F (FlowRetry, FailuresEndAtOnceWhenAttemptsAreUsedUp)
