Claim an unrepeatable request before anything can refuse it

A resend that came to a host which knew no target, was over a limit or was leaving heard not-run, although its first run had ended: the caller could take that for leave to order again. Seen on real processes as an occasional failure of the test that sends one id to another host. The claim now comes before admission; where admission refuses, the claim is given back. A refused first request costs two claim entries for that. Only bad input, a host without configuration, a full one or missing claims still refuse before the claim.

--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -1,4 +1,4 @@
-/* The start of a request: read, admitted, put into its table, claimed or run. */
+/* The start of a request: read, put into its table, claimed where it is unrepeatable, admitted. */
 #include "flow_private.h"
 #include "text.h"
 #include <sodium.h>
@@ -212,38 +212,49 @@
   return reasons_of[reason];
 }
 
-/* The request is in its table: admit, claim, run. */
-static void
-start_request (struct flow_request *request, int64_t now)
+void
+flow_admit (struct flow_request *request, int64_t now)
 {
   struct flow *flow = request->flow;
-  const struct flow_request *twin;
   struct decide_admission admission;
 
-  if (!request->decide.repeatable)
-    {
-      twin = find_twin (flow, request);
-      if (twin != NULL && memcmp (twin->body_hash, request->body_hash, CLAIM_HASH_SIZE) != 0)
-        return flow_end_for (request, FLOW_REASON_MISMATCH, 0, now);
-      if (twin != NULL)
-        {
-          struct flow_verdict verdict = { .outcome = FLOW_UNKNOWN,
-                                          .reason = FLOW_REASON_IN_FLIGHT,
-                                          .retry_after = FLOW_RETRY_AFTER };
-
-          return flow_end (request, &verdict, now);
-        }
-    }
+  if (flow->config.board->refusing)
+    return flow_end_for (request, FLOW_REASON_LEAVING, 0, now);
   admission = decide_admit (flow->config.decide, &request->decide, now);
   if (admission.reason != DECIDE_ADMITTED)
     return flow_end_for (request, reason_of_admission (admission.reason), admission.retry_after,
                          now);
   request->admitted = true;
-  timer_arm (flow->config.timers, &request->deadline, request->decide.deadline);
+  flow_stage_begin (request, now);
+}
+
+/* An unrepeatable request asks for its claim before anything can refuse it: it may be a resend, and
+ * "not-run" from a host that is full, or knows no target, would be a lie about the first run. */
+static void
+claim_first (struct flow_request *request, int64_t now)
+{
+  const struct flow_request *twin = find_twin (request->flow, request);
+  struct flow_verdict verdict = { .outcome = FLOW_UNKNOWN,
+                                  .reason = FLOW_REASON_IN_FLIGHT,
+                                  .retry_after = FLOW_RETRY_AFTER };
+
+  if (twin == NULL)
+    flow_claim_take (request, now);
+  else if (memcmp (twin->body_hash, request->body_hash, CLAIM_HASH_SIZE) != 0)
+    flow_end_for (request, FLOW_REASON_MISMATCH, 0, now);
+  else
+    flow_end (request, &verdict, now);
+}
+
+/* The request is in its table. */
+static void
+start_request (struct flow_request *request, int64_t now)
+{
+  timer_arm (request->flow->config.timers, &request->deadline, request->decide.deadline);
   if (request->decide.repeatable)
-    flow_stage_begin (request, now);
+    flow_admit (request, now);
   else
-    flow_claim_take (request, now);
+    claim_first (request, now);
 }
 
 static void
@@ -297,8 +308,6 @@
   if (access_caller (flow->config.access, exchange, &organisation, name) != STATUS_OK)
     refuse_invalid (flow, exchange, http_header (exchange, "authorization") == NULL ? 401 : 403,
                     "authorization", status_message ());
-  else if (board->refusing)
-    refuse (flow, exchange, caller.id, FLOW_REASON_LEAVING, 0);
   else if (!board->config_ready)
     refuse (flow, exchange, caller.id, FLOW_REASON_NOT_READY, FLOW_RETRY_AFTER);
   else
--- a/src/flow_claim.c
+++ b/src/flow_claim.c
@@ -52,8 +52,7 @@
    * so the claim goes back. */
   if (request->refused || request->exchange == NULL)
     return flow_end_for (request, FLOW_REASON_CALLER_GONE, 0, now);
-  request->phase = FLOW_PHASE_RUNNING;
-  flow_stage_begin (request, now);
+  flow_admit (request, now);
 }
 
 static void
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -188,9 +188,12 @@
 
 void flow_arrive (struct http_route *route, struct http_exchange *exchange, int64_t now);
 
+/* Ask the decisions, and start its first stage or end it as not run. */
+void flow_admit (struct flow_request *request, int64_t now);
+
 /* ---- flow_claim.c ---- */
 
-/* Ask for the claim; flow_stage_begin() follows when it is granted. */
+/* Ask for the claim; flow_admit() follows when it is granted. */
 void flow_claim_take (struct flow_request *request, int64_t now);
 
 /* Wait no longer for its answer. */
--- a/tests/unit_flow_claim.cc
+++ b/tests/unit_flow_claim.cc
@@ -78,6 +78,34 @@
   expect_all_over ();
 }
 
+// A dealer's order ran through a host that is gone.  The resend reaches one that leaves, knows no
+// target and could not admit anything.  "Not run" would be a lie that orders the goods twice: it
+// gets the stored answer.  A first order there is refused, and its claim is given back.
+TEST_F (FlowClaim, AResendIsAnsweredEvenWhereNothingCouldRun)
+{
+  uint32_t cursor = 0;
+
+  board->refusing = true;
+  while (auto *target =
+             static_cast<struct board_target *> (table_next (board->targets, &cursor, nullptr)))
+    target->lease_until = now;
+  auto *x = send_order ();
+  claim_says (CLAIM_SETTLED, { 200, "whole", R"({"order": 7})" });
+  EXPECT_EQ (x->answer, R"({"order": 7})");
+
+  for (bool refusing : { true, false })
+    {
+      board->refusing = refusing;
+      auto *first = send_order ({ { "x-request-id", "order-2" } });
+      claim_says (CLAIM_GRANTED);
+      EXPECT_EQ (first->outcome (), "not-run");
+      EXPECT_EQ (first->code, 503);
+    }
+  EXPECT_EQ (claims.released, 2);
+  EXPECT_TRUE (client.calls.empty ());
+  expect_all_over ();
+}
+
 // The connection breaks after the order was sent.  Nobody knows whether it ran: the caller hears
 // "unknown", it is not sent to another target, and a resend will hear the same.
 TEST_F (FlowClaim, ABrokenConnectionAfterTheSendIsUnknownAndNotSentAgain)
