--- /dev/null
+++ b/src/consensus_route.c
@@ -0,0 +1,176 @@
+/* The way of proposals and reads: into our log, to the leader, or back to who asked. */
+#include "consensus_voter_private.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+
+#define NO_LEADER_BACKOFF (50 * USEC_PER_MSEC)
+
+static enum status
+push_pending (struct consensus_voter *self, const struct voter_pending *pending)
+{
+  uint32_t used = self->pending_first + self->n_pending;
+  struct voter_pending *grown;
+
+  if (self->pending_first > 0 && self->pending_first >= self->n_pending)
+    {
+      memmove (self->pending, self->pending + self->pending_first,
+               self->n_pending * sizeof *self->pending);
+      self->pending_first = 0;
+      used = self->n_pending;
+    }
+  if (talloc_array_length (self->pending) <= used)
+    {
+      grown = talloc_realloc (self, self->pending, struct voter_pending, used * 2 + 64);
+      if (grown == NULL)
+        return status_fail (STATUS_NO_MEMORY, "proposals in the log");
+      self->pending = grown;
+    }
+  self->pending[used] = *pending;
+  self->n_pending++;
+  return STATUS_OK;
+}
+
+static enum status
+propose_here (struct consensus_voter *self, struct request *request)
+{
+  struct voter_pending pending = { .request = request->number };
+  enum status status;
+
+  if (self->low_space)
+    return status_fail (STATUS_DISK_FULL, "too little room in the leader's data folder");
+  status = raft_propose (self->raft, request->data, request->length, &pending.index, &pending.term);
+  if (status != STATUS_OK)
+    return status;
+  request->place = REQUEST_PENDING;
+  request->index = pending.index;
+  request->term = pending.term;
+  return push_pending (self, &pending);
+}
+
+static enum status
+read_here (struct consensus_voter *self, struct request *request, int64_t now)
+{
+  enum status status = raft_read_request (self->raft, request->number, now);
+
+  if (status == STATUS_OK)
+    request->place = REQUEST_READING;
+  return status;
+}
+
+/* Send a request of this host to where it may be answered. */
+static void
+forward (struct consensus_voter *self, struct request *request, int64_t now)
+{
+  const char *leader = voter_leader_name (self);
+  bool member = self->health == STATUS_OK && raft_member_set (self->raft)->n > 0;
+
+  if (self->config.port != NULL && (leader[0] != '\0' || !member)
+      && strcmp (leader, self->name) != 0)
+    {
+      if (leader[0] != '\0')
+        text_copy_cut (self->client.leader, sizeof self->client.leader, leader);
+      client_send (&self->client, request, now);
+      return;
+    }
+  request->place = REQUEST_FORWARDED;
+  request_arm (request, now + NO_LEADER_BACKOFF);
+}
+
+void
+voter_submit (struct consensus_voter *self, struct request *request, int64_t now)
+{
+  enum status status = STATUS_NOT_LEADER;
+
+  if (voter_leads (self))
+    {
+      status = request->kind == REQUEST_PROPOSE ? propose_here (self, request)
+                                                : read_here (self, request, now);
+      voter_wake (self, now);
+    }
+  if (status == STATUS_OK)
+    request_arm (request, request->deadline);
+  else if (status == STATUS_NOT_LEADER && request->proposal != NULL)
+    forward (self, request, now);
+  else
+    request_finish (request, status, NULL, 0, now);
+}
+
+/* After losing leadership: what is in the log may be committed by the next leader or not, so those
+ * who asked propose again; the machine knows a resend.  After gaining it: what waited for a leader
+ * is ours. */
+void
+voter_role_changed (struct consensus_voter *self, int64_t now)
+{
+  struct request *request;
+  struct request *next;
+  bool lead = voter_leads (self);
+
+  if (lead == self->led)
+    return;
+  self->led = lead;
+  self->led_at = now;
+  if (!lead)
+    self->n_pending = 0;
+  HASH_ITER (hh, self->requests.by_number, request, next)
+    {
+      bool ours = request->proposal != NULL;
+
+      if (lead && ours && request->place == REQUEST_FORWARDED)
+        request_arm (request, now);
+      else if (!lead && request->place != REQUEST_FORWARDED && ours
+               && request->place != REQUEST_APPLYING)
+        {
+          request->place = REQUEST_FORWARDED;
+          request_arm (request, now);
+        }
+      else if (!lead && !ours)
+        request_finish (request, STATUS_UNAVAILABLE, NULL, 0, now);
+    }
+}
+
+static struct consensus_voter *
+of_requests (struct requests *requests)
+{
+  return (struct consensus_voter *) ((char *) requests
+                                     - offsetof (struct consensus_voter, requests));
+}
+
+static void
+request_due (struct requests *requests, struct request *request, int64_t now)
+{
+  struct consensus_voter *self = of_requests (requests);
+
+  if (request->place == REQUEST_FORWARDED)
+    voter_submit (self, request, now);
+  else
+    request_arm (request, request->deadline);
+}
+
+static void
+request_answer (struct requests *requests,
+                struct request *request,
+                enum status status,
+                const void *result,
+                size_t length)
+{
+  struct consensus_voter *self = of_requests (requests);
+  struct client_answer answer = {
+    .number = request->origin_number,
+    .status = status,
+    .index = request->index,
+    .result = result,
+    .length = length,
+  };
+  struct bytes out;
+
+  text_copy_cut (answer.leader, sizeof answer.leader, voter_leader_name (self));
+  bytes_init (&out, self);
+  client_write_answer (&answer, &out);
+  if (!bytes_failed (&out))
+    self->config.port->ops->send (self->config.port, request->origin, PEER_CHANNEL_PROPOSAL,
+                                  out.data, out.length);
+  bytes_clear (&out);
+}
+
+const struct requests_ops voter_requests_ops = { .due = request_due, .answer = request_answer };
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -1,8 +1,7 @@
-/* A host with a data folder: its making, and the way of proposals and reads through it. */
+/* A host with a data folder: its making, its timers, and what its users see. */
 #include "consensus_voter.h"
 #include "consensus_voter_private.h"
 #include "log.h"
-#include "snapshot.h"
 #include "text.h"
 #include <inttypes.h>
 #include <string.h>
@@ -10,10 +9,6 @@
 
 #define SLOW_PERIOD USEC_PER_SEC
 #define FORM_PERIOD (200 * USEC_PER_MSEC)
-#define NO_LEADER_BACKOFF (50 * USEC_PER_MSEC)
-#define BATCH_BYTES (256u << 10)
-#define MAX_IN_FLIGHT 16
-#define CHUNK_BYTES (256u << 10)
 
 /* Have the flush run in this turn of the loop or the next. */
 void
@@ -32,135 +27,12 @@
   return member != NULL ? member->name : "";
 }
 
-static bool
-leads (const struct consensus_voter *self)
+bool
+voter_leads (const struct consensus_voter *self)
 {
   return self->health == STATUS_OK && raft_role (self->raft) == RAFT_LEADER;
 }
 
-static enum status
-push_pending (struct consensus_voter *self, const struct voter_pending *pending)
-{
-  uint32_t used = self->pending_first + self->n_pending;
-  struct voter_pending *grown;
-
-  if (self->pending_first > 0 && self->pending_first >= self->n_pending)
-    {
-      memmove (self->pending, self->pending + self->pending_first,
-               self->n_pending * sizeof *self->pending);
-      self->pending_first = 0;
-      used = self->n_pending;
-    }
-  if (talloc_array_length (self->pending) <= used)
-    {
-      grown = talloc_realloc (self, self->pending, struct voter_pending, used * 2 + 64);
-      if (grown == NULL)
-        return status_fail (STATUS_NO_MEMORY, "proposals in the log");
-      self->pending = grown;
-    }
-  self->pending[used] = *pending;
-  self->n_pending++;
-  return STATUS_OK;
-}
-
-static enum status
-propose_here (struct consensus_voter *self, struct request *request)
-{
-  struct voter_pending pending = { .request = request->number };
-  enum status status;
-
-  if (self->low_space)
-    return status_fail (STATUS_DISK_FULL, "too little room in the leader's data folder");
-  status = raft_propose (self->raft, request->data, request->length, &pending.index, &pending.term);
-  if (status != STATUS_OK)
-    return status;
-  request->place = REQUEST_PENDING;
-  request->index = pending.index;
-  request->term = pending.term;
-  return push_pending (self, &pending);
-}
-
-static enum status
-read_here (struct consensus_voter *self, struct request *request, int64_t now)
-{
-  enum status status = raft_read_request (self->raft, request->number, now);
-
-  if (status == STATUS_OK)
-    request->place = REQUEST_READING;
-  return status;
-}
-
-/* Send a request of this host to where it may be answered. */
-static void
-forward (struct consensus_voter *self, struct request *request, int64_t now)
-{
-  const char *leader = voter_leader_name (self);
-  bool member = self->health == STATUS_OK && raft_member_set (self->raft)->n > 0;
-
-  if (self->config.port != NULL && (leader[0] != '\0' || !member)
-      && strcmp (leader, self->name) != 0)
-    {
-      if (leader[0] != '\0')
-        text_copy_cut (self->client.leader, sizeof self->client.leader, leader);
-      client_send (&self->client, request, now);
-      return;
-    }
-  request->place = REQUEST_FORWARDED;
-  request_arm (request, now + NO_LEADER_BACKOFF);
-}
-
-void
-voter_submit (struct consensus_voter *self, struct request *request, int64_t now)
-{
-  enum status status = STATUS_NOT_LEADER;
-
-  if (leads (self))
-    {
-      status = request->kind == REQUEST_PROPOSE ? propose_here (self, request)
-                                                : read_here (self, request, now);
-      voter_wake (self, now);
-    }
-  if (status == STATUS_OK)
-    request_arm (request, request->deadline);
-  else if (status == STATUS_NOT_LEADER && request->proposal != NULL)
-    forward (self, request, now);
-  else
-    request_finish (request, status, NULL, 0, now);
-}
-
-/* After losing leadership: what is in the log may be committed by the next leader or not, so those
- * who asked propose again; the machine knows a resend.  After gaining it: what waited for a leader
- * is ours. */
-void
-voter_role_changed (struct consensus_voter *self, int64_t now)
-{
-  struct request *request;
-  struct request *next;
-  bool lead = leads (self);
-
-  if (lead == self->led)
-    return;
-  self->led = lead;
-  self->led_at = now;
-  if (!lead)
-    self->n_pending = 0;
-  HASH_ITER (hh, self->requests.by_number, request, next)
-    {
-      bool ours = request->proposal != NULL;
-
-      if (lead && ours && request->place == REQUEST_FORWARDED)
-        request_arm (request, now);
-      else if (!lead && request->place != REQUEST_FORWARDED && ours
-               && request->place != REQUEST_APPLYING)
-        {
-          request->place = REQUEST_FORWARDED;
-          request_arm (request, now);
-        }
-      else if (!lead && !ours)
-        request_finish (request, STATUS_UNAVAILABLE, NULL, 0, now);
-    }
-}
-
 /* Stop taking part, for good: what this voter stored can no longer be relied on.  Requests go to
  * other voters from here on. */
 void
@@ -179,52 +51,6 @@
   voter_role_changed (self, now);
 }
 
-static struct consensus_voter *
-of_requests (struct requests *requests)
-{
-  return (struct consensus_voter *) ((char *) requests
-                                     - offsetof (struct consensus_voter, requests));
-}
-
-static void
-request_due (struct requests *requests, struct request *request, int64_t now)
-{
-  struct consensus_voter *self = of_requests (requests);
-
-  if (request->place == REQUEST_FORWARDED)
-    voter_submit (self, request, now);
-  else
-    request_arm (request, request->deadline);
-}
-
-static void
-request_answer (struct requests *requests,
-                struct request *request,
-                enum status status,
-                const void *result,
-                size_t length)
-{
-  struct consensus_voter *self = of_requests (requests);
-  struct client_answer answer = {
-    .number = request->origin_number,
-    .status = status,
-    .index = request->index,
-    .result = result,
-    .length = length,
-  };
-  struct bytes out;
-
-  text_copy_cut (answer.leader, sizeof answer.leader, voter_leader_name (self));
-  bytes_init (&out, self);
-  client_write_answer (&answer, &out);
-  if (!bytes_failed (&out))
-    self->config.port->ops->send (self->config.port, request->origin, PEER_CHANNEL_PROPOSAL,
-                                  out.data, out.length);
-  bytes_clear (&out);
-}
-
-static const struct requests_ops requests_ops = { .due = request_due, .answer = request_answer };
-
 static enum status
 submit_own (struct consensus_voter *self,
             enum request_kind kind,
@@ -239,7 +65,7 @@
 
   if (length > RAFT_ENTRY_MAX)
     return status_fail (STATUS_TOO_LARGE, "entry of %zu bytes, %u at most", length, RAFT_ENTRY_MAX);
-  if (kind == REQUEST_PROPOSE && leads (self) && self->low_space)
+  if (kind == REQUEST_PROPOSE && voter_leads (self) && self->low_space)
     return status_fail (STATUS_DISK_FULL, "too little room in the leader's data folder");
   request = request_new (&self->requests, kind, entry, length, deadline, &status);
   if (request == NULL)
@@ -248,7 +74,7 @@
   proposal->owner = request;
   /* Not at once: done() must not come before this returns. */
   request->place = REQUEST_FORWARDED;
-  if (leads (self) && kind == REQUEST_PROPOSE)
+  if (voter_leads (self) && kind == REQUEST_PROPOSE)
     voter_submit (self, request, now);
   else
     request_arm (request, now);
@@ -285,7 +111,7 @@
 static bool
 voter_is_leader (const struct consensus *consensus)
 {
-  return leads ((const struct consensus_voter *) consensus);
+  return voter_leads ((const struct consensus_voter *) consensus);
 }
 
 static const char *
@@ -388,125 +214,6 @@
 static const struct timer_ops tick_ops = { .fire = tick_fired };
 static const struct timer_ops slow_ops = { .fire = slow_fired };
 
-static uint64_t
-new_id (struct consensus_voter *self)
-{
-  uint64_t id = 0;
-
-  while (id == 0)
-    id = rng_u64 (&self->rng);
-  return id;
-}
-
-/* The folder's identity; made in an empty folder.  The count of starts grows on disk before
- * anything is sent, so that of two copies of a folder the one started last shows. */
-static enum status
-open_identity (struct consensus_voter *self)
-{
-  struct disk *disk = self->config.disk;
-  enum status status = journal_identity_read (disk, &self->identity);
-
-  if (status == STATUS_NOT_FOUND)
-    {
-      self->identity = (struct journal_identity){ .id = new_id (self) };
-      text_copy_cut (self->identity.name, sizeof self->identity.name, self->name);
-      status = STATUS_OK;
-    }
-  else if (status == STATUS_OK && strcmp (self->identity.name, self->name) != 0)
-    status = status_fail (STATUS_CONFLICT, "the data folder belongs to host %s, not to %s",
-                          self->identity.name, self->name);
-  if (status != STATUS_OK)
-    return status;
-  self->identity.starts++;
-  return journal_identity_write (disk, &self->identity);
-}
-
-static enum status
-load_machine (struct consensus_voter *self,
-              const struct raft_snapshot *snapshot,
-              const struct bytes *payload)
-{
-  size_t length;
-  enum status status = snapshot_check (payload->data, payload->length, &length);
-
-  if (status == STATUS_OK)
-    status = self->config.machine->ops->load (self->config.machine, snapshot->index, payload->data,
-                                              length);
-  return status;
-}
-
-static void
-raft_options_of (struct consensus_voter *self, struct raft_options *options)
-{
-  *options = (struct raft_options){
-    .id = self->identity.id,
-    .seed = rng_u64 (&self->rng),
-    .heartbeat = self->config.timing.heartbeat,
-    .election_min = self->config.timing.election_min,
-    .election_max = self->config.timing.election_max,
-    .drift_ppm = self->config.timing.drift_ppm,
-    .lease_reads = !self->config.no_lease,
-    .batch_bytes = BATCH_BYTES,
-    .max_in_flight = MAX_IN_FLIGHT,
-    .chunk_bytes = CHUNK_BYTES,
-  };
-}
-
-static enum status
-restore_raft (struct consensus_voter *self,
-              const struct raft_snapshot *snapshot,
-              struct journal_found *found,
-              int64_t now)
-{
-  struct raft_options options;
-  enum status status = STATUS_OK;
-
-  raft_options_of (self, &options);
-  self->raft = raft_new (self, &options, &found->state, snapshot, found->log.base_index,
-                         found->log.base_term, now);
-  if (self->raft == NULL)
-    return status_fail (STATUS_NO_MEMORY, "raft");
-  for (uint32_t i = 0; status == STATUS_OK && i < found->log.count; i++)
-    status = raft_restore_entry (self->raft, &found->log.entries[i]);
-  talloc_free (found->log.entries);
-  raft_restored (self->raft, now);
-  return status;
-}
-
-static enum status
-restore (struct consensus_voter *self, int64_t now)
-{
-  struct raft_snapshot snapshot;
-  struct journal_found found;
-  struct bytes payload;
-  enum status status = open_identity (self);
-
-  if (status != STATUS_OK)
-    return status;
-  bytes_init (&payload, self);
-  status = snapshot_load (self->config.disk, &snapshot, &payload);
-  if (status == STATUS_OK)
-    status = load_machine (self, &snapshot, &payload);
-  else if (status == STATUS_NOT_FOUND)
-    status = STATUS_OK;
-  bytes_clear (&payload);
-  if (status == STATUS_OK)
-    self->journal = journal_open (self, self->config.disk, self->identity.id,
-                                  self->config.segment_bytes, &snapshot, &found, &status);
-  if (status != STATUS_OK)
-    return status;
-  if (found.fresh && self->identity.group != 0)
-    return status_fail (STATUS_CORRUPT, "the journal of a voter is missing");
-  /* Taken into a group, or about to form one, and stopped before anything was stored: nothing was
-   * sent either, since that comes after. */
-  if (found.state.term == 0 && found.log.count == 0 && snapshot.index == 0)
-    self->identity.group = 0;
-  if (found.torn_bytes > 0)
-    log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_WARNING, "torn tail of the journal cut", "{s:I}",
-               "bytes", (json_int_t) found.torn_bytes);
-  return restore_raft (self, &snapshot, &found, now);
-}
-
 static void
 take_defaults (struct consensus_voter_config *config)
 {
@@ -570,7 +277,7 @@
   for (uint32_t i = 0; i < config->n_voters && i < CLIENT_HOSTS_MAX; i++)
     text_copy_cut (self->first_voters[self->n_first_voters++], RESOURCE_NAME_SIZE,
                    config->voters[i]);
-  requests_init (&self->requests, &requests_ops, self, config->timers, rng_u64 (&self->rng));
+  requests_init (&self->requests, &voter_requests_ops, self, config->timers, rng_u64 (&self->rng));
   client_init (&self->client, &self->requests, config->port, self->name, config->voters,
                config->n_voters, rng_u64 (&self->rng));
   take_counters (self, config->counters);
@@ -591,7 +298,7 @@
     }
   take_config (self, config);
   talloc_set_destructor (self, free_voter);
-  *status = restore (self, now);
+  *status = voter_restore (self, now);
   if (*status != STATUS_OK)
     {
       talloc_free (self);
@@ -611,7 +318,7 @@
   struct consensus_voter *self = (struct consensus_voter *) consensus;
   enum status status = STATUS_NOT_LEADER;
 
-  if (leads (self))
+  if (voter_leads (self))
     status = raft_change_members (self->raft, change);
   if (status == STATUS_OK)
     voter_wake (self, now);
@@ -624,7 +331,7 @@
   struct consensus_voter *self = (struct consensus_voter *) consensus;
   enum status status = STATUS_NOT_LEADER;
 
-  if (leads (self))
+  if (voter_leads (self))
     status = raft_transfer (self->raft, 0, now);
   if (status == STATUS_OK)
     voter_wake (self, now);
--- a/src/consensus_voter_private.h
+++ b/src/consensus_voter_private.h
@@ -75,11 +75,18 @@
 
 /* consensus_voter.c */
 void voter_fail (struct consensus_voter *self, enum status status, const char *what, int64_t now);
-void voter_submit (struct consensus_voter *self, struct request *request, int64_t now);
+bool voter_leads (const struct consensus_voter *self);
 void voter_wake (struct consensus_voter *self, int64_t now);
-void voter_role_changed (struct consensus_voter *self, int64_t now);
 const char *voter_leader_name (const struct consensus_voter *self);
 
+/* consensus_route.c */
+extern const struct requests_ops voter_requests_ops;
+void voter_submit (struct consensus_voter *self, struct request *request, int64_t now);
+void voter_role_changed (struct consensus_voter *self, int64_t now);
+
+/* consensus_open.c */
+enum status voter_restore (struct consensus_voter *self, int64_t now);
+
 /* consensus_flush.c */
 void voter_flush (struct consensus_voter *self, int64_t now);
 
