Follow a home whose clock was set back

Cause: a home that restarts with its clock set back has a list that seems older than the one the others keep, and they would ignore it for good. Change: the list takes the newer incarnation that membership gives the host once the others tell it of the old one. Conclusion: the test shows the target unused before, used after.

--- a/src/directory.c
+++ b/src/directory.c
@@ -482,6 +482,18 @@
   forget (directory, entry, now);
 }
 
+/* A process whose clock was set back learns from the others that its incarnation is an old one, and
+ * takes a newer (member.c).  The list does too, or the others would go on taking it for the old
+ * process's. */
+static void
+follow_incarnation (struct directory *directory)
+{
+  const struct board_host *self = table_get (directory->board->hosts, directory->board->self);
+
+  if (self != NULL && self->incarnation > directory->ours->epoch)
+    directory->ours->epoch = self->incarnation;
+}
+
 int64_t
 directory_tick (struct directory *directory, int64_t now)
 {
@@ -492,6 +504,7 @@
     {
       entry_tick (directory, entry, now);
     }
+  follow_incarnation (directory);
   directory_list_tick (directory, now);
   directory_sync_tick (directory, now);
   return now + TICK;
--- a/tests/unit_directory.cc
+++ b/tests/unit_directory.cc
@@ -437,6 +437,27 @@
     }
 }
 
+// A home restarts with its clock set back, so that its list seems older than the one it kept
+// before. Membership gives it a newer incarnation once the others tell it; its list must follow, or
+// its targets would be used nowhere else.
+TEST (Directory, AHomeWhoseClockWasSetBackIsFollowedAgain)
+{
+  struct net n (3);
+  auto t = record_of ("t", 1, 1);
+
+  n.start ("h0", 100);
+  announce (n, 0, t);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { t });
+  n.start ("h0", 50);
+  t.sequence = 2;
+  announce (n, 0, t);
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  EXPECT_FALSE (n.usable (1, "t"));
+  board_find_host (n[0].board, "h0", nullptr)->incarnation = 101;
+  n.run_renewing (5 * USEC_PER_SEC, 0, { t });
+  EXPECT_TRUE (n.usable (1, "t"));
+}
+
 // A host is cut off for minutes.  Meanwhile a target left and its tombstone was dropped from the
 // home's list; when the host is back it must not go on with the target for ever.
 TEST (Directory, AHostBackFromALongPartitionForgetsWhatItMissed)
