Answer a suspicion again when its refutation was lost

Cause: an hour at 60 instances with 1% loss ended with one false death. Change: who holds a suspicion tells the suspect each second, the suspect answers an old suspicion with its present word, and any answer of a host clears the probes of it. A part that nothing called is gone.

--- a/src/member.c
+++ b/src/member.c
@@ -26,6 +26,10 @@
 #define VITALS_SPAN_PER_HOST (100 * USEC_PER_MSEC)
 #define LOAD_STEP 12 /* percent */
 
+/* A host that we suspect hears it from us this often, for its refutation must not hang on one
+ * message: a suspicion that stays here reaches it in no other way. */
+#define TELL_SUSPECT (1 * USEC_PER_SEC)
+
 static int
 free_member (struct member *member)
 {
@@ -177,7 +181,7 @@
 /* Words about ourselves.  A suspicion is refuted with a higher sequence; words of a later
  * incarnation are of a process whose clock was ahead of ours, and we go past it. */
 static void
-apply_self (struct member *member, const struct member_item *item, int64_t now)
+apply_self (struct member *member, const char *from, const struct member_item *item, int64_t now)
 {
   struct board_host *entry = member_board (member, member->self);
   const struct board_host *said = &item->host;
@@ -192,8 +196,14 @@
       return;
     }
   if (said->incarnation < entry->incarnation || rank (said->state) == 0
-      || rank (entry->state) >= rank (said->state) || item->sequence < member->self->sequence)
+      || rank (entry->state) >= rank (said->state))
     return;
+  /* Refuted already, but the news of it did not reach who says this, and has gone its round. */
+  if (item->sequence < member->self->sequence)
+    {
+      member_send_record (member, from, member->self);
+      return;
+    }
   counter_add (member->refutations, 1);
   member->self->sequence = item->sequence + 1;
   member_make_news (member, member->self, false);
@@ -272,7 +282,7 @@
 
   if (host == member->self)
     {
-      apply_self (member, item, now);
+      apply_self (member, from, item, now);
       return;
     }
   if (host == NULL)
@@ -442,6 +452,11 @@
       if (host->accused)
         member_make_news (member, host, false);
     }
+  else if (state == HOST_SUSPECT && (host->local || host->accused) && now >= host->tell_at)
+    {
+      host->tell_at = now + TELL_SUSPECT;
+      member_send (member, host->name, MEMBER_PING, 0, "");
+    }
   if (!member_present (state) && now - host->state_at >= KEEP_DEAD)
     drop_host (member, host);
 }
--- a/src/member.h
+++ b/src/member.h
@@ -71,10 +71,6 @@
 /* Does what is due; when to call again. */
 int64_t member_tick (struct member *member, int64_t now);
 
-/* Another part had an answer of the host to a question it asked just now: as good
- * as a probe. */
-void member_heard (struct member *member, const char *host);
-
 /* We are shutting down, or have ended; told to everyone at once and spread as news besides. */
 void member_leave (struct member *member, int64_t now);
 void member_left (struct member *member, int64_t now);
--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -259,17 +259,24 @@
   member_send_view (member, from, MEMBER_SYNC, false);
 }
 
+/* The host answered, whichever message of ours: no probe of it may end in a suspicion now. */
+static void
+clear_probes (struct member *member, const char *host)
+{
+  for (int i = 0; i < MEMBER_PROBES; i++)
+    if (strcmp (member->probes[i].host, host) == 0)
+      member->probes[i].number = 0;
+}
+
 static void
 take_ack (struct member *member, const char *from, const struct member_head *head)
 {
-  struct member_probe *probe = find_probe (member, head->number);
+  const struct member_probe *probe = find_probe (member, head->number);
 
-  /* From the host itself, or from a helper that reached it. */
-  if (probe != NULL && (strcmp (from, probe->host) == 0 || strcmp (head->about, probe->host) == 0))
-    {
-      probe->number = 0;
-      return;
-    }
+  clear_probes (member, from);
+  /* From a helper that reached the host. */
+  if (probe != NULL && strcmp (head->about, probe->host) == 0)
+    clear_probes (member, head->about);
   for (int i = 0; i < MEMBER_RELAYS; i++)
     if (member->relays[i].number != 0 && member->relays[i].number == head->number
         && strcmp (member->relays[i].about, from) == 0)
@@ -386,12 +393,3 @@
     member_send (member, from, MEMBER_WANT, 0, from);
   member_probe_message (member, from, &head, now);
 }
-
-void
-member_heard (struct member *member, const char *name)
-{
-  struct member_host *host = member_find (member, name);
-
-  if (host != NULL)
-    host->round = member->round;
-}
--- a/src/member_state.h
+++ b/src/member_state.h
@@ -37,6 +37,7 @@
   uint64_t beat;
   int64_t state_at;      /* when its state changed here */
   int64_t suspect_until; /* a suspect is dead then */
+  int64_t tell_at;       /* tell a suspect of ours again that it is one */
   uint64_t round;        /* of our probes, in which it had its turn or answered us */
   bool local;            /* suspect or dead on our evidence alone, told to nobody */
   bool accused;          /* by us, with a helper's evidence: its death is for us to tell */
--- a/tests/unit_member.cc
+++ b/tests/unit_member.cc
@@ -254,6 +254,24 @@
   EXPECT_EQ (c.counted ("member_deaths_total"), 0);
 }
 
+// Of two hosts, one does not hear the other for a while and suspects it; the other hears of that
+// and refutes, but its refutation is lost as often as news is sent.  When the link is back the
+// suspect must be told again, and must answer again, or it is taken for dead while both are well.
+TEST (Member, ASuspectIsToldUntilItRefutes)
+{
+  struct cluster c (3);
+
+  c.run (10 * USEC_PER_SEC);
+  spread_net_stop (c.net, 2, false);
+  c.run (20 * USEC_PER_SEC);
+  spread_net_cut (c.net, 1, 0, true);
+  c.run (2500 * USEC_PER_MSEC);
+  spread_net_cut (c.net, 1, 0, false);
+  ASSERT_EQ (spread_member_sees (c.hosts[0], 1), HOST_SUSPECT);
+  c.run (2 * USEC_PER_SEC);
+  EXPECT_EQ (spread_member_sees (c.hosts[0], 1), HOST_ALIVE);
+}
+
 // A host does not get the newest configuration while it reaches its peers.  Callers would be
 // served by an old one; it must say so, and the others must know.
 TEST (Member, AHostBehindInConfigurationSaysSo)
