Look descriptors up in a table, not by a scan, and bound connections

The loop told the library a descriptor limit of its own, and the library then scans its whole table of connections for every event.

The process's own soft limit of descriptors comes down instead (never up), to the connections and 8192 others, so that memory does not follow a limit of a million; the server now counts its connections itself and closes those over the bound.

--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -114,7 +114,10 @@
                        struct server_caller *caller,
                        const char *peer)
 {
-  struct server_connection *connection = talloc_zero (server, struct server_connection);
+  struct server_connection *connection =
+      server->n_connections >= loop_connections_max (server->loop)
+          ? NULL
+          : talloc_zero (server, struct server_connection);
 
   if (connection == NULL)
     return NULL;
@@ -126,6 +129,7 @@
   text_copy_cut (connection->peer, sizeof connection->peer, peer);
   await (connection, SERVER_IDLE, server->limits.idle_timeout, loop_now (server->loop));
   DL_APPEND (server->connections, connection);
+  server->n_connections++;
   return connection;
 }
 
@@ -158,6 +162,7 @@
 
   timer_disarm (server->timers, &connection->timer);
   DL_DELETE (server->connections, connection);
+  server->n_connections--;
   close_request (connection, now);
   if (connection->caller != NULL)
     server_caller_left (server, connection->caller);
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -61,6 +61,7 @@
   struct loop_watch socket_watch;
   int socket_fd; /* epoll: which callers closed their side or take more of an answer */
   uint32_t pending;
+  uint32_t n_connections;
   bool closing; /* no more connections: answers say "connection: close" */
 };
 
--- a/src/loop.c
+++ b/src/loop.c
@@ -4,17 +4,18 @@
 #include <libwebsockets.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <talloc.h>
 #include <time.h>
 #include <unistd.h>
 
-/* Descriptors of the loop itself beside connections: wake-up pipe, signals, listeners, peers. */
-#define LOOP_SPARE_FDS 32
+/* Descriptors beside connections: files, peers, listeners. */
+#define LOOP_OTHER_DESCRIPTORS 8192
 
-/* What the headers of one HTTP message may take at most; http_server.c refuses less than that.  As
- * many sets as connections: a connection that has to wait for one would read what came meanwhile
- * in a way that http_server_connection.c must keep it from. */
+/* What the headers of one HTTP message may take at most; http_server.c refuses less than that.
+ * There are as many sets as descriptors: a connection that has to wait for one would read what came
+ * meanwhile in a way that http_server_connection.c must keep it from. */
 #define LOOP_HEADER_BYTES 16384
 
 /* What lws reads or writes at one go; larger answers go out in pieces of this size. */
@@ -30,6 +31,7 @@
   struct timer_service *timers;
   lws_sorted_usec_list_t wake;
   bool stopped;
+  uint32_t connections_max;
   struct loop_watch signal_watch;
   struct loop_signal *signal_handler;
   int signal_fd;
@@ -98,16 +100,29 @@
   return 0;
 }
 
+/* lws's tables follow the process's limit of descriptors, which may be a million.  Told of a lower
+ * limit of its own it looks descriptors up by a scan of the whole table, for every event; so it is
+ * the process's own limit that comes down, never up, with room for what is not a connection. */
+static void
+bound_descriptors (uint32_t connections_max)
+{
+  struct rlimit limit;
+  rlim_t wanted = (rlim_t) connections_max + LOOP_OTHER_DESCRIPTORS;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur <= wanted)
+    return;
+  limit.rlim_cur = wanted;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 static bool
-make_context (struct loop *loop, uint32_t connections_max)
+make_context (struct loop *loop)
 {
   struct lws_context_creation_info info = {
     .port = CONTEXT_PORT_NO_LISTEN,
     .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT
                | LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
-    .fd_limit_per_thread = connections_max + LOOP_SPARE_FDS,
     .max_http_header_data2 = LOOP_HEADER_BYTES,
-    .max_http_header_pool2 = connections_max + LOOP_SPARE_FDS,
     .pt_serv_buf_size = LOOP_SERVICE_BUFFER,
     .timeout_secs = LOOP_HANDSHAKE_SECONDS,
     .timeout_secs_ah_idle = LOOP_HANDSHAKE_SECONDS,
@@ -117,6 +132,7 @@
   };
 
   lws_set_log_level (0, NULL);
+  bound_descriptors (loop->connections_max);
   loop->context = lws_create_context (&info);
   if (loop->context == NULL)
     return false;
@@ -132,9 +148,10 @@
   if (loop == NULL)
     return NULL;
   loop->signal_fd = -1;
+  loop->connections_max = connections_max;
   talloc_set_destructor (loop, destroy_loop);
   loop->timers = timer_service_new (loop);
-  if (loop->timers == NULL || !make_context (loop, connections_max))
+  if (loop->timers == NULL || !make_context (loop))
     {
       status_fail (STATUS_NO_MEMORY, "cannot make the loop for %u connections", connections_max);
       talloc_free (loop);
@@ -149,6 +166,12 @@
   return loop->timers;
 }
 
+uint32_t
+loop_connections_max (const struct loop *loop)
+{
+  return loop->connections_max;
+}
+
 struct lws_context *
 loop_context (struct loop *loop)
 {
--- a/src/loop.h
+++ b/src/loop.h
@@ -40,7 +40,8 @@
   const struct loop_signal_ops *ops;
 };
 
-/* `connections_max` bounds the descriptors the loop serves, whatever `ulimit -n` says.  NULL with
+/* `connections_max` bounds the connections that are taken; the process's own limit of descriptors
+ * comes down to it and some more, so that memory does not follow `ulimit -n`.  NULL with
  * status_message() when it cannot be made. */
 struct loop *loop_new (void *parent, uint32_t connections_max);
 
@@ -49,6 +50,8 @@
 /* The monotonic clock, read anew.  Only edges call it; what they call gets `now`. */
 int64_t loop_now (const struct loop *loop);
 
+uint32_t loop_connections_max (const struct loop *loop);
+
 struct lws_context *loop_context (struct loop *loop);
 
 /* Watch a descriptor for reading; the descriptor stays the caller's. */
--- a/tests/unit_edges_server.cc
+++ b/tests/unit_edges_server.cc
@@ -1,5 +1,6 @@
 // The HTTP server met by callers that are whole, broken, slow or gone.
 #include "unit_edges_support.h"
+#include <memory>
 
 namespace
 {
@@ -366,6 +367,41 @@
   EXPECT_TRUE (target.wait_for (" 404 "));
 }
 
+// More callers connect than the process may serve.  Those over the bound are closed at once; those
+// that are in go on, and room that becomes free is used again.
+TEST (HttpServer, BoundsItsConnections)
+{
+  struct test_server server (test_server::ordinary_limits (), nullptr, nullptr, 3);
+  auto first = std::make_unique<raw_caller> (server.loop, server.port ());
+  struct raw_caller second (server.loop, server.port ());
+  struct raw_caller third (server.loop, server.port (HTTP_LISTENER_TARGETS));
+  struct raw_caller fourth (server.loop, server.port ());
+
+  // Two listeners: which of them is served first is open, that one connection is too many is not.
+  ASSERT_TRUE (
+      run_until (server.loop, [&] { return server.counted ("http_connections_refused") == 1; }));
+  EXPECT_EQ (server.counted ("http_connections_accepted"), 3);
+  first.reset ();
+  second.send (get ("/in"));
+  fourth.send (get ("/in"));
+  ASSERT_TRUE (run_until (server.loop, [&] {
+    second.read_some ();
+    fourth.read_some ();
+    return second.count ("/in?") + fourth.count ("/in?") > 0;
+  }));
+  ASSERT_TRUE (run_until (server.loop, [&] {
+    struct raw_caller again (server.loop, server.port ());
+
+    again.send (get ("/again"));
+    return run_until (server.loop,
+                      [&] {
+                        again.read_some ();
+                        return again.closed || !again.got.empty ();
+                      })
+           && !again.got.empty ();
+  }));
+}
+
 // Shutdown: no new connections; what is in flight gets its whole answer, told that it is the last
 // of its connection.
 TEST (HttpServer, FinishesWhatIsInFlightAfterItStopsListening)
--- a/tests/unit_edges_support.h
+++ b/tests/unit_edges_support.h
@@ -155,12 +155,13 @@
 
   explicit test_server (struct http_limits limits = ordinary_limits (),
                         const char *certificate = nullptr,
-                        const char *key = nullptr)
+                        const char *key = nullptr,
+                        uint32_t connections_max = 2200)
   {
     static const struct http_route_ops ops = { .request = request };
     struct http_server_config config = {};
 
-    loop = loop_new (nullptr, 2200);
+    loop = loop_new (nullptr, connections_max);
     counters = counters_new (loop);
     config.loop = loop;
     config.counters = counters;
