Leave the wait for a next request to our own timer alone

The library keeps its timeouts in one sorted list and walks it for every insertion; with 1,000 connections that was the largest item (30% of the samples). Its keep-alive timeout, which our idle timer precedes, is taken off.

The client's calls of one turn are what is left in the list.

--- a/src/http_server_answer.c
+++ b/src/http_server_answer.c
@@ -238,7 +238,12 @@
   connection->read_before = server_connection_read (connection);
   timer_arm (server->timers, &connection->timer, now + server->limits.idle_timeout);
   server_connection_read_on (connection, true);
-  return lws_http_transaction_completed (connection->wsi) != 0 ? -1 : 0;
+  if (lws_http_transaction_completed (connection->wsi) != 0)
+    return -1;
+  /* Our timer bounds the wait for the next request.  lws keeps its timeouts in one sorted list that
+   * it walks at each insertion, so with many idle connections theirs would be the largest cost. */
+  lws_set_timeout (connection->wsi, NO_PENDING_TIMEOUT, 0);
+  return 0;
 }
 
 /* All that there is was written. */
