Say a refusal once, and why a host was not reached

`spec.slotz: spec.slotz: unknown field` named the field twice, and a host that refused the connection read as "unavailable" alone. The field is left out where the message begins with it, and the client's own words say what failed.

--- a/src/cli_object.c
+++ b/src/cli_object.c
@@ -190,6 +190,9 @@
   const char *field = json_string_value (json_object_get (error, "field"));
   const char *message = json_string_value (json_object_get (error, "message"));
 
+  /* Many messages begin with the field's name. */
+  if (field != NULL && message != NULL && strncmp (message, field, strlen (field)) == 0)
+    field = NULL;
   fprintf (stderr, "%s: %s%s%s (%d from %s)\n", about, field == NULL ? "" : field,
            field == NULL ? "" : ": ", message == NULL ? "refused" : message, answer->code,
            answer->host);
--- a/src/cli_session.c
+++ b/src/cli_session.c
@@ -240,7 +240,7 @@
   out->code = call.code;
   if (status != STATUS_OK)
     {
-      snprintf (failure, FAILURE_SIZE, "%s: %s", out->host, status_text (status));
+      snprintf (failure, FAILURE_SIZE, "%s: %s", out->host, status_message ());
       return false;
     }
   *reached = true;
