--- a/bench/cmd_spread.c
+++ b/bench/cmd_spread.c
@@ -13,6 +13,7 @@
   const char *experiment;
   const char *way; /* NULL for all */
   uint32_t hosts;
+  uint32_t homes;
   uint32_t targets;
   uint32_t trials;
   uint32_t seconds;
@@ -41,6 +42,7 @@
   { "way", 'w', "NAME", 0, "heartbeat, probe or tree; all when absent", 0 },
   { "hosts", 'n', "N", 0, "instances (9)", 0 },
   { "targets", 't', "N", 0, "targets, for the experiment directory (18)", 0 },
+  { "homes", 'm', "N", 0, "hosts that are homes of targets, for directory (1)", 0 },
   { "trials", 'k', "N", 0, "runs from different seeds (20)", 0 },
   { "seconds", 's', "N", 0, "virtual time measured (120)", 0 },
   { "loss", 'l', "SHARE", 0, "of messages lost at random (0)", 0 },
@@ -64,6 +66,9 @@
     case 't':
       options->targets = (uint32_t) strtoul (value, NULL, 10);
       break;
+    case 'm':
+      options->homes = (uint32_t) strtoul (value, NULL, 10);
+      break;
     case 'k':
       options->trials = (uint32_t) strtoul (value, NULL, 10);
       break;
@@ -81,7 +86,7 @@
       break;
     case ARGP_KEY_END:
       if (options->experiment == NULL || options->hosts < 6 || options->hosts > SPREAD_HOSTS_MAX
-          || options->trials == 0)
+          || options->trials == 0 || options->homes == 0 || options->homes > options->hosts)
         argp_usage (state);
       break;
     default:
@@ -126,12 +131,14 @@
     .args_doc = "idle|busy|dead|silent|leave|alarms|link|directory|target",
     .doc = "Count what ways to spread membership, and the directory of targets, cost and take.",
   };
-  struct options options = { .hosts = 9, .targets = 18, .trials = 20, .seconds = 120, .seed = 1 };
+  struct options options = {
+    .hosts = 9, .homes = 1, .targets = 18, .trials = 20, .seconds = 120, .seed = 1
+  };
 
   argp_parse (&argp, argc, argv, 0, NULL, &options);
   if (strcmp (options.experiment, "directory") == 0)
-    spread_measure_directory (options.hosts, options.targets, options.seconds * USEC_PER_SEC,
-                              options.seed);
+    spread_measure_directory (options.hosts, options.homes, options.targets,
+                              options.seconds * USEC_PER_SEC, options.seed);
   else if (strcmp (options.experiment, "target") == 0)
     spread_measure_target_leave (options.hosts, options.trials, options.loss, options.seed);
   else if (!run_ways (&options))
--- a/bench/spread_directory.c
+++ b/bench/spread_directory.c
@@ -1,6 +1,7 @@
 /* Measurements of the directory: bytes with few and many targets, and the end of new work. */
 #include "counter.h"
 #include "directory.h"
+#include "pack.h"
 #include "rng.h"
 #include "spread_measure.h"
 #include "status.h"
@@ -13,7 +14,6 @@
 #define DELAY (1 * USEC_PER_MSEC)
 #define HOME 0
 #define POLL (10 * USEC_PER_MSEC)
-#define RENEWAL_BYTES_EACH 22 /* name, incarnation, sequence: one renewal passed on by itself */
 
 struct follower
 {
@@ -30,6 +30,7 @@
   struct counters *counters;
   struct follower *hosts[SPREAD_HOSTS_MAX];
   uint32_t n_hosts;
+  uint32_t n_homes; /* the first hosts, each with its share of the targets */
   uint32_t n_targets;
   struct directory_record *targets;
   int64_t *renew_at; /* each target renews at its own moment; USEC_NEVER when it is dead */
@@ -117,13 +118,13 @@
       t->slots = 16;
       t->incarnation = 1700000000000;
       t->sequence = 1;
-      INVARIANT (directory_announce (bed->hosts[HOME]->directory, t, now) == STATUS_OK);
+      INVARIANT (directory_announce (bed->hosts[i % bed->n_homes]->directory, t, now) == STATUS_OK);
       bed->renew_at[i] = now + (int64_t) rng_below (rng, DIRECTORY_RENEW);
     }
 }
 
 static struct bed *
-start_bed (uint32_t n_hosts, uint32_t n_targets, uint64_t seed)
+start_bed (uint32_t n_hosts, uint32_t n_homes, uint32_t n_targets, uint64_t seed)
 {
   struct bed *bed = talloc_zero (NULL, struct bed);
   struct rng rng;
@@ -133,6 +134,7 @@
   bed->net = spread_net_new (bed, seed, DELAY);
   bed->counters = counters_new (bed);
   bed->n_hosts = n_hosts;
+  bed->n_homes = n_homes;
   bed->n_targets = n_targets;
   bed->targets = talloc_zero_array (bed, struct directory_record, n_targets);
   bed->renew_at = talloc_zero_array (bed, int64_t, n_targets);
@@ -159,7 +161,7 @@
 
           if (now < bed->renew_at[i])
             continue;
-          (void) directory_renew (bed->hosts[HOME]->directory, &key, now);
+          (void) directory_renew (bed->hosts[i % bed->n_homes]->directory, &key, now);
           bed->renew_at[i] += DIRECTORY_RENEW;
         }
       spread_net_run (bed->net, POLL);
@@ -178,33 +180,51 @@
   return count;
 }
 
+/* One renewal passed on by itself: name, incarnation, sequence. */
+static size_t
+renewal_bytes (const struct bed *bed)
+{
+  const struct directory_record *t = &bed->targets[0];
+  struct bytes out;
+  size_t length;
+
+  bytes_init (&out, bed->counters);
+  pack_text (&out, t->name);
+  pack_uint (&out, t->incarnation);
+  pack_uint (&out, t->sequence);
+  length = out.length;
+  bytes_clear (&out);
+  return length;
+}
+
 void
-spread_measure_directory (uint32_t n_hosts, uint32_t n_targets, int64_t span, uint64_t seed)
+spread_measure_directory (
+    uint32_t n_hosts, uint32_t n_homes, uint32_t n_targets, int64_t span, uint64_t seed)
 {
-  struct bed *bed = start_bed (n_hosts, n_targets, seed);
+  struct bed *bed = start_bed (n_hosts, n_homes, n_targets, seed);
   double seconds = (double) span / USEC_PER_SEC;
   struct spread_traffic home[3];
   struct spread_traffic other[3];
   uint32_t usable;
 
   home[0] = spread_net_traffic (bed->net, HOME);
-  other[0] = spread_net_traffic (bed->net, 1);
+  other[0] = spread_net_traffic (bed->net, n_hosts - 1);
   run_bed (bed, 30 * USEC_PER_SEC);
   home[1] = spread_net_traffic (bed->net, HOME);
-  other[1] = spread_net_traffic (bed->net, 1);
+  other[1] = spread_net_traffic (bed->net, n_hosts - 1);
   run_bed (bed, span);
   home[2] = spread_net_traffic (bed->net, HOME);
-  other[2] = spread_net_traffic (bed->net, 1);
-  usable = count_usable (bed, 1);
-  printf (
-      "directory hosts=%u targets=%u start_bytes_home=%llu home_bytes_s=%.0f home_messages_s=%.2f "
-      "host_bytes_s=%.0f host_messages_s=%.2f usable=%u each_renewal_passed_on_bytes_s=%.0f\n",
-      n_hosts, n_targets, (unsigned long long) (home[1].bytes - home[0].bytes),
-      (double) (home[2].bytes - home[1].bytes) / seconds,
-      (double) (home[2].messages - home[1].messages) / seconds,
-      (double) (other[2].bytes - other[1].bytes) / seconds,
-      (double) (other[2].messages - other[1].messages) / seconds, usable,
-      (double) n_targets * (n_hosts - 1) * RENEWAL_BYTES_EACH);
+  other[2] = spread_net_traffic (bed->net, n_hosts - 1);
+  usable = count_usable (bed, n_hosts - 1);
+  printf ("directory hosts=%u homes=%u targets=%u start_bytes_home=%llu home_bytes_s=%.0f "
+          "home_messages_s=%.2f "
+          "host_bytes_s=%.0f host_messages_s=%.2f usable=%u each_renewal_passed_on_bytes_s=%.0f\n",
+          n_hosts, n_homes, n_targets, (unsigned long long) (home[1].bytes - home[0].bytes),
+          (double) (home[2].bytes - home[1].bytes) / seconds,
+          (double) (home[2].messages - home[1].messages) / seconds,
+          (double) (other[2].bytes - other[1].bytes) / seconds,
+          (double) (other[2].messages - other[1].messages) / seconds, usable,
+          (double) n_targets * (n_hosts - 1) * (double) renewal_bytes (bed));
   talloc_free (bed);
 }
 
@@ -224,7 +244,7 @@
 static double
 trial_ending (enum ending ending, uint32_t n_hosts, double loss, uint64_t seed)
 {
-  struct bed *bed = start_bed (n_hosts, 18, seed);
+  struct bed *bed = start_bed (n_hosts, 1, 18, seed);
   const struct directory_record *t = &bed->targets[7];
   struct directory_key key = { t->name, t->incarnation, t->sequence + 1 };
   int64_t last = 0;
--- a/bench/spread_measure.h
+++ b/bench/spread_measure.h
@@ -29,8 +29,9 @@
 void spread_measure_alarms (const struct spread_case *c);
 void spread_measure_link (const struct spread_case *c);
 
-/* One home with targets, and hosts that follow it. */
-void spread_measure_directory (uint32_t n_hosts, uint32_t n_targets, int64_t span, uint64_t seed);
+/* Homes with targets, and hosts that follow them. */
+void spread_measure_directory (
+    uint32_t n_hosts, uint32_t n_homes, uint32_t n_targets, int64_t span, uint64_t seed);
 
 /* How long after a target says that it leaves, dies or loses its home new work may still go to it.
  */
