Take a restarted target for a new one

A target that starts anew under its name kept its predecessor's ejection, slowness and cached prefixes, so its empty cache drew work that was then read in full, or it stayed out though it was well. A new incarnation clears them and starts slowly; attempts on the old process stay counted until they end. Tests: restart, and a slow target that gets less work until it is well. The test of a popular prefix now teaches reading times first: before, the even part of ten passed its bound of five.

--- a/bench/cmd_policy_cost.c
+++ b/bench/cmd_policy_cost.c
@@ -154,7 +154,7 @@
                                     .output_tokens = 100,
                                     .priority = 5,
                                     .repeatable = true };
-  double start = seconds ();
+  double start;
   uint64_t document = rng_below (&bed->rng, 1000);
   uint32_t i;
 
--- a/src/decide_pool.c
+++ b/src/decide_pool.c
@@ -111,6 +111,7 @@
   if (target == NULL)
     return;
   target->handle = handle;
+  target->incarnation = entry->incarnation;
   target->added_at = now;
   target->slowness = 1;
   if (!pool_append (pool, target))
@@ -121,6 +122,23 @@
   entry->decide = target;
 }
 
+/* A new process under an old name: its cache is empty, and what its predecessor did wrong says
+ * nothing of it.  Attempts on the predecessor are still counted until they end. */
+static void
+target_restarted (struct decide *decide, struct decide_target *target, int64_t now)
+{
+  const struct board_target *entry = table_get (decide->board->targets, target->handle);
+
+  target->incarnation = entry->incarnation;
+  target->added_at = now;
+  target->timed_out = false;
+  if (target->eject.until != 0 && target->pool->n_ejected > 0)
+    target->pool->n_ejected--;
+  target->eject = (struct eject){ .until = 0 };
+  decide_slowness_forget (target);
+  prefix_forget (decide->prefixes, target->handle);
+}
+
 /* A target that moved to another pool is a new one to us. */
 static void
 target_changed (struct decide *decide, struct handle handle, int64_t now)
@@ -131,6 +149,8 @@
     return;
   if (entry->decide != NULL && strcmp (entry->decide->pool->name, entry->pool) != 0)
     target_removed (decide, handle);
+  if (entry->decide != NULL && entry->decide->incarnation != entry->incarnation)
+    target_restarted (decide, entry->decide, now);
   target_added (decide, handle, now);
 }
 
--- a/src/decide_queue.c
+++ b/src/decide_queue.c
@@ -37,7 +37,11 @@
 }
 
 /* The slots that are ours: an even share; or, where reports show it, what others leave free or the
- * share of the calls that are ours, since callers come to hosts unevenly. */
+ * share of the calls that are ours, since callers come to hosts unevenly.
+ *
+ * XXX: where callers are on a few of many hosts (64 groups, 360 hosts) a loaded host's part is
+ * still too small at the start of a burst, and random choice without admission attains 0.003 more.
+ */
 static double
 our_slots (const struct decide *decide, const struct decide_pool *pool)
 {
--- a/src/decide_state.h
+++ b/src/decide_state.h
@@ -75,13 +75,14 @@
 {
   struct handle handle;
   struct decide_pool *pool;
-  uint32_t position;   /* in the pool's `targets` */
-  uint32_t in_flight;  /* our attempts on it */
-  double work;         /* expected slot seconds of them */
-  double log_slowness; /* its time over the pool's, learned; 0 when unknown */
-  double slowness;     /* what of it is beyond chance, as a factor */
-  int64_t added_at;    /* for slow start */
-  bool timed_out;      /* and gave no whole answer since */
+  uint32_t position;    /* in the pool's `targets` */
+  uint64_t incarnation; /* of the process this was learned of */
+  uint32_t in_flight;   /* our attempts on it */
+  double work;          /* expected slot seconds of them */
+  double log_slowness;  /* its time over the pool's, learned; 0 when unknown */
+  double slowness;      /* what of it is beyond chance, as a factor */
+  int64_t added_at;     /* for slow start */
+  bool timed_out;       /* and gave no whole answer since */
   struct eject eject;
 };
 
@@ -223,6 +224,7 @@
                                      const struct decide_request *request,
                                      const struct board_pipeline *pipeline,
                                      uint32_t stage);
+void decide_slowness_forget (struct decide_target *target);
 void decide_slowness_fade (struct decide_target *target, int64_t span);
 void decide_time_timed_out (struct decide_target *target,
                             const struct decide_result *result,
--- a/src/decide_target.c
+++ b/src/decide_target.c
@@ -12,7 +12,8 @@
 #define DRAWS_MAX 16     /* random draws before targets are looked at in turn */
 #define OTHER_DOMAIN 0.5 /* factor on a retry's score in another failure domain */
 /* For the cost objective reading a prompt counts this much more than waiting: it also drives
- * another prompt out of a cache. */
+ * another prompt out of a cache.
+ * XXX: cost on the bkk trace is 13% under least reported load, not 15%. */
 #define READING_WEIGHT 3
 #define SLOW_START (5 * USEC_PER_SEC)
 #define SLOW_START_FACTOR 4.0 /* a fresh target's score, down to 1 over SLOW_START */
--- a/src/decide_time.c
+++ b/src/decide_time.c
@@ -178,6 +178,12 @@
   set_slowness (target, target->log_slowness + SLOWNESS_WEIGHT * (sample - target->log_slowness));
 }
 
+void
+decide_slowness_forget (struct decide_target *target)
+{
+  set_slowness (target, 0);
+}
+
 /* A target thought slow gets less work and so fewer samples to show that it is not: what is thought
  * of it fades. */
 void
--- a/src/prefix.c
+++ b/src/prefix.c
@@ -113,6 +113,18 @@
       set->ways[i] = (struct entry){ .target = 0 };
 }
 
+void
+prefix_forget (struct prefix_index *index, struct handle target)
+{
+  uint32_t i;
+  uint32_t way;
+
+  for (i = 0; i <= index->mask; i++)
+    for (way = 0; way < WAYS; way++)
+      if (index->sets[i].ways[way].target == pack_target (target))
+        index->sets[i].ways[way] = (struct entry){ .target = 0 };
+}
+
 static bool
 is_found (const struct prefix_holder *out, uint32_t count, struct handle target)
 {
--- a/src/prefix.h
+++ b/src/prefix.h
@@ -31,6 +31,9 @@
 void prefix_note (struct prefix_index *index, uint64_t block, struct handle target, int64_t now);
 void prefix_drop (struct prefix_index *index, uint64_t block, struct handle target);
 
+/* Drop all notes of a target, as when its process started anew; walks the whole index. */
+void prefix_forget (struct prefix_index *index, struct handle target);
+
 /* Targets that hold the most of the prompt, deepest first; their count. */
 uint32_t prefix_find (const struct prefix_index *index,
                       const uint64_t *blocks,
--- a/tests/unit_decide.cc
+++ b/tests/unit_decide.cc
@@ -144,6 +144,22 @@
     end (&request, choice, how, now, now + span);
   }
 
+  // Prompts take half a millisecond a token, and hardly anything when all of it is cached.
+  void
+  teach_reading ()
+  {
+    for (int i = 0; i < 40; i++)
+      {
+        struct decide_request request = request_at (i * SECOND / 10);
+        request.input_tokens = i % 2 == 0 ? 1 : 1000;
+        struct decide_choice choice = choose (&request, request.arrived);
+
+        decide_started (decide, &request, &choice, request.arrived);
+        end (&request, choice, DECIDE_END_WHOLE, request.arrived,
+             request.arrived + request.input_tokens * SECOND / 2000);
+      }
+  }
+
   struct board *board = nullptr;
   struct decide *decide = nullptr;
   struct handle pool = {};
@@ -316,6 +332,75 @@
   EXPECT_EQ (decide_admit (decide, &request, SECOND).reason, DECIDE_NO_TARGET);
 }
 
+// An engine fails, is ejected, and its process is started anew under the same name.  What the old
+// process did and had cached must not be held of the new one, which starts slowly instead.
+TEST_F (DecideTest, RestartedTargetIsANewOne)
+{
+  struct handle restarted = add_target ("restarted", "a");
+  auto *entry = static_cast<struct board_target *> (table_get (board->targets, restarted));
+  auto *line = static_cast<struct board_pipeline *> (table_get (board->pipelines, pipeline));
+  struct decide_request request = request_at (10 * SECOND);
+
+  line->spec.stages[0].kind = STAGE_GENERATE;
+  struct handle other = add_target ("other", "a");
+  teach_reading ();
+  request.n_prefix = 16;
+  for (uint32_t block = 0; block < 16; block++)
+    {
+      request.prefix[block] = (block + 1) * 0x10000;
+      decide_cache_event (decide, restarted, request.prefix[block], true, 10 * SECOND);
+    }
+  struct decide_choice choice = choose (&request, 10 * SECOND);
+  EXPECT_TRUE (handle_equal (choice.target, restarted));
+  EXPECT_GT (choice.prefix_tokens, 0u);
+  decide_started (decide, &request, &choice, 10 * SECOND);
+  end (&request, choice, DECIDE_END_WRONG, 10 * SECOND, 10 * SECOND + 1); // ejected at once
+  EXPECT_FALSE (handle_equal (choose (&request, 10 * SECOND + 2).target, restarted));
+  entry->incarnation++;
+  board_publish (board, BOARD_TARGET_CHANGED, restarted, 10 * SECOND + 3);
+  static_cast<struct board_target *> (table_get (board->targets, other))->state = TARGET_LEAVING;
+  choice = choose (&request, 10 * SECOND + 4);
+  EXPECT_TRUE (handle_equal (choice.target, restarted));
+  EXPECT_EQ (choice.prefix_tokens, 0u);
+}
+
+// One target turns five times slower than its pool.  It must get less work, and when it is well
+// again it must get its part back, though little work comes to it to show that.
+TEST_F (DecideTest, SlowTargetGetsLessWorkUntilItIsWell)
+{
+  struct handle slow = add_target ("slow", "a");
+  int64_t now = 100 * SECOND;
+  int to_slow = 0;
+
+  add_target ("b", "a");
+  add_target ("c", "a");
+  for (int i = 0; i < 300; i++, now += SECOND / 10)
+    {
+      struct decide_request request = request_at (now);
+      struct decide_choice choice = choose (&request, now);
+      bool is_slow = handle_equal (choice.target, slow);
+
+      decide_started (decide, &request, &choice, now);
+      end (&request, choice, DECIDE_END_WHOLE, now, now + (is_slow ? 5 : 1) * SECOND / 20);
+      to_slow += i >= 200 && is_slow;
+    }
+  EXPECT_LT (to_slow, 15);
+  now += 120 * SECOND;
+  to_slow = 0;
+  for (int i = 0; i < 300; i++, now += SECOND / 10)
+    {
+      struct decide_request request = request_at (now);
+      struct decide_choice choice = choose (&request, now);
+
+      decide_admit (decide, &request, now);
+      decide_started (decide, &request, &choice, now);
+      end (&request, choice, DECIDE_END_WHOLE, now, now + SECOND / 20);
+      decide_finish (decide, &request, true, now);
+      to_slow += i >= 200 && handle_equal (choice.target, slow);
+    }
+  EXPECT_GT (to_slow, 20);
+}
+
 // A failure domain goes down: the second attempt must not go to another target in it.
 TEST_F (DecideTest, RetryPrefersAnotherFailureDomain)
 {
@@ -342,6 +427,7 @@
   line->spec.stages[0].kind = STAGE_GENERATE;
   for (int i = 0; i < 6; i++)
     targets.push_back (add_target ("t" + std::to_string (i), "a"));
+  teach_reading ();
   for (int i = 0; i < 60; i++)
     {
       struct decide_request request = request_at (10 * SECOND);
@@ -357,7 +443,7 @@
       for (int t = 0; t < 6; t++)
         chosen[t] += handle_equal (choice.target, targets[t]);
     }
-  EXPECT_GE (chosen[0], 5);
+  EXPECT_GE (chosen[0], 12); // more than its even part of ten
   EXPECT_LE (chosen[0], 20);
 }
 
