--- a/tests/unit_raft.cc
+++ b/tests/unit_raft.cc
@@ -44,7 +44,7 @@
     options.heartbeat = 100 * ms;
     options.election_min = 1000 * ms;
     options.election_max = 2000 * ms;
-    options.lease_reads = true;
+    options.lease_reads = leases;
     options.batch_bytes = 1; // one entry a message
     options.max_in_flight = 1;
     options.chunk_bytes = 100;
@@ -118,6 +118,7 @@
     flush ();
   }
 
+  bool leases = true;
   struct raft *raft = nullptr;
   struct raft_members members = {};
   int64_t now = 1000000 * ms;
@@ -221,6 +222,30 @@
   EXPECT_FALSE (raft_lease_valid (raft, now));
 }
 
+// An operator reads through a leader that has just been replaced and does not know.  An answer to a
+// heartbeat from before the read says nothing of whether it leads now.
+TEST_F (Raft, ReadIsNotConfirmedByARoundSentBeforeIt)
+{
+  struct raft_read read;
+
+  leases = false;
+  restore (2, { 1, 2 });
+  lead ();
+  acknowledge (2, 3, 1);
+  now += 200 * ms;
+  raft_tick (raft, now);
+  flush (); // round 2 is out
+  ASSERT_EQ (raft_read_request (raft, 7, now), STATUS_OK);
+  flush (); // round 3 asks for the read
+  acknowledge (2, 3, 2);
+  EXPECT_FALSE (raft_take_read (raft, &read));
+  acknowledge (2, 3, 3);
+  ASSERT_TRUE (raft_take_read (raft, &read));
+  EXPECT_EQ (read.token, 7u);
+  EXPECT_EQ (read.index, 3u);
+  EXPECT_TRUE (read.ok);
+}
+
 // An older copy of a data folder is put back and started while the leader stays the same.  The
 // voter answers with fewer entries than it had acknowledged; the leader tells it so and it stops
 // for good.
