Serve TLS where the settings say so, instead of plain text

With a certificate in the settings callers and operators were served in plain text: the library reads a certificate only where its global TLS option is given for the virtual host too, and says nothing otherwise. The client had the same fault.

The option is given. The first plain bytes to a TLS port then showed a second fault: the library may drop a connection within the call that hands it over, and it was written to after it was freed; it is now freed after that call.

Tests with certificates made on the spot: a whole answer over TLS, another authority refused, plain bytes refused, a missing certificate stops the start. All but the last step failed before.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -33,6 +33,7 @@
     .vhost_name = "client",
     .user = slot,
     .alpn = "http/1.1",
+    .options = client->config.tls_ca == NULL ? 0 : LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT,
     .client_ssl_ca_filepath = client->config.tls_ca,
     .finalize = free_slot,
     .finalize_arg = slot,
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -132,6 +132,7 @@
   struct server_caller *caller = counted ? caller_came (server, ip) : NULL;
   struct server_connection *connection = NULL;
   struct epoll_event event = { .events = EPOLLRDHUP | EPOLLOUT | EPOLLET };
+  struct lws *wsi;
   lws_adopt_desc_t info = {
     .vh = tls ? server->tls : server->plain,
     .type = LWS_ADOPT_HTTP | LWS_ADOPT_SOCKET | (tls ? LWS_ADOPT_ALLOW_SSL : 0),
@@ -152,13 +153,16 @@
   /* Closing the socket takes it out again. */
   event.data.ptr = connection;
   epoll_ctl (server->socket_fd, EPOLL_CTL_ADD, fd, &event);
-  connection->wsi = lws_adopt_descriptor_vhost_via_info (&info);
-  if (connection->wsi == NULL)
+  connection->adopting = true;
+  wsi = lws_adopt_descriptor_vhost_via_info (&info);
+  connection->adopting = false;
+  if (wsi == NULL || connection->gone)
     {
       server_count (server, SERVER_REFUSED);
       server_connection_free (connection, loop_now (server->loop));
       return;
     }
+  connection->wsi = wsi;
   server_count (server, SERVER_ACCEPTED);
 }
 
@@ -262,6 +266,8 @@
 
   if (tls)
     {
+      /* Without it here as well lws ignores the certificate and serves in plain text. */
+      info.options = LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
       info.ssl_cert_filepath = config->tls_certificate;
       info.ssl_private_key_filepath = config->tls_key;
     }
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -402,6 +402,7 @@
   (void) user;
   if (connection == NULL)
     return 0;
+  connection->wsi = wsi;
   now = loop_now (connection->server->loop);
   switch (reason)
     {
@@ -419,7 +420,9 @@
     case LWS_CALLBACK_CLOSED_HTTP:
     case LWS_CALLBACK_WSI_DESTROY:
       lws_set_opaque_user_data (wsi, NULL);
-      server_connection_free (connection, now);
+      connection->gone = true;
+      if (!connection->adopting)
+        server_connection_free (connection, now);
       return 0;
     default:
       return 0;
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -84,6 +84,8 @@
   struct server_request *request;
   bool close_after; /* the answer under way is the last of this connection */
   bool killed;
+  bool adopting;        /* lws may drop the connection within the call that gives it over */
+  bool gone;            /* it did */
   bool choked;          /* the socket takes no more for now */
   bool reading;         /* lws reads from the socket */
   uint64_t read_before; /* bytes lws had read when the last answer was complete */
