Keep pools usable while homes restart, and serve only once targets are known

Cause: a rolling restart under load failed 1 of 1,500 requests and refused another. A host served as soon as its configuration was confirmed, before homes had told it of their targets; a restarted home's empty list, and any move to another home, cut leases that were still good. A target that refuses everything looked idle and drew every request. Change: a fresh host says its targets are unknown until every live home has told it, at most 3 s; leases end by themselves only; three refusals in a row put a target out for a while; a request with work done waits up to 2 s for a target. Resends and a full restart still fail and are next.

--- a/src/board.h
+++ b/src/board.h
@@ -176,6 +176,7 @@
   uint64_t revision;           /* of the configuration in force here.  Writer: config.c */
   int64_t confirmed_at;        /* when a quorum last confirmed it, 0 never.  Writer: config.c */
   bool config_ready;           /* a confirmed revision is in force: may serve.  Writer: config.c */
+  bool targets_unknown;        /* just started, homes not heard yet.  Writer: directory.c */
   bool leaving;                /* we are shutting down.  Writer: drain.c */
   bool refusing;               /* new requests are refused as not run.  Writer: drain.c */
   uint32_t requests_in_flight; /* Writer: flow.c */
--- a/src/decide.c
+++ b/src/decide.c
@@ -202,13 +202,16 @@
       if (eject_failure (&target->eject, WRONG_WEIGHT, may_eject (decide, target), now))
         counter_add (decide->ejections, 1);
       break;
+    case DECIDE_END_REFUSED:
+      /* Busy now and then is no fault: one answer clears it.  But a target that refuses all it gets
+       * looks idle, and would draw every request. */
     case DECIDE_END_FAILED:
     case DECIDE_END_TIMED_OUT:
     case DECIDE_END_BROKEN:
       if (eject_failure (&target->eject, 1, may_eject (decide, target), now))
         counter_add (decide->ejections, 1);
       break;
-    default: /* refused or cancelled: says nothing against it */
+    default: /* cancelled by us: says nothing against it */
       eject_neutral (&target->eject);
       break;
     }
--- a/src/directory.c
+++ b/src/directory.c
@@ -270,6 +270,20 @@
   entry->home = NULL;
 }
 
+void
+directory_release (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  struct directory_home *home = entry->home;
+
+  (void) directory;
+  if (home == NULL)
+    return;
+  home->n_ready -= counts_ready (entry->phase) ? 1 : 0;
+  home->slots[entry->slot] = NULL;
+  entry->home = NULL;
+  entry->changed_at = now;
+}
+
 /* ---- what targets say ---- */
 
 static enum status
@@ -507,6 +521,7 @@
   follow_incarnation (directory);
   directory_list_tick (directory, now);
   directory_sync_tick (directory, now);
+  directory_ready_tick (directory, now);
   return now + TICK;
 }
 
--- a/src/directory.h
+++ b/src/directory.h
@@ -146,6 +146,10 @@
 void directory_receive (
     struct directory *directory, const char *from, const void *data, size_t length, int64_t now);
 
+/* The process just started: the board's `targets_unknown` holds until every live host has told its
+ * list, or for a bounded time. */
+void directory_ready_start (struct directory *directory, int64_t now);
+
 /* Does what is due; when to call again. */
 int64_t directory_tick (struct directory *directory, int64_t now);
 
--- /dev/null
+++ b/src/directory_ready.c
@@ -0,0 +1,55 @@
+/* When a host that just started knows the targets well enough to serve.
+ *
+ * Failure: a host restarts under load, is named to callers as soon as its configuration is
+ * confirmed, and fails a request half way because the home of a later stage's targets has not
+ * answered yet. Until every live host has told its list, or for a bounded time, the board says that
+ * the targets are not known: requests are refused as not run and callers are not named this host.
+ */
+#include "directory_state.h"
+
+#define READY_MAX (3 * USEC_PER_SEC)
+
+static bool
+has_told (const struct directory *directory, const struct board_host *host)
+{
+  struct directory_home *home;
+
+  HASH_FIND_STR (directory->homes, host->name, home);
+  return home != NULL && home->epoch != 0 && home->version >= home->base;
+}
+
+static bool
+all_have_told (const struct directory *directory)
+{
+  const struct board_host *host;
+  uint32_t others = 0;
+  uint32_t cursor = 0;
+
+  while ((host = table_next (directory->board->hosts, &cursor, NULL)) != NULL)
+    {
+      if (host->self || host->state != HOST_ALIVE)
+        continue;
+      others++;
+      if (!has_told (directory, host))
+        return false;
+    }
+  return others > 0;
+}
+
+void
+directory_ready_start (struct directory *directory, int64_t now)
+{
+  directory->ready_by = now + READY_MAX;
+  directory->board->targets_unknown = true;
+}
+
+void
+directory_ready_tick (struct directory *directory, int64_t now)
+{
+  if (directory->ready_by == 0)
+    return;
+  if (now < directory->ready_by && !all_have_told (directory))
+    return;
+  directory->ready_by = 0;
+  directory->board->targets_unknown = false;
+}
--- a/src/directory_state.h
+++ b/src/directory_state.h
@@ -85,6 +85,7 @@
   uint32_t n_item_slots;
   uint64_t dropped; /* highest version of a tombstone that left our list */
   uint64_t pushed;  /* version of our list at the last push */
+  int64_t ready_by; /* the board's targets count as known then, whoever is silent; 0 once they do */
   int64_t push_at;  /* USEC_NEVER when nothing changed since */
   uint32_t load_turn;
   struct counter *refused_old;
@@ -120,6 +121,10 @@
                               struct directory_home *home,
                               uint32_t slot);
 void directory_detach (struct directory *directory, struct directory_entry *entry, int64_t now);
+
+/* Take it out of its home's list and leave it the lease it has, which ends by itself: the home lost
+ * its list, the target did not leave. */
+void directory_release (struct directory *directory, struct directory_entry *entry, int64_t now);
 void directory_set_phase (struct directory *directory,
                           struct directory_entry *entry,
                           enum directory_phase phase,
@@ -142,4 +147,7 @@
 struct directory_home *directory_home_of (struct directory *directory, const char *name);
 void directory_sync_tick (struct directory *directory, int64_t now);
 
+/* directory_ready.c */
+void directory_ready_tick (struct directory *directory, int64_t now);
+
 #endif
--- a/src/directory_sync.c
+++ b/src/directory_sync.c
@@ -12,6 +12,7 @@
 
 /* A host without targets is asked so seldom that all of these questions together stay at a few a
  * second; its first target comes by a push. */
+#define ASK_UNHEARD (400 * USEC_PER_MSEC)
 #define ASK_IDLE_MIN (5 * USEC_PER_SEC)
 #define ASK_IDLE_PER_HOST (400 * USEC_PER_MSEC)
 
@@ -80,7 +81,10 @@
   int64_t span = DIRECTORY_ASK;
   int64_t idle = (int64_t) table_count (directory->board->hosts) * ASK_IDLE_PER_HOST;
 
-  if (home->n_ready == 0)
+  /* The first question may have gone out before there was a connection. */
+  if (home->epoch == 0)
+    span = ASK_UNHEARD;
+  else if (home->n_ready == 0)
     span = idle > ASK_IDLE_MIN ? idle : ASK_IDLE_MIN;
   /* Up to a tenth earlier, so that hosts do not ask in step. */
   return span - (int64_t) rng_below (&directory->rng, (uint64_t) span / 10);
@@ -282,6 +286,20 @@
   directory_detach (directory, entry, now);
 }
 
+/* The lease that a target of the same incarnation has here now: a move to another home does not cut
+ * it, though the message that tells of the move grants none. */
+static int64_t
+lease_before (const struct directory *directory,
+              const struct directory_entry *entry,
+              const struct directory_change *change)
+{
+  const struct board_target *target = table_get (directory->board->targets, entry->target);
+
+  if (target == NULL || entry->incarnation != change->said.incarnation)
+    return 0;
+  return target->lease_until;
+}
+
 static void
 apply_change (struct directory *directory,
               struct directory_home *home,
@@ -289,11 +307,13 @@
               int64_t now)
 {
   struct directory_entry *entry = directory_find (directory, change->said.name);
+  int64_t lease;
 
   if (entry == NULL)
     entry = directory_add (directory, change->said.name);
   if (entry == NULL)
     return;
+  lease = lease_before (directory, entry, change);
   if (!takes (entry, home, change))
     {
       counter_add (directory->refused_old, 1);
@@ -313,14 +333,20 @@
       entry->renewed_at = now;
     }
   directory_set_phase (directory, entry, change->phase, now);
+  if (change->phase == DIRECTORY_READY)
+    directory_set_lease (directory, entry, lease);
 }
 
+/* Failure: a home restarts within a second and tells of an empty list before its targets have
+ * announced themselves anew.  Cutting their leases would leave a pool without targets meanwhile; a
+ * target that is really gone loses its lease all the same, by itself and as soon as with a home
+ * that is silent. */
 static void
 forget_list (struct directory *directory, struct directory_home *home, int64_t now)
 {
   for (uint32_t slot = 0; slot < home->n_slots; slot++)
     if (home->slots[slot] != NULL)
-      directory_detach (directory, home->slots[slot], now);
+      directory_release (directory, home->slots[slot], now);
   home->version = 0;
   home->base = 0;
 }
--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -220,6 +220,8 @@
 
   if (flow->config.board->refusing)
     return flow_end_for (request, FLOW_REASON_LEAVING, 0, now);
+  if (flow->config.board->targets_unknown)
+    return flow_end_for (request, FLOW_REASON_NOT_READY, FLOW_RETRY_AFTER, now);
   admission = decide_admit (flow->config.decide, &request->decide, now);
   if (admission.reason != DECIDE_ADMITTED)
     return flow_end_for (request, reason_of_admission (admission.reason), admission.retry_after,
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -25,12 +25,12 @@
 
 BEGIN_DECLS
 
-#define FLOW_LIVE_MAX 2                        /* attempts of one stage: one and its hedge */
-#define FLOW_CANCELS_MAX 256                   /* cancel calls at one time */
-#define FLOW_CANCEL_TIME (1 * USEC_PER_SEC)    /* for a cancel call */
-#define FLOW_SETTLE_GRACE (10 * USEC_PER_SEC)  /* past the window, to learn an outcome */
-#define FLOW_WAIT_TIME (50 * USEC_PER_MSEC)    /* between looks for a usable target */
-#define FLOW_WAITS_MAX 10                      /* of a stage */
+#define FLOW_LIVE_MAX 2                       /* attempts of one stage: one and its hedge */
+#define FLOW_CANCELS_MAX 256                  /* cancel calls at one time */
+#define FLOW_CANCEL_TIME (1 * USEC_PER_SEC)   /* for a cancel call */
+#define FLOW_SETTLE_GRACE (10 * USEC_PER_SEC) /* past the window, to learn an outcome */
+#define FLOW_WAIT_TIME (50 * USEC_PER_MSEC)   /* between looks for a usable target */
+#define FLOW_WAITS_MAX 40 /* of a stage: a target that lost its home is back by then */
 #define FLOW_CLAIM_MARGIN (20 * USEC_PER_MSEC) /* the claims answer so long before the window */
 #define FLOW_CHECK_MIN (20 * USEC_PER_MSEC)    /* between looks whether it is hopeless */
 #define FLOW_CHECK_SHARE 16                    /* of the time left, between looks */
--- a/src/host_serving.c
+++ b/src/host_serving.c
@@ -124,6 +124,8 @@
   if (host->directory == NULL)
     return no_memory ();
   api.directory = directory_control_directory (host->directory);
+  if (host->settings->n_seeds + host->settings->n_voters > 1)
+    directory_ready_start (api.directory, now);
   host->targets = target_api_new (host, &api);
   if (host->targets == NULL)
     return no_memory ();
--- a/src/member.c
+++ b/src/member.c
@@ -351,7 +351,7 @@
     member->behind_since = 0;
   else if (member->behind_since == 0)
     member->behind_since = now;
-  return !board->config_ready
+  return !board->config_ready || board->targets_unknown
          || (member->behind_since != 0 && now - member->behind_since >= BEHIND_AFTER)
          || (board->confirmed_at != 0 && now - board->confirmed_at >= UNCONFIRMED_AFTER);
 }
--- a/src/operator.c
+++ b/src/operator.c
@@ -173,7 +173,7 @@
 reply_health (struct operator_api *api, struct http_exchange *exchange, int64_t now)
 {
   const struct board *board = api->config.board;
-  bool serving = board->config_ready && !board->refusing;
+  bool serving = board->config_ready && !board->targets_unknown && !board->refusing;
 
   operator_reply_json (api, exchange, serving ? 200 : 503,
                        json_pack ("{s:b,s:b,s:b}", "serving", serving, "leaving", board->leaving,
--- a/tests/unit_decide.cc
+++ b/tests/unit_decide.cc
@@ -319,6 +319,29 @@
   EXPECT_EQ (probes, 1);
 }
 
+// One of two targets refuses all it gets, at once.  With nothing in flight it always looks the
+// idler one, so every request goes there first; three refusals in a row put it out for a while.
+TEST_F (DecideTest, ATargetThatRefusesEverythingDoesNotDrawEveryRequest)
+{
+  struct handle refuser = add_target ("refuser", "a");
+  int refusals = 0;
+
+  add_target ("worker", "a");
+  for (int i = 0; i < 40; i++)
+    {
+      int64_t now = SECOND + i * 10 * USEC_PER_MSEC;
+      struct decide_request request = request_at (now);
+      struct decide_choice choice = choose (&request, now);
+      bool refused = handle_equal (choice.target, refuser);
+
+      refusals += refused;
+      decide_started (decide, &request, &choice, now);
+      end (&request, choice, refused ? DECIDE_END_REFUSED : DECIDE_END_WHOLE, now,
+           now + (refused ? 1 : 5) * USEC_PER_MSEC);
+    }
+  EXPECT_LE (refusals, 3);
+}
+
 // A target that is leaving, or whose lease ran out, gets nothing, even when it is the only one.
 TEST_F (DecideTest, UnusableTargetsGetNothing)
 {
--- a/tests/unit_directory.cc
+++ b/tests/unit_directory.cc
@@ -458,6 +458,78 @@
   EXPECT_TRUE (n.usable (1, "t"));
 }
 
+// A home is killed and starts again at once, and tells of an empty list before its targets have
+// announced themselves anew.  A pool with one target would have none, and requests would be
+// refused, though the target never stopped.  Its lease stays, and ends by itself when it does not
+// come back.
+TEST (Directory, ARestartedHomesTargetsKeepTheLeaseTheyHave)
+{
+  struct net n (3);
+  auto a = record_of ("a", 1, 1);
+
+  announce (n, 0, a);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { a });
+  n.start ("h0", 2);
+  for (int i = 0; i < 30; i++)
+    {
+      EXPECT_TRUE (n.usable (1, "a") && n.usable (2, "a")) << i;
+      n.run (20 * USEC_PER_MSEC);
+    }
+  n.run (DIRECTORY_SHARE_LEASE);
+  EXPECT_FALSE (n.usable (1, "a") || n.usable (2, "a"));
+}
+
+// A home shuts down and its targets announce themselves to another.  The message that tells of the
+// move grants no lease; was the old one cut with it, every move would be a moment without a target.
+TEST (Directory, AMoveToAnotherHomeLeavesNoMomentWithoutALease)
+{
+  struct net n (3);
+  auto a = record_of ("a", 1, 1);
+
+  announce (n, 0, a);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { a });
+  a.sequence = 2;
+  announce (n, 1, a);
+  for (int i = 0; i < 100; i++)
+    {
+      EXPECT_TRUE (n.usable (0, "a") && n.usable (1, "a") && n.usable (2, "a")) << i;
+      n.run (10 * USEC_PER_MSEC);
+    }
+}
+
+// A host starts under load and its configuration is confirmed before the homes have told it of
+// their targets.  Named to callers then, it would refuse or fail what any other host can serve.
+TEST (Directory, AFreshHostSaysItDoesNotKnowTheTargetsUntilTheHomesHaveTold)
+{
+  struct net n (3);
+  auto a = record_of ("a", 1, 1);
+
+  announce (n, 0, a);
+  n.run_renewing (2 * USEC_PER_SEC, 0, { a });
+  n.start ("h2", 2);
+  n.cut.insert ({ "h0", "h2" });
+  directory_ready_start (n[2].directory, n.now);
+  n.run (USEC_PER_SEC);
+  EXPECT_TRUE (n[2].board->targets_unknown);
+  n.cut.clear ();
+  n.run (1900 * USEC_PER_MSEC);
+  EXPECT_FALSE (n[2].board->targets_unknown);
+  EXPECT_EQ (table_count (n[2].board->targets), 1u);
+}
+
+// All other hosts are gone: a fresh host must not wait for their lists for ever.
+TEST (Directory, AFreshHostServesAfterABoundedTimeWhoeverIsSilent)
+{
+  struct net n (2);
+
+  n[1].stopped = true;
+  directory_ready_start (n[0].directory, n.now);
+  n.run (2 * USEC_PER_SEC);
+  EXPECT_TRUE (n[0].board->targets_unknown);
+  n.run (2 * USEC_PER_SEC);
+  EXPECT_FALSE (n[0].board->targets_unknown);
+}
+
 // A host is cut off for minutes.  Meanwhile a target left and its tombstone was dropped from the
 // home's list; when the host is back it must not go on with the target for ever.
 TEST (Directory, AHostBackFromALongPartitionForgetsWhatItMissed)
