Join the dead again, so that restarted voters are found

Cause: where the settings name only the voters as seeds, all voters were down until the others took them for dead, and started anew. The others pinged them; who is pinged by an unknown host asks for its record, but has no address to ask at. The two sides stayed apart for good: no configuration, no claims on any host that does not vote. Change: a host that is taken for dead is sent a join, which carries the sender's own record, instead of a ping.

--- a/src/member_probe.c
+++ b/src/member_probe.c
@@ -221,9 +221,10 @@
     return;
   member->next_reach = now + (member->cut_off ? REACH_SPAN_CUT_OFF : REACH_SPAN) * 9 / 10
                        + (int64_t) rng_below (&member->rng, USEC_PER_SEC / 5);
+  /* Who started anew meanwhile may not know us, nor where to answer: the join carries that. */
   name = absent_host (member);
   if (name != NULL)
-    member_send (member, name, MEMBER_PING, 0, "");
+    member_send (member, name, MEMBER_JOIN, 0, "");
   name = absent_seed (member);
   if (name != NULL)
     member_send (member, name, MEMBER_JOIN, 0, "");
--- a/tests/whole_store.cc
+++ b/tests/whole_store.cc
@@ -1,5 +1,7 @@
 // Changes of configuration on real processes: voters and followers that die and come back.
 #include "whole_launch.h"
+#include <fstream>
+#include <vector>
 
 namespace
 {
@@ -7,6 +9,84 @@
 class WholeStore : public WholeLaunch
 {
 protected:
+  // Change an organisation at `host`; the answer's code, and whether it is in force on `hosts`.
+  int
+  change (uint32_t host, int weight, bool *everywhere)
+  {
+    int code = 0;
+    json_t *answer =
+        call_json (launch_->caller, launch_->hosts[host].addresses[LAUNCH_OPERATORS], "PUT",
+                   "/v1/organisations/probe?wait=5000",
+                   json_pack ("{s:{s:i}}", "spec", "weight", weight), 20 * USEC_PER_SEC, &code);
+    const json_t *in_force = json_object_get (answer, "inForce");
+
+    *everywhere = json_is_true (json_object_get (in_force, "everywhere"))
+                  && json_integer_value (json_object_get (in_force, "hosts")) == launch_->n_hosts;
+    json_decref (answer);
+    return code;
+  }
+
+  bool
+  changes_everywhere (uint32_t host, int weight)
+  {
+    bool everywhere = false;
+    int code = change (host, weight, &everywhere);
+
+    return (code == 200 || code == 201) && everywhere;
+  }
+
+  // As start(), but the settings name only the voters as seeds, as operators write them.
+  void
+  start_with_voters_as_seeds (uint32_t hosts)
+  {
+    launch_ = launch_new (nullptr);
+    ASSERT_NE (launch_, nullptr) << status_message ();
+    check (launch_add_hosts (launch_, hosts, site_demo ()->domains, SITE_DOMAINS));
+    for (uint32_t i = 0; i < hosts; i++)
+      name_voters_as_seeds (std::string (launch_->folder) + "/" + launch_->hosts[i].process.name
+                            + ".ini");
+    check (launch_start_hosts (launch_));
+    check (launch_wait_healthy (launch_));
+  }
+
+  static void
+  name_voters_as_seeds (const std::string &path)
+  {
+    std::ifstream in (path);
+    std::vector<std::string> lines;
+    std::string line;
+    std::string voters;
+
+    while (std::getline (in, line))
+      {
+        if (line.rfind ("voters = ", 0) == 0)
+          voters = line.substr (strlen ("voters = "));
+        lines.push_back (line);
+      }
+    ASSERT_FALSE (voters.empty ()) << path;
+    std::ofstream out (path);
+    for (const auto &each : lines)
+      out << (each.rfind ("seeds = ", 0) == 0 ? "seeds = " + voters : each) << "\n";
+  }
+
+  // How many hosts the one at `at` can reach, itself among them.
+  uint32_t
+  reachable (uint32_t at)
+  {
+    json_t *answer = call_json (launch_->caller, launch_->hosts[at].addresses[LAUNCH_OPERATORS],
+                                "GET", "/v1/revision", nullptr, 5 * USEC_PER_SEC, nullptr);
+    json_t *host;
+    uint32_t count = 0;
+    size_t i;
+
+    json_array_foreach (json_object_get (answer, "hosts"), i, host)
+      {
+        count += json_is_true (json_object_get (host, "reachable"));
+      }
+    json_decref (answer);
+    return count;
+  }
+
   void
   kill_and_wait (uint32_t host)
   {
@@ -15,8 +95,29 @@
   }
 };
 
-// Voters die in turn, the leader among them; the operator, who lost the answer to a change, sends
-// it again with its id to every other host, voters and not.  One application, and the first answer.
+// Every voter loses power and is back half a minute later, when the hosts that do not vote have
+// given them up.  They serve what they had meanwhile, and must find the voters again by themselves:
+// a change made at any of them has to come into force everywhere.
+TEST_F (WholeStore, AllVotersLostAndBackAreFoundByTheOthers)
+{
+  start_with_voters_as_seeds (5);
+  ASSERT_TRUE (wait_until ([&] { return changes_everywhere (4, 1); }));
+  for (uint32_t voter = 0; voter < LAUNCH_VOTERS; voter++)
+    kill_and_wait (voter);
+  ASSERT_TRUE (wait_until ([&] { return reachable (3) == 2 && reachable (4) == 2; }));
+  int code = 0;
+  json_decref (call_json (launch_->caller, launch_->hosts[4].addresses[LAUNCH_OPERATORS], "GET",
+                          "/v1/health", nullptr, 5 * USEC_PER_SEC, &code));
+  EXPECT_EQ (code, 200);
+  for (uint32_t voter = 0; voter < LAUNCH_VOTERS; voter++)
+    check (launch_start_host (launch_, voter));
+  check (launch_wait_healthy (launch_));
+  EXPECT_TRUE (wait_until ([&] { return changes_everywhere (4, 2); }));
+  EXPECT_TRUE (changes_everywhere (0, 3));
+}
+
+// The leader dies with a change's answer on its way; the operator sends the change again, with its
+// id, to the other hosts.  One application, and the first answer.
 TEST_F (WholeStore, AChangeSentAgainAfterAVoterDiedIsAppliedOnce)
 {
   const struct http_field id[] = { { "x-change-id", "once" },
