--- a/src/consensus_client.h
+++ b/src/consensus_client.h
@@ -9,6 +9,8 @@
 
 BEGIN_DECLS
 
+/* XXX: the hosts asked are those of the settings.  Once all of the first voters have been replaced
+ * by other hosts, the settings must name the new ones. */
 #define CLIENT_HOSTS_MAX 16
 #define CLIENT_SILENCE (1000 * USEC_PER_MSEC) /* then the next host is asked */
 #define CLIENT_BACKOFF (100 * USEC_PER_MSEC)  /* after a host that knows no leader */
--- a/src/consensus_flush.c
+++ b/src/consensus_flush.c
@@ -198,6 +198,8 @@
   talloc_free (numbers);
 }
 
+/* XXX: saves, writes and syncs the whole state in one turn of the loop.  A state of 100 MB holds
+ * the host up for long enough to lose the lead; it should be written in steps between turns. */
 static enum status
 take_snapshot (struct consensus_voter *self)
 {
