Press a trace no further than leases and suspicion allow

Leases of targets and suspicion of hosts are in real time, and so was the time a caller keeps its list, while arrivals were pressed five times: a lost domain seemed to last most of the run. The kept list now scales, and experiments that turn on hosts run at half speed.

--- a/bench/cmd_replay.c
+++ b/bench/cmd_replay.c
@@ -111,15 +111,16 @@
   for (int i = 0; i < EXPERIMENT_COUNT; i++)
     {
       void *scratch = talloc_new (NULL);
+      struct experiment_setup setup = options.setup;
       struct experiment_row row = { .broken = 0 };
 
       if (options.any && !options.chosen[i])
         continue;
-      options.setup.experiment = (enum experiment) i;
-      if (experiment_run (scratch, &options.setup, &row) == STATUS_OK)
-        experiment_print_row (&options.setup, &row, stdout);
+      setup.experiment = (enum experiment) i;
+      if (experiment_run (scratch, &setup, &row) == STATUS_OK)
+        experiment_print_row (&setup, &row, stdout);
       else
-        fprintf (stderr, "%s: %s\n", experiment_text (options.setup.experiment), status_message ());
+        fprintf (stderr, "%s: %s\n", experiment_text (setup.experiment), status_message ());
       failures += !row.result || row.broken > 0;
       fflush (stdout);
       talloc_free (scratch);
--- a/bench/experiment.c
+++ b/bench/experiment.c
@@ -11,23 +11,27 @@
 #define STALE_LAG_MSEC 2000
 #define STALE_DROP 0.2
 #define STREAM_EVERY 3
+#define LIST_KEEP_MSEC 5000 /* at scale 1 */
 #define FLOOD_SEED 1000
 
+/* Leases, suspicion of hosts and renewals take the time they take, whatever the scale: where they
+ * decide, the trace is not pressed further than `scale_min`. */
 static const struct
 {
   const char *text;
   bool burst;
+  double scale_min;
 } experiments[] = {
-  [EXPERIMENT_CALM] = { "calm", false },
-  [EXPERIMENT_BURST] = { "burst", true },
-  [EXPERIMENT_SLOW_STAGE] = { "slow-stage", false },
-  [EXPERIMENT_DOMAIN_LOST] = { "domain-lost", true },
-  [EXPERIMENT_STALE_REPORTS] = { "stale-reports", false },
-  [EXPERIMENT_HANG] = { "hang", false },
-  [EXPERIMENT_LEAVE] = { "leave", false },
-  [EXPERIMENT_ENTRY_KILLED] = { "entry-killed", false },
-  [EXPERIMENT_COLD] = { "cold", false },
-  [EXPERIMENT_FLOOD] = { "flood", false },
+  [EXPERIMENT_CALM] = { "calm", false, 0 },
+  [EXPERIMENT_BURST] = { "burst", true, 0 },
+  [EXPERIMENT_SLOW_STAGE] = { "slow-stage", false, 0 },
+  [EXPERIMENT_DOMAIN_LOST] = { "domain-lost", true, 0.5 },
+  [EXPERIMENT_STALE_REPORTS] = { "stale-reports", false, 0 },
+  [EXPERIMENT_HANG] = { "hang", false, 0 },
+  [EXPERIMENT_LEAVE] = { "leave", false, 0 },
+  [EXPERIMENT_ENTRY_KILLED] = { "entry-killed", false, 0.5 },
+  [EXPERIMENT_COLD] = { "cold", false, 0 },
+  [EXPERIMENT_FLOOD] = { "flood", false, 0 },
 };
 
 struct run
@@ -147,6 +151,8 @@
 
   snprintf (lag, sizeof lag, "--report-lag-ms=%g", STALE_LAG_MSEC * setup->time_scale);
   snprintf (drop, sizeof drop, "--report-drop=%g", STALE_DROP);
+  snprintf (run->launch->extra_settings, sizeof run->launch->extra_settings,
+            "\n[entry]\nlist_keep_ms = %.0f\n", LIST_KEEP_MSEC * setup->time_scale);
   for (uint32_t i = 0; i < run->site->n_pools; i++)
     targets += run->site->pools[i].targets;
   status = launch_add_hosts (run->launch, setup->hosts, run->site->domains, SITE_DOMAINS);
@@ -178,11 +184,11 @@
 }
 
 enum status
-experiment_run (void *parent, const struct experiment_setup *setup, struct experiment_row *out)
+experiment_run (void *parent, struct experiment_setup *setup, struct experiment_row *out)
 {
+  double least = experiments[setup->experiment].scale_min;
   struct run run = { .setup = setup, .site = site_get (setup->site) };
   struct replay_options options = { .site = run.site,
-                                    .time_scale = setup->time_scale,
                                     .n_entries = setup->hosts,
                                     .stream_every = STREAM_EVERY,
                                     .step = on_step,
@@ -190,6 +196,9 @@
   enum status status = STATUS_IO;
   json_t *counts;
 
+  if (setup->time_scale < least)
+    setup->time_scale = least;
+  options.time_scale = setup->time_scale;
   run.launch = launch_new (NULL);
   if (run.launch)
     status = start (&run);
@@ -218,8 +227,9 @@
 void
 experiment_print_head (FILE *file)
 {
-  fprintf (file, "site\texperiment\trequests\tattained\tp50_ms\tp99_ms\tencode\tretrieve\trerank\t"
-                 "generate\tcall\twasted\tcost_per_attained\tresends\tworst\tbroken\n");
+  fprintf (file,
+           "site\texperiment\tscale\trequests\tattained\tp50_ms\tp99_ms\tencode\tretrieve\trerank\t"
+           "generate\tcall\twasted\tcost_per_attained\tresends\tworst\tbroken\n");
 }
 
 void
@@ -230,8 +240,9 @@
   const struct replay_result *result = row->result;
   double total = 0;
 
-  fprintf (file, "%s\t%s\t%u\t%.4f\t%.0f\t%.0f", site_get (setup->site)->name,
-           experiment_text (setup->experiment), result->count, replay_attainment (result),
+  fprintf (file, "%s\t%s\t%g\t%u\t%.4f\t%.0f\t%.0f", site_get (setup->site)->name,
+           experiment_text (setup->experiment), setup->time_scale, result->count,
+           replay_attainment (result),
            (double) replay_latency (result, 0.50) / USEC_PER_MSEC / setup->time_scale,
            (double) replay_latency (result, 0.99) / USEC_PER_MSEC / setup->time_scale);
   for (int i = 0; i < STAGE_KIND_COUNT; i++)
--- a/bench/experiment.h
+++ b/bench/experiment.h
@@ -52,9 +52,10 @@
   uint32_t broken;
 };
 
-/* Launch hosts and fakes, replay, end them all. */
+/* Launch hosts and fakes, replay, end them all.  Where the experiment may not be pressed so far,
+ * the setup's scale is raised. */
 enum status experiment_run (void *parent,
-                            const struct experiment_setup *setup,
+                            struct experiment_setup *setup,
                             struct experiment_row *out);
 
 void experiment_print_head (FILE *file);
