--- /dev/null
+++ b/tests/unit_bench_replay.cc
@@ -0,0 +1,202 @@
+// The replayer against a host that lies: every way in which an answer can be wrong must be seen.
+#include "answer.h"
+#include "call.h"
+#include "counter.h"
+#include "http_server.h"
+#include "replay.h"
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+
+namespace
+{
+
+enum class Lie
+{
+  none,
+  body,      // one byte differs
+  id,        // another request's id
+  cut,       // closed in the middle
+  not_run,   // refused the first time
+  no_window, // refused for good
+};
+
+// One host of its own, in the replayer's loop.
+class ReplayCheck : public testing::Test
+{
+protected:
+  ReplayCheck ()
+  {
+    static const struct http_route_ops ops = { .request = on_request };
+    struct http_server_config config = {};
+
+    caller_ = caller_new (nullptr);
+    config.loop = caller_loop (caller_);
+    config.counters = counters_new (caller_);
+    config.listen[HTTP_LISTENER_CALLERS] = "127.0.0.1:0";
+    config.limits = { .header_bytes = 8192,
+                      .body_bytes = 1 << 20,
+                      .connections_per_caller = 0,
+                      .idle_timeout = 60 * USEC_PER_SEC,
+                      .body_timeout = 60 * USEC_PER_SEC,
+                      .unsent_bytes = 1 << 20 };
+    server_ = http_server_new (caller_, &config);
+    route_.route = { .ops = &ops, .listener = HTTP_LISTENER_CALLERS, .prefix = "/" };
+    route_.test = this;
+    http_server_add_route (server_, &route_.route);
+    address_ = "127.0.0.1:" + std::to_string (http_server_port (server_, HTTP_LISTENER_CALLERS));
+  }
+
+  ~ReplayCheck () override
+  {
+    talloc_free (caller_);
+  }
+
+  // A price and an order.
+  struct trace *
+  services_trace ()
+  {
+    struct trace *trace = site_demo_trace (caller_, "check", 4, USEC_PER_MSEC);
+
+    trace->requests[0] = trace->requests[1];
+    trace->requests[1] = trace->requests[3];
+    trace->count = 2;
+    return trace;
+  }
+
+  uint32_t
+  broken (const struct replay_result *result, json_t *counts)
+  {
+    struct replay_options options = {};
+    uint32_t count;
+
+    options.trace = services_trace ();
+    options.site = site_demo ();
+    count = replay_broken_promises (result, &options, counts, nullptr);
+    json_decref (counts);
+    return count;
+  }
+
+  const struct replay_result *
+  run (Lie lie)
+  {
+    struct replay_options options = {};
+
+    lie_ = lie;
+    options.caller = caller_;
+    options.trace = services_trace ();
+    options.site = site_demo ();
+    strcpy (options.entries[0], address_.c_str ());
+    options.n_entries = 1;
+    options.time_scale = 1;
+    return replay_run (caller_, &options);
+  }
+
+  void
+  answer (struct http_exchange *exchange)
+  {
+    const char *id = http_header (exchange, "x-request-id");
+    bool refuse = lie_ == Lie::no_window || (lie_ == Lie::not_run && ++asked_ == 1);
+    struct http_field fields[] = { { "x-request-id", lie_ == Lie::id ? "another" : id },
+                                   { "x-outcome", refuse ? "not-run" : "whole" } };
+    struct bytes body;
+
+    bytes_init (&body, caller_);
+    answer_call (exchange->body, exchange->body_length, &body);
+    if (lie_ == Lie::body)
+      body.data[body.length - 3] ^= 1;
+    if (refuse)
+      exchange->ops->reply (exchange, lie_ == Lie::no_window ? 410 : 503, fields, 2, "{}", 2);
+    else if (lie_ == Lie::cut)
+      {
+        exchange->ops->begin (exchange, 200, fields, 2);
+        exchange->ops->write (exchange, body.data, body.length);
+        exchange->ops->abort (exchange);
+      }
+    else
+      exchange->ops->reply (exchange, 200, fields, 2, body.data, body.length);
+    bytes_clear (&body);
+  }
+
+  static void
+  on_request (struct http_route *route, struct http_exchange *exchange, int64_t)
+  {
+    ReplayCheck *test = reinterpret_cast<struct test_route *> (route)->test;
+    std::string entries = "{\"hosts\": [{\"name\": \"h\", \"address\": \"" + test->address_
+                          + "\"}], \"keep_ms\": 60000}";
+
+    if (strcmp (exchange->path, "/v1/entries") == 0)
+      exchange->ops->reply (exchange, 200, nullptr, 0, entries.data (), entries.size ());
+    else
+      test->answer (exchange);
+  }
+
+  struct test_route
+  {
+    struct http_route route; // first: the callback casts back
+    ReplayCheck *test;
+  };
+
+  struct caller *caller_ = nullptr;
+  struct http_server *server_ = nullptr;
+  struct test_route route_ = {};
+  std::string address_;
+  Lie lie_ = Lie::none;
+  int asked_ = 0;
+};
+
+TEST_F (ReplayCheck, ATrueAnswerIsAttained)
+{
+  EXPECT_EQ (run (Lie::none)->outcomes[REPLAY_ATTAINED], 2u);
+}
+
+TEST_F (ReplayCheck, OneWrongByteIsSeen)
+{
+  EXPECT_EQ (run (Lie::body)->outcomes[REPLAY_WRONG], 2u);
+}
+
+TEST_F (ReplayCheck, AnotherRequestsIdIsSeen)
+{
+  EXPECT_EQ (run (Lie::id)->outcomes[REPLAY_WRONG], 2u);
+}
+
+// The bytes are all there, but the answer's end is not: it must not count as whole.
+TEST_F (ReplayCheck, AnAnswerWithoutItsEndIsNotWhole)
+{
+  const struct replay_result *result = run (Lie::cut);
+
+  EXPECT_EQ (result->outcomes[REPLAY_NO_ANSWER], 2u);
+  EXPECT_GT (result->cuts, 2u);
+  EXPECT_GT (result->resends, 0u);
+}
+
+TEST_F (ReplayCheck, WhatWasNotRunIsSentAgain)
+{
+  const struct replay_result *result = run (Lie::not_run);
+
+  EXPECT_EQ (result->outcomes[REPLAY_ATTAINED], 2u);
+  EXPECT_EQ (result->resends, 1u);
+}
+
+TEST_F (ReplayCheck, WorkDoneForWhatWasSaidNotToHaveRunBreaksAPromise)
+{
+  const struct replay_result *result = run (Lie::no_window);
+
+  EXPECT_EQ (result->outcomes[REPLAY_REJECTED], 2u);
+  EXPECT_EQ (broken (result, json_pack ("[{s:s, s:{s:i, s:i}}]", "pool", "counter", "executions",
+                                        "check-000001", 1, "check-000003", 0)),
+             1u);
+}
+
+TEST_F (ReplayCheck, AnUnrepeatableCallDoneTwiceBreaksAPromise)
+{
+  const struct replay_result *result = run (Lie::none);
+
+  EXPECT_EQ (broken (result, json_pack ("[{s:s, s:{s:i, s:i}}, {s:s, s:{s:i}}]", "pool", "counter",
+                                        "executions", "check-000001", 2, "check-000003", 1, "pool",
+                                        "counter", "executions", "check-000003", 1)),
+             1u);
+}
+
+} // namespace
