--- a/bench/launch.c
+++ b/bench/launch.c
@@ -1,5 +1,6 @@
 /* Starting, stopping and ending our own binaries. */
 #include "launch.h"
+#include "settings.h"
 #include "text.h"
 #include <arpa/inet.h>
 #include <errno.h>
@@ -136,7 +137,9 @@
   for (int i = 0; i < LAUNCH_PORT_COUNT; i++)
     fprintf (file, "%s = %s\n", port_names[i], host->addresses[i]);
   fprintf (file, "\n[cluster]\n");
-  write_peers (launch, file, "seeds", launch->n_hosts, index);
+  /* Settings take so many seeds; one that is itself the host is left out. */
+  write_peers (launch, file, "seeds",
+               launch->n_hosts < SETTINGS_SEEDS_MAX ? launch->n_hosts : SETTINGS_SEEDS_MAX, index);
   write_peers (launch, file, "voters", voters, UINT32_MAX);
   if (index < voters)
     fprintf (file, "\n[data]\nfolder = %s/%s\n", launch->folder, host->process.name);
@@ -327,7 +330,8 @@
   argv[n++] = talloc_asprintf (scratch, "--control=%s", pool->control);
   argv[n++] = talloc_asprintf (scratch, "--time-scale=%g", fakes->time_scale);
   argv[n++] = talloc_asprintf (scratch, "--slots=%u", fakes->spec.slots);
-  argv[n++] = talloc_asprintf (scratch, "--hosts=%s", targets_addresses (launch, scratch));
+  argv[n++] = talloc_asprintf (scratch, "--hosts=%s",
+                               fakes->hosts ? fakes->hosts : targets_addresses (launch, scratch));
   if (!fakes->reports_load)
     argv[n++] = talloc_strdup (scratch, "--no-reports");
   for (int i = 0; fakes->more && fakes->more[i] && n + 1 < ARGUMENTS_MAX; i++)
--- a/bench/launch.h
+++ b/bench/launch.h
@@ -15,7 +15,7 @@
 
 BEGIN_DECLS
 
-#define LAUNCH_HOSTS_MAX 16
+#define LAUNCH_HOSTS_MAX 40
 #define LAUNCH_POOLS_MAX 16
 #define LAUNCH_VOTERS 3
 #define LAUNCH_PATH_SIZE 256
@@ -80,6 +80,7 @@
   const char *domains; /* "a,b,c" */
   double time_scale;
   bool reports_load;
+  const char *hosts;       /* targets addresses to announce to, "a,b"; NULL: of all hosts */
   const char *const *more; /* further arguments, NULL at the end; may be NULL */
 };
 
--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -205,6 +205,8 @@
     {
       peer->traffic.messages_out++;
       peer->traffic.bytes_out += envelope.length;
+      counter_add (peer->messages_out, 1);
+      counter_add (peer->bytes_out, (double) envelope.length);
     }
   else
     counter_add (peer->not_sent, 1);
@@ -309,6 +311,16 @@
                                   "Messages whose sender's key is not that of its name.", NULL);
   peer->not_sent = counter_get (counters, "cherryarch_peer_not_sent_total",
                                 "Messages dropped for want of a connection or of room.", NULL);
+  peer->messages_in = counter_get (counters, "cherryarch_peer_messages_total",
+                                   "Messages between hosts.", "direction=\"in\"");
+  peer->messages_out = counter_get (counters, "cherryarch_peer_messages_total",
+                                    "Messages between hosts.", "direction=\"out\"");
+  peer->bytes_in =
+      counter_get (counters, "cherryarch_peer_bytes_total",
+                   "Bytes of them, without framing, CURVE and TCP/IP.", "direction=\"in\"");
+  peer->bytes_out =
+      counter_get (counters, "cherryarch_peer_bytes_total",
+                   "Bytes of them, without framing, CURVE and TCP/IP.", "direction=\"out\"");
 }
 
 static enum status
--- a/src/peer_zmq_private.h
+++ b/src/peer_zmq_private.h
@@ -42,6 +42,10 @@
   struct counter *malformed;
   struct counter *wrong_name;
   struct counter *not_sent;
+  struct counter *messages_in;
+  struct counter *messages_out;
+  struct counter *bytes_in;
+  struct counter *bytes_out;
 };
 
 /* Take a batch of messages; a timer asks for the rest. */
--- a/src/peer_zmq_receive.c
+++ b/src/peer_zmq_receive.c
@@ -54,6 +54,8 @@
 
   peer->traffic.messages_in++;
   peer->traffic.bytes_in += zmq_msg_size (message);
+  counter_add (peer->messages_in, 1);
+  counter_add (peer->bytes_in, (double) zmq_msg_size (message));
   if (!open_envelope (zmq_msg_data (message), zmq_msg_size (message), &envelope))
     {
       counter_add (peer->malformed, 1);
--- a/tests/unit_edges_peer.cc
+++ b/tests/unit_edges_peer.cc
@@ -99,9 +99,9 @@
   }
 
   double
-  count (const char *name)
+  count (const char *name, const char *labels = nullptr)
   {
-    return counter_get (counters, name, "", nullptr)->value;
+    return counter_get (counters, name, "", labels)->value;
   }
 
   // Send until `counter` has grown: what is refused leaves no other trace.
@@ -137,6 +137,26 @@
   EXPECT_EQ (a->ops->send (a, "c", PEER_CHANNEL_MEMBER, "x", 1), STATUS_NOT_FOUND);
 }
 
+TEST_F (Peers, TheCountersTellTheTrafficOfTheirPorts)
+{
+  struct peer_port *a = host ("a", nullptr);
+  struct peer_port *b = host ("b", nullptr);
+  struct peer_zmq_traffic from;
+  struct peer_zmq_traffic to;
+
+  b->ops->listen (b, PEER_CHANNEL_MEMBER, &box.listener);
+  ASSERT_EQ (a->ops->set_address (a, "b", address (b).c_str (), nullptr), STATUS_OK);
+  ASSERT_TRUE (send_until_received (a, "b", "hello"));
+  peer_zmq_count (a, &from);
+  peer_zmq_count (b, &to);
+  EXPECT_GT (to.messages_in, 0U);
+  EXPECT_GT (to.bytes_in, to.messages_in * strlen ("hello"));
+  EXPECT_EQ (count ("cherryarch_peer_messages_total", "direction=\"out\""), from.messages_out);
+  EXPECT_EQ (count ("cherryarch_peer_messages_total", "direction=\"in\""), to.messages_in);
+  EXPECT_EQ (count ("cherryarch_peer_bytes_total", "direction=\"out\""), from.bytes_out);
+  EXPECT_EQ (count ("cherryarch_peer_bytes_total", "direction=\"in\""), to.bytes_in);
+}
+
 TEST_F (Peers, KeysThatAreKnownAreLetIn)
 {
   struct keys ka;
