Measure what real hosts cost by hosts, targets, organisations, changes

`slopes` starts hosts and fakes, samples /proc and /metrics over 20 s and prints a least-squares line with its residual for each role.

--- /dev/null
+++ b/bench/cmd_slopes.c
@@ -0,0 +1,424 @@
+/* What a host costs by the number of hosts, targets, organisations and changes: real processes on
+ * loopback, at rest, and a line through each measure.
+ *
+ *     slopes hosts [HOMES [N...]]   N hosts at rest, the first HOMES with 10 targets each
+ *     slopes targets [N...]         N targets at one of four hosts
+ *     slopes organisations [N...]   N organisations and 20 pipelines on four hosts
+ *     slopes changes [N...]         N changes in turn, seen from four hosts
+ */
+#include "slopes.h"
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define WINDOW (20 * USEC_PER_SEC)
+#define SETTLE (10 * USEC_PER_SEC)
+#define CALL_WITHIN (20 * USEC_PER_SEC)
+#define FEW_HOSTS 4 /* three voters and a follower */
+#define TARGETS_EACH 10
+#define SIZES_MAX 16
+#define PIPELINES 20
+#define STAGES_MIN 3
+#define STAGES_SPREAD 4 /* three to six stages */
+
+struct experiment
+{
+  struct launch *launch;
+  const char *unit;
+  uint32_t first_home; /* hosts from here to `end_home` are homes */
+  uint32_t end_home;
+  double sizes[SIZES_MAX];
+  uint32_t n_sizes;
+  struct slopes_points points[SLOPES_ROLE_COUNT][SLOPES_MEASURE_COUNT];
+};
+
+static const char *const role_texts[] = {
+#define X(name, text) [SLOPES_##name] = text,
+  SLOPES_ROLE_LIST (X)
+#undef X
+};
+
+static const char *const measure_texts[] = {
+#define X(name, text) [SLOPES_##name] = text,
+  SLOPES_MEASURE_LIST (X)
+#undef X
+};
+
+/* A failed step of a bench ends it; the launch's destructor ends the processes. */
+static void
+must (struct experiment *experiment, enum status status)
+{
+  if (status == STATUS_OK)
+    return;
+  fprintf (stderr, "slopes: %s\n", status_message ());
+  talloc_free (experiment->launch);
+  exit (1);
+}
+
+static void
+wait_for (struct experiment *experiment, int64_t span)
+{
+  struct loop *loop = caller_loop (experiment->launch->caller);
+  int64_t until = loop_now (loop) + span;
+
+  while (loop_now (loop) < until)
+    loop_once (loop, until - loop_now (loop));
+}
+
+static void
+start_hosts (struct experiment *experiment, uint32_t hosts)
+{
+  static const char *const domains[] = { "a", "b", "c", "d", "e", "f", "g", "h" };
+
+  experiment->launch = launch_new (NULL);
+  if (experiment->launch == NULL)
+    must (experiment, STATUS_IO);
+  must (experiment,
+        launch_add_hosts (experiment->launch, hosts, domains, sizeof domains / sizeof *domains));
+  must (experiment, launch_start_hosts (experiment->launch));
+  must (experiment, launch_wait_healthy (experiment->launch));
+}
+
+static void
+start_targets (struct experiment *experiment, uint32_t home, uint32_t count)
+{
+  struct launch_fakes fakes = {
+    .spec = { .kind = STAGE_GENERATE, .slots = 8, .eject_share_max = 0.5 },
+    .targets = count,
+    .domains = "a,b,c,d,e,f,g,h",
+    .time_scale = 1,
+    .hosts = experiment->launch->hosts[home].addresses[LAUNCH_TARGETS],
+  };
+
+  snprintf (fakes.spec.name, sizeof fakes.spec.name, "pool-%u", home);
+  must (experiment, launch_apply_pool (experiment->launch, &fakes.spec));
+  must (experiment, launch_start_fakes (experiment->launch, &fakes));
+}
+
+static enum slopes_role
+role_of (const struct experiment *experiment, uint32_t host, const struct slopes_sample *sample)
+{
+  if (host >= experiment->first_home && host < experiment->end_home)
+    return SLOPES_HOME;
+  if (sample->leader)
+    return SLOPES_LEADER;
+  return host < LAUNCH_VOTERS ? SLOPES_VOTER : SLOPES_FOLLOWER;
+}
+
+static void
+sample_all (struct experiment *experiment, struct slopes_sample samples[LAUNCH_HOSTS_MAX])
+{
+  for (uint32_t i = 0; i < experiment->launch->n_hosts; i++)
+    must (experiment, slopes_sample (experiment->launch, i, &samples[i]));
+}
+
+/* One row for each role: the mean of its hosts. */
+static void
+print_rows (const struct experiment *experiment,
+            double size,
+            double sums[SLOPES_ROLE_COUNT][SLOPES_MEASURE_COUNT],
+            const uint32_t counts[SLOPES_ROLE_COUNT])
+{
+  for (int role = 0; role < SLOPES_ROLE_COUNT; role++)
+    {
+      if (counts[role] == 0)
+        continue;
+      printf ("%g %s, %s (%u), load %.1f:", size, experiment->unit, role_texts[role], counts[role],
+              slopes_load ());
+      for (int i = 0; i < SLOPES_MEASURE_COUNT; i++)
+        printf (" %s %.2f;", measure_texts[i], sums[role][i] / counts[role]);
+      putchar ('\n');
+    }
+  fflush (stdout);
+}
+
+static void
+take_rates (struct experiment *experiment,
+            double size,
+            const struct slopes_sample *before,
+            const struct slopes_sample *after)
+{
+  double sums[SLOPES_ROLE_COUNT][SLOPES_MEASURE_COUNT] = { 0 };
+  uint32_t counts[SLOPES_ROLE_COUNT] = { 0 };
+
+  for (uint32_t host = 0; host < experiment->launch->n_hosts; host++)
+    {
+      enum slopes_role role = role_of (experiment, host, &after[host]);
+      double rates[SLOPES_MEASURE_COUNT];
+
+      slopes_rates (&before[host], &after[host], rates);
+      for (int i = 0; i < SLOPES_MEASURE_COUNT; i++)
+        {
+          sums[role][i] += rates[i];
+          slopes_add (&experiment->points[role][i], size, rates[i]);
+        }
+      counts[role]++;
+    }
+  print_rows (experiment, size, sums, counts);
+}
+
+static void
+measure_rest (struct experiment *experiment, double size)
+{
+  struct slopes_sample before[LAUNCH_HOSTS_MAX] = { 0 };
+  struct slopes_sample after[LAUNCH_HOSTS_MAX] = { 0 };
+
+  wait_for (experiment, SETTLE);
+  sample_all (experiment, before);
+  wait_for (experiment, WINDOW);
+  sample_all (experiment, after);
+  take_rates (experiment, size, before, after);
+}
+
+static void
+print_lines (const struct experiment *experiment, const char *per)
+{
+  for (int role = 0; role < SLOPES_ROLE_COUNT; role++)
+    for (int i = 0; i < SLOPES_MEASURE_COUNT; i++)
+      {
+        struct slopes_line line;
+
+        if (slopes_fit (&experiment->points[role][i], &line))
+          printf ("line: %s, %s = %.4g + %.4g x %s (residual %.3g, %u points)\n", role_texts[role],
+                  measure_texts[i], line.intercept, line.slope, per, line.residual,
+                  experiment->points[role][i].count);
+      }
+}
+
+/* Targets of one host at rest; how many the first host may use is asked for after the samples,
+ * because the answer itself takes memory. */
+static void
+print_known (struct experiment *experiment)
+{
+  printf ("  targets the first host may use: %u\n", launch_known_targets (experiment->launch, 0));
+}
+
+static void
+run_hosts (struct experiment *experiment, uint32_t homes)
+{
+  experiment->unit = "hosts";
+  experiment->end_home = homes;
+  for (uint32_t i = 0; i < experiment->n_sizes; i++)
+    {
+      uint32_t hosts = (uint32_t) experiment->sizes[i];
+
+      if (hosts < 2 || hosts > LAUNCH_HOSTS_MAX || homes > LAUNCH_POOLS_MAX || homes > hosts)
+        must (experiment, status_fail (STATUS_INVALID, "2 to %d hosts, at most %d homes",
+                                       LAUNCH_HOSTS_MAX, LAUNCH_POOLS_MAX));
+      start_hosts (experiment, hosts);
+      for (uint32_t home = 0; home < homes; home++)
+        start_targets (experiment, home, TARGETS_EACH);
+      measure_rest (experiment, hosts);
+      if (homes > 0)
+        print_known (experiment);
+      talloc_free (experiment->launch);
+    }
+  print_lines (experiment, "hosts");
+}
+
+static void
+run_targets (struct experiment *experiment)
+{
+  experiment->unit = "targets";
+  experiment->first_home = FEW_HOSTS - 1;
+  experiment->end_home = FEW_HOSTS;
+  for (uint32_t i = 0; i < experiment->n_sizes; i++)
+    {
+      start_hosts (experiment, FEW_HOSTS);
+      start_targets (experiment, FEW_HOSTS - 1, (uint32_t) experiment->sizes[i]);
+      measure_rest (experiment, experiment->sizes[i]);
+      print_known (experiment);
+      talloc_free (experiment->launch);
+    }
+  print_lines (experiment, "targets");
+}
+
+static void
+apply_pipelines (struct experiment *experiment)
+{
+  static const enum stage_kind kinds[] = { STAGE_ENCODE, STAGE_RETRIEVE, STAGE_RERANK,
+                                           STAGE_GENERATE };
+  static const char *const names[] = { "encode", "retrieve", "rerank", "generate" };
+  const uint32_t n_kinds = sizeof kinds / sizeof *kinds;
+
+  for (uint32_t i = 0; i < n_kinds; i++)
+    {
+      struct pool_spec spec = { .kind = kinds[i], .slots = 8, .eject_share_max = 0.5 };
+
+      snprintf (spec.name, sizeof spec.name, "%s", names[i]);
+      must (experiment, launch_apply_pool (experiment->launch, &spec));
+    }
+  for (uint32_t i = 0; i < PIPELINES; i++)
+    {
+      json_t *stages = json_array ();
+      char name[RESOURCE_NAME_SIZE];
+
+      snprintf (name, sizeof name, "pipeline-%u", i);
+      for (uint32_t s = 0; s < STAGES_MIN + i % STAGES_SPREAD; s++)
+        {
+          char stage[16];
+
+          snprintf (stage, sizeof stage, "stage-%u", s);
+          json_array_append_new (stages,
+                                 json_pack ("{s:s, s:s, s:s}", "name", stage, "kind",
+                                            names[s % n_kinds], "pool", names[s % n_kinds]));
+        }
+      must (experiment,
+            launch_apply (experiment->launch, RESOURCE_PIPELINE, name,
+                          json_pack ("{s:i, s:o}", "deadlineMs", 4000, "stages", stages)));
+    }
+}
+
+static void
+apply_organisation (struct experiment *experiment, uint32_t number, double weight)
+{
+  char name[RESOURCE_NAME_SIZE];
+  char hash[65];
+
+  snprintf (name, sizeof name, "organisation-%u", number);
+  snprintf (hash, sizeof hash, "%064x", number + 1);
+  must (experiment,
+        launch_apply (experiment->launch, RESOURCE_ORGANISATION, name,
+                      json_pack ("{s:f, s:f, s:f, s:[s]}", "weight", weight, "requestsPerSecond",
+                                 100.0, "tokensPerSecond", 10000.0, "tokenHashes", hash)));
+}
+
+static void
+run_organisations (struct experiment *experiment)
+{
+  uint32_t applied = 0;
+
+  experiment->unit = "organisations";
+  start_hosts (experiment, FEW_HOSTS);
+  measure_rest (experiment, 0);
+  memset (experiment->points, 0, sizeof experiment->points);
+  printf ("  (above: nothing applied; below: with %d pipelines)\n", PIPELINES);
+  apply_pipelines (experiment);
+  for (uint32_t i = 0; i < experiment->n_sizes; i++)
+    {
+      for (; applied < experiment->sizes[i]; applied++)
+        apply_organisation (experiment, applied, 1);
+      measure_rest (experiment, experiment->sizes[i]);
+    }
+  talloc_free (experiment->launch);
+  print_lines (experiment, "organisations");
+}
+
+/* What N changes cost over what the same time at rest costs: points of N against the whole. */
+static void
+take_changes (struct experiment *experiment,
+              uint32_t changes,
+              const double rest[LAUNCH_HOSTS_MAX][SLOPES_MEASURE_COUNT])
+{
+  struct slopes_sample before[LAUNCH_HOSTS_MAX] = { 0 };
+  struct slopes_sample after[LAUNCH_HOSTS_MAX] = { 0 };
+  static uint32_t made;
+
+  sample_all (experiment, before);
+  for (uint32_t i = 0; i < changes; i++, made++)
+    apply_organisation (experiment, i % 100, 2 + made * 0.001);
+  must (experiment, launch_wait_revision (experiment->launch));
+  wait_for (experiment, WINDOW / 4);
+  sample_all (experiment, after);
+  for (uint32_t host = 0; host < experiment->launch->n_hosts; host++)
+    {
+      enum slopes_role role = role_of (experiment, host, &after[host]);
+      double seconds = (double) (after[host].at - before[host].at) / (double) USEC_PER_SEC;
+
+      printf ("%u changes, %s, %.1f s, load %.1f:", changes, role_texts[role], seconds,
+              slopes_load ());
+      for (int i = 0; i < SLOPES_MEASURE_COUNT; i++)
+        {
+          double more = after[host].totals[i] - before[host].totals[i];
+
+          if (i == SLOPES_PROCESSOR)
+            more *= 100;
+          if (i != SLOPES_RESIDENT)
+            more -= rest[host][i] * seconds;
+          printf (" %s %.1f;", measure_texts[i], more);
+          slopes_add (&experiment->points[role][i], changes, more);
+        }
+      putchar ('\n');
+    }
+  fflush (stdout);
+}
+
+static void
+run_changes (struct experiment *experiment)
+{
+  struct slopes_sample before[LAUNCH_HOSTS_MAX] = { 0 };
+  struct slopes_sample after[LAUNCH_HOSTS_MAX] = { 0 };
+  double rest[LAUNCH_HOSTS_MAX][SLOPES_MEASURE_COUNT] = { 0 };
+
+  experiment->unit = "changes";
+  start_hosts (experiment, FEW_HOSTS);
+  for (uint32_t i = 0; i < 100; i++)
+    apply_organisation (experiment, i, 1);
+  wait_for (experiment, SETTLE);
+  sample_all (experiment, before);
+  wait_for (experiment, WINDOW);
+  sample_all (experiment, after);
+  for (uint32_t host = 0; host < experiment->launch->n_hosts; host++)
+    slopes_rates (&before[host], &after[host], rest[host]);
+  printf ("a run's whole, less the time at rest (processor in hundredths of a second)\n");
+  for (uint32_t i = 0; i < experiment->n_sizes; i++)
+    take_changes (experiment, (uint32_t) experiment->sizes[i],
+                  (const double (*)[SLOPES_MEASURE_COUNT]) rest);
+  talloc_free (experiment->launch);
+  print_lines (experiment, "changes");
+}
+
+static void
+take_sizes (struct experiment *experiment, char **words, const double *otherwise, uint32_t count)
+{
+  for (; *words && experiment->n_sizes < SIZES_MAX; words++)
+    experiment->sizes[experiment->n_sizes++] = strtod (*words, NULL);
+  if (experiment->n_sizes > 0)
+    return;
+  memcpy (experiment->sizes, otherwise, count * sizeof *otherwise);
+  experiment->n_sizes = count;
+}
+
+#define SIZES(...)                                                                                 \
+  (const double[]){ __VA_ARGS__ }, sizeof (const double[]){ __VA_ARGS__ } / sizeof (double)
+
+int
+main (int argc, char **argv)
+{
+  struct experiment *experiment = talloc_zero (NULL, struct experiment);
+  const char *what = argc > 1 ? argv[1] : "";
+  char **rest = argc > 2 ? argv + 2 : argv + argc;
+
+  INVARIANT (experiment != NULL);
+  if (strcmp (what, "hosts") == 0)
+    {
+      uint32_t homes = argc > 2 ? (uint32_t) strtoul (argv[2], NULL, 10) : 0;
+
+      take_sizes (experiment, argc > 3 ? argv + 3 : argv + argc, SIZES (2, 4, 9, 18, 36));
+      run_hosts (experiment, homes);
+    }
+  else if (strcmp (what, "targets") == 0)
+    {
+      take_sizes (experiment, rest, SIZES (10, 100, 1000, 2000, 4300));
+      run_targets (experiment);
+    }
+  else if (strcmp (what, "organisations") == 0)
+    {
+      take_sizes (experiment, rest, SIZES (5, 60, 180, 360, 560));
+      run_organisations (experiment);
+    }
+  else if (strcmp (what, "changes") == 0)
+    {
+      take_sizes (experiment, rest, SIZES (1, 10, 100, 1000));
+      run_changes (experiment);
+    }
+  else
+    {
+      fprintf (stderr, "slopes hosts [HOMES [N...]] | targets [N...] | organisations [N...] | "
+                       "changes [N...]\n");
+      talloc_free (experiment);
+      return 1;
+    }
+  talloc_free (experiment);
+  return 0;
+}
