Let hosts settle, spread targets over processes, measure streams

Two thousand fake targets in one process opened 17,000 connections for 2,900 requests and all lapsed, which measured the stand-in and not the home; they now come as processes of 100, begun one after the other. Hosts get a second more each to settle, since 36 of them were still exchanging views. A streamed answer's pieces get a line of their own: what a piece costs an entry host.

--- a/bench/cmd_slopes.c
+++ b/bench/cmd_slopes.c
@@ -5,19 +5,25 @@
  *     slopes targets [N...]         N targets at one of four hosts
  *     slopes organisations [N...]   N organisations and 20 pipelines on four hosts
  *     slopes changes [N...]         N changes in turn, seen from four hosts
+ *     slopes stream [N...]          streamed answers of N pieces through one of four hosts
  */
 #include "slopes.h"
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 #define WINDOW (20 * USEC_PER_SEC)
 #define SETTLE (10 * USEC_PER_SEC)
+#define SETTLE_PER_HOST (1 * USEC_PER_SEC)
 #define CALL_WITHIN (20 * USEC_PER_SEC)
 #define FEW_HOSTS 4 /* three voters and a follower */
 #define TARGETS_EACH 10
+#define TARGETS_A_PROCESS 100
+#define START_STEP (130 * USEC_PER_MSEC)
 #define SIZES_MAX 16
 #define PIPELINES 20
+#define STREAMS 200U
 #define STAGES_MIN 3
 #define STAGES_SPREAD 4 /* three to six stages */
 
@@ -79,20 +85,30 @@
   must (experiment, launch_wait_healthy (experiment->launch));
 }
 
+/* Several processes of fakes, begun one after the other: one process with thousands of targets is
+ * slower than the home, and targets of a real site do not renew in step. */
 static void
 start_targets (struct experiment *experiment, uint32_t home, uint32_t count)
 {
+  char prefix[64];
+  const char *const more[] = { prefix, NULL };
   struct launch_fakes fakes = {
     .spec = { .kind = STAGE_GENERATE, .slots = 8, .eject_share_max = 0.5 },
-    .targets = count,
     .domains = "a,b,c,d,e,f,g,h",
     .time_scale = 1,
     .hosts = experiment->launch->hosts[home].addresses[LAUNCH_TARGETS],
+    .more = more,
   };
 
   snprintf (fakes.spec.name, sizeof fakes.spec.name, "pool-%u", home);
   must (experiment, launch_apply_pool (experiment->launch, &fakes.spec));
-  must (experiment, launch_start_fakes (experiment->launch, &fakes));
+  for (uint32_t begun = 0; begun < count; begun += fakes.targets)
+    {
+      fakes.targets = count - begun < TARGETS_A_PROCESS ? count - begun : TARGETS_A_PROCESS;
+      snprintf (prefix, sizeof prefix, "--name-prefix=%s-%u", fakes.spec.name, begun);
+      must (experiment, launch_start_fakes (experiment->launch, &fakes));
+      wait_for (experiment, START_STEP);
+    }
 }
 
 static enum slopes_role
@@ -185,12 +201,40 @@
       }
 }
 
-/* Targets of one host at rest; how many the first host may use is asked for after the samples,
- * because the answer itself takes memory. */
+/* How many targets the first host may use and how many each home has; asked for after the samples,
+ * because the answers themselves take memory. */
 static void
 print_known (struct experiment *experiment)
 {
-  printf ("  targets the first host may use: %u\n", launch_known_targets (experiment->launch, 0));
+  printf ("  targets the first host may use: %u; at home at each host:",
+          launch_known_targets (experiment->launch, 0));
+  for (uint32_t i = 0; i < experiment->launch->n_hosts; i++)
+    {
+      json_t *dump = call_json (experiment->launch->caller,
+                                experiment->launch->hosts[i].addresses[LAUNCH_OPERATORS], "GET",
+                                "/v1/dump", NULL, CALL_WITHIN, NULL);
+
+      printf (" %" JSON_INTEGER_FORMAT, json_integer_value (json_object_get (
+                                            json_object_get (dump, "directory"), "at_home")));
+      json_decref (dump);
+    }
+  putchar ('\n');
+}
+
+/* A host without targets is asked for news of them each 5 s, or each 0.4 s for every host where
+ * that is longer (directory_sync.c), so that part of the cost follows these asks and not the hosts.
+ */
+static void
+count_asks (struct experiment *experiment)
+{
+  for (int role = 0; role < SLOPES_ROLE_COUNT; role++)
+    for (int i = 0; i < SLOPES_MEASURE_COUNT; i++)
+      {
+        struct slopes_points *points = &experiment->points[role][i];
+
+        for (uint32_t p = 0; p < points->count; p++)
+          points->x[p] = (points->x[p] - 1) / fmax (5, 0.4 * points->x[p]);
+      }
 }
 
 static void
@@ -208,12 +252,15 @@
       start_hosts (experiment, hosts);
       for (uint32_t home = 0; home < homes; home++)
         start_targets (experiment, home, TARGETS_EACH);
+      wait_for (experiment, hosts * SETTLE_PER_HOST);
       measure_rest (experiment, hosts);
       if (homes > 0)
         print_known (experiment);
       talloc_free (experiment->launch);
     }
   print_lines (experiment, "hosts");
+  count_asks (experiment);
+  print_lines (experiment, "(hosts - 1) / max (5, 0.4 hosts)");
 }
 
 static void
@@ -368,6 +415,102 @@
   print_lines (experiment, "changes");
 }
 
+/* The pieces of one streamed answer of `tokens` tokens; 0 when it was not whole. */
+static uint32_t
+stream_once (struct experiment *experiment, uint32_t host, uint32_t tokens)
+{
+  static const struct http_field headers[] = { { "accept", "text/event-stream" },
+                                               { "x-organisation", "organisation-0" } };
+  char body[64];
+  struct http_call_spec spec = {
+    .address = experiment->launch->hosts[host].addresses[LAUNCH_CALLERS],
+    .method = "POST",
+    .path = "/v1/pipelines/stream/requests",
+    .headers = headers,
+    .n_headers = sizeof headers / sizeof *headers,
+    .body = body,
+    .max_body_bytes = 4 << 20,
+  };
+  struct call_answer answer = { .code = 0 };
+  void *scratch = talloc_new (experiment->launch);
+  uint32_t pieces = 0;
+
+  spec.body_length = (size_t) snprintf (body, sizeof body,
+                                        "{\"input\": \"question\", \"max_tokens\": %u}", tokens);
+  bytes_init (&answer.body, scratch);
+  call (experiment->launch->caller, &spec, CALL_WITHIN, &answer);
+  if (answer.body.data && strstr (answer.body.data, "\"outcome\":\"whole\""))
+    for (const char *at = answer.body.data; (at = strstr (at, "event: token")); at++)
+      pieces++;
+  else
+    fprintf (stderr, "slopes: not whole: %d %.300s\n", answer.code,
+             answer.body.data ? answer.body.data : "");
+  talloc_free (scratch);
+  return pieces;
+}
+
+static void
+take_stream (struct experiment *experiment, uint32_t tokens, double rest)
+{
+  const uint32_t host = FEW_HOSTS - 1;
+  struct slopes_sample before = { 0 };
+  struct slopes_sample after = { 0 };
+  uint32_t pieces = 0;
+  double spent;
+
+  must (experiment, slopes_sample (experiment->launch, host, &before));
+  for (uint32_t i = 0; i < STREAMS; i++)
+    pieces += stream_once (experiment, host, tokens);
+  must (experiment, slopes_sample (experiment->launch, host, &after));
+  spent = after.totals[SLOPES_PROCESSOR] - before.totals[SLOPES_PROCESSOR]
+          - rest * (double) (after.at - before.at) / (double) USEC_PER_SEC;
+  printf ("%u requests, %.1f pieces each, load %.1f: %.0f us of processor a request\n", STREAMS,
+          (double) pieces / STREAMS, slopes_load (), spent / STREAMS * (double) USEC_PER_SEC);
+  fflush (stdout);
+  slopes_add (&experiment->points[SLOPES_FOLLOWER][SLOPES_PROCESSOR], (double) pieces / STREAMS,
+              spent / STREAMS * (double) USEC_PER_SEC);
+}
+
+/* One request at a time, its pieces some 0.2 ms apart, so that each is read and written alone. */
+static void
+run_stream (struct experiment *experiment)
+{
+  static const char *const more[] = { "--piece-tokens=1", NULL };
+  struct launch_fakes fakes = {
+    .spec = { .name = "generate", .kind = STAGE_GENERATE, .slots = 8, .eject_share_max = 0.5 },
+    .targets = 1,
+    .domains = "a",
+    .time_scale = 0.02,
+    .more = more,
+  };
+  struct slopes_sample before = { 0 };
+  struct slopes_sample after = { 0 };
+  double rates[SLOPES_MEASURE_COUNT];
+  struct slopes_line line;
+
+  start_hosts (experiment, FEW_HOSTS);
+  must (experiment, launch_apply_pool (experiment->launch, &fakes.spec));
+  must (experiment, launch_apply (experiment->launch, RESOURCE_ORGANISATION, "organisation-0",
+                                  json_pack ("{s:f}", "weight", 1.0)));
+  must (experiment,
+        launch_apply (experiment->launch, RESOURCE_PIPELINE, "stream",
+                      json_pack ("{s:i, s:[{s:s, s:s, s:s}]}", "deadlineMs", 60000, "stages",
+                                 "name", "one", "kind", "generate", "pool", "generate")));
+  must (experiment, launch_start_fakes (experiment->launch, &fakes));
+  must (experiment, launch_wait_targets (experiment->launch, 1));
+  wait_for (experiment, SETTLE);
+  must (experiment, slopes_sample (experiment->launch, FEW_HOSTS - 1, &before));
+  wait_for (experiment, WINDOW);
+  must (experiment, slopes_sample (experiment->launch, FEW_HOSTS - 1, &after));
+  slopes_rates (&before, &after, rates);
+  for (uint32_t i = 0; i < experiment->n_sizes; i++)
+    take_stream (experiment, (uint32_t) experiment->sizes[i], rates[SLOPES_PROCESSOR] / 100);
+  talloc_free (experiment->launch);
+  if (slopes_fit (&experiment->points[SLOPES_FOLLOWER][SLOPES_PROCESSOR], &line))
+    printf ("line: us of processor a request = %.4g + %.4g x pieces (residual %.3g)\n",
+            line.intercept, line.slope, line.residual);
+}
+
 static void
 take_sizes (struct experiment *experiment, char **words, const double *otherwise, uint32_t count)
 {
@@ -412,10 +555,15 @@
       take_sizes (experiment, rest, SIZES (1, 10, 100, 1000));
       run_changes (experiment);
     }
+  else if (strcmp (what, "stream") == 0)
+    {
+      take_sizes (experiment, rest, SIZES (1, 16, 64, 256));
+      run_stream (experiment);
+    }
   else
     {
       fprintf (stderr, "slopes hosts [HOMES [N...]] | targets [N...] | organisations [N...] | "
-                       "changes [N...]\n");
+                       "changes [N...] | stream [N...]\n");
       talloc_free (experiment);
       return 1;
     }
