Give the sampling of a host a name of its own

A function and a struct of one name are legal in C, but a test in C++ that includes the header is refused under -Wshadow, which kept the unit tests from building. The function is slopes_take() now; nothing else changes.

--- a/bench/cmd_slopes.c
+++ b/bench/cmd_slopes.c
@@ -125,7 +125,7 @@
 sample_all (struct experiment *experiment, struct slopes_sample samples[LAUNCH_HOSTS_MAX])
 {
   for (uint32_t i = 0; i < experiment->launch->n_hosts; i++)
-    must (experiment, slopes_sample (experiment->launch, i, &samples[i]));
+    must (experiment, slopes_take (experiment->launch, i, &samples[i]));
 }
 
 /* One row for each role: the mean of its hosts. */
@@ -458,10 +458,10 @@
   uint32_t pieces = 0;
   double spent;
 
-  must (experiment, slopes_sample (experiment->launch, host, &before));
+  must (experiment, slopes_take (experiment->launch, host, &before));
   for (uint32_t i = 0; i < STREAMS; i++)
     pieces += stream_once (experiment, host, tokens);
-  must (experiment, slopes_sample (experiment->launch, host, &after));
+  must (experiment, slopes_take (experiment->launch, host, &after));
   spent = after.totals[SLOPES_PROCESSOR] - before.totals[SLOPES_PROCESSOR]
           - rest * (double) (after.at - before.at) / (double) USEC_PER_SEC;
   printf ("%u requests, %.1f pieces each, load %.1f: %.0f us of processor a request\n", STREAMS,
@@ -499,9 +499,9 @@
   must (experiment, launch_start_fakes (experiment->launch, &fakes));
   must (experiment, launch_wait_targets (experiment->launch, 1));
   wait_for (experiment, SETTLE);
-  must (experiment, slopes_sample (experiment->launch, FEW_HOSTS - 1, &before));
+  must (experiment, slopes_take (experiment->launch, FEW_HOSTS - 1, &before));
   wait_for (experiment, WINDOW);
-  must (experiment, slopes_sample (experiment->launch, FEW_HOSTS - 1, &after));
+  must (experiment, slopes_take (experiment->launch, FEW_HOSTS - 1, &after));
   slopes_rates (&before, &after, rates);
   for (uint32_t i = 0; i < experiment->n_sizes; i++)
     take_stream (experiment, (uint32_t) experiment->sizes[i], rates[SLOPES_PROCESSOR] / 100);
--- a/bench/slopes.h
+++ b/bench/slopes.h
@@ -48,7 +48,7 @@
       totals[SLOPES_MEASURE_COUNT]; /* processor in seconds; messages and bytes since the start */
 };
 
-enum status slopes_sample (struct launch *launch, uint32_t host, struct slopes_sample *out);
+enum status slopes_take (struct launch *launch, uint32_t host, struct slopes_sample *out);
 
 /* Resident memory is the later one's; the others are rates between the two. */
 void slopes_rates (const struct slopes_sample *before,
--- a/bench/slopes_sample.c
+++ b/bench/slopes_sample.c
@@ -101,7 +101,7 @@
 }
 
 enum status
-slopes_sample (struct launch *launch, uint32_t host, struct slopes_sample *out)
+slopes_take (struct launch *launch, uint32_t host, struct slopes_sample *out)
 {
   enum status status = sample_metrics (launch, host, out);
 
