Offer leadership to the voter heard last, and again when it is not taken

Cause: of three hosts shut down one after the other the second took 5.1 s. It led, and offered its place to the first, which held everything and had been heard a second ago but was gone; nothing was offered again. Change: of voters that hold the same, the one heard last is asked; a transfer under way is not started anew; a leaving host offers again while it leads.

--- a/src/drain.c
+++ b/src/drain.c
@@ -74,7 +74,7 @@
       enter (drain, DRAIN_HANDING_OVER, now);
       return true;
     case DRAIN_HANDING_OVER:
-      if (ops->handed_over (drain->actions) || now - drain->state_at >= DRAIN_HAND_OVER_MAX)
+      if (ops->handed_over (drain->actions, now) || now - drain->state_at >= DRAIN_HAND_OVER_MAX)
         end (drain, now);
       return false;
     case DRAIN_SERVING:
--- a/src/drain.h
+++ b/src/drain.h
@@ -57,7 +57,7 @@
 
   /* Take no connections any more, and begin to hand over. */
   void (*hand_over) (struct drain_actions *actions, int64_t now);
-  bool (*handed_over) (struct drain_actions *actions);
+  bool (*handed_over) (struct drain_actions *actions, int64_t now);
 
   /* Log each unfinished request by its id; how many there are. */
   uint32_t (*log_unfinished) (struct drain_actions *actions, int64_t now);
--- a/src/host_drain.c
+++ b/src/host_drain.c
@@ -33,14 +33,17 @@
   host_transfer_leadership (host, now);
 }
 
-/* Targets at home here look for another host when their renewals find this one leaving. */
+/* Targets at home here look for another host when their renewals find this one leaving.  A transfer
+ * of leadership that its receiver did not take is offered again. */
 static bool
-drain_handed_over (struct drain_actions *actions)
+drain_handed_over (struct drain_actions *actions, int64_t now)
 {
   struct host *host = HOST_OF (drain_actions, actions);
 
-  return !host->consensus->ops->is_leader (host->consensus)
-         || table_count (host->board->hosts) == 1;
+  if (!host->consensus->ops->is_leader (host->consensus) || table_count (host->board->hosts) == 1)
+    return true;
+  host_transfer_leadership (host, now);
+  return false;
 }
 
 static uint32_t
--- a/src/host_state.c
+++ b/src/host_state.c
@@ -287,9 +287,12 @@
 void
 host_transfer_leadership (struct host *host, int64_t now)
 {
+  enum status status;
+
   if (host->settings->data_folder[0] == '\0')
     return;
-  if (consensus_voter_transfer (host->consensus, now) != STATUS_OK)
-    log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "no-transfer", "{s:s}", "message",
+  status = consensus_voter_transfer (host->consensus, now);
+  if (status != STATUS_OK && status != STATUS_AGAIN)
+    log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_DEBUG, "no-transfer", "{s:s}", "message",
                status_message ());
 }
--- a/src/raft.h
+++ b/src/raft.h
@@ -142,7 +142,8 @@
  * not fit the current members, STATUS_UNAVAILABLE when the learner has not caught up. */
 enum status raft_change_members (struct raft *raft, const struct raft_change *change);
 
-/* Hand leadership to the voter `to`, 0 for the most advanced one. */
+/* Hand leadership to the voter `to`, 0 for the most advanced one, of several the one heard last.
+ * STATUS_AGAIN while one is under way: it ends by itself when its receiver does not stand. */
 enum status raft_transfer (struct raft *raft, uint64_t to, int64_t now);
 
 /* False when there is nothing to do.  Valid until the next call of raft_synced(). */
--- a/src/raft_replicate.c
+++ b/src/raft_replicate.c
@@ -394,6 +394,17 @@
   raft_send (raft, RAFT_TIMEOUT_NOW, raft->transfer_to);
 }
 
+/* Failure: two hosts shut down one after the other.  The second, the leader, offers its place to
+ * the first, which holds everything and was heard a moment ago, and waits in vain.  Of two that
+ * hold the same, the one heard last is the likelier to be there. */
+static bool
+takes_over_better (const struct raft_peer *peer, const struct raft_peer *best)
+{
+  if (best == NULL || peer->match != best->match)
+    return best == NULL || peer->match > best->match;
+  return peer->heard_at > best->heard_at;
+}
+
 enum status
 raft_transfer (struct raft *raft, uint64_t to, int64_t now)
 {
@@ -402,6 +413,8 @@
 
   if (raft->role != RAFT_LEADER)
     return status_fail (STATUS_NOT_LEADER, "not the leader");
+  if (raft->transfer_to != 0)
+    return status_fail (STATUS_AGAIN, "a transfer is under way");
   for (uint32_t i = 0; i < raft->n_peers; i++)
     {
       const struct raft_peer *peer = &raft->peers[i];
@@ -410,7 +423,7 @@
         continue;
       if (now - peer->heard_at > raft->options.election_min)
         continue;
-      if (best == NULL || peer->match > best->match)
+      if (takes_over_better (peer, best))
         best = peer;
     }
   if (best == NULL)
--- a/tests/unit_drain.cc
+++ b/tests/unit_drain.cc
@@ -46,7 +46,7 @@
     of (a)->steps.push_back ("hand");
   }
   static bool
-  is_over (struct drain_actions *a)
+  is_over (struct drain_actions *a, int64_t)
   {
     return of (a)->handed_over;
   }
--- a/tests/unit_raft.cc
+++ b/tests/unit_raft.cc
@@ -222,6 +222,34 @@
   EXPECT_FALSE (raft_lease_valid (raft, now));
 }
 
+// Two hosts shut down one after the other.  The second is the leader and offers its place to the
+// first, which held everything and was heard half a second ago; nobody stands, and the shutdown
+// sits out its bound.  The voter heard last is asked.
+TEST_F (Raft, LeadershipGoesToTheVoterHeardLast)
+{
+  struct raft_ready ready;
+  uint64_t asked = 0;
+
+  restore (2, { 1, 2 });
+  lead ();
+  acknowledge (2, 3, 1);
+  now += 500 * ms;
+  acknowledge (3, 3, 1);
+  ASSERT_EQ (raft_transfer (raft, 0, now), STATUS_OK);
+  EXPECT_EQ (raft_transfer (raft, 0, now), STATUS_AGAIN);
+  while (raft_poll (raft, &ready, now))
+    {
+      for (uint32_t i = 0; i < ready.n_early; i++)
+        if (ready.early[i]->kind == RAFT_TIMEOUT_NOW)
+          asked = ready.early[i]->to;
+      for (uint32_t i = 0; i < ready.n_late; i++)
+        if (ready.late[i]->kind == RAFT_TIMEOUT_NOW)
+          asked = ready.late[i]->to;
+      raft_synced (raft, now);
+    }
+  EXPECT_EQ (asked, 3u);
+}
+
 // An operator reads through a leader that has just been replaced and does not know.  An answer to a
 // heartbeat from before the read says nothing of whether it leads now.
 TEST_F (Raft, ReadIsNotConfirmedByARoundSentBeforeIt)
