--- a/bench/cmd_slopes.c
+++ b/bench/cmd_slopes.c
@@ -2,11 +2,13 @@
  * loopback, at rest, and a line through each measure.
  *
  *     slopes hosts [HOMES [N...]]   N hosts at rest, the first HOMES with 10 targets each
+ *     slopes keys [N...]            N hosts at rest that encrypt what they send each other
  *     slopes targets [N...]         N targets at one of four hosts
  *     slopes organisations [N...]   N organisations and 20 pipelines on four hosts
  *     slopes changes [N...]         N changes in turn, seen from four hosts
  *     slopes stream [N...]          streamed answers of N pieces through one of four hosts
  */
+#include "settings.h"
 #include "slopes.h"
 #include <math.h>
 #include <stdlib.h>
@@ -31,6 +33,7 @@
 {
   struct launch *launch;
   const char *unit;
+  bool keys;
   uint32_t first_home; /* hosts from here to `end_home` are homes */
   uint32_t end_home;
   double sizes[SIZES_MAX];
@@ -246,9 +249,12 @@
     {
       uint32_t hosts = (uint32_t) experiment->sizes[i];
 
-      if (hosts < 2 || hosts > LAUNCH_HOSTS_MAX || homes > LAUNCH_POOLS_MAX || homes > hosts)
-        must (experiment, status_fail (STATUS_INVALID, "2 to %d hosts, at most %d homes",
-                                       LAUNCH_HOSTS_MAX, LAUNCH_POOLS_MAX));
+      /* A host pins the keys of its seeds. */
+      if (hosts < 2 || hosts > (experiment->keys ? SETTINGS_SEEDS_MAX : LAUNCH_HOSTS_MAX)
+          || homes > LAUNCH_POOLS_MAX || homes > hosts)
+        must (experiment,
+              status_fail (STATUS_INVALID, "2 to %d hosts (%d with keys), at most %d homes",
+                           LAUNCH_HOSTS_MAX, SETTINGS_SEEDS_MAX, LAUNCH_POOLS_MAX));
       start_hosts (experiment, hosts);
       for (uint32_t home = 0; home < homes; home++)
         start_targets (experiment, home, TARGETS_EACH);
@@ -540,6 +546,12 @@
       take_sizes (experiment, argc > 3 ? argv + 3 : argv + argc, SIZES (2, 4, 9, 18, 36));
       run_hosts (experiment, homes);
     }
+  else if (strcmp (what, "keys") == 0)
+    {
+      experiment->keys = true;
+      take_sizes (experiment, rest, SIZES (4, 9, 16));
+      run_hosts (experiment, 0);
+    }
   else if (strcmp (what, "targets") == 0)
     {
       take_sizes (experiment, rest, SIZES (10, 100, 1000, 2000, 4300));
@@ -562,8 +574,10 @@
     }
   else
     {
-      fprintf (stderr, "slopes hosts [HOMES [N...]] | targets [N...] | organisations [N...] | "
-                       "changes [N...] | stream [N...]\n");
+      fprintf (
+          stderr,
+          "slopes hosts [HOMES [N...]] | keys [N...] | targets [N...] | organisations [N...] | "
+          "changes [N...] | stream [N...]\n");
       talloc_free (experiment);
       return 1;
     }
