Find the holder of an embedded member by one macro

CONTAINER_OF in container.h serves them all and says what its caller must hold true. No behaviour changes.

--- a/src/claim_job.c
+++ b/src/claim_job.c
@@ -1,5 +1,6 @@
 /* One claim of this host on its way through the log. */
 #include "claim_job.h"
+#include "container.h"
 #include "store_group.h"
 #include "text.h"
 #include <talloc.h>
@@ -12,9 +13,6 @@
   (USEC_PER_SEC / 10) /* an in-flight answer comes this long before the deadline */
 #define UNLISTED_GONE_AFTER (60 * USEC_PER_SEC)
 
-#define JOB_OF(pointer, member)                                                                    \
-  ((struct claim_job *) ((char *) (pointer) -offsetof (struct claim_job, member)))
-
 /* uthash's macros are long; the functions are not.
  * NOLINTBEGIN(readability-function-size) */
 static void
@@ -183,7 +181,7 @@
 static void
 due (struct timer *timer, int64_t now)
 {
-  struct claim_job *job = JOB_OF (timer, timer);
+  struct claim_job *job = CONTAINER_OF (timer, struct claim_job, timer);
 
   if (job->waiter != NULL && now >= job->deadline)
     end_unreached (job, now);
@@ -347,7 +345,7 @@
 static void
 done (struct proposal *proposal, enum status status, const void *data, size_t length, int64_t now)
 {
-  struct claim_job *job = JOB_OF (proposal, proposal);
+  struct claim_job *job = CONTAINER_OF (proposal, struct claim_job, proposal);
   struct claim_result result;
 
   job->proposed = false;
--- a/src/claim_log.c
+++ b/src/claim_log.c
@@ -1,6 +1,7 @@
 /* Claims of this host over the replicated log: the interface of the request path. */
 #include "claim_log.h"
 #include "claim_job.h"
+#include "container.h"
 #include "text.h"
 #include <sodium.h>
 #include <talloc.h>
@@ -145,8 +146,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct claim_log *log =
-      (const struct claim_log *) ((char *) source - offsetof (struct claim_log, source));
+  const struct claim_log *log = CONTAINER_OF (source, struct claim_log, source);
 
   (void) now;
   return json_pack ("{s:I,s:I,s:I,s:I}", "held", (json_int_t) HASH_COUNT (log->granted), "pending",
--- a/src/config.c
+++ b/src/config.c
@@ -1,6 +1,7 @@
 /* The configuration in force on this host. */
 #include "config.h"
 #include "config_board.h"
+#include "container.h"
 #include "log.h"
 #include <talloc.h>
 
@@ -21,9 +22,6 @@
   struct counter *revision;
 };
 
-#define CONFIG_OF(pointer, member)                                                                 \
-  ((struct config *) ((char *) (pointer) -offsetof (struct config, member)))
-
 static void
 bring_all (struct config *config)
 {
@@ -76,7 +74,7 @@
 static void
 bring_due (struct timer *timer, int64_t now)
 {
-  bring (CONFIG_OF (timer, bring), now);
+  bring (CONTAINER_OF (timer, struct config, bring), now);
 }
 
 /* From the loop, not from inside the machine: the listener has no time and must not block a voter
@@ -84,7 +82,7 @@
 static void
 changed (struct store_listener *listener, const struct store_event *event)
 {
-  struct config *config = CONFIG_OF (listener, listener);
+  struct config *config = CONTAINER_OF (listener, struct config, listener);
 
   (void) event;
   if (config->config.board->config_ready && !timer_is_armed (&config->bring))
@@ -94,7 +92,7 @@
 static void
 replaced (struct store_listener *listener)
 {
-  CONFIG_OF (listener, listener)->replaced = true;
+  CONTAINER_OF (listener, struct config, listener)->replaced = true;
   changed (listener, NULL);
 }
 
@@ -118,7 +116,7 @@
 static void
 ask_due (struct timer *timer, int64_t now)
 {
-  struct config *config = CONFIG_OF (timer, ask);
+  struct config *config = CONTAINER_OF (timer, struct config, ask);
   struct consensus *consensus = config->config.consensus;
 
   config->asked_at = now;
@@ -133,7 +131,7 @@
 asked (
     struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
-  struct config *config = CONFIG_OF (proposal, proposal);
+  struct config *config = CONTAINER_OF (proposal, struct config, proposal);
   int64_t period = CONFIG_ASK_PERIOD;
 
   (void) result;
@@ -150,7 +148,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct config *config = CONFIG_OF (source, source);
+  const struct config *config = CONTAINER_OF (source, struct config, source);
   const struct board *board = config->config.board;
   json_int_t age = board->config_ready ? (now - board->confirmed_at) / USEC_PER_MSEC : -1;
 
--- a/src/config_feed.c
+++ b/src/config_feed.c
@@ -1,5 +1,6 @@
 /* Sends the configuration's changes to followers. */
 #include "config_feed.h"
+#include "container.h"
 #include "resource.h"
 #include "text.h"
 #include <talloc.h>
@@ -38,9 +39,6 @@
   struct counter *copies;
 };
 
-#define FEED_OF(pointer, member)                                                                   \
-  ((struct config_feed *) ((char *) (pointer) -offsetof (struct config_feed, member)))
-
 static struct feed_follower *
 find_follower (struct config_feed *feed, const char *host)
 {
@@ -177,7 +175,7 @@
 static void
 push_due (struct timer *timer, int64_t now)
 {
-  struct config_feed *feed = FEED_OF (timer, push);
+  struct config_feed *feed = CONTAINER_OF (timer, struct config_feed, push);
   struct feed_follower *follower;
   struct feed_follower *following;
 
@@ -191,7 +189,7 @@
 static void
 changed (struct store_listener *listener, const struct store_event *event)
 {
-  struct config_feed *feed = FEED_OF (listener, listener);
+  struct config_feed *feed = CONTAINER_OF (listener, struct config_feed, listener);
 
   (void) event;
   if (feed->followers != NULL && !timer_is_armed (&feed->push))
@@ -241,7 +239,7 @@
 read_done (
     struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
-  struct config_feed *feed = FEED_OF (proposal, proposal);
+  struct config_feed *feed = CONTAINER_OF (proposal, struct config_feed, proposal);
   struct feed_follower *follower;
 
   (void) result;
@@ -268,7 +266,7 @@
           struct pack_reader *body,
           int64_t now)
 {
-  struct config_feed *feed = FEED_OF (handler, handler);
+  struct config_feed *feed = CONTAINER_OF (handler, struct config_feed, handler);
   uint64_t nonce = pack_read_uint (body, UINT64_MAX);
   uint64_t held = pack_read_uint (body, UINT64_MAX);
   struct feed_follower *follower = find_follower (feed, from);
@@ -297,7 +295,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct config_feed *feed = FEED_OF (source, source);
+  const struct config_feed *feed = CONTAINER_OF (source, struct config_feed, source);
   const struct feed_follower *follower;
   json_t *followers = json_array ();
 
--- a/src/config_follow.c
+++ b/src/config_follow.c
@@ -1,5 +1,6 @@
 /* Keeps the store of a host that does not vote up to a voter's. */
 #include "config_follow.h"
+#include "container.h"
 #include "log.h"
 #include "text.h"
 #include <talloc.h>
@@ -26,9 +27,6 @@
   struct counter *asks;
 };
 
-#define FOLLOW_OF(pointer, member)                                                                 \
-  ((struct config_follow *) ((char *) (pointer) -offsetof (struct config_follow, member)))
-
 static int64_t
 last_asked (const struct config_follow *follow)
 {
@@ -56,7 +54,7 @@
 static void
 due (struct timer *timer, int64_t now)
 {
-  struct config_follow *follow = FOLLOW_OF (timer, timer);
+  struct config_follow *follow = CONTAINER_OF (timer, struct config_follow, timer);
   bool settled = follow->config.board->config_ready && follow->unanswered == 0;
 
   if (follow->unanswered >= UNANSWERED_MAX && follow->n_voters > 0)
@@ -176,7 +174,7 @@
           struct pack_reader *body,
           int64_t now)
 {
-  struct config_follow *follow = FOLLOW_OF (handler, handler);
+  struct config_follow *follow = CONTAINER_OF (handler, struct config_follow, handler);
 
   /* Parts of two voters' copies must not mix, nor may another host hand out a configuration. */
   if (!is_voter (follow, from)
@@ -193,7 +191,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct config_follow *follow = FOLLOW_OF (source, source);
+  const struct config_follow *follow = CONTAINER_OF (source, struct config_follow, source);
 
   return json_pack ("{s:s,s:I,s:I}", "voter",
                     follow->n_voters > 0 ? follow->voters[follow->voter] : "", "unanswered",
--- a/src/config_wait.c
+++ b/src/config_wait.c
@@ -1,6 +1,7 @@
 /* Waiting until a revision is in force on every reachable host, and answering those that wait. */
 #include "config_wait.h"
 #include "config_link.h"
+#include "container.h"
 #include "text.h"
 #include <string.h>
 #include <talloc.h>
@@ -56,9 +57,6 @@
   uint64_t last_id;
 };
 
-#define WAIT_OF(pointer, member)                                                                   \
-  ((struct config_wait *) ((char *) (pointer) -offsetof (struct config_wait, member)))
-
 static void
 send_numbers (struct config_wait *wait,
               enum config_message type,
@@ -156,7 +154,7 @@
 static void
 look (struct timer *timer, int64_t now)
 {
-  struct config_wait *wait = WAIT_OF (timer, timer);
+  struct config_wait *wait = CONTAINER_OF (timer, struct config_wait, timer);
   struct wait_round *round;
   struct wait_round *following;
 
@@ -231,7 +229,7 @@
           struct pack_reader *body,
           int64_t now)
 {
-  struct config_wait *wait = WAIT_OF (handler, handler);
+  struct config_wait *wait = CONTAINER_OF (handler, struct config_wait, handler);
   uint64_t id = pack_read_uint (body, UINT64_MAX);
   uint64_t revision = pack_read_uint (body, UINT64_MAX);
 
@@ -249,7 +247,7 @@
                struct handle handle,
                int64_t now)
 {
-  struct config_wait *wait = WAIT_OF (subscriber, subscriber);
+  struct config_wait *wait = CONTAINER_OF (subscriber, struct config_wait, subscriber);
   struct wait_asker *asker;
   struct wait_asker *following;
 
--- a/src/directory_control.c
+++ b/src/directory_control.c
@@ -1,5 +1,6 @@
 /* Wires the directory to the peer channel PEER_CHANNEL_DIRECTORY and to the timers. */
 #include "directory_control.h"
+#include "container.h"
 #include <stddef.h>
 #include <talloc.h>
 
@@ -29,9 +30,7 @@
 received (
     struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
 {
-  struct directory_control *control =
-      (struct directory_control *) ((char *) listener
-                                    - offsetof (struct directory_control, listener));
+  struct directory_control *control = CONTAINER_OF (listener, struct directory_control, listener);
 
   directory_receive (control->directory, from, data, length, now);
 }
@@ -41,8 +40,7 @@
 static void
 fire (struct timer *timer, int64_t now)
 {
-  struct directory_control *control =
-      (struct directory_control *) ((char *) timer - offsetof (struct directory_control, timer));
+  struct directory_control *control = CONTAINER_OF (timer, struct directory_control, timer);
 
   timer_arm (control->timers, timer, directory_tick (control->directory, now));
 }
@@ -52,8 +50,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  struct directory_control *control =
-      (struct directory_control *) ((char *) source - offsetof (struct directory_control, source));
+  struct directory_control *control = CONTAINER_OF (source, struct directory_control, source);
 
   (void) now;
   return directory_describe (control->directory);
--- a/src/drain.c
+++ b/src/drain.c
@@ -1,5 +1,6 @@
 /* The steps of a graceful shutdown. */
 #include "drain.h"
+#include "container.h"
 #include "log.h"
 #include <stddef.h>
 #include <talloc.h>
@@ -131,8 +132,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct drain *drain =
-      (const struct drain *) ((char *) source - offsetof (struct drain, source));
+  const struct drain *drain = CONTAINER_OF (source, struct drain, source);
   int64_t since = drain->state == DRAIN_SERVING ? 0 : now - drain->signalled_at;
 
   return json_pack ("{s:s,s:I}", "state", drain_state_text (drain->state), "since_signal_ms",
--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -295,7 +295,7 @@
 void
 flow_arrive (struct http_route *route, struct http_exchange *exchange, int64_t now)
 {
-  struct flow *flow = FLOW_OF (route, struct flow_route, route)->flow;
+  struct flow *flow = CONTAINER_OF (route, struct flow_route, route)->flow;
   const struct board *board = flow->config.board;
   struct caller_request caller;
   struct caller_error error;
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -199,7 +199,7 @@
 static void
 give_up (struct timer *timer, int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (timer, struct flow_attempt, give_up);
+  struct flow_attempt *attempt = CONTAINER_OF (timer, struct flow_attempt, give_up);
   struct flow *flow = attempt->flow;
   struct flow_request *request = flow_find_request (flow, attempt->request);
   struct flow_failure failure = { .end = DECIDE_END_TIMED_OUT, .target = attempt->choice.target };
@@ -213,7 +213,7 @@
 static void
 hedge (struct timer *timer, int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (timer, struct flow_attempt, hedge);
+  struct flow_attempt *attempt = CONTAINER_OF (timer, struct flow_attempt, hedge);
 
   flow_stage_hedge (flow_find_request (attempt->flow, attempt->request), attempt, now);
 }
--- a/src/flow_cancel.c
+++ b/src/flow_cancel.c
@@ -22,7 +22,7 @@
 static void
 forget (struct http_call_sink *sink)
 {
-  struct flow_cancel *cancel = FLOW_OF (sink, struct flow_cancel, sink);
+  struct flow_cancel *cancel = CONTAINER_OF (sink, struct flow_cancel, sink);
 
   table_remove (cancel->flow->cancels, cancel->self);
 }
--- a/src/flow_claim.c
+++ b/src/flow_claim.c
@@ -58,7 +58,7 @@
 static void
 answered (struct claim_waiter *waiter, const struct claim_answer *answer, int64_t now)
 {
-  struct flow_request *request = FLOW_OF (waiter, struct flow_request, waiter);
+  struct flow_request *request = CONTAINER_OF (waiter, struct flow_request, waiter);
 
   request->awaits_claim = false;
   switch (answer->verdict)
@@ -134,7 +134,7 @@
 stored (struct claim_waiter *waiter, const struct claim_answer *answer, int64_t now)
 {
   (void) answer;
-  flow_finish (FLOW_OF (waiter, struct flow_request, waiter), now);
+  flow_finish (CONTAINER_OF (waiter, struct flow_request, waiter), now);
 }
 
 static const struct claim_waiter_ops stored_ops = { .answered = stored };
--- a/src/flow_dump.c
+++ b/src/flow_dump.c
@@ -43,7 +43,7 @@
 json_t *
 flow_describe (struct dump_source *source, int64_t now)
 {
-  const struct flow *flow = FLOW_OF (source, struct flow, dump);
+  const struct flow *flow = CONTAINER_OF (source, struct flow, dump);
   json_t *requests = json_array ();
   const struct flow_request *request;
   uint32_t cursor = 0;
--- a/src/flow_end.c
+++ b/src/flow_end.c
@@ -187,7 +187,7 @@
 void
 flow_deadline_fire (struct timer *timer, int64_t now)
 {
-  struct flow_request *request = FLOW_OF (timer, struct flow_request, deadline);
+  struct flow_request *request = CONTAINER_OF (timer, struct flow_request, deadline);
 
   if (request->awaits_claim)
     end_unclaimed (request, now);
@@ -204,7 +204,7 @@
 void
 flow_caller_closed (struct http_watcher *watcher, int64_t now)
 {
-  struct flow_request *request = FLOW_OF (watcher, struct flow_request, watcher);
+  struct flow_request *request = CONTAINER_OF (watcher, struct flow_request, watcher);
 
   request->exchange = NULL;
   if (request->awaits_claim || request->phase == FLOW_PHASE_STORING)
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -17,6 +17,7 @@
 
 #include "bytes.h"
 #include "caller.h"
+#include "container.h"
 #include "flow.h"
 #include "log.h"
 #include "rng.h"
@@ -40,9 +41,6 @@
 #define FLOW_EVENT_BYTES_MAX (1u << 20)        /* of one event of a generation */
 #define FLOW_MESSAGE_SIZE 160
 
-/* The structure around an embedded member. */
-#define FLOW_OF(pointer, type, member) ((type *) ((char *) (pointer) -offsetof (type, member)))
-
 /* What a stage cost a request, for its answer and its log line. */
 struct flow_stage_record
 {
--- a/src/flow_reply.c
+++ b/src/flow_reply.c
@@ -50,7 +50,7 @@
            size_t n_headers,
            int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, sink);
   struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
   const char *not_run = field_of (headers, n_headers, "x-not-run");
 
@@ -73,7 +73,7 @@
 static void
 take_data (struct http_call_sink *sink, const void *data, size_t length, int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, sink);
   struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
 
   if (request->spec->stages[attempt->stage].kind == STAGE_GENERATE)
@@ -102,7 +102,7 @@
 static void
 take_end (struct http_call_sink *sink, int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, sink);
   struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
   const struct stage_spec *spec = &request->spec->stages[attempt->stage];
   enum status status;
@@ -129,7 +129,7 @@
 static void
 take_failure (struct http_call_sink *sink, enum status why, bool sent, int64_t now)
 {
-  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, sink);
+  struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, sink);
   struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
   enum decide_end end = why == STATUS_TIMEOUT ? DECIDE_END_TIMED_OUT : DECIDE_END_BROKEN;
 
--- a/src/flow_stage.c
+++ b/src/flow_stage.c
@@ -252,7 +252,7 @@
 void
 flow_check_fire (struct timer *timer, int64_t now)
 {
-  struct flow_request *request = FLOW_OF (timer, struct flow_request, check);
+  struct flow_request *request = CONTAINER_OF (timer, struct flow_request, check);
   bool may_end = request->decide.repeatable || !has_live (request);
 
   if (request->phase != FLOW_PHASE_RUNNING)
--- a/src/flow_stream.c
+++ b/src/flow_stream.c
@@ -97,7 +97,7 @@
 static bool
 take_event (struct sse_sink *sink, const char *name, const char *data, size_t length)
 {
-  struct flow_attempt *attempt = FLOW_OF (sink, struct flow_attempt, pieces);
+  struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, pieces);
   struct flow_request *request = flow_find_request (attempt->flow, attempt->request);
   struct stage_piece piece;
   bool go_on;
--- a/src/host_dump.c
+++ b/src/host_dump.c
@@ -1,10 +1,8 @@
 /* The dump's view of the blackboard and of the parts that add no source of their own. */
+#include "container.h"
 #include "host_private.h"
 #include <stddef.h>
 
-#define HOST_OF(member, pointer)                                                                   \
-  ((struct host *) ((char *) (pointer) -offsetof (struct host, member)))
-
 static json_t *
 describe_host (const struct board_host *entry, int64_t now)
 {
@@ -106,7 +104,7 @@
 static json_t *
 board_describe (struct dump_source *source, int64_t now)
 {
-  const struct board *board = HOST_OF (board_dump, source)->board;
+  const struct board *board = CONTAINER_OF (source, struct host, board_dump)->board;
 
   return json_pack ("{s:I,s:b,s:I,s:b,s:b,s:I,s:f,s:o,s:o,s:o}", "revision",
                     (json_int_t) board->revision, "config_ready", board->config_ready,
@@ -120,7 +118,7 @@
 static json_t *
 consensus_describe (struct dump_source *source, int64_t now)
 {
-  const struct consensus *consensus = HOST_OF (consensus_dump, source)->consensus;
+  const struct consensus *consensus = CONTAINER_OF (source, struct host, consensus_dump)->consensus;
 
   (void) now;
   return consensus->ops->describe (consensus);
@@ -129,7 +127,7 @@
 static json_t *
 decide_describe_source (struct dump_source *source, int64_t now)
 {
-  return decide_describe (HOST_OF (decide_dump, source)->decide, now);
+  return decide_describe (CONTAINER_OF (source, struct host, decide_dump)->decide, now);
 }
 
 static const struct dump_source_ops board_ops = { .describe = board_describe };
--- a/src/host_serving.c
+++ b/src/host_serving.c
@@ -1,4 +1,5 @@
 /* What a host serves with: membership, targets, decisions, the request path, the entry list. */
+#include "container.h"
 #include "entries_api.h"
 #include "host_private.h"
 #include "share_control.h"
@@ -91,7 +92,7 @@
              const struct directory_cache_event *event,
              int64_t now)
 {
-  struct host *host = (struct host *) ((char *) sink - offsetof (struct host, cache_events));
+  struct host *host = CONTAINER_OF (sink, struct host, cache_events);
 
   decide_cache_event (host->decide, target, event->block, event->stored, now);
 }
--- a/src/http_client_call.c
+++ b/src/http_client_call.c
@@ -1,4 +1,5 @@
 /* One call of the HTTP client: its request written, its answer read and checked to be whole. */
+#include "container.h"
 #include "http_client_private.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,7 +35,7 @@
 static void
 timer_fired (struct timer *timer, int64_t now)
 {
-  struct http_call *call = lws_container_of (timer, struct http_call, timer);
+  struct http_call *call = CONTAINER_OF (timer, struct http_call, timer);
 
   if (!call->sent || now >= call->deadline)
     {
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -1,5 +1,6 @@
 /* The HTTP server: listening sockets of our own, connections adopted by lws, routes. */
 #include "http_server.h"
+#include "container.h"
 #include "http_server_private.h"
 #include "text.h"
 #include <errno.h>
@@ -102,7 +103,7 @@
 static void
 sockets_ready (struct loop_watch *watch, int64_t now)
 {
-  struct http_server *server = lws_container_of (watch, struct http_server, socket_watch);
+  struct http_server *server = CONTAINER_OF (watch, struct http_server, socket_watch);
   struct epoll_event events[SOCKET_EVENT_BATCH];
   int n = epoll_wait (server->socket_fd, events, SOCKET_EVENT_BATCH, 0);
 
@@ -169,7 +170,7 @@
 static void
 accept_ready (struct loop_watch *watch, int64_t now)
 {
-  struct server_listener *listener = lws_container_of (watch, struct server_listener, watch);
+  struct server_listener *listener = CONTAINER_OF (watch, struct server_listener, watch);
 
   (void) now;
   for (int i = 0; i < ACCEPT_BATCH; i++)
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -1,4 +1,5 @@
 /* One connection of the HTTP server: requests read, checked and handed to their routes. */
+#include "container.h"
 #include "http_server_private.h"
 #include "text.h"
 #include <linux/sockios.h>
@@ -89,7 +90,7 @@
 static void
 too_slow (struct timer *timer, int64_t now)
 {
-  struct server_connection *connection = lws_container_of (timer, struct server_connection, timer);
+  struct server_connection *connection = CONTAINER_OF (timer, struct server_connection, timer);
 
   (void) now;
   server_count (connection->server, SERVER_TIMEOUTS);
--- a/src/loop.c
+++ b/src/loop.c
@@ -1,5 +1,6 @@
 /* The process's loop: libwebsockets' poll loop, woken in time for the earliest timer. */
 #include "loop.h"
+#include "container.h"
 #include <errno.h>
 #include <libwebsockets.h>
 #include <signal.h>
@@ -228,7 +229,7 @@
 static void
 read_signals (struct loop_watch *watch, int64_t now)
 {
-  struct loop *loop = lws_container_of (watch, struct loop, signal_watch);
+  struct loop *loop = CONTAINER_OF (watch, struct loop, signal_watch);
   struct signalfd_siginfo info;
 
   while (read (loop->signal_fd, &info, sizeof info) == (ssize_t) sizeof info)
@@ -262,7 +263,7 @@
 static void
 on_wake (lws_sorted_usec_list_t *wake)
 {
-  struct loop *loop = lws_container_of (wake, struct loop, wake);
+  struct loop *loop = CONTAINER_OF (wake, struct loop, wake);
 
   lws_sul_schedule (loop->context, 0, wake, on_wake, 1);
 }
--- a/src/member_control.c
+++ b/src/member_control.c
@@ -1,5 +1,6 @@
 /* Wires membership to PEER_CHANNEL_MEMBER, to the timers and to the peer port's addresses. */
 #include "member_control.h"
+#include "container.h"
 #include <stddef.h>
 #include <talloc.h>
 
@@ -53,8 +54,7 @@
 received (
     struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
 {
-  struct member_control *control =
-      (struct member_control *) ((char *) listener - offsetof (struct member_control, listener));
+  struct member_control *control = CONTAINER_OF (listener, struct member_control, listener);
 
   member_receive (control->member, from, data, length, now);
 }
@@ -64,8 +64,7 @@
 static void
 fire (struct timer *timer, int64_t now)
 {
-  struct member_control *control =
-      (struct member_control *) ((char *) timer - offsetof (struct member_control, timer));
+  struct member_control *control = CONTAINER_OF (timer, struct member_control, timer);
 
   timer_arm (control->timers, timer, member_tick (control->member, now));
 }
@@ -75,8 +74,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  struct member_control *control =
-      (struct member_control *) ((char *) source - offsetof (struct member_control, source));
+  struct member_control *control = CONTAINER_OF (source, struct member_control, source);
 
   return member_describe (control->member, now);
 }
--- a/src/operator_change.c
+++ b/src/operator_change.c
@@ -1,5 +1,6 @@
 /* Changes of resources: proposed, repeated where that is safe, answered, audited. */
 #include "config_wait.h"
+#include "container.h"
 #include "log.h"
 #include "operator_body.h"
 #include "store_group.h"
@@ -36,9 +37,6 @@
   struct bytes object;
 };
 
-#define PENDING_OF(pointer, member)                                                                \
-  ((struct operator_pending *) ((char *) (pointer) -offsetof (struct operator_pending, member)))
-
 static int
 pending_destroy (struct operator_pending *pending)
 {
@@ -77,7 +75,7 @@
 closed (struct http_watcher *watcher, int64_t now)
 {
   (void) now;
-  PENDING_OF (watcher, watcher)->exchange = NULL;
+  CONTAINER_OF (watcher, struct operator_pending, watcher)->exchange = NULL;
 }
 
 static void
@@ -171,7 +169,7 @@
 static void
 waited (struct config_waiter *waiter, const struct config_wait_result *result, int64_t now)
 {
-  struct operator_pending *pending = PENDING_OF (waiter, waiter);
+  struct operator_pending *pending = CONTAINER_OF (waiter, struct operator_pending, waiter);
   json_t *object = json_loadb (pending->object.data, pending->object.length, 0, NULL);
   char *text;
 
@@ -264,7 +262,7 @@
 static void
 done (struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
-  struct operator_pending *pending = PENDING_OF (proposal, proposal);
+  struct operator_pending *pending = CONTAINER_OF (proposal, struct operator_pending, proposal);
   struct store_answer answer;
 
   pending->proposed = false;
@@ -302,7 +300,7 @@
 static void
 retry_due (struct timer *timer, int64_t now)
 {
-  try_again (PENDING_OF (timer, retry), now);
+  try_again (CONTAINER_OF (timer, struct operator_pending, retry), now);
 }
 
 static const struct timer_ops retry_ops = { .fire = retry_due };
--- a/src/operator_watch.c
+++ b/src/operator_watch.c
@@ -1,4 +1,5 @@
 /* Watches: a stream of changes from a revision on, with bookmarks. */
+#include "container.h"
 #include "operator_private.h"
 #include <stdlib.h>
 #include <string.h>
@@ -30,9 +31,6 @@
   struct counter *gauge;
 };
 
-#define WATCHES_OF(pointer, member)                                                                \
-  ((struct operator_watches *) ((char *) (pointer) -offsetof (struct operator_watches, member)))
-
 static void
 forget (struct operator_one_watch *watch)
 {
@@ -133,13 +131,13 @@
 pump_due (struct timer *timer, int64_t now)
 {
   (void) now;
-  pump_all (WATCHES_OF (timer, pump));
+  pump_all (CONTAINER_OF (timer, struct operator_watches, pump));
 }
 
 static void
 period_due (struct timer *timer, int64_t now)
 {
-  struct operator_watches *watches = WATCHES_OF (timer, period);
+  struct operator_watches *watches = CONTAINER_OF (timer, struct operator_watches, period);
   const struct operator_one_watch *watch;
 
   pump_all (watches);
@@ -153,7 +151,7 @@
 static void
 store_changed (struct store_listener *listener, const struct store_event *event)
 {
-  struct operator_watches *watches = WATCHES_OF (listener, listener);
+  struct operator_watches *watches = CONTAINER_OF (listener, struct operator_watches, listener);
 
   (void) event;
   if (watches->list != NULL && !timer_is_armed (&watches->pump))
--- a/src/order.c
+++ b/src/order.c
@@ -1,4 +1,5 @@
 /* Orders to targets: leading, fencing numbers, and the pass over the board. */
+#include "container.h"
 #include "log.h"
 #include "order_private.h"
 #include "store_group.h"
@@ -10,9 +11,6 @@
 #define FENCE_WITHIN (2 * USEC_PER_SEC)
 #define FENCE_PERIOD (2 * USEC_PER_SEC) /* between two asks for a number */
 
-#define ORDERS_OF(pointer, member)                                                                 \
-  ((struct orders *) ((char *) (pointer) -offsetof (struct orders, member)))
-
 /* An assignment of the target itself goes before one of its pool; the first by name wins. */
 const struct assignment_spec *
 order_wanted (const struct orders *orders, const struct board_target *target)
@@ -166,7 +164,7 @@
 fence_done (
     struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
-  struct orders *orders = ORDERS_OF (proposal, fence_proposal);
+  struct orders *orders = CONTAINER_OF (proposal, struct orders, fence_proposal);
   struct store_answer answer;
 
   (void) now;
@@ -210,7 +208,7 @@
 static void
 due (struct timer *timer, int64_t now)
 {
-  struct orders *orders = ORDERS_OF (timer, timer);
+  struct orders *orders = CONTAINER_OF (timer, struct orders, timer);
   struct consensus *consensus = orders->config.consensus;
   bool leads = consensus->ops->is_leader (consensus);
 
@@ -239,7 +237,7 @@
 changed (struct store_listener *listener, const struct store_event *event)
 {
   if (event == NULL || event->kind == RESOURCE_ASSIGNMENT)
-    ORDERS_OF (listener, listener)->stale = true;
+    CONTAINER_OF (listener, struct orders, listener)->stale = true;
 }
 
 static void
@@ -251,7 +249,7 @@
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
-  const struct orders *orders = ORDERS_OF (source, source);
+  const struct orders *orders = CONTAINER_OF (source, struct orders, source);
   const struct order_target *target;
   json_t *targets = json_array ();
 
--- a/src/order_status.c
+++ b/src/order_status.c
@@ -1,4 +1,5 @@
 /* What came of the assignments, written back as their status. */
+#include "container.h"
 #include "order_private.h"
 #include "store_group.h"
 #include "text.h"
@@ -36,8 +37,7 @@
 static void
 done (struct proposal *proposal, enum status status, const void *result, size_t length, int64_t now)
 {
-  struct orders *orders =
-      (struct orders *) ((char *) proposal - offsetof (struct orders, status_proposal));
+  struct orders *orders = CONTAINER_OF (proposal, struct orders, status_proposal);
 
   (void) status; /* a status that was not written differs still, and is written later */
   (void) result;
--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -9,6 +9,7 @@
  * messages from queueing for a peer without a connection, so that a partition's end brings no
  * burst of old messages and holds no memory. */
 #include "peer_zmq.h"
+#include "container.h"
 #include "pack.h"
 #include "peer_zap.h"
 #include "peer_zmq_private.h"
@@ -35,13 +36,13 @@
 static void
 ready (struct loop_watch *watch, int64_t now)
 {
-  peer_zmq_receive ((struct peer_zmq *) ((char *) watch - offsetof (struct peer_zmq, watch)), now);
+  peer_zmq_receive (CONTAINER_OF (watch, struct peer_zmq, watch), now);
 }
 
 static void
 again (struct timer *timer, int64_t now)
 {
-  peer_zmq_receive ((struct peer_zmq *) ((char *) timer - offsetof (struct peer_zmq, again)), now);
+  peer_zmq_receive (CONTAINER_OF (timer, struct peer_zmq, again), now);
 }
 
 static const struct loop_watch_ops watch_ops = { .ready = ready };
--- a/src/share_control.c
+++ b/src/share_control.c
@@ -3,6 +3,7 @@
  * Only organisations with a limit and with demand here are asked for.  Asks for one keeper go in
  * one message. */
 #include "share_control.h"
+#include "container.h"
 #include "share.h"
 #include <string.h>
 #include <talloc.h>
@@ -224,8 +225,7 @@
 static void
 fire (struct timer *timer, int64_t now)
 {
-  struct share_control *control =
-      (struct share_control *) ((char *) timer - offsetof (struct share_control, timer));
+  struct share_control *control = CONTAINER_OF (timer, struct share_control, timer);
   struct asks *asks = talloc_zero (control, struct asks);
   uint32_t i;
 
--- a/tests/unit_config_nodes.h
+++ b/tests/unit_config_nodes.h
@@ -4,6 +4,7 @@
 #include "config_feed.h"
 #include "config_follow.h"
 #include "config_wait.h"
+#include "container.h"
 #include "unit_config_peers.h"
 #include "unit_store_log.h"
 #include <memory>
@@ -50,8 +51,7 @@
   static void
   changed (struct board_subscriber *subscriber, enum board_event, struct handle, int64_t)
   {
-    struct node *self = reinterpret_cast<struct node *> (reinterpret_cast<char *> (subscriber)
-                                                         - offsetof (struct node, subscriber));
+    struct node *self = CONTAINER_OF (subscriber, struct node, subscriber);
 
     self->revisions.push_back (self->board->revision);
   }
--- a/tests/unit_directory.cc
+++ b/tests/unit_directory.cc
@@ -1,4 +1,5 @@
 // Targets, their homes and the leases that end new work, with several hosts on virtual time.
+#include "container.h"
 #include "directory.h"
 #include "directory_wire.h"
 #include "text.h"
@@ -103,8 +104,7 @@
          const struct directory_cache_event *event,
          int64_t)
   {
-    auto *self = reinterpret_cast<struct node *> (reinterpret_cast<char *> (sink)
-                                                  - offsetof (struct node, cache));
+    auto *self = CONTAINER_OF (sink, struct node, cache);
     self->cached.push_back (event->block);
   }
 
