Drop a size that nothing uses

FLOW_MESSAGE_SIZE stood among the request path's limits, though no text of that size is built any more.

The definition goes; nothing else changes.

--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -39,7 +39,6 @@
 #define FLOW_FRAMING_TIME (50 * USEC_PER_MSEC) /* from a text's last piece to its end */
 #define FLOW_RETRY_AFTER (1 * USEC_PER_SEC)    /* where the decisions give no better */
 #define FLOW_EVENT_BYTES_MAX (1u << 20)        /* of one event of a generation */
-#define FLOW_MESSAGE_SIZE 160
 
 /* What a stage cost a request, for its answer and its log line. */
 struct flow_stage_record
