Begin the counters' names with cherryarch_

At /metrics some names began with cherryarch_ and others with the part that counts (http_, directory_, member_, operator_, claims_ and so on), so an operator could not pick this system's series from a shared store by one prefix.

--- a/src/claim_log.c
+++ b/src/claim_log.c
@@ -173,12 +173,12 @@
     {
       snprintf (label, sizeof label, "verdict=\"%s\"",
                 claim_verdict_text ((enum claim_verdict) verdict));
-      log->verdicts[verdict] =
-          counter_get (log->config.counters, "claims_total", "Claims asked for here.", label);
+      log->verdicts[verdict] = counter_get (log->config.counters, "cherryarch_claims_total",
+                                            "Claims asked for here.", label);
     }
-  log->settled =
-      counter_get (log->config.counters, "claims_settled_total", "Claims settled here.", NULL);
-  log->repeats = counter_get (log->config.counters, "claim_repeats_total",
+  log->settled = counter_get (log->config.counters, "cherryarch_claims_settled_total",
+                              "Claims settled here.", NULL);
+  log->repeats = counter_get (log->config.counters, "cherryarch_claim_repeats_total",
                               "Claim entries proposed again, and looks at claims in flight.", NULL);
 }
 
--- a/src/config.c
+++ b/src/config.c
@@ -195,9 +195,9 @@
   self->proposal.ops = &proposal_ops;
   self->source.ops = &source_ops;
   self->source.name = "config";
-  self->changes = counter_get (config->counters, "config_changes_total",
+  self->changes = counter_get (config->counters, "cherryarch_config_changes_total",
                                "Changes of configuration brought into force here.", NULL);
-  self->revision = gauge_get (config->counters, "config_revision",
+  self->revision = gauge_get (config->counters, "cherryarch_config_revision",
                               "Revision of the configuration in force here.", NULL);
   store_listen (config->store, &self->listener);
   if (config->dump != NULL)
--- a/src/config_feed.c
+++ b/src/config_feed.c
@@ -337,7 +337,7 @@
   feed->proposal.ops = &proposal_ops;
   feed->source.ops = &source_ops;
   feed->source.name = "config_feed";
-  feed->copies = counter_get (config->counters, "config_copies_sent_total",
+  feed->copies = counter_get (config->counters, "cherryarch_config_copies_sent_total",
                               "Whole copies of the configuration sent to followers.", NULL);
   store_listen (config->store, &feed->listener);
   config_link_handle (config->link, CONFIG_ASK, &feed->handler);
--- a/src/config_follow.c
+++ b/src/config_follow.c
@@ -228,7 +228,7 @@
   follow->timer.ops = &timer_ops;
   follow->source.ops = &source_ops;
   follow->source.name = "config_follow";
-  follow->asks = counter_get (config->counters, "config_asks_total",
+  follow->asks = counter_get (config->counters, "cherryarch_config_asks_total",
                               "Times a voter was asked to confirm the configuration.", NULL);
   config_link_handle (config->link, CONFIG_CHANGES, &follow->handler);
   config_link_handle (config->link, CONFIG_PART, &follow->handler);
--- a/src/directory.c
+++ b/src/directory.c
@@ -22,17 +22,17 @@
 static void
 register_counters (struct directory *directory, struct counters *counters)
 {
-  directory->refused_old =
-      counter_get (counters, "directory_refused_old_total", "Targets' words that were old", NULL);
-  directory->malformed = counter_get (counters, "directory_malformed_total",
+  directory->refused_old = counter_get (counters, "cherryarch_directory_refused_old_total",
+                                        "Targets' words that were old", NULL);
+  directory->malformed = counter_get (counters, "cherryarch_directory_malformed_total",
                                       "Messages about targets that could not be read", NULL);
-  directory->lapsed =
-      counter_get (counters, "directory_lapsed_total", "Leases of targets that ended", NULL);
-  directory->cache_gaps =
-      counter_get (counters, "directory_cache_gaps_total", "Gaps in targets' cache events", NULL);
-  directory->messages_out =
-      counter_get (counters, "directory_messages_out_total", "Messages about targets sent", NULL);
-  directory->bytes_out = counter_get (counters, "directory_bytes_out_total",
+  directory->lapsed = counter_get (counters, "cherryarch_directory_lapsed_total",
+                                   "Leases of targets that ended", NULL);
+  directory->cache_gaps = counter_get (counters, "cherryarch_directory_cache_gaps_total",
+                                       "Gaps in targets' cache events", NULL);
+  directory->messages_out = counter_get (counters, "cherryarch_directory_messages_out_total",
+                                         "Messages about targets sent", NULL);
+  directory->bytes_out = counter_get (counters, "cherryarch_directory_bytes_out_total",
                                       "Bytes of messages about targets sent", NULL);
 }
 
--- a/src/entries_api.c
+++ b/src/entries_api.c
@@ -94,8 +94,8 @@
       char label[64];
 
       snprintf (label, sizeof label, "tier=\"%s\"", entries_tier_text ((enum entries_tier) i));
-      entries->lists[i] =
-          counter_get (config->counters, "entries_lists_total", "Lists given to callers", label);
+      entries->lists[i] = counter_get (config->counters, "cherryarch_entries_lists_total",
+                                       "Lists given to callers", label);
     }
   return entries;
 }
--- a/src/http_client_private.h
+++ b/src/http_client_private.h
@@ -14,10 +14,10 @@
 
 /* name, text, help */
 #define CLIENT_COUNTER_LIST(X)                                                                     \
-  X (CALLS, "http_client_calls", "Calls started")                                                  \
-  X (CONNECTIONS, "http_client_connections", "Connections opened")                                 \
-  X (FAILED, "http_client_failed", "Calls that ended without a whole answer")                      \
-  X (CUT, "http_client_cut", "Answers cut short by the other side")
+  X (CALLS, "cherryarch_http_client_calls", "Calls started")                                       \
+  X (CONNECTIONS, "cherryarch_http_client_connections", "Connections opened")                      \
+  X (FAILED, "cherryarch_http_client_failed", "Calls that ended without a whole answer")           \
+  X (CUT, "cherryarch_http_client_cut", "Answers cut short by the other side")
 
 enum client_counter
 {
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -30,12 +30,14 @@
 
 /* name, text, help */
 #define SERVER_COUNTER_LIST(X)                                                                     \
-  X (ACCEPTED, "http_connections_accepted", "Connections accepted")                                \
-  X (REFUSED, "http_connections_refused", "Connections closed at once by a limit")                 \
-  X (REQUESTS, "http_requests", "Requests handed to a route")                                      \
-  X (REJECTED, "http_requests_rejected", "Requests answered 4xx before a route saw them")          \
-  X (TIMEOUTS, "http_connections_timed_out", "Connections closed because the other side was slow") \
-  X (CUT, "http_answers_cut", "Answers that did not reach their caller whole")
+  X (ACCEPTED, "cherryarch_http_connections_accepted", "Connections accepted")                     \
+  X (REFUSED, "cherryarch_http_connections_refused", "Connections closed at once by a limit")      \
+  X (REQUESTS, "cherryarch_http_requests", "Requests handed to a route")                           \
+  X (REJECTED, "cherryarch_http_requests_rejected",                                                \
+     "Requests answered 4xx before a route saw them")                                              \
+  X (TIMEOUTS, "cherryarch_http_connections_timed_out",                                            \
+     "Connections closed because the other side was slow")                                         \
+  X (CUT, "cherryarch_http_answers_cut", "Answers that did not reach their caller whole")
 
 enum server_counter
 {
--- a/src/member.c
+++ b/src/member.c
@@ -40,16 +40,17 @@
 static void
 register_counters (struct member *member, struct counters *counters)
 {
-  member->messages_out =
-      counter_get (counters, "member_messages_out_total", "Messages of membership sent", NULL);
-  member->bytes_out = counter_get (counters, "member_bytes_out_total",
+  member->messages_out = counter_get (counters, "cherryarch_member_messages_out_total",
+                                      "Messages of membership sent", NULL);
+  member->bytes_out = counter_get (counters, "cherryarch_member_bytes_out_total",
                                    "Bytes of messages of membership sent", NULL);
-  member->malformed = counter_get (counters, "member_malformed_total",
+  member->malformed = counter_get (counters, "cherryarch_member_malformed_total",
                                    "Messages of membership that could not be read", NULL);
-  member->suspicions =
-      counter_get (counters, "member_suspicions_total", "Hosts suspected after a probe", NULL);
-  member->deaths = counter_get (counters, "member_deaths_total", "Hosts taken for dead", NULL);
-  member->refutations = counter_get (counters, "member_refutations_total",
+  member->suspicions = counter_get (counters, "cherryarch_member_suspicions_total",
+                                    "Hosts suspected after a probe", NULL);
+  member->deaths =
+      counter_get (counters, "cherryarch_member_deaths_total", "Hosts taken for dead", NULL);
+  member->refutations = counter_get (counters, "cherryarch_member_refutations_total",
                                      "Suspicions of ourselves that we refuted", NULL);
 }
 
--- a/src/operator.c
+++ b/src/operator.c
@@ -262,11 +262,11 @@
     }
   for (i = 0; i < ROUTE_COUNT; i++)
     set_route (api, RESOURCE_KIND_COUNT + i, RESOURCE_KIND_COUNT, other_paths[i]);
-  api->changes = counter_get (config->counters, "operator_changes_total",
+  api->changes = counter_get (config->counters, "cherryarch_operator_changes_total",
                               "Changes of resources accepted here.", NULL);
-  api->conflicts = counter_get (config->counters, "operator_conflicts_total",
+  api->conflicts = counter_get (config->counters, "cherryarch_operator_conflicts_total",
                                 "Changes refused because the object had changed.", NULL);
-  api->resent = counter_get (config->counters, "operator_resent_total",
+  api->resent = counter_get (config->counters, "cherryarch_operator_resent_total",
                              "Changes sent again and given their first answer.", NULL);
   api->watches = operator_watches_new (api);
   if (api->watches == NULL || api->config.host == NULL)
--- a/src/operator_watch.c
+++ b/src/operator_watch.c
@@ -269,7 +269,8 @@
   watches->listener.ops = &listener_ops;
   watches->pump.ops = &pump_ops;
   watches->period.ops = &period_ops;
-  watches->gauge = gauge_get (api->config.counters, "operator_watches", "Open watches.", NULL);
+  watches->gauge =
+      gauge_get (api->config.counters, "cherryarch_operator_watches", "Open watches.", NULL);
   store_listen (api->config.store, &watches->listener);
   talloc_set_destructor (watches, destroy);
   return watches;
--- a/src/order.c
+++ b/src/order.c
@@ -305,11 +305,12 @@
   orders->source.ops = &source_ops;
   orders->source.name = "orders";
   orders->stale = true;
-  orders->sent = counter_get (config->counters, "orders_sent_total", "Orders to targets.", NULL);
-  orders->done = counter_get (config->counters, "orders_done_total",
+  orders->sent =
+      counter_get (config->counters, "cherryarch_orders_sent_total", "Orders to targets.", NULL);
+  orders->done = counter_get (config->counters, "cherryarch_orders_done_total",
                               "Targets brought to what their assignment wants.", NULL);
-  orders->refused =
-      counter_get (config->counters, "orders_refused_total", "Orders that targets refused.", NULL);
+  orders->refused = counter_get (config->counters, "cherryarch_orders_refused_total",
+                                 "Orders that targets refused.", NULL);
   store_listen (config->store, &orders->listener);
   if (config->dump != NULL)
     dump_add (config->dump, &orders->source);
--- a/tests/unit_config_operator.cc
+++ b/tests/unit_config_operator.cc
@@ -227,7 +227,7 @@
   EXPECT_EQ (call ("GET", "/v1/health").code, 200);
   EXPECT_TRUE (call ("GET", "/v1/revision").has ("\"revision\":2"));
   EXPECT_TRUE (call ("GET", "/v1/dump").has ("\"config\""));
-  EXPECT_TRUE (call ("GET", "/metrics").has ("operator_changes_total 3"));
+  EXPECT_TRUE (call ("GET", "/metrics").has ("cherryarch_operator_changes_total 3"));
 }
 
 TEST_F (Operator, BadInputNamesItsField)
--- a/tests/unit_directory.cc
+++ b/tests/unit_directory.cc
@@ -673,7 +673,8 @@
   struct net n (1);
   struct directory_key key = { "t", 1, 1 };
   struct directory_cache_event events[] = { { 10, true }, { 11, true }, { 12, false } };
-  struct counter *gaps = counter_get (n.counters, "directory_cache_gaps_total", "", nullptr);
+  struct counter *gaps =
+      counter_get (n.counters, "cherryarch_directory_cache_gaps_total", "", nullptr);
 
   announce (n, 0, record_of ("t", 1, 1));
   directory_cache (n[0].directory, &key, 5, events, 2, n.now);
@@ -689,7 +690,8 @@
 TEST (Directory, CutAndAlteredMessagesChangeNothing)
 {
   struct net n (2);
-  struct counter *malformed = counter_get (n.counters, "directory_malformed_total", "", nullptr);
+  struct counter *malformed =
+      counter_get (n.counters, "cherryarch_directory_malformed_total", "", nullptr);
 
   for (int i = 0; i < 3; i++)
     announce (n, 0, record_of (("t" + std::to_string (i)).c_str (), 1, 1));
--- a/tests/unit_edges_client.cc
+++ b/tests/unit_edges_client.cc
@@ -227,7 +227,7 @@
       EXPECT_EQ (probe.id, path);
       EXPECT_EQ (probe.body, i % 2 == 0 ? body : "");
     }
-  EXPECT_EQ (server.counted ("http_connections_accepted"), 1);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_accepted"), 1);
 }
 
 // One stage of a request takes long; calls of other requests to the same target must neither wait
@@ -270,7 +270,7 @@
         }
     }
   // The second round found the connections of the first.
-  EXPECT_EQ (server.counted ("http_connections_accepted"), 200);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_accepted"), 200);
 }
 
 struct cut_answer
--- a/tests/unit_edges_server.cc
+++ b/tests/unit_edges_server.cc
@@ -104,7 +104,7 @@
       ASSERT_TRUE (i % 3 == 0 || caller.wait_for ("end"));
       caller.got.clear ();
     }
-  EXPECT_EQ (server.counted ("http_connections_accepted"), 1);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_accepted"), 1);
 }
 
 struct refusal
@@ -204,7 +204,7 @@
       ASSERT_TRUE (run_until (server.loop, [&] { return closed > 0; }));
       EXPECT_EQ (closed, 1);
       EXPECT_EQ (http_server_pending (server.server), 0u);
-      EXPECT_EQ (server.counted ("http_answers_cut"), 1);
+      EXPECT_EQ (server.counted ("cherryarch_http_answers_cut"), 1);
     }
 }
 
@@ -220,7 +220,8 @@
   caller.send (post ("/work", "body"));
   ASSERT_TRUE (run_until (server.loop, [&] { return held != nullptr; }));
   caller.shut ();
-  ASSERT_TRUE (run_until (server.loop, [&] { return server.counted ("http_answers_cut") > 0; }));
+  ASSERT_TRUE (
+      run_until (server.loop, [&] { return server.counted ("cherryarch_http_answers_cut") > 0; }));
   EXPECT_EQ (http_server_pending (server.server), 1u);
   held->ops->begin (held, 200, nullptr, 0);
   held->ops->write (held, "x", 1);
@@ -326,7 +327,7 @@
   in_head.send ("GET / HTTP/1.1\r\nhost:");
   EXPECT_TRUE (silent.wait_closed ());
   EXPECT_TRUE (in_head.wait_closed ());
-  EXPECT_EQ (server.counted ("http_connections_timed_out"), 2);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_timed_out"), 2);
   EXPECT_TRUE (server.paths.empty ());
 }
 
@@ -344,7 +345,7 @@
   in_body.send ("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\n\r\nhalf");
   EXPECT_TRUE (in_body.wait_closed ());
   EXPECT_EQ (in_body.got.substr (0, 12), "HTTP/1.1 408") << in_body.got;
-  EXPECT_EQ (server.counted ("http_connections_timed_out"), 1);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_timed_out"), 1);
   EXPECT_TRUE (server.paths.empty ());
 }
 
@@ -391,9 +392,9 @@
   struct raw_caller fourth (server.loop, server.port ());
 
   // Two listeners: which of them is served first is open, that one connection is too many is not.
-  ASSERT_TRUE (
-      run_until (server.loop, [&] { return server.counted ("http_connections_refused") == 1; }));
-  EXPECT_EQ (server.counted ("http_connections_accepted"), 3);
+  ASSERT_TRUE (run_until (
+      server.loop, [&] { return server.counted ("cherryarch_http_connections_refused") == 1; }));
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_accepted"), 3);
   first.reset ();
   second.send (get ("/in"));
   fourth.send (get ("/in"));
--- a/tests/unit_member.cc
+++ b/tests/unit_member.cc
@@ -122,7 +122,7 @@
   spread_net_cut (c.net, 5, 3, true);
   c.run (300 * USEC_PER_SEC);
   EXPECT_TRUE (c.all_alive ());
-  EXPECT_EQ (c.counted ("member_suspicions_total"), 0);
+  EXPECT_EQ (c.counted ("cherryarch_member_suspicions_total"), 0);
 }
 
 // A host is stopped for a while (SIGSTOP, or a machine that swaps): its connections stay up and no
@@ -138,7 +138,7 @@
   spread_net_go_on (c.net, 2);
   c.run (20 * USEC_PER_SEC);
   EXPECT_TRUE (c.all_alive ());
-  EXPECT_GT (c.counted ("member_refutations_total"), 0);
+  EXPECT_GT (c.counted ("cherryarch_member_refutations_total"), 0);
 }
 
 // Nothing reaches one host any more, but what it sends arrives.  It takes everyone for dead; were
@@ -225,7 +225,7 @@
   spread_net_stop (c.net, 4, false);
   c.run (10 * USEC_PER_SEC);
   EXPECT_EQ (c.see (4, HOST_LEFT), 8u);
-  EXPECT_EQ (c.counted ("member_deaths_total"), 0);
+  EXPECT_EQ (c.counted ("cherryarch_member_deaths_total"), 0);
 }
 
 // A host restarts with a clock that was set back, so that its incarnation is below the one the
@@ -251,7 +251,7 @@
   spread_net_set_loss (c.net, 0.01);
   c.run (600 * USEC_PER_SEC);
   EXPECT_TRUE (c.all_alive ());
-  EXPECT_EQ (c.counted ("member_deaths_total"), 0);
+  EXPECT_EQ (c.counted ("cherryarch_member_deaths_total"), 0);
 }
 
 // Of two hosts, one does not hear the other for a while and suspects it; the other hears of that
@@ -335,8 +335,9 @@
   member_write_item (&whole, &item);
   for (size_t cut = 0; cut < whole.length; cut++)
     member_receive (c.hosts[0]->member, "host-001", whole.data, cut, spread_net_now (c.net));
-  EXPECT_EQ (counter_get (c.hosts[0]->counters, "member_malformed_total", "", nullptr)->value,
-             (double) whole.length);
+  EXPECT_EQ (
+      counter_get (c.hosts[0]->counters, "cherryarch_member_malformed_total", "", nullptr)->value,
+      (double) whole.length);
   for (size_t i = 0; i < whole.length; i++)
     for (int bit = 0; bit < 8; bit++)
       {
