--- a/src/share.c
+++ b/src/share.c
@@ -162,12 +162,6 @@
     }
 }
 
-uint32_t
-share_book_count (const struct share_book *book)
-{
-  return HASH_COUNT (book->accounts);
-}
-
 double
 share_hold_now (const struct share_hold *hold, uint32_t n_hosts, int64_t now)
 {
--- a/src/share.h
+++ b/src/share.h
@@ -48,7 +48,6 @@
 
 /* Forget organisations nobody asked for since a lease ago. */
 void share_book_expire (struct share_book *book, int64_t now);
-uint32_t share_book_count (const struct share_book *book);
 
 /* ---- the asker's side ---- */
 
