Give the server a list of routes in one call

The request path and the operators' API each handed their routes to the HTTP server with the same loop and the same early return.

http_server_add_routes() does it for both, with the same end at the first failure. No behaviour changes.

--- a/src/host_serving.c
+++ b/src/host_serving.c
@@ -160,20 +160,12 @@
     .wall_clock_ms = wall_clock_ms,
   };
   struct http_route *routes[FLOW_ROUTES];
-  int i;
 
   host->flow = flow_new (host, &config);
   if (host->flow == NULL)
     return no_memory ();
   flow_routes (host->flow, routes);
-  for (i = 0; i < FLOW_ROUTES; i++)
-    {
-      enum status status = http_server_add_route (host->server, routes[i]);
-
-      if (status != STATUS_OK)
-        return status;
-    }
-  return STATUS_OK;
+  return http_server_add_routes (host->server, routes, FLOW_ROUTES);
 }
 
 static enum status
--- a/src/host_state.c
+++ b/src/host_state.c
@@ -210,20 +210,12 @@
   };
   struct http_route **routes;
   uint32_t n_routes;
-  uint32_t i;
 
   host->operators = operator_api_new (host, &config);
   if (host->operators == NULL)
     return no_memory ();
   n_routes = operator_api_routes (host->operators, &routes);
-  for (i = 0; i < n_routes; i++)
-    {
-      enum status status = http_server_add_route (host->server, routes[i]);
-
-      if (status != STATUS_OK)
-        return status;
-    }
-  return STATUS_OK;
+  return http_server_add_routes (host->server, routes, n_routes);
 }
 
 /* Only a voter may lead, and only the leader gives orders. */
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -62,6 +62,19 @@
   return STATUS_OK;
 }
 
+enum status
+http_server_add_routes (struct http_server *server,
+                        struct http_route *const *routes,
+                        uint32_t n_routes)
+{
+  enum status status = STATUS_OK;
+  uint32_t i;
+
+  for (i = 0; i < n_routes && status == STATUS_OK; i++)
+    status = http_server_add_route (server, routes[i]);
+  return status;
+}
+
 /* uthash's macros are long; the function is not.
  * NOLINTBEGIN(readability-function-size) */
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -34,9 +34,14 @@
 /* NULL with status_message() when an address cannot be taken. */
 struct http_server *http_server_new (void *parent, const struct http_server_config *config);
 
-/* Routes live as long as the server. */
+/* Routes live as long as the server.  Fails with STATUS_NO_MEMORY alone. */
 enum status http_server_add_route (struct http_server *server, struct http_route *route);
 
+/* The first failure ends it, and the routes before that one stay. */
+enum status http_server_add_routes (struct http_server *server,
+                                    struct http_route *const *routes,
+                                    uint32_t n_routes);
+
 /* The port in use, for addresses whose port the kernel chose. */
 uint16_t http_server_port (const struct http_server *server, enum http_listener listener);
 
