Make each explorer's walk a test of its own

One test walked up to 25 seeds in a row, so a failure named the seed only in its text, the seeds after it went unreported where the process died, and a run could not share the walks out.

Each walk is now a parameter of one test, named by its voters and seed.

--- a/tests/unit_raft_explore.cc
+++ b/tests/unit_raft_explore.cc
@@ -8,83 +8,108 @@
 // whole.
 #include "explore.h"
 #include <gtest/gtest.h>
+#include <string>
+#include <vector>
 
 namespace
 {
 
 constexpr uint32_t steps = 300;
 
-void
-walk (uint32_t voters, uint64_t seed, bool plain = false)
+// One test a walk, so that the run can share them out.
+struct walk
 {
-  struct explore_config config = { .seed = seed, .voters = voters, .steps = steps, .plain = plain };
-  struct explore_result result;
-
-  explore (&config, &result);
-  EXPECT_STREQ (result.breach, "") << voters << " voters, seed " << seed;
-  EXPECT_GT (result.count.committed, 0u) << voters << " voters, seed " << seed;
-}
+  uint32_t voters;
+  uint64_t seed;
+  bool plain;
+};
 
-TEST (Explore, ThreeVoters)
+std::string
+walk_name (const testing::TestParamInfo<struct walk> &info)
 {
-  for (uint64_t seed = 1; seed <= 25; seed++)
-    walk (3, seed);
+  return std::to_string (info.param.voters) + "VotersSeed" + std::to_string (info.param.seed)
+         + (info.param.plain ? "Plain" : "");
 }
 
-TEST (Explore, FiveVoters)
+// The first `count` seeds.
+std::vector<struct walk>
+first (uint32_t voters, uint64_t count, bool plain = false)
 {
-  for (uint64_t seed = 1; seed <= 10; seed++)
-    walk (5, seed);
+  std::vector<struct walk> walks;
+
+  for (uint64_t seed = 1; seed <= count; seed++)
+    walks.push_back ({ voters, seed, plain });
+  return walks;
 }
 
-TEST (Explore, ThreeVotersPlain)
+class Explore : public testing::TestWithParam<struct walk>
 {
-  for (uint64_t seed = 1; seed <= 15; seed++)
-    walk (3, seed, true);
-}
+};
 
-TEST (Explore, NineVoters)
+TEST_P (Explore, BreaksNoRuleAndBecomesWhole)
 {
-  for (uint64_t seed = 1; seed <= 4; seed++)
-    walk (9, seed);
+  const struct walk &walk = GetParam ();
+  struct explore_config config = {
+    .seed = walk.seed, .voters = walk.voters, .steps = steps, .plain = walk.plain
+  };
+  struct explore_result result;
+
+  explore (&config, &result);
+  EXPECT_STREQ (result.breach, "");
+  EXPECT_GT (result.count.committed, 0u);
 }
 
+INSTANTIATE_TEST_SUITE_P (ThreeVoters, Explore, testing::ValuesIn (first (3, 25)), walk_name);
+INSTANTIATE_TEST_SUITE_P (FiveVoters, Explore, testing::ValuesIn (first (5, 10)), walk_name);
+INSTANTIATE_TEST_SUITE_P (ThreeVotersPlain,
+                          Explore,
+                          testing::ValuesIn (first (3, 15, true)),
+                          walk_name);
+INSTANTIATE_TEST_SUITE_P (NineVoters, Explore, testing::ValuesIn (first (9, 4)), walk_name);
+
 // An operator reads a setting back and sees the one before it.  The host restarts while its read is
 // on the way; the answer comes late and carries the number that the new process gave to a read of
 // its own, since numbers began at one at each start.
-TEST (Explore, LateAnswerToTheProcessBeforeIsNotTakenForOurs)
-{
-  for (uint64_t seed : { 309, 801, 937, 992 })
-    walk (3, seed, true);
-  for (uint64_t seed : { 107, 298, 627 })
-    walk (5, seed, true);
-  walk (9, 718, true);
-}
+INSTANTIATE_TEST_SUITE_P (LateAnswerToTheProcessBeforeIsNotTakenForOurs,
+                          Explore,
+                          testing::Values (walk{ 3, 309, true },
+                                           walk{ 3, 801, true },
+                                           walk{ 3, 937, true },
+                                           walk{ 3, 992, true },
+                                           walk{ 5, 107, true },
+                                           walk{ 5, 298, true },
+                                           walk{ 5, 627, true },
+                                           walk{ 9, 718, true }),
+                          walk_name);
 
 // A voter refuses to start after a plain restart and says that its journal is damaged.  A new
 // leader had replaced entries from before the oldest segment; once a snapshot dropped the segment
 // that held the replaced ones, the replacements looked out of place.
-TEST (Explore, ReplacedEntriesBehindADroppedSegmentAreReadBack)
-{
-  for (uint64_t seed : { 751, 1671 })
-    walk (3, seed, true);
-  for (uint64_t seed : { 74, 154, 222, 253 })
-    walk (5, seed, true);
-  for (uint64_t seed : { 567, 947 })
-    walk (9, seed, true);
-}
+INSTANTIATE_TEST_SUITE_P (ReplacedEntriesBehindADroppedSegmentAreReadBack,
+                          Explore,
+                          testing::Values (walk{ 3, 751, true },
+                                           walk{ 3, 1671, true },
+                                           walk{ 5, 74, true },
+                                           walk{ 5, 154, true },
+                                           walk{ 5, 222, true },
+                                           walk{ 5, 253, true },
+                                           walk{ 9, 567, true },
+                                           walk{ 9, 947, true }),
+                          walk_name);
 
 // A host with a new disk is never taken in, and the group stays one voter short.  Its leader added
 // it and was cut off before that was committed; the host had the group's number from then on, and
 // the next leader took only hosts without one.
-TEST (Explore, HostWhoseAdditionWasLostIsTakenInLater)
-{
-  for (uint64_t seed : { 533, 857 })
-    walk (3, seed, true);
-  for (uint64_t seed : { 391, 696, 1131, 1339 })
-    walk (5, seed, true);
-  for (uint64_t seed : { 551, 698 })
-    walk (9, seed, true);
-}
+INSTANTIATE_TEST_SUITE_P (HostWhoseAdditionWasLostIsTakenInLater,
+                          Explore,
+                          testing::Values (walk{ 3, 533, true },
+                                           walk{ 3, 857, true },
+                                           walk{ 5, 391, true },
+                                           walk{ 5, 696, true },
+                                           walk{ 5, 1131, true },
+                                           walk{ 5, 1339, true },
+                                           walk{ 9, 551, true },
+                                           walk{ 9, 698, true }),
+                          walk_name);
 
 } // namespace
