Run the unit tests in four processes at a time

The sanitized unit tests ran one after another in one process, and every change waited for them.

make unit deals the tests out to four processes (SHARDS) by GoogleTest's own sharding, each test in just one.

--- a/Makefile
+++ b/Makefile
@@ -87,9 +87,18 @@
 	$(MAKE) $(JOBS) unit
 	$(MAKE) $(JOBS) whole
 
+# A share of the unit tests in a process of its own: the tests are dealt out one by one, each runs in
+# just one share, and a share that fails, crashes or never started fails the target.  What a share
+# says is kept together.
+SHARDS ?= 4
+UNIT_SHARD = log=build/asan/unit.{}.log; \
+  GTEST_TOTAL_SHARDS=$(SHARDS) GTEST_SHARD_INDEX={} ASAN_OPTIONS=detect_leaks=1 \
+  UBSAN_OPTIONS=print_stacktrace=1 build/asan/bin/unit --gtest_brief=1 >$$log 2>&1; \
+  code=$$?; cat $$log; exit $$code
+
 unit:
 	$(MAKE) BUILD=build/asan OPT="$(SAN)" build/asan/bin/unit
-	ASAN_OPTIONS=detect_leaks=1 UBSAN_OPTIONS=print_stacktrace=1 build/asan/bin/unit --gtest_brief=1
+	@seq 0 $$(($(SHARDS) - 1)) | xargs -P $(SHARDS) -I {} sh -c '$(UNIT_SHARD)'
 
 whole:
 	$(MAKE) all
