Answer targets whose call has nothing to tell in one place

A target that leaves, reports its load or sends cache events got its empty answer or its refusal from the same four lines, three times over.

reply_done() gives both. Codes and bodies are as before.

--- a/src/target_api.c
+++ b/src/target_api.c
@@ -262,6 +262,16 @@
   http_reply_error (exchange, code, NULL, status_message ());
 }
 
+/* Of what has nothing to tell when it went well. */
+static void
+reply_done (struct http_exchange *exchange, enum status status)
+{
+  if (status == STATUS_OK)
+    reply_json (exchange, 200, json_object ());
+  else
+    reply_status (exchange, status);
+}
+
 static void
 reply_fault (struct http_exchange *exchange, const struct fault *fault)
 {
@@ -332,18 +342,13 @@
   char name[RESOURCE_NAME_SIZE];
   struct directory_key key;
   struct fault fault = { 0 };
-  enum status status;
 
   if (!read_key (body, true, name, &key, &fault))
     {
       reply_fault (exchange, &fault);
       return;
     }
-  status = directory_leave (api->directory, &key, now);
-  if (status == STATUS_OK)
-    reply_json (exchange, 200, json_object ());
-  else
-    reply_status (exchange, status);
+  reply_done (exchange, directory_leave (api->directory, &key, now));
 }
 
 static void
@@ -357,7 +362,6 @@
   uint64_t waiting = 0;
   const json_t *kv_used = json_object_get (body, "kv_used");
   struct load_report report;
-  enum status status;
 
   if (!read_key (body, false, name, &key, &fault)
       || !read_number (body, "age_ms", 3600000, &age, &fault)
@@ -380,11 +384,7 @@
     .waiting = (uint32_t) waiting,
     .kv_used = json_number_value (kv_used),
   };
-  status = directory_load (api->directory, &key, &report, now);
-  if (status == STATUS_OK)
-    reply_json (exchange, 200, json_object ());
-  else
-    reply_status (exchange, status);
+  reply_done (exchange, directory_load (api->directory, &key, &report, now));
 }
 
 static bool
@@ -446,10 +446,7 @@
     }
   status = directory_cache (api->directory, &key, first, events, count, now);
   talloc_free (events);
-  if (status == STATUS_OK)
-    reply_json (exchange, 200, json_object ());
-  else
-    reply_status (exchange, status);
+  reply_done (exchange, status);
 }
 
 static const struct
