Write a resource as JSON in one place

What operators read of a resource and what a watch shows of a change are the same document, and two functions built it from the same texts; a field added to one would have been missing in the other.

store_document_write() builds it for both. No behaviour changes.

--- a/src/store_history.c
+++ b/src/store_history.c
@@ -1,5 +1,6 @@
 /* The changes of late, in a ring. */
 #include "store_history.h"
+#include "store_object.h"
 #include "text.h"
 #include <talloc.h>
 
@@ -71,16 +72,16 @@
 void
 store_event_write (const struct store_event *event, struct bytes *out)
 {
-  bytes_append_format (out,
-                       "{\"kind\":\"%s\",\"metadata\":{\"name\":\"%s\",\"generation\":%llu,"
-                       "\"resourceVersion\":%llu},\"spec\":",
-                       resource_kind_plural (event->kind), event->name,
-                       (unsigned long long) event->generation,
-                       (unsigned long long) event->revision);
-  bytes_append_text (out, event->spec);
-  bytes_append_text (out, ",\"status\":");
-  bytes_append_text (out, event->status == NULL ? "{}" : event->status);
-  bytes_append_text (out, "}");
+  const struct store_document document = {
+    .kind = event->kind,
+    .name = event->name,
+    .generation = event->generation,
+    .revision = event->revision,
+    .spec = event->spec,
+    .status = event->status,
+  };
+
+  store_document_write (&document, out);
 }
 
 struct store_history *
--- a/src/store_object.c
+++ b/src/store_object.c
@@ -141,20 +141,35 @@
 }
 
 void
-store_object_write (const struct store_object *object, struct bytes *out)
+store_document_write (const struct store_document *document, struct bytes *out)
 {
   bytes_append_format (out,
                        "{\"kind\":\"%s\",\"metadata\":{\"name\":\"%s\",\"generation\":%llu,"
                        "\"resourceVersion\":%llu},\"spec\":",
-                       resource_kind_plural (object->kind), object->name,
-                       (unsigned long long) object->generation,
-                       (unsigned long long) object->revision);
-  bytes_append_text (out, object->spec);
+                       resource_kind_plural (document->kind), document->name,
+                       (unsigned long long) document->generation,
+                       (unsigned long long) document->revision);
+  bytes_append_text (out, document->spec);
   bytes_append_text (out, ",\"status\":");
-  bytes_append_text (out, object->status == NULL ? "{}" : object->status);
+  bytes_append_text (out, document->status == NULL ? "{}" : document->status);
   bytes_append_text (out, "}");
 }
 
+void
+store_object_write (const struct store_object *object, struct bytes *out)
+{
+  const struct store_document document = {
+    .kind = object->kind,
+    .name = object->name,
+    .generation = object->generation,
+    .revision = object->revision,
+    .spec = object->spec,
+    .status = object->status,
+  };
+
+  store_document_write (&document, out);
+}
+
 static void
 save_object (const struct store_object *object, struct bytes *out)
 {
--- a/src/store_object.h
+++ b/src/store_object.h
@@ -57,7 +57,19 @@
                                                    enum resource_kind kind,
                                                    const char *name);
 
+/* What operators are shown of a resource, now or as of a change.  The texts stay the giver's. */
+struct store_document
+{
+  enum resource_kind kind;
+  const char *name;
+  uint64_t generation;
+  uint64_t revision;
+  const char *spec;   /* compact JSON */
+  const char *status; /* compact JSON; NULL is written as {} */
+};
+
 /* `{"kind", "metadata", "spec", "status"}`. */
+void store_document_write (const struct store_document *document, struct bytes *out);
 void store_object_write (const struct store_object *object, struct bytes *out);
 
 void store_objects_save (const struct store_objects *objects, struct bytes *out);
