Say when the parts' constructors give NULL

Thirteen public constructors had no comment, so a caller had to read their sources to learn who frees the part and what NULL stands for.

Each header now says that the part is freed with its parent and when NULL comes back, as read in each constructor; for the access check that is also a malformed hash in the settings. Comments only.

--- a/src/access.h
+++ b/src/access.h
@@ -26,6 +26,8 @@
 
 struct access;
 
+/* Freed with `parent`.  NULL when memory is out, libsodium cannot start, or the operator's hash in
+ * the settings is not 64 hex digits. */
 struct access *access_new (void *parent, struct board *board, const struct settings *settings);
 
 /* The organisation a caller speaks for: by its token, or by `x-organisation` where the settings do
--- a/src/board.h
+++ b/src/board.h
@@ -184,6 +184,7 @@
   struct board_subscriber *subscribers;
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct board *board_new (void *parent);
 void board_subscribe (struct board *board, struct board_subscriber *subscriber);
 void board_publish (struct board *board, enum board_event event, struct handle handle, int64_t now);
--- a/src/claim_log.h
+++ b/src/claim_log.h
@@ -39,6 +39,7 @@
   uint32_t answer_bytes;  /* a bigger answer is kept as an outcome without its body */
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct claim_log *claim_log_new (void *parent, const struct claim_log_config *config, int64_t now);
 
 /* The interface of the request path. */
--- a/src/claim_table.h
+++ b/src/claim_table.h
@@ -79,6 +79,7 @@
   size_t answer_bytes;
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct claim_table *claim_table_new (void *parent, uint32_t records_max, uint32_t hosts_max);
 void claim_table_clear (struct claim_table *table);
 
--- a/src/config.h
+++ b/src/config.h
@@ -37,6 +37,7 @@
   struct dump *dump;
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct config *config_new (void *parent, const struct config_config *config, int64_t now);
 
 /* A quorum confirmed at `at` (our clock, before it was asked) what the store now holds. */
--- a/src/config_follow.h
+++ b/src/config_follow.h
@@ -25,6 +25,7 @@
   const char *host; /* our name: spreads followers over the voters */
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct config_follow *config_follow_new (void *parent,
                                          const struct config_follow_config *config,
                                          int64_t now);
--- a/src/counter.h
+++ b/src/counter.h
@@ -29,6 +29,7 @@
 
 struct counters;
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct counters *counters_new (void *parent);
 
 /* The counter of that name and label text (such as "stage=\"encode\"", NULL for none), registered
--- a/src/decide.h
+++ b/src/decide.h
@@ -117,6 +117,7 @@
   struct decide_choice choice;
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct decide *decide_new (void *parent,
                            struct board *board,
                            struct counters *counters,
--- a/src/operator.h
+++ b/src/operator.h
@@ -32,6 +32,7 @@
   int64_t wall_offset_ms; /* wall clock minus monotonic clock at the start, milliseconds */
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct operator_api *operator_api_new (void *parent, const struct operator_api_config *config);
 
 /* The routes to add to the server; their count.  They live as long as the interface. */
--- a/src/share.h
+++ b/src/share.h
@@ -35,6 +35,7 @@
 
 struct share_book;
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct share_book *share_book_new (void *parent);
 
 /* `host` asks for its part of what is not reserved; the part granted, 0 to 1 - SHARE_RESERVE.
--- a/src/store.h
+++ b/src/store.h
@@ -47,6 +47,7 @@
   struct store_listener *next;
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct store *store_new (void *parent, const struct store_config *config);
 
 /* Entries are packed `struct store_change`, results packed `struct store_answer`. */
--- a/src/store_group.h
+++ b/src/store_group.h
@@ -20,6 +20,7 @@
 
 struct store_group;
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct store_group *store_group_new (void *parent);
 void store_group_add (struct store_group *group, enum store_part part, struct machine *machine);
 struct machine *store_group_machine (struct store_group *group);
--- a/src/timer.h
+++ b/src/timer.h
@@ -28,6 +28,7 @@
   uint32_t position; /* in the service's heap, from 1; 0 while not armed */
 };
 
+/* Freed with `parent`.  NULL when memory is out. */
 struct timer_service *timer_service_new (void *parent);
 
 /* Arm, or move, `timer` to fire at `due`. */
