--- a/bench/replay.c
+++ b/bench/replay.c
@@ -228,6 +228,8 @@
 static void
 end_without_answer (struct replay_request *request, const struct replay_try_end *end, int64_t now)
 {
+  char why[sizeof request->record->detail];
+
   replay_list_skip (list_of (request), request->address, now);
   if (!end->sent)
     {
@@ -239,7 +241,9 @@
   request->record->ran++;
   request->record->cuts++;
   request->replay->result->cuts++;
-  resend_or_end (request, REPLAY_NO_ANSWER, RESEND_PAUSE, now, "the answer was cut");
+  snprintf (why, sizeof why, "the answer of %s was cut %" PRId64 " ms after the request was due",
+            request->address, (now - request->at) / USEC_PER_MSEC);
+  resend_or_end (request, REPLAY_NO_ANSWER, RESEND_PAUSE, now, why);
 }
 
 static void
