--- /dev/null
+++ b/bench/host_cost_way.c
@@ -0,0 +1,180 @@
+/* The calls of one request of the demo's site: one to a host, or one to each stage's target. */
+#include "answer.h"
+#include "host_cost.h"
+#include "site.h"
+#include "text.h"
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#define OUTPUT_TOKENS 16
+#define TRACE_REQUESTS 2 /* a pipeline's, then a service's */
+
+static void
+take_json (struct bytes *out, void *parent, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT | JSON_ENCODE_ANY);
+
+  bytes_init (out, parent);
+  bytes_append_text (out, text);
+  free (text);
+  json_decref (json);
+}
+
+static void
+input_of (struct bytes *out, void *parent, const struct pipeline_spec *spec)
+{
+  struct trace *trace = site_demo_trace (parent, "cost", TRACE_REQUESTS, 0);
+
+  bytes_init (out, parent);
+  if (spec->service)
+    answer_call_body (&trace->requests[1], out);
+  else
+    answer_input (&trace->requests[0], out);
+}
+
+/* The text as it stands in JSON, or of a generator's stream its first piece, half of the tokens. */
+static void
+expect (struct host_cost_way *way,
+        void *parent,
+        const struct pipeline_spec *spec,
+        const struct bytes *input,
+        bool first_piece)
+{
+  struct bytes answer;
+
+  bytes_init (&answer, parent);
+  INVARIANT (answer_pipeline (spec, input->data, input->length, OUTPUT_TOKENS, &answer));
+  if (spec->service)
+    {
+      way->expected = answer;
+      return;
+    }
+  take_json (&way->expected, parent,
+             json_stringn (answer.data, first_piece ? answer.length / 2 : answer.length));
+  /* Without the quotes. */
+  bytes_consume (&way->expected, 1);
+  way->expected.length--;
+}
+
+void
+host_cost_way_hosted (struct host_cost_way *way,
+                      void *parent,
+                      const char *host,
+                      const struct pipeline_spec *spec)
+{
+  struct host_cost_step *step = &way->steps[0];
+  struct bytes input;
+
+  *way = (struct host_cost_way){ .n_steps = 1 };
+  text_copy_cut (step->address, sizeof step->address, host);
+  snprintf (step->path, sizeof step->path, "/v1/%s/%s/requests",
+            spec->service ? "services" : "pipelines", spec->name);
+  input_of (&input, parent, spec);
+  expect (way, parent, spec, &input, false);
+  if (spec->service)
+    step->body = input;
+  else
+    take_json (&step->body, parent,
+               json_pack ("{s:s%, s:I}", "input", input.data, input.length, "max_tokens",
+                          (json_int_t) OUTPUT_TOKENS));
+}
+
+/* What the stages before have made of the input. */
+struct walk
+{
+  struct bytes input;
+  struct answer_embedding embedding;
+  struct answer_document documents[ANSWER_DOCUMENTS_MAX];
+  uint32_t n_documents;
+};
+
+static json_t *
+retrieve_json (struct walk *walk, uint32_t top)
+{
+  json_t *numbers = json_array ();
+
+  for (int i = 0; i < ANSWER_EMBEDDING_SIZE; i++)
+    json_array_append_new (numbers, json_integer (walk->embedding.numbers[i]));
+  for (walk->n_documents = 0; walk->n_documents < top; walk->n_documents++)
+    answer_retrieve (walk->input.data, walk->input.length, &walk->embedding, walk->n_documents,
+                     &walk->documents[walk->n_documents]);
+  return json_pack ("{s:s%, s:o, s:I}", "query", walk->input.data, walk->input.length, "embedding",
+                    numbers, "top", (json_int_t) top);
+}
+
+static json_t *
+rerank_json (struct walk *walk, uint32_t top)
+{
+  struct answer_rank ranks[ANSWER_DOCUMENTS_MAX];
+  struct answer_document kept[ANSWER_DOCUMENTS_MAX];
+  const char *texts[ANSWER_DOCUMENTS_MAX];
+  json_t *documents = json_array ();
+
+  for (uint32_t i = 0; i < walk->n_documents; i++)
+    {
+      texts[i] = walk->documents[i].text;
+      json_array_append_new (documents, json_string (texts[i]));
+    }
+  walk->n_documents =
+      answer_rerank (walk->input.data, walk->input.length, texts, walk->n_documents, top, ranks);
+  for (uint32_t i = 0; i < walk->n_documents; i++)
+    kept[i] = walk->documents[ranks[i].index];
+  memcpy (walk->documents, kept, walk->n_documents * sizeof *kept);
+  return json_pack ("{s:s, s:s%, s:o, s:I}", "model", "default", "query", walk->input.data,
+                    walk->input.length, "documents", documents, "top_n", (json_int_t) top);
+}
+
+static json_t *
+generate_json (struct walk *walk)
+{
+  for (uint32_t i = 0; i < walk->n_documents; i++)
+    bytes_append_format (&walk->input, "\n%s", walk->documents[i].text);
+  return json_pack ("{s:s, s:s%, s:I, s:b, s:I, s:I}", "model", "default", "prompt",
+                    walk->input.data, walk->input.length, "max_tokens", (json_int_t) OUTPUT_TOKENS,
+                    "stream", 1, "priority", (json_int_t) 5, "resume_from", (json_int_t) 0);
+}
+
+static json_t *
+stage_json (struct walk *walk, const struct stage_spec *stage)
+{
+  if (stage->kind == STAGE_RETRIEVE)
+    return retrieve_json (walk, stage->top);
+  if (stage->kind == STAGE_RERANK)
+    return rerank_json (walk, stage->top);
+  if (stage->kind == STAGE_GENERATE)
+    return generate_json (walk);
+  answer_embed (walk->input.data, walk->input.length, &walk->embedding);
+  return json_pack ("{s:s, s:s%}", "model", "default", "input", walk->input.data,
+                    walk->input.length);
+}
+
+void
+host_cost_way_direct (struct host_cost_way *way,
+                      void *parent,
+                      const char *const *targets,
+                      const struct pipeline_spec *spec)
+{
+  static const char *const paths[STAGE_KIND_COUNT] = {
+    [STAGE_ENCODE] = "/v1/embeddings", [STAGE_RETRIEVE] = "/v1/retrieve",
+    [STAGE_RERANK] = "/v1/rerank",     [STAGE_GENERATE] = "/v1/completions",
+    [STAGE_CALL] = "/v1/call",
+  };
+  struct walk *walk = talloc_zero (parent, struct walk);
+
+  INVARIANT (spec->n_stages <= HOST_COST_STEPS_MAX);
+  *way = (struct host_cost_way){ .n_steps = spec->n_stages };
+  input_of (&walk->input, parent, spec);
+  expect (way, parent, spec, &walk->input, true);
+  for (uint32_t i = 0; i < spec->n_stages; i++)
+    {
+      struct host_cost_step *step = &way->steps[i];
+
+      text_copy_cut (step->address, sizeof step->address, targets[i]);
+      text_copy_cut (step->path, sizeof step->path, paths[spec->stages[i].kind]);
+      if (spec->service)
+        step->body = walk->input;
+      else
+        take_json (&step->body, parent, stage_json (walk, &spec->stages[i]));
+    }
+}
