Round the loop's waits up, so that a host at rest waits

Cause: the library cuts its poll's wait to whole milliseconds, so the loop turned without waiting through the last part of one before each timer, about 570 times a second at rest. Change: the wait is rounded up, a timer is late by about a millisecond at most.

--- a/src/loop.c
+++ b/src/loop.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 /* Descriptors beside connections: files, peers, listeners. */
+#define POLL_MARGIN (USEC_PER_MSEC / 10)
 #define LOOP_OTHER_DESCRIPTORS 8192
 
 /* What the headers of one HTTP message may take at most; http_server.c refuses less than that.
@@ -268,6 +269,20 @@
   lws_sul_schedule (loop->context, 0, wake, on_wake, 1);
 }
 
+/* lws cuts the wait of its poll to whole milliseconds, and so turns without waiting through the
+ * last part of one before a timer is due: hundreds of polls a second of a host at rest.  The wait
+ * is rounded up instead, with a little over for lws's own clock reading; a timer is late by less
+ * than a millisecond and a tenth. */
+static int64_t
+poll_wait (int64_t span)
+{
+  int64_t rest = span % USEC_PER_MSEC;
+
+  if (span <= 0)
+    return 1;
+  return span + (rest == 0 ? 0 : USEC_PER_MSEC - rest) + POLL_MARGIN;
+}
+
 static void
 serve (struct loop *loop, int64_t latest)
 {
@@ -279,7 +294,7 @@
   if (next == USEC_NEVER)
     lws_sul_cancel (&loop->wake);
   else
-    lws_sul_schedule (loop->context, 0, &loop->wake, on_wake, next > now ? next - now : 1);
+    lws_sul_schedule (loop->context, 0, &loop->wake, on_wake, poll_wait (next - now));
   if (lws_service (loop->context, 0) < 0)
     loop->stopped = true;
   timer_service_run (loop->timers, loop_now (loop));
