End watches at shutdown, and say unknown where no quorum can tell

A request that found no quorum to claim it heard not-run just before its window closed and unknown after, though it may be a resend of one that ran. Change: a host that refuses new work ends its watches with a bookmark; without a quorum the outcome is unknown, code 500, in both cases. Measured: the watch's test fails without the change, its exchange never ends; the table of verdicts now expects unknown, which is the stricter truth, in place of not-run.

--- a/src/flow_claim.c
+++ b/src/flow_claim.c
@@ -78,7 +78,9 @@
     case CLAIM_FULL:
       return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_CLAIMS_FULL, FLOW_RETRY_AFTER, now);
     case CLAIM_UNREACHABLE:
-      return end_unclaimed (request, FLOW_NOT_RUN, FLOW_REASON_CLAIMS_UNREACHABLE, FLOW_RETRY_AFTER,
+      /* Nothing was sent from here, but without a quorum nobody can tell whether this is a resend
+       * of a request that ran. */
+      return end_unclaimed (request, FLOW_UNKNOWN, FLOW_REASON_CLAIMS_UNREACHABLE, FLOW_RETRY_AFTER,
                             now);
     case CLAIM_UNKNOWN:
     case CLAIM_VERDICT_COUNT:
--- a/src/operator_watch.c
+++ b/src/operator_watch.c
@@ -134,6 +134,25 @@
   pump_all (CONTAINER_OF (timer, struct operator_watches, pump));
 }
 
+/* Failure: a watch never ends by itself, so one that is open would hold a shutdown up to its bound.
+ * The last bookmark says from where the watcher goes on at another host. */
+static void
+end_all (struct operator_watches *watches)
+{
+  struct operator_one_watch *watch;
+  struct operator_one_watch *following;
+
+  DL_FOREACH_SAFE (watches->list, watch, following)
+    {
+      struct http_exchange *exchange = watch->exchange;
+
+      send_bookmark (watch);
+      exchange->watcher = NULL;
+      forget (watch);
+      exchange->ops->finish (exchange);
+    }
+}
+
 static void
 period_due (struct timer *timer, int64_t now)
 {
@@ -141,6 +160,8 @@
   const struct operator_one_watch *watch;
 
   pump_all (watches);
+  if (watches->api->config.board->refusing)
+    end_all (watches);
   DL_FOREACH (watches->list, watch)
     if (watch->exchange->ops->unsent (watch->exchange) == 0)
       send_bookmark (watch);
--- a/tests/unit_config_operator.cc
+++ b/tests/unit_config_operator.cc
@@ -359,6 +359,21 @@
   EXPECT_EQ (again.sent, first.sent);
 }
 
+// An operator watches the pools through a host that shuts down.  The watch would hold the shutdown
+// up to its bound; it ends, with a bookmark from which it goes on at another host.
+TEST_F (Operator, AWatchEndsWhenItsHostRefusesNewWork)
+{
+  call ("PUT", "/v1/pools/a", POOL);
+  struct exchange watch ("GET", "/v1/pools?watch=1&resourceVersion=1");
+  send (watch);
+  clock.run (SEC);
+  EXPECT_EQ (watch.ends, 0);
+  board->refusing = true;
+  clock.run (3 * SEC);
+  EXPECT_EQ (watch.ends, 1);
+  EXPECT_TRUE (watch.has ("BOOKMARK"));
+}
+
 TEST_F (Operator, AListComesInPagesOfOneRevision)
 {
   for (int i = 0; i < 5; i++)
--- a/tests/unit_flow_claim.cc
+++ b/tests/unit_flow_claim.cc
@@ -47,7 +47,7 @@
   } cases[] = {
     { CLAIM_IN_FLIGHT, 409, "unknown" }, { CLAIM_MISMATCH, 409, "not-run" },
     { CLAIM_UNKNOWN, 500, "unknown" },   { CLAIM_EXPIRED, 410, "not-run" },
-    { CLAIM_FULL, 503, "not-run" },      { CLAIM_UNREACHABLE, 503, "not-run" },
+    { CLAIM_FULL, 503, "not-run" },      { CLAIM_UNREACHABLE, 500, "unknown" },
   };
 
   for (const auto &c : cases)
