--- a/bench/cmd_commit.c
+++ b/bench/cmd_commit.c
@@ -417,7 +417,7 @@
       ", %.0f syncs/s, processor %.2f%%, resident %.1f MB\n",
       number, leads ? " (leader)" : "", window, (double) load->done / seconds,
       histogram_quantile (&load->times, 0.5), histogram_quantile (&load->times, 0.99), load->failed,
-      counter_get (bench.counters, "consensus_syncs_total", "", NULL)->value / seconds,
+      counter_get (bench.counters, "cherryarch_consensus_syncs_total", "", NULL)->value / seconds,
       (double) (clock () - cpu) / CLOCKS_PER_SEC / seconds * 100, (double) resident_bytes () / 1e6);
 }
 
--- a/bench/slopes_sample.c
+++ b/bench/slopes_sample.c
@@ -95,7 +95,7 @@
   out->totals[SLOPES_BYTES_OUT] = PEER ("bytes", "out");
   out->totals[SLOPES_BYTES_IN] = PEER ("bytes", "in");
 #undef PEER
-  out->leader = metric (answer.body.data, "consensus_leader") > 0;
+  out->leader = metric (answer.body.data, "cherryarch_consensus_leader") > 0;
   talloc_free (scratch);
   return STATUS_OK;
 }
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -243,13 +243,16 @@
   if (counters == NULL)
     return;
   self->applied_entries =
-      counter_get (counters, "consensus_applied_total", "Entries applied.", NULL);
-  self->syncs = counter_get (counters, "consensus_syncs_total", "Batches synced.", NULL);
-  self->snapshots = counter_get (counters, "consensus_snapshots_total", "Snapshots stored.", NULL);
-  self->term_gauge = gauge_get (counters, "consensus_term", "Term of the election.", NULL);
-  self->leader_gauge = gauge_get (counters, "consensus_leader", "1 on the leader.", NULL);
-  self->health_gauge =
-      gauge_get (counters, "consensus_healthy", "0 once this voter stopped for good.", NULL);
+      counter_get (counters, "cherryarch_consensus_applied_total", "Entries applied.", NULL);
+  self->syncs = counter_get (counters, "cherryarch_consensus_syncs_total", "Batches synced.", NULL);
+  self->snapshots =
+      counter_get (counters, "cherryarch_consensus_snapshots_total", "Snapshots stored.", NULL);
+  self->term_gauge =
+      gauge_get (counters, "cherryarch_consensus_term", "Term of the election.", NULL);
+  self->leader_gauge =
+      gauge_get (counters, "cherryarch_consensus_leader", "1 on the leader.", NULL);
+  self->health_gauge = gauge_get (counters, "cherryarch_consensus_healthy",
+                                  "0 once this voter stopped for good.", NULL);
   gauge_set (self->health_gauge, 1);
 }
 
--- a/src/host.c
+++ b/src/host.c
@@ -6,6 +6,12 @@
 #include <talloc.h>
 #include <time.h>
 
+enum status
+host_no_memory (void)
+{
+  return status_fail (STATUS_NO_MEMORY, "out of memory");
+}
+
 static int64_t
 wall_clock_usec (void)
 {
--- a/src/host_drain.c
+++ b/src/host_drain.c
@@ -1,15 +1,13 @@
 /* A host's shutdown: signals in, the steps of drain.h carried out. */
+#include "container.h"
 #include "host_private.h"
 #include <signal.h>
 #include <stddef.h>
 
-#define HOST_OF(member, pointer)                                                                   \
-  ((struct host *) ((char *) (pointer) -offsetof (struct host, member)))
-
 static void
 drain_leave (struct drain_actions *actions, int64_t now)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
   log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "leaving", NULL);
   member_leave (member_control_member (host->members), now);
@@ -18,7 +16,7 @@
 static bool
 drain_idle (struct drain_actions *actions)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
   return flow_idle (host->flow) && claim_log_pending (host->claims) == 0
          && http_server_pending (host->server) == 0;
@@ -27,7 +25,7 @@
 static void
 drain_hand_over (struct drain_actions *actions, int64_t now)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
   http_server_stop_listening (host->server);
   host_transfer_leadership (host, now);
@@ -38,7 +36,7 @@
 static bool
 drain_handed_over (struct drain_actions *actions, int64_t now)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
   if (!host->consensus->ops->is_leader (host->consensus) || table_count (host->board->hosts) == 1)
     return true;
@@ -49,7 +47,7 @@
 static uint32_t
 drain_log_unfinished (struct drain_actions *actions, int64_t now)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
   uint32_t n = host->board->requests_in_flight;
 
   flow_abort_all (host->flow, "the host is shutting down", now);
@@ -59,7 +57,7 @@
 static void
 drain_end (struct drain_actions *actions, int exit_code, int64_t now)
 {
-  struct host *host = HOST_OF (drain_actions, actions);
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
   member_left (member_control_member (host->members), now);
   log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "ended", "{s:b}", "whole",
@@ -80,7 +78,7 @@
 static void
 signal_raised (struct loop_signal *handler, int signo, int64_t now)
 {
-  struct host *host = HOST_OF (signals, handler);
+  struct host *host = CONTAINER_OF (handler, struct host, signals);
 
   log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "signal", "{s:i}", "number", signo);
   drain_signal (host->drain, now);
--- a/src/host_private.h
+++ b/src/host_private.h
@@ -94,6 +94,9 @@
 /* The dump of the board, and of parts without a source of their own. */
 void host_add_dump (struct host *host);
 
+/* The outcome of a part that could not be made for want of memory. */
+enum status host_no_memory (void);
+
 /* A fresh random seed. */
 uint64_t host_seed (void);
 
--- a/src/host_serving.c
+++ b/src/host_serving.c
@@ -8,12 +8,6 @@
 #include <talloc.h>
 #include <time.h>
 
-static enum status
-no_memory (void)
-{
-  return status_fail (STATUS_NO_MEMORY, "out of memory");
-}
-
 static void
 describe_self (const struct host *host, struct board_host *out)
 {
@@ -83,7 +77,7 @@
 
   describe_self (host, &config.self);
   host->members = member_control_new (host, &config);
-  return host->members == NULL ? no_memory () : STATUS_OK;
+  return host->members == NULL ? host_no_memory () : STATUS_OK;
 }
 
 static void
@@ -123,13 +117,13 @@
   host->cache_events.ops = &cache_event_ops;
   host->directory = directory_control_new (host, &config);
   if (host->directory == NULL)
-    return no_memory ();
+    return host_no_memory ();
   api.directory = directory_control_directory (host->directory);
   if (host->settings->n_seeds + host->settings->n_voters > 1)
     directory_ready_start (api.directory, now);
   host->targets = target_api_new (host, &api);
   if (host->targets == NULL)
-    return no_memory ();
+    return host_no_memory ();
   return http_server_add_route (host->server, target_api_route (host->targets));
 }
 
@@ -163,7 +157,7 @@
 
   host->flow = flow_new (host, &config);
   if (host->flow == NULL)
-    return no_memory ();
+    return host_no_memory ();
   flow_routes (host->flow, routes);
   return http_server_add_routes (host->server, routes, FLOW_ROUTES);
 }
@@ -180,7 +174,7 @@
   struct entries *entries = entries_new (host, &config);
 
   if (entries == NULL)
-    return no_memory ();
+    return host_no_memory ();
   return http_server_add_route (host->server, entries_route (entries));
 }
 
@@ -195,7 +189,7 @@
     .now = now,
   };
 
-  return share_control_new (host, &config) == NULL ? no_memory () : STATUS_OK;
+  return share_control_new (host, &config) == NULL ? host_no_memory () : STATUS_OK;
 }
 
 enum status
@@ -207,7 +201,7 @@
     return status;
   host->decide = decide_new (host, host->board, host->counters, host_seed ());
   if (host->decide == NULL)
-    return no_memory ();
+    return host_no_memory ();
   status = build_shares (host, now);
   if (status == STATUS_OK)
     status = build_targets (host, now);
--- a/src/host_state.c
+++ b/src/host_state.c
@@ -10,12 +10,6 @@
 #include <string.h>
 #include <talloc.h>
 
-static enum status
-no_memory (void)
-{
-  return status_fail (STATUS_NO_MEMORY, "out of memory");
-}
-
 /* Resources and claims share one log.  XXX: claims in shards of their own are due when their rate
  * nears what one log commits; see docs/CAPACITY.md. */
 static struct machine *
@@ -97,7 +91,7 @@
   };
 
   if (machine == NULL)
-    return no_memory ();
+    return host_no_memory ();
   host->voter = true;
   if (host->settings->data_folder[0] != '\0')
     host->consensus = build_voter (host, machine, now);
@@ -132,7 +126,7 @@
   host->link = config_link_new (host, host->port);
   wait.link = host->link;
   host->wait = config_wait_new (host, &wait);
-  return host->config == NULL || host->link == NULL || host->wait == NULL ? no_memory ()
+  return host->config == NULL || host->link == NULL || host->wait == NULL ? host_no_memory ()
                                                                           : STATUS_OK;
 }
 
@@ -148,7 +142,7 @@
     .dump = &host->dump,
   };
 
-  return config_feed_new (host, &config) == NULL ? no_memory () : STATUS_OK;
+  return config_feed_new (host, &config) == NULL ? host_no_memory () : STATUS_OK;
 }
 
 static enum status
@@ -167,7 +161,7 @@
   struct config_follow *follow = config_follow_new (host, &config, now);
 
   if (follow == NULL)
-    return no_memory ();
+    return host_no_memory ();
   config_follow_set_voters (follow, host->settings->voters, host->settings->n_voters);
   return STATUS_OK;
 }
@@ -190,7 +184,7 @@
   };
 
   host->claims = claim_log_new (host, &config, now);
-  return host->claims == NULL ? no_memory () : STATUS_OK;
+  return host->claims == NULL ? host_no_memory () : STATUS_OK;
 }
 
 static enum status
@@ -213,7 +207,7 @@
 
   host->operators = operator_api_new (host, &config);
   if (host->operators == NULL)
-    return no_memory ();
+    return host_no_memory ();
   n_routes = operator_api_routes (host->operators, &routes);
   return http_server_add_routes (host->server, routes, n_routes);
 }
@@ -236,7 +230,7 @@
 
   if (!host->voter)
     return STATUS_OK;
-  return order_new (host, &config, now) == NULL ? no_memory () : STATUS_OK;
+  return order_new (host, &config, now) == NULL ? host_no_memory () : STATUS_OK;
 }
 
 static enum status
@@ -245,7 +239,7 @@
   if (host->keys.secret_key[0] == '\0')
     return STATUS_OK;
   if (host_trust_new (host, host->store, host->port, host->settings->name) == NULL)
-    return no_memory ();
+    return host_no_memory ();
   return STATUS_OK;
 }
 
@@ -256,10 +250,10 @@
 
   host->board = board_new (host);
   if (host->board == NULL)
-    return no_memory ();
+    return host_no_memory ();
   host->access = access_new (host, host->board, host->settings);
   if (host->access == NULL)
-    return no_memory ();
+    return host_no_memory ();
   status = build_consensus (host, now);
   if (status == STATUS_OK)
     status = build_config (host, now);
