--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 #   make bench      the table of experiments (see docs/MEASUREMENTS.md)
 #   make format     rewrite the sources to the house layout
 #   make lint       formatter and linter, as errors
+#   make target     build target/cherryarch, as deploy/system.toml does
 #   make clean
 
 CC ?= gcc
@@ -20,17 +21,18 @@
 CWARN := $(WARN) -Wstrict-prototypes -Wmissing-prototypes
 OPT ?= -O2 -g
 SAN := -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer
-CPPFLAGS += -D_GNU_SOURCE -DCHERRYARCH_VERSION='"$(VERSION)"' -Isrc -Ibench \
+CPPFLAGS += -D_GNU_SOURCE -DCHERRYARCH_VERSION='"$(VERSION)"' -Isrc -Ibench -Iplatform \
             $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
-LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lm
+# libhttp-parser comes without a file for pkg-config.
+LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -lhttp_parser -lm
 
 # src/*.c but main.c is the library; bench/cmd_*.c are programs, other bench/*.c what they share.
-SRC := $(filter-out src/main.c,$(wildcard src/*.c))
+SRC := $(filter-out src/main.c,$(wildcard src/*.c)) $(wildcard platform/*.c)
 BENCH_SHARED := $(filter-out $(wildcard bench/cmd_*.c),$(wildcard bench/*.c))
 BENCH_PROGRAMS := $(patsubst bench/cmd_%.c,%,$(wildcard bench/cmd_*.c))
 UNIT := $(wildcard tests/unit_*.cc)
 WHOLE := $(wildcard tests/whole_*.cc)
-FORMATTED := $(wildcard src/*.[ch] bench/*.[ch] tests/*.cc tests/*.h)
+FORMATTED := $(wildcard src/*.[ch] platform/*.[ch] bench/*.[ch] tests/*.cc tests/*.h)
 
 OBJ = $(SRC:%.c=$(BUILD)/%.o)
 BENCH_OBJ = $(BENCH_SHARED:%.c=$(BUILD)/%.o)
@@ -38,7 +40,7 @@
 WHOLE_OBJ = $(WHOLE:%.cc=$(BUILD)/%.o)
 PROGRAMS = $(BENCH_PROGRAMS:%=$(BUILD)/bin/%)
 
-.PHONY: all demo test unit whole bench format lint clean packages programs format-check tidy
+.PHONY: target all demo test unit whole bench format lint clean packages programs format-check tidy
 .SECONDARY:
 
 all: cherryarch programs
@@ -46,6 +48,11 @@
 cherryarch: $(BUILD)/bin/cherryarch
 	cp -f $< $@
 
+# What the deploy file builds: the binary alone, and everything under target/.
+target:
+	$(MAKE) BUILD=target/build target/build/bin/cherryarch
+	cp -f target/build/bin/cherryarch target/cherryarch
+
 programs: $(PROGRAMS)
 
 $(BUILD)/bin/cherryarch: $(BUILD)/src/main.o $(OBJ)
@@ -120,10 +127,10 @@
 # One file a call: given several, the analyzer reports uninitialized va_lists that are not.  What it
 # says on standard error is how many warnings of system headers it left out.
 tidy:
-	@printf '%s\n' $(wildcard src/*.c bench/*.c) | xargs -P $$(nproc) -I FILE \
+	@printf '%s\n' $(wildcard src/*.c platform/*.c bench/*.c) | xargs -P $$(nproc) -I FILE \
 	  clang-tidy --quiet FILE -- -std=gnu17 $(CPPFLAGS) 2>/dev/null
 
 clean:
-	rm -rf build cherryarch
+	rm -rf build target cherryarch
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/src/balance.c
@@ -0,0 +1,246 @@
+/* Which target a request goes to. */
+#include "balance.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#define CANDIDATES_MAX 512
+
+/* A share of failed calls above which a target whose calls sometimes succeed is ejected too. */
+#define FAILING_SHARE 0.3
+
+void
+balance_init (struct balance *balance, const char *domain, uint64_t seed)
+{
+  *balance = (struct balance){ .domain = domain, .n_entry_hosts = 1 };
+  rng_init (&balance->rng, seed);
+}
+
+struct balance_target *
+balance_find (const struct balance *balance, const char *id)
+{
+  struct balance_target *target = balance->targets;
+
+  while (target != NULL && strcmp (target->id, id) != 0)
+    target = target->next;
+  return target;
+}
+
+void
+balance_update (struct balance *balance, void *parent, struct registry_target *record)
+{
+  struct balance_target *target = record->user;
+
+  if (target == NULL)
+    {
+      if (record->word.state == REGISTRY_GONE)
+        return;
+      target = talloc_zero (parent, struct balance_target);
+      if (target == NULL)
+        return;
+      text_copy_cut (target->id, sizeof target->id, record->word.id);
+      text_copy_cut (target->pool, sizeof target->pool, record->word.pool);
+      text_copy_cut (target->domain, sizeof target->domain, record->word.domain);
+      text_copy_cut (target->address, sizeof target->address, record->word.address);
+      target->record = record;
+      target->next = balance->targets;
+      balance->targets = target;
+      record->user = target;
+    }
+  target->usable = registry_usable (record);
+  target->gone = record->word.state != REGISTRY_READY;
+}
+
+void
+balance_sweep (struct balance *balance)
+{
+  struct balance_target **at = &balance->targets;
+
+  while (*at != NULL)
+    {
+      struct balance_target *target = *at;
+
+      if (target->record->word.state != REGISTRY_GONE || target->in_flight > 0)
+        {
+          at = &target->next;
+          continue;
+        }
+      *at = target->next;
+      target->record->user = NULL;
+      talloc_free (target);
+    }
+}
+
+static bool
+was_tried (const struct balance_target *target,
+           struct balance_target *const *tried,
+           uint32_t n_tried)
+{
+  for (uint32_t i = 0; i < n_tried; i++)
+    if (tried[i] == target)
+      return true;
+  return false;
+}
+
+/* Candidates of three ranks: sound ones; ejected ones; those that stopped renewing, which may be
+ * cut off from the controllers only and are better than nothing. */
+static uint32_t
+gather (const struct balance *balance,
+        const char *pool,
+        struct balance_target *const *tried,
+        uint32_t n_tried,
+        int64_t now,
+        struct balance_target **out)
+{
+  for (int rank = 0; rank < 3; rank++)
+    {
+      uint32_t n = 0;
+
+      for (struct balance_target *target = balance->targets; target != NULL; target = target->next)
+        {
+          if (target->gone || n == CANDIDATES_MAX || strcmp (target->pool, pool) != 0
+              || was_tried (target, tried, n_tried))
+            continue;
+          if (rank < 2 && !target->usable)
+            continue;
+          if (rank < 1 && now < target->ejected_until)
+            continue;
+          out[n++] = target;
+        }
+      if (n > 0)
+        return n;
+    }
+  return 0;
+}
+
+static double
+latency_of (const struct balance_target *target)
+{
+  return target->latency > 0 ? target->latency : BALANCE_FIRST_LATENCY;
+}
+
+/* Fewest in flight by the time each takes, with a bonus for our own failure domain. */
+static struct balance_target *
+least_loaded (struct balance *balance, struct balance_target **candidates, uint32_t n)
+{
+  struct balance_target *best = NULL;
+  double best_cost = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct balance_target *target = candidates[i];
+      bool near = strcmp (target->domain, balance->domain) == 0;
+      double cost = (target->in_flight + 1 + (near ? 0 : BALANCE_DOMAIN_BONUS))
+                    * latency_of (target) * (1 + 0.1 * rng_unit (&balance->rng));
+
+      if (best == NULL || cost < best_cost)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static uint64_t
+affinity_score (const struct balance_target *target, uint64_t key)
+{
+  return XXH3_64bits_withSeed (target->id, strlen (target->id), key);
+}
+
+/* Highest random weight: all entry hosts agree on a part's place without talking, and a target that
+ * goes moves only its own parts.  A place that has much more than its share of our work, or is
+ * slow, passes the request on to the next. */
+static struct balance_target *
+by_affinity (struct balance_target **candidates,
+             uint32_t n,
+             const struct balance_affinity *affinity)
+{
+  struct balance_target *best = NULL;
+  double in_flight = 0;
+  double latency = 0;
+  uint64_t best_score = 0;
+  double bound;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      in_flight += candidates[i]->in_flight;
+      latency += latency_of (candidates[i]);
+    }
+  bound = 2.0 * (in_flight + 1) / n + 2;
+  latency /= n;
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct balance_target *target = candidates[i];
+      uint64_t score = affinity_score (target, affinity->key);
+
+      if (target->in_flight >= bound || latency_of (target) > BALANCE_SLOW_FACTOR * latency)
+        continue;
+      if (best == NULL || score > best_score)
+        {
+          best = target;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+struct balance_target *
+balance_choose (struct balance *balance,
+                const char *pool,
+                const struct balance_affinity *affinity,
+                struct balance_target *const *tried,
+                uint32_t n_tried,
+                int64_t now)
+{
+  struct balance_target *candidates[CANDIDATES_MAX];
+  struct balance_target *chosen = NULL;
+  uint32_t n = gather (balance, pool, tried, n_tried, now, candidates);
+
+  if (n == 0)
+    return NULL;
+  if (affinity != NULL && affinity->present)
+    chosen = by_affinity (candidates, n, affinity);
+  return chosen != NULL ? chosen : least_loaded (balance, candidates, n);
+}
+
+void
+balance_started (struct balance_target *target)
+{
+  target->in_flight++;
+}
+
+static void
+eject (struct balance_target *target, int64_t now)
+{
+  if (target->eject_for == 0)
+    target->eject_for = BALANCE_EJECT;
+  else if (now >= target->ejected_until)
+    target->eject_for *= 2;
+  if (target->eject_for > BALANCE_EJECT_MAX)
+    target->eject_for = BALANCE_EJECT_MAX;
+  target->ejected_until = now + target->eject_for;
+}
+
+void
+balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now)
+{
+  target->in_flight--;
+  target->failing += BALANCE_SMOOTHING * ((failed ? 1.0 : 0.0) - target->failing);
+  if (first >= 0)
+    target->latency = target->latency == 0
+                          ? (double) first
+                          : target->latency
+                                + BALANCE_SMOOTHING * ((double) first - target->latency);
+  if (!failed)
+    {
+      target->failures = 0;
+      if (target->failing < FAILING_SHARE)
+        target->eject_for = 0;
+      return;
+    }
+  target->failures++;
+  if (target->failures >= BALANCE_FAILURES || target->failing > FAILING_SHARE)
+    eject (target, now);
+}
--- /dev/null
+++ b/src/balance.h
@@ -0,0 +1,97 @@
+/* Which target a request goes to, from what this host has seen of the targets itself.
+ *
+ * Pure: time and chance are passed in. */
+#ifndef BALANCE_H
+#define BALANCE_H
+
+#include "decls.h"
+#include "registry.h"
+#include "rng.h"
+#include "routing.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+#define BALANCE_TRIED_MAX 8
+
+/* After this many failures in a row a target gets no work but probes. */
+#define BALANCE_FAILURES 2
+
+/* For so long, doubled with each failed probe up to the longest. */
+#define BALANCE_EJECT (1000 * USEC_PER_MSEC)
+#define BALANCE_EJECT_MAX (8 * USEC_PER_SEC)
+
+/* A target whose answers take this many times the pool's median counts as slow. */
+#define BALANCE_SLOW_FACTOR 2.5
+
+/* Weight of a new sample in a target's mean latency. */
+#define BALANCE_SMOOTHING 0.2
+
+/* What is taken for a target without samples, in microseconds. */
+#define BALANCE_FIRST_LATENCY 15000.0
+
+/* A target in the same failure domain is preferred at up to this much more work in flight. */
+#define BALANCE_DOMAIN_BONUS 0.5
+
+/* A target, as this host knows it. */
+struct balance_target
+{
+  struct registry_target *record;
+  char pool[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE];
+  char address[ROUTING_NAME_SIZE];
+  char id[ROUTING_NAME_SIZE];
+  bool usable;       /* registered, ready and heard lately */
+  bool gone;         /* must get nothing more */
+  uint32_t in_flight;
+  uint32_t failures; /* in a row */
+  double failing;    /* share of late calls that failed, smoothed */
+  double latency;    /* mean to the first byte, in microseconds; 0: none seen */
+  int64_t ejected_until;
+  int64_t eject_for;
+  struct balance_target *next;
+};
+
+/* One prompt part that requests share. */
+struct balance_affinity
+{
+  bool present;
+  uint64_t key;     /* of the shared parts */
+  uint32_t tokens;  /* in them */
+};
+
+struct balance
+{
+  struct balance_target *targets;
+  const char *domain; /* ours */
+  struct rng rng;
+  uint32_t n_entry_hosts; /* sharing the targets */
+};
+
+void balance_init (struct balance *balance, const char *domain, uint64_t seed);
+
+/* A target's record changed. */
+void balance_update (struct balance *balance, void *parent, struct registry_target *record);
+
+struct balance_target *balance_find (const struct balance *balance, const char *id);
+
+/* A target of the pool; NULL when there is none.  `tried` are passed over. */
+struct balance_target *balance_choose (struct balance *balance,
+                                       const char *pool,
+                                       const struct balance_affinity *affinity,
+                                       struct balance_target *const *tried,
+                                       uint32_t n_tried,
+                                       int64_t now);
+
+void balance_started (struct balance_target *target);
+
+/* A call ended.  `first` is the time to its first byte, under 0 where none came. */
+void balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now);
+
+/* Free targets that are gone and have no work. */
+void balance_sweep (struct balance *balance);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/batch.c
@@ -0,0 +1,445 @@
+/* The queue of stage work: orders in, pieces to idle targets. */
+#include "batch_private.h"
+#include "container.h"
+#include "log.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+/* While pieces wait for a target that pauses or comes back, the queue is looked at this often. */
+#define LOOK_PERIOD (20 * USEC_PER_MSEC)
+
+static const char *const piece_end_texts[] = {
+#define X(name, text) [PIECE_##name] = text,
+  PIECE_END_LIST (X)
+#undef X
+};
+
+const char *
+piece_end_text (enum piece_end end)
+{
+  return piece_end_texts[end];
+}
+
+static struct batch_pool *
+find_pool (struct batch *batch, const char *name)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    if (strcmp (batch->pools[i].name, name) == 0)
+      return &batch->pools[i];
+  return NULL;
+}
+
+/* ---- orders ---- */
+
+struct batch_order *
+batch_order_new (struct batch *batch, uint32_t n_pieces)
+{
+  struct batch_order *order = talloc_zero (batch, struct batch_order);
+
+  if (order == NULL)
+    return NULL;
+  order->n_pieces = n_pieces;
+  order->results = talloc_zero_array (order, struct piece_result, n_pieces);
+  if (order->results == NULL)
+    {
+      talloc_free (order);
+      return NULL;
+    }
+  return order;
+}
+
+static void
+unlink_order (struct batch *batch, struct batch_order *order)
+{
+  struct batch_order_link *link;
+
+  DL_FOREACH (batch->orders, link)
+  if (link->order == order)
+    {
+      DL_DELETE (batch->orders, link);
+      talloc_free (link);
+      return;
+    }
+}
+
+struct batch_order *
+batch_find (struct batch *batch, const char *origin, uint64_t number)
+{
+  struct batch_order_link *link;
+
+  DL_FOREACH (batch->orders, link)
+  if (link->order->number == number && strcmp (link->order->origin, origin) == 0)
+    return link->order;
+  return NULL;
+}
+
+/* Its waiting pieces go; those in calls lose their order, and their results are freed. */
+static void
+drop_pieces (struct batch *batch, const struct batch_order *order)
+{
+  struct batch_pool *pool = find_pool (batch, order->pool);
+  struct batch_piece *piece;
+  struct batch_piece *next;
+
+  if (pool == NULL)
+    return;
+  DL_FOREACH_SAFE (pool->queue, piece, next)
+  {
+    if (piece->order != order)
+      continue;
+    DL_DELETE (pool->queue, piece);
+    pool->n_queued--;
+    talloc_free (piece);
+  }
+}
+
+static void
+end_order (struct batch *batch, struct batch_order *order, enum piece_end end, int64_t now)
+{
+  unlink_order (batch, order);
+  drop_pieces (batch, order);
+  order->ops->done (order, end, now);
+  talloc_free (order);
+}
+
+void
+batch_cancel (struct batch *batch, struct batch_order *order)
+{
+  unlink_order (batch, order);
+  drop_pieces (batch, order);
+  for (uint32_t i = 0; i < order->n_pieces; i++)
+    if (order->results[i].handle[0] != '\0')
+      batch_free_result (batch, order->pool, order->results[i].handle);
+  talloc_free (order);
+}
+
+bool
+batch_is_wanted (const struct batch *batch, const struct batch_piece *piece)
+{
+  const struct batch_order_link *link;
+
+  DL_FOREACH (batch->orders, link)
+  if (link->serial == piece->serial)
+    return true;
+  return false;
+}
+
+void
+batch_piece_done (struct batch_pool *pool,
+                  struct batch_piece *piece,
+                  const struct piece_result *result,
+                  int64_t now)
+{
+  struct batch_order *order = piece->order;
+  uint32_t index = piece->index;
+  bool wanted = batch_is_wanted (pool->batch, piece);
+
+  talloc_free (piece);
+  if (!wanted)
+    return;
+  order->results[index] = *result;
+  order->n_done++;
+  if (order->n_done == order->n_pieces)
+    end_order (pool->batch, order, PIECE_DONE, now);
+}
+
+/* ---- the queue ---- */
+
+static int
+compare_due (const struct batch_piece *a, const struct batch_piece *b)
+{
+  if (a->order->due != b->order->due)
+    return a->order->due < b->order->due ? -1 : 1;
+  return 0;
+}
+
+static void
+enqueue (struct batch_pool *pool, struct batch_piece *piece)
+{
+  struct batch_piece *at;
+
+  DL_FOREACH (pool->queue, at)
+  if (compare_due (piece, at) < 0)
+    break;
+  if (at == NULL)
+    DL_APPEND (pool->queue, piece);
+  else
+    DL_PREPEND_ELEM (pool->queue, at, piece);
+  pool->n_queued++;
+}
+
+void
+batch_requeue (struct batch_pool *pool, struct batch_piece *piece, bool tried, int64_t now)
+{
+  struct batch_order *order = piece->order;
+
+  piece->tries += tried ? 1 : 0;
+  if (!batch_is_wanted (pool->batch, piece))
+    {
+      talloc_free (piece);
+      return;
+    }
+  if (piece->tries >= BATCH_TRIES_MAX || now >= order->deadline)
+    {
+      talloc_free (piece);
+      end_order (pool->batch, order, now >= order->deadline ? PIECE_LATE : PIECE_FAILED, now);
+      return;
+    }
+  enqueue (pool, piece);
+}
+
+/* Orders whose results would be worthless are ended before they cost a target's time. */
+static void
+drop_late (struct batch_pool *pool, int64_t now)
+{
+  struct batch_piece *piece;
+  bool again = true;
+
+  while (again)
+    {
+      again = false;
+      DL_FOREACH (pool->queue, piece)
+      if (now + batch_expected (pool, 1) >= piece->order->deadline)
+        {
+          end_order (pool->batch, piece->order, PIECE_LATE, now);
+          again = true;
+          break;
+        }
+    }
+}
+
+static bool
+can_take (const struct batch_pool *pool,
+          const struct batch_target *target,
+          const struct balance_target *at,
+          int64_t now)
+{
+  return at->usable && !at->gone && now >= at->ejected_until && now >= target->paused_until
+         && target->calls < pool->spec.slots;
+}
+
+static bool
+has_room (const struct batch_pool *pool, const struct batch_target *target, uint64_t size)
+{
+  return pool->spec.room == 0 || target->used + size <= pool->spec.room
+         || target->results == NULL;
+}
+
+/* The idle target for the piece that is due first: in the failure domain where the result is
+ * wanted, and fast.  Counts the idle ones. */
+static struct batch_target *
+choose_target (struct batch_pool *pool,
+               const struct batch_piece *first,
+               uint32_t *n_idle,
+               int64_t now)
+{
+  struct balance *balance = pool->batch->config.balance;
+  struct batch_target *best = NULL;
+  double best_cost = 0;
+
+  *n_idle = 0;
+  for (struct balance_target *at = balance->targets; at != NULL; at = at->next)
+    {
+      struct batch_target *target;
+      double cost;
+
+      if (strcmp (at->pool, pool->name) != 0)
+        continue;
+      target = batch_target_of (pool, at);
+      if (target == NULL || !can_take (pool, target, at, now)
+          || !has_room (pool, target, first->result_size))
+        continue;
+      ++*n_idle;
+      cost = target->slowness;
+      if (first->order->near[0] != '\0' && strcmp (first->order->near, at->domain) != 0)
+        cost += 1.0;
+      if (best == NULL || cost < best_cost)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* Take pieces for one call: those due first, as many as fit, and not all where other targets are
+ * idle too. */
+static uint32_t
+take_pieces (struct batch_pool *pool,
+             const struct batch_target *target,
+             uint32_t n_idle,
+             struct batch_piece *out[BATCH_CALL_PIECES_MAX])
+{
+  uint32_t most = (pool->n_queued + n_idle - 1) / n_idle;
+  uint64_t size = 0;
+  uint32_t n = 0;
+
+  if (most > pool->spec.pieces)
+    most = pool->spec.pieces;
+  if (most > BATCH_CALL_PIECES_MAX)
+    most = BATCH_CALL_PIECES_MAX;
+  while (n < most && pool->queue != NULL)
+    {
+      struct batch_piece *piece = pool->queue;
+
+      if (n > 0 && !has_room (pool, target, size + piece->result_size))
+        break;
+      size += piece->result_size;
+      DL_DELETE (pool->queue, piece);
+      pool->n_queued--;
+      out[n++] = piece;
+    }
+  return n;
+}
+
+void
+batch_dispatch (struct batch_pool *pool, int64_t now)
+{
+  struct timer_service *timers = loop_timers (pool->batch->config.loop);
+
+  drop_late (pool, now);
+  while (pool->queue != NULL)
+    {
+      struct batch_piece *pieces[BATCH_CALL_PIECES_MAX];
+      uint32_t n_idle;
+      struct batch_target *target = choose_target (pool, pool->queue, &n_idle, now);
+      uint32_t n;
+
+      if (target == NULL)
+        break;
+      n = take_pieces (pool, target, n_idle, pieces);
+      if (batch_call_start (pool, target, pieces, n, now))
+        continue;
+      target->paused_until = now + BATCH_NO_ROOM_PAUSE;
+      for (uint32_t i = 0; i < n; i++)
+        batch_requeue (pool, pieces[i], true, now);
+    }
+  if (!timer_is_armed (&pool->timer))
+    timer_arm (timers, &pool->timer, now + LOOK_PERIOD);
+}
+
+static bool
+has_results (const struct batch_pool *pool)
+{
+  for (const struct batch_target *target = pool->targets; target != NULL; target = target->next)
+    if (target->results != NULL)
+      return true;
+  return false;
+}
+
+static void
+pool_fired (struct timer *timer, int64_t now)
+{
+  struct batch_pool *pool = CONTAINER_OF (timer, struct batch_pool, timer);
+  struct timer_service *timers = loop_timers (pool->batch->config.loop);
+
+  if (now >= pool->free_at)
+    {
+      pool->free_at = now + BATCH_FREE_PERIOD;
+      batch_sweep_results (pool, now);
+    }
+  if (pool->queue != NULL)
+    batch_dispatch (pool, now);
+  if (!timer_is_armed (timer) && (pool->queue != NULL || has_results (pool)))
+    timer_arm (timers, timer, now + (pool->queue != NULL ? LOOK_PERIOD : BATCH_FREE_PERIOD));
+}
+
+static const struct timer_ops pool_ops = { .fire = pool_fired };
+
+static void
+fail_at_once (struct batch_order *order, int64_t now)
+{
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "no-batch-pool", "{s:s,s:s}", "request",
+             order->request, "pool", order->pool);
+  order->ops->done (order, PIECE_FAILED, now);
+  talloc_free (order);
+}
+
+void
+batch_submit (struct batch *batch, struct batch_order *order, int64_t now)
+{
+  struct batch_pool *pool = find_pool (batch, order->pool);
+  struct batch_order_link *link = talloc_zero (batch, struct batch_order_link);
+
+  if (pool == NULL || link == NULL || pool->spec.pieces == 0 || order->n_pieces == 0)
+    {
+      talloc_free (link);
+      fail_at_once (order, now);
+      return;
+    }
+  link->order = order;
+  link->serial = ++batch->last_serial;
+  DL_APPEND (batch->orders, link);
+  for (uint32_t i = 0; i < order->n_pieces; i++)
+    {
+      struct batch_piece *piece = talloc_zero (batch, struct batch_piece);
+
+      if (piece == NULL)
+        {
+          end_order (batch, order, PIECE_FAILED, now);
+          return;
+        }
+      piece->order = order;
+      piece->serial = link->serial;
+      piece->index = i;
+      piece->result_size = order->result_size;
+      enqueue (pool, piece);
+    }
+  batch_dispatch (pool, now);
+}
+
+/* ---- the whole ---- */
+
+void
+batch_set_routing (struct batch *batch, const struct routing *routing)
+{
+  for (uint32_t i = 0; i < routing->n_pools; i++)
+    {
+      struct batch_pool *pool = find_pool (batch, routing->pools[i].name);
+
+      if (routing->pools[i].batch.pieces == 0)
+        continue;
+      if (pool == NULL && batch->n_pools < BATCH_POOLS_MAX)
+        {
+          pool = &batch->pools[batch->n_pools++];
+          pool->batch = batch;
+          pool->timer.ops = &pool_ops;
+          text_copy_cut (pool->name, sizeof pool->name, routing->pools[i].name);
+        }
+      if (pool != NULL)
+        pool->spec = routing->pools[i].batch;
+    }
+}
+
+static int
+free_batch (struct batch *batch)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    timer_disarm (loop_timers (batch->config.loop), &batch->pools[i].timer);
+  return 0;
+}
+
+struct batch *
+batch_new (void *parent, const struct batch_config *config)
+{
+  struct batch *batch = talloc_zero (parent, struct batch);
+
+  if (batch == NULL)
+    return NULL;
+  batch->config = *config;
+  batch->calls = counter_get (config->counters, "cherryarch_batch_calls_total",
+                              "Calls to targets that run pieces.", NULL);
+  batch->pieces =
+      counter_get (config->counters, "cherryarch_batch_pieces_total", "Pieces in them.", NULL);
+  batch->failed_calls = counter_get (config->counters, "cherryarch_batch_failed_calls_total",
+                                     "Calls that failed or were refused.", NULL);
+  batch->overdue_calls = counter_get (config->counters, "cherryarch_batch_overdue_calls_total",
+                                      "Calls given up because they took too long.", NULL);
+  batch->call_time = histogram_get (config->counters, "cherryarch_batch_call_microseconds",
+                                    "Time of a whole call.", NULL);
+  talloc_set_destructor (batch, free_batch);
+  return batch;
+}
--- /dev/null
+++ b/src/batch.h
@@ -0,0 +1,88 @@
+/* The owner's side of stage work: packs the pieces of many requests into calls to the targets of a
+ * pool, one call at a time on each of their slots. */
+#ifndef BATCH_H
+#define BATCH_H
+
+#include "balance.h"
+#include "counter.h"
+#include "decls.h"
+#include "dialect.h"
+#include "h1_client.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+/* A call that takes this many times what is expected, and a little, is given up and its pieces are
+ * made elsewhere: a dead target shows no other sign while its machine answers nothing. */
+#define BATCH_OVERDUE_FACTOR 2.0
+#define BATCH_OVERDUE_MORE (150 * USEC_PER_MSEC)
+
+/* Results are freed in batches, this often. */
+#define BATCH_FREE_PERIOD (60 * USEC_PER_MSEC)
+
+/* A piece is tried at most so often. */
+#define BATCH_TRIES_MAX 4
+
+/* A target that said it has no room gets nothing for so long. */
+#define BATCH_NO_ROOM_PAUSE (100 * USEC_PER_MSEC)
+
+struct batch;
+struct batch_order;
+
+struct batch_config
+{
+  struct loop *loop;
+  struct balance *balance;
+  struct h1_client *client;
+  struct dialect *dialect;
+  struct counters *counters;
+};
+
+struct batch *batch_new (void *parent, const struct batch_config *config);
+
+/* The pools' figures; to be told again when a routing comes into force. */
+void batch_set_routing (struct batch *batch, const struct routing *routing);
+
+struct batch_order_ops
+{
+  /* All pieces are done, or one cannot be made.  The order is freed after it. */
+  void (*done) (struct batch_order *order, enum piece_end end, int64_t now);
+};
+
+/* The pieces of one stage of one request.  Made and filled by its user, owned by the batch once
+ * submitted. */
+struct batch_order
+{
+  const struct batch_order_ops *ops;
+  void *user;
+  char origin[ROUTING_NAME_SIZE]; /* the host that asked */
+  uint64_t number;                /* its number there */
+  char request[DIALECT_ID_SIZE];
+  uint32_t stage;
+  char pool[ROUTING_NAME_SIZE];
+  char near[ROUTING_NAME_SIZE];
+  uint64_t result_size;
+  char key[DIALECT_ID_SIZE];
+  char *inputs; /* talloc child; NULL with a key */
+  int64_t due;
+  int64_t deadline;
+  uint32_t n_pieces;
+  uint32_t n_done;
+  struct piece_result *results; /* talloc child, n_pieces */
+};
+
+struct batch_order *batch_order_new (struct batch *batch, uint32_t n_pieces);
+void batch_submit (struct batch *batch, struct batch_order *order, int64_t now);
+
+/* Withdraw: pieces not begun are not made, results are freed.  done() does not come. */
+void batch_cancel (struct batch *batch, struct batch_order *order);
+
+/* An order of another host, by its number there; NULL when it is not here. */
+struct batch_order *batch_find (struct batch *batch, const char *origin, uint64_t number);
+
+/* Results that nobody needs any more. */
+void batch_free_result (struct batch *batch, const char *pool, const char *handle);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/batch_call.c
@@ -0,0 +1,261 @@
+/* One call with pieces to a target. */
+#include "batch_private.h"
+#include "container.h"
+#include "log.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#define ANSWER_BYTES_MAX (1u << 20)
+#define SLOWNESS_SMOOTHING 0.3
+
+struct batch_call
+{
+  struct h1_call call;
+  struct timer timer;
+  struct batch_pool *pool;
+  struct batch_target *target;
+  struct balance_target *at; /* in_flight keeps it alive */
+  uint32_t n;
+  struct batch_piece *pieces[BATCH_CALL_PIECES_MAX];
+  uint64_t size;
+  struct bytes body;
+  unsigned status;
+  bool not_run;
+  int64_t started;
+};
+
+int64_t
+batch_expected (const struct batch_pool *pool, uint32_t n_pieces)
+{
+  return pool->spec.call_time + (int64_t) n_pieces * pool->spec.piece_time;
+}
+
+static void
+requeue_all (struct batch_call *call, bool tried, int64_t now)
+{
+  for (uint32_t i = 0; i < call->n; i++)
+    batch_requeue (call->pool, call->pieces[i], tried, now);
+}
+
+static void
+log_call (const struct batch_call *call, const char *outcome, int64_t now)
+{
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "batch-call", "{s:s,s:s,s:i,s:s,s:i,s:I,s:I,s:i}",
+             "pool", call->pool->name, "target", call->at->id, "pieces", (int) call->n, "outcome",
+             outcome, "status", (int) call->status, "took_us", (json_int_t) (now - call->started),
+             "expected_us", (json_int_t) batch_expected (call->pool, call->n), "queued",
+             (int) call->pool->n_queued);
+}
+
+/* The call is over: its slot and the room that it may have used are free again. */
+static void
+release (struct batch_call *call, bool failed, int64_t now)
+{
+  struct batch_pool *pool = call->pool;
+
+  timer_disarm (loop_timers (pool->batch->config.loop), &call->timer);
+  call->target->calls--;
+  call->target->used -= call->size;
+  balance_ended (call->at, failed, failed ? -1 : now - call->started, now);
+}
+
+static void
+take_result (struct batch_call *call,
+             struct batch_piece *piece,
+             const struct piece_result *result,
+             int64_t now)
+{
+  struct batch_pool *pool = call->pool;
+
+  if (result->end == PIECE_DONE)
+    {
+      batch_keep_result (pool, call->target, result->handle, piece->result_size,
+                         !batch_is_wanted (pool->batch, piece), now);
+      batch_piece_done (pool, piece, result, now);
+      return;
+    }
+  if (result->end == PIECE_NO_ROOM)
+    call->target->paused_until = now + BATCH_NO_ROOM_PAUSE;
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "piece-not-made", "{s:s,s:s,s:s}", "pool", pool->name,
+             "target", call->at->id, "reason", piece_end_text (result->end));
+  /* An input that is gone cannot be waited for: whoever ordered makes it again. */
+  if (result->end == PIECE_INPUT_GONE)
+    piece->tries = BATCH_TRIES_MAX;
+  batch_requeue (pool, piece, true, now);
+}
+
+static bool
+take_results (struct batch_call *call, int64_t now)
+{
+  struct dialect *dialect = call->pool->batch->config.dialect;
+  struct piece_result results[BATCH_CALL_PIECES_MAX];
+
+  if (call->status != HTTP_STATUS_OK
+      || !dialect->ops->read_pieces (dialect, call->body.data, call->body.length, results, call->n))
+    return false;
+  for (uint32_t i = 0; i < call->n; i++)
+    take_result (call, call->pieces[i], &results[i], now);
+  return true;
+}
+
+static void
+learn_speed (struct batch_call *call, int64_t now)
+{
+  double ratio =
+      (double) (now - call->started) / (double) batch_expected (call->pool, call->n);
+
+  call->target->slowness += SLOWNESS_SMOOTHING * (ratio - call->target->slowness);
+  histogram_record (call->pool->batch->call_time, (double) (now - call->started));
+}
+
+static bool
+on_head (struct h1_call *base, const struct h1_head *head, int64_t now)
+{
+  struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
+  struct dialect *dialect = call->pool->batch->config.dialect;
+  struct answer_facts facts;
+
+  (void) now;
+  dialect->ops->read_answer (dialect, head, &facts);
+  call->status = head->status;
+  call->not_run = facts.not_run;
+  return true;
+}
+
+static void
+on_data (struct h1_call *base, const char *data, size_t length, int64_t now)
+{
+  struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
+
+  (void) now;
+  if (call->body.length + length <= ANSWER_BYTES_MAX)
+    bytes_append (&call->body, data, length);
+}
+
+static void
+on_ended (struct h1_call *base, enum h1_end end, int64_t now)
+{
+  struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
+  struct batch_pool *pool = call->pool;
+  bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK;
+
+  log_call (call, end == H1_END_WHOLE ? (call->not_run ? "not run" : "answered") : h1_end_text (end),
+            now);
+  /* A target that is full says so; that is no failure of it. */
+  release (call, failed && !call->not_run, now);
+  if (!failed)
+    learn_speed (call, now);
+  if (failed || !take_results (call, now))
+    {
+      counter_add (pool->batch->failed_calls, 1);
+      if (call->not_run)
+        call->target->paused_until = now + BATCH_NO_ROOM_PAUSE;
+      requeue_all (call, !call->not_run, now);
+    }
+  talloc_free (call);
+  batch_dispatch (pool, now);
+}
+
+static const struct h1_call_ops call_ops = {
+  .head = on_head,
+  .data = on_data,
+  .ended = on_ended,
+};
+
+/* The target may work on: it gets nothing else until it should be through. */
+static void
+overdue_fired (struct timer *timer, int64_t now)
+{
+  struct batch_call *call = CONTAINER_OF (timer, struct batch_call, timer);
+  struct batch_pool *pool = call->pool;
+
+  log_call (call, "overdue", now);
+  counter_add (pool->batch->overdue_calls, 1);
+  h1_call_cancel (&call->call);
+  call->target->paused_until = now + batch_expected (pool, call->n);
+  call->target->slowness += SLOWNESS_SMOOTHING * (BATCH_OVERDUE_FACTOR - call->target->slowness);
+  release (call, true, now);
+  requeue_all (call, true, now);
+  talloc_free (call);
+  batch_dispatch (pool, now);
+}
+
+static const struct timer_ops overdue_ops = { .fire = overdue_fired };
+
+static void
+write_message (struct batch_call *call, int64_t now, struct bytes *out)
+{
+  struct dialect *dialect = call->pool->batch->config.dialect;
+  struct piece_facts facts[BATCH_CALL_PIECES_MAX];
+
+  for (uint32_t i = 0; i < call->n; i++)
+    {
+      const struct batch_order *order = call->pieces[i]->order;
+
+      facts[i] = (struct piece_facts){
+        .request = order->request,
+        .stage = order->stage,
+        .piece = call->pieces[i]->index,
+        .time_left = order->deadline - now,
+        .key = order->inputs == NULL ? order->key : NULL,
+        .inputs = order->inputs,
+      };
+    }
+  dialect->ops->write_pieces (dialect, call->at->address, call->at->id, facts, call->n, out);
+}
+
+static int64_t
+overdue_after (const struct batch_call *call)
+{
+  double factor = BATCH_OVERDUE_FACTOR;
+
+  /* A target known to be slow is given the time that it takes. */
+  if (call->target->slowness > 1)
+    factor *= call->target->slowness;
+  return (int64_t) (factor * (double) batch_expected (call->pool, call->n)) + BATCH_OVERDUE_MORE;
+}
+
+bool
+batch_call_start (struct batch_pool *pool,
+                  struct batch_target *target,
+                  struct batch_piece **pieces,
+                  uint32_t n,
+                  int64_t now)
+{
+  struct batch *batch = pool->batch;
+  struct batch_call *call = talloc_zero (batch, struct batch_call);
+  struct bytes message;
+  enum status status;
+
+  if (call == NULL)
+    return false;
+  call->call.ops = &call_ops;
+  call->timer.ops = &overdue_ops;
+  call->pool = pool;
+  call->target = target;
+  call->at = target->target;
+  call->n = n;
+  call->started = now;
+  memcpy (call->pieces, pieces, n * sizeof *pieces);
+  for (uint32_t i = 0; i < n; i++)
+    call->size += pieces[i]->result_size;
+  bytes_init (&call->body, call);
+  bytes_init (&message, NULL);
+  write_message (call, now, &message);
+  status = h1_call_start (batch->config.client, &call->call, call->at->address, &message, false, now);
+  bytes_clear (&message);
+  if (status != STATUS_OK)
+    {
+      talloc_free (call);
+      return false;
+    }
+  balance_started (call->at);
+  target->calls++;
+  target->used += call->size;
+  counter_add (batch->calls, 1);
+  counter_add (batch->pieces, n);
+  timer_arm (loop_timers (batch->config.loop), &call->timer, now + overdue_after (call));
+  return true;
+}
--- /dev/null
+++ b/src/batch_result.c
@@ -0,0 +1,192 @@
+/* Results that lie at their targets: how much room they take, and when they are freed. */
+#include "batch_private.h"
+#include "container.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#define FREED_AT_ONCE 128
+
+struct batch_target *
+batch_target_of (struct batch_pool *pool, struct balance_target *at)
+{
+  struct batch_target *target = pool->targets;
+
+  while (target != NULL && strcmp (target->id, at->id) != 0)
+    target = target->next;
+  if (target == NULL)
+    {
+      target = talloc_zero (pool->batch, struct batch_target);
+      if (target == NULL)
+        return NULL;
+      text_copy_cut (target->id, sizeof target->id, at->id);
+      target->slowness = 1;
+      target->next = pool->targets;
+      pool->targets = target;
+    }
+  target->target = at;
+  return target;
+}
+
+void
+batch_keep_result (struct batch_pool *pool,
+                   struct batch_target *target,
+                   const char *handle,
+                   uint64_t size,
+                   bool unneeded,
+                   int64_t now)
+{
+  struct batch_result *result = talloc_zero (target, struct batch_result);
+
+  if (result == NULL)
+    return;
+  text_copy_cut (result->handle, sizeof result->handle, handle);
+  result->size = size;
+  result->unneeded = unneeded;
+  result->expires = now + pool->spec.result_ttl;
+  DL_APPEND (target->results, result);
+  target->used += size;
+}
+
+void
+batch_free_result (struct batch *batch, const char *pool_name, const char *handle)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    {
+      struct batch_pool *pool = &batch->pools[i];
+      struct batch_target *target;
+      struct batch_result *result;
+
+      if (strcmp (pool->name, pool_name) != 0)
+        continue;
+      for (target = pool->targets; target != NULL; target = target->next)
+        DL_FOREACH (target->results, result)
+        if (strcmp (result->handle, handle) == 0)
+          result->unneeded = true;
+      return;
+    }
+}
+
+/* ---- calls that free ---- */
+
+struct free_call
+{
+  struct h1_call call;
+  struct balance_target *at;
+};
+
+static bool
+on_head (struct h1_call *call, const struct h1_head *head, int64_t now)
+{
+  (void) call;
+  (void) head;
+  (void) now;
+  return true;
+}
+
+static void
+on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
+{
+  (void) call;
+  (void) data;
+  (void) length;
+  (void) now;
+}
+
+/* Whether it worked does not matter much: results end by themselves. */
+static void
+on_ended (struct h1_call *base, enum h1_end end, int64_t now)
+{
+  struct free_call *call = CONTAINER_OF (base, struct free_call, call);
+
+  (void) end;
+  (void) now;
+  call->at->in_flight--;
+  talloc_free (call);
+}
+
+static const struct h1_call_ops free_ops = {
+  .head = on_head,
+  .data = on_data,
+  .ended = on_ended,
+};
+
+static void
+send_free (struct batch_pool *pool,
+           struct balance_target *at,
+           const char *const *handles,
+           uint32_t n,
+           int64_t now)
+{
+  struct batch_config *config = &pool->batch->config;
+  struct free_call *call = talloc_zero (pool->batch, struct free_call);
+  struct bytes message;
+
+  if (call == NULL)
+    return;
+  call->call.ops = &free_ops;
+  call->at = at;
+  bytes_init (&message, NULL);
+  config->dialect->ops->write_free (config->dialect, at->address, at->id, handles, n, &message);
+  if (h1_call_start (config->client, &call->call, at->address, &message, false, now) == STATUS_OK)
+    at->in_flight++;
+  else
+    talloc_free (call);
+  bytes_clear (&message);
+}
+
+static void
+forget_result (struct batch_target *target, struct batch_result *result)
+{
+  DL_DELETE (target->results, result);
+  target->used -= result->size;
+  talloc_free (result);
+}
+
+static void
+sweep_target (struct batch_pool *pool, struct batch_target *target, int64_t now)
+{
+  const char *handles[FREED_AT_ONCE];
+  struct batch_result *freed[FREED_AT_ONCE];
+  struct batch_result *result;
+  struct batch_result *next;
+  uint32_t n = 0;
+
+  DL_FOREACH_SAFE (target->results, result, next)
+  {
+    if (now >= result->expires || (result->unneeded && target->target == NULL))
+      forget_result (target, result);
+    else if (result->unneeded && n < FREED_AT_ONCE)
+      {
+        handles[n] = result->handle;
+        freed[n++] = result;
+      }
+  }
+  if (n == 0)
+    return;
+  send_free (pool, target->target, handles, n, now);
+  for (uint32_t i = 0; i < n; i++)
+    forget_result (target, freed[i]);
+}
+
+void
+batch_sweep_results (struct batch_pool *pool, int64_t now)
+{
+  struct batch_target **at = &pool->targets;
+
+  while (*at != NULL)
+    {
+      struct batch_target *target = *at;
+
+      target->target = balance_find (pool->batch->config.balance, target->id);
+      sweep_target (pool, target, now);
+      if (target->target == NULL && target->calls == 0 && target->results == NULL)
+        {
+          *at = target->next;
+          talloc_free (target);
+          continue;
+        }
+      at = &target->next;
+    }
+}
--- a/src/consensus_form.c
+++ b/src/consensus_form.c
@@ -12,8 +12,6 @@
 #include <string.h>
 
 #define FORM_FRESH (2 * USEC_PER_SEC) /* how new what was heard must be */
-#define FORM_SILENCE (4 * USEC_PER_SEC)
-#define STANDBY_PERIOD (2 * USEC_PER_SEC)
 
 enum status
 voter_join_group (struct consensus_voter *self, uint64_t group)
@@ -94,14 +92,15 @@
 {
   return self->identity.group == 0
          || (raft_role (self->raft) != RAFT_LEADER
-             && now - raft_heard_at (self->raft) > FORM_SILENCE);
+             && now - raft_heard_at (self->raft) > self->config.timing.hello_silence);
 }
 
 void
 voter_form (struct consensus_voter *self, int64_t now)
 {
   struct raft_members members;
-  bool first = self->n_first_voters > 0 && strcmp (self->first_voters[0], self->name) == 0;
+  bool first = !self->config.join_only && self->n_first_voters > 0
+               && strcmp (self->first_voters[0], self->name) == 0;
 
   if (!voter_is_waiting (self, now))
     return;
@@ -112,7 +111,7 @@
     }
   if (self->config.port == NULL || now < self->hello_at)
     return;
-  self->hello_at = now + (first && self->identity.group == 0 ? 0 : STANDBY_PERIOD);
+  self->hello_at = now + (first && self->identity.group == 0 ? 0 : self->config.timing.hello_period);
   for (uint32_t i = 0; i < self->n_first_voters; i++)
     voter_send_hello (self, self->first_voters[i], true, now);
 }
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -7,7 +7,6 @@
 #include <string.h>
 #include <talloc.h>
 
-#define SLOW_PERIOD USEC_PER_SEC
 #define FORM_PERIOD (200 * USEC_PER_MSEC)
 
 /* Have the flush run in this turn of the loop or the next. */
@@ -207,7 +206,7 @@
   voter_form (self, now);
   voter_repair (self, now);
   timer_arm (self->config.timers, timer,
-             now + (raft_member_set (self->raft)->n == 0 ? FORM_PERIOD : SLOW_PERIOD));
+             now + (raft_member_set (self->raft)->n == 0 ? FORM_PERIOD : self->config.timing.repair_period));
 }
 
 static const struct timer_ops flush_ops = { .fire = flush_fired };
@@ -229,6 +228,12 @@
     timing->replace_after = CONSENSUS_REPLACE_AFTER;
   if (timing->drift_ppm == 0)
     timing->drift_ppm = CONSENSUS_DRIFT_PPM;
+  if (timing->repair_period == 0)
+    timing->repair_period = CONSENSUS_REPAIR_PERIOD;
+  if (timing->hello_period == 0)
+    timing->hello_period = CONSENSUS_HELLO_PERIOD;
+  if (timing->hello_silence == 0)
+    timing->hello_silence = CONSENSUS_HELLO_SILENCE;
   if (config->snapshot_entries == 0)
     config->snapshot_entries = CONSENSUS_SNAPSHOT_ENTRIES;
   if (config->segment_bytes == 0)
--- a/src/consensus_voter.h
+++ b/src/consensus_voter.h
@@ -22,6 +22,9 @@
   int64_t election_min;
   int64_t election_max;
   int64_t replace_after; /* a voter not heard for so long is replaced; USEC_NEVER: not by itself */
+  int64_t repair_period; /* between looks at who is missing, and at the room on the disk */
+  int64_t hello_period;  /* how often a host that waits to be taken in says so */
+  int64_t hello_silence; /* a member that hears no leader for so long says so too */
   uint32_t drift_ppm;
 };
 
@@ -32,6 +35,9 @@
 #define CONSENSUS_ELECTION_MAX (2500 * USEC_PER_MSEC)
 #define CONSENSUS_REPLACE_AFTER (600 * USEC_PER_SEC)
 #define CONSENSUS_DRIFT_PPM 10000
+#define CONSENSUS_REPAIR_PERIOD USEC_PER_SEC
+#define CONSENSUS_HELLO_PERIOD (2 * USEC_PER_SEC)
+#define CONSENSUS_HELLO_SILENCE (4 * USEC_PER_SEC)
 
 struct consensus_voter_config
 {
@@ -42,6 +48,7 @@
    * has heard from all; see docs/CONSENSUS.md. */
   const char *const *voters;
   uint32_t n_voters;
+  bool join_only;         /* never form a group: this folder may be a lost one's successor */
   struct peer_port *port; /* NULL for a group of one */
   struct timer_service *timers;
   struct machine *machine;
--- /dev/null
+++ b/src/controller.h
@@ -0,0 +1,87 @@
+/* A controller: a host with a vote that takes the operators' document and the targets'
+ * registrations, and keeps the entry hosts up to date. */
+#ifndef CONTROLLER_H
+#define CONTROLLER_H
+
+#include "consensus.h"
+#include "counter.h"
+#include "decls.h"
+#include "document.h"
+#include "peer.h"
+#include "registry.h"
+#include "sync.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+/* An entry host not heard for so long is no longer named to clients.  It asks every
+ * SYNC_ASK_PERIOD, so that two asks may be lost. */
+#define CONTROLLER_HOST_LEASE (1800 * USEC_PER_MSEC)
+
+/* A leaving target's word must be on a majority of the controllers before it is acknowledged, by
+ * then at the latest: who gets no answer within a second asks the next controller. */
+#define CONTROLLER_LEAVE_WAIT (700 * USEC_PER_MSEC)
+
+struct controller;
+
+struct controller_config
+{
+  const char *name; /* our peer address */
+  struct consensus *consensus;
+  struct document *document;
+  struct peer_port *port;
+  struct timer_service *timers;
+  struct counters *counters;
+  uint64_t incarnation;
+
+  /* The controllers' names as the log knows them; the count. */
+  uint32_t (*members) (void *context, const char *out[SYNC_CONTROLLERS_MAX]);
+  void *members_context;
+};
+
+/* Freed with `parent`.  NULL when memory is out. */
+struct controller *controller_new (void *parent, const struct controller_config *config);
+
+/* Embedded by who waits for a word to be taken. */
+struct controller_wait
+{
+  const struct controller_wait_ops *ops;
+  struct controller_wait *next;
+  struct timer timer;
+  struct controller *controller;
+  uint64_t number;
+  uint32_t wanted; /* acknowledgements of other controllers still to come */
+  char seen[SYNC_CONTROLLERS_MAX][ROUTING_NAME_SIZE];
+  uint32_t n_seen;
+};
+
+struct controller_wait_ops
+{
+  /* OK: known to a majority of the controllers.  STATUS_TIMEOUT: perhaps not. */
+  void (*done) (struct controller_wait *wait, enum status status, int64_t now);
+};
+
+/* A target renewed, leaves, or is gone.  True: taken, and done() will not come. */
+bool controller_register (struct controller *controller,
+                          const struct registry_word *word,
+                          struct controller_wait *wait,
+                          int64_t now);
+
+/* A target says that it is gone, by its identity alone.  The same, and true for one not known. */
+bool controller_deregister (struct controller *controller,
+                            const char *id,
+                            struct controller_wait *wait,
+                            int64_t now);
+void controller_withdraw (struct controller *controller, struct controller_wait *wait);
+
+/* The entry hosts that clients may use now; the count. */
+uint32_t controller_entries (const struct controller *controller,
+                             const struct sync_host *out[SYNC_HOSTS_MAX],
+                             int64_t now);
+
+/* The document changed: tell the entry hosts now. */
+void controller_document_changed (struct controller *controller, int64_t now);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/controller_host.c
@@ -0,0 +1,273 @@
+/* A controller's process: the log, the document, the registrations. */
+#include "consensus_voter.h"
+#include "container.h"
+#include "edge_host.h"
+#include "log.h"
+#include <jansson.h>
+#include <signal.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A leader that is silent for this long is replaced.  Its own sync of a slow disk, and a process
+ * that gets a seventh of a core, must fit in: a heartbeat every 100 ms leaves room for four lost or
+ * late ones. */
+#define HEARTBEAT (100 * USEC_PER_MSEC)
+#define ELECTION_MIN (500 * USEC_PER_MSEC)
+#define ELECTION_MAX (1000 * USEC_PER_MSEC)
+
+/* A voter silent for so long gives way to one that waits.  A reboot takes about as long, and costs
+ * nothing where nobody waits. */
+#define REPLACE_AFTER (1500 * USEC_PER_MSEC)
+#define REPAIR_PERIOD (100 * USEC_PER_MSEC)
+#define HELLO_PERIOD (300 * USEC_PER_MSEC)
+#define HELLO_SILENCE (1500 * USEC_PER_MSEC)
+
+/* The disk is small: keep a twentieth of what the product keeps elsewhere. */
+#define RESERVE_BYTES (4u << 20)
+#define SEGMENT_BYTES (1u << 20)
+#define SNAPSHOT_ENTRIES 256
+
+/* A shutdown waits so long for leadership to go over and for answers that are due. */
+#define DRAIN_BOUND (1500 * USEC_PER_MSEC)
+#define DRAIN_LEAST (400 * USEC_PER_MSEC)
+#define DRAIN_LOOK (50 * USEC_PER_MSEC)
+
+struct controller_host
+{
+  struct edge_base base;
+  struct document_listener listener;
+  struct document *document;
+  struct consensus *consensus;
+  struct controller *controller;
+  struct h1_server *control;
+  struct h1_server *entries;
+  struct loop_signal signals;
+  struct timer drain;
+  int64_t leaving_since;
+  struct dump_source dump;
+};
+
+static void
+document_changed (struct document_listener *listener, const struct document *document)
+{
+  struct controller_host *host = CONTAINER_OF (listener, struct controller_host, listener);
+
+  (void) document;
+  /* A restart replays the log before there is a controller. */
+  if (host->controller != NULL)
+    controller_document_changed (host->controller, loop_now (host->base.loop));
+}
+
+static const struct document_listener_ops listener_ops = { .changed = document_changed };
+
+static uint32_t
+members (void *context, const char *out[SYNC_CONTROLLERS_MAX])
+{
+  struct controller_host *host = context;
+  const struct raft_members *set = raft_member_set (consensus_voter_raft (host->consensus));
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < set->n && n < SYNC_CONTROLLERS_MAX; i++)
+    if (set->members[i].voter)
+      out[n++] = set->members[i].name;
+  return n;
+}
+
+/* ---- the end ---- */
+
+static void
+drain_fired (struct timer *timer, int64_t now)
+{
+  struct controller_host *host = CONTAINER_OF (timer, struct controller_host, drain);
+  int64_t since = now - host->leaving_since;
+  bool leads = host->consensus->ops->is_leader (host->consensus);
+  bool idle = h1_server_pending (host->control) == 0 && h1_server_pending (host->entries) == 0;
+
+  if ((since >= DRAIN_LEAST && !leads && idle) || since >= DRAIN_BOUND)
+    {
+      log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "stopped", "{s:b,s:b}", "leads", leads, "idle",
+                 idle);
+      loop_stop (host->base.loop);
+      return;
+    }
+  if (leads)
+    (void) consensus_voter_transfer (host->consensus, now);
+  timer_arm (host->base.timers, timer, now + DRAIN_LOOK);
+}
+
+static const struct timer_ops drain_ops = { .fire = drain_fired };
+
+static void
+signal_raised (struct loop_signal *handler, int signo, int64_t now)
+{
+  struct controller_host *host = CONTAINER_OF (handler, struct controller_host, signals);
+
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "signal", "{s:i}", "number", signo);
+  if (signo == SIGHUP || host->leaving_since != 0)
+    return;
+  host->leaving_since = now;
+  h1_server_close_after_answers (host->control);
+  h1_server_close_after_answers (host->entries);
+  timer_arm (host->base.timers, &host->drain, now);
+}
+
+static const struct loop_signal_ops signal_ops = { .raised = signal_raised };
+
+static json_t *
+describe (struct dump_source *source, int64_t now)
+{
+  struct controller_host *host = CONTAINER_OF (source, struct controller_host, dump);
+
+  (void) now;
+  return json_pack ("{s:s,s:I,s:o}", "name", host->base.settings.name, "version",
+                    (json_int_t) document_version (host->document), "consensus",
+                    host->consensus->ops->describe (host->consensus));
+}
+
+static const struct dump_source_ops dump_ops = { .describe = describe };
+
+/* ---- building ---- */
+
+static enum status
+build_consensus (struct controller_host *host)
+{
+  const struct edge_settings *settings = &host->base.settings;
+  const char *voters[EDGE_SEEDS_MAX];
+  enum status status = STATUS_OK;
+  struct consensus_voter_config config = {
+    .name = settings->peer_address,
+    .disk = disk_posix_new (host, settings->data_folder, &status),
+    .voters = voters,
+    .n_voters = settings->n_seeds,
+    .join_only = !settings->may_form,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .machine = document_machine (host->document),
+    .counters = host->base.counters,
+    .seed = host->base.seed,
+    .timing = { .heartbeat = HEARTBEAT,
+                .election_min = ELECTION_MIN,
+                .election_max = ELECTION_MAX,
+                .replace_after = REPLACE_AFTER,
+                .repair_period = REPAIR_PERIOD,
+                .hello_period = HELLO_PERIOD,
+                .hello_silence = HELLO_SILENCE },
+    /* A lease rests on a clock that stands still while the host is suspended. */
+    .no_lease = true,
+    .snapshot_entries = SNAPSHOT_ENTRIES,
+    .segment_bytes = SEGMENT_BYTES,
+    .reserve_bytes = RESERVE_BYTES,
+  };
+
+  if (config.disk == NULL)
+    return status;
+  for (uint32_t i = 0; i < settings->n_seeds; i++)
+    voters[i] = settings->seeds[i];
+  host->consensus = consensus_voter_new (host, &config, &status, loop_now (host->base.loop));
+  return status;
+}
+
+static enum status
+build_controller (struct controller_host *host)
+{
+  struct controller_config config = {
+    .name = host->base.settings.peer_address,
+    .consensus = host->consensus,
+    .document = host->document,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+    .incarnation = host->base.incarnation,
+    .members = members,
+    .members_context = host,
+  };
+
+  host->controller = controller_new (host, &config);
+  return host->controller == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
+static enum status
+build (struct controller_host *host, const struct controller_host_config *config)
+{
+  const int signals[] = { SIGTERM, SIGINT, SIGHUP };
+  enum status status = edge_base_build (&host->base, config->settings);
+
+  if (status != STATUS_OK)
+    return status;
+  host->listener.ops = &listener_ops;
+  host->document = document_new (host, &host->listener);
+  if (host->document == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  status = build_consensus (host);
+  if (status == STATUS_OK)
+    status = build_controller (host);
+  if (status == STATUS_OK)
+    status = edge_base_listen (&host->base, host->base.settings.control_address, config->control,
+                               "control", &host->control);
+  if (status == STATUS_OK)
+    status = edge_base_listen (&host->base, host->base.settings.entries_address, config->entries,
+                               "entries", &host->entries);
+  if (status != STATUS_OK)
+    return status;
+  host->drain.ops = &drain_ops;
+  host->signals.ops = &signal_ops;
+  host->dump.ops = &dump_ops;
+  host->dump.name = "controller";
+  dump_add (&host->base.dump, &host->dump);
+  return loop_on_signal (host->base.loop, &host->signals, signals, 3);
+}
+
+struct controller_host *
+controller_host_new (const struct controller_host_config *config)
+{
+  struct controller_host *host = talloc_zero (NULL, struct controller_host);
+  enum status status;
+
+  if (host == NULL)
+    return NULL;
+  status = build (host, config);
+  if (status == STATUS_OK)
+    return host;
+  edge_log_start_failed (status);
+  talloc_free (host);
+  return NULL;
+}
+
+struct edge_base *
+controller_host_base (struct controller_host *host)
+{
+  return &host->base;
+}
+
+struct controller *
+controller_host_controller (struct controller_host *host)
+{
+  return host->controller;
+}
+
+struct consensus *
+controller_host_consensus (struct controller_host *host)
+{
+  return host->consensus;
+}
+
+struct document *
+controller_host_document (struct controller_host *host)
+{
+  return host->document;
+}
+
+int
+controller_host_run (struct controller_host *host)
+{
+  const struct edge_settings *settings = &host->base.settings;
+
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "started", "{s:s,s:s,s:s,s:s,s:s,s:i,s:b,s:I}",
+             "name", settings->name, "version", CHERRYARCH_VERSION, "domain", settings->domain,
+             "control", settings->control_address, "peer", settings->peer_address, "seeds",
+             (int) settings->n_seeds, "may_form", settings->may_form, "document",
+             (json_int_t) document_version (host->document));
+  loop_run (host->base.loop);
+  talloc_free (host);
+  return 0;
+}
--- /dev/null
+++ b/src/document.c
@@ -0,0 +1,122 @@
+/* One configuration document under a version. */
+#include "document.h"
+#include "container.h"
+#include "pack.h"
+#include <talloc.h>
+
+struct document
+{
+  struct machine machine;
+  struct document_listener *listener;
+  uint64_t version;
+  struct bytes text;
+};
+
+#define DOCUMENT_BYTES_MAX (16u << 20)
+
+bool
+document_take (struct document *document, uint64_t version, const void *text, size_t length)
+{
+  struct bytes copy;
+
+  if (version <= document->version)
+    return false;
+  bytes_init (&copy, document);
+  bytes_append (&copy, text, length);
+  if (bytes_failed (&copy))
+    return false;
+  bytes_clear (&document->text);
+  document->text = copy;
+  document->version = version;
+  if (document->listener != NULL)
+    document->listener->ops->changed (document->listener, document);
+  return true;
+}
+
+static void
+apply (
+    struct machine *machine, uint64_t index, const void *entry, size_t length, struct bytes *result)
+{
+  struct document *document = CONTAINER_OF (machine, struct document, machine);
+  struct pack_reader in;
+  uint64_t version;
+  const void *text;
+  size_t text_length = 0;
+
+  (void) index;
+  pack_reader_init (&in, entry, length);
+  version = pack_read_uint (&in, UINT64_MAX);
+  text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
+  if (pack_read_end (&in))
+    document_take (document, version, text, text_length);
+  pack_uint (result, document->version);
+}
+
+static enum status
+save (struct machine *machine, struct bytes *out)
+{
+  struct document *document = CONTAINER_OF (machine, struct document, machine);
+
+  document_write_change (document->version, document->text.data, document->text.length, out);
+  return bytes_failed (out) ? status_fail (STATUS_NO_MEMORY, "no memory for a snapshot")
+                            : STATUS_OK;
+}
+
+static enum status
+load (struct machine *machine, uint64_t index, const void *data, size_t length)
+{
+  struct document *document = CONTAINER_OF (machine, struct document, machine);
+  struct pack_reader in;
+  uint64_t version;
+  const void *text;
+  size_t text_length = 0;
+
+  (void) index;
+  pack_reader_init (&in, data, length);
+  version = pack_read_uint (&in, UINT64_MAX);
+  text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
+  if (!pack_read_end (&in))
+    return status_fail (STATUS_CORRUPT, "a snapshot of the document cannot be read");
+  document_take (document, version, text, text_length);
+  return STATUS_OK;
+}
+
+static const struct machine_ops machine_ops = { .apply = apply, .save = save, .load = load };
+
+struct document *
+document_new (void *parent, struct document_listener *listener)
+{
+  struct document *document = talloc_zero (parent, struct document);
+
+  if (document == NULL)
+    return NULL;
+  document->machine.ops = &machine_ops;
+  document->listener = listener;
+  bytes_init (&document->text, document);
+  return document;
+}
+
+struct machine *
+document_machine (struct document *document)
+{
+  return &document->machine;
+}
+
+uint64_t
+document_version (const struct document *document)
+{
+  return document->version;
+}
+
+const struct bytes *
+document_text (const struct document *document)
+{
+  return &document->text;
+}
+
+void
+document_write_change (uint64_t version, const void *text, size_t length, struct bytes *out)
+{
+  pack_uint (out, version);
+  pack_binary (out, text, length);
+}
--- /dev/null
+++ b/src/edge_host.c
@@ -0,0 +1,139 @@
+/* What entry hosts and controllers are both built on. */
+#include "edge_host.h"
+#include "container.h"
+#include "log.h"
+#include "peer_direct.h"
+#include "peer_zmq.h"
+#include <jansson.h>
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+/* A few messages of each kind may wait for a peer that is slow; more would be old when sent. */
+#define PEER_QUEUE 200
+
+/* Peers are found again within half a second of their return: a controller that came back empty has
+ * to hold everything anew a few seconds later, its reconnection included. */
+#define PEER_RECONNECT_MAX_MS 300
+#define PEER_CONNECT_TIMEOUT_MS 500
+#define PEER_RETRANSMIT_MAX_MS 2000
+
+/* Our own interfaces: idle callers are kept this long. */
+#define OWN_IDLE_TIMEOUT (30 * USEC_PER_SEC)
+
+static void
+show_metrics (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+{
+  struct edge_base *base = CONTAINER_OF (handler, struct edge_base, metrics);
+  struct bytes text;
+
+  if (strncmp (exchange->head->target, "/dump", 5) == 0)
+    {
+      json_t *dump = dump_describe (&base->dump, now);
+      char *dumped = dump == NULL ? NULL : json_dumps (dump, JSON_INDENT (1));
+
+      h1_reply (exchange, HTTP_STATUS_OK, "Content-Type: application/json\r\n", dumped,
+                dumped == NULL ? 0 : strlen (dumped));
+      free (dumped);
+      json_decref (dump);
+      return;
+    }
+  bytes_init (&text, NULL);
+  counters_write (base->counters, &text);
+  h1_reply (exchange, HTTP_STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text.data,
+            text.length);
+  bytes_clear (&text);
+}
+
+static void
+metrics_gone (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+{
+  (void) handler;
+  (void) exchange;
+  (void) now;
+}
+
+static const struct h1_handler_ops metrics_ops = {
+  .request = show_metrics,
+  .gone = metrics_gone,
+};
+
+static enum status
+build_port (struct edge_base *base)
+{
+  struct peer_zmq_config config = {
+    .loop = base->loop,
+    .counters = base->counters,
+    .name = base->settings.peer_address,
+    .listen = base->settings.peer_address,
+    .queue_messages = PEER_QUEUE,
+    .reconnect_max_ms = PEER_RECONNECT_MAX_MS,
+    .connect_timeout_ms = PEER_CONNECT_TIMEOUT_MS,
+    .retransmit_max_ms = PEER_RETRANSMIT_MAX_MS,
+  };
+  struct peer_port *port = peer_zmq_new (base, &config);
+
+  if (port == NULL)
+    return STATUS_IO;
+  base->port = peer_direct_new (base, port);
+  return base->port == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
+enum status
+edge_base_listen (struct edge_base *base,
+                  const char *address,
+                  struct h1_handler *handler,
+                  const char *label,
+                  struct h1_server **out)
+{
+  struct h1_server_config config = {
+    .loop = base->loop,
+    .listen = address,
+    .handler = handler,
+    .limits = &base->limits,
+    .connections_max = base->settings.connections_max,
+    .counters = base->counters,
+    .label = label,
+  };
+  struct h1_server *server = h1_server_new (base, &config);
+
+  if (out != NULL)
+    *out = server;
+  return server == NULL ? STATUS_IO : STATUS_OK;
+}
+
+enum status
+edge_base_build (struct edge_base *base, const struct edge_settings *settings)
+{
+  enum status status;
+
+  if (sodium_init () < 0)
+    return status_fail (STATUS_UNAVAILABLE, "libsodium does not start");
+  base->settings = *settings;
+  /* Told apart by chance, not by a clock that may step back. */
+  randombytes_buf (&base->incarnation, sizeof base->incarnation);
+  randombytes_buf (&base->seed, sizeof base->seed);
+  base->limits = (struct h1_limits){
+    .header_bytes = H1_HEADER_BYTES,
+    .body_bytes = H1_BODY_BYTES,
+    .request_timeout = H1_REQUEST_TIMEOUT,
+    .idle_timeout = OWN_IDLE_TIMEOUT,
+  };
+  base->loop = loop_new (base, settings->connections_max);
+  base->counters = counters_new (base);
+  if (base->loop == NULL || base->counters == NULL)
+    return STATUS_NO_MEMORY;
+  base->timers = loop_timers (base->loop);
+  status = build_port (base);
+  base->metrics.ops = &metrics_ops;
+  if (status == STATUS_OK && settings->metrics_address[0] != '\0')
+    status = edge_base_listen (base, settings->metrics_address, &base->metrics, "metrics", NULL);
+  return status;
+}
+
+void
+edge_log_start_failed (enum status status)
+{
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_ERROR, "start-failed", "{s:s,s:s}", "status",
+             status_text (status), "message", status_message ());
+}
--- /dev/null
+++ b/src/entry_host.c
@@ -0,0 +1,336 @@
+/* An entry host: takes requests from clients and forwards them. */
+#include "container.h"
+#include "edge_host.h"
+#include "log.h"
+#include <jansson.h>
+#include <signal.h>
+#include <stddef.h>
+#include <string.h>
+#include <talloc.h>
+
+/* On a shutdown requests are taken for so long, while clients drop this host from their lists; then
+ * they are refused as not run, to be sent elsewhere.  The time must leave a stream room to end
+ * inside the bound. */
+#define TAKE_ON (2000 * USEC_PER_MSEC)
+
+/* Not earlier than this, so that a client with an old list meets a refusal, not a closed port. */
+#define STAY_AT_LEAST (3000 * USEC_PER_MSEC)
+
+/* Before the bound, what is left is cut. */
+#define END_MARGIN (400 * USEC_PER_MSEC)
+
+#define DRAIN_LOOK (50 * USEC_PER_MSEC)
+
+struct entry_host
+{
+  struct edge_base base;
+  struct subscriber_listener listener;
+  struct balance balance;
+  struct batch *batch;
+  struct work *work;
+  struct h1_client *client;
+  struct subscriber *subscriber;
+  struct forward *forward;
+  struct h1_limits client_limits;
+  struct h1_server *clients;
+  struct loop_signal signals;
+  struct timer drain;
+  int64_t leaving_since; /* 0: not leaving */
+  struct dump_source dump;
+};
+
+/* ---- news ---- */
+
+static void
+routing_changed (struct subscriber_listener *listener, const struct routing *routing, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (listener, struct entry_host, listener);
+
+  (void) now;
+  host->client_limits = routing->limits;
+  batch_set_routing (host->batch, routing);
+}
+
+static void
+target_changed (struct subscriber_listener *listener, struct registry_target *target, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (listener, struct entry_host, listener);
+
+  (void) now;
+  balance_update (&host->balance, host, target);
+  if (target->word.state == REGISTRY_GONE)
+    h1_client_forget (host->client, target->word.address);
+}
+
+static const struct subscriber_listener_ops listener_ops = {
+  .routing = routing_changed,
+  .target = target_changed,
+};
+
+/* ---- the end ---- */
+
+static void
+end (struct entry_host *host, bool whole)
+{
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "stopped", "{s:b,s:i}", "whole", whole, "in_flight",
+             (int) forward_in_flight (host->forward));
+  loop_stop (host->base.loop);
+}
+
+static void
+drain_fired (struct timer *timer, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (timer, struct entry_host, drain);
+  int64_t since = now - host->leaving_since;
+
+  if (since >= TAKE_ON)
+    forward_refuse_all (host->forward);
+  if (since >= STAY_AT_LEAST && h1_server_pending (host->clients) == 0)
+    {
+      end (host, true);
+      return;
+    }
+  if (since >= host->base.settings.shutdown_bound - END_MARGIN)
+    {
+      end (host, false);
+      return;
+    }
+  timer_arm (host->base.timers, timer, now + DRAIN_LOOK);
+}
+
+static const struct timer_ops drain_ops = { .fire = drain_fired };
+
+static void
+signal_raised (struct loop_signal *handler, int signo, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (handler, struct entry_host, signals);
+
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "signal", "{s:i}", "number", signo);
+  if (signo == SIGHUP || host->leaving_since != 0)
+    return;
+  host->leaving_since = now;
+  subscriber_leave (host->subscriber, now);
+  h1_server_close_after_answers (host->clients);
+  timer_arm (host->base.timers, &host->drain, now + DRAIN_LOOK);
+}
+
+static const struct loop_signal_ops signal_ops = { .raised = signal_raised };
+
+/* ---- dump ---- */
+
+static json_t *
+describe_target (const struct balance_target *target, int64_t now)
+{
+  return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:i,s:f,s:f,s:I}", "id", target->id, "pool", target->pool,
+                    "address", target->address, "domain", target->domain, "usable", target->usable,
+                    "in_flight", (int) target->in_flight, "latency_us", target->latency, "failing",
+                    target->failing, "ejected_ms",
+                    (json_int_t) (target->ejected_until > now
+                                      ? (target->ejected_until - now) / USEC_PER_MSEC
+                                      : 0));
+}
+
+static json_t *
+describe (struct dump_source *source, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (source, struct entry_host, dump);
+  const struct routing *routing = subscriber_routing (host->subscriber);
+  json_t *targets = json_array ();
+
+  for (const struct balance_target *at = host->balance.targets; at != NULL; at = at->next)
+    json_array_append_new (targets, describe_target (at, now));
+  return json_pack ("{s:s,s:b,s:I,s:i,s:o}", "name", host->base.settings.name, "ready",
+                    subscriber_ready (host->subscriber), "version",
+                    (json_int_t) (routing == NULL ? 0 : routing->version), "in_flight",
+                    (int) forward_in_flight (host->forward), "targets", targets);
+}
+
+static const struct dump_source_ops dump_ops = { .describe = describe };
+
+/* ---- building ---- */
+
+static enum status
+build_work (struct entry_host *host)
+{
+  struct work_config work = {
+    .name = host->base.settings.peer_address,
+    .subscriber = host->subscriber,
+    .batch = host->batch,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+    .first_number = host->base.incarnation >> 8,
+  };
+
+  host->work = work_new (host, &work);
+  return host->work == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
+static enum status
+build_batch (struct entry_host *host, struct dialect *dialect)
+{
+  struct batch_config config = {
+    .loop = host->base.loop,
+    .balance = &host->balance,
+    .client = host->client,
+    .dialect = dialect,
+    .counters = host->base.counters,
+  };
+
+  host->batch = batch_new (host, &config);
+  return host->batch == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
+static void
+describe_self (const struct edge_base *base, struct sync_host *out)
+{
+  *out = (struct sync_host){ .incarnation = base->incarnation };
+  memcpy (out->name, base->settings.peer_address, sizeof out->name);
+  memcpy (out->address, base->settings.client_address, sizeof out->address);
+  memcpy (out->domain, base->settings.domain, sizeof out->domain);
+  memcpy (out->region, base->settings.region, sizeof out->region);
+}
+
+static enum status
+build_subscriber (struct entry_host *host, struct routing_codec *codec)
+{
+  const struct edge_settings *settings = &host->base.settings;
+  const char *seeds[EDGE_SEEDS_MAX];
+  struct subscriber_config config = {
+    .seeds = seeds,
+    .n_seeds = settings->n_seeds,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+    .codec = codec,
+    .listener = &host->listener,
+    .target_lease = settings->target_lease,
+    .ready_for = settings->ready_for,
+    .boottime = loop_boottime,
+  };
+
+  for (uint32_t i = 0; i < settings->n_seeds; i++)
+    seeds[i] = settings->seeds[i];
+  describe_self (&host->base, &config.self);
+  host->listener.ops = &listener_ops;
+  host->subscriber = subscriber_new (host, &config);
+  return host->subscriber == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
+static enum status
+build_forward (struct entry_host *host, struct dialect *dialect)
+{
+  const struct edge_settings *settings = &host->base.settings;
+  struct forward_config config = {
+    .loop = host->base.loop,
+    .subscriber = host->subscriber,
+    .balance = &host->balance,
+    .client = host->client,
+    .dialect = dialect,
+    .work = host->work,
+    .counters = host->base.counters,
+    .seed = host->base.seed + 1,
+    .confirmed_for = settings->confirmed_for,
+    .retry_share = settings->retry_share,
+    .retry_spare = settings->retry_spare,
+  };
+  struct h1_server_config server = {
+    .loop = host->base.loop,
+    .listen = settings->client_address,
+    .limits = &host->client_limits,
+    .connections_max = settings->connections_max,
+    .counters = host->base.counters,
+    .label = "clients",
+  };
+
+  host->forward = forward_new (host, &config);
+  if (host->forward == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  server.handler = forward_handler (host->forward);
+  host->clients = h1_server_new (host, &server);
+  return host->clients == NULL ? STATUS_IO : STATUS_OK;
+}
+
+static enum status
+build (struct entry_host *host, const struct entry_host_config *config)
+{
+  const int signals[] = { SIGTERM, SIGINT, SIGHUP };
+  enum status status = edge_base_build (&host->base, config->settings);
+
+  if (status != STATUS_OK)
+    return status;
+  host->client_limits = host->base.limits;
+  host->client_limits.idle_timeout = H1_IDLE_TIMEOUT;
+  balance_init (&host->balance, host->base.settings.domain, host->base.seed);
+  host->client = h1_client_new (host, host->base.loop, host->base.counters);
+  if (host->client == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  status = build_batch (host, config->dialect);
+  if (status == STATUS_OK)
+    status = build_subscriber (host, config->codec);
+  if (status == STATUS_OK)
+    status = build_work (host);
+  if (status == STATUS_OK)
+    status = build_forward (host, config->dialect);
+  if (status == STATUS_OK)
+    status = edge_base_listen (&host->base, host->base.settings.ready_address, config->ready,
+                               "ready", NULL);
+  if (status != STATUS_OK)
+    return status;
+  host->drain.ops = &drain_ops;
+  host->signals.ops = &signal_ops;
+  host->dump.ops = &dump_ops;
+  host->dump.name = "entry_host";
+  dump_add (&host->base.dump, &host->dump);
+  return loop_on_signal (host->base.loop, &host->signals, signals, 3);
+}
+
+struct entry_host *
+entry_host_new (const struct entry_host_config *config)
+{
+  struct entry_host *host = talloc_zero (NULL, struct entry_host);
+  enum status status;
+
+  if (host == NULL)
+    return NULL;
+  status = build (host, config);
+  if (status == STATUS_OK)
+    return host;
+  edge_log_start_failed (status);
+  talloc_free (host);
+  return NULL;
+}
+
+bool
+entry_host_is_ready (const struct entry_host *host)
+{
+  return subscriber_ready (host->subscriber);
+}
+
+void
+entry_host_reload (struct entry_host *host, const struct edge_settings *settings)
+{
+  host->base.settings.n_seeds = settings->n_seeds;
+  memcpy (host->base.settings.seeds, settings->seeds, sizeof settings->seeds);
+  subscriber_set_seeds (host->subscriber, settings->seeds, settings->n_seeds);
+}
+
+struct edge_base *
+entry_host_base (struct entry_host *host)
+{
+  return &host->base;
+}
+
+int
+entry_host_run (struct entry_host *host)
+{
+  const struct edge_settings *settings = &host->base.settings;
+
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "started", "{s:s,s:s,s:s,s:s,s:s,s:i}", "name",
+             settings->name, "version", CHERRYARCH_VERSION, "domain", settings->domain, "clients",
+             settings->client_address, "peer", settings->peer_address, "seeds",
+             (int) settings->n_seeds);
+  loop_run (host->base.loop);
+  talloc_free (host);
+  return 0;
+}
--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,263 @@
+/* Requests from clients: admission, and what they belong to. */
+#include "forward.h"
+#include "container.h"
+#include "forward_private.h"
+#include "log.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+/* How often targets that are gone are looked for. */
+#define SWEEP_EVERY 64
+
+/* Times to come back, in seconds: about what a start takes; at once, elsewhere. */
+#define NOT_READY_RETRY_AFTER 0.4
+#define LEAVING_RETRY_AFTER 0.0
+
+void
+job_free (struct forward_job *job)
+{
+  struct forward *forward = job->forward;
+
+  timer_disarm (loop_timers (forward->config.loop), &job->timer);
+  job_drop_call (job);
+  job_drop_stages (job);
+  DL_DELETE (forward->jobs, job);
+  forward->n_jobs--;
+  talloc_free (job);
+}
+
+/* ---- arrival ---- */
+
+/* The parts that a request shares with others tell where they may be cached; the last part is its
+ * own. */
+static void
+take_affinity (struct forward_job *job)
+{
+  uint64_t key = 0;
+
+  if (!job->route.affinity || job->facts.n_parts < 2)
+    return;
+  for (uint32_t i = 0; i + 1 < job->facts.n_parts; i++)
+    {
+      key = XXH3_64bits_withSeed (&job->facts.parts[i].id, sizeof job->facts.parts[i].id, key);
+      job->affinity.tokens += job->facts.parts[i].tokens;
+    }
+  job->affinity.key = key;
+  job->affinity.present = true;
+}
+
+/* Which organisation's key the request bears; false when it is refused. */
+static bool
+check_key (struct forward_job *job, const struct routing *routing)
+{
+  struct forward *forward = job->forward;
+  const struct organisation *organisation;
+
+  if (routing->n_organisations == 0 || job->route.open)
+    return true;
+  /* A key may have been taken away meanwhile: a host that lost touch must not go on honouring it.
+   */
+  if (subscriber_age (forward->config.subscriber) > forward->config.confirmed_for)
+    {
+      job_refuse (job, FORWARD_STALE, NOT_READY_RETRY_AFTER);
+      return false;
+    }
+  organisation = job->facts.has_key ? routing_organisation (routing, job->facts.key) : NULL;
+  if (organisation == NULL)
+    {
+      job_reject (job, FORWARD_NO_KEY, HTTP_STATUS_UNAUTHORIZED);
+      return false;
+    }
+  text_copy_cut (job->organisation, sizeof job->organisation, organisation->name);
+  if (organisation->has_priority)
+    job->route.priority = organisation->priority;
+  return true;
+}
+
+static void
+take_times (struct forward_job *job)
+{
+  int64_t patience = job->route.timeout;
+
+  if (job->facts.has_deadline && job->facts.time_left < patience)
+    patience = job->facts.time_left;
+  job->deadline = job->arrived + patience;
+  job->objective_at = job->arrived + job->route.objective;
+}
+
+static void
+admit (struct forward_job *job, int64_t now)
+{
+  struct forward *forward = job->forward;
+  const struct routing *routing = subscriber_routing (forward->config.subscriber);
+  const struct h1_head *head = job->exchange->head;
+  const char *host = h1_field (head, "host");
+  const struct route *route;
+
+  if (forward->refusing)
+    {
+      job_refuse (job, FORWARD_LEAVING, LEAVING_RETRY_AFTER);
+      return;
+    }
+  if (routing == NULL)
+    {
+      job_refuse (job, FORWARD_NOT_READY, NOT_READY_RETRY_AFTER);
+      return;
+    }
+  job->version = routing->version;
+  route = routing_match (routing, host == NULL ? "" : host, head->target);
+  if (route == NULL)
+    {
+      job_reject (job, FORWARD_NO_ROUTE, HTTP_STATUS_NOT_FOUND);
+      return;
+    }
+  job->route = *route;
+  if (!check_key (job, routing))
+    return;
+  text_copy_cut (job->pool, sizeof job->pool,
+                 routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
+  take_times (job);
+  take_affinity (job);
+  forward_earn_retry (forward, job->pool);
+  if (job_plan_stages (job, routing) != STATUS_OK)
+    {
+      job_refuse (job, FORWARD_STAGE, NOT_READY_RETRY_AFTER);
+      return;
+    }
+  timer_arm (loop_timers (forward->config.loop), &job->timer, job->deadline);
+  if (job_has_stages (job))
+    job_begin_stages (job, now);
+  else
+    job_send (job, now);
+}
+
+static void
+timer_fired (struct timer *timer, int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (timer, struct forward_job, timer);
+
+  if (now < job->deadline && job->first_at != 0)
+    {
+      timer_arm (loop_timers (job->forward->config.loop), timer, job->deadline);
+      return;
+    }
+  if (now < job->deadline)
+    {
+      job_lose_patience (job, now);
+      return;
+    }
+  /* What was never handed to a target's connection cannot run. */
+  if (job->target != NULL && !job->call.handed)
+    job->runs--;
+  job_drop_call (job);
+  job_give_up (job, FORWARD_TIMEOUT, NOT_READY_RETRY_AFTER);
+}
+
+static const struct timer_ops timer_ops = { .fire = timer_fired };
+
+static void
+on_request (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+{
+  struct forward *forward = CONTAINER_OF (handler, struct forward, handler);
+  struct forward_job *job = talloc_zero (forward, struct forward_job);
+  enum status status;
+
+  if (job == NULL)
+    {
+      h1_reply (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, NULL, NULL, 0);
+      return;
+    }
+  job->forward = forward;
+  job->exchange = exchange;
+  job->arrived = exchange->arrived;
+  job->timer.ops = &timer_ops;
+  bytes_init (&job->fields, job);
+  bytes_init (&job->body, job);
+  exchange->user = job;
+  DL_APPEND (forward->jobs, job);
+  if (++forward->n_jobs % SWEEP_EVERY == 0)
+    balance_sweep (forward->config.balance);
+  status = forward->config.dialect->ops->read_request (forward->config.dialect, exchange->head,
+                                                       &job->facts);
+  if (status == STATUS_OK)
+    admit (job, now);
+  else
+    job_reject (job, FORWARD_BAD_REQUEST, HTTP_STATUS_BAD_REQUEST);
+}
+
+/* The client left: its work at targets ends with its connections. */
+static void
+on_gone (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+{
+  struct forward_job *job = exchange->user;
+
+  (void) handler;
+  (void) now;
+  if (job == NULL)
+    return;
+  job->exchange = NULL;
+  job_log (job, FORWARD_GONE, 0);
+  job_free (job);
+}
+
+static const struct h1_handler_ops handler_ops = { .request = on_request, .gone = on_gone };
+
+/* ---- the whole ---- */
+
+void
+forward_refuse_all (struct forward *forward)
+{
+  forward->refusing = true;
+}
+
+uint32_t
+forward_in_flight (const struct forward *forward)
+{
+  return forward->n_jobs;
+}
+
+struct h1_handler *
+forward_handler (struct forward *forward)
+{
+  return &forward->handler;
+}
+
+static void
+take_counters (struct forward *forward)
+{
+  struct counters *counters = forward->config.counters;
+
+  for (int reason = 0; reason < FORWARD_REASON_COUNT; reason++)
+    {
+      char label[96];
+
+      snprintf (label, sizeof label, "outcome=\"%s\"",
+                forward_reason_text ((enum forward_reason) reason));
+      forward->reasons[reason] = counter_get (counters, "cherryarch_forward_requests_total",
+                                              "Requests by how they ended.", label);
+    }
+  forward->retries = counter_get (counters, "cherryarch_forward_retries_total",
+                                  "Requests sent to another target.", NULL);
+  forward->first_byte = histogram_get (counters, "cherryarch_forward_first_byte_microseconds",
+                                       "From arrival to the answer's first byte.", NULL);
+  forward->stage_time = histogram_get (counters, "cherryarch_forward_stages_microseconds",
+                                       "From arrival to the last stage's end.", NULL);
+}
+
+struct forward *
+forward_new (void *parent, const struct forward_config *config)
+{
+  struct forward *forward = talloc_zero (parent, struct forward);
+
+  if (forward == NULL)
+    return NULL;
+  forward->handler.ops = &handler_ops;
+  forward->config = *config;
+  rng_init (&forward->rng, config->seed);
+  take_counters (forward);
+  return forward;
+}
--- /dev/null
+++ b/src/forward_attempt.c
@@ -0,0 +1,380 @@
+/* One attempt of a request on a target: chosen, sent, its answer judged. */
+#include "container.h"
+#include "forward_private.h"
+#include "log.h"
+#include <jansson.h>
+#include <string.h>
+
+/* A failed request is sent again only while so much time is left, in microseconds. */
+#define SEND_AGAIN_TIME (30 * USEC_PER_MSEC)
+
+/* An idempotent request waits for its first byte this many times as long as the target's answers
+ * took lately, and half its objective at least, before it is sent to another target. */
+#define PATIENCE_FACTOR 4.0
+#define PATIENCE_OBJECTIVE_SHARE 0.5
+
+/* Times to come back, in seconds: soon, as one target's refusal says little of the next; and when
+ * targets may have registered. */
+#define REFUSED_RETRY_AFTER 0.2
+#define NO_TARGET_RETRY_AFTER 0.3
+
+static bool
+may_repeat (const struct forward_job *job)
+{
+  return job->route.kind == ROUTE_IDEMPOTENT
+         || (job->route.kind == ROUTE_STREAM && job->route.resumable);
+}
+
+/* ---- the request as it is sent ---- */
+
+static void
+write_request (const struct forward_job *job, int64_t now, struct bytes *out)
+{
+  struct dialect *dialect = job->forward->config.dialect;
+  const struct h1_head *head = job->exchange->head;
+  const struct bytes *body = job->exchange->body;
+  struct bytes inputs;
+  struct call_facts facts = {
+    .time_left = job->deadline - now,
+    .target = job->target->id,
+    .organisation = job->organisation[0] == '\0' ? NULL : job->organisation,
+  };
+
+  bytes_init (&inputs, NULL);
+  job_write_inputs (job, route_last_stages (&job->route), &inputs);
+  if (job->last_event[0] != '\0')
+    facts.last_event = job->last_event;
+  else if (job->facts.last_event[0] != '\0')
+    facts.last_event = job->facts.last_event;
+  facts.inputs = inputs.length > 0 ? inputs.data : NULL;
+  bytes_append_format (out, "%s %s HTTP/1.1\r\n", http_method_str ((enum http_method) head->method),
+                       head->target);
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    if (!h1_is_hop_by_hop (head, head->fields[i].name)
+        && dialect->ops->passes (dialect, head->fields[i].name))
+      h1_write_field (out, head->fields[i].name, head->fields[i].value);
+  dialect->ops->write_call (dialect, &facts, out);
+  if (body->length > 0 || head->has_length || head->chunked)
+    bytes_append_format (out, "Content-Length: %zu\r\n", body->length);
+  bytes_append_text (out, "\r\n");
+  bytes_append (out, body->data, body->length);
+  bytes_clear (&inputs);
+}
+
+/* ---- judging an answer ---- */
+
+static void
+release_target (struct forward_job *job, bool failed, int64_t now)
+{
+  int64_t first = job->first_at == 0 ? -1 : job->first_at - job->sent_at;
+
+  if (job->target == NULL)
+    return;
+  balance_ended (job->target, failed, failed ? -1 : first, now);
+  job->target = NULL;
+}
+
+/* The client left, or its time is up: that says nothing of the target. */
+void
+job_drop_call (struct forward_job *job)
+{
+  h1_call_cancel (&job->call);
+  if (job->target != NULL)
+    job->target->in_flight--;
+  job->target = NULL;
+}
+
+static void
+log_attempt (const struct forward_job *job, const char *outcome, int64_t now)
+{
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
+             "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I,s:b}", "id", job->facts.id, "target",
+             job->target->id, "address", job->target->address, "outcome", outcome, "status",
+             (int) job->status, "not_run", job->not_run, "sent", job->call.handed, "took_us",
+             (json_int_t) (now - job->sent_at), "renewed_ms",
+             (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC), "reused",
+             job->call.reused);
+}
+
+/* May the request go to another target after this attempt? */
+static bool
+may_send_again (struct forward_job *job, bool ran, int64_t now)
+{
+  if (now + SEND_AGAIN_TIME >= job->deadline || job->sends >= FORWARD_SENDS_MAX)
+    return false;
+  if (ran && (!may_repeat (job) || job->runs >= job->route.attempts))
+    return false;
+  if (!job->call.handed)
+    return true;
+  return forward_take_retry (job->forward, job->pool);
+}
+
+static void
+reset_answer (struct forward_job *job)
+{
+  bytes_clear (&job->fields);
+  bytes_clear (&job->body);
+  job->status = 0;
+  job->is_signed = false;
+  job->not_run = false;
+  job->first_at = 0;
+}
+
+/* To another target; where stage results were given back already they are made again first. */
+static void
+send_again (struct forward_job *job, int64_t now)
+{
+  reset_answer (job);
+  if (!job_lacks_results (job))
+    job_send (job, now);
+  else if (!job_remake_stages (job, now))
+    job_give_up (job, FORWARD_BROKEN, REFUSED_RETRY_AFTER);
+}
+
+/* The attempt came to nothing. */
+static void
+attempt_failed (struct forward_job *job, bool ran, enum forward_reason reason, int64_t now)
+{
+  if (may_send_again (job, ran, now))
+    send_again (job, now);
+  else
+    job_give_up (job, job->runs == 0 ? FORWARD_REFUSED : reason, REFUSED_RETRY_AFTER);
+}
+
+/* A whole answer that says the request did not run. */
+static void
+answer_refused (struct forward_job *job, int64_t now)
+{
+  job->runs--;
+  /* A result that the target could not fetch is made again. */
+  if (job->status == HTTP_STATUS_CONFLICT && job_has_stages (job) && !job->remade)
+    {
+      reset_answer (job);
+      job_remake_stages (job, now);
+      return;
+    }
+  attempt_failed (job, false, FORWARD_REFUSED, now);
+}
+
+/* The target's own failure is passed on as it is, if the request cannot be tried elsewhere.  A 503
+ * would promise that it has not run, which this target does not say. */
+static void
+answer_failure (struct forward_job *job, int64_t now)
+{
+  bool passes = job->is_signed && job->status != HTTP_STATUS_SERVICE_UNAVAILABLE
+                && job->status != HTTP_STATUS_TOO_MANY_REQUESTS
+                && job->status != HTTP_STATUS_REQUEST_TIMEOUT
+                && job->status != HTTP_STATUS_MISDIRECTED_REQUEST;
+
+  if (job->status >= 500 && may_send_again (job, true, now))
+    {
+      send_again (job, now);
+      return;
+    }
+  if (passes)
+    job_serve (job);
+  else
+    job_fail (job, FORWARD_FAILED);
+}
+
+static void
+answer_whole (struct forward_job *job, int64_t now)
+{
+  bool success = job->status >= 200 && job->status < 300;
+  bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed));
+
+  log_attempt (job, "answered", now);
+  /* Another incarnation lives at that address. */
+  if (job->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    job->target->ejected_until = now + BALANCE_EJECT;
+  release_target (job, failed, now);
+  if (job->not_run)
+    answer_refused (job, now);
+  else if (success && job->is_signed)
+    job_serve (job);
+  else if (success)
+    attempt_failed (job, true, FORWARD_BROKEN, now);
+  else
+    answer_failure (job, now);
+}
+
+/* ---- calls of the client ---- */
+
+static bool
+is_ours (const struct forward_job *job, const struct h1_head *head, const struct answer_facts *facts)
+{
+  if (facts->id != NULL)
+    return strcmp (facts->id, job->facts.id) == 0;
+  /* Refusals need not say whose they are; a success must. */
+  return head->status >= 300;
+}
+
+static void
+keep_fields (struct forward_job *job, const struct h1_head *head)
+{
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    if (!h1_is_hop_by_hop (head, head->fields[i].name))
+      h1_write_field (&job->fields, head->fields[i].name, head->fields[i].value);
+}
+
+static bool
+on_head (struct h1_call *call, const struct h1_head *head, int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
+  struct dialect *dialect = job->forward->config.dialect;
+  struct answer_facts facts;
+
+  (void) now;
+  dialect->ops->read_answer (dialect, head, &facts);
+  if (!is_ours (job, head, &facts))
+    return false;
+  job->status = head->status;
+  job->is_signed = facts.is_signed;
+  job->not_run = facts.not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  if (!job->passing)
+    keep_fields (job, head);
+  return true;
+}
+
+static bool
+is_stream_answer (const struct forward_job *job)
+{
+  return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed;
+}
+
+static void
+on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
+
+  if (job->first_at == 0)
+    {
+      job->first_at = now;
+      histogram_record (job->forward->first_byte, (double) (now - job->arrived));
+      if (job->status == HTTP_STATUS_OK)
+        job_drop_stages (job);
+    }
+  if (!is_stream_answer (job))
+    {
+      if (job->body.length + length <= FORWARD_ANSWER_MAX)
+        bytes_append (&job->body, data, length);
+      return;
+    }
+  if (!job->passing)
+    {
+      job->passing = true;
+      h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
+    }
+  job_pass_events (job, data, length);
+}
+
+static void
+on_ended (struct h1_call *call, enum h1_end end, int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
+  bool oversized = job->body.length >= FORWARD_ANSWER_MAX;
+
+  if (end == H1_END_WHOLE && job->status != 0 && !oversized)
+    {
+      answer_whole (job, now);
+      return;
+    }
+  log_attempt (job, h1_end_text (end), now);
+  release_target (job, true, now);
+  if (!call->handed)
+    job->runs--;
+  /* Half an event is not passed on: the next run sends it whole. */
+  bytes_clear (&job->body);
+  attempt_failed (job, call->handed, FORWARD_BROKEN, now);
+}
+
+static const struct h1_call_ops call_ops = {
+  .head = on_head,
+  .data = on_data,
+  .ended = on_ended,
+};
+
+/* ---- sending ---- */
+
+static int64_t
+patience (const struct forward_job *job)
+{
+  int64_t least = (int64_t) (PATIENCE_OBJECTIVE_SHARE * (double) job->route.objective);
+  int64_t usual = (int64_t) (PATIENCE_FACTOR * job->target->latency);
+
+  return usual > least ? usual : least;
+}
+
+static void
+arm_timer (struct forward_job *job, int64_t now)
+{
+  int64_t due = job->deadline;
+
+  if (job->route.kind == ROUTE_IDEMPOTENT && job->runs < job->route.attempts
+      && now + patience (job) < due)
+    due = now + patience (job);
+  timer_arm (loop_timers (job->forward->config.loop), &job->timer, due);
+}
+
+static void
+log_choice (const struct forward_job *job, int64_t now)
+{
+  const struct balance_target *target = job->target;
+
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
+             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I}", "id", job->facts.id, "target",
+             target->id, "address", target->address, "pool", job->pool, "in_flight",
+             (int) target->in_flight, "latency_us", (json_int_t) target->latency, "renewed_ms",
+             (json_int_t) ((now - target->record->heard) / USEC_PER_MSEC), "sequence",
+             (json_int_t) target->record->word.sequence, "send", (int) job->sends, "failing",
+             target->failing, "left_ms", (json_int_t) ((job->deadline - now) / USEC_PER_MSEC));
+}
+
+void
+job_send (struct forward_job *job, int64_t now)
+{
+  struct forward_config *config = &job->forward->config;
+  struct bytes message;
+  enum status status;
+
+  job->target = balance_choose (config->balance, job->pool, &job->affinity, job->tried,
+                                job->n_tried, now);
+  if (job->target == NULL)
+    {
+      job_give_up (job, FORWARD_NO_TARGET, NO_TARGET_RETRY_AFTER);
+      return;
+    }
+  job->tried[job->n_tried % BALANCE_TRIED_MAX] = job->target;
+  if (job->n_tried < BALANCE_TRIED_MAX - 1)
+    job->n_tried++;
+  job->sends++;
+  job->runs++;
+  job->sent_at = now;
+  job->call.ops = &call_ops;
+  job->call.no_body = job->exchange->head->method == HTTP_HEAD;
+  balance_started (job->target);
+  log_choice (job, now);
+  bytes_init (&message, NULL);
+  write_request (job, now, &message);
+  status = h1_call_start (config->client, &job->call, job->target->address, &message, false, now);
+  bytes_clear (&message);
+  if (status == STATUS_OK)
+    {
+      arm_timer (job, now);
+      return;
+    }
+  log_attempt (job, status_message (), now);
+  release_target (job, true, now);
+  job->runs--;
+  attempt_failed (job, false, FORWARD_REFUSED, now);
+}
+
+/* No first byte in the usual time: the target may be dead. */
+void
+job_lose_patience (struct forward_job *job, int64_t now)
+{
+  log_attempt (job, "no answer in the usual time", now);
+  h1_call_cancel (&job->call);
+  release_target (job, true, now);
+  attempt_failed (job, true, FORWARD_TIMEOUT, now);
+}
--- /dev/null
+++ b/src/forward_end.c
@@ -0,0 +1,110 @@
+/* How a request ends: served, refused as not run, failed. */
+#include "forward_private.h"
+#include "log.h"
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+static const char *const reason_texts[] = {
+#define X(name, text) [FORWARD_##name] = text,
+  FORWARD_REASON_LIST (X)
+#undef X
+};
+
+const char *
+forward_reason_text (enum forward_reason reason)
+{
+  return reason_texts[reason];
+}
+
+void
+job_log (const struct forward_job *job, enum forward_reason reason, unsigned status)
+{
+  const struct forward *forward = job->forward;
+  int64_t now = loop_now (forward->config.loop);
+  int64_t age = subscriber_age (forward->config.subscriber);
+
+  counter_add (forward->reasons[reason], 1);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-ended",
+             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i}", "id", job->facts.id, "route",
+             job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
+             (int) status, "version", (json_int_t) job->version, "version_age_ms",
+             (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "sends",
+             (int) job->sends, "runs", (int) job->runs, "stages_us",
+             (json_int_t) (job->stages_done == 0 ? -1 : job->stages_done - job->arrived),
+             "first_us", (json_int_t) (job->first_at == 0 ? -1 : job->first_at - job->arrived),
+             "took_us", (json_int_t) (now - job->arrived), "events", (int) job->events);
+}
+
+/* An answer of our own.  The exchange stays with its client until the job is gone. */
+static void
+answer (struct forward_job *job, unsigned status, const char *fields)
+{
+  h1_reply (job->exchange, status, fields, NULL, 0);
+  job->exchange = NULL;
+}
+
+/* Nothing of the request runs or will run. */
+void
+job_refuse (struct forward_job *job, enum forward_reason reason, double retry_after)
+{
+  char field[48];
+
+  INVARIANT (!job->passing && job->runs == 0);
+  snprintf (field, sizeof field, "Retry-After: %.3f\r\n", retry_after);
+  job_log (job, reason, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  answer (job, HTTP_STATUS_SERVICE_UNAVAILABLE, field);
+  job_free (job);
+}
+
+/* It may have run: the status promises nothing. */
+void
+job_fail (struct forward_job *job, enum forward_reason reason)
+{
+  unsigned status =
+      reason == FORWARD_TIMEOUT ? HTTP_STATUS_GATEWAY_TIMEOUT : HTTP_STATUS_BAD_GATEWAY;
+
+  job_log (job, reason, job->passing ? 0 : status);
+  if (job->passing)
+    {
+      h1_reply_end (job->exchange, false);
+      job->exchange = NULL;
+    }
+  else
+    answer (job, status, NULL);
+  job_free (job);
+}
+
+void
+job_give_up (struct forward_job *job, enum forward_reason reason, double retry_after)
+{
+  if (job->runs == 0 && !job->passing)
+    job_refuse (job, reason, retry_after);
+  else
+    job_fail (job, reason);
+}
+
+/* The request is not one that the configuration allows. */
+void
+job_reject (struct forward_job *job, enum forward_reason reason, unsigned status)
+{
+  job_log (job, reason, status);
+  answer (job, status, NULL);
+  job_free (job);
+}
+
+/* The target's whole answer is here, or has gone out as a stream. */
+void
+job_serve (struct forward_job *job)
+{
+  job_log (job, FORWARD_SERVED, job->status);
+  if (job->passing)
+    {
+      h1_reply_data (job->exchange, job->body.data, job->body.length);
+      h1_reply_end (job->exchange, true);
+    }
+  else
+    h1_reply (job->exchange, job->status, job->fields.data, job->body.data, job->body.length);
+  job->exchange = NULL;
+  job_free (job);
+}
--- /dev/null
+++ b/src/forward_private.h
@@ -0,0 +1,172 @@
+/* What the files of the forwarding path share. */
+#ifndef FORWARD_PRIVATE_H
+#define FORWARD_PRIVATE_H
+
+#include "forward.h"
+
+#define FORWARD_POOLS_MAX 64
+
+/* Answers that are not streams are held whole up to this, in bytes, so that one that breaks off can
+ * be asked for again where that is allowed. */
+#define FORWARD_ANSWER_MAX (16u << 20)
+
+/* Targets tried for one request at most, those that refused it included. */
+#define FORWARD_SENDS_MAX 4
+
+/* name, text */
+#define FORWARD_REASON_LIST(X)                                                                     \
+  X (SERVED, "served")                                                                             \
+  X (NOT_READY, "no confirmed configuration yet")                                                  \
+  X (STALE, "configuration not confirmed lately")                                                  \
+  X (LEAVING, "shutting down")                                                                     \
+  X (NO_ROUTE, "no route")                                                                         \
+  X (NO_KEY, "unknown or missing key")                                                             \
+  X (BAD_REQUEST, "request cannot be read")                                                        \
+  X (NO_TARGET, "no target")                                                                       \
+  X (NO_TIME, "cannot end in time")                                                                \
+  X (STAGE, "a stage could not be made")                                                           \
+  X (REFUSED, "targets refused it")                                                                \
+  X (FAILED, "target failed")                                                                      \
+  X (BROKEN, "answer broke off")                                                                   \
+  X (TIMEOUT, "time is up")                                                                        \
+  X (GONE, "client left")
+
+enum forward_reason
+{
+#define X(name, text) FORWARD_##name,
+  FORWARD_REASON_LIST (X)
+#undef X
+      FORWARD_REASON_COUNT
+};
+
+const char *forward_reason_text (enum forward_reason reason);
+
+enum stage_state
+{
+  STAGE_IDLE,
+  STAGE_RUNNING,
+  STAGE_DONE,
+  STAGE_FREED, /* done, and its results given back */
+};
+
+struct forward_job;
+
+/* One stage of one request. */
+struct forward_stage
+{
+  struct work_order order;
+  struct forward_job *job;
+  enum stage_state state;
+  char pool[ROUTING_NAME_SIZE];
+  uint32_t pieces;
+  int64_t expected; /* time that it takes on an idle target */
+  int64_t tail;     /* expected from its end to the first byte of the answer */
+  char (*handles)[DIALECT_HANDLE_SIZE];
+};
+
+struct retry_budget
+{
+  char pool[ROUTING_NAME_SIZE];
+  double held; /* sends */
+};
+
+/* One request. */
+struct forward_job
+{
+  struct forward *forward;
+  struct h1_exchange *exchange;
+  struct request_facts facts;
+  struct route route; /* a copy: routings come and go */
+  char pool[ROUTING_NAME_SIZE];
+  char organisation[ROUTING_NAME_SIZE];
+  uint64_t version; /* of the routing that decided */
+  int64_t arrived;
+  int64_t deadline;     /* the client's or the route's, whichever is first */
+  int64_t objective_at; /* an answer after it is late */
+  struct timer timer;
+  struct balance_affinity affinity;
+
+  /* Stages. */
+  struct forward_stage stages[ROUTING_STAGES_MAX];
+  bool remade; /* its stages were made a second time */
+  int64_t stages_done;
+
+  /* The attempt under way, and those before. */
+  struct h1_call call;
+  struct balance_target *target; /* NULL while none is asked */
+  struct balance_target *tried[BALANCE_TRIED_MAX];
+  uint32_t n_tried;
+  uint32_t sends;
+  uint32_t runs; /* sends that may have run */
+  int64_t sent_at;
+  int64_t first_at; /* first byte of the answer, 0 while none */
+
+  /* The answer. */
+  unsigned status;
+  bool is_signed;
+  bool not_run;
+  bool passing; /* its head went to the client */
+  bool no_body;
+  struct bytes fields;
+  struct bytes body;  /* whole, or of a stream what is not a whole event yet */
+  char last_event[DIALECT_ID_SIZE];
+  uint32_t events;
+  struct forward_job *prev;
+  struct forward_job *next;
+};
+
+struct forward
+{
+  struct h1_handler handler;
+  struct forward_config config;
+  struct rng rng;
+  struct forward_job *jobs;
+  uint32_t n_jobs;
+  bool refusing;
+  struct retry_budget budgets[FORWARD_POOLS_MAX];
+  uint32_t n_budgets;
+  struct counter *reasons[FORWARD_REASON_COUNT];
+  struct counter *retries;
+  struct histogram *first_byte;
+  struct histogram *stage_time;
+};
+
+/* forward.c */
+void job_free (struct forward_job *job);
+
+/* forward_end.c: each ends the request; the job is gone after it. */
+void job_refuse (struct forward_job *job, enum forward_reason reason, double retry_after);
+void job_fail (struct forward_job *job, enum forward_reason reason);
+
+/* Refuse where it has not run, else fail. */
+void job_give_up (struct forward_job *job, enum forward_reason reason, double retry_after);
+void job_reject (struct forward_job *job, enum forward_reason reason, unsigned status);
+void job_serve (struct forward_job *job);
+void job_log (const struct forward_job *job, enum forward_reason reason, unsigned status);
+
+/* forward_attempt.c */
+void job_send (struct forward_job *job, int64_t now);
+void job_drop_call (struct forward_job *job);
+void job_lose_patience (struct forward_job *job, int64_t now);
+
+/* forward_stage.c */
+bool job_has_stages (const struct forward_job *job);
+enum status job_plan_stages (struct forward_job *job, const struct routing *routing);
+void job_begin_stages (struct forward_job *job, int64_t now);
+void job_drop_stages (struct forward_job *job);
+void job_write_inputs (const struct forward_job *job, uint32_t stages, struct bytes *out);
+
+/* Were results given back that another attempt would need? */
+bool job_lacks_results (const struct forward_job *job);
+
+/* Make the stages again, as their results are gone; false when that was done already. */
+bool job_remake_stages (struct forward_job *job, int64_t now);
+
+/* forward_stream.c */
+void job_pass_events (struct forward_job *job, const char *data, size_t length);
+
+/* forward_budget.c */
+void forward_earn_retry (struct forward *forward, const char *pool);
+bool forward_take_retry (struct forward *forward, const char *pool);
+
+#endif
--- /dev/null
+++ b/src/forward_stage.c
@@ -0,0 +1,286 @@
+/* The stages of a request: ordered as soon as what they need is there, their results given back as
+ * soon as nobody needs them. */
+#include "container.h"
+#include "forward_private.h"
+#include "log.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+
+/* From the last result to the answer's first byte: results are fetched and the own part of the
+ * prompt is read.  An estimate that orders work; a tenth of a second more or less changes little. */
+#define FIRST_BYTE_TIME (120 * USEC_PER_MSEC)
+
+/* When stage targets may have caught up, in seconds: about two of their calls. */
+#define STAGE_RETRY_AFTER 0.5
+
+static uint32_t
+pieces_of (const struct forward_job *job, uint32_t stage)
+{
+  return job->stages[stage].pieces;
+}
+
+bool
+job_has_stages (const struct forward_job *job)
+{
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if (pieces_of (job, i) > 0)
+      return true;
+  return false;
+}
+
+/* Later stages come after those that they need, so one pass from the end does. */
+static void
+plan_tails (struct forward_job *job)
+{
+  for (uint32_t i = job->route.n_stages; i-- > 0;)
+    {
+      int64_t tail = FIRST_BYTE_TIME;
+
+      for (uint32_t j = i + 1; j < job->route.n_stages; j++)
+        {
+          int64_t through = job->stages[j].tail + job->stages[j].expected;
+
+          if ((job->route.stages[j].after & (UINT32_C (1) << i)) != 0 && through > tail)
+            tail = through;
+        }
+      job->stages[i].tail = tail;
+    }
+}
+
+/* The routing is the one that `job->route` was copied from: its pools are told by their place. */
+enum status
+job_plan_stages (struct forward_job *job, const struct routing *routing)
+{
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    {
+      struct forward_stage *stage = &job->stages[i];
+      const struct pool *pool = &routing->pools[job->route.stages[i].pool];
+
+      stage->job = job;
+      stage->pieces = i < job->facts.n_stages ? job->facts.pieces[i] : 0;
+      if (stage->pieces > 0)
+        stage->expected = pool->batch.call_time + stage->pieces * pool->batch.piece_time;
+      text_copy_cut (stage->pool, sizeof stage->pool, pool->name);
+      stage->handles =
+          talloc_zero_size (job, (size_t) DIALECT_HANDLE_SIZE * (stage->pieces + 1));
+      if (stage->handles == NULL)
+        return status_fail (STATUS_NO_MEMORY, "out of memory");
+    }
+  plan_tails (job);
+  return STATUS_OK;
+}
+
+/* The shortest time in which the answer can begin. */
+static int64_t
+critical_path (const struct forward_job *job)
+{
+  int64_t longest = 0;
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    {
+      int64_t path = job->stages[i].tail + job->stages[i].expected;
+
+      if (pieces_of (job, i) > 0 && path > longest)
+        longest = path;
+    }
+  return longest;
+}
+
+static bool
+is_made (const struct forward_job *job, uint32_t stage)
+{
+  return pieces_of (job, stage) == 0 || job->stages[stage].state >= STAGE_DONE;
+}
+
+static bool
+all_made (const struct forward_job *job, uint32_t stages)
+{
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if ((stages & (UINT32_C (1) << i)) != 0 && !is_made (job, i))
+      return false;
+  return true;
+}
+
+/* A stage that the request leaves out stands for those that it would have needed. */
+static uint32_t
+through_left_out (const struct forward_job *job, uint32_t stages)
+{
+  for (uint32_t i = job->route.n_stages; i-- > 0;)
+    if ((stages & (UINT32_C (1) << i)) != 0 && pieces_of (job, i) == 0)
+      {
+        stages &= ~(UINT32_C (1) << i);
+        stages |= job->route.stages[i].after;
+      }
+  return stages;
+}
+
+void
+job_write_inputs (const struct forward_job *job, uint32_t stages, struct bytes *out)
+{
+  uint32_t from = through_left_out (job, stages);
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    for (uint32_t j = 0; (from & (UINT32_C (1) << i)) != 0 && j < pieces_of (job, i); j++)
+      {
+        if (out->length > 0)
+          bytes_append (out, ",", 1);
+        bytes_append_text (out, job->stages[i].handles[j]);
+      }
+}
+
+static void
+give_back (struct forward_job *job, uint32_t stage)
+{
+  struct forward_stage *at = &job->stages[stage];
+
+  if (at->state != STAGE_DONE)
+    return;
+  at->state = STAGE_FREED;
+  work_free_results (job->forward->config.work, at->order.pool,
+                     (const char (*)[DIALECT_HANDLE_SIZE]) at->handles, pieces_of (job, stage));
+}
+
+/* Results whose every user is made are not needed again, unless a later result goes missing, which
+ * makes the whole chain anew. */
+static void
+give_back_used (struct forward_job *job)
+{
+  uint32_t last = through_left_out (job, route_last_stages (&job->route));
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    {
+      uint32_t users = 0;
+
+      for (uint32_t j = i + 1; j < job->route.n_stages; j++)
+        if ((through_left_out (job, job->route.stages[j].after) & (UINT32_C (1) << i)) != 0)
+          users |= UINT32_C (1) << j;
+      if (users != 0 && (last & (UINT32_C (1) << i)) == 0 && all_made (job, users))
+        give_back (job, i);
+    }
+}
+
+static void advance (struct forward_job *job, int64_t now);
+
+static void
+stage_done (struct work_order *order, enum piece_end end, int64_t now)
+{
+  struct forward_stage *stage = CONTAINER_OF (order, struct forward_stage, order);
+  struct forward_job *job = stage->job;
+
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "stage-ended", "{s:s,s:i,s:s,s:i,s:s,s:s,s:I}", "id",
+             job->facts.id, "stage", (int) order->stage, "pool", order->pool, "pieces",
+             (int) order->n_pieces, "outcome", piece_end_text (end), "owner", order->owner,
+             "since_arrival_us", (json_int_t) (now - job->arrived));
+  if (end == PIECE_DONE)
+    {
+      stage->state = STAGE_DONE;
+      give_back_used (job);
+      advance (job, now);
+      return;
+    }
+  stage->state = STAGE_IDLE;
+  if (end != PIECE_LATE && job_remake_stages (job, now))
+    return;
+  job_give_up (job, end == PIECE_LATE ? FORWARD_NO_TIME : FORWARD_STAGE, STAGE_RETRY_AFTER);
+}
+
+static const struct work_order_ops stage_ops = { .done = stage_done };
+
+static void
+order_stage (struct forward_job *job, uint32_t number, int64_t now)
+{
+  struct forward_stage *stage = &job->stages[number];
+  const struct route_stage *route = &job->route.stages[number];
+  const char *near = "";
+  struct balance_target *likely =
+      balance_choose (job->forward->config.balance, job->pool, &job->affinity, NULL, 0, now);
+  struct bytes inputs;
+
+  bytes_init (&inputs, NULL);
+  if (likely != NULL)
+    near = likely->domain;
+  job_write_inputs (job, route->after, &inputs);
+  stage->order = (struct work_order){
+    .ops = &stage_ops,
+    .stage = number,
+    .result_size = route->result_size,
+    .inputs = inputs.length > 0 ? inputs.data : NULL,
+    .due = job->objective_at - stage->tail,
+    .deadline = job->deadline - stage->tail,
+    .n_pieces = pieces_of (job, number),
+    .handles = stage->handles,
+  };
+  text_copy_cut (stage->order.request, sizeof stage->order.request, job->facts.id);
+  text_copy_cut (stage->order.key, sizeof stage->order.key, job->facts.piece_key);
+  text_copy_cut (stage->order.near, sizeof stage->order.near, near);
+  text_copy_cut (stage->order.pool, sizeof stage->order.pool, stage->pool);
+  stage->state = STAGE_RUNNING;
+  work_submit (job->forward->config.work, &stage->order, now);
+  bytes_clear (&inputs);
+}
+
+static void
+advance (struct forward_job *job, int64_t now)
+{
+  uint32_t all = (UINT32_C (1) << job->route.n_stages) - 1;
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if (job->stages[i].state == STAGE_IDLE && pieces_of (job, i) > 0
+        && all_made (job, through_left_out (job, job->route.stages[i].after)))
+      order_stage (job, i, now);
+  if (!all_made (job, all))
+    return;
+  job->stages_done = now;
+  histogram_record (job->forward->stage_time, (double) (now - job->arrived));
+  job_send (job, now);
+}
+
+void
+job_begin_stages (struct forward_job *job, int64_t now)
+{
+  if (now + critical_path (job) > job->deadline)
+    {
+      job_give_up (job, FORWARD_NO_TIME, STAGE_RETRY_AFTER);
+      return;
+    }
+  advance (job, now);
+}
+
+void
+job_drop_stages (struct forward_job *job)
+{
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    {
+      if (job->stages[i].state == STAGE_RUNNING)
+        work_cancel (&job->stages[i].order);
+      else
+        give_back (job, i);
+      job->stages[i].state = STAGE_IDLE;
+    }
+}
+
+bool
+job_lacks_results (const struct forward_job *job)
+{
+  uint32_t last = through_left_out (job, route_last_stages (&job->route));
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if ((last & (UINT32_C (1) << i)) != 0 && pieces_of (job, i) > 0
+        && job->stages[i].state != STAGE_DONE)
+      return true;
+  return false;
+}
+
+bool
+job_remake_stages (struct forward_job *job, int64_t now)
+{
+  if (job->remade || !job_has_stages (job))
+    return false;
+  job->remade = true;
+  job_drop_stages (job);
+  job->stages_done = 0;
+  job_begin_stages (job, now);
+  return true;
+}
--- /dev/null
+++ b/src/h1.c
@@ -0,0 +1,303 @@
+/* HTTP/1.1 messages over libhttp-parser. */
+#include "h1.h"
+#include "container.h"
+#include <string.h>
+#include <strings.h>
+
+const char *
+h1_field (const struct h1_head *head, const char *name)
+{
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    if (strcasecmp (head->fields[i].name, name) == 0)
+      return head->fields[i].value;
+  return NULL;
+}
+
+uint32_t
+h1_count_fields (const struct h1_head *head, const char *name)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    if (strcasecmp (head->fields[i].name, name) == 0)
+      n++;
+  return n;
+}
+
+/* Is `name` one of the comma-separated words of `list`? */
+static bool
+is_listed (const char *list, const char *name)
+{
+  size_t length = strlen (name);
+
+  while (*list != '\0')
+    {
+      size_t word;
+
+      list += strspn (list, ", \t");
+      word = strcspn (list, ", \t");
+      if (word == length && strncasecmp (list, name, length) == 0)
+        return true;
+      list += word;
+    }
+  return false;
+}
+
+bool
+h1_is_hop_by_hop (const struct h1_head *head, const char *name)
+{
+  static const char *const names[] = {
+    "connection", "keep-alive",        "proxy-connection",   "te",
+    "trailer",    "transfer-encoding", "upgrade",            "proxy-authenticate",
+    "expect",     "content-length",    "proxy-authorization",
+  };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcasecmp (names[i], name) == 0)
+      return true;
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    if (strcasecmp (head->fields[i].name, "connection") == 0
+        && is_listed (head->fields[i].value, name))
+      return true;
+  return false;
+}
+
+void
+h1_write_field (struct bytes *out, const char *name, const char *value)
+{
+  bytes_append_text (out, name);
+  bytes_append (out, ": ", 2);
+  bytes_append_text (out, value);
+  bytes_append (out, "\r\n", 2);
+}
+
+const char *
+h1_reason (unsigned status)
+{
+  switch (status)
+    {
+#define X(number, name, text)                                                                      \
+  case number:                                                                                     \
+    return #text;
+      HTTP_STATUS_MAP (X)
+#undef X
+    default:
+      return "Unknown";
+    }
+}
+
+/* ---- reading ---- */
+
+static struct h1_reader *
+reader_of (http_parser *parser)
+{
+  return CONTAINER_OF (parser, struct h1_reader, parser);
+}
+
+static int
+add_text (struct h1_reader *reader, const char *data, size_t length)
+{
+  struct bytes *text = &reader->head.text;
+
+  if (text->length + length > reader->header_max)
+    {
+      reader->too_large = true;
+      return 1;
+    }
+  /* A NUL would end the text early and hide what follows it. */
+  if (memchr (data, '\0', length) != NULL)
+    return 1;
+  bytes_append (text, data, length);
+  return bytes_failed (text) ? 1 : 0;
+}
+
+static void
+end_text (struct h1_reader *reader)
+{
+  bytes_append (&reader->head.text, "", 1);
+}
+
+static int
+on_target (http_parser *parser, const char *data, size_t length)
+{
+  return add_text (reader_of (parser), data, length);
+}
+
+static int
+on_name (http_parser *parser, const char *data, size_t length)
+{
+  struct h1_reader *reader = reader_of (parser);
+  struct h1_head *head = &reader->head;
+
+  if (head->n_fields == 0 || reader->in_value)
+    {
+      if (head->n_fields == H1_FIELDS_MAX)
+        {
+          reader->too_large = true;
+          return 1;
+        }
+      end_text (reader);
+      reader->offsets[head->n_fields][0] = (uint32_t) head->text.length;
+      head->n_fields++;
+      reader->in_value = false;
+    }
+  return add_text (reader, data, length);
+}
+
+static int
+on_value (http_parser *parser, const char *data, size_t length)
+{
+  struct h1_reader *reader = reader_of (parser);
+  struct h1_head *head = &reader->head;
+
+  if (!reader->in_value)
+    {
+      end_text (reader);
+      reader->offsets[head->n_fields - 1][1] = (uint32_t) head->text.length;
+      reader->in_value = true;
+    }
+  return add_text (reader, data, length);
+}
+
+static void
+cut_trailing_space (char *text)
+{
+  size_t length = strlen (text);
+
+  while (length > 0 && (text[length - 1] == ' ' || text[length - 1] == '\t'))
+    text[--length] = '\0';
+}
+
+static void
+take_texts (struct h1_reader *reader)
+{
+  struct h1_head *head = &reader->head;
+
+  end_text (reader);
+  if (bytes_failed (&head->text))
+    return;
+  head->target = head->text.data;
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    {
+      head->fields[i].name = head->text.data + reader->offsets[i][0];
+      head->fields[i].value = head->text.data + reader->offsets[i][1];
+      cut_trailing_space (head->text.data + reader->offsets[i][1]);
+    }
+}
+
+static int
+on_head (http_parser *parser)
+{
+  struct h1_reader *reader = reader_of (parser);
+  struct h1_head *head = &reader->head;
+
+  take_texts (reader);
+  if (bytes_failed (&head->text))
+    return -1;
+  head->method = parser->method;
+  head->status = parser->status_code;
+  head->minor = parser->http_minor;
+  head->chunked = (parser->flags & F_CHUNKED) != 0;
+  head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
+  head->length = head->has_length ? parser->content_length : 0;
+  head->keep_alive = http_should_keep_alive (parser) != 0;
+  if (!reader->ops->head (reader))
+    return -1;
+  return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *data, size_t length)
+{
+  struct h1_reader *reader = reader_of (parser);
+
+  return reader->ops->body (reader, data, length) ? 0 : 1;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct h1_reader *reader = reader_of (parser);
+
+  reader->done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings reader_settings = {
+  .on_url = on_target,
+  .on_header_field = on_name,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+void
+h1_reader_init (struct h1_reader *reader,
+                const struct h1_reader_ops *ops,
+                enum http_parser_type type,
+                size_t header_max)
+{
+  memset (reader, 0, sizeof *reader);
+  reader->ops = ops;
+  reader->header_max = header_max > H1_HEAD_BYTES_MAX ? H1_HEAD_BYTES_MAX : header_max;
+  http_parser_init (&reader->parser, type);
+  bytes_init (&reader->head.text, NULL);
+}
+
+void
+h1_reader_clear (struct h1_reader *reader)
+{
+  bytes_clear (&reader->head.text);
+}
+
+void
+h1_reader_next (struct h1_reader *reader)
+{
+  struct h1_head *head = &reader->head;
+
+  bytes_clear (&head->text);
+  head->n_fields = 0;
+  reader->begun = false;
+  reader->done = false;
+  reader->in_value = false;
+  reader->no_body = false;
+  http_parser_init (&reader->parser, (enum http_parser_type) reader->parser.type);
+}
+
+enum status
+h1_read (struct h1_reader *reader, const char *data, size_t length, size_t *used)
+{
+  enum http_errno error;
+
+  reader->begun = reader->begun || length > 0;
+  *used = http_parser_execute (&reader->parser, &reader_settings, data, length);
+  error = HTTP_PARSER_ERRNO (&reader->parser);
+  if (reader->done && (error == HPE_PAUSED || error == HPE_OK))
+    {
+      /* The parser stops at the last byte of a message without body, not behind it. */
+      if (error == HPE_PAUSED)
+        http_parser_pause (&reader->parser, 0);
+      reader->ops->complete (reader);
+      return STATUS_OK;
+    }
+  if (error == HPE_OK)
+    return STATUS_OK;
+  if (reader->too_large)
+    return status_fail (STATUS_TOO_LARGE, "headers over %zu bytes", reader->header_max);
+  if (error == HPE_CB_headers_complete || error == HPE_CB_body)
+    return status_fail (STATUS_CANCELLED, "the message was refused");
+  return status_fail (STATUS_MALFORMED, "not HTTP/1.1: %s", http_errno_description (error));
+}
+
+bool
+h1_read_end (struct h1_reader *reader)
+{
+  if (reader->done || !reader->begun)
+    return reader->done;
+  (void) http_parser_execute (&reader->parser, &reader_settings, "", 0);
+  if (reader->done)
+    reader->ops->complete (reader);
+  return reader->done;
+}
--- /dev/null
+++ b/src/h1_client.h
@@ -0,0 +1,81 @@
+/* The HTTP/1.1 client of the forwarding path: calls to targets over kept connections. */
+#ifndef H1_CLIENT_H
+#define H1_CLIENT_H
+
+#include "counter.h"
+#include "decls.h"
+#include "h1.h"
+#include "loop.h"
+
+BEGIN_DECLS
+
+/* A target that takes no connection for so long is not tried further. */
+#define H1_CONNECT_TIMEOUT (1000 * USEC_PER_MSEC)
+
+/* An idle connection is kept this long where the target does not say for how long it keeps it. */
+#define H1_IDLE_KEEP (10 * USEC_PER_SEC)
+
+/* name, text */
+#define H1_END_LIST(X)                                                                             \
+  X (WHOLE, "whole")                                                                               \
+  X (REFUSED, "no connection")                                                                     \
+  X (BROKEN, "connection broke")                                                                   \
+  X (MALFORMED, "not an answer")
+
+enum h1_end
+{
+#define X(name, text) H1_END_##name,
+  H1_END_LIST (X)
+#undef X
+      H1_END_COUNT
+};
+
+const char *h1_end_text (enum h1_end end);
+
+struct h1_call;
+
+struct h1_call_ops
+{
+  /* An answer's head.  False: it is not the answer to this call; the one behind it may be. */
+  bool (*head) (struct h1_call *call, const struct h1_head *head, int64_t now);
+  void (*data) (struct h1_call *call, const char *data, size_t length, int64_t now);
+
+  /* The last call; the call may be freed or started anew. */
+  void (*ended) (struct h1_call *call, enum h1_end end, int64_t now);
+};
+
+struct h1_wire;
+
+/* Embedded by its user. */
+struct h1_call
+{
+  const struct h1_call_ops *ops;
+  struct h1_wire *wire; /* NULL while not running */
+  bool no_body;         /* set by its user: the request is a HEAD */
+  bool handed;          /* bytes of the request went to the network: it may run */
+  bool reused;          /* over a connection that was kept from an earlier call */
+  bool answered;        /* bytes of an answer came */
+};
+
+struct h1_client;
+
+struct h1_client *h1_client_new (void *parent, struct loop *loop, struct counters *counters);
+
+/* Send `message`, a whole request.  With `fresh` on a new connection.  ended() comes from the loop,
+ * unless the call fails at once, which sent nothing. */
+enum status h1_call_start (struct h1_client *client,
+                           struct h1_call *call,
+                           const char *address,
+                           const struct bytes *message,
+                           bool fresh,
+                           int64_t now);
+
+/* End without a word; the connection is closed, which tells the target to stop. */
+void h1_call_cancel (struct h1_call *call);
+
+/* Close the idle connections to an address whose target is gone. */
+void h1_client_forget (struct h1_client *client, const char *address);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/h1_server.c
@@ -0,0 +1,526 @@
+/* The HTTP/1.1 server of the forwarding path. */
+#include "h1_server.h"
+#include "container.h"
+#include "log.h"
+#include "text.h"
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define CHUNK_HEAD_SIZE 20
+
+enum connection_state
+{
+  CONNECTION_READING, /* a request, or nothing yet */
+  CONNECTION_WAITING, /* for the answer to begin */
+  CONNECTION_ANSWERING,
+  CONNECTION_CLOSING, /* what is unsent goes out first */
+};
+
+struct h1_connection
+{
+  struct tcp_stream stream;
+  struct timer timer;
+  struct h1_server *server;
+  struct h1_connection *previous;
+  struct h1_connection *next;
+  struct h1_reader reader;
+  struct bytes body;
+  struct bytes input; /* bytes behind the request being answered */
+  struct h1_exchange exchange;
+  enum connection_state state;
+  unsigned refusal; /* the status for a request that its head condemns; 0: none */
+  bool chunked;     /* the answer is */
+  bool keep;        /* the connection lives on after the answer */
+  bool feeding;
+};
+
+struct h1_server
+{
+  struct h1_server_config config;
+  struct tcp_listener listener;
+  struct h1_connection *connections;
+  uint32_t n_connections;
+  uint32_t pending;
+  bool closing;
+  struct counter *requests;
+  struct counter *refused;
+  struct counter *dropped;
+};
+
+/* After the last answer a client has so long to read it and close. */
+#define LINGER (2 * USEC_PER_SEC)
+
+/* Bytes that a client may send ahead of an answer. */
+#define AHEAD_BYTES_MAX 65536
+
+static void feed (struct h1_connection *connection, const char *data, size_t length, int64_t now);
+
+static struct timer_service *
+timers_of (const struct h1_connection *connection)
+{
+  return loop_timers (connection->server->config.loop);
+}
+
+static void
+free_later (struct h1_connection *connection)
+{
+  struct h1_server *server = connection->server;
+
+  timer_disarm (timers_of (connection), &connection->timer);
+  tcp_close (&connection->stream, false);
+  h1_reader_clear (&connection->reader);
+  bytes_clear (&connection->body);
+  bytes_clear (&connection->input);
+  if (connection->previous != NULL)
+    connection->previous->next = connection->next;
+  else
+    server->connections = connection->next;
+  if (connection->next != NULL)
+    connection->next->previous = connection->previous;
+  server->n_connections--;
+  talloc_free (connection);
+}
+
+static bool
+answer_is_due (const struct h1_connection *connection)
+{
+  return connection->state == CONNECTION_WAITING || connection->state == CONNECTION_ANSWERING;
+}
+
+static void
+stream_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
+{
+  struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
+  struct h1_handler *handler = connection->server->config.handler;
+
+  (void) end;
+  if (answer_is_due (connection))
+    {
+      connection->server->pending--;
+      connection->state = CONNECTION_CLOSING;
+      handler->ops->gone (handler, &connection->exchange, now);
+    }
+  free_later (connection);
+}
+
+/* ---- answers ---- */
+
+static void
+write_head (struct h1_connection *connection, unsigned status, const char *fields, int64_t length)
+{
+  const struct h1_head *head = &connection->reader.head;
+  struct bytes out;
+
+  bytes_init (&out, NULL);
+  connection->keep = connection->keep && !connection->server->closing;
+  connection->chunked = length < 0 && head->minor >= 1;
+  /* Without a length an HTTP/1.0 answer ends with its connection. */
+  if (length < 0 && !connection->chunked)
+    connection->keep = false;
+  bytes_append_format (&out, "HTTP/1.1 %u %s\r\n", status, h1_reason (status));
+  if (fields != NULL)
+    bytes_append_text (&out, fields);
+  if (connection->chunked)
+    bytes_append_text (&out, "Transfer-Encoding: chunked\r\n");
+  else if (length >= 0)
+    bytes_append_format (&out, "Content-Length: %lld\r\n", (long long) length);
+  if (!connection->keep)
+    bytes_append_text (&out, "Connection: close\r\n");
+  else if (head->minor == 0)
+    bytes_append_text (&out, "Connection: keep-alive\r\n");
+  bytes_append_text (&out, "\r\n");
+  tcp_write (&connection->stream, out.data, out.length);
+  bytes_clear (&out);
+}
+
+static void
+next_request (struct h1_connection *connection)
+{
+  struct h1_server *server = connection->server;
+  int64_t now = loop_now (server->config.loop);
+
+  bytes_clear (&connection->body);
+  h1_reader_next (&connection->reader);
+  connection->state = CONNECTION_READING;
+  connection->refusal = 0;
+  connection->exchange.user = NULL;
+  timer_arm (timers_of (connection), &connection->timer,
+             now + server->config.limits->idle_timeout);
+  /* While feed() is on the stack it goes on by itself with what is left. */
+  if (!connection->feeding && connection->input.length > 0)
+    feed (connection, "", 0, now);
+}
+
+static void
+answer_ended (struct h1_connection *connection)
+{
+  connection->server->pending--;
+  if (connection->keep)
+    {
+      next_request (connection);
+      return;
+    }
+  connection->state = CONNECTION_CLOSING;
+  tcp_close_when_sent (&connection->stream);
+  timer_arm (timers_of (connection), &connection->timer,
+             loop_now (connection->server->config.loop) + LINGER);
+}
+
+void
+h1_reply (struct h1_exchange *exchange,
+          unsigned status,
+          const char *fields,
+          const void *body,
+          size_t length)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  INVARIANT (connection->state == CONNECTION_WAITING);
+  write_head (connection, status, fields, (int64_t) length);
+  if (connection->reader.head.method != HTTP_HEAD)
+    tcp_write (&connection->stream, body, length);
+  answer_ended (connection);
+}
+
+void
+h1_reply_begin (struct h1_exchange *exchange, unsigned status, const char *fields, int64_t length)
+{
+  INVARIANT (exchange->connection->state == CONNECTION_WAITING);
+  exchange->connection->state = CONNECTION_ANSWERING;
+  write_head (exchange->connection, status, fields, length);
+}
+
+void
+h1_reply_data (struct h1_exchange *exchange, const void *data, size_t length)
+{
+  struct h1_connection *connection = exchange->connection;
+  char head[CHUNK_HEAD_SIZE];
+  struct bytes out;
+
+  if (length == 0 || connection->reader.head.method == HTTP_HEAD)
+    return;
+  if (!connection->chunked)
+    {
+      tcp_write (&connection->stream, data, length);
+      return;
+    }
+  snprintf (head, sizeof head, "%zx\r\n", length);
+  bytes_init (&out, NULL);
+  bytes_append_text (&out, head);
+  bytes_append (&out, data, length);
+  bytes_append (&out, "\r\n", 2);
+  tcp_write (&connection->stream, out.data, out.length);
+  bytes_clear (&out);
+}
+
+void
+h1_reply_end (struct h1_exchange *exchange, bool whole)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  INVARIANT (connection->state == CONNECTION_ANSWERING);
+  if (!whole)
+    {
+      h1_drop (exchange);
+      return;
+    }
+  if (connection->chunked && connection->reader.head.method != HTTP_HEAD)
+    tcp_write (&connection->stream, "0\r\n\r\n", 5);
+  answer_ended (connection);
+}
+
+void
+h1_drop (struct h1_exchange *exchange)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  connection->server->pending--;
+  counter_add (connection->server->dropped, 1);
+  connection->state = CONNECTION_CLOSING;
+  tcp_close (&connection->stream, true);
+  /* It may be on the stack: the timer frees it from the loop. */
+  timer_arm (timers_of (connection), &connection->timer, 0);
+}
+
+/* ---- requests ---- */
+
+/* Refuse what the parser cannot or must not pass on; nothing of it has run. */
+static void
+refuse (struct h1_connection *connection, unsigned status)
+{
+  connection->keep = false;
+  connection->state = CONNECTION_WAITING;
+  connection->server->pending++;
+  counter_add (connection->server->refused, 1);
+  log_event (LOG_MODULE_HTTP, LOG_LEVEL_INFO, "request-refused", "{s:s,s:i}", "listener",
+             connection->server->config.label, "status", (int) status);
+  h1_reply (&connection->exchange, status, NULL, NULL, 0);
+}
+
+static bool
+head_is_sound (const struct h1_head *head)
+{
+  const char *coding = h1_field (head, "transfer-encoding");
+
+  if (head->method == HTTP_CONNECT || head->target[0] != '/')
+    return false;
+  if (h1_count_fields (head, "host") > 1 || (head->minor > 0 && h1_field (head, "host") == NULL))
+    return false;
+  /* Another coding would be lost, as the body is framed anew. */
+  if (coding != NULL
+      && (h1_count_fields (head, "transfer-encoding") > 1 || strcasecmp (coding, "chunked") != 0))
+    return false;
+  return coding == NULL || h1_field (head, "content-length") == NULL;
+}
+
+static bool
+on_head (struct h1_reader *reader)
+{
+  struct h1_connection *connection = CONTAINER_OF (reader, struct h1_connection, reader);
+  const struct h1_head *head = &reader->head;
+  const char *expect = h1_field (head, "expect");
+
+  connection->keep = head->keep_alive;
+  if (!head_is_sound (head))
+    connection->refusal = HTTP_STATUS_BAD_REQUEST;
+  else if (head->has_length && head->length > connection->server->config.limits->body_bytes)
+    connection->refusal = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+  if (connection->refusal != 0)
+    return false;
+  if (expect != NULL && strcasecmp (expect, "100-continue") == 0 && head->minor >= 1)
+    tcp_write (&connection->stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  return true;
+}
+
+static bool
+on_body (struct h1_reader *reader, const char *data, size_t length)
+{
+  struct h1_connection *connection = CONTAINER_OF (reader, struct h1_connection, reader);
+
+  if (connection->body.length + length > connection->server->config.limits->body_bytes)
+    {
+      connection->refusal = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+      return false;
+    }
+  bytes_append (&connection->body, data, length);
+  return !bytes_failed (&connection->body);
+}
+
+static void
+on_complete (struct h1_reader *reader)
+{
+  (void) reader;
+}
+
+static const struct h1_reader_ops reader_ops = {
+  .head = on_head,
+  .body = on_body,
+  .complete = on_complete,
+};
+
+static unsigned
+refusal_of (const struct h1_connection *connection, enum status status)
+{
+  if (connection->refusal != 0)
+    return connection->refusal;
+  if (status == STATUS_TOO_LARGE)
+    return HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+  return HTTP_STATUS_BAD_REQUEST;
+}
+
+/* Parse up to the end of one request. */
+static size_t
+read_some (struct h1_connection *connection, const char *data, size_t length, int64_t now)
+{
+  struct h1_server *server = connection->server;
+  struct h1_handler *handler = server->config.handler;
+  enum status status;
+  size_t used;
+
+  if (!connection->reader.begun)
+    {
+      connection->exchange.arrived = now;
+      connection->reader.header_max = server->config.limits->header_bytes;
+      timer_arm (timers_of (connection), &connection->timer,
+                 now + server->config.limits->request_timeout);
+    }
+  status = h1_read (&connection->reader, data, length, &used);
+  if (status != STATUS_OK)
+    {
+      refuse (connection, refusal_of (connection, status));
+      return length;
+    }
+  if (!connection->reader.done)
+    return used;
+  timer_disarm (timers_of (connection), &connection->timer);
+  connection->state = CONNECTION_WAITING;
+  server->pending++;
+  counter_add (server->requests, 1);
+  handler->ops->request (handler, &connection->exchange, now);
+  return used;
+}
+
+/* Requests come one after the other; what a client sends ahead waits its turn. */
+static void
+feed (struct h1_connection *connection, const char *data, size_t length, int64_t now)
+{
+  bytes_append (&connection->input, data, length);
+  connection->feeding = true;
+  while (connection->state == CONNECTION_READING && connection->input.length > 0)
+    {
+      size_t used =
+          read_some (connection, connection->input.data, connection->input.length, now);
+
+      bytes_consume (&connection->input, used);
+    }
+  connection->feeding = false;
+  if (connection->input.length > AHEAD_BYTES_MAX && answer_is_due (connection))
+    {
+      connection->input.length = 0;
+      connection->keep = false;
+    }
+}
+
+static void
+stream_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
+{
+  struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
+
+  if (connection->state != CONNECTION_CLOSING)
+    feed (connection, data, length, now);
+}
+
+static void
+stream_connected (struct tcp_stream *stream, int64_t now)
+{
+  (void) stream;
+  (void) now;
+}
+
+static const struct tcp_stream_ops stream_ops = {
+  .connected = stream_connected,
+  .received = stream_received,
+  .ended = stream_ended,
+};
+
+/* Idle for too long, a request that does not arrive, or dropped. */
+static void
+timer_fired (struct timer *timer, int64_t now)
+{
+  struct h1_connection *connection = CONTAINER_OF (timer, struct h1_connection, timer);
+
+  (void) now;
+  if (connection->state == CONNECTION_READING && connection->reader.begun)
+    {
+      refuse (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+      return;
+    }
+  free_later (connection);
+}
+
+static const struct timer_ops timer_ops = { .fire = timer_fired };
+
+static void
+on_accepted (struct tcp_listener *listener, int fd, int64_t now)
+{
+  struct h1_server *server = CONTAINER_OF (listener, struct h1_server, listener);
+  struct h1_connection *connection = NULL;
+
+  if (server->n_connections < server->config.connections_max)
+    connection = talloc_zero (server, struct h1_connection);
+  if (connection == NULL)
+    {
+      log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "connection-refused", "{s:s,s:i}", "listener",
+                 server->config.label, "connections", (int) server->n_connections);
+      close (fd);
+      return;
+    }
+  connection->server = server;
+  connection->timer.ops = &timer_ops;
+  connection->exchange.connection = connection;
+  connection->exchange.head = &connection->reader.head;
+  connection->exchange.body = &connection->body;
+  h1_reader_init (&connection->reader, &reader_ops, HTTP_REQUEST,
+                  server->config.limits->header_bytes);
+  bytes_init (&connection->body, connection);
+  bytes_init (&connection->input, connection);
+  if (tcp_accept (&connection->stream, &stream_ops, server->config.loop, fd) != STATUS_OK)
+    {
+      h1_reader_clear (&connection->reader);
+      talloc_free (connection);
+      return;
+    }
+  connection->next = server->connections;
+  if (server->connections != NULL)
+    server->connections->previous = connection;
+  server->connections = connection;
+  server->n_connections++;
+  timer_arm (timers_of (connection), &connection->timer,
+             now + server->config.limits->idle_timeout);
+}
+
+static const struct tcp_listener_ops listener_ops = { .accepted = on_accepted };
+
+static int
+free_server (struct h1_server *server)
+{
+  tcp_listener_close (&server->listener);
+  while (server->connections != NULL)
+    free_later (server->connections);
+  return 0;
+}
+
+static void
+take_counters (struct h1_server *server)
+{
+  struct counters *counters = server->config.counters;
+  char label[64];
+
+  snprintf (label, sizeof label, "listener=\"%s\"", server->config.label);
+  server->requests = counter_get (counters, "cherryarch_h1_requests_total",
+                                  "Whole requests that arrived.", label);
+  server->refused = counter_get (counters, "cherryarch_h1_refused_total",
+                                 "Requests refused before they were whole.", label);
+  server->dropped = counter_get (counters, "cherryarch_h1_dropped_total",
+                                 "Connections reset in place of an answer's end.", label);
+}
+
+struct h1_server *
+h1_server_new (void *parent, const struct h1_server_config *config)
+{
+  struct h1_server *server = talloc_zero (parent, struct h1_server);
+
+  if (server == NULL)
+    return NULL;
+  server->config = *config;
+  server->listener.fd = -1;
+  take_counters (server);
+  if (tcp_listen (&server->listener, &listener_ops, config->loop, config->listen) != STATUS_OK)
+    {
+      talloc_free (server);
+      return NULL;
+    }
+  talloc_set_destructor (server, free_server);
+  return server;
+}
+
+void
+h1_server_close_after_answers (struct h1_server *server)
+{
+  server->closing = true;
+}
+
+uint32_t
+h1_server_pending (const struct h1_server *server)
+{
+  return server->pending;
+}
+
+uint32_t
+h1_server_connections (const struct h1_server *server)
+{
+  return server->n_connections;
+}
--- a/src/log.c
+++ b/src/log.c
@@ -6,6 +6,8 @@
 #include "log.h"
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
+#include <poll.h>
 #include <jansson.h>
 #include <log4c.h>
 #include <signal.h>
@@ -60,6 +62,7 @@
   size_t line_length;
   char rest[LOG_REST_SIZE];
   size_t rest_length;
+  bool shared; /* standard output */
 } state = { .fd = -1 };
 
 /* ---- layout ---- */
@@ -124,9 +127,26 @@
 
 /* ---- appender ---- */
 
+/* Standard output is shared with who started us, so its flags are left alone: a pipe that can take a
+ * page does not block for less, and one that cannot is not written to. */
+static bool
+would_block (void)
+{
+  struct pollfd at = { .fd = state.fd, .events = POLLOUT };
+
+  return state.shared && (poll (&at, 1, 0) != 1 || (at.revents & POLLOUT) == 0);
+}
+
 static ssize_t
 write_some (const char *data, size_t length)
 {
+  if (would_block ())
+    {
+      errno = EAGAIN;
+      return -1;
+    }
+  if (state.shared && length > PIPE_BUF)
+    length = PIPE_BUF;
   if (state.is_socket)
     return send (state.fd, data, length, MSG_DONTWAIT | MSG_NOSIGNAL);
   return write (state.fd, data, length);
@@ -271,7 +291,9 @@
   int module;
 
   log_close ();
-  state.fd = path == NULL ? open_stderr ()
+  state.shared = path != NULL && strcmp (path, LOG_STANDARD_OUTPUT) == 0;
+  state.fd = path == NULL   ? open_stderr ()
+             : state.shared ? STDOUT_FILENO
                           : open (path, O_WRONLY | O_APPEND | O_CREAT | O_NONBLOCK | O_CLOEXEC,
                                   LOG_FILE_MODE);
   if (state.fd < 0)
@@ -305,7 +327,8 @@
   if (state.fd >= 0)
     {
       flush_rest ();
-      close (state.fd);
+      if (!state.shared)
+        close (state.fd);
     }
   free (state.line);
   memset (&state, 0, sizeof state);
--- a/src/log.h
+++ b/src/log.h
@@ -45,6 +45,9 @@
       LOG_LEVEL_COUNT
 };
 
+/* In place of a path. */
+#define LOG_STANDARD_OUTPUT "-"
+
 /* Before the first event; events before it go nowhere.  `path` NULL means standard error. */
 enum status log_open (const char *path, enum log_level level);
 void log_close (void);
--- a/src/loop.c
+++ b/src/loop.c
@@ -57,6 +57,15 @@
   return now.tv_sec * USEC_PER_SEC + now.tv_nsec / 1000;
 }
 
+int64_t
+loop_boottime (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return now.tv_sec * USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
 static int
 on_watch_event (struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in, size_t len)
 {
@@ -74,10 +83,23 @@
       slot->watch->ops->ready (slot->watch, loop_now (slot->loop));
       return slot->watch == NULL ? -1 : 0;
     }
+  if (reason == LWS_CALLBACK_RAW_WRITEABLE_FILE)
+    {
+      if (slot->watch != NULL && slot->watch->ops->writable != NULL)
+        slot->watch->ops->writable (slot->watch, loop_now (slot->loop));
+      return slot->watch == NULL ? -1 : 0;
+    }
   if (reason == LWS_CALLBACK_RAW_CLOSE_FILE)
     {
-      if (slot->watch != NULL)
-        slot->watch->owner = NULL;
+      struct loop_watch *watch = slot->watch;
+
+      slot->watch = NULL;
+      if (watch != NULL)
+        {
+          watch->owner = NULL;
+          if (watch->ops->hung_up != NULL)
+            watch->ops->hung_up (watch, loop_now (slot->loop));
+        }
       lws_set_opaque_user_data (wsi, NULL);
       talloc_free (slot);
     }
@@ -123,7 +145,7 @@
   struct lws_context_creation_info info = {
     .port = CONTEXT_PORT_NO_LISTEN,
     .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT
-               | LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES,
+               | LWS_SERVER_OPTION_NO_LWS_SYSTEM_STATES | LWS_SERVER_OPTION_DISABLE_IPV6,
     .max_http_header_data2 = LOOP_HEADER_BYTES,
     .pt_serv_buf_size = LOOP_SERVICE_BUFFER,
     .timeout_secs = LOOP_HANDSHAKE_SECONDS,
@@ -180,31 +202,29 @@
   return loop->context;
 }
 
-enum status
-loop_watch_fd (struct loop *loop, struct loop_watch *watch, int fd)
+/* lws closes what it adopts. */
+static enum status
+adopt (struct loop *loop, struct loop_watch *watch, int fd)
 {
-  /* lws closes what it adopts, so it gets a descriptor of its own. */
-  lws_sock_file_fd_type own = { .filefd = dup (fd) };
+  lws_sock_file_fd_type own = { .filefd = fd };
   struct watch_slot *slot;
-  lws_adopt_desc_t adopt = {
+  lws_adopt_desc_t request = {
     .vh = loop->vhost,
     .type = LWS_ADOPT_RAW_FILE_DESC,
     .fd = own,
     .vh_prot_name = watch_protocols[0].name,
   };
 
-  if (own.filefd < 0)
-    return status_fail (STATUS_IO, "cannot watch descriptor %d: %s", fd, strerror (errno));
   slot = talloc_zero (NULL, struct watch_slot);
   if (slot == NULL)
     {
-      close (own.filefd);
+      close (fd);
       return status_fail (STATUS_NO_MEMORY, "cannot watch descriptor %d", fd);
     }
   slot->loop = loop;
   slot->watch = watch;
-  adopt.opaque = slot;
-  slot->wsi = lws_adopt_descriptor_vhost_via_info (&adopt);
+  request.opaque = slot;
+  slot->wsi = lws_adopt_descriptor_vhost_via_info (&request);
   if (slot->wsi == NULL)
     {
       talloc_free (slot);
@@ -214,6 +234,31 @@
   return STATUS_OK;
 }
 
+enum status
+loop_watch_fd (struct loop *loop, struct loop_watch *watch, int fd)
+{
+  int own = dup (fd);
+
+  if (own < 0)
+    return status_fail (STATUS_IO, "cannot watch descriptor %d: %s", fd, strerror (errno));
+  return adopt (loop, watch, own);
+}
+
+enum status
+loop_adopt_socket (struct loop *loop, struct loop_watch *watch, int fd)
+{
+  return adopt (loop, watch, fd);
+}
+
+void
+loop_want_write (struct loop_watch *watch)
+{
+  struct watch_slot *slot = watch->owner;
+
+  if (slot != NULL)
+    lws_callback_on_writable (slot->wsi);
+}
+
 void
 loop_unwatch (struct loop *loop, struct loop_watch *watch)
 {
--- a/src/loop.h
+++ b/src/loop.h
@@ -19,6 +19,12 @@
 {
   /* The descriptor is readable. */
   void (*ready) (struct loop_watch *watch, int64_t now);
+
+  /* It is writable, as loop_want_write() asked; NULL where that is never asked. */
+  void (*writable) (struct loop_watch *watch, int64_t now);
+
+  /* The loop has closed an adopted descriptor whose other side hung up; NULL where none is. */
+  void (*hung_up) (struct loop_watch *watch, int64_t now);
 };
 
 /* Embedded by who waits for a descriptor. */
@@ -50,6 +56,10 @@
 /* The monotonic clock, read anew.  Only edges call it; what they call gets `now`. */
 int64_t loop_now (const struct loop *loop);
 
+/* The monotonic clock that goes on while the machine is suspended: for the age of rights that end by
+ * themselves, which a suspended holder must not keep for longer. */
+int64_t loop_boottime (void);
+
 uint32_t loop_connections_max (const struct loop *loop);
 
 struct lws_context *loop_context (struct loop *loop);
@@ -58,6 +68,13 @@
 enum status loop_watch_fd (struct loop *loop, struct loop_watch *watch, int fd);
 void loop_unwatch (struct loop *loop, struct loop_watch *watch);
 
+/* Watch a socket that becomes the loop's: loop_unwatch() has it closed at the next turn.  On
+ * failure it is closed at once. */
+enum status loop_adopt_socket (struct loop *loop, struct loop_watch *watch, int fd);
+
+/* Have writable() called once, when the descriptor can take bytes. */
+void loop_want_write (struct loop_watch *watch);
+
 /* Have `handler` called from the loop when the signal comes.  One handler for all signals. */
 enum status loop_on_signal (struct loop *loop,
                             struct loop_signal *handler,
--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -67,7 +67,7 @@
 {
   return set_int (socket, ZMQ_LINGER, 0) && set_int (socket, ZMQ_SNDHWM, peer->queue_messages)
          && set_int (socket, ZMQ_RCVHWM, peer->queue_messages)
-         && set_int (socket, ZMQ_TCP_MAXRT, PEER_RETRANSMIT_MAX_MS)
+         && set_int (socket, ZMQ_TCP_MAXRT, peer->retransmit_max_ms)
          && set_int (socket, ZMQ_TCP_KEEPALIVE, 1)
          && set_int (socket, ZMQ_HANDSHAKE_IVL, PEER_HANDSHAKE_MS);
 }
@@ -77,8 +77,8 @@
 {
   if (!set_common (peer, socket) || !set_int (socket, ZMQ_IMMEDIATE, 1)
       || !set_int (socket, ZMQ_RECONNECT_IVL, PEER_RECONNECT_MS)
-      || !set_int (socket, ZMQ_RECONNECT_IVL_MAX, PEER_RECONNECT_MAX_MS)
-      || !set_int (socket, ZMQ_CONNECT_TIMEOUT, PEER_CONNECT_TIMEOUT_MS))
+      || !set_int (socket, ZMQ_RECONNECT_IVL_MAX, peer->reconnect_max_ms)
+      || !set_int (socket, ZMQ_CONNECT_TIMEOUT, peer->connect_timeout_ms))
     return false;
   if (!peer->curve)
     return true;
@@ -348,6 +348,12 @@
   return status == STATUS_OK ? watch_router (peer) : status;
 }
 
+static int
+or_default (uint32_t value, int otherwise)
+{
+  return value == 0 ? otherwise : (int) value;
+}
+
 struct peer_port *
 peer_zmq_new (void *parent, const struct peer_zmq_config *config)
 {
@@ -361,6 +367,9 @@
   peer->loop = config->loop;
   peer->curve = config->secret_key != NULL;
   peer->queue_messages = (int) config->queue_messages;
+  peer->reconnect_max_ms = or_default (config->reconnect_max_ms, PEER_RECONNECT_MAX_MS);
+  peer->connect_timeout_ms = or_default (config->connect_timeout_ms, PEER_CONNECT_TIMEOUT_MS);
+  peer->retransmit_max_ms = or_default (config->retransmit_max_ms, PEER_RETRANSMIT_MAX_MS);
   text_copy_cut (peer->name, sizeof peer->name, config->name);
   if (peer->curve)
     {
--- a/src/peer_zmq_private.h
+++ b/src/peer_zmq_private.h
@@ -35,6 +35,9 @@
   char secret_key[BOARD_KEY_SIZE];
   char public_key[BOARD_KEY_SIZE];
   int queue_messages;
+  int reconnect_max_ms;
+  int connect_timeout_ms;
+  int retransmit_max_ms;
   uint16_t bound_port;
   struct peer *peers; /* by name */
   struct peer_listener *listeners[PEER_CHANNEL_COUNT];
--- /dev/null
+++ b/src/routing.c
@@ -0,0 +1,153 @@
+/* The routing configuration. */
+#include "routing.h"
+#include "text.h"
+#include <string.h>
+#include <strings.h>
+#include <talloc.h>
+
+static const char *const kind_texts[] = {
+#define X(name, text) [ROUTE_##name] = text,
+  ROUTE_KIND_LIST (X)
+#undef X
+};
+
+const char *
+route_kind_text (enum route_kind kind)
+{
+  return kind_texts[kind];
+}
+
+enum status
+routing_add_key (struct routing *routing, const char *key, uint32_t organisation)
+{
+  struct routing_key *entry;
+
+  HASH_FIND_STR (routing->keys, key, entry);
+  if (entry != NULL && entry->organisation != organisation)
+    return status_fail (STATUS_CONFLICT, "organisations %s and %s share a key",
+                        routing->organisations[entry->organisation].name,
+                        routing->organisations[organisation].name);
+  if (entry != NULL)
+    return STATUS_OK;
+  entry = talloc_zero (routing, struct routing_key);
+  if (entry == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  if (key[0] == '\0' || !text_copy (entry->key, sizeof entry->key, key))
+    return status_fail (STATUS_INVALID, "a key of %s is empty or too long",
+                        routing->organisations[organisation].name);
+  entry->organisation = organisation;
+  HASH_ADD_STR (routing->keys, key, entry);
+  return STATUS_OK;
+}
+
+int
+routing_find_pool (const struct routing *routing, const char *name)
+{
+  for (uint32_t i = 0; i < routing->n_pools; i++)
+    if (strcmp (routing->pools[i].name, name) == 0)
+      return (int) i;
+  return -1;
+}
+
+static enum status
+check_stages (const struct route *route)
+{
+  for (uint32_t i = 0; i < route->n_stages; i++)
+    /* A stage that needs a later one, or itself, could never begin. */
+    if ((route->stages[i].after >> i) != 0)
+      return status_fail (STATUS_INVALID, "route %s: stage %u needs one that is not before it",
+                          route->name, i);
+  return STATUS_OK;
+}
+
+static enum status
+check_route (const struct route *route)
+{
+  size_t length = strlen (route->prefix);
+
+  if (length == 0 || route->prefix[0] != '/' || route->prefix[length - 1] != '/')
+    return status_fail (STATUS_INVALID, "route %s: prefix must begin and end with a slash",
+                        route->name);
+  if (route->weights == 0)
+    return status_fail (STATUS_INVALID, "route %s: its weights add up to 0", route->name);
+  if (route->timeout <= 0)
+    return status_fail (STATUS_INVALID, "route %s: timeout must be over 0", route->name);
+  return check_stages (route);
+}
+
+enum status
+routing_check (const struct routing *routing)
+{
+  for (uint32_t i = 0; i < routing->n_routes; i++)
+    {
+      const struct route *route = &routing->routes[i];
+      enum status status = check_route (route);
+
+      if (status != STATUS_OK)
+        return status;
+      for (uint32_t j = 0; j < i; j++)
+        if (strcasecmp (route->host, routing->routes[j].host) == 0
+            && strcmp (route->prefix, routing->routes[j].prefix) == 0)
+          return status_fail (STATUS_INVALID, "routes %s and %s share host and prefix",
+                              routing->routes[j].name, route->name);
+    }
+  return STATUS_OK;
+}
+
+const struct route *
+routing_match (const struct routing *routing, const char *host, const char *target)
+{
+  const struct route *best = NULL;
+  size_t best_length = 0;
+  size_t host_length = strcspn (host, ":");
+  size_t path_length = strcspn (target, "?#");
+
+  for (uint32_t i = 0; i < routing->n_routes; i++)
+    {
+      const struct route *route = &routing->routes[i];
+      size_t length = strlen (route->prefix);
+
+      if (length <= best_length || length > path_length
+          || strncmp (route->prefix, target, length) != 0)
+        continue;
+      if (strlen (route->host) != host_length
+          || strncasecmp (route->host, host, host_length) != 0)
+        continue;
+      best = route;
+      best_length = length;
+    }
+  return best;
+}
+
+const struct organisation *
+routing_organisation (const struct routing *routing, const char *key)
+{
+  struct routing_key *entry;
+
+  HASH_FIND_STR (routing->keys, key, entry);
+  return entry == NULL ? NULL : &routing->organisations[entry->organisation];
+}
+
+uint32_t
+route_draw_pool (const struct route *route, double draw)
+{
+  uint32_t at = (uint32_t) (draw * route->weights);
+
+  for (uint32_t i = 0; i < route->n_shares; i++)
+    {
+      if (at < route->shares[i].weight)
+        return route->shares[i].pool;
+      at -= route->shares[i].weight;
+    }
+  return route->shares[0].pool;
+}
+
+uint32_t
+route_last_stages (const struct route *route)
+{
+  uint32_t needed = 0;
+
+  for (uint32_t i = 0; i < route->n_stages; i++)
+    needed |= route->stages[i].after;
+  return ((UINT32_C (1) << route->n_stages) - 1) & ~needed;
+}
--- /dev/null
+++ b/src/subscriber.h
@@ -0,0 +1,88 @@
+/* An entry host's view of the rest: the configuration in force, the targets, the other entry hosts,
+ * and since when a quorum last confirmed all that. */
+#ifndef SUBSCRIBER_H
+#define SUBSCRIBER_H
+
+#include "counter.h"
+#include "decls.h"
+#include "document.h"
+#include "peer.h"
+#include "registry.h"
+#include "routing.h"
+#include "sync.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+/* Each controller is asked this often: a change that a push did not bring is known within it, and
+ * the right to serve keyed requests is renewed many times before it ends. */
+#define SYNC_ASK_PERIOD (500 * USEC_PER_MSEC)
+
+/* Until the first answer. */
+#define SYNC_FIRST_ASK_PERIOD (100 * USEC_PER_MSEC)
+
+/* A controller or entry host not heard for so long counts as not in touch. */
+#define SYNC_TOUCH (2 * USEC_PER_SEC)
+
+struct subscriber;
+
+struct subscriber_listener
+{
+  const struct subscriber_listener_ops *ops;
+};
+
+struct subscriber_listener_ops
+{
+  /* A newer routing came into force; the one before lives until the call ends. */
+  void (*routing) (struct subscriber_listener *listener,
+                   const struct routing *routing,
+                   int64_t now);
+  void (*target) (struct subscriber_listener *listener,
+                  struct registry_target *target,
+                  int64_t now);
+};
+
+struct subscriber_config
+{
+  struct sync_host self;
+  const char *const *seeds; /* controllers' peer addresses */
+  uint32_t n_seeds;
+  struct peer_port *port;
+  struct timer_service *timers;
+  struct counters *counters;
+  struct routing_codec *codec;
+  struct subscriber_listener *listener;
+  int64_t target_lease; /* a target not heard for so long gets no new work */
+  int64_t ready_for;    /* after a confirmation this host counts as ready for so long */
+  int64_t (*boottime) (void);
+};
+
+/* Freed with `parent`.  NULL when memory is out. */
+struct subscriber *subscriber_new (void *parent, const struct subscriber_config *config);
+
+/* The seeds changed. */
+void subscriber_set_seeds (struct subscriber *subscriber,
+                           const char (*seeds)[ROUTING_NAME_SIZE],
+                           uint32_t n_seeds);
+
+/* NULL until one is in force. */
+const struct routing *subscriber_routing (const struct subscriber *subscriber);
+struct registry *subscriber_registry (const struct subscriber *subscriber);
+
+/* How long ago the newest confirmed question was asked, on the clock that goes on in suspension;
+ * USEC_NEVER when none was confirmed since the start. */
+int64_t subscriber_age (const struct subscriber *subscriber);
+
+/* May clients be sent here? */
+bool subscriber_ready (const struct subscriber *subscriber);
+
+/* We are shutting down: tell the controllers now. */
+void subscriber_leave (struct subscriber *subscriber, int64_t now);
+
+/* The entry hosts that may share work, ourselves among them unless we leave; sorted by name. */
+uint32_t subscriber_hosts (const struct subscriber *subscriber,
+                           const struct sync_host *out[SYNC_HOSTS_MAX]);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/sync.c
@@ -0,0 +1,119 @@
+/* Messages between entry hosts and controllers. */
+#include "sync.h"
+#include <string.h>
+#include <xxhash.h>
+
+#define SYNC_FORMAT 1
+
+uint64_t
+sync_id_hash (const char *id)
+{
+  return XXH3_64bits (id, strlen (id));
+}
+
+void
+sync_begin (enum sync_message type, struct bytes *out)
+{
+  pack_uint (out, SYNC_FORMAT);
+  pack_uint (out, type);
+}
+
+bool
+sync_read_type (struct pack_reader *in, enum sync_message *type)
+{
+  if (pack_read_uint (in, UINT64_MAX) != SYNC_FORMAT)
+    in->failed = true;
+  *type = (enum sync_message) pack_read_uint (in, SYNC_MESSAGE_COUNT - 1);
+  return pack_read_ok (in);
+}
+
+void
+sync_write_host (const struct sync_host *host, struct bytes *out)
+{
+  pack_text (out, host->name);
+  pack_text (out, host->address);
+  pack_text (out, host->domain);
+  pack_text (out, host->region);
+  pack_uint (out, host->incarnation);
+  pack_bool (out, host->ready);
+  pack_bool (out, host->leaving);
+}
+
+bool
+sync_read_host (struct pack_reader *in, struct sync_host *host)
+{
+  pack_read_text (in, host->name, sizeof host->name);
+  pack_read_text (in, host->address, sizeof host->address);
+  pack_read_text (in, host->domain, sizeof host->domain);
+  pack_read_text (in, host->region, sizeof host->region);
+  host->incarnation = pack_read_uint (in, UINT64_MAX);
+  host->ready = pack_read_bool (in);
+  host->leaving = pack_read_bool (in);
+  return pack_read_ok (in);
+}
+
+void
+sync_write_ask (const struct sync_ask *ask, struct bytes *out)
+{
+  pack_uint (out, ask->nonce);
+  pack_uint (out, ask->document);
+  pack_uint (out, ask->controller);
+  pack_uint (out, ask->targets);
+  pack_uint (out, ask->hosts);
+  sync_write_host (&ask->self, out);
+}
+
+bool
+sync_read_ask (struct pack_reader *in, struct sync_ask *ask)
+{
+  ask->nonce = pack_read_uint (in, UINT64_MAX);
+  ask->document = pack_read_uint (in, UINT64_MAX);
+  ask->controller = pack_read_uint (in, UINT64_MAX);
+  ask->targets = pack_read_uint (in, UINT64_MAX);
+  ask->hosts = pack_read_uint (in, UINT64_MAX);
+  return sync_read_host (in, &ask->self);
+}
+
+void
+sync_write_state (const struct sync_state *state, struct bytes *out)
+{
+  pack_uint (out, state->controller);
+  pack_uint (out, state->nonce);
+  pack_bool (out, state->confirmed);
+  pack_uint (out, state->document);
+  pack_uint (out, state->targets);
+  pack_uint (out, state->hosts);
+  pack_bool (out, state->has_document);
+  pack_bool (out, state->has_hosts);
+}
+
+bool
+sync_read_state (struct pack_reader *in, struct sync_state *state)
+{
+  state->controller = pack_read_uint (in, UINT64_MAX);
+  state->nonce = pack_read_uint (in, UINT64_MAX);
+  state->confirmed = pack_read_bool (in);
+  state->document = pack_read_uint (in, UINT64_MAX);
+  state->targets = pack_read_uint (in, UINT64_MAX);
+  state->hosts = pack_read_uint (in, UINT64_MAX);
+  state->has_document = pack_read_bool (in);
+  state->has_hosts = pack_read_bool (in);
+  return pack_read_ok (in);
+}
+
+void
+sync_write_renewal (const struct sync_renewal *renewal, struct bytes *out)
+{
+  pack_uint (out, renewal->id_hash);
+  pack_uint (out, renewal->sequence);
+  pack_uint (out, renewal->age);
+}
+
+bool
+sync_read_renewal (struct pack_reader *in, struct sync_renewal *renewal)
+{
+  renewal->id_hash = pack_read_uint (in, UINT64_MAX);
+  renewal->sequence = pack_read_uint (in, UINT64_MAX);
+  renewal->age = pack_read_uint (in, INT64_MAX);
+  return pack_read_ok (in);
+}
--- /dev/null
+++ b/src/tcp.h
@@ -0,0 +1,117 @@
+/* Byte streams over TCP on the loop: listeners, connections, bounded buffers of what is unsent.
+ *
+ * Beneath the forwarding of requests, where libwebsockets' HTTP does not fit (docs/DESIGN.md): an
+ * orderly end is told apart from a reset, which decides whether an answer without a length is
+ * whole. */
+#ifndef TCP_H
+#define TCP_H
+
+#include "bytes.h"
+#include "decls.h"
+#include "inet_address.h"
+#include "loop.h"
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+/* name, text */
+#define TCP_END_LIST(X)                                                                            \
+  X (ORDERLY, "closed by the other side")                                                          \
+  X (RESET, "reset")                                                                               \
+  X (REFUSED, "not established")                                                                   \
+  X (OVERFLOW, "the other side does not read")
+
+enum tcp_end
+{
+#define X(name, text) TCP_END_##name,
+  TCP_END_LIST (X)
+#undef X
+      TCP_END_COUNT
+};
+
+const char *tcp_end_text (enum tcp_end end);
+
+/* A connection that does not acknowledge what was sent, or a probe, for this long is dead: a cut
+ * link or a silently dropped flow shows no other error. */
+#define TCP_SILENCE_MS 3000
+
+/* Unsent bytes kept for one connection at most, in bytes; then it ends as overflowed. */
+#define TCP_UNSENT_MAX (16u << 20)
+
+struct tcp_stream;
+
+struct tcp_stream_ops
+{
+  void (*connected) (struct tcp_stream *stream, int64_t now);
+  void (*received) (struct tcp_stream *stream, const char *data, size_t length, int64_t now);
+
+  /* The connection is over; the stream may be freed or opened anew.  Not called after
+   * tcp_close(). */
+  void (*ended) (struct tcp_stream *stream, enum tcp_end end, int64_t now);
+};
+
+/* Embedded by its user, zeroed and then opened. */
+struct tcp_stream
+{
+  const struct tcp_stream_ops *ops;
+  struct loop *loop;
+  struct loop_watch watch;
+  int fd;
+  bool open;
+  bool connecting;
+  bool closing; /* ends once all is sent */
+  struct bytes *unsent;
+};
+
+/* Begin to connect; connected() or ended() follows from the loop. */
+enum status tcp_connect (struct tcp_stream *stream,
+                         const struct tcp_stream_ops *ops,
+                         struct loop *loop,
+                         const char *address);
+
+/* Take an accepted socket. */
+enum status tcp_accept (struct tcp_stream *stream,
+                        const struct tcp_stream_ops *ops,
+                        struct loop *loop,
+                        int fd);
+
+/* Send or keep; what cannot be kept ends the stream from the loop. */
+void tcp_write (struct tcp_stream *stream, const void *data, size_t length);
+size_t tcp_unsent (const struct tcp_stream *stream);
+
+/* Drop what is unsent, and close.  With `reset` the other side sees a reset, so that a cut answer
+ * cannot look complete. */
+void tcp_close (struct tcp_stream *stream, bool reset);
+
+/* Send what is left and our end, then throw away what comes until the other side ends too: closing
+ * with unread bytes would reset the connection and could take the answer with it.  ended() tells
+ * when; the user bounds the wait. */
+void tcp_close_when_sent (struct tcp_stream *stream);
+
+struct tcp_listener;
+
+struct tcp_listener_ops
+{
+  void (*accepted) (struct tcp_listener *listener, int fd, int64_t now);
+};
+
+/* Embedded by its user. */
+struct tcp_listener
+{
+  const struct tcp_listener_ops *ops;
+  struct loop *loop;
+  struct loop_watch watch;
+  int fd;
+};
+
+enum status tcp_listen (struct tcp_listener *listener,
+                        const struct tcp_listener_ops *ops,
+                        struct loop *loop,
+                        const char *address);
+void tcp_listener_close (struct tcp_listener *listener);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/work.c
@@ -0,0 +1,452 @@
+/* Stage work as an entry host asks for it, and as the owner of a pool takes it in. */
+#include "work.h"
+#include "container.h"
+#include "log.h"
+#include "pack.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#define WORK_FORMAT 1
+
+/* Written into messages: never renumbered. */
+enum work_message
+{
+  WORK_RUN = 0,    /* to the owner */
+  WORK_DONE = 1,   /* its answer */
+  WORK_CANCEL = 2, /* to the owner */
+  WORK_FREE = 3,   /* to the owner: results nobody needs */
+  WORK_MESSAGE_COUNT
+};
+
+#define INPUT_BYTES_MAX 65536
+
+struct work
+{
+  struct work_config config;
+  struct peer_listener listener;
+  struct work_order *orders;
+  uint64_t last_number;
+  struct counter *submitted;
+  struct counter *resent;
+  struct counter *failed;
+};
+
+/* ---- who owns a pool ---- */
+
+static uint64_t
+owner_score (const char *host, const char *pool)
+{
+  uint64_t seed = XXH3_64bits (pool, strlen (pool));
+
+  return XXH3_64bits_withSeed (host, strlen (host), seed);
+}
+
+/* The host with the highest score; ourselves when no other is known. */
+static const char *
+owner_of (const struct work *work, const char *pool)
+{
+  const struct sync_host *hosts[SYNC_HOSTS_MAX];
+  uint32_t n = subscriber_hosts (work->config.subscriber, hosts);
+  const char *best = work->config.name;
+  uint64_t best_score = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      uint64_t score = owner_score (hosts[i]->name, pool);
+
+      if (score < best_score)
+        continue;
+      best = hosts[i]->name;
+      best_score = score;
+    }
+  return best;
+}
+
+/* ---- messages ---- */
+
+static void
+begin (enum work_message type, struct bytes *out)
+{
+  bytes_init (out, NULL);
+  pack_uint (out, WORK_FORMAT);
+  pack_uint (out, type);
+}
+
+static enum status
+send_bytes (struct work *work, const char *host, struct bytes *out)
+{
+  enum status status = STATUS_NO_MEMORY;
+
+  if (!bytes_failed (out))
+    status = work->config.port->ops->send (work->config.port, host, PEER_CHANNEL_WORK, out->data,
+                                           out->length);
+  bytes_clear (out);
+  return status;
+}
+
+static uint64_t
+span (int64_t until, int64_t now)
+{
+  return until > now ? (uint64_t) (until - now) : 0;
+}
+
+static enum status
+send_run (struct work *work, const struct work_order *order, int64_t now)
+{
+  struct bytes out;
+
+  begin (WORK_RUN, &out);
+  pack_uint (&out, order->number);
+  pack_text (&out, order->request);
+  pack_uint (&out, order->stage);
+  pack_text (&out, order->pool);
+  pack_text (&out, order->near);
+  pack_uint (&out, order->result_size);
+  pack_text (&out, order->key);
+  pack_binary (&out, order->inputs_copy == NULL ? "" : order->inputs_copy,
+               order->inputs_copy == NULL ? 0 : strlen (order->inputs_copy));
+  pack_uint (&out, span (order->due, now));
+  pack_uint (&out, span (order->deadline, now));
+  pack_uint (&out, order->n_pieces);
+  return send_bytes (work, order->owner, &out);
+}
+
+/* ---- orders of our own ---- */
+
+static struct work_order *
+find_order (struct work *work, uint64_t number)
+{
+  struct work_order *order;
+
+  DL_FOREACH (work->orders, order)
+  if (order->number == number)
+    return order;
+  return NULL;
+}
+
+static void
+drop (struct work_order *order)
+{
+  struct work *work = order->work;
+
+  timer_disarm (work->config.timers, &order->timer);
+  DL_DELETE (work->orders, order);
+  talloc_free (order->inputs_copy);
+  order->inputs_copy = NULL;
+  order->work = NULL;
+}
+
+static void
+finish (struct work_order *order, enum piece_end end, int64_t now)
+{
+  if (end != PIECE_DONE)
+    counter_add (order->work->failed, 1);
+  drop (order);
+  order->ops->done (order, end, now);
+}
+
+static void
+local_done (struct batch_order *batch_order, enum piece_end end, int64_t now)
+{
+  struct work *work = batch_order->user;
+  struct work_order *order = find_order (work, batch_order->number);
+
+  if (order == NULL)
+    return;
+  order->local = NULL;
+  for (uint32_t i = 0; end == PIECE_DONE && i < order->n_pieces; i++)
+    memcpy (order->handles[i], batch_order->results[i].handle, DIALECT_HANDLE_SIZE);
+  finish (order, end, now);
+}
+
+static const struct batch_order_ops local_ops = { .done = local_done };
+
+static void
+run_here (struct work *work, struct work_order *order, int64_t now)
+{
+  struct batch_order *local = batch_order_new (work->config.batch, order->n_pieces);
+
+  if (local == NULL)
+    {
+      finish (order, PIECE_FAILED, now);
+      return;
+    }
+  local->ops = &local_ops;
+  local->user = work;
+  local->number = order->number;
+  local->stage = order->stage;
+  local->result_size = order->result_size;
+  local->due = order->due;
+  local->deadline = order->deadline;
+  text_copy_cut (local->origin, sizeof local->origin, work->config.name);
+  text_copy_cut (local->request, sizeof local->request, order->request);
+  text_copy_cut (local->pool, sizeof local->pool, order->pool);
+  text_copy_cut (local->near, sizeof local->near, order->near);
+  text_copy_cut (local->key, sizeof local->key, order->key);
+  if (order->inputs_copy != NULL)
+    local->inputs = talloc_strdup (local, order->inputs_copy);
+  order->local = local;
+  batch_submit (work->config.batch, local, now);
+}
+
+/* Send to the owner, or do it here where we own the pool or cannot reach who does. */
+static void
+dispatch (struct work_order *order, int64_t now)
+{
+  struct work *work = order->work;
+
+  text_copy_cut (order->owner, sizeof order->owner, owner_of (work, order->pool));
+  if (strcmp (order->owner, work->config.name) != 0 && send_run (work, order, now) == STATUS_OK)
+    {
+      timer_arm (work->config.timers, &order->timer, now + WORK_RESEND);
+      return;
+    }
+  text_copy_cut (order->owner, sizeof order->owner, work->config.name);
+  timer_arm (work->config.timers, &order->timer, order->deadline);
+  run_here (work, order, now);
+}
+
+/* The owner may be dead, or the message lost with its connection: the pieces are made again, by the
+ * owner as it is now known. */
+static void
+order_fired (struct timer *timer, int64_t now)
+{
+  struct work_order *order = CONTAINER_OF (timer, struct work_order, timer);
+
+  if (now >= order->deadline)
+    {
+      if (order->local != NULL)
+        batch_cancel (order->work->config.batch, order->local);
+      order->local = NULL;
+      finish (order, PIECE_LATE, now);
+      return;
+    }
+  if (order->owner[0] == '\0')
+    {
+      dispatch (order, now);
+      return;
+    }
+  counter_add (order->work->resent, 1);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "stage-work-resent", "{s:s,s:i,s:s,s:s}", "id",
+             order->request, "stage", (int) order->stage, "pool", order->pool, "owner",
+             order->owner);
+  dispatch (order, now);
+}
+
+static const struct timer_ops order_ops = { .fire = order_fired };
+
+void
+work_submit (struct work *work, struct work_order *order, int64_t now)
+{
+  order->work = work;
+  order->number = ++work->last_number;
+  order->timer = (struct timer){ .ops = &order_ops };
+  order->local = NULL;
+  order->inputs_copy = order->inputs == NULL ? NULL : talloc_strdup (work, order->inputs);
+  DL_APPEND (work->orders, order);
+  counter_add (work->submitted, 1);
+  /* From the loop, so that done() never comes while its user is still at work on the order. */
+  timer_arm (work->config.timers, &order->timer, now);
+}
+
+void
+work_cancel (struct work_order *order)
+{
+  struct work *work = order->work;
+  struct bytes out;
+
+  if (work == NULL)
+    return;
+  if (order->local != NULL)
+    batch_cancel (work->config.batch, order->local);
+  else
+    {
+      begin (WORK_CANCEL, &out);
+      pack_uint (&out, order->number);
+      send_bytes (work, order->owner, &out);
+    }
+  order->local = NULL;
+  drop (order);
+}
+
+void
+work_free_results (struct work *work,
+                   const char *pool,
+                   const char (*handles)[DIALECT_HANDLE_SIZE],
+                   uint32_t n)
+{
+  const char *owner = owner_of (work, pool);
+  struct bytes out;
+
+  if (strcmp (owner, work->config.name) == 0)
+    {
+      for (uint32_t i = 0; i < n; i++)
+        batch_free_result (work->config.batch, pool, handles[i]);
+      return;
+    }
+  begin (WORK_FREE, &out);
+  pack_text (&out, pool);
+  pack_array (&out, n);
+  for (uint32_t i = 0; i < n; i++)
+    pack_text (&out, handles[i]);
+  send_bytes (work, owner, &out);
+}
+
+static void
+got_done (struct work *work, struct pack_reader *in, const char *from, int64_t now)
+{
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  enum piece_end end = (enum piece_end) pack_read_uint (in, PIECE_END_COUNT - 1);
+  uint32_t n = pack_read_array (in, DIALECT_PIECES_MAX);
+  struct work_order *order = pack_read_ok (in) ? find_order (work, number) : NULL;
+
+  /* An owner of before may still answer: its results are as good, but only whole ones. */
+  if (order == NULL || order->local != NULL
+      || (end != PIECE_DONE && strcmp (from, order->owner) != 0)
+      || (end == PIECE_DONE && n != order->n_pieces))
+    return;
+  for (uint32_t i = 0; i < n; i++)
+    pack_read_text (in, order->handles[i], DIALECT_HANDLE_SIZE);
+  if (pack_read_end (in))
+    finish (order, end, now);
+}
+
+/* ---- orders of other hosts ---- */
+
+static void
+remote_done (struct batch_order *order, enum piece_end end, int64_t now)
+{
+  struct work *work = order->user;
+  uint32_t n = end == PIECE_DONE ? order->n_pieces : 0;
+  struct bytes out;
+
+  (void) now;
+  begin (WORK_DONE, &out);
+  pack_uint (&out, order->number);
+  pack_uint (&out, end);
+  pack_array (&out, n);
+  for (uint32_t i = 0; i < n; i++)
+    pack_text (&out, order->results[i].handle);
+  send_bytes (work, order->origin, &out);
+}
+
+static const struct batch_order_ops remote_ops = { .done = remote_done };
+
+static void
+got_run (struct work *work, struct pack_reader *in, const char *from, int64_t now)
+{
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct batch_order read = { .ops = &remote_ops, .user = work, .number = number };
+  struct batch_order *order;
+  const char *inputs;
+  size_t inputs_length = 0;
+  uint64_t due;
+  uint64_t deadline;
+
+  pack_read_text (in, read.request, sizeof read.request);
+  read.stage = (uint32_t) pack_read_uint (in, ROUTING_STAGES_MAX);
+  pack_read_text (in, read.pool, sizeof read.pool);
+  pack_read_text (in, read.near, sizeof read.near);
+  read.result_size = pack_read_uint (in, INT64_MAX);
+  pack_read_text (in, read.key, sizeof read.key);
+  inputs = pack_read_binary (in, INPUT_BYTES_MAX, &inputs_length);
+  due = pack_read_uint (in, INT32_MAX);
+  deadline = pack_read_uint (in, INT32_MAX);
+  read.n_pieces = (uint32_t) pack_read_uint (in, DIALECT_PIECES_MAX);
+  if (!pack_read_end (in) || read.n_pieces == 0
+      || batch_find (work->config.batch, from, number) != NULL)
+    return;
+  order = batch_order_new (work->config.batch, read.n_pieces);
+  if (order == NULL)
+    return;
+  read.results = order->results;
+  *order = read;
+  text_copy_cut (order->origin, sizeof order->origin, from);
+  order->due = now + (int64_t) due;
+  order->deadline = now + (int64_t) deadline;
+  if (inputs_length > 0)
+    order->inputs = talloc_strndup (order, inputs, inputs_length);
+  batch_submit (work->config.batch, order, now);
+}
+
+static void
+got_cancel (struct work *work, struct pack_reader *in, const char *from)
+{
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct batch_order *order;
+
+  if (!pack_read_end (in))
+    return;
+  order = batch_find (work->config.batch, from, number);
+  if (order != NULL)
+    batch_cancel (work->config.batch, order);
+}
+
+static void
+got_free (struct work *work, struct pack_reader *in)
+{
+  char pool[ROUTING_NAME_SIZE];
+  uint32_t n;
+
+  pack_read_text (in, pool, sizeof pool);
+  n = pack_read_array (in, DIALECT_PIECES_MAX);
+  for (uint32_t i = 0; i < n; i++)
+    {
+      char handle[DIALECT_HANDLE_SIZE];
+
+      pack_read_text (in, handle, sizeof handle);
+      if (!pack_read_ok (in))
+        return;
+      batch_free_result (work->config.batch, pool, handle);
+    }
+}
+
+static void
+received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct work *work = CONTAINER_OF (listener, struct work, listener);
+  struct pack_reader in;
+  uint64_t type;
+
+  pack_reader_init (&in, data, length);
+  if (pack_read_uint (&in, UINT64_MAX) != WORK_FORMAT)
+    return;
+  type = pack_read_uint (&in, WORK_MESSAGE_COUNT - 1);
+  if (!pack_read_ok (&in))
+    return;
+  if (type == WORK_RUN)
+    got_run (work, &in, from, now);
+  else if (type == WORK_DONE)
+    got_done (work, &in, from, now);
+  else if (type == WORK_CANCEL)
+    got_cancel (work, &in, from);
+  else
+    got_free (work, &in);
+}
+
+static const struct peer_listener_ops listener_ops = { .received = received };
+
+struct work *
+work_new (void *parent, const struct work_config *config)
+{
+  struct work *work = talloc_zero (parent, struct work);
+
+  if (work == NULL)
+    return NULL;
+  work->config = *config;
+  work->listener.ops = &listener_ops;
+  work->last_number = config->first_number;
+  work->submitted =
+      counter_get (config->counters, "cherryarch_work_orders_total", "Stages ordered.", NULL);
+  work->resent = counter_get (config->counters, "cherryarch_work_resent_total",
+                              "Stages ordered again for want of news.", NULL);
+  work->failed = counter_get (config->counters, "cherryarch_work_failed_total",
+                              "Stages that could not be made in time.", NULL);
+  config->port->ops->listen (config->port, PEER_CHANNEL_WORK, &work->listener);
+  return work;
+}
--- /dev/null
+++ b/src/work.h
@@ -0,0 +1,86 @@
+/* Stage work as an entry host asks for it: all pieces of one stage of one request.
+ *
+ * Each pool of targets that run pieces in batches has one owner among the entry hosts, which packs
+ * the pieces of all of them into full calls: a call costs far more than a piece in it, and hosts
+ * that each batched alone would make small calls that collide.  All hosts name the same owner by
+ * hashing; where their lists differ for a moment there are two, which costs some efficiency and
+ * nothing else, since a piece may be made again. */
+#ifndef WORK_H
+#define WORK_H
+
+#include "batch.h"
+#include "decls.h"
+#include "dialect.h"
+#include "peer.h"
+#include "subscriber.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+/* Without news from the owner for so long beyond the expected time the pieces are sent again. */
+#define WORK_RESEND (1500 * USEC_PER_MSEC)
+
+struct work;
+
+struct work_config
+{
+  const char *name; /* our peer address */
+  struct subscriber *subscriber;
+  struct batch *batch; /* does the work of the pools we own */
+  struct peer_port *port;
+  struct timer_service *timers;
+  struct counters *counters;
+  uint64_t first_number; /* random: an order of an earlier start must not pass for one of ours */
+};
+
+struct work *work_new (void *parent, const struct work_config *config);
+
+struct work_order;
+
+struct work_order_ops
+{
+  /* DONE: `handles` are the results in order. */
+  void (*done) (struct work_order *order, enum piece_end end, int64_t now);
+};
+
+/* Embedded by its user and filled up to `n_pieces`. */
+struct work_order
+{
+  const struct work_order_ops *ops;
+  char request[DIALECT_ID_SIZE];
+  uint32_t stage;
+  char pool[ROUTING_NAME_SIZE];
+  char near[ROUTING_NAME_SIZE]; /* failure domain where the results are wanted; "" for any */
+  uint64_t result_size;
+  char key[DIALECT_ID_SIZE];
+  const char *inputs; /* NULL with a key; copied */
+  int64_t due;        /* later results make the request late */
+  int64_t deadline;   /* later results are worthless */
+  uint32_t n_pieces;
+  char (*handles)[DIALECT_HANDLE_SIZE]; /* of n_pieces, its user's */
+
+  /* work's own */
+  struct work *work;
+  struct timer timer;
+  uint64_t number;
+  char owner[ROUTING_NAME_SIZE];
+  char *inputs_copy;
+  struct batch_order *local;
+  struct work_order *prev;
+  struct work_order *next;
+};
+
+void work_submit (struct work *work, struct work_order *order, int64_t now);
+
+/* Withdraw; results that come nevertheless are freed. */
+void work_cancel (struct work_order *order);
+
+/* Results are no longer needed. */
+void work_free_results (struct work *work,
+                        const char *pool,
+                        const char (*handles)[DIALECT_HANDLE_SIZE],
+                        uint32_t n);
+
+END_DECLS
+
+#endif
