Begin stages that only the model needs late, and batch by urgency and nearness

Cause: results of 3 MB lay at their makers for the whole chain's time, so the room of 14 results a target bound the calls; and most results crossed zones.

--- a/src/batch.c
+++ b/src/batch.c
@@ -148,12 +148,11 @@
 
 /* ---- the queue ---- */
 
-static int
-compare_due (const struct batch_piece *a, const struct batch_piece *b)
+/* When a piece should be taken, urgency counted as time. */
+static int64_t
+rank (const struct batch_piece *piece)
 {
-  if (a->order->due != b->order->due)
-    return a->order->due < b->order->due ? -1 : 1;
-  return 0;
+  return piece->order->due + (int64_t) piece->order->urgency * BATCH_URGENCY_STEP;
 }
 
 static void
@@ -162,7 +161,7 @@
   struct batch_piece *at;
 
   DL_FOREACH (pool->queue, at)
-  if (compare_due (piece, at) < 0)
+  if (rank (piece) < rank (at))
     break;
   if (at == NULL)
     DL_APPEND (pool->queue, piece);
@@ -228,34 +227,58 @@
          || target->results == NULL;
 }
 
-/* The idle target for the piece that is due first: in the failure domain where the result is
- * wanted, and fast.  Counts the idle ones. */
+/* Must the piece go to a target in the failure domain where its result is wanted?  Only while it
+ * has time to spare, and there is such a target. */
+static bool
+waits_for_near (const struct batch_pool *pool, const struct batch_piece *piece, int64_t now)
+{
+  const struct batch_order *order = piece->order;
+
+  if (order->near[0] == '\0' || now + batch_expected (pool, 1) + BATCH_NEAR_SLACK >= order->due)
+    return false;
+  for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
+       at = at->next)
+    if (at->usable && strcmp (at->pool, pool->name) == 0 && strcmp (at->domain, order->near) == 0)
+      return true;
+  return false;
+}
+
+static bool
+may_go_to (const struct batch_pool *pool,
+           const struct batch_piece *piece,
+           const struct balance_target *at,
+           int64_t now)
+{
+  return strcmp (piece->order->near, at->domain) == 0 || !waits_for_near (pool, piece, now);
+}
+
+/* The idle target to be given work next: the fastest for which there is a piece, one that is near
+ * before others.  Counts the idle ones. */
 static struct batch_target *
-choose_target (struct batch_pool *pool,
-               const struct batch_piece *first,
-               uint32_t *n_idle,
-               int64_t now)
+choose_target (struct batch_pool *pool, uint32_t *n_idle, int64_t now)
 {
-  struct balance *balance = pool->batch->config.balance;
   struct batch_target *best = NULL;
   double best_cost = 0;
 
   *n_idle = 0;
-  for (struct balance_target *at = balance->targets; at != NULL; at = at->next)
+  for (struct balance_target *at = pool->batch->config.balance->targets; at != NULL; at = at->next)
     {
       struct batch_target *target;
+      struct batch_piece *piece;
       double cost;
 
       if (strcmp (at->pool, pool->name) != 0)
         continue;
       target = batch_target_of (pool, at);
-      if (target == NULL || !can_take (pool, target, at, now)
-          || !has_room (pool, target, first->result_size))
+      if (target == NULL || !can_take (pool, target, at, now))
         continue;
       ++*n_idle;
-      cost = target->slowness;
-      if (first->order->near[0] != '\0' && strcmp (first->order->near, at->domain) != 0)
-        cost += 1.0;
+      DL_FOREACH (pool->queue, piece)
+      if (has_room (pool, target, piece->result_size) && may_go_to (pool, piece, at, now))
+        break;
+      if (piece == NULL)
+        continue;
+      cost = target->slowness + (strcmp (piece->order->near, at->domain) == 0 ? 0.0 : 1.0);
       if (best == NULL || cost < best_cost)
         {
           best = target;
@@ -265,15 +288,18 @@
   return best;
 }
 
-/* Take pieces for one call: those due first, as many as fit, and not all where other targets are
- * idle too. */
+/* Take pieces for one call: in their order those that fit and may go there, and not all where other
+ * targets are idle too. */
 static uint32_t
 take_pieces (struct batch_pool *pool,
              const struct batch_target *target,
              uint32_t n_idle,
+             int64_t now,
              struct batch_piece *out[BATCH_CALL_PIECES_MAX])
 {
   uint32_t most = (pool->n_queued + n_idle - 1) / n_idle;
+  struct batch_piece *piece;
+  struct batch_piece *next;
   uint64_t size = 0;
   uint32_t n = 0;
 
@@ -281,17 +307,18 @@
     most = pool->spec.pieces;
   if (most > BATCH_CALL_PIECES_MAX)
     most = BATCH_CALL_PIECES_MAX;
-  while (n < most && pool->queue != NULL)
-    {
-      struct batch_piece *piece = pool->queue;
-
-      if (n > 0 && !has_room (pool, target, size + piece->result_size))
-        break;
-      size += piece->result_size;
-      DL_DELETE (pool->queue, piece);
-      pool->n_queued--;
-      out[n++] = piece;
-    }
+  DL_FOREACH_SAFE (pool->queue, piece, next)
+  {
+    if (n == most)
+      break;
+    if (!has_room (pool, target, size + piece->result_size)
+        || !may_go_to (pool, piece, target->target, now))
+      continue;
+    size += piece->result_size;
+    DL_DELETE (pool->queue, piece);
+    pool->n_queued--;
+    out[n++] = piece;
+  }
   return n;
 }
 
@@ -305,13 +332,13 @@
     {
       struct batch_piece *pieces[BATCH_CALL_PIECES_MAX];
       uint32_t n_idle;
-      struct batch_target *target = choose_target (pool, pool->queue, &n_idle, now);
+      struct batch_target *target = choose_target (pool, &n_idle, now);
       uint32_t n;
 
       if (target == NULL)
         break;
-      n = take_pieces (pool, target, n_idle, pieces);
-      if (batch_call_start (pool, target, pieces, n, now))
+      n = take_pieces (pool, target, n_idle, now, pieces);
+      if (n > 0 && batch_call_start (pool, target, pieces, n, now))
         continue;
       target->paused_until = now + BATCH_NO_ROOM_PAUSE;
       for (uint32_t i = 0; i < n; i++)
--- a/src/batch.h
+++ b/src/batch.h
@@ -23,6 +23,13 @@
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
 
+/* Where pieces wait, one less urgent by one step goes behind those due this much later. */
+#define BATCH_URGENCY_STEP (300 * USEC_PER_MSEC)
+
+/* A piece waits for a target in the failure domain where its result is wanted while it has so much
+ * time to spare: a result of megabytes that crosses costs more than the wait. */
+#define BATCH_NEAR_SLACK (300 * USEC_PER_MSEC)
+
 /* A target that said it has no room gets nothing for so long. */
 #define BATCH_NO_ROOM_PAUSE (100 * USEC_PER_MSEC)
 
@@ -64,6 +71,7 @@
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   char *inputs; /* talloc child; NULL with a key */
+  uint32_t urgency;
   int64_t due;
   int64_t deadline;
   uint32_t n_pieces;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -59,6 +59,7 @@
   enum stage_state state;
   char pool[ROUTING_NAME_SIZE];
   uint32_t pieces;
+  int64_t begun;
   int64_t expected; /* time that it takes on an idle target */
   int64_t tail;     /* expected from its end to the first byte of the answer */
   char (*handles)[DIALECT_HANDLE_SIZE];
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -12,6 +12,9 @@
  * prompt is read.  An estimate that orders work; a tenth of a second more or less changes little. */
 #define FIRST_BYTE_TIME (120 * USEC_PER_MSEC)
 
+/* A call's time and its queue vary by about so much. */
+#define EARLY_MARGIN (100 * USEC_PER_MSEC)
+
 /* When stage targets may have caught up, in seconds: about two of their calls. */
 #define STAGE_RETRY_AFTER 0.5
 
@@ -209,6 +212,7 @@
     .inputs = inputs.length > 0 ? inputs.data : NULL,
     .due = job->objective_at - stage->tail,
     .deadline = job->deadline - stage->tail,
+    .urgency = job->route.priority,
     .n_pieces = pieces_of (job, number),
     .handles = stage->handles,
   };
@@ -217,10 +221,45 @@
   text_copy_cut (stage->order.near, sizeof stage->order.near, near);
   text_copy_cut (stage->order.pool, sizeof stage->order.pool, stage->pool);
   stage->state = STAGE_RUNNING;
+  stage->begun = now;
   work_submit (job->forward->config.work, &stage->order, now);
   bytes_clear (&inputs);
 }
 
+/* The longest way that is still to go without this stage. */
+static int64_t
+rest_without (const struct forward_job *job, uint32_t stage, int64_t now)
+{
+  int64_t longest = 0;
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    {
+      const struct forward_stage *other = &job->stages[i];
+      int64_t rest = other->expected + other->tail;
+
+      if (i == stage || is_made (job, i))
+        continue;
+      if (other->state == STAGE_RUNNING)
+        rest -= now - other->begun;
+      if (rest > longest)
+        longest = rest;
+    }
+  return longest;
+}
+
+/* Results wait at their makers, whose room is small: a stage that only the model needs begins when
+ * the rest of the way is not much longer than its own, so that its results lie for a fraction of a
+ * second in place of the whole chain's time. */
+static bool
+is_early (const struct forward_job *job, uint32_t stage, int64_t now)
+{
+  const struct forward_stage *at = &job->stages[stage];
+  uint32_t last = route_last_stages (&job->route);
+
+  return (last & (UINT32_C (1) << stage)) != 0
+         && rest_without (job, stage, now) > at->expected + at->tail + EARLY_MARGIN;
+}
+
 static void
 advance (struct forward_job *job, int64_t now)
 {
@@ -228,7 +267,8 @@
 
   for (uint32_t i = 0; i < job->route.n_stages; i++)
     if (job->stages[i].state == STAGE_IDLE && pieces_of (job, i) > 0
-        && all_made (job, through_left_out (job, job->route.stages[i].after)))
+        && all_made (job, through_left_out (job, job->route.stages[i].after))
+        && !is_early (job, i, now))
       order_stage (job, i, now);
   if (!all_made (job, all))
     return;
--- a/src/work.c
+++ b/src/work.c
@@ -109,6 +109,7 @@
   pack_text (&out, order->key);
   pack_binary (&out, order->inputs_copy == NULL ? "" : order->inputs_copy,
                order->inputs_copy == NULL ? 0 : strlen (order->inputs_copy));
+  pack_uint (&out, order->urgency);
   pack_uint (&out, span (order->due, now));
   pack_uint (&out, span (order->deadline, now));
   pack_uint (&out, order->n_pieces);
@@ -180,6 +181,7 @@
   local->number = order->number;
   local->stage = order->stage;
   local->result_size = order->result_size;
+  local->urgency = order->urgency;
   local->due = order->due;
   local->deadline = order->deadline;
   text_copy_cut (local->origin, sizeof local->origin, work->config.name);
@@ -354,6 +356,7 @@
   read.result_size = pack_read_uint (in, INT64_MAX);
   pack_read_text (in, read.key, sizeof read.key);
   inputs = pack_read_binary (in, INPUT_BYTES_MAX, &inputs_length);
+  read.urgency = (uint32_t) pack_read_uint (in, UINT32_MAX);
   due = pack_read_uint (in, INT32_MAX);
   deadline = pack_read_uint (in, INT32_MAX);
   read.n_pieces = (uint32_t) pack_read_uint (in, DIALECT_PIECES_MAX);
--- a/src/work.h
+++ b/src/work.h
@@ -54,6 +54,7 @@
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   const char *inputs; /* NULL with a key; copied */
+  uint32_t urgency;   /* 0 is first */
   int64_t due;        /* later results make the request late */
   int64_t deadline;   /* later results are worthless */
   uint32_t n_pieces;
