Choose model engines on a picture that all entry hosts share

Cause: each host knew only its own requests, so prompts queued behind each other on some engines while others stood idle, and shared parts were read again; stage results lay at their makers meanwhile.

--- a/src/balance.c
+++ b/src/balance.c
@@ -7,13 +7,19 @@
 
 #define CANDIDATES_MAX 512
 
+/* Between engines that cost the same up to so much, in microseconds, the prompt's key decides. */
+#define FIRST_PLACE_US 10000.0
+
 /* A share of failed calls above which a target whose calls sometimes succeed is ejected too. */
 #define FAILING_SHARE 0.3
 
 void
-balance_init (struct balance *balance, const char *domain, uint64_t seed)
+balance_init (struct balance *balance,
+              const char *domain,
+              struct engine_load *engines,
+              uint64_t seed)
 {
-  *balance = (struct balance){ .domain = domain, .n_entry_hosts = 1 };
+  *balance = (struct balance){ .domain = domain, .engines = engines, .n_entry_hosts = 1 };
   rng_init (&balance->rng, seed);
 }
 
@@ -43,6 +49,7 @@
       text_copy_cut (target->pool, sizeof target->pool, record->word.pool);
       text_copy_cut (target->domain, sizeof target->domain, record->word.domain);
       text_copy_cut (target->address, sizeof target->address, record->word.address);
+      target->id_hash = XXH3_64bits (target->id, strlen (target->id));
       target->record = record;
       target->next = balance->targets;
       balance->targets = target;
@@ -50,6 +57,8 @@
     }
   target->usable = registry_usable (record);
   target->gone = record->word.state != REGISTRY_READY;
+  if (record->word.state == REGISTRY_GONE)
+    engine_load_forget (balance->engines, target->id_hash);
 }
 
 void
@@ -143,44 +152,53 @@
   return best;
 }
 
-static uint64_t
-affinity_score (const struct balance_target *target, uint64_t key)
+static double
+engine_cost (const struct balance *balance,
+             const struct balance_target *target,
+             const struct balance_prompt *prompt,
+             int64_t now)
+{
+  struct engine_cost cost;
+  double total;
+
+  engine_load_cost (balance->engines, target->id_hash, &prompt->prompt, now, &cost);
+  total = (double) cost.wait + BALANCE_READ_AGAIN_US * cost.read_again;
+  if (prompt->near[0] != '\0' && strcmp (prompt->near, target->domain) != 0)
+    total += BALANCE_CROSSING_US * (double) prompt->result_bytes / 1000.0;
+  return total;
+}
+
+/* A prompt that no engine knows gets the same place from all hosts: they do not hear of each other's
+ * choice at once. */
+static double
+first_place (const struct balance_target *target, const struct balance_prompt *prompt)
 {
-  return XXH3_64bits_withSeed (target->id, strlen (target->id), key);
+  uint32_t n = prompt->prompt.n_parts;
+  uint64_t key = n == 0 ? 0 : prompt->prompt.parts[n - 1];
+  uint64_t score = XXH3_64bits_withSeed (target->id, strlen (target->id), key);
+
+  return (double) (score >> 11) / (double) (UINT64_C (1) << 53);
 }
 
-/* Highest random weight: all entry hosts agree on a part's place without talking, and a target that
- * goes moves only its own parts.  A place that has much more than its share of our work, or is
- * slow, passes the request on to the next. */
 static struct balance_target *
-by_affinity (struct balance_target **candidates,
-             uint32_t n,
-             const struct balance_affinity *affinity)
+cheapest_engine (struct balance *balance,
+                 struct balance_target **candidates,
+                 uint32_t n,
+                 const struct balance_prompt *prompt,
+                 int64_t now)
 {
   struct balance_target *best = NULL;
-  double in_flight = 0;
-  double latency = 0;
-  uint64_t best_score = 0;
-  double bound;
+  double best_cost = 0;
 
   for (uint32_t i = 0; i < n; i++)
     {
-      in_flight += candidates[i]->in_flight;
-      latency += latency_of (candidates[i]);
-    }
-  bound = 2.0 * (in_flight + 1) / n + 2;
-  latency /= n;
-  for (uint32_t i = 0; i < n; i++)
-    {
-      struct balance_target *target = candidates[i];
-      uint64_t score = affinity_score (target, affinity->key);
+      double cost = engine_cost (balance, candidates[i], prompt, now)
+                    + FIRST_PLACE_US * first_place (candidates[i], prompt);
 
-      if (target->in_flight >= bound || latency_of (target) > BALANCE_SLOW_FACTOR * latency)
-        continue;
-      if (best == NULL || score > best_score)
+      if (best == NULL || cost < best_cost)
         {
-          best = target;
-          best_score = score;
+          best = candidates[i];
+          best_cost = cost;
         }
     }
   return best;
@@ -189,7 +207,7 @@
 struct balance_target *
 balance_choose (struct balance *balance,
                 const char *pool,
-                const struct balance_affinity *affinity,
+                const struct balance_prompt *prompt,
                 struct balance_target *const *tried,
                 uint32_t n_tried,
                 int64_t now)
@@ -200,8 +218,8 @@
 
   if (n == 0)
     return NULL;
-  if (affinity != NULL && affinity->present)
-    chosen = by_affinity (candidates, n, affinity);
+  if (prompt != NULL && prompt->present)
+    chosen = cheapest_engine (balance, candidates, n, prompt, now);
   return chosen != NULL ? chosen : least_loaded (balance, candidates, n);
 }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -5,6 +5,7 @@
 #define BALANCE_H
 
 #include "decls.h"
+#include "engine_load.h"
 #include "registry.h"
 #include "rng.h"
 #include "routing.h"
@@ -22,9 +23,6 @@
 #define BALANCE_EJECT (1000 * USEC_PER_MSEC)
 #define BALANCE_EJECT_MAX (8 * USEC_PER_SEC)
 
-/* A target whose answers take this many times the pool's median counts as slow. */
-#define BALANCE_SLOW_FACTOR 2.5
-
 /* Weight of a new sample in a target's mean latency. */
 #define BALANCE_SMOOTHING 0.2
 
@@ -42,6 +40,7 @@
   char domain[ROUTING_NAME_SIZE];
   char address[ROUTING_NAME_SIZE];
   char id[ROUTING_NAME_SIZE];
+  uint64_t id_hash;
   bool usable;       /* registered, ready and heard lately */
   bool gone;         /* must get nothing more */
   uint32_t in_flight;
@@ -53,12 +52,19 @@
   struct balance_target *next;
 };
 
-/* One prompt part that requests share. */
-struct balance_affinity
+/* What a choice among model engines weighs beside the wait, as time: a thousand shared tokens that
+ * are read again although another engine holds them, and a megabyte of results that crosses failure
+ * domains.  Both follow the users' prices against what a late answer loses. */
+#define BALANCE_READ_AGAIN_US 26.0 /* a token */
+#define BALANCE_CROSSING_US 10.0   /* a kilobyte */
+
+/* A request to a model engine. */
+struct balance_prompt
 {
   bool present;
-  uint64_t key;     /* of the shared parts */
-  uint32_t tokens;  /* in them */
+  struct engine_prompt prompt;
+  char near[ROUTING_NAME_SIZE]; /* where its stage results lie; "" for nowhere */
+  uint64_t result_bytes;        /* of them */
 };
 
 struct balance
@@ -66,10 +72,14 @@
   struct balance_target *targets;
   const char *domain; /* ours */
   struct rng rng;
+  struct engine_load *engines;
   uint32_t n_entry_hosts; /* sharing the targets */
 };
 
-void balance_init (struct balance *balance, const char *domain, uint64_t seed);
+void balance_init (struct balance *balance,
+                   const char *domain,
+                   struct engine_load *engines,
+                   uint64_t seed);
 
 /* A target's record changed. */
 void balance_update (struct balance *balance, void *parent, struct registry_target *record);
@@ -79,7 +89,7 @@
 /* A target of the pool; NULL when there is none.  `tried` are passed over. */
 struct balance_target *balance_choose (struct balance *balance,
                                        const char *pool,
-                                       const struct balance_affinity *affinity,
+                                       const struct balance_prompt *prompt,
                                        struct balance_target *const *tried,
                                        uint32_t n_tried,
                                        int64_t now);
--- /dev/null
+++ b/src/engine_load.c
@@ -0,0 +1,376 @@
+/* What model engines have to read and what they have cached. */
+#include "engine_load.h"
+#include <string.h>
+#include <talloc.h>
+#include <uthash.h>
+#include <utlist.h>
+
+/* From a request's arrival at an idle engine to its first byte, beside the reading. */
+#define FIRST_TIME (4 * USEC_PER_MSEC)
+
+/* Samples of the reading rate: prompts long enough, and nothing before them. */
+#define RATE_SAMPLE_TOKENS 1000
+#define RATE_SMOOTHING 0.1
+
+/* How slow a target is against the common rate, learned from its own answers. */
+#define SLOWNESS_SMOOTHING 0.25
+#define SLOWNESS_MAX 20.0
+
+/* A request on its way through an engine. */
+struct engine_request
+{
+  uint64_t request;
+  uint32_t tokens; /* still to be read */
+  int64_t started;
+  int64_t expected; /* wait expected at its start */
+  bool began;
+  struct engine_request *prev;
+  struct engine_request *next;
+};
+
+/* A part in an engine's cache, by last use. */
+struct engine_part
+{
+  uint64_t key;
+  uint32_t tokens;
+  struct engine_part *prev;
+  struct engine_part *next;
+  UT_hash_handle hh;
+};
+
+struct engine_target
+{
+  uint64_t id;
+  struct engine_request *requests;
+  struct engine_part *parts; /* by key */
+  struct engine_part *used;  /* the last used first */
+  uint64_t cached;           /* tokens */
+  double slowness;
+  UT_hash_handle hh;
+};
+
+/* In how many engines a part is. */
+struct engine_place
+{
+  uint64_t key;
+  uint32_t engines;
+  UT_hash_handle hh;
+};
+
+struct engine_load
+{
+  struct engine_target *targets;
+  struct engine_place *places;
+  uint64_t cache_tokens;
+  double rate; /* tokens a millisecond */
+};
+
+struct engine_load *
+engine_load_new (void *parent)
+{
+  struct engine_load *load = talloc_zero (parent, struct engine_load);
+
+  if (load != NULL)
+    load->rate = ENGINE_FIRST_RATE;
+  return load;
+}
+
+void
+engine_load_set_cache (struct engine_load *load, uint64_t cache_tokens)
+{
+  load->cache_tokens = (uint64_t) (ENGINE_CACHE_SHARE * (double) cache_tokens);
+}
+
+static struct engine_target *
+find_target (const struct engine_load *load, uint64_t id)
+{
+  struct engine_target *target;
+
+  HASH_FIND (hh, load->targets, &id, sizeof id, target);
+  return target;
+}
+
+static struct engine_target *
+take_target (struct engine_load *load, uint64_t id)
+{
+  struct engine_target *target = find_target (load, id);
+
+  if (target != NULL)
+    return target;
+  target = talloc_zero (load, struct engine_target);
+  if (target == NULL)
+    return NULL;
+  target->id = id;
+  target->slowness = 1;
+  HASH_ADD (hh, load->targets, id, sizeof target->id, target);
+  return target;
+}
+
+/* ---- cached parts ---- */
+
+static void
+count_place (struct engine_load *load, uint64_t key, int change)
+{
+  struct engine_place *place;
+
+  HASH_FIND (hh, load->places, &key, sizeof key, place);
+  if (place == NULL && change > 0)
+    {
+      place = talloc_zero (load, struct engine_place);
+      if (place == NULL)
+        return;
+      place->key = key;
+      HASH_ADD (hh, load->places, key, sizeof place->key, place);
+    }
+  if (place == NULL)
+    return;
+  place->engines += (uint32_t) change;
+  if (place->engines > 0)
+    return;
+  HASH_DEL (load->places, place);
+  talloc_free (place);
+}
+
+static struct engine_part *
+find_part (const struct engine_target *target, uint64_t key)
+{
+  struct engine_part *part;
+
+  HASH_FIND (hh, target->parts, &key, sizeof key, part);
+  return part;
+}
+
+static void
+drop_part (struct engine_load *load, struct engine_target *target, struct engine_part *part)
+{
+  HASH_DEL (target->parts, part);
+  DL_DELETE (target->used, part);
+  target->cached -= part->tokens;
+  count_place (load, part->key, -1);
+  talloc_free (part);
+}
+
+static void
+use_part (struct engine_load *load, struct engine_target *target, uint64_t key, uint32_t tokens)
+{
+  struct engine_part *part = find_part (target, key);
+
+  if (part != NULL)
+    {
+      DL_DELETE (target->used, part);
+      DL_PREPEND (target->used, part);
+      return;
+    }
+  part = talloc_zero (target, struct engine_part);
+  if (part == NULL)
+    return;
+  part->key = key;
+  part->tokens = tokens;
+  HASH_ADD (hh, target->parts, key, sizeof part->key, part);
+  DL_PREPEND (target->used, part);
+  target->cached += tokens;
+  count_place (load, key, 1);
+  while (load->cache_tokens > 0 && target->cached > load->cache_tokens
+         && target->used->prev != target->used)
+    drop_part (load, target, target->used->prev);
+}
+
+/* Shared tokens that the engine would have to read: a part counts as cached only if all before it
+ * are. */
+static uint32_t
+tokens_to_read (const struct engine_target *target, const struct engine_prompt *prompt)
+{
+  uint32_t tokens = 0;
+  bool cached = target != NULL;
+
+  for (uint32_t i = 0; i < prompt->n_parts; i++)
+    {
+      cached = cached && find_part (target, prompt->parts[i]) != NULL;
+      if (!cached)
+        tokens += prompt->part_tokens[i];
+    }
+  return tokens;
+}
+
+/* Those of them that some engine holds. */
+static uint32_t
+tokens_held_elsewhere (const struct engine_load *load,
+                       const struct engine_target *target,
+                       const struct engine_prompt *prompt)
+{
+  uint32_t tokens = 0;
+
+  for (uint32_t i = 0; i < prompt->n_parts; i++)
+    {
+      struct engine_place *place;
+
+      HASH_FIND (hh, load->places, &prompt->parts[i], sizeof prompt->parts[i], place);
+      if (place != NULL && (target == NULL || find_part (target, prompt->parts[i]) == NULL))
+        tokens += prompt->part_tokens[i];
+    }
+  return tokens;
+}
+
+/* ---- requests ---- */
+
+static struct engine_request *
+find_request (const struct engine_target *target, uint64_t id)
+{
+  struct engine_request *request;
+
+  DL_FOREACH (target->requests, request)
+  if (request->request == id)
+    return request;
+  return NULL;
+}
+
+static uint64_t
+pending_tokens (struct engine_target *target, int64_t now, uint32_t *running)
+{
+  struct engine_request *request;
+  uint64_t tokens = 0;
+
+  *running = 0;
+  DL_FOREACH (target->requests, request)
+  {
+    ++*running;
+    if (!request->began && now - request->started < ENGINE_FORGET)
+      tokens += request->tokens;
+  }
+  return tokens;
+}
+
+static int64_t
+reading_time (const struct engine_load *load, const struct engine_target *target, uint64_t tokens)
+{
+  double slowness = target == NULL ? 1 : target->slowness;
+
+  return (int64_t) (slowness
+                    * ((double) tokens / load->rate * USEC_PER_MSEC + (double) FIRST_TIME));
+}
+
+void
+engine_load_cost (struct engine_load *load,
+                  uint64_t id,
+                  const struct engine_prompt *prompt,
+                  int64_t now,
+                  struct engine_cost *out)
+{
+  struct engine_target *target = find_target (load, id);
+  uint32_t shared = tokens_to_read (target, prompt);
+  uint64_t pending = 0;
+
+  out->running = 0;
+  if (target != NULL)
+    pending = pending_tokens (target, now, &out->running);
+  out->wait = reading_time (load, target, pending + shared + prompt->own_tokens);
+  out->read_again = tokens_held_elsewhere (load, target, prompt);
+}
+
+/* Forget requests whose end was never told. */
+static void
+drop_old (struct engine_target *target, int64_t now)
+{
+  struct engine_request *request;
+  struct engine_request *next;
+
+  DL_FOREACH_SAFE (target->requests, request, next)
+  {
+    if (now - request->started < 10 * ENGINE_FORGET)
+      return;
+    DL_DELETE (target->requests, request);
+    talloc_free (request);
+  }
+}
+
+void
+engine_load_started (struct engine_load *load,
+                     uint64_t id,
+                     uint64_t request_id,
+                     const struct engine_prompt *prompt,
+                     int64_t now)
+{
+  struct engine_target *target = take_target (load, id);
+  struct engine_request *request;
+  struct engine_cost cost;
+
+  if (target == NULL)
+    return;
+  drop_old (target, now);
+  request = talloc_zero (target, struct engine_request);
+  if (request == NULL)
+    return;
+  engine_load_cost (load, id, prompt, now, &cost);
+  request->request = request_id;
+  request->tokens = tokens_to_read (target, prompt) + prompt->own_tokens;
+  request->started = now;
+  request->expected = cost.wait;
+  DL_APPEND (target->requests, request);
+  for (uint32_t i = 0; i < prompt->n_parts; i++)
+    use_part (load, target, prompt->parts[i], prompt->part_tokens[i]);
+}
+
+/* The rate from prompts that had nothing before them; the slowness of a target from all. */
+static void
+learn (struct engine_load *load,
+       struct engine_target *target,
+       const struct engine_request *request,
+       int64_t now)
+{
+  double took = (double) (now - request->started);
+  double ratio = took / (double) (request->expected > 0 ? request->expected : 1);
+
+  if (request->tokens >= RATE_SAMPLE_TOKENS && took > (double) FIRST_TIME
+      && target->requests == request && target->slowness < 2)
+    {
+      double rate = request->tokens / ((took - (double) FIRST_TIME) / USEC_PER_MSEC);
+
+      load->rate += RATE_SMOOTHING * (rate - load->rate);
+    }
+  ratio *= target->slowness;
+  if (ratio > SLOWNESS_MAX)
+    ratio = SLOWNESS_MAX;
+  target->slowness += SLOWNESS_SMOOTHING * (ratio - target->slowness);
+  if (target->slowness < 1)
+    target->slowness = 1;
+}
+
+void
+engine_load_began (struct engine_load *load, uint64_t id, uint64_t request_id, int64_t now)
+{
+  struct engine_target *target = find_target (load, id);
+  struct engine_request *request =
+      target == NULL ? NULL : find_request (target, request_id);
+
+  if (request == NULL || request->began)
+    return;
+  learn (load, target, request, now);
+  request->began = true;
+}
+
+void
+engine_load_ended (struct engine_load *load, uint64_t id, uint64_t request_id, int64_t now)
+{
+  struct engine_target *target = find_target (load, id);
+  struct engine_request *request =
+      target == NULL ? NULL : find_request (target, request_id);
+
+  (void) now;
+  if (request == NULL)
+    return;
+  DL_DELETE (target->requests, request);
+  talloc_free (request);
+}
+
+void
+engine_load_forget (struct engine_load *load, uint64_t id)
+{
+  struct engine_target *target = find_target (load, id);
+
+  if (target == NULL)
+    return;
+  while (target->used != NULL)
+    drop_part (load, target, target->used);
+  HASH_DEL (load->targets, target);
+  talloc_free (target);
+}
--- /dev/null
+++ b/src/engine_load.h
@@ -0,0 +1,72 @@
+/* What model engines have to read and what they have cached, as all entry hosts together know it.
+ *
+ * An engine reads prompts one after another, so the wait for a first byte is the prompts before it;
+ * a part that it read lately is not read again.  Each host tells the others what it sends, when the
+ * answer begins and when it ends (engine_news.c), so that all choose on the same picture, a few
+ * milliseconds old, without asking the engines.
+ *
+ * Pure: time is passed in. */
+#ifndef ENGINE_LOAD_H
+#define ENGINE_LOAD_H
+
+#include "decls.h"
+#include "usec.h"
+#include <stdbool.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+#define ENGINE_PARTS_MAX 8
+
+/* Prompt tokens that an engine reads in a millisecond, until its answers show another rate. */
+#define ENGINE_FIRST_RATE 50.0
+
+/* Of an engine's cache so much is taken to hold shared parts; the rest is running requests. */
+#define ENGINE_CACHE_SHARE 0.6
+
+/* A start without news of its first byte is forgotten after this: the message may be lost. */
+#define ENGINE_FORGET (4 * USEC_PER_SEC)
+
+/* A prompt: cumulative keys of the parts that it shares, and all its tokens. */
+struct engine_prompt
+{
+  uint32_t n_parts;
+  uint64_t parts[ENGINE_PARTS_MAX];
+  uint32_t part_tokens[ENGINE_PARTS_MAX];
+  uint32_t own_tokens;
+};
+
+struct engine_load;
+
+/* Freed with `parent`.  `cache_tokens` of one engine, 0 when not known. */
+struct engine_load *engine_load_new (void *parent);
+void engine_load_set_cache (struct engine_load *load, uint64_t cache_tokens);
+
+/* A host sent a prompt, its answer began, it ended. */
+void engine_load_started (struct engine_load *load,
+                          uint64_t target,
+                          uint64_t request,
+                          const struct engine_prompt *prompt,
+                          int64_t now);
+void engine_load_began (struct engine_load *load, uint64_t target, uint64_t request, int64_t now);
+void engine_load_ended (struct engine_load *load, uint64_t target, uint64_t request, int64_t now);
+
+/* The target is gone: nothing of it counts. */
+void engine_load_forget (struct engine_load *load, uint64_t target);
+
+struct engine_cost
+{
+  int64_t wait;        /* until the answer begins, expected, in microseconds */
+  uint32_t read_again; /* shared tokens to be read that another engine holds */
+  uint32_t running;    /* requests on it */
+};
+
+void engine_load_cost (struct engine_load *load,
+                       uint64_t target,
+                       const struct engine_prompt *prompt,
+                       int64_t now,
+                       struct engine_cost *out);
+
+END_DECLS
+
+#endif
--- /dev/null
+++ b/src/engine_news.h
@@ -0,0 +1,42 @@
+/* Tells the other entry hosts what this one sends to model engines, and takes in what they tell. */
+#ifndef ENGINE_NEWS_H
+#define ENGINE_NEWS_H
+
+#include "counter.h"
+#include "decls.h"
+#include "engine_load.h"
+#include "peer.h"
+#include "subscriber.h"
+#include "timer.h"
+
+BEGIN_DECLS
+
+/* News wait so long for more: a picture a few milliseconds old is as good, and a message for each
+ * event would cost more than it tells. */
+#define ENGINE_NEWS_DELAY (15 * USEC_PER_MSEC)
+
+struct engine_news;
+
+struct engine_news_config
+{
+  struct engine_load *load;
+  struct subscriber *subscriber;
+  struct peer_port *port;
+  struct timer_service *timers;
+  struct counters *counters;
+};
+
+struct engine_news *engine_news_new (void *parent, const struct engine_news_config *config);
+
+/* Each notes the event here and tells the others. */
+void engine_news_started (struct engine_news *news,
+                          uint64_t target,
+                          uint64_t request,
+                          const struct engine_prompt *prompt,
+                          int64_t now);
+void engine_news_began (struct engine_news *news, uint64_t target, uint64_t request, int64_t now);
+void engine_news_ended (struct engine_news *news, uint64_t target, uint64_t request, int64_t now);
+
+END_DECLS
+
+#endif
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -28,6 +28,8 @@
   struct balance balance;
   struct batch *batch;
   struct work *work;
+  struct engine_load *engines;
+  struct engine_news *news;
   struct h1_client *client;
   struct subscriber *subscriber;
   struct forward *forward;
@@ -49,6 +51,9 @@
   (void) now;
   host->client_limits = routing->limits;
   batch_set_routing (host->batch, routing);
+  for (uint32_t i = 0; i < routing->n_pools; i++)
+    if (routing->pools[i].engine.present)
+      engine_load_set_cache (host->engines, routing->pools[i].engine.cache_tokens);
 }
 
 static void
@@ -161,9 +166,17 @@
     .counters = host->base.counters,
     .first_number = host->base.incarnation >> 8,
   };
+  struct engine_news_config news = {
+    .load = host->engines,
+    .subscriber = host->subscriber,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+  };
 
   host->work = work_new (host, &work);
-  return host->work == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+  host->news = engine_news_new (host, &news);
+  return host->work == NULL || host->news == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
 }
 
 static enum status
@@ -228,6 +241,7 @@
     .client = host->client,
     .dialect = dialect,
     .work = host->work,
+    .news = host->news,
     .counters = host->base.counters,
     .seed = host->base.seed + 1,
     .confirmed_for = settings->confirmed_for,
@@ -261,7 +275,10 @@
     return status;
   host->client_limits = host->base.limits;
   host->client_limits.idle_timeout = H1_IDLE_TIMEOUT;
-  balance_init (&host->balance, host->base.settings.domain, host->base.seed);
+  host->engines = engine_load_new (host);
+  if (host->engines == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  balance_init (&host->balance, host->base.settings.domain, host->engines, host->base.seed);
   host->client = h1_client_new (host, host->base.loop, host->base.counters);
   if (host->client == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
--- a/src/forward.c
+++ b/src/forward.c
@@ -32,22 +32,28 @@
 
 /* ---- arrival ---- */
 
-/* The parts that a request shares with others tell where they may be cached; the last part is its
- * own. */
+/* The parts that a request shares with others; the last part is its own. */
 static void
-take_affinity (struct forward_job *job)
+take_prompt (struct forward_job *job)
 {
+  struct engine_prompt *prompt = &job->prompt.prompt;
   uint64_t key = 0;
+  uint32_t shared = 0;
 
-  if (!job->route.affinity || job->facts.n_parts < 2)
+  job->id_hash = XXH3_64bits (job->facts.id, strlen (job->facts.id));
+  if (!job->route.affinity || job->facts.input_tokens == 0)
     return;
-  for (uint32_t i = 0; i + 1 < job->facts.n_parts; i++)
+  for (uint32_t i = 0; i + 1 < job->facts.n_parts && i < ENGINE_PARTS_MAX; i++)
     {
       key = XXH3_64bits_withSeed (&job->facts.parts[i].id, sizeof job->facts.parts[i].id, key);
-      job->affinity.tokens += job->facts.parts[i].tokens;
+      prompt->parts[i] = key;
+      prompt->part_tokens[i] = job->facts.parts[i].tokens;
+      prompt->n_parts++;
+      shared += job->facts.parts[i].tokens;
     }
-  job->affinity.key = key;
-  job->affinity.present = true;
+  if (job->facts.input_tokens > shared)
+    prompt->own_tokens = job->facts.input_tokens - shared;
+  job->prompt.present = true;
 }
 
 /* Which organisation's key the request bears; false when it is refused. */
@@ -121,7 +127,7 @@
   text_copy_cut (job->pool, sizeof job->pool,
                  routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
   take_times (job);
-  take_affinity (job);
+  take_prompt (job);
   forward_earn_retry (forward, job->pool);
   if (job_plan_stages (job, routing) != STATUS_OK)
     {
--- a/src/forward.h
+++ b/src/forward.h
@@ -9,6 +9,7 @@
 #include "counter.h"
 #include "decls.h"
 #include "dialect.h"
+#include "engine_news.h"
 #include "h1_client.h"
 #include "h1_server.h"
 #include "subscriber.h"
@@ -27,6 +28,7 @@
   struct h1_client *client;
   struct dialect *dialect;
   struct work *work;
+  struct engine_news *news;
   struct counters *counters;
   uint64_t seed;
   int64_t confirmed_for; /* keyed requests are refused when the last confirmation is older */
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -63,6 +63,13 @@
 
 /* ---- judging an answer ---- */
 
+static void
+tell_ended (struct forward_job *job, int64_t now)
+{
+  if (job->prompt.present)
+    engine_news_ended (job->forward->config.news, job->target->id_hash, job->id_hash, now);
+}
+
 static void
 release_target (struct forward_job *job, bool failed, int64_t now)
 {
@@ -70,6 +77,7 @@
 
   if (job->target == NULL)
     return;
+  tell_ended (job, now);
   balance_ended (job->target, failed, failed ? -1 : first, now);
   job->target = NULL;
 }
@@ -79,8 +87,10 @@
 job_drop_call (struct forward_job *job)
 {
   h1_call_cancel (&job->call);
-  if (job->target != NULL)
-    job->target->in_flight--;
+  if (job->target == NULL)
+    return;
+  tell_ended (job, loop_now (job->forward->config.loop));
+  job->target->in_flight--;
   job->target = NULL;
 }
 
@@ -253,6 +263,8 @@
       histogram_record (job->forward->first_byte, (double) (now - job->arrived));
       if (job->status == HTTP_STATUS_OK)
         job_drop_stages (job);
+      if (job->prompt.present)
+        engine_news_began (job->forward->config.news, job->target->id_hash, job->id_hash, now);
     }
   if (!is_stream_answer (job))
     {
@@ -337,7 +349,7 @@
   struct bytes message;
   enum status status;
 
-  job->target = balance_choose (config->balance, job->pool, &job->affinity, job->tried,
+  job->target = balance_choose (config->balance, job->pool, &job->prompt, job->tried,
                                 job->n_tried, now);
   if (job->target == NULL)
     {
@@ -353,6 +365,8 @@
   job->call.ops = &call_ops;
   job->call.no_body = job->exchange->head->method == HTTP_HEAD;
   balance_started (job->target);
+  if (job->prompt.present)
+    engine_news_started (config->news, job->target->id_hash, job->id_hash, &job->prompt.prompt, now);
   log_choice (job, now);
   bytes_init (&message, NULL);
   write_request (job, now, &message);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -85,7 +85,8 @@
   int64_t deadline;     /* the client's or the route's, whichever is first */
   int64_t objective_at; /* an answer after it is late */
   struct timer timer;
-  struct balance_affinity affinity;
+  struct balance_prompt prompt;
+  uint64_t id_hash;
 
   /* Stages. */
   struct forward_stage stages[ROUTING_STAGES_MAX];
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -196,14 +196,9 @@
 {
   struct forward_stage *stage = &job->stages[number];
   const struct route_stage *route = &job->route.stages[number];
-  const char *near = "";
-  struct balance_target *likely =
-      balance_choose (job->forward->config.balance, job->pool, &job->affinity, NULL, 0, now);
   struct bytes inputs;
 
   bytes_init (&inputs, NULL);
-  if (likely != NULL)
-    near = likely->domain;
   job_write_inputs (job, route->after, &inputs);
   stage->order = (struct work_order){
     .ops = &stage_ops,
@@ -218,7 +213,7 @@
   };
   text_copy_cut (stage->order.request, sizeof stage->order.request, job->facts.id);
   text_copy_cut (stage->order.key, sizeof stage->order.key, job->facts.piece_key);
-  text_copy_cut (stage->order.near, sizeof stage->order.near, near);
+  text_copy_cut (stage->order.near, sizeof stage->order.near, job->prompt.near);
   text_copy_cut (stage->order.pool, sizeof stage->order.pool, stage->pool);
   stage->state = STAGE_RUNNING;
   stage->begun = now;
@@ -277,9 +272,27 @@
   job_send (job, now);
 }
 
+/* All stages of a request are wanted in one failure domain: that of the engine which would run it
+ * now. */
+static void
+choose_near (struct forward_job *job, int64_t now)
+{
+  struct balance_target *likely =
+      balance_choose (job->forward->config.balance, job->pool, &job->prompt, NULL, 0, now);
+  uint32_t last = route_last_stages (&job->route);
+
+  if (likely == NULL || job->prompt.near[0] != '\0')
+    return;
+  text_copy_cut (job->prompt.near, sizeof job->prompt.near, likely->domain);
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if ((last & (UINT32_C (1) << i)) != 0)
+      job->prompt.result_bytes += pieces_of (job, i) * job->route.stages[i].result_size;
+}
+
 void
 job_begin_stages (struct forward_job *job, int64_t now)
 {
+  choose_near (job, now);
   if (now + critical_path (job) > job->deadline)
     {
       job_give_up (job, FORWARD_NO_TIME, STAGE_RETRY_AFTER);
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -465,6 +465,12 @@
          && subscriber_age (self) <= self->config.ready_for;
 }
 
+bool
+subscriber_is_self (const struct subscriber *self, const struct sync_host *host)
+{
+  return strcmp (host->name, self->self.name) == 0;
+}
+
 void
 subscriber_leave (struct subscriber *self, int64_t now)
 {
