Finish begun orders first, and keep late ones from making others late

Cause: under a burst the earliest due pieces were the late ones, so every request became late in turn; orders half made held the makers' room; a dead owner of a pool was noticed after 3 s; results that an earlier owner ordered were never freed. Now: late pieces go behind, begun orders before, nearness only while the queue is short; owners are pinged while they have work (0.4 s); results carry their maker, so that any owner can free them.

--- a/src/batch.c
+++ b/src/batch.c
@@ -106,13 +106,13 @@
 }
 
 void
-batch_cancel (struct batch *batch, struct batch_order *order)
+batch_cancel (struct batch *batch, struct batch_order *order, int64_t now)
 {
   unlink_order (batch, order);
   drop_pieces (batch, order);
   for (uint32_t i = 0; i < order->n_pieces; i++)
-    if (order->results[i].handle[0] != '\0')
-      batch_free_result (batch, order->pool, order->results[i].handle);
+    if (order->results[i].result.handle[0] != '\0')
+      batch_free_result (batch, order->pool, &order->results[i].result, now);
   talloc_free (order);
 }
 
@@ -148,10 +148,13 @@
 
 /* ---- the queue ---- */
 
-/* When a piece should be taken, urgency counted as time. */
+/* When a piece should be taken, urgency counted as time.  An order that was begun is finished before
+ * others are: its results take room that only its last piece sets free. */
 static int64_t
 rank (const struct batch_piece *piece)
 {
+  if (piece->order->begun)
+    return piece->order->due - BATCH_BEGUN_BONUS;
   return piece->order->due + (int64_t) piece->order->urgency * BATCH_URGENCY_STEP;
 }
 
@@ -210,6 +213,32 @@
     }
 }
 
+/* The rest of an order that was begun moves forward in the queue. */
+static void
+begin_order (struct batch_pool *pool, struct batch_order *order)
+{
+  struct batch_piece *moved = NULL;
+  struct batch_piece *piece;
+  struct batch_piece *next;
+
+  if (order->begun)
+    return;
+  order->begun = true;
+  DL_FOREACH_SAFE (pool->queue, piece, next)
+  {
+    if (piece->order != order)
+      continue;
+    DL_DELETE (pool->queue, piece);
+    pool->n_queued--;
+    DL_APPEND (moved, piece);
+  }
+  DL_FOREACH_SAFE (moved, piece, next)
+  {
+    DL_DELETE (moved, piece);
+    enqueue (pool, piece);
+  }
+}
+
 static bool
 can_take (const struct batch_pool *pool,
           const struct batch_target *target,
@@ -228,13 +257,14 @@
 }
 
 /* Must the piece go to a target in the failure domain where its result is wanted?  Only while it
- * has time to spare, and there is such a target. */
+ * has time to spare, not more waits than fills a call, and there is such a target. */
 static bool
 waits_for_near (const struct batch_pool *pool, const struct batch_piece *piece, int64_t now)
 {
   const struct batch_order *order = piece->order;
 
-  if (order->near[0] == '\0' || now + batch_expected (pool, 1) + BATCH_NEAR_SLACK >= order->due)
+  if (order->near[0] == '\0' || pool->n_queued > pool->spec.pieces
+      || now + batch_expected (pool, 1) + BATCH_NEAR_SLACK >= order->due)
     return false;
   for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
        at = at->next)
@@ -288,6 +318,14 @@
   return best;
 }
 
+/* A piece that cannot be in time any more goes behind those that can: served first, as the earliest
+ * due, it would make the next one late too, and so all. */
+static bool
+is_late (const struct batch_pool *pool, const struct batch_piece *piece, int64_t now)
+{
+  return now + batch_expected (pool, 1) > piece->order->due;
+}
+
 /* Take pieces for one call: in their order those that fit and may go there, and not all where other
  * targets are idle too. */
 static uint32_t
@@ -307,18 +345,20 @@
     most = pool->spec.pieces;
   if (most > BATCH_CALL_PIECES_MAX)
     most = BATCH_CALL_PIECES_MAX;
-  DL_FOREACH_SAFE (pool->queue, piece, next)
-  {
-    if (n == most)
-      break;
-    if (!has_room (pool, target, size + piece->result_size)
-        || !may_go_to (pool, piece, target->target, now))
-      continue;
-    size += piece->result_size;
-    DL_DELETE (pool->queue, piece);
-    pool->n_queued--;
-    out[n++] = piece;
-  }
+  for (int late = 0; late < 2; late++)
+    DL_FOREACH_SAFE (pool->queue, piece, next)
+    {
+      if (n == most)
+        return n;
+      if (is_late (pool, piece, now) != (late == 1)
+          || !has_room (pool, target, size + piece->result_size)
+          || !may_go_to (pool, piece, target->target, now))
+        continue;
+      size += piece->result_size;
+      DL_DELETE (pool->queue, piece);
+      pool->n_queued--;
+      out[n++] = piece;
+    }
   return n;
 }
 
@@ -338,6 +378,8 @@
       if (target == NULL)
         break;
       n = take_pieces (pool, target, n_idle, now, pieces);
+      for (uint32_t i = 0; i < n; i++)
+        begin_order (pool, pieces[i]->order);
       if (n > 0 && batch_call_start (pool, target, pieces, n, now))
         continue;
       target->paused_until = now + BATCH_NO_ROOM_PAUSE;
@@ -376,6 +418,16 @@
 
 static const struct timer_ops pool_ops = { .fire = pool_fired };
 
+/* Free what is unneeded with the next look. */
+void
+batch_look_soon (struct batch_pool *pool, int64_t now)
+{
+  struct timer_service *timers = loop_timers (pool->batch->config.loop);
+
+  if (!timer_is_armed (&pool->timer) || pool->timer.due > now + LOOK_PERIOD)
+    timer_arm (timers, &pool->timer, now + LOOK_PERIOD);
+}
+
 static void
 fail_at_once (struct batch_order *order, int64_t now)
 {
--- a/src/batch.h
+++ b/src/batch.h
@@ -26,12 +26,15 @@
 /* Where pieces wait, one less urgent by one step goes behind those due this much later. */
 #define BATCH_URGENCY_STEP (300 * USEC_PER_MSEC)
 
+/* The rest of an order that was begun goes before those due this much earlier. */
+#define BATCH_BEGUN_BONUS (400 * USEC_PER_MSEC)
+
 /* A piece waits for a target in the failure domain where its result is wanted while it has so much
  * time to spare: a result of megabytes that crosses costs more than the wait. */
 #define BATCH_NEAR_SLACK (300 * USEC_PER_MSEC)
 
 /* A target that said it has no room gets nothing for so long. */
-#define BATCH_NO_ROOM_PAUSE (100 * USEC_PER_MSEC)
+#define BATCH_NO_ROOM_PAUSE (200 * USEC_PER_MSEC)
 
 struct batch;
 struct batch_order;
@@ -74,6 +77,7 @@
   uint32_t urgency;
   int64_t due;
   int64_t deadline;
+  bool begun; /* the batch's own: a piece of it was taken */
   uint32_t n_pieces;
   uint32_t n_done;
   struct piece_result *results; /* talloc child, n_pieces */
@@ -83,13 +87,16 @@
 void batch_submit (struct batch *batch, struct batch_order *order, int64_t now);
 
 /* Withdraw: pieces not begun are not made, results are freed.  done() does not come. */
-void batch_cancel (struct batch *batch, struct batch_order *order);
+void batch_cancel (struct batch *batch, struct batch_order *order, int64_t now);
 
 /* An order of another host, by its number there; NULL when it is not here. */
 struct batch_order *batch_find (struct batch *batch, const char *origin, uint64_t number);
 
 /* Results that nobody needs any more. */
-void batch_free_result (struct batch *batch, const char *pool, const char *handle);
+void batch_free_result (struct batch *batch,
+                        const char *pool,
+                        const struct stage_result *result,
+                        int64_t now);
 
 END_DECLS
 
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -64,26 +64,40 @@
 static void
 take_result (struct batch_call *call,
              struct batch_piece *piece,
-             const struct piece_result *result,
+             struct piece_result *result,
              int64_t now)
 {
   struct batch_pool *pool = call->pool;
 
   if (result->end == PIECE_DONE)
     {
-      batch_keep_result (pool, call->target, result->handle, piece->result_size,
+      memcpy (result->result.target, call->at->id, sizeof result->result.target);
+      batch_keep_result (pool, call->target, result->result.handle, piece->result_size,
                          !batch_is_wanted (pool->batch, piece), now);
       batch_piece_done (pool, piece, result, now);
       return;
     }
+  /* Results that an earlier owner of the pool ordered take room that we do not know of. */
   if (result->end == PIECE_NO_ROOM)
     call->target->paused_until = now + BATCH_NO_ROOM_PAUSE;
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "piece-not-made", "{s:s,s:s,s:s}", "pool", pool->name,
-             "target", call->at->id, "reason", piece_end_text (result->end));
   /* An input that is gone cannot be waited for: whoever ordered makes it again. */
   if (result->end == PIECE_INPUT_GONE)
     piece->tries = BATCH_TRIES_MAX;
-  batch_requeue (pool, piece, true, now);
+  batch_requeue (pool, piece, result->end != PIECE_NO_ROOM, now);
+}
+
+static void
+log_not_made (const struct batch_call *call, const struct piece_result *results)
+{
+  uint32_t n[PIECE_END_COUNT] = { 0 };
+
+  for (uint32_t i = 0; i < call->n; i++)
+    n[results[i].end]++;
+  if (n[PIECE_DONE] < call->n)
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "pieces-not-made", "{s:s,s:s,s:i,s:i,s:i,s:i}",
+               "pool", call->pool->name, "target", call->at->id, "late", (int) n[PIECE_LATE],
+               "input_gone", (int) n[PIECE_INPUT_GONE], "no_room", (int) n[PIECE_NO_ROOM],
+               "failed", (int) n[PIECE_FAILED]);
 }
 
 static bool
@@ -95,6 +109,7 @@
   if (call->status != HTTP_STATUS_OK
       || !dialect->ops->read_pieces (dialect, call->body.data, call->body.length, results, call->n))
     return false;
+  log_not_made (call, results);
   for (uint32_t i = 0; i < call->n; i++)
     take_result (call, call->pieces[i], &results[i], now);
   return true;
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -90,6 +90,7 @@
                        int64_t now);
 void batch_requeue (struct batch_pool *pool, struct batch_piece *piece, bool tried, int64_t now);
 void batch_dispatch (struct batch_pool *pool, int64_t now);
+void batch_look_soon (struct batch_pool *pool, int64_t now);
 bool batch_is_wanted (const struct batch *batch, const struct batch_piece *piece);
 
 /* batch_call.c */
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -49,8 +49,19 @@
   target->used += size;
 }
 
+static struct batch_target *
+find_target (struct batch_pool *pool, const char *id)
+{
+  struct balance_target *at = balance_find (pool->batch->config.balance, id);
+
+  return at == NULL ? NULL : batch_target_of (pool, at);
+}
+
 void
-batch_free_result (struct batch *batch, const char *pool_name, const char *handle)
+batch_free_result (struct batch *batch,
+                   const char *pool_name,
+                   const struct stage_result *unneeded,
+                   int64_t now)
 {
   for (uint32_t i = 0; i < batch->n_pools; i++)
     {
@@ -60,10 +71,18 @@
 
       if (strcmp (pool->name, pool_name) != 0)
         continue;
-      for (target = pool->targets; target != NULL; target = target->next)
-        DL_FOREACH (target->results, result)
-        if (strcmp (result->handle, handle) == 0)
-          result->unneeded = true;
+      target = find_target (pool, unneeded->target);
+      if (target == NULL)
+        return;
+      DL_FOREACH (target->results, result)
+      if (strcmp (result->handle, unneeded->handle) == 0)
+        break;
+      if (result != NULL)
+        result->unneeded = true;
+      /* Ordered by an earlier owner of the pool. */
+      else
+        batch_keep_result (pool, target, unneeded->handle, 0, true, now);
+      batch_look_soon (pool, now);
       return;
     }
 }
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -93,10 +93,17 @@
 
 const char *piece_end_text (enum piece_end end);
 
+/* A result that lies at the target that made it. */
+struct stage_result
+{
+  char target[ROUTING_NAME_SIZE]; /* the maker's identity */
+  char handle[DIALECT_HANDLE_SIZE];
+};
+
 struct piece_result
 {
   enum piece_end end;
-  char handle[DIALECT_HANDLE_SIZE];
+  struct stage_result result; /* its target is not the dialect's to fill */
 };
 
 struct dialect
--- a/src/forward.c
+++ b/src/forward.c
@@ -10,6 +10,10 @@
 #include <utlist.h>
 #include <xxhash.h>
 
+/* A request whose objective has passed is worth a fraction and costs its client the wait: its stage
+ * work goes on for this share of the rest of its time. */
+#define LATE_SHARE 0.25
+
 /* How often targets that are gone are looked for. */
 #define SWEEP_EVERY 64
 
@@ -24,7 +28,7 @@
 
   timer_disarm (loop_timers (forward->config.loop), &job->timer);
   job_drop_call (job);
-  job_drop_stages (job);
+  job_drop_stages (job, loop_now (forward->config.loop));
   DL_DELETE (forward->jobs, job);
   forward->n_jobs--;
   talloc_free (job);
@@ -93,6 +97,10 @@
     patience = job->facts.time_left;
   job->deadline = job->arrived + patience;
   job->objective_at = job->arrived + job->route.objective;
+  job->give_up_at = job->deadline;
+  if (job->objective_at < job->deadline)
+    job->give_up_at =
+        job->objective_at + (int64_t) (LATE_SHARE * (double) (job->deadline - job->objective_at));
 }
 
 static void
@@ -185,7 +193,8 @@
   bytes_init (&job->body, job);
   exchange->user = job;
   DL_APPEND (forward->jobs, job);
-  if (++forward->n_jobs % SWEEP_EVERY == 0)
+  forward->n_jobs++;
+  if (++forward->arrivals % SWEEP_EVERY == 0)
     balance_sweep (forward->config.balance);
   status = forward->config.dialect->ops->read_request (forward->config.dialect, exchange->head,
                                                        &job->facts);
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -262,7 +262,7 @@
       job->first_at = now;
       histogram_record (job->forward->first_byte, (double) (now - job->arrived));
       if (job->status == HTTP_STATUS_OK)
-        job_drop_stages (job);
+        job_drop_stages (job, now);
       if (job->prompt.present)
         engine_news_began (job->forward->config.news, job->target->id_hash, job->id_hash, now);
     }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -62,7 +62,7 @@
   int64_t begun;
   int64_t expected; /* time that it takes on an idle target */
   int64_t tail;     /* expected from its end to the first byte of the answer */
-  char (*handles)[DIALECT_HANDLE_SIZE];
+  struct stage_result *results;
 };
 
 struct retry_budget
@@ -83,6 +83,7 @@
   uint64_t version; /* of the routing that decided */
   int64_t arrived;
   int64_t deadline;     /* the client's or the route's, whichever is first */
+  int64_t give_up_at;   /* stage work that is not done by then is given up */
   int64_t objective_at; /* an answer after it is late */
   struct timer timer;
   struct balance_prompt prompt;
@@ -124,6 +125,7 @@
   struct rng rng;
   struct forward_job *jobs;
   uint32_t n_jobs;
+  uint64_t arrivals;
   bool refusing;
   struct retry_budget budgets[FORWARD_POOLS_MAX];
   uint32_t n_budgets;
@@ -155,7 +157,7 @@
 bool job_has_stages (const struct forward_job *job);
 enum status job_plan_stages (struct forward_job *job, const struct routing *routing);
 void job_begin_stages (struct forward_job *job, int64_t now);
-void job_drop_stages (struct forward_job *job);
+void job_drop_stages (struct forward_job *job, int64_t now);
 void job_write_inputs (const struct forward_job *job, uint32_t stages, struct bytes *out);
 
 /* Were results given back that another attempt would need? */
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -66,9 +66,8 @@
       if (stage->pieces > 0)
         stage->expected = pool->batch.call_time + stage->pieces * pool->batch.piece_time;
       text_copy_cut (stage->pool, sizeof stage->pool, pool->name);
-      stage->handles =
-          talloc_zero_size (job, (size_t) DIALECT_HANDLE_SIZE * (stage->pieces + 1));
-      if (stage->handles == NULL)
+      stage->results = talloc_zero_array (job, struct stage_result, stage->pieces + 1);
+      if (stage->results == NULL)
         return status_fail (STATUS_NO_MEMORY, "out of memory");
     }
   plan_tails (job);
@@ -129,26 +128,26 @@
       {
         if (out->length > 0)
           bytes_append (out, ",", 1);
-        bytes_append_text (out, job->stages[i].handles[j]);
+        bytes_append_text (out, job->stages[i].results[j].handle);
       }
 }
 
 static void
-give_back (struct forward_job *job, uint32_t stage)
+give_back (struct forward_job *job, uint32_t stage, int64_t now)
 {
   struct forward_stage *at = &job->stages[stage];
 
   if (at->state != STAGE_DONE)
     return;
   at->state = STAGE_FREED;
-  work_free_results (job->forward->config.work, at->order.pool,
-                     (const char (*)[DIALECT_HANDLE_SIZE]) at->handles, pieces_of (job, stage));
+  work_free_results (job->forward->config.work, at->order.pool, at->results, pieces_of (job, stage),
+                     now);
 }
 
 /* Results whose every user is made are not needed again, unless a later result goes missing, which
  * makes the whole chain anew. */
 static void
-give_back_used (struct forward_job *job)
+give_back_used (struct forward_job *job, int64_t now)
 {
   uint32_t last = through_left_out (job, route_last_stages (&job->route));
 
@@ -160,7 +159,7 @@
         if ((through_left_out (job, job->route.stages[j].after) & (UINT32_C (1) << i)) != 0)
           users |= UINT32_C (1) << j;
       if (users != 0 && (last & (UINT32_C (1) << i)) == 0 && all_made (job, users))
-        give_back (job, i);
+        give_back (job, i, now);
     }
 }
 
@@ -179,7 +178,7 @@
   if (end == PIECE_DONE)
     {
       stage->state = STAGE_DONE;
-      give_back_used (job);
+      give_back_used (job, now);
       advance (job, now);
       return;
     }
@@ -206,10 +205,10 @@
     .result_size = route->result_size,
     .inputs = inputs.length > 0 ? inputs.data : NULL,
     .due = job->objective_at - stage->tail,
-    .deadline = job->deadline - stage->tail,
+    .deadline = job->give_up_at - stage->tail,
     .urgency = job->route.priority,
     .n_pieces = pieces_of (job, number),
-    .handles = stage->handles,
+    .results = stage->results,
   };
   text_copy_cut (stage->order.request, sizeof stage->order.request, job->facts.id);
   text_copy_cut (stage->order.key, sizeof stage->order.key, job->facts.piece_key);
@@ -293,7 +292,7 @@
 job_begin_stages (struct forward_job *job, int64_t now)
 {
   choose_near (job, now);
-  if (now + critical_path (job) > job->deadline)
+  if (now + critical_path (job) > job->give_up_at)
     {
       job_give_up (job, FORWARD_NO_TIME, STAGE_RETRY_AFTER);
       return;
@@ -302,14 +301,14 @@
 }
 
 void
-job_drop_stages (struct forward_job *job)
+job_drop_stages (struct forward_job *job, int64_t now)
 {
   for (uint32_t i = 0; i < job->route.n_stages; i++)
     {
       if (job->stages[i].state == STAGE_RUNNING)
-        work_cancel (&job->stages[i].order);
+        work_cancel (&job->stages[i].order, now);
       else
-        give_back (job, i);
+        give_back (job, i, now);
       job->stages[i].state = STAGE_IDLE;
     }
 }
@@ -332,7 +331,7 @@
   if (job->remade || !job_has_stages (job))
     return false;
   job->remade = true;
-  job_drop_stages (job);
+  job_drop_stages (job, now);
   job->stages_done = 0;
   job_begin_stages (job, now);
   return true;
--- a/src/work.c
+++ b/src/work.c
@@ -19,15 +19,29 @@
   WORK_DONE = 1,   /* its answer */
   WORK_CANCEL = 2, /* to the owner */
   WORK_FREE = 3,   /* to the owner: results nobody needs */
+  WORK_PING = 4,   /* to the owner */
+  WORK_PONG = 5,   /* its answer */
   WORK_MESSAGE_COUNT
 };
 
 #define INPUT_BYTES_MAX 65536
 
+/* A host that has, or had, work of ours. */
+struct work_owner
+{
+  char name[ROUTING_NAME_SIZE];
+  int64_t heard;
+  int64_t suspect_until;
+  uint32_t orders;
+};
+
 struct work
 {
   struct work_config config;
   struct peer_listener listener;
+  struct timer ping;
+  struct work_owner owners[WORK_OWNERS_MAX];
+  uint32_t n_owners;
   struct work_order *orders;
   uint64_t last_number;
   struct counter *submitted;
@@ -45,9 +59,46 @@
   return XXH3_64bits_withSeed (host, strlen (host), seed);
 }
 
+static struct work_owner *
+find_owner (struct work *work, const char *name)
+{
+  for (uint32_t i = 0; i < work->n_owners; i++)
+    if (strcmp (work->owners[i].name, name) == 0)
+      return &work->owners[i];
+  return NULL;
+}
+
+/* The record of an owner; in place of one without orders when all are taken. */
+static struct work_owner *
+take_owner (struct work *work, const char *name)
+{
+  struct work_owner *owner = find_owner (work, name);
+
+  if (owner != NULL)
+    return owner;
+  if (work->n_owners < WORK_OWNERS_MAX)
+    owner = &work->owners[work->n_owners++];
+  for (uint32_t i = 0; owner == NULL && i < work->n_owners; i++)
+    if (work->owners[i].orders == 0)
+      owner = &work->owners[i];
+  if (owner == NULL)
+    return NULL;
+  *owner = (struct work_owner){ .orders = 0 };
+  text_copy_cut (owner->name, sizeof owner->name, name);
+  return owner;
+}
+
+static bool
+is_suspect (struct work *work, const char *name, int64_t now)
+{
+  const struct work_owner *owner = find_owner (work, name);
+
+  return owner != NULL && now < owner->suspect_until;
+}
+
 /* The host with the highest score; ourselves when no other is known. */
 static const char *
-owner_of (const struct work *work, const char *pool)
+owner_of (struct work *work, const char *pool, int64_t now)
 {
   const struct sync_host *hosts[SYNC_HOSTS_MAX];
   uint32_t n = subscriber_hosts (work->config.subscriber, hosts);
@@ -58,7 +109,7 @@
     {
       uint64_t score = owner_score (hosts[i]->name, pool);
 
-      if (score < best_score)
+      if (score < best_score || is_suspect (work, hosts[i]->name, now))
         continue;
       best = hosts[i]->name;
       best_score = score;
@@ -88,6 +139,21 @@
   return status;
 }
 
+static void
+write_result (const struct stage_result *result, struct bytes *out)
+{
+  pack_text (out, result->target);
+  pack_text (out, result->handle);
+}
+
+static bool
+read_result (struct pack_reader *in, struct stage_result *out)
+{
+  pack_read_text (in, out->target, sizeof out->target);
+  pack_read_text (in, out->handle, sizeof out->handle);
+  return pack_read_ok (in);
+}
+
 static uint64_t
 span (int64_t until, int64_t now)
 {
@@ -129,12 +195,22 @@
   return NULL;
 }
 
+static void
+count_order (struct work *work, const char *name, int change)
+{
+  struct work_owner *owner = find_owner (work, name);
+
+  if (owner != NULL)
+    owner->orders += (uint32_t) change;
+}
+
 static void
 drop (struct work_order *order)
 {
   struct work *work = order->work;
 
   timer_disarm (work->config.timers, &order->timer);
+  count_order (work, order->owner, -1);
   DL_DELETE (work->orders, order);
   talloc_free (order->inputs_copy);
   order->inputs_copy = NULL;
@@ -160,7 +236,7 @@
     return;
   order->local = NULL;
   for (uint32_t i = 0; end == PIECE_DONE && i < order->n_pieces; i++)
-    memcpy (order->handles[i], batch_order->results[i].handle, DIALECT_HANDLE_SIZE);
+    order->results[i] = batch_order->results[i].result;
   finish (order, end, now);
 }
 
@@ -201,44 +277,98 @@
 {
   struct work *work = order->work;
 
-  text_copy_cut (order->owner, sizeof order->owner, owner_of (work, order->pool));
-  if (strcmp (order->owner, work->config.name) != 0 && send_run (work, order, now) == STATUS_OK)
+  struct work_owner *owner;
+
+  text_copy_cut (order->owner, sizeof order->owner, owner_of (work, order->pool, now));
+  timer_arm (work->config.timers, &order->timer, order->deadline);
+  owner = take_owner (work, order->owner);
+  if (owner != NULL && strcmp (order->owner, work->config.name) != 0
+      && send_run (work, order, now) == STATUS_OK)
     {
-      timer_arm (work->config.timers, &order->timer, now + WORK_RESEND);
+      if (owner->orders++ == 0)
+        owner->heard = now;
+      if (!timer_is_armed (&work->ping))
+        timer_arm (work->config.timers, &work->ping, now + WORK_PING_PERIOD);
       return;
     }
   text_copy_cut (order->owner, sizeof order->owner, work->config.name);
-  timer_arm (work->config.timers, &order->timer, order->deadline);
+  count_order (work, order->owner, 1);
   run_here (work, order, now);
 }
 
-/* The owner may be dead, or the message lost with its connection: the pieces are made again, by the
- * owner as it is now known. */
 static void
 order_fired (struct timer *timer, int64_t now)
 {
   struct work_order *order = CONTAINER_OF (timer, struct work_order, timer);
 
-  if (now >= order->deadline)
-    {
-      if (order->local != NULL)
-        batch_cancel (order->work->config.batch, order->local);
-      order->local = NULL;
-      finish (order, PIECE_LATE, now);
-      return;
-    }
   if (order->owner[0] == '\0')
     {
       dispatch (order, now);
       return;
     }
-  counter_add (order->work->resent, 1);
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "stage-work-resent", "{s:s,s:i,s:s,s:s}", "id",
-             order->request, "stage", (int) order->stage, "pool", order->pool, "owner",
-             order->owner);
-  dispatch (order, now);
+  if (order->local != NULL)
+    batch_cancel (order->work->config.batch, order->local, now);
+  order->local = NULL;
+  finish (order, PIECE_LATE, now);
 }
 
+/* The owner may be dead, or the message lost with its connection: the pieces are made again, by the
+ * owner as it is now known. */
+static void
+resend_orders (struct work *work, struct work_owner *owner, int64_t now)
+{
+  struct work_order *order;
+  struct work_order *next;
+
+  DL_FOREACH_SAFE (work->orders, order, next)
+  {
+    if (strcmp (order->owner, owner->name) != 0)
+      continue;
+    counter_add (work->resent, 1);
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "stage-work-resent", "{s:s,s:i,s:s,s:s,s:I}",
+               "id", order->request, "stage", (int) order->stage, "pool", order->pool, "owner",
+               order->owner, "silent_ms", (json_int_t) ((now - owner->heard) / USEC_PER_MSEC));
+    owner->orders--;
+    dispatch (order, now);
+  }
+}
+
+static void
+send_short (struct work *work, const char *host, enum work_message type)
+{
+  struct bytes out;
+
+  begin (type, &out);
+  send_bytes (work, host, &out);
+}
+
+static void
+ping_fired (struct timer *timer, int64_t now)
+{
+  struct work *work = CONTAINER_OF (timer, struct work, ping);
+  bool any = false;
+
+  for (uint32_t i = 0; i < work->n_owners; i++)
+    {
+      struct work_owner *owner = &work->owners[i];
+
+      if (owner->orders == 0 || strcmp (owner->name, work->config.name) == 0)
+        continue;
+      any = true;
+      if (now - owner->heard > WORK_OWNER_SILENCE)
+        {
+          owner->suspect_until = now + WORK_SUSPECT;
+          resend_orders (work, owner, now);
+        }
+      else
+        send_short (work, owner->name, WORK_PING);
+    }
+  if (any)
+    timer_arm (work->config.timers, timer, now + WORK_PING_PERIOD);
+}
+
+static const struct timer_ops ping_ops = { .fire = ping_fired };
+
 static const struct timer_ops order_ops = { .fire = order_fired };
 
 void
@@ -256,7 +386,7 @@
 }
 
 void
-work_cancel (struct work_order *order)
+work_cancel (struct work_order *order, int64_t now)
 {
   struct work *work = order->work;
   struct bytes out;
@@ -264,7 +394,7 @@
   if (work == NULL)
     return;
   if (order->local != NULL)
-    batch_cancel (work->config.batch, order->local);
+    batch_cancel (work->config.batch, order->local, now);
   else
     {
       begin (WORK_CANCEL, &out);
@@ -278,23 +408,24 @@
 void
 work_free_results (struct work *work,
                    const char *pool,
-                   const char (*handles)[DIALECT_HANDLE_SIZE],
-                   uint32_t n)
+                   const struct stage_result *results,
+                   uint32_t n,
+                   int64_t now)
 {
-  const char *owner = owner_of (work, pool);
+  const char *owner = owner_of (work, pool, now);
   struct bytes out;
 
   if (strcmp (owner, work->config.name) == 0)
     {
       for (uint32_t i = 0; i < n; i++)
-        batch_free_result (work->config.batch, pool, handles[i]);
+        batch_free_result (work->config.batch, pool, &results[i], now);
       return;
     }
   begin (WORK_FREE, &out);
   pack_text (&out, pool);
   pack_array (&out, n);
   for (uint32_t i = 0; i < n; i++)
-    pack_text (&out, handles[i]);
+    write_result (&results[i], &out);
   send_bytes (work, owner, &out);
 }
 
@@ -312,7 +443,7 @@
       || (end == PIECE_DONE && n != order->n_pieces))
     return;
   for (uint32_t i = 0; i < n; i++)
-    pack_read_text (in, order->handles[i], DIALECT_HANDLE_SIZE);
+    read_result (in, &order->results[i]);
   if (pack_read_end (in))
     finish (order, end, now);
 }
@@ -332,7 +463,7 @@
   pack_uint (&out, end);
   pack_array (&out, n);
   for (uint32_t i = 0; i < n; i++)
-    pack_text (&out, order->results[i].handle);
+    write_result (&order->results[i].result, &out);
   send_bytes (work, order->origin, &out);
 }
 
@@ -377,7 +508,7 @@
 }
 
 static void
-got_cancel (struct work *work, struct pack_reader *in, const char *from)
+got_cancel (struct work *work, struct pack_reader *in, const char *from, int64_t now)
 {
   uint64_t number = pack_read_uint (in, UINT64_MAX);
   struct batch_order *order;
@@ -386,11 +517,11 @@
     return;
   order = batch_find (work->config.batch, from, number);
   if (order != NULL)
-    batch_cancel (work->config.batch, order);
+    batch_cancel (work->config.batch, order, now);
 }
 
 static void
-got_free (struct work *work, struct pack_reader *in)
+got_free (struct work *work, struct pack_reader *in, int64_t now)
 {
   char pool[ROUTING_NAME_SIZE];
   uint32_t n;
@@ -399,15 +530,25 @@
   n = pack_read_array (in, DIALECT_PIECES_MAX);
   for (uint32_t i = 0; i < n; i++)
     {
-      char handle[DIALECT_HANDLE_SIZE];
+      struct stage_result result;
 
-      pack_read_text (in, handle, sizeof handle);
-      if (!pack_read_ok (in))
+      if (!read_result (in, &result))
         return;
-      batch_free_result (work->config.batch, pool, handle);
+      batch_free_result (work->config.batch, pool, &result, now);
     }
 }
 
+static void
+hear_owner (struct work *work, const char *from, int64_t now)
+{
+  struct work_owner *owner = find_owner (work, from);
+
+  if (owner == NULL)
+    return;
+  owner->heard = now;
+  owner->suspect_until = 0;
+}
+
 static void
 received (
     struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
@@ -422,14 +563,17 @@
   type = pack_read_uint (&in, WORK_MESSAGE_COUNT - 1);
   if (!pack_read_ok (&in))
     return;
+  hear_owner (work, from, now);
   if (type == WORK_RUN)
     got_run (work, &in, from, now);
   else if (type == WORK_DONE)
     got_done (work, &in, from, now);
   else if (type == WORK_CANCEL)
-    got_cancel (work, &in, from);
-  else
-    got_free (work, &in);
+    got_cancel (work, &in, from, now);
+  else if (type == WORK_FREE)
+    got_free (work, &in, now);
+  else if (type == WORK_PING)
+    send_short (work, from, WORK_PONG);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
@@ -443,6 +587,7 @@
     return NULL;
   work->config = *config;
   work->listener.ops = &listener_ops;
+  work->ping.ops = &ping_ops;
   work->last_number = config->first_number;
   work->submitted =
       counter_get (config->counters, "cherryarch_work_orders_total", "Stages ordered.", NULL);
--- a/src/work.h
+++ b/src/work.h
@@ -17,8 +17,13 @@
 
 BEGIN_DECLS
 
-/* Without news from the owner for so long beyond the expected time the pieces are sent again. */
-#define WORK_RESEND (1500 * USEC_PER_MSEC)
+/* An owner that has work of ours is asked this often whether it lives, and counts as dead after so
+ * long without a word: a chain of stages has a second, and a host that lost power resets nothing.
+ * It gets no work until it is heard again, or for so long. */
+#define WORK_PING_PERIOD (120 * USEC_PER_MSEC)
+#define WORK_OWNER_SILENCE (400 * USEC_PER_MSEC)
+#define WORK_SUSPECT (4 * USEC_PER_SEC)
+#define WORK_OWNERS_MAX 64
 
 struct work;
 
@@ -39,7 +44,7 @@
 
 struct work_order_ops
 {
-  /* DONE: `handles` are the results in order. */
+  /* DONE: `results` are those of the pieces in order. */
   void (*done) (struct work_order *order, enum piece_end end, int64_t now);
 };
 
@@ -58,7 +63,7 @@
   int64_t due;        /* later results make the request late */
   int64_t deadline;   /* later results are worthless */
   uint32_t n_pieces;
-  char (*handles)[DIALECT_HANDLE_SIZE]; /* of n_pieces, its user's */
+  struct stage_result *results; /* of n_pieces, its user's */
 
   /* work's own */
   struct work *work;
@@ -74,13 +79,14 @@
 void work_submit (struct work *work, struct work_order *order, int64_t now);
 
 /* Withdraw; results that come nevertheless are freed. */
-void work_cancel (struct work_order *order);
+void work_cancel (struct work_order *order, int64_t now);
 
 /* Results are no longer needed. */
 void work_free_results (struct work *work,
                         const char *pool,
-                        const char (*handles)[DIALECT_HANDLE_SIZE],
-                        uint32_t n);
+                        const struct stage_result *results,
+                        uint32_t n,
+                        int64_t now);
 
 END_DECLS
 
