Reserve a target's room for whole orders, and free what failed orders made

Cause: orders that each held part of the results' room waited for the rest and stopped each other (queues of 400 to 800 pieces, calls half full); what was made for an order that was given up lay there until it expired. Ruled out: targets' time, dead owners.

--- a/src/batch.c
+++ b/src/batch.c
@@ -96,11 +96,23 @@
   }
 }
 
+/* What was made for an order that comes to nothing would lie in the makers' room until it expires.
+ */
+static void
+free_results (struct batch *batch, const struct batch_order *order, int64_t now)
+{
+  for (uint32_t i = 0; i < order->n_pieces; i++)
+    if (order->results[i].result.handle[0] != '\0')
+      batch_free_result (batch, order->pool, &order->results[i].result, now);
+}
+
 static void
 end_order (struct batch *batch, struct batch_order *order, enum piece_end end, int64_t now)
 {
   unlink_order (batch, order);
   drop_pieces (batch, order);
+  if (end != PIECE_DONE)
+    free_results (batch, order, now);
   order->ops->done (order, end, now);
   talloc_free (order);
 }
@@ -110,9 +122,7 @@
 {
   unlink_order (batch, order);
   drop_pieces (batch, order);
-  for (uint32_t i = 0; i < order->n_pieces; i++)
-    if (order->results[i].result.handle[0] != '\0')
-      batch_free_result (batch, order->pool, &order->results[i].result, now);
+  free_results (batch, order, now);
   talloc_free (order);
 }
 
@@ -190,6 +200,7 @@
       end_order (pool->batch, order, now >= order->deadline ? PIECE_LATE : PIECE_FAILED, now);
       return;
     }
+  order->n_taken--;
   enqueue (pool, piece);
 }
 
@@ -213,17 +224,21 @@
     }
 }
 
+static void
+mark_begun (struct batch_order *order)
+{
+  order->begun = true;
+  order->n_taken++;
+}
+
 /* The rest of an order that was begun moves forward in the queue. */
 static void
-begin_order (struct batch_pool *pool, struct batch_order *order)
+move_forward (struct batch_pool *pool, const struct batch_order *order)
 {
   struct batch_piece *moved = NULL;
   struct batch_piece *piece;
   struct batch_piece *next;
 
-  if (order->begun)
-    return;
-  order->begun = true;
   DL_FOREACH_SAFE (pool->queue, piece, next)
   {
     if (piece->order != order)
@@ -249,6 +264,30 @@
          && target->calls < pool->spec.slots;
 }
 
+/* Room for the whole of an order that is not begun, beside what lies there and what the begun ones
+ * still need.  Orders that each hold a part of the room and wait for the rest would stop each other
+ * until their results expire. */
+static bool
+may_begin (const struct batch_pool *pool, const struct batch_order *order)
+{
+  const struct batch_order_link *link;
+  uint64_t committed = 0;
+  uint64_t room = 0;
+
+  if (order->begun || pool->spec.room == 0)
+    return true;
+  for (const struct batch_target *target = pool->targets; target != NULL; target = target->next)
+    if (target->target != NULL && target->target->usable)
+      {
+        room += pool->spec.room;
+        committed += target->used;
+      }
+  DL_FOREACH (pool->batch->orders, link)
+  if (link->order->begun && strcmp (link->order->pool, pool->name) == 0)
+    committed += (link->order->n_pieces - link->order->n_taken) * link->order->result_size;
+  return committed + order->n_pieces * order->result_size <= room || committed == 0;
+}
+
 static bool
 has_room (const struct batch_pool *pool, const struct batch_target *target, uint64_t size)
 {
@@ -304,7 +343,8 @@
         continue;
       ++*n_idle;
       DL_FOREACH (pool->queue, piece)
-      if (has_room (pool, target, piece->result_size) && may_go_to (pool, piece, at, now))
+      if (has_room (pool, target, piece->result_size) && may_begin (pool, piece->order)
+          && may_go_to (pool, piece, at, now))
         break;
       if (piece == NULL)
         continue;
@@ -352,8 +392,9 @@
         return n;
       if (is_late (pool, piece, now) != (late == 1)
           || !has_room (pool, target, size + piece->result_size)
-          || !may_go_to (pool, piece, target->target, now))
+          || !may_begin (pool, piece->order) || !may_go_to (pool, piece, target->target, now))
         continue;
+      mark_begun (piece->order);
       size += piece->result_size;
       DL_DELETE (pool->queue, piece);
       pool->n_queued--;
@@ -379,7 +420,7 @@
         break;
       n = take_pieces (pool, target, n_idle, now, pieces);
       for (uint32_t i = 0; i < n; i++)
-        begin_order (pool, pieces[i]->order);
+        move_forward (pool, pieces[i]->order);
       if (n > 0 && batch_call_start (pool, target, pieces, n, now))
         continue;
       target->paused_until = now + BATCH_NO_ROOM_PAUSE;
--- a/src/batch.h
+++ b/src/batch.h
@@ -77,7 +77,8 @@
   uint32_t urgency;
   int64_t due;
   int64_t deadline;
-  bool begun; /* the batch's own: a piece of it was taken */
+  bool begun;       /* the batch's own: a piece of it was taken */
+  uint32_t n_taken; /* the batch's own: pieces in calls or done */
   uint32_t n_pieces;
   uint32_t n_done;
   struct piece_result *results; /* talloc child, n_pieces */
