Spare slow targets, let old estimates fade, keep the last known hosts

Cause: a slow target of a pool was handed the most urgent pieces as soon as it was idle; a target seen slow once was never tried again; a host cut off from the controllers took every pool for its own and collided with the owner.

--- a/src/balance.c
+++ b/src/balance.c
@@ -1,6 +1,7 @@
 /* Which target a request goes to. */
 #include "balance.h"
 #include "text.h"
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 #include <xxhash.h>
@@ -124,14 +125,21 @@
 }
 
 static double
-latency_of (const struct balance_target *target)
+latency_of (const struct balance_target *target, int64_t now)
 {
-  return target->latency > 0 ? target->latency : BALANCE_FIRST_LATENCY;
+  double age = (double) (now - target->latency_at) / (double) BALANCE_HALF_LIFE;
+
+  if (target->latency <= BALANCE_FIRST_LATENCY)
+    return target->latency > 0 ? target->latency : BALANCE_FIRST_LATENCY;
+  return BALANCE_FIRST_LATENCY + (target->latency - BALANCE_FIRST_LATENCY) * exp2 (-age);
 }
 
 /* Fewest in flight by the time each takes, with a bonus for our own failure domain. */
 static struct balance_target *
-least_loaded (struct balance *balance, struct balance_target **candidates, uint32_t n)
+least_loaded (struct balance *balance,
+              struct balance_target **candidates,
+              uint32_t n,
+              int64_t now)
 {
   struct balance_target *best = NULL;
   double best_cost = 0;
@@ -141,7 +149,7 @@
       struct balance_target *target = candidates[i];
       bool near = strcmp (target->domain, balance->domain) == 0;
       double cost = (target->in_flight + 1 + (near ? 0 : BALANCE_DOMAIN_BONUS))
-                    * latency_of (target) * (1 + 0.1 * rng_unit (&balance->rng));
+                    * latency_of (target, now) * (1 + 0.1 * rng_unit (&balance->rng));
 
       if (best == NULL || cost < best_cost)
         {
@@ -220,7 +228,7 @@
     return NULL;
   if (prompt != NULL && prompt->present)
     chosen = cheapest_engine (balance, candidates, n, prompt, now);
-  return chosen != NULL ? chosen : least_loaded (balance, candidates, n);
+  return chosen != NULL ? chosen : least_loaded (balance, candidates, n, now);
 }
 
 void
@@ -246,6 +254,8 @@
 {
   target->in_flight--;
   target->failing += BALANCE_SMOOTHING * ((failed ? 1.0 : 0.0) - target->failing);
+  if (first >= 0)
+    target->latency_at = now;
   if (first >= 0)
     target->latency = target->latency == 0
                           ? (double) first
--- a/src/batch.c
+++ b/src/batch.c
@@ -312,12 +312,37 @@
   return false;
 }
 
+/* A piece that cannot be in time any more goes behind those that can: served first, as the earliest
+ * due, it would make the next one late too, and so all. */
+static bool
+is_late (const struct batch_pool *pool, const struct batch_piece *piece, int64_t now)
+{
+  return now + batch_expected (pool, 1) > piece->order->due;
+}
+
+/* Would this slow target make a piece late that another can make in time? */
+static bool
+is_too_slow (const struct batch_pool *pool,
+             const struct batch_target *target,
+             const struct batch_piece *piece,
+             int64_t now)
+{
+  double takes = target->slowness * (double) batch_expected (pool, pool->spec.pieces / 2);
+
+  return target->slowness > BATCH_SLOW && now - target->called_at < BATCH_PROBE_PERIOD
+         && now + (int64_t) takes > piece->order->due && !is_late (pool, piece, now);
+}
+
 static bool
 may_go_to (const struct batch_pool *pool,
            const struct batch_piece *piece,
-           const struct balance_target *at,
+           const struct batch_target *target,
            int64_t now)
 {
+  const struct balance_target *at = target->target;
+
+  if (is_too_slow (pool, target, piece, now))
+    return false;
   return strcmp (piece->order->near, at->domain) == 0 || !waits_for_near (pool, piece, now);
 }
 
@@ -344,7 +369,7 @@
       ++*n_idle;
       DL_FOREACH (pool->queue, piece)
       if (has_room (pool, target, piece->result_size) && may_begin (pool, piece->order)
-          && may_go_to (pool, piece, at, now))
+          && may_go_to (pool, piece, target, now))
         break;
       if (piece == NULL)
         continue;
@@ -358,14 +383,6 @@
   return best;
 }
 
-/* A piece that cannot be in time any more goes behind those that can: served first, as the earliest
- * due, it would make the next one late too, and so all. */
-static bool
-is_late (const struct batch_pool *pool, const struct batch_piece *piece, int64_t now)
-{
-  return now + batch_expected (pool, 1) > piece->order->due;
-}
-
 /* Take pieces for one call: in their order those that fit and may go there, and not all where other
  * targets are idle too. */
 static uint32_t
@@ -392,7 +409,7 @@
         return n;
       if (is_late (pool, piece, now) != (late == 1)
           || !has_room (pool, target, size + piece->result_size)
-          || !may_begin (pool, piece->order) || !may_go_to (pool, piece, target->target, now))
+          || !may_begin (pool, piece->order) || !may_go_to (pool, piece, target, now))
         continue;
       mark_begun (piece->order);
       size += piece->result_size;
--- a/src/batch.h
+++ b/src/batch.h
@@ -17,6 +17,11 @@
 #define BATCH_OVERDUE_FACTOR 2.0
 #define BATCH_OVERDUE_MORE (150 * USEC_PER_MSEC)
 
+/* A target this many times slower than expected gets only pieces that it makes in time, or that are
+ * late anyway, but for one call in so long, which shows whether it is slow still. */
+#define BATCH_SLOW 1.6
+#define BATCH_PROBE_PERIOD (1500 * USEC_PER_MSEC)
+
 /* Results are freed in batches, this often. */
 #define BATCH_FREE_PERIOD (60 * USEC_PER_MSEC)
 
--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -1,5 +1,6 @@
 /* What model engines have to read and what they have cached. */
 #include "engine_load.h"
+#include <math.h>
 #include <string.h>
 #include <talloc.h>
 #include <uthash.h>
@@ -16,6 +17,9 @@
 #define SLOWNESS_SMOOTHING 0.25
 #define SLOWNESS_MAX 20.0
 
+/* An engine that was slow gets few requests: what was seen loses half its weight in so long. */
+#define SLOWNESS_HALF_LIFE (2 * USEC_PER_SEC)
+
 /* A request on its way through an engine. */
 struct engine_request
 {
@@ -46,6 +50,7 @@
   struct engine_part *used;  /* the last used first */
   uint64_t cached;           /* tokens */
   double slowness;
+  int64_t slowness_at;
   UT_hash_handle hh;
 };
 
@@ -240,10 +245,21 @@
   return tokens;
 }
 
+static double
+slowness_of (const struct engine_target *target, int64_t now)
+{
+  double age = (double) (now - target->slowness_at) / (double) SLOWNESS_HALF_LIFE;
+
+  return 1 + (target->slowness - 1) * exp2 (-age);
+}
+
 static int64_t
-reading_time (const struct engine_load *load, const struct engine_target *target, uint64_t tokens)
+reading_time (const struct engine_load *load,
+              const struct engine_target *target,
+              uint64_t tokens,
+              int64_t now)
 {
-  double slowness = target == NULL ? 1 : target->slowness;
+  double slowness = target == NULL ? 1 : slowness_of (target, now);
 
   return (int64_t) (slowness
                     * ((double) tokens / load->rate * USEC_PER_MSEC + (double) FIRST_TIME));
@@ -263,7 +279,7 @@
   out->running = 0;
   if (target != NULL)
     pending = pending_tokens (target, now, &out->running);
-  out->wait = reading_time (load, target, pending + shared + prompt->own_tokens);
+  out->wait = reading_time (load, target, pending + shared + prompt->own_tokens, now);
   out->read_again = tokens_held_elsewhere (load, target, prompt);
 }
 
@@ -327,6 +343,8 @@
 
       load->rate += RATE_SMOOTHING * (rate - load->rate);
     }
+  target->slowness = slowness_of (target, now);
+  target->slowness_at = now;
   ratio *= target->slowness;
   if (ratio > SLOWNESS_MAX)
     ratio = SLOWNESS_MAX;
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -498,9 +498,21 @@
   return false;
 }
 
+static bool
+any_in_touch (const struct subscriber *self)
+{
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    if (self->controllers[i].in_touch)
+      return true;
+  return false;
+}
+
+/* A host that is cut off from all controllers goes by what it heard last: the other entry hosts may
+ * still be there, and hosts that each took themselves for the only one would collide at targets. */
 uint32_t
 subscriber_hosts (const struct subscriber *self, const struct sync_host *out[SYNC_HOSTS_MAX])
 {
+  bool touch = any_in_touch (self);
   uint32_t n = 0;
 
   if (!self->self.leaving)
@@ -509,7 +521,7 @@
     {
       const struct known_controller *controller = &self->controllers[i];
 
-      for (uint32_t j = 0; controller->in_touch && j < controller->n_list; j++)
+      for (uint32_t j = 0; (controller->in_touch || !touch) && j < controller->n_list; j++)
         if (n < SYNC_HOSTS_MAX && strcmp (controller->list[j].name, self->self.name) != 0
             && !is_among (out, n, controller->list[j].name))
           out[n++] = &controller->list[j];
