Queue stage work by order, and split large pools by failure domain

Cause: one owner for a pool of 15 targets did not keep up (0.075 of its 0.12 cores, its link of 10 Mbit/s full): each dispatch walked pieces, orders and targets against each other. News of engines grew with the square of hosts. Three voters cannot bear two lost disks. Open: a third of stage calls find their target full on the grown sites.

--- a/src/batch.h
+++ b/src/batch.h
@@ -9,6 +9,7 @@
 #include "dialect.h"
 #include "h1_client.h"
 #include "timer.h"
+#include <uthash.h>
 
 BEGIN_DECLS
 
@@ -28,14 +29,14 @@
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
 
-/* Where pieces wait, one less urgent by one step goes behind those due this much later. */
+/* Where orders wait, one less urgent by one step goes behind those due this much later. */
 #define BATCH_URGENCY_STEP (300 * USEC_PER_MSEC)
 
 /* The rest of an order that was begun goes before those due this much earlier. */
 #define BATCH_BEGUN_BONUS (400 * USEC_PER_MSEC)
 
-/* A piece waits for a target in the failure domain where its result is wanted while it has so much
- * time to spare: a result of megabytes that crosses costs more than the wait. */
+/* An order waits for a target in the failure domain where its results are wanted while it has so
+ * much time to spare: a result of megabytes that crosses costs more than the wait. */
 #define BATCH_NEAR_SLACK (300 * USEC_PER_MSEC)
 
 /* A target that said it has no room gets nothing for so long. */
@@ -43,6 +44,7 @@
 
 struct batch;
 struct batch_order;
+struct batch_pool;
 
 struct batch_config
 {
@@ -75,18 +77,29 @@
   char request[DIALECT_ID_SIZE];
   uint32_t stage;
   char pool[ROUTING_NAME_SIZE];
-  char near[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE]; /* only targets of this failure domain; "" for any */
+  char near[ROUTING_NAME_SIZE];   /* where the results are wanted */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   char *inputs; /* talloc child; NULL with a key */
   uint32_t urgency;
   int64_t due;
   int64_t deadline;
-  bool begun;       /* the batch's own: a piece of it was taken */
-  uint32_t n_taken; /* the batch's own: pieces in calls or done */
   uint32_t n_pieces;
-  uint32_t n_done;
   struct piece_result *results; /* talloc child, n_pieces */
+
+  /* The batch's own. */
+  struct batch_pool *batch_pool;
+  uint64_t serial;    /* never used again, while an address is */
+  uint32_t *pending;  /* pieces not in a call and not done */
+  uint32_t n_pending;
+  uint8_t *tries; /* of each piece */
+  uint32_t n_done;
+  bool begun; /* a piece of it was taken */
+  bool queued;
+  struct batch_order *prev;
+  struct batch_order *next;
+  UT_hash_handle hh;
 };
 
 struct batch_order *batch_order_new (struct batch *batch, uint32_t n_pieces);
@@ -98,12 +111,16 @@
 /* An order of another host, by its number there; NULL when it is not here. */
 struct batch_order *batch_find (struct batch *batch, const char *origin, uint64_t number);
 
-/* Results that nobody needs any more. */
+/* A result that nobody needs any more. */
 void batch_free_result (struct batch *batch,
                         const char *pool,
+                        const char *domain,
                         const struct stage_result *result,
                         int64_t now);
 
+/* How long a new order would wait before its pieces are begun, about. */
+int64_t batch_wait (struct batch *batch, const char *pool, const char *domain);
+
 END_DECLS
 
 #endif
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -18,7 +18,7 @@
   struct batch_target *target;
   struct balance_target *at; /* in_flight keeps it alive */
   uint32_t n;
-  struct batch_piece *pieces[BATCH_CALL_PIECES_MAX];
+  struct batch_piece pieces[BATCH_CALL_PIECES_MAX];
   uint64_t size;
   struct bytes body;
   unsigned status;
@@ -36,7 +36,7 @@
 requeue_all (struct batch_call *call, bool tried, int64_t now)
 {
   for (uint32_t i = 0; i < call->n; i++)
-    batch_requeue (call->pool, call->pieces[i], tried, now);
+    batch_requeue (call->pool, &call->pieces[i], tried, now);
 }
 
 static void
@@ -46,7 +46,7 @@
              "pool", call->pool->name, "target", call->at->id, "pieces", (int) call->n, "outcome",
              outcome, "status", (int) call->status, "took_us", (json_int_t) (now - call->started),
              "expected_us", (json_int_t) batch_expected (call->pool, call->n), "queued",
-             (int) call->pool->n_queued);
+             (int) call->pool->n_pending);
 }
 
 /* The call is over: its slot and the room that it may have used are free again. */
@@ -63,7 +63,7 @@
 
 static void
 take_result (struct batch_call *call,
-             struct batch_piece *piece,
+             const struct batch_piece *piece,
              struct piece_result *result,
              int64_t now)
 {
@@ -73,7 +73,7 @@
     {
       memcpy (result->result.target, call->at->id, sizeof result->result.target);
       batch_keep_result (pool, call->target, result->result.handle, piece->result_size,
-                         !batch_is_wanted (pool->batch, piece), now);
+                         batch_order_of (pool->batch, piece) == NULL, now);
       batch_piece_done (pool, piece, result, now);
       return;
     }
@@ -82,7 +82,13 @@
     call->target->paused_until = now + BATCH_NO_ROOM_PAUSE;
   /* An input that is gone cannot be waited for: whoever ordered makes it again. */
   if (result->end == PIECE_INPUT_GONE)
-    piece->tries = BATCH_TRIES_MAX;
+    {
+      struct batch_order *order = batch_order_of (pool->batch, piece);
+
+      if (order != NULL)
+        batch_end_order (order, PIECE_INPUT_GONE, now);
+      return;
+    }
   batch_requeue (pool, piece, result->end != PIECE_NO_ROOM, now);
 }
 
@@ -111,7 +117,7 @@
     return false;
   log_not_made (call, results);
   for (uint32_t i = 0; i < call->n; i++)
-    take_result (call, call->pieces[i], &results[i], now);
+    take_result (call, &call->pieces[i], &results[i], now);
   return true;
 }
 
@@ -207,12 +213,14 @@
 
   for (uint32_t i = 0; i < call->n; i++)
     {
-      const struct batch_order *order = call->pieces[i]->order;
+      const struct batch_order *order =
+          batch_order_of (call->pool->batch, &call->pieces[i]);
 
+      INVARIANT (order != NULL);
       facts[i] = (struct piece_facts){
         .request = order->request,
         .stage = order->stage,
-        .piece = call->pieces[i]->index,
+        .piece = call->pieces[i].index,
         .time_left = order->deadline - now,
         .key = order->inputs == NULL ? order->key : NULL,
         .inputs = order->inputs,
@@ -235,7 +243,7 @@
 bool
 batch_call_start (struct batch_pool *pool,
                   struct batch_target *target,
-                  struct batch_piece **pieces,
+                  const struct batch_piece *pieces,
                   uint32_t n,
                   int64_t now)
 {
@@ -255,7 +263,7 @@
   call->started = now;
   memcpy (call->pieces, pieces, n * sizeof *pieces);
   for (uint32_t i = 0; i < n; i++)
-    call->size += pieces[i]->result_size;
+    call->size += pieces[i].result_size;
   bytes_init (&call->body, call);
   bytes_init (&message, NULL);
   write_message (call, now, &message);
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -4,24 +4,16 @@
 
 #include "batch.h"
 
-#define BATCH_POOLS_MAX 32
+#define BATCH_POOLS_MAX 64
 #define BATCH_CALL_PIECES_MAX 256
 
-struct batch_call;
-struct batch_pool;
-
-/* One piece of an order, waiting or in a call. */
+/* One piece in a call.  Its order may be withdrawn meanwhile and its memory used by another, so it
+ * is known by its serial alone. */
 struct batch_piece
 {
-  /* The order may be withdrawn while the piece is in a call, and its memory used by another: it is
-   * looked up by its serial, and `order` is good only where that finds it. */
-  struct batch_order *order;
   uint64_t serial;
   uint32_t index;
-  uint32_t tries;
   uint64_t result_size;
-  struct batch_piece *prev;
-  struct batch_piece *next;
 };
 
 /* A result that lies at its target. */
@@ -38,10 +30,10 @@
 /* A target as the owner of its pool sees it. */
 struct batch_target
 {
-  struct balance_target *target; /* NULL once gone */
+  struct balance_target *target; /* as of the last look; NULL once gone */
   char id[ROUTING_NAME_SIZE];
   uint32_t calls;
-  uint64_t used; /* bytes of results, those of running calls included */
+  uint64_t used;   /* bytes of results, those of running calls included */
   double slowness; /* actual over expected time of its calls, smoothed */
   int64_t paused_until;
   int64_t called_at; /* the last call's start */
@@ -49,15 +41,18 @@
   struct batch_target *next;
 };
 
+/* The targets of a pool, or those of it in one failure domain. */
 struct batch_pool
 {
   char name[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE]; /* "" for all */
   struct batch_spec spec;
   struct batch *batch;
-  struct batch_piece *queue; /* by when they are due */
-  uint32_t n_queued;
+  struct batch_order *queue; /* orders with pending pieces, by rank */
+  uint32_t n_pending;        /* their pieces */
+  uint64_t reserved;         /* bytes that the pending pieces of begun orders will take */
   struct batch_target *targets;
-  struct timer timer; /* looks again while pieces wait, and frees */
+  struct timer timer; /* looks again while orders wait, and frees */
   int64_t free_at;
 };
 
@@ -66,7 +61,7 @@
   struct batch_config config;
   struct batch_pool pools[BATCH_POOLS_MAX];
   uint32_t n_pools;
-  struct batch_order_link *orders;
+  struct batch_order *orders; /* by serial */
   uint64_t last_serial;
   struct counter *calls;
   struct counter *pieces;
@@ -75,29 +70,30 @@
   struct histogram *call_time;
 };
 
-/* Where an order hangs while the batch owns it. */
-struct batch_order_link
-{
-  struct batch_order *order;
-  uint64_t serial;
-  struct batch_order_link *prev;
-  struct batch_order_link *next;
-};
+/* batch_queue.c */
+void batch_enqueue (struct batch_order *order);
+void batch_dequeue (struct batch_order *order);
+void batch_dispatch (struct batch_pool *pool, int64_t now);
+bool batch_is_late (const struct batch_pool *pool, const struct batch_order *order, int64_t now);
 
 /* batch.c */
+bool batch_is_in_pool (const struct batch_pool *pool, const struct balance_target *at);
+struct batch_order *batch_order_of (struct batch *batch, const struct batch_piece *piece);
+void batch_end_order (struct batch_order *order, enum piece_end end, int64_t now);
 void batch_piece_done (struct batch_pool *pool,
-                       struct batch_piece *piece,
+                       const struct batch_piece *piece,
                        const struct piece_result *result,
                        int64_t now);
-void batch_requeue (struct batch_pool *pool, struct batch_piece *piece, bool tried, int64_t now);
-void batch_dispatch (struct batch_pool *pool, int64_t now);
+void batch_requeue (struct batch_pool *pool,
+                    const struct batch_piece *piece,
+                    bool tried,
+                    int64_t now);
 void batch_look_soon (struct batch_pool *pool, int64_t now);
-bool batch_is_wanted (const struct batch *batch, const struct batch_piece *piece);
 
 /* batch_call.c */
 bool batch_call_start (struct batch_pool *pool,
                        struct batch_target *target,
-                       struct batch_piece **pieces,
+                       const struct batch_piece *pieces,
                        uint32_t n,
                        int64_t now);
 int64_t batch_expected (const struct batch_pool *pool, uint32_t n_pieces);
@@ -111,5 +107,6 @@
                         bool unneeded,
                         int64_t now);
 void batch_sweep_results (struct batch_pool *pool, int64_t now);
+void batch_free (struct batch_pool *pool, const struct stage_result *result, int64_t now);
 
 #endif
--- /dev/null
+++ b/src/batch_queue.c
@@ -0,0 +1,296 @@
+/* The queue of a pool: which order's pieces go to which idle target next. */
+#include "batch_private.h"
+#include <string.h>
+#include <utlist.h>
+
+/* When an order should be taken, urgency counted as time.  One that was begun is finished before
+ * others are: its results take room that only its last piece sets free. */
+static int64_t
+rank (const struct batch_order *order)
+{
+  if (order->begun)
+    return order->due - BATCH_BEGUN_BONUS;
+  return order->due + (int64_t) order->urgency * BATCH_URGENCY_STEP;
+}
+
+void
+batch_enqueue (struct batch_order *order)
+{
+  struct batch_pool *pool = order->batch_pool;
+  struct batch_order *at;
+
+  if (order->queued || order->n_pending == 0)
+    return;
+  DL_FOREACH (pool->queue, at)
+  if (rank (order) < rank (at))
+    break;
+  if (at == NULL)
+    DL_APPEND (pool->queue, order);
+  else
+    DL_PREPEND_ELEM (pool->queue, at, order);
+  order->queued = true;
+  pool->n_pending += order->n_pending;
+  if (order->begun)
+    pool->reserved += order->n_pending * order->result_size;
+}
+
+void
+batch_dequeue (struct batch_order *order)
+{
+  struct batch_pool *pool = order->batch_pool;
+
+  if (!order->queued)
+    return;
+  DL_DELETE (pool->queue, order);
+  order->queued = false;
+  pool->n_pending -= order->n_pending;
+  if (order->begun)
+    pool->reserved -= order->n_pending * order->result_size;
+}
+
+/* Orders whose results would be worthless are ended before they cost a target's time. */
+static void
+drop_late (struct batch_pool *pool, int64_t now)
+{
+  struct batch_order *order = pool->queue;
+
+  while (order != NULL)
+    {
+      struct batch_order *next = order->next;
+
+      if (now + batch_expected (pool, 1) < order->deadline)
+        {
+          order = next;
+          continue;
+        }
+      batch_end_order (order, PIECE_LATE, now);
+      /* Ending one may end others: begin anew. */
+      order = pool->queue;
+    }
+}
+
+/* What is idle and what room there is, looked at once a turn. */
+struct outlook
+{
+  struct batch_target *idle[64];
+  uint32_t n_idle;
+  uint64_t room;
+  uint64_t used;
+};
+
+static bool
+can_take (const struct batch_pool *pool, const struct batch_target *target, int64_t now)
+{
+  return now >= target->target->ejected_until && now >= target->paused_until
+         && target->calls < pool->spec.slots;
+}
+
+static void
+look (struct batch_pool *pool, int64_t now, struct outlook *out)
+{
+  *out = (struct outlook){ .n_idle = 0 };
+  /* Those that are gone by now leave no pointer behind. */
+  for (struct batch_target *target = pool->targets; target != NULL; target = target->next)
+    target->target = NULL;
+  for (struct balance_target *at = pool->batch->config.balance->targets; at != NULL; at = at->next)
+    {
+      struct batch_target *target;
+
+      if (!batch_is_in_pool (pool, at))
+        continue;
+      target = batch_target_of (pool, at);
+      if (target == NULL || !at->usable || at->gone)
+        continue;
+      out->room += pool->spec.room;
+      out->used += target->used;
+      if (out->n_idle < sizeof out->idle / sizeof out->idle[0] && can_take (pool, target, now))
+        out->idle[out->n_idle++] = target;
+    }
+}
+
+static bool
+has_room (const struct batch_pool *pool, const struct batch_target *target, uint64_t size)
+{
+  return pool->spec.room == 0 || target->used + size <= pool->spec.room || target->results == NULL;
+}
+
+/* Room for the whole of an order that is not begun, beside what lies there and what the begun ones
+ * still need.  Orders that each hold a part of the room and wait for the rest would stop each other
+ * until their results expire. */
+static bool
+may_begin (const struct batch_pool *pool,
+           const struct outlook *outlook,
+           const struct batch_order *order)
+{
+  uint64_t committed = outlook->used + pool->reserved;
+
+  return order->begun || pool->spec.room == 0 || committed == 0
+         || committed + order->n_pending * order->result_size <= outlook->room;
+}
+
+/* An order that cannot be in time any more goes behind those that can: served first, as the earliest
+ * due, it would make the next one late too, and so all. */
+bool
+batch_is_late (const struct batch_pool *pool, const struct batch_order *order, int64_t now)
+{
+  return now + batch_expected (pool, 1) > order->due;
+}
+
+/* Must the order go to a target in the failure domain where its results are wanted?  Only while it
+ * has time to spare, not more waits than fills a call, and there is such a target. */
+static bool
+waits_for_near (const struct batch_pool *pool, const struct batch_order *order, int64_t now)
+{
+  if (order->near[0] == '\0' || pool->n_pending > pool->spec.pieces
+      || now + batch_expected (pool, 1) + BATCH_NEAR_SLACK >= order->due)
+    return false;
+  for (const struct batch_target *target = pool->targets; target != NULL; target = target->next)
+    if (target->target != NULL && target->target->usable
+        && strcmp (target->target->domain, order->near) == 0)
+      return true;
+  return false;
+}
+
+/* Would this slow target make an order late that another can make in time? */
+static bool
+is_too_slow (const struct batch_pool *pool,
+             const struct batch_target *target,
+             const struct batch_order *order,
+             int64_t now)
+{
+  double takes = target->slowness * (double) batch_expected (pool, pool->spec.pieces / 2);
+
+  return target->slowness > BATCH_SLOW && now - target->called_at < BATCH_PROBE_PERIOD
+         && now + (int64_t) takes > order->due && !batch_is_late (pool, order, now);
+}
+
+static bool
+may_go_to (const struct batch_pool *pool,
+           const struct batch_order *order,
+           const struct batch_target *target,
+           int64_t now)
+{
+  if (is_too_slow (pool, target, order, now))
+    return false;
+  return strcmp (order->near, target->target->domain) == 0 || !waits_for_near (pool, order, now);
+}
+
+static bool
+fits (const struct batch_pool *pool,
+      const struct outlook *outlook,
+      const struct batch_order *order,
+      const struct batch_target *target,
+      uint64_t size,
+      int64_t now)
+{
+  return has_room (pool, target, size + order->result_size) && may_begin (pool, outlook, order)
+         && may_go_to (pool, order, target, now);
+}
+
+/* The idle target to be given work next: the fastest for which there is an order, one that is near
+ * before others. */
+static struct batch_target *
+choose_target (struct batch_pool *pool, const struct outlook *outlook, int64_t now)
+{
+  struct batch_target *best = NULL;
+  double best_cost = 0;
+
+  for (uint32_t i = 0; i < outlook->n_idle; i++)
+    {
+      struct batch_target *target = outlook->idle[i];
+      struct batch_order *order;
+      double cost;
+
+      DL_FOREACH (pool->queue, order)
+      if (fits (pool, outlook, order, target, 0, now))
+        break;
+      if (order == NULL)
+        continue;
+      cost = target->slowness + (strcmp (order->near, target->target->domain) == 0 ? 0.0 : 1.0);
+      if (best == NULL || cost < best_cost)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* Take a piece of the order for a call. */
+static void
+take_piece (struct batch_order *order, struct outlook *outlook, struct batch_piece *out)
+{
+  batch_dequeue (order);
+  *out = (struct batch_piece){
+    .serial = order->serial,
+    .index = order->pending[--order->n_pending],
+    .result_size = order->result_size,
+  };
+  order->begun = true;
+  outlook->used += order->result_size;
+  /* With its new rank, as it is begun now. */
+  batch_enqueue (order);
+}
+
+/* Take pieces for one call: in their order those that fit and may go there, late ones last, and not
+ * all where other targets are idle too. */
+static uint32_t
+take_pieces (struct batch_pool *pool,
+             const struct batch_target *target,
+             struct outlook *outlook,
+             int64_t now,
+             struct batch_piece out[BATCH_CALL_PIECES_MAX])
+{
+  uint32_t most = (pool->n_pending + outlook->n_idle - 1) / outlook->n_idle;
+  uint64_t size = 0;
+  uint32_t n = 0;
+
+  if (most > pool->spec.pieces)
+    most = pool->spec.pieces;
+  if (most > BATCH_CALL_PIECES_MAX)
+    most = BATCH_CALL_PIECES_MAX;
+  for (int late = 0; late < 2; late++)
+    {
+      struct batch_order *order;
+      struct batch_order *next;
+
+      DL_FOREACH_SAFE (pool->queue, order, next)
+      {
+        if (batch_is_late (pool, order, now) != (late == 1))
+          continue;
+        while (n < most && order->n_pending > 0
+               && fits (pool, outlook, order, target, size, now))
+          {
+            size += order->result_size;
+            take_piece (order, outlook, &out[n++]);
+          }
+        if (n == most)
+          return n;
+      }
+    }
+  return n;
+}
+
+void
+batch_dispatch (struct batch_pool *pool, int64_t now)
+{
+  drop_late (pool, now);
+  while (pool->queue != NULL)
+    {
+      struct batch_piece pieces[BATCH_CALL_PIECES_MAX];
+      struct outlook outlook;
+      struct batch_target *target;
+      uint32_t n;
+
+      look (pool, now, &outlook);
+      target = choose_target (pool, &outlook, now);
+      if (target == NULL)
+        return;
+      n = take_pieces (pool, target, &outlook, now, pieces);
+      if (n > 0 && batch_call_start (pool, target, pieces, n, now))
+        continue;
+      target->paused_until = now + BATCH_NO_ROOM_PAUSE;
+      for (uint32_t i = 0; i < n; i++)
+        batch_requeue (pool, &pieces[i], true, now);
+    }
+}
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -58,33 +58,22 @@
 }
 
 void
-batch_free_result (struct batch *batch,
-                   const char *pool_name,
-                   const struct stage_result *unneeded,
-                   int64_t now)
+batch_free (struct batch_pool *pool, const struct stage_result *unneeded, int64_t now)
 {
-  for (uint32_t i = 0; i < batch->n_pools; i++)
-    {
-      struct batch_pool *pool = &batch->pools[i];
-      struct batch_target *target;
-      struct batch_result *result;
+  struct batch_target *target = find_target (pool, unneeded->target);
+  struct batch_result *result;
 
-      if (strcmp (pool->name, pool_name) != 0)
-        continue;
-      target = find_target (pool, unneeded->target);
-      if (target == NULL)
-        return;
-      DL_FOREACH (target->results, result)
-      if (strcmp (result->handle, unneeded->handle) == 0)
-        break;
-      if (result != NULL)
-        result->unneeded = true;
-      /* Ordered by an earlier owner of the pool. */
-      else
-        batch_keep_result (pool, target, unneeded->handle, 0, true, now);
-      batch_look_soon (pool, now);
-      return;
-    }
+  if (target == NULL)
+    return;
+  DL_FOREACH (target->results, result)
+  if (strcmp (result->handle, unneeded->handle) == 0)
+    break;
+  if (result != NULL)
+    result->unneeded = true;
+  /* Ordered by an earlier owner of the pool. */
+  else
+    batch_keep_result (pool, target, unneeded->handle, 0, true, now);
+  batch_look_soon (pool, now);
 }
 
 /* ---- calls that free ---- */
--- a/src/consensus_form.c
+++ b/src/consensus_form.c
@@ -46,6 +46,8 @@
 gather (const struct consensus_voter *self, struct raft_members *members, int64_t now)
 {
   *members = (struct raft_members){ .n = self->n_first_voters, .wanted = self->n_first_voters };
+  if (self->config.wanted_voters > members->wanted)
+    members->wanted = self->config.wanted_voters;
   for (uint32_t i = 0; i < self->n_first_voters; i++)
     {
       const char *name = self->first_voters[i];
--- a/src/consensus_voter.h
+++ b/src/consensus_voter.h
@@ -48,6 +48,7 @@
    * has heard from all; see docs/CONSENSUS.md. */
   const char *const *voters;
   uint32_t n_voters;
+  uint32_t wanted_voters; /* of the group; 0: as many as the first ones */
   bool join_only;         /* never form a group: this folder may be a lost one's successor */
   struct peer_port *port; /* NULL for a group of one */
   struct timer_service *timers;
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -139,6 +139,7 @@
     .disk = disk_posix_new (host, settings->data_folder, &status),
     .voters = voters,
     .n_voters = settings->n_seeds,
+    .wanted_voters = 2 * settings->losses + 1,
     .join_only = !settings->may_form,
     .port = host->base.port,
     .timers = host->base.timers,
--- a/src/edge_host.h
+++ b/src/edge_host.h
@@ -48,7 +48,8 @@
   char control_address[ROUTING_NAME_SIZE];
   char entries_address[ROUTING_NAME_SIZE];
   char data_folder[EDGE_PATH_SIZE];
-  bool may_form; /* the first start of all: a group may be formed */
+  uint32_t losses; /* of controllers to be borne at once: twice as many voters and one */
+  bool may_form;   /* the first start of all: a group may be formed */
 };
 
 /* What both kinds are built on. */
--- a/src/engine_news.c
+++ b/src/engine_news.c
@@ -40,7 +40,9 @@
   pack_array (&out, news->n_events);
   bytes_append (&out, news->events.data, news->events.length);
   for (uint32_t i = 0; i < n && !bytes_failed (&out); i++)
-    if (!subscriber_is_self (news->config.subscriber, hosts[i]))
+    if (!subscriber_is_self (news->config.subscriber, hosts[i])
+        && (n <= ENGINE_NEWS_ALL
+            || strcmp (hosts[i]->domain, subscriber_domain (news->config.subscriber)) == 0))
       port->ops->send (port, hosts[i]->name, PEER_CHANNEL_LOAD, out.data, out.length);
   counter_add (news->sent, n);
   bytes_clear (&out);
--- a/src/engine_news.h
+++ b/src/engine_news.h
@@ -15,6 +15,11 @@
  * event would cost more than it tells. */
 #define ENGINE_NEWS_DELAY (15 * USEC_PER_MSEC)
 
+/* Beyond so many entry hosts the news go only to those in the same failure domain: the messages
+ * would grow with the square of the hosts.  Each then chooses among the engines of its own domain,
+ * unless they are slow. */
+#define ENGINE_NEWS_ALL 24
+
 struct engine_news;
 
 struct engine_news_config
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -161,6 +161,7 @@
     .name = host->base.settings.peer_address,
     .subscriber = host->subscriber,
     .batch = host->batch,
+    .balance = &host->balance,
     .port = host->base.port,
     .timers = host->base.timers,
     .counters = host->base.counters,
--- a/src/forward.c
+++ b/src/forward.c
@@ -14,8 +14,9 @@
  * work goes on for this share of the rest of its time. */
 #define LATE_SHARE 0.25
 
-/* How often targets that are gone are looked for. */
-#define SWEEP_EVERY 64
+/* Requests between two looks at what changes slowly: how many hosts there are, targets that are
+ * gone. */
+#define SWEEP_EVERY 32
 
 /* Times to come back, in seconds: what a start of the whole system takes, as a client that comes
  * back too soon may not come a third time; at once, elsewhere. */
@@ -174,6 +175,18 @@
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
 
+/* What changes slowly. */
+static void
+look_around (struct forward *forward)
+{
+  const struct sync_host *hosts[SYNC_HOSTS_MAX];
+  struct balance *balance = forward->config.balance;
+
+  balance->n_entry_hosts = subscriber_hosts (forward->config.subscriber, hosts);
+  balance->domain_only = balance->n_entry_hosts > ENGINE_NEWS_ALL;
+  balance_sweep (balance);
+}
+
 static void
 on_request (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
@@ -195,8 +208,8 @@
   exchange->user = job;
   DL_APPEND (forward->jobs, job);
   forward->n_jobs++;
-  if (++forward->arrivals % SWEEP_EVERY == 0)
-    balance_sweep (forward->config.balance);
+  if (forward->arrivals++ % SWEEP_EVERY == 0)
+    look_around (forward);
   status = forward->config.dialect->ops->read_request (forward->config.dialect, exchange->head,
                                                        &job->facts);
   if (status == STATUS_OK)
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -143,8 +143,8 @@
   if (at->state != STAGE_DONE)
     return;
   at->state = STAGE_FREED;
-  work_free_results (job->forward->config.work, at->order.pool, at->results, pieces_of (job, stage),
-                     now);
+  work_free_results (job->forward->config.work, at->order.pool, at->order.domain, at->results,
+                     pieces_of (job, stage), now);
 }
 
 /* Results whose every user is made are not needed again, unless a later result goes missing, which
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -465,6 +465,12 @@
          && subscriber_age (self) <= self->config.ready_for;
 }
 
+const char *
+subscriber_domain (const struct subscriber *self)
+{
+  return self->self.domain;
+}
+
 bool
 subscriber_is_self (const struct subscriber *self, const struct sync_host *host)
 {
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -76,6 +76,7 @@
 /* May clients be sent here? */
 bool subscriber_ready (const struct subscriber *subscriber);
 
+const char *subscriber_domain (const struct subscriber *subscriber);
 bool subscriber_is_self (const struct subscriber *subscriber, const struct sync_host *host);
 
 /* We are shutting down: tell the controllers now. */
--- a/src/work.c
+++ b/src/work.c
@@ -35,9 +35,20 @@
   uint32_t orders;
 };
 
+/* The part of a pool that one owner has, and how long its queue is. */
+struct work_shard
+{
+  char pool[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE];
+  int64_t wait;
+  int64_t told; /* when */
+};
+
 struct work
 {
   struct work_config config;
+  struct work_shard shards[WORK_SHARDS_MAX];
+  uint32_t n_shards;
   struct peer_listener listener;
   struct timer ping;
   struct work_owner owners[WORK_OWNERS_MAX];
@@ -52,9 +63,9 @@
 /* ---- who owns a pool ---- */
 
 static uint64_t
-owner_score (const char *host, const char *pool)
+owner_score (const char *host, const char *pool, const char *domain)
 {
-  uint64_t seed = XXH3_64bits (pool, strlen (pool));
+  uint64_t seed = XXH3_64bits_withSeed (pool, strlen (pool), XXH3_64bits (domain, strlen (domain)));
 
   return XXH3_64bits_withSeed (host, strlen (host), seed);
 }
@@ -96,9 +107,10 @@
   return owner != NULL && now < owner->suspect_until;
 }
 
-/* The host with the highest score; ourselves when no other is known. */
+/* The host with the highest score, where the pool is split one in the targets' failure domain;
+ * ourselves when no other is known. */
 static const char *
-owner_of (struct work *work, const char *pool, int64_t now)
+owner_of (struct work *work, const char *pool, const char *domain, int64_t now)
 {
   const struct sync_host *hosts[SYNC_HOSTS_MAX];
   uint32_t n = subscriber_hosts (work->config.subscriber, hosts);
@@ -107,8 +119,13 @@
 
   for (uint32_t i = 0; i < n; i++)
     {
-      uint64_t score = owner_score (hosts[i]->name, pool);
+      uint64_t score = owner_score (hosts[i]->name, pool, domain);
 
+      /* A host elsewhere is taken where there is none in the domain. */
+      if (strcmp (hosts[i]->domain, domain) != 0)
+        score >>= 1;
+      else
+        score |= UINT64_C (1) << 63;
       if (score < best_score || is_suspect (work, hosts[i]->name, now))
         continue;
       best = hosts[i]->name;
@@ -117,6 +134,71 @@
   return best;
 }
 
+/* ---- where pieces are made ---- */
+
+static struct work_shard *
+find_shard (struct work *work, const char *pool, const char *domain)
+{
+  for (uint32_t i = 0; i < work->n_shards; i++)
+    if (strcmp (work->shards[i].pool, pool) == 0 && strcmp (work->shards[i].domain, domain) == 0)
+      return &work->shards[i];
+  return NULL;
+}
+
+static void
+note_wait (struct work *work, const char *pool, const char *domain, int64_t wait, int64_t now)
+{
+  struct work_shard *shard = find_shard (work, pool, domain);
+
+  if (shard == NULL)
+    {
+      if (work->n_shards == WORK_SHARDS_MAX)
+        return;
+      shard = &work->shards[work->n_shards++];
+      text_copy_cut (shard->pool, sizeof shard->pool, pool);
+      text_copy_cut (shard->domain, sizeof shard->domain, domain);
+    }
+  shard->wait = wait;
+  shard->told = now;
+}
+
+static int64_t
+wait_of (struct work *work, const char *pool, const char *domain, int64_t now)
+{
+  const struct work_shard *shard = find_shard (work, pool, domain);
+
+  return shard == NULL || now - shard->told > WORK_WAIT_FRESH ? 0 : shard->wait;
+}
+
+/* A large pool is split by failure domain: the wanted one, unless its queue is longer than what
+ * results cost that cross. */
+static void
+choose_domain (struct work *work, struct work_order *order, int64_t now)
+{
+  const struct balance_target *at;
+  uint32_t n = 0;
+  int64_t best = 0;
+
+  order->domain[0] = '\0';
+  for (at = work->config.balance->targets; at != NULL; at = at->next)
+    n += at->usable && strcmp (at->pool, order->pool) == 0 ? 1 : 0;
+  if (n < WORK_SPLIT_TARGETS)
+    return;
+  for (at = work->config.balance->targets; at != NULL; at = at->next)
+    {
+      int64_t cost;
+
+      if (!at->usable || strcmp (at->pool, order->pool) != 0)
+        continue;
+      cost = wait_of (work, order->pool, at->domain, now)
+             + (strcmp (at->domain, order->near) == 0 ? 0 : WORK_CROSSING);
+      if (order->domain[0] != '\0' && cost >= best)
+        continue;
+      best = cost;
+      text_copy_cut (order->domain, sizeof order->domain, at->domain);
+    }
+}
+
 /* ---- messages ---- */
 
 static void
@@ -170,6 +252,7 @@
   pack_text (&out, order->request);
   pack_uint (&out, order->stage);
   pack_text (&out, order->pool);
+  pack_text (&out, order->domain);
   pack_text (&out, order->near);
   pack_uint (&out, order->result_size);
   pack_text (&out, order->key);
@@ -234,6 +317,8 @@
 
   if (order == NULL)
     return;
+  note_wait (work, order->pool, order->domain,
+             batch_wait (work->config.batch, order->pool, order->domain), now);
   order->local = NULL;
   for (uint32_t i = 0; end == PIECE_DONE && i < order->n_pieces; i++)
     order->results[i] = batch_order->results[i].result;
@@ -263,6 +348,7 @@
   text_copy_cut (local->origin, sizeof local->origin, work->config.name);
   text_copy_cut (local->request, sizeof local->request, order->request);
   text_copy_cut (local->pool, sizeof local->pool, order->pool);
+  text_copy_cut (local->domain, sizeof local->domain, order->domain);
   text_copy_cut (local->near, sizeof local->near, order->near);
   text_copy_cut (local->key, sizeof local->key, order->key);
   if (order->inputs_copy != NULL)
@@ -279,7 +365,9 @@
 
   struct work_owner *owner;
 
-  text_copy_cut (order->owner, sizeof order->owner, owner_of (work, order->pool, now));
+  choose_domain (work, order, now);
+  text_copy_cut (order->owner, sizeof order->owner,
+                 owner_of (work, order->pool, order->domain, now));
   timer_arm (work->config.timers, &order->timer, order->deadline);
   owner = take_owner (work, order->owner);
   if (owner != NULL && strcmp (order->owner, work->config.name) != 0
@@ -408,21 +496,23 @@
 void
 work_free_results (struct work *work,
                    const char *pool,
+                   const char *domain,
                    const struct stage_result *results,
                    uint32_t n,
                    int64_t now)
 {
-  const char *owner = owner_of (work, pool, now);
+  const char *owner = owner_of (work, pool, domain, now);
   struct bytes out;
 
   if (strcmp (owner, work->config.name) == 0)
     {
       for (uint32_t i = 0; i < n; i++)
-        batch_free_result (work->config.batch, pool, &results[i], now);
+        batch_free_result (work->config.batch, pool, domain, &results[i], now);
       return;
     }
   begin (WORK_FREE, &out);
   pack_text (&out, pool);
+  pack_text (&out, domain);
   pack_array (&out, n);
   for (uint32_t i = 0; i < n; i++)
     write_result (&results[i], &out);
@@ -434,9 +524,12 @@
 {
   uint64_t number = pack_read_uint (in, UINT64_MAX);
   enum piece_end end = (enum piece_end) pack_read_uint (in, PIECE_END_COUNT - 1);
+  uint64_t wait = pack_read_uint (in, INT64_MAX);
   uint32_t n = pack_read_array (in, DIALECT_PIECES_MAX);
   struct work_order *order = pack_read_ok (in) ? find_order (work, number) : NULL;
 
+  if (order != NULL)
+    note_wait (work, order->pool, order->domain, (int64_t) wait, now);
   /* An owner of before may still answer: its results are as good, but only whole ones. */
   if (order == NULL || order->local != NULL
       || (end != PIECE_DONE && strcmp (from, order->owner) != 0)
@@ -461,6 +554,7 @@
   begin (WORK_DONE, &out);
   pack_uint (&out, order->number);
   pack_uint (&out, end);
+  pack_uint (&out, (uint64_t) batch_wait (work->config.batch, order->pool, order->domain));
   pack_array (&out, n);
   for (uint32_t i = 0; i < n; i++)
     write_result (&order->results[i].result, &out);
@@ -483,6 +577,7 @@
   pack_read_text (in, read.request, sizeof read.request);
   read.stage = (uint32_t) pack_read_uint (in, ROUTING_STAGES_MAX);
   pack_read_text (in, read.pool, sizeof read.pool);
+  pack_read_text (in, read.domain, sizeof read.domain);
   pack_read_text (in, read.near, sizeof read.near);
   read.result_size = pack_read_uint (in, INT64_MAX);
   pack_read_text (in, read.key, sizeof read.key);
@@ -498,6 +593,9 @@
   if (order == NULL)
     return;
   read.results = order->results;
+  read.pending = order->pending;
+  read.n_pending = order->n_pending;
+  read.tries = order->tries;
   *order = read;
   text_copy_cut (order->origin, sizeof order->origin, from);
   order->due = now + (int64_t) due;
@@ -524,9 +622,11 @@
 got_free (struct work *work, struct pack_reader *in, int64_t now)
 {
   char pool[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE];
   uint32_t n;
 
   pack_read_text (in, pool, sizeof pool);
+  pack_read_text (in, domain, sizeof domain);
   n = pack_read_array (in, DIALECT_PIECES_MAX);
   for (uint32_t i = 0; i < n; i++)
     {
@@ -534,7 +634,7 @@
 
       if (!read_result (in, &result))
         return;
-      batch_free_result (work->config.batch, pool, &result, now);
+      batch_free_result (work->config.batch, pool, domain, &result, now);
     }
 }
 
--- a/src/work.h
+++ b/src/work.h
@@ -25,6 +25,18 @@
 #define WORK_SUSPECT (4 * USEC_PER_SEC)
 #define WORK_OWNERS_MAX 64
 
+/* A pool of at least so many targets has an owner in each failure domain, for the targets there: one
+ * host of an eighth of a core packs about so many targets' calls.  Smaller pools have one owner, as
+ * their targets stand in for each other better. */
+#define WORK_SPLIT_TARGETS 9
+
+/* What another failure domain than the wanted one costs, as time: the results cross. */
+#define WORK_CROSSING (150 * USEC_PER_MSEC)
+
+/* What an owner said of its queue counts for so long. */
+#define WORK_WAIT_FRESH (600 * USEC_PER_MSEC)
+#define WORK_SHARDS_MAX 128
+
 struct work;
 
 struct work_config
@@ -32,6 +44,7 @@
   const char *name; /* our peer address */
   struct subscriber *subscriber;
   struct batch *batch; /* does the work of the pools we own */
+  struct balance *balance;
   struct peer_port *port;
   struct timer_service *timers;
   struct counters *counters;
@@ -55,6 +68,7 @@
   char request[DIALECT_ID_SIZE];
   uint32_t stage;
   char pool[ROUTING_NAME_SIZE];
+  char domain[ROUTING_NAME_SIZE]; /* work's own: where the pieces are made; "" for anywhere */
   char near[ROUTING_NAME_SIZE]; /* failure domain where the results are wanted; "" for any */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
@@ -84,6 +98,7 @@
 /* Results are no longer needed. */
 void work_free_results (struct work *work,
                         const char *pool,
+                        const char *domain,
                         const struct stage_result *results,
                         uint32_t n,
                         int64_t now);
