Connect to owners of pools ahead, and wait for a connection

Cause: the first order to each owner met no connection and was done by the host itself, so that sixty hosts batched against each other: a third of stage calls found their target full.

--- a/src/batch.c
+++ b/src/batch.c
@@ -286,6 +286,15 @@
     batch_free (pool, result, now);
 }
 
+bool
+batch_knows (const struct batch *batch, const char *pool)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    if (strcmp (batch->pools[i].name, pool) == 0)
+      return true;
+  return false;
+}
+
 int64_t
 batch_wait (struct batch *batch, const char *pool_name, const char *domain)
 {
--- a/src/batch.h
+++ b/src/batch.h
@@ -118,6 +118,9 @@
                         const struct stage_result *result,
                         int64_t now);
 
+/* Does the pool run pieces? */
+bool batch_knows (const struct batch *batch, const char *pool);
+
 /* How long a new order would wait before its pieces are begun, about. */
 int64_t batch_wait (struct batch *batch, const char *pool, const char *domain);
 
--- a/src/work.c
+++ b/src/work.c
@@ -51,6 +51,7 @@
   uint32_t n_shards;
   struct peer_listener listener;
   struct timer ping;
+  struct timer warm;
   struct work_owner owners[WORK_OWNERS_MAX];
   uint32_t n_owners;
   struct work_order *orders;
@@ -170,19 +171,26 @@
   return shard == NULL || now - shard->told > WORK_WAIT_FRESH ? 0 : shard->wait;
 }
 
+static uint32_t
+count_targets (const struct work *work, const char *pool)
+{
+  uint32_t n = 0;
+
+  for (const struct balance_target *at = work->config.balance->targets; at != NULL; at = at->next)
+    n += at->usable && strcmp (at->pool, pool) == 0 ? 1 : 0;
+  return n;
+}
+
 /* A large pool is split by failure domain: the wanted one, unless its queue is longer than what
  * results cost that cross. */
 static void
 choose_domain (struct work *work, struct work_order *order, int64_t now)
 {
   const struct balance_target *at;
-  uint32_t n = 0;
   int64_t best = 0;
 
   order->domain[0] = '\0';
-  for (at = work->config.balance->targets; at != NULL; at = at->next)
-    n += at->usable && strcmp (at->pool, order->pool) == 0 ? 1 : 0;
-  if (n < WORK_SPLIT_TARGETS)
+  if (count_targets (work, order->pool) < WORK_SPLIT_TARGETS)
     return;
   for (at = work->config.balance->targets; at != NULL; at = at->next)
     {
@@ -389,7 +397,7 @@
 {
   struct work_order *order = CONTAINER_OF (timer, struct work_order, timer);
 
-  if (order->owner[0] == '\0')
+  if (order->owner[0] == '\0' && now < order->deadline)
     {
       dispatch (order, now);
       return;
@@ -457,6 +465,31 @@
 
 static const struct timer_ops ping_ops = { .fire = ping_fired };
 
+static void
+warm_owner (struct work *work, const char *pool, const char *domain, int64_t now)
+{
+  const char *name = owner_of (work, pool, domain, now);
+  struct work_owner *owner =
+      strcmp (name, work->config.name) == 0 ? NULL : take_owner (work, name);
+
+  if (owner != NULL && now - owner->heard > WORK_WARM_SILENCE)
+    send_short (work, owner->name, WORK_PING);
+}
+
+static void
+warm_fired (struct timer *timer, int64_t now)
+{
+  struct work *work = CONTAINER_OF (timer, struct work, warm);
+
+  for (const struct balance_target *at = work->config.balance->targets; at != NULL; at = at->next)
+    if (at->usable && batch_knows (work->config.batch, at->pool))
+      warm_owner (work, at->pool,
+                  count_targets (work, at->pool) < WORK_SPLIT_TARGETS ? "" : at->domain, now);
+  timer_arm (work->config.timers, timer, now + WORK_WARM_PERIOD);
+}
+
+static const struct timer_ops warm_ops = { .fire = warm_fired };
+
 static const struct timer_ops order_ops = { .fire = order_fired };
 
 void
@@ -688,6 +721,8 @@
   work->config = *config;
   work->listener.ops = &listener_ops;
   work->ping.ops = &ping_ops;
+  work->warm.ops = &warm_ops;
+  timer_arm (config->timers, &work->warm, 0);
   work->last_number = config->first_number;
   work->submitted =
       counter_get (config->counters, "cherryarch_work_orders_total", "Stages ordered.", NULL);
--- a/src/work.h
+++ b/src/work.h
@@ -25,6 +25,15 @@
 #define WORK_SUSPECT (4 * USEC_PER_SEC)
 #define WORK_OWNERS_MAX 64
 
+/* A connection to an owner is made before the first order needs it, and looked after this often. */
+#define WORK_WARM_PERIOD (1000 * USEC_PER_MSEC)
+#define WORK_WARM_SILENCE (3 * USEC_PER_SEC)
+
+/* An order for an owner to whom there is no connection yet is tried again this often, and so many
+ * times; then the owner counts as dead. */
+#define WORK_SEND_AGAIN (20 * USEC_PER_MSEC)
+#define WORK_SEND_TRIES 12
+
 /* A pool of at least so many targets has an owner in each failure domain, for the targets there: one
  * host of an eighth of a core packs about so many targets' calls.  Smaller pools have one owner, as
  * their targets stand in for each other better. */
@@ -83,7 +92,8 @@
   struct work *work;
   struct timer timer;
   uint64_t number;
-  char owner[ROUTING_NAME_SIZE];
+  uint32_t send_tries;
+  char owner[ROUTING_NAME_SIZE]; /* "" until one has it */
   char *inputs_copy;
   struct batch_order *local;
   struct work_order *prev;
