--- a/src/balance.c
+++ b/src/balance.c
@@ -173,8 +173,6 @@
   total = (double) cost.wait + BALANCE_READ_AGAIN_US * cost.read_again;
   if (prompt->near[0] != '\0' && strcmp (prompt->near, target->domain) != 0)
     total += BALANCE_CROSSING_US * (double) prompt->result_bytes / 1000.0;
-  if (balance->domain_only && strcmp (balance->domain, target->domain) != 0)
-    total += BALANCE_UNKNOWN_US;
   return total;
 }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -63,10 +63,6 @@
 #define BALANCE_READ_AGAIN_US 26.0 /* a token */
 #define BALANCE_CROSSING_US 10.0   /* a kilobyte */
 
-/* Where hosts hear only of the engines in their own failure domain, another domain's engine may have
- * more to do than we know, by about so much. */
-#define BALANCE_UNKNOWN_US 150000.0
-
 /* A request to a model engine. */
 struct balance_prompt
 {
@@ -83,7 +79,6 @@
   struct rng rng;
   struct engine_load *engines;
   uint32_t n_entry_hosts; /* sharing the targets */
-  bool domain_only;       /* news of engines come from our failure domain alone */
 };
 
 void balance_init (struct balance *balance,
--- a/src/batch.h
+++ b/src/batch.h
@@ -30,7 +30,7 @@
 #define BATCH_TRIES_MAX 4
 
 /* Where orders wait, one less urgent by one step goes behind those due this much later. */
-#define BATCH_URGENCY_STEP (300 * USEC_PER_MSEC)
+#define BATCH_URGENCY_STEP (800 * USEC_PER_MSEC)
 
 /* The rest of an order that was begun goes before those due this much earlier. */
 #define BATCH_BEGUN_BONUS (400 * USEC_PER_MSEC)
--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -239,7 +239,9 @@
   DL_FOREACH (target->requests, request)
   {
     ++*running;
-    if (!request->began && now - request->started < ENGINE_FORGET)
+    if (!request->began
+        && now - request->started
+               < ENGINE_BEGUN_FACTOR * request->expected + ENGINE_BEGUN_MORE)
       tokens += request->tokens;
   }
   return tokens;
@@ -292,7 +294,7 @@
 
   DL_FOREACH_SAFE (target->requests, request, next)
   {
-    if (now - request->started < 10 * ENGINE_FORGET)
+    if (now - request->started < ENGINE_FORGET)
       return;
     DL_DELETE (target->requests, request);
     talloc_free (request);
--- a/src/engine_load.h
+++ b/src/engine_load.h
@@ -24,8 +24,13 @@
 /* Of an engine's cache so much is taken to hold shared parts; the rest is running requests. */
 #define ENGINE_CACHE_SHARE 0.6
 
-/* A start without news of its first byte is forgotten after this: the message may be lost. */
-#define ENGINE_FORGET (4 * USEC_PER_SEC)
+/* A start without news of its first byte counts as begun after so many times what was expected, and
+ * a little: the message may be lost, or not be meant for us. */
+#define ENGINE_BEGUN_FACTOR 3
+#define ENGINE_BEGUN_MORE (200 * USEC_PER_MSEC)
+
+/* And is forgotten after this. */
+#define ENGINE_FORGET (20 * USEC_PER_SEC)
 
 /* A prompt: cumulative keys of the parts that it shares, and all its tokens. */
 struct engine_prompt
--- a/src/engine_news.c
+++ b/src/engine_news.c
@@ -22,29 +22,49 @@
   struct engine_news_config config;
   struct peer_listener listener;
   struct timer timer;
-  struct bytes events;
-  uint32_t n_events;
+  struct bytes starts;
+  uint32_t n_starts;
+  struct bytes ends; /* and beginnings */
+  uint32_t n_ends;
   struct counter *sent;
 };
 
 static void
-send_all (struct engine_news *news)
+append_events (const struct bytes *events, struct bytes *out)
+{
+  bytes_append (out, events->data == NULL ? "" : events->data, events->length);
+}
+
+/* To the hosts of our failure domain everything, to the others the starts, or all where the hosts
+ * are few. */
+static void
+send_news (struct engine_news *news, bool everything)
 {
   const struct sync_host *hosts[SYNC_HOSTS_MAX];
-  uint32_t n = subscriber_hosts (news->config.subscriber, hosts);
+  struct subscriber *subscriber = news->config.subscriber;
+  uint32_t n = subscriber_hosts (subscriber, hosts);
+  uint32_t n_events = news->n_starts + (everything ? news->n_ends : 0);
   struct peer_port *port = news->config.port;
   struct bytes out;
 
+  if (n_events == 0)
+    return;
   bytes_init (&out, NULL);
   pack_uint (&out, NEWS_FORMAT);
-  pack_array (&out, news->n_events);
-  bytes_append (&out, news->events.data, news->events.length);
+  pack_array (&out, n_events);
+  append_events (&news->starts, &out);
+  if (everything)
+    append_events (&news->ends, &out);
   for (uint32_t i = 0; i < n && !bytes_failed (&out); i++)
-    if (!subscriber_is_self (news->config.subscriber, hosts[i])
-        && (n <= ENGINE_NEWS_ALL
-            || strcmp (hosts[i]->domain, subscriber_domain (news->config.subscriber)) == 0))
+    {
+      bool near = n <= ENGINE_NEWS_ALL
+                  || strcmp (hosts[i]->domain, subscriber_domain (subscriber)) == 0;
+
+      if (subscriber_is_self (subscriber, hosts[i]) || near != everything)
+        continue;
       port->ops->send (port, hosts[i]->name, PEER_CHANNEL_LOAD, out.data, out.length);
-  counter_add (news->sent, n);
+      counter_add (news->sent, 1);
+    }
   bytes_clear (&out);
 }
 
@@ -54,24 +74,27 @@
   struct engine_news *news = CONTAINER_OF (timer, struct engine_news, timer);
 
   (void) now;
-  send_all (news);
-  bytes_clear (&news->events);
-  news->n_events = 0;
+  send_news (news, true);
+  send_news (news, false);
+  bytes_clear (&news->starts);
+  bytes_clear (&news->ends);
+  news->n_starts = 0;
+  news->n_ends = 0;
 }
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
 
 static void
-begin_event (struct engine_news *news,
-             enum news_event event,
-             uint64_t target,
-             uint64_t request,
-             int64_t now)
+begin_event (struct bytes *events, enum news_event event, uint64_t target, uint64_t request)
+{
+  pack_uint (events, event);
+  pack_uint (events, target);
+  pack_uint (events, request);
+}
+
+static void
+send_soon (struct engine_news *news, int64_t now)
 {
-  pack_uint (&news->events, event);
-  pack_uint (&news->events, target);
-  pack_uint (&news->events, request);
-  news->n_events++;
   if (!timer_is_armed (&news->timer))
     timer_arm (news->config.timers, &news->timer, now + ENGINE_NEWS_DELAY);
 }
@@ -84,28 +107,34 @@
                      int64_t now)
 {
   engine_load_started (news->config.load, target, request, prompt, now);
-  begin_event (news, NEWS_STARTED, target, request, now);
-  pack_uint (&news->events, prompt->own_tokens);
-  pack_array (&news->events, prompt->n_parts);
+  begin_event (&news->starts, NEWS_STARTED, target, request);
+  pack_uint (&news->starts, prompt->own_tokens);
+  pack_array (&news->starts, prompt->n_parts);
   for (uint32_t i = 0; i < prompt->n_parts; i++)
     {
-      pack_uint (&news->events, prompt->parts[i]);
-      pack_uint (&news->events, prompt->part_tokens[i]);
+      pack_uint (&news->starts, prompt->parts[i]);
+      pack_uint (&news->starts, prompt->part_tokens[i]);
     }
+  news->n_starts++;
+  send_soon (news, now);
 }
 
 void
 engine_news_began (struct engine_news *news, uint64_t target, uint64_t request, int64_t now)
 {
   engine_load_began (news->config.load, target, request, now);
-  begin_event (news, NEWS_BEGAN, target, request, now);
+  begin_event (&news->ends, NEWS_BEGAN, target, request);
+  news->n_ends++;
+  send_soon (news, now);
 }
 
 void
 engine_news_ended (struct engine_news *news, uint64_t target, uint64_t request, int64_t now)
 {
   engine_load_ended (news->config.load, target, request, now);
-  begin_event (news, NEWS_ENDED, target, request, now);
+  begin_event (&news->ends, NEWS_ENDED, target, request);
+  news->n_ends++;
+  send_soon (news, now);
 }
 
 static bool
@@ -182,7 +211,8 @@
   news->config = *config;
   news->timer.ops = &timer_ops;
   news->listener.ops = &listener_ops;
-  bytes_init (&news->events, news);
+  bytes_init (&news->starts, news);
+  bytes_init (&news->ends, news);
   news->sent = counter_get (config->counters, "cherryarch_engine_news_total",
                             "Messages to other entry hosts about model engines.", NULL);
   config->port->ops->listen (config->port, PEER_CHANNEL_LOAD, &news->listener);
--- a/src/forward.c
+++ b/src/forward.c
@@ -183,7 +183,6 @@
   struct balance *balance = forward->config.balance;
 
   balance->n_entry_hosts = subscriber_hosts (forward->config.subscriber, hosts);
-  balance->domain_only = balance->n_entry_hosts > ENGINE_NEWS_ALL;
   balance_sweep (balance);
 }
 
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -332,14 +332,23 @@
 log_choice (const struct forward_job *job, int64_t now)
 {
   const struct balance_target *target = job->target;
+  struct engine_cost cost = { .wait = -1 };
+
+  if (job->prompt.present)
+    engine_load_cost (job->forward->config.balance->engines, target->id_hash, &job->prompt.prompt,
+                      now, &cost);
 
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
-             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I}", "id", job->facts.id, "target",
+             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i}", "id", job->facts.id,
+             "target",
              target->id, "address", target->address, "pool", job->pool, "in_flight",
              (int) target->in_flight, "latency_us", (json_int_t) target->latency, "renewed_ms",
              (json_int_t) ((now - target->record->heard) / USEC_PER_MSEC), "sequence",
              (json_int_t) target->record->word.sequence, "send", (int) job->sends, "failing",
-             target->failing, "left_ms", (json_int_t) ((job->deadline - now) / USEC_PER_MSEC));
+             target->failing, "left_ms", (json_int_t) ((job->deadline - now) / USEC_PER_MSEC),
+             "expected_wait_us", (json_int_t) cost.wait, "read_again_tokens", (int) cost.read_again,
+             "engine_running", (int) cost.running, "prompt_tokens",
+             (int) job->facts.input_tokens);
 }
 
 void
