--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -241,7 +241,7 @@
     ++*running;
     if (!request->began
         && now - request->started
-               < ENGINE_BEGUN_FACTOR * request->expected + ENGINE_BEGUN_MORE)
+               < (int64_t) (ENGINE_BEGUN_FACTOR * (double) request->expected) + ENGINE_BEGUN_MORE)
       tokens += request->tokens;
   }
   return tokens;
--- a/src/engine_load.h
+++ b/src/engine_load.h
@@ -19,15 +19,15 @@
 #define ENGINE_PARTS_MAX 8
 
 /* Prompt tokens that an engine reads in a millisecond, until its answers show another rate. */
-#define ENGINE_FIRST_RATE 50.0
+#define ENGINE_FIRST_RATE 60.0
 
 /* Of an engine's cache so much is taken to hold shared parts; the rest is running requests. */
 #define ENGINE_CACHE_SHARE 0.6
 
 /* A start without news of its first byte counts as begun after so many times what was expected, and
  * a little: the message may be lost, or not be meant for us. */
-#define ENGINE_BEGUN_FACTOR 3
-#define ENGINE_BEGUN_MORE (200 * USEC_PER_MSEC)
+#define ENGINE_BEGUN_FACTOR 1.3
+#define ENGINE_BEGUN_MORE (50 * USEC_PER_MSEC)
 
 /* And is forgotten after this. */
 #define ENGINE_FORGET (20 * USEC_PER_SEC)
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -374,9 +374,9 @@
   job->call.ops = &call_ops;
   job->call.no_body = job->exchange->head->method == HTTP_HEAD;
   balance_started (job->target);
+  log_choice (job, now);
   if (job->prompt.present)
     engine_news_started (config->news, job->target->id_hash, job->id_hash, &job->prompt.prompt, now);
-  log_choice (job, now);
   bytes_init (&message, NULL);
   write_request (job, now, &message);
   status = h1_call_start (config->client, &job->call, job->target->address, &message, false, now);
