--- a/src/work.c
+++ b/src/work.c
@@ -365,12 +365,24 @@
   batch_submit (work->config.batch, local, now);
 }
 
-/* Send to the owner, or do it here where we own the pool or cannot reach who does. */
+/* No connection to the owner: it is being made, or the owner is dead.  Made here instead, the
+ * pieces would meet the owner's own calls at the targets, and both would find them full. */
 static void
-dispatch (struct work_order *order, int64_t now)
+send_later (struct work_order *order, struct work_owner *owner, int64_t now)
 {
   struct work *work = order->work;
 
+  order->owner[0] = '\0';
+  if (++order->send_tries % WORK_SEND_TRIES == 0)
+    owner->suspect_until = now + WORK_SUSPECT;
+  timer_arm (work->config.timers, &order->timer, now + WORK_SEND_AGAIN);
+}
+
+/* Send to the owner, or do it here where we own the pool. */
+static void
+dispatch (struct work_order *order, int64_t now)
+{
+  struct work *work = order->work;
   struct work_owner *owner;
 
   choose_domain (work, order, now);
@@ -378,18 +390,22 @@
                  owner_of (work, order->pool, order->domain, now));
   timer_arm (work->config.timers, &order->timer, order->deadline);
   owner = take_owner (work, order->owner);
-  if (owner != NULL && strcmp (order->owner, work->config.name) != 0
-      && send_run (work, order, now) == STATUS_OK)
+  if (owner == NULL || strcmp (order->owner, work->config.name) == 0)
+    {
+      text_copy_cut (order->owner, sizeof order->owner, work->config.name);
+      count_order (work, order->owner, 1);
+      run_here (work, order, now);
+      return;
+    }
+  if (send_run (work, order, now) != STATUS_OK)
     {
-      if (owner->orders++ == 0)
-        owner->heard = now;
-      if (!timer_is_armed (&work->ping))
-        timer_arm (work->config.timers, &work->ping, now + WORK_PING_PERIOD);
+      send_later (order, owner, now);
       return;
     }
-  text_copy_cut (order->owner, sizeof order->owner, work->config.name);
-  count_order (work, order->owner, 1);
-  run_here (work, order, now);
+  if (owner->orders++ == 0)
+    owner->heard = now;
+  if (!timer_is_armed (&work->ping))
+    timer_arm (work->config.timers, &work->ping, now + WORK_PING_PERIOD);
 }
 
 static void
@@ -496,6 +512,8 @@
 {
   order->work = work;
   order->number = ++work->last_number;
+  order->send_tries = 0;
+  order->owner[0] = '\0';
   order->timer = (struct timer){ .ops = &order_ops };
   order->local = NULL;
   order->inputs_copy = order->inputs == NULL ? NULL : talloc_strdup (work, order->inputs);
--- /dev/null
+++ b/tests/unit_batch.cc
@@ -0,0 +1,383 @@
+// The owner of a pool packs the pieces of many orders into calls.
+#include "forward_harness.h"
+
+namespace
+{
+
+class BatchTest : public forward_test
+{
+protected:
+  struct one_call
+  {
+    std::vector<std::string> requests; // of its pieces
+  };
+  std::vector<one_call> calls;
+  std::vector<std::string> freed;
+  std::vector<struct h1_exchange *> held; // calls not answered yet
+  bool hold = false;
+  std::string reason; // why pieces are not made; "" when they are
+  int handles = 0;
+  std::vector<std::pair<std::string, enum piece_end>> ended;
+
+  void
+  start (const std::string &segments)
+  {
+    add_target ();
+    targets[0]->serve = [this] (struct h1_exchange *exchange) {
+      if (std::string (exchange->head->target).find ("stage-free") != std::string::npos)
+        note_freed (exchange);
+      else
+        take_call (exchange);
+    };
+    tell (1,
+          document (1, route ("r", "streaming", 1, ""),
+                    R"(,{"Name":"s","Segments":{)" + segments + "}}"),
+          "s");
+  }
+
+  void
+  note_freed (struct h1_exchange *exchange)
+  {
+    json_t *body = json_loadb (exchange->body->data, exchange->body->length, 0, nullptr);
+    size_t i;
+    json_t *entry;
+
+    json_array_foreach (json_object_get (body, "Handles"), i, entry)
+      freed.push_back (json_string_value (entry));
+    json_decref (body);
+    h1_reply (exchange, 200, nullptr, "{}", 2);
+  }
+
+  void
+  take_call (struct h1_exchange *exchange)
+  {
+    json_t *body = json_loadb (exchange->body->data, exchange->body->length, 0, nullptr);
+    size_t i;
+    json_t *entry;
+
+    calls.emplace_back ();
+    json_array_foreach (json_object_get (body, "Entries"), i, entry)
+      calls.back ().requests.push_back (json_string_value (json_object_get (entry, "Id")));
+    json_decref (body);
+    held.push_back (exchange);
+    if (!hold)
+      answer_held ();
+  }
+
+  void
+  answer_held ()
+  {
+    struct h1_exchange *exchange = held.front ();
+    size_t n = calls[calls.size () - held.size ()].requests.size ();
+    std::string text = R"({"Entries":[)";
+
+    held.erase (held.begin ());
+    for (size_t i = 0; i < n; i++)
+      text += std::string (i > 0 ? "," : "")
+              + (reason.empty () ? R"({"Handle":"h)" + std::to_string (++handles) + "\"}"
+                                 : R"({"Reason":")" + reason + "\"}");
+    text += "]}";
+    h1_reply (exchange, 200, nullptr, text.data (), text.size ());
+  }
+
+  struct batch_order *
+  order (const std::string &name,
+         uint32_t pieces,
+         int64_t due,
+         uint32_t urgency = 0,
+         uint64_t size = 1000)
+  {
+    static const struct batch_order_ops ops = {
+      .done =
+          [] (struct batch_order *done, enum piece_end end, int64_t) {
+            static_cast<BatchTest *> (done->user)->ended.emplace_back (done->request, end);
+          },
+    };
+    struct batch_order *out = batch_order_new (batch, pieces);
+    int64_t now = loop_now (loop);
+
+    out->ops = &ops;
+    out->user = this;
+    out->due = now + due;
+    out->deadline = now + 60 * USEC_PER_SEC;
+    out->urgency = urgency;
+    out->result_size = size;
+    snprintf (out->request, sizeof out->request, "%s", name.c_str ());
+    snprintf (out->pool, sizeof out->pool, "s");
+    snprintf (out->key, sizeof out->key, "k");
+    batch_submit (batch, out, now);
+    return out;
+  }
+
+  std::string
+  requests_of (size_t call) const
+  {
+    std::string all;
+
+    for (const auto &request : calls[call].requests)
+      all += request;
+    return all;
+  }
+};
+
+const char *const SMALL = R"("Slots":1,"Queue":2,"Batch":4,"CallMs":50,"ItemMs":1,)"
+                          R"("HeadroomMb":1,"HandleTtlS":60)";
+
+TEST_F (BatchTest, PacksWhatWaitsIntoOneCall)
+{
+  hold = true;
+  start (SMALL);
+  order ("a", 1, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 1; }));
+  order ("b", 2, 10 * USEC_PER_SEC);
+  order ("c", 2, 11 * USEC_PER_SEC);
+  loop_once (loop, 0);
+  EXPECT_EQ (calls.size (), 1u); // its only slot is taken
+  hold = false;
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 3; }));
+  EXPECT_EQ (requests_of (1), "bbcc");
+}
+
+// A burst leaves orders behind that cannot be in time any more.  Taken first, as the earliest due,
+// they make each later one late as well, and every client waits in vain.
+TEST_F (BatchTest, LateOrdersGoBehindThoseThatCanBeInTime)
+{
+  hold = true;
+  start (SMALL);
+  order ("first", 1, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 1; }));
+  order ("L", 2, 1); // due at once: late
+  order ("T", 4, 20 * USEC_PER_SEC);
+  hold = false;
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 3; }));
+  EXPECT_EQ (requests_of (1), "TTTT");
+  EXPECT_EQ (requests_of (2), "LL");
+}
+
+TEST_F (BatchTest, UrgentOrdersGoFirst)
+{
+  hold = true;
+  start (SMALL);
+  order ("first", 1, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 1; }));
+  order ("N", 4, 10 * USEC_PER_SEC, 2);
+  order ("U", 4, 10 * USEC_PER_SEC + BATCH_URGENCY_STEP, 0);
+  hold = false;
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 3; }));
+  EXPECT_EQ (requests_of (1), "UUUU");
+}
+
+// Two orders each get half of the room for results and wait for the other half: neither is whole,
+// so neither sets its results free, until they expire seconds later.  An order begins only when all
+// of it fits.
+TEST_F (BatchTest, BeginsAnOrderOnlyWhenAllOfItFits)
+{
+  hold = true;
+  start (SMALL);
+  order ("A", 3, 10 * USEC_PER_SEC, 0, 300000); // 0.9 of 1 MB
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 1; }));
+  order ("B", 3, 9 * USEC_PER_SEC, 0, 300000);
+  hold = false;
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 1; }));
+  for (int i = 0; i < 5; i++)
+    loop_once (loop, 10 * USEC_PER_MSEC);
+  EXPECT_EQ (calls.size (), 1u);
+  for (int i = 1; i <= 3; i++)
+    {
+      struct stage_result result = {};
+
+      snprintf (result.target, sizeof result.target, "t0");
+      snprintf (result.handle, sizeof result.handle, "h%d", i);
+      batch_free_result (batch, "s", "", &result, loop_now (loop));
+    }
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 2; }));
+  EXPECT_EQ (freed.size (), 3u);
+}
+
+// An order is withdrawn, as its client left, while some of its pieces are made.  What was made
+// would lie in the maker's room until it expires; it is freed.
+TEST_F (BatchTest, FreesWhatWasMadeForAnOrderThatIsWithdrawn)
+{
+  hold = true;
+  start (SMALL);
+  struct batch_order *gone = order ("A", 6, 10 * USEC_PER_SEC);
+
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 1; }));
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 2; }));
+  batch_cancel (batch, gone, loop_now (loop));
+  answer_held ();
+  ASSERT_TRUE (run_until (loop, [&] { return freed.size () == 6; }));
+  EXPECT_TRUE (ended.empty ());
+}
+
+TEST_F (BatchTest, TriesAPieceElsewhereAndGivesUpInTheEnd)
+{
+  reason = "error";
+  start (SMALL);
+  order ("A", 1, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 1; }));
+  EXPECT_EQ (ended[0].second, PIECE_FAILED);
+  EXPECT_EQ (calls.size (), (size_t) BATCH_TRIES_MAX);
+}
+
+TEST_F (BatchTest, EndsAnOrderWhoseInputIsGone)
+{
+  reason = "gone";
+  start (SMALL);
+  order ("A", 3, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 1; }));
+  EXPECT_EQ (ended[0].second, PIECE_INPUT_GONE);
+  EXPECT_EQ (calls.size (), 1u);
+}
+
+// ---- owners of pools ----
+
+class WorkTest : public BatchTest
+{
+protected:
+  struct kept_order
+  {
+    struct work_order order = {}; // first
+    struct stage_result results[4];
+    bool done = false;
+    enum piece_end end = PIECE_FAILED;
+  };
+
+  void
+  submit (kept_order *kept, int64_t now, const char *name = "real")
+  {
+    static const struct work_order_ops ops = {
+      .done =
+          [] (struct work_order *base, enum piece_end end, int64_t) {
+            auto *self = reinterpret_cast<kept_order *> (base);
+
+            self->done = true;
+            self->end = end;
+          },
+    };
+
+    kept->order.ops = &ops;
+    snprintf (kept->order.request, sizeof kept->order.request, "%s", name);
+    snprintf (kept->order.pool, sizeof kept->order.pool, "s");
+    snprintf (kept->order.key, sizeof kept->order.key, "k");
+    kept->order.due = now + 10 * USEC_PER_SEC;
+    kept->order.deadline = now + 20 * USEC_PER_SEC;
+    kept->order.n_pieces = 1;
+    kept->order.results = kept->results;
+    work_submit (work, &kept->order, now);
+  }
+
+  // Calls to targets of this host with the order's pieces.
+  size_t
+  made_here () const
+  {
+    size_t n = 0;
+
+    for (size_t i = 0; i < calls.size (); i++)
+      n += requests_of (i).find ("real") != std::string::npos ? 1 : 0;
+    return n;
+  }
+
+  size_t
+  sent_to (const std::string &host) const
+  {
+    size_t n = 0;
+
+    for (const auto &message : port.sent)
+      n += std::get<0> (message) == host && std::get<1> (message) == PEER_CHANNEL_WORK ? 1 : 0;
+    return n;
+  }
+
+  // Another entry host, whose name wins the hash for the pool or not.
+  void
+  add_host (const char *name)
+  {
+    told_state said;
+    struct bytes message;
+    struct sync_host host = {};
+
+    snprintf (host.name, sizeof host.name, "%s", name);
+    snprintf (host.domain, sizeof host.domain, "a");
+    said.head.controller = controller;
+    said.head.has_hosts = true;
+    bytes_init (&message, nullptr);
+    sync_begin (SYNC_STATE, &message);
+    sync_write_state (&said.head, &message);
+    pack_array (&message, 0);
+    pack_array (&message, 0);
+    pack_array (&message, 1);
+    sync_write_host (&host, &message);
+    pack_array (&message, 0);
+    port.deliver ("controller:1", PEER_CHANNEL_SYNC, &message, loop_now (loop));
+    bytes_clear (&message);
+  }
+
+  // A name for which the other host owns the pool.
+  std::string
+  find_owner ()
+  {
+    for (int i = 0; i < 100; i++)
+      {
+        std::string name = "host" + std::to_string (i) + ":1";
+        kept_order probe;
+
+        add_host (name.c_str ());
+        submit (&probe, loop_now (loop), "probe");
+        loop_once (loop, 0);
+        loop_once (loop, 0);
+        bool owns = sent_to (name) > 0 && !probe.done && probe.order.work != nullptr
+                    && std::string (probe.order.owner) == name;
+
+        work_cancel (&probe.order, loop_now (loop));
+        if (owns)
+          return name;
+        run_until (loop, [&] { return true; });
+      }
+    return "";
+  }
+};
+
+// The owner of a pool loses power: nothing is reset, orders just stay out.  They go to the next
+// owner in a fraction of a second, as a chain of stages has about one.
+TEST_F (WorkTest, SendsOrdersToTheNextOwnerWhenOneFallsSilent)
+{
+  start (SMALL);
+  std::string owner = find_owner ();
+
+  ASSERT_NE (owner, "");
+  kept_order kept;
+
+  submit (&kept, loop_now (loop));
+  ASSERT_TRUE (run_until (loop, [&] { return kept.done; }));
+  EXPECT_EQ (kept.end, PIECE_DONE);
+  EXPECT_EQ (made_here (), 1u); // by the only other host
+}
+
+// No connection to the owner yet: the order waits for one, and is not made by this host beside the
+// owner's own calls, where both would find the targets full.
+TEST_F (WorkTest, WaitsForAConnectionToTheOwner)
+{
+  start (SMALL);
+  std::string owner = find_owner ();
+
+  ASSERT_NE (owner, "");
+  port.unreachable[owner] = true;
+  size_t before = sent_to (owner);
+  kept_order kept;
+
+  submit (&kept, loop_now (loop));
+  loop_once (loop, 0);
+  loop_once (loop, 0);
+  EXPECT_EQ (made_here (), 0u);
+  port.unreachable[owner] = false;
+  ASSERT_TRUE (run_until (loop, [&] { return sent_to (owner) > before; }));
+  EXPECT_EQ (made_here (), 0u);
+  work_cancel (&kept.order, loop_now (loop));
+}
+
+}
--- /dev/null
+++ b/tests/unit_controller.cc
@@ -0,0 +1,394 @@
+// A controller's registrations and its answers to entry hosts, with the log and the peers played.
+#include "controller.h"
+#include "document.h"
+#include "forward_harness.h"
+
+namespace
+{
+
+// A log that answers reads when the test says so.
+struct played_log
+{
+  struct consensus consensus;
+  std::vector<struct proposal *> reads;
+  bool refuse = false;
+
+  played_log ()
+  {
+    static const struct consensus_ops ops = {
+      .propose = nullptr,
+      .read =
+          [] (struct consensus *base, struct proposal *proposal, int64_t, int64_t) {
+            auto *self = reinterpret_cast<played_log *> (base);
+
+            if (self->refuse)
+              return STATUS_UNAVAILABLE;
+            self->reads.push_back (proposal);
+            return STATUS_OK;
+          },
+      .withdraw = [] (struct consensus *, struct proposal *) {},
+      .is_leader = [] (const struct consensus *) { return true; },
+      .leader = [] (const struct consensus *) { return ""; },
+      .describe = [] (const struct consensus *) { return json_object (); },
+    };
+
+    consensus.ops = &ops;
+  }
+
+  void
+  answer (enum status status, int64_t now)
+  {
+    struct proposal *proposal = reads.front ();
+
+    reads.erase (reads.begin ());
+    proposal->ops->done (proposal, status, nullptr, 0, now);
+  }
+};
+
+struct kept_wait
+{
+  struct controller_wait wait = {}; // first
+  int done = 0;
+  enum status status = STATUS_OK;
+
+  kept_wait ()
+  {
+    static const struct controller_wait_ops ops = {
+      .done =
+          [] (struct controller_wait *base, enum status end, int64_t) {
+            auto *self = reinterpret_cast<kept_wait *> (base);
+
+            self->done++;
+            self->status = end;
+          },
+    };
+
+    wait.ops = &ops;
+  }
+};
+
+class ControllerTest : public ::testing::Test
+{
+protected:
+  void *parent = talloc_new (nullptr);
+  struct timer_service *timers = timer_service_new (parent);
+  played_port port;
+  played_log log;
+  struct document *document = document_new (parent, nullptr);
+  struct controller *controller;
+  int64_t now = 10 * USEC_PER_SEC;
+
+  void
+  SetUp () override
+  {
+    struct controller_config config = {};
+
+    config.name = "c1";
+    config.consensus = &log.consensus;
+    config.document = document;
+    config.port = &port.port;
+    config.timers = timers;
+    config.counters = counters_new (parent);
+    config.incarnation = 5;
+    config.members = [] (void *, const char *out[SYNC_CONTROLLERS_MAX]) {
+      out[0] = "c1";
+      out[1] = "c2";
+      out[2] = "c3";
+      return 3u;
+    };
+    controller = controller_new (parent, &config);
+    timer_service_run (timers, now);
+  }
+
+  void
+  TearDown () override
+  {
+    talloc_free (controller);
+    talloc_free (parent);
+  }
+
+  void
+  ask (const char *host, uint64_t nonce, uint64_t version = 0, bool leaving = false)
+  {
+    struct sync_ask question = {};
+    struct bytes message;
+
+    question.nonce = nonce;
+    question.document = version;
+    snprintf (question.self.name, sizeof question.self.name, "%s", host);
+    snprintf (question.self.address, sizeof question.self.address, "%s-clients", host);
+    question.self.ready = true;
+    question.self.leaving = leaving;
+    bytes_init (&message, nullptr);
+    sync_begin (SYNC_ASK, &message);
+    sync_write_ask (&question, &message);
+    port.deliver (host, PEER_CHANNEL_SYNC, &message, now);
+    bytes_clear (&message);
+  }
+
+  // The head of the newest state sent to the host; false when none was.
+  bool
+  last_state (const std::string &host, struct sync_state *out)
+  {
+    for (auto at = port.sent.rbegin (); at != port.sent.rend (); ++at)
+      {
+        struct pack_reader in;
+        enum sync_message type;
+
+        pack_reader_init (&in, std::get<2> (*at).data (), std::get<2> (*at).size ());
+        if (std::get<0> (*at) == host && sync_read_type (&in, &type) && type == SYNC_STATE)
+          return sync_read_state (&in, out);
+      }
+    return false;
+  }
+
+  void
+  acknowledge (const char *from)
+  {
+    for (const auto &[host, channel, text] : port.sent)
+      {
+        struct pack_reader in;
+        enum sync_message type;
+        struct bytes message;
+
+        pack_reader_init (&in, text.data (), text.size ());
+        if (host != from || !sync_read_type (&in, &type) || type != SYNC_TARGET)
+          continue;
+        uint64_t incarnation = pack_read_uint (&in, UINT64_MAX);
+        uint64_t number = pack_read_uint (&in, UINT64_MAX);
+
+        bytes_init (&message, nullptr);
+        sync_begin (SYNC_RECEIVED, &message);
+        pack_uint (&message, incarnation);
+        pack_uint (&message, number);
+        port.deliver (from, PEER_CHANNEL_SYNC, &message, now);
+        bytes_clear (&message);
+      }
+  }
+};
+
+TEST_F (ControllerTest, TakesARenewalAtOnce)
+{
+  kept_wait wait;
+  struct registry_word word = make_word ("i", "p", "a:1", REGISTRY_READY, 1);
+
+  EXPECT_TRUE (controller_register (controller, &word, &wait.wait, now));
+  EXPECT_EQ (wait.done, 0);
+}
+
+// A target reports that it leaves and takes the acknowledgement for granted.  The controller that
+// gave it loses power right after.  Unless another controller holds the word, entry hosts go on
+// sending work to the target.
+TEST_F (ControllerTest, AcknowledgesALeavingTargetOnceAMajorityKnows)
+{
+  kept_wait wait;
+  struct registry_word word = make_word ("i", "p", "a:1", REGISTRY_LEAVING, 1);
+
+  EXPECT_FALSE (controller_register (controller, &word, &wait.wait, now));
+  EXPECT_EQ (wait.done, 0);
+  acknowledge ("c2");
+  EXPECT_EQ (wait.done, 1);
+  EXPECT_EQ (wait.status, STATUS_OK);
+  acknowledge ("c3");
+  EXPECT_EQ (wait.done, 1);
+}
+
+// The controller is cut off with a minority: it must not acknowledge, so that the target asks
+// another one.
+TEST_F (ControllerTest, DoesNotAcknowledgeALeavingTargetAlone)
+{
+  kept_wait wait;
+  struct registry_word word = make_word ("i", "p", "a:1", REGISTRY_LEAVING, 1);
+
+  controller_register (controller, &word, &wait.wait, now);
+  now += CONTROLLER_LEAVE_WAIT;
+  timer_service_run (timers, now);
+  EXPECT_EQ (wait.done, 1);
+  EXPECT_EQ (wait.status, STATUS_TIMEOUT);
+}
+
+// An entry host asks while the quorum is already being asked.  What the quorum says then may be
+// older than the question, so it confirms nothing to this host; the next answer does.
+TEST_F (ControllerTest, ConfirmsOnlyQuestionsThatWereThereBefore)
+{
+  struct sync_state state;
+
+  ask ("e1", 11);
+  ask ("e2", 21);
+  ASSERT_EQ (log.reads.size (), 1u);
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_TRUE (state.confirmed);
+  EXPECT_EQ (state.nonce, 11u);
+  EXPECT_FALSE (last_state ("e2", &state));
+  ASSERT_EQ (log.reads.size (), 1u);
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e2", &state));
+  EXPECT_TRUE (state.confirmed);
+}
+
+TEST_F (ControllerTest, SaysSoWhenNoQuorumAnswers)
+{
+  struct sync_state state;
+
+  ask ("e1", 11);
+  log.answer (STATUS_TIMEOUT, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_FALSE (state.confirmed);
+  log.refuse = true;
+  ask ("e1", 12);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_EQ (state.nonce, 12u);
+  EXPECT_FALSE (state.confirmed);
+}
+
+TEST_F (ControllerTest, PushesANewDocumentAtOnce)
+{
+  struct sync_state state;
+
+  ask ("e1", 11);
+  log.answer (STATUS_OK, now);
+  document_take (document, 4, "text", 4);
+  controller_document_changed (controller, now);
+  now += 10 * USEC_PER_MSEC;
+  timer_service_run (timers, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_TRUE (state.has_document);
+  EXPECT_EQ (state.document, 4u);
+  EXPECT_EQ (state.nonce, 0u);
+  EXPECT_FALSE (state.confirmed);
+}
+
+TEST_F (ControllerTest, NamesOnlyEntryHostsThatAreThere)
+{
+  const struct sync_host *out[SYNC_HOSTS_MAX];
+
+  ask ("e1", 11);
+  ask ("e2", 21);
+  EXPECT_EQ (controller_entries (controller, out, now), 2u);
+  ask ("e2", 22, 0, true);
+  ASSERT_EQ (controller_entries (controller, out, now), 1u);
+  EXPECT_STREQ (out[0]->address, "e1-clients");
+  now += CONTROLLER_HOST_LEASE + 1;
+  EXPECT_EQ (controller_entries (controller, out, now), 0u);
+}
+
+// ---- the document ----
+
+TEST (Document, KeepsTheHighestVersion)
+{
+  void *parent = talloc_new (nullptr);
+  struct document *document = document_new (parent, nullptr);
+  struct machine *machine = document_machine (document);
+  const std::vector<std::pair<uint64_t, std::string>> changes = {
+    { 3, "three" }, { 2, "two" }, { 3, "other" }, { 9, "nine" }
+  };
+
+  for (const auto &[version, text] : changes)
+    {
+      struct bytes entry;
+      struct bytes result;
+
+      bytes_init (&entry, parent);
+      bytes_init (&result, parent);
+      document_write_change (version, text.data (), text.size (), &entry);
+      machine->ops->apply (machine, 1, entry.data, entry.length, &result);
+      if (version == 3)
+        {
+          EXPECT_EQ (std::string (document_text (document)->data), "three");
+        }
+    }
+  EXPECT_EQ (document_version (document), 9u);
+  struct bytes snapshot;
+  struct document *other = document_new (parent, nullptr);
+
+  bytes_init (&snapshot, parent);
+  ASSERT_EQ (machine->ops->save (machine, &snapshot), STATUS_OK);
+  machine = document_machine (other);
+  ASSERT_EQ (machine->ops->load (machine, 1, snapshot.data, snapshot.length), STATUS_OK);
+  EXPECT_EQ (document_version (other), 9u);
+  EXPECT_EQ (std::string (document_text (other)->data), "nine");
+  EXPECT_EQ (machine->ops->load (machine, 1, snapshot.data, snapshot.length - 1), STATUS_CORRUPT);
+  talloc_free (parent);
+}
+
+// ---- an entry host's side ----
+
+class SubscriberTest : public forward_test
+{
+protected:
+  void
+  state (uint64_t nonce, bool confirmed, uint64_t version, bool has_document)
+  {
+    told_state said;
+    struct bytes message;
+
+    said.head.controller = controller;
+    said.head.nonce = nonce;
+    said.head.confirmed = confirmed;
+    said.head.document = version;
+    said.head.has_document = has_document;
+    said.document = document (version, route ("r", "idempotent", 1, ""));
+    write_state (said, &message);
+    port.deliver ("controller:1", PEER_CHANNEL_SYNC, &message, loop_now (loop));
+    bytes_clear (&message);
+  }
+};
+
+// A restarted host gets a configuration from a controller that is cut off with a minority.  It may
+// be old, so nothing is served by it before a quorum has confirmed it.
+TEST_F (SubscriberTest, ServesNothingUnconfirmed)
+{
+  struct sync_ask asked;
+
+  ASSERT_TRUE (last_ask (port, "controller:1", &asked));
+  state (asked.nonce, false, 1, true);
+  EXPECT_EQ (subscriber_routing (subscriber), nullptr);
+  EXPECT_FALSE (subscriber_ready (subscriber));
+  state (asked.nonce, true, 1, false);
+  ASSERT_NE (subscriber_routing (subscriber), nullptr);
+  EXPECT_TRUE (subscriber_ready (subscriber));
+}
+
+// A confirmation is held up on a slow link for seconds.  Keys may have been taken away meanwhile,
+// so it counts from when it was asked for, not from when it came.
+TEST_F (SubscriberTest, CountsAConfirmationFromItsQuestion)
+{
+  struct sync_ask asked;
+
+  ASSERT_TRUE (last_ask (port, "controller:1", &asked));
+  boottime += 4 * USEC_PER_SEC;
+  state (asked.nonce, true, 1, true);
+  EXPECT_EQ (subscriber_age (subscriber), 4 * USEC_PER_SEC);
+  EXPECT_FALSE (subscriber_ready (subscriber));
+}
+
+// A quorum confirmed a version that this host has not got yet: it holds something older.
+TEST_F (SubscriberTest, TakesNoConfirmationOfWhatItDoesNotHold)
+{
+  struct sync_ask asked;
+
+  ASSERT_TRUE (last_ask (port, "controller:1", &asked));
+  state (asked.nonce, false, 1, true);
+  state (asked.nonce, true, 2, false);
+  EXPECT_EQ (subscriber_routing (subscriber), nullptr);
+}
+
+TEST_F (SubscriberTest, NeverGoesBackToAnOlderVersion)
+{
+  struct sync_ask asked;
+
+  ASSERT_TRUE (last_ask (port, "controller:1", &asked));
+  state (asked.nonce, true, 5, true);
+  state (0, false, 4, true);
+  ASSERT_NE (subscriber_routing (subscriber), nullptr);
+  EXPECT_EQ (subscriber_routing (subscriber)->version, 5u);
+}
+
+TEST_F (SubscriberTest, AnswersToAnotherStartCountNothing)
+{
+  state (123456, true, 1, true);
+  EXPECT_EQ (subscriber_routing (subscriber), nullptr);
+}
+
+}
--- /dev/null
+++ b/tests/unit_engine_load.cc
@@ -0,0 +1,125 @@
+// The picture of model engines that entry hosts share.
+#include "engine_load.h"
+#include <gtest/gtest.h>
+#include <talloc.h>
+
+namespace
+{
+
+class EngineLoad : public ::testing::Test
+{
+protected:
+  void *parent = talloc_new (nullptr);
+  struct engine_load *load = engine_load_new (parent);
+  int64_t now = 10 * USEC_PER_SEC;
+
+  void
+  TearDown () override
+  {
+    talloc_free (parent);
+  }
+
+  static struct engine_prompt
+  prompt (uint64_t part, uint32_t shared, uint32_t own)
+  {
+    struct engine_prompt out = {};
+
+    out.n_parts = 1;
+    out.parts[0] = part;
+    out.part_tokens[0] = shared;
+    out.own_tokens = own;
+    return out;
+  }
+
+  struct engine_cost
+  cost (uint64_t target, const struct engine_prompt &of)
+  {
+    struct engine_cost out;
+
+    engine_load_cost (load, target, &of, now, &out);
+    return out;
+  }
+};
+
+TEST_F (EngineLoad, APartIsCheaperWhereItWasRead)
+{
+  struct engine_prompt p = prompt (1, 13000, 100);
+
+  EXPECT_EQ (cost (1, p).read_again, 0u);
+  engine_load_started (load, 1, 500, &p, now);
+  engine_load_began (load, 1, 500, now + 300000);
+  engine_load_ended (load, 1, 500, now + 900000);
+  EXPECT_LT (cost (1, p).wait, cost (2, p).wait / 10);
+  EXPECT_EQ (cost (2, p).read_again, 13000u);
+  EXPECT_EQ (cost (1, p).read_again, 0u);
+}
+
+TEST_F (EngineLoad, PromptsBeforeItMakeARequestWait)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  engine_load_started (load, 1, 500, &p, now);
+  EXPECT_GE (cost (1, p).wait, 2 * idle - 10000);
+  EXPECT_EQ (cost (1, p).running, 1u);
+  engine_load_began (load, 1, 500, now + idle);
+  EXPECT_LT (cost (1, p).wait, 2 * idle - 10000);
+  engine_load_ended (load, 1, 500, now + idle);
+  EXPECT_EQ (cost (1, p).running, 0u);
+}
+
+// The message that an answer began is lost with its connection.  The engine must not look busy for
+// ever, or nobody sends it anything again.
+TEST_F (EngineLoad, ForgetsAStartWhoseNewsAreLost)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  engine_load_started (load, 1, 500, &p, now);
+  now += 3 * USEC_PER_SEC;
+  EXPECT_LE (cost (1, p).wait, idle);
+}
+
+// An engine turns slow for some seconds.  It gets less, and after a while is tried again.
+TEST_F (EngineLoad, ASlowEngineCostsMoreUntilItIsForgotten)
+{
+  struct engine_prompt p = prompt (1, 0, 3000);
+
+  for (uint64_t i = 0; i < 8; i++)
+    {
+      engine_load_started (load, 1, i, &p, now);
+      now += 10 * cost (2, p).wait;
+      engine_load_began (load, 1, i, now);
+      engine_load_ended (load, 1, i, now);
+    }
+  EXPECT_GT (cost (1, p).wait, 2 * cost (2, p).wait);
+  now += 30 * USEC_PER_SEC;
+  EXPECT_LT (cost (1, p).wait, 2 * cost (2, p).wait);
+}
+
+TEST_F (EngineLoad, DropsTheLeastUsedPartWhenTheCacheIsFull)
+{
+  struct engine_prompt a = prompt (1, 1000, 0);
+  struct engine_prompt b = prompt (2, 1000, 0);
+  struct engine_prompt c = prompt (3, 1000, 0);
+
+  engine_load_set_cache (load, 4000); // room for two
+  engine_load_started (load, 1, 1, &a, now);
+  engine_load_started (load, 1, 2, &b, now);
+  engine_load_started (load, 1, 3, &a, now);
+  engine_load_started (load, 1, 4, &c, now);
+  EXPECT_EQ (cost (2, b).read_again, 0u); // nobody holds it any more
+  EXPECT_EQ (cost (2, a).read_again, 1000u);
+}
+
+TEST_F (EngineLoad, ATargetThatIsGoneHoldsNothing)
+{
+  struct engine_prompt p = prompt (1, 1000, 10);
+
+  engine_load_started (load, 1, 1, &p, now);
+  engine_load_forget (load, 1);
+  EXPECT_EQ (cost (2, p).read_again, 0u);
+  EXPECT_EQ (cost (1, p).running, 0u);
+}
+
+}
--- /dev/null
+++ b/tests/unit_registry.cc
@@ -0,0 +1,122 @@
+// Targets that register with any of several hosts, and what merging their words must hold.
+#include "registry.h"
+#include <cstring>
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+
+namespace
+{
+
+struct registry_word
+word (const char *id, const char *address, enum registry_state state, uint64_t sequence)
+{
+  struct registry_word out = {};
+
+  snprintf (out.id, sizeof out.id, "%s", id);
+  snprintf (out.pool, sizeof out.pool, "p");
+  snprintf (out.address, sizeof out.address, "%s", address);
+  out.state = state;
+  out.sequence = sequence;
+  return out;
+}
+
+class RegistryTest : public ::testing::Test
+{
+protected:
+  void *parent = talloc_new (nullptr);
+  struct registry *registry = registry_new (parent);
+  struct registry_target *target = nullptr;
+  int64_t now = 100 * USEC_PER_SEC;
+
+  void
+  TearDown () override
+  {
+    talloc_free (parent);
+  }
+
+  enum registry_news
+  merge (const struct registry_word &said, int64_t age = 0)
+  {
+    return registry_merge (registry, &said, age, now, &target);
+  }
+};
+
+TEST_F (RegistryTest, RenewalsKeepATargetAlive)
+{
+  EXPECT_EQ (merge (word ("i", "a:1", REGISTRY_READY, 1)), REGISTRY_NEWS_ADDED);
+  now += 4 * USEC_PER_SEC;
+  EXPECT_EQ (merge (word ("i", "a:1", REGISTRY_READY, 2)), REGISTRY_NEWS_NONE);
+  now += 4 * USEC_PER_SEC;
+  EXPECT_EQ (registry_expire (registry, 5 * USEC_PER_SEC, now), 0u);
+  now += 2 * USEC_PER_SEC;
+  EXPECT_EQ (registry_expire (registry, 5 * USEC_PER_SEC, now), 1u);
+  EXPECT_FALSE (registry_usable (target));
+  EXPECT_EQ (merge (word ("i", "a:1", REGISTRY_READY, 3)), REGISTRY_NEWS_CHANGED);
+  EXPECT_TRUE (registry_usable (target));
+}
+
+// A target says that it leaves.  An earlier renewal, held up on a slow link, arrives afterwards; it
+// must not call the target back, or work goes to it while it shuts down.
+TEST_F (RegistryTest, AHeldUpRenewalDoesNotCallALeavingTargetBack)
+{
+  merge (word ("i", "a:1", REGISTRY_READY, 1));
+  EXPECT_EQ (merge (word ("i", "a:1", REGISTRY_LEAVING, 5)), REGISTRY_NEWS_CHANGED);
+  EXPECT_EQ (merge (word ("i", "a:1", REGISTRY_READY, 4)), REGISTRY_NEWS_STALE);
+  EXPECT_EQ (target->word.state, REGISTRY_LEAVING);
+  merge (word ("i", "a:1", REGISTRY_READY, 6));
+  EXPECT_EQ (target->word.state, REGISTRY_LEAVING);
+}
+
+// Addresses are used again.  A target crashes behind a cut, another one starts at its address, and
+// then a renewal of the first one gets through.  Requests for the second one's pool must not go by
+// the first one's record.
+TEST_F (RegistryTest, TheLaterTargetKeepsTheAddress)
+{
+  struct registry_target *first;
+
+  merge (word ("old", "a:1", REGISTRY_READY, 1));
+  first = target;
+  now += USEC_PER_SEC;
+  merge (word ("new", "a:1", REGISTRY_READY, 1));
+  EXPECT_EQ (first->word.state, REGISTRY_GONE);
+  EXPECT_TRUE (registry_usable (target));
+  merge (word ("old", "a:1", REGISTRY_READY, 2), USEC_PER_SEC / 2);
+  EXPECT_EQ (first->word.state, REGISTRY_GONE);
+}
+
+TEST_F (RegistryTest, WhatEndedIsRememberedForAWhile)
+{
+  merge (word ("i", "a:1", REGISTRY_READY, 1));
+  merge (word ("i", "a:1", REGISTRY_GONE, 1));
+  now += REGISTRY_REMEMBER / 2;
+  registry_expire (registry, USEC_PER_SEC, now);
+  ASSERT_NE (registry_find (registry, "i"), nullptr);
+  EXPECT_NE (merge (word ("i", "a:1", REGISTRY_READY, 9)), REGISTRY_NEWS_ADDED);
+  EXPECT_FALSE (registry_usable (target));
+  now += 2 * REGISTRY_REMEMBER;
+  registry_expire (registry, USEC_PER_SEC, now);
+  EXPECT_EQ (registry_find (registry, "i"), nullptr);
+}
+
+TEST_F (RegistryTest, AWordSurvivesItsWayToAnotherHost)
+{
+  struct bytes out;
+  struct pack_reader in;
+  struct registry_word read;
+  int64_t age;
+
+  merge (word ("i", "a:1", REGISTRY_LEAVING, 3));
+  now += 7;
+  bytes_init (&out, parent);
+  registry_write (target, now, &out);
+  pack_reader_init (&in, out.data, out.length);
+  ASSERT_TRUE (registry_read (&in, &read, &age));
+  EXPECT_STREQ (read.id, "i");
+  EXPECT_EQ (read.state, REGISTRY_LEAVING);
+  EXPECT_EQ (age, 7);
+  pack_reader_init (&in, out.data, out.length - 1);
+  EXPECT_FALSE (registry_read (&in, &read, &age));
+}
+
+}
