Match orders to targets near where their results are wanted

Cause: the largest price on both sites is results that cross zones; an idle target took the first order whatever its zone, though a queue had others. Ruled out: more waiting for a near target (idle time under load).

--- a/src/batch.h
+++ b/src/batch.h
@@ -39,6 +39,9 @@
  * much time to spare: a result of megabytes that crosses costs more than the wait. */
 #define BATCH_NEAR_SLACK (300 * USEC_PER_MSEC)
 
+/* An order with less time to spare than this takes any target. */
+#define BATCH_PRESSED (150 * USEC_PER_MSEC)
+
 /* A target that said it has no room gets nothing for so long. */
 #define BATCH_NO_ROOM_PAUSE (200 * USEC_PER_MSEC)
 
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <utlist.h>
 
+#define PASSES 4
+
 /* When an order should be taken, urgency counted as time.  One that was begun is finished before
  * others are: its results take room that only its last piece sets free. */
 static int64_t
@@ -232,8 +234,25 @@
   batch_enqueue (order);
 }
 
-/* Take pieces for one call: in their order those that fit and may go there, late ones last, and not
- * all where other targets are idle too. */
+/* In which pass an order is taken for a target: those that can be in time before those that cannot,
+ * and of each those whose results are wanted near the target, or that cannot wait for one that is,
+ * before the others.  With a queue to choose from most results then need not cross, and no target
+ * waits for it. */
+static int
+pass_of (const struct batch_pool *pool,
+         const struct batch_order *order,
+         const struct batch_target *target,
+         int64_t now)
+{
+  bool late = batch_is_late (pool, order, now);
+  bool near = order->near[0] == '\0' || strcmp (order->near, target->target->domain) == 0;
+  bool pressed = now + batch_expected (pool, 1) + BATCH_PRESSED > order->due;
+
+  return (late ? 2 : 0) + (near || (pressed && !late) ? 0 : 1);
+}
+
+/* Take pieces for one call: in their order those that fit and may go there, and not all where other
+ * targets are idle too. */
 static uint32_t
 take_pieces (struct batch_pool *pool,
              const struct batch_target *target,
@@ -249,14 +268,14 @@
     most = pool->spec.pieces;
   if (most > BATCH_CALL_PIECES_MAX)
     most = BATCH_CALL_PIECES_MAX;
-  for (int late = 0; late < 2; late++)
+  for (int pass = 0; pass < PASSES; pass++)
     {
       struct batch_order *order;
       struct batch_order *next;
 
       DL_FOREACH_SAFE (pool->queue, order, next)
         {
-          if (batch_is_late (pool, order, now) != (late == 1))
+          if (pass_of (pool, order, target, now) != pass)
             continue;
           while (n < most && order->n_pending > 0 && fits (pool, outlook, order, target, size, now))
             {
