Free results each 20 ms

Cause: results lay 30 ms longer than they were needed, mean, where room for them is what binds a pool.

--- a/src/batch.h
+++ b/src/batch.h
@@ -24,7 +24,7 @@
 #define BATCH_PROBE_PERIOD (1500 * USEC_PER_MSEC)
 
 /* Results are freed in batches, this often. */
-#define BATCH_FREE_PERIOD (60 * USEC_PER_MSEC)
+#define BATCH_FREE_PERIOD (20 * USEC_PER_MSEC)
 
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
