--- a/src/batch.c
+++ b/src/batch.c
@@ -9,7 +9,6 @@
 #include <utlist.h>
 
 /* While orders wait for a target that pauses or comes back, the queue is looked at this often. */
-#define LOOK_PERIOD (20 * USEC_PER_MSEC)
 
 static const char *const piece_end_texts[] = {
 #define X(name, text) [PIECE_##name] = text,
@@ -178,17 +177,11 @@
   struct batch_pool *pool = CONTAINER_OF (timer, struct batch_pool, timer);
   struct timer_service *timers = loop_timers (pool->batch->config.loop);
 
-  if (now >= pool->free_at)
-    {
-      pool->free_at = now + BATCH_FREE_PERIOD;
-      batch_sweep_results (pool, now);
-    }
+  batch_sweep_results (pool, now);
   if (pool->queue != NULL)
     batch_dispatch (pool, now);
-  if (pool->queue != NULL)
-    timer_arm (timers, timer, now + LOOK_PERIOD);
-  else if (has_results (pool))
-    timer_arm (timers, timer, now + BATCH_FREE_PERIOD);
+  if (pool->queue != NULL || has_results (pool))
+    timer_arm (timers, timer, now + BATCH_LOOK_PERIOD);
 }
 
 static const struct timer_ops pool_ops = { .fire = pool_fired };
@@ -198,8 +191,8 @@
 {
   struct timer_service *timers = loop_timers (pool->batch->config.loop);
 
-  if (!timer_is_armed (&pool->timer) || pool->timer.due > now + LOOK_PERIOD)
-    timer_arm (timers, &pool->timer, now + LOOK_PERIOD);
+  if (!timer_is_armed (&pool->timer) || pool->timer.due > now + BATCH_LOOK_PERIOD)
+    timer_arm (timers, &pool->timer, now + BATCH_LOOK_PERIOD);
 }
 
 /* ---- the whole ---- */
--- a/src/batch.h
+++ b/src/batch.h
@@ -23,8 +23,9 @@
 #define BATCH_SLOW 1.6
 #define BATCH_PROBE_PERIOD (1500 * USEC_PER_MSEC)
 
-/* Results are freed in batches, this often. */
-#define BATCH_FREE_PERIOD (20 * USEC_PER_MSEC)
+/* While orders wait or results lie at targets, what may be sent is looked for and what nobody needs
+ * is freed this often: room for results is what binds a pool in a burst. */
+#define BATCH_LOOK_PERIOD (20 * USEC_PER_MSEC)
 
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -53,7 +53,6 @@
   uint64_t reserved;         /* bytes that the pending pieces of begun orders will take */
   struct batch_target *targets;
   struct timer timer; /* looks again while orders wait, and frees */
-  int64_t free_at;
 };
 
 struct batch
