--- a/src/batch.c
+++ b/src/batch.c
@@ -8,8 +8,6 @@
 #include <talloc.h>
 #include <utlist.h>
 
-/* While orders wait for a target that pauses or comes back, the queue is looked at this often. */
-
 static const char *const piece_end_texts[] = {
 #define X(name, text) [PIECE_##name] = text,
   PIECE_END_LIST (X)
