--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 #   make test       install what is missing, then every check that CI makes
 #   make unit       unit tests under the address and undefined-behaviour sanitizers
 #   make whole      the failure tests and the whole path, on real processes
-#   make soak      the soak alone; SOAK_SEEDS="first last" and SOAK_SECONDS choose what it plays
+#   make soak       the soak alone; SOAK_SEEDS="first last" and SOAK_SECONDS choose what it plays
 #   make bench      the table of experiments (see docs/MEASUREMENTS.md)
 #   make format     rewrite the sources to the house layout
 #   make lint       formatter and linter, as errors
