--- a/tests/unit_forward.cc
+++ b/tests/unit_forward.cc
@@ -161,52 +161,18 @@
 // is due.  The client must get its own.
 TEST_F (forward_plain, PassesOverTheAnswerToAnotherRequest)
 {
-  start (route ("r", "non_idempotent", 1, ""), 1);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct sockaddr_in address = {};
-  socklen_t size = sizeof address;
-
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  ASSERT_EQ (bind (fd, reinterpret_cast<struct sockaddr *> (&address), sizeof address), 0);
-  ASSERT_EQ (listen (fd, 1), 0);
-  ASSERT_EQ (getsockname (fd, reinterpret_cast<struct sockaddr *> (&address), &size), 0);
-  fcntl (fd, F_SETFL, O_NONBLOCK);
-
-  told_state state;
-  struct sync_ask asked;
-  struct bytes message;
-
-  ASSERT_TRUE (last_ask (port, "controller:1", &asked));
-  state.head.controller = controller;
-  state.targets.emplace_back (make_word ("t0", "p", targets[0]->address (), REGISTRY_GONE, 9), 0);
-  state.targets.emplace_back (make_word ("raw", "p",
-                                         "127.0.0.1:" + std::to_string (ntohs (address.sin_port)),
-                                         REGISTRY_READY, 1),
-                              0);
-  write_state (state, &message);
-  port.deliver ("controller:1", PEER_CHANNEL_SYNC, &message, loop_now (loop));
-  bytes_clear (&message);
-
+  raw_target raw (loop);
   raw_caller caller (loop, h1_server_port (server));
-  int peer = -1;
-  char buffer[4096];
-  const std::string answers = "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: s\r\n"
-                              "Content-Length: 5\r\n\r\nwrong"
-                              "HTTP/1.1 200 OK\r\nX-Attempt-Id: i1\r\nX-Server-Signature: s\r\n"
-                              "Content-Length: 5\r\n\r\nright";
 
+  tell_targets (1, document (1, route ("r", "non_idempotent", 1, "")), { { "t", raw.address () } });
   caller.send (request ("/r/", "i1"));
-  ASSERT_TRUE (run_until (loop, [&] {
-    if (peer < 0)
-      peer = accept (fd, nullptr, nullptr);
-    return peer >= 0 && recv (peer, buffer, sizeof buffer, MSG_DONTWAIT) > 0;
-  }));
-  ASSERT_GT (send (peer, answers.data (), answers.size (), 0), 0);
+  ASSERT_TRUE (raw.wait_for (END));
+  raw.say ("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Server-Signature: s\r\n"
+           "Content-Length: 5\r\n\r\nwrong"
+           "HTTP/1.1 200 OK\r\nX-Attempt-Id: i1\r\nX-Server-Signature: s\r\n"
+           "Content-Length: 5\r\n\r\nright");
   EXPECT_TRUE (caller.wait_for ("right"));
   EXPECT_EQ (caller.count ("wrong"), 0u);
-  close (peer);
-  close (fd);
 }
 
 // A target claims success without its signature: nothing tells that these are the target's bytes.
