--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #define CHUNK_HEAD_SIZE 20
+#define STATUS_CLASSES 6
 
 enum connection_state
 {
@@ -48,6 +49,7 @@
   struct counter *requests;
   struct counter *refused;
   struct counter *dropped;
+  struct counter *answers[STATUS_CLASSES]; /* by the first digit of their status */
 };
 
 /* After the last answer a client has so long to read it and close. */
@@ -115,6 +117,7 @@
   struct bytes out;
 
   bytes_init (&out, NULL);
+  counter_add (connection->server->answers[status / 100 % STATUS_CLASSES], 1);
   connection->keep = connection->keep && !connection->server->closing;
   connection->chunked = length < 0 && head->minor >= 1;
   /* Without a length an HTTP/1.0 answer ends with its connection. */
@@ -476,6 +479,13 @@
   struct counters *counters = server->config.counters;
   char label[64];
 
+  for (int i = 0; i < STATUS_CLASSES; i++)
+    {
+      snprintf (label, sizeof label, "listener=\"%s\",status=\"%dxx\"", server->config.label, i);
+      server->answers[i] = counter_get (counters, "cherryarch_h1_answers_total",
+                                        "Answers by the class of their status.", label);
+    }
+
   snprintf (label, sizeof label, "listener=\"%s\"", server->config.label);
   server->requests =
       counter_get (counters, "cherryarch_h1_requests_total", "Whole requests that arrived.", label);
--- a/tests/unit_forward_http.cc
+++ b/tests/unit_forward_http.cc
@@ -81,6 +81,10 @@
       std::string::npos);
   EXPECT_EQ (runs (), 0u);
   EXPECT_EQ (refused (), 2u);
+  EXPECT_EQ (counter_get (counters, "cherryarch_h1_answers_total", "",
+                          "listener=\"clients\",status=\"4xx\"")
+                 ->value,
+             2u);
   EXPECT_NE (ask (request ("/r/", "i3", "", "8 bytes!"), "fine").find ("HTTP/1.1 200"),
              std::string::npos);
 }
--- a/tests/whole_platform.cc
+++ b/tests/whole_platform.cc
@@ -1,5 +1,7 @@
-// An entry host of the users' platform as a process: its settings file, its signals, its log.
+// Hosts on the users' platform as processes: their settings file, signals, log, and what a
+// controller answers to targets and operators.
 #include "cli.h"
+#include <arpa/inet.h>
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
@@ -10,6 +12,7 @@
 #include <spawn.h>
 #include <sstream>
 #include <string>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,19 +25,19 @@
 const int LOOKS_MAX = 2000;
 const useconds_t LOOK_PERIOD = 10000; // microseconds
 
-class EntryProcess : public testing::Test
+class PlatformProcess : public testing::Test
 {
 protected:
-  EntryProcess ()
+  PlatformProcess ()
   {
-    char name[] = "/tmp/cherryarch-entry-XXXXXX";
+    char name[] = "/tmp/cherryarch-host-XXXXXX";
 
     folder_ = mkdtemp (name);
     ip_ = "127." + std::to_string (64 + getpid () / 65536 % 64) + "."
           + std::to_string (getpid () / 256 % 256) + "." + std::to_string (getpid () % 254 + 1);
   }
 
-  ~EntryProcess () override
+  ~PlatformProcess () override
   {
     if (pid_ > 0)
       {
@@ -44,15 +47,14 @@
     std::filesystem::remove_all (folder_);
   }
 
+  // `listen` and `more`: members with a comma behind each.
   std::string
-  settings (const std::string &seeds) const
+  settings (const std::string &listen, const std::string &seeds, const std::string &more) const
   {
-    return R"({"NodeName":"e","Ip":")" + ip_ + R"(","Zone":"a","Region":"r","Listen":{)"
-           + R"("Frontend":")" + ip_ + R"(:18625","Ready":")" + ip_ + R"(:18621"},)"
-           + R"("InternalPorts":[17740],"Seeds":[)" + seeds
-           + R"(],"Bootstrap":true,"Limits":{"MaxFds":512},"DataDir":null,"HeartbeatMs":400,)"
-           + R"("FaultTolerance":{"Machines":1},"Bounds":{"GraceS":4,"RevokeMs":5000,)"
-           + R"("RetryRatio":0.2,"RetrySlack":50}})";
+    return R"({"NodeName":"h","Ip":")" + ip_ + R"(","Zone":"a","Region":"r","Listen":{)" + listen
+           + R"(},"InternalPorts":[17740],"Seeds":[)" + seeds + "]," + more
+           + R"("Bootstrap":true,"Limits":{"MaxFds":512},"HeartbeatMs":400,"Bounds":{"GraceS":4,)"
+           + R"("RevokeMs":5000,"RetryRatio":0.2,"RetrySlack":50}})";
   }
 
   // Put in place whole, as an operator's tool does: a half-written file is never seen.
@@ -64,11 +66,11 @@
   }
 
   void
-  start ()
+  start (const char *role)
   {
     std::string variable = "CHERRYARCH_SETTINGS=" + folder_ + "/settings.json";
     std::string log = folder_ + "/log";
-    const char *const argv[] = { "cherryarch", "entry", nullptr };
+    const char *const argv[] = { "cherryarch", role, nullptr };
     char *const env[] = { variable.data (), nullptr };
     posix_spawn_file_actions_t actions;
 
@@ -123,15 +125,26 @@
   pid_t pid_ = 0;
 };
 
+class EntryProcess : public PlatformProcess
+{
+protected:
+  std::string
+  entry_settings (const std::string &seeds) const
+  {
+    return settings (R"("Frontend":")" + ip_ + R"(:18625","Ready":")" + ip_ + R"(:18621")", seeds,
+                     R"("DataDir":null,"FaultTolerance":{"Machines":1},)");
+  }
+};
+
 // The controllers move while an entry host runs, and its settings file is changed without a signal.
 // It must look for the new ones; were it to keep the old list it would lose its configuration at
 // the next restart of the last controller it knows.
 TEST_F (EntryProcess, TakesNewSeedsFromAChangedFile)
 {
-  write_settings (settings ("\"127.0.0.1:9\""));
-  start ();
+  write_settings (entry_settings ("\"127.0.0.1:9\""));
+  start ("entry");
   ASSERT_TRUE (logs ("\"started\"")) << log ();
-  write_settings (settings ("\"127.0.0.1:9\",\"127.0.0.2:9\""));
+  write_settings (entry_settings ("\"127.0.0.1:9\",\"127.0.0.2:9\""));
   ASSERT_TRUE (logs ("\"reloaded\"")) << log ();
   EXPECT_TRUE (logs ("\"seeds\":2")) << log ();
 }
@@ -140,21 +153,21 @@
 // process goes on with what it has, and says what is wrong.
 TEST_F (EntryProcess, GoesOnWhereAChangedFileIsWrong)
 {
-  write_settings (settings ("\"127.0.0.1:9\""));
-  start ();
+  write_settings (entry_settings ("\"127.0.0.1:9\""));
+  start ("entry");
   ASSERT_TRUE (logs ("\"started\"")) << log ();
   write_settings ("{\"NodeName\":");
   ASSERT_EQ (kill (pid_, SIGHUP), 0);
   EXPECT_TRUE (logs ("\"reload-failed\"")) << log ();
   EXPECT_TRUE (runs ());
-  write_settings (settings ("\"127.0.0.1:9\""));
+  write_settings (entry_settings ("\"127.0.0.1:9\""));
   EXPECT_TRUE (logs ("\"reloaded\"")) << log ();
 }
 
 TEST_F (EntryProcess, EndsInOrderOnSigterm)
 {
-  write_settings (settings ("\"127.0.0.1:9\""));
-  start ();
+  write_settings (entry_settings ("\"127.0.0.1:9\""));
+  start ("entry");
   ASSERT_TRUE (logs ("\"started\"")) << log ();
   ASSERT_EQ (kill (pid_, SIGTERM), 0);
   EXPECT_EQ (wait_end (), 0) << log ();
@@ -163,13 +176,160 @@
 
 TEST_F (EntryProcess, SaysWhichSettingIsWrong)
 {
-  std::string text = settings ("\"127.0.0.1:9\"");
+  std::string text = entry_settings ("\"127.0.0.1:9\"");
 
   text.replace (text.find ("\"Zone\":\"a\""), 10, "\"Zone\":7  ");
   write_settings (text);
-  start ();
+  start ("entry");
   EXPECT_EQ (wait_end (), CLI_EXIT_SETTINGS);
   EXPECT_NE (log ().find ("Zone"), std::string::npos) << log ();
 }
 
+// A controller that is a group by itself.
+class ControllerProcess : public PlatformProcess
+{
+protected:
+  void
+  SetUp () override
+  {
+    write_settings (
+        settings (R"("Control":")" + ip_ + R"(:18628","Directory":")" + ip_ + R"(:18620")",
+                  "\"" + ip_ + ":18628\"",
+                  R"("DataDir":")" + folder_ + R"(","FaultTolerance":{"Machines":0},)"));
+    start ("controller");
+    ASSERT_TRUE (logs ("\"started\"")) << log ();
+  }
+
+  // The whole answer; "" where there is none.
+  std::string
+  call (const std::string &method, const std::string &path, const std::string &body)
+  {
+    std::string request = method + " " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                          + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n" + body;
+    struct sockaddr_in address = {};
+    std::string got;
+    char buffer[4096];
+    ssize_t n;
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+    address.sin_family = AF_INET;
+    address.sin_port = htons (18628);
+    inet_pton (AF_INET, ip_.c_str (), &address.sin_addr);
+    if (connect (fd, reinterpret_cast<struct sockaddr *> (&address), sizeof address) == 0
+        && send (fd, request.data (), request.size (), MSG_NOSIGNAL) > 0)
+      while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+        got.append (buffer, static_cast<size_t> (n));
+    close (fd);
+    return got;
+  }
+
+  // Call until the status comes: the group may not have formed yet.
+  bool
+  comes_to (const std::string &status, const std::string &path, const std::string &body)
+  {
+    for (int i = 0; i < LOOKS_MAX; i++, usleep (LOOK_PERIOD))
+      if (call ("POST", path, body).find ("HTTP/1.1 " + status) == 0)
+        return true;
+    return false;
+  }
+
+  static std::string
+  beat (const std::string &state, int sequence)
+  {
+    return R"({"Service":"p","Address":"127.0.0.1:9","Zone":"a","State":")" + state
+           + R"(","Sequence":)" + std::to_string (sequence) + "}";
+  }
+};
+
+const char *const HEARTBEAT = "/v1/instances/i1/heartbeat";
+const char *const REPLACE = "/v1/config/replace";
+
+struct bad_call
+{
+  const char *what;
+  const char *path;
+  const char *body;
+  const char *reason; // that the answer gives
+};
+
+// Calls that are wrong in some way are answered with the reason, logged and counted, and change
+// nothing: what was in force before is so afterwards.
+TEST_F (ControllerProcess, RefusesWhatItCannotRead)
+{
+  const std::string document =
+      R"({"Version":4,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/r/","Type":"idempotent",)"
+      R"("TimeoutMs":900,"ObjectiveMs":300,"Service":"p"}],"Services":[{"Name":"p"}],)"
+      R"("Limits":{},"Tenants":[]})";
+  const bad_call calls[] = {
+    { "cut", HEARTBEAT, R"({"Service":"p","Addr)", "JSON" },
+    { "not an object", HEARTBEAT, "[1]", "JSON" },
+    { "no body", HEARTBEAT, "", "JSON" },
+    { "a number as an address", HEARTBEAT,
+      R"({"Service":"p","Address":9,"Zone":"a","State":"ready","Sequence":1})", "Address" },
+    { "an unknown state", HEARTBEAT,
+      R"({"Service":"p","Address":"127.0.0.1:9","Zone":"a","State":"odd","Sequence":1})", "State" },
+    { "no sequence", HEARTBEAT,
+      R"({"Service":"p","Address":"127.0.0.1:9","Zone":"a","State":"ready"})", "Sequence" },
+    { "a cut configuration", REPLACE, R"({"Version":9,"Routes":[)", "" },
+    { "an unknown service", REPLACE,
+      R"({"Version":9,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/r/","Type":"idempotent",)"
+      R"("TimeoutMs":900,"ObjectiveMs":300,"Service":"nobody"}],"Services":[{"Name":"p"}],)"
+      R"("Limits":{},"Tenants":[]})",
+      "nobody" },
+    { "a key twice", REPLACE,
+      R"({"Version":9,"Routes":[],"Services":[{"Name":"p"}],"Limits":{},"Tenants":[)"
+      R"({"Name":"a","ApiKeys":["k"]},{"Name":"b","ApiKeys":["k"]}]})",
+      "" },
+  };
+  size_t refused = 0;
+
+  ASSERT_TRUE (comes_to ("200", REPLACE, document)) << log ();
+  for (const bad_call &bad : calls)
+    {
+      std::string got = call ("POST", bad.path, bad.body);
+
+      EXPECT_EQ (got.find ("HTTP/1.1 400"), 0u) << bad.what << ": " << got;
+      EXPECT_NE (got.find ("\"Error\":\""), std::string::npos) << bad.what;
+      EXPECT_NE (got.find (bad.reason), std::string::npos) << bad.what << ": " << got;
+      refused++;
+    }
+  EXPECT_EQ (call ("POST", "/v1/other", "").find ("HTTP/1.1 404"), 0u);
+  std::string now_held = call ("GET", "/v1/config/read", "");
+
+  EXPECT_EQ (now_held.find ("HTTP/1.1 200"), 0u);
+  EXPECT_NE (now_held.find (document), std::string::npos);
+  std::string text = log ();
+  size_t lines = 0;
+
+  for (size_t at = text.find ("\"call-refused\""); at != std::string::npos;
+       at = text.find ("\"call-refused\"", at + 1))
+    lines++;
+  EXPECT_EQ (lines, refused + 1);
+}
+
+// Two operators send orders, one is held up, and an answer is lost on the way.  What is older or
+// was sent before must be acknowledged again, and must not come back into force.
+TEST_F (ControllerProcess, AcknowledgesOldOrdersAndKeepsTheNewest)
+{
+  auto document = [] (int version, const char *name) {
+    return R"({"Version":)" + std::to_string (version) + R"(,"Routes":[],"Services":[{"Name":")"
+           + name + R"("}],"Limits":{},"Tenants":[]})";
+  };
+
+  ASSERT_TRUE (comes_to ("200", REPLACE, document (7, "seven"))) << log ();
+  EXPECT_EQ (call ("POST", REPLACE, document (7, "seven")).find ("HTTP/1.1 200"), 0u);
+  EXPECT_EQ (call ("POST", REPLACE, document (7, "other")).find ("HTTP/1.1 200"), 0u);
+  EXPECT_EQ (call ("POST", REPLACE, document (3, "three")).find ("HTTP/1.1 200"), 0u);
+  EXPECT_NE (call ("GET", "/v1/config/read", "").find ("seven"), std::string::npos);
+}
+
+TEST_F (ControllerProcess, TakesRenewalsAndEndsOfTargets)
+{
+  ASSERT_TRUE (comes_to ("200", HEARTBEAT, beat ("ready", 1))) << log ();
+  EXPECT_TRUE (comes_to ("200", HEARTBEAT, beat ("draining", 2))) << log ();
+  // One that was held up on the way.
+  EXPECT_EQ (call ("POST", HEARTBEAT, beat ("ready", 1)).find ("HTTP/1.1 200"), 0u);
+  EXPECT_TRUE (comes_to ("200", "/v1/instances/i1/deregister", "")) << log ();
+}
+
 }
