Make stages due by the time that the own prompt takes to read

Cause: every request's stages were due 200 ms before its objective, whatever its prompt. A prompt of 20,000 tokens takes 0.4 s and more from its last stage to the first byte (a tenth of them 0.65 s), so long prompts came late behind short ones that had time to spare.

--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -8,10 +8,10 @@
 #include <string.h>
 #include <talloc.h>
 
-/* From the last result to the answer's first byte: results are fetched and the own part of the
- * prompt is read.  An estimate that orders work; a tenth of a second more or less changes little.
- */
-#define FIRST_BYTE_TIME (200 * USEC_PER_MSEC)
+/* From the last result to the answer's first byte: results are fetched, and the prompt is read. The
+ * time of reading where it is not known, and what fetching and the way take beside it. */
+#define READING_TIME (160 * USEC_PER_MSEC)
+#define FETCHING_TIME (40 * USEC_PER_MSEC)
 
 /* A stage waits about so long for a target beside its own work. */
 #define STAGE_WAIT (100 * USEC_PER_MSEC)
@@ -39,11 +39,11 @@
 
 /* Later stages come after those that they need, so one pass from the end does. */
 static void
-plan_tails (struct forward_job *job)
+plan_tails (struct forward_job *job, int64_t reading)
 {
   for (uint32_t i = job->route.n_stages; i-- > 0;)
     {
-      int64_t tail = FIRST_BYTE_TIME;
+      int64_t tail = reading + FETCHING_TIME;
 
       for (uint32_t j = i + 1; j < job->route.n_stages; j++)
         {
@@ -74,7 +74,6 @@
       if (stage->results == NULL)
         return status_fail (STATUS_NO_MEMORY, "out of memory");
     }
-  plan_tails (job);
   return STATUS_OK;
 }
 
@@ -278,10 +277,8 @@
 /* All stages of a request are wanted in one failure domain: that of the engine which would run it
  * now. */
 static void
-choose_near (struct forward_job *job, int64_t now)
+choose_near (struct forward_job *job, const struct balance_target *likely)
 {
-  struct balance_target *likely =
-      balance_choose (job->forward->config.balance, job->pool, &job->prompt, NULL, 0, now);
   uint32_t last = route_last_stages (&job->route);
 
   if (likely == NULL || job->prompt.near[0] != '\0')
@@ -292,10 +289,27 @@
       job->prompt.result_bytes += pieces_of (job, i) * job->route.stages[i].result_size;
 }
 
+/* A long prompt is read for seconds: its stages are due earlier than those of a short one. */
+static int64_t
+expect_reading (const struct forward_job *job, const struct balance_target *likely, int64_t now)
+{
+  struct engine_cost cost;
+
+  if (likely == NULL || !job->prompt.present)
+    return READING_TIME;
+  engine_load_cost (job->forward->config.balance->engines, likely->id_hash, &job->prompt.prompt,
+                    now, &cost);
+  return cost.wait;
+}
+
 void
 job_begin_stages (struct forward_job *job, int64_t now)
 {
-  choose_near (job, now);
+  const struct balance_target *likely =
+      balance_choose (job->forward->config.balance, job->pool, &job->prompt, NULL, 0, now);
+
+  choose_near (job, likely);
+  plan_tails (job, expect_reading (job, likely, now));
   if (now + critical_path (job) > job->give_up_at)
     {
       job_give_up (job, FORWARD_NO_TIME, STAGE_RETRY_AFTER);
--- a/tests/unit_forward.cc
+++ b/tests/unit_forward.cc
@@ -374,8 +374,8 @@
   void
   tell_both ()
   {
-    const std::string stages = R"(,"Phases":[{"Service":"s","After":[],"ByteCount":10},)"
-                               R"({"Service":"s","After":[0],"ByteCount":10}])";
+    const std::string stages = R"(,"Sticky":true,"Phases":[{"Service":"s","After":[],)"
+                               R"("ByteCount":10},{"Service":"s","After":[0],"ByteCount":10}])";
     told_state state;
     struct sync_ask asked;
     struct bytes message;
@@ -388,7 +388,7 @@
     state.head.has_document = true;
     state.document =
         document (1, route ("r", "streaming", 1, stages),
-                  R"(,{"Name":"s","Segments":{"Slots":1,"Queue":2,"Batch":4,"CallMs":5,"ItemMs":1,)"
+                  R"(,{"Name":"s","Segments":{"Slots":1,"Queue":2,"Batch":4,"CallMs":900,"ItemMs":1,)"
                   R"("HeadroomMb":1,"HandleTtlS":60}})");
     state.targets.emplace_back (
         make_word ("engine", "p", targets[0]->address (), REGISTRY_READY, 1), 0);
@@ -465,4 +465,36 @@
   EXPECT_EQ (targets[0]->fields[1]["X-Input-Count"], "maker/4");
 }
 
+// Two requests wait for the same stage, and the engine will read the later one's prompt for
+// seconds. In the order of their arrival the long one's answer would come late, though the short
+// one has time to spare.
+TEST_F (forward_stages, MakesStagesOfALongPromptFirst)
+{
+  std::vector<std::string> order;
+  struct h1_exchange *held = nullptr;
+
+  make = [&] (json_t *entry) {
+    order.push_back (json_string_value (json_object_get (entry, "Id")));
+    return "maker/" + std::to_string (++made);
+  };
+  start ();
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { held = exchange; };
+
+  const std::string stages = "X-Chunk-Count: 0,1\r\nX-Chunk-Key: k\r\n";
+  raw_caller first (loop, h1_server_port (server));
+  raw_caller brief (loop, h1_server_port (server));
+  raw_caller lengthy (loop, h1_server_port (server));
+
+  first.send (request ("/r/", "first", stages));
+  ASSERT_TRUE (run_until (loop, [&] { return held != nullptr; }));
+  brief.send (request ("/r/", "brief", stages + "X-Token-Usage: 100,10\r\n"));
+  lengthy.send (request ("/r/", "lengthy", stages + "X-Token-Usage: 200000,10\r\n"));
+  ASSERT_TRUE (run_until (loop, [&] { return forward_in_flight (forward) == 3; }));
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { serve_stage (exchange); };
+  serve_stage (held);
+  EXPECT_TRUE (brief.wait_for ("fine"));
+  EXPECT_TRUE (lengthy.wait_for ("fine"));
+  EXPECT_EQ (order, (std::vector<std::string>{ "first", "lengthy", "brief" }));
+}
+
 }
