Make stages where most of what they read and make lies

Cause: every stage of a request was wanted in the failure domain of its engine. The first stages waited for a target near the engine though nothing of theirs goes there but through the others. A stage is now wanted where most of the bytes would cross from, its inputs counted for each of its pieces; where that is under half a megabyte it takes any target, and the rest of its pieces stay by the first. The place is chosen in a file of its own. The test hangs on the old code: the stage waits for the busy target.

--- a/src/batch.h
+++ b/src/batch.h
@@ -83,7 +83,7 @@
   uint32_t stage;
   char pool[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE]; /* only targets of this failure domain; "" for any */
-  char near[ROUTING_NAME_SIZE];   /* where the results are wanted */
+  char near[ROUTING_NAME_SIZE];   /* where it should be made; "" until the first piece is taken */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   char *inputs; /* talloc child; NULL with a key */
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -1,5 +1,6 @@
 /* The queue of a pool: which order's pieces go to which idle target next. */
 #include "batch_private.h"
+#include "text.h"
 #include <string.h>
 #include <utlist.h>
 
@@ -138,6 +139,12 @@
   return now + batch_expected (pool, 1) > order->due;
 }
 
+static bool
+is_near (const struct batch_order *order, const struct batch_target *target)
+{
+  return order->near[0] == '\0' || strcmp (order->near, target->target->domain) == 0;
+}
+
 /* Must the order go to a target in the failure domain where its results are wanted?  Only while it
  * has time to spare, not more waits than fills a call, and there is such a target. */
 static bool
@@ -174,7 +181,7 @@
 {
   if (is_too_slow (pool, target, order, now))
     return false;
-  return strcmp (order->near, target->target->domain) == 0 || !waits_for_near (pool, order, now);
+  return is_near (order, target) || !waits_for_near (pool, order, now);
 }
 
 static bool
@@ -208,7 +215,7 @@
           break;
       if (order == NULL)
         continue;
-      cost = target->slowness + (strcmp (order->near, target->target->domain) == 0 ? 0.0 : 1.0);
+      cost = target->slowness + (is_near (order, target) ? 0.0 : 1.0);
       if (best == NULL || cost < best_cost)
         {
           best = target;
@@ -218,11 +225,17 @@
   return best;
 }
 
-/* Take a piece of the order for a call. */
+/* Take a piece of the order for a call.  Whoever needs the results needs all of them: the rest of
+ * an order that may be made anywhere is wanted beside its first piece. */
 static void
-take_piece (struct batch_order *order, struct outlook *outlook, struct batch_piece *out)
+take_piece (struct batch_order *order,
+            const struct batch_target *target,
+            struct outlook *outlook,
+            struct batch_piece *out)
 {
   batch_dequeue (order);
+  if (order->near[0] == '\0')
+    text_copy_cut (order->near, sizeof order->near, target->target->domain);
   *out = (struct batch_piece){
     .serial = order->serial,
     .index = order->pending[--order->n_pending],
@@ -245,7 +258,7 @@
          int64_t now)
 {
   bool late = batch_is_late (pool, order, now);
-  bool near = order->near[0] == '\0' || strcmp (order->near, target->target->domain) == 0;
+  bool near = is_near (order, target);
   bool pressed = now + batch_expected (pool, 1) + BATCH_PRESSED > order->due;
 
   return (late ? 2 : 0) + (near || (pressed && !late) ? 0 : 1);
@@ -280,7 +293,7 @@
           while (n < most && order->n_pending > 0 && fits (pool, outlook, order, target, size, now))
             {
               size += order->result_size;
-              take_piece (order, outlook, &out[n++]);
+              take_piece (order, target, outlook, &out[n++]);
             }
           if (n == most)
             return n;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -166,6 +166,18 @@
 /* Make the stages again, as their results are gone; false when that was done already. */
 bool job_remake_stages (struct forward_job *job, int64_t now);
 
+/* Pieces of the stage that this request has; 0: it leaves the stage out. */
+uint32_t job_pieces (const struct forward_job *job, uint32_t stage);
+
+/* The set of stages, those left out replaced by the ones that they would have needed. */
+uint32_t job_through_left_out (const struct forward_job *job, uint32_t stages);
+
+/* forward_place.c */
+
+/* The failure domain from which most would cross; "" where little does: a wait for a target there
+ * would cost more. */
+const char *job_choose_place (const struct forward_job *job, uint32_t stage);
+
 /* forward_stream.c */
 void job_pass_events (struct forward_job *job, const char *data, size_t length);
 
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -22,8 +22,8 @@
 /* When stage targets may have caught up, in seconds: about two of their calls. */
 #define STAGE_RETRY_AFTER 0.5
 
-static uint32_t
-pieces_of (const struct forward_job *job, uint32_t stage)
+uint32_t
+job_pieces (const struct forward_job *job, uint32_t stage)
 {
   return job->stages[stage].pieces;
 }
@@ -32,7 +32,7 @@
 job_has_stages (const struct forward_job *job)
 {
   for (uint32_t i = 0; i < job->route.n_stages; i++)
-    if (pieces_of (job, i) > 0)
+    if (job_pieces (job, i) > 0)
       return true;
   return false;
 }
@@ -87,7 +87,7 @@
     {
       int64_t path = job->stages[i].tail + job->stages[i].expected;
 
-      if (pieces_of (job, i) > 0 && path > longest)
+      if (job_pieces (job, i) > 0 && path > longest)
         longest = path;
     }
   return longest;
@@ -96,7 +96,7 @@
 static bool
 is_made (const struct forward_job *job, uint32_t stage)
 {
-  return pieces_of (job, stage) == 0 || job->stages[stage].state >= STAGE_DONE;
+  return job_pieces (job, stage) == 0 || job->stages[stage].state >= STAGE_DONE;
 }
 
 static bool
@@ -109,11 +109,11 @@
 }
 
 /* A stage that the request leaves out stands for those that it would have needed. */
-static uint32_t
-through_left_out (const struct forward_job *job, uint32_t stages)
+uint32_t
+job_through_left_out (const struct forward_job *job, uint32_t stages)
 {
   for (uint32_t i = job->route.n_stages; i-- > 0;)
-    if ((stages & (UINT32_C (1) << i)) != 0 && pieces_of (job, i) == 0)
+    if ((stages & (UINT32_C (1) << i)) != 0 && job_pieces (job, i) == 0)
       {
         stages &= ~(UINT32_C (1) << i);
         stages |= job->route.stages[i].after;
@@ -124,10 +124,10 @@
 void
 job_write_inputs (const struct forward_job *job, uint32_t stages, struct bytes *out)
 {
-  uint32_t from = through_left_out (job, stages);
+  uint32_t from = job_through_left_out (job, stages);
 
   for (uint32_t i = 0; i < job->route.n_stages; i++)
-    for (uint32_t j = 0; (from & (UINT32_C (1) << i)) != 0 && j < pieces_of (job, i); j++)
+    for (uint32_t j = 0; (from & (UINT32_C (1) << i)) != 0 && j < job_pieces (job, i); j++)
       {
         if (out->length > 0)
           bytes_append (out, ",", 1);
@@ -144,7 +144,7 @@
     return;
   at->state = STAGE_FREED;
   work_free_results (job->forward->config.work, at->order.pool, at->order.domain, at->results,
-                     pieces_of (job, stage), now);
+                     job_pieces (job, stage), now);
 }
 
 /* Results whose every user is made are not needed again, unless a later result goes missing, which
@@ -152,14 +152,14 @@
 static void
 give_back_used (struct forward_job *job, int64_t now)
 {
-  uint32_t last = through_left_out (job, route_last_stages (&job->route));
+  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
 
   for (uint32_t i = 0; i < job->route.n_stages; i++)
     {
       uint32_t users = 0;
 
       for (uint32_t j = i + 1; j < job->route.n_stages; j++)
-        if ((through_left_out (job, job->route.stages[j].after) & (UINT32_C (1) << i)) != 0)
+        if ((job_through_left_out (job, job->route.stages[j].after) & (UINT32_C (1) << i)) != 0)
           users |= UINT32_C (1) << j;
       if (users != 0 && (last & (UINT32_C (1) << i)) == 0 && all_made (job, users))
         give_back (job, i, now);
@@ -210,12 +210,13 @@
     .due = job->objective_at - stage->tail,
     .deadline = job->give_up_at - stage->tail,
     .urgency = job->route.priority,
-    .n_pieces = pieces_of (job, number),
+    .n_pieces = job_pieces (job, number),
     .results = stage->results,
   };
   memcpy (stage->order.request, job->facts.id, sizeof stage->order.request);
   memcpy (stage->order.key, job->facts.piece_key, sizeof stage->order.key);
-  memcpy (stage->order.near, job->prompt.near, sizeof stage->order.near);
+  text_copy_cut (stage->order.near, sizeof stage->order.near, job_choose_place (job, number));
+  memcpy (stage->order.home, job->prompt.near, sizeof stage->order.home);
   memcpy (stage->order.pool, stage->pool, sizeof stage->order.pool);
   stage->state = STAGE_RUNNING;
   stage->begun = now;
@@ -263,8 +264,8 @@
   uint32_t all = (UINT32_C (1) << job->route.n_stages) - 1;
 
   for (uint32_t i = 0; i < job->route.n_stages; i++)
-    if (job->stages[i].state == STAGE_IDLE && pieces_of (job, i) > 0
-        && all_made (job, through_left_out (job, job->route.stages[i].after))
+    if (job->stages[i].state == STAGE_IDLE && job_pieces (job, i) > 0
+        && all_made (job, job_through_left_out (job, job->route.stages[i].after))
         && !is_early (job, i, now))
       order_stage (job, i, now);
   if (!all_made (job, all))
@@ -286,7 +287,7 @@
   text_copy_cut (job->prompt.near, sizeof job->prompt.near, likely->domain);
   for (uint32_t i = 0; i < job->route.n_stages; i++)
     if ((last & (UINT32_C (1) << i)) != 0)
-      job->prompt.result_bytes += pieces_of (job, i) * job->route.stages[i].result_size;
+      job->prompt.result_bytes += job_pieces (job, i) * job->route.stages[i].result_size;
 }
 
 /* A long prompt is read for seconds: its stages are due earlier than those of a short one. */
@@ -334,10 +335,10 @@
 bool
 job_lacks_results (const struct forward_job *job)
 {
-  uint32_t last = through_left_out (job, route_last_stages (&job->route));
+  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
 
   for (uint32_t i = 0; i < job->route.n_stages; i++)
-    if ((last & (UINT32_C (1) << i)) != 0 && pieces_of (job, i) > 0
+    if ((last & (UINT32_C (1) << i)) != 0 && job_pieces (job, i) > 0
         && job->stages[i].state != STAGE_DONE)
       return true;
   return false;
--- a/src/work.h
+++ b/src/work.h
@@ -78,7 +78,8 @@
   uint32_t stage;
   char pool[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE]; /* work's own: where the pieces are made; "" for anywhere */
-  char near[ROUTING_NAME_SIZE];   /* failure domain where the results are wanted; "" for any */
+  char near[ROUTING_NAME_SIZE];   /* failure domain from which most would cross; "" for any */
+  char home[ROUTING_NAME_SIZE];   /* the request's; a split pool's part there is taken for any */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   const char *inputs; /* NULL with a key; copied */
--- a/src/work_owner.c
+++ b/src/work_owner.c
@@ -132,6 +132,7 @@
 void
 work_choose_domain (struct work *work, struct work_order *order, int64_t now)
 {
+  const char *wanted = order->near[0] != '\0' ? order->near : order->home;
   const struct balance_target *at;
   int64_t best = 0;
 
@@ -145,7 +146,7 @@
       if (!at->usable || strcmp (at->pool, order->pool) != 0)
         continue;
       cost = wait_of (work, order->pool, at->domain, now)
-             + (strcmp (at->domain, order->near) == 0 ? 0 : WORK_CROSSING);
+             + (strcmp (at->domain, wanted) == 0 ? 0 : WORK_CROSSING);
       if (order->domain[0] != '\0' && cost >= best)
         continue;
       best = cost;
--- a/tests/unit_forward.cc
+++ b/tests/unit_forward.cc
@@ -383,11 +383,14 @@
     json_decref (body);
   }
 
+  // Target 0 in the engines' pool, the others in the makers', one in each failure domain from "a"
+  // on. Results are of `size` bytes.
   void
-  tell_both ()
+  tell_both (uint64_t size = 10)
   {
-    const std::string stages = R"(,"Sticky":true,"Phases":[{"Service":"s","After":[],)"
-                               R"("ByteCount":10},{"Service":"s","After":[0],"ByteCount":10}])";
+    const std::string bytes = R"("ByteCount":)" + std::to_string (size);
+    const std::string stages = R"(,"Sticky":true,"Phases":[{"Service":"s","After":[],)" + bytes
+                               + R"(},{"Service":"s","After":[0],)" + bytes + "}]";
     told_state state;
     struct sync_ask asked;
     struct bytes message;
@@ -398,14 +401,18 @@
     state.head.confirmed = true;
     state.head.document = 1;
     state.head.has_document = true;
-    state.document = document (
-        1, route ("r", "streaming", 1, stages),
-        R"(,{"Name":"s","Segments":{"Slots":1,"Queue":2,"Batch":4,"CallMs":900,"ItemMs":1,)"
-        R"("HeadroomMb":1,"HandleTtlS":60}})");
-    state.targets.emplace_back (
-        make_word ("engine", "p", targets[0]->address (), REGISTRY_READY, 1), 0);
-    state.targets.emplace_back (make_word ("maker", "s", targets[1]->address (), REGISTRY_READY, 1),
-                                0);
+    state.document =
+        document (1, route ("r", "streaming", 1, stages),
+                  R"(,{"Name":"s","Segments":{"Slots":1,"Queue":2,"Batch":4,"CallMs":900,)"
+                  R"("ItemMs":1,"HeadroomMb":10,"HandleTtlS":60}})");
+    for (size_t i = 0; i < targets.size (); i++)
+      {
+        struct registry_word word = make_word ("t" + std::to_string (i), i == 0 ? "p" : "s",
+                                               targets[i]->address (), REGISTRY_READY, 1);
+
+        word.domain[0] = static_cast<char> ('a' + (i == 0 ? 0 : i - 1));
+        state.targets.emplace_back (word, 0);
+      }
     write_state (state, &message);
     port.deliver ("controller:1", PEER_CHANNEL_SYNC, &message, loop_now (loop));
     bytes_clear (&message);
@@ -509,4 +516,36 @@
   EXPECT_EQ (order, (std::vector<std::string>{ "first", "lengthy", "brief" }));
 }
 
+// The maker in the engine's failure domain is busy, so a stage is made in another one.  Each piece
+// of the next stage reads all of its results: made near the engine, they would all cross, again and
+// again.
+TEST_F (forward_stages, MakesAStageBesideTheResultsThatItReads)
+{
+  struct h1_exchange *held = nullptr;
+  int made_in_b = 0;
+
+  for (int i = 0; i < 3; i++)
+    add_target ();
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { held = exchange; };
+  targets[2]->serve = [&] (struct h1_exchange *exchange) {
+    made_in_b += exchange->body->length > 0
+                 && std::string (exchange->head->target).find ("stage-run") != std::string::npos;
+    serve_stage (exchange);
+  };
+  tell_both (1000000);
+
+  raw_caller first (loop, h1_server_port (server));
+  raw_caller second (loop, h1_server_port (server));
+
+  // What only the engine reads is made near it.
+  first.send (request ("/r/", "first", "X-Chunk-Count: 0,1\r\nX-Chunk-Key: k\r\n"));
+  ASSERT_TRUE (run_until (loop, [&] { return held != nullptr; }));
+  second.send (request ("/r/", "second", "X-Chunk-Count: 2,2\r\nX-Chunk-Key: k\r\n"));
+  EXPECT_TRUE (second.wait_for ("fine"));
+  EXPECT_EQ (made_in_b, 2);
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { serve_stage (exchange); };
+  serve_stage (held);
+  EXPECT_TRUE (first.wait_for ("fine"));
+}
+
 }
