Do not deal an order's pieces out over idle targets

Cause: where several targets were idle, a call took only its share of what waited. Most of a call's time (150 of about 200 ms) is the same for any number of pieces, so six pieces on three targets ended some 40 ms sooner and kept all three from the next order; the pools were 0.8 to 1.0 busy with calls of 6 to 10 pieces of 14 to 18. Ruled out: the room for results as the reason of short calls, which binds only in bursts. The test fails with the sharing.

--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -264,8 +264,10 @@
   return (late ? 2 : 0) + (near || (pressed && !late) ? 0 : 1);
 }
 
-/* Take pieces for one call: in their order those that fit and may go there, and not all where other
- * targets are idle too. */
+/* Take pieces for one call: in their order those that fit and may go there, also where other
+ * targets are idle.  Most of a call's time is the same for any number of pieces, and a target takes
+ * one call at a time: dealt out over idle targets, an order would end a tenth of a second sooner
+ * and keep all of them from the next one.  Mean worth of forty days 0.488 dealt out, 0.511 so. */
 static uint32_t
 take_pieces (struct batch_pool *pool,
              const struct batch_target *target,
@@ -273,12 +275,10 @@
              int64_t now,
              struct batch_piece out[BATCH_CALL_PIECES_MAX])
 {
-  uint32_t most = (pool->n_pending + outlook->n_idle - 1) / outlook->n_idle;
+  uint32_t most = pool->spec.pieces;
   uint64_t size = 0;
   uint32_t n = 0;
 
-  if (most > pool->spec.pieces)
-    most = pool->spec.pieces;
   if (most > BATCH_CALL_PIECES_MAX)
     most = BATCH_CALL_PIECES_MAX;
   for (int pass = 0; pass < PASSES; pass++)
--- a/tests/unit_batch.cc
+++ b/tests/unit_batch.cc
@@ -20,15 +20,15 @@
   std::vector<std::pair<std::string, enum piece_end>> ended;
 
   void
-  start (const std::string &segments)
+  start (const std::string &segments, int n_targets = 1)
   {
-    add_target ();
-    targets[0]->serve = [this] (struct h1_exchange *exchange) {
-      if (std::string (exchange->head->target).find ("stage-free") != std::string::npos)
-        note_freed (exchange);
-      else
-        take_call (exchange);
-    };
+    for (int i = 0; i < n_targets; i++)
+      add_target ().serve = [this] (struct h1_exchange *exchange) {
+        if (std::string (exchange->head->target).find ("stage-free") != std::string::npos)
+          note_freed (exchange);
+        else
+          take_call (exchange);
+      };
     tell (1,
           document (1, route ("r", "streaming", 1, ""),
                     R"(,{"Name":"s","Segments":{)" + segments + "}}"),
@@ -139,6 +139,23 @@
   EXPECT_EQ (requests_of (1), "bbcc");
 }
 
+// Two targets are idle when an order comes.  Dealt out, it would occupy both for about as long as
+// one of them alone, and the next order, a moment later, would find none.
+TEST_F (BatchTest, LeavesIdleTargetsToTheNextOrder)
+{
+  hold = true;
+  start (SMALL, 2);
+  order ("a", 4, 10 * USEC_PER_SEC);
+  order ("b", 4, 10 * USEC_PER_SEC);
+  ASSERT_TRUE (run_until (loop, [&] { return calls.size () == 2; }));
+  EXPECT_EQ (std::min (requests_of (0), requests_of (1)), "aaaa");
+  EXPECT_EQ (std::max (requests_of (0), requests_of (1)), "bbbb");
+  hold = false;
+  while (!held.empty ())
+    answer_held ();
+  EXPECT_TRUE (run_until (loop, [&] { return ended.size () == 2; }));
+}
+
 // A burst leaves orders behind that cannot be in time any more.  Taken first, as the earliest due,
 // they make each later one late as well, and every client waits in vain.
 TEST_F (BatchTest, LateOrdersGoBehindThoseThatCanBeInTime)
