--- /dev/null
+++ b/tests/unit_balance.cc
@@ -0,0 +1,126 @@
+// Which engine a prompt goes to.
+#include "balance.h"
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+
+namespace
+{
+
+const int ENGINES = 6;
+const int64_t NOW = 10 * USEC_PER_SEC;
+const char *const POOL = "p";
+
+// One entry host's view of the same engines.
+struct host_view
+{
+  void *parent = talloc_new (nullptr);
+  struct engine_load *engines = engine_load_new (parent);
+  struct registry_target records[ENGINES] = {};
+  struct balance balance;
+
+  explicit host_view (uint64_t seed, const char *domain = "a")
+  {
+    balance_init (&balance, domain, engines, seed);
+    for (int i = 0; i < ENGINES; i++)
+      {
+        struct registry_word *word = &records[i].word;
+
+        snprintf (word->id, sizeof word->id, "engine-%d", i);
+        snprintf (word->pool, sizeof word->pool, "%s", POOL);
+        snprintf (word->address, sizeof word->address, "127.0.0.1:%d", 1000 + i);
+        snprintf (word->domain, sizeof word->domain, "a");
+        word->state = REGISTRY_READY;
+        balance_update (&balance, parent, &records[i]);
+      }
+  }
+
+  host_view (const host_view &) = delete;
+
+  ~host_view ()
+  {
+    talloc_free (parent);
+  }
+
+  struct balance_target *
+  choose (const struct balance_prompt &prompt)
+  {
+    return balance_choose (&balance, POOL, &prompt, nullptr, 0, NOW);
+  }
+
+  // A prompt of so many tokens is on its way through the engine.
+  void
+  load (const struct balance_target *target, uint32_t tokens)
+  {
+    struct engine_prompt prompt = {};
+
+    prompt.own_tokens = tokens;
+    engine_load_started (engines, target->id_hash, 99, &prompt, NOW);
+  }
+};
+
+struct balance_prompt
+prompt_of (uint64_t key, uint32_t shared_tokens)
+{
+  struct balance_prompt prompt = {};
+
+  prompt.present = true;
+  prompt.prompt.own_tokens = 100;
+  if (shared_tokens > 0)
+    {
+      prompt.prompt.n_parts = 1;
+      prompt.prompt.parts[0] = key;
+      prompt.prompt.part_tokens[0] = shared_tokens;
+    }
+  return prompt;
+}
+
+TEST (Balance, SendsAPromptToTheSameEngineFromEveryHost)
+{
+  host_view one (1);
+  host_view other (2);
+
+  for (uint64_t key = 1; key <= 50; key++)
+    EXPECT_STREQ (one.choose (prompt_of (key, 10000))->id,
+                  other.choose (prompt_of (key, 10000))->id);
+}
+
+// Power is lost everywhere and the hosts come back without their picture, while the engines still
+// hold what they have read.  Requests that came a moment before load the engines unevenly, by far
+// less than reading again takes: if that decided, most shared parts would be read a second time.
+TEST (Balance, FindsAPartWhereItWasFirstReadAfterAllWasForgotten)
+{
+  host_view before (1);
+  host_view after (2);
+  struct balance_prompt prompt = prompt_of (7, 10000);
+  std::string home = before.choose (prompt)->id;
+
+  after.load (balance_find (&after.balance, home.c_str ()), 1500); // 25 ms
+  EXPECT_STREQ (after.choose (prompt)->id, home.c_str ());
+}
+
+TEST (Balance, LeavesAHomeThatIsBusy)
+{
+  host_view host (1);
+  struct balance_prompt prompt = prompt_of (7, 10000);
+  struct balance_target *home = host.choose (prompt);
+
+  host.load (home, 20000); // 0.3 s
+  EXPECT_NE (host.choose (prompt), home);
+}
+
+// What a prompt shares is read in no time, or it shares nothing: then only the load counts.
+TEST (Balance, GivesAPromptWithoutSharedPartsNoHome)
+{
+  host_view host (1);
+  struct balance_target *first = host.choose (prompt_of (0, 0));
+
+  host.load (first, 1500);
+  EXPECT_NE (host.choose (prompt_of (0, 0)), first);
+  first = host.choose (prompt_of (7, 100));
+  host.load (first, 1500);
+  EXPECT_NE (host.choose (prompt_of (7, 100)), first);
+}
+
+}
