Count the objective from the client's first try

Cause: a client that was turned away comes again with what is left of its time, and was taken as new: its stage work had a whole objective before it and stood before requests that could still be in time. In a burst the targets worked for answers that were late whatever happened. New requests of a route bear the same X-deadline, so the most that was seen lately tells how old another one is. Where a route's clients are not alike no age is taken. The test fails on the code before.

--- a/src/forward.c
+++ b/src/forward.c
@@ -11,7 +11,7 @@
 #include <xxhash.h>
 
 /* A request whose objective has passed is worth a fraction and costs its client the wait: its stage
- * work goes on for this share of the rest of its time. */
+ * work goes on for this share of the rest of its time, counted from the client's first try. */
 #define LATE_SHARE 0.25
 
 /* Requests between two looks at what changes slowly: how many hosts there are, targets that are
@@ -109,8 +109,10 @@
 
   if (job->facts.has_deadline && job->facts.time_left < patience)
     patience = job->facts.time_left;
+  if (job->facts.has_deadline)
+    job->age = patience_age (job->forward->patience, job->route.name, job->facts.time_left);
   job->deadline = job->arrived + patience;
-  job->objective_at = job->arrived + job->route.objective;
+  job->objective_at = job->arrived - job->age + job->route.objective;
   job->give_up_at = job->deadline;
   if (job->objective_at < job->deadline)
     job->give_up_at =
@@ -306,7 +308,13 @@
     return NULL;
   forward->handler.ops = &handler_ops;
   forward->config = *config;
+  forward->patience = patience_new (forward);
   rng_init (&forward->rng, config->seed);
+  if (forward->patience == NULL)
+    {
+      talloc_free (forward);
+      return NULL;
+    }
   take_counters (forward);
   talloc_set_destructor (forward, free_forward);
   return forward;
--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -26,9 +26,10 @@
 
   counter_add (forward->reasons[reason], 1);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i}", "id", job->facts.id, "route",
-             job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
-             (int) status, "version", (json_int_t) job->version, "version_age_ms",
+             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i}", "id", job->facts.id,
+             "route", job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
+             (int) status, "age_ms", (json_int_t) (job->age / USEC_PER_MSEC), "version",
+             (json_int_t) job->version, "version_age_ms",
              (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "sends", (int) job->sends,
              "runs", (int) job->runs, "stages_us",
              (json_int_t) (job->stages_done == 0 ? -1 : job->stages_done - job->arrived),
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -3,6 +3,7 @@
 #define FORWARD_PRIVATE_H
 
 #include "forward.h"
+#include "patience.h"
 
 #define FORWARD_POOLS_MAX 64
 
@@ -82,9 +83,10 @@
   char organisation[ROUTING_NAME_SIZE];
   uint64_t version; /* of the routing that decided */
   int64_t arrived;
+  int64_t age;          /* at its arrival, since the client's first try */
   int64_t deadline;     /* the client's or the route's, whichever is first */
   int64_t give_up_at;   /* stage work that is not done by then is given up */
-  int64_t objective_at; /* an answer after it is late */
+  int64_t objective_at; /* an answer after it is late; counts from the client's first try */
   struct timer timer;
   struct balance_prompt prompt;
   uint64_t id_hash;
@@ -123,6 +125,7 @@
   struct h1_handler handler;
   struct forward_config config;
   struct rng rng;
+  struct patience *patience; /* how old requests are */
   struct forward_job *jobs;
   uint32_t n_jobs;
   uint64_t arrivals;
--- a/tests/unit_forward.cc
+++ b/tests/unit_forward.cc
@@ -548,4 +548,39 @@
   EXPECT_TRUE (first.wait_for ("fine"));
 }
 
+// A client was turned away and comes again with what is left of its time.  Taken as new it would go
+// behind others that have their whole time before them, and miss its objective a second time.
+TEST_F (forward_stages, CountsTheObjectiveFromTheFirstTry)
+{
+  std::vector<std::string> order;
+  struct h1_exchange *held = nullptr;
+
+  make = [&] (json_t *entry) {
+    order.push_back (json_string_value (json_object_get (entry, "Id")));
+    return "maker/" + std::to_string (++made);
+  };
+  start ();
+  for (int i = 0; i < 16; i++)
+    ask (request ("/r/", "i" + std::to_string (i), "X-Chunk-Count: 0,0\r\n"), "fine");
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { held = exchange; };
+
+  const std::string stages = "X-Chunk-Count: 0,1\r\nX-Chunk-Key: k\r\n";
+  std::string repeated = request ("/r/", "again", stages);
+  raw_caller first (loop, h1_server_port (server));
+  raw_caller fresh (loop, h1_server_port (server));
+  raw_caller again (loop, h1_server_port (server));
+
+  repeated.replace (repeated.find ("15000"), 5, "10000"); // five of ten seconds are over
+  first.send (request ("/r/", "first", stages));
+  ASSERT_TRUE (run_until (loop, [&] { return held != nullptr; }));
+  fresh.send (request ("/r/", "fresh", stages));
+  again.send (repeated);
+  ASSERT_TRUE (run_until (loop, [&] { return forward_in_flight (forward) == 3; }));
+  targets[1]->serve = [&] (struct h1_exchange *exchange) { serve_stage (exchange); };
+  serve_stage (held);
+  EXPECT_TRUE (fresh.wait_for ("fine"));
+  EXPECT_TRUE (again.wait_for ("fine"));
+  EXPECT_EQ (order, (std::vector<std::string>{ "first", "again", "fresh" }));
+}
+
 }
