Split the controller, the header of three things and the soak

Cause: src/controller.c (679 lines) held registrations, the feed and its messages, edge_host.h described the base of both roles, entry hosts and controllers under the platform's word, and tests/soak.cc (776) its proxy and its faults too. Now controller.c, controller_state.c, controller_target.c and a private header; role_base, entry_host.h and controller_host.h; soak.cc, soak_proxy.cc, soak_faults.cc. Headers that are gone no longer stop a build (-MP). No change of behaviour: texts moved, names of shared functions aside. Ruled out for now: subscriber.c (592 lines) and h1_server.c (540), each one job with its parts in order.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 BENCH_SHARED := $(filter-out $(wildcard bench/cmd_*.c),$(wildcard bench/*.c))
 BENCH_PROGRAMS := $(patsubst bench/cmd_%.c,%,$(wildcard bench/cmd_*.c))
 UNIT := $(wildcard tests/unit_*.cc)
-WHOLE := $(wildcard tests/whole_*.cc) tests/soak.cc
+WHOLE := $(wildcard tests/whole_*.cc) $(wildcard tests/soak*.cc)
 FORMATTED := $(wildcard src/*.[ch] platform/*.[ch] bench/*.[ch] tests/*.cc tests/*.h)
 
 OBJ = $(SRC:%.c=$(BUILD)/%.o)
@@ -74,11 +74,11 @@
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) -std=gnu17 $(OPT) $(CWARN) $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CC) -std=gnu17 $(OPT) $(CWARN) $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) -std=gnu++20 $(OPT) $(WARN) $(CPPFLAGS) -MMD -c -o $@ $<
+	$(CXX) -std=gnu++20 $(OPT) $(WARN) $(CPPFLAGS) -MMD -MP -c -o $@ $<
 
 # Installs what pkg-config or the path does not find; a machine that has it all is left alone.
 packages:
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -1,7 +1,7 @@
 /* A controller's process: the log, the document, the registrations. */
+#include "controller_host.h"
 #include "consensus_voter.h"
 #include "container.h"
-#include "edge_host.h"
 #include "log.h"
 #include <jansson.h>
 #include <signal.h>
@@ -34,7 +34,7 @@
 
 struct controller_host
 {
-  struct edge_base base;
+  struct role_base base;
   struct document_listener listener;
   struct document *document;
   struct consensus *consensus;
@@ -131,8 +131,8 @@
 static enum status
 build_consensus (struct controller_host *host)
 {
-  const struct edge_settings *settings = &host->base.settings;
-  const char *voters[EDGE_SEEDS_MAX];
+  const struct role_settings *settings = &host->base.settings;
+  const char *voters[ROLE_SEEDS_MAX];
   enum status status = STATUS_OK;
   struct consensus_voter_config config = {
     .name = settings->peer_address,
@@ -191,7 +191,7 @@
 build (struct controller_host *host, const struct controller_host_config *config)
 {
   const int signals[] = { SIGTERM, SIGINT, SIGHUP };
-  enum status status = edge_base_build (&host->base, config->settings);
+  enum status status = role_base_build (&host->base, config->settings);
 
   if (status != STATUS_OK)
     return status;
@@ -203,10 +203,10 @@
   if (status == STATUS_OK)
     status = build_controller (host);
   if (status == STATUS_OK)
-    status = edge_base_listen (&host->base, host->base.settings.control_address, config->control,
+    status = role_base_listen (&host->base, host->base.settings.control_address, config->control,
                                "control", &host->control);
   if (status == STATUS_OK)
-    status = edge_base_listen (&host->base, host->base.settings.entries_address, config->entries,
+    status = role_base_listen (&host->base, host->base.settings.entries_address, config->entries,
                                "entries", &host->entries);
   if (status != STATUS_OK)
     return status;
@@ -229,12 +229,12 @@
   status = build (host, config);
   if (status == STATUS_OK)
     return host;
-  edge_log_start_failed (status);
+  role_log_start_failed (status);
   talloc_free (host);
   return NULL;
 }
 
-struct edge_base *
+struct role_base *
 controller_host_base (struct controller_host *host)
 {
   return &host->base;
@@ -261,7 +261,7 @@
 int
 controller_host_run (struct controller_host *host)
 {
-  const struct edge_settings *settings = &host->base.settings;
+  const struct role_settings *settings = &host->base.settings;
 
   log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "started", "{s:s,s:s,s:s,s:s,s:s,s:i,s:b,s:I}",
              "name", settings->name, "version", CHERRYARCH_VERSION, "domain", settings->domain,
--- /dev/null
+++ b/src/controller_state.c
@@ -0,0 +1,138 @@
+/* What an entry host lacks, as a message. */
+#include "controller_private.h"
+#include <string.h>
+
+bool
+controller_host_lives (const struct fed_host *host, int64_t now)
+{
+  return now - host->heard <= CONTROLLER_HOST_LEASE;
+}
+
+static void
+write_targets (struct controller *controller,
+               const struct fed_host *host,
+               int64_t now,
+               struct bytes *out)
+{
+  struct registry_target *target;
+  struct registry_target *next;
+  uint32_t n = 0;
+
+  HASH_ITER (hh, controller->registry->targets, target, next)
+    {
+      if (target->revision > host->targets)
+        n++;
+    }
+  pack_array (out, n);
+  HASH_ITER (hh, controller->registry->targets, target, next)
+    {
+      if (target->revision > host->targets)
+        registry_write (target, now, out);
+    }
+}
+
+static bool
+renewal_is_due (const struct registry_target *target, const struct fed_host *host)
+{
+  return target->revision <= host->targets && target->heard > host->renewed_until
+         && target->word.state != REGISTRY_GONE;
+}
+
+static void
+write_renewals (struct controller *controller,
+                const struct fed_host *host,
+                int64_t now,
+                struct bytes *out)
+{
+  struct registry_target *target;
+  struct registry_target *next;
+  uint32_t n = 0;
+
+  HASH_ITER (hh, controller->registry->targets, target, next)
+    {
+      if (renewal_is_due (target, host))
+        n++;
+    }
+  pack_array (out, n);
+  HASH_ITER (hh, controller->registry->targets, target, next)
+    {
+      struct sync_renewal renewal = {
+        .id_hash = sync_id_hash (target->word.id),
+        .sequence = target->word.sequence,
+        .age = (uint64_t) (now - target->heard),
+      };
+
+      if (renewal_is_due (target, host))
+        sync_write_renewal (&renewal, out);
+    }
+}
+
+static void
+write_hosts (const struct controller *controller, struct bytes *out)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    n += controller->hosts[i].listed ? 1 : 0;
+  pack_array (out, n);
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    if (controller->hosts[i].listed)
+      sync_write_host (&controller->hosts[i].self, out);
+}
+
+static void
+write_controllers (const struct controller *controller, struct bytes *out)
+{
+  const char *names[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, names);
+
+  pack_array (out, n);
+  for (uint32_t i = 0; i < n; i++)
+    pack_text (out, names[i]);
+}
+
+void
+controller_send_state (struct controller *controller,
+                       struct fed_host *host,
+                       bool confirmed,
+                       int64_t now)
+{
+  const struct document *document = controller->config.document;
+  const struct bytes *text = document_text (document);
+  struct sync_state state = {
+    .controller = controller->config.incarnation,
+    .nonce = host->nonce,
+    .confirmed = confirmed,
+    .document = document_version (document),
+    .targets = controller->registry->revision,
+    .hosts = controller->hosts_revision,
+    .has_document = document_version (document) > host->document,
+    .has_hosts = host->hosts != controller->hosts_revision,
+  };
+  struct bytes out;
+
+  bytes_init (&out, NULL);
+  sync_begin (SYNC_STATE, &out);
+  sync_write_state (&state, &out);
+  if (state.has_document)
+    pack_binary (&out, text->data, text->length);
+  write_targets (controller, host, now, &out);
+  write_renewals (controller, host, now, &out);
+  if (state.has_hosts)
+    write_hosts (controller, &out);
+  write_controllers (controller, &out);
+  if (!bytes_failed (&out)
+      && controller->config.port->ops->send (controller->config.port, host->self.name,
+                                             PEER_CHANNEL_SYNC, out.data, out.length)
+             == STATUS_OK)
+    {
+      /* Taken as held until the next ask says what is: a message that was lost is made good then.
+       */
+      host->renewed_until = now;
+      host->document = state.document;
+      host->targets = state.targets;
+      host->hosts = state.hosts;
+      host->nonce = 0;
+    }
+  bytes_clear (&out);
+}
--- /dev/null
+++ b/src/controller_target.c
@@ -0,0 +1,194 @@
+/* Registrations of targets at a controller, and their way to the others. */
+#include "container.h"
+#include "controller_private.h"
+#include "log.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+
+static void
+log_target (const struct registry_target *target, const char *by, int64_t now)
+{
+  const struct registry_word *word = &target->word;
+
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:s,s:s,s:s,s:I,s:I,s:s}", "id",
+             word->id, "pool", word->pool, "address", word->address, "state",
+             registry_state_text (word->state), "sequence", (json_int_t) word->sequence, "age_ms",
+             (json_int_t) ((now - target->heard) / USEC_PER_MSEC), "by", by);
+}
+
+static struct registry_target *
+merge (struct controller *controller,
+       const struct registry_word *word,
+       int64_t age,
+       const char *by,
+       int64_t now)
+{
+  struct registry_target *target;
+  enum registry_news news = registry_merge (controller->registry, word, age, now, &target);
+
+  if (target == NULL || news == REGISTRY_NEWS_NONE || news == REGISTRY_NEWS_STALE)
+    return target;
+  log_target (target, by, now);
+  gauge_set (controller->n_targets, HASH_COUNT (controller->registry->targets));
+  controller_push_soon (controller, now);
+  return target;
+}
+
+static void
+finish_wait (struct controller_wait *wait, enum status status, int64_t now)
+{
+  struct controller *controller = wait->controller;
+  struct controller_wait **at = &controller->waits;
+
+  timer_disarm (controller->config.timers, &wait->timer);
+  while (*at != NULL && *at != wait)
+    at = &(*at)->next;
+  if (*at != NULL)
+    *at = wait->next;
+  if (status != STATUS_OK)
+    counter_add (controller->leave_timeouts, 1);
+  wait->ops->done (wait, status, now);
+}
+
+static void
+wait_fired (struct timer *timer, int64_t now)
+{
+  finish_wait (CONTAINER_OF (timer, struct controller_wait, timer), STATUS_TIMEOUT, now);
+}
+
+static const struct timer_ops wait_ops = { .fire = wait_fired };
+
+/* Tell the other controllers; true when none is needed for a majority. */
+static bool
+replicate (struct controller *controller,
+           const struct registry_target *target,
+           struct controller_wait *wait,
+           int64_t now)
+{
+  const char *names[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, names);
+  struct peer_port *port = controller->config.port;
+  struct bytes out;
+
+  wait->controller = controller;
+  wait->number = ++controller->last_wait;
+  wait->wanted = n / 2;
+  wait->n_seen = 0;
+  bytes_init (&out, NULL);
+  sync_begin (SYNC_TARGET, &out);
+  pack_uint (&out, controller->config.incarnation);
+  pack_uint (&out, wait->number);
+  registry_write (target, now, &out);
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (names[i], controller->config.name) != 0)
+      port->ops->send (port, names[i], PEER_CHANNEL_SYNC, out.data, out.length);
+  bytes_clear (&out);
+  if (wait->wanted == 0 && n > 0)
+    return true;
+  wait->timer.ops = &wait_ops;
+  wait->next = controller->waits;
+  controller->waits = wait;
+  timer_arm (controller->config.timers, &wait->timer, now + CONTROLLER_LEAVE_WAIT);
+  return false;
+}
+
+/* A target that leaves must get no new work even if this host dies right after it acknowledged:
+ * the word goes to a majority first.  A renewal that is lost is repeated by the target. */
+bool
+controller_register (struct controller *controller,
+                     const struct registry_word *word,
+                     struct controller_wait *wait,
+                     int64_t now)
+{
+  struct registry_target *target = merge (controller, word, 0, "target", now);
+
+  if (target == NULL || word->state == REGISTRY_READY)
+    return true;
+  return replicate (controller, target, wait, now);
+}
+
+bool
+controller_deregister (struct controller *controller,
+                       const char *id,
+                       struct controller_wait *wait,
+                       int64_t now)
+{
+  struct registry_target *target = registry_find (controller->registry, id);
+  struct registry_word word = { .state = REGISTRY_GONE };
+
+  if (target != NULL)
+    word = target->word;
+  else
+    text_copy_cut (word.id, sizeof word.id, id);
+  word.state = REGISTRY_GONE;
+  return controller_register (controller, &word, wait, now);
+}
+
+void
+controller_withdraw (struct controller *controller, struct controller_wait *wait)
+{
+  struct controller_wait **at = &controller->waits;
+
+  timer_disarm (controller->config.timers, &wait->timer);
+  while (*at != NULL && *at != wait)
+    at = &(*at)->next;
+  if (*at != NULL)
+    *at = wait->next;
+}
+
+void
+controller_got_target (struct controller *controller,
+                       struct pack_reader *in,
+                       const char *from,
+                       int64_t now)
+{
+  uint64_t incarnation = pack_read_uint (in, UINT64_MAX);
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct registry_word word;
+  int64_t age;
+  struct bytes out;
+
+  if (!registry_read (in, &word, &age) || !pack_read_end (in))
+    return;
+  merge (controller, &word, age, from, now);
+  bytes_init (&out, NULL);
+  sync_begin (SYNC_RECEIVED, &out);
+  pack_uint (&out, incarnation);
+  pack_uint (&out, number);
+  if (!bytes_failed (&out))
+    controller->config.port->ops->send (controller->config.port, from, PEER_CHANNEL_SYNC, out.data,
+                                        out.length);
+  bytes_clear (&out);
+}
+
+/* Did this host acknowledge already?  A message may come twice. */
+static bool
+note_seen (struct controller_wait *wait, const char *from)
+{
+  for (uint32_t i = 0; i < wait->n_seen; i++)
+    if (strcmp (wait->seen[i], from) == 0)
+      return true;
+  if (wait->n_seen < SYNC_CONTROLLERS_MAX)
+    text_copy_cut (wait->seen[wait->n_seen++], ROUTING_NAME_SIZE, from);
+  return false;
+}
+
+void
+controller_got_received (struct controller *controller,
+                         struct pack_reader *in,
+                         const char *from,
+                         int64_t now)
+{
+  uint64_t incarnation = pack_read_uint (in, UINT64_MAX);
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct controller_wait *wait = controller->waits;
+
+  if (!pack_read_end (in) || incarnation != controller->config.incarnation)
+    return;
+  while (wait != NULL && wait->number != number)
+    wait = wait->next;
+  if (wait == NULL || note_seen (wait, from) || wait->n_seen < wait->wanted)
+    return;
+  finish_wait (wait, STATUS_OK, now);
+}
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -1,7 +1,9 @@
 /* An entry host: takes requests from clients and forwards them. */
+#include "entry_host.h"
 #include "container.h"
-#include "edge_host.h"
+#include "forward.h"
 #include "log.h"
+#include "subscriber.h"
 #include <jansson.h>
 #include <signal.h>
 #include <stddef.h>
@@ -23,7 +25,7 @@
 
 struct entry_host
 {
-  struct edge_base base;
+  struct role_base base;
   struct subscriber_listener listener;
   struct balance balance;
   struct batch *batch;
@@ -197,7 +199,7 @@
 }
 
 static void
-describe_self (const struct edge_base *base, struct sync_host *out)
+describe_self (const struct role_base *base, struct sync_host *out)
 {
   *out = (struct sync_host){ .incarnation = base->incarnation };
   memcpy (out->name, base->settings.peer_address, sizeof out->name);
@@ -209,8 +211,8 @@
 static enum status
 build_subscriber (struct entry_host *host, struct routing_codec *codec)
 {
-  const struct edge_settings *settings = &host->base.settings;
-  const char *seeds[EDGE_SEEDS_MAX];
+  const struct role_settings *settings = &host->base.settings;
+  const char *seeds[ROLE_SEEDS_MAX];
   struct subscriber_config config = {
     .seeds = seeds,
     .n_seeds = settings->n_seeds,
@@ -235,7 +237,7 @@
 static enum status
 build_forward (struct entry_host *host, struct dialect *dialect)
 {
-  const struct edge_settings *settings = &host->base.settings;
+  const struct role_settings *settings = &host->base.settings;
   struct forward_config config = {
     .loop = host->base.loop,
     .subscriber = host->subscriber,
@@ -271,7 +273,7 @@
 build (struct entry_host *host, const struct entry_host_config *config)
 {
   const int signals[] = { SIGTERM, SIGINT, SIGHUP };
-  enum status status = edge_base_build (&host->base, config->settings);
+  enum status status = role_base_build (&host->base, config->settings);
 
   if (status != STATUS_OK)
     return status;
@@ -292,7 +294,7 @@
   if (status == STATUS_OK)
     status = build_forward (host, config->dialect);
   if (status == STATUS_OK)
-    status = edge_base_listen (&host->base, host->base.settings.ready_address, config->ready,
+    status = role_base_listen (&host->base, host->base.settings.ready_address, config->ready,
                                "ready", NULL);
   if (status != STATUS_OK)
     return status;
@@ -315,7 +317,7 @@
   status = build (host, config);
   if (status == STATUS_OK)
     return host;
-  edge_log_start_failed (status);
+  role_log_start_failed (status);
   talloc_free (host);
   return NULL;
 }
@@ -327,14 +329,14 @@
 }
 
 void
-entry_host_reload (struct entry_host *host, const struct edge_settings *settings)
+entry_host_reload (struct entry_host *host, const struct role_settings *settings)
 {
   host->base.settings.n_seeds = settings->n_seeds;
   memcpy (host->base.settings.seeds, settings->seeds, sizeof settings->seeds);
   subscriber_set_seeds (host->subscriber, settings->seeds, settings->n_seeds);
 }
 
-struct edge_base *
+struct role_base *
 entry_host_base (struct entry_host *host)
 {
   return &host->base;
@@ -343,7 +345,7 @@
 int
 entry_host_run (struct entry_host *host)
 {
-  const struct edge_settings *settings = &host->base.settings;
+  const struct role_settings *settings = &host->base.settings;
 
   log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, "started", "{s:s,s:s,s:s,s:s,s:s,s:i}", "name",
              settings->name, "version", CHERRYARCH_VERSION, "domain", settings->domain, "clients",
--- a/src/edge_host.c
+++ b/src/role_base.c
@@ -1,5 +1,5 @@
 /* What entry hosts and controllers are both built on. */
-#include "edge_host.h"
+#include "role_base.h"
 #include "container.h"
 #include "log.h"
 #include "peer_direct.h"
@@ -24,7 +24,7 @@
 static void
 show_metrics (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
-  struct edge_base *base = CONTAINER_OF (handler, struct edge_base, metrics);
+  struct role_base *base = CONTAINER_OF (handler, struct role_base, metrics);
   struct bytes text;
 
   if (strncmp (exchange->head->target, "/dump", 5) == 0)
@@ -59,7 +59,7 @@
 };
 
 static enum status
-build_port (struct edge_base *base)
+build_port (struct role_base *base)
 {
   struct peer_zmq_config config = {
     .loop = base->loop,
@@ -80,7 +80,7 @@
 }
 
 enum status
-edge_base_listen (struct edge_base *base,
+role_base_listen (struct role_base *base,
                   const char *address,
                   struct h1_handler *handler,
                   const char *label,
@@ -103,7 +103,7 @@
 }
 
 enum status
-edge_base_build (struct edge_base *base, const struct edge_settings *settings)
+role_base_build (struct role_base *base, const struct role_settings *settings)
 {
   enum status status;
 
@@ -127,12 +127,12 @@
   status = build_port (base);
   base->metrics.ops = &metrics_ops;
   if (status == STATUS_OK && settings->metrics_address[0] != '\0')
-    status = edge_base_listen (base, settings->metrics_address, &base->metrics, "metrics", NULL);
+    status = role_base_listen (base, settings->metrics_address, &base->metrics, "metrics", NULL);
   return status;
 }
 
 void
-edge_log_start_failed (enum status status)
+role_log_start_failed (enum status status)
 {
   log_event (LOG_MODULE_HOST, LOG_LEVEL_ERROR, "start-failed", "{s:s,s:s}", "status",
              status_text (status), "message", status_message ());
--- a/tests/unit_routing.cc
+++ b/tests/unit_routing.cc
@@ -154,7 +154,7 @@
 
 TEST (PlatformSettings, BecomeTheProductsOwn)
 {
-  struct edge_settings settings;
+  struct role_settings settings;
 
   ASSERT_EQ (platform_settings_parse (SETTINGS.data (), SETTINGS.size (), &settings), STATUS_OK)
       << status_message ();
@@ -171,7 +171,7 @@
 
 TEST (PlatformSettings, NameTheMemberThatIsWrong)
 {
-  struct edge_settings settings;
+  struct role_settings settings;
   std::string text = SETTINGS;
 
   text.replace (text.find ("\"Ip\""), 4, "\"Iq\"");
