--- a/src/patience.h
+++ b/src/patience.h
@@ -1,8 +1,8 @@
 /* How old requests are when they come: a client that was turned away comes again with what is left
  * of its time, and counts its objective from its first try.
  *
- * Requests of one route bear the same time when they are new, so the most that was seen lately tells
- * how long others have been on their way.  Pure. */
+ * Requests of one route bear the same time when they are new, so the most that was seen lately
+ * tells how long others have been on their way.  Pure. */
 #ifndef PATIENCE_H
 #define PATIENCE_H
 
