Let spare controllers follow the log as learners

Cause: four controllers start on the new deployment and three are seeds. The fourth belonged to no group, so no entry host asked it; yet it acknowledged the targets of its failure domain, which got no request (3 engines of 12, one of each service), and every look-up there failed. Ruled out: a fourth voter (a larger majority for each commit), refusing for good (the machine does nothing), a relay.

Each host with a data folder that waits becomes a learner; entry hosts are told of all members; a learner takes a lost voter's place without copying first.

The tests Group.SpareHosts* fail on the code before.

--- a/src/consensus_repair.c
+++ b/src/consensus_repair.c
@@ -1,10 +1,14 @@
-/* Replacing a voter that is gone, by the leader, from the hosts with data folders that wait.
+/* Who follows the log, and who replaces a voter that is gone: decided by the leader.
  *
- * A waiting host becomes a learner; once it holds everything the voter that is gone is removed, and
- * the learner takes its place.  While the old one is gone, removing it first costs nothing: with
- * one of three silent both others are needed before and after; promoting first would need three of
- * four.  Each step is one entry in the log and looks only at the state, so the next leader goes on
- * where this one stopped. */
+ * Every host with a data folder that waits becomes a learner, so that it holds what it answers from
+ * (the configuration) and can take a voter's place at once.  A learner has no part in a commit, so
+ * one that is slow delays nobody.
+ *
+ * When a voter is gone it is removed as soon as a learner holds everything, and the learner takes
+ * its place.  While the old one is gone, removing it first costs nothing: with one of three silent
+ * both others are needed before and after; promoting first would need three of four.  Each step is
+ * one entry in the log and looks only at the state, so the next leader goes on where this one
+ * stopped. */
 #include "consensus_voter_private.h"
 #include "log.h"
 #include <string.h>
@@ -80,17 +84,6 @@
   return NULL;
 }
 
-static const struct raft_member *
-find_learner (const struct consensus_voter *self, int64_t now)
-{
-  const struct raft_members *members = raft_member_set (self->raft);
-
-  for (uint32_t i = 0; i < members->n; i++)
-    if (!members->members[i].voter && !is_gone (self, &members->members[i], now))
-      return &members->members[i];
-  return NULL;
-}
-
 static bool
 caught_up (const struct consensus_voter *self, const struct raft_member *learner, int64_t now)
 {
@@ -101,6 +94,26 @@
          && silence (self, learner, now) < self->config.timing.election_max;
 }
 
+/* The learner that can take the place of who is gone: the one with the same name before any other.
+ */
+static const struct raft_member *
+find_successor (const struct consensus_voter *self, const struct raft_member *gone, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+  const struct raft_member *found = NULL;
+
+  for (uint32_t i = 0; i < members->n; i++)
+    {
+      const struct raft_member *member = &members->members[i];
+
+      if (member->voter || !caught_up (self, member, now))
+        continue;
+      if (found == NULL || (gone != NULL && strcmp (member->name, gone->name) == 0))
+        found = member;
+    }
+  return found;
+}
+
 /* The host that waits: the one with the name of who is gone before any other. */
 static const struct voter_contact *
 find_waiting (const struct consensus_voter *self, const struct raft_member *gone, int64_t now)
@@ -119,46 +132,61 @@
   return found;
 }
 
-/* The next step of the repair; false when none is due. */
+/* A voter is gone or wanting, and a learner can take its place: its removal, then the promotion. */
 static bool
-next_change (const struct consensus_voter *self, struct raft_change *change, int64_t now)
+voter_change (const struct consensus_voter *self,
+              const struct raft_member *gone,
+              struct raft_change *change,
+              int64_t now)
+{
+  const struct raft_member *successor = find_successor (self, gone, now);
+
+  if (successor == NULL)
+    return false;
+  change->kind = gone != NULL ? RAFT_REMOVE : RAFT_PROMOTE;
+  change->member = gone != NULL ? *gone : *successor;
+  return true;
+}
+
+/* A learner that is gone leaves, one host that waits becomes one. */
+static bool
+learner_change (const struct consensus_voter *self,
+                const struct raft_member *gone_voter,
+                struct raft_change *change,
+                int64_t now)
 {
   const struct raft_members *members = raft_member_set (self->raft);
-  const struct raft_member *gone = find_gone (self, true, now);
-  const struct raft_member *gone_learner = find_gone (self, false, now);
-  const struct raft_member *learner = find_learner (self, now);
+  const struct raft_member *gone = find_gone (self, false, now);
   const struct voter_contact *waiting;
 
-  *change = (struct raft_change){ .kind = RAFT_REMOVE };
-  if (gone_learner != NULL)
-    {
-      change->member = *gone_learner;
-      return true;
-    }
-  if (gone == NULL && raft_members_voters (members) >= members->wanted)
-    return false;
-  if (learner == NULL)
-    {
-      waiting = find_waiting (self, gone, now);
-      if (waiting == NULL)
-        return false;
-      change->kind = RAFT_ADD_LEARNER;
-      change->member.id = waiting->id;
-      memcpy (change->member.name, waiting->name, sizeof change->member.name);
-      return true;
-    }
-  if (!caught_up (self, learner, now))
-    return false;
   if (gone != NULL)
     {
+      change->kind = RAFT_REMOVE;
       change->member = *gone;
       return true;
     }
-  change->kind = RAFT_PROMOTE;
-  change->member = *learner;
+  waiting = find_waiting (self, gone_voter, now);
+  if (waiting == NULL || members->n == RAFT_MEMBERS_MAX)
+    return false;
+  change->kind = RAFT_ADD_LEARNER;
+  change->member = (struct raft_member){ .id = waiting->id };
+  memcpy (change->member.name, waiting->name, sizeof change->member.name);
   return true;
 }
 
+/* The next change of the members; false when none is due. */
+static bool
+next_change (const struct consensus_voter *self, struct raft_change *change, int64_t now)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+  const struct raft_member *gone = find_gone (self, true, now);
+
+  if ((gone != NULL || raft_members_voters (members) < members->wanted)
+      && voter_change (self, gone, change, now))
+    return true;
+  return learner_change (self, gone, change, now);
+}
+
 void
 voter_repair (struct consensus_voter *self, int64_t now)
 {
--- a/src/controller.c
+++ b/src/controller.c
@@ -305,6 +305,7 @@
   if (controller == NULL)
     return NULL;
   controller->config = *config;
+  controller->started = config->now;
   controller->registry = registry_new (controller);
   if (controller->registry == NULL)
     {
--- a/src/controller.h
+++ b/src/controller.h
@@ -1,4 +1,4 @@
-/* A controller: a host with a vote that takes the operators' document and the targets'
+/* A controller: a host that follows the log, takes the operators' document and the targets'
  * registrations, and keeps the entry hosts up to date. */
 #ifndef CONTROLLER_H
 #define CONTROLLER_H
@@ -18,12 +18,23 @@
  * SYNC_ASK_PERIOD, so that two asks may be lost. */
 #define CONTROLLER_HOST_LEASE (1800 * USEC_PER_MSEC)
 
+/* After its start a controller counts on entry hosts to ask within so long; they try a controller
+ * that did not answer yet several times a second.  Where all hosts start at once, a target that was
+ * turned away meanwhile would come back a heartbeat later, and get no work until then. */
+#define CONTROLLER_START_GRACE (3 * USEC_PER_SEC)
+
 /* A leaving target's word must be on a majority of the controllers before it is acknowledged, by
  * then at the latest: who gets no answer within a second asks the next controller. */
 #define CONTROLLER_LEAVE_WAIT (700 * USEC_PER_MSEC)
 
 struct controller;
 
+struct controller_member
+{
+  const char *name; /* its peer address */
+  bool voter;       /* else a learner: it follows the log and serves like the others */
+};
+
 struct controller_config
 {
   const char *name; /* our peer address */
@@ -33,9 +44,10 @@
   struct timer_service *timers;
   struct counters *counters;
   uint64_t incarnation;
+  int64_t now; /* of the loop, at the start */
 
-  /* The controllers' names as the log knows them; the count. */
-  uint32_t (*members) (void *context, const char *out[SYNC_CONTROLLERS_MAX]);
+  /* The controllers that follow the log, as it knows them; the count. */
+  uint32_t (*members) (void *context, struct controller_member out[SYNC_CONTROLLERS_MAX]);
   void *members_context;
 };
 
@@ -57,10 +69,15 @@
 
 struct controller_wait_ops
 {
-  /* OK: known to a majority of the controllers.  STATUS_TIMEOUT: perhaps not. */
+  /* OK: known to as many controllers as a majority of the voters.  STATUS_TIMEOUT: perhaps not. */
   void (*done) (struct controller_wait *wait, enum status status, int64_t now);
 };
 
+/* May a target register here?  Not at a controller that does not follow the log, or that no entry
+ * host asks, while others are there: entry hosts would never hear of the target, which would wait
+ * for work that does not come. */
+bool controller_reaches_entries (const struct controller *controller, int64_t now);
+
 /* A target renewed, leaves, or is gone.  True: taken, and done() will not come. */
 bool controller_register (struct controller *controller,
                           const struct registry_word *word,
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -61,15 +61,17 @@
 static const struct document_listener_ops listener_ops = { .changed = document_changed };
 
 static uint32_t
-members (void *context, const char *out[SYNC_CONTROLLERS_MAX])
+members (void *context, struct controller_member out[SYNC_CONTROLLERS_MAX])
 {
   struct controller_host *host = context;
   const struct raft_members *set = raft_member_set (consensus_voter_raft (host->consensus));
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < set->n && n < SYNC_CONTROLLERS_MAX; i++)
-    if (set->members[i].voter)
-      out[n++] = set->members[i].name;
+    out[n++] = (struct controller_member){
+      .name = set->members[i].name,
+      .voter = set->members[i].voter,
+    };
   return n;
 }
 
@@ -179,6 +181,7 @@
     .timers = host->base.timers,
     .counters = host->base.counters,
     .incarnation = host->base.incarnation,
+    .now = loop_now (host->base.loop),
     .members = members,
     .members_context = host,
   };
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -26,6 +26,7 @@
   struct proposal read; /* the one question to the quorum that is under way */
   bool reading;
   bool in_touch; /* the quorum answered the last question */
+  int64_t started;
   struct timer tick;
   struct timer push;
   struct registry *registry;
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -83,12 +83,12 @@
 static void
 write_controllers (const struct controller *controller, struct bytes *out)
 {
-  const char *names[SYNC_CONTROLLERS_MAX];
-  uint32_t n = controller->config.members (controller->config.members_context, names);
+  struct controller_member members[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, members);
 
   pack_array (out, n);
   for (uint32_t i = 0; i < n; i++)
-    pack_text (out, names[i]);
+    pack_text (out, members[i].name);
 }
 
 void
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -59,6 +59,38 @@
 
 static const struct timer_ops wait_ops = { .fire = wait_fired };
 
+/* How many others must hold a word, so that with us it outlives as many losses as the log does. */
+static uint32_t
+others_wanted (const struct controller *controller,
+               const struct controller_member *members,
+               uint32_t n)
+{
+  uint32_t voters = 0;
+  bool self_votes = false;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      if (!members[i].voter)
+        continue;
+      voters++;
+      if (strcmp (members[i].name, controller->config.name) == 0)
+        self_votes = true;
+    }
+  return voters / 2 + (self_votes ? 0 : 1);
+}
+
+static bool
+is_voter (struct controller *controller, const char *name)
+{
+  struct controller_member members[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, members);
+
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (members[i].name, name) == 0)
+      return members[i].voter;
+  return false;
+}
+
 /* Tell the other controllers; true when none is needed for a majority. */
 static bool
 replicate (struct controller *controller,
@@ -66,14 +98,14 @@
            struct controller_wait *wait,
            int64_t now)
 {
-  const char *names[SYNC_CONTROLLERS_MAX];
-  uint32_t n = controller->config.members (controller->config.members_context, names);
+  struct controller_member members[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, members);
   struct peer_port *port = controller->config.port;
   struct bytes out;
 
   wait->controller = controller;
   wait->number = ++controller->last_wait;
-  wait->wanted = n / 2;
+  wait->wanted = others_wanted (controller, members, n);
   wait->n_seen = 0;
   bytes_init (&out, NULL);
   sync_begin (SYNC_TARGET, &out);
@@ -81,8 +113,8 @@
   pack_uint (&out, wait->number);
   registry_write (target, now, &out);
   for (uint32_t i = 0; i < n; i++)
-    if (strcmp (names[i], controller->config.name) != 0)
-      port->ops->send (port, names[i], PEER_CHANNEL_SYNC, out.data, out.length);
+    if (strcmp (members[i].name, controller->config.name) != 0)
+      port->ops->send (port, members[i].name, PEER_CHANNEL_SYNC, out.data, out.length);
   bytes_clear (&out);
   if (wait->wanted == 0 && n > 0)
     return true;
@@ -93,6 +125,31 @@
   return false;
 }
 
+static bool
+follows_log (const struct controller *controller,
+             const struct controller_member *members,
+             uint32_t n)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (members[i].name, controller->config.name) == 0)
+      return true;
+  return false;
+}
+
+bool
+controller_reaches_entries (const struct controller *controller, int64_t now)
+{
+  struct controller_member members[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, members);
+
+  if (!follows_log (controller, members, n))
+    return false;
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    if (controller_host_lives (&controller->hosts[i], now))
+      return true;
+  return n == 1 || now - controller->started < CONTROLLER_START_GRACE;
+}
+
 /* A target that leaves must get no new work even if this host dies right after it acknowledged:
  * the word goes to a majority first.  A renewal that is lost is repeated by the target. */
 bool
@@ -188,7 +245,8 @@
     return;
   while (wait != NULL && wait->number != number)
     wait = wait->next;
-  if (wait == NULL || note_seen (wait, from) || wait->n_seen < wait->wanted)
+  if (wait == NULL || !is_voter (controller, from) || note_seen (wait, from)
+      || wait->n_seen < wait->wanted)
     return;
   finish_wait (wait, STATUS_OK, now);
 }
--- a/tests/unit_consensus.cc
+++ b/tests/unit_consensus.cc
@@ -170,6 +170,46 @@
   EXPECT_EQ (propose (3, 5), 5u);
 }
 
+// More controllers are started than the group wants voters.  The spare ones answer targets,
+// operators and callers too, so each has to hold what was committed, and one that starts later as
+// well; and a voter that dies is replaced at once, as nothing has to be copied first.
+TEST_F (Group, SpareHostsFollowTheLogWithoutAVote)
+{
+  struct fake_group_config config = voters (3);
+
+  config.waiting = 3;
+  start (config);
+  EXPECT_EQ (propose (static_cast<uint32_t> (leader), 20), 20u);
+  fake_group_run (group, 5 * second);
+  for (uint32_t spare = 3; spare < 6; spare++)
+    {
+      EXPECT_EQ (fake_group_applied (group, spare), fake_group_most_applied (group));
+      EXPECT_EQ (propose (spare, 5), 5u);
+    }
+  EXPECT_TRUE (fake_group_whole (group));
+}
+
+// A spare host restarts with its folder, and another one with an empty one.  Both must follow again
+// within seconds, or the targets and callers that reach them get nothing.
+TEST_F (Group, SpareHostsThatRestartFollowAgain)
+{
+  struct fake_group_config config = voters (3);
+
+  config.waiting = 2;
+  start (config);
+  fake_group_run (group, 5 * second);
+  for (uint32_t spare : { 3u, 4u })
+    fake_group_stop (group, spare, true);
+  fake_group_set_disk (group, 4, nullptr);
+  EXPECT_EQ (propose (static_cast<uint32_t> (leader), 20), 20u);
+  for (uint32_t spare : { 3u, 4u })
+    ASSERT_EQ (fake_group_start (group, spare), STATUS_OK);
+  fake_group_run (group, 5 * second);
+  for (uint32_t spare : { 3u, 4u })
+    EXPECT_EQ (fake_group_applied (group, spare), fake_group_most_applied (group));
+  EXPECT_TRUE (fake_group_whole (group));
+}
+
 // A host was down while 500 changes piled up, and more than the snapshot keeps.  It must serve the
 // newest configuration within seconds of its start, by snapshot and by entries.
 TEST_F (Group, RestartAfterFiveHundredChangesPiledUp)
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -76,6 +76,9 @@
   played_log log;
   struct document *document = document_new (parent, nullptr);
   struct controller *controller;
+  std::vector<struct controller_member> members = { { "c1", true },
+                                                    { "c2", true },
+                                                    { "c3", true } };
   int64_t now = 10 * USEC_PER_SEC;
 
   void
@@ -90,11 +93,13 @@
     config.timers = timers;
     config.counters = counters_new (parent);
     config.incarnation = 5;
-    config.members = [] (void *, const char *out[SYNC_CONTROLLERS_MAX]) {
-      out[0] = "c1";
-      out[1] = "c2";
-      out[2] = "c3";
-      return 3u;
+    config.now = now;
+    config.members_context = &members;
+    config.members = [] (void *context, struct controller_member out[SYNC_CONTROLLERS_MAX]) {
+      const auto &all = *static_cast<std::vector<struct controller_member> *> (context);
+
+      std::copy (all.begin (), all.end (), out);
+      return static_cast<uint32_t> (all.size ());
     };
     controller = controller_new (parent, &config);
     timer_service_run (timers, now);
@@ -207,6 +212,58 @@
   EXPECT_EQ (wait.status, STATUS_TIMEOUT);
 }
 
+// A learner takes the word of a leaving target.  Another learner holding it as well is not enough:
+// with one voter lost, nobody who can lead would know.
+TEST_F (ControllerTest, LearnersDoNotCountForAMajority)
+{
+  kept_wait wait;
+  struct registry_word word = make_word ("i", "p", "a:1", REGISTRY_LEAVING, 1);
+
+  members = { { "c1", false }, { "c2", true }, { "c3", true }, { "c4", true }, { "c5", false } };
+  EXPECT_FALSE (controller_register (controller, &word, &wait.wait, now));
+  acknowledge ("c5");
+  acknowledge ("c2");
+  EXPECT_EQ (wait.done, 0);
+  acknowledge ("c4");
+  EXPECT_EQ (wait.done, 1);
+  EXPECT_EQ (wait.status, STATUS_OK);
+}
+
+// Four controllers are started and three are seeds.  The fourth was in no group, yet it
+// acknowledged the targets of its failure domain, and no entry host ever heard of them: a quarter
+// of the targets got no request.
+TEST_F (ControllerTest, TakesNoTargetsWhereEntryHostsDoNotHearOfThem)
+{
+  now += CONTROLLER_START_GRACE;
+  EXPECT_FALSE (controller_reaches_entries (controller, now));
+  ask ("e1", 11);
+  EXPECT_TRUE (controller_reaches_entries (controller, now));
+  now += CONTROLLER_HOST_LEASE + 1;
+  EXPECT_FALSE (controller_reaches_entries (controller, now));
+  ask ("e1", 12);
+  members = { { "c2", true }, { "c3", true }, { "c4", true } };
+  EXPECT_FALSE (controller_reaches_entries (controller, now));
+  members.clear ();
+  EXPECT_FALSE (controller_reaches_entries (controller, now));
+}
+
+// All hosts lost power and start.  A target that renews before the entry hosts have asked is taken:
+// turned away, it would come back a heartbeat later and get no work until then.
+TEST_F (ControllerTest, TakesTargetsRightAfterItsStart)
+{
+  EXPECT_TRUE (controller_reaches_entries (controller, now));
+  now += CONTROLLER_START_GRACE;
+  EXPECT_FALSE (controller_reaches_entries (controller, now));
+}
+
+// The only controller takes targets while the entry hosts start: there is nobody else to ask.
+TEST_F (ControllerTest, OnlyControllerTakesTargetsBeforeEntryHostsAsk)
+{
+  members = { { "c1", true } };
+  now += CONTROLLER_START_GRACE;
+  EXPECT_TRUE (controller_reaches_entries (controller, now));
+}
+
 // An entry host asks while the quorum is already being asked.  What the quorum says then may be
 // older than the question, so it confirms nothing to this host; the next answer does.
 TEST_F (ControllerTest, ConfirmsOnlyQuestionsThatWereThereBefore)
