--- a/src/balance.c
+++ b/src/balance.c
@@ -41,6 +41,27 @@
   return target;
 }
 
+/* A target that started again holds nothing, and what was seen of the start before says nothing.
+ * Calls to that one are still counted in flight until their connections end. */
+static void
+forget_incarnation (struct balance *balance, struct balance_target *target)
+{
+  const struct registry_word *word = &target->record->word;
+
+  if (target->id_hash != 0)
+    engine_load_forget (balance->engines, target->id_hash);
+  target->started = word->started;
+  target->id_hash = XXH3_64bits_withSeed (target->id, strlen (target->id), target->started);
+  text_copy_cut (target->pool, sizeof target->pool, word->pool);
+  text_copy_cut (target->domain, sizeof target->domain, word->domain);
+  text_copy_cut (target->address, sizeof target->address, word->address);
+  target->failures = 0;
+  target->failing = 0;
+  target->latency = 0;
+  target->ejected_until = 0;
+  target->eject_for = 0;
+}
+
 void
 balance_update (struct balance *balance, void *parent, struct registry_target *record)
 {
@@ -54,15 +75,14 @@
       if (target == NULL)
         return;
       text_copy_cut (target->id, sizeof target->id, record->word.id);
-      text_copy_cut (target->pool, sizeof target->pool, record->word.pool);
-      text_copy_cut (target->domain, sizeof target->domain, record->word.domain);
-      text_copy_cut (target->address, sizeof target->address, record->word.address);
-      target->id_hash = XXH3_64bits (target->id, strlen (target->id));
       target->record = record;
+      forget_incarnation (balance, target);
       target->next = balance->targets;
       balance->targets = target;
       record->user = target;
     }
+  if (target->started != record->word.started)
+    forget_incarnation (balance, target);
   target->usable = registry_usable (record);
   target->gone = record->word.state != REGISTRY_READY;
   if (record->word.state == REGISTRY_GONE)
--- a/src/balance.h
+++ b/src/balance.h
@@ -44,7 +44,9 @@
   char domain[ROUTING_NAME_SIZE];
   char address[ROUTING_NAME_SIZE];
   char id[ROUTING_NAME_SIZE];
-  uint64_t id_hash;
+  uint64_t started; /* the incarnation that the figures below are of */
+  uint64_t
+      id_hash; /* of id and incarnation: what other hosts tell of an earlier one is not of it */
   bool usable; /* registered, ready and heard lately */
   bool gone;   /* must get nothing more */
   uint32_t in_flight;
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -32,6 +32,7 @@
 {
   struct balance_target *target; /* as of the last look; NULL once gone */
   char id[ROUTING_NAME_SIZE];
+  uint64_t started; /* its incarnation */
   uint32_t calls;
   uint64_t used;   /* bytes of results, those of running calls included */
   double slowness; /* actual over expected time of its calls, smoothed */
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -8,6 +8,26 @@
 
 #define FREED_AT_ONCE 128
 
+static void
+forget_result (struct batch_target *target, struct batch_result *result)
+{
+  DL_DELETE (target->results, result);
+  target->used -= result->size;
+  talloc_free (result);
+}
+
+/* A target that started again holds no results, and may be as fast as any.  The room that calls
+ * under way take is given back as they end. */
+static void
+forget_incarnation (struct batch_target *target, uint64_t started)
+{
+  while (target->results != NULL)
+    forget_result (target, target->results);
+  target->started = started;
+  target->slowness = 1;
+  target->paused_until = 0;
+}
+
 struct batch_target *
 batch_target_of (struct batch_pool *pool, struct balance_target *at)
 {
@@ -22,9 +42,12 @@
         return NULL;
       text_copy_cut (target->id, sizeof target->id, at->id);
       target->slowness = 1;
+      target->started = at->started;
       target->next = pool->targets;
       pool->targets = target;
     }
+  if (target->started != at->started)
+    forget_incarnation (target, at->started);
   target->target = at;
   return target;
 }
@@ -152,14 +175,6 @@
   bytes_clear (&message);
 }
 
-static void
-forget_result (struct batch_target *target, struct batch_result *result)
-{
-  DL_DELETE (target->results, result);
-  target->used -= result->size;
-  talloc_free (result);
-}
-
 static void
 sweep_target (struct batch_pool *pool, struct batch_target *target, int64_t now)
 {
--- a/src/controller.h
+++ b/src/controller.h
@@ -84,9 +84,11 @@
                           struct controller_wait *wait,
                           int64_t now);
 
-/* A target says that it is gone, by its identity alone.  The same, and true for one not known. */
+/* A target says that it is gone, by its identity and the time of its start (0: not told).  The
+ * same, and true for one not known. */
 bool controller_deregister (struct controller *controller,
                             const char *id,
+                            uint64_t started,
                             struct controller_wait *wait,
                             int64_t now);
 void controller_withdraw (struct controller *controller, struct controller_wait *wait);
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -58,6 +58,7 @@
     {
       struct sync_renewal renewal = {
         .id_hash = sync_id_hash (target->word.id),
+        .started = target->word.started,
         .sequence = target->word.sequence,
         .age = (uint64_t) (now - target->heard),
       };
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -11,9 +11,10 @@
 {
   const struct registry_word *word = &target->word;
 
-  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:s,s:s,s:s,s:I,s:I,s:s}", "id",
-             word->id, "pool", word->pool, "address", word->address, "state",
-             registry_state_text (word->state), "sequence", (json_int_t) word->sequence, "age_ms",
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:s}",
+             "id", word->id, "started", (json_int_t) word->started, "pool", word->pool, "address",
+             word->address, "state", registry_state_text (word->state), "sequence",
+             (json_int_t) word->sequence, "age_ms",
              (json_int_t) ((now - target->heard) / USEC_PER_MSEC), "by", by);
 }
 
@@ -168,6 +169,7 @@
 bool
 controller_deregister (struct controller *controller,
                        const char *id,
+                       uint64_t started,
                        struct controller_wait *wait,
                        int64_t now)
 {
@@ -179,6 +181,8 @@
   else
     text_copy_cut (word.id, sizeof word.id, id);
   word.state = REGISTRY_GONE;
+  if (started != 0)
+    word.started = started;
   return controller_register (controller, &word, wait, now);
 }
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -3,7 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define WORD_FIELDS 9
+#define WORD_FIELDS 10
 
 static const char *const state_texts[] = {
 #define X(name, text) [REGISTRY_##name] = text,
@@ -98,6 +98,34 @@
 }
 /* NOLINTEND(readability-function-size) */
 
+/* Is this word of an earlier or a later start than the one held?  Where one of them tells no time
+ * the sequence alone decides. */
+static int
+compare_starts (const struct registry_word *word, const struct registry_word *held)
+{
+  if (word->started == 0 || held->started == 0 || word->started == held->started)
+    return 0;
+  return word->started < held->started ? -1 : 1;
+}
+
+/* The target started again under its identity: nothing that was known of it holds. */
+static enum registry_news
+begin_anew (struct registry *registry,
+            struct registry_target *target,
+            const struct registry_word *word,
+            int64_t age,
+            int64_t now)
+{
+  target->word = *word;
+  target->heard = now - age;
+  target->first_heard = now - age;
+  target->expired = false;
+  touch (registry, target);
+  if (word->state != REGISTRY_GONE)
+    settle_address (registry, target);
+  return REGISTRY_NEWS_CHANGED;
+}
+
 enum registry_news
 registry_merge (struct registry *registry,
                 const struct registry_word *word,
@@ -111,6 +139,12 @@
   *out = target;
   if (target == NULL)
     return add (registry, word, age, now, out);
+  if (compare_starts (word, &target->word) < 0)
+    return REGISTRY_NEWS_STALE;
+  if (compare_starts (word, &target->word) > 0)
+    return begin_anew (registry, target, word, age, now);
+  if (target->word.started == 0)
+    target->word.started = word->started;
   if (now - age > target->heard && word->sequence >= target->word.sequence)
     target->heard = now - age;
   /* The state only goes forward, whatever the sequence: an end may be said without one. */
@@ -167,6 +201,7 @@
 
   pack_array (out, WORD_FIELDS);
   pack_text (out, word->id);
+  pack_uint (out, word->started);
   pack_text (out, word->pool);
   pack_text (out, word->address);
   pack_text (out, word->domain);
@@ -183,6 +218,7 @@
   if (pack_read_array (in, WORD_FIELDS) != WORD_FIELDS)
     in->failed = true;
   pack_read_text (in, word->id, sizeof word->id);
+  word->started = pack_read_uint (in, UINT64_MAX);
   pack_read_text (in, word->pool, sizeof word->pool);
   pack_read_text (in, word->address, sizeof word->address);
   pack_read_text (in, word->domain, sizeof word->domain);
--- a/src/registry.h
+++ b/src/registry.h
@@ -2,8 +2,10 @@
  *
  * A target renews with any host that takes registrations, each time perhaps another one; every such
  * host tells every entry host what it heard.  A target's own sequence orders what it said, so the
- * merge needs no leader.  Each start of a target is an incarnation with an identity of its own; of
- * two identities at one address the one first heard later is the one that lives there.
+ * merge needs no leader.  Each start of a target is an incarnation, mostly with an identity of its
+ * own; one that starts again under its identity tells a later time of start, and its sequence
+ * begins anew.  Of two identities at one address the one first heard later is the one that lives
+ * there.
  *
  * Pure: time is passed in. */
 #ifndef REGISTRY_H
@@ -45,12 +47,13 @@
 /* What a target says of itself. */
 struct registry_word
 {
-  char id[REGISTRY_NAME_SIZE]; /* of this incarnation */
+  char id[REGISTRY_NAME_SIZE];
+  uint64_t started; /* of this incarnation, Unix milliseconds; 0: not told */
   char pool[REGISTRY_NAME_SIZE];
   char address[REGISTRY_NAME_SIZE];
   char domain[REGISTRY_NAME_SIZE];
   enum registry_state state;
-  uint64_t sequence; /* grows with each renewal */
+  uint64_t sequence; /* grows with each renewal of an incarnation */
   uint32_t slots;
   int64_t cold_for; /* how much longer it is slow after its start */
 };
@@ -72,7 +75,7 @@
   X (NONE)  /* nothing but a renewal */                                                            \
   X (STALE) /* an older word than the one held */                                                  \
   X (ADDED)                                                                                        \
-  X (CHANGED) /* its state, or it was expired */
+  X (CHANGED) /* its state, its incarnation, or it was expired */
 
 enum registry_news
 {
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -182,10 +182,11 @@
 {
   const struct registry_word *word = &target->word;
 
-  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:s,s:s,s:s,s:I,s:b,s:I}", "id",
-             word->id, "pool", word->pool, "address", word->address, "state",
-             registry_state_text (word->state), "sequence", (json_int_t) word->sequence, "expired",
-             target->expired, "age_ms", (json_int_t) ((now - target->heard) / USEC_PER_MSEC));
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I}",
+             "id", word->id, "started", (json_int_t) word->started, "pool", word->pool, "address",
+             word->address, "state", registry_state_text (word->state), "sequence",
+             (json_int_t) word->sequence, "expired", target->expired, "age_ms",
+             (json_int_t) ((now - target->heard) / USEC_PER_MSEC));
   self->config.listener->ops->target (self->config.listener, target, now);
 }
 
@@ -234,7 +235,11 @@
 
       if (sync_id_hash (target->word.id) != renewal->id_hash)
         continue;
+      /* Of a start whose whole word is not here yet. */
+      if (renewal->started > target->word.started)
+        return;
       word = target->word;
+      word.started = renewal->started;
       word.sequence = renewal->sequence;
       registry_merge (self->registry, &word, (int64_t) renewal->age, now, &target);
       return;
--- a/src/sync.c
+++ b/src/sync.c
@@ -105,6 +105,7 @@
 sync_write_renewal (const struct sync_renewal *renewal, struct bytes *out)
 {
   pack_uint (out, renewal->id_hash);
+  pack_uint (out, renewal->started);
   pack_uint (out, renewal->sequence);
   pack_uint (out, renewal->age);
 }
@@ -113,6 +114,7 @@
 sync_read_renewal (struct pack_reader *in, struct sync_renewal *renewal)
 {
   renewal->id_hash = pack_read_uint (in, UINT64_MAX);
+  renewal->started = pack_read_uint (in, UINT64_MAX);
   renewal->sequence = pack_read_uint (in, UINT64_MAX);
   renewal->age = pack_read_uint (in, INT64_MAX);
   return pack_read_ok (in);
--- a/src/sync.h
+++ b/src/sync.h
@@ -71,6 +71,7 @@
 struct sync_renewal
 {
   uint64_t id_hash;
+  uint64_t started; /* the incarnation that the sequence is of */
   uint64_t sequence;
   uint64_t age;
 };
--- a/tests/unit_balance.cc
+++ b/tests/unit_balance.cc
@@ -76,6 +76,30 @@
   return prompt;
 }
 
+// An engine crashes and starts again under its identity.  What was under way through it, and how
+// often it failed, is of the start before: it is as good as any new one.
+TEST (Balance, AnEngineThatStartedAgainIsANewOne)
+{
+  host_view view (1);
+  struct balance_target *target = balance_find (&view.balance, "engine-2");
+  struct engine_cost cost;
+  uint64_t before = target->id_hash;
+
+  view.load (target, 100000);
+  balance_started (target);
+  balance_ended (target, true, -1, NOW);
+  balance_started (target);
+  balance_ended (target, true, -1, NOW);
+  ASSERT_GT (target->ejected_until, NOW);
+  view.records[2].word.started = 2000;
+  balance_update (&view.balance, view.parent, &view.records[2]);
+  EXPECT_EQ (target->ejected_until, 0);
+  EXPECT_NE (target->id_hash, before);
+  struct balance_prompt prompt = prompt_of (1, 0);
+  engine_load_cost (view.engines, target->id_hash, &prompt.prompt, NOW, &cost);
+  EXPECT_EQ (cost.running, 0u);
+}
+
 TEST (Balance, SendsAPromptToTheSameEngineFromEveryHost)
 {
   host_view one (1);
--- a/tests/unit_batch.cc
+++ b/tests/unit_batch.cc
@@ -255,6 +255,25 @@
   EXPECT_EQ (freed.size (), 3u);
 }
 
+// A target crashes with results that fill its room, and starts again under its identity.  It holds
+// nothing now: counted on, the results of before would keep every order from it until they expire.
+TEST_F (BatchTest, ATargetThatStartedAgainHoldsNothing)
+{
+  struct balance_target *target;
+
+  start (SMALL);
+  order ("A", 3, 10 * USEC_PER_SEC, 0, 300000); // 0.9 of 1 MB
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 1; }));
+  order ("B", 3, 9 * USEC_PER_SEC, 0, 300000);
+  EXPECT_EQ (calls.size (), 1u);
+  target = balance_find (&balance, "t0");
+  ASSERT_NE (target, nullptr);
+  target->record->word.started = 2000;
+  balance_update (&balance, parent, target->record);
+  ASSERT_TRUE (run_until (loop, [&] { return ended.size () == 2; }));
+  EXPECT_EQ (calls.size (), 2u);
+}
+
 // An order is withdrawn, as its client left, while some of its pieces are made.  What was made
 // would lie in the maker's room until it expires; it is freed.
 TEST_F (BatchTest, FreesWhatWasMadeForAnOrderThatIsWithdrawn)
--- a/tests/unit_registry.cc
+++ b/tests/unit_registry.cc
@@ -85,6 +85,40 @@
   EXPECT_EQ (first->word.state, REGISTRY_GONE);
 }
 
+struct registry_word
+started (struct registry_word said, uint64_t at)
+{
+  said.started = at;
+  return said;
+}
+
+// A target crashes and starts again under its identity; its sequence begins anew.  Taken for old
+// words, its renewals would count for nothing and it would get no work until they catch up.
+TEST_F (RegistryTest, AStartUnderTheSameIdentityBeginsAnew)
+{
+  merge (started (word ("i", "a:1", REGISTRY_READY, 500), 1000));
+  now += 10 * USEC_PER_SEC;
+  registry_expire (registry, 5 * USEC_PER_SEC, now);
+  EXPECT_EQ (merge (started (word ("i", "a:2", REGISTRY_READY, 1), 2000)), REGISTRY_NEWS_CHANGED);
+  EXPECT_TRUE (registry_usable (target));
+  EXPECT_EQ (target->word.sequence, 1u);
+  EXPECT_STREQ (target->word.address, "a:2");
+  EXPECT_EQ (merge (started (word ("i", "a:2", REGISTRY_READY, 2), 2000)), REGISTRY_NEWS_NONE);
+}
+
+// The start before left, and one of its words was held up.  It must end neither the new start nor
+// raise its sequence, or the new start's own words would be taken for old ones.
+TEST_F (RegistryTest, WordsOfTheStartBeforeSayNothing)
+{
+  merge (started (word ("i", "a:1", REGISTRY_LEAVING, 500), 1000));
+  merge (started (word ("i", "a:1", REGISTRY_READY, 1), 2000));
+  EXPECT_TRUE (registry_usable (target));
+  EXPECT_EQ (merge (started (word ("i", "a:1", REGISTRY_GONE, 501), 1000)), REGISTRY_NEWS_STALE);
+  EXPECT_EQ (merge (started (word ("i", "a:1", REGISTRY_READY, 502), 1000)), REGISTRY_NEWS_STALE);
+  EXPECT_TRUE (registry_usable (target));
+  EXPECT_EQ (target->word.sequence, 1u);
+}
+
 TEST_F (RegistryTest, WhatEndedIsRememberedForAWhile)
 {
   merge (word ("i", "a:1", REGISTRY_READY, 1));
@@ -106,7 +140,7 @@
   struct registry_word read;
   int64_t age;
 
-  merge (word ("i", "a:1", REGISTRY_LEAVING, 3));
+  merge (started (word ("i", "a:1", REGISTRY_LEAVING, 3), 1234567890123));
   now += 7;
   bytes_init (&out, parent);
   registry_write (target, now, &out);
@@ -114,6 +148,7 @@
   ASSERT_TRUE (registry_read (&in, &read, &age));
   EXPECT_STREQ (read.id, "i");
   EXPECT_EQ (read.state, REGISTRY_LEAVING);
+  EXPECT_EQ (read.started, 1234567890123u);
   EXPECT_EQ (age, 7);
   pack_reader_init (&in, out.data, out.length - 1);
   EXPECT_FALSE (registry_read (&in, &read, &age));
