--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -213,9 +213,11 @@
 
   DL_FOREACH_SAFE (target->results, result, next)
     {
-      if (now >= result->expires || (result->unneeded && target->target == NULL))
+      bool drop = result->unneeded || (result->let_go && short_of_room);
+
+      if (now >= result->expires || (drop && target->target == NULL))
         forget_result (target, result);
-      else if ((result->unneeded || (result->let_go && short_of_room)) && n < FREED_AT_ONCE)
+      else if (drop && n < FREED_AT_ONCE)
         {
           handles[n] = result->handle;
           freed[n++] = result;
