Do not split orders that one call can make

Cause: calls were filled to the last place with parts of orders. Such an order ends with its second call, no sooner than whole in that call, but the results of its first part lie at their makers for a whole call longer, and room is what binds in a burst.

An order that was not begun and that one call can make is taken only where the call has places, and its target room, for all of it.

--- a/src/batch.c
+++ b/src/batch.c
@@ -230,6 +230,14 @@
   return pool;
 }
 
+static void
+take_spec (struct batch_pool *pool, const struct batch_spec *spec)
+{
+  pool->spec = *spec;
+  if (pool->spec.pieces > BATCH_CALL_PIECES_MAX)
+    pool->spec.pieces = BATCH_CALL_PIECES_MAX;
+}
+
 void
 batch_set_routing (struct batch *batch, const struct routing *routing)
 {
@@ -243,7 +251,7 @@
         (void) add_pool (batch, spec->name, "");
       for (uint32_t j = 0; j < batch->n_pools; j++)
         if (strcmp (batch->pools[j].name, spec->name) == 0)
-          batch->pools[j].spec = spec->batch;
+          take_spec (&batch->pools[j], &spec->batch);
     }
 }
 
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -114,26 +114,52 @@
     }
 }
 
-/* Room for one more result of the order, beside `taken` for others of the same call.  With nothing
- * under way in the pool an order that was begun does without the margin: nothing else sets room
- * free, and its own results lie there until its last piece is made. */
+/* A call that is being put together. */
+struct draft
+{
+  uint32_t places; /* that it has left */
+  uint64_t size;   /* of the results of its pieces */
+};
+
+/* Room for so many more results of the order.  With nothing under way in the pool an order that was
+ * begun does without the margin: nothing else sets room free, and its own results lie there until
+ * its last piece is made. */
 static bool
 has_room (const struct batch_pool *pool,
           const struct outlook *outlook,
           const struct batch_target *target,
           const struct batch_order *order,
-          uint64_t taken)
+          const struct draft *draft,
+          uint32_t n_results)
 {
-  double used = (double) (target->used + taken + order->result_size);
+  uint64_t taken = target->used + draft->size;
+  double used = (double) (taken + n_results * order->result_size);
   double margin = BATCH_SIZE_SPREAD * sqrt (used * (double) order->result_size);
 
-  if (pool->spec.room == 0 || target->used + taken == 0)
+  if (pool->spec.room == 0 || taken == 0)
     return true;
   if (order->begun && outlook->calls == 0)
     margin = 0;
   return used + margin <= (double) pool->spec.room;
 }
 
+/* Would the call take a part of an order that one call can make?  Its results would lie at their
+ * makers until the rest is made, a whole call later, and keep room from orders that end now; the
+ * order itself ends no sooner.  Mean worth of fifty days 0.626 with orders split, 0.651 with calls
+ * that have places for the whole of them, 0.665 with room as well (error 0.004 each). */
+static bool
+would_split (const struct batch_pool *pool,
+             const struct outlook *outlook,
+             const struct batch_target *target,
+             const struct batch_order *order,
+             const struct draft *draft)
+{
+  if (order->begun || order->n_pending > pool->spec.pieces)
+    return false;
+  return order->n_pending > draft->places
+         || !has_room (pool, outlook, target, order, draft, order->n_pending);
+}
+
 /* Room for the whole of an order that is not begun, beside what lies there and what the begun ones
  * still need.  Orders that each hold a part of the room and wait for the rest would stop each other
  * until their results expire. */
@@ -206,10 +232,11 @@
       const struct outlook *outlook,
       const struct batch_order *order,
       const struct batch_target *target,
-      uint64_t size,
+      const struct draft *draft,
       int64_t now)
 {
-  return has_room (pool, outlook, target, order, size) && may_begin (pool, outlook, order)
+  return has_room (pool, outlook, target, order, draft, 1) && may_begin (pool, outlook, order)
+         && !would_split (pool, outlook, target, order, draft)
          && may_go_to (pool, order, target, now);
 }
 
@@ -218,6 +245,7 @@
 static struct batch_target *
 choose_target (struct batch_pool *pool, const struct outlook *outlook, int64_t now)
 {
+  const struct draft empty = { .places = pool->spec.pieces };
   struct batch_target *best = NULL;
   double best_cost = 0;
 
@@ -228,7 +256,7 @@
       double cost;
 
       DL_FOREACH (pool->queue, order)
-        if (fits (pool, outlook, order, target, 0, now))
+        if (fits (pool, outlook, order, target, &empty, now))
           break;
       if (order == NULL)
         continue;
@@ -292,12 +320,9 @@
              int64_t now,
              struct batch_piece out[BATCH_CALL_PIECES_MAX])
 {
-  uint32_t most = pool->spec.pieces;
-  uint64_t size = 0;
+  struct draft draft = { .places = pool->spec.pieces };
   uint32_t n = 0;
 
-  if (most > BATCH_CALL_PIECES_MAX)
-    most = BATCH_CALL_PIECES_MAX;
   for (int pass = 0; pass < PASSES; pass++)
     {
       struct batch_order *order;
@@ -307,12 +332,14 @@
         {
           if (pass_of (pool, order, target, now) != pass)
             continue;
-          while (n < most && order->n_pending > 0 && fits (pool, outlook, order, target, size, now))
+          while (draft.places > 0 && order->n_pending > 0
+                 && fits (pool, outlook, order, target, &draft, now))
             {
-              size += order->result_size;
+              draft.size += order->result_size;
+              draft.places--;
               take_piece (order, target, outlook, &out[n++]);
             }
-          if (n == most)
+          if (draft.places == 0)
             return n;
         }
     }
