--- a/src/batch.h
+++ b/src/batch.h
@@ -53,9 +53,6 @@
 /* Where orders wait, one less urgent by one step goes behind those due this much later. */
 #define BATCH_URGENCY_STEP (800 * USEC_PER_MSEC)
 
-/* The rest of an order that was begun goes before those due this much earlier. */
-#define BATCH_BEGUN_BONUS (400 * USEC_PER_MSEC)
-
 /* An order waits for a target in the failure domain where its results are wanted while it has so
  * much time to spare: a result of megabytes that crosses costs more than the wait. */
 #define BATCH_NEAR_SLACK (300 * USEC_PER_MSEC)
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -7,13 +7,10 @@
 
 #define PASSES 4
 
-/* When an order should be taken, urgency counted as time.  One that was begun is finished before
- * others are: its results take room that only its last piece sets free. */
+/* When an order should be taken, urgency counted as time. */
 static int64_t
 rank (const struct batch_order *order)
 {
-  if (order->begun)
-    return order->due - BATCH_BEGUN_BONUS;
   return order->due + (int64_t) order->urgency * BATCH_URGENCY_STEP;
 }
 
@@ -288,7 +285,7 @@
   };
   order->begun = true;
   outlook->used += order->result_size;
-  /* With its new rank, as it is begun now. */
+  /* Room is reserved for the rest now. */
   batch_enqueue (order);
 }
 
