--- a/src/batch.c
+++ b/src/batch.c
@@ -296,28 +296,20 @@
 /* NOLINTEND(readability-function-size) */
 
 void
-batch_free_result (struct batch *batch,
-                   const char *pool_name,
-                   const char *domain,
-                   const struct stage_result *result,
-                   int64_t now)
+batch_release_result (struct batch *batch,
+                      enum batch_release how,
+                      const char *pool_name,
+                      const char *domain,
+                      const struct stage_result *result,
+                      int64_t now)
 {
   struct batch_pool *pool = take_pool (batch, pool_name, domain);
 
-  if (pool != NULL)
+  if (pool == NULL)
+    return;
+  if (how == BATCH_FREE)
     batch_free (pool, result, now);
-}
-
-void
-batch_let_go_result (struct batch *batch,
-                     const char *pool_name,
-                     const char *domain,
-                     const struct stage_result *result,
-                     int64_t now)
-{
-  struct batch_pool *pool = take_pool (batch, pool_name, domain);
-
-  if (pool != NULL)
+  else
     batch_let_go (pool, result, now);
 }
 
--- a/src/batch.h
+++ b/src/batch.h
@@ -138,19 +138,19 @@
 /* An order of another host, by its number there; NULL when it is not here. */
 struct batch_order *batch_find (struct batch *batch, const char *origin, uint64_t number);
 
-/* A result that nobody needs any more. */
-void batch_free_result (struct batch *batch,
-                        const char *pool,
-                        const char *domain,
-                        const struct stage_result *result,
-                        int64_t now);
-
-/* A result that all have fetched who read it. */
-void batch_let_go_result (struct batch *batch,
-                          const char *pool,
-                          const char *domain,
-                          const struct stage_result *result,
-                          int64_t now);
+/* What its users have done with a result. */
+enum batch_release
+{
+  BATCH_LET_GO, /* all have fetched it who read it: it may be dropped where room is short */
+  BATCH_FREE,   /* nobody needs it any more */
+};
+
+void batch_release_result (struct batch *batch,
+                           enum batch_release how,
+                           const char *pool,
+                           const char *domain,
+                           const struct stage_result *result,
+                           int64_t now);
 
 /* Does the pool run pieces? */
 bool batch_knows (const struct batch *batch, const char *pool);
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -60,6 +60,23 @@
 
 static const struct timer_ops wait_ops = { .fire = wait_fired };
 
+static const struct controller_member *
+find_member (const struct controller_member *members, uint32_t n, const char *name)
+{
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (members[i].name, name) == 0)
+      return &members[i];
+  return NULL;
+}
+
+static bool
+is_voter (const struct controller_member *members, uint32_t n, const char *name)
+{
+  const struct controller_member *member = find_member (members, n, name);
+
+  return member != NULL && member->voter;
+}
+
 /* How many others must hold a word, so that with us it outlives as many losses as the log does. */
 static uint32_t
 others_wanted (const struct controller *controller,
@@ -67,29 +84,10 @@
                uint32_t n)
 {
   uint32_t voters = 0;
-  bool self_votes = false;
 
   for (uint32_t i = 0; i < n; i++)
-    {
-      if (!members[i].voter)
-        continue;
-      voters++;
-      if (strcmp (members[i].name, controller->config.name) == 0)
-        self_votes = true;
-    }
-  return voters / 2 + (self_votes ? 0 : 1);
-}
-
-static bool
-is_voter (struct controller *controller, const char *name)
-{
-  struct controller_member members[SYNC_CONTROLLERS_MAX];
-  uint32_t n = controller->config.members (controller->config.members_context, members);
-
-  for (uint32_t i = 0; i < n; i++)
-    if (strcmp (members[i].name, name) == 0)
-      return members[i].voter;
-  return false;
+    voters += members[i].voter ? 1 : 0;
+  return voters / 2 + (is_voter (members, n, controller->config.name) ? 0 : 1);
 }
 
 /* Tell the other controllers; true when none is needed for a majority. */
@@ -126,24 +124,13 @@
   return false;
 }
 
-static bool
-follows_log (const struct controller *controller,
-             const struct controller_member *members,
-             uint32_t n)
-{
-  for (uint32_t i = 0; i < n; i++)
-    if (strcmp (members[i].name, controller->config.name) == 0)
-      return true;
-  return false;
-}
-
 bool
 controller_reaches_entries (const struct controller *controller, int64_t now)
 {
   struct controller_member members[SYNC_CONTROLLERS_MAX];
   uint32_t n = controller->config.members (controller->config.members_context, members);
 
-  if (!follows_log (controller, members, n))
+  if (find_member (members, n, controller->config.name) == NULL)
     return false;
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     if (controller_host_lives (&controller->hosts[i], now))
@@ -244,12 +231,14 @@
   uint64_t incarnation = pack_read_uint (in, UINT64_MAX);
   uint64_t number = pack_read_uint (in, UINT64_MAX);
   struct controller_wait *wait = controller->waits;
+  struct controller_member members[SYNC_CONTROLLERS_MAX];
+  uint32_t n = controller->config.members (controller->config.members_context, members);
 
   if (!pack_read_end (in) || incarnation != controller->config.incarnation)
     return;
   while (wait != NULL && wait->number != number)
     wait = wait->next;
-  if (wait == NULL || !is_voter (controller, from) || note_seen (wait, from)
+  if (wait == NULL || !is_voter (members, n, from) || note_seen (wait, from)
       || wait->n_seen < wait->wanted)
     return;
   finish_wait (wait, STATUS_OK, now);
--- a/src/directory_state.h
+++ b/src/directory_state.h
@@ -1,5 +1,6 @@
-/* The directory's own structures, shared by its parts: directory.c (entries and what targets say),
- * directory_list.c (the list we are home of), directory_sync.c (between hosts). */
+/* The directory's own structures, shared by its parts: directory.c (what targets say),
+ * directory_entry.c (entries by name and on the board), directory_list.c (the list we are home of),
+ * directory_sync.c and directory_told.c (between hosts). */
 #ifndef DIRECTORY_STATE_H
 #define DIRECTORY_STATE_H
 
@@ -97,7 +98,7 @@
   struct counter *bytes_out;
 };
 
-/* directory.c */
+/* directory_entry.c */
 struct directory_entry *directory_find (const struct directory *directory, const char *name);
 
 /* NULL when the directory is full. */
@@ -134,6 +135,13 @@
                           const struct directory_entry *entry,
                           int64_t until);
 
+/* On the board; NULL when it is not there. */
+struct board_target *directory_target_of (const struct directory *directory,
+                                          const struct directory_entry *entry);
+
+/* May a target in this phase get work? */
+bool directory_counts_ready (enum directory_phase phase);
+
 /* directory_list.c */
 enum status directory_list_add (struct directory *directory,
                                 struct directory_entry *entry,
@@ -148,6 +156,15 @@
 struct directory_home *directory_home_of (struct directory *directory, const char *name);
 void directory_sync_tick (struct directory *directory, int64_t now);
 
+/* Until the next question to a home that answered. */
+int64_t directory_ask_span (struct directory *directory, const struct directory_home *home);
+
+/* Answer a question about our own list. */
+void directory_answer (struct directory *directory,
+                       const char *host,
+                       const struct directory_ask_message *question,
+                       int64_t now);
+
 /* directory_ready.c */
 void directory_ready_tick (struct directory *directory, int64_t now);
 
--- /dev/null
+++ b/src/directory_told.c
@@ -0,0 +1,279 @@
+/* What other hosts tell of their targets: changes of a list, and leases. */
+#include "directory_state.h"
+#include "load_report.h"
+#include "log.h"
+#include "text.h"
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+static void
+leave_list (struct directory *directory, struct directory_entry *entry, int64_t now)
+{
+  if (entry->home == directory->ours)
+    directory_list_remove (directory, entry, now);
+  else
+    directory_detach (directory, entry, now);
+}
+
+/* Does `home` speak for the target now?  Newer words win.  The same words at another home are a
+ * target that moved without a new sequence, unless that home too has lost it. */
+static bool
+takes (const struct directory_entry *entry,
+       const struct directory_home *home,
+       const struct directory_change *change)
+{
+  int order = directory_compare (entry, change->said.incarnation, change->said.sequence);
+
+  if (order == 0 && entry->home != NULL && entry->home != home)
+    return change->phase != DIRECTORY_LAPSED;
+  return order >= 0;
+}
+
+static void
+apply_gone (struct directory *directory,
+            const struct directory_home *home,
+            const struct directory_change *change,
+            int64_t now)
+{
+  struct directory_entry *entry = directory_find (directory, change->said.name);
+
+  if (entry == NULL || entry->home != home)
+    return;
+  if (directory_compare (entry, change->said.incarnation, change->said.sequence) >= 0)
+    {
+      entry->incarnation = change->said.incarnation;
+      entry->sequence = change->said.sequence;
+    }
+  directory_detach (directory, entry, now);
+}
+
+/* The lease that a target of the same incarnation has here now: a move to another home does not cut
+ * it, though the message that tells of the move grants none. */
+static int64_t
+lease_before (const struct directory *directory,
+              const struct directory_entry *entry,
+              const struct directory_change *change)
+{
+  const struct board_target *target = table_get (directory->board->targets, entry->target);
+
+  if (target == NULL || entry->incarnation != change->said.incarnation)
+    return 0;
+  return target->lease_until;
+}
+
+static void
+apply_change (struct directory *directory,
+              struct directory_home *home,
+              const struct directory_change *change,
+              int64_t now)
+{
+  struct directory_entry *entry = directory_find (directory, change->said.name);
+  int64_t lease;
+
+  if (entry == NULL)
+    entry = directory_add (directory, change->said.name);
+  if (entry == NULL)
+    return;
+  lease = lease_before (directory, entry, change);
+  if (!takes (entry, home, change))
+    {
+      counter_add (directory->refused_old, 1);
+      return;
+    }
+  if (entry->home != NULL && (entry->home != home || entry->slot != change->slot))
+    leave_list (directory, entry, now);
+  if (directory_show (directory, entry, &change->said, now) != STATUS_OK)
+    log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_ERROR, "not_shown", "{s:s,s:s}", "target",
+               entry->name, "message", status_message ());
+  if (entry->home == NULL)
+    {
+      if (change->slot < home->n_slots && home->slots[change->slot] != NULL)
+        directory_detach (directory, home->slots[change->slot], now);
+      if (directory_attach (directory, entry, home, change->slot) != STATUS_OK)
+        return;
+      entry->renewed_at = now;
+    }
+  directory_set_phase (directory, entry, change->phase, now);
+  if (change->phase == DIRECTORY_READY)
+    directory_set_lease (directory, entry, lease);
+}
+
+/* Failure: a home restarts within a second and tells of an empty list before its targets have
+ * announced themselves anew.  Cutting their leases would leave a pool without targets meanwhile; a
+ * target that is really gone loses its lease all the same, by itself and as soon as with a home
+ * that is silent. */
+static void
+forget_list (struct directory *directory, struct directory_home *home, int64_t now)
+{
+  for (uint32_t slot = 0; slot < home->n_slots; slot++)
+    if (home->slots[slot] != NULL)
+      directory_release (directory, home->slots[slot], now);
+  home->version = 0;
+  home->base = 0;
+}
+
+/* With `apply` false only the reading is tried, so that a message that is cut changes nothing. */
+static bool
+read_changes (struct directory *directory,
+              struct directory_home *home,
+              struct pack_reader reader,
+              const struct directory_head *head,
+              bool apply,
+              int64_t now)
+{
+  struct directory_change change;
+
+  for (uint32_t i = 0; i < head->n_changes; i++)
+    {
+      if (!directory_read_change (&reader, &change))
+        return false;
+      if (!apply || change.version <= home->version)
+        continue;
+      if (change.phase == DIRECTORY_GONE)
+        apply_gone (directory, home, &change, now);
+      else
+        apply_change (directory, home, &change, now);
+    }
+  return pack_read_end (&reader);
+}
+
+/* The lease of a slot; slots are asked for in rising order, as the exceptions are listed. */
+static int64_t
+lease_of (const struct directory_head *head, uint32_t slot, uint32_t *cursor)
+{
+  while (*cursor < head->n_exceptions && head->exceptions[*cursor].slot < slot)
+    (*cursor)++;
+  if (*cursor < head->n_exceptions && head->exceptions[*cursor].slot == slot)
+    return head->exceptions[*cursor].left_ms * USEC_PER_MSEC;
+  return head->lease_ms * USEC_PER_MSEC;
+}
+
+/* Targets with little left renew late: ask again before the first of them ends. */
+static void
+ask_before_end (struct directory_home *home, const struct directory_head *head)
+{
+  int64_t left = DIRECTORY_SHARE_LEASE;
+  int64_t due;
+
+  if (head->n_exceptions == 0)
+    return;
+  for (uint32_t i = 0; i < head->n_exceptions; i++)
+    if (head->exceptions[i].left_ms * USEC_PER_MSEC < left)
+      left = head->exceptions[i].left_ms * USEC_PER_MSEC;
+  left = left > 2 * DIRECTORY_ASK_AGAIN ? left - DIRECTORY_ASK_AGAIN : DIRECTORY_ASK_AGAIN;
+  due = (int64_t) head->asked_at + left;
+  if (due < home->ask_at)
+    home->ask_at = due;
+}
+
+static void
+apply_leases (struct directory *directory,
+              const struct directory_home *home,
+              const struct directory_head *head,
+              int64_t now)
+{
+  int64_t asked_at = (int64_t) head->asked_at;
+  uint32_t cursor = 0;
+
+  /* Not an answer to a question of ours that a lease could still count from. */
+  if (asked_at > now || now - asked_at >= DIRECTORY_LEASE)
+    return;
+  for (uint32_t slot = 0; slot < home->n_slots; slot++)
+    {
+      struct directory_entry *entry = home->slots[slot];
+      int64_t until = asked_at + lease_of (head, slot, &cursor);
+      struct board_target *target;
+
+      if (entry == NULL)
+        continue;
+      entry->renewed_at = now;
+      target = table_get (directory->board->targets, entry->target);
+      if (target != NULL && entry->phase == DIRECTORY_READY && until > target->lease_until)
+        target->lease_until = until;
+    }
+}
+
+static void
+take_list (struct directory *directory,
+           struct directory_home *home,
+           const struct pack_reader *reader,
+           const struct directory_head *head,
+           int64_t now)
+{
+  bool known;
+
+  if (head->kind == DIRECTORY_ANSWER_MESSAGE)
+    {
+      home->unanswered = 0;
+      home->ask_at = now + directory_ask_span (directory, home);
+    }
+  if (head->epoch < home->epoch)
+    return;
+  if (head->epoch > home->epoch || head->reset)
+    forget_list (directory, home, now);
+  home->epoch = head->epoch;
+  if (head->reset)
+    home->base = head->current;
+  if (head->since > home->version)
+    {
+      home->ask_at = now;
+      return;
+    }
+  read_changes (directory, home, *reader, head, true, now);
+  if (head->version > home->version)
+    home->version = head->version;
+  known = home->version >= head->current;
+  if (known)
+    home->base = home->version;
+  if (known && head->kind == DIRECTORY_ANSWER_MESSAGE)
+    {
+      apply_leases (directory, home, head, now);
+      ask_before_end (home, head);
+      load_report_apply (directory, home, head, now);
+      return;
+    }
+  /* A push grants no lease; a part of a list neither. */
+  if (!known || home->n_ready > 0)
+    home->ask_at = now;
+}
+
+static void
+receive (struct directory *directory,
+         struct directory_home *home,
+         struct pack_reader *reader,
+         int64_t now)
+{
+  struct directory_ask_message question;
+  struct directory_head head = { 0 };
+  uint64_t kind = pack_read_uint (reader, DIRECTORY_PUSH_MESSAGE);
+
+  if (kind == DIRECTORY_ASK_MESSAGE && directory_read_ask (reader, &question))
+    {
+      directory_answer (directory, home->name, &question, now);
+      return;
+    }
+  head.kind = (enum directory_message_kind) kind;
+  if ((kind == DIRECTORY_ANSWER_MESSAGE || kind == DIRECTORY_PUSH_MESSAGE)
+      && directory_read_head (reader, &head)
+      && read_changes (directory, home, *reader, &head, false, now))
+    {
+      take_list (directory, home, reader, &head, now);
+      return;
+    }
+  counter_add (directory->malformed, 1);
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_WARNING, "malformed", "{s:s}", "host", home->name);
+}
+
+void
+directory_receive (
+    struct directory *directory, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct directory_home *home = directory_home_of (directory, from);
+  struct pack_reader reader;
+
+  if (home == NULL || home == directory->ours)
+    return;
+  pack_reader_init (&reader, data, length);
+  receive (directory, home, &reader, now);
+}
--- a/src/forward_place.c
+++ b/src/forward_place.c
@@ -53,11 +53,10 @@
   const struct route_stage *stage = &job->route.stages[number];
   struct places places = { .n = 0 };
   uint64_t most = CROSSING_LEAST;
-  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
 
   out[0] = '\0';
   add_results (job, job_through_left_out (job, stage->after), job_pieces (job, number), &places);
-  if ((last & (UINT32_C (1) << number)) != 0 && job->near[0] != '\0')
+  if (job_is_read_by_engine (job, number) && job->near[0] != '\0')
     add_place (&places, job->near, job_pieces (job, number) * stage->result_size);
   for (uint32_t i = 0; i < places.n; i++)
     if (places.at[i].bytes > most)
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -176,6 +176,9 @@
 /* The set of stages, those left out replaced by the ones that they would have needed. */
 uint32_t job_through_left_out (const struct forward_job *job, uint32_t stages);
 
+/* Does the engine fetch this stage's results, and no later stage? */
+bool job_is_read_by_engine (const struct forward_job *job, uint32_t stage);
+
 /* forward_result.c */
 bool job_is_made (const struct forward_job *job, uint32_t stage);
 
--- a/src/forward_result.c
+++ b/src/forward_result.c
@@ -57,8 +57,8 @@
   if (at->state != STAGE_DONE)
     return;
   at->state = STAGE_FREED;
-  work_free_results (job->forward->config.work, at->order.pool, at->order.domain, at->results,
-                     job_pieces (job, stage), now);
+  work_release_results (job->forward->config.work, BATCH_FREE, at->order.pool, at->order.domain,
+                        at->results, job_pieces (job, stage), now);
 }
 
 static uint32_t
@@ -72,14 +72,6 @@
   return users;
 }
 
-static bool
-is_read_by_engine (const struct forward_job *job, uint32_t stage)
-{
-  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
-
-  return (last & (UINT32_C (1) << stage)) != 0;
-}
-
 /* Results whose every user is made are not needed again, unless a later result goes missing, which
  * makes the whole chain anew. */
 void
@@ -89,7 +81,7 @@
     {
       uint32_t users = users_of (job, i);
 
-      if (users != 0 && !is_read_by_engine (job, i) && job_all_made (job, users))
+      if (users != 0 && !job_is_read_by_engine (job, i) && job_all_made (job, users))
         give_back (job, i, now);
     }
 }
@@ -105,11 +97,11 @@
       struct forward_stage *stage = &job->stages[i];
 
       if (stage->state != STAGE_DONE || stage->let_go || !all_fetched (job, users_of (job, i), now)
-          || (is_read_by_engine (job, i) && !engine))
+          || (job_is_read_by_engine (job, i) && !engine))
         continue;
       stage->let_go = true;
-      work_let_go_results (job->forward->config.work, stage->order.pool, stage->order.domain,
-                           stage->results, job_pieces (job, i), now);
+      work_release_results (job->forward->config.work, BATCH_LET_GO, stage->order.pool,
+                            stage->order.domain, stage->results, job_pieces (job, i), now);
     }
 }
 
@@ -129,10 +121,8 @@
 bool
 job_lacks_results (const struct forward_job *job)
 {
-  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
-
   for (uint32_t i = 0; i < job->route.n_stages; i++)
-    if ((last & (UINT32_C (1) << i)) != 0 && job_pieces (job, i) > 0
+    if (job_is_read_by_engine (job, i) && job_pieces (job, i) > 0
         && job->stages[i].state != STAGE_DONE)
       return true;
   return false;
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -108,6 +108,14 @@
   return stages;
 }
 
+bool
+job_is_read_by_engine (const struct forward_job *job, uint32_t stage)
+{
+  uint32_t last = job_through_left_out (job, route_last_stages (&job->route));
+
+  return (last & (UINT32_C (1) << stage)) != 0;
+}
+
 void
 job_write_inputs (const struct forward_job *job, uint32_t stages, struct bytes *out)
 {
--- a/src/member.c
+++ b/src/member.c
@@ -1,4 +1,4 @@
-/* Membership: the view of all hosts, and what is taken into it. */
+/* Membership: the view of all hosts, and what we say of ourselves. */
 #include "member.h"
 #include "log.h"
 #include "member_state.h"
@@ -67,8 +67,8 @@
   return host;
 }
 
-static struct member_host *
-add_host (struct member *member, const char *name, int64_t now)
+struct member_host *
+member_add_host (struct member *member, const char *name, int64_t now)
 {
   struct member_host *host = talloc_zero (member, struct member_host);
   struct board_host *entry;
@@ -133,8 +133,11 @@
   return (int64_t) ((double) USEC_PER_SEC * (2 + log2 (HASH_COUNT (member->hosts) + 1)));
 }
 
-static void
-set_state (struct member *member, struct member_host *host, enum host_state state, int64_t now)
+void
+member_set_state (struct member *member,
+                  struct member_host *host,
+                  enum host_state state,
+                  int64_t now)
 {
   struct board_host *entry = member_board (member, host);
 
@@ -162,185 +165,11 @@
   counter_add (member->suspicions, 1);
   host->local = !told;
   host->accused = told;
-  set_state (member, host, HOST_SUSPECT, now);
+  member_set_state (member, host, HOST_SUSPECT, now);
   if (told)
     member_make_news (member, host, false);
 }
 
-/* ---- what others say ---- */
-
-static unsigned
-rank (enum host_state state)
-{
-  static const unsigned ranks[] = {
-    [HOST_ALIVE] = 0, [HOST_LEAVING] = 0, [HOST_SUSPECT] = 1, [HOST_DEAD] = 2, [HOST_LEFT] = 3,
-  };
-
-  return ranks[state];
-}
-
-/* Words about ourselves.  A suspicion is refuted with a higher sequence; words of a later
- * incarnation are of a process whose clock was ahead of ours, and we go past it. */
-static void
-apply_self (struct member *member, const char *from, const struct member_item *item, int64_t now)
-{
-  struct board_host *entry = member_board (member, member->self);
-  const struct board_host *said = &item->host;
-
-  if (said->incarnation > entry->incarnation)
-    {
-      entry->incarnation = said->incarnation + 1;
-      member->self->sequence = 1;
-      member->vitals.beat = 0;
-      member_make_news (member, member->self, true);
-      board_publish (member->board, BOARD_HOST_CHANGED, member->self->handle, now);
-      return;
-    }
-  if (said->incarnation < entry->incarnation || rank (said->state) == 0
-      || rank (entry->state) >= rank (said->state))
-    return;
-  /* Refuted already, but the news of it did not reach who says this, and has gone its round. */
-  if (item->sequence < member->self->sequence)
-    {
-      member_send_record (member, from, member->self);
-      return;
-    }
-  counter_add (member->refutations, 1);
-  member->self->sequence = item->sequence + 1;
-  member_make_news (member, member->self, false);
-}
-
-static void
-take_record (struct member *member, struct member_host *host, const struct board_host *said)
-{
-  struct board_host *entry = member_board (member, host);
-  bool moved = strcmp (entry->peer_address, said->peer_address) != 0
-               || strcmp (entry->public_key, said->public_key) != 0;
-
-  memcpy (entry->domain, said->domain, sizeof entry->domain);
-  memcpy (entry->region, said->region, sizeof entry->region);
-  memcpy (entry->entry_address, said->entry_address, sizeof entry->entry_address);
-  memcpy (entry->operator_address, said->operator_address, sizeof entry->operator_address);
-  memcpy (entry->target_address, said->target_address, sizeof entry->target_address);
-  memcpy (entry->peer_address, said->peer_address, sizeof entry->peer_address);
-  memcpy (entry->public_key, said->public_key, sizeof entry->public_key);
-  entry->voter = said->voter;
-  if (moved && entry->peer_address[0] != '\0')
-    member->wire->ops->set_address (member->wire, host->name, entry->peer_address,
-                                    entry->public_key);
-}
-
-static bool
-is_news (const struct member *member,
-         const struct member_host *host,
-         const struct member_item *item)
-{
-  const struct board_host *entry = member_board (member, host);
-  const struct board_host *said = &item->host;
-
-  if (said->incarnation != entry->incarnation)
-    return said->incarnation > entry->incarnation;
-  if (item->sequence != host->sequence)
-    return item->sequence > host->sequence;
-  /* What we alone held against the host gives way to anyone who reaches it. */
-  if (host->local && rank (said->state) == 0)
-    return true;
-  return rank (said->state) > rank (entry->state);
-}
-
-/* A record of a host that is new here. */
-static void
-apply_unknown (struct member *member, const char *from, const struct member_item *item, int64_t now)
-{
-  struct member_host *host;
-
-  if (!member_present (item->host.state))
-    return;
-  if (item->form != MEMBER_FORM_RECORD)
-    {
-      member_send (member, from, MEMBER_WANT, 0, item->host.name);
-      return;
-    }
-  host = add_host (member, item->host.name, now);
-  if (host == NULL)
-    return;
-  host->sequence = item->sequence;
-  member_board (member, host)->incarnation = item->host.incarnation;
-  member_board (member, host)->heard_at = now;
-  member_board (member, host)->behind = item->host.behind;
-  member_board (member, host)->cut_off = item->host.cut_off;
-  take_record (member, host, &item->host);
-  board_publish (member->board, BOARD_HOST_ADDED, host->handle, now);
-  set_state (member, host, item->host.state, now);
-  member_make_news (member, host, true);
-}
-
-void
-member_apply (struct member *member, const char *from, const struct member_item *item, int64_t now)
-{
-  struct member_host *host = member_find (member, item->host.name);
-  struct board_host *entry;
-
-  if (host == member->self)
-    {
-      apply_self (member, from, item, now);
-      return;
-    }
-  if (host == NULL)
-    {
-      apply_unknown (member, from, item, now);
-      return;
-    }
-  entry = member_board (member, host);
-  if (!is_news (member, host, item))
-    {
-      /* Who tells us what we know needs no copy from us (Demers et al., Epidemic algorithms, 1987:
-       * feedback). */
-      if (item->sequence == host->sequence && item->host.state == entry->state)
-        host->state_news.sent++;
-      return;
-    }
-  if (item->host.incarnation != entry->incarnation)
-    {
-      /* A restarted process may have other addresses. */
-      if (item->form != MEMBER_FORM_RECORD)
-        {
-          member_send (member, from, MEMBER_WANT, 0, host->name);
-          return;
-        }
-      host->beat = 0;
-      entry->incarnation = item->host.incarnation;
-    }
-  if (item->form == MEMBER_FORM_RECORD)
-    take_record (member, host, &item->host);
-  host->sequence = item->sequence;
-  entry->behind = item->host.behind;
-  entry->cut_off = item->host.cut_off;
-  host->local = false;
-  host->accused = false;
-  set_state (member, host, item->host.state, now);
-  member_make_news (member, host, item->form == MEMBER_FORM_RECORD);
-}
-
-bool
-member_take_vitals (struct member *member, const char *name, const struct member_vitals *vitals)
-{
-  struct member_host *host = member_find (member, name);
-  struct board_host *entry;
-
-  if (host == NULL || host == member->self)
-    return false;
-  entry = member_board (member, host);
-  if (vitals->incarnation != entry->incarnation || vitals->beat <= host->beat)
-    return false;
-  host->beat = vitals->beat;
-  entry->revision = vitals->revision;
-  entry->load = vitals->load_percent / 100.0;
-  if (vitals->revision > member->newest_revision)
-    member->newest_revision = vitals->revision;
-  return true;
-}
-
 /* ---- what we say of ourselves ---- */
 
 static bool
@@ -449,7 +278,7 @@
 
   if (state == HOST_SUSPECT && now >= host->suspect_until)
     {
-      set_state (member, host, HOST_DEAD, now);
+      member_set_state (member, host, HOST_DEAD, now);
       if (host->accused)
         member_make_news (member, host, false);
     }
@@ -496,7 +325,7 @@
 set_own_state (struct member *member, enum host_state state, int64_t now)
 {
   member->self->sequence++;
-  set_state (member, member->self, state, now);
+  member_set_state (member, member->self, state, now);
   member_make_news (member, member->self, false);
   member_tell_all (member);
 }
@@ -526,7 +355,7 @@
 {
   struct board_host *entry;
 
-  member->self = add_host (member, config->self.name, config->now);
+  member->self = member_add_host (member, config->self.name, config->now);
   if (member->self == NULL)
     return false;
   entry = member_board (member, member->self);
--- a/src/member_state.h
+++ b/src/member_state.h
@@ -1,5 +1,6 @@
-/* Membership's own structures, shared by its parts: member.c (the view and what is told of it),
- * member_news.c (what is sent on, and to whom), member_probe.c (who lives). */
+/* Membership's own structures, shared by its parts: member.c (the view),
+ * member_said.c (what others say of it), member_news.c (what is sent on, and to whom),
+ * member_probe.c (who lives). */
 #ifndef MEMBER_STATE_H
 #define MEMBER_STATE_H
 
@@ -108,23 +109,30 @@
 struct board_host *member_board (const struct member *member, const struct member_host *host);
 bool member_present (enum host_state state); /* not dead and not left */
 uint32_t member_count_present (const struct member *member);
-void member_apply (struct member *member,
-                   const char *from,
-                   const struct member_item *item,
-                   int64_t now);
+struct member_host *member_add_host (struct member *member, const char *name, int64_t now);
+void member_set_state (struct member *member,
+                       struct member_host *host,
+                       enum host_state state,
+                       int64_t now);
 
 /* A probe failed.  `told`: a helper lives and did not reach the host either, so it is told to
  * others; else the fault may be ours, and the suspicion stays here. */
 void member_suspect (struct member *member, struct member_host *host, bool told, int64_t now);
 
+/* Bring our own vitals up to date. */
+void member_refresh_vitals (struct member *member, int64_t now);
+
+/* member_said.c */
+void member_apply (struct member *member,
+                   const char *from,
+                   const struct member_item *item,
+                   int64_t now);
+
 /* True when they were newer than what was known. */
 bool member_take_vitals (struct member *member,
                          const char *name,
                          const struct member_vitals *vitals);
 
-/* Bring our own vitals up to date. */
-void member_refresh_vitals (struct member *member, int64_t now);
-
 /* member_news.c */
 void member_send (struct member *member,
                   const char *host,
--- /dev/null
+++ b/src/subscriber_private.h
@@ -0,0 +1,70 @@
+/* What the files of an entry host's view of the rest share. */
+#ifndef SUBSCRIBER_PRIVATE_H
+#define SUBSCRIBER_PRIVATE_H
+
+#include "subscriber.h"
+
+/* Asks that may still be answered: the next one goes out before a slow answer is here. */
+#define ASKS_KEPT 8
+
+struct ask_record
+{
+  uint64_t nonce;
+  int64_t at; /* on the clock that goes on in suspension */
+};
+
+struct known_controller
+{
+  char name[ROUTING_NAME_SIZE];
+  bool seed;
+  uint64_t incarnation;
+  uint64_t targets; /* revisions held */
+  uint64_t hosts;
+  uint64_t last_nonce;
+  struct ask_record asks[ASKS_KEPT]; /* the last ones */
+  int64_t next_ask;
+  int64_t heard;    /* 0: never */
+  int64_t named_at; /* by another controller */
+  bool in_touch;
+  uint32_t n_list;
+  struct sync_host *list; /* entry hosts, as it names them */
+};
+
+struct subscriber
+{
+  struct subscriber_config config;
+  struct peer_listener listener;
+  struct document_listener document_listener;
+  struct timer tick;
+  struct document *document;
+  struct routing *routing;
+  struct registry *registry;
+  struct known_controller controllers[SYNC_CONTROLLERS_MAX];
+  uint32_t n_controllers;
+  struct sync_host self;
+  bool confirmed;
+  bool was_ready;
+  int64_t confirmed_at;
+  int64_t now;
+  int64_t expire_at;
+  struct counter *confirmations;
+  struct counter *malformed;
+  struct counter *age_gauge;
+  struct counter *version_gauge;
+};
+
+/* subscriber.c: the controllers known */
+struct known_controller *subscriber_find_controller (struct subscriber *self, const char *name);
+struct known_controller *subscriber_add_controller (struct subscriber *self,
+                                                    const char *name,
+                                                    int64_t now);
+void subscriber_note_touch (struct known_controller *controller, bool in_touch, int64_t now);
+
+/* subscriber_state.c: what a controller's state brings */
+extern const struct peer_listener_ops subscriber_listener_ops;
+void subscriber_note_ready (struct subscriber *self);
+
+/* The targets whose record changed after that revision, to the listener. */
+void subscriber_tell_changed (struct subscriber *self, uint64_t since, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/subscriber_state.c
@@ -0,0 +1,221 @@
+/* The states that controllers send: targets, entry hosts, controllers, the document, and how new it
+ * is. */
+#include "container.h"
+#include "log.h"
+#include "subscriber_private.h"
+#include "text.h"
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static void
+tell_target (struct subscriber *self, struct registry_target *target, int64_t now)
+{
+  const struct registry_word *word = &target->word;
+
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I}",
+             "id", word->id, "started", (json_int_t) word->started, "pool", word->pool, "address",
+             word->address, "state", registry_state_text (word->state), "sequence",
+             (json_int_t) word->sequence, "expired", target->expired, "age_ms",
+             (json_int_t) ((now - target->heard) / USEC_PER_MSEC));
+  self->config.listener->ops->target (self->config.listener, target, now);
+}
+
+/* What a word of one target did to the others at its address shows in their revisions. */
+void
+subscriber_tell_changed (struct subscriber *self, uint64_t since, int64_t now)
+{
+  struct registry_target *target;
+  struct registry_target *next;
+
+  if (self->registry->revision == since)
+    return;
+  HASH_ITER (hh, self->registry->targets, target, next)
+    {
+      if (target->revision > since)
+        tell_target (self, target, now);
+    }
+}
+
+static void
+read_targets (struct subscriber *self, struct pack_reader *in, int64_t now)
+{
+  uint32_t n = pack_read_array (in, SYNC_TARGETS_MAX);
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct registry_word word;
+      struct registry_target *target;
+      int64_t age;
+
+      if (!registry_read (in, &word, &age))
+        return;
+      registry_merge (self->registry, &word, age, now, &target);
+    }
+}
+
+static void
+take_renewal (struct subscriber *self, const struct sync_renewal *renewal, int64_t now)
+{
+  struct registry_target *target;
+  struct registry_target *next;
+
+  HASH_ITER (hh, self->registry->targets, target, next)
+    {
+      struct registry_word word;
+
+      if (sync_id_hash (target->word.id) != renewal->id_hash)
+        continue;
+      /* Of a start whose whole word is not here yet. */
+      if (renewal->started > target->word.started)
+        return;
+      word = target->word;
+      word.started = renewal->started;
+      word.sequence = renewal->sequence;
+      registry_merge (self->registry, &word, (int64_t) renewal->age, now, &target);
+      return;
+    }
+}
+
+static void
+read_renewals (struct subscriber *self, struct pack_reader *in, int64_t now)
+{
+  uint32_t n = pack_read_array (in, SYNC_TARGETS_MAX);
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      struct sync_renewal renewal;
+
+      if (!sync_read_renewal (in, &renewal))
+        return;
+      take_renewal (self, &renewal, now);
+    }
+}
+
+static void
+read_hosts (struct subscriber *self, struct known_controller *controller, struct pack_reader *in)
+{
+  uint32_t n = pack_read_array (in, SYNC_HOSTS_MAX);
+  struct sync_host *list = talloc_zero_array (self, struct sync_host, n == 0 ? 1 : n);
+
+  for (uint32_t i = 0; i < n && list != NULL; i++)
+    sync_read_host (in, &list[i]);
+  if (list == NULL || !pack_read_ok (in))
+    {
+      talloc_free (list);
+      return;
+    }
+  talloc_free (controller->list);
+  controller->list = list;
+  controller->n_list = n;
+}
+
+static void
+read_controllers (struct subscriber *self, struct pack_reader *in, int64_t now)
+{
+  uint32_t n = pack_read_array (in, SYNC_CONTROLLERS_MAX);
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      char name[ROUTING_NAME_SIZE];
+      struct known_controller *controller;
+
+      pack_read_text (in, name, sizeof name);
+      if (!pack_read_ok (in))
+        return;
+      controller = subscriber_add_controller (self, name, now);
+      if (controller != NULL)
+        controller->named_at = now;
+    }
+}
+
+/* A confirmation counts from when its question was asked: one that was held up grants nothing. */
+static void
+take_confirmation (struct subscriber *self,
+                   const struct known_controller *controller,
+                   const struct sync_state *state)
+{
+  const struct ask_record *ask = &controller->asks[state->nonce % ASKS_KEPT];
+
+  if (!state->confirmed || state->nonce == 0 || state->nonce != ask->nonce
+      || document_version (self->document) < state->document)
+    return;
+  counter_add (self->confirmations, 1);
+  if (!self->confirmed || ask->at > self->confirmed_at)
+    self->confirmed_at = ask->at;
+  self->confirmed = true;
+}
+
+void
+subscriber_note_ready (struct subscriber *self)
+{
+  bool ready = subscriber_ready (self);
+
+  if (ready == self->was_ready)
+    return;
+  self->was_ready = ready;
+  log_event (LOG_MODULE_HOST, LOG_LEVEL_INFO, ready ? "ready" : "not-ready", "{s:b,s:I,s:I}",
+             "confirmed", self->confirmed, "age_ms",
+             (json_int_t) (self->confirmed ? subscriber_age (self) / USEC_PER_MSEC : -1), "version",
+             (json_int_t) document_version (self->document));
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    self->controllers[i].next_ask = 0;
+}
+
+static void
+got_state (struct subscriber *self,
+           struct known_controller *controller,
+           struct pack_reader *in,
+           int64_t now)
+{
+  uint64_t revision = self->registry->revision;
+  struct sync_state state;
+  const void *text = NULL;
+  size_t length = 0;
+
+  if (!sync_read_state (in, &state))
+    return;
+  if (state.has_document)
+    text = pack_read_binary (in, SYNC_DOCUMENT_MAX, &length);
+  if (!pack_read_ok (in))
+    return;
+  controller->heard = now;
+  subscriber_note_touch (controller, true, now);
+  if (text != NULL)
+    document_take (self->document, state.document, text, length);
+  read_targets (self, in, now);
+  read_renewals (self, in, now);
+  if (state.has_hosts && pack_read_ok (in))
+    read_hosts (self, controller, in);
+  if (pack_read_ok (in))
+    read_controllers (self, in, now);
+  subscriber_tell_changed (self, revision, now);
+  if (!pack_read_end (in))
+    {
+      counter_add (self->malformed, 1);
+      return;
+    }
+  controller->incarnation = state.controller;
+  controller->targets = state.targets;
+  controller->hosts = state.hosts;
+  take_confirmation (self, controller, &state);
+  subscriber_note_ready (self);
+}
+
+static void
+received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct subscriber *self = CONTAINER_OF (listener, struct subscriber, listener);
+  struct known_controller *controller = subscriber_find_controller (self, from);
+  struct pack_reader in;
+  enum sync_message type;
+
+  self->now = now;
+  pack_reader_init (&in, data, length);
+  if (controller != NULL && sync_read_type (&in, &type) && type == SYNC_STATE)
+    got_state (self, controller, &in, now);
+}
+
+const struct peer_listener_ops subscriber_listener_ops = { .received = received };
--- a/src/target_api.c
+++ b/src/target_api.c
@@ -1,6 +1,7 @@
-/* The targets' calls: JSON bodies checked field by field, then the directory. */
+/* The targets' calls: what a body says (target_body.c) goes to the directory. */
 #include "target_api.h"
 #include "rng.h"
+#include "target_body.h"
 #include "text.h"
 #include <jansson.h>
 #include <stdlib.h>
@@ -8,7 +9,6 @@
 #include <talloc.h>
 
 #define OTHER_HOSTS_MAX 8
-#define CACHE_EVENTS_MAX 4096
 
 struct target_api
 {
@@ -19,183 +19,6 @@
   struct rng rng;
 };
 
-/* What was wrong with a body. */
-struct fault
-{
-  const char *field;
-  const char *message;
-};
-
-/* ---- reading ---- */
-
-/* Nesting at most `limit`: checked before the parser, whose own limit is far above ours. */
-static bool
-depth_within (const char *text, size_t length, uint32_t limit)
-{
-  uint32_t depth = 0;
-  bool quoted = false;
-
-  for (size_t i = 0; i < length; i++)
-    {
-      if (quoted && text[i] == '\\')
-        i++;
-      else if (text[i] == '"')
-        quoted = !quoted;
-      else if (!quoted && (text[i] == '{' || text[i] == '[') && ++depth > limit)
-        return false;
-      else if (!quoted && (text[i] == '}' || text[i] == ']') && depth > 0)
-        depth--;
-    }
-  return true;
-}
-
-static bool
-fail (struct fault *fault, const char *field, const char *message)
-{
-  /* The first fault is told. */
-  if (fault->message == NULL)
-    *fault = (struct fault){ .field = field, .message = message };
-  return false;
-}
-
-static bool
-name_is_valid (const char *text)
-{
-  static const char allowed[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.";
-
-  return text[0] != '\0' && strlen (text) < RESOURCE_NAME_SIZE
-         && text[strspn (text, allowed)] == '\0';
-}
-
-static bool
-copy_name (const json_t *value, char out[RESOURCE_NAME_SIZE])
-{
-  const char *text = json_string_value (value);
-
-  return text != NULL && name_is_valid (text) && text_copy (out, RESOURCE_NAME_SIZE, text);
-}
-
-static bool
-read_name (const json_t *body, const char *field, char out[RESOURCE_NAME_SIZE], struct fault *fault)
-{
-  if (copy_name (json_object_get (body, field), out))
-    return true;
-  return fail (fault, field, "expected a name of 1 to 63 letters, digits, '-' and '.'");
-}
-
-static bool
-read_address (const json_t *body, char out[RESOURCE_ADDRESS_SIZE], struct fault *fault)
-{
-  const char *text = json_string_value (json_object_get (body, "address"));
-
-  /* XXX: only the form is checked; that it is an IP number shows when we connect. */
-  if (text != NULL && strchr (text, ':') != NULL
-      && strspn (text, "0123456789abcdefABCDEF.:[]") == strlen (text)
-      && text_copy (out, RESOURCE_ADDRESS_SIZE, text))
-    return true;
-  return fail (fault, "address", "expected \"ip:port\"");
-}
-
-static bool
-read_number (
-    const json_t *body, const char *field, uint64_t max, uint64_t *out, struct fault *fault)
-{
-  const json_t *value = json_object_get (body, field);
-  json_int_t number = json_integer_value (value);
-
-  if (!json_is_integer (value) || number < 0 || (uint64_t) number > max)
-    return fail (fault, field, "expected a whole number in range");
-  *out = (uint64_t) number;
-  return true;
-}
-
-static bool
-read_flag (const json_t *body, const char *field, bool *out, struct fault *fault)
-{
-  const json_t *value = json_object_get (body, field);
-
-  if (value != NULL && !json_is_boolean (value))
-    return fail (fault, field, "expected true or false");
-  *out = json_is_true (value);
-  return true;
-}
-
-static bool
-read_names (const json_t *body,
-            const char *field,
-            char out[][RESOURCE_NAME_SIZE],
-            uint32_t *count,
-            struct fault *fault)
-{
-  const json_t *list = json_object_get (body, field);
-
-  *count = 0;
-  if (list == NULL)
-    return true;
-  if (!json_is_array (list) || json_array_size (list) > BOARD_MODELS_MAX)
-    return fail (fault, field, "expected a list of at most 8 names");
-  for (size_t i = 0; i < json_array_size (list); i++)
-    if (!copy_name (json_array_get (list, i), out[i]))
-      return fail (fault, field, "expected a list of names");
-  *count = (uint32_t) json_array_size (list);
-  return true;
-}
-
-static bool
-read_kind (const json_t *body, enum stage_kind *out, struct fault *fault)
-{
-  static const char *const kinds[] = {
-#define X(name, text) [STAGE_##name] = text,
-    STAGE_KIND_LIST (X)
-#undef X
-  };
-  const char *text = json_string_value (json_object_get (body, "kind"));
-
-  for (unsigned i = 0; text != NULL && i < STAGE_KIND_COUNT; i++)
-    if (strcmp (text, kinds[i]) == 0)
-      {
-        *out = (enum stage_kind) i;
-        return true;
-      }
-  return fail (fault, "kind", "expected encode, retrieve, rerank, generate or call");
-}
-
-static bool
-read_record (const json_t *body, struct directory_record *out, struct fault *fault)
-{
-  uint64_t slots = 0;
-  const char *version = json_string_value (json_object_get (body, "version"));
-
-  memset (out, 0, sizeof *out);
-  if (version != NULL && !text_copy (out->version, sizeof out->version, version))
-    return fail (fault, "version", "expected at most 63 bytes");
-  if (json_object_get (body, "slots") != NULL && !read_number (body, "slots", 65535, &slots, fault))
-    return false;
-  out->slots = (uint32_t) slots;
-  return read_name (body, "name", out->name, fault) && read_name (body, "pool", out->pool, fault)
-         && read_name (body, "domain", out->domain, fault) && read_kind (body, &out->kind, fault)
-         && read_address (body, out->address, fault)
-         && read_names (body, "models", out->models, &out->n_models, fault)
-         && read_names (body, "adapters", out->adapters, &out->n_adapters, fault)
-         && read_flag (body, "checks_orders", &out->checks_orders, fault)
-         && read_flag (body, "reports_load", &out->reports_load, fault)
-         && read_number (body, "incarnation", INT64_MAX, &out->incarnation, fault)
-         && read_number (body, "sequence", INT64_MAX, &out->sequence, fault);
-}
-
-static bool
-read_key (const json_t *body,
-          bool with_sequence,
-          char name[RESOURCE_NAME_SIZE],
-          struct directory_key *out,
-          struct fault *fault)
-{
-  *out = (struct directory_key){ .name = name };
-  return read_name (body, "name", name, fault)
-         && read_number (body, "incarnation", INT64_MAX, &out->incarnation, fault)
-         && (!with_sequence || read_number (body, "sequence", INT64_MAX, &out->sequence, fault));
-}
-
 /* ---- answering ---- */
 
 static void
@@ -273,7 +96,7 @@
 }
 
 static void
-reply_fault (struct http_exchange *exchange, const struct fault *fault)
+reply_fault (struct http_exchange *exchange, const struct target_fault *fault)
 {
   http_reply_error (exchange, 400, fault->field, fault->message);
 }
@@ -293,10 +116,10 @@
 announce (struct target_api *api, struct http_exchange *exchange, const json_t *body, int64_t now)
 {
   struct directory_record said;
-  struct fault fault = { 0 };
+  struct target_fault fault = { 0 };
   enum status status;
 
-  if (!read_record (body, &said, &fault))
+  if (!target_body_read_record (body, &said, &fault))
     {
       reply_fault (exchange, &fault);
       return;
@@ -318,10 +141,10 @@
 {
   char name[RESOURCE_NAME_SIZE];
   struct directory_key key;
-  struct fault fault = { 0 };
+  struct target_fault fault = { 0 };
   enum status status;
 
-  if (!read_key (body, true, name, &key, &fault))
+  if (!target_body_read_key (body, true, name, &key, &fault))
     {
       reply_fault (exchange, &fault);
       return;
@@ -341,9 +164,9 @@
 {
   char name[RESOURCE_NAME_SIZE];
   struct directory_key key;
-  struct fault fault = { 0 };
+  struct target_fault fault = { 0 };
 
-  if (!read_key (body, true, name, &key, &fault))
+  if (!target_body_read_key (body, true, name, &key, &fault))
     {
       reply_fault (exchange, &fault);
       return;
@@ -356,17 +179,17 @@
 {
   char name[RESOURCE_NAME_SIZE];
   struct directory_key key;
-  struct fault fault = { 0 };
+  struct target_fault fault = { 0 };
   uint64_t age = 0;
   uint64_t running = 0;
   uint64_t waiting = 0;
   const json_t *kv_used = json_object_get (body, "kv_used");
   struct load_report report;
 
-  if (!read_key (body, false, name, &key, &fault)
-      || !read_number (body, "age_ms", 3600000, &age, &fault)
-      || !read_number (body, "running", UINT32_MAX, &running, &fault)
-      || !read_number (body, "waiting", UINT32_MAX, &waiting, &fault))
+  if (!target_body_read_key (body, false, name, &key, &fault)
+      || !target_body_read_number (body, "age_ms", 3600000, &age, &fault)
+      || !target_body_read_number (body, "running", UINT32_MAX, &running, &fault)
+      || !target_body_read_number (body, "waiting", UINT32_MAX, &waiting, &fault))
     {
       reply_fault (exchange, &fault);
       return;
@@ -387,59 +210,20 @@
   reply_done (exchange, directory_load (api->directory, &key, &report, now));
 }
 
-static bool
-read_event (const json_t *from, struct directory_cache_event *out)
-{
-  const char *block = json_string_value (json_object_get (from, "block"));
-  const json_t *stored = json_object_get (from, "stored");
-
-  if (block == NULL || strlen (block) != 16 || strspn (block, "0123456789abcdefABCDEF") != 16
-      || !json_is_boolean (stored))
-    return false;
-  out->block = strtoull (block, NULL, 16);
-  out->stored = json_is_true (stored);
-  return true;
-}
-
-static struct directory_cache_event *
-read_events (void *parent, const json_t *body, size_t *count, struct fault *fault)
-{
-  const json_t *list = json_object_get (body, "events");
-  struct directory_cache_event *events;
-
-  *count = json_array_size (list);
-  if (!json_is_array (list) || *count > CACHE_EVENTS_MAX)
-    {
-      fail (fault, "events", "expected a list of at most 4096 events");
-      return NULL;
-    }
-  events = talloc_array (parent, struct directory_cache_event, *count + 1);
-  for (size_t i = 0; events != NULL && i < *count; i++)
-    if (!read_event (json_array_get (list, i), &events[i]))
-      {
-        fail (fault, "events", "expected {\"block\": 16 hex digits, \"stored\": BOOL}");
-        talloc_free (events);
-        return NULL;
-      }
-  if (events == NULL)
-    fail (fault, "events", "out of memory");
-  return events;
-}
-
 static void
 cache (struct target_api *api, struct http_exchange *exchange, const json_t *body, int64_t now)
 {
   char name[RESOURCE_NAME_SIZE];
   struct directory_key key;
   struct directory_cache_event *events = NULL;
-  struct fault fault = { 0 };
+  struct target_fault fault = { 0 };
   uint64_t first = 0;
   size_t count = 0;
   enum status status;
 
-  if (!read_key (body, false, name, &key, &fault)
-      || !read_number (body, "first", INT64_MAX, &first, &fault)
-      || (events = read_events (api, body, &count, &fault)) == NULL)
+  if (!target_body_read_key (body, false, name, &key, &fault)
+      || !target_body_read_number (body, "first", INT64_MAX, &first, &fault)
+      || (events = target_body_read_events (api, body, &count, &fault)) == NULL)
     {
       reply_fault (exchange, &fault);
       return;
@@ -468,7 +252,7 @@
   json_error_t error;
   json_t *body;
 
-  if (!depth_within (exchange->body, exchange->body_length, api->json_depth))
+  if (!target_body_depth_within (exchange->body, exchange->body_length, api->json_depth))
     {
       http_reply_error (exchange, 400, NULL, "nested too deeply");
       return;
--- /dev/null
+++ b/src/target_body.h
@@ -0,0 +1,45 @@
+/* JSON bodies of the targets' calls, as the types of the directory. */
+#ifndef TARGET_BODY_H
+#define TARGET_BODY_H
+
+#include "decls.h"
+#include "directory.h"
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+BEGIN_DECLS
+
+/* What was wrong with a body. */
+struct target_fault
+{
+  const char *field;
+  const char *message;
+};
+
+/* Is the text nested no deeper than this?  Asked before it is parsed, which recurses. */
+bool target_body_depth_within (const char *text, size_t length, uint32_t limit);
+
+/* Each read is false, or NULL, with `fault` filled, for a body that is not one of the call's. */
+bool target_body_read_number (
+    const json_t *body, const char *field, uint64_t max, uint64_t *out, struct target_fault *fault);
+
+bool target_body_read_record (const json_t *body,
+                              struct directory_record *out,
+                              struct target_fault *fault);
+
+bool target_body_read_key (const json_t *body,
+                           bool with_sequence,
+                           char name[RESOURCE_NAME_SIZE],
+                           struct directory_key *out,
+                           struct target_fault *fault);
+
+struct directory_cache_event *target_body_read_events (void *parent,
+                                                       const json_t *body,
+                                                       size_t *count,
+                                                       struct target_fault *fault);
+
+END_DECLS
+
+#endif
--- a/src/work.c
+++ b/src/work.c
@@ -269,17 +269,17 @@
 }
 
 static void
-send_results (struct work *work,
-              enum work_message type,
-              const char *owner,
-              const char *pool,
-              const char *domain,
-              const struct stage_result *results,
-              uint32_t n)
+release_at_owner (struct work *work,
+                  const char *owner,
+                  enum batch_release how,
+                  const char *pool,
+                  const char *domain,
+                  const struct stage_result *results,
+                  uint32_t n)
 {
   struct bytes out;
 
-  work_message_begin (type, &out);
+  work_message_begin (how == BATCH_FREE ? WORK_FREE : WORK_LET_GO, &out);
   pack_text (&out, pool);
   pack_text (&out, domain);
   pack_array (&out, n);
@@ -289,41 +289,23 @@
 }
 
 void
-work_free_results (struct work *work,
-                   const char *pool,
-                   const char *domain,
-                   const struct stage_result *results,
-                   uint32_t n,
-                   int64_t now)
+work_release_results (struct work *work,
+                      enum batch_release how,
+                      const char *pool,
+                      const char *domain,
+                      const struct stage_result *results,
+                      uint32_t n,
+                      int64_t now)
 {
   const char *owner = work_owner_of (work, pool, domain, now);
 
   if (strcmp (owner, work->config.name) != 0)
     {
-      send_results (work, WORK_FREE, owner, pool, domain, results, n);
+      release_at_owner (work, owner, how, pool, domain, results, n);
       return;
     }
   for (uint32_t i = 0; i < n; i++)
-    batch_free_result (work->config.batch, pool, domain, &results[i], now);
-}
-
-void
-work_let_go_results (struct work *work,
-                     const char *pool,
-                     const char *domain,
-                     const struct stage_result *results,
-                     uint32_t n,
-                     int64_t now)
-{
-  const char *owner = work_owner_of (work, pool, domain, now);
-
-  if (strcmp (owner, work->config.name) != 0)
-    {
-      send_results (work, WORK_LET_GO, owner, pool, domain, results, n);
-      return;
-    }
-  for (uint32_t i = 0; i < n; i++)
-    batch_let_go_result (work->config.batch, pool, domain, &results[i], now);
+    batch_release_result (work->config.batch, how, pool, domain, &results[i], now);
 }
 
 /* What an owner answers to an order. */
@@ -371,7 +353,8 @@
   if (order == NULL || order->local != NULL)
     {
       if (answer.n > 0)
-        send_results (work, WORK_FREE, from, answer.pool, answer.domain, answer.results, answer.n);
+        release_at_owner (work, from, BATCH_FREE, answer.pool, answer.domain, answer.results,
+                          answer.n);
       return;
     }
   if ((answer.end != PIECE_DONE && strcmp (from, order->owner) != 0)
@@ -418,9 +401,9 @@
   else if (type == WORK_CANCEL)
     work_remote_cancel (work, &in, from, now);
   else if (type == WORK_FREE)
-    work_remote_results (work, &in, batch_free_result, now);
+    work_remote_release (work, &in, BATCH_FREE, now);
   else if (type == WORK_LET_GO)
-    work_remote_results (work, &in, batch_let_go_result, now);
+    work_remote_release (work, &in, BATCH_LET_GO, now);
   else if (type == WORK_PING)
     work_message_send_short (work, from, WORK_PONG);
 }
--- a/src/work.h
+++ b/src/work.h
@@ -116,22 +116,14 @@
  * owner told; 0 where none did. */
 int64_t work_usual_wait (const struct work *work, const char *pool, int64_t now);
 
-/* Results were fetched by all who read them: they may be dropped where room is short, and are still
- * to be freed. */
-void work_let_go_results (struct work *work,
-                          const char *pool,
-                          const char *domain,
-                          const struct stage_result *results,
-                          uint32_t n,
-                          int64_t now);
-
-/* Results are no longer needed. */
-void work_free_results (struct work *work,
-                        const char *pool,
-                        const char *domain,
-                        const struct stage_result *results,
-                        uint32_t n,
-                        int64_t now);
+/* Results were fetched by all who read them, or are no longer needed. */
+void work_release_results (struct work *work,
+                           enum batch_release how,
+                           const char *pool,
+                           const char *domain,
+                           const struct stage_result *results,
+                           uint32_t n,
+                           int64_t now);
 
 END_DECLS
 
--- a/src/work_private.h
+++ b/src/work_private.h
@@ -107,15 +107,10 @@
 
 void work_remote_cancel (struct work *work, struct pack_reader *in, const char *from, int64_t now);
 
-/* Results that another host has done with: `take` is batch_free_result() or batch_let_go_result().
- */
-void work_remote_results (struct work *work,
+/* Results that another host has done with. */
+void work_remote_release (struct work *work,
                           struct pack_reader *in,
-                          void (*take) (struct batch *batch,
-                                        const char *pool,
-                                        const char *domain,
-                                        const struct stage_result *result,
-                                        int64_t now),
+                          enum batch_release how,
                           int64_t now);
 
 #endif
--- a/src/work_remote.c
+++ b/src/work_remote.c
@@ -100,14 +100,7 @@
 }
 
 void
-work_remote_results (struct work *work,
-                     struct pack_reader *in,
-                     void (*take) (struct batch *batch,
-                                   const char *pool,
-                                   const char *domain,
-                                   const struct stage_result *result,
-                                   int64_t now),
-                     int64_t now)
+work_remote_release (struct work *work, struct pack_reader *in, enum batch_release how, int64_t now)
 {
   char pool[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE];
@@ -122,6 +115,6 @@
 
       if (!work_message_read_result (in, &result))
         return;
-      take (work->config.batch, pool, domain, &result, now);
+      batch_release_result (work->config.batch, how, pool, domain, &result, now);
     }
 }
