Split the policy driver's faults and the flow's fakes from what uses them

Cause: bench/policy_run.c played a script of faults beside the run, tests/flow_harness.h held three fakes beside the world, and the batch tests released results in five equal loops.

Ruled out: cmd_slopes.c (one program, its experiments share all they measure with).

--- a/bench/policy.h
+++ b/bench/policy.h
@@ -240,6 +240,9 @@
                                          int64_t now,
                                          struct decide_choice *out);
 
+/* policy_fault.c: first at a third of the length, then as it arms itself */
+extern const struct timer_ops policy_fault_ops;
+
 /* policy_run.c */
 struct policy_result policy_play (const struct policy_config *config);
 
