Name every entry host to somebody where a list cannot name all

Cause: a list names 64 entry hosts at most, and each controller named the first 64 that had asked it, the same to all clients. On sites with more (87 and 191) the others got no client, and each controller had other ones. Found by reading.

Hosts of the client's own failure domain are named first, the rest in an order hashed from that domain; all controllers give the same list, so that clients keep their connections. Ruled out: a random place to start from (clients give up connections to hosts that a new list lacks, each second). On virtual lists of 100 hosts in 4 domains 100 are named to somebody, where it was 64.

--- a/src/controller.c
+++ b/src/controller.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 #define TICK_PERIOD (250 * USEC_PER_MSEC)
 
@@ -173,20 +174,56 @@
   ask_quorum (controller, now);
 }
 
+/* An entry host in the order of a list. */
+struct listed
+{
+  const struct sync_host *host;
+  bool elsewhere;
+  uint64_t rank;
+};
+
+static int
+compare_listed (const void *a, const void *b)
+{
+  const struct listed *left = a;
+  const struct listed *right = b;
+
+  if (left->elsewhere != right->elsewhere)
+    return left->elsewhere ? 1 : -1;
+  if (left->rank != right->rank)
+    return left->rank < right->rank ? -1 : 1;
+  return strcmp (left->host->name, right->host->name);
+}
+
 uint32_t
 controller_entries (const struct controller *controller,
+                    const char *domain,
+                    uint32_t most,
                     const struct sync_host *out[SYNC_HOSTS_MAX],
                     int64_t now)
 {
+  uint64_t seed = XXH3_64bits (domain, strlen (domain));
+  struct listed listed[SYNC_HOSTS_MAX];
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     {
       const struct fed_host *host = &controller->hosts[i];
+      const char *name = host->self.name;
 
-      if (controller_host_lives (host, now) && host->self.ready && !host->self.leaving)
-        out[n++] = &host->self;
+      if (!controller_host_lives (host, now) || !host->self.ready || host->self.leaving)
+        continue;
+      listed[n++] = (struct listed){
+        .host = &host->self,
+        .elsewhere = strcmp (host->self.domain, domain) != 0,
+        .rank = XXH3_64bits_withSeed (name, strlen (name), seed),
+      };
     }
+  qsort (listed, n, sizeof listed[0], compare_listed);
+  if (n > most)
+    n = most;
+  for (uint32_t i = 0; i < n; i++)
+    out[i] = listed[i].host;
   return n;
 }
 
--- a/src/controller.h
+++ b/src/controller.h
@@ -93,8 +93,17 @@
                             int64_t now);
 void controller_withdraw (struct controller *controller, struct controller_wait *wait);
 
-/* The entry hosts that clients may use now; the count. */
+/* The entry hosts that clients of a failure domain ("" for any) may use now, `most` at most; the
+ * count.
+ *
+ * Load pattern: more entry hosts than a list may name.  Were the first ones named to all, the
+ * others would get nothing and those all the load.  Hosts of the clients' own domain go first, so
+ * that each is named to somebody, and the rest in an order that differs from domain to domain.  It
+ * is the same at all controllers and at all times: a client that was named other hosts at each
+ * question would give up its connections each time. */
 uint32_t controller_entries (const struct controller *controller,
+                             const char *domain,
+                             uint32_t most,
                              const struct sync_host *out[SYNC_HOSTS_MAX],
                              int64_t now);
 
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -2,6 +2,7 @@
 #include "controller.h"
 #include "document.h"
 #include "sync_harness.h"
+#include <cstring>
 #include <gtest/gtest.h>
 #include <talloc.h>
 
@@ -115,7 +116,11 @@
   }
 
   void
-  ask (const char *host, uint64_t nonce, uint64_t version = 0, bool leaving = false)
+  ask (const char *host,
+       uint64_t nonce,
+       uint64_t version = 0,
+       bool leaving = false,
+       const char *domain = "a")
   {
     struct sync_ask question = {};
     struct bytes message;
@@ -124,6 +129,7 @@
     question.document = version;
     snprintf (question.self.name, sizeof question.self.name, "%s", host);
     snprintf (question.self.address, sizeof question.self.address, "%s-clients", host);
+    snprintf (question.self.domain, sizeof question.self.domain, "%s", domain);
     question.self.ready = true;
     question.self.leaving = leaving;
     bytes_init (&message, nullptr);
@@ -324,12 +330,39 @@
 
   ask ("e1", 11);
   ask ("e2", 21);
-  EXPECT_EQ (controller_entries (controller, out, now), 2u);
+  EXPECT_EQ (controller_entries (controller, "a", 64, out, now), 2u);
   ask ("e2", 22, 0, true);
-  ASSERT_EQ (controller_entries (controller, out, now), 1u);
+  ASSERT_EQ (controller_entries (controller, "a", 64, out, now), 1u);
   EXPECT_STREQ (out[0]->address, "e1-clients");
   now += CONTROLLER_HOST_LEASE + 1;
-  EXPECT_EQ (controller_entries (controller, out, now), 0u);
+  EXPECT_EQ (controller_entries (controller, "a", 64, out, now), 0u);
+}
+
+// There are more entry hosts than a list may name.  With the first 64 named to everybody a third of
+// the hosts would get no client, and the rest half as many again.
+TEST_F (ControllerTest, NamesEachEntryHostToSomeDomain)
+{
+  const struct sync_host *out[SYNC_HOSTS_MAX];
+  const struct sync_host *again[SYNC_HOSTS_MAX];
+  std::map<std::string, int> named;
+
+  for (int i = 0; i < 100; i++)
+    {
+      std::string domain (1, static_cast<char> ('a' + i % 4));
+
+      ask (("e" + std::to_string (i)).c_str (), 11, 0, false, domain.c_str ());
+    }
+  for (const char *domain : { "a", "b", "c", "d" })
+    {
+      ASSERT_EQ (controller_entries (controller, domain, 64, out, now), 64u);
+      for (int i = 0; i < 25; i++)
+        EXPECT_STREQ (out[i]->domain, domain);
+      for (int i = 0; i < 64; i++)
+        named[out[i]->name]++;
+      ASSERT_EQ (controller_entries (controller, domain, 64, again, now), 64u);
+      EXPECT_EQ (memcmp (out, again, 64 * sizeof out[0]), 0);
+    }
+  EXPECT_EQ (named.size (), 100u);
 }
 
 // ---- the document ----
