Spare slow stage targets no longer

The fastest idle target is still chosen first, and a call that takes too long is still given up. Two constants, a function and a field go.

--- a/src/batch.h
+++ b/src/batch.h
@@ -18,11 +18,6 @@
 #define BATCH_OVERDUE_FACTOR 2.0
 #define BATCH_OVERDUE_MORE (150 * USEC_PER_MSEC)
 
-/* A target this many times slower than expected gets only pieces that it makes in time, or that are
- * late anyway, but for one call in so long, which shows whether it is slow still. */
-#define BATCH_SLOW 1.6
-#define BATCH_PROBE_PERIOD (1500 * USEC_PER_MSEC)
-
 /* While orders wait or results lie at targets, what may be sent is looked for and what nobody needs
  * is freed this often: room for results is what binds a pool in a burst. */
 #define BATCH_LOOK_PERIOD (20 * USEC_PER_MSEC)
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -299,7 +299,6 @@
     }
   balance_started (call->at);
   target->calls++;
-  target->called_at = now;
   target->used += call->size;
   counter_add (batch->calls, 1);
   counter_add (batch->pieces, n);
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -38,7 +38,6 @@
   uint64_t used;   /* bytes of results, those of running calls included */
   double slowness; /* actual over expected time of its calls, smoothed */
   int64_t paused_until;
-  int64_t called_at; /* the last call's start */
   struct batch_result *results;
   struct batch_target *next;
 };
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -200,30 +200,6 @@
   return false;
 }
 
-/* Would this slow target make an order late that another can make in time? */
-static bool
-is_too_slow (const struct batch_pool *pool,
-             const struct batch_target *target,
-             const struct batch_order *order,
-             int64_t now)
-{
-  double takes = target->slowness * (double) batch_expected (pool, pool->spec.pieces / 2);
-
-  return target->slowness > BATCH_SLOW && now - target->called_at < BATCH_PROBE_PERIOD
-         && now + (int64_t) takes > order->due && !batch_is_late (pool, order, now);
-}
-
-static bool
-may_go_to (const struct batch_pool *pool,
-           const struct batch_order *order,
-           const struct batch_target *target,
-           int64_t now)
-{
-  if (is_too_slow (pool, target, order, now))
-    return false;
-  return is_near (order, target) || !waits_for_near (pool, order, now);
-}
-
 static bool
 fits (const struct batch_pool *pool,
       const struct outlook *outlook,
@@ -234,7 +210,7 @@
 {
   return has_room (pool, outlook, target, order, draft, 1) && may_begin (pool, outlook, order)
          && !would_split (pool, outlook, target, order, draft)
-         && may_go_to (pool, order, target, now);
+         && (is_near (order, target) || !waits_for_near (pool, order, now));
 }
 
 /* The idle target to be given work next: the fastest for which there is an order, one that is near
