End a host's drain only when no caller comes any more

Logs kept of two: the refusing began 512 ms after the signal, was idle at once, the port closed, and the process ended 20 ms later; the cut request came in these 20 ms, from a caller whose list had just ended and who was asking for a new one. "Nothing in flight" was true between two such requests, which are refused at once and so never in flight when looked at.

Ruled out: a request cut that was in flight (log_unfinished was 0, exit code 0), a list kept for longer than it may be by the caller's clock (up to one request late, as callers ask while they send).

Change: the drain goes on refusing until no connection or request of callers came for 250 ms, at most 2 s; connections that wait to be taken when the port closes are taken, and the end waits for the requests that came with them. The replayer says which answer was cut first.

--- a/bench/replay.c
+++ b/bench/replay.c
@@ -243,6 +243,9 @@
   request->replay->result->cuts++;
   snprintf (why, sizeof why, "the answer of %s was cut %" PRId64 " ms after the request was due",
             request->address, (now - request->at) / USEC_PER_MSEC);
+  if (request->replay->result->cuts == 1)
+    snprintf (request->replay->result->first_cut, sizeof request->replay->result->first_cut,
+              "%s, try %u: %s", request->trace->id, request->record->tries, why);
   resend_or_end (request, REPLAY_NO_ANSWER, RESEND_PAUSE, now, why);
 }
 
--- a/bench/replay.h
+++ b/bench/replay.h
@@ -70,6 +70,7 @@
   uint32_t outcomes[REPLAY_OUTCOME_COUNT];
   uint32_t resends;
   uint32_t cuts;
+  char first_cut[256]; /* which answer, and when, for people */
   struct replay_stage stages[RESOURCE_STAGES_MAX];
   uint32_t n_stages;
 };
--- a/src/drain.c
+++ b/src/drain.c
@@ -54,6 +54,13 @@
                             unfinished == 0 ? DRAIN_EXIT_WHOLE : DRAIN_EXIT_UNFINISHED, now);
 }
 
+static bool
+is_quiet (const struct drain *drain, int64_t now)
+{
+  return now - drain->actions->ops->last_arrival (drain->actions) >= DRAIN_QUIET
+         || now - drain->state_at >= DRAIN_QUIET_WAIT_MAX;
+}
+
 /* One step forward if its time has come; true when there may be another. */
 static bool
 step (struct drain *drain, int64_t now)
@@ -69,13 +76,14 @@
       enter (drain, DRAIN_REFUSING, now);
       return true;
     case DRAIN_REFUSING:
-      if (!ops->idle (drain->actions))
+      if (!ops->idle (drain->actions) || !is_quiet (drain, now))
         return false;
       ops->hand_over (drain->actions, now);
       enter (drain, DRAIN_HANDING_OVER, now);
-      return true;
+      return false; /* what came with the last connections is read first */
     case DRAIN_HANDING_OVER:
-      if (ops->handed_over (drain->actions, now) || now - drain->state_at >= DRAIN_HAND_OVER_MAX)
+      if ((ops->handed_over (drain->actions, now) && ops->idle (drain->actions))
+          || now - drain->state_at >= DRAIN_HAND_OVER_MAX)
         end (drain, now);
       return false;
     case DRAIN_SERVING:
--- a/src/drain.h
+++ b/src/drain.h
@@ -4,8 +4,9 @@
  *                       good, so everything is served
  *   leaving --list_keep--> refusing: no list names us any more; new requests are refused as not
  *                       run, what is in flight goes on
- *   refusing --idle--> handing over: targets at home, leadership, limit shares
- *   handing over --done, or HAND_OVER_MAX--> ended, exit 0
+ *   refusing --idle and quiet--> handing over: no connections are taken any more; targets at home,
+ *   leadership, limit shares
+ *   handing over --done and idle, or HAND_OVER_MAX--> ended, exit 0
  *
  * A second signal, or the bound, ends it wherever it is; what is unfinished is logged. */
 #ifndef DRAIN_H
@@ -20,6 +21,14 @@
 
 #define DRAIN_HAND_OVER_MAX (5 * USEC_PER_SEC)
 
+/* A caller whose list has just ended asks for a new one and still sends by the old.  Such requests
+ * came up to 110 ms after the refusing began; one that came when the process ended was cut, though
+ * nothing had been in flight a moment before.  So the end waits until none came for this long. */
+#define DRAIN_QUIET (250 * USEC_PER_MSEC)
+
+/* Callers that do not look at their lists at all cannot keep a host for longer than this. */
+#define DRAIN_QUIET_WAIT_MAX (2 * USEC_PER_SEC)
+
 #define DRAIN_EXIT_WHOLE 0
 #define DRAIN_EXIT_UNFINISHED 1
 
@@ -55,6 +64,9 @@
   /* Nothing is in flight, and no answer waits to be taken. */
   bool (*idle) (struct drain_actions *actions);
 
+  /* When the last request or connection came; 0 before the first. */
+  int64_t (*last_arrival) (struct drain_actions *actions);
+
   /* Take no connections any more, and begin to hand over. */
   void (*hand_over) (struct drain_actions *actions, int64_t now);
   bool (*handed_over) (struct drain_actions *actions, int64_t now);
--- a/src/host_drain.c
+++ b/src/host_drain.c
@@ -22,6 +22,14 @@
          && http_server_pending (host->server) == 0;
 }
 
+static int64_t
+drain_last_arrival (struct drain_actions *actions)
+{
+  struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
+
+  return http_server_last_arrival (host->server);
+}
+
 static void
 drain_hand_over (struct drain_actions *actions, int64_t now)
 {
@@ -69,6 +77,7 @@
 static const struct drain_ops drain_ops = {
   .leave = drain_leave,
   .idle = drain_idle,
+  .last_arrival = drain_last_arrival,
   .hand_over = drain_hand_over,
   .handed_over = drain_handed_over,
   .log_unfinished = drain_log_unfinished,
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -181,13 +181,18 @@
   server_count (server, SERVER_ACCEPTED);
 }
 
-static void
-accept_ready (struct loop_watch *watch, int64_t now)
+void
+server_note_arrival (struct http_server *server, enum http_listener listener, int64_t now)
 {
-  struct server_listener *listener = CONTAINER_OF (watch, struct server_listener, watch);
+  if (listener == HTTP_LISTENER_CALLERS)
+    server->last_arrival = now;
+}
 
-  (void) now;
-  for (int i = 0; i < ACCEPT_BATCH; i++)
+/* Take up to `most` of the connections that wait. */
+static void
+accept_waiting (struct server_listener *listener, int most, int64_t now)
+{
+  for (int i = 0; i < most; i++)
     {
       struct sockaddr_storage from = { 0 };
       socklen_t length = sizeof from;
@@ -198,10 +203,17 @@
       if (fd < 0)
         return;
       inet_address_ip (&from, ip);
+      server_note_arrival (listener->server, listener->id, now);
       adopt (listener, fd, ip);
     }
 }
 
+static void
+accept_ready (struct loop_watch *watch, int64_t now)
+{
+  accept_waiting (CONTAINER_OF (watch, struct server_listener, watch), ACCEPT_BATCH, now);
+}
+
 static const struct loop_watch_ops accept_ops = { .ready = accept_ready };
 
 static enum status
@@ -231,10 +243,9 @@
   return loop_watch_fd (listener->server->loop, &listener->watch, listener->fd);
 }
 
-void
-http_server_stop_listening (struct http_server *server)
+static void
+close_listeners (struct http_server *server)
 {
-  server->closing = true;
   for (int i = 0; i < HTTP_LISTENER_COUNT; i++)
     {
       struct server_listener *listener = &server->listeners[i];
@@ -249,13 +260,25 @@
     }
 }
 
+void
+http_server_stop_listening (struct http_server *server)
+{
+  server->closing = true;
+  /* To the callers that wait the kernel has said that they are connected, and they have sent their
+   * requests: closed now, these would be cut without an answer. */
+  for (int i = 0; i < HTTP_LISTENER_COUNT; i++)
+    if (server->listeners[i].fd >= 0)
+      accept_waiting (&server->listeners[i], LISTEN_BACKLOG, loop_now (server->loop));
+  close_listeners (server);
+}
+
 static int
 destroy_server (struct http_server *server)
 {
   struct server_connection *connection;
   struct server_connection *next;
 
-  http_server_stop_listening (server);
+  close_listeners (server);
   DL_FOREACH_SAFE (server->connections, connection, next)
     {
       server_connection_kill (connection);
@@ -364,3 +387,9 @@
 {
   return server->pending;
 }
+
+int64_t
+http_server_last_arrival (const struct http_server *server)
+{
+  return server->last_arrival;
+}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -45,12 +45,16 @@
 /* The port in use, for addresses whose port the kernel chose. */
 uint16_t http_server_port (const struct http_server *server, enum http_listener listener);
 
-/* Take no more connections; those that are there go on.  For shutdown. */
+/* Take no more connections; those that are there go on, and those that wait to be taken are.  For
+ * shutdown. */
 void http_server_stop_listening (struct http_server *server);
 
 /* Requests not yet answered, and answers not yet taken by their callers' sockets. */
 uint32_t http_server_pending (const struct http_server *server);
 
+/* When the last caller's connection was taken or its request's head read; 0 before the first. */
+int64_t http_server_last_arrival (const struct http_server *server);
+
 END_DECLS
 
 #endif
--- a/tests/unit_drain.cc
+++ b/tests/unit_drain.cc
@@ -22,6 +22,7 @@
   int64_t now = 1000 * USEC_PER_SEC;
   unsigned in_flight = 0;
   bool handed_over = true;
+  int64_t last_arrival = 0;
   std::vector<std::string> steps;
   int exit_code = -1;
 
@@ -40,6 +41,11 @@
   {
     return of (a)->in_flight == 0;
   }
+  static int64_t
+  arrived (struct drain_actions *a)
+  {
+    return of (a)->last_arrival;
+  }
   static void
   hand_over (struct drain_actions *a, int64_t)
   {
@@ -63,6 +69,7 @@
   }
   static inline const struct drain_ops ops = { .leave = leave,
                                                .idle = idle,
+                                               .last_arrival = arrived,
                                                .hand_over = hand_over,
                                                .handed_over = is_over,
                                                .log_unfinished = unfinished,
@@ -130,6 +137,56 @@
   EXPECT_EQ (p.exit_code, 0);
 }
 
+// Lists have just ended.  Callers that asked for a new one send once more by the old meanwhile, and
+// are refused at once, so that nothing is in flight whenever the drain looks.  The process must not
+// end between two of them: the second would be cut and its caller not know whether it ran.
+TEST (Drain, DoesNotEndWhileCallersStillComeByOldLists)
+{
+  struct process p;
+
+  drain_signal (p.drain, p.now);
+  p.run (LIST_KEEP - 20 * USEC_PER_MSEC);
+  for (int i = 0; i < 5; i++)
+    {
+      p.last_arrival = p.now;
+      p.run (100 * USEC_PER_MSEC);
+      EXPECT_EQ (drain_state (p.drain), DRAIN_REFUSING) << i;
+    }
+  p.run (DRAIN_QUIET);
+  EXPECT_EQ (p.exit_code, 0);
+}
+
+// A load balancer's probe comes for ever, by no list: the shutdown goes on all the same.
+TEST (Drain, CallersThatNeverStopDoNotKeepIt)
+{
+  struct process p;
+
+  drain_signal (p.drain, p.now);
+  for (int64_t t = 0; t < LIST_KEEP + DRAIN_QUIET_WAIT_MAX + USEC_PER_SEC; t += 50 * USEC_PER_MSEC)
+    {
+      p.last_arrival = p.now;
+      p.run (50 * USEC_PER_MSEC);
+    }
+  EXPECT_EQ (p.exit_code, 0);
+}
+
+// A connection was taken in the moment in which the host closed its port, and its request is read
+// only after that: it is answered before the process ends.
+TEST (Drain, AnswersWhatCameWithTheLastConnections)
+{
+  struct process p;
+
+  drain_signal (p.drain, p.now);
+  while (drain_state (p.drain) != DRAIN_HANDING_OVER && p.exit_code < 0)
+    p.run (10 * USEC_PER_MSEC);
+  p.in_flight = 1;
+  p.run (200 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, -1);
+  p.in_flight = 0;
+  p.run (100 * USEC_PER_MSEC);
+  EXPECT_EQ (p.exit_code, 0);
+}
+
 TEST (Drain, WaitsForTheHandOverButNotForEver)
 {
   struct process p;
--- a/tests/whole_hosts.cc
+++ b/tests/whole_hosts.cc
@@ -110,7 +110,7 @@
 
   ASSERT_EQ (next, 3u);
   EXPECT_LT (ended_at_start[2], result->count) << "the last restart came after the load";
-  EXPECT_EQ (result->cuts, 0u);
+  EXPECT_EQ (result->cuts, 0u) << result->first_cut;
   expect_all_attained (result);
 }
 
--- a/tests/whole_path.cc
+++ b/tests/whole_path.cc
@@ -14,7 +14,7 @@
   const struct replay_result *result = send ("path", 200, 10 * USEC_PER_MSEC);
 
   expect_all_attained (result);
-  EXPECT_EQ (result->cuts, 0u);
+  EXPECT_EQ (result->cuts, 0u) << result->first_cut;
 }
 
 // A salesman's order is answered, the answer is lost on the way, and his program sends the order
