--- a/src/drain.h
+++ b/src/drain.h
@@ -64,7 +64,7 @@
   /* Nothing is in flight, and no answer waits to be taken. */
   bool (*idle) (struct drain_actions *actions);
 
-  /* When the last request or connection came; 0 before the first. */
+  /* When the last caller's request came; 0 before the first. */
   int64_t (*last_arrival) (struct drain_actions *actions);
 
   /* Take no connections any more, and begin to hand over. */
--- a/src/flow.c
+++ b/src/flow.c
@@ -128,6 +128,12 @@
   return table_count (flow->requests) == 0 && table_count (flow->cancels) == 0;
 }
 
+int64_t
+flow_last_arrival (const struct flow *flow)
+{
+  return flow->last_arrival;
+}
+
 uint32_t
 flow_abort_all (struct flow *flow, const char *why, int64_t now)
 {
--- a/src/flow.h
+++ b/src/flow.h
@@ -110,6 +110,9 @@
  * a host may go. */
 bool flow_idle (const struct flow *flow);
 
+/* When the last request came, also one that was refused; 0 before the first. */
+int64_t flow_last_arrival (const struct flow *flow);
+
 /* End every request now, for a shutdown past its bound: each gets the outcome that is true of it
  * and is logged by its id.  `why` goes into the log.  How many there were. */
 uint32_t flow_abort_all (struct flow *flow, const char *why, int64_t now);
--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -302,6 +302,7 @@
   struct handle organisation = { 0 };
   char name[RESOURCE_NAME_SIZE];
 
+  flow->last_arrival = now;
   if (caller_read (exchange, flow->config.settings, &caller, &error) != STATUS_OK)
     {
       flow_count_invalid (flow, error.code);
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -177,6 +177,7 @@
   struct table *cancels;  /* struct flow_cancel, of flow_cancel.c */
   struct flow_counts *counts;
   struct rng rng;
+  int64_t last_arrival;
 };
 
 /* ---- flow.c ---- */
--- a/src/host_drain.c
+++ b/src/host_drain.c
@@ -27,7 +27,7 @@
 {
   struct host *host = CONTAINER_OF (actions, struct host, drain_actions);
 
-  return http_server_last_arrival (host->server);
+  return flow_last_arrival (host->flow);
 }
 
 static void
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -181,16 +181,9 @@
   server_count (server, SERVER_ACCEPTED);
 }
 
-void
-server_note_arrival (struct http_server *server, enum http_listener listener, int64_t now)
-{
-  if (listener == HTTP_LISTENER_CALLERS)
-    server->last_arrival = now;
-}
-
 /* Take up to `most` of the connections that wait. */
 static void
-accept_waiting (struct server_listener *listener, int most, int64_t now)
+accept_waiting (struct server_listener *listener, int most)
 {
   for (int i = 0; i < most; i++)
     {
@@ -203,7 +196,6 @@
       if (fd < 0)
         return;
       inet_address_ip (&from, ip);
-      server_note_arrival (listener->server, listener->id, now);
       adopt (listener, fd, ip);
     }
 }
@@ -211,7 +203,8 @@
 static void
 accept_ready (struct loop_watch *watch, int64_t now)
 {
-  accept_waiting (CONTAINER_OF (watch, struct server_listener, watch), ACCEPT_BATCH, now);
+  (void) now;
+  accept_waiting (CONTAINER_OF (watch, struct server_listener, watch), ACCEPT_BATCH);
 }
 
 static const struct loop_watch_ops accept_ops = { .ready = accept_ready };
@@ -268,7 +261,7 @@
    * requests: closed now, these would be cut without an answer. */
   for (int i = 0; i < HTTP_LISTENER_COUNT; i++)
     if (server->listeners[i].fd >= 0)
-      accept_waiting (&server->listeners[i], LISTEN_BACKLOG, loop_now (server->loop));
+      accept_waiting (&server->listeners[i], LISTEN_BACKLOG);
   close_listeners (server);
 }
 
@@ -387,9 +380,3 @@
 {
   return server->pending;
 }
-
-int64_t
-http_server_last_arrival (const struct http_server *server)
-{
-  return server->last_arrival;
-}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -52,9 +52,6 @@
 /* Requests not yet answered, and answers not yet taken by their callers' sockets. */
 uint32_t http_server_pending (const struct http_server *server);
 
-/* When the last caller's connection was taken or its request's head read; 0 before the first. */
-int64_t http_server_last_arrival (const struct http_server *server);
-
 END_DECLS
 
 #endif
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -268,8 +268,6 @@
   text_copy_cut (request->exchange.peer, sizeof request->exchange.peer, connection->peer);
   connection->server->pending++;
   connection->request = request;
-  server_note_arrival (connection->server, connection->listener,
-                       loop_now (connection->server->loop));
   return request;
 }
 
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -64,7 +64,6 @@
   int socket_fd; /* epoll: which callers closed their side or take more of an answer */
   uint32_t pending;
   uint32_t n_connections;
-  int64_t last_arrival;
   bool closing; /* no more connections: answers say "connection: close" */
 };
 
@@ -126,7 +125,6 @@
                                       enum http_listener listener,
                                       const char *path);
 void server_caller_left (struct http_server *server, struct server_caller *caller);
-void server_note_arrival (struct http_server *server, enum http_listener listener, int64_t now);
 
 /* http_server_connection.c */
 void server_connection_read_on (struct server_connection *connection, bool on);
--- a/tests/unit_flow.cc
+++ b/tests/unit_flow.cc
@@ -97,8 +97,10 @@
 
 TEST_F (Flow, RefusalsBeforeTheFirstByteAreNotRun)
 {
+  EXPECT_EQ (flow_last_arrival (flow), 0);
   board->refusing = true;
   EXPECT_EQ (send_draft ()->outcome (), "not-run");
+  EXPECT_EQ (flow_last_arrival (flow), now);
   board->refusing = false;
   board->config_ready = false;
   EXPECT_EQ (send_draft ()->code, 503);
