Ask a home again in time for the targets that its answer brings

Cause: beside load WholeHosts.RollingRestartUnderLoadCutsNothing failed in 5 of about 150 runs with "no-target" on a target that never stopped. Logs of two: a home restarted and told of an empty list; its targets announced themselves anew; the push that told of them was not there before the answer to the next question, and that answer set the time of the question after it by the list as it was before: as for a home without targets, 4.5 to 5 s, with leases of 1.8 s. Host-1 held host-2's targets until 35.9 s and asked again at 39.2 s; in the other run 42.9 s and 47.5 s. Requests that had run a stage waited 2 s for the next one's target and failed.

Change: the span counts once more after the answer's changes, the earlier time holds. Where a target is at home, and when that belief ends, is logged.

Test that failed before, with the same 3 s without a lease: Directory.TargetsThatAnAnswerBringsKeepTheirLeases.

--- a/src/directory_told.c
+++ b/src/directory_told.c
@@ -7,6 +7,23 @@
 #include <talloc.h>
 #include <utlist.h>
 
+/* A change of belief about where a target is at home; `to` NULL: nowhere that we know of. */
+static void
+log_home (const struct directory *directory,
+          const struct directory_entry *entry,
+          const struct directory_home *to,
+          const char *why,
+          int64_t now)
+{
+  const struct board_target *target = directory_target_of (directory, entry);
+  int64_t left = target == NULL ? 0 : target->lease_until - now;
+
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "home", "{s:s,s:s,s:s,s:s,s:I,s:I}", "target",
+             entry->name, "from", entry->home == NULL ? "" : entry->home->name, "to",
+             to == NULL ? "" : to->name, "why", why, "sequence", (json_int_t) entry->sequence,
+             "lease_left_ms", (json_int_t) (left > 0 ? left / USEC_PER_MSEC : 0));
+}
+
 static void
 leave_list (struct directory *directory, struct directory_entry *entry, int64_t now)
 {
@@ -45,6 +62,7 @@
       entry->incarnation = change->said.incarnation;
       entry->sequence = change->said.sequence;
     }
+  log_home (directory, entry, NULL, "its home no longer has it", now);
   directory_detach (directory, entry, now);
 }
 
@@ -71,6 +89,7 @@
   struct directory_entry *entry = directory_find (directory, change->said.name);
   int64_t lease;
 
+  INVARIANT (home != NULL);
   if (entry == NULL)
     entry = directory_add (directory, change->said.name);
   if (entry == NULL)
@@ -81,6 +100,8 @@
       counter_add (directory->refused_old, 1);
       return;
     }
+  if (entry->home != home)
+    log_home (directory, entry, home, "the new home says so", now);
   if (entry->home != NULL && (entry->home != home || entry->slot != change->slot))
     leave_list (directory, entry, now);
   if (directory_show (directory, entry, &change->said, now) != STATUS_OK)
@@ -108,7 +129,10 @@
 {
   for (uint32_t slot = 0; slot < home->n_slots; slot++)
     if (home->slots[slot] != NULL)
-      directory_release (directory, home->slots[slot], now);
+      {
+        log_home (directory, home->slots[slot], NULL, "its home began its list anew", now);
+        directory_release (directory, home->slots[slot], now);
+      }
   home->version = 0;
   home->base = 0;
 }
@@ -194,6 +218,19 @@
     }
 }
 
+/* Failure: a home that had none tells of its targets in this answer.  Asked next as seldom as a
+ * home without any, it would be asked seconds after their leases ended; so the span counts once
+ * more with what the answer brought.  The earlier of both holds, as a home that lost its list will
+ * have its targets back soon. */
+static void
+ask_again_by_list (struct directory *directory, struct directory_home *home, int64_t now)
+{
+  int64_t due = now + directory_ask_span (directory, home);
+
+  if (due < home->ask_at)
+    home->ask_at = due;
+}
+
 static void
 take_list (struct directory *directory,
            struct directory_home *home,
@@ -229,6 +266,7 @@
   if (known && head->kind == DIRECTORY_ANSWER_MESSAGE)
     {
       apply_leases (directory, home, head, now);
+      ask_again_by_list (directory, home, now);
       ask_before_end (home, head);
       load_report_apply (directory, home, head, now);
       return;
--- a/tests/unit_directory.cc
+++ b/tests/unit_directory.cc
@@ -512,6 +512,27 @@
   EXPECT_FALSE (n.usable (1, "a") || n.usable (2, "a"));
 }
 
+// A home restarts and tells of an empty list; its targets announce themselves anew, and the push
+// that tells of them is lost, so that the next answer brings them.  Asked as seldom from then on as
+// a home without targets, their leases would end seconds before the next answer, though they renew.
+TEST (Directory, TargetsThatAnAnswerBringsKeepTheirLeases)
+{
+  struct net n (3);
+  auto a = record_of ("a", 1, 1);
+
+  announce (n, 0, a);
+  n.run_renewing (3 * USEC_PER_SEC, 0, { a });
+  n.start ("h0", 2);
+  n.lose_pushes = true;
+  n.run (1500 * USEC_PER_MSEC);
+  announce (n, 0, a);
+  for (int i = 0; i < 10; i++)
+    {
+      n.run_renewing (USEC_PER_SEC, 0, { a });
+      EXPECT_TRUE (i < 1 || (n.usable (1, "a") && n.usable (2, "a"))) << i;
+    }
+}
+
 // A home shuts down and its targets announce themselves to another.  The message that tells of the
 // move grants no lease; was the old one cut with it, every move would be a moment without a target.
 TEST (Directory, AMoveToAnotherHomeLeavesNoMomentWithoutALease)
