Log a peer's connection when it is lost and when it is regained

A message to a peer without a connection was counted only; to rule a lost connection out in a trace took a run with a debugger's patience. Told once at each change, by the send that noticed it.

--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -10,6 +10,7 @@
  * burst of old messages and holds no memory. */
 #include "peer_zmq.h"
 #include "container.h"
+#include "log.h"
 #include "pack.h"
 #include "peer_zap.h"
 #include "peer_zmq_private.h"
@@ -174,6 +175,18 @@
     remove_peer (peer, gone);
 }
 
+/* Whether messages to a peer find a connection, told when it changes. */
+static void
+note_sent (struct peer *to, bool sent)
+{
+  if (to->unreachable != sent)
+    return;
+  to->unreachable = !sent;
+  log_event (LOG_MODULE_PEER, sent ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
+             sent ? "connection-regained" : "connection-lost", "{s:s,s:s}", "host", to->name,
+             "address", to->address);
+}
+
 static enum status
 send_message (struct peer_port *port,
               const char *host,
@@ -211,6 +224,7 @@
     }
   else
     counter_add (peer->not_sent, 1);
+  note_sent (to, sent >= 0);
   bytes_clear (&envelope);
   return sent >= 0 ? STATUS_OK : STATUS_AGAIN;
 }
