--- a/src/peer_zmq.c
+++ b/src/peer_zmq.c
@@ -175,11 +175,15 @@
     remove_peer (peer, gone);
 }
 
-/* Whether messages to a peer find a connection, told when it changes. */
+/* Whether messages to a peer find a connection, told when it changes; the first connection to a
+ * peer is no change. */
 static void
 note_sent (struct peer *to, bool sent)
 {
-  if (to->unreachable != sent)
+  bool first = !to->was_reached;
+
+  to->was_reached = to->was_reached || sent;
+  if (first || to->unreachable != sent)
     return;
   to->unreachable = !sent;
   log_event (LOG_MODULE_PEER, sent ? LOG_LEVEL_INFO : LOG_LEVEL_WARNING,
--- a/src/peer_zmq_private.h
+++ b/src/peer_zmq_private.h
@@ -19,6 +19,7 @@
   char public_key[BOARD_KEY_SIZE];
   void *socket;
   UT_hash_handle hh;
+  bool was_reached; /* by a message, ever */
   bool unreachable; /* the last message found no connection, or a full one */
 };
 
