Follow an engine's queue by the time until which it reads

Cause: where entry hosts are many only starts are told to all of them, and a start whose beginning is not told counted with all its tokens for 1.3 times the wait that was expected at it, and 50 ms. That wait contained the tokens of the starts before it, which counted too long as well: at an engine that is busy for more than 0.77 of the time the picture grows by itself.

Change: each engine has the time until which it reads what was sent to it. A start moves it on by its own reading; a beginning that is told moves it, and those behind, by what it was early or late; one that ends unread takes its reading out. What is not told to have begun begins as expected; one that we would have heard of makes the engine late, up to the old bound.

Tests that failed before: EngineLoad.AQueueOfWhichOnlyTheStartsAreToldDoesNot- GrowByItself, -ShrinksAsItIsRead, EngineLoad.ABeginningCorrectsTheQueueBehindIt. Two older tests asked for a cost at a time before the event they had told; the time moves on in them now, their bounds are the same.

--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -24,9 +24,12 @@
 struct engine_request
 {
   uint64_t request;
-  uint32_t tokens; /* still to be read */
+  uint32_t tokens; /* to be read for it */
   int64_t started;
   int64_t expected; /* wait expected at its start */
+  int64_t reading;  /* part of it that is the engine's own reading */
+  int64_t begins;   /* its answer, as expected now */
+  bool told;        /* we hear of it when it begins */
   bool began;
   struct engine_request *prev;
   struct engine_request *next;
@@ -49,6 +52,7 @@
   struct engine_part *parts; /* by key */
   struct engine_part *used;  /* the last used first */
   uint64_t cached;           /* tokens */
+  int64_t read_until;        /* it reads what was sent to it, as expected now */
   double slowness;
   int64_t slowness_at;
   UT_hash_handle hh;
@@ -252,22 +256,51 @@
   return NULL;
 }
 
-static uint64_t
-pending_tokens (struct engine_target *target, int64_t now, uint32_t *running)
+/* Is it still read, or waits for that? */
+static bool
+is_unread (const struct engine_request *request, int64_t now)
 {
-  struct engine_request *request;
-  uint64_t tokens = 0;
+  int64_t bound = (int64_t) (ENGINE_BEGUN_FACTOR * (double) request->expected) + ENGINE_BEGUN_MORE;
+
+  if (request->began)
+    return false;
+  return request->told ? now - request->started < bound : now < request->begins;
+}
+
+/* How much later than expected the engine is by now: an answer that we would have heard of has not
+ * begun. */
+static int64_t
+lateness_of (const struct engine_target *target, int64_t now)
+{
+  const struct engine_request *request;
+  int64_t most = 0;
 
-  *running = 0;
   DL_FOREACH (target->requests, request)
-    {
-      ++*running;
-      if (!request->began
-          && now - request->started
-                 < (int64_t) (ENGINE_BEGUN_FACTOR * (double) request->expected) + ENGINE_BEGUN_MORE)
-        tokens += request->tokens;
-    }
-  return tokens;
+    if (request->told && is_unread (request, now) && now - request->begins > most)
+      most = now - request->begins;
+  return most;
+}
+
+static uint32_t
+count_requests (const struct engine_target *target)
+{
+  const struct engine_request *request;
+  uint32_t n = 0;
+
+  DL_COUNT (target->requests, request, n);
+  return n;
+}
+
+/* Those after one that began, or left the queue, earlier or later than expected do as well. */
+static void
+shift_after (struct engine_target *target, struct engine_request *first, int64_t by, int64_t now)
+{
+  for (struct engine_request *request = first->next; request != NULL; request = request->next)
+    if (!request->began)
+      request->begins += by;
+  target->read_until += by;
+  if (target->read_until < now)
+    target->read_until = now;
 }
 
 static double
@@ -299,12 +332,17 @@
 {
   struct engine_target *target = find_target (load, id);
   uint32_t shared = tokens_to_read (target, prompt);
-  uint64_t pending = 0;
+  int64_t before = 0;
 
   out->running = 0;
   if (target != NULL)
-    pending = pending_tokens (target, now, &out->running);
-  out->wait = reading_time (load, target, pending + shared + prompt->own_tokens, now);
+    {
+      out->running = count_requests (target);
+      before = lateness_of (target, now);
+      before += target->read_until > now ? target->read_until - now : 0;
+    }
+  out->reading = reading_time (load, target, shared + prompt->own_tokens, now);
+  out->wait = before + out->reading;
   out->read_again = tokens_held_elsewhere (load, target, prompt);
 }
 
@@ -329,6 +367,7 @@
                      uint64_t id,
                      uint64_t request_id,
                      const struct engine_prompt *prompt,
+                     bool told,
                      int64_t now)
 {
   struct engine_target *target = take_target (load, id);
@@ -346,6 +385,10 @@
   request->tokens = tokens_to_read (target, prompt) + prompt->own_tokens;
   request->started = now;
   request->expected = cost.wait;
+  request->reading = cost.reading;
+  request->begins = now + cost.wait;
+  request->told = told;
+  target->read_until = (target->read_until > now ? target->read_until : now) + cost.reading;
   DL_APPEND (target->requests, request);
   for (uint32_t i = 0; i < prompt->n_parts; i++)
     use_part (load, target, prompt->parts[i], prompt->part_tokens[i]);
@@ -388,6 +431,7 @@
     return;
   learn (load, target, request, now);
   request->began = true;
+  shift_after (target, request, now - request->begins, now);
 }
 
 void
@@ -396,9 +440,10 @@
   struct engine_target *target = find_target (load, id);
   struct engine_request *request = target == NULL ? NULL : find_request (target, request_id);
 
-  (void) now;
   if (request == NULL)
     return;
+  if (is_unread (request, now))
+    shift_after (target, request, -request->reading, now);
   DL_DELETE (target->requests, request);
   talloc_free (request);
 }
--- a/src/engine_load.h
+++ b/src/engine_load.h
@@ -25,7 +25,7 @@
 #define ENGINE_CACHE_SHARE 0.6
 
 /* A start without news of its first byte counts as begun after so many times what was expected, and
- * a little: the message may be lost, or not be meant for us. */
+ * a little: the message may be lost. */
 #define ENGINE_BEGUN_FACTOR 1.3
 #define ENGINE_BEGUN_MORE (50 * USEC_PER_MSEC)
 
@@ -47,11 +47,13 @@
 struct engine_load *engine_load_new (void *parent);
 void engine_load_set_cache (struct engine_load *load, uint64_t cache_tokens);
 
-/* A host sent a prompt, its answer began, it ended. */
+/* A host sent a prompt, its answer began, it ended.  `told`: we shall hear of the beginning; where
+ * not it is taken to come as expected. */
 void engine_load_started (struct engine_load *load,
                           uint64_t target,
                           uint64_t request,
                           const struct engine_prompt *prompt,
+                          bool told,
                           int64_t now);
 void engine_load_began (struct engine_load *load, uint64_t target, uint64_t request, int64_t now);
 void engine_load_ended (struct engine_load *load, uint64_t target, uint64_t request, int64_t now);
@@ -62,6 +64,7 @@
 struct engine_cost
 {
   int64_t wait;        /* until the answer begins, expected, in microseconds */
+  int64_t reading;     /* the part of it in which the engine reads this prompt */
   uint32_t read_again; /* shared tokens to be read that another engine holds */
   uint32_t running;    /* requests on it */
 };
--- a/src/engine_news.c
+++ b/src/engine_news.c
@@ -106,7 +106,7 @@
                      const struct engine_prompt *prompt,
                      int64_t now)
 {
-  engine_load_started (news->config.load, target, request, prompt, now);
+  engine_load_started (news->config.load, target, request, prompt, true, now);
   begin_event (&news->starts, NEWS_STARTED, target, request);
   pack_uint (&news->starts, prompt->own_tokens);
   pack_array (&news->starts, prompt->n_parts);
@@ -152,7 +152,7 @@
 }
 
 static bool
-read_event (struct engine_news *news, struct pack_reader *in, int64_t now)
+read_event (struct engine_news *news, struct pack_reader *in, bool told, int64_t now)
 {
   enum news_event event = (enum news_event) pack_read_uint (in, NEWS_EVENT_COUNT - 1);
   uint64_t target = pack_read_uint (in, UINT64_MAX);
@@ -165,7 +165,7 @@
     {
       if (!read_prompt (in, &prompt))
         return false;
-      engine_load_started (news->config.load, target, request, &prompt, now);
+      engine_load_started (news->config.load, target, request, &prompt, told, now);
     }
   else if (event == NEWS_BEGAN)
     engine_load_began (news->config.load, target, request, now);
@@ -174,21 +174,36 @@
   return true;
 }
 
+/* Does the host tell us of beginnings and ends as well? */
+static bool
+tells_all (const struct engine_news *news, const char *host)
+{
+  const struct sync_host *hosts[SYNC_HOSTS_MAX];
+  uint32_t n = subscriber_hosts (news->config.subscriber, hosts);
+
+  if (n <= ENGINE_NEWS_ALL)
+    return true;
+  for (uint32_t i = 0; i < n; i++)
+    if (strcmp (hosts[i]->name, host) == 0)
+      return strcmp (hosts[i]->domain, subscriber_domain (news->config.subscriber)) == 0;
+  return false;
+}
+
 static void
 received (
     struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
 {
   struct engine_news *news = CONTAINER_OF (listener, struct engine_news, listener);
+  bool told = tells_all (news, from);
   struct pack_reader in;
   uint32_t n;
 
-  (void) from;
   pack_reader_init (&in, data, length);
   if (pack_read_uint (&in, UINT64_MAX) != NEWS_FORMAT)
     return;
   n = pack_read_array (&in, NEWS_EVENTS_MAX);
   for (uint32_t i = 0; i < n; i++)
-    if (!read_event (news, &in, now))
+    if (!read_event (news, &in, told, now))
       return;
 }
 
--- a/tests/unit_balance.cc
+++ b/tests/unit_balance.cc
@@ -56,7 +56,7 @@
     struct engine_prompt prompt = {};
 
     prompt.own_tokens = tokens;
-    engine_load_started (engines, target->id_hash, 99, &prompt, NOW);
+    engine_load_started (engines, target->id_hash, 99, &prompt, true, NOW);
   }
 };
 
--- a/tests/unit_engine_load.cc
+++ b/tests/unit_engine_load.cc
@@ -1,5 +1,6 @@
 // The picture of model engines that entry hosts share.
 #include "engine_load.h"
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <talloc.h>
 
@@ -46,9 +47,11 @@
   struct engine_prompt p = prompt (1, 13000, 100);
 
   EXPECT_EQ (cost (1, p).read_again, 0u);
-  engine_load_started (load, 1, 500, &p, now);
-  engine_load_began (load, 1, 500, now + 300000);
-  engine_load_ended (load, 1, 500, now + 900000);
+  engine_load_started (load, 1, 500, &p, true, now);
+  now += 300000;
+  engine_load_began (load, 1, 500, now);
+  now += 600000;
+  engine_load_ended (load, 1, 500, now);
   EXPECT_LT (cost (1, p).wait, cost (2, p).wait / 10);
   EXPECT_EQ (cost (2, p).read_again, 13000u);
   EXPECT_EQ (cost (1, p).read_again, 0u);
@@ -59,12 +62,13 @@
   struct engine_prompt p = prompt (1, 0, 6000);
   int64_t idle = cost (1, p).wait;
 
-  engine_load_started (load, 1, 500, &p, now);
+  engine_load_started (load, 1, 500, &p, true, now);
   EXPECT_GE (cost (1, p).wait, 2 * idle - 10000);
   EXPECT_EQ (cost (1, p).running, 1u);
-  engine_load_began (load, 1, 500, now + idle);
+  now += idle;
+  engine_load_began (load, 1, 500, now);
   EXPECT_LT (cost (1, p).wait, 2 * idle - 10000);
-  engine_load_ended (load, 1, 500, now + idle);
+  engine_load_ended (load, 1, 500, now);
   EXPECT_EQ (cost (1, p).running, 0u);
 }
 
@@ -75,11 +79,62 @@
   struct engine_prompt p = prompt (1, 0, 6000);
   int64_t idle = cost (1, p).wait;
 
-  engine_load_started (load, 1, 500, &p, now);
+  engine_load_started (load, 1, 500, &p, true, now);
   now += 3 * USEC_PER_SEC;
   EXPECT_LE (cost (1, p).wait, idle);
 }
 
+// So many hosts share the engines that only starts are told to all.  An engine that is busy for
+// four fifths of the time must not seem to have a queue that grows without end, or its prompts go
+// to engines that have to read their parts again.
+TEST_F (EngineLoad, AQueueOfWhichOnlyTheStartsAreToldDoesNotGrowByItself)
+{
+  struct engine_prompt p = prompt (1, 0, 6000); // 100 ms to read
+  int64_t idle = cost (1, p).wait;
+  int64_t most = 0;
+
+  for (uint64_t i = 0; i < 200; i++)
+    {
+      engine_load_started (load, 1, i, &p, false, now);
+      now += idle * 5 / 4;
+      most = std::max (most, cost (1, p).wait);
+    }
+  EXPECT_LE (most, 2 * idle);
+}
+
+// Sixteen prompts come at once.  The wait for one more is what is left to be read, also when the
+// beginnings are not told, and does not end for all of them at once.
+TEST_F (EngineLoad, AQueueOfWhichOnlyTheStartsAreToldShrinksAsItIsRead)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  for (uint64_t i = 0; i < 16; i++)
+    engine_load_started (load, 1, i, &p, false, now);
+  EXPECT_EQ (cost (1, p).wait, 17 * idle);
+  now += 10 * idle;
+  EXPECT_EQ (cost (1, p).wait, 7 * idle);
+  now += 10 * idle;
+  EXPECT_EQ (cost (1, p).wait, idle);
+}
+
+// A beginning that is told corrects what was expected of the prompts after it.
+TEST_F (EngineLoad, ABeginningCorrectsTheQueueBehindIt)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  for (uint64_t i = 0; i < 4; i++)
+    engine_load_started (load, 1, i, &p, true, now);
+  now += idle / 2; // twice as fast as thought
+  engine_load_began (load, 1, 0, now);
+  EXPECT_LE (cost (1, p).wait, 4 * idle);
+  engine_load_ended (load, 1, 3, now); // its caller left
+  EXPECT_LE (cost (1, p).wait, 3 * idle);
+  now += idle + idle / 4; // the next one is late by a quarter
+  EXPECT_GE (cost (1, p).wait, idle + cost (2, p).wait);
+}
+
 // An engine turns slow for some seconds.  It gets less, and after a while is tried again.
 TEST_F (EngineLoad, ASlowEngineCostsMoreUntilItIsForgotten)
 {
@@ -87,7 +142,7 @@
 
   for (uint64_t i = 0; i < 8; i++)
     {
-      engine_load_started (load, 1, i, &p, now);
+      engine_load_started (load, 1, i, &p, true, now);
       now += 10 * cost (2, p).wait;
       engine_load_began (load, 1, i, now);
       engine_load_ended (load, 1, i, now);
@@ -104,10 +159,10 @@
   struct engine_prompt c = prompt (3, 1000, 0);
 
   engine_load_set_cache (load, 4000); // room for two
-  engine_load_started (load, 1, 1, &a, now);
-  engine_load_started (load, 1, 2, &b, now);
-  engine_load_started (load, 1, 3, &a, now);
-  engine_load_started (load, 1, 4, &c, now);
+  engine_load_started (load, 1, 1, &a, true, now);
+  engine_load_started (load, 1, 2, &b, true, now);
+  engine_load_started (load, 1, 3, &a, true, now);
+  engine_load_started (load, 1, 4, &c, true, now);
   EXPECT_EQ (cost (2, b).read_again, 0u); // nobody holds it any more
   EXPECT_EQ (cost (2, a).read_again, 1000u);
 }
@@ -116,7 +171,7 @@
 {
   struct engine_prompt p = prompt (1, 1000, 10);
 
-  engine_load_started (load, 1, 1, &p, now);
+  engine_load_started (load, 1, 1, &p, true, now);
   engine_load_forget (load, 1);
   EXPECT_EQ (cost (2, p).read_again, 0u);
   EXPECT_EQ (cost (1, p).running, 0u);
