--- a/src/batch.c
+++ b/src/batch.c
@@ -102,9 +102,29 @@
       batch_free (order->batch_pool, &order->results[i].result, now);
 }
 
+/* What later stages of requests are planned with.  Orders that came late stand behind all others on
+ * purpose, and one that was turned late by a burst must not stand for the rest. */
+static void
+learn_wait (const struct batch_order *order, int64_t now)
+{
+  struct batch_pool *pool = order->batch_pool;
+  uint32_t pieces = order->n_pieces < pool->spec.pieces ? order->n_pieces : pool->spec.pieces;
+  int64_t wait = now - order->submitted - batch_expected (pool, pieces);
+
+  if (order->came_late)
+    return;
+  if (wait < 0)
+    wait = 0;
+  if (wait > BATCH_USUAL_WAIT_MAX)
+    wait = BATCH_USUAL_WAIT_MAX;
+  pool->usual_wait += BATCH_WAIT_SMOOTHING * ((double) wait - pool->usual_wait);
+}
+
 void
 batch_end_order (struct batch_order *order, enum piece_end end, int64_t now)
 {
+  if (end == PIECE_DONE)
+    learn_wait (order, now);
   unlink_order (order);
   if (end != PIECE_DONE)
     free_results (order, now);
@@ -267,6 +287,7 @@
   order->batch_pool = pool;
   order->serial = ++batch->last_serial;
   order->submitted = now;
+  order->came_late = batch_is_late (pool, order, now);
   HASH_ADD (hh, batch->orders, serial, sizeof order->serial, order);
   batch_enqueue (order);
   batch_dispatch (pool, now);
@@ -317,6 +338,14 @@
                     * (double) batch_expected (pool, pool->spec.pieces));
 }
 
+int64_t
+batch_usual_wait (struct batch *batch, const char *pool_name, const char *domain)
+{
+  const struct batch_pool *pool = find_pool (batch, pool_name, domain);
+
+  return pool == NULL ? 0 : (int64_t) pool->usual_wait;
+}
+
 /* Calls under way refer to it: the client that carries them is freed before. */
 static int
 free_batch (struct batch *batch)
--- a/src/batch.h
+++ b/src/batch.h
@@ -35,6 +35,10 @@
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
 
+/* How fast the usual wait of a pool's orders follows, and the most that one counts for. */
+#define BATCH_WAIT_SMOOTHING 0.1
+#define BATCH_USUAL_WAIT_MAX (600 * USEC_PER_MSEC)
+
 /* An order that would be done with less to spare than this counts as late already: what comes after
  * it varies by about so much.  Served by due time alone, all orders of a full pool would be done
  * just in time here and late at the next stage.  Mean worth of forty days 0.511 without it, 0.519
@@ -108,6 +112,7 @@
   struct batch_pool *batch_pool;
   uint64_t serial; /* never used again, while an address is */
   int64_t submitted;
+  bool came_late;    /* could not be in time when it came */
   uint32_t *pending; /* pieces not in a call and not done */
   uint32_t n_pending;
   uint8_t *tries; /* of each piece */
@@ -148,6 +153,9 @@
 /* How long a new order would wait before its pieces are begun, about. */
 int64_t batch_wait (struct batch *batch, const char *pool, const char *domain);
 
+/* How much longer than on an idle target orders of the pool took lately, in microseconds. */
+int64_t batch_usual_wait (struct batch *batch, const char *pool, const char *domain);
+
 /* Does a call's answer say that its target has no room at all?  The sizes of results are estimates,
  * so one that has room for what we think may lack it for one of the pieces; it made the others, and
  * will have room again when they are fetched. */
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -51,6 +51,7 @@
   struct batch *batch;
   struct batch_order *queue; /* orders with pending pieces, by rank */
   uint32_t n_pending;        /* their pieces */
+  double usual_wait;         /* of orders that came in time, beyond the expected, smoothed */
   uint64_t reserved;         /* bytes that the pending pieces of begun orders will take */
   struct batch_target *targets;
   struct timer timer; /* looks again while orders wait, and frees */
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -39,7 +39,7 @@
 
 /* Later stages come after those that they need, so one pass from the end does. */
 static void
-plan_tails (struct forward_job *job, int64_t reading)
+plan_tails (struct forward_job *job, int64_t reading, int64_t now)
 {
   for (uint32_t i = job->route.n_stages; i-- > 0;)
     {
@@ -47,7 +47,9 @@
 
       for (uint32_t j = i + 1; j < job->route.n_stages; j++)
         {
-          int64_t through = job->stages[j].tail + job->stages[j].expected + STAGE_WAIT;
+          int64_t wait = work_usual_wait (job->forward->config.work, job->stages[j].pool, now);
+          int64_t through = job->stages[j].tail + job->stages[j].expected
+                            + (wait > STAGE_WAIT ? wait : STAGE_WAIT);
 
           if ((job->route.stages[j].after & (UINT32_C (1) << i)) != 0 && through > tail)
             tail = through;
@@ -271,7 +273,7 @@
    * now. */
   if (likely != NULL && job->near[0] == '\0')
     text_copy_cut (job->near, sizeof job->near, likely->domain);
-  plan_tails (job, expect_reading (job, likely, now));
+  plan_tails (job, expect_reading (job, likely, now), now);
   if (now + critical_path (job) > job->give_up_at)
     {
       job_give_up (job, FORWARD_NO_TIME, STAGE_RETRY_AFTER);
--- a/src/work.c
+++ b/src/work.c
@@ -50,7 +50,8 @@
   if (order == NULL)
     return;
   work_note_wait (work, order->pool, order->domain,
-                  batch_wait (work->config.batch, order->pool, order->domain), now);
+                  batch_wait (work->config.batch, order->pool, order->domain),
+                  batch_usual_wait (work->config.batch, order->pool, order->domain), now);
   order->local = NULL;
   for (uint32_t i = 0; end == PIECE_DONE && i < order->n_pieces; i++)
     order->results[i] = batch_order->results[i].result;
@@ -314,7 +315,8 @@
   enum piece_end end;
   char pool[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE];
-  int64_t wait; /* of the owner's queue */
+  int64_t wait;  /* of the owner's queue */
+  int64_t usual; /* wait of late */
   uint32_t n;
   struct stage_result results[DIALECT_PIECES_MAX];
 };
@@ -327,6 +329,7 @@
   pack_read_text (in, out->pool, sizeof out->pool);
   pack_read_text (in, out->domain, sizeof out->domain);
   out->wait = (int64_t) pack_read_uint (in, INT64_MAX);
+  out->usual = (int64_t) pack_read_uint (in, INT64_MAX);
   out->n = pack_read_array (in, DIALECT_PIECES_MAX);
   for (uint32_t i = 0; i < out->n; i++)
     if (!work_message_read_result (in, &out->results[i]))
@@ -345,7 +348,7 @@
 
   if (!read_answer (in, &answer))
     return;
-  work_note_wait (work, answer.pool, answer.domain, answer.wait, now);
+  work_note_wait (work, answer.pool, answer.domain, answer.wait, answer.usual, now);
   order = find_order (work, answer.number);
   if (order == NULL || order->local != NULL)
     {
--- a/src/work.h
+++ b/src/work.h
@@ -46,6 +46,9 @@
 #define WORK_WAIT_FRESH (600 * USEC_PER_MSEC)
 #define WORK_SHARDS_MAX 128
 
+/* And of the usual wait at its pool for so long. */
+#define WORK_USUAL_FRESH (3 * USEC_PER_SEC)
+
 struct work;
 
 struct work_config
@@ -109,6 +112,10 @@
 /* Withdraw; results that come nevertheless are freed. */
 void work_cancel (struct work_order *order, int64_t now);
 
+/* How much longer than on an idle target a stage of the pool took lately, in microseconds, as its
+ * owner told; 0 where none did. */
+int64_t work_usual_wait (const struct work *work, const char *pool, int64_t now);
+
 /* Results were fetched by all who read them, or are no longer needed. */
 void work_release_results (struct work *work,
                            enum batch_release how,
--- a/src/work_owner.c
+++ b/src/work_owner.c
@@ -87,7 +87,12 @@
 }
 
 void
-work_note_wait (struct work *work, const char *pool, const char *domain, int64_t wait, int64_t now)
+work_note_wait (struct work *work,
+                const char *pool,
+                const char *domain,
+                int64_t wait,
+                int64_t usual,
+                int64_t now)
 {
   struct work_shard *shard = find_shard (work, pool, domain);
 
@@ -100,6 +105,7 @@
       text_copy_cut (shard->domain, sizeof shard->domain, domain);
     }
   shard->wait = wait;
+  shard->usual = usual;
   shard->told = now;
 }
 
@@ -111,6 +117,20 @@
   return shard == NULL || now - shard->told > WORK_WAIT_FRESH ? 0 : shard->wait;
 }
 
+/* Where the pool is split it is not known yet which part will make a later stage: the longest wait
+ * that was told. */
+int64_t
+work_usual_wait (const struct work *work, const char *pool, int64_t now)
+{
+  int64_t longest = 0;
+
+  for (uint32_t i = 0; i < work->n_shards; i++)
+    if (strcmp (work->shards[i].pool, pool) == 0 && now - work->shards[i].told < WORK_USUAL_FRESH
+        && work->shards[i].usual > longest)
+      longest = work->shards[i].usual;
+  return longest;
+}
+
 static uint32_t
 count_targets (const struct work *work, const char *pool)
 {
--- a/src/work_private.h
+++ b/src/work_private.h
@@ -5,7 +5,7 @@
 #include "pack.h"
 #include "work.h"
 
-#define WORK_FORMAT 3
+#define WORK_FORMAT 2
 
 enum work_message
 {
@@ -34,7 +34,8 @@
   char pool[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE];
   int64_t wait;
-  int64_t told; /* when */
+  int64_t usual; /* beyond the expected time of an order */
+  int64_t told;  /* when */
 };
 
 struct work
@@ -77,8 +78,12 @@
 void work_choose_domain (struct work *work, struct work_order *order, int64_t now);
 
 /* An owner told how long its queue is. */
-void work_note_wait (
-    struct work *work, const char *pool, const char *domain, int64_t wait, int64_t now);
+void work_note_wait (struct work *work,
+                     const char *pool,
+                     const char *domain,
+                     int64_t wait,
+                     int64_t usual,
+                     int64_t now);
 
 /* ---- work_message.c ---- */
 
--- a/src/work_remote.c
+++ b/src/work_remote.c
@@ -20,6 +20,7 @@
   pack_text (&out, order->pool);
   pack_text (&out, order->domain);
   pack_uint (&out, (uint64_t) batch_wait (work->config.batch, order->pool, order->domain));
+  pack_uint (&out, (uint64_t) batch_usual_wait (work->config.batch, order->pool, order->domain));
   pack_array (&out, n);
   for (uint32_t i = 0; i < n; i++)
     work_message_write_result (&order->results[i].result, &out);
