--- a/bench/fake_task.c
+++ b/bench/fake_task.c
@@ -1,9 +1,8 @@
-/* The work of a fake target: calls wait by priority for a slot of the batch, take the time that
- * service_time.h says at the batch's size of the moment, and are answered as answer.h says. */
+/* The calls of a fake target: they wait by priority for a slot of the batch, take the time that
+ * service_time.h says at the batch's size of the moment, and are answered by fake_answer.c. */
 #include "answer.h"
-#include "fake.h"
 #include "fake_execution.h"
-#include "service_time.h"
+#include "fake_task_private.h"
 #include "text.h"
 #include <math.h>
 #include <stdlib.h>
@@ -11,55 +10,19 @@
 #include <talloc.h>
 #include <utlist.h>
 
-#define ID_SIZE 160
-#define ATTEMPT_SIZE 24
 #define PRIORITY_MAX 9
 #define TOKENS_MAX 100000
 
-enum task_state
-{
-  TASK_WAITING,
-  TASK_WORKING, /* up to the first output, or the whole of it */
-  TASK_DECODING,
-  TASK_HELD, /* finished, and late by a fault */
-  TASK_HUNG
-};
-
-struct fake_task
-{
-  struct http_watcher watcher; /* first: its callback casts back */
-  struct timer timer;
-  struct fake_target *target;
-  struct http_exchange *exchange;
-  char id[ID_SIZE];
-  char attempt[ATTEMPT_SIZE];
-  uint32_t priority;
-  enum task_state state;
-  struct fake_fault fault; /* as it was when the call came */
-  int64_t started;
-  uint32_t input_tokens;
-  uint32_t cached_tokens;
-  uint32_t max_tokens;
-  uint32_t piece; /* the next to send */
-  uint64_t prompt_hash;
-  json_t *body; /* of a generation: owns the prompt */
-  const char *prompt;
-  size_t prompt_length;
-  struct bytes answer; /* of what comes whole */
-  struct fake_task *prev;
-  struct fake_task *next;
-};
-
 static void start_waiting (struct fake_target *target, int64_t now);
 
-static int64_t
-scaled (const struct fake_target *target, int64_t span)
+int64_t
+fake_task_scaled (const struct fake_target *target, int64_t span)
 {
   return (int64_t) llround ((double) span * target->options->time_scale);
 }
 
-static struct service_load
-load_of (const struct fake_target *target)
+struct service_load
+fake_task_load (const struct fake_target *target)
 {
   return (struct service_load){ .running = target->n_running, .slowdown = target->fault.slow };
 }
@@ -72,9 +35,8 @@
   return 0;
 }
 
-/* The slot is free again; the exchange is no longer ours. */
-static void
-end_task (struct fake_task *task, bool answered, int64_t now)
+void
+fake_task_end (struct fake_task *task, bool answered, int64_t now)
 {
   struct fake_target *target = task->target;
 
@@ -101,19 +63,8 @@
   start_waiting (target, now);
 }
 
-/* The other side's view of a call, with the id a fault may have changed. */
-static size_t
-answer_fields (const struct fake_task *task, const char *type, struct http_field out[3])
-{
-  out[0] = (struct http_field){ "content-type", type };
-  out[1] =
-      (struct http_field){ "x-request-id", task->fault.other ? "of-another-request" : task->id };
-  out[2] = (struct http_field){ "x-attempt", task->attempt };
-  return 3;
-}
-
-static struct http_exchange *
-give_up_exchange (struct fake_task *task)
+struct http_exchange *
+fake_task_give_up (struct fake_task *task)
 {
   struct http_exchange *exchange = task->exchange;
 
@@ -122,183 +73,6 @@
   return exchange;
 }
 
-static void
-deliver_whole (struct fake_task *task, int64_t now)
-{
-  struct http_exchange *exchange = give_up_exchange (task);
-  struct http_field fields[3];
-  size_t n = answer_fields (task, "application/json", fields);
-
-  if (task->fault.die)
-    {
-      exchange->ops->begin (exchange, 200, fields, n);
-      exchange->ops->write (exchange, task->answer.data, task->answer.length / 2);
-      exchange->ops->abort (exchange);
-      end_task (task, false, now);
-      return;
-    }
-  if (task->fault.twice)
-    {
-      exchange->ops->begin (exchange, 200, fields, n);
-      exchange->ops->write (exchange, task->answer.data, task->answer.length);
-      exchange->ops->write (exchange, task->answer.data, task->answer.length);
-      exchange->ops->finish (exchange);
-      end_task (task, false, now);
-      return;
-    }
-  exchange->ops->reply (exchange, 200, fields, n, task->answer.data, task->answer.length);
-  end_task (task, true, now);
-}
-
-static uint32_t
-piece_count (const struct fake_task *task)
-{
-  uint32_t tokens = task->target->options->piece_tokens;
-
-  return (task->max_tokens + tokens - 1) / tokens;
-}
-
-static uint32_t
-piece_tokens (const struct fake_task *task)
-{
-  uint32_t tokens = task->target->options->piece_tokens;
-  uint32_t from = task->piece * tokens;
-  uint32_t left = from < task->max_tokens ? task->max_tokens - from : 0;
-
-  return left < tokens ? left : tokens;
-}
-
-static void
-write_event (struct fake_task *task, json_t *event)
-{
-  struct http_exchange *exchange = task->exchange;
-  char *text = json_dumps (event, JSON_COMPACT);
-  struct bytes out;
-
-  bytes_init (&out, task);
-  for (int i = 0; i < (task->fault.twice ? 2 : 1); i++)
-    {
-      bytes_append_text (&out, "data: ");
-      bytes_append_text (&out, text);
-      bytes_append_text (&out, "\n\n");
-    }
-  exchange->ops->write (exchange, out.data, out.length);
-  bytes_clear (&out);
-  free (text);
-  json_decref (event);
-}
-
-static void
-write_piece (struct fake_task *task, bool last)
-{
-  uint32_t tokens = piece_tokens (task);
-  uint32_t from = task->piece * task->target->options->piece_tokens;
-  struct bytes text;
-  json_t *choice;
-  json_t *event;
-
-  bytes_init (&text, task);
-  bytes_append (&text, "", 0);
-  for (uint32_t i = 0; i < tokens; i++)
-    {
-      char piece[ANSWER_BYTES_PER_TOKEN + 1];
-
-      answer_piece (task->prompt_hash, from + i, piece);
-      bytes_append (&text, piece, ANSWER_BYTES_PER_TOKEN);
-    }
-  choice =
-      json_pack ("{s:s%, s:I}", "text", text.data, text.length, "index", (json_int_t) task->piece);
-  bytes_clear (&text);
-  if (last)
-    json_object_set_new (choice, "finish_reason", json_string ("stop"));
-  event = json_pack ("{s:[o]}", "choices", choice);
-  if (last)
-    json_object_set_new (event, "usage",
-                         json_pack ("{s:I, s:I, s:I}", "prompt_tokens",
-                                    (json_int_t) task->input_tokens, "completion_tokens",
-                                    (json_int_t) task->max_tokens, "cached_tokens",
-                                    (json_int_t) task->cached_tokens));
-  write_event (task, event);
-  task->piece++;
-}
-
-static void
-finish_stream (struct fake_task *task, int64_t now)
-{
-  static const char done[] = "data: [DONE]\n\n";
-  struct http_exchange *exchange = give_up_exchange (task);
-
-  exchange->ops->write (exchange, done, sizeof done - 1);
-  exchange->ops->finish (exchange);
-  end_task (task, true, now);
-}
-
-/* Send the next piece; the stream goes on, ends, or dies by a fault. */
-static void
-decode (struct fake_task *task, int64_t now)
-{
-  struct fake_target *target = task->target;
-  struct service_load load = load_of (target);
-  struct http_exchange *exchange;
-  bool last;
-
-  do
-    {
-      last = task->piece + 1 >= piece_count (task);
-      if (task->fault.die && task->piece >= piece_count (task) / 2)
-        {
-          exchange = give_up_exchange (task);
-          exchange->ops->abort (exchange);
-          end_task (task, false, now);
-          return;
-        }
-      write_piece (task, last);
-    }
-  while (!last && target->options->time_scale <= 0);
-  if (last)
-    {
-      finish_stream (task, now);
-      return;
-    }
-  timer_arm (loop_timers (target->loop), &task->timer,
-             now + scaled (target, piece_tokens (task) * service_time_token (&load)));
-}
-
-static void
-begin_stream (struct fake_task *task, int64_t now)
-{
-  struct fake_target *target = task->target;
-  struct service_load load = load_of (target);
-  struct http_field fields[3];
-  size_t n = answer_fields (task, "text/event-stream", fields);
-
-  fake_cache_store (target->cache, task->prompt, task->prompt_length);
-  task->exchange->ops->begin (task->exchange, 200, fields, n);
-  task->state = TASK_DECODING;
-  if (target->options->time_scale <= 0)
-    {
-      decode (task, now);
-      return;
-    }
-  timer_arm (loop_timers (target->loop), &task->timer,
-             now + scaled (target, piece_tokens (task) * service_time_token (&load)));
-}
-
-static void
-first_output (struct fake_task *task, int64_t now)
-{
-  if (task->state == TASK_WORKING && task->fault.late > 0)
-    {
-      task->state = TASK_HELD;
-      timer_arm (loop_timers (task->target->loop), &task->timer, now + task->fault.late);
-      return;
-    }
-  if (task->body)
-    begin_stream (task, now);
-  else
-    deliver_whole (task, now);
-}
-
 static void
 on_timer (struct timer *timer, int64_t now)
 {
@@ -306,9 +80,9 @@
       (struct fake_task *) ((char *) timer - offsetof (struct fake_task, timer));
 
   if (task->state == TASK_DECODING)
-    decode (task, now);
+    fake_task_decode (task, now);
   else
-    first_output (task, now);
+    fake_task_first_output (task, now);
 }
 
 static void
@@ -334,11 +108,11 @@
   task->state = TASK_WORKING;
   if (task->body)
     task->cached_tokens = fake_cache_match (target->cache, task->prompt, task->prompt_length);
-  load = load_of (target);
-  span = scaled (target, service_time_first (target->options->kind, task->input_tokens,
-                                             task->cached_tokens, &load));
+  load = fake_task_load (target);
+  span = fake_task_scaled (target, service_time_first (target->options->kind, task->input_tokens,
+                                                       task->cached_tokens, &load));
   if (span <= 0 && task->fault.late == 0)
-    first_output (task, now);
+    fake_task_first_output (task, now);
   else
     timer_arm (loop_timers (target->loop), &task->timer, now + span);
 }
@@ -357,7 +131,7 @@
   struct fake_task *task = (struct fake_task *) watcher;
 
   task->exchange = NULL;
-  end_task (task, false, now);
+  fake_task_end (task, false, now);
 }
 
 static bool
@@ -498,9 +272,9 @@
     {
       if (strcmp (task->id, id) != 0 || strcmp (task->attempt, attempt) != 0)
         continue;
-      exchange = give_up_exchange (task);
+      exchange = fake_task_give_up (task);
       exchange->ops->abort (exchange);
-      end_task (task, false, now);
+      fake_task_end (task, false, now);
       return true;
     }
   return false;
@@ -525,8 +299,8 @@
 
       if (task->state != TASK_HUNG)
         continue;
-      exchange = give_up_exchange (task);
+      exchange = fake_task_give_up (task);
       exchange->ops->abort (exchange);
-      end_task (task, false, now);
+      fake_task_end (task, false, now);
     }
 }
