Log what an answer about the configuration rests on

Cause: a read told version 36 after 43 was acknowledged, and no line could say whether its controller had stopped, belonged to another group or held an older document. Ruled out: nothing yet; no logic changed.

--- a/src/consensus.h
+++ b/src/consensus.h
@@ -83,6 +83,10 @@
   /* "" while unknown. */
   const char *(*leader) (const struct consensus *consensus);
   json_t *(*describe) (const struct consensus *consensus);
+
+  /* What an answer given now rests on, for a log line: group, role, leader, term, and the indices
+   * committed and applied here. */
+  json_t *(*position) (const struct consensus *consensus);
 };
 
 END_DECLS
--- a/src/consensus_flush.c
+++ b/src/consensus_flush.c
@@ -3,6 +3,7 @@
 #include "log.h"
 #include "snapshot.h"
 #include <talloc.h>
+#include <xxhash.h>
 
 #define FLUSH_ROUNDS 8
 #define SNAPSHOT_RETRY (60 * USEC_PER_SEC)
@@ -22,6 +23,9 @@
     status = journal_reset (self->journal, in->snapshot.index, in->snapshot.term);
   if (status == STATUS_OK)
     status = machine->ops->load (machine, in->snapshot.index, in->data, length);
+  log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "snapshot-taken-in", "{s:I,s:I,s:s}", "index",
+             (json_int_t) in->snapshot.index, "term", (json_int_t) in->snapshot.term, "outcome",
+             status_text (status));
   return status;
 }
 
@@ -258,9 +262,44 @@
                status_message ());
 }
 
+static void
+tell_members (const struct consensus_voter *self)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+  json_t *list = json_array ();
+
+  for (uint32_t i = 0; i < members->n; i++)
+    json_array_append_new (list, json_pack ("{s:s,s:b}", "host", members->members[i].name, "voter",
+                                            members->members[i].voter));
+  log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "members", "{s:I,s:O}", "term",
+             (json_int_t) raft_term (self->raft), "members", list);
+  json_decref (list);
+}
+
+/* Who leads and who belongs to the group, when it changes: what later answers rest on. */
+static void
+tell_changes (struct consensus_voter *self)
+{
+  const struct raft_members *members = raft_member_set (self->raft);
+  uint64_t hash = XXH3_64bits (members->members, members->n * sizeof members->members[0]);
+  json_t *position;
+
+  if (hash != self->told_members)
+    tell_members (self);
+  self->told_members = hash;
+  if (raft_leader (self->raft) == self->told_leader && raft_term (self->raft) == self->told_term)
+    return;
+  self->told_leader = raft_leader (self->raft);
+  self->told_term = raft_term (self->raft);
+  position = self->consensus.ops->position (&self->consensus);
+  log_event (LOG_MODULE_CONSENSUS, LOG_LEVEL_INFO, "leader-changed", "{s:O}", "position", position);
+  json_decref (position);
+}
+
 static void
 show (struct consensus_voter *self)
 {
+  tell_changes (self);
   if (self->term_gauge == NULL)
     return;
   gauge_set (self->term_gauge, (double) raft_term (self->raft));
--- a/src/consensus_local.c
+++ b/src/consensus_local.c
@@ -128,6 +128,7 @@
   .is_leader = is_leader,
   .leader = leader,
   .describe = describe,
+  .position = describe,
 };
 
 static const struct timer_ops timer_ops = { .fire = fire };
--- a/src/consensus_remote.c
+++ b/src/consensus_remote.c
@@ -107,6 +107,7 @@
   .is_leader = remote_is_leader,
   .leader = remote_leader,
   .describe = remote_describe,
+  .position = remote_describe,
 };
 
 static void
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -157,6 +157,21 @@
       list);
 }
 
+static json_t *
+voter_position (const struct consensus *consensus)
+{
+  const struct consensus_voter *self = (const struct consensus_voter *) consensus;
+  bool works = self->health == STATUS_OK;
+  char group[20];
+
+  snprintf (group, sizeof group, "%016" PRIx64, self->identity.group);
+  return json_pack ("{s:s,s:s,s:s,s:I,s:I,s:I}", "group", group, "role",
+                    works ? raft_role_text (raft_role (self->raft)) : "stopped", "leader",
+                    voter_leader_name (self), "term", (json_int_t) raft_term (self->raft),
+                    "committed", (json_int_t) raft_committed (self->raft), "applied",
+                    (json_int_t) raft_applied (self->raft));
+}
+
 static const struct consensus_ops ops = {
   .propose = voter_propose,
   .read = voter_read,
@@ -164,6 +179,7 @@
   .is_leader = voter_is_leader,
   .leader = voter_leader,
   .describe = voter_describe,
+  .position = voter_position,
 };
 
 static void
@@ -189,8 +205,13 @@
 watch_room (struct consensus_voter *self)
 {
   uint64_t room = self->config.disk->ops->free_bytes (self->config.disk);
+  bool low = room < self->config.reserve_bytes;
 
-  self->low_space = room < self->config.reserve_bytes;
+  if (low != self->low_space)
+    log_event (LOG_MODULE_CONSENSUS, low ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+               low ? "room-lost" : "room-regained", "{s:I,s:b}", "free_bytes",
+               (json_int_t) (room > INT64_MAX ? INT64_MAX : room), "leads", voter_leads (self));
+  self->low_space = low;
   raft_hold (self->raft, room < self->config.reserve_bytes / 2);
 }
 
--- a/src/consensus_voter_private.h
+++ b/src/consensus_voter_private.h
@@ -55,6 +55,11 @@
   int64_t snapshot_retry_at;
   int64_t hello_at; /* while waiting to be taken into a group */
 
+  /* As last told in the log. */
+  uint64_t told_leader;
+  uint64_t told_term;
+  uint64_t told_members; /* a hash */
+
   bool reads_waiting; /* some reads wait for the machine */
   struct requests requests;
   struct client client;
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -117,9 +117,9 @@
     }
   self->routing = routing;
   gauge_set (self->version_gauge, (double) routing->version);
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:i,s:i}", "version",
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:i,s:i,s:s}", "version",
              (json_int_t) routing->version, "routes", (int) routing->n_routes, "pools",
-             (int) routing->n_pools);
+             (int) routing->n_pools, "from", self->document_from);
   self->config.listener->ops->routing (self->config.listener, routing, self->now);
   talloc_free (before);
 }
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -46,6 +46,7 @@
   bool was_ready;
   int64_t confirmed_at;
   int64_t now;
+  const char *document_from; /* the controller whose state is being read */
   int64_t expire_at;
   struct counter *confirmations;
   struct counter *malformed;
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -182,6 +182,7 @@
     return;
   controller->heard = now;
   subscriber_note_touch (controller, true, now);
+  self->document_from = controller->name;
   if (text != NULL)
     document_take (self->document, state.document, text, length);
   read_targets (self, in, now);
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -33,6 +33,7 @@
       .is_leader = [] (const struct consensus *) { return true; },
       .leader = [] (const struct consensus *) { return ""; },
       .describe = [] (const struct consensus *) { return json_object (); },
+      .position = [] (const struct consensus *) { return json_object (); },
     };
 
     consensus.ops = &ops;
--- a/tests/unit_store_log.h
+++ b/tests/unit_store_log.h
@@ -38,9 +38,8 @@
 
   test_log (struct machine *with, struct timer_service *on) : machine (with), timers (on)
   {
-    static const struct consensus_ops ops = {
-      propose, read, withdraw, is_leader_op, leader, nullptr
-    };
+    static const struct consensus_ops ops = { propose, read,    withdraw, is_leader_op,
+                                              leader,  nullptr, nullptr };
     consensus.ops = &ops;
   }
 
