--- a/tests/unit_consensus.cc
+++ b/tests/unit_consensus.cc
@@ -313,6 +313,32 @@
   EXPECT_TRUE (fake_group_await_equal (group, 5 * second));
 }
 
+// An operator reads version 36 at one controller, two seconds after another acknowledged 43, and
+// the one that tells 36 has itself acknowledged 48 a moment ago.  Its disk filled up under a
+// change: it gave the lead away, found no room for its vote either and stopped following.  It still
+// sent reads on to the leader and answered them, once confirmed there, with what it held itself.
+// "version 43 had been acked over 2000 ms before a read was sent; version 36 is read".
+TEST_F (Group, VoterWithoutRoomAnswersNoReadItDoesNotFollow)
+{
+  struct fake_group_config config = voters (3);
+  config.no_lease = true;
+  start (config);
+  uint32_t full = static_cast<uint32_t> (leader);
+  EXPECT_EQ (propose (full, 5), 5u);
+  disk_fake_set_capacity (fake_group_disk (group, full), 0);
+  disk_fake_set_reported (fake_group_disk (group, full), 1 << 20);
+  propose (full, 5);
+  fake_group_run (group, 10 * second);
+  EXPECT_EQ (propose (other (full), 5), 5u);
+  uint64_t held = fake_group_applied (group, full);
+  ASSERT_LT (held, fake_group_most_applied (group));
+  fake_group_read (group, full, second);
+  fake_group_run (group, 2 * second);
+  EXPECT_STREQ (fake_group_breach (group), "");
+  EXPECT_EQ (fake_group_applied (group, full), held);
+  EXPECT_NE (fake_group_last_status (group), STATUS_OK);
+}
+
 // A disk reports an error of a sync.  The system may have dropped the data and report success the
 // next time, so the voter stops for good; the others go on, and its callers are served by them.
 TEST_F (Group, FailedSyncStopsTheVoterForGood)
