Answer no read at a voter that follows nothing

Cause: a read is confirmed by the leader and answered from the machine of the host that was asked. A voter that had stopped, because neither an entry nor its vote found room on its disk, and a host that was in no group yet, took the leader's index for done, though their machine stayed where it was. The control call then told the old document, and the controller confirmed it to entry hosts as the newest.

--- a/src/consensus.h
+++ b/src/consensus.h
@@ -71,8 +71,9 @@
                           int64_t now);
 
   /* A barrier: done(OK) when this host's machine holds everything committed before the call, as
-   * confirmed by a quorum.  On a host that is no voter the result is the confirmed index as
-   * decimal text, and the follower of the configuration waits for it. */
+   * confirmed by a quorum; STATUS_UNAVAILABLE or a timeout on a host whose machine takes in nothing
+   * any more, or not yet.  Only a host without a machine (consensus_remote.c) is told the confirmed
+   * index instead, as decimal text in the result. */
   enum status (*read) (struct consensus *consensus,
                        struct proposal *proposal,
                        int64_t deadline,
--- a/src/consensus_peer.c
+++ b/src/consensus_peer.c
@@ -4,8 +4,6 @@
 #include "pack.h"
 #include "snapshot.h"
 #include "text.h"
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -226,7 +224,6 @@
             int64_t now)
 {
   struct request *request = client_answered (&self->client, answer, from, now);
-  char index[24];
 
   if (request == NULL)
     return;
@@ -235,11 +232,9 @@
       request_finish (request, answer->status, answer->result, answer->length, now);
       return;
     }
-  /* Without entries coming in this host is like one without a folder: the asker gets the index. */
-  if (self->health != STATUS_OK || raft_member_set (self->raft)->n == 0)
+  if (self->health != STATUS_OK)
     {
-      snprintf (index, sizeof index, "%" PRIu64, answer->index);
-      request_finish (request, STATUS_OK, index, strlen (index), now);
+      request_finish (request, STATUS_UNAVAILABLE, NULL, 0, now);
       return;
     }
   request->place = REQUEST_APPLYING;
--- a/src/consensus_route.c
+++ b/src/consensus_route.c
@@ -82,7 +82,9 @@
 {
   enum status status = STATUS_NOT_LEADER;
 
-  if (voter_leads (self))
+  if (!voter_may_read (self) && request->kind == REQUEST_READ && request->proposal != NULL)
+    status = STATUS_UNAVAILABLE;
+  else if (voter_leads (self))
     {
       status = request->kind == REQUEST_PROPOSE ? propose_here (self, request)
                                                 : read_here (self, request, now);
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -32,8 +32,33 @@
   return self->health == STATUS_OK && raft_role (self->raft) == RAFT_LEADER;
 }
 
-/* Stop taking part, for good: what this voter stored can no longer be relied on.  Requests go to
- * other voters from here on. */
+/* Failure: a voter that had stopped had its reads confirmed by the leader and answered them from
+ * its machine, with a configuration that others had replaced seconds before; its host confirmed it
+ * to entry hosts as the newest.  A leader confirms how far the log goes, not that we follow it. */
+bool
+voter_may_read (const struct consensus_voter *self)
+{
+  return self->health == STATUS_OK;
+}
+
+/* Have the reads of this host that are under way looked at again. */
+static void
+recall_reads (struct consensus_voter *self, int64_t now)
+{
+  struct request *request;
+  struct request *next;
+
+  HASH_ITER (hh, self->requests.by_number, request, next)
+    {
+      if (request->kind != REQUEST_READ || request->proposal == NULL)
+        continue;
+      request->place = REQUEST_FORWARDED;
+      request_arm (request, now);
+    }
+}
+
+/* Stop taking part, for good: what this voter stored can no longer be relied on.  Proposals go to
+ * other voters from here on, reads are refused. */
 void
 voter_fail (struct consensus_voter *self, enum status status, const char *what, int64_t now)
 {
@@ -48,6 +73,7 @@
   if (self->health_gauge != NULL)
     gauge_set (self->health_gauge, 0);
   voter_role_changed (self, now);
+  recall_reads (self, now);
 }
 
 static enum status
@@ -64,6 +90,8 @@
 
   if (length > RAFT_ENTRY_MAX)
     return status_fail (STATUS_TOO_LARGE, "entry of %zu bytes, %u at most", length, RAFT_ENTRY_MAX);
+  if (kind == REQUEST_READ && !voter_may_read (self))
+    return status_fail (STATUS_UNAVAILABLE, "this voter has stopped: %s", self->health_message);
   if (kind == REQUEST_PROPOSE && voter_leads (self) && self->low_space)
     return status_fail (STATUS_DISK_FULL, "too little room in the leader's data folder");
   request = request_new (&self->requests, kind, entry, length, deadline, &status);
--- a/src/consensus_voter_private.h
+++ b/src/consensus_voter_private.h
@@ -82,6 +82,9 @@
 void voter_fail (struct consensus_voter *self, enum status status, const char *what, int64_t now);
 bool voter_leads (const struct consensus_voter *self);
 void voter_wake (struct consensus_voter *self, int64_t now);
+
+/* Reads may be answered from the machine here: it takes in what is committed. */
+bool voter_may_read (const struct consensus_voter *self);
 const char *voter_leader_name (const struct consensus_voter *self);
 
 /* consensus_route.c */
