Let a voter outlive a disk that is full for a while

Cause: a voter that found no room for its term or vote stopped for good, until its process was started again, though the disk had room again seconds later. Ruled out: storing into a reserve of our own; a full disk may refuse every write, also to files that have their length. Conclusion: nothing of a ready that found no room is sent, its term and vote are given back as a restart would, and the next message tries again.

--- a/src/consensus_flush.c
+++ b/src/consensus_flush.c
@@ -41,8 +41,8 @@
   return journal_commit (self->journal);
 }
 
-/* Without room the entries are given back as a restart would forget them, but a vote must be kept:
- * it is small, and the reserve leaves room for it. */
+/* Without room the entries are given back as a restart would forget them; a vote is small, and the
+ * reserve leaves room for it as a rule.  STATUS_DISK_FULL where it does not. */
 static enum status
 store (struct consensus_voter *self, const struct raft_ready *ready, int64_t now)
 {
@@ -74,6 +74,16 @@
     voter_send (self, messages[i]);
 }
 
+static void
+tell_stalled (struct consensus_voter *self, bool stalled)
+{
+  if (stalled != self->stalled)
+    log_event (LOG_MODULE_CONSENSUS, stalled ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
+               stalled ? "vote-not-stored" : "vote-stored", "{s:I,s:s}", "term",
+               (json_int_t) raft_term (self->raft), "message", stalled ? status_message () : "");
+  self->stalled = stalled;
+}
+
 /* The leader's appends leave before its own sync, since the two may go on at once; but not while
  * its term is not stored, which it must not outlive. */
 static bool
@@ -84,11 +94,22 @@
   if (!ready->state_changed)
     send_all (self, ready->early, ready->n_early);
   status = store (self, ready, now);
+  /* Failure: a disk that was full for seconds took a voter out until its process was started again,
+   * and the next loss left the group without a quorum.  While it cannot store its vote it is as
+   * silent as a host that is cut off, and the next message finds out whether there is room. */
+  if (status == STATUS_DISK_FULL)
+    {
+      tell_stalled (self, true);
+      raft_give_back (self->raft, now);
+      return false;
+    }
   if (status != STATUS_OK)
     {
       voter_fail (self, status, "storing", now);
       return false;
     }
+  if (ready->state_changed || ready->last >= ready->first)
+    tell_stalled (self, false);
   if (ready->state_changed)
     send_all (self, ready->early, ready->n_early);
   send_all (self, ready->late, ready->n_late);
@@ -318,10 +339,12 @@
   while (rounds < FLUSH_ROUNDS && raft_poll (self->raft, &ready, now))
     {
       if (!store_and_send (self, &ready, now))
-        return;
+        break;
       apply (self, now);
       rounds++;
     }
+  if (self->health != STATUS_OK)
+    return;
   take_reads (self, now);
   finish_reads (self, now);
   voter_role_changed (self, now);
--- a/src/consensus_route.c
+++ b/src/consensus_route.c
@@ -63,7 +63,7 @@
 forward (struct consensus_voter *self, struct request *request, int64_t now)
 {
   const char *leader = voter_leader_name (self);
-  bool member = self->health == STATUS_OK && raft_member_set (self->raft)->n > 0;
+  bool member = self->health == STATUS_OK && !self->stalled && raft_member_set (self->raft)->n > 0;
 
   if (self->config.port != NULL && (leader[0] != '\0' || !member)
       && strcmp (leader, self->name) != 0)
--- a/src/consensus_voter_private.h
+++ b/src/consensus_voter_private.h
@@ -50,6 +50,7 @@
   enum status health;
   char health_message[VOTER_HEALTH_SIZE];
   bool low_space; /* proposals are refused */
+  bool stalled;   /* not even a vote found room on the disk */
   bool led;       /* at the end of the last flush */
   int64_t led_at;
   int64_t snapshot_retry_at;
--- a/src/raft.c
+++ b/src/raft.c
@@ -39,6 +39,7 @@
   raft->options = *options;
   rng_init (&raft->rng, options->seed);
   raft->state = *state;
+  raft->stored_state = *state;
   raft->snapshot = *snapshot;
   raft_log_init (&raft->log, base_index, base_term);
   raft->commit = snapshot->index;
@@ -308,6 +309,7 @@
   INVARIANT (raft->ready_out);
   raft->ready_out = false;
   raft->state_changed = false;
+  raft->stored_state = raft->state;
   raft->log.stored = raft->ready_last;
   free_messages (&raft->early, &raft->n_early);
   free_messages (&raft->out, &raft->n_out);
@@ -345,6 +347,21 @@
     raft_become_follower (raft, raft->state.term, 0, now);
 }
 
+/* A term or vote that nobody was told of binds nobody: with the state as it was stored this server
+ * looks to the others like one whose messages were lost, and takes the term up again with the next
+ * message. */
+void
+raft_give_back (struct raft *raft, int64_t now)
+{
+  INVARIANT (raft->ready_out);
+  raft->ready_out = false;
+  raft->state_changed = false;
+  free_messages (&raft->early, &raft->n_early);
+  free_messages (&raft->out, &raft->n_out);
+  raft_become_follower (raft, raft->state.term, 0, now);
+  raft->state = raft->stored_state;
+}
+
 void
 raft_hold (struct raft *raft, bool hold)
 {
--- a/src/raft.h
+++ b/src/raft.h
@@ -146,6 +146,10 @@
  * STATUS_AGAIN while one is under way: it ends by itself when its receiver does not stand. */
 enum status raft_transfer (struct raft *raft, uint64_t to, int64_t now);
 
+/* On the leader: the other voters that were heard of late and have room are a quorum by themselves.
+ */
+bool raft_can_spare_leader (const struct raft *raft, int64_t now);
+
 /* False when there is nothing to do.  Valid until the next call of raft_synced(). */
 bool raft_poll (struct raft *raft, struct raft_ready *out, int64_t now);
 void raft_synced (struct raft *raft, int64_t now);
@@ -154,6 +158,10 @@
  * forget them, as a restart would.  A leader steps down: it must not number other entries alike. */
 void raft_drop_unstored (struct raft *raft, int64_t now);
 
+/* After that not even the term or the vote of the ready found room: it is given back whole, nothing
+ * of it may be sent, and raft_synced() does not come. */
+void raft_give_back (struct raft *raft, int64_t now);
+
 /* While held, entries from a leader are not taken and it is told to wait. */
 void raft_hold (struct raft *raft, bool hold);
 
--- a/src/raft_private.h
+++ b/src/raft_private.h
@@ -76,6 +76,7 @@
   struct rng rng;
   enum raft_role role;
   struct raft_state state;
+  struct raft_state stored_state; /* as last synced */
   bool state_changed;
   uint64_t leader;
   struct raft_log log;
