Hand the lead over when the leader's disk is full

Ruled out: to hand over whenever room is low: with one of three hosts lost there would be no leader at all, and two short of room would pass the lead to and fro.

--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -230,17 +230,23 @@
 
 /* Refuse proposals early enough that votes, and entries under way, still find room. */
 static void
-watch_room (struct consensus_voter *self)
+watch_room (struct consensus_voter *self, int64_t now)
 {
   uint64_t room = self->config.disk->ops->free_bytes (self->config.disk);
   bool low = room < self->config.reserve_bytes;
+  bool holds = room < (self->config.reserve_bytes + 1) / 2;
 
   if (low != self->low_space)
     log_event (LOG_MODULE_CONSENSUS, low ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
                low ? "room-lost" : "room-regained", "{s:I,s:b}", "free_bytes",
                (json_int_t) (room > INT64_MAX ? INT64_MAX : room), "leads", voter_leads (self));
   self->low_space = low;
-  raft_hold (self->raft, room < self->config.reserve_bytes / 2);
+  raft_hold (self->raft, holds);
+  /* Failure: for as long as the leader's disk was full every change was refused, though a quorum
+   * had room.  Not before we hold ourselves: then we are no choice for the next leader, and two
+   * that are both short of room do not hand the lead to and fro. */
+  if (holds && raft_can_spare_leader (self->raft, now))
+    (void) consensus_voter_transfer (&self->consensus, now);
 }
 
 static void
@@ -251,7 +257,7 @@
 
   if (self->health != STATUS_OK)
     return;
-  watch_room (self);
+  watch_room (self, now);
   voter_form (self, now);
   voter_repair (self, now);
   timer_arm (self->config.timers, timer,
@@ -365,7 +371,7 @@
     }
   if (config->port != NULL)
     voter_listen (self);
-  watch_room (self);
+  watch_room (self, now);
   timer_arm (config->timers, &self->slow_timer, now);
   voter_wake (self, now);
   return &self->consensus;
--- a/src/raft_replicate.c
+++ b/src/raft_replicate.c
@@ -396,15 +396,43 @@
 
 /* Failure: two hosts shut down one after the other.  The second, the leader, offers its place to
  * the first, which holds everything and was heard a moment ago, and waits in vain.  Of two that
- * hold the same, the one heard last is the likelier to be there. */
+ * hold the same, the one heard last is the likelier to be there.  One without room for entries is
+ * the last choice: it could not store its own first. */
 static bool
 takes_over_better (const struct raft_peer *peer, const struct raft_peer *best)
 {
-  if (best == NULL || peer->match != best->match)
-    return best == NULL || peer->match > best->match;
+  if (best == NULL)
+    return true;
+  if (peer->hold != best->hold)
+    return best->hold;
+  if (peer->match != best->match)
+    return peer->match > best->match;
   return peer->heard_at > best->heard_at;
 }
 
+static bool
+heard_lately (const struct raft *raft, const struct raft_peer *peer, int64_t now)
+{
+  return now - peer->heard_at <= raft->options.election_min;
+}
+
+bool
+raft_can_spare_leader (const struct raft *raft, int64_t now)
+{
+  const struct raft_members *members = raft_current_members (raft);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; raft->role == RAFT_LEADER && i < raft->n_peers; i++)
+    {
+      const struct raft_peer *peer = &raft->peers[i];
+
+      if (raft_members_is_voter (members, peer->id) && heard_lately (raft, peer, now)
+          && !peer->hold)
+        n++;
+    }
+  return n >= raft_members_quorum (members);
+}
+
 enum status
 raft_transfer (struct raft *raft, uint64_t to, int64_t now)
 {
@@ -421,7 +449,7 @@
 
       if (!raft_members_is_voter (members, peer->id) || (to != 0 && peer->id != to))
         continue;
-      if (now - peer->heard_at > raft->options.election_min)
+      if (!heard_lately (raft, peer, now))
         continue;
       if (takes_over_better (peer, best))
         best = peer;
