Let the soak fill disks under changes, and walks have spare hosts

Cause: the soak never had storage misbehave, and walks had neither full disks nor hosts beyond the voters; a stopped voter's answers were never looked at on real processes. Ruled out: a mount of its own, which needs rights; a limit on a process's file sizes is set from outside and refuses each write without a word beforehand. A write over that limit now counts as a full disk and no longer ends the process.

--- a/bench/explore.c
+++ b/bench/explore.c
@@ -14,9 +14,10 @@
 #define CONTEST_HAND_OVER (20 * USEC_PER_MSEC)
 #define CONTEST_ROUND (20 * USEC_PER_MSEC)
 #define CONTEST_ROUNDS 60
-#define TOLD_ROOM (1u << 20) /* bytes free as told by a disk that is full */
-#define RESTART_ODDS 20      /* one in so many steps */
-#define DISK_DEED_ODDS 8     /* one in so many steps of a walk with bad disks */
+#define TOLD_ROOM (1u << 20)             /* bytes free as told by a disk that is full */
+#define REPLACE_AFTER (3 * USEC_PER_SEC) /* by a spare host, where there is one */
+#define RESTART_ODDS 20                  /* one in so many steps */
+#define DISK_DEED_ODDS 8                 /* one in so many steps of a walk with bad disks */
 
 struct walk
 {
@@ -324,6 +325,7 @@
 {
   struct fake_group_config group = {
     .voters = config->voters,
+    .waiting = config->spares,
     .entry_bytes = 40,
     .snapshot_entries = 60,
     /* Fixed, so that seeds keep their walks when the product's times change. */
@@ -342,9 +344,11 @@
   group.duplicate = (uint32_t) rng_below (&walk->rng, 100);
   group.delay_max =
       1000 + (int64_t) rng_below (&walk->rng, rng_below (&walk->rng, 2) == 0 ? 4000 : SLOW_MAX);
+  if (config->spares > 0)
+    group.timing.replace_after = REPLACE_AFTER;
   walk->plain = config->plain;
   walk->bad_disks = config->bad_disks;
-  walk->n = config->voters;
+  walk->n = config->voters + config->spares;
   walk->group = fake_group_new (NULL, &group);
 }
 
--- a/src/disk_posix.c
+++ b/src/disk_posix.c
@@ -28,7 +28,7 @@
   enum status status = STATUS_IO;
   int error = errno;
 
-  if (error == ENOSPC || error == EDQUOT)
+  if (error == ENOSPC || error == EDQUOT || error == EFBIG)
     status = STATUS_DISK_FULL;
   else if (error == ENOENT)
     status = STATUS_NOT_FOUND;
--- a/src/log.c
+++ b/src/log.c
@@ -304,6 +304,9 @@
   state.is_socket = fstat (state.fd, &about) == 0 && S_ISSOCK (about.st_mode);
   /* A reader of our standard error that goes away must not end the process. */
   signal (SIGPIPE, SIG_IGN);
+  /* Nor must a file at the limit of its size, a log or the journal: the write fails, as on a full
+   * disk, and is dealt with there. */
+  signal (SIGXFSZ, SIG_IGN);
   log4c_layout_type_set (&layout_type);
   log4c_appender_type_set (&appender_type);
   state.appender = log4c_appender_get (LOG_TYPE_NAME);
