Let no document skip an entry for want of memory

Cause: of the same class as the stale read: a machine that could not copy an entry went on, acknowledged it and answered with the document before it.

--- a/src/document.c
+++ b/src/document.c
@@ -1,7 +1,9 @@
 /* One configuration document under a version. */
 #include "document.h"
 #include "container.h"
+#include "log.h"
 #include "pack.h"
+#include <jansson.h>
 #include <talloc.h>
 
 struct document
@@ -43,12 +45,16 @@
   const void *text;
   size_t text_length = 0;
 
-  (void) index;
   pack_reader_init (&in, entry, length);
   version = pack_read_uint (&in, UINT64_MAX);
   text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
-  if (pack_read_end (&in))
-    document_take (document, version, text, text_length);
+  if (!pack_read_end (&in))
+    log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "entry-not-read", "{s:I}", "index",
+               (json_int_t) index);
+  /* A machine that skipped an entry for want of memory would answer with an older document than the
+   * log says that it holds, until its next start. */
+  else if (!document_take (document, version, text, text_length))
+    INVARIANT (document->version >= version);
   pack_uint (result, document->version);
 }
 
@@ -77,7 +83,8 @@
   text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
   if (!pack_read_end (&in))
     return status_fail (STATUS_CORRUPT, "a snapshot of the document cannot be read");
-  document_take (document, version, text, text_length);
+  if (!document_take (document, version, text, text_length) && document->version < version)
+    return status_fail (STATUS_NO_MEMORY, "no memory for a snapshot of the document");
   return STATUS_OK;
 }
 
