--- a/bench/cmd_explore.c
+++ b/bench/cmd_explore.c
@@ -1,5 +1,6 @@
-/* Explore many seeds by hand: explore VOTERS FIRST_SEED SEEDS STEPS [plain|bad-disks|spares].
- * Prints each seed that breaks a rule, then totals; fails when there was one.
+/* Explore many seeds by hand: explore VOTERS FIRST_SEED SEEDS STEPS
+ * [plain|bad-disks|spares|tight-disks]. Prints each seed that breaks a rule, then totals; fails
+ * when there was one.
  *
  * explore failover VOTERS SEEDS: how long a group is without a leader after its leader's host died,
  * and after it handed over, on virtual time. */
@@ -97,7 +98,9 @@
     return run_failover ((uint32_t) strtoul (argv[2], NULL, 10), strtoull (argv[3], NULL, 10));
   if (argc != 5 && argc != 6)
     {
-      fprintf (stderr, "usage: explore VOTERS FIRST_SEED SEEDS STEPS [plain|bad-disks|spares]\n");
+      fprintf (
+          stderr,
+          "usage: explore VOTERS FIRST_SEED SEEDS STEPS [plain|bad-disks|spares|tight-disks]\n");
       return 2;
     }
   config.voters = (uint32_t) strtoul (argv[1], NULL, 10);
@@ -106,6 +109,7 @@
   config.steps = (uint32_t) strtoul (argv[4], NULL, 10);
   config.plain = argc == 6 && strcmp (argv[5], "plain") == 0;
   config.bad_disks = argc == 6 && !config.plain;
+  config.tight_disks = argc == 6 && strcmp (argv[5], "tight-disks") == 0;
   config.spares = argc == 6 && strcmp (argv[5], "spares") == 0 ? 2 : 0;
   for (uint64_t i = 0; i < seeds; i++)
     {
--- a/bench/disk_fake.c
+++ b/bench/disk_fake.c
@@ -148,8 +148,8 @@
   return status_fail (STATUS_IO, "the disk has stopped");
 }
 
-static uint64_t
-used (const struct disk_fake *self)
+uint64_t
+disk_fake_used (const struct disk_fake *self)
 {
   uint64_t bytes = 0;
 
@@ -198,7 +198,9 @@
 {
   struct disk_fake *self = disk_fake_of (disk);
   struct node *node = self->open[file];
-  uint64_t room = self->capacity - (used (self) < self->capacity ? used (self) : self->capacity);
+  uint64_t room =
+      self->capacity
+      - (disk_fake_used (self) < self->capacity ? disk_fake_used (self) : self->capacity);
 
   if (self->stopped)
     return stopped ();
@@ -345,7 +347,7 @@
 fake_free_bytes (struct disk *disk)
 {
   const struct disk_fake *self = disk_fake_of (disk);
-  uint64_t bytes = used (self);
+  uint64_t bytes = disk_fake_used (self);
 
   if (self->reported != UINT64_MAX)
     return self->reported;
--- a/bench/disk_fake.h
+++ b/bench/disk_fake.h
@@ -29,6 +29,9 @@
 /* Fail the next sync, once; the data is not durable. */
 void disk_fake_fail_sync (struct disk_fake *disk);
 
+/* Bytes in all files. */
+uint64_t disk_fake_used (const struct disk_fake *disk);
+
 /* Room for so many bytes in all. */
 void disk_fake_set_capacity (struct disk_fake *disk, uint64_t bytes);
 
--- a/bench/explore.c
+++ b/bench/explore.c
@@ -16,6 +16,7 @@
 #define CONTEST_ROUNDS 60
 #define TOLD_ROOM (1u << 20)             /* bytes free as told by a disk that is full */
 #define REPLACE_AFTER (3 * USEC_PER_SEC) /* by a spare host, where there is one */
+#define TIGHT_ROOM 2000                  /* bytes left on a disk that is nearly full, at most */
 #define RESTART_ODDS 20                  /* one in so many steps */
 #define DISK_DEED_ODDS 8                 /* one in so many steps of a walk with bad disks */
 
@@ -27,6 +28,7 @@
   bool jumps; /* clocks jump while running; then there are no leases */
   bool plain;
   bool bad_disks;
+  bool tight_disks;
   bool disk_missing; /* a disk was lost and the group is not whole again */
 };
 
@@ -222,7 +224,8 @@
 {
   struct disk_fake *disk = fake_group_disk (walk->group, any_host (walk));
 
-  disk_fake_set_capacity (disk, 0);
+  disk_fake_set_capacity (
+      disk, walk->tight_disks ? disk_fake_used (disk) + rng_below (&walk->rng, TIGHT_ROOM) : 0);
   disk_fake_set_reported (disk, rng_below (&walk->rng, 2) == 0 ? 0 : TOLD_ROOM);
 }
 
@@ -348,6 +351,7 @@
     group.timing.replace_after = REPLACE_AFTER;
   walk->plain = config->plain;
   walk->bad_disks = config->bad_disks;
+  walk->tight_disks = config->tight_disks;
   walk->n = config->voters + config->spares;
   walk->group = fake_group_new (NULL, &group);
 }
--- a/bench/explore.h
+++ b/bench/explore.h
@@ -13,9 +13,10 @@
   uint64_t seed;
   uint32_t voters;
   uint32_t spares; /* hosts that follow the log and take a lost voter's place */
-  uint32_t steps; /* random deeds; some tens of events lie between two */
-  bool plain;     /* without contests of leaders: the walks of the first seeds that found faults */
-  bool bad_disks; /* disks also fill up, noticed or not, and fail to sync */
+  uint32_t steps;  /* random deeds; some tens of events lie between two */
+  bool plain;      /* without contests of leaders: the walks of the first seeds that found faults */
+  bool tight_disks; /* those that fill up have room for some writes more */
+  bool bad_disks;   /* disks also fill up, noticed or not, and fail to sync */
 };
 
 struct explore_result
--- a/tests/unit_journal.cc
+++ b/tests/unit_journal.cc
@@ -205,6 +205,22 @@
   EXPECT_EQ (raft_log_last_term (&found.log), 2u);
 }
 
+// A voter takes in a snapshot while its folder is full: the snapshot fits, the journal's next
+// segment does not.  It stopped for good; the journal must go on as it was, and start anew once
+// there is room.
+TEST_F (Journal, ResetWithoutRoomLeavesTheJournalAsItWas)
+{
+  ASSERT_EQ (open (), STATUS_OK);
+  ASSERT_EQ (append (1, 1), STATUS_OK);
+  disk_fake_set_capacity (disk_fake_of (disk), disk_fake_used (disk_fake_of (disk)));
+  EXPECT_EQ (journal_reset (journal, 10, 1), STATUS_DISK_FULL);
+  EXPECT_FALSE (journal_failed (journal));
+  disk_fake_set_capacity (disk_fake_of (disk), UINT64_MAX);
+  EXPECT_EQ (append (2, 1), STATUS_OK);
+  EXPECT_EQ (journal_reset (journal, 10, 1), STATUS_OK);
+  EXPECT_EQ (append (11, 1), STATUS_OK);
+}
+
 // After a failed sync the second one may report success for data that the system has dropped.
 TEST_F (Journal, FailedSyncIsNeverRepeated)
 {
--- a/tests/unit_raft_explore.cc
+++ b/tests/unit_raft_explore.cc
@@ -24,6 +24,7 @@
   bool plain;
   bool bad_disks = false;
   uint32_t spares = 0;
+  bool tight_disks = false;
 };
 
 std::string
@@ -31,7 +32,7 @@
 {
   return std::to_string (info.param.voters) + "VotersSeed" + std::to_string (info.param.seed)
          + (info.param.plain ? "Plain" : "") + (info.param.bad_disks ? "BadDisks" : "")
-         + (info.param.spares > 0 ? "Spares" : "");
+         + (info.param.spares > 0 ? "Spares" : "") + (info.param.tight_disks ? "Tight" : "");
 }
 
 // The first `count` seeds.
@@ -61,6 +62,7 @@
                                    .spares = walk.spares,
                                    .steps = steps,
                                    .plain = walk.plain,
+                                   .tight_disks = walk.tight_disks,
                                    .bad_disks = walk.bad_disks };
   struct explore_result result;
 
@@ -83,6 +85,16 @@
                           Explore,
                           testing::ValuesIn (first (3, 15, false, true)),
                           walk_name);
+// Full disks have room for some writes more, so that any of several in a row is the one that fails.
+INSTANTIATE_TEST_SUITE_P (TightDisks,
+                          Explore,
+                          testing::Values (walk{ 3, 1, false, true, 0, true },
+                                           walk{ 3, 2, false, true, 0, true },
+                                           walk{ 3, 3, false, true, 0, true },
+                                           walk{ 5, 1, false, true, 0, true },
+                                           walk{ 5, 2, false, true, 0, true }),
+                          walk_name);
+
 // Two hosts more follow the log, and take the place of voters that are silent for three seconds.
 INSTANTIATE_TEST_SUITE_P (Spares,
                           Explore,
