--- a/src/journal.c
+++ b/src/journal.c
@@ -242,6 +242,8 @@
 enum status
 journal_reset (struct journal *journal, uint64_t index, uint64_t term)
 {
+  uint64_t last_index = journal->last_index;
+  uint64_t last_term = journal->last_term;
   enum status status;
 
   if (journal->failed)
@@ -250,6 +252,14 @@
   journal->last_index = index;
   journal->last_term = term;
   status = journal_begin_segment (journal, SEGMENT_RESET);
+  /* Nothing was begun: the segments that are there go on, and a start finds the snapshot beside
+   * them as after a crash between the two. */
+  if (status == STATUS_DISK_FULL)
+    {
+      journal->last_index = last_index;
+      journal->last_term = last_term;
+      return status;
+    }
   if (status == STATUS_OK)
     status = remove_segments (journal, journal->n_segments - 1);
   if (status != STATUS_OK)
--- a/src/journal.h
+++ b/src/journal.h
@@ -54,7 +54,8 @@
  * success the second time. */
 enum status journal_commit (struct journal *journal);
 
-/* A snapshot from the leader replaced everything up to its index: begin anew after it. */
+/* A snapshot from the leader replaced everything up to its index: begin anew after it.
+ * STATUS_DISK_FULL: nothing was changed. */
 enum status journal_reset (struct journal *journal, uint64_t index, uint64_t term);
 
 /* Remove segments that hold nothing after `index`. */
