Let a host without a machine read nothing, and make requests one way

Cause: a read had two meanings: 'the machine here holds it' on a voter, and 'the log goes so far' on a host without a data folder, told as text in the result. Voters that followed nothing gave the second for the first, and no caller looked at it. No caller uses the second meaning. Ruled out: to check the text in each caller, as the next one would forget it. Conclusion: a read that ends well has one meaning. The two hosts' ways of making a request of their own, the same 15 lines, are one function.

--- a/src/consensus.h
+++ b/src/consensus.h
@@ -72,8 +72,7 @@
 
   /* A barrier: done(OK) when this host's machine holds everything committed before the call, as
    * confirmed by a quorum; STATUS_UNAVAILABLE or a timeout on a host whose machine takes in nothing
-   * any more, or not yet.  Only a host without a machine (consensus_remote.c) is told the confirmed
-   * index instead, as decimal text in the result. */
+   * any more, or not yet; STATUS_UNSUPPORTED at once on one without a machine. */
   enum status (*read) (struct consensus *consensus,
                        struct proposal *proposal,
                        int64_t deadline,
--- a/src/consensus_remote.c
+++ b/src/consensus_remote.c
@@ -1,9 +1,6 @@
 /* A host without a data folder. */
 #include "consensus_remote.h"
 #include "consensus_client.h"
-#include "raft_message.h"
-#include <inttypes.h>
-#include <stdio.h>
 #include <talloc.h>
 
 struct consensus_remote
@@ -28,29 +25,6 @@
                                       - offsetof (struct consensus_remote, requests));
 }
 
-static enum status
-submit (struct consensus_remote *self,
-        enum request_kind kind,
-        const void *entry,
-        size_t length,
-        struct proposal *proposal,
-        int64_t deadline,
-        int64_t now)
-{
-  enum status status;
-  struct request *request;
-
-  if (length > RAFT_ENTRY_MAX)
-    return status_fail (STATUS_TOO_LARGE, "entry of %zu bytes", length);
-  request = request_new (&self->requests, kind, entry, length, deadline, &status);
-  if (request == NULL)
-    return status;
-  request->proposal = proposal;
-  proposal->owner = request;
-  client_send (&self->client, request, now);
-  return STATUS_OK;
-}
-
 static enum status
 remote_propose (struct consensus *consensus,
                 const void *entry,
@@ -60,16 +34,24 @@
                 int64_t now)
 {
   struct consensus_remote *self = (struct consensus_remote *) consensus;
+  enum status status;
+  struct request *request = request_new_own (&self->requests, REQUEST_PROPOSE, entry, length,
+                                             proposal, deadline, &status);
 
-  return submit (self, REQUEST_PROPOSE, entry, length, proposal, deadline, now);
+  if (request != NULL)
+    client_send (&self->client, request, now);
+  return status;
 }
 
+/* A quorum could tell how far the log goes, but there is no machine here that would get there. */
 static enum status
 remote_read (struct consensus *consensus, struct proposal *proposal, int64_t deadline, int64_t now)
 {
-  struct consensus_remote *self = (struct consensus_remote *) consensus;
-
-  return submit (self, REQUEST_READ, NULL, 0, proposal, deadline, now);
+  (void) consensus;
+  (void) proposal;
+  (void) deadline;
+  (void) now;
+  return status_fail (STATUS_UNSUPPORTED, "a host without a data folder holds nothing to read");
 }
 
 static void
@@ -140,21 +122,13 @@
   struct client_ask ask;
   struct client_answer answer;
   struct request *request;
-  char index[24];
   bool is_ask;
 
   if (client_read_message (data, length, &is_ask, &ask, &answer) != STATUS_OK || is_ask)
     return;
   request = client_answered (&self->client, &answer, from, now);
-  if (request == NULL)
-    return;
-  if (request->kind == REQUEST_PROPOSE || answer.status != STATUS_OK)
-    {
-      request_finish (request, answer.status, answer.result, answer.length, now);
-      return;
-    }
-  snprintf (index, sizeof index, "%" PRIu64, answer.index);
-  request_finish (request, STATUS_OK, index, strlen (index), now);
+  if (request != NULL)
+    request_finish (request, answer.status, answer.result, answer.length, now);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
--- a/src/consensus_request.c
+++ b/src/consensus_request.c
@@ -1,5 +1,6 @@
 /* A proposal or a read on its way. */
 #include "consensus_request.h"
+#include "raft_message.h"
 #include <talloc.h>
 
 static void
@@ -76,6 +77,31 @@
   return request;
 }
 
+struct request *
+request_new_own (struct requests *requests,
+                 enum request_kind kind,
+                 const void *entry,
+                 size_t length,
+                 struct proposal *proposal,
+                 int64_t deadline,
+                 enum status *status)
+{
+  struct request *request;
+
+  if (length > RAFT_ENTRY_MAX)
+    {
+      *status =
+          status_fail (STATUS_TOO_LARGE, "entry of %zu bytes, %u at most", length, RAFT_ENTRY_MAX);
+      return NULL;
+    }
+  request = request_new (requests, kind, entry, length, deadline, status);
+  if (request == NULL)
+    return NULL;
+  request->proposal = proposal;
+  proposal->owner = request;
+  return request;
+}
+
 struct request *
 request_find (const struct requests *requests, uint64_t number)
 {
--- a/src/consensus_request.h
+++ b/src/consensus_request.h
@@ -82,6 +82,16 @@
  * them may be gone already. */
 void requests_clear (struct requests *requests);
 
+/* A request of this host, which `proposal` waits for.  NULL with the reason in `status`, then also
+ * STATUS_TOO_LARGE. */
+struct request *request_new_own (struct requests *requests,
+                                 enum request_kind kind,
+                                 const void *entry,
+                                 size_t length,
+                                 struct proposal *proposal,
+                                 int64_t deadline,
+                                 enum status *status);
+
 /* A copy of `data` is kept.  NULL with STATUS_NO_MEMORY or STATUS_LIMIT in `status`. */
 struct request *request_new (struct requests *requests,
                              enum request_kind kind,
--- a/src/consensus_voter.c
+++ b/src/consensus_voter.c
@@ -88,17 +88,13 @@
   struct request *request;
   enum status status;
 
-  if (length > RAFT_ENTRY_MAX)
-    return status_fail (STATUS_TOO_LARGE, "entry of %zu bytes, %u at most", length, RAFT_ENTRY_MAX);
   if (kind == REQUEST_READ && !voter_may_read (self))
     return status_fail (STATUS_UNAVAILABLE, "this voter has stopped: %s", self->health_message);
   if (kind == REQUEST_PROPOSE && voter_leads (self) && self->low_space)
     return status_fail (STATUS_DISK_FULL, "too little room in the leader's data folder");
-  request = request_new (&self->requests, kind, entry, length, deadline, &status);
+  request = request_new_own (&self->requests, kind, entry, length, proposal, deadline, &status);
   if (request == NULL)
     return status;
-  request->proposal = proposal;
-  proposal->owner = request;
   /* Not at once: done() must not come before this returns. */
   request->place = REQUEST_FORWARDED;
   if (voter_leads (self) && kind == REQUEST_PROPOSE)
