Say what changed for operators, and name things as they are

Cause: the diff read as a newcomer: a function that sets and tells was named for telling; one check of a stopped voter stood twice; why a voter without room asks like an outsider was not said. Conclusion: no logic changed.

--- a/src/consensus_flush.c
+++ b/src/consensus_flush.c
@@ -75,7 +75,7 @@
 }
 
 static void
-tell_stalled (struct consensus_voter *self, bool stalled)
+set_stalled (struct consensus_voter *self, bool stalled)
 {
   if (stalled != self->stalled)
     log_event (LOG_MODULE_CONSENSUS, stalled ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO,
@@ -99,7 +99,7 @@
    * silent as a host that is cut off, and the next message finds out whether there is room. */
   if (status == STATUS_DISK_FULL)
     {
-      tell_stalled (self, true);
+      set_stalled (self, true);
       raft_give_back (self->raft, now);
       return false;
     }
@@ -109,7 +109,7 @@
       return false;
     }
   if (ready->state_changed || ready->last >= ready->first)
-    tell_stalled (self, false);
+    set_stalled (self, false);
   if (ready->state_changed)
     send_all (self, ready->early, ready->n_early);
   send_all (self, ready->late, ready->n_late);
--- a/src/consensus_peer.c
+++ b/src/consensus_peer.c
@@ -232,7 +232,7 @@
       request_finish (request, answer->status, answer->result, answer->length, now);
       return;
     }
-  if (self->health != STATUS_OK)
+  if (!voter_may_read (self))
     {
       request_finish (request, STATUS_UNAVAILABLE, NULL, 0, now);
       return;
--- a/src/consensus_route.c
+++ b/src/consensus_route.c
@@ -58,7 +58,8 @@
   return status;
 }
 
-/* Send a request of this host to where it may be answered. */
+/* Send a request of this host to where it may be answered.  A voter that cannot store its vote
+ * follows no leader, and asks like a host outside the group. */
 static void
 forward (struct consensus_voter *self, struct request *request, int64_t now)
 {
