Log what the client was told at the end of its request, and where a stream stood

The incident's traces ended in "served" with status 500, while the client had a 200, five events and a last chunk: request-ended told the status of the last attempt, and nothing said what the client saw. Now it tells the status the client was told and whether its answer was ended as complete (whole), and attempt-ended tells whether the client had the head of a stream by then, how many events and the id of the last one. So an end that is told as complete over an attempt with another status shows in two lines. What belongs to the stream, not to one attempt, has a struct of its own; no decision changes.

--- a/src/forward.c
+++ b/src/forward.c
@@ -242,7 +242,7 @@
   if (job == NULL)
     return;
   job->exchange = NULL;
-  job_log (job, FORWARD_GONE, 0);
+  job_log (job, FORWARD_GONE, job_told_so_far (job));
   job_free (job);
 }
 
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -27,6 +27,15 @@
 
 /* ---- the request as it is sent ---- */
 
+/* The event that the client has already; NULL: the stream begins at its start. */
+static const char *
+goes_on_behind (const struct forward_job *job)
+{
+  if (job->stream.last_event[0] != '\0')
+    return job->stream.last_event;
+  return job->facts.last_event[0] != '\0' ? job->facts.last_event : NULL;
+}
+
 static void
 write_request (const struct forward_job *job, int64_t now, struct bytes *out)
 {
@@ -42,10 +51,7 @@
 
   bytes_init (&inputs, NULL);
   job_write_inputs (job, route_last_stages (&job->route), &inputs);
-  if (job->last_event[0] != '\0')
-    facts.last_event = job->last_event;
-  else if (job->facts.last_event[0] != '\0')
-    facts.last_event = job->facts.last_event;
+  facts.last_event = goes_on_behind (job);
   facts.inputs = inputs.length > 0 ? inputs.data : NULL;
   bytes_append_format (out, "%s %s HTTP/1.1\r\n", http_method_str ((enum http_method) head->method),
                        head->target);
@@ -98,12 +104,13 @@
 log_attempt (const struct forward_job *job, const char *outcome, int64_t now)
 {
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I,s:b}", "id", job->facts.id, "target",
+             "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s}", "id", job->facts.id, "target",
              job->target->id, "address", job->target->address, "outcome", outcome, "status",
              (int) job->status, "not_run", job->not_run, "sent", job->call.handed, "took_us",
              (json_int_t) (now - job->sent_at), "renewed_ms",
              (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC), "reused",
-             job->call.reused);
+             job->call.reused, "stream_begun", job->stream.begun, "events",
+             (int) job->stream.events, "last_event", job->stream.last_event);
 }
 
 /* May the request go to another target after this attempt? */
@@ -245,7 +252,7 @@
   job->status = head->status;
   job->is_signed = facts.is_signed;
   job->not_run = facts.not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
-  if (!job->passing)
+  if (!job->stream.begun)
     keep_fields (job, head);
   return true;
 }
@@ -276,9 +283,10 @@
         bytes_append (&job->body, data, length);
       return;
     }
-  if (!job->passing)
+  if (!job->stream.begun)
     {
-      job->passing = true;
+      job->stream.begun = true;
+      job->stream.status = job->status;
       h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
     }
   job_pass_events (job, data, length);
--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -17,8 +17,14 @@
   return reason_texts[reason];
 }
 
+struct forward_told
+job_told_so_far (const struct forward_job *job)
+{
+  return (struct forward_told){ .status = job->stream.status, .whole = false };
+}
+
 void
-job_log (const struct forward_job *job, enum forward_reason reason, unsigned status)
+job_log (const struct forward_job *job, enum forward_reason reason, struct forward_told told)
 {
   const struct forward *forward = job->forward;
   int64_t now = loop_now (forward->config.loop);
@@ -26,21 +32,22 @@
 
   counter_add (forward->reasons[reason], 1);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i}", "id", job->facts.id,
+             "{s:s,s:s,s:s,s:s,s:i,s:b,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i}", "id", job->facts.id,
              "route", job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
-             (int) status, "age_ms", (json_int_t) (job->age / USEC_PER_MSEC), "version",
-             (json_int_t) job->version, "version_age_ms",
-             (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "sends", (int) job->sends,
-             "runs", (int) job->runs, "stages_us",
+             (int) told.status, "whole", told.whole, "age_ms",
+             (json_int_t) (job->age / USEC_PER_MSEC), "version", (json_int_t) job->version,
+             "version_age_ms", (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "sends",
+             (int) job->sends, "runs", (int) job->runs, "stages_us",
              (json_int_t) (job->stages_done == 0 ? -1 : job->stages_done - job->arrived),
              "first_us", (json_int_t) (job->first_at == 0 ? -1 : job->first_at - job->arrived),
-             "took_us", (json_int_t) (now - job->arrived), "events", (int) job->events);
+             "took_us", (json_int_t) (now - job->arrived), "events", (int) job->stream.events);
 }
 
 /* An answer of our own.  The exchange stays with its client until the job is gone. */
 static void
-answer (struct forward_job *job, unsigned status, const char *fields)
+answer (struct forward_job *job, enum forward_reason reason, unsigned status, const char *fields)
 {
+  job_log (job, reason, (struct forward_told){ .status = status, .whole = true });
   h1_reply (job->exchange, status, fields, NULL, 0);
   job->exchange = NULL;
 }
@@ -51,10 +58,9 @@
 {
   char field[48];
 
-  INVARIANT (!job->passing && job->runs == 0);
+  INVARIANT (!job->stream.begun && job->runs == 0);
   snprintf (field, sizeof field, "Retry-After: %.3f\r\n", retry_after);
-  job_log (job, reason, HTTP_STATUS_SERVICE_UNAVAILABLE);
-  answer (job, HTTP_STATUS_SERVICE_UNAVAILABLE, field);
+  answer (job, reason, HTTP_STATUS_SERVICE_UNAVAILABLE, field);
   job_free (job);
 }
 
@@ -65,21 +71,21 @@
   unsigned status =
       reason == FORWARD_TIMEOUT ? HTTP_STATUS_GATEWAY_TIMEOUT : HTTP_STATUS_BAD_GATEWAY;
 
-  job_log (job, reason, job->passing ? 0 : status);
-  if (job->passing)
+  if (job->stream.begun)
     {
+      job_log (job, reason, job_told_so_far (job));
       h1_reply_end (job->exchange, false);
       job->exchange = NULL;
     }
   else
-    answer (job, status, NULL);
+    answer (job, reason, status, NULL);
   job_free (job);
 }
 
 void
 job_give_up (struct forward_job *job, enum forward_reason reason, double retry_after)
 {
-  if (job->runs == 0 && !job->passing)
+  if (job->runs == 0 && !job->stream.begun)
     job_refuse (job, reason, retry_after);
   else
     job_fail (job, reason);
@@ -89,8 +95,7 @@
 void
 job_reject (struct forward_job *job, enum forward_reason reason, unsigned status)
 {
-  job_log (job, reason, status);
-  answer (job, status, NULL);
+  answer (job, reason, status, NULL);
   job_free (job);
 }
 
@@ -98,8 +103,13 @@
 void
 job_serve (struct forward_job *job)
 {
-  job_log (job, FORWARD_SERVED, job->status);
-  if (job->passing)
+  struct forward_told told = {
+    .status = job->stream.begun ? job->stream.status : job->status,
+    .whole = true,
+  };
+
+  job_log (job, FORWARD_SERVED, told);
+  if (job->stream.begun)
     {
       h1_reply_data (job->exchange, job->body.data, job->body.length);
       h1_reply_end (job->exchange, true);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -76,6 +76,22 @@
   double held; /* sends */
 };
 
+/* The event stream that the client is getting; it may go on over several attempts. */
+struct forward_stream
+{
+  bool begun;                       /* its head went to the client */
+  unsigned status;                  /* that the head told */
+  uint32_t events;                  /* that went to the client */
+  char last_event[DIALECT_ID_SIZE]; /* id of the newest event that has one; "" for none */
+};
+
+/* What the client was told at the end of its request. */
+struct forward_told
+{
+  unsigned status; /* 0: nothing */
+  bool whole;      /* that this is its complete answer */
+};
+
 /* One request. */
 struct forward_job
 {
@@ -114,16 +130,14 @@
   int64_t fetched_at; /* the target has the stages' results by then; 0 before a send */
   int64_t first_at;   /* first byte of the answer, 0 while none */
 
-  /* The answer. */
+  /* The answer of the attempt under way. */
   unsigned status;
   bool is_signed;
   bool not_run;
-  bool passing; /* its head went to the client */
-  bool no_body;
   struct bytes fields;
   struct bytes body; /* whole, or of a stream what is not a whole event yet */
-  char last_event[DIALECT_ID_SIZE];
-  uint32_t events;
+
+  struct forward_stream stream;
   struct forward_job *prev;
   struct forward_job *next;
 };
@@ -157,7 +171,10 @@
 void job_give_up (struct forward_job *job, enum forward_reason reason, double retry_after);
 void job_reject (struct forward_job *job, enum forward_reason reason, unsigned status);
 void job_serve (struct forward_job *job);
-void job_log (const struct forward_job *job, enum forward_reason reason, unsigned status);
+void job_log (const struct forward_job *job, enum forward_reason reason, struct forward_told told);
+
+/* Of a request that ends before its answer is whole. */
+struct forward_told job_told_so_far (const struct forward_job *job);
 
 /* forward_attempt.c */
 void job_send (struct forward_job *job, int64_t now);
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -40,8 +40,8 @@
         {
           size_t skip = line[3] == ' ' ? 4 : 3;
 
-          snprintf (job->last_event, sizeof job->last_event, "%.*s", (int) (size - skip),
-                    line + skip);
+          snprintf (job->stream.last_event, sizeof job->stream.last_event, "%.*s",
+                    (int) (size - skip), line + skip);
         }
       if (next == NULL)
         return;
@@ -59,7 +59,7 @@
   while ((event = event_length (job->body.data + whole, job->body.length - whole)) > 0)
     {
       note_id (job, job->body.data + whole, event);
-      job->events++;
+      job->stream.events++;
       whole += event;
     }
   if (whole == 0)
