End a stream that has begun with the end of a stream only

A stream that may be resumed had broken off at one target and went on at another, and that one's signed failure was passed on "as it is": behind the events, with the end of a complete answer.

Cause: the judgement of a whole answer did not ask what the client already had. job_serve ended whatever was under way, and took "a whole answer came" for "the client's answer is whole".

Ruled out for these requests: a reset taken for an orderly end and damaged framing (all second answers were whole, with a length, status 500), an end inside an event (the last event at the client is whole).

Now a stream that has begun has one way to be ended as complete, job_end_stream, and one place that calls it, after the end of a signed stream answer. Any other answer counts as an attempt that broke off: the next target is asked where the route and the budget allow one, else the connection is reset.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -196,6 +196,23 @@
     job_fail (job, FORWARD_FAILED);
 }
 
+static bool
+is_stream_answer (const struct forward_job *job)
+{
+  return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed;
+}
+
+/* Only the end of a stream ends the stream that the client is getting: any other answer, a whole
+ * one too, says nothing of the events that are still due. */
+static void
+answer_within_stream (struct forward_job *job, int64_t now)
+{
+  if (is_stream_answer (job))
+    job_end_stream (job);
+  else
+    attempt_failed (job, true, FORWARD_BROKEN, now);
+}
+
 static void
 answer_whole (struct forward_job *job, int64_t now)
 {
@@ -209,6 +226,8 @@
   release_target (job, failed, now);
   if (job->not_run)
     answer_refused (job, now);
+  else if (job->stream.begun)
+    answer_within_stream (job, now);
   else if (success && job->is_signed)
     job_serve (job);
   else if (success)
@@ -257,12 +276,6 @@
   return true;
 }
 
-static bool
-is_stream_answer (const struct forward_job *job)
-{
-  return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed;
-}
-
 static void
 on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
 {
--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -99,23 +99,24 @@
   job_free (job);
 }
 
-/* The target's whole answer is here, or has gone out as a stream. */
 void
 job_serve (struct forward_job *job)
 {
-  struct forward_told told = {
-    .status = job->stream.begun ? job->stream.status : job->status,
-    .whole = true,
-  };
+  INVARIANT (!job->stream.begun);
+  job_log (job, FORWARD_SERVED, (struct forward_told){ .status = job->status, .whole = true });
+  h1_reply (job->exchange, job->status, job->fields.data, job->body.data, job->body.length);
+  job->exchange = NULL;
+  job_free (job);
+}
 
-  job_log (job, FORWARD_SERVED, told);
-  if (job->stream.begun)
-    {
-      h1_reply_data (job->exchange, job->body.data, job->body.length);
-      h1_reply_end (job->exchange, true);
-    }
-  else
-    h1_reply (job->exchange, job->status, job->fields.data, job->body.data, job->body.length);
+void
+job_end_stream (struct forward_job *job)
+{
+  INVARIANT (job->stream.begun);
+  job_log (job, FORWARD_SERVED,
+           (struct forward_told){ .status = job->stream.status, .whole = true });
+  h1_reply_data (job->exchange, job->body.data, job->body.length);
+  h1_reply_end (job->exchange, true);
   job->exchange = NULL;
   job_free (job);
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -170,7 +170,12 @@
 /* Refuse where it has not run, else fail. */
 void job_give_up (struct forward_job *job, enum forward_reason reason, double retry_after);
 void job_reject (struct forward_job *job, enum forward_reason reason, unsigned status);
+
+/* The target's whole answer is here, and none of it went to the client yet. */
 void job_serve (struct forward_job *job);
+
+/* The stream that the client is getting is whole. */
+void job_end_stream (struct forward_job *job);
 void job_log (const struct forward_job *job, enum forward_reason reason, struct forward_told told);
 
 /* Of a request that ends before its answer is whole. */
