Do not read a stage's answer that was cut at its limit

A target's answer to a call with pieces that passed 1 MiB was read as if it were whole: the piece that would have passed the limit was left out, smaller ones behind it still went in, and what was left was parsed. Where that happened to be JSON, its handles were taken as results.

Cause: the limit was kept as "leave this piece out", and nothing remembered that something was missing. The same holds for an allocation that failed: bytes_failed() was not asked.

bytes_append_within() now makes passing a limit the same as any failed write of a buffer: it sticks, and bytes_failed() tells. batch_call.c asks it before it calls the answer one.

--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -163,8 +163,17 @@
   struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
 
   (void) now;
-  if (call->body.length + length <= ANSWER_BYTES_MAX)
-    bytes_append (&call->body, data, length);
+  bytes_append_within (&call->body, data, length, ANSWER_BYTES_MAX);
+}
+
+static const char *
+outcome_text (const struct batch_call *call, enum h1_end end)
+{
+  if (end != H1_END_WHOLE)
+    return h1_end_text (end);
+  if (bytes_failed (&call->body))
+    return "answer could not be kept";
+  return call->not_run ? "not run" : "answered";
 }
 
 static void
@@ -172,11 +181,9 @@
 {
   struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
   struct batch_pool *pool = call->pool;
-  bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK;
+  bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK || bytes_failed (&call->body);
 
-  log_call (call,
-            end == H1_END_WHOLE ? (call->not_run ? "not run" : "answered") : h1_end_text (end),
-            now);
+  log_call (call, outcome_text (call, end), now);
   /* A target that is full says so; that is no failure of it. */
   release (call, failed && !call->not_run, now);
   if (!failed)
--- a/src/bytes.c
+++ b/src/bytes.c
@@ -56,6 +56,14 @@
   bytes->data[bytes->length] = '\0';
 }
 
+void
+bytes_append_within (struct bytes *bytes, const void *data, size_t length, size_t max)
+{
+  if (bytes->length > max || length > max - bytes->length)
+    bytes->failed = true;
+  bytes_append (bytes, data, length);
+}
+
 void
 bytes_append_text (struct bytes *bytes, const char *text)
 {
--- a/src/bytes.h
+++ b/src/bytes.h
@@ -1,7 +1,7 @@
 /* A growable byte buffer that keeps a terminating NUL after its content.
  *
- * A failed allocation sticks: later writes do nothing and bytes_failed() tells, so that a run of
- * writes is checked once at its end. */
+ * A failed write sticks, for want of memory or for its size: later writes do nothing and
+ * bytes_failed() tells, so that a run of writes is checked once at its end. */
 #ifndef BYTES_H
 #define BYTES_H
 
@@ -23,6 +23,10 @@
 void bytes_init (struct bytes *bytes, void *parent);
 void bytes_clear (struct bytes *bytes); /* frees the content and the sticky failure */
 void bytes_append (struct bytes *bytes, const void *data, size_t length);
+
+/* Append, unless that makes more than `max` bytes: then nothing goes in any more and bytes_failed()
+ * tells, as a buffer with a gap must not be taken for what was written. */
+void bytes_append_within (struct bytes *bytes, const void *data, size_t length, size_t max);
 void bytes_append_text (struct bytes *bytes, const char *text);
 void bytes_append_format (struct bytes *bytes, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
--- a/tests/unit_base.cc
+++ b/tests/unit_base.cc
@@ -132,6 +132,27 @@
   bytes_clear (&bytes);
 }
 
+// What does not fit is left out and smaller pieces behind it go in: the buffer has a gap in its
+// middle and looks whole.
+TEST (Bytes, TakesNothingBehindWhatDidNotFit)
+{
+  struct bytes bytes;
+
+  bytes_init (&bytes, nullptr);
+  bytes_append_within (&bytes, "1234", 4, 6);
+  bytes_append_within (&bytes, "56", 2, 6);
+  EXPECT_FALSE (bytes_failed (&bytes));
+  bytes_append_within (&bytes, "7", 1, 6);
+  EXPECT_TRUE (bytes_failed (&bytes));
+  bytes_consume (&bytes, 4);
+  bytes_append_within (&bytes, "8", 1, 6);
+  bytes_append_text (&bytes, "9");
+  EXPECT_EQ (std::string (bytes.data, bytes.length), "56");
+  EXPECT_TRUE (bytes_failed (&bytes));
+  bytes_clear (&bytes);
+  EXPECT_FALSE (bytes_failed (&bytes));
+}
+
 TEST (Status, KeepsTheLastMessage)
 {
   EXPECT_EQ (status_fail (STATUS_CORRUPT, "record %d", 3), STATUS_CORRUPT);
