Do not take a stream that ends inside an event for a whole one

A target that ends its answer in order, with a last chunk, a length or the end of its connection, in the middle of an event was told to the client as a complete stream, with half an event at its end that every decoder of event streams drops without a word. Where the stream may be resumed, the rest could have been asked of another target.

Cause: whether a stream is whole was concluded from the end of the answer that carries it; what was left behind the last whole event was passed on with it. Now such an end counts as an attempt that broke off, for the target's record too. Comments and empty lines behind the last event are no event and are passed on as they came.

forward_stream.IsNotWholeWhereItEndsInsideAnEvent and GoesOnWhereATargetEndedInsideAnEvent failed before (half an event and the last chunk at the client; the second target never asked). IsWholeWithACommentBehindItsLastEvent passed before and after.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -202,12 +202,19 @@
   return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed;
 }
 
+/* The target's answer is whole, and the stream in it ends in half an event. */
+static bool
+ends_inside_event (const struct forward_job *job)
+{
+  return job->stream.begun && is_stream_answer (job) && job_is_inside_event (job);
+}
+
 /* Only the end of a stream ends the stream that the client is getting: any other answer, a whole
  * one too, says nothing of the events that are still due. */
 static void
 answer_within_stream (struct forward_job *job, int64_t now)
 {
-  if (is_stream_answer (job))
+  if (is_stream_answer (job) && !ends_inside_event (job))
     job_end_stream (job);
   else
     attempt_failed (job, true, FORWARD_BROKEN, now);
@@ -217,9 +224,10 @@
 answer_whole (struct forward_job *job, int64_t now)
 {
   bool success = job->status >= 200 && job->status < 300;
-  bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed));
+  bool cut = ends_inside_event (job);
+  bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed) || cut);
 
-  log_attempt (job, "answered", now);
+  log_attempt (job, cut ? "ended inside an event" : "answered", now);
   /* Another incarnation lives at that address. */
   if (job->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     job->target->ejected_until = now + BALANCE_EJECT;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -235,6 +235,9 @@
 /* forward_stream.c */
 void job_pass_events (struct forward_job *job, const char *data, size_t length);
 
+/* Has the stream's target begun an event that it did not finish? */
+bool job_is_inside_event (const struct forward_job *job);
+
 /* forward_budget.c */
 void forward_earn_retry (struct forward *forward, const char *pool);
 bool forward_take_retry (struct forward *forward, const char *pool);
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -1,8 +1,8 @@
 /* Event streams: whole events go to the client as they arrive.
  *
- * A target may break off inside an event.  Only whole events are passed on, so that a stream that
- * goes on at another target continues behind the last one that the client has, and one that cannot
- * go on never ends in half an event. */
+ * A target may break off, or end its answer, inside an event.  Only whole events are passed on, so
+ * that a stream that goes on at another target continues behind the last one that the client has,
+ * and one that cannot go on never ends in half an event. */
 #include "forward_private.h"
 #include "text.h"
 #include <string.h>
@@ -23,6 +23,24 @@
   return 0;
 }
 
+/* Comments and empty lines belong to no event. */
+bool
+job_is_inside_event (const struct forward_job *job)
+{
+  const char *line = job->body.data;
+  const char *end = line + job->body.length;
+
+  while (line < end)
+    {
+      const char *next = memchr (line, '\n', (size_t) (end - line));
+
+      if (*line != ':' && *line != '\r' && *line != '\n')
+        return true;
+      line = next == NULL ? end : next + 1;
+    }
+  return false;
+}
+
 static void
 note_id (struct forward_job *job, const char *event, size_t length)
 {
--- a/tests/unit_edges_support.h
+++ b/tests/unit_edges_support.h
@@ -113,6 +113,16 @@
     });
   }
 
+  // The last chunk, or the connection's end.
+  bool
+  wait_end ()
+  {
+    return run_until (loop, [&] {
+      read_some ();
+      return closed || got.find ("0\r\n\r\n") != std::string::npos;
+    });
+  }
+
   size_t
   count (const std::string &text) const
   {
