Hold a stream's events against those that the client has

Where a stream went on at another target, or a client resumed it, whatever came was passed on: events that the client had already, those of a target that began again and so of another text, events whose ids went back within one run. Behind an event without an id, or with one too long to be named, the next target was asked to go on behind an older event and repeated what had gone out. A half event was kept without a bound.

Cause: the id of the last event was only written down, to be sent to the next target; nothing compared what came back with it. Now each event is taken against the last id: numbers increase, other ids differ; what does not follow ends the attempt, and the next target is asked where one may be, else the connection is reset. A stream whose place is lost is not resumed. A half event is held up to 1 MiB.

Failed before: forward_stream.JoinsNoRunThatBeginsAgain ("again" twice and the last chunk), JoinsNothingToWhatAClientHasAlready, EndsWhereIdsGoBack, GoesOnOnlyBehindAnEventWithAnId (asked twice). GoesOnBehindAComment guards against counting comments as events.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -22,20 +22,11 @@
 may_repeat (const struct forward_job *job)
 {
   return job->route.kind == ROUTE_IDEMPOTENT
-         || (job->route.kind == ROUTE_STREAM && job->route.resumable);
+         || (job->route.kind == ROUTE_STREAM && job->route.resumable && !job->stream.place_lost);
 }
 
 /* ---- the request as it is sent ---- */
 
-/* The event that the client has already; NULL: the stream begins at its start. */
-static const char *
-goes_on_behind (const struct forward_job *job)
-{
-  if (job->stream.last_event[0] != '\0')
-    return job->stream.last_event;
-  return job->facts.last_event[0] != '\0' ? job->facts.last_event : NULL;
-}
-
 static void
 write_request (const struct forward_job *job, int64_t now, struct bytes *out)
 {
@@ -51,7 +42,7 @@
 
   bytes_init (&inputs, NULL);
   job_write_inputs (job, route_last_stages (&job->route), &inputs);
-  facts.last_event = goes_on_behind (job);
+  facts.last_event = job_last_event (job);
   facts.inputs = inputs.length > 0 ? inputs.data : NULL;
   bytes_append_format (out, "%s %s HTTP/1.1\r\n", http_method_str ((enum http_method) head->method),
                        head->target);
@@ -244,6 +235,16 @@
     answer_failure (job, now);
 }
 
+/* Stop the target and judge its attempt by what it did not do. */
+static void
+abandon_attempt (struct forward_job *job, const char *why, enum forward_reason reason, int64_t now)
+{
+  log_attempt (job, why, now);
+  h1_call_cancel (&job->call);
+  release_target (job, true, now);
+  attempt_failed (job, true, reason, now);
+}
+
 /* ---- calls of the client ---- */
 
 static bool
@@ -310,7 +311,8 @@
       job->stream.status = job->status;
       h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
     }
-  job_pass_events (job, data, length);
+  if (!job_pass_events (job, data, length))
+    abandon_attempt (job, "events do not follow", FORWARD_BROKEN, now);
 }
 
 static void
@@ -433,8 +435,5 @@
 void
 job_lose_patience (struct forward_job *job, int64_t now)
 {
-  log_attempt (job, "no answer in the usual time", now);
-  h1_call_cancel (&job->call);
-  release_target (job, true, now);
-  attempt_failed (job, true, FORWARD_TIMEOUT, now);
+  abandon_attempt (job, "no answer in the usual time", FORWARD_TIMEOUT, now);
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -11,6 +11,9 @@
  * be asked for again where that is allowed. */
 #define FORWARD_ANSWER_MAX (16u << 20)
 
+/* One event of a stream, in bytes: it is held until it is whole. */
+#define FORWARD_EVENT_MAX (1u << 20)
+
 /* Targets tried for one request at most, those that refused it included. */
 #define FORWARD_SENDS_MAX 4
 
@@ -83,6 +86,7 @@
   unsigned status;                  /* that the head told */
   uint32_t events;                  /* that went to the client */
   char last_event[DIALECT_ID_SIZE]; /* id of the newest event that has one; "" for none */
+  bool place_lost; /* an event without an id is newer: no other target can go on behind it */
 };
 
 /* What the client was told at the end of its request. */
@@ -233,7 +237,12 @@
 void job_locate_results (struct forward_job *job);
 
 /* forward_stream.c */
-void job_pass_events (struct forward_job *job, const char *data, size_t length);
+
+/* False: what comes is not the rest of the stream that the client has the beginning of. */
+bool job_pass_events (struct forward_job *job, const char *data, size_t length);
+
+/* The id of the newest event that the client has; NULL: it has none. */
+const char *job_last_event (const struct forward_job *job);
 
 /* Has the stream's target begun an event that it did not finish? */
 bool job_is_inside_event (const struct forward_job *job);
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -24,64 +24,131 @@
 }
 
 /* Comments and empty lines belong to no event. */
-bool
-job_is_inside_event (const struct forward_job *job)
+static bool
+holds_event (const char *data, size_t length)
 {
-  const char *line = job->body.data;
-  const char *end = line + job->body.length;
+  const char *end = data + length;
+  const char *next;
 
-  while (line < end)
+  for (const char *line = data; line < end; line = next)
     {
-      const char *next = memchr (line, '\n', (size_t) (end - line));
+      const char *newline = memchr (line, '\n', (size_t) (end - line));
 
       if (*line != ':' && *line != '\r' && *line != '\n')
         return true;
-      line = next == NULL ? end : next + 1;
+      next = newline == NULL ? end : newline + 1;
     }
   return false;
 }
 
-static void
-note_id (struct forward_job *job, const char *event, size_t length)
+bool
+job_is_inside_event (const struct forward_job *job)
+{
+  return job->body.length > 0 && holds_event (job->body.data, job->body.length);
+}
+
+/* ---- ids ---- */
+
+static bool
+is_number (const char *id)
+{
+  return id[0] != '\0' && id[strspn (id, "0123456789")] == '\0';
+}
+
+static int
+compare_numbers (const char *a, const char *b)
+{
+  a += strspn (a, "0");
+  b += strspn (b, "0");
+  if (strlen (a) != strlen (b))
+    return strlen (a) < strlen (b) ? -1 : 1;
+  return strcmp (a, b);
+}
+
+/* May an event with this id come behind one with the id `last`?  Numbers increase; of other ids
+ * only that they differ is known. */
+static bool
+comes_behind (const char *last, const char *id)
+{
+  if (is_number (last) && is_number (id))
+    return compare_numbers (last, id) < 0;
+  return strcmp (last, id) != 0;
+}
+
+const char *
+job_last_event (const struct forward_job *job)
+{
+  if (job->stream.last_event[0] != '\0')
+    return job->stream.last_event;
+  return job->facts.last_event[0] != '\0' ? job->facts.last_event : NULL;
+}
+
+/* The value of the event's `id` field; false when it has none, or one that is too long to be named
+ * to another target. */
+static bool
+read_id (const char *event, size_t length, char out[DIALECT_ID_SIZE])
 {
-  const char *line = event;
   const char *end = event + length;
+  const char *next;
 
-  while (line < end)
+  for (const char *line = event; line < end; line = next)
     {
-      const char *next = memchr (line, '\n', (size_t) (end - line));
-      size_t size = next == NULL ? (size_t) (end - line) : (size_t) (next - line);
+      const char *newline = memchr (line, '\n', (size_t) (end - line));
+      size_t size = (size_t) ((newline == NULL ? end : newline) - line);
+      size_t skip = size > 3 && line[3] == ' ' ? 4 : 3;
 
+      next = newline == NULL ? end : newline + 1;
       if (size > 0 && line[size - 1] == '\r')
         size--;
-      if (size > 3 && memcmp (line, "id:", 3) == 0)
-        {
-          size_t skip = line[3] == ' ' ? 4 : 3;
-
-          snprintf (job->stream.last_event, sizeof job->stream.last_event, "%.*s",
-                    (int) (size - skip), line + skip);
-        }
-      if (next == NULL)
-        return;
-      line = next + 1;
+      if (size <= skip || memcmp (line, "id:", 3) != 0)
+        continue;
+      if (size - skip >= DIALECT_ID_SIZE)
+        return false;
+      memcpy (out, line + skip, size - skip);
+      out[size - skip] = '\0';
+      return true;
     }
+  return false;
+}
+
+/* A target that begins again, or whose events go back, has made another text than the one that the
+ * client has the beginning of. */
+static bool
+take_event (struct forward_job *job, const char *event, size_t length)
+{
+  struct forward_stream *stream = &job->stream;
+  const char *last = job->route.resumable ? job_last_event (job) : stream->last_event;
+  char id[DIALECT_ID_SIZE];
+  bool named = read_id (event, length, id);
+
+  if (!holds_event (event, length))
+    return true;
+  if (named && last != NULL && !comes_behind (last, id))
+    return false;
+  if (named)
+    memcpy (stream->last_event, id, sizeof id);
+  stream->place_lost = !named;
+  stream->events++;
+  return true;
 }
 
-void
+bool
 job_pass_events (struct forward_job *job, const char *data, size_t length)
 {
   size_t whole = 0;
   size_t event;
+  bool follows = true;
 
-  bytes_append (&job->body, data, length);
-  while ((event = event_length (job->body.data + whole, job->body.length - whole)) > 0)
+  bytes_append_within (&job->body, data, length, FORWARD_EVENT_MAX);
+  if (bytes_failed (&job->body))
+    return false;
+  while (follows && (event = event_length (job->body.data + whole, job->body.length - whole)) > 0)
     {
-      note_id (job, job->body.data + whole, event);
-      job->stream.events++;
-      whole += event;
+      follows = take_event (job, job->body.data + whole, event);
+      whole += follows ? event : 0;
     }
-  if (whole == 0)
-    return;
-  h1_reply_data (job->exchange, job->body.data, whole);
+  if (whole > 0)
+    h1_reply_data (job->exchange, job->body.data, whole);
   bytes_consume (&job->body, whole);
+  return follows;
 }
