Take an answer for an event stream by its type

Since a stream that ends inside an event is cut.

An answer is now an event stream where its content type says so. Any other is held and served whole, with a length. forward_stream.TakesAnAnswerForEventsByItsType failed before; the tests of forward_stages pass again, unchanged.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -124,6 +124,7 @@
   bytes_clear (&job->body);
   job->status = 0;
   job->is_signed = false;
+  job->has_events = false;
   job->not_run = false;
   job->first_at = 0;
 }
@@ -190,7 +191,8 @@
 static bool
 is_stream_answer (const struct forward_job *job)
 {
-  return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed;
+  return job->route.kind == ROUTE_STREAM && job->status == HTTP_STATUS_OK && job->is_signed
+         && job->has_events;
 }
 
 /* The target's answer is whole, and the stream in it ends in half an event. */
@@ -279,6 +281,7 @@
     return false;
   job->status = head->status;
   job->is_signed = facts.is_signed;
+  job->has_events = h1_has_events (head);
   job->not_run = facts.not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
   if (!job->stream.begun)
     keep_fields (job, head);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -137,6 +137,7 @@
   /* The answer of the attempt under way. */
   unsigned status;
   bool is_signed;
+  bool has_events; /* its type is that of an event stream */
   bool not_run;
   struct bytes fields;
   struct bytes body; /* whole, or of a stream what is not a whole event yet */
--- a/src/h1.c
+++ b/src/h1.c
@@ -62,6 +62,18 @@
   return false;
 }
 
+bool
+h1_has_events (const struct h1_head *head)
+{
+  static const char events[] = "text/event-stream";
+  const char *type = h1_value (head, "content-type");
+  size_t length = sizeof events - 1;
+
+  if (type == NULL || strncasecmp (type, events, length) != 0)
+    return false;
+  return type[length] == '\0' || type[length] == ';' || type[length] == ' ';
+}
+
 void
 h1_write_field (struct bytes *out, const char *name, const char *value)
 {
--- a/src/h1.h
+++ b/src/h1.h
@@ -48,6 +48,9 @@
  * of the same message names count too. */
 bool h1_is_hop_by_hop (const struct h1_head *head, const char *name);
 
+/* Is the body an event stream, by its type? */
+bool h1_has_events (const struct h1_head *head);
+
 /* Append "Name: value" and the line's end. */
 void h1_write_field (struct bytes *out, const char *name, const char *value);
 
