Do not serve an answer that passed the limit without its last piece

A target's answer of over 16 MiB was told to the client as whole, with a length of its own that left out the last piece: 16,777,217 bytes came as 16,772,096. Pieces behind the one that was left out still went in, so that a hole in the middle was possible too. An allocation that failed left out the rest in the same way.

Cause: the limit was kept as "leave this piece out", and on_ended asked whether the body is as long as the limit, which a body that stopped short of it is not. bytes_append_within keeps it in the buffer, where it sticks, and an answer whose body or fields were not kept counts as one that broke off.

forward_http.TakesNoAnswerPastItsLimit before: 200 with Content-Length for bodies of one and of 100,000 bytes past the limit; a body of just the limit, which is now served, was refused.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -304,8 +304,7 @@
     }
   if (!is_stream_answer (job))
     {
-      if (job->body.length + length <= FORWARD_ANSWER_MAX)
-        bytes_append (&job->body, data, length);
+      bytes_append_within (&job->body, data, length, FORWARD_ANSWER_MAX);
       return;
     }
   if (!job->stream.begun)
@@ -322,19 +321,17 @@
 on_ended (struct h1_call *call, enum h1_end end, int64_t now)
 {
   struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
-  bool oversized = job->body.length >= FORWARD_ANSWER_MAX;
+  bool kept = !bytes_failed (&job->body) && !bytes_failed (&job->fields);
 
-  if (end == H1_END_WHOLE && job->status != 0 && !oversized)
+  if (end == H1_END_WHOLE && job->status != 0 && kept)
     {
       answer_whole (job, now);
       return;
     }
-  log_attempt (job, h1_end_text (end), now);
+  log_attempt (job, end == H1_END_WHOLE ? "answer could not be kept" : h1_end_text (end), now);
   release_target (job, true, now);
   if (!call->handed)
     job->runs--;
-  /* Half an event is not passed on: the next run sends it whole. */
-  bytes_clear (&job->body);
   attempt_failed (job, call->handed, FORWARD_BROKEN, now);
 }
 
