--- a/tests/unit_edges_support.h
+++ b/tests/unit_edges_support.h
@@ -134,6 +134,89 @@
   }
 };
 
+// A target that speaks bytes: for answers that no server of ours would give.
+struct raw_target
+{
+  struct loop *loop;
+  int listener;
+  int peer = -1; // the newest connection
+  int connections = 0;
+  std::string got; // over it
+
+  explicit raw_target (struct loop *on) : loop (on)
+  {
+    struct sockaddr_in address = {};
+
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    listener = socket (AF_INET, SOCK_STREAM, 0);
+    EXPECT_EQ (bind (listener, reinterpret_cast<struct sockaddr *> (&address), sizeof address), 0);
+    EXPECT_EQ (listen (listener, 8), 0);
+    fcntl (listener, F_SETFL, O_NONBLOCK);
+  }
+
+  raw_target (const raw_target &) = delete;
+
+  ~raw_target ()
+  {
+    hang_up ();
+    close (listener);
+  }
+
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (inet_address_bound_port (listener));
+  }
+
+  void
+  look ()
+  {
+    char buffer[65536];
+    ssize_t n;
+    int next = accept (listener, nullptr, nullptr);
+
+    if (next >= 0)
+      {
+        hang_up ();
+        peer = next;
+        connections++;
+        got.clear ();
+      }
+    while (peer >= 0 && (n = recv (peer, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+      got.append (buffer, static_cast<size_t> (n));
+  }
+
+  bool
+  wait_for (const std::string &text)
+  {
+    return run_until (loop, [&] {
+      look ();
+      return got.find (text) != std::string::npos;
+    });
+  }
+
+  void
+  say (const std::string &bytes)
+  {
+    EXPECT_EQ (send (peer, bytes.data (), bytes.size (), MSG_NOSIGNAL),
+               static_cast<ssize_t> (bytes.size ()));
+  }
+
+  // Close in order, or by a reset.
+  void
+  hang_up (bool reset = false)
+  {
+    const struct linger at_once = { 1, 0 };
+
+    if (peer >= 0 && reset)
+      setsockopt (peer, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    if (peer >= 0)
+      close (peer);
+    peer = -1;
+  }
+};
+
 // A server whose route calls `on_request`.
 struct test_server
 {
