Tell how an answer was framed and what ended it

The log said "connection broke" for an orderly end inside an answer as for a reset, and nothing of how the answer was framed, so that a trace did not show by what its end was known.

struct h1_call now carries the framing of the answer whose head was taken (h1_framing_text()), and BROKEN is told apart: closed in order before the end, reset, and a target that does not read. An answer is told as whole in answer_done() alone, also where the end of its connection is its end.

The text "connection broke" is gone from the log; the recorded trace in docs/OPERATIONS.md still holds it.

--- a/src/h1.c
+++ b/src/h1.c
@@ -4,6 +4,18 @@
 #include <string.h>
 #include <strings.h>
 
+static const char *const framing_texts[] = {
+#define X(name, text) [H1_FRAMING_##name] = text,
+  H1_FRAMING_LIST (X)
+#undef X
+};
+
+const char *
+h1_framing_text (enum h1_framing framing)
+{
+  return framing_texts[framing];
+}
+
 const char *
 h1_value (const struct h1_head *head, const char *name)
 {
@@ -197,6 +209,20 @@
     }
 }
 
+static enum h1_framing
+framing_of (const struct h1_reader *reader)
+{
+  const struct h1_head *head = &reader->head;
+
+  if (reader->no_body)
+    return H1_FRAMING_NO_BODY;
+  if (head->chunked)
+    return H1_FRAMING_CHUNKED;
+  if (head->has_length)
+    return H1_FRAMING_LENGTH;
+  return reader->parser.type == HTTP_REQUEST ? H1_FRAMING_NO_BODY : H1_FRAMING_CLOSE;
+}
+
 static int
 on_head (http_parser *parser)
 {
@@ -212,6 +238,7 @@
   head->chunked = (parser->flags & F_CHUNKED) != 0;
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
+  head->framing = framing_of (reader);
   head->keep_alive = http_should_keep_alive (parser) != 0;
   if (!reader->ops->head (reader))
     return -1;
--- a/src/h1.h
+++ b/src/h1.h
@@ -18,6 +18,24 @@
 #define H1_FIELDS_MAX 128
 #define H1_HEAD_BYTES_MAX 65536 /* of all header text, whatever the limits in force say */
 
+/* name, text: what shows the end of a body (RFC 9112, 6.3) */
+#define H1_FRAMING_LIST(X)                                                                         \
+  X (UNKNOWN, "no head yet")                                                                       \
+  X (NO_BODY, "no body")                                                                           \
+  X (LENGTH, "length")                                                                             \
+  X (CHUNKED, "chunks")                                                                            \
+  X (CLOSE, "end of connection")
+
+enum h1_framing
+{
+#define X(name, text) H1_FRAMING_##name,
+  H1_FRAMING_LIST (X)
+#undef X
+      H1_FRAMING_COUNT
+};
+
+const char *h1_framing_text (enum h1_framing framing);
+
 /* A header; both texts end in NUL and live as long as the head. */
 struct h1_field
 {
@@ -37,6 +55,7 @@
   bool has_length;
   bool chunked;
   uint64_t length;
+  enum h1_framing framing;
   bool keep_alive;
 };
 
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -134,6 +134,8 @@
   wire->skipping = !wire->call->ops->head (wire->call, head, loop_now (wire->client->loop));
   if (wire->skipping)
     counter_add (wire->client->foreign, 1);
+  else if (wire->call != NULL)
+    wire->call->framing = head->framing;
   return true;
 }
 
@@ -167,9 +169,9 @@
   timer_arm (loop_timers (wire->client->loop), &wire->timer, now + wire->keep);
 }
 
-/* A whole answer came; `clean` when nothing came behind it.  Bytes behind an answer belong to no
- * request, so such a connection is not used again, and neither is one on which a part of the
- * request is still to be sent. */
+/* The one place that tells an answer as whole: its framing has shown its end.  `clean` when nothing
+ * came behind it.  Bytes behind an answer belong to no request, so such a connection is not used
+ * again, and neither is one on which a part of the request is still to be sent. */
 static void
 answer_done (struct h1_wire *wire, bool clean, int64_t now)
 {
@@ -177,6 +179,7 @@
               && tcp_unsent (&wire->stream) == 0;
   struct h1_call *call = wire->call;
 
+  INVARIANT (wire->reader.done && !wire->skipping);
   wire->call = NULL;
   call->wire = NULL;
   if (keep)
@@ -248,16 +251,23 @@
 static void
 stream_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
 {
+  static const enum h1_end ends[] = {
+    [TCP_END_ORDERLY] = H1_END_CUT,
+    [TCP_END_RESET] = H1_END_RESET,
+    [TCP_END_REFUSED] = H1_END_REFUSED,
+    [TCP_END_OVERFLOW] = H1_END_OVERFLOW,
+  };
   struct h1_wire *wire = CONTAINER_OF (stream, struct h1_wire, stream);
-  enum h1_end outcome = H1_END_BROKEN;
 
-  if (end == TCP_END_REFUSED)
-    outcome = H1_END_REFUSED;
+  _Static_assert(sizeof ends / sizeof ends[0] == TCP_END_COUNT, "an end has no meaning here");
   /* An answer without a length is whole only by an orderly end. */
-  else if (end == TCP_END_ORDERLY && wire->call != NULL && h1_read_end (&wire->reader)
-           && !wire->skipping)
-    outcome = H1_END_WHOLE;
-  end_call (wire, outcome, now);
+  if (end == TCP_END_ORDERLY && wire->call != NULL && h1_read_end (&wire->reader)
+      && !wire->skipping)
+    {
+      answer_done (wire, false, now);
+      return;
+    }
+  end_call (wire, ends[end], now);
   free_wire (wire);
 }
 
@@ -333,6 +343,7 @@
   call->reused = wire != NULL;
   call->handed = false;
   call->answered = false;
+  call->framing = H1_FRAMING_UNKNOWN;
   call->wire = NULL;
   if (place == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -15,11 +15,13 @@
 /* An idle connection is kept this long where the target does not say for how long it keeps it. */
 #define H1_IDLE_KEEP (10 * USEC_PER_SEC)
 
-/* name, text */
+/* name, text.  WHOLE is the only success: the framing of the answer has shown its end. */
 #define H1_END_LIST(X)                                                                             \
   X (WHOLE, "whole")                                                                               \
   X (REFUSED, "no connection")                                                                     \
-  X (BROKEN, "connection broke")                                                                   \
+  X (CUT, "connection closed before the end of the answer")                                        \
+  X (RESET, "connection reset")                                                                    \
+  X (OVERFLOW, "target does not read")                                                             \
   X (MALFORMED, "not an answer")
 
 enum h1_end
@@ -50,11 +52,12 @@
 struct h1_call
 {
   const struct h1_call_ops *ops;
-  struct h1_wire *wire; /* NULL while not running */
-  bool no_body;         /* set by its user: the request is a HEAD */
-  bool handed;          /* bytes of the request went to the network: it may run */
-  bool reused;          /* over a connection that was kept from an earlier call */
-  bool answered;        /* bytes of an answer came */
+  struct h1_wire *wire;    /* NULL while not running */
+  bool no_body;            /* set by its user: the request is a HEAD */
+  bool handed;             /* bytes of the request went to the network: it may run */
+  bool reused;             /* over a connection that was kept from an earlier call */
+  bool answered;           /* bytes of an answer came */
+  enum h1_framing framing; /* of the answer, once its head was taken */
 };
 
 struct h1_client;
