Leave trailer fields out of the head

A request or an answer in chunks with a field behind its last chunk ended the process, or had its headers read from freed memory: any client could send one.

Cause: the parser tells trailer fields by the same calls as the fields of a head. They were added to the text of a head that had been handed over: the text moved when it grew, and the names and values taken from it stayed where it had been; the new field itself had no name at all (NULL).

They are left out now. RFC 9112, 7.1.2 allows that, and forwarding frames the body anew.

forward_http.LeavesOutTheTrailersOfARequest before the mend: AddressSanitizer: heap-use-after-free ... in __interceptor_strcasecmp

--- a/src/h1.c
+++ b/src/h1.c
@@ -147,12 +147,21 @@
   return add_text (reader_of (parser), data, length);
 }
 
+/* Fields behind the last chunk are left out: the head was handed over and does not change. */
+static bool
+is_trailer (const http_parser *parser)
+{
+  return (parser->flags & F_TRAILING) != 0;
+}
+
 static int
 on_name (http_parser *parser, const char *data, size_t length)
 {
   struct h1_reader *reader = reader_of (parser);
   struct h1_head *head = &reader->head;
 
+  if (is_trailer (parser))
+    return 0;
   if (head->n_fields == 0 || reader->in_value)
     {
       if (head->n_fields == H1_FIELDS_MAX)
@@ -174,6 +183,8 @@
   struct h1_reader *reader = reader_of (parser);
   struct h1_head *head = &reader->head;
 
+  if (is_trailer (parser))
+    return 0;
   if (!reader->in_value)
     {
       end_text (reader);
