Check every byte of a message's framing

An answer in chunks whose framing was damaged was told as whole, with bytes that are no body in it or bytes of the body gone; a request with such a body ran, though another reader of the same bytes may end it elsewhere and find the next request inside (request smuggling).

Cause: libhttp-parser 2.9.4 is built without its strict checks by the distribution. It takes any byte for the LF behind a CR (status line, last line of a head, size of a chunk, trailer), any two for the CR LF behind a chunk's data, and skips all between the digits of a size and its CR, a bare LF too.

The reader now has the parser stop at the end of each part (head, size line, chunk) and holds every byte that is not body against what that part may hold; the byte before is remembered across buffers. A violation is malformed: the answer is none, the request is refused with 400. Bytes of a chunk are handed over after the check where both came in one read, so that a chunk seen to be damaged gives none. The parser's own limit on the bytes of sizes does not add up over chunks where it is stopped so (H1Answers.MayHaveAnyNumberOfChunks passes before and after).

Ruled out by the table, with no change: Content-Length, chunks, neither, HTTP/1.0, each closed or reset behind every byte, on fresh and used connections, split behind every byte, more bytes than said.

--- a/src/h1.c
+++ b/src/h1.c
@@ -251,8 +251,8 @@
   head->length = head->has_length ? parser->content_length : 0;
   head->framing = framing_of (reader);
   head->keep_alive = http_should_keep_alive (parser) != 0;
-  if (!reader->ops->head (reader))
-    return -1;
+  reader->part_ended = true;
+  http_parser_pause (parser, 1);
   return reader->no_body ? 1 : 0;
 }
 
@@ -261,7 +261,31 @@
 {
   struct h1_reader *reader = reader_of (parser);
 
-  return reader->ops->body (reader, data, length) ? 0 : 1;
+  reader->piece = data;
+  reader->piece_length = length;
+  return 0;
+}
+
+/* The parser stops between the parts of a body in chunks, which tells where framing begins. */
+static int
+pause_at_part (http_parser *parser)
+{
+  reader_of (parser)->part_ended = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static int
+on_chunk_header (http_parser *parser)
+{
+  return pause_at_part (parser);
+}
+
+static int
+on_chunk_complete (http_parser *parser)
+{
+  /* Behind a trailer the message is complete as well. */
+  return is_trailer (parser) ? 0 : pause_at_part (parser);
 }
 
 static int
@@ -280,6 +304,8 @@
   .on_header_value = on_value,
   .on_headers_complete = on_head,
   .on_body = on_body,
+  .on_chunk_header = on_chunk_header,
+  .on_chunk_complete = on_chunk_complete,
   .on_message_complete = on_complete,
 };
 
@@ -313,32 +339,150 @@
   reader->done = false;
   reader->in_value = false;
   reader->no_body = false;
+  reader->in_extension = false;
+  reader->part = H1_PART_HEAD;
+  reader->last = '\0';
   http_parser_init (&reader->parser, (enum http_parser_type) reader->parser.type);
 }
 
-enum status
-h1_read (struct h1_reader *reader, const char *data, size_t length, size_t *used)
+/* ---- framing ---- */
+
+/* In the line of a chunk's size the parser skips what is behind the digits, ends of lines too. */
+static bool
+size_byte_is_sound (struct h1_reader *reader, char byte)
+{
+  bool after_space = reader->last == ' ' || reader->last == '\t';
+
+  if (byte == '\r')
+    return true;
+  if (reader->in_extension)
+    return byte == '\t' || (unsigned char) byte >= ' ';
+  if (byte == ';')
+    reader->in_extension = true;
+  return !after_space || byte == ' ' || byte == '\t' || byte == ';';
+}
+
+/* The parser of the distribution takes any byte for the LF behind a CR, and any two for the CR LF
+ * behind a chunk's data. */
+static bool
+byte_is_sound (struct h1_reader *reader, char byte)
+{
+  if (reader->last == '\r')
+    return byte == '\n';
+  /* A head may end its lines with LF alone (RFC 9112, 2.2). */
+  if (byte == '\n')
+    return reader->part == H1_PART_HEAD;
+  if (reader->part == H1_PART_CHUNK)
+    return byte == '\r';
+  return reader->part != H1_PART_SIZE || size_byte_is_sound (reader, byte);
+}
+
+/* Of the bytes read, all behind the piece of body are framing. */
+static bool
+framing_is_sound (struct h1_reader *reader, const char *data, size_t length)
+{
+  if (reader->part == H1_PART_BODY)
+    return true;
+  for (size_t i = reader->piece_length; i < length; i++)
+    {
+      if (!byte_is_sound (reader, data[i]))
+        return false;
+      reader->last = data[i];
+    }
+  return true;
+}
+
+static void
+enter_part (struct h1_reader *reader, enum h1_part part)
+{
+  reader->part = part;
+  reader->last = '\0';
+  reader->in_extension = false;
+}
+
+/* ---- reading ---- */
+
+static enum status
+malformed (const char *why)
+{
+  return status_fail (STATUS_MALFORMED, "not HTTP/1.1: %s", why);
+}
+
+static enum status
+refused (void)
+{
+  return status_fail (STATUS_CANCELLED, "the message was refused");
+}
+
+/* Let the parser read up to the end of the part or of the data. */
+static enum status
+parse (struct h1_reader *reader, const char *data, size_t length, size_t *used)
 {
   enum http_errno error;
 
-  reader->begun = reader->begun || length > 0;
+  reader->piece_length = 0;
+  reader->part_ended = false;
   *used = http_parser_execute (&reader->parser, &reader_settings, data, length);
   error = HTTP_PARSER_ERRNO (&reader->parser);
-  if (reader->done && (error == HPE_PAUSED || error == HPE_OK))
+  if (error == HPE_PAUSED)
+    http_parser_pause (&reader->parser, 0);
+  else if (reader->too_large)
+    return status_fail (STATUS_TOO_LARGE, "headers over %zu bytes", reader->header_max);
+  else if (error != HPE_OK)
+    return malformed (http_errno_description (error));
+  return framing_is_sound (reader, data, *used) ? STATUS_OK : malformed ("unsound framing");
+}
+
+/* The parser tells of a head before it has read the last byte. */
+static enum status
+end_head (struct h1_reader *reader, const char *last)
+{
+  size_t used;
+  enum status status = parse (reader, last, 1, &used);
+
+  if (status != STATUS_OK)
+    return status;
+  enter_part (reader, reader->head.chunked ? H1_PART_SIZE : H1_PART_BODY);
+  return reader->ops->head (reader) ? STATUS_OK : refused ();
+}
+
+static enum status
+read_part (struct h1_reader *reader, const char *data, size_t length, size_t *used)
+{
+  enum status status = parse (reader, data, length, used);
+
+  if (status != STATUS_OK)
+    return status;
+  if (reader->piece_length > 0 && !reader->ops->body (reader, reader->piece, reader->piece_length))
+    return refused ();
+  if (!reader->part_ended)
+    return STATUS_OK;
+  if (reader->part == H1_PART_HEAD)
+    return end_head (reader, data + (*used)++);
+  if (reader->part == H1_PART_CHUNK)
+    enter_part (reader, H1_PART_SIZE);
+  else
+    enter_part (reader, is_trailer (&reader->parser) ? H1_PART_TRAILER : H1_PART_CHUNK);
+  return STATUS_OK;
+}
+
+enum status
+h1_read (struct h1_reader *reader, const char *data, size_t length, size_t *used)
+{
+  enum status status = STATUS_OK;
+
+  *used = 0;
+  reader->begun = reader->begun || length > 0;
+  while (status == STATUS_OK && *used < length && !reader->done)
     {
-      /* The parser stops at the last byte of a message without body, not behind it. */
-      if (error == HPE_PAUSED)
-        http_parser_pause (&reader->parser, 0);
-      reader->ops->complete (reader);
-      return STATUS_OK;
+      size_t step;
+
+      status = read_part (reader, data + *used, length - *used, &step);
+      *used += step;
     }
-  if (error == HPE_OK)
-    return STATUS_OK;
-  if (reader->too_large)
-    return status_fail (STATUS_TOO_LARGE, "headers over %zu bytes", reader->header_max);
-  if (error == HPE_CB_headers_complete || error == HPE_CB_body)
-    return status_fail (STATUS_CANCELLED, "the message was refused");
-  return status_fail (STATUS_MALFORMED, "not HTTP/1.1: %s", http_errno_description (error));
+  if (status == STATUS_OK && reader->done)
+    reader->ops->complete (reader);
+  return status;
 }
 
 bool
--- a/src/h1.h
+++ b/src/h1.h
@@ -86,6 +86,15 @@
   void (*complete) (struct h1_reader *reader);
 };
 
+enum h1_part
+{
+  H1_PART_HEAD,
+  H1_PART_SIZE, /* of a chunk: its line */
+  H1_PART_CHUNK,
+  H1_PART_TRAILER,
+  H1_PART_BODY, /* not in chunks */
+};
+
 /* Embedded by its user. */
 struct h1_reader
 {
@@ -98,8 +107,13 @@
   bool done;         /* the message is whole */
   bool too_large;
   bool in_value;
-  uint32_t target_at; /* offsets into head.text until it is whole */
-  uint32_t offsets[H1_FIELDS_MAX][2];
+  bool in_extension; /* of a chunk's size */
+  bool part_ended;
+  enum h1_part part;
+  char last;         /* byte of framing in this part; NUL before the first */
+  const char *piece; /* of the body, not handed over yet */
+  size_t piece_length;
+  uint32_t offsets[H1_FIELDS_MAX][2]; /* into head.text until it is whole */
 };
 
 /* A reader of requests or of answers. */
--- a/tests/unit_edges_support.h
+++ b/tests/unit_edges_support.h
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <functional>
 #include <gtest/gtest.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -178,8 +179,12 @@
 
     if (next >= 0)
       {
+        const int yes = 1;
+
         hang_up ();
         peer = next;
+        // What is said in two goes arrives so.
+        setsockopt (peer, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
         connections++;
         got.clear ();
       }
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -141,4 +141,350 @@
     }
 }
 
+// ---- the table: an answer by its framing, cut, damaged and delivered anywhere ----
+
+// Two events, a character of two bytes in the first.
+const std::string BODY = "id: 1\ndata: a\xc3\xbc\n\nid: 2\ndata: b\n\n";
+
+// One chunk ends inside the character.
+const std::string CHUNKS =
+    "e\r\nid: 1\ndata: a\xc3\r\n3\r\n\xbc\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+
+struct framed
+{
+  const char *name;
+  std::string head;
+  std::string wire; // behind the head
+  bool kept;        // the connection, after the whole answer
+  bool by_close;
+};
+
+std::vector<framed>
+framings ()
+{
+  const std::string length = "Content-Length: " + std::to_string (BODY.size ()) + "\r\n\r\n";
+
+  return {
+    { "length", "HTTP/1.1 200 OK\r\n" + length, BODY, true, false },
+    { "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", CHUNKS, true, false },
+    { "trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+      CHUNKS.substr (0, CHUNKS.size () - 2) + "X: y\r\n\r\n", true, false },
+    { "neither", "HTTP/1.1 200 OK\r\n\r\n", BODY, false, true },
+    { "neither_1_0", "HTTP/1.0 200 OK\r\n\r\n", BODY, false, true },
+    { "length_1_0", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n" + length, BODY, true, false },
+  };
+}
+
+class H1Answers : public H1Client
+{
+protected:
+  // Let the client read what was sent to it.
+  void
+  turn ()
+  {
+    loop_once (loop, 0);
+  }
+
+  // Let the client read: it tells an end now, or does not yet.
+  void
+  await (const h1_probe &probe, bool ends, const std::string &what)
+  {
+    EXPECT_TRUE (!ends || probe.wait ()) << what;
+    turn ();
+    EXPECT_EQ (probe.ends, ends ? 1 : 0) << what;
+  }
+
+  // Until the client has closed its connection.
+  bool
+  wait_closed ()
+  {
+    char byte;
+
+    return run_until (
+        loop, [&] { return recv (target->peer, &byte, 1, MSG_DONTWAIT) == 0 || errno != EAGAIN; });
+  }
+
+  // A connection that has carried an answer, or none.
+  void
+  prepare (bool used)
+  {
+    h1_probe first (loop);
+
+    start (first, true);
+    target->say (used ? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                      : "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE (first.wait ());
+    ASSERT_EQ (first.body, "ok");
+  }
+
+  // Is the next call made over the connection of the last?
+  bool
+  is_used_again ()
+  {
+    h1_probe next (loop);
+    int connections = target->connections;
+
+    start (next);
+    return target->connections == connections;
+  }
+
+  void
+  expect (const h1_probe &probe, bool whole, const std::string &body, const std::string &what)
+  {
+    EXPECT_EQ (probe.ends, 1) << what;
+    EXPECT_EQ (probe.end == H1_END_WHOLE, whole) << what << ": " << h1_end_text (probe.end);
+    if (whole)
+      EXPECT_EQ (probe.body, body) << what;
+    else
+      EXPECT_EQ (body.compare (0, probe.body.size (), probe.body), 0) << what << ": " << probe.body;
+  }
+};
+
+// The connection ends, in order or by a reset, behind every byte of every framing: only the end
+// that the framing names makes an answer whole.
+TEST_F (H1Answers, AreWholeOnlyByTheirFramingWhereverTheyEnd)
+{
+  for (const auto &framed : framings ())
+    for (bool used : { false, true })
+      for (bool reset : { false, true })
+        for (size_t n = 0; n <= framed.head.size () + framed.wire.size (); n++)
+          {
+            std::string text = (framed.head + framed.wire).substr (0, n);
+            bool complete = framed.by_close ? !reset && n >= framed.head.size ()
+                                            : n == framed.head.size () + framed.wire.size ();
+            std::string body =
+                framed.by_close && complete ? text.substr (framed.head.size ()) : BODY;
+            std::string what = std::string (framed.name) + (used ? ", used" : ", fresh")
+                               + (reset ? ", reset at " : ", closed at ") + std::to_string (n);
+            h1_probe probe (loop);
+
+            prepare (used);
+            start (probe);
+            EXPECT_EQ (probe.call.reused, used) << what;
+            target->say (text);
+            await (probe, complete && !framed.by_close, what);
+            target->hang_up (reset);
+            ASSERT_TRUE (probe.wait ()) << what;
+            expect (probe, complete, body, what);
+          }
+}
+
+// The answer arrives in two parts, split behind every byte, or byte by byte; until its end is there
+// it is not whole, however long the connection stays silent.
+TEST_F (H1Answers, AreTheSameHoweverTheyAreDelivered)
+{
+  for (const auto &framed : framings ())
+    for (size_t n = 1; n <= framed.head.size () + framed.wire.size (); n++)
+      {
+        std::string text = framed.head + framed.wire;
+        std::string what = std::string (framed.name) + " split at " + std::to_string (n);
+        h1_probe probe (loop);
+        int connections;
+
+        start (probe);
+        connections = target->connections;
+        target->say (text.substr (0, n));
+        await (probe, n == text.size () && !framed.by_close, what);
+        if (n < text.size ())
+          target->say (text.substr (n));
+        if (framed.by_close)
+          target->hang_up ();
+        ASSERT_TRUE (probe.wait ()) << what;
+        expect (probe, true, BODY, what);
+        EXPECT_EQ (target->connections, connections);
+      }
+}
+
+TEST_F (H1Answers, AreNotWholeBeforeTheirLastByte)
+{
+  for (const auto &framed : framings ())
+    {
+      std::string text = framed.head + framed.wire;
+      h1_probe probe (loop);
+
+      start (probe);
+      for (size_t n = 0; n < text.size (); n++)
+        {
+          EXPECT_EQ (probe.ends, 0) << framed.name << ": " << n;
+          target->say (text.substr (n, 1));
+          turn ();
+        }
+      if (framed.by_close)
+        {
+          EXPECT_EQ (probe.ends, 0);
+          target->hang_up ();
+        }
+      ASSERT_TRUE (probe.wait ()) << framed.name;
+      expect (probe, true, BODY, framed.name);
+      EXPECT_EQ (is_used_again (), framed.kept) << framed.name;
+    }
+}
+
+// Bytes behind the end belong to no answer, whenever they come.
+TEST_F (H1Answers, EndTheirConnectionWhereMoreComesThanTheyHold)
+{
+  for (const auto &framed : framings ())
+    for (const char *more : { "x", "\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" })
+      for (bool at_once : { false, true })
+        {
+          std::string text = framed.head + framed.wire;
+          h1_probe probe (loop);
+
+          if (framed.by_close)
+            continue;
+          start (probe);
+          target->say (at_once ? text + more : text);
+          ASSERT_TRUE (probe.wait ()) << framed.name;
+          if (!at_once)
+            target->say (more);
+          EXPECT_TRUE (wait_closed ()) << framed.name << more;
+          expect (probe, true, BODY, framed.name);
+          EXPECT_FALSE (is_used_again ()) << framed.name << more;
+        }
+}
+
+struct damaged
+{
+  const char *wire; // behind the head of an answer in chunks
+  const char *body; // by its sizes, as far as they can be followed
+};
+
+// Framing that is not what it must be, and the parser takes much of it.
+const damaged DAMAGED_CHUNKS[] = {
+  // data shorter and longer than the size by one and by two
+  { "6\r\nhello\r\n0\r\n\r\n", "hello\r" },
+  { "7\r\nhello\r\n0\r\n\r\n", "hello\r\n" },
+  { "4\r\nhello\r\n0\r\n\r\n", "hell" },
+  { "3\r\nhello\r\n0\r\n\r\n", "hel" },
+  { "3\r\nabc\r\n6\r\nhello\r\n0\r\n\r\n", "abchello\r" },
+  { "3\r\nabc\r\n3\r\nhello\r\n0\r\n\r\n", "abchel" },
+  // what is behind the data
+  { "5\r\nhelloXX0\r\n\r\n", "hello" },
+  { "5\r\nhello\rX0\r\n\r\n", "hello" },
+  { "5\r\nhelloX\n0\r\n\r\n", "hello" },
+  { "5\r\nhello\n0\r\n\r\n", "hello" },
+  { "5\r\nhello0\r\n\r\n", "hello" },
+  // the line of a size
+  { "5\rXhello\r\n0\r\n\r\n", "hello" },
+  { "5\nhello\r\n0\r\n\r\n", "" },
+  { "\r\n5\r\nhello\r\n0\r\n\r\n", "" },
+  { "g\r\nhello\r\n0\r\n\r\n", "" },
+  { "-5\r\nhello\r\n0\r\n\r\n", "" },
+  { "0x5\r\nhello\r\n0\r\n\r\n", "" },
+  { " 5\r\nhello\r\n0\r\n\r\n", "" },
+  { "5 5\r\nhello\r\n0\r\n\r\n", "" },
+  { "5 x\r\nhello\r\n0\r\n\r\n", "" },
+  { "5;a\nb\r\nhello\r\n0\r\n\r\n", "" },
+  { "5;\rX\r\nhello\r\n0\r\n\r\n", "" },
+  { "fffffffffffffffff\r\nhello\r\n0\r\n\r\n", "" },
+  // the last chunk
+  { "5\r\nhello\r\n0\r\n\rX", "hello" },
+  { "5\r\nhello\r\n0\r\n\n", "hello" },
+  { "5\r\nhello\r\n0\rX\r\n", "hello" },
+  { "5\r\nhello\r\n0\n\n", "hello" },
+  { "5\r\nhello\r\n0\r\nX: y\rZ\r\n", "hello" },
+  { "5\r\nhello\r\n0\r\nX: y\n\n", "hello" },
+  { "5\r\nhello\r\n0\r\nhello\r\n\r\n", "hello" },
+};
+
+// A chunk whose end is damaged passes for whole, its bytes shifted; delivered at once and split
+// behind every byte.
+TEST_F (H1Answers, AreNotAnswersWhereTheirChunksAreDamaged)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  for (const auto &damaged : DAMAGED_CHUNKS)
+    for (size_t n = head.size (); n <= head.size () + strlen (damaged.wire); n++)
+      {
+        std::string text = head + damaged.wire;
+        std::string what = std::string (damaged.wire) + " split at " + std::to_string (n);
+        h1_probe probe (loop);
+
+        start (probe);
+        target->say (text.substr (0, n));
+        turn ();
+        if (probe.ends == 0)
+          target->say (text.substr (n));
+        ASSERT_TRUE (probe.wait ()) << what;
+        expect (probe, false, damaged.body, what);
+        EXPECT_EQ (probe.end, H1_END_MALFORMED) << what;
+      }
+}
+
+// Read together with what shows the damage, not even the bytes of its chunk are handed over.
+TEST_F (H1Answers, HandOverNoChunkThatIsSeenToBeDamaged)
+{
+  h1_probe probe (loop);
+
+  start (probe);
+  target->say ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n6\r\nhello\r\n"
+               "0\r\n\r\n");
+  ASSERT_TRUE (probe.wait ());
+  expect (probe, false, "abc", "");
+  EXPECT_EQ (probe.body, "abc");
+}
+
+// The parser takes any byte for the LF behind a CR.
+TEST_F (H1Answers, AreNotAnswersWhereALineOfTheirHeadIsDamaged)
+{
+  for (const char *text : {
+           "HTTP/1.1 200 OK\rXContent-Length: 2\r\n\r\nab",
+           "HTTP/1.1 200 OK\r\nContent-Length: 2\rX\r\nab",
+           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rXab",
+           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rab",
+           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\rX",
+           "\rHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+       })
+    {
+      h1_probe probe (loop);
+
+      start (probe);
+      target->say (text);
+      ASSERT_TRUE (probe.wait ()) << text;
+      expect (probe, false, "", text);
+      EXPECT_EQ (probe.end, H1_END_MALFORMED) << text;
+    }
+}
+
+// Extensions of a size and fields behind the last chunk change nothing.
+TEST_F (H1Answers, AreReadWithExtensionsAndTrailers)
+{
+  for (const char *wire : {
+           "5;a=\"b c\"\r\nhello\r\n0;x\r\n\r\n",
+           "5 ; a\r\nhello\r\n0\r\nX: y\r\nZ: z\r\n\r\n",
+           "00005\r\nhello\r\n000\r\n\r\n",
+       })
+    {
+      h1_probe probe (loop);
+
+      start (probe);
+      target->say (std::string ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + wire);
+      ASSERT_TRUE (probe.wait ()) << wire;
+      expect (probe, true, "hello", wire);
+      EXPECT_TRUE (is_used_again ()) << wire;
+    }
+}
+
+// A long answer in tiny pieces; what the parser counts of one size must not add up over all.
+TEST_F (H1Answers, MayHaveAnyNumberOfChunks)
+{
+  static const struct h1_reader_ops ops = {
+    .head = [] (struct h1_reader *) { return true; },
+    .body = [] (struct h1_reader *, const char *, size_t) { return true; },
+    .complete = [] (struct h1_reader *) {},
+  };
+  const std::string chunk = "00000001\r\na\r\n";
+  struct h1_reader reader;
+  size_t used;
+
+  h1_reader_init (&reader, &ops, HTTP_RESPONSE, H1_HEAD_BYTES_MAX);
+  std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 12000; i++)
+    text += chunk;
+  for (char byte : text + "0\r\n\r\n")
+    ASSERT_EQ (h1_read (&reader, &byte, 1, &used), STATUS_OK) << status_message ();
+  EXPECT_TRUE (reader.done);
+  h1_reader_clear (&reader);
+}
+
 }
