Refuse messages whose framing can be read in two ways

An answer coded with gzip was told as whole and passed on without the field that says so. "Content- Length : 5" framed the body and went on to the client as one more field beside our own length. A request with such a name was read up to that length, and what was behind as the next request.

Cause: the parser takes spaces within names, skips an empty Content-Length, reads an answer with an unknown coding up to the end of its connection, and finds "chunked" last in a list; the fields that it had framed by were not compared with those that we see.

The reader now refuses names with a space, a Content-Length or Transfer-Encoding that the parser did not frame by, both of them, and any coding but "chunked" alone. A message in chunks that says it is HTTP/1.0 is read, but its connection is not used again (RFC 9112, 6.1).

Ruled out: two lengths, lists, signs, overflow, length with chunks are refused by the parser.

--- a/src/h1.c
+++ b/src/h1.c
@@ -162,6 +162,9 @@
 
   if (is_trailer (parser))
     return 0;
+  /* Others take "Content-Length :" for another field, the parser does not. */
+  if (memchr (data, ' ', length) != NULL)
+    return 1;
   if (head->n_fields == 0 || reader->in_value)
     {
       if (head->n_fields == H1_FIELDS_MAX)
@@ -220,6 +223,21 @@
     }
 }
 
+/* Two lengths, a coding that is not undone or a field that the parser reads otherwise than we do:
+ * where the body ends would be anyone's guess. */
+static bool
+framing_is_ambiguous (const struct h1_head *head)
+{
+  const char *coding = h1_value (head, "transfer-encoding");
+
+  if (head->chunked && head->has_length)
+    return true;
+  if (h1_count_fields (head, "content-length") != (head->has_length ? 1 : 0)
+      || h1_count_fields (head, "transfer-encoding") != (head->chunked ? 1 : 0))
+    return true;
+  return coding != NULL && strcasecmp (coding, "chunked") != 0;
+}
+
 static enum h1_framing
 framing_of (const struct h1_reader *reader)
 {
@@ -250,7 +268,10 @@
   head->has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   head->length = head->has_length ? parser->content_length : 0;
   head->framing = framing_of (reader);
-  head->keep_alive = http_should_keep_alive (parser) != 0;
+  if (framing_is_ambiguous (head))
+    return -1;
+  /* HTTP/1.0 knows no chunks: who relayed the message may have taken its end to be elsewhere. */
+  head->keep_alive = http_should_keep_alive (parser) != 0 && !(head->chunked && head->minor == 0);
   reader->part_ended = true;
   http_parser_pause (parser, 1);
   return reader->no_body ? 1 : 0;
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -487,4 +487,60 @@
   h1_reader_clear (&reader);
 }
 
+// Two readers of such a head may find two ends of its body, and a coding that is not undone would
+// be handed over as the body.
+TEST_F (H1Answers, AreNotAnswersWhereTheirFramingIsAmbiguous)
+{
+  for (const char *fields : {
+           "Content-Length : 5\r\n",
+           " Content-Length: 5\r\n",
+           "Content-Length: 5\r\nContent-Length: 5\r\n",
+           "Content-Length: 5\r\nContent-Length: 4\r\n",
+           "Content-Length: 5, 5\r\n",
+           "Content-Length: 5 5\r\n",
+           "Content-Length: 5\r\n 5\r\n",
+           "Content-Length: +5\r\n",
+           "Content-Length: -5\r\n",
+           "Content-Length: 0x5\r\n",
+           "Content-Length: 99999999999999999999\r\n",
+           "Content-Length:\r\n",
+           "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+           "Transfer-Encoding: identity\r\nContent-Length: 5\r\n",
+           "Transfer-Encoding: gzip\r\n",
+           "Transfer-Encoding: gzip, chunked\r\n",
+           "Transfer-Encoding: chunked, gzip\r\n",
+           "Transfer-Encoding: chunked, chunked\r\n",
+           "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+           "Transfer-Encoding: xchunked\r\n",
+           "Transfer-Encoding: chun\r\n ked\r\n",
+           "Transfer-Encoding : chunked\r\n",
+           "Transfer-Encoding:\r\n",
+       })
+    {
+      h1_probe probe (loop);
+
+      start (probe);
+      target->say (std::string ("HTTP/1.1 200 OK\r\n") + fields + "\r\n5\r\nhello\r\n0\r\n\r\n");
+      turn ();
+      target->hang_up ();
+      ASSERT_TRUE (probe.wait ()) << fields;
+      expect (probe, false, "", fields);
+      EXPECT_EQ (probe.end, H1_END_MALFORMED) << fields;
+    }
+}
+
+// HTTP/1.0 knows no chunks: who relayed such an answer may not have understood its framing.
+TEST_F (H1Answers, EndTheirConnectionWhereTheyAreChunkedInHttp10)
+{
+  h1_probe probe (loop);
+
+  start (probe);
+  target->say ("HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n"
+               + CHUNKS);
+  ASSERT_TRUE (probe.wait ());
+  expect (probe, true, BODY, "");
+  EXPECT_FALSE (is_used_again ());
+}
+
 }
