Move the writing of answers out of h1_server.c

Answers go to h1_server_answer.c, what both files share to h1_server_private.h. No change of behaviour: next_request() becomes h1_connection_next() and gets the time that it read by itself.

--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -1,6 +1,6 @@
 /* The HTTP/1.1 server of the forwarding path. */
-#include "h1_server.h"
 #include "container.h"
+#include "h1_server_private.h"
 #include "log.h"
 #include "text.h"
 #include <stdio.h>
@@ -9,69 +9,15 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#define CHUNK_HEAD_SIZE 20
-#define STATUS_CLASSES 6
-
-enum connection_state
-{
-  CONNECTION_READING, /* a request, or nothing yet */
-  CONNECTION_WAITING, /* for the answer to begin */
-  CONNECTION_ANSWERING,
-  CONNECTION_CLOSING, /* what is unsent goes out first */
-};
-
-struct h1_connection
-{
-  struct tcp_stream stream;
-  struct timer timer;
-  struct h1_server *server;
-  struct h1_connection *previous;
-  struct h1_connection *next;
-  struct h1_reader reader;
-  struct bytes body;
-  struct bytes input; /* bytes behind the request being answered */
-  struct h1_exchange exchange;
-  enum connection_state state;
-  unsigned refusal; /* the status for a request that its head condemns; 0: none */
-  bool chunked;     /* the answer is */
-  bool keep;        /* the connection lives on after the answer */
-  bool feeding;
-};
-
-struct h1_server
-{
-  struct h1_server_config config;
-  struct tcp_listener listener;
-  struct h1_connection *connections;
-  uint32_t n_connections;
-  uint32_t pending;
-  bool closing;
-  struct counter *requests;
-  struct counter *refused;
-  struct counter *dropped;
-  struct counter *answers[STATUS_CLASSES]; /* by the first digit of their status */
-};
-
-/* After the last answer a client has so long to read it and close. */
-#define LINGER (2 * USEC_PER_SEC)
-
 /* Bytes that a client may send ahead of an answer. */
 #define AHEAD_BYTES_MAX 65536
 
-static void feed (struct h1_connection *connection, const char *data, size_t length, int64_t now);
-
-static struct timer_service *
-timers_of (const struct h1_connection *connection)
-{
-  return loop_timers (connection->server->config.loop);
-}
-
 static void
 free_later (struct h1_connection *connection)
 {
   struct h1_server *server = connection->server;
 
-  timer_disarm (timers_of (connection), &connection->timer);
+  timer_disarm (h1_connection_timers (connection), &connection->timer);
   tcp_close (&connection->stream, false);
   h1_reader_clear (&connection->reader);
   bytes_clear (&connection->body);
@@ -108,145 +54,6 @@
   free_later (connection);
 }
 
-/* ---- answers ---- */
-
-static void
-write_head (struct h1_connection *connection, unsigned status, const char *fields, int64_t length)
-{
-  const struct h1_head *head = &connection->reader.head;
-  struct bytes out;
-
-  bytes_init (&out, NULL);
-  counter_add (connection->server->answers[status / 100 % STATUS_CLASSES], 1);
-  connection->keep = connection->keep && !connection->server->closing;
-  connection->chunked = length < 0 && head->minor >= 1;
-  /* Without a length an HTTP/1.0 answer ends with its connection. */
-  if (length < 0 && !connection->chunked)
-    connection->keep = false;
-  bytes_append_format (&out, "HTTP/1.1 %u %s\r\n", status, h1_reason (status));
-  if (fields != NULL)
-    bytes_append_text (&out, fields);
-  if (connection->chunked)
-    bytes_append_text (&out, "Transfer-Encoding: chunked\r\n");
-  else if (length >= 0)
-    bytes_append_format (&out, "Content-Length: %lld\r\n", (long long) length);
-  if (!connection->keep)
-    bytes_append_text (&out, "Connection: close\r\n");
-  else if (head->minor == 0)
-    bytes_append_text (&out, "Connection: keep-alive\r\n");
-  bytes_append_text (&out, "\r\n");
-  tcp_write (&connection->stream, out.data, out.length);
-  bytes_clear (&out);
-}
-
-static void
-next_request (struct h1_connection *connection)
-{
-  struct h1_server *server = connection->server;
-  int64_t now = loop_now (server->config.loop);
-
-  bytes_clear (&connection->body);
-  h1_reader_next (&connection->reader);
-  connection->state = CONNECTION_READING;
-  connection->refusal = 0;
-  connection->exchange.user = NULL;
-  timer_arm (timers_of (connection), &connection->timer, now + server->config.limits->idle_timeout);
-  /* While feed() is on the stack it goes on by itself with what is left. */
-  if (!connection->feeding && connection->input.length > 0)
-    feed (connection, "", 0, now);
-}
-
-static void
-answer_ended (struct h1_connection *connection)
-{
-  connection->server->pending--;
-  if (connection->keep)
-    {
-      next_request (connection);
-      return;
-    }
-  connection->state = CONNECTION_CLOSING;
-  tcp_close_when_sent (&connection->stream);
-  timer_arm (timers_of (connection), &connection->timer,
-             loop_now (connection->server->config.loop) + LINGER);
-}
-
-void
-h1_reply (struct h1_exchange *exchange,
-          unsigned status,
-          const char *fields,
-          const void *body,
-          size_t length)
-{
-  struct h1_connection *connection = exchange->connection;
-
-  INVARIANT (connection->state == CONNECTION_WAITING);
-  write_head (connection, status, fields, (int64_t) length);
-  if (connection->reader.head.method != HTTP_HEAD)
-    tcp_write (&connection->stream, body, length);
-  answer_ended (connection);
-}
-
-void
-h1_reply_begin (struct h1_exchange *exchange, unsigned status, const char *fields, int64_t length)
-{
-  INVARIANT (exchange->connection->state == CONNECTION_WAITING);
-  exchange->connection->state = CONNECTION_ANSWERING;
-  write_head (exchange->connection, status, fields, length);
-}
-
-void
-h1_reply_data (struct h1_exchange *exchange, const void *data, size_t length)
-{
-  struct h1_connection *connection = exchange->connection;
-  char head[CHUNK_HEAD_SIZE];
-  struct bytes out;
-
-  if (length == 0 || connection->reader.head.method == HTTP_HEAD)
-    return;
-  if (!connection->chunked)
-    {
-      tcp_write (&connection->stream, data, length);
-      return;
-    }
-  snprintf (head, sizeof head, "%zx\r\n", length);
-  bytes_init (&out, NULL);
-  bytes_append_text (&out, head);
-  bytes_append (&out, data, length);
-  bytes_append (&out, "\r\n", 2);
-  tcp_write (&connection->stream, out.data, out.length);
-  bytes_clear (&out);
-}
-
-void
-h1_reply_end (struct h1_exchange *exchange, bool whole)
-{
-  struct h1_connection *connection = exchange->connection;
-
-  INVARIANT (connection->state == CONNECTION_ANSWERING);
-  if (!whole)
-    {
-      h1_drop (exchange);
-      return;
-    }
-  if (connection->chunked && connection->reader.head.method != HTTP_HEAD)
-    tcp_write (&connection->stream, "0\r\n\r\n", 5);
-  answer_ended (connection);
-}
-
-void
-h1_drop (struct h1_exchange *exchange)
-{
-  struct h1_connection *connection = exchange->connection;
-
-  connection->server->pending--;
-  counter_add (connection->server->dropped, 1);
-  connection->state = CONNECTION_CLOSING;
-  tcp_close (&connection->stream, true);
-  /* It may be on the stack: the timer frees it from the loop. */
-  timer_arm (timers_of (connection), &connection->timer, 0);
-}
-
 /* ---- requests ---- */
 
 /* Refuse what the parser cannot or must not pass on; nothing of it has run. */
@@ -346,7 +153,7 @@
     {
       connection->exchange.arrived = now;
       connection->reader.header_max = server->config.limits->header_bytes;
-      timer_arm (timers_of (connection), &connection->timer,
+      timer_arm (h1_connection_timers (connection), &connection->timer,
                  now + server->config.limits->request_timeout);
     }
   status = h1_read (&connection->reader, data, length, &used);
@@ -357,7 +164,7 @@
     }
   if (!connection->reader.done)
     return used;
-  timer_disarm (timers_of (connection), &connection->timer);
+  timer_disarm (h1_connection_timers (connection), &connection->timer);
   connection->state = CONNECTION_WAITING;
   server->pending++;
   counter_add (server->requests, 1);
@@ -385,6 +192,23 @@
     }
 }
 
+void
+h1_connection_next (struct h1_connection *connection, int64_t now)
+{
+  struct h1_server *server = connection->server;
+
+  bytes_clear (&connection->body);
+  h1_reader_next (&connection->reader);
+  connection->state = CONNECTION_READING;
+  connection->refusal = 0;
+  connection->exchange.user = NULL;
+  timer_arm (h1_connection_timers (connection), &connection->timer,
+             now + server->config.limits->idle_timeout);
+  /* While feed() is on the stack it goes on by itself with what is left. */
+  if (!connection->feeding && connection->input.length > 0)
+    feed (connection, "", 0, now);
+}
+
 static void
 stream_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
 {
@@ -459,7 +283,8 @@
     server->connections->previous = connection;
   server->connections = connection;
   server->n_connections++;
-  timer_arm (timers_of (connection), &connection->timer, now + server->config.limits->idle_timeout);
+  timer_arm (h1_connection_timers (connection), &connection->timer,
+             now + server->config.limits->idle_timeout);
 }
 
 static const struct tcp_listener_ops listener_ops = { .accepted = on_accepted };
--- /dev/null
+++ b/src/h1_server_answer.c
@@ -0,0 +1,130 @@
+/* Answers of the HTTP/1.1 server: their heads, their pieces and their ends. */
+#include "container.h"
+#include "h1_server_private.h"
+#include <stdio.h>
+#include <talloc.h>
+
+#define CHUNK_HEAD_SIZE 20
+
+/* After the last answer a client has so long to read it and close. */
+#define LINGER (2 * USEC_PER_SEC)
+
+static void
+write_head (struct h1_connection *connection, unsigned status, const char *fields, int64_t length)
+{
+  const struct h1_head *head = &connection->reader.head;
+  struct bytes out;
+
+  bytes_init (&out, NULL);
+  counter_add (connection->server->answers[status / 100 % STATUS_CLASSES], 1);
+  connection->keep = connection->keep && !connection->server->closing;
+  connection->chunked = length < 0 && head->minor >= 1;
+  /* Without a length an HTTP/1.0 answer ends with its connection. */
+  if (length < 0 && !connection->chunked)
+    connection->keep = false;
+  bytes_append_format (&out, "HTTP/1.1 %u %s\r\n", status, h1_reason (status));
+  if (fields != NULL)
+    bytes_append_text (&out, fields);
+  if (connection->chunked)
+    bytes_append_text (&out, "Transfer-Encoding: chunked\r\n");
+  else if (length >= 0)
+    bytes_append_format (&out, "Content-Length: %lld\r\n", (long long) length);
+  if (!connection->keep)
+    bytes_append_text (&out, "Connection: close\r\n");
+  else if (head->minor == 0)
+    bytes_append_text (&out, "Connection: keep-alive\r\n");
+  bytes_append_text (&out, "\r\n");
+  tcp_write (&connection->stream, out.data, out.length);
+  bytes_clear (&out);
+}
+
+static void
+answer_ended (struct h1_connection *connection)
+{
+  connection->server->pending--;
+  if (connection->keep)
+    {
+      h1_connection_next (connection, loop_now (connection->server->config.loop));
+      return;
+    }
+  connection->state = CONNECTION_CLOSING;
+  tcp_close_when_sent (&connection->stream);
+  timer_arm (h1_connection_timers (connection), &connection->timer,
+             loop_now (connection->server->config.loop) + LINGER);
+}
+
+void
+h1_reply (struct h1_exchange *exchange,
+          unsigned status,
+          const char *fields,
+          const void *body,
+          size_t length)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  INVARIANT (connection->state == CONNECTION_WAITING);
+  write_head (connection, status, fields, (int64_t) length);
+  if (connection->reader.head.method != HTTP_HEAD)
+    tcp_write (&connection->stream, body, length);
+  answer_ended (connection);
+}
+
+void
+h1_reply_begin (struct h1_exchange *exchange, unsigned status, const char *fields, int64_t length)
+{
+  INVARIANT (exchange->connection->state == CONNECTION_WAITING);
+  exchange->connection->state = CONNECTION_ANSWERING;
+  write_head (exchange->connection, status, fields, length);
+}
+
+void
+h1_reply_data (struct h1_exchange *exchange, const void *data, size_t length)
+{
+  struct h1_connection *connection = exchange->connection;
+  char head[CHUNK_HEAD_SIZE];
+  struct bytes out;
+
+  if (length == 0 || connection->reader.head.method == HTTP_HEAD)
+    return;
+  if (!connection->chunked)
+    {
+      tcp_write (&connection->stream, data, length);
+      return;
+    }
+  snprintf (head, sizeof head, "%zx\r\n", length);
+  bytes_init (&out, NULL);
+  bytes_append_text (&out, head);
+  bytes_append (&out, data, length);
+  bytes_append (&out, "\r\n", 2);
+  tcp_write (&connection->stream, out.data, out.length);
+  bytes_clear (&out);
+}
+
+void
+h1_reply_end (struct h1_exchange *exchange, bool whole)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  INVARIANT (connection->state == CONNECTION_ANSWERING);
+  if (!whole)
+    {
+      h1_drop (exchange);
+      return;
+    }
+  if (connection->chunked && connection->reader.head.method != HTTP_HEAD)
+    tcp_write (&connection->stream, "0\r\n\r\n", 5);
+  answer_ended (connection);
+}
+
+void
+h1_drop (struct h1_exchange *exchange)
+{
+  struct h1_connection *connection = exchange->connection;
+
+  connection->server->pending--;
+  counter_add (connection->server->dropped, 1);
+  connection->state = CONNECTION_CLOSING;
+  tcp_close (&connection->stream, true);
+  /* It may be on the stack: the timer frees it from the loop. */
+  timer_arm (h1_connection_timers (connection), &connection->timer, 0);
+}
