Keep a stream's failure as a fact, and reset what is cut

What callers saw: an answer without a length, cut in the middle, told as whole. A target resets its connection while we still send to it; send() reads the error, tcp_write() dropped it on the ground that the loop would read it. Linux tells an error of a socket once: the next recv() gives 0, which was told as an orderly end, and by that an answer without a length is whole. In the other direction the shutdown at TCP_UNSENT_MAX, and a close with unsent bytes, sent our end behind a truncated answer; a failed allocation left a gap in the middle of one, with later bytes sent behind it.

A stream that failed now remembers why, once (send error, overflow, memory): it sends nothing more, ended() is called from the loop by a timer and says exactly that, whatever recv() says, and the other side sees a reset. Bytes that came before a reset are still handed over: they may be a whole answer to a request whose rest could not be sent; the loop's own send lost them. A close that drops bytes resets too.

Ruled out by tests that pass before and after: bytes that came with the other side's end after we had sent ours are read to the end although the loop is told of a hang-up (IsOrderlyBehindBytesThatCameAfterOurEnd), a reset behind unread bytes is a reset (IsAResetBehindUnreadBytes), tcp_close() with reset is one, with and without unsent bytes.

--- a/src/tcp.c
+++ b/src/tcp.c
@@ -2,6 +2,7 @@
 #include "tcp.h"
 #include "bytes.h"
 #include "container.h"
+#include "log.h"
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -45,17 +46,44 @@
   set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, TCP_SILENCE_MS);
 }
 
+/* Have the system reset the connection when its descriptor is closed, by us or with the process. */
+static void
+reset_on_close (struct tcp_stream *stream)
+{
+  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  if (setsockopt (stream->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) != 0)
+    log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "linger-not-set", "{s:s}", "message",
+               strerror (errno));
+}
+
+/* Would closing now leave out what the other side should get? */
+static bool
+is_cut (const struct tcp_stream *stream)
+{
+  return stream->failed || tcp_unsent (stream) > 0;
+}
+
+static void
+drop_unsent (struct tcp_stream *stream)
+{
+  if (stream->unsent != NULL)
+    talloc_free (stream->unsent);
+  stream->unsent = NULL;
+}
+
 /* The descriptor goes with the loop's watch, at its next turn. */
 static void
 drop (struct tcp_stream *stream)
 {
   if (!stream->open)
     return;
+  if (is_cut (stream))
+    reset_on_close (stream);
   stream->open = false;
+  timer_disarm (loop_timers (stream->loop), &stream->tell);
   loop_unwatch (stream->loop, &stream->watch);
-  if (stream->unsent != NULL)
-    talloc_free (stream->unsent);
-  stream->unsent = NULL;
+  drop_unsent (stream);
 }
 
 static void
@@ -64,7 +92,19 @@
   if (!stream->open)
     return;
   drop (stream);
-  stream->ops->ended (stream, how, now);
+  stream->ops->ended (stream, stream->failed ? stream->failure : how, now);
+}
+
+void
+tcp_fail (struct tcp_stream *stream, enum tcp_end why)
+{
+  if (!stream->open || stream->failed)
+    return;
+  stream->failed = true;
+  stream->failure = why;
+  reset_on_close (stream);
+  drop_unsent (stream);
+  timer_arm (loop_timers (stream->loop), &stream->tell, 0);
 }
 
 static bool
@@ -79,10 +119,17 @@
   return stream->connecting ? TCP_END_REFUSED : TCP_END_RESET;
 }
 
+/* All is sent. */
 static void
-send_rest (struct tcp_stream *stream, int64_t now)
+send_end (struct tcp_stream *stream)
 {
-  while (stream->unsent != NULL && stream->unsent->length > 0)
+  (void) shutdown (stream->fd, SHUT_WR);
+}
+
+static void
+send_rest (struct tcp_stream *stream)
+{
+  while (tcp_unsent (stream) > 0)
     {
       ssize_t sent = send (stream->fd, stream->unsent->data, stream->unsent->length, MSG_NOSIGNAL);
 
@@ -93,13 +140,13 @@
         }
       if (sent < 0)
         {
-          end (stream, TCP_END_RESET, now);
+          tcp_fail (stream, TCP_END_RESET);
           return;
         }
       bytes_consume (stream->unsent, (size_t) sent);
     }
-  if (stream->closing)
-    (void) shutdown (stream->fd, SHUT_WR);
+  if (stream->closing && !stream->failed)
+    send_end (stream);
 }
 
 static bool
@@ -125,27 +172,51 @@
 
   if (stream->connecting && !finish_connect (stream, now))
     return;
-  send_rest (stream, now);
+  send_rest (stream);
+}
+
+/* Hand over some bytes; false at the end, with the error of the read in `errno`, 0 where there is
+ * none. */
+static bool
+receive (struct tcp_stream *stream, int64_t now)
+{
+  static char buffer[READ_BYTES];
+  ssize_t got = recv (stream->fd, buffer, sizeof buffer, 0);
+
+  errno = got == 0 ? 0 : errno;
+  if (got > 0)
+    stream->ops->received (stream, buffer, (size_t) got, now);
+  return got > 0;
 }
 
 static void
 on_readable (struct loop_watch *watch, int64_t now)
 {
   struct tcp_stream *stream = CONTAINER_OF (watch, struct tcp_stream, watch);
-  static char buffer[READ_BYTES];
-  ssize_t got;
 
-  if (stream->connecting && !finish_connect (stream, now))
+  if (stream->failed || (stream->connecting && !finish_connect (stream, now))
+      || receive (stream, now))
     return;
-  got = recv (stream->fd, buffer, sizeof buffer, 0);
-  if (got > 0)
-    stream->ops->received (stream, buffer, (size_t) got, now);
-  else if (got == 0)
+  if (errno == 0)
     end (stream, TCP_END_ORDERLY, now);
   else if (!is_transient (errno))
     end (stream, end_of_error (stream), now);
 }
 
+/* What came before a reset is handed over first: it may be a whole answer to a request whose rest
+ * could not be sent. */
+static void
+tell_failure (struct timer *timer, int64_t now)
+{
+  struct tcp_stream *stream = CONTAINER_OF (timer, struct tcp_stream, tell);
+
+  timer_arm (loop_timers (stream->loop), timer, 0);
+  if (stream->failure != TCP_END_RESET || !receive (stream, now))
+    end (stream, stream->failure, now);
+}
+
+static const struct timer_ops tell_ops = { .fire = tell_failure };
+
 static void
 on_hung_up (struct loop_watch *watch, int64_t now)
 {
@@ -167,6 +238,8 @@
 
   stream->fd = fd;
   stream->closing = false;
+  stream->failed = false;
+  stream->tell.ops = &tell_ops;
   stream->unsent = NULL;
   stream->watch = (struct loop_watch){ .ops = &stream_watch_ops };
   set_options (fd);
@@ -222,11 +295,17 @@
     {
       stream->unsent = talloc_zero (NULL, struct bytes);
       if (stream->unsent == NULL)
-        return;
+        {
+          tcp_fail (stream, TCP_END_MEMORY);
+          return;
+        }
       bytes_init (stream->unsent, stream->unsent);
     }
   bytes_append (stream->unsent, data, length);
-  loop_want_write (&stream->watch);
+  if (bytes_failed (stream->unsent))
+    tcp_fail (stream, TCP_END_MEMORY);
+  else
+    loop_want_write (&stream->watch);
 }
 
 void
@@ -234,15 +313,17 @@
 {
   const char *rest = data;
 
-  if (!stream->open || length == 0)
+  if (!stream->open || stream->failed || length == 0)
     return;
   if (!stream->connecting && tcp_unsent (stream) == 0)
     {
       ssize_t sent = send (stream->fd, rest, length, MSG_NOSIGNAL);
 
-      /* A connection that failed is found so by the loop, which reads the error. */
       if (sent < 0 && !is_transient (errno))
-        return;
+        {
+          tcp_fail (stream, TCP_END_RESET);
+          return;
+        }
       if (sent > 0)
         {
           rest += sent;
@@ -253,7 +334,7 @@
     }
   if (tcp_unsent (stream) + length > TCP_UNSENT_MAX)
     {
-      (void) shutdown (stream->fd, SHUT_RDWR);
+      tcp_fail (stream, TCP_END_OVERFLOW);
       return;
     }
   keep (stream, rest, length);
@@ -268,13 +349,11 @@
 void
 tcp_close (struct tcp_stream *stream, bool reset)
 {
-  struct linger hard = { .l_onoff = 1, .l_linger = 0 };
-
   if (!stream->open)
     return;
   if (reset)
-    (void) setsockopt (stream->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-  else
+    reset_on_close (stream);
+  else if (!is_cut (stream))
     (void) shutdown (stream->fd, SHUT_RDWR);
   drop (stream);
 }
@@ -283,8 +362,8 @@
 tcp_close_when_sent (struct tcp_stream *stream)
 {
   stream->closing = true;
-  if (stream->open)
-    loop_want_write (&stream->watch);
+  if (stream->open && !stream->connecting && !stream->failed)
+    send_rest (stream);
 }
 
 /* ---- listeners ---- */
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -10,6 +10,7 @@
 #include "decls.h"
 #include "inet_address.h"
 #include "loop.h"
+#include "timer.h"
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -21,7 +22,8 @@
   X (ORDERLY, "closed by the other side")                                                          \
   X (RESET, "reset")                                                                               \
   X (REFUSED, "not established")                                                                   \
-  X (OVERFLOW, "the other side does not read")
+  X (OVERFLOW, "the other side does not read")                                                     \
+  X (MEMORY, "out of memory")
 
 enum tcp_end
 {
@@ -61,7 +63,10 @@
   int fd;
   bool open;
   bool connecting;
-  bool closing; /* ends once all is sent */
+  bool closing;         /* ends once all is sent */
+  bool failed;          /* nothing more is sent; ended() will say `failure` */
+  enum tcp_end failure; /* kept, as the system tells an error only once */
+  struct timer tell;    /* has ended() called from the loop */
   struct bytes *unsent;
 };
 
@@ -77,12 +82,16 @@
                         struct loop *loop,
                         int fd);
 
-/* Send or keep; what cannot be kept ends the stream from the loop. */
+/* Send or keep; what cannot be sent or kept fails the stream. */
 void tcp_write (struct tcp_stream *stream, const void *data, size_t length);
 size_t tcp_unsent (const struct tcp_stream *stream);
 
-/* Drop what is unsent, and close.  With `reset` the other side sees a reset, so that a cut answer
- * cannot look complete. */
+/* Send nothing more: bytes are missing.  ended() is called soon from the loop and says `why`, and
+ * the other side sees a reset. */
+void tcp_fail (struct tcp_stream *stream, enum tcp_end why);
+
+/* Drop what is unsent, and close.  With `reset`, or where something is dropped, the other side sees
+ * a reset, so that a cut answer cannot look complete. */
 void tcp_close (struct tcp_stream *stream, bool reset);
 
 /* Send what is left and our end, then throw away what comes until the other side ends too: closing
--- a/tests/unit_edges_support.h
+++ b/tests/unit_edges_support.h
@@ -42,6 +42,7 @@
   int fd;
   std::string got;
   bool closed = false; // by the other side, in order or by a reset
+  bool reset = false;
 
   raw_caller (struct loop *on, uint16_t port) : loop (on)
   {
@@ -92,8 +93,10 @@
 
     while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
       got.append (buffer, static_cast<size_t> (n));
-    if (n == 0 || errno != EAGAIN)
-      closed = true;
+    if (n < 0 && errno == EAGAIN)
+      return;
+    closed = true;
+    reset = reset || n < 0;
   }
 
   bool
--- a/tests/unit_edges_tcp.cc
+++ b/tests/unit_edges_tcp.cc
@@ -1,6 +1,7 @@
-// Connections over which more is sent than their buffers hold.
+// Streams over TCP: more is sent than buffers hold, and how a connection's end is told.
 #include "loop.h"
 #include "tcp.h"
+#include "unit_edges_support.h"
 #include <gtest/gtest.h>
 #include <string>
 #include <sys/socket.h>
@@ -10,7 +11,7 @@
 namespace
 {
 
-const struct tcp_stream_ops stream_ops = {
+const struct tcp_stream_ops silent_ops = {
   .connected = [] (struct tcp_stream *, int64_t) {},
   .received = [] (struct tcp_stream *, const char *, size_t, int64_t) {},
   .ended = [] (struct tcp_stream *, enum tcp_end, int64_t) {},
@@ -30,7 +31,7 @@
 
   ASSERT_EQ (socketpair (AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
   setsockopt (ends[0], SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
-  ASSERT_EQ (tcp_accept (&stream, &stream_ops, loop, ends[0]), STATUS_OK);
+  ASSERT_EQ (tcp_accept (&stream, &silent_ops, loop, ends[0]), STATUS_OK);
   tcp_write (&stream, data.data (), data.size ());
   for (int idle = 0; got.size () < data.size () && idle < 50;)
     {
@@ -52,4 +53,235 @@
   talloc_free (loop);
 }
 
+// A stream of ours and the socket at its other side, over loopback.
+class TcpEnd : public testing::Test
+{
+protected:
+  TcpEnd ()
+  {
+    static const struct tcp_listener_ops ops = {
+      .accepted = [] (struct tcp_listener *, int fd, int64_t) { accepted = fd; },
+    };
+    struct tcp_listener listener = {};
+
+    accepted = -1;
+    EXPECT_EQ (tcp_listen (&listener, &ops, loop, "127.0.0.1:0"), STATUS_OK);
+    peer = std::make_unique<raw_caller> (loop, inet_address_bound_port (listener.fd));
+    EXPECT_TRUE (run_until (loop, [] { return accepted >= 0; }));
+    tcp_listener_close (&listener);
+    ours.test = this;
+    EXPECT_EQ (tcp_accept (&ours.stream, &ops_, loop, accepted), STATUS_OK);
+  }
+
+  ~TcpEnd () override
+  {
+    tcp_close (&ours.stream, true);
+    peer.reset ();
+    talloc_free (loop);
+  }
+
+  void
+  write (const std::string &bytes)
+  {
+    tcp_write (&ours.stream, bytes.data (), bytes.size ());
+  }
+
+  // More than the kernel's buffers take.
+  void
+  fill ()
+  {
+    while (tcp_unsent (&ours.stream) < (1u << 20))
+      write (std::string (1u << 20, 'f'));
+  }
+
+  void
+  reset_by_peer ()
+  {
+    const struct linger at_once = { 1, 0 };
+
+    setsockopt (peer->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    peer->shut ();
+  }
+
+  bool
+  wait_ended ()
+  {
+    return run_until (loop, [this] { return n_ends > 0; });
+  }
+
+  // Read at the other side to the end; true where that is a reset.
+  bool
+  sees_reset ()
+  {
+    EXPECT_TRUE (peer->wait_closed ());
+    return peer->reset;
+  }
+
+  struct loop *loop = loop_new_plain (nullptr, 16);
+  struct
+  {
+    struct tcp_stream stream; // first
+    TcpEnd *test;
+  } ours = {};
+  std::unique_ptr<raw_caller> peer;
+  std::string got;
+  enum tcp_end end = TCP_END_COUNT;
+  int n_ends = 0;
+
+private:
+  static TcpEnd *
+  test_of (struct tcp_stream *stream)
+  {
+    return reinterpret_cast<decltype (ours) *> (stream)->test;
+  }
+
+  static inline int accepted;
+  static inline const struct tcp_stream_ops ops_ = {
+    .connected = [] (struct tcp_stream *, int64_t) {},
+    .received =
+        [] (struct tcp_stream *stream, const char *data, size_t length, int64_t) {
+          test_of (stream)->got.append (data, length);
+        },
+    .ended =
+        [] (struct tcp_stream *stream, enum tcp_end how, int64_t) {
+          test_of (stream)->end = how;
+          test_of (stream)->n_ends++;
+        },
+  };
+};
+
+// A send reads the error of a reset, after which a read tells the end as if it were orderly.
+TEST_F (TcpEnd, IsAResetWhereASendMetItFirst)
+{
+  peer->send ("half");
+  reset_by_peer ();
+  write ("more");
+  write ("more");
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_RESET);
+  EXPECT_EQ (got, "half");
+}
+
+// The same where the bytes were kept and the loop sends them.
+TEST_F (TcpEnd, IsAResetWhereTheLoopsSendMetItFirst)
+{
+  fill ();
+  peer->send ("half");
+  reset_by_peer ();
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_RESET);
+  EXPECT_EQ (got, "half");
+}
+
+// Nothing else happens on the connection: the user must not wait for ever for a stream that failed.
+TEST_F (TcpEnd, IsToldSoonWhereTheOtherSideDoesNothing)
+{
+  fill ();
+  write (std::string (TCP_UNSENT_MAX, 'x'));
+  loop_once (loop, 0);
+  loop_once (loop, 0);
+  EXPECT_EQ (n_ends, 1);
+}
+
+// A stream that was cut at the limit of what is kept ends in order for the other side.
+TEST_F (TcpEnd, OfAnOverflowIsAResetForTheOtherSide)
+{
+  fill ();
+  write (std::string (TCP_UNSENT_MAX, 'x'));
+  write ("behind the gap");
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_OVERFLOW);
+  EXPECT_TRUE (sees_reset ());
+  EXPECT_EQ (peer->got.find_first_not_of ('f'), std::string::npos);
+}
+
+// The same, with our end asked for before the loop has told of the failure.
+TEST_F (TcpEnd, OfAnOverflowIsAResetAlsoWhereTheUserEndsTheStream)
+{
+  fill ();
+  write (std::string (TCP_UNSENT_MAX, 'x'));
+  tcp_close_when_sent (&ours.stream);
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_OVERFLOW);
+  EXPECT_TRUE (sees_reset ());
+}
+
+// Bytes that cannot be kept leave a gap in the stream, with later bytes behind it.
+TEST_F (TcpEnd, OfMemoryIsAResetForTheOtherSide)
+{
+  fill ();
+  ours.stream.unsent->failed = true; // as a failed allocation leaves it
+  write (std::string (4u << 20, 'x'));
+  write ("behind the gap");
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_MEMORY);
+  EXPECT_TRUE (sees_reset ());
+  EXPECT_EQ (peer->got.find_first_not_of ('f'), std::string::npos);
+}
+
+// Bytes dropped by a close in the middle of a stream look like an orderly end to the other side.
+TEST_F (TcpEnd, OfACloseWithUnsentBytesIsAReset)
+{
+  fill ();
+  tcp_close (&ours.stream, false);
+  EXPECT_TRUE (sees_reset ());
+}
+
+TEST_F (TcpEnd, OfAResetIsAResetWithUnsentBytes)
+{
+  fill ();
+  tcp_close (&ours.stream, true);
+  EXPECT_TRUE (sees_reset ());
+}
+
+TEST_F (TcpEnd, OfAResetIsAResetWithoutUnsentBytes)
+{
+  write ("text");
+  tcp_close (&ours.stream, true);
+  EXPECT_TRUE (sees_reset ());
+}
+
+TEST_F (TcpEnd, OfACloseIsOrderly)
+{
+  write ("text");
+  tcp_close (&ours.stream, false);
+  EXPECT_FALSE (sees_reset ());
+  EXPECT_EQ (peer->got, "text");
+}
+
+// Both sides have ended: the hang-up that the loop tells comes with bytes that are still unread.
+TEST_F (TcpEnd, IsOrderlyBehindBytesThatCameAfterOurEnd)
+{
+  std::string much (100000, 'm');
+
+  tcp_close_when_sent (&ours.stream);
+  EXPECT_TRUE (peer->wait_closed ());
+  peer->send (much);
+  ASSERT_EQ (shutdown (peer->fd, SHUT_WR), 0);
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_ORDERLY);
+  EXPECT_EQ (got.size (), much.size ());
+}
+
+// A reset behind bytes that are still unread is never told as an orderly end.
+TEST_F (TcpEnd, IsAResetBehindUnreadBytes)
+{
+  peer->send (std::string (100000, 'm'));
+  reset_by_peer ();
+  EXPECT_TRUE (wait_ended ());
+  EXPECT_EQ (end, TCP_END_RESET);
+}
+
+// What is sent as a whole arrives, whatever the other side does with its own end meanwhile.
+TEST_F (TcpEnd, ComesBehindAllThatWasSent)
+{
+  fill ();
+  size_t unsent = tcp_unsent (&ours.stream);
+
+  tcp_close_when_sent (&ours.stream);
+  EXPECT_FALSE (sees_reset ());
+  EXPECT_GT (peer->got.size (), unsent);
+  EXPECT_EQ (tcp_unsent (&ours.stream), 0u);
+}
+
 } // namespace
