Reset a connection whose end would say that a cut answer is whole

What callers saw: a caller that speaks HTTP/1.0 gets a stream without a length, which its connection's end makes whole. Whenever our side ended it otherwise than by h1_reply_end(false), the end was an orderly one: the server freed as the process leaves, the last wait for a slow reader over, the caller's own half-close, an overflow. Part of a stream looked like all of it.

That such an end means "whole" is now a fact of the stream: tcp_end_means_whole(), called with the head of the answer, has the system reset the connection whenever the descriptor is closed, by us, by exit or by a kill. It is taken off in one place, as all is sent and our end goes out.

The test plays a table of three ways to answer, twelve callers and twelve ends, and holds what a strict caller concludes against what was said.

--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -21,7 +21,10 @@
   connection->chunked = length < 0 && head->minor >= 1;
   /* Without a length an HTTP/1.0 answer ends with its connection. */
   if (length < 0 && !connection->chunked)
-    connection->keep = false;
+    {
+      connection->keep = false;
+      tcp_end_means_whole (&connection->stream);
+    }
   bytes_append_format (&out, "HTTP/1.1 %u %s\r\n", status, h1_reason (status));
   if (fields != NULL)
     bytes_append_text (&out, fields);
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -48,9 +48,9 @@
 
 /* Have the system reset the connection when its descriptor is closed, by us or with the process. */
 static void
-reset_on_close (struct tcp_stream *stream)
+reset_on_close (struct tcp_stream *stream, bool reset)
 {
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  struct linger linger = { .l_onoff = reset, .l_linger = 0 };
 
   if (setsockopt (stream->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) != 0)
     log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "linger-not-set", "{s:s}", "message",
@@ -61,7 +61,7 @@
 static bool
 is_cut (const struct tcp_stream *stream)
 {
-  return stream->failed || tcp_unsent (stream) > 0;
+  return stream->failed || stream->whole_by_end || tcp_unsent (stream) > 0;
 }
 
 static void
@@ -79,7 +79,7 @@
   if (!stream->open)
     return;
   if (is_cut (stream))
-    reset_on_close (stream);
+    reset_on_close (stream, true);
   stream->open = false;
   timer_disarm (loop_timers (stream->loop), &stream->tell);
   loop_unwatch (stream->loop, &stream->watch);
@@ -102,7 +102,7 @@
     return;
   stream->failed = true;
   stream->failure = why;
-  reset_on_close (stream);
+  reset_on_close (stream, true);
   drop_unsent (stream);
   timer_arm (loop_timers (stream->loop), &stream->tell, 0);
 }
@@ -123,6 +123,9 @@
 static void
 send_end (struct tcp_stream *stream)
 {
+  if (stream->whole_by_end)
+    reset_on_close (stream, false);
+  stream->whole_by_end = false;
   (void) shutdown (stream->fd, SHUT_WR);
 }
 
@@ -238,6 +241,7 @@
 
   stream->fd = fd;
   stream->closing = false;
+  stream->whole_by_end = false;
   stream->failed = false;
   stream->tell.ops = &tell_ops;
   stream->unsent = NULL;
@@ -346,13 +350,22 @@
   return stream->unsent == NULL ? 0 : stream->unsent->length;
 }
 
+void
+tcp_end_means_whole (struct tcp_stream *stream)
+{
+  if (!stream->open || stream->failed)
+    return;
+  stream->whole_by_end = true;
+  reset_on_close (stream, true);
+}
+
 void
 tcp_close (struct tcp_stream *stream, bool reset)
 {
   if (!stream->open)
     return;
   if (reset)
-    reset_on_close (stream);
+    reset_on_close (stream, true);
   else if (!is_cut (stream))
     (void) shutdown (stream->fd, SHUT_RDWR);
   drop (stream);
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -64,6 +64,7 @@
   bool open;
   bool connecting;
   bool closing;         /* ends once all is sent */
+  bool whole_by_end;    /* our end would say that an answer is whole, and is not sent */
   bool failed;          /* nothing more is sent; ended() will say `failure` */
   enum tcp_end failure; /* kept, as the system tells an error only once */
   struct timer tell;    /* has ended() called from the loop */
@@ -90,6 +91,10 @@
  * the other side sees a reset. */
 void tcp_fail (struct tcp_stream *stream, enum tcp_end why);
 
+/* The other side takes our end for the end of an answer.  Until tcp_close_when_sent() has sent all
+ * and our end, however the connection ends is a reset for it, the end of this process included. */
+void tcp_end_means_whole (struct tcp_stream *stream);
+
 /* Drop what is unsent, and close.  With `reset`, or where something is dropped, the other side sees
  * a reset, so that a cut answer cannot look complete. */
 void tcp_close (struct tcp_stream *stream, bool reset);
--- /dev/null
+++ b/tests/unit_h1_server.cc
@@ -0,0 +1,502 @@
+// What a caller of the forwarding path may conclude from the bytes that it got: an answer looks
+// whole if, and only if, it was ended as whole and all of it was sent.
+#include "h1_server.h"
+#include "unit_edges_support.h"
+#include <algorithm>
+#include <memory>
+#include <string_view>
+
+namespace
+{
+
+// ---- what a strict caller concludes ----
+
+enum caller_end
+{
+  CALLER_OPEN,
+  CALLER_ORDERLY,
+  CALLER_RESET
+};
+
+struct verdict
+{
+  bool whole = false;
+  unsigned status = 0;
+  std::string body;
+  std::string rest; // bytes behind the answer
+  std::string head; // lower case
+};
+
+std::string
+field_of (const std::string &head, const std::string &name)
+{
+  size_t at = head.find ("\r\n" + name + ": ");
+
+  if (at == std::string::npos)
+    return "";
+  at += name.size () + 4;
+  return head.substr (at, head.find ("\r\n", at) - at);
+}
+
+// The body of chunks; whole only with its last chunk and the empty line behind it.
+bool
+read_chunks (const std::string &bytes, verdict &out)
+{
+  size_t at = 0;
+
+  for (;;)
+    {
+      size_t line = bytes.find ("\r\n", at);
+      size_t size = 0;
+
+      if (line == std::string::npos)
+        return false;
+      if (sscanf (bytes.c_str () + at, "%zx", &size) != 1
+          || bytes.find_first_not_of ("0123456789abcdef", at) != line)
+        return false;
+      at = line + 2;
+      if (bytes.size () < at + size + 2)
+        {
+          out.body += bytes.substr (at);
+          return false;
+        }
+      out.body.append (bytes, at, size);
+      if (bytes.compare (at + size, 2, "\r\n") != 0)
+        return false;
+      at += size + 2;
+      if (size == 0)
+        {
+          out.rest = bytes.substr (at);
+          return true;
+        }
+    }
+}
+
+verdict
+judge (const std::string &got, bool answers_head, enum caller_end end)
+{
+  verdict out;
+  size_t at = got.find ("\r\n\r\n");
+
+  if (at == std::string::npos)
+    return out;
+  out.head = got.substr (0, at + 2);
+  std::transform (out.head.begin (), out.head.end (), out.head.begin (),
+                  [] (unsigned char c) { return std::tolower (c); });
+  sscanf (out.head.c_str (), "http/1.1 %u", &out.status);
+  std::string behind = got.substr (at + 4);
+
+  if (out.status < 200)
+    return judge (behind, answers_head, end);
+  std::string length = field_of (out.head, "content-length");
+  bool chunked = field_of (out.head, "transfer-encoding") == "chunked";
+
+  EXPECT_FALSE (chunked && length != "") << out.head;
+  if (answers_head || out.status == 204 || out.status == 304)
+    {
+      out.whole = true;
+      out.rest = behind;
+    }
+  else if (chunked)
+    out.whole = read_chunks (behind, out);
+  else if (length != "")
+    {
+      size_t n = std::stoull (length);
+
+      out.whole = behind.size () >= n;
+      out.body = behind.substr (0, n);
+      out.rest = out.whole ? behind.substr (n) : "";
+    }
+  else
+    {
+      out.whole = end == CALLER_ORDERLY;
+      out.body = behind;
+    }
+  return out;
+}
+
+// ---- a server whose answers the test gives ----
+
+struct answering
+{
+  struct h1_handler handler;
+  std::vector<struct h1_exchange *> open;
+  std::vector<std::string> targets; // of the requests that came
+  std::function<void (struct h1_exchange *)> serve;
+  int gone = 0;
+
+  answering ()
+  {
+    static const struct h1_handler_ops ops = {
+      .request =
+          [] (struct h1_handler *base, struct h1_exchange *exchange, int64_t) {
+            auto *self = reinterpret_cast<answering *> (base);
+
+            self->targets.emplace_back (exchange->head->target);
+            if (self->serve)
+              self->serve (exchange);
+            else
+              self->open.push_back (exchange);
+          },
+      .gone =
+          [] (struct h1_handler *base, struct h1_exchange *exchange, int64_t) {
+            auto *self = reinterpret_cast<answering *> (base);
+
+            self->gone++;
+            std::erase (self->open, exchange);
+          },
+    };
+
+    handler.ops = &ops;
+  }
+
+  struct h1_exchange *
+  take ()
+  {
+    struct h1_exchange *exchange = open.front ();
+
+    open.erase (open.begin ());
+    return exchange;
+  }
+};
+
+const size_t MUCH = 6u << 20;      // more than the kernel's buffers take, less than we keep
+const size_t TOO_MUCH = 24u << 20; // more than both
+const size_t PIECE = 1u << 20;
+
+class h1_server_test : public testing::Test
+{
+protected:
+  ~h1_server_test () override
+  {
+    talloc_free (loop);
+  }
+
+  void
+  start ()
+  {
+    struct h1_server_config config = {};
+
+    config.loop = loop;
+    config.listen = "127.0.0.1:0";
+    config.handler = &answers.handler;
+    config.limits = &limits;
+    config.connections_max = 256;
+    config.counters = counters;
+    config.label = "clients";
+    server = h1_server_new (loop, &config);
+    ASSERT_NE (server, nullptr);
+  }
+
+  // Connects and sends; the request has come when this returns.
+  std::unique_ptr<raw_caller>
+  ask (const std::string &request)
+  {
+    auto caller = std::make_unique<raw_caller> (loop, h1_server_port (server));
+    size_t before = answers.targets.size ();
+
+    caller->send (request);
+    EXPECT_TRUE (run_until (loop, [&] { return answers.targets.size () > before; }));
+    return caller;
+  }
+
+  static enum caller_end
+  end_of (const raw_caller &caller)
+  {
+    if (!caller.closed)
+      return CALLER_OPEN;
+    return caller.reset ? CALLER_RESET : CALLER_ORDERLY;
+  }
+
+  struct loop *loop = loop_new_plain (nullptr, 512);
+  struct counters *counters = counters_new (loop);
+  struct h1_limits limits = { .header_bytes = 16384,
+                              .body_bytes = 1u << 20,
+                              .request_timeout = 10 * USEC_PER_SEC,
+                              .idle_timeout = 60 * USEC_PER_SEC };
+  answering answers;
+  struct h1_server *server = nullptr;
+};
+
+// ---- the table ----
+
+enum answer_kind
+{
+  ANSWER_AT_ONCE,
+  ANSWER_LENGTH,
+  ANSWER_STREAM,
+  ANSWER_KINDS
+};
+
+const char *const answer_names[] = { "at once", "pieces with a length", "pieces without a length" };
+
+struct caller_kind
+{
+  const char *name;
+  const char *request;
+  bool answers_head;
+  bool slow;   // small buffers
+  bool leaves; // resets before the answer
+  bool halves; // ends its side behind the request
+};
+
+#define LINE_11 " / HTTP/1.1\r\nHost: h\r\n\r\n"
+#define LINE_10 " / HTTP/1.0\r\n\r\n"
+#define LINE_10_KEEP " / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"
+
+const caller_kind caller_kinds[] = {
+  { "HTTP/1.1", "GET" LINE_11, false, false, false, false },
+  { "HTTP/1.0", "GET" LINE_10, false, false, false, false },
+  { "HTTP/1.0 keep-alive", "GET" LINE_10_KEEP, false, false, false, false },
+  { "HEAD HTTP/1.1", "HEAD" LINE_11, true, false, false, false },
+  { "HEAD HTTP/1.0", "HEAD" LINE_10, true, false, false, false },
+  { "HEAD HTTP/1.0 keep-alive", "HEAD" LINE_10_KEEP, true, false, false, false },
+  { "slow HTTP/1.1", "GET" LINE_11, false, true, false, false },
+  { "slow HTTP/1.0", "GET" LINE_10, false, true, false, false },
+  { "left HTTP/1.1", "GET" LINE_11, false, false, true, false },
+  { "left HTTP/1.0", "GET" LINE_10, false, false, true, false },
+  { "half-closed HTTP/1.1", "GET" LINE_11, false, false, false, true },
+  { "half-closed HTTP/1.0", "GET" LINE_10, false, true, false, true },
+};
+
+enum answer_end
+{
+  END_WHOLE,
+  END_WHOLE_OF_MUCH,
+  END_CUT_BEFORE_DATA,
+  END_CUT_BETWEEN,
+  END_CUT_UNSENT,
+  END_OVERFLOW,
+  END_OVERFLOW_THEN_WHOLE,
+  END_FREED_BEFORE_DATA,
+  END_FREED_BETWEEN,
+  END_FREED_UNSENT,
+  END_FREED_BEHIND_WHOLE,
+  END_FREED_BEHIND_MUCH,
+  END_KINDS
+};
+
+const char *const end_names[] = {
+  "whole",           "whole, much",  "cut before data", "cut between",
+  "cut with unsent", "overflow",     "overflow, end",   "freed before data",
+  "freed between",   "freed unsent", "freed behind it", "freed behind much",
+};
+
+size_t
+given (enum answer_end end)
+{
+  switch (end)
+    {
+    case END_CUT_BEFORE_DATA:
+    case END_FREED_BEFORE_DATA:
+      return 0;
+    case END_WHOLE:
+    case END_CUT_BETWEEN:
+    case END_FREED_BETWEEN:
+    case END_FREED_BEHIND_WHOLE:
+      return 1000;
+    case END_OVERFLOW:
+    case END_OVERFLOW_THEN_WHOLE:
+      return TOO_MUCH;
+    default:
+      return MUCH;
+    }
+}
+
+bool
+ends_whole (enum answer_end end)
+{
+  return end == END_WHOLE || end == END_WHOLE_OF_MUCH || end == END_OVERFLOW_THEN_WHOLE
+         || end == END_FREED_BEHIND_WHOLE || end == END_FREED_BEHIND_MUCH;
+}
+
+bool
+frees (enum answer_end end)
+{
+  return end >= END_FREED_BEFORE_DATA && end <= END_FREED_BEHIND_MUCH;
+}
+
+// No two pieces are alike.
+std::string_view
+text_of (size_t size)
+{
+  static const std::string text = [] {
+    std::string all;
+
+    for (size_t i = 0; all.size () < TOO_MUCH; i++)
+      all += std::to_string (i) + " ";
+    return all;
+  }();
+
+  return std::string_view (text).substr (0, size);
+}
+
+class answer_table : public h1_server_test
+{
+protected:
+  void
+  give (struct h1_exchange *exchange, enum answer_kind answer, enum answer_end end)
+  {
+    std::string_view text = text_of (given (end));
+    // A cut answer has more to come.
+    size_t length = text.size () + (ends_whole (end) || end == END_OVERFLOW ? 0 : 1);
+
+    if (answer == ANSWER_AT_ONCE)
+      {
+        h1_reply (exchange, 200, nullptr, text.data (), text.size ());
+        return;
+      }
+    h1_reply_begin (exchange, 200, nullptr,
+                    answer == ANSWER_LENGTH ? static_cast<int64_t> (length) : -1);
+    for (size_t at = 0; at < text.size (); at += PIECE)
+      h1_reply_data (exchange, text.data () + at, std::min (PIECE, text.size () - at));
+    if (ends_whole (end))
+      h1_reply_end (exchange, true);
+    else if (end <= END_CUT_UNSENT)
+      h1_reply_end (exchange, false);
+  }
+
+  void
+  act (raw_caller &caller, const caller_kind &kind)
+  {
+    const struct linger at_once = { 1, 0 };
+
+    if (kind.leaves)
+      {
+        setsockopt (caller.fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        caller.shut ();
+      }
+    if (kind.halves)
+      shutdown (caller.fd, SHUT_WR);
+  }
+
+  void
+  play (enum answer_kind answer, const caller_kind &kind, enum answer_end end)
+  {
+    start ();
+    auto other = ask ("GET /other HTTP/1.0\r\n\r\n");
+    struct h1_exchange *others = answers.take ();
+    auto caller = ask (kind.request, kind.slow);
+    struct h1_exchange *exchange = answers.take ();
+
+    h1_reply_begin (others, 200, nullptr, -1);
+    h1_reply_data (others, "ot", 2);
+    act (*caller, kind);
+    give (exchange, answer, end);
+    if (frees (end))
+      {
+        talloc_free (server);
+        server = nullptr;
+      }
+    else
+      {
+        h1_reply_data (others, "her", 3);
+        h1_reply_end (others, true);
+        EXPECT_TRUE (other->wait_closed ());
+        verdict seen = judge (other->got, false, end_of (*other));
+
+        EXPECT_TRUE (seen.whole);
+        EXPECT_EQ (seen.body, "other");
+      }
+    if (!kind.leaves)
+      look (*caller, kind, end);
+    caller.reset ();
+    other.reset ();
+    if (server != nullptr)
+      {
+        EXPECT_TRUE (run_until (loop, [&] { return h1_server_connections (server) == 0; }));
+        EXPECT_EQ (h1_server_pending (server), 0u);
+        talloc_free (server);
+      }
+    server = nullptr;
+    answers.open.clear ();
+  }
+
+  void
+  look (raw_caller &caller, const caller_kind &kind, enum answer_end end)
+  {
+    std::string_view text = text_of (given (end));
+    verdict seen;
+
+    EXPECT_TRUE (run_until (loop, [&] {
+      caller.read_some ();
+      if (caller.got.size () < 4096 || caller.closed || caller.got.size () >= text.size ())
+        seen = judge (caller.got, kind.answers_head, end_of (caller));
+      return seen.whole || caller.closed;
+    }));
+    EXPECT_EQ (seen.rest, "");
+    if (kind.answers_head)
+      {
+        std::string length = field_of (seen.head, "content-length");
+
+        EXPECT_TRUE (seen.whole);
+        EXPECT_NE (length, "0");
+        return;
+      }
+    if (seen.whole)
+      {
+        EXPECT_TRUE (ends_whole (end));
+        EXPECT_TRUE (seen.body == text) << seen.body.size () << " of " << text.size ();
+      }
+    // The caller's own end, and the server's, may cut what was not yet sent.
+    bool due = end == END_WHOLE || end == END_FREED_BEHIND_WHOLE
+               || (end == END_WHOLE_OF_MUCH && !kind.halves);
+
+    EXPECT_TRUE (seen.whole || !due);
+    EXPECT_TRUE (seen.body == text.substr (0, seen.body.size ()));
+  }
+
+  std::unique_ptr<raw_caller>
+  ask (const std::string &request, bool slow = false)
+  {
+    auto caller = h1_server_test::ask (request);
+    int small = 65536;
+
+    if (slow)
+      setsockopt (caller->fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    return caller;
+  }
+};
+
+TEST_F (answer_table, LooksWholeOnlyIfItIs)
+{
+  for (int answer = 0; answer < ANSWER_KINDS; answer++)
+    for (const caller_kind &kind : caller_kinds)
+      for (int end = 0; end < END_KINDS; end++)
+        {
+          SCOPED_TRACE (std::string (answer_names[answer]) + ", " + kind.name + ", "
+                        + end_names[end]);
+
+          // What is given at once is given whole.
+          if (answer == ANSWER_AT_ONCE && !ends_whole (static_cast<enum answer_end> (end)))
+            continue;
+          play (static_cast<enum answer_kind> (answer), kind, static_cast<enum answer_end> (end));
+        }
+}
+
+// A reader so slow that the server's last wait ends before it has got all that was sent as whole.
+TEST_F (answer_table, IsCutWhereItsReaderTakesTooLong)
+{
+  std::vector<std::unique_ptr<raw_caller>> callers;
+  std::string_view text = text_of (MUCH);
+
+  start ();
+  for (int answer = 0; answer < ANSWER_KINDS; answer++)
+    for (const char *request :
+         { "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "GET / HTTP/1.0\r\n\r\n" })
+      {
+        callers.push_back (ask (request, true));
+        give (answers.take (), static_cast<enum answer_kind> (answer), END_WHOLE_OF_MUCH);
+      }
+  EXPECT_TRUE (run_until (loop, [&] { return h1_server_connections (server) == 0; }));
+  for (auto &caller : callers)
+    {
+      EXPECT_TRUE (caller->wait_closed ());
+      verdict seen = judge (caller->got, false, end_of (*caller));
+
+      EXPECT_LT (seen.body.size (), text.size ());
+      EXPECT_FALSE (seen.whole) << seen.head;
+    }
+}
+
+} // namespace
