Say nothing false of a body that an answer does not have

What callers saw: to HEAD "Content-Length: 0" where the same GET has another length, and a second Content-Length beside one that the handler gave; to a 204 or 304 answered in pieces "Transfer-Encoding: chunked" and the chunks behind it, which the caller reads as its next answer.

Whether an answer has a body follows from the method and the status; h1_server asked for the method only, and not when it wrote the head. It is now settled once, with the head. To HEAD a length is said only where a handler gives a body, whose length is the true one; else `fields` may say it.

Ruled out by tests that pass before and after: answers to requests sent ahead interleave or go out twice (ComeOneAfterTheOtherToRequestsSentAhead), an expectation gets more than one final answer (ToExpectationsAreOneFinalAnswer).

--- a/src/h1_server.h
+++ b/src/h1_server.h
@@ -78,7 +78,8 @@
 uint32_t h1_server_pending (const struct h1_server *server);
 uint32_t h1_server_connections (const struct h1_server *server);
 
-/* Answer whole.  `fields` are header lines, each with its line end; NULL for none. */
+/* Answer whole.  `fields` are header lines, each with its line end; NULL for none.  To HEAD without
+ * a body no length is said, so that `fields` may say the one that GET would have. */
 void h1_reply (struct h1_exchange *exchange,
                unsigned status,
                const char *fields,
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -9,22 +9,41 @@
 /* After the last answer a client has so long to read it and close. */
 #define LINGER (2 * USEC_PER_SEC)
 
+static bool
+has_no_body (unsigned status)
+{
+  return status < 200 || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+/* How the answer's end will be known.  A length of 0 to HEAD may only mean that there is no body.
+ */
 static void
-write_head (struct h1_connection *connection, unsigned status, const char *fields, int64_t length)
+frame (struct h1_connection *connection, unsigned status, int64_t *length)
 {
   const struct h1_head *head = &connection->reader.head;
-  struct bytes out;
 
-  bytes_init (&out, NULL);
-  counter_add (connection->server->answers[status / 100 % STATUS_CLASSES], 1);
+  connection->bodiless = head->method == HTTP_HEAD || has_no_body (status);
+  if (has_no_body (status) || (head->method == HTTP_HEAD && *length == 0))
+    *length = -1;
+  connection->chunked = *length < 0 && !connection->bodiless && head->minor >= 1;
   connection->keep = connection->keep && !connection->server->closing;
-  connection->chunked = length < 0 && head->minor >= 1;
   /* Without a length an HTTP/1.0 answer ends with its connection. */
-  if (length < 0 && !connection->chunked)
+  if (*length < 0 && !connection->bodiless && !connection->chunked)
     {
       connection->keep = false;
       tcp_end_means_whole (&connection->stream);
     }
+}
+
+static void
+write_head (struct h1_connection *connection, unsigned status, const char *fields, int64_t length)
+{
+  const struct h1_head *head = &connection->reader.head;
+  struct bytes out;
+
+  bytes_init (&out, NULL);
+  counter_add (connection->server->answers[status / 100 % STATUS_CLASSES], 1);
+  frame (connection, status, &length);
   bytes_append_format (&out, "HTTP/1.1 %u %s\r\n", status, h1_reason (status));
   if (fields != NULL)
     bytes_append_text (&out, fields);
@@ -67,7 +86,7 @@
 
   INVARIANT (connection->state == CONNECTION_WAITING);
   write_head (connection, status, fields, (int64_t) length);
-  if (connection->reader.head.method != HTTP_HEAD)
+  if (!connection->bodiless)
     tcp_write (&connection->stream, body, length);
   answer_ended (connection);
 }
@@ -87,7 +106,7 @@
   char head[CHUNK_HEAD_SIZE];
   struct bytes out;
 
-  if (length == 0 || connection->reader.head.method == HTTP_HEAD)
+  if (length == 0 || connection->bodiless)
     return;
   if (!connection->chunked)
     {
@@ -114,7 +133,7 @@
       h1_drop (exchange);
       return;
     }
-  if (connection->chunked && connection->reader.head.method != HTTP_HEAD)
+  if (connection->chunked)
     tcp_write (&connection->stream, "0\r\n\r\n", 5);
   answer_ended (connection);
 }
--- a/src/h1_server_private.h
+++ b/src/h1_server_private.h
@@ -29,6 +29,7 @@
   struct h1_exchange exchange;
   enum connection_state state;
   unsigned refusal; /* the status for a request that its head condemns; 0: none */
+  bool bodiless;    /* the answer has no body, whatever its handler gives */
   bool chunked;     /* the answer is */
   bool keep;        /* the connection lives on after the answer */
   bool feeding;
--- a/tests/unit_h1_server.cc
+++ b/tests/unit_h1_server.cc
@@ -499,4 +499,142 @@
     }
 }
 
+// ---- single answers ----
+
+class h1_answers : public h1_server_test
+{
+protected:
+  // Reads until the next answer is whole, or the connection over, and takes it off.
+  verdict
+  next (raw_caller &caller, bool answers_head = false)
+  {
+    verdict seen;
+
+    EXPECT_TRUE (run_until (loop, [&] {
+      caller.read_some ();
+      seen = judge (caller.got, answers_head, end_of (caller));
+      return seen.whole || caller.closed;
+    }));
+    caller.got = seen.rest;
+    return seen;
+  }
+};
+
+// An answer to HEAD that says a length of 0 where the same GET has another.
+TEST_F (h1_answers, SayNoLengthToHeadWhereItIsNotKnown)
+{
+  start ();
+  auto caller = ask ("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+  h1_reply (answers.take (), 200, nullptr, nullptr, 0);
+  verdict seen = next (*caller, true);
+
+  EXPECT_EQ (seen.status, 200u);
+  EXPECT_EQ (field_of (seen.head, "content-length"), "");
+  EXPECT_EQ (field_of (seen.head, "transfer-encoding"), "");
+  answers.serve = [] (struct h1_exchange *exchange) {
+    h1_reply (exchange, 200, nullptr, "four", 4);
+  };
+  caller->send ("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ (field_of (next (*caller, true).head, "content-length"), "4");
+  caller->send ("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ (next (*caller).body, "four");
+}
+
+// The field with which a handler says the length to HEAD by itself stays the only one.
+TEST_F (h1_answers, LeaveTheLengthToTheHandlerOfHead)
+{
+  start ();
+  auto caller = ask ("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+  h1_reply (answers.take (), 200, "Content-Length: 77\r\n", nullptr, 0);
+  verdict seen = next (*caller, true);
+
+  EXPECT_EQ (field_of (seen.head, "content-length"), "77");
+  EXPECT_EQ (seen.head.find ("content-length"), seen.head.rfind ("content-length"));
+}
+
+// A status that has no body, with bytes behind its head that would be read as the next answer.
+TEST_F (h1_answers, HaveNoBodyWhereTheirStatusHasNone)
+{
+  start ();
+  for (unsigned status : { 204u, 304u })
+    {
+      auto caller = ask ("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+      h1_reply (answers.take (), status, nullptr, "body", 4);
+      verdict seen = next (*caller);
+
+      EXPECT_EQ (seen.status, status);
+      EXPECT_EQ (field_of (seen.head, "transfer-encoding"), "");
+      EXPECT_TRUE (status != 204 || field_of (seen.head, "content-length") == "");
+      caller->send ("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      EXPECT_TRUE (run_until (loop, [&] { return answers.open.size () == 1; }));
+      h1_reply_begin (answers.open.front (), status, nullptr, -1);
+      h1_reply_data (answers.open.front (), "body", 4);
+      h1_reply_end (answers.take (), true);
+      seen = next (*caller);
+      EXPECT_EQ (seen.status, status);
+      EXPECT_EQ (field_of (seen.head, "transfer-encoding"), "");
+      caller->send ("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      EXPECT_TRUE (run_until (loop, [&] { return answers.open.size () == 1; }));
+      h1_reply (answers.take (), 200, nullptr, "fine", 4);
+      seen = next (*caller);
+      EXPECT_EQ (seen.status, 200u);
+      EXPECT_EQ (seen.body, "fine");
+    }
+}
+
+// Requests sent ahead: answers that are made at once must not go out inside the one before.
+TEST_F (h1_answers, ComeOneAfterTheOtherToRequestsSentAhead)
+{
+  start ();
+  auto caller = ask ("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+                     "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  struct h1_exchange *exchange = answers.take ();
+
+  answers.serve = [] (struct h1_exchange *of) {
+    std::string text = of->head->target;
+
+    h1_reply (of, 200, nullptr, text.data (), text.size ());
+  };
+  h1_reply_begin (exchange, 200, nullptr, -1);
+  for (int i = 0; i < 5; i++)
+    {
+      h1_reply_data (exchange, "first ", 6);
+      caller->send ("GET /" + std::to_string (4 + i) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+      loop_once (loop, 0);
+    }
+  EXPECT_EQ (answers.targets.size (), 1u);
+  h1_reply_end (exchange, true);
+  EXPECT_EQ (next (*caller).body, "first first first first first ");
+  for (int i = 2; i < 9; i++)
+    EXPECT_EQ (next (*caller).body, "/" + std::to_string (i));
+  EXPECT_EQ (answers.targets.size (), 8u);
+  EXPECT_EQ (caller->got, "");
+}
+
+// A caller that waits for leave to send its body, and is refused by its head or by its body.
+TEST_F (h1_answers, ToExpectationsAreOneFinalAnswer)
+{
+  limits.body_bytes = 8;
+  start ();
+  raw_caller announced (loop, h1_server_port (server));
+  raw_caller sent (loop, h1_server_port (server));
+
+  announced.send (
+      "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n");
+  EXPECT_TRUE (announced.wait_closed ());
+  EXPECT_EQ (announced.count ("HTTP/1.1 "), 1u);
+  EXPECT_EQ (announced.got.find ("HTTP/1.1 413"), 0u);
+  sent.send ("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n");
+  EXPECT_TRUE (sent.wait_for ("HTTP/1.1 100 Continue\r\n\r\n"));
+  sent.send ("9\r\n123456789\r\n");
+  EXPECT_TRUE (sent.wait_closed ());
+  EXPECT_EQ (sent.count ("HTTP/1.1 "), 2u);
+  EXPECT_EQ (judge (sent.got, false, end_of (sent)).status, 413u);
+  EXPECT_EQ (answers.targets.size (), 0u);
+}
+
 } // namespace
