Cut an answer that is not of the length that its head says

A handler that said a length and gave fewer bytes left the caller waiting, and the next answer on the connection filled the rest: whole, with another answer's bytes in it. More bytes were read as the next answer. No handler of ours does so today; that the framing holds is now the server's own check. The bytes owed are counted down; too many fail the stream, too few at the end reset it, both with a log line.

Before: AreCutWhereTheyEndShortOfTheirLength saw the body "shortHTTP/" as whole, and the next request run; AreCutWhereTheyPassTheirLength saw "er" behind the answer and an open connection. After it they pass.

--- a/src/h1_server.h
+++ b/src/h1_server.h
@@ -86,7 +86,7 @@
                const void *body,
                size_t length);
 
-/* Answer in pieces; `length` under 0 where it is not known. */
+/* Answer in pieces; `length` under 0 where it is not known.  Pieces of another length are cut. */
 void h1_reply_begin (struct h1_exchange *exchange,
                      unsigned status,
                      const char *fields,
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -1,6 +1,8 @@
 /* Answers of the HTTP/1.1 server: their heads, their pieces and their ends. */
 #include "container.h"
 #include "h1_server_private.h"
+#include "log.h"
+#include <jansson.h>
 #include <stdio.h>
 #include <talloc.h>
 
@@ -26,6 +28,7 @@
   if (has_no_body (status) || (head->method == HTTP_HEAD && *length == 0))
     *length = -1;
   connection->chunked = *length < 0 && !connection->bodiless && head->minor >= 1;
+  connection->owed = connection->bodiless ? -1 : *length;
   connection->keep = connection->keep && !connection->server->closing;
   /* Without a length an HTTP/1.0 answer ends with its connection. */
   if (*length < 0 && !connection->bodiless && !connection->chunked)
@@ -99,6 +102,31 @@
   write_head (exchange->connection, status, fields, length);
 }
 
+/* More or fewer bytes than the head says would be taken from, or for, the next answer. */
+static void
+log_length (const struct h1_connection *connection, size_t length)
+{
+  log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "answer-not-of-its-length", "{s:s,s:I,s:I}",
+             "listener", connection->server->config.label, "owed", (json_int_t) connection->owed,
+             "given", (json_int_t) length);
+}
+
+/* False where the connection must not go on. */
+static bool
+count_down (struct h1_connection *connection, size_t length)
+{
+  if (connection->owed < 0)
+    return true;
+  if (length > (uint64_t) connection->owed)
+    {
+      log_length (connection, length);
+      tcp_fail (&connection->stream, TCP_END_RESET);
+      return false;
+    }
+  connection->owed -= (int64_t) length;
+  return true;
+}
+
 void
 h1_reply_data (struct h1_exchange *exchange, const void *data, size_t length)
 {
@@ -106,7 +134,8 @@
   char head[CHUNK_HEAD_SIZE];
   struct bytes out;
 
-  if (length == 0 || connection->bodiless)
+  INVARIANT (connection->state == CONNECTION_ANSWERING);
+  if (length == 0 || connection->bodiless || !count_down (connection, length))
     return;
   if (!connection->chunked)
     {
@@ -128,6 +157,11 @@
   struct h1_connection *connection = exchange->connection;
 
   INVARIANT (connection->state == CONNECTION_ANSWERING);
+  if (whole && connection->owed > 0)
+    {
+      log_length (connection, 0);
+      whole = false;
+    }
   if (!whole)
     {
       h1_drop (exchange);
--- a/src/h1_server_private.h
+++ b/src/h1_server_private.h
@@ -31,6 +31,7 @@
   unsigned refusal; /* the status for a request that its head condemns; 0: none */
   bool bodiless;    /* the answer has no body, whatever its handler gives */
   bool chunked;     /* the answer is */
+  int64_t owed;     /* of the length that the answer said; under 0: it said none */
   bool keep;        /* the connection lives on after the answer */
   bool feeding;
 };
--- a/tests/unit_h1_server.cc
+++ b/tests/unit_h1_server.cc
@@ -585,6 +585,38 @@
     }
 }
 
+// An answer shorter than the length it said is filled up with the next answer's bytes.
+TEST_F (h1_answers, AreCutWhereTheyEndShortOfTheirLength)
+{
+  start ();
+  auto caller = ask ("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  struct h1_exchange *exchange = answers.take ();
+
+  answers.serve = [] (struct h1_exchange *of) { h1_reply (of, 200, nullptr, "next", 4); };
+  h1_reply_begin (exchange, 200, nullptr, 10);
+  h1_reply_data (exchange, "short", 5);
+  h1_reply_end (exchange, true);
+  verdict seen = next (*caller);
+
+  EXPECT_FALSE (seen.whole) << seen.body;
+  EXPECT_EQ (answers.targets.size (), 1u);
+}
+
+// Bytes beyond the length that was said are read as the next answer.
+TEST_F (h1_answers, AreCutWhereTheyPassTheirLength)
+{
+  start ();
+  auto caller = ask ("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  struct h1_exchange *exchange = answers.take ();
+
+  h1_reply_begin (exchange, 200, nullptr, 4);
+  h1_reply_data (exchange, "long", 4);
+  h1_reply_data (exchange, "er", 2);
+  EXPECT_TRUE (caller->wait_closed ());
+  EXPECT_EQ (judge (caller->got, false, end_of (*caller)).rest, "");
+  EXPECT_TRUE (caller->reset);
+}
+
 // Requests sent ahead: answers that are made at once must not go out inside the one before.
 TEST_F (h1_answers, ComeOneAfterTheOtherToRequestsSentAhead)
 {
