Run no request on a connection that failed, and send no part of a text

A connection that failed at the limit of unsent bytes went on with the request sent ahead: it ran, and its answer could reach nobody. Requests that came before a reset ran the same way. A head or a chunk whose allocation failed would have been sent as far as it went, a piece of a request that could not be kept left a gap in it; both now fail the stream, and a stream that failed for a reason of ours is logged.

Before: h1_answers.AreNotMadeOnAConnectionThatFailed saw two requests run and one exchange gone. After it passes. The failed allocations in h1_server_answer.c and feed() have no test: nothing injects them.

--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -44,7 +44,9 @@
   struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
   struct h1_handler *handler = connection->server->config.handler;
 
-  (void) end;
+  if (end == TCP_END_OVERFLOW || end == TCP_END_MEMORY)
+    log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "connection-failed", "{s:s,s:s}", "listener",
+               connection->server->config.label, "message", tcp_end_text (end));
   if (answer_is_due (connection))
     {
       connection->server->pending--;
@@ -177,6 +179,11 @@
 feed (struct h1_connection *connection, const char *data, size_t length, int64_t now)
 {
   bytes_append (&connection->input, data, length);
+  if (bytes_failed (&connection->input))
+    {
+      tcp_fail (&connection->stream, TCP_END_MEMORY);
+      return;
+    }
   connection->feeding = true;
   while (connection->state == CONNECTION_READING && connection->input.length > 0)
     {
@@ -214,7 +221,8 @@
 {
   struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
 
-  if (connection->state != CONNECTION_CLOSING)
+  /* A request that came before a reset could not be answered. */
+  if (connection->state != CONNECTION_CLOSING && !stream->failed)
     feed (connection, data, length, now);
 }
 
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -11,6 +11,17 @@
 /* After the last answer a client has so long to read it and close. */
 #define LINGER (2 * USEC_PER_SEC)
 
+/* What could not be put together whole is not sent in part. */
+static void
+write_text (struct h1_connection *connection, struct bytes *text)
+{
+  if (bytes_failed (text))
+    tcp_fail (&connection->stream, TCP_END_MEMORY);
+  else
+    tcp_write (&connection->stream, text->data, text->length);
+  bytes_clear (text);
+}
+
 static bool
 has_no_body (unsigned status)
 {
@@ -59,15 +70,14 @@
   else if (head->minor == 0)
     bytes_append_text (&out, "Connection: keep-alive\r\n");
   bytes_append_text (&out, "\r\n");
-  tcp_write (&connection->stream, out.data, out.length);
-  bytes_clear (&out);
+  write_text (connection, &out);
 }
 
 static void
 answer_ended (struct h1_connection *connection)
 {
   connection->server->pending--;
-  if (connection->keep)
+  if (connection->keep && !connection->stream.failed)
     {
       h1_connection_next (connection, loop_now (connection->server->config.loop));
       return;
@@ -147,8 +157,7 @@
   bytes_append_text (&out, head);
   bytes_append (&out, data, length);
   bytes_append (&out, "\r\n", 2);
-  tcp_write (&connection->stream, out.data, out.length);
-  bytes_clear (&out);
+  write_text (connection, &out);
 }
 
 void
--- a/tests/unit_h1_server.cc
+++ b/tests/unit_h1_server.cc
@@ -646,6 +646,21 @@
   EXPECT_EQ (caller->got, "");
 }
 
+// A request sent ahead whose answer cannot reach its caller, as the answer before it was cut.
+TEST_F (h1_answers, AreNotMadeOnAConnectionThatFailed)
+{
+  std::string_view text = text_of (TOO_MUCH);
+
+  start ();
+  auto caller = ask ("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+
+  h1_reply (answers.take (), 200, nullptr, text.data (), text.size ());
+  EXPECT_TRUE (run_until (loop, [&] { return h1_server_connections (server) == 0; }));
+  EXPECT_EQ (answers.targets.size (), 1u);
+  EXPECT_EQ (answers.gone, 0);
+  EXPECT_EQ (h1_server_pending (server), 0u);
+}
+
 // A caller that waits for leave to send its body, and is refused by its head or by its body.
 TEST_F (h1_answers, ToExpectationsAreOneFinalAnswer)
 {
