Wait for answers to be sent before a host leaves

A host that leaves ends as soon as no request is pending, and an answer counted as answered when its last byte was given to its connection: up to 16 MB of it could be unsent. The connection was closed behind a part of it, visibly now, but for no need. What is unsent counts as pending; the bound of the drain stays.

Before: h1_answers.ArePendingUntilAllIsSent saw nothing pending with 6 MB given and nothing read. After it passes.

--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -362,7 +362,12 @@
 uint32_t
 h1_server_pending (const struct h1_server *server)
 {
-  return server->pending;
+  uint32_t pending = server->pending;
+
+  for (const struct h1_connection *at = server->connections; at != NULL; at = at->next)
+    if (!answer_is_due (at) && tcp_unsent (&at->stream) > 0)
+      pending++;
+  return pending;
 }
 
 uint32_t
--- a/src/h1_server.h
+++ b/src/h1_server.h
@@ -74,7 +74,7 @@
 /* From now on each answer asks its client to close. */
 void h1_server_close_after_answers (struct h1_server *server);
 
-/* Requests not yet answered whole. */
+/* Requests not yet answered whole, or whose answer is not yet sent. */
 uint32_t h1_server_pending (const struct h1_server *server);
 uint32_t h1_server_connections (const struct h1_server *server);
 
--- a/tests/unit_h1_server.cc
+++ b/tests/unit_h1_server.cc
@@ -684,4 +684,18 @@
   EXPECT_EQ (answers.targets.size (), 0u);
 }
 
+// A process that leaves when nothing is pending cuts an answer that its caller is still reading.
+TEST_F (h1_answers, ArePendingUntilAllIsSent)
+{
+  std::string_view text = text_of (MUCH);
+
+  start ();
+  auto caller = ask ("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+
+  h1_reply (answers.take (), 200, nullptr, text.data (), text.size ());
+  EXPECT_EQ (h1_server_pending (server), 1u);
+  EXPECT_TRUE (next (*caller).whole);
+  EXPECT_EQ (h1_server_pending (server), 0u);
+}
+
 } // namespace
