Play callers, answers and ends of the HTTP/1.1 server at random

Eight callers at once of HTTP/1.1 and 1.0, with requests sent ahead and HEAD; answers at once and in pieces, some cut; callers that reset or end their side; the server freed in the middle. Each answer that looks whole to its caller must be what was given and have been ended as whole, and no request may come twice. A test by hand has a caller reset in the middle of unsent bytes beside another's stream.

--- a/tests/unit_h1_server.cc
+++ b/tests/unit_h1_server.cc
@@ -4,6 +4,8 @@
 #include "unit_edges_support.h"
 #include <algorithm>
 #include <memory>
+#include <random>
+#include <set>
 #include <string_view>
 
 namespace
@@ -123,6 +125,7 @@
   std::vector<struct h1_exchange *> open;
   std::vector<std::string> targets; // of the requests that came
   std::function<void (struct h1_exchange *)> serve;
+  std::function<void (struct h1_exchange *)> left;
   int gone = 0;
 
   answering ()
@@ -144,6 +147,8 @@
 
             self->gone++;
             std::erase (self->open, exchange);
+            if (self->left)
+              self->left (exchange);
           },
     };
 
@@ -698,4 +703,244 @@
   EXPECT_EQ (h1_server_pending (server), 0u);
 }
 
+// The caller's reset meets bytes that are still unsent; another caller's stream goes on.
+TEST_F (h1_answers, EndWithTheirOwnConnectionOnly)
+{
+  const struct linger at_once = { 1, 0 };
+  std::string_view text = text_of (MUCH);
+
+  start ();
+  auto left = ask ("GET /left HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto stays = ask ("GET /stays HTTP/1.1\r\nHost: h\r\n\r\n");
+  struct h1_exchange *cut = answers.open[0];
+  struct h1_exchange *whole = answers.open[1];
+
+  h1_reply_begin (cut, 200, nullptr, -1);
+  h1_reply_begin (whole, 200, nullptr, -1);
+  h1_reply_data (whole, "be", 2);
+  h1_reply_data (cut, text.data (), text.size ());
+  loop_once (loop, 0);
+  setsockopt (left->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  left->shut ();
+  EXPECT_TRUE (run_until (loop, [&] { return answers.gone == 1; }));
+  ASSERT_EQ (answers.open.size (), 1u);
+  ASSERT_EQ (answers.open[0], whole);
+  h1_reply_data (whole, "gun", 3);
+  h1_reply_end (whole, true);
+  EXPECT_EQ (next (*stays).body, "begun");
+  EXPECT_EQ (answers.gone, 1);
+  EXPECT_EQ (h1_server_connections (server), 1u);
+}
+
+// ---- at random ----
+
+// What a request asked for, and what was said about its answer.
+struct asked
+{
+  bool head;
+  std::string given;
+  bool ended; // as whole
+};
+
+struct random_caller
+{
+  std::unique_ptr<raw_caller> line;
+  std::vector<size_t> requests; // numbers of what it asked, in order
+  bool left = false;
+};
+
+class h1_random : public h1_server_test
+{
+protected:
+  void
+  SetUp () override
+  {
+    start ();
+    answers.serve = [this] (struct h1_exchange *exchange) {
+      size_t number = std::stoul (exchange->head->target + 1);
+
+      EXPECT_TRUE (seen.insert (number).second) << "request " << number << " came twice";
+      exchange->user = reinterpret_cast<void *> (number);
+      if (draw (3) == 0)
+        give (exchange);
+      else
+        answers.open.push_back (exchange);
+    };
+    answers.left = [this] (struct h1_exchange *exchange) { std::erase (begun, exchange); };
+  }
+
+  size_t
+  draw (size_t below)
+  {
+    return random () % below;
+  }
+
+  std::string
+  some_text ()
+  {
+    size_t size = draw (8) == 0 ? 200000 + draw (400000) : 1 + draw (2000);
+
+    return std::string (text_of (TOO_MUCH).substr (draw (100000), size));
+  }
+
+  asked &
+  of (struct h1_exchange *exchange)
+  {
+    return all[reinterpret_cast<size_t> (exchange->user)];
+  }
+
+  // Whole and at once, or its head.
+  void
+  give (struct h1_exchange *exchange)
+  {
+    asked &at = of (exchange);
+    std::string text = some_text ();
+
+    if (draw (2) == 0)
+      {
+        at.given = text;
+        at.ended = true;
+        h1_reply (exchange, 200, nullptr, text.data (), text.size ());
+        return;
+      }
+    begun.push_back (exchange);
+    h1_reply_begin (exchange, 200, nullptr, -1);
+  }
+
+  void
+  go_on (struct h1_exchange *exchange)
+  {
+    std::string text = some_text ();
+    bool cut = draw (8) == 0;
+
+    if (draw (3) != 0)
+      {
+        of (exchange).given += text;
+        h1_reply_data (exchange, text.data (), text.size ());
+        return;
+      }
+    std::erase (begun, exchange);
+    of (exchange).ended = !cut;
+    h1_reply_end (exchange, !cut);
+  }
+
+  void
+  send_request ()
+  {
+    static const char *const lines[] = { " HTTP/1.1\r\nHost: h\r\n\r\n", " HTTP/1.0\r\n\r\n",
+                                         " HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" };
+    random_caller &caller = callers[draw (callers.size ())];
+    bool head = draw (8) == 0;
+    std::string text = (head ? "HEAD /" : "GET /") + std::to_string (all.size ()) + lines[draw (3)];
+
+    if (caller.left)
+      return;
+    caller.requests.push_back (all.size ());
+    all.push_back ({ head, "", false });
+    // An error that a send meets is told to the caller there, and not again by a read.
+    if (::send (caller.line->fd, text.data (), text.size (), MSG_NOSIGNAL) < 0 && errno != EAGAIN)
+      caller.line->reset = true;
+  }
+
+  void
+  leave (random_caller &caller)
+  {
+    const struct linger at_once = { 1, 0 };
+
+    if (draw (2) == 0)
+      {
+        shutdown (caller.line->fd, SHUT_WR);
+        return;
+      }
+    setsockopt (caller.line->fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    caller.line->shut ();
+    caller.left = true;
+  }
+
+  void
+  step ()
+  {
+    size_t what = draw (20);
+
+    if (callers.size () < 8)
+      callers.push_back ({ std::make_unique<raw_caller> (loop, h1_server_port (server)), {} });
+    if (what < 5)
+      send_request ();
+    else if (what < 8 && !answers.open.empty ())
+      give (answers.take ());
+    else if (what < 14 && !begun.empty ())
+      go_on (begun[draw (begun.size ())]);
+    else if (what < 18 && !callers.empty ())
+      read (callers[draw (callers.size ())]);
+    else if (what == 18 && draw (10) == 0 && !callers.empty ())
+      leave (callers[draw (callers.size ())]);
+    loop_once (loop, 0);
+  }
+
+  static void
+  read (random_caller &caller)
+  {
+    if (!caller.left && !caller.line->closed)
+      caller.line->read_some ();
+  }
+
+  // Each answer that looks whole is what was given, and was ended as whole.
+  size_t
+  look (random_caller &caller)
+  {
+    size_t whole = 0;
+
+    if (caller.left)
+      return 0;
+    for (size_t number : caller.requests)
+      {
+        verdict verdict = judge (caller.line->got, all[number].head, end_of (*caller.line));
+
+        if (!verdict.whole)
+          break;
+        whole++;
+        EXPECT_TRUE (all[number].head || all[number].ended) << "request " << number;
+        EXPECT_TRUE (all[number].head || verdict.body == all[number].given)
+            << "request " << number << ": " << verdict.body.size () << " of "
+            << all[number].given.size ();
+        caller.line->got = verdict.rest;
+      }
+    return whole;
+  }
+
+  std::mt19937 random;
+  std::vector<asked> all;
+  std::vector<random_caller> callers;
+  std::vector<struct h1_exchange *> begun;
+  std::set<size_t> seen;
+};
+
+// Many callers at once, with requests sent ahead, answers cut, callers that leave or stop sending,
+// and the server's end in the middle of it.
+TEST_F (h1_random, NoCutAnswerLooksWhole)
+{
+  size_t whole = 0;
+
+  for (unsigned seed = 1; seed <= 30; seed++)
+    {
+      SCOPED_TRACE ("seed " + std::to_string (seed));
+      random.seed (seed);
+      for (int i = 0; i < 400; i++)
+        step ();
+      talloc_free (server);
+      for (random_caller &caller : callers)
+        {
+          EXPECT_TRUE (caller.left || caller.line->wait_closed ());
+          whole += look (caller);
+        }
+      callers.clear ();
+      all.clear ();
+      begun.clear ();
+      seen.clear ();
+      answers.open.clear ();
+      start ();
+    }
+  EXPECT_GT (whole, 300u);
+}
+
 } // namespace
