Refuse a piece whose index is out of range or whose text was given up

A piece's index of -1, or of 2^32 and more, was read as 0, the first piece, so that it was dropped as known or taken as the start; and any word as finish_reason ended a text as whole, also an engine's 'abort' or 'error'. What ended such a text was that a string was there, not what it said.

stage_piece_read() now takes an index from 0 to 2^32-2 alone, and 'stop' and 'length' as the end of a whole text. Other ends make the attempt a wrong one, and another engine goes on.

--- a/src/stage.h
+++ b/src/stage.h
@@ -51,7 +51,8 @@
   const char *text; /* "" when the event has none */
   size_t text_length;
   uint32_t index;
-  bool finished; /* the event that ends the text, with its usage */
+  bool has_index; /* always where there is text */
+  bool finished;  /* the event that ends the text, with its usage */
   struct stage_usage usage;
 };
 
--- a/src/stage_answer.c
+++ b/src/stage_answer.c
@@ -218,18 +218,44 @@
   return status;
 }
 
+/* The engine came to its end, or to the tokens that were asked for.  Any other reason, such as that
+ * it gave up, ends a text that is not whole. */
+static bool
+ends_whole (const json_t *reason)
+{
+  const char *word = json_string_value (reason);
+
+  return strcmp (word, "stop") == 0 || strcmp (word, "length") == 0;
+}
+
+static enum status
+check_piece (const struct stage_piece *piece, const json_t *choice)
+{
+  const json_t *reason = json_object_get (choice, "finish_reason");
+  json_int_t index = json_integer_value (json_object_get (choice, "index"));
+
+  if (!json_is_object (choice)
+      || (!piece->finished && !json_is_string (json_object_get (choice, "text")))
+      || (piece->text_length > 0 && !piece->has_index) || index < 0 || index >= UINT32_MAX)
+    return status_fail (STATUS_MALFORMED, "choices[0]: expected text and index");
+  if (piece->finished && !ends_whole (reason))
+    return status_fail (STATUS_MALFORMED, "finish_reason: %s", json_string_value (reason));
+  return STATUS_OK;
+}
+
 enum status
 stage_piece_read (const char *event, size_t length, struct stage_piece *out)
 {
   json_t *document = stage_parse_json (event, length, STAGE_JSON_DEPTH);
   json_t *choice = json_array_get (json_object_get (document, "choices"), 0);
   json_t *text = json_object_get (choice, "text");
-  json_t *index = json_object_get (choice, "index");
+  enum status status;
 
   *out = (struct stage_piece){ .document = document, .text = "" };
   if (document == NULL)
     return STATUS_MALFORMED;
   out->finished = json_is_string (json_object_get (choice, "finish_reason"));
+  out->has_index = json_is_integer (json_object_get (choice, "index"));
   if (json_is_string (text))
     {
       out->text = json_string_value (text);
@@ -237,13 +263,10 @@
     }
   out->index = count_of (choice, "index");
   read_usage (document, &out->usage);
-  if (!json_is_object (choice) || (!out->finished && !json_is_string (text))
-      || (out->text_length > 0 && !json_is_integer (index)))
-    {
-      stage_piece_clear (out);
-      return status_fail (STATUS_MALFORMED, "choices[0]: expected text and index");
-    }
-  return STATUS_OK;
+  status = check_piece (out, choice);
+  if (status != STATUS_OK)
+    stage_piece_clear (out);
+  return status;
 }
 
 void
--- a/tests/unit_stage.cc
+++ b/tests/unit_stage.cc
@@ -3,6 +3,7 @@
 #include "stage.h"
 #include <cstdlib>
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -210,6 +211,39 @@
   EXPECT_EQ (stage_piece_read ("{}", 2, &piece), STATUS_MALFORMED);
 }
 
+// An index out of range must not be read as 0, the first piece.
+TEST_F (Stage, APieceWhoseIndexIsNoIndexIsRefused)
+{
+  for (const char *index :
+       { "-1", "4294967295", "4294967296", "9223372036854775807", "1.0", "\"1\"" })
+    {
+      const std::string text =
+          R"({"choices": [{"text": "ab", "index": )" + std::string (index) + "}]}";
+      struct stage_piece piece;
+
+      EXPECT_EQ (stage_piece_read (text.data (), text.size (), &piece), STATUS_MALFORMED) << index;
+    }
+}
+
+// An engine that gives up says so in the piece that ends its text: the text is not whole by it.
+TEST_F (Stage, ATextThatWasGivenUpIsNotFinished)
+{
+  const std::map<std::string, enum status> reasons = {
+    { "stop", STATUS_OK },         { "length", STATUS_OK },     { "abort", STATUS_MALFORMED },
+    { "error", STATUS_MALFORMED }, { "sto", STATUS_MALFORMED }, { "", STATUS_MALFORMED },
+  };
+
+  for (const auto &[reason, expected] : reasons)
+    {
+      const std::string text =
+          R"({"choices": [{"text": "", "index": 2, "finish_reason": ")" + reason + "\"}]}";
+      struct stage_piece piece;
+
+      EXPECT_EQ (stage_piece_read (text.data (), text.size (), &piece), expected) << reason;
+      stage_piece_clear (&piece);
+    }
+}
+
 TEST_F (Stage, APromptIsTheInputAndEachDocumentOnItsLine)
 {
   struct stage_spec spec = {};
