End a generation's text as whole only where its last piece continues it

A caller's text could be told as whole when it was not: with pieces missing before the last one; with the end of a shorter text, where the engine that went on ignored resume_from; and joined from the texts of two runs, where that engine began again and said something else: 'ab' of the first and 'z' of the second came as {text: abz}, outcome whole.

Cause: any last piece ended the text, wherever the engine said it was, and pieces before those that were taken were dropped unread as known.

The last piece must now come right behind the pieces that were taken (finish_text(), the one place that sets text.finished), and a repeated piece must be the one that was taken; else the attempt is wrong and another engine goes on from the pieces that are there.

Ruled out with the tests that are there: a gap inside a stream, a piece doubled as it was, an end without a last piece, what follows the end, a hedge beside a stream that gives.

Before: ALastPieceBehindAMissingOneIsNotTheEnd, TheEndOfAShorterTextDoesNotEndALongerOne, TheLastTextOfAShorterTextDoesNotEndALongerOne, AnEndWithoutAnIndexDoesNotEndALongerText and TheTextsOfTwoRunsAreNotJoined printed 'x->ended Actual: true' or 'client.calls.size () Which is: 2' where the answer had to go on at a third engine. After: all Flow and Stage tests pass.

--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -142,6 +142,7 @@
   if (request->memory == NULL)
     return false;
   bytes_init (&request->text.text, request->memory);
+  bytes_init (&request->text.ends, request->memory);
   request->spec = talloc_memdup (request->memory, spec, sizeof *spec);
   if (caller->service)
     {
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -339,6 +339,7 @@
                               ? request->decide.input_tokens
                               : stage_tokens (flow_stage_spec (request), &request->data);
   attempt->resumed_from = request->text.pieces;
+  attempt->n_pieces = request->text.pieces;
   attempt->started = now;
   text_copy (attempt->target, sizeof attempt->target, target->name);
   text_copy (attempt->address, sizeof attempt->address, target->address);
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -58,8 +58,9 @@
 struct flow_text
 {
   struct bytes text;
+  struct bytes ends; /* uint32_t a piece: its end in the text */
   uint32_t pieces;
-  bool finished;
+  bool finished;        /* its last piece came, and none before it is missing */
   struct handle feeder; /* the attempt whose pieces count; none before the first piece */
 };
 
@@ -148,6 +149,7 @@
   uint32_t stage;
   uint32_t input_tokens;
   uint32_t resumed_from;
+  uint32_t n_pieces; /* that its answer says the text has so far */
   bool is_hedge;
   bool sent; /* a byte of it may have left */
   int code;
--- a/src/flow_stage.c
+++ b/src/flow_stage.c
@@ -169,6 +169,7 @@
   request->n_tried = 0;
   record->started = now;
   bytes_clear (&request->text.text);
+  bytes_clear (&request->text.ends);
   request->text.pieces = 0;
   request->text.finished = false;
   request->text.feeder = (struct handle){ 0 };
--- a/src/flow_stream.c
+++ b/src/flow_stream.c
@@ -39,18 +39,65 @@
   PIECE_WRONG    /* cannot be of this text */
 };
 
+/* Where the first `n` pieces of the text end. */
+static size_t
+end_of_pieces (const struct flow_text *text, uint32_t n)
+{
+  uint32_t end = 0;
+
+  if (n > 0)
+    memcpy (&end, text->ends.data + (size_t) (n - 1) * sizeof end, sizeof end);
+  return end;
+}
+
+static bool
+is_same (const struct flow_text *text, const struct stage_piece *piece)
+{
+  size_t start = end_of_pieces (text, piece->index);
+  size_t length = end_of_pieces (text, piece->index + 1) - start;
+
+  return piece->text_length == length && memcmp (text->text.data + start, piece->text, length) == 0;
+}
+
 static enum piece_fate
 take_piece (struct flow_text *text, const struct stage_piece *piece)
 {
   if (piece->text_length == 0)
     return PIECE_TAKEN;
-  if (piece->index < text->pieces)
-    return PIECE_DROPPED;
   if (piece->index > text->pieces)
-    return PIECE_WRONG;
-  bytes_append (&text->text, piece->text, piece->text_length);
-  text->pieces++;
-  return bytes_failed (&text->text) ? PIECE_WRONG : PIECE_TAKEN;
+    {
+      status_fail (STATUS_MALFORMED, "piece %u after %u pieces", piece->index, text->pieces);
+      return PIECE_WRONG;
+    }
+  if (piece->index == text->pieces)
+    {
+      uint32_t end = (uint32_t) (text->text.length + piece->text_length);
+
+      bytes_append (&text->text, piece->text, piece->text_length);
+      bytes_append (&text->ends, &end, sizeof end);
+      text->pieces++;
+      return bytes_failed (&text->text) || bytes_failed (&text->ends) ? PIECE_WRONG : PIECE_TAKEN;
+    }
+  if (is_same (text, piece))
+    return PIECE_DROPPED;
+  /* What this attempt gives after it goes on from a text that the caller does not have. */
+  status_fail (STATUS_MALFORMED, "piece %u differs from the one that was taken", piece->index);
+  return PIECE_WRONG;
+}
+
+/* The last piece says of how many pieces the text is made: an engine that skipped some, or that did
+ * not go on from the text that is there, ends another text. */
+static bool
+finish_text (struct flow_attempt *attempt, struct flow_text *text)
+{
+  if (attempt->n_pieces != text->pieces)
+    {
+      status_fail (STATUS_MALFORMED, "the text ends after %u pieces, not %u", attempt->n_pieces,
+                   text->pieces);
+      return false;
+    }
+  text->finished = true;
+  return true;
 }
 
 /* An engine that leaves its stream open after the last piece must not cost the request its window:
@@ -80,11 +127,16 @@
   fate = take_piece (&request->text, piece);
   if (fate == PIECE_WRONG)
     return false;
+  if (piece->text_length > 0)
+    attempt->n_pieces = piece->index + 1;
+  else if (piece->finished && piece->has_index)
+    attempt->n_pieces = piece->index;
   if (fate == PIECE_DROPPED)
     flow_count_dropped (flow);
   if (piece->finished)
     {
-      request->text.finished = true;
+      if (!finish_text (attempt, &request->text))
+        return false;
       attempt->usage = piece->usage;
       expect_end (attempt, request, attempt->event_at);
     }
--- a/tests/unit_flow_stream.cc
+++ b/tests/unit_flow_stream.cc
@@ -23,6 +23,23 @@
            + "}\n\n";
   }
 
+  // Three pieces; then a second engine gives the first of them and `last`.
+  void
+  end_shorter (const std::string &last)
+  {
+    auto *x = send_stream ();
+
+    head (call (0));
+    data (call (0), piece (0, "a") + piece (1, "b") + piece (2, "c"));
+    fail (call (0));
+    answer (call (1), piece (0, "a") + last);
+    EXPECT_FALSE (x->ended);
+    ASSERT_EQ (client.calls.size (), 3u);
+    answer (call (2), last_piece (3));
+    EXPECT_NE (x->answer.find ("{\"text\":\"abc\"}"), std::string::npos) << x->answer;
+    expect_all_over ();
+  }
+
   static size_t
   count (const std::string &text, const std::string &part)
   {
@@ -165,4 +182,57 @@
   expect_all_over ();
 }
 
+// An engine loses the pieces before its last one.  The text has a hole at its end and is not whole.
+TEST_F (FlowStream, ALastPieceBehindAMissingOneIsNotTheEnd)
+{
+  auto *x = send_stream ();
+
+  answer (call (0), piece (0, "a") + last_piece (3));
+  EXPECT_FALSE (x->ended);
+  ASSERT_EQ (client.calls.size (), 2u);
+  EXPECT_NE (call (1).body.find ("\"resume_from\":1"), std::string::npos);
+  answer (call (1), piece (1, "b") + piece (2, "c") + last_piece (3));
+  EXPECT_NE (x->answer.find ("{\"text\":\"abc\"}"), std::string::npos) << x->answer;
+  expect_all_over ();
+}
+
+// The engine that goes on ignores `resume_from` and ends a shorter text.  The longer one that the
+// caller has is not whole by it: the last piece is one behind the text, without text.
+TEST_F (FlowStream, TheEndOfAShorterTextDoesNotEndALongerOne)
+{
+  end_shorter (last_piece (1));
+}
+
+// The same: the last piece has text.
+TEST_F (FlowStream, TheLastTextOfAShorterTextDoesNotEndALongerOne)
+{
+  end_shorter (R"(data: {"choices": [{"text": "b", "index": 1, "finish_reason": "stop"}]})"
+               "\n\n");
+}
+
+// The same: the last piece says nothing of where it is.
+TEST_F (FlowStream, AnEndWithoutAnIndexDoesNotEndALongerText)
+{
+  end_shorter (R"(data: {"choices": [{"text": "", "finish_reason": "stop"}]})"
+               "\n\n");
+}
+
+// The engine that goes on begins again and says something else.  Joined to what the caller has, it
+// would be a text that no engine made.
+TEST_F (FlowStream, TheTextsOfTwoRunsAreNotJoined)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a") + piece (1, "b"));
+  fail (call (0));
+  answer (call (1), piece (0, "x") + piece (1, "y") + piece (2, "z") + last_piece (3));
+  ASSERT_EQ (client.calls.size (), 3u);
+  answer (call (2), piece (0, "a") + piece (1, "bb") + piece (2, "c") + last_piece (3));
+  EXPECT_EQ (count (x->answer, "event: token"), 2u);
+  EXPECT_EQ (count (x->answer, "event: end"), 1u);
+  EXPECT_NE (x->answer.find ("\"outcome\":\"failed\""), std::string::npos) << x->answer;
+  expect_all_over ();
+}
+
 } // namespace
