Count a piece of a generation only once it is kept

A piece for which there was no memory was counted though its text was not kept. The next engine was asked for the pieces after it, and the caller's text was told as whole with a hole.

Found by reading; shown with a memory limit on the request: APieceThatFoundNoMemoryIsNotCounted printed '"resume_from":1' where no piece was kept, and then '"outcome":"whole","result":{"text":""}'. After: the Flow and Stage tests pass.

--- a/src/flow_stream.c
+++ b/src/flow_stream.c
@@ -59,6 +59,19 @@
   return piece->text_length == length && memcmp (text->text.data + start, piece->text, length) == 0;
 }
 
+static enum status
+add_piece (struct flow_text *text, const struct stage_piece *piece)
+{
+  uint32_t end = (uint32_t) (text->text.length + piece->text_length);
+
+  bytes_append (&text->text, piece->text, piece->text_length);
+  bytes_append (&text->ends, &end, sizeof end);
+  if (bytes_failed (&text->text) || bytes_failed (&text->ends))
+    return status_fail (STATUS_NO_MEMORY, "no memory for a piece");
+  text->pieces++;
+  return STATUS_OK;
+}
+
 static enum piece_fate
 take_piece (struct flow_text *text, const struct stage_piece *piece)
 {
@@ -70,14 +83,7 @@
       return PIECE_WRONG;
     }
   if (piece->index == text->pieces)
-    {
-      uint32_t end = (uint32_t) (text->text.length + piece->text_length);
-
-      bytes_append (&text->text, piece->text, piece->text_length);
-      bytes_append (&text->ends, &end, sizeof end);
-      text->pieces++;
-      return bytes_failed (&text->text) || bytes_failed (&text->ends) ? PIECE_WRONG : PIECE_TAKEN;
-    }
+    return add_piece (text, piece) == STATUS_OK ? PIECE_TAKEN : PIECE_WRONG;
   if (is_same (text, piece))
     return PIECE_DROPPED;
   /* What this attempt gives after it goes on from a text that the caller does not have. */
--- a/tests/unit_flow_stream.cc
+++ b/tests/unit_flow_stream.cc
@@ -23,6 +23,16 @@
            + "}\n\n";
   }
 
+  // 0 for no limit.
+  void
+  limit_memory (size_t more)
+  {
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+    ASSERT_EQ (talloc_set_memlimit (memory, more == 0 ? 0 : talloc_total_size (memory) + more), 0);
+#pragma GCC diagnostic pop
+  }
+
   // Three pieces; then a second engine gives the first of them and `last`.
   void
   end_shorter (const std::string &last)
@@ -235,4 +245,24 @@
   expect_all_over ();
 }
 
+// No memory for a piece.  The pieces after it must not be asked for as if it were there.
+TEST_F (FlowStream, APieceThatFoundNoMemoryIsNotCounted)
+{
+  const std::string large (8192, 'a');
+  auto *x = send_stream ();
+
+  head (call (0));
+  /* Grows the decoder's buffers, so that the text alone needs memory. */
+  data (call (0), R"(data: {"choices": [{"text": ""}], "pad": ")" + large + large + "\"}\n\n");
+  limit_memory (4096);
+  data (call (0), piece (0, large));
+  ASSERT_EQ (client.calls.size (), 2u);
+  EXPECT_NE (call (1).body.find ("\"resume_from\":0"), std::string::npos) << call (1).body;
+  limit_memory (0);
+  answer (call (1), last_piece (1));
+  advance (5 * USEC_PER_SEC);
+  EXPECT_EQ (x->answer.find ("\"outcome\":\"whole\""), std::string::npos) << x->answer;
+  expect_all_over ();
+}
+
 } // namespace
