Break a stream whose piece finds no memory

A piece for whose event there was no memory was left out without a word, and the stream went on and ended as whole: its events then lack a piece that the end's text holds, and a caller who reads the events has a hole.

flow_answer_piece() now says that nothing was written, and the answer's connection is broken, the one sign that is left; the request ends as for a caller that went away (an unrepeatable one goes on).

Before: FlowStream.AStreamThatLacksAPieceDoesNotEndAsWhole, which fails each of the first 40 allocations for JSON in turn, printed at steps 16 to 25 and 27 an answer of 'index 1' and the end '"outcome": "whole","result":{"text":"ab"}'. After: it passes, with the Flow and Stage tests. flow_answer_send() with no body was ruled out by reading: it aborts.

--- a/src/flow_answer.c
+++ b/src/flow_answer.c
@@ -234,25 +234,24 @@
   exchange->ops->finish (exchange);
 }
 
-void
+bool
 flow_answer_piece (struct flow_request *request, const char *text, size_t length, uint32_t index)
 {
   struct http_exchange *exchange = request->exchange;
-  json_t *json;
-  char *data;
+  json_t *json = json_pack ("{s:s%,s:I}", "text", text, length, "index", (json_int_t) index);
+  char *data = json_dumps (json, JSON_COMPACT);
 
-  json = json_pack ("{s:s%,s:I}", "text", text, length, "index", (json_int_t) index);
-  data = json_dumps (json, JSON_COMPACT);
   json_decref (json);
+  if (data == NULL)
+    return false;
   if (!request->begun)
     begin_stream (exchange, request->id);
   request->begun = true;
-  if (data == NULL)
-    return;
   write_text (exchange, "event: token\ndata: ");
   write_text (exchange, data);
   write_text (exchange, "\n\n");
   free (data);
+  return true;
 }
 
 void
--- a/src/flow_end.c
+++ b/src/flow_end.c
@@ -201,14 +201,30 @@
 
 /* Work for a caller that is gone is worth nothing, but an unrepeatable call that was sent has its
  * effect: it goes on, so that a resend can be told how it ended. */
-void
-flow_caller_closed (struct http_watcher *watcher, int64_t now)
+static void
+go_on_without_caller (struct flow_request *request, enum flow_reason reason, int64_t now)
 {
-  struct flow_request *request = CONTAINER_OF (watcher, struct flow_request, watcher);
-
   request->exchange = NULL;
   if (request->awaits_claim || request->phase == FLOW_PHASE_STORING)
     return;
   if (request->decide.repeatable || request->n_sent == 0)
-    flow_end_for (request, FLOW_REASON_CALLER_GONE, 0, now);
+    flow_end_for (request, reason, 0, now);
+}
+
+void
+flow_caller_closed (struct http_watcher *watcher, int64_t now)
+{
+  struct flow_request *request = CONTAINER_OF (watcher, struct flow_request, watcher);
+
+  go_on_without_caller (request, FLOW_REASON_CALLER_GONE, now);
+}
+
+void
+flow_break_answer (struct flow_request *request, int64_t now)
+{
+  struct http_exchange *exchange = request->exchange;
+
+  exchange->watcher = NULL;
+  exchange->ops->abort (exchange);
+  go_on_without_caller (request, FLOW_REASON_NO_MEMORY, now);
 }
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -320,6 +320,10 @@
 /* Answer the caller; the request goes on without it. */
 void flow_tell (struct flow_request *request, const struct flow_verdict *verdict, int64_t now);
 
+/* The answer cannot go on as it should: break its connection, which is the one sign left that it is
+ * not whole. */
+void flow_break_answer (struct flow_request *request, int64_t now);
+
 void flow_deadline_fire (struct timer *timer, int64_t now);
 void flow_caller_closed (struct http_watcher *watcher, int64_t now);
 
@@ -342,8 +346,9 @@
                        const char *body,
                        size_t length);
 
-/* One piece to the caller; begins the stream when it is the first. */
-void flow_answer_piece (struct flow_request *request,
+/* One piece to the caller; begins the stream when it is the first.  False: nothing of it was
+ * written, for want of memory. */
+bool flow_answer_piece (struct flow_request *request,
                         const char *text,
                         size_t length,
                         uint32_t index);
--- a/src/flow_stream.c
+++ b/src/flow_stream.c
@@ -146,8 +146,9 @@
       attempt->usage = piece->usage;
       expect_end (attempt, request, attempt->event_at);
     }
-  if (fate == PIECE_TAKEN && piece->text_length > 0 && goes_to_caller (request))
-    flow_answer_piece (request, piece->text, piece->text_length, piece->index);
+  if (fate == PIECE_TAKEN && piece->text_length > 0 && goes_to_caller (request)
+      && !flow_answer_piece (request, piece->text, piece->text_length, piece->index))
+    flow_break_answer (request, attempt->event_at);
   /* The write may have found the caller gone, and that ends the request and this attempt. */
   return flow_find_attempt (flow, self) != NULL;
 }
--- a/tests/unit_flow_stream.cc
+++ b/tests/unit_flow_stream.cc
@@ -7,6 +7,18 @@
 
 using flow_harness::fake_exchange;
 
+// An allocator for JSON whose call fails when `left` others went well.
+struct failing_malloc
+{
+  static inline int left;
+
+  static void *
+  take (size_t size)
+  {
+    return left-- == 0 ? nullptr : malloc (size);
+  }
+};
+
 class FlowStream : public flow_harness::world
 {
 protected:
@@ -23,6 +35,17 @@
            + "}\n\n";
   }
 
+  void
+  begin_again ()
+  {
+    TearDown ();
+    memory = talloc_new (nullptr);
+    dump = {};
+    client.calls.clear ();
+    exchanges.clear ();
+    SetUp ();
+  }
+
   // 0 for no limit.
   void
   limit_memory (size_t more)
@@ -265,4 +288,33 @@
   expect_all_over ();
 }
 
+// No memory for the event of a piece, at any step of making it.  A stream that lacks the piece must
+// not end as whole.
+TEST_F (FlowStream, AStreamThatLacksAPieceDoesNotEndAsWhole)
+{
+  for (failing_malloc::left = 0; failing_malloc::left < 40;)
+    {
+      int step = failing_malloc::left;
+      auto *x = send_stream ();
+
+      head (call (0));
+      json_set_alloc_funcs (failing_malloc::take, free);
+      data (call (0), piece (0, "a"));
+      json_set_alloc_funcs (malloc, free);
+      for (size_t i = 0; i < client.calls.size (); i++)
+        if (call (i).open)
+          {
+            head (call (i));
+            data (call (i), piece (0, "a") + piece (1, "b") + last_piece (2));
+          }
+      advance (5 * USEC_PER_SEC);
+      EXPECT_TRUE (x->aborted || count (x->answer, "event: token") == 2) << step << x->answer;
+      EXPECT_TRUE (!x->aborted || count (x->answer, "event: end") == 0) << step << x->answer;
+      EXPECT_EQ (x->answers, 1) << step;
+      expect_all_over ();
+      begin_again ();
+      failing_malloc::left = step + 1;
+    }
+}
+
 } // namespace
