Give no event of a stream whose line found no memory

An event's data may span lines. Where there was no memory for one of them, the decoder took the line for an empty one, which ends an event, and gave what had come before as the whole event; it said so only after.

The buffer is now asked right after each append. Before: Sse.AnEventWhoseLineFoundNoMemoryIsNotGiven, with a memory limit on the decoder, printed 'recorder.events.empty () Actual: false'. After: it passes, with the Sse, Flow and Stage tests.

--- a/src/sse.c
+++ b/src/sse.c
@@ -98,6 +98,9 @@
       if (status != STATUS_OK)
         return status;
       bytes_append (&decoder->line, at, part);
+      status = check_bounds (decoder, 0);
+      if (status != STATUS_OK)
+        return status;
       at += part;
       if (newline == NULL)
         break;
--- a/tests/unit_stage.cc
+++ b/tests/unit_stage.cc
@@ -84,6 +84,19 @@
   EXPECT_EQ (recorder.events.size (), 1u);
 }
 
+// No memory for a line.  What came of the event before it must not pass for the whole event.
+TEST_F (Sse, AnEventWhoseLineFoundNoMemoryIsNotGiven)
+{
+  sse_init (&decoder, memory, 65536);
+  EXPECT_EQ (feed ("data: a\n"), STATUS_OK);
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+  ASSERT_EQ (talloc_set_memlimit (memory, talloc_total_size (memory) + 1024), 0);
+#pragma GCC diagnostic pop
+  EXPECT_EQ (feed ("data: " + std::string (8192, 'b') + "\n\n"), STATUS_NO_MEMORY);
+  EXPECT_TRUE (recorder.events.empty ());
+}
+
 class Stage : public ::testing::Test
 {
 protected:
