Break off a watch that has no memory for a change

A change for whose event there was no memory was left out of the watch without a word (or written in part), the watch went on, and its next bookmark gave a resourceVersion as if the change had been told: the watcher went on from there and never saw it.

send_object() now writes the whole event or none, and breaks the watch's connection in the second case, with a log line; the watcher comes back with the version it saw last.

Before: Operator.AWatchThatLacksAChangeIsBrokenOff, with a memory limit on the interface, printed 'watch.aborted Actual: false' and bookmarks of resourceVersion 1 with no ADDED before them. After: it passes, with the Operator tests. A watch that broke is told from one that ended by its chunks' end; neither loses a change, as both are gone on with from the last version that was read.

--- a/src/operator_watch.c
+++ b/src/operator_watch.c
@@ -1,5 +1,6 @@
 /* Watches: a stream of changes from a revision on, with bookmarks. */
 #include "container.h"
+#include "log.h"
 #include "operator_private.h"
 #include <stdlib.h>
 #include <string.h>
@@ -51,30 +52,53 @@
 
 static const struct http_watcher_ops watcher_ops = { .closed = closed };
 
-/* One event of the stream around an object's JSON. */
+/* A watch that lacks a change must not go on, nor end as if it had told all. */
 static void
-send_object (const struct operator_one_watch *watch, const char *type, const struct bytes *object)
+break_off (struct operator_one_watch *watch)
+{
+  struct http_exchange *exchange = watch->exchange;
+
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "watch-broken-off", "{s:s,s:s}", "kind",
+             resource_kind_plural (watch->kind), "error", "no memory for an event");
+  exchange->watcher = NULL;
+  forget (watch);
+  exchange->ops->abort (exchange);
+}
+
+/* One event of the stream around an object's JSON.  False: there was no memory for it, and the
+ * watch is gone. */
+static bool
+send_object (struct operator_one_watch *watch, const char *type, const struct bytes *object)
 {
   struct bytes line;
+  bool whole;
 
   bytes_init (&line, watch->watches);
   bytes_append_format (&line, "data: {\"type\":\"%s\",\"object\":", type);
   bytes_append (&line, object->data, object->length);
   bytes_append_text (&line, "}\n\n");
-  watch->exchange->ops->write (watch->exchange, line.data, line.length);
+  whole = !bytes_failed (object) && !bytes_failed (&line);
+  if (whole)
+    watch->exchange->ops->write (watch->exchange, line.data, line.length);
   bytes_clear (&line);
+  if (!whole)
+    break_off (watch);
+  return whole;
 }
 
-static void
-send_bookmark (const struct operator_one_watch *watch)
+/* False when the watch is gone, as above. */
+static bool
+send_bookmark (struct operator_one_watch *watch)
 {
   struct bytes object;
+  bool sent;
 
   bytes_init (&object, watch->watches);
   bytes_append_format (&object, "{\"kind\":\"%s\",\"metadata\":{\"resourceVersion\":%llu}}",
                        resource_kind_plural (watch->kind), (unsigned long long) watch->revision);
-  send_object (watch, "BOOKMARK", &object);
+  sent = send_object (watch, "BOOKMARK", &object);
   bytes_clear (&object);
+  return sent;
 }
 
 /* The watcher was slower than the history is long. */
@@ -97,8 +121,9 @@
   const struct store_history *changes = store_changes (watch->watches->api->config.store);
   const struct store_event *event;
   struct bytes object;
+  bool sent = true;
 
-  while (watch->exchange->ops->unsent (watch->exchange) < WATCH_UNSENT_MAX)
+  while (sent && watch->exchange->ops->unsent (watch->exchange) < WATCH_UNSENT_MAX)
     {
       if (store_history_after (changes, watch->revision, &event) != STATUS_OK)
         {
@@ -112,7 +137,7 @@
         continue;
       bytes_init (&object, watch->watches);
       store_event_write (event, &object);
-      send_object (watch, store_event_text (event->type), &object);
+      sent = send_object (watch, store_event_text (event->type), &object);
       bytes_clear (&object);
     }
 }
@@ -146,7 +171,8 @@
     {
       struct http_exchange *exchange = watch->exchange;
 
-      send_bookmark (watch);
+      if (!send_bookmark (watch))
+        continue;
       exchange->watcher = NULL;
       forget (watch);
       exchange->ops->finish (exchange);
@@ -157,12 +183,13 @@
 period_due (struct timer *timer, int64_t now)
 {
   struct operator_watches *watches = CONTAINER_OF (timer, struct operator_watches, period);
-  const struct operator_one_watch *watch;
+  struct operator_one_watch *watch;
+  struct operator_one_watch *following;
 
   pump_all (watches);
   if (watches->api->config.board->refusing)
     end_all (watches);
-  DL_FOREACH (watches->list, watch)
+  DL_FOREACH_SAFE (watches->list, watch, following)
     if (watch->exchange->ops->unsent (watch->exchange) == 0)
       send_bookmark (watch);
   if (watches->list != NULL)
@@ -186,19 +213,22 @@
 }
 
 /* A watch without a revision begins with all objects as they are. */
-static void
-send_all (const struct operator_one_watch *watch, const struct store *store)
+static bool
+send_all (struct operator_one_watch *watch, const struct store *store)
 {
   const struct store_object *object = store_after (store, watch->kind, "");
+  enum resource_kind kind = watch->kind;
   struct bytes text;
+  bool sent = true;
 
-  for (; object != NULL; object = store_after (store, watch->kind, object->name))
+  for (; sent && object != NULL; object = store_after (store, kind, object->name))
     {
       bytes_init (&text, watch->watches);
       store_object_write (object, &text);
-      send_object (watch, store_event_text (STORE_EVENT_ADDED), &text);
+      sent = send_object (watch, store_event_text (STORE_EVENT_ADDED), &text);
       bytes_clear (&text);
     }
+  return sent;
 }
 
 static struct operator_one_watch *
@@ -250,9 +280,8 @@
   else
     {
       exchange->ops->begin (exchange, 200, fields, sizeof fields / sizeof *fields);
-      if (text[0] == '\0')
-        send_all (watch, store);
-      send_bookmark (watch);
+      if (text[0] != '\0' || send_all (watch, store))
+        send_bookmark (watch);
       timer_arm (request->api->config.timers, &watches->pump, 0);
       if (!timer_is_armed (&watches->period))
         timer_arm (request->api->config.timers, &watches->period, request->now + WATCH_PERIOD);
--- a/tests/unit_config_operator.cc
+++ b/tests/unit_config_operator.cc
@@ -23,6 +23,7 @@
   std::vector<struct http_field> fields;
   int code = 0;
   int ends = 0;
+  bool aborted = false;
   std::string sent;
   size_t unsent_bytes = 0;
 
@@ -91,6 +92,7 @@
   abort_op (struct http_exchange *http)
   {
     of (http)->ends++;
+    of (http)->aborted = true;
   }
 
   static size_t
@@ -166,6 +168,16 @@
     talloc_free (memory);
   }
 
+  // SIZE_MAX for no limit.
+  void
+  limit_memory (size_t more)
+  {
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+    ASSERT_EQ (talloc_set_memlimit (api, more == SIZE_MAX ? 0 : talloc_total_size (api) + more), 0);
+#pragma GCC diagnostic pop
+  }
+
   void
   send (struct exchange &exchange)
   {
@@ -427,6 +439,28 @@
   EXPECT_TRUE (slow.has ("\"code\":410"));
 }
 
+// No memory for the event of a change.  A watch that went on would lack the change, and its
+// bookmarks would say that it does not.
+TEST_F (Operator, AWatchThatLacksAChangeIsBrokenOff)
+{
+  struct exchange watch ("GET", "/v1/pools?watch=1&resourceVersion=0");
+  struct exchange all ("GET", "/v1/pools?watch=1");
+
+  call ("PUT", "/v1/pools/a", POOL);
+  send (watch);
+  limit_memory (0);
+  clock.run (5 * SEC);
+  limit_memory (SIZE_MAX);
+  EXPECT_TRUE (watch.aborted);
+  EXPECT_FALSE (watch.has ("\"resourceVersion\":1"));
+  limit_memory (600);
+  send (all);
+  limit_memory (SIZE_MAX);
+  clock.run (5 * SEC);
+  EXPECT_TRUE (all.aborted || all.count ("\"ADDED\"") == 1) << all.sent;
+  EXPECT_EQ (watch.ends, 1);
+}
+
 TEST_F (Operator, AChangeThatWaitsTellsWhereItIsInForce)
 {
   struct handle handle;
