Do not go on with a list that the host is behind

The pages of a list may be asked of several hosts. One that was behind the list's revision went on with it all the same, gave the objects it knew, and put the newer revision on them: objects of the list were missing, and a watch from that revision never told them.

Such a host now answers 503, which the command line takes as 'ask another'. Before: Operator.AHostThatIsBehindAListDoesNotGoOnWithIt printed 'behind.code Which is: 200' and a resourceVersion of 4 at a host that was at 3. After: it passes, with the Operator tests.

--- a/src/operator_list.c
+++ b/src/operator_list.c
@@ -131,6 +131,12 @@
       http_reply_error (request->exchange, 410, "continue", "the list is too old: list again");
       return;
     }
+  if (token.revision > store_revision (api->config.store))
+    {
+      http_reply_error (request->exchange, 503, "continue",
+                        "this host is behind the list: ask again");
+      return;
+    }
   bytes_init (&body, api);
   write_list (request, &token, &body);
   if (bytes_failed (&body))
--- a/tests/unit_config_operator.cc
+++ b/tests/unit_config_operator.cc
@@ -461,6 +461,18 @@
   EXPECT_EQ (watch.ends, 1);
 }
 
+// The pages of a list come from two hosts, and the second is behind.  What it does not know yet
+// would be missing from the list, and from a watch that goes on from the list's revision.
+TEST_F (Operator, AHostThatIsBehindAListDoesNotGoOnWithIt)
+{
+  for (int i = 0; i < 3; i++)
+    call ("PUT", "/v1/organisations/o" + std::to_string (i), "{\"spec\":{}}");
+  EXPECT_EQ (call ("GET", "/v1/organisations?continue=3:o1").code, 200);
+  struct exchange behind = call ("GET", "/v1/organisations?continue=4:o1");
+  EXPECT_EQ (behind.code, 503);
+  EXPECT_FALSE (behind.has ("resourceVersion"));
+}
+
 TEST_F (Operator, AChangeThatWaitsTellsWhereItIsInForce)
 {
   struct handle handle;
