Answer a caller of HTTP/1.0 without chunks

A caller of HTTP/1.0 got its stream in chunks, which it does not know: their sizes stood in its text, and it had no sign of the end but the connection's. The server had the way without chunks, but took a caller for one of HTTP/1.0 only where libwebsockets gave no version at all; it gives 'HTTP/1.0'.

The version is now read. Before: HttpServer.AnswersHttp10WithoutChunks got 'HTTP/1.0 200 OK, transfer-encoding: chunked, 4 one, 3 two 0'. After: it passes, with the HttpServer tests.

--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -235,6 +235,16 @@
   return query.data == NULL ? "" : query.data;
 }
 
+/* Knows chunks. */
+static bool
+speaks_http11 (struct lws *wsi)
+{
+  char version[16] = "";
+
+  lws_hdr_copy (wsi, version, sizeof version, WSI_TOKEN_HTTP);
+  return strcmp (version, "HTTP/1.1") == 0;
+}
+
 static struct server_request *
 read_head (struct server_connection *connection, struct lws *wsi, enum status *status)
 {
@@ -254,7 +264,7 @@
   bytes_init (&request->out, request);
   *status = http_headers_copy (request, wsi, &request->headers);
   request->head_only = method == LWSHUMETH_HEAD;
-  request->http10 = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP) <= 0;
+  request->http10 = !speaks_http11 (wsi);
   request->exchange = (struct http_exchange){
     .ops = &server_exchange_ops,
     .listener = connection->listener,
--- a/tests/unit_edges_server.cc
+++ b/tests/unit_edges_server.cc
@@ -264,6 +264,24 @@
     }
 }
 
+// A caller of HTTP/1.0 knows no chunks: it would take their sizes for content.
+TEST (HttpServer, AnswersHttp10WithoutChunks)
+{
+  struct test_server server;
+  struct raw_caller caller (server.loop, server.port ());
+
+  server.on_request = [&] (struct http_exchange *exchange) {
+    exchange->ops->begin (exchange, 200, nullptr, 0);
+    exchange->ops->write (exchange, "one,", 4);
+    exchange->ops->write (exchange, "two", 3);
+    exchange->ops->finish (exchange);
+  };
+  caller.send ("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE (caller.wait_closed ());
+  EXPECT_EQ (caller.got.find ("transfer-encoding"), std::string::npos) << caller.got;
+  EXPECT_NE (caller.got.find ("\r\n\r\none,two"), std::string::npos) << caller.got;
+}
+
 // A caller reads slowly, or not at all.  The server holds no more than its limit for it and lets
 // go of the connection; one that reads in the end gets every byte in order.
 TEST (HttpServer, HoldsBackForASlowReaderAndLetsGoOfOneThatDoesNotRead)
