Reset a connection whose answer was broken off and has no other sign of it

An answer to a caller of HTTP/1.0 that comes in parts ends with its connection. Where the server broke it off (aborted, out of memory, a caller that reads too slowly, the end of the server), the connection ended in the orderly way too: http.h says of abort() that the caller cannot take a part for the whole, and such a caller could. SSE's end event told it in the request path; nothing did elsewhere.

Until such an answer is complete, its connection now ends by a reset: SO_LINGER for the end of the process, and a disconnect where the server breaks it off, as libwebsockets shuts the sending side down before it closes. Chunked answers stay as they were: they lack their last chunk.

Before: HttpServer.AStreamThatIsCutIsSeenToBe printed 'chunks || caller.reset == (way < 4) Actual: false' for HTTP/1.0 and each of the four ways to be cut; HTTP/1.1 passed in all of them. After: it passes, with the HttpServer, HttpClient and TLS tests. The end of a process by a signal was not run.

--- a/src/http_server_answer.c
+++ b/src/http_server_answer.c
@@ -155,6 +155,9 @@
   request->chunked = !request->http10;
   if (request->connection == NULL)
     return;
+  request->until_close = request->http10;
+  if (request->until_close)
+    server_connection_end_by_reset (request->connection, true);
   if (!add_head (request, code, fields, n_fields, -1))
     server_connection_kill (request->connection);
   else
@@ -230,6 +233,8 @@
   struct http_server *server = connection->server;
   struct server_request *request = connection->request;
 
+  if (request->until_close)
+    server_connection_end_by_reset (connection, false);
   connection->request = NULL;
   server_request_free (request);
   if (connection->close_after)
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -6,6 +6,7 @@
 #include <linux/tcp.h>
 #include <string.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <talloc.h>
 #include <utlist.h>
 
@@ -24,12 +25,32 @@
   [LWSHUMETH_CONNECT] = "CONNECT", [LWSHUMETH_HEAD] = "HEAD",
 };
 
+void
+server_connection_end_by_reset (struct server_connection *connection, bool on)
+{
+  const struct linger linger = { .l_onoff = on };
+
+  setsockopt (lws_get_socket_fd (connection->wsi), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+/* lws shuts the sending side down before it closes, which is an orderly end whatever SO_LINGER
+ * says; this resets the connection. */
+static void
+reset (const struct server_connection *connection)
+{
+  const struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
+
+  connect (lws_get_socket_fd (connection->wsi), &unspecified, sizeof unspecified);
+}
+
 void
 server_connection_kill (struct server_connection *connection)
 {
   if (connection->killed)
     return;
   connection->killed = true;
+  if (connection->request != NULL && connection->request->until_close)
+    reset (connection);
   lws_set_timeout (connection->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
 
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -110,7 +110,8 @@
   bool chunked;
   bool head_only; /* answer to HEAD: no body */
   bool http10;
-  bool finished; /* nothing will be added to `out` */
+  bool until_close; /* the answer ends with its connection */
+  bool finished;    /* nothing will be added to `out` */
 };
 
 static inline void
@@ -137,6 +138,10 @@
                                                  const char *peer);
 void server_connection_free (struct server_connection *connection, int64_t now);
 void server_connection_kill (struct server_connection *connection);
+
+/* While on, the connection ends by a reset, also with the process: for an answer whose whole end is
+ * an orderly one. */
+void server_connection_end_by_reset (struct server_connection *connection, bool on);
 int server_on_event (
     struct lws *wsi, enum lws_callback_reasons reason, void *user, void *in, size_t len);
 
--- a/tests/unit_edges_server.cc
+++ b/tests/unit_edges_server.cc
@@ -17,6 +17,15 @@
          + "\r\n\r\n" + body;
 }
 
+void
+limit_memory (const void *of, size_t more)
+{
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+  ASSERT_EQ (talloc_set_memlimit (of, talloc_total_size (of) + more), 0);
+#pragma GCC diagnostic pop
+}
+
 TEST (HttpServer, AnswersWithBodyQueryAndHeaders)
 {
   struct test_server server;
@@ -282,6 +291,59 @@
   EXPECT_NE (caller.got.find ("\r\n\r\none,two"), std::string::npos) << caller.got;
 }
 
+// A stream is broken off before its end: aborted, too slowly read, out of memory, by the end of the
+// server.  A caller of HTTP/1.1 misses the last chunk; for one of HTTP/1.0, whose answer ends with
+// its connection, the end must not be an orderly one.
+TEST (HttpServer, AStreamThatIsCutIsSeenToBe)
+{
+  struct http_limits limits = test_server::ordinary_limits ();
+  const std::string part (256 << 10, 'p');
+
+  limits.unsent_bytes = 1 << 20;
+  for (const char *version : { "1.1", "1.0" })
+    for (int way = 0; way < 5; way++)
+      {
+        struct test_server server (limits);
+        struct raw_caller caller (server.loop, server.port ());
+        struct http_exchange *held = nullptr;
+        bool chunks = strcmp (version, "1.1") == 0;
+
+        server.on_request = [&] (struct http_exchange *exchange) { held = exchange; };
+        caller.send ("GET /stream HTTP/" + std::string (version) + "\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE (run_until (server.loop, [&] { return held != nullptr; }));
+        held->ops->begin (held, 200, nullptr, 0);
+        held->ops->write (held, "one,", 4);
+        ASSERT_TRUE (caller.wait_for ("one,"));
+        EXPECT_EQ (caller.got.find ("transfer-encoding") != std::string::npos, chunks);
+        switch (way)
+          {
+          case 0:
+            held->ops->abort (held);
+            break;
+          case 1:
+            for (int i = 0; i < 200; i++)
+              held->ops->write (held, part.data (), part.size ());
+            held->ops->finish (held);
+            break;
+          case 2:
+            limit_memory (held, 1024);
+            held->ops->write (held, part.data (), part.size ());
+            held->ops->finish (held);
+            break;
+          case 3:
+            talloc_free (server.server);
+            break;
+          default:
+            held->ops->finish (held);
+            break;
+          }
+        ASSERT_TRUE (way == 4 && chunks ? caller.wait_for ("0\r\n\r\n") : caller.wait_closed ());
+        EXPECT_TRUE (chunks || caller.reset == (way < 4)) << version << way;
+        EXPECT_EQ (caller.got.find ("\r\n0\r\n\r\n") != std::string::npos, way == 4 && chunks)
+            << version << way;
+      }
+}
+
 // A caller reads slowly, or not at all.  The server holds no more than its limit for it and lets
 // go of the connection; one that reads in the end gets every byte in order.
 TEST (HttpServer, HoldsBackForASlowReaderAndLetsGoOfOneThatDoesNotRead)
