Let go of results although the timer fired for a stage first

What callers saw: in a burst, results that their engine had fetched went on taking the room of their makers until the engine's first byte, in place of 25 ms after the request was sent, and calls of the stage's pool went out with fewer pieces.

Cause: a job has one timer for "inputs were fetched". It is armed for the earlier of a stage's time and the engine's; when it fired for the stage it was armed again for stages that still run, but not for the engine. So where a stage was made, and the engine sent its request, within 25 ms of the stage's call, the engine's time was lost. By reading, the same happens where an engine refuses within 25 ms and another one is asked; no test of ours shows that way.

--- a/src/forward_result.c
+++ b/src/forward_result.c
@@ -152,6 +152,8 @@
   for (uint32_t i = 0; i < job->route.n_stages; i++)
     if (job->stages[i].state == STAGE_RUNNING && job->stages[i].fetched_at > now)
       arm_fetch (job, job->stages[i].fetched_at);
+  if (job->target != NULL && job->fetched_at > now)
+    arm_fetch (job, job->fetched_at);
 }
 
 static const struct timer_ops fetch_ops = { .fire = fetch_fired };
