Ask only one host of a domain to pass starts on

What callers saw: on fleets of 25 to 96 entry hosts the queues of model engines were believed longer than they are, the more so the more hosts a failure domain has; prompts went to engines that had cached less of them, and hosts spent processor time on the extra messages.

Cause: timer_fired wrote one message of the kind "to be passed on" for all far hosts before it was known how each is reached. Up to ENGINE_NEWS_SINGLY hosts, and beyond NEWS_DOMAINS_MAX domains, each host got it singly, and each passed it on to all others of its domain: a start from another domain counted once for each host there.

The kind is now chosen where the way is: a host reached singly gets the starts as such, only the host that passes on is asked to.

--- a/src/engine_news.c
+++ b/src/engine_news.c
@@ -14,9 +14,9 @@
 /* How a message is taken.  Written into messages: never renumbered. */
 enum news_kind
 {
-  NEWS_DIRECT = 1, /* from the host that it tells of */
-  NEWS_PASSED = 2, /* starts of others, from the host that passes them on */
-  NEWS_RELAY = 3,  /* starts, to be passed on in the receiver's domain */
+  NEWS_DIRECT = 1, /* all events of the sender */
+  NEWS_PASSED = 2, /* starts alone, the sender's or those that it passes on */
+  NEWS_RELAY = 3,  /* starts alone, to be passed on in the receiver's domain */
 };
 
 /* Written into messages: never renumbered. */
@@ -62,11 +62,15 @@
 }
 
 static void
-begin_message (struct bytes *out, enum news_kind kind, uint32_t n_events)
+write_message (enum news_kind kind,
+               const struct bytes *events,
+               uint32_t n_events,
+               struct bytes *out)
 {
   bytes_init (out, NULL);
   pack_uint (out, kind);
   pack_array (out, n_events);
+  append_events (events, out);
 }
 
 static void
@@ -112,14 +116,19 @@
 }
 
 /* Starts to the hosts of other domains: in a large fleet to one of each, as messages to each host
- * grow with the square of the hosts. */
+ * grow with the square of the hosts.  Only that one passes them on: where each host of a domain is
+ * told, each would tell all others. */
 static void
-send_far (struct engine_news *news, const struct bytes *message)
+send_far (struct engine_news *news)
 {
   const struct host_view *view = subscriber_hosts (news->config.subscriber);
   struct passer passers[NEWS_DOMAINS_MAX];
+  struct bytes single;
+  struct bytes relay;
   uint32_t n = 0;
 
+  write_message (NEWS_PASSED, &news->starts, news->n_starts, &single);
+  write_message (NEWS_RELAY, &news->starts, news->n_starts, &relay);
   for (uint32_t i = 0; i < view->n; i++)
     {
       const struct sync_host *host = view->hosts[i];
@@ -130,12 +139,14 @@
         continue;
       passer = view->n <= ENGINE_NEWS_SINGLY ? NULL : passer_of (passers, &n, host->domain);
       if (passer == NULL)
-        send_to (news, host, message);
+        send_to (news, host, &single);
       else if (passer->host == NULL || score > passer->score)
         *passer = (struct passer){ .host = host, .score = score };
     }
   for (uint32_t i = 0; i < n; i++)
-    send_to (news, passers[i].host, message);
+    send_to (news, passers[i].host, &relay);
+  bytes_clear (&single);
+  bytes_clear (&relay);
 }
 
 static void
@@ -143,19 +154,14 @@
 {
   struct engine_news *news = CONTAINER_OF (timer, struct engine_news, timer);
   struct bytes near;
-  struct bytes far;
 
   (void) now;
-  begin_message (&near, NEWS_DIRECT, news->n_starts + news->n_ends);
-  append_events (&news->starts, &near);
+  write_message (NEWS_DIRECT, &news->starts, news->n_starts + news->n_ends, &near);
   append_events (&news->ends, &near);
   send_near (news, &near);
   bytes_clear (&near);
-  begin_message (&far, NEWS_RELAY, news->n_starts);
-  append_events (&news->starts, &far);
   if (news->n_starts > 0)
-    send_far (news, &far);
-  bytes_clear (&far);
+    send_far (news);
   bytes_clear (&news->starts);
   bytes_clear (&news->ends);
   news->n_starts = 0;
@@ -169,8 +175,7 @@
 {
   struct bytes message;
 
-  begin_message (&message, NEWS_PASSED, news->n_passed);
-  append_events (&news->passed, &message);
+  write_message (NEWS_PASSED, &news->passed, news->n_passed, &message);
   if (news->n_passed > 0)
     send_near (news, &message);
   bytes_clear (&message);
