Count a start at an engine once, however often it is told

Cause: engine_load_started took each call for a new request. It is now idempotent by target and request. What is not in the target's list may have ended: 1024 keys of ended requests are kept (8 KB), each in the place that its bits name, so that a copy that comes late costs one look. A copy that says "told" makes the request one whose beginning is told.

For that the id must name one send. It was the hash of the client's id: a request that goes to the same engine again, as its inputs were gone, would have been taken for a copy, and so would all requests of a client that gives them one id. It is now drawn at random at each send.

--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 #include <uthash.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 /* From a request's arrival at an idle engine to its first byte, beside the reading. */
 #define FIRST_TIME (4 * USEC_PER_MSEC)
@@ -20,6 +21,9 @@
 /* An engine that was slow gets few requests: what was seen loses half its weight in so long. */
 #define SLOWNESS_HALF_LIFE (2 * USEC_PER_SEC)
 
+/* Requests that ended, for copies of their starts that arrive later; a power of two. */
+#define ENDED_KEPT 1024
+
 /* A request on its way through an engine. */
 struct engine_request
 {
@@ -71,7 +75,8 @@
   struct engine_target *targets;
   struct engine_place *places;
   uint64_t cache_tokens;
-  double rate; /* tokens a millisecond */
+  double rate;                /* tokens a millisecond */
+  uint64_t ended[ENDED_KEPT]; /* keys of requests, each in the place that its own bits name */
 };
 
 static int
@@ -256,6 +261,28 @@
   return NULL;
 }
 
+static uint64_t
+key_of (uint64_t target, uint64_t request)
+{
+  return XXH3_64bits_withSeed (&request, sizeof request, target);
+}
+
+static bool
+has_ended (const struct engine_load *load, uint64_t target, uint64_t request)
+{
+  uint64_t key = key_of (target, request);
+
+  return load->ended[key % ENDED_KEPT] == key;
+}
+
+static void
+keep_ended (struct engine_load *load, uint64_t target, uint64_t request)
+{
+  uint64_t key = key_of (target, request);
+
+  load->ended[key % ENDED_KEPT] = key;
+}
+
 /* Is it still read, or waits for that? */
 static bool
 is_unread (const struct engine_request *request, int64_t now)
@@ -362,6 +389,22 @@
     }
 }
 
+/* A start that is known already: relayed twice, or sent again.  It may be news that we shall hear
+ * of the beginning. */
+static bool
+is_known (const struct engine_load *load,
+          const struct engine_target *target,
+          uint64_t request_id,
+          bool told)
+{
+  struct engine_request *request = find_request (target, request_id);
+
+  if (request == NULL)
+    return has_ended (load, target->id, request_id);
+  request->told |= told;
+  return true;
+}
+
 void
 engine_load_started (struct engine_load *load,
                      uint64_t id,
@@ -377,6 +420,8 @@
   if (target == NULL)
     return;
   drop_old (target, now);
+  if (is_known (load, target, request_id, told))
+    return;
   request = talloc_zero (target, struct engine_request);
   if (request == NULL)
     return;
@@ -440,6 +485,7 @@
   struct engine_target *target = find_target (load, id);
   struct engine_request *request = target == NULL ? NULL : find_request (target, request_id);
 
+  keep_ended (load, id, request_id);
   if (request == NULL)
     return;
   if (is_unread (request, now))
--- a/src/engine_load.h
+++ b/src/engine_load.h
@@ -48,7 +48,8 @@
 void engine_load_set_cache (struct engine_load *load, uint64_t cache_tokens);
 
 /* A host sent a prompt, its answer began, it ended.  `told`: we shall hear of the beginning; where
- * not it is taken to come as expected. */
+ * not it is taken to come as expected.  Idempotent by target and request: a prompt that is sent to
+ * the same target again is another request. */
 void engine_load_started (struct engine_load *load,
                           uint64_t target,
                           uint64_t request,
--- a/src/forward.c
+++ b/src/forward.c
@@ -59,7 +59,6 @@
   uint64_t key = 0;
   uint32_t shared = 0;
 
-  job->id_hash = XXH3_64bits (job->facts.id, strlen (job->facts.id));
   if (!job->route.affinity || job->facts.input_tokens == 0)
     return;
   for (uint32_t i = 0; i + 1 < job->facts.n_parts && i < ENGINE_PARTS_MAX; i++)
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -64,7 +64,7 @@
 tell_ended (struct forward_job *job, int64_t now)
 {
   if (job->prompt.present)
-    engine_news_ended (job->forward->config.news, job->target->id_hash, job->id_hash, now);
+    engine_news_ended (job->forward->config.news, job->target->id_hash, job->send_id, now);
 }
 
 static void
@@ -300,7 +300,7 @@
       if (job->status == HTTP_STATUS_OK)
         job_drop_stages (job, now);
       if (job->prompt.present)
-        engine_news_began (job->forward->config.news, job->target->id_hash, job->id_hash, now);
+        engine_news_began (job->forward->config.news, job->target->id_hash, job->send_id, now);
     }
   if (!is_stream_answer (job))
     {
@@ -404,6 +404,8 @@
   if (job->n_tried < BALANCE_TRIED_MAX - 1)
     job->n_tried++;
   job->sends++;
+  /* Not by the client's id: another send of it, or of a client that uses one twice, counts too. */
+  job->send_id = rng_u64 (&job->forward->rng);
   job->runs++;
   job->sent_at = now;
   job->fetched_at = 0;
@@ -412,7 +414,7 @@
   balance_started (job->target);
   log_choice (job, now);
   if (job->prompt.present)
-    engine_news_started (config->news, job->target->id_hash, job->id_hash, &job->prompt.prompt,
+    engine_news_started (config->news, job->target->id_hash, job->send_id, &job->prompt.prompt,
                          now);
   bytes_init (&message, NULL);
   write_request (job, now, &message);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -115,7 +115,7 @@
   struct timer fetch; /* results may be given back */
   struct balance_prompt prompt;
   char near[ROUTING_NAME_SIZE]; /* the likely engine's failure domain; "" without stages */
-  uint64_t id_hash;
+  uint64_t send_id;             /* names the newest send in news of engines */
 
   /* Stages. */
   struct forward_stage stages[ROUTING_STAGES_MAX];
--- a/tests/unit_engine_load.cc
+++ b/tests/unit_engine_load.cc
@@ -167,6 +167,51 @@
   EXPECT_EQ (cost (2, a).read_again, 1000u);
 }
 
+// A start arrives twice, by two ways or because it was sent again: the queue seems twice as long.
+TEST_F (EngineLoad, AStartThatComesTwiceCountsOnce)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  engine_load_started (load, 1, 500, &p, false, now);
+  engine_load_started (load, 1, 500, &p, true, now);
+  engine_load_started (load, 1, 500, &p, false, now);
+  EXPECT_EQ (cost (1, p).running, 1u);
+  EXPECT_EQ (cost (1, p).wait, 2 * idle);
+  engine_load_started (load, 1, 501, &p, false, now);
+  engine_load_started (load, 2, 500, &p, false, now);
+  EXPECT_EQ (cost (1, p).running, 2u);
+  EXPECT_EQ (cost (2, p).running, 1u);
+}
+
+// A start that is overtaken by its own end: the request would count as running until forgotten.
+TEST_F (EngineLoad, AStartThatComesAfterItsEndDoesNotCount)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  engine_load_started (load, 1, 500, &p, true, now);
+  engine_load_ended (load, 1, 500, now);
+  engine_load_started (load, 1, 500, &p, false, now);
+  engine_load_ended (load, 1, 501, now);
+  engine_load_started (load, 1, 501, &p, true, now);
+  EXPECT_EQ (cost (1, p).running, 0u);
+  EXPECT_EQ (cost (1, p).wait, idle);
+}
+
+// Of a start that came by another way first it is told when it begins: taken as not told, a late
+// engine would count as free.
+TEST_F (EngineLoad, AStartThatComesTwiceIsToldIfOneOfThemIs)
+{
+  struct engine_prompt p = prompt (1, 0, 6000);
+  int64_t idle = cost (1, p).wait;
+
+  engine_load_started (load, 1, 500, &p, false, now);
+  engine_load_started (load, 1, 500, &p, true, now);
+  now += idle * 6 / 5;
+  EXPECT_GT (cost (1, p).wait, idle);
+}
+
 TEST_F (EngineLoad, ATargetThatIsGoneHoldsNothing)
 {
   struct engine_prompt p = prompt (1, 1000, 10);
