--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -252,10 +252,9 @@
 stream_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
 {
   static const enum h1_end ends[] = {
-    [TCP_END_ORDERLY] = H1_END_CUT,
-    [TCP_END_RESET] = H1_END_RESET,
-    [TCP_END_REFUSED] = H1_END_REFUSED,
-    [TCP_END_OVERFLOW] = H1_END_OVERFLOW,
+    [TCP_END_ORDERLY] = H1_END_CUT,     [TCP_END_RESET] = H1_END_RESET,
+    [TCP_END_REFUSED] = H1_END_REFUSED, [TCP_END_OVERFLOW] = H1_END_OVERFLOW,
+    [TCP_END_MEMORY] = H1_END_MEMORY,
   };
   struct h1_wire *wire = CONTAINER_OF (stream, struct h1_wire, stream);
 
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -22,6 +22,7 @@
   X (CUT, "connection closed before the end of the answer")                                        \
   X (RESET, "connection reset")                                                                    \
   X (OVERFLOW, "target does not read")                                                             \
+  X (MEMORY, "out of memory")                                                                      \
   X (MALFORMED, "not an answer")
 
 enum h1_end
