--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -95,12 +95,12 @@
 log_attempt (const struct forward_job *job, const char *outcome, int64_t now)
 {
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s}", "id", job->facts.id, "target",
-             job->target->id, "address", job->target->address, "outcome", outcome, "status",
-             (int) job->status, "not_run", job->not_run, "sent", job->call.handed, "took_us",
-             (json_int_t) (now - job->sent_at), "renewed_ms",
-             (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC), "reused",
-             job->call.reused, "stream_begun", job->stream.begun, "events",
+             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s}", "id", job->facts.id,
+             "target", job->target->id, "address", job->target->address, "outcome", outcome,
+             "status", (int) job->status, "framing", h1_framing_text (job->call.framing), "not_run",
+             job->not_run, "sent", job->call.handed, "took_us", (json_int_t) (now - job->sent_at),
+             "renewed_ms", (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC),
+             "reused", job->call.reused, "stream_begun", job->stream.begun, "events",
              (int) job->stream.events, "last_event", job->stream.last_event);
 }
 
