Count what a failed send lost as unsent

A target answers whole and resets while a part of the request is still to be sent. h1_client keeps a connection for the next request if nothing is unsent; after a failed send nothing was, so that for a turn of the loop a connection that failed lay among the idle ones, and a request that took it would be lost as "may have run". tcp_unsent() is never 0 on a stream that failed.

Before: TcpEnd.LeavesBytesUnsentWhereASendFailed saw 0. After it passes.

--- a/src/tcp.c
+++ b/src/tcp.c
@@ -57,11 +57,17 @@
                strerror (errno));
 }
 
+static size_t
+kept (const struct tcp_stream *stream)
+{
+  return stream->unsent == NULL ? 0 : stream->unsent->length;
+}
+
 /* Would closing now leave out what the other side should get? */
 static bool
 is_cut (const struct tcp_stream *stream)
 {
-  return stream->failed || stream->whole_by_end || tcp_unsent (stream) > 0;
+  return stream->failed || stream->whole_by_end || kept (stream) > 0;
 }
 
 static void
@@ -132,7 +138,7 @@
 static void
 send_rest (struct tcp_stream *stream)
 {
-  while (tcp_unsent (stream) > 0)
+  while (kept (stream) > 0)
     {
       ssize_t sent = send (stream->fd, stream->unsent->data, stream->unsent->length, MSG_NOSIGNAL);
 
@@ -319,7 +325,7 @@
 
   if (!stream->open || stream->failed || length == 0)
     return;
-  if (!stream->connecting && tcp_unsent (stream) == 0)
+  if (!stream->connecting && kept (stream) == 0)
     {
       ssize_t sent = send (stream->fd, rest, length, MSG_NOSIGNAL);
 
@@ -336,7 +342,7 @@
       if (length == 0)
         return;
     }
-  if (tcp_unsent (stream) + length > TCP_UNSENT_MAX)
+  if (kept (stream) + length > TCP_UNSENT_MAX)
     {
       tcp_fail (stream, TCP_END_OVERFLOW);
       return;
@@ -347,7 +353,7 @@
 size_t
 tcp_unsent (const struct tcp_stream *stream)
 {
-  return stream->unsent == NULL ? 0 : stream->unsent->length;
+  return kept (stream) + (stream->failed ? 1 : 0);
 }
 
 void
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -85,6 +85,8 @@
 
 /* Send or keep; what cannot be sent or kept fails the stream. */
 void tcp_write (struct tcp_stream *stream, const void *data, size_t length);
+
+/* Bytes that were given and are not sent; never 0 on a stream that failed. */
 size_t tcp_unsent (const struct tcp_stream *stream);
 
 /* Send nothing more: bytes are missing.  ended() is called soon from the loop and says `why`, and
--- a/tests/unit_edges_tcp.cc
+++ b/tests/unit_edges_tcp.cc
@@ -162,7 +162,19 @@
   EXPECT_EQ (got, "half");
 }
 
-// The same where the bytes were kept and the loop sends them.
+// A whole answer that came before a reset, on a connection whose user may use it again: what a send
+// lost must count as unsent, or the next request goes into it.
+TEST_F (TcpEnd, LeavesBytesUnsentWhereASendFailed)
+{
+  peer->send ("whole");
+  reset_by_peer ();
+  write ("the rest");
+  EXPECT_TRUE (run_until (loop, [this] { return got == "whole"; }));
+  EXPECT_GT (tcp_unsent (&ours.stream), 0u);
+  EXPECT_TRUE (wait_ended ());
+}
+
+// A reset where the bytes were kept and the loop sends them.
 TEST_F (TcpEnd, IsAResetWhereTheLoopsSendMetItFirst)
 {
   fill ();
