End answers without a body with their head

A HEAD whose answer came behind an interim one, or behind an answer to another call, waited for a body until its time was up; a 204 or 304 that names a length took what came next for its body, and so did an interim answer.

Causes: h1_reader_next() forgot that the call is a HEAD, though it is also called between the answers to one call; and the status was not asked, so that the length decided.

What the call is stays with the reader until the next call says otherwise, and answers with status 1xx, 204 and 304 end with their head (RFC 9112, 6.3).

H1Answers.EndWithTheirHeadWhereTheyHaveNoBody before: probe.ends 0, expected 1, for "100 Continue, 200 with Content-Length: 5" to a HEAD; with that mended alone it failed for "103 with Content-Length: 5, 200 with Content-Length: 0": not an answer.

--- a/src/h1.c
+++ b/src/h1.c
@@ -238,12 +238,24 @@
   return coding != NULL && strcasecmp (coding, "chunked") != 0;
 }
 
+/* Answers that have no body whatever their fields say (RFC 9112, 6.3). */
+static bool
+has_no_body (const struct h1_reader *reader)
+{
+  unsigned status = reader->head.status;
+
+  if (reader->parser.type == HTTP_REQUEST)
+    return false;
+  return reader->no_body || status < 200 || status == HTTP_STATUS_NO_CONTENT
+         || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
 static enum h1_framing
 framing_of (const struct h1_reader *reader)
 {
   const struct h1_head *head = &reader->head;
 
-  if (reader->no_body)
+  if (has_no_body (reader))
     return H1_FRAMING_NO_BODY;
   if (head->chunked)
     return H1_FRAMING_CHUNKED;
@@ -274,7 +286,7 @@
   head->keep_alive = http_should_keep_alive (parser) != 0 && !(head->chunked && head->minor == 0);
   reader->part_ended = true;
   http_parser_pause (parser, 1);
-  return reader->no_body ? 1 : 0;
+  return has_no_body (reader) ? 1 : 0;
 }
 
 static int
@@ -359,7 +371,6 @@
   reader->begun = false;
   reader->done = false;
   reader->in_value = false;
-  reader->no_body = false;
   reader->in_extension = false;
   reader->part = H1_PART_HEAD;
   reader->last = '\0';
--- a/src/h1.h
+++ b/src/h1.h
@@ -102,7 +102,7 @@
   http_parser parser;
   struct h1_head head;
   size_t header_max; /* bytes of header text; STATUS_TOO_LARGE above */
-  bool no_body;      /* the next answer has none: it answers a HEAD */
+  bool no_body;      /* set by its user: answers have none, they are to a HEAD */
   bool begun;        /* bytes of a message have come */
   bool done;         /* the message is whole */
   bool too_large;
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -543,4 +543,74 @@
   EXPECT_FALSE (is_used_again ());
 }
 
+// ---- answers without a body, and answers before the one that counts ----
+
+struct bodiless
+{
+  const char *text;
+  bool no_body; // the request is a HEAD
+};
+
+// A length says what a GET would have had.  Waited for, it takes the next answer for a body.
+TEST_F (H1Answers, EndWithTheirHeadWhereTheyHaveNoBody)
+{
+  const std::vector<bodiless> answers = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", true },
+    { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true },
+    { "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+      true },
+    { "HTTP/1.1 418 Teapot\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", true },
+    { "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+      false },
+    { "HTTP/1.1 204 No Content\r\n\r\n", false },
+    { "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", false },
+    { "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n", false },
+    { "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", false },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false },
+  };
+
+  for (const auto &answer : answers)
+    for (size_t n = 0; n < strlen (answer.text); n++)
+      {
+        std::string text = answer.text;
+        std::string what = text + " split at " + std::to_string (n);
+        h1_probe probe (loop);
+
+        probe.foreign = 418;
+        probe.call.no_body = answer.no_body;
+        start (probe, true);
+        target->say (text.substr (0, n));
+        await (probe, false, what);
+        target->say (text.substr (n));
+        turn ();
+        turn ();
+        ASSERT_EQ (probe.ends, 1) << what;
+        expect (probe, true, "", what);
+      }
+}
+
+// The answer to a HEAD says nothing of the next one's body on the same connection.
+TEST_F (H1Answers, HaveABodyAgainBehindOneWithout)
+{
+  for (const char *first : { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+                             "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n" })
+    {
+      h1_probe head (loop);
+      h1_probe probe (loop);
+
+      head.call.no_body = true;
+      start (head);
+      target->say (first);
+      ASSERT_TRUE (head.wait ());
+      start (probe);
+      EXPECT_TRUE (probe.call.reused);
+      target->say ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+      ASSERT_TRUE (probe.wait ());
+      expect (probe, true, "hello", first);
+    }
+}
+
 }
