Take no answer behind a change of protocol

What a target sent behind a 101 was read as HTTP and told as the answer, and so was what came behind a status below 100, which counted as an interim one. No request asks for another protocol: either is not an answer.

H1Answers.AreNotAnswersWithAStatusThatCannotBe before: told as whole, body "ok", for all four heads.

--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -127,6 +127,9 @@
   struct h1_wire *wire = CONTAINER_OF (reader, struct h1_wire, reader);
   const struct h1_head *head = &reader->head;
 
+  /* No request asks for another protocol, which begins behind a 101. */
+  if (head->status < 100 || head->status == HTTP_STATUS_SWITCHING_PROTOCOLS)
+    return false;
   wire->skipping = true;
   if (wire->call == NULL || head->status < 200)
     return true;
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -613,4 +613,21 @@
     }
 }
 
+// Behind a 101 another protocol is spoken, which nobody asked for; a number below 100 is no status.
+TEST_F (H1Answers, AreNotAnswersWithAStatusThatCannotBe)
+{
+  for (const char *status : { "101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x",
+                              "101 Switching Protocols", "099 Nothing", "000 Nothing" })
+    {
+      h1_probe probe (loop);
+
+      start (probe);
+      target->say (std::string ("HTTP/1.1 ") + status
+                   + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      ASSERT_TRUE (probe.wait ()) << status;
+      expect (probe, false, "", status);
+      EXPECT_EQ (probe.end, H1_END_MALFORMED) << status;
+    }
+}
+
 }
