Use no connection again that carried an answer to another call

A target that has sent one answer too many may send another: on a connection that is used again it would be held against the next request, and a refusal need not say whose it is.

H1Answers.EndTheirConnectionBehindAnAnswerToAnotherCall before: is_used_again () true, expected false.

--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -50,6 +50,7 @@
   struct bytes message; /* until connected */
   int64_t keep;         /* for how long it may be idle */
   bool skipping;        /* an answer of another call */
+  bool foreign;         /* it carried such an answer */
   bool idle;
 };
 
@@ -136,7 +137,10 @@
   learn_keep (wire, head);
   wire->skipping = !wire->call->ops->head (wire->call, head, loop_now (wire->client->loop));
   if (wire->skipping)
-    counter_add (wire->client->foreign, 1);
+    {
+      wire->foreign = true;
+      counter_add (wire->client->foreign, 1);
+    }
   else if (wire->call != NULL)
     wire->call->framing = head->framing;
   return true;
@@ -174,12 +178,13 @@
 
 /* The one place that tells an answer as whole: its framing has shown its end.  `clean` when nothing
  * came behind it.  Bytes behind an answer belong to no request, so such a connection is not used
- * again, and neither is one on which a part of the request is still to be sent. */
+ * again, and neither is one on which a part of the request is still to be sent, or that carried an
+ * answer to another call. */
 static void
 answer_done (struct h1_wire *wire, bool clean, int64_t now)
 {
   bool keep = wire->reader.head.keep_alive && clean && wire->stream.open && wire->keep > 0
-              && tcp_unsent (&wire->stream) == 0;
+              && tcp_unsent (&wire->stream) == 0 && !wire->foreign;
   struct h1_call *call = wire->call;
 
   INVARIANT (wire->reader.done && !wire->skipping);
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -630,4 +630,18 @@
     }
 }
 
+// A target that sends one answer too many may send another: which request it is to is a guess.
+TEST_F (H1Answers, EndTheirConnectionBehindAnAnswerToAnotherCall)
+{
+  h1_probe probe (loop);
+
+  probe.foreign = 418;
+  start (probe);
+  target->say ("HTTP/1.1 418 Teapot\r\nContent-Length: 3\r\n\r\nnot"
+               "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  ASSERT_TRUE (probe.wait ());
+  expect (probe, true, "hello", "");
+  EXPECT_FALSE (is_used_again ());
+}
+
 }
