Send no request that could not be written whole

A request whose buffer had failed, for want of memory, was sent as far as it had been written. h1_call_start() fails now, before it takes a connection.

--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -336,6 +336,15 @@
   return wire;
 }
 
+/* Half of a request would be another request. */
+static enum status
+cannot_send (struct h1_wire *wire)
+{
+  wire->call->wire = NULL;
+  free_wire (wire);
+  return status_fail (STATUS_NO_MEMORY, "out of memory");
+}
+
 enum status
 h1_call_start (struct h1_client *client,
                struct h1_call *call,
@@ -344,7 +353,7 @@
                bool fresh,
                int64_t now)
 {
-  struct h1_place *place = place_of (client, address);
+  struct h1_place *place = bytes_failed (message) ? NULL : place_of (client, address);
   struct h1_wire *wire = place == NULL || fresh ? NULL : take_idle (client, place);
 
   call->reused = wire != NULL;
@@ -364,7 +373,7 @@
   if (wire->stream.connecting)
     {
       bytes_append (&wire->message, message->data, message->length);
-      return STATUS_OK;
+      return bytes_failed (&wire->message) ? cannot_send (wire) : STATUS_OK;
     }
   call->handed = true;
   tcp_write (&wire->stream, message->data, message->length);
--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -644,4 +644,23 @@
   EXPECT_FALSE (is_used_again ());
 }
 
+// Half of a request must not be sent as one.
+TEST_F (H1Client, SendsNoMessageThatCouldNotBeWritten)
+{
+  h1_probe probe (loop);
+  struct bytes message;
+
+  bytes_init (&message, nullptr);
+  bytes_append_within (&message, "GET / HTTP/1.1\r\n", 16, 16);
+  bytes_append_within (&message, "Host: h\r\n\r\n", 11, 16);
+  EXPECT_EQ (h1_call_start (client, &probe.call, target->address ().c_str (), &message, true,
+                            loop_now (loop)),
+             STATUS_NO_MEMORY);
+  bytes_clear (&message);
+  for (int i = 0; i < 3; i++)
+    loop_once (loop, USEC_PER_MSEC);
+  target->look ();
+  EXPECT_EQ (target->connections, 0);
+}
+
 }
