--- a/tests/unit_h1_client.cc
+++ b/tests/unit_h1_client.cc
@@ -644,6 +644,30 @@
   EXPECT_FALSE (is_used_again ());
 }
 
+// Bytes behind an answer, or the end of its connection, have arrived but are not read yet as the
+// next request goes out: they would be taken for its answer.
+TEST_F (H1Answers, AreNotWhatWasThereBeforeTheRequest)
+{
+  for (const char *more : { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "" })
+    {
+      h1_probe first (loop);
+      h1_probe probe (loop);
+
+      start (first);
+      target->say ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst");
+      ASSERT_TRUE (first.wait ());
+      if (*more != '\0')
+        target->say (more);
+      else
+        target->hang_up ();
+      start (probe);
+      EXPECT_FALSE (probe.call.reused);
+      target->say ("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nright");
+      ASSERT_TRUE (probe.wait ());
+      expect (probe, true, "right", more);
+    }
+}
+
 // Half of a request must not be sent as one.
 TEST_F (H1Client, SendsNoMessageThatCouldNotBeWritten)
 {
