Test that failures at the next engine and cut answers never pass for whole

Rules out: a resumed stream whose next engine answers 500, 503 with x-not-run, 404, 422, an empty 200, a 200 with only [DONE] and a JSON body that is no stream; and answers of the four other stage kinds cut at any byte or followed by more.

--- a/tests/unit_flow_stream.cc
+++ b/tests/unit_flow_stream.cc
@@ -6,6 +6,7 @@
 {
 
 using flow_harness::fake_exchange;
+using flow_harness::fields;
 
 // An allocator for JSON whose call fails when `left` others went well.
 struct failing_malloc
@@ -250,6 +251,56 @@
                "\n\n");
 }
 
+// The engine that is to go on fails in one way or another: its answer's end is not the stream's.
+TEST_F (FlowStream, AFailureAtTheNextEngineDoesNotEndTheStreamAsWhole)
+{
+  struct
+  {
+    int code;
+    const char *body;
+    fields extra;
+  } const answers[] = {
+    { 500, R"({"error": "x"})", {} },
+    { 503, "", { { "x-not-run", "yes" } } },
+    { 404, "", {} },
+    { 200, "", {} },
+    { 200, "data: [DONE]\n\n", {} },
+    { 200, R"({"choices": [{"text": "b", "index": 1, "finish_reason": "stop"}]})", {} },
+  };
+
+  for (const auto &second : answers)
+    {
+      auto *x = send_stream ();
+
+      head (call (0));
+      data (call (0), piece (0, "a"));
+      fail (call (0));
+      answer (call (1), second.body, second.code, second.extra);
+      EXPECT_FALSE (x->ended) << second.code << second.body;
+      ASSERT_EQ (client.calls.size (), 3u) << second.code << second.body;
+      answer (call (2), "", 500);
+      advance (5 * USEC_PER_SEC);
+      EXPECT_EQ (count (x->answer, "event: end"), 1u);
+      EXPECT_NE (x->answer.find ("\"outcome\":\"failed\""), std::string::npos) << x->answer;
+      expect_all_over ();
+      begin_again ();
+    }
+}
+
+// A request that the next engine finds invalid ends there, and its stream says so.
+TEST_F (FlowStream, ARejectionAtTheNextEngineEndsTheStreamAsFailed)
+{
+  auto *x = send_stream ();
+
+  head (call (0));
+  data (call (0), piece (0, "a"));
+  fail (call (0));
+  answer (call (1), "{}", 422);
+  EXPECT_EQ (count (x->answer, "event: end"), 1u);
+  EXPECT_NE (x->answer.find ("\"outcome\":\"failed\""), std::string::npos) << x->answer;
+  expect_all_over ();
+}
+
 // The engine that goes on begins again and says something else.  Joined to what the caller has, it
 // would be a text that no engine made.
 TEST_F (FlowStream, TheTextsOfTwoRunsAreNotJoined)
--- a/tests/unit_stage.cc
+++ b/tests/unit_stage.cc
@@ -170,6 +170,26 @@
     EXPECT_EQ (take (c.kind, c.top, c.body), c.expected) << c.body;
 }
 
+// A body is cut at any byte, or something follows it: it must not pass for a whole answer.
+TEST_F (Stage, AnAnswerCutOrFollowedByMoreIsRefused)
+{
+  const std::pair<enum stage_kind, std::string> answers[] = {
+    { STAGE_ENCODE, R"({"data": [{"embedding": [0.5, 1]}], "usage": {"prompt_tokens": 3}})" },
+    { STAGE_RERANK, R"({"results": [{"index": 2, "relevance_score": 0.9},)"
+                    R"({"index": 0, "relevance_score": 0.1}]})" },
+    { STAGE_RETRIEVE, R"({"documents": [{"id": "a", "text": "A"}]})" },
+    { STAGE_CALL, R"({"order": [7, "\u00e9"]})" },
+  };
+
+  for (const auto &[kind, body] : answers)
+    {
+      for (size_t cut = 0; cut < body.size (); cut++)
+        EXPECT_EQ (take (kind, 2, body.substr (0, cut)), STATUS_MALFORMED) << kind << " " << cut;
+      EXPECT_EQ (take (kind, 2, body + "{}"), STATUS_MALFORMED) << kind;
+      EXPECT_EQ (take (kind, 2, body), STATUS_OK) << kind;
+    }
+}
+
 // A reranker that names a document twice, or one that was not asked about, or too few, would put a
 // wrong document before the generator; nothing is taken then and the documents stay.
 TEST_F (Stage, ARerankMustNameEachDocumentOnce)
