Refuse an answer that has a length and a transfer coding

An answer with both says two ends of its body; RFC 9112, 6.3 has a client treat it as an error. The client took it by its chunks, whatever the length said.

Before: Framing.AnAnswerWithTwoFramingsIsNotWhole printed 'probe.ends Which is: 1' for chunks of 5 and of 10 bytes under a length of 5. Ruled out there: two lengths, a list of codings, chunks cut before the last one. After: it passes, with the Framing and HttpClient tests but for the two known red ones.

--- a/src/http_client_call.c
+++ b/src/http_client_call.c
@@ -131,7 +131,7 @@
 }
 
 /* How the answer's end will show.  An answer that just ends with its connection cannot be told
- * from one cut short, and is refused. */
+ * from one cut short, and one with a length and chunks may end at either: both are refused. */
 static enum status
 read_framing (struct http_call *call, unsigned int code, const struct http_headers *headers)
 {
@@ -142,6 +142,8 @@
   call->expected = 0;
   if (code < 200)
     return status_fail (STATUS_MALFORMED, "answer with status %u", code);
+  if (coding != NULL && length != NULL)
+    return status_fail (STATUS_MALFORMED, "the answer has a length and a transfer coding");
   if (code == 204 || code == 304 || strcmp (call->method, "HEAD") == 0 || call->chunked)
     return STATUS_OK;
   if (coding != NULL || length == NULL || !read_length (length, &call->expected))
--- a/tests/unit_edges_framing.cc
+++ b/tests/unit_edges_framing.cc
@@ -249,6 +249,22 @@
     }
 }
 
+// The head names two ends of the body.  Each reader may take another, so that no part of it is
+// sure.
+TEST_F (Framing, AnAnswerWithTwoFramingsIsNotWhole)
+{
+  const std::string both =
+      "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n";
+  const std::string two = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 5\r\n\r\n";
+  const std::string list = "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip, chunked\r\n\r\n";
+
+  for (const std::string &wire :
+       { both + "hello", both + "5\r\nhello\r\n", both + in_chunks ("hello", 5),
+         both + in_chunks ("hello, you", 5), two + "he", two + "hello",
+         list + in_chunks ("hello", 5) })
+    play (wire, { false, "hello, you" });
+}
+
 // Silence: the connection stays, and the rest never comes.
 TEST_F (Framing, AnAnswerThatStopsIsNotWhole)
 {
