Pass on the length that a target says to HEAD

A caller of HEAD got Content-Length 0 for every answer, and since none: the target's length is a field of one connection and was left out, and the server measured a body that HEAD never has. A length that the target did not say is a false statement of what GET would bring.

forward_http.PassesOnTheLengthThatATargetSaysToHead failed before: no Content-Length where the target had said 123. An answer without a length passes on none.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -266,6 +266,9 @@
   for (uint32_t i = 0; i < head->n_fields; i++)
     if (!h1_is_hop_by_hop (head, head->fields[i].name))
       h1_write_field (&job->fields, head->fields[i].name, head->fields[i].value);
+  /* The length that GET would have: there is no body of ours to measure. */
+  if (job->call.no_body && head->has_length)
+    h1_write_field (&job->fields, "Content-Length", h1_value (head, "content-length"));
 }
 
 static bool
