Go on behind the last of an event's ids

An event with two `id` fields was known by the first; took the last, as readers of event streams do. A stream that went on at another target repeated what stands between them.

Evidence: StreamReview.TheLastIdOfAnEventCounts before: Last-Event-Id Which is: "1", due "2"; after it passes.

--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -83,13 +83,14 @@
   return job->facts.last_event[0] != '\0' ? job->facts.last_event : NULL;
 }
 
-/* The value of the event's `id` field; false when it has none, or one that is too long to be named
- * to another target. */
+/* The value of the event's last `id` field; false when it has none, or one that is too long to be
+ * named to another target. */
 static bool
 read_id (const char *event, size_t length, char out[DIALECT_ID_SIZE])
 {
   const char *end = event + length;
   const char *next;
+  bool found = false;
 
   for (const char *line = event; line < end; line = next)
     {
@@ -102,13 +103,13 @@
         size--;
       if (size <= skip || memcmp (line, "id:", 3) != 0)
         continue;
-      if (size - skip >= DIALECT_ID_SIZE)
-        return false;
+      found = size - skip < DIALECT_ID_SIZE;
+      if (!found)
+        continue;
       memcpy (out, line + skip, size - skip);
       out[size - skip] = '\0';
-      return true;
     }
-  return false;
+  return found;
 }
 
 /* A target that begins again, or whose events go back, has made another text than the one that the
