Cut no answer whose caller goes on reading it

What callers saw: with "Connection: close", and all of them while a host leaves, a large answer was reset two seconds after its last byte was given to the connection, however steadily it was read; on a kept connection the same after the idle time.

Cause: the wait for the client to close was counted from when the answer was ready, not from when it was read, and the idle time likewise. As long as the client takes bytes, seen by what its system acknowledges, the connection now has as long again. One that takes none ends as before; the bound of the drain and the end of a silent connection stay.

Evidence: H1ServerReview.ACallerThatStillReadsGetsAllOfTheLastAnswer (15 MiB at 4 MB a second) before: 1971264 of bytes with close, 1114157 with keep-alive and an idle time of 1 s; after it passes. A caller that reads slowly can now hold a leaving host up to the bound of its drain, in place of 2 s.

--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -239,19 +239,28 @@
   .ended = stream_ended,
 };
 
+/* Has the client read some of what is still to be sent to it? */
+static bool
+goes_on_reading (struct h1_connection *connection)
+{
+  size_t before = connection->unread;
+
+  connection->unread = tcp_unacknowledged (&connection->stream);
+  return tcp_unsent (&connection->stream) > 0 && connection->unread < before;
+}
+
 /* Idle for too long, a request that does not arrive, or dropped. */
 static void
 timer_fired (struct timer *timer, int64_t now)
 {
   struct h1_connection *connection = CONTAINER_OF (timer, struct h1_connection, timer);
 
-  (void) now;
   if (connection->state == CONNECTION_READING && connection->reader.begun)
-    {
-      refuse (connection, HTTP_STATUS_REQUEST_TIMEOUT);
-      return;
-    }
-  free_later (connection);
+    refuse (connection, HTTP_STATUS_REQUEST_TIMEOUT);
+  else if (goes_on_reading (connection))
+    timer_arm (h1_connection_timers (connection), timer, now + H1_LINGER);
+  else
+    free_later (connection);
 }
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -8,9 +8,6 @@
 
 #define CHUNK_HEAD_SIZE 20
 
-/* After the last answer a client has so long to read it and close. */
-#define LINGER (2 * USEC_PER_SEC)
-
 /* What could not be put together whole is not sent in part. */
 static void
 write_text (struct h1_connection *connection, struct bytes *text)
@@ -77,6 +74,7 @@
 answer_ended (struct h1_connection *connection)
 {
   connection->server->pending--;
+  connection->unread = tcp_unacknowledged (&connection->stream);
   if (connection->keep && !connection->stream.failed)
     {
       h1_connection_next (connection, loop_now (connection->server->config.loop));
@@ -85,7 +83,7 @@
   connection->state = CONNECTION_CLOSING;
   tcp_close_when_sent (&connection->stream);
   timer_arm (h1_connection_timers (connection), &connection->timer,
-             loop_now (connection->server->config.loop) + LINGER);
+             loop_now (connection->server->config.loop) + H1_LINGER);
 }
 
 void
--- a/src/h1_server_private.h
+++ b/src/h1_server_private.h
@@ -8,6 +8,10 @@
 
 #define STATUS_CLASSES 6
 
+/* After the last answer a client has so long to read it and close; one that still reads has as long
+ * again. */
+#define H1_LINGER (2 * USEC_PER_SEC)
+
 enum connection_state
 {
   CONNECTION_READING, /* a request, or nothing yet */
@@ -34,6 +38,7 @@
   int64_t owed;     /* of the length that the answer said; under 0: it said none */
   bool keep;        /* the connection lives on after the answer */
   bool feeding;
+  size_t unread; /* of the answers, by the client, when their end was given or last looked at */
 };
 
 struct h1_server
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -4,8 +4,10 @@
 #include "container.h"
 #include "log.h"
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -356,6 +358,16 @@
   return kept (stream) + (stream->failed ? 1 : 0);
 }
 
+size_t
+tcp_unacknowledged (const struct tcp_stream *stream)
+{
+  int queued = 0;
+
+  if (!stream->open || ioctl (stream->fd, SIOCOUTQ, &queued) != 0)
+    queued = 0;
+  return tcp_unsent (stream) + (size_t) queued;
+}
+
 void
 tcp_end_means_whole (struct tcp_stream *stream)
 {
--- /dev/null
+++ b/tests/unit_review.cc
@@ -0,0 +1,220 @@
+// Found by reading the forwarding path anew.
+#include "h1_client.h"
+#include "h1_server.h"
+#include "unit_edges_support.h"
+#include <memory>
+
+namespace
+{
+
+struct reviewed_call
+{
+  struct h1_call call = {}; // first
+  struct loop *loop;
+  unsigned status = 0;
+  std::string body;
+  int ends = 0;
+  enum h1_end end = H1_END_COUNT;
+  unsigned foreign = 0; // status of an answer to another call
+
+  static reviewed_call *
+  of (struct h1_call *base)
+  {
+    return reinterpret_cast<reviewed_call *> (base);
+  }
+
+  explicit reviewed_call (struct loop *on) : loop (on)
+  {
+    static const struct h1_call_ops ops = {
+      .head =
+          [] (struct h1_call *base, const struct h1_head *head, int64_t) {
+            if (head->status == of (base)->foreign)
+              return false;
+            of (base)->status = head->status;
+            return true;
+          },
+      .data = [] (struct h1_call *base, const char *data, size_t length,
+                  int64_t) { of (base)->body.append (data, length); },
+      .ended =
+          [] (struct h1_call *base, enum h1_end how, int64_t) {
+            of (base)->ends++;
+            of (base)->end = how;
+          },
+    };
+
+    call.ops = &ops;
+  }
+
+  reviewed_call (const reviewed_call &) = delete;
+
+  ~reviewed_call ()
+  {
+    h1_call_cancel (&call);
+  }
+};
+
+class H1ClientReview : public ::testing::Test
+{
+protected:
+  struct loop *loop = loop_new_plain (nullptr, 64);
+  struct counters *counters = counters_new (loop);
+  struct h1_client *client = h1_client_new (loop, loop, counters);
+  std::unique_ptr<raw_target> target = std::make_unique<raw_target> (loop);
+
+  void
+  TearDown () override
+  {
+    target.reset ();
+    talloc_free (loop);
+  }
+
+  enum status
+  start (reviewed_call &call, const char *method)
+  {
+    struct bytes message;
+    enum status status;
+
+    bytes_init (&message, nullptr);
+    bytes_append_format (&message, "%s / HTTP/1.1\r\nHost: h\r\n\r\n", method);
+    status = h1_call_start (client, &call.call, target->address ().c_str (), &message, false,
+                            loop_now (loop));
+    bytes_clear (&message);
+    return status;
+  }
+
+  // What the client makes of an answer to `method` that leaves the connection open.
+  void
+  answer (reviewed_call &call, const char *method, const std::string &bytes)
+  {
+    call.call.no_body = strcmp (method, "HEAD") == 0;
+    target->got.clear ();
+    ASSERT_EQ (start (call, method), STATUS_OK);
+    ASSERT_TRUE (target->wait_for ("\r\n\r\n"));
+    target->say (bytes);
+    for (int i = 0; i < 20 && call.ends == 0; i++)
+      loop_once (loop, 10 * USEC_PER_MSEC);
+  }
+};
+
+// An answer to HEAD behind an interim one, or behind one to another call, waits for a body.
+TEST_F (H1ClientReview, AnAnswerToHeadBehindAnotherHasNoBody)
+{
+  for (const char *before : { "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 299 Other\r\n\r\n" })
+    {
+      reviewed_call call (loop);
+
+      call.foreign = 299;
+      answer (call, "HEAD", std::string (before) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+      EXPECT_EQ (call.ends, 1) << before;
+      EXPECT_EQ (call.end, H1_END_WHOLE) << before;
+      target->hang_up ();
+      for (int i = 0; i < 5; i++)
+        loop_once (loop, 10 * USEC_PER_MSEC);
+    }
+}
+
+// The length of an answer whose status says that it has no body is taken for that of a body.
+TEST_F (H1ClientReview, AnAnswerWhoseStatusHasNoBodyHasNone)
+{
+  for (const char *head : { "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+                            "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+                            "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" })
+    {
+      reviewed_call call (loop);
+      reviewed_call next (loop);
+
+      answer (call, "GET", head);
+      EXPECT_EQ (call.ends, 1) << head;
+      EXPECT_EQ (call.end, H1_END_WHOLE) << head;
+      if (call.ends == 0)
+        continue;
+      answer (next, "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+      EXPECT_EQ (next.body, "ok") << head;
+    }
+}
+
+// A request that was not put together whole goes out as far as it went.
+TEST_F (H1ClientReview, ARequestThatFoundNoMemoryIsNotSent)
+{
+  reviewed_call call (loop);
+  struct bytes message;
+
+  bytes_init (&message, nullptr);
+  bytes_append_text (&message, "POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
+  message.failed = true;
+  EXPECT_EQ (h1_call_start (client, &call.call, target->address ().c_str (), &message, false,
+                            loop_now (loop)),
+             STATUS_NO_MEMORY);
+  bytes_clear (&message);
+  for (int i = 0; i < 5; i++)
+    {
+      loop_once (loop, 10 * USEC_PER_MSEC);
+      target->look ();
+    }
+  EXPECT_EQ (target->got, "");
+}
+
+struct reviewed_handler
+{
+  struct h1_handler handler;
+  std::string body;
+};
+
+// A caller that goes on reading is cut two seconds behind the last byte given to its connection.
+TEST (H1ServerReview, ACallerThatStillReadsGetsAllOfTheLastAnswer)
+{
+  static const struct h1_handler_ops ops = {
+    .request =
+        [] (struct h1_handler *base, struct h1_exchange *exchange, int64_t) {
+          const std::string &body = reinterpret_cast<reviewed_handler *> (base)->body;
+
+          h1_reply (exchange, 200, nullptr, body.data (), body.size ());
+        },
+    .gone = [] (struct h1_handler *, struct h1_exchange *, int64_t) {},
+  };
+  struct loop *loop = loop_new_plain (nullptr, 64);
+  struct h1_limits limits = { .header_bytes = 16384,
+                              .body_bytes = 1u << 20,
+                              .request_timeout = 10 * USEC_PER_SEC,
+                              .idle_timeout = 1 * USEC_PER_SEC };
+  reviewed_handler handler = { { &ops }, std::string (15u << 20, 'x') };
+  struct h1_server_config config = {};
+
+  config.loop = loop;
+  config.listen = "127.0.0.1:0";
+  config.handler = &handler.handler;
+  config.limits = &limits;
+  config.connections_max = 16;
+  config.counters = counters_new (loop);
+  config.label = "clients";
+  struct h1_server *server = h1_server_new (loop, &config);
+
+  for (const char *connection : { "close", "keep-alive" })
+    {
+      raw_caller caller (loop, h1_server_port (server));
+      int small = 65536;
+      size_t got = 0;
+      ssize_t n = 1;
+      std::string buffer (400000, ' ');
+
+      setsockopt (caller.fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+      caller.send (std::string ("GET / HTTP/1.1\r\nHost: h\r\nConnection: ") + connection
+                   + "\r\n\r\n");
+      // About 4 s for all of it.
+      for (int64_t until = loop_now (loop) + EVENT_WAIT;
+           n != 0 && got < handler.body.size () && loop_now (loop) < until;)
+        {
+          loop_once (loop, 0);
+          for (int64_t pause = loop_now (loop) + 100 * USEC_PER_MSEC; loop_now (loop) < pause;)
+            loop_once (loop, 10 * USEC_PER_MSEC);
+          n = recv (caller.fd, buffer.data (), buffer.size (), 0);
+          if (n < 0 && errno != EAGAIN)
+            break;
+          got += n > 0 ? static_cast<size_t> (n) : 0;
+        }
+      EXPECT_GE (got, handler.body.size ()) << connection;
+    }
+  talloc_free (loop);
+}
+
+} // namespace
