Begin no stream whose head found no memory

The fields of a target's answer that were kept before memory ran out went to the client as the head of its stream: cut inside a line, without the signature. Where the stream went on at another target, whose fields were kept, the answer ended as complete.

The attempt now ends as one whose answer could not be kept, before anything is told.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -291,6 +291,14 @@
   return true;
 }
 
+static void
+begin_stream (struct forward_job *job)
+{
+  job->stream.begun = true;
+  job->stream.status = job->status;
+  h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
+}
+
 static void
 on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
 {
@@ -310,12 +318,13 @@
       bytes_append_within (&job->body, data, length, FORWARD_ANSWER_MAX);
       return;
     }
-  if (!job->stream.begun)
+  if (bytes_failed (&job->fields))
     {
-      job->stream.begun = true;
-      job->stream.status = job->status;
-      h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
+      abandon_attempt (job, "answer could not be kept", FORWARD_BROKEN, now);
+      return;
     }
+  if (!job->stream.begun)
+    begin_stream (job);
   if (!job_pass_events (job, data, length))
     abandon_attempt (job, "events do not follow", FORWARD_BROKEN, now);
 }
