Take no answer to another call for one to stage work

What callers could see: a model given the result of another request's stage. An answer to stage work that its target sends twice, the second time where the answer to the next call is expected, gave the pieces of that call the results of the last one; any answer to a request on a shared connection was read too.

Cause: the call took every answer. One that names a request is now left out, as stage calls send no such id. Others do not say to what they are: one whose handle is held at this target for a piece of other content (key or inputs, stage, index) ends the call as failed, and its pieces are made again. An answer whose results are released already cannot be told so.

--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <talloc.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #define ANSWER_BYTES_MAX (1u << 20)
 #define SLOWNESS_SMOOTHING 0.3
@@ -72,7 +73,7 @@
   if (result->end == PIECE_DONE)
     {
       memcpy (result->result.target, call->at->id, sizeof result->result.target);
-      batch_keep_result (pool, call->target, result->result.handle, piece->result_size,
+      batch_keep_result (pool, call->target, result->result.handle, piece,
                          batch_order_of (pool->batch, piece) == NULL, now);
       batch_piece_done (pool, piece, result, now);
       return;
@@ -117,6 +118,22 @@
   return full;
 }
 
+/* Answers to stage work do not say to which call they are: one that comes a second time, late,
+ * shows by results that are known. */
+static bool
+is_of_another_call (const struct batch_call *call, const struct piece_result *results)
+{
+  for (uint32_t i = 0; i < call->n; i++)
+    if (results[i].end == PIECE_DONE
+        && batch_is_of_another (call->target, results[i].result.handle, &call->pieces[i]))
+      {
+        log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "answer-of-another-call", "{s:s,s:s}",
+                   "target", call->at->id, "handle", results[i].result.handle);
+        return true;
+      }
+  return false;
+}
+
 static bool
 take_results (struct batch_call *call, int64_t now)
 {
@@ -124,7 +141,8 @@
   struct piece_result results[BATCH_CALL_PIECES_MAX];
 
   if (call->status != HTTP_STATUS_OK
-      || !dialect->ops->read_pieces (dialect, call->body.data, call->body.length, results, call->n))
+      || !dialect->ops->read_pieces (dialect, call->body.data, call->body.length, results, call->n)
+      || is_of_another_call (call, results))
     return false;
   log_not_made (call, results);
   if (batch_says_full (results, call->n))
@@ -152,6 +170,9 @@
 
   (void) now;
   dialect->ops->read_answer (dialect, head, &facts);
+  /* One that names a request is to that request. */
+  if (facts.id != NULL && facts.id[0] != '\0')
+    return false;
   call->status = head->status;
   call->not_run = facts.not_run;
   return true;
@@ -234,6 +255,17 @@
   return 0;
 }
 
+/* What is made of the same inputs, or under the same key, is the same. */
+static uint64_t
+content_of (const struct batch_order *order, const struct batch_piece *piece)
+{
+  const char *from = order->inputs == NULL ? order->key : order->inputs;
+  uint64_t content =
+      XXH3_64bits_withSeed (from, strlen (from), (uint64_t) order->stage << 32 | piece->index);
+
+  return content == 0 ? 1 : content;
+}
+
 static void
 write_message (struct batch_call *call, int64_t now, struct bytes *out)
 {
@@ -245,6 +277,7 @@
       const struct batch_order *order = batch_order_of (call->pool->batch, &call->pieces[i]);
 
       INVARIANT (order != NULL);
+      call->pieces[i].content = content_of (order, &call->pieces[i]);
       facts[i] = (struct piece_facts){
         .request = order->request,
         .stage = order->stage,
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -14,12 +14,14 @@
   uint64_t serial;
   uint32_t index;
   uint64_t result_size;
+  uint64_t content; /* names what is to be made; known once it is in a call */
 };
 
 /* A result that lies at its target. */
 struct batch_result
 {
   char handle[DIALECT_HANDLE_SIZE];
+  uint64_t content; /* 0 where an earlier owner ordered it */
   uint64_t size;
   int64_t expires;
   bool let_go;   /* to be freed where room is short */
@@ -125,12 +127,20 @@
 
 /* batch_result.c */
 struct batch_target *batch_target_of (struct batch_pool *pool, struct balance_target *target);
+
+/* `piece`: whose result it is; NULL where an earlier owner of the pool ordered it. */
 void batch_keep_result (struct batch_pool *pool,
                         struct batch_target *target,
                         const char *handle,
-                        uint64_t size,
+                        const struct batch_piece *piece,
                         bool unneeded,
                         int64_t now);
+
+/* Is this, at the target, the result of another piece?  Then the answer that names it is to another
+ * call. */
+bool batch_is_of_another (const struct batch_target *target,
+                          const char *handle,
+                          const struct batch_piece *piece);
 void batch_sweep_results (struct batch_pool *pool, int64_t now);
 void batch_free (struct batch_pool *pool, const struct stage_result *result, int64_t now);
 void batch_let_go (struct batch_pool *pool, const struct stage_result *result, int64_t now);
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -56,7 +56,7 @@
 batch_keep_result (struct batch_pool *pool,
                    struct batch_target *target,
                    const char *handle,
-                   uint64_t size,
+                   const struct batch_piece *piece,
                    bool unneeded,
                    int64_t now)
 {
@@ -65,11 +65,15 @@
   if (result == NULL)
     return;
   text_copy_cut (result->handle, sizeof result->handle, handle);
-  result->size = size;
+  if (piece != NULL)
+    {
+      result->content = piece->content;
+      result->size = piece->result_size;
+    }
   result->unneeded = unneeded;
   result->expires = now + pool->spec.result_ttl;
   DL_APPEND (target->results, result);
-  target->used += size;
+  target->used += result->size;
 }
 
 static struct batch_target *
@@ -91,6 +95,16 @@
   return NULL;
 }
 
+bool
+batch_is_of_another (const struct batch_target *target,
+                     const char *handle,
+                     const struct batch_piece *piece)
+{
+  const struct batch_result *held = find_result (target, handle);
+
+  return held != NULL && held->content != 0 && held->content != piece->content;
+}
+
 void
 batch_let_go (struct batch_pool *pool, const struct stage_result *fetched, int64_t now)
 {
@@ -113,9 +127,8 @@
     return;
   if (result != NULL)
     result->unneeded = true;
-  /* Ordered by an earlier owner of the pool. */
   else
-    batch_keep_result (pool, target, unneeded->handle, 0, true, now);
+    batch_keep_result (pool, target, unneeded->handle, NULL, true, now);
   batch_look_soon (pool, now);
 }
 
