--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -4,10 +4,8 @@
 #include "resource.h"
 #include "tcp.h"
 #include "text.h"
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <talloc.h>
 #include <uthash.h>
 #include <utlist.h>
@@ -324,22 +322,12 @@
   return wire;
 }
 
-/* Bytes, or an end, that the loop has yet to tell of? */
-static bool
-has_unread (const struct h1_wire *wire)
-{
-  char byte;
-  ssize_t got = recv (wire->stream.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 static struct h1_wire *
 take_idle (struct h1_client *client, struct h1_place *place)
 {
   struct h1_wire *wire;
 
-  while (place->idle != NULL && has_unread (place->idle))
+  while (place->idle != NULL && tcp_has_unread (&place->idle->stream))
     free_wire (place->idle);
   wire = place->idle;
   if (wire == NULL)
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -368,6 +368,14 @@
   return tcp_unsent (stream) + (size_t) queued;
 }
 
+bool
+tcp_has_unread (const struct tcp_stream *stream)
+{
+  char byte;
+
+  return recv (stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || !is_transient (errno);
+}
+
 void
 tcp_end_means_whole (struct tcp_stream *stream)
 {
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -89,6 +89,9 @@
 /* Bytes that were given and are not sent; never 0 on a stream that failed. */
 size_t tcp_unsent (const struct tcp_stream *stream);
 
+/* Is there something, or an end, that received() or ended() has yet to tell of? */
+bool tcp_has_unread (const struct tcp_stream *stream);
+
 /* What is unsent, and what the other side's system has not taken yet. */
 size_t tcp_unacknowledged (const struct tcp_stream *stream);
 
