--- a/tests/unit_review.cc
+++ b/tests/unit_h1_bodies.cc
@@ -1,4 +1,5 @@
-// Found by reading the forwarding path anew.
+// Answers at the ends of the HTTP/1.1 client and server: where their body ends, and who still
+// reads.
 #include "h1_client.h"
 #include "h1_server.h"
 #include "unit_edges_support.h"
@@ -7,7 +8,7 @@
 namespace
 {
 
-struct reviewed_call
+struct watched_call
 {
   struct h1_call call = {}; // first
   struct loop *loop;
@@ -17,13 +18,13 @@
   enum h1_end end = H1_END_COUNT;
   unsigned foreign = 0; // status of an answer to another call
 
-  static reviewed_call *
+  static watched_call *
   of (struct h1_call *base)
   {
-    return reinterpret_cast<reviewed_call *> (base);
+    return reinterpret_cast<watched_call *> (base);
   }
 
-  explicit reviewed_call (struct loop *on) : loop (on)
+  explicit watched_call (struct loop *on) : loop (on)
   {
     static const struct h1_call_ops ops = {
       .head =
@@ -45,15 +46,15 @@
     call.ops = &ops;
   }
 
-  reviewed_call (const reviewed_call &) = delete;
+  watched_call (const watched_call &) = delete;
 
-  ~reviewed_call ()
+  ~watched_call ()
   {
     h1_call_cancel (&call);
   }
 };
 
-class H1ClientReview : public ::testing::Test
+class H1ClientBodies : public ::testing::Test
 {
 protected:
   struct loop *loop = loop_new_plain (nullptr, 64);
@@ -69,7 +70,7 @@
   }
 
   enum status
-  start (reviewed_call &call, const char *method)
+  start (watched_call &call, const char *method)
   {
     struct bytes message;
     enum status status;
@@ -84,7 +85,7 @@
 
   // What the client makes of an answer to `method` that leaves the connection open.
   void
-  answer (reviewed_call &call, const char *method, const std::string &bytes)
+  answer (watched_call &call, const char *method, const std::string &bytes)
   {
     call.call.no_body = strcmp (method, "HEAD") == 0;
     target->got.clear ();
@@ -97,11 +98,11 @@
 };
 
 // An answer to HEAD behind an interim one, or behind one to another call, waits for a body.
-TEST_F (H1ClientReview, AnAnswerToHeadBehindAnotherHasNoBody)
+TEST_F (H1ClientBodies, AnAnswerToHeadBehindAnotherHasNoBody)
 {
   for (const char *before : { "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 299 Other\r\n\r\n" })
     {
-      reviewed_call call (loop);
+      watched_call call (loop);
 
       call.foreign = 299;
       answer (call, "HEAD", std::string (before) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
@@ -114,14 +115,14 @@
 }
 
 // The length of an answer whose status says that it has no body is taken for that of a body.
-TEST_F (H1ClientReview, AnAnswerWhoseStatusHasNoBodyHasNone)
+TEST_F (H1ClientBodies, AnAnswerWhoseStatusHasNoBodyHasNone)
 {
   for (const char *head : { "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
                             "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
                             "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" })
     {
-      reviewed_call call (loop);
-      reviewed_call next (loop);
+      watched_call call (loop);
+      watched_call next (loop);
 
       answer (call, "GET", head);
       EXPECT_EQ (call.ends, 1) << head;
@@ -134,9 +135,9 @@
 }
 
 // A request that was not put together whole goes out as far as it went.
-TEST_F (H1ClientReview, ARequestThatFoundNoMemoryIsNotSent)
+TEST_F (H1ClientBodies, ARequestThatFoundNoMemoryIsNotSent)
 {
-  reviewed_call call (loop);
+  watched_call call (loop);
   struct bytes message;
 
   bytes_init (&message, nullptr);
@@ -154,19 +155,19 @@
   EXPECT_EQ (target->got, "");
 }
 
-struct reviewed_handler
+struct fixed_handler
 {
   struct h1_handler handler;
   std::string body;
 };
 
 // A caller that goes on reading is cut two seconds behind the last byte given to its connection.
-TEST (H1ServerReview, ACallerThatStillReadsGetsAllOfTheLastAnswer)
+TEST (H1ServerReaders, ACallerThatStillReadsGetsAllOfTheLastAnswer)
 {
   static const struct h1_handler_ops ops = {
     .request =
         [] (struct h1_handler *base, struct h1_exchange *exchange, int64_t) {
-          const std::string &body = reinterpret_cast<reviewed_handler *> (base)->body;
+          const std::string &body = reinterpret_cast<fixed_handler *> (base)->body;
 
           h1_reply (exchange, 200, nullptr, body.data (), body.size ());
         },
@@ -177,7 +178,7 @@
                               .body_bytes = 1u << 20,
                               .request_timeout = 10 * USEC_PER_SEC,
                               .idle_timeout = 1 * USEC_PER_SEC };
-  reviewed_handler handler = { { &ops }, std::string (15u << 20, 'x') };
+  fixed_handler handler = { { &ops }, std::string (15u << 20, 'x') };
   struct h1_server_config config = {};
 
   config.loop = loop;
