Send no request whose list of inputs found no memory

With a list cut by a failed allocation the engine was given some of a request's stage results. The message now counts as one that could not be written, which the client of targets does not send. By reading; no test injects that failure.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -55,6 +55,7 @@
     bytes_append_format (out, "Content-Length: %zu\r\n", body->length);
   bytes_append_text (out, "\r\n");
   bytes_append (out, body->data, body->length);
+  out->failed = out->failed || bytes_failed (&inputs);
   bytes_clear (&inputs);
 }
 
