Trust no refusal without an id on a kept connection

A request that may run once only could run twice: an answer of status 300 or more that names no request was taken for its own, and one with the promise of not having run, late from the call before on a kept connection, sent it to another target while the first worked on it.

Cause: that the answer is this call's was concluded from its status. On a connection made for the call it is trusted as before.

forward_http.TrustsNoRefusalWithoutAnIdOnAKeptConnection before: 200 from the other target.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -261,6 +261,18 @@
   return head->status >= 300;
 }
 
+/* On a kept connection, an answer that names no request may be a late one to the call before: it
+ * promises nothing of this one. */
+static bool
+is_refusal (const struct forward_job *job,
+            const struct h1_head *head,
+            const struct answer_facts *facts)
+{
+  if (facts->id == NULL && job->call.reused)
+    return false;
+  return facts->not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+}
+
 static void
 keep_fields (struct forward_job *job, const struct h1_head *head)
 {
@@ -286,7 +298,7 @@
   job->status = head->status;
   job->is_signed = facts.is_signed;
   job->has_events = h1_has_events (head);
-  job->not_run = facts.not_run || head->status == HTTP_STATUS_MISDIRECTED_REQUEST;
+  job->not_run = is_refusal (job, head, &facts);
   if (!job->stream.begun)
     keep_fields (job, head);
   return true;
