--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -1,7 +1,9 @@
 /* One connection of the HTTP server: requests read, checked and handed to their routes. */
 #include "container.h"
 #include "http_server_private.h"
+#include "log.h"
 #include "text.h"
+#include <errno.h>
 #include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <string.h>
@@ -30,7 +32,11 @@
 {
   const struct linger linger = { .l_onoff = on };
 
-  setsockopt (lws_get_socket_fd (connection->wsi), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  if (setsockopt (lws_get_socket_fd (connection->wsi), SOL_SOCKET, SO_LINGER, &linger,
+                  sizeof linger)
+      != 0)
+    log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "linger-not-set", "{s:s}", "message",
+               strerror (errno));
 }
 
 /* lws shuts the sending side down before it closes, which is an orderly end whatever SO_LINGER
@@ -40,7 +46,9 @@
 {
   const struct sockaddr unspecified = { .sa_family = AF_UNSPEC };
 
-  connect (lws_get_socket_fd (connection->wsi), &unspecified, sizeof unspecified);
+  if (connect (lws_get_socket_fd (connection->wsi), &unspecified, sizeof unspecified) != 0)
+    log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "connection-not-reset", "{s:s}", "message",
+               strerror (errno));
 }
 
 void
