--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -144,7 +144,7 @@
   return job->objective_at - now - job->path;
 }
 
-/* Off: where stages move between the parts of their pools, far too many are turned away. */
+/* Off: it serves more on some fleets and fewer on others. */
 #define TURNS_AWAY false
 
 /* Only its first try: one that is turned away a second time does not come again. */
