--- a/tests/unit_h1_bodies.cc
+++ b/tests/unit_h1_bodies.cc
@@ -1,98 +1,22 @@
 // Answers at the ends of the HTTP/1.1 client and server: where their body ends, and who still
 // reads.
-#include "h1_client.h"
+#include "h1_client_harness.h"
 #include "h1_server.h"
-#include "unit_edges_support.h"
-#include <memory>
 
 namespace
 {
 
-struct watched_call
-{
-  struct h1_call call = {}; // first
-  struct loop *loop;
-  unsigned status = 0;
-  std::string body;
-  int ends = 0;
-  enum h1_end end = H1_END_COUNT;
-  unsigned foreign = 0; // status of an answer to another call
-
-  static watched_call *
-  of (struct h1_call *base)
-  {
-    return reinterpret_cast<watched_call *> (base);
-  }
-
-  explicit watched_call (struct loop *on) : loop (on)
-  {
-    static const struct h1_call_ops ops = {
-      .head =
-          [] (struct h1_call *base, const struct h1_head *head, int64_t) {
-            if (head->status == of (base)->foreign)
-              return false;
-            of (base)->status = head->status;
-            return true;
-          },
-      .data = [] (struct h1_call *base, const char *data, size_t length,
-                  int64_t) { of (base)->body.append (data, length); },
-      .ended =
-          [] (struct h1_call *base, enum h1_end how, int64_t) {
-            of (base)->ends++;
-            of (base)->end = how;
-          },
-    };
-
-    call.ops = &ops;
-  }
-
-  watched_call (const watched_call &) = delete;
-
-  ~watched_call ()
-  {
-    h1_call_cancel (&call);
-  }
-};
-
-class H1ClientBodies : public ::testing::Test
+class H1ClientBodies : public H1Client
 {
 protected:
-  struct loop *loop = loop_new_plain (nullptr, 64);
-  struct counters *counters = counters_new (loop);
-  struct h1_client *client = h1_client_new (loop, loop, counters);
-  std::unique_ptr<raw_target> target = std::make_unique<raw_target> (loop);
-
-  void
-  TearDown () override
-  {
-    target.reset ();
-    talloc_free (loop);
-  }
-
-  enum status
-  start (watched_call &call, const char *method)
-  {
-    struct bytes message;
-    enum status status;
-
-    bytes_init (&message, nullptr);
-    bytes_append_format (&message, "%s / HTTP/1.1\r\nHost: h\r\n\r\n", method);
-    status = h1_call_start (client, &call.call, target->address ().c_str (), &message, false,
-                            loop_now (loop));
-    bytes_clear (&message);
-    return status;
-  }
-
   // What the client makes of an answer to `method` that leaves the connection open.
   void
-  answer (watched_call &call, const char *method, const std::string &bytes)
+  answer (h1_probe &probe, const char *method, const std::string &bytes)
   {
-    call.call.no_body = strcmp (method, "HEAD") == 0;
-    target->got.clear ();
-    ASSERT_EQ (start (call, method), STATUS_OK);
-    ASSERT_TRUE (target->wait_for ("\r\n\r\n"));
+    probe.call.no_body = strcmp (method, "HEAD") == 0;
+    start (probe, false, method);
     target->say (bytes);
-    for (int i = 0; i < 20 && call.ends == 0; i++)
+    for (int i = 0; i < 20 && probe.ends == 0; i++)
       loop_once (loop, 10 * USEC_PER_MSEC);
   }
 };
@@ -102,7 +26,7 @@
 {
   for (const char *before : { "HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 299 Other\r\n\r\n" })
     {
-      watched_call call (loop);
+      h1_probe call (loop);
 
       call.foreign = 299;
       answer (call, "HEAD", std::string (before) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
@@ -121,8 +45,8 @@
                             "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
                             "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n" })
     {
-      watched_call call (loop);
-      watched_call next (loop);
+      h1_probe call (loop);
+      h1_probe next (loop);
 
       answer (call, "GET", head);
       EXPECT_EQ (call.ends, 1) << head;
@@ -137,7 +61,7 @@
 // A request that was not put together whole goes out as far as it went.
 TEST_F (H1ClientBodies, ARequestThatFoundNoMemoryIsNotSent)
 {
-  watched_call call (loop);
+  h1_probe call (loop);
   struct bytes message;
 
   bytes_init (&message, nullptr);
