Log what was sent where a connection broke, and whether its target ended

The record of requests that end targets cannot tell one request that comes again from many, nor a target that ended from a connection that was reset: an id is new at each try, and attempt-ended blames a target without saying whether it lived on. Now a broken attempt names its content, by a digest of method, host, path, organisation and body, and each incarnation whose connections broke is probed once and looked up in the list until it is known to have ended or to live. Nothing decides by it yet.

Counted: cherryarch_target_fates_total. A request whose attempt does not break costs nothing more.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -32,6 +32,7 @@
   struct work *work;
   struct engine_load *engines;
   struct engine_news *news;
+  struct target_watch *watch;
   struct h1_client *client;
   struct subscriber *subscriber;
   struct forward *forward;
@@ -177,10 +178,18 @@
     .counters = host->base.counters,
   };
 
+  struct target_watch_config watch = {
+    .loop = host->base.loop,
+    .registry = subscriber_registry (host->subscriber),
+    .counters = host->base.counters,
+  };
+
   host->work = work_new (host, &work);
   host->news = engine_news_new (host, &news);
-  return host->work == NULL || host->news == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory")
-                                                  : STATUS_OK;
+  host->watch = target_watch_new (host, &watch);
+  if (host->work == NULL || host->news == NULL || host->watch == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  return STATUS_OK;
 }
 
 static enum status
@@ -246,6 +255,7 @@
     .dialect = dialect,
     .work = host->work,
     .news = host->news,
+    .watch = host->watch,
     .counters = host->base.counters,
     .seed = host->base.seed + 1,
     .confirmed_for = settings->confirmed_for,
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -95,14 +95,19 @@
 static void
 log_attempt (const struct forward_job *job, const char *outcome, int64_t now)
 {
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s}", "id", job->facts.id,
-             "target", job->target->id, "address", job->target->address, "outcome", outcome,
-             "status", (int) job->status, "framing", h1_framing_text (job->call.framing), "not_run",
-             job->not_run, "sent", job->call.handed, "took_us", (json_int_t) (now - job->sent_at),
-             "renewed_ms", (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC),
-             "reused", job->call.reused, "stream_begun", job->stream.begun, "events",
-             (int) job->stream.events, "last_event", job->stream.last_event);
+  char content[REQUEST_DIGEST_TEXT] = "";
+
+  if (job->has_digest)
+    request_digest_write (&job->digest, content);
+  log_event (
+      LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
+      "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i}", "id", job->facts.id,
+      "target", job->target->id, "address", job->target->address, "outcome", outcome, "status",
+      (int) job->status, "framing", h1_framing_text (job->call.framing), "not_run", job->not_run,
+      "sent", job->call.handed, "took_us", (json_int_t) (now - job->sent_at), "renewed_ms",
+      (json_int_t) ((now - job->target->record->heard) / USEC_PER_MSEC), "reused", job->call.reused,
+      "stream_begun", job->stream.begun, "events", (int) job->stream.events, "last_event",
+      job->stream.last_event, "content", content, "in_flight", (int) job->target->in_flight);
 }
 
 /* May the request go to another target after this attempt? */
@@ -347,13 +352,19 @@
 {
   struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
   bool kept = !bytes_failed (&job->body) && !bytes_failed (&job->fields);
+  bool broke;
 
   if (end == H1_END_WHOLE && job->status != 0 && kept)
     {
       answer_whole (job, now);
       return;
     }
+  broke = call->handed && (end == H1_END_CUT || end == H1_END_RESET);
+  if (broke)
+    job_digest (job);
   log_attempt (job, end == H1_END_WHOLE ? "answer could not be kept" : h1_end_text (end), now);
+  if (broke)
+    job_note_break (job, now);
   release_target (job, true, now);
   if (!call->handed)
     job->runs--;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -4,6 +4,7 @@
 
 #include "forward.h"
 #include "patience.h"
+#include "request_digest.h"
 
 #define FORWARD_POOLS_MAX 64
 
@@ -105,7 +106,9 @@
   struct route route; /* a copy: routings come and go */
   char pool[ROUTING_NAME_SIZE];
   char organisation[ROUTING_NAME_SIZE];
-  uint64_t version; /* of the routing that decided */
+  bool has_digest;
+  struct request_digest digest; /* by job_digest() */
+  uint64_t version;             /* of the routing that decided */
   int64_t arrived;
   int64_t age;          /* at its arrival, since the client's first try */
   int64_t deadline;     /* the client's or the route's, whichever is first */
@@ -248,6 +251,14 @@
 /* Has the stream's target begun an event that it did not finish? */
 bool job_is_inside_event (const struct forward_job *job);
 
+/* forward_break.c */
+
+/* What it asks, wherever and however often it is sent; worked out when it is first asked for. */
+const struct request_digest *job_digest (struct forward_job *job);
+
+/* The connection broke while the target may have been running it. */
+void job_note_break (struct forward_job *job, int64_t now);
+
 /* forward_budget.c */
 void forward_earn_retry (struct forward *forward, const char *pool);
 bool forward_take_retry (struct forward *forward, const char *pool);
--- /dev/null
+++ b/src/request_digest.c
@@ -0,0 +1,65 @@
+/* Which requests are the same. */
+#include "request_digest.h"
+#include <sodium.h>
+#include <string.h>
+
+_Static_assert(REQUEST_DIGEST_SIZE >= crypto_generichash_BYTES_MIN
+                   && REQUEST_DIGEST_SIZE <= crypto_generichash_BYTES_MAX,
+               "no size of a BLAKE2b digest");
+
+/* With its length before it, so that no two lists of parts are the same bytes. */
+static void
+add (crypto_generichash_state *state, const void *part, size_t length)
+{
+  uint64_t size = length;
+
+  crypto_generichash_update (state, (const unsigned char *) &size, sizeof size);
+  if (length > 0)
+    crypto_generichash_update (state, part, length);
+}
+
+static void
+add_text (crypto_generichash_state *state, const char *text)
+{
+  add (state, text, strlen (text));
+}
+
+void
+request_digest_of (const struct h1_head *head,
+                   const struct bytes *body,
+                   const char *organisation,
+                   struct request_digest *out)
+{
+  const char *host = h1_value (head, "host");
+  crypto_generichash_state state;
+
+  crypto_generichash_init (&state, NULL, 0, REQUEST_DIGEST_SIZE);
+  add_text (&state, http_method_str ((enum http_method) head->method));
+  add_text (&state, host == NULL ? "" : host);
+  add_text (&state, head->target);
+  add_text (&state, organisation);
+  add (&state, body->data, body->length);
+  crypto_generichash_final (&state, out->bytes, REQUEST_DIGEST_SIZE);
+}
+
+bool
+request_digest_equal (const struct request_digest *a, const struct request_digest *b)
+{
+  return memcmp (a->bytes, b->bytes, REQUEST_DIGEST_SIZE) == 0;
+}
+
+void
+request_digest_write (const struct request_digest *digest, char out[REQUEST_DIGEST_TEXT])
+{
+  sodium_bin2hex (out, REQUEST_DIGEST_TEXT, digest->bytes, REQUEST_DIGEST_SIZE);
+}
+
+bool
+request_digest_read (const char *text, struct request_digest *out)
+{
+  size_t length;
+
+  return sodium_hex2bin (out->bytes, REQUEST_DIGEST_SIZE, text, strlen (text), NULL, &length, NULL)
+             == 0
+         && length == REQUEST_DIGEST_SIZE;
+}
--- /dev/null
+++ b/src/target_watch.c
@@ -0,0 +1,286 @@
+/* Did a target end when a connection to it broke? */
+#include "target_watch.h"
+#include "container.h"
+#include "log.h"
+#include "tcp.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+/* An incarnation under watch. */
+struct watched
+{
+  struct target_watch *watch;
+  char id[ROUTING_NAME_SIZE];
+  char address[ROUTING_NAME_SIZE];
+  uint64_t started;
+  uint64_t incarnation;
+  int64_t broke; /* the first connection */
+  uint32_t breaks;
+  enum target_fate fate;
+  struct tcp_stream probe;
+  struct timer probe_timer;
+  struct watched *prev;
+  struct watched *next;
+};
+
+struct target_watch
+{
+  struct target_watch_config config;
+  struct watched *watched;
+  uint32_t n;
+  struct timer timer;
+  struct counter *fates[TARGET_FATE_COUNT];
+  struct counter *passed_over;
+};
+
+static const char *const fate_texts[] = {
+#define X(name, text) [TARGET_FATE_##name] = text,
+  TARGET_FATE_LIST (X)
+#undef X
+};
+
+const char *
+target_fate_text (enum target_fate fate)
+{
+  return fate_texts[fate];
+}
+
+static void
+set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
+{
+  struct target_watch *watch = watched->watch;
+
+  watched->fate = fate;
+  counter_add (watch->fates[fate], 1);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-fate", "{s:s,s:s,s:s,s:s,s:i,s:I}", "target",
+             watched->id, "address", watched->address, "fate", fate_texts[fate], "by", by, "breaks",
+             (int) watched->breaks, "after_ms",
+             (json_int_t) ((now - watched->broke) / USEC_PER_MSEC));
+  if (watch->config.listener != NULL)
+    watch->config.listener->ops->fate (watch->config.listener, watched->incarnation, fate, now);
+}
+
+/* ---- the probe ---- */
+
+static void
+end_probe (struct watched *watched)
+{
+  timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
+  if (watched->probe.open)
+    tcp_close (&watched->probe, true);
+}
+
+/* Somebody listens there: this incarnation, or already the next one. */
+static void
+probe_connected (struct tcp_stream *stream, int64_t now)
+{
+  (void) now;
+  end_probe (CONTAINER_OF (stream, struct watched, probe));
+}
+
+static void
+probe_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
+{
+  (void) stream;
+  (void) data;
+  (void) length;
+  (void) now;
+}
+
+static void
+probe_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
+{
+  struct watched *watched = CONTAINER_OF (stream, struct watched, probe);
+
+  timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
+  if (end == TCP_END_REFUSED && watched->fate == TARGET_FATE_UNKNOWN)
+    set_fate (watched, TARGET_FATE_ENDED, "its address takes no connection", now);
+}
+
+static const struct tcp_stream_ops probe_ops = {
+  .connected = probe_connected,
+  .received = probe_received,
+  .ended = probe_ended,
+};
+
+static void
+probe_fired (struct timer *timer, int64_t now)
+{
+  (void) now;
+  end_probe (CONTAINER_OF (timer, struct watched, probe_timer));
+}
+
+static const struct timer_ops probe_timer_ops = { .fire = probe_fired };
+
+static void
+begin_probe (struct watched *watched, int64_t now)
+{
+  struct loop *loop = watched->watch->config.loop;
+
+  if (tcp_connect (&watched->probe, &probe_ops, loop, watched->address) != STATUS_OK)
+    {
+      log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
+                 watched->address, "message", status_message ());
+      return;
+    }
+  timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE);
+}
+
+/* ---- what the controllers tell ---- */
+
+static void
+look_up (struct watched *watched, int64_t now)
+{
+  const struct registry_target *record =
+      registry_find (watched->watch->config.registry, watched->id);
+  const char *ended = NULL;
+
+  if (record == NULL || (watched->started != 0 && record->word.started != watched->started))
+    ended = "another incarnation";
+  else if (record->word.state == REGISTRY_GONE)
+    ended = "said to be gone";
+  else if (record->expired)
+    ended = "not heard for a lease";
+  if (ended != NULL && watched->fate == TARGET_FATE_UNKNOWN)
+    set_fate (watched, TARGET_FATE_ENDED, ended, now);
+  if (ended == NULL && watched->fate != TARGET_FATE_LIVES
+      && record->heard > watched->broke + TARGET_WATCH_LIVES)
+    set_fate (watched, TARGET_FATE_LIVES, "it renewed", now);
+}
+
+static void
+forget (struct watched *watched)
+{
+  struct target_watch *watch = watched->watch;
+
+  end_probe (watched);
+  DL_DELETE (watch->watched, watched);
+  watch->n--;
+  talloc_free (watched);
+}
+
+static void
+timer_fired (struct timer *timer, int64_t now)
+{
+  struct target_watch *watch = CONTAINER_OF (timer, struct target_watch, timer);
+  struct watched *watched;
+  struct watched *next;
+
+  DL_FOREACH_SAFE (watch->watched, watched, next)
+    {
+      look_up (watched, now);
+      if (watched->fate != TARGET_FATE_LIVES && now < watched->broke + TARGET_WATCH_FOR)
+        continue;
+      if (watched->fate == TARGET_FATE_UNKNOWN)
+        set_fate (watched, TARGET_FATE_UNKNOWN, "nothing shows it", now);
+      forget (watched);
+    }
+  if (watch->watched != NULL)
+    timer_arm (loop_timers (watch->config.loop), timer, now + TARGET_WATCH_PERIOD);
+}
+
+static const struct timer_ops timer_ops = { .fire = timer_fired };
+
+/* ---- breaks ---- */
+
+static struct watched *
+find (const struct target_watch *watch, uint64_t incarnation)
+{
+  struct watched *watched;
+
+  DL_FOREACH (watch->watched, watched)
+    if (watched->incarnation == incarnation)
+      return watched;
+  return NULL;
+}
+
+static struct watched *
+add (struct target_watch *watch, const struct balance_target *target, int64_t now)
+{
+  struct watched *watched;
+
+  if (watch->n == TARGET_WATCHES_MAX)
+    return NULL;
+  watched = talloc_zero (watch, struct watched);
+  if (watched == NULL)
+    return NULL;
+  watched->watch = watch;
+  text_copy_cut (watched->id, sizeof watched->id, target->id);
+  text_copy_cut (watched->address, sizeof watched->address, target->address);
+  watched->started = target->started;
+  watched->incarnation = target->id_hash;
+  watched->broke = now;
+  watched->probe_timer.ops = &probe_timer_ops;
+  DL_APPEND (watch->watched, watched);
+  watch->n++;
+  return watched;
+}
+
+enum target_fate
+target_watch_broke (struct target_watch *watch, const struct balance_target *target, int64_t now)
+{
+  struct watched *watched = find (watch, target->id_hash);
+
+  /* It has said that it leaves: its connections end with it, whatever ran on them. */
+  if (target->gone)
+    return TARGET_FATE_UNKNOWN;
+  if (watched == NULL)
+    {
+      watched = add (watch, target, now);
+      if (watched == NULL)
+        {
+          counter_add (watch->passed_over, 1);
+          log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "target-not-watched", "{s:s,s:i}",
+                     "target", target->id, "watched", (int) watch->n);
+          return TARGET_FATE_UNKNOWN;
+        }
+      begin_probe (watched, now);
+      if (!timer_is_armed (&watch->timer))
+        timer_arm (loop_timers (watch->config.loop), &watch->timer, now + TARGET_WATCH_PERIOD);
+    }
+  watched->breaks++;
+  return watched->fate;
+}
+
+static int
+free_watch (struct target_watch *watch)
+{
+  while (watch->watched != NULL)
+    forget (watch->watched);
+  timer_disarm (loop_timers (watch->config.loop), &watch->timer);
+  return 0;
+}
+
+static void
+take_counters (struct target_watch *watch)
+{
+  for (int fate = 0; fate < TARGET_FATE_COUNT; fate++)
+    {
+      char label[32];
+
+      snprintf (label, sizeof label, "fate=\"%s\"", fate_texts[fate]);
+      watch->fates[fate] =
+          counter_get (watch->config.counters, "cherryarch_target_fates_total",
+                       "Incarnations whose connections broke, by what became of them.", label);
+    }
+  watch->passed_over =
+      counter_get (watch->config.counters, "cherryarch_target_fates_passed_over_total",
+                   "Broken connections whose target could not be watched.", NULL);
+}
+
+struct target_watch *
+target_watch_new (void *parent, const struct target_watch_config *config)
+{
+  struct target_watch *watch = talloc_zero (parent, struct target_watch);
+
+  if (watch == NULL)
+    return NULL;
+  watch->config = *config;
+  watch->timer.ops = &timer_ops;
+  take_counters (watch);
+  talloc_set_destructor (watch, free_watch);
+  return watch;
+}
--- /dev/null
+++ b/tests/unit_target_watch.cc
@@ -0,0 +1,315 @@
+// Whether a target ended when a connection to it broke, and which requests are the same.
+#include "request_digest.h"
+#include "target_watch.h"
+#include "unit_edges_support.h"
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+// Takes connections until it is closed.
+struct listening
+{
+  struct tcp_listener listener;
+  std::vector<int> taken;
+
+  explicit listening (struct loop *loop)
+  {
+    static const struct tcp_listener_ops ops = {
+      .accepted = [] (struct tcp_listener *base, int fd,
+                      int64_t) { reinterpret_cast<listening *> (base)->taken.push_back (fd); },
+    };
+
+    EXPECT_EQ (tcp_listen (&listener, &ops, loop, "127.0.0.1:0"), STATUS_OK);
+  }
+
+  ~listening ()
+  {
+    for (int fd : taken)
+      close (fd);
+    tcp_listener_close (&listener);
+  }
+
+  std::string
+  address () const
+  {
+    struct sockaddr_in at = {};
+    socklen_t size = sizeof at;
+
+    getsockname (listener.fd, reinterpret_cast<struct sockaddr *> (&at), &size);
+    return "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
+  }
+};
+
+class TargetWatch : public ::testing::Test
+{
+protected:
+  TargetWatch ()
+  {
+    static const struct target_watch_listener_ops ops = {
+      .fate =
+          [] (struct target_watch_listener *base, uint64_t incarnation, enum target_fate fate,
+              int64_t) {
+            reinterpret_cast<listener *> (base)->fates.emplace_back (incarnation, fate);
+          },
+    };
+    struct target_watch_config config = {};
+
+    heard.base.ops = &ops;
+    config.loop = loop;
+    config.registry = registry;
+    config.counters = counters_new (parent);
+    config.listener = &heard.base;
+    watch = target_watch_new (parent, &config);
+  }
+
+  ~TargetWatch () override
+  {
+    talloc_free (parent);
+  }
+
+  // The target `id`, as it said at `now`, for the sequence.
+  struct balance_target *
+  target (const char *id,
+          const std::string &address,
+          uint64_t sequence,
+          int64_t heard_at,
+          enum registry_state state = REGISTRY_READY)
+  {
+    struct registry_word word = {};
+    struct registry_target *record;
+
+    snprintf (word.id, sizeof word.id, "%s", id);
+    snprintf (word.address, sizeof word.address, "%s", address.c_str ());
+    word.sequence = sequence;
+    word.state = state;
+    registry_merge (registry, &word, 0, heard_at, &record);
+    snprintf (at.id, sizeof at.id, "%s", id);
+    snprintf (at.address, sizeof at.address, "%s", address.c_str ());
+    at.id_hash = record->id_hash;
+    at.gone = state != REGISTRY_READY;
+    return &at;
+  }
+
+  void
+  pass (int64_t span)
+  {
+    now += span;
+    timer_service_run (loop_timers (loop), now);
+  }
+
+  // The newest of what was told; UNKNOWN where nothing was.
+  enum target_fate
+  last () const
+  {
+    return heard.fates.empty () ? TARGET_FATE_UNKNOWN : heard.fates.back ().second;
+  }
+
+  struct listener
+  {
+    struct target_watch_listener base; // first
+    std::vector<std::pair<uint64_t, enum target_fate>> fates;
+  } heard;
+  void *parent = talloc_new (nullptr);
+  struct loop *loop = loop_new_plain (parent, 64);
+  struct registry *registry = registry_new (parent);
+  struct target_watch *watch;
+  struct balance_target at = {};
+  int64_t now = loop_now (loop);
+};
+
+// A target's process is gone: its address refuses.
+TEST_F (TargetWatch, TellsAnEndWhereTheAddressRefuses)
+{
+  std::string address;
+
+  {
+    listening was (loop);
+
+    address = was.address ();
+  }
+  loop_once (loop, 0);
+  EXPECT_EQ (target_watch_broke (watch, target ("t1", address, 1, now), now), TARGET_FATE_UNKNOWN);
+  ASSERT_TRUE (run_until (loop, [&] { return !heard.fates.empty (); }));
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+  // The next connection that breaks needs no probe.
+  EXPECT_EQ (target_watch_broke (watch, &at, now), TARGET_FATE_ENDED);
+  EXPECT_EQ (heard.fates.size (), 1u);
+}
+
+// Connections are reset while their target goes on: that is no end, however many there are.
+TEST_F (TargetWatch, TellsNoEndOfATargetThatGoesOn)
+{
+  listening there (loop);
+
+  for (int i = 0; i < 5; i++)
+    target_watch_broke (watch, target ("t1", there.address (), 1, now), now);
+  ASSERT_TRUE (run_until (loop, [&] { return !there.taken.empty (); }));
+  loop_once (loop, 0);
+  EXPECT_TRUE (heard.fates.empty ());
+  target ("t1", there.address (), 2, now + TARGET_WATCH_LIVES + 1);
+  pass (TARGET_WATCH_LIVES + TARGET_WATCH_PERIOD);
+  EXPECT_EQ (last (), TARGET_FATE_LIVES);
+  EXPECT_EQ (heard.fates.size (), 1u);
+  EXPECT_EQ (there.taken.size (), 1u);
+}
+
+// It is back at the same address before the probe comes: the list tells.
+TEST_F (TargetWatch, TellsAnEndWhereAnotherTookTheAddress)
+{
+  listening there (loop);
+
+  target_watch_broke (watch, target ("t1", there.address (), 1, now), now);
+  ASSERT_TRUE (run_until (loop, [&] { return !there.taken.empty (); }));
+  target ("t2", there.address (), 1, now + 1);
+  pass (TARGET_WATCH_PERIOD);
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
+// A machine that lost power answers nothing at all.
+TEST_F (TargetWatch, TellsAnEndOfOneThatIsSilentForALease)
+{
+  listening there (loop);
+
+  target_watch_broke (watch, target ("t1", there.address (), 1, now), now);
+  registry_expire (registry, 3 * USEC_PER_SEC, now + 4 * USEC_PER_SEC);
+  pass (4 * USEC_PER_SEC);
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
+// A link that refused connections in its target's place is whole again.
+TEST_F (TargetWatch, TakesBackAnEndOfOneThatRenews)
+{
+  std::string address;
+
+  {
+    listening was (loop);
+
+    address = was.address ();
+  }
+  loop_once (loop, 0);
+  target_watch_broke (watch, target ("t1", address, 1, now), now);
+  ASSERT_TRUE (run_until (loop, [&] { return last () == TARGET_FATE_ENDED; }));
+  target ("t1", address, 2, now + TARGET_WATCH_LIVES + 1);
+  pass (TARGET_WATCH_LIVES + TARGET_WATCH_PERIOD);
+  EXPECT_EQ (last (), TARGET_FATE_LIVES);
+}
+
+// A target that leaves ends its connections whatever ran on them.
+TEST_F (TargetWatch, PassesOverATargetThatLeaves)
+{
+  target_watch_broke (watch, target ("t1", "127.0.0.1:9", 1, now, REGISTRY_LEAVING), now);
+  pass (TARGET_WATCH_FOR);
+  EXPECT_TRUE (heard.fates.empty ());
+}
+
+// Nothing tells: the watch ends, and says so.
+TEST_F (TargetWatch, EndsWhereNothingTells)
+{
+  listening there (loop);
+
+  target_watch_broke (watch, target ("t1", there.address (), 1, now), now);
+  pass (TARGET_WATCH_FOR);
+  ASSERT_EQ (heard.fates.size (), 1u);
+  EXPECT_EQ (last (), TARGET_FATE_UNKNOWN);
+}
+
+// ---- which requests are the same ----
+
+class RequestDigest : public ::testing::Test
+{
+protected:
+  ~RequestDigest () override
+  {
+    talloc_free (parent);
+  }
+
+  std::string
+  digest (const std::string &message, const char *organisation)
+  {
+    static const struct h1_reader_ops ops = {
+      .head = [] (struct h1_reader *) { return true; },
+      .body =
+          [] (struct h1_reader *reader, const char *data, size_t length) {
+            auto *self = reinterpret_cast<reading *> (reader);
+
+            bytes_append (&self->body, data, length);
+            return true;
+          },
+      .complete = [] (struct h1_reader *) {},
+    };
+    struct request_digest out;
+    char text[REQUEST_DIGEST_TEXT];
+    reading at;
+    size_t used;
+
+    bytes_init (&at.body, parent);
+    h1_reader_init (&at.reader, &ops, HTTP_REQUEST, H1_HEAD_BYTES_MAX);
+    EXPECT_EQ (h1_read (&at.reader, message.data (), message.size (), &used), STATUS_OK);
+    EXPECT_TRUE (at.reader.done);
+    request_digest_of (&at.reader.head, &at.body, organisation, &out);
+    request_digest_write (&out, text);
+    h1_reader_clear (&at.reader);
+    return text;
+  }
+
+  static std::string
+  post (const std::string &path, const std::string &fields, const std::string &body)
+  {
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + fields
+           + "Content-Length: " + std::to_string (body.size ()) + "\r\n\r\n" + body;
+  }
+
+  struct reading
+  {
+    struct h1_reader reader; // first
+    struct bytes body;
+  };
+  void *parent = talloc_new (nullptr);
+};
+
+// Another try bears another id and deadline, and may be framed otherwise.
+TEST_F (RequestDigest, IsThatOfEachTryOfARequest)
+{
+  std::string first =
+      digest (post ("/a?b", "X-Attempt-Id: 1\r\nX-Deadline-Ms: 9\r\n", "body"), "o");
+
+  EXPECT_EQ (first.size (), REQUEST_DIGEST_TEXT - 1u);
+  EXPECT_EQ (digest (post ("/a?b", "X-Attempt-Id: 2\r\nConnection: close\r\n", "body"), "o"),
+             first);
+  EXPECT_EQ (digest ("POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "4\r\nbody\r\n0\r\n\r\n",
+                     "o"),
+             first);
+}
+
+// Nobody's requests are taken for another's, and no part runs into the next.
+TEST_F (RequestDigest, DiffersInEachPart)
+{
+  std::string first = digest (post ("/a?b", "", "body"), "o");
+
+  EXPECT_NE (digest (post ("/a?b", "", "body"), "other"), first);
+  EXPECT_NE (digest (post ("/a?c", "", "body"), "o"), first);
+  EXPECT_NE (digest (post ("/a?b", "", "bodz"), "o"), first);
+  EXPECT_NE (digest (post ("/a?b", "", "ybody"), "o"), digest (post ("/a?b", "", "body"), "oy"));
+  EXPECT_NE (digest ("PUT /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", "o"), first);
+  EXPECT_NE (digest ("POST /a?b HTTP/1.1\r\nHost: g\r\nContent-Length: 4\r\n\r\nbody", "o"), first);
+}
+
+TEST_F (RequestDigest, IsReadAsItIsWritten)
+{
+  struct request_digest read;
+  char text[REQUEST_DIGEST_TEXT];
+  std::string first = digest (post ("/a", "", ""), "");
+
+  ASSERT_TRUE (request_digest_read (first.c_str (), &read));
+  request_digest_write (&read, text);
+  EXPECT_EQ (text, first);
+  EXPECT_FALSE (request_digest_read ("12", &read));
+  EXPECT_FALSE (request_digest_read ((first + "00").c_str (), &read));
+  EXPECT_FALSE (request_digest_read ("zz", &read));
+}
+
+}
