Send no request on under which three targets have ended

Cause: what the end of a request says of the request was dropped. An attempt that breaks blames its target; the next arrival begins anew, at each host. Class: a failure is always put down to the target, never to what was sent, and what one host learns stays there.

Now each host keeps a table of suspected requests, by a digest of method, host, path, organisation and body. A broken connection alone says nothing; where the target is found to have ended, that incarnation is an end of each request that ran there. Ends merge as a set in any order, and those that may have had one cause count once, so that a rack that loses power does not condemn what ran on it. One end: the request goes where the least else runs, and is not sent again by itself. Two: one run of it at a time. Three: it is refused at once, 503 with a long Retry-After, as it has not run and will not; tried again after ten and after thirty minutes by one host; cleared by a whole answer. News go to all controllers, one of which passes them on to the entry hosts; tables are compared once a second.

Nothing is digested while nothing is suspected.

--- a/src/balance.c
+++ b/src/balance.c
@@ -55,6 +55,7 @@
   text_copy_cut (target->pool, sizeof target->pool, word->pool);
   text_copy_cut (target->domain, sizeof target->domain, word->domain);
   text_copy_cut (target->address, sizeof target->address, word->address);
+  target->left = false;
   target->failures = 0;
   target->failing = 0;
   target->latency = 0;
@@ -85,6 +86,7 @@
     forget_incarnation (balance, target);
   target->usable = registry_usable (record);
   target->gone = record->word.state != REGISTRY_READY;
+  target->left = target->left || record->word.state == REGISTRY_LEAVING;
   if (record->word.state == REGISTRY_GONE)
     engine_load_forget (balance->engines, target->id_hash);
 }
@@ -296,6 +298,46 @@
   return chosen != NULL ? chosen : least_loaded (balance, candidates, n, now);
 }
 
+/* As all hosts together know of an engine; of another target, as this one does. */
+static uint32_t
+running_at (const struct balance *balance,
+            const struct balance_target *target,
+            const struct balance_prompt *prompt,
+            int64_t now)
+{
+  struct engine_cost cost;
+
+  if (prompt == NULL || !prompt->present)
+    return target->in_flight;
+  engine_load_cost (balance->engines, target->id_hash, &prompt->prompt, now, &cost);
+  return cost.running > target->in_flight ? cost.running : target->in_flight;
+}
+
+struct balance_target *
+balance_choose_apart (struct balance *balance,
+                      const char *pool,
+                      const struct balance_prompt *prompt,
+                      struct balance_target *const *tried,
+                      uint32_t n_tried,
+                      int64_t now)
+{
+  struct balance_target *candidates[CANDIDATES_MAX];
+  uint32_t n = gather (balance, pool, tried, n_tried, now, candidates);
+  struct balance_target *best = NULL;
+  uint32_t least = UINT32_MAX;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      uint32_t running = running_at (balance, candidates[i], prompt, now);
+
+      if (running >= least)
+        continue;
+      best = candidates[i];
+      least = running;
+    }
+  return best;
+}
+
 void
 balance_started (struct balance_target *target)
 {
--- a/src/balance.h
+++ b/src/balance.h
@@ -49,6 +49,7 @@
       id_hash; /* of id and incarnation: what other hosts tell of an earlier one is not of it */
   bool usable; /* registered, ready and heard lately */
   bool gone;   /* must get nothing more */
+  bool left;   /* this incarnation has said that it leaves */
   uint32_t in_flight;
   uint32_t failures;  /* in a row */
   double failing;     /* share of late calls that failed, smoothed */
@@ -112,6 +113,14 @@
                                        uint32_t n_tried,
                                        int64_t now);
 
+/* The same for a request that may end its target: where the least else runs. */
+struct balance_target *balance_choose_apart (struct balance *balance,
+                                             const char *pool,
+                                             const struct balance_prompt *prompt,
+                                             struct balance_target *const *tried,
+                                             uint32_t n_tried,
+                                             int64_t now);
+
 void balance_started (struct balance_target *target);
 
 /* A call ended.  `first` is the time to its first byte, under 0 where none came. */
--- a/src/controller.c
+++ b/src/controller.c
@@ -186,6 +186,17 @@
   ask_quorum (controller, now);
 }
 
+uint32_t
+controller_hosts (const struct controller *controller, const char *out[SYNC_HOSTS_MAX], int64_t now)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    if (controller_host_lives (&controller->hosts[i], now))
+      out[n++] = controller->hosts[i].self.name;
+  return n;
+}
+
 /* An entry host in the order of a list. */
 struct listed
 {
--- a/src/controller.h
+++ b/src/controller.h
@@ -107,6 +107,12 @@
                              const struct sync_host *out[SYNC_HOSTS_MAX],
                              int64_t now);
 
+/* The entry hosts that were heard lately, by name; the count.  The names hold until the next
+ * message is handled. */
+uint32_t controller_hosts (const struct controller *controller,
+                           const char *out[SYNC_HOSTS_MAX],
+                           int64_t now);
+
 /* The document changed: tell the entry hosts now. */
 void controller_document_changed (struct controller *controller, int64_t now);
 
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -3,6 +3,7 @@
 #include "consensus_voter.h"
 #include "container.h"
 #include "log.h"
+#include "quarantine_control.h"
 #include <jansson.h>
 #include <signal.h>
 #include <string.h>
@@ -39,6 +40,7 @@
   struct document *document;
   struct consensus *consensus;
   struct controller *controller;
+  struct quarantine_peers peers;
   struct h1_server *control;
   struct h1_server *entries;
   struct loop_signal signals;
@@ -75,6 +77,16 @@
   return n;
 }
 
+static uint32_t
+list_hosts (struct quarantine_peers *peers, const char *out[SYNC_HOSTS_MAX], int64_t now)
+{
+  struct controller_host *host = CONTAINER_OF (peers, struct controller_host, peers);
+
+  return controller_hosts (host->controller, out, now);
+}
+
+static const struct quarantine_peers_ops peers_ops = { .list = list_hosts };
+
 /* ---- the end ---- */
 
 static void
@@ -190,6 +202,22 @@
   return host->controller == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
 }
 
+static enum status
+build_quarantine (struct controller_host *host)
+{
+  struct quarantine_control_config config = {
+    .peers = &host->peers,
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+  };
+
+  host->peers.ops = &peers_ops;
+  host->base.quarantine = quarantine_control_new (host, &config);
+  return host->base.quarantine == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory")
+                                       : STATUS_OK;
+}
+
 static enum status
 build (struct controller_host *host, const struct controller_host_config *config)
 {
@@ -205,6 +233,8 @@
   status = build_consensus (host);
   if (status == STATUS_OK)
     status = build_controller (host);
+  if (status == STATUS_OK)
+    status = build_quarantine (host);
   if (status == STATUS_OK)
     status = role_base_listen (&host->base, host->base.settings.control_address, config->control,
                                "control", &host->control);
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -3,6 +3,7 @@
 #include "container.h"
 #include "forward.h"
 #include "log.h"
+#include "quarantine_entry.h"
 #include "subscriber.h"
 #include <jansson.h>
 #include <signal.h>
@@ -32,7 +33,7 @@
   struct work *work;
   struct engine_load *engines;
   struct engine_news *news;
-  struct target_watch *watch;
+  struct quarantine_entry *quarantine;
   struct h1_client *client;
   struct subscriber *subscriber;
   struct forward *forward;
@@ -178,17 +179,19 @@
     .counters = host->base.counters,
   };
 
-  struct target_watch_config watch = {
+  struct quarantine_entry_config quarantine = {
     .loop = host->base.loop,
-    .registry = subscriber_registry (host->subscriber),
+    .subscriber = host->subscriber,
+    .port = host->base.port,
     .counters = host->base.counters,
   };
 
   host->work = work_new (host, &work);
   host->news = engine_news_new (host, &news);
-  host->watch = target_watch_new (host, &watch);
-  if (host->work == NULL || host->news == NULL || host->watch == NULL)
+  host->quarantine = quarantine_entry_new (host, &quarantine);
+  if (host->work == NULL || host->news == NULL || host->quarantine == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
+  host->base.quarantine = quarantine_entry_control (host->quarantine);
   return STATUS_OK;
 }
 
@@ -255,7 +258,7 @@
     .dialect = dialect,
     .work = host->work,
     .news = host->news,
-    .watch = host->watch,
+    .quarantine = host->quarantine,
     .counters = host->base.counters,
     .seed = host->base.seed + 1,
     .confirmed_for = settings->confirmed_for,
--- a/src/forward.c
+++ b/src/forward.c
@@ -146,7 +146,7 @@
       return;
     }
   job->route = *route;
-  if (!check_key (job, routing))
+  if (!check_key (job, routing) || !job_is_let_in (job, now))
     return;
   text_copy_cut (job->pool, sizeof job->pool,
                  routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
--- a/src/forward.h
+++ b/src/forward.h
@@ -12,8 +12,8 @@
 #include "engine_news.h"
 #include "h1_client.h"
 #include "h1_server.h"
+#include "quarantine_entry.h"
 #include "subscriber.h"
-#include "target_watch.h"
 #include "timer.h"
 #include "work.h"
 
@@ -30,7 +30,7 @@
   struct dialect *dialect;
   struct work *work;
   struct engine_news *news;
-  struct target_watch *watch;
+  struct quarantine_entry *quarantine;
   struct counters *counters;
   uint64_t seed;
   int64_t confirmed_for; /* keyed requests are refused when the last confirmation is older */
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -76,6 +76,7 @@
   if (job->target == NULL)
     return;
   tell_ended (job, now);
+  job_run_over (job);
   balance_ended (job->target, failed, failed ? -1 : first, now);
   job->target = NULL;
 }
@@ -88,6 +89,7 @@
   if (job->target == NULL)
     return;
   tell_ended (job, loop_now (job->forward->config.loop));
+  job_run_over (job);
   job->target->in_flight--;
   job->target = NULL;
 }
@@ -116,7 +118,7 @@
 {
   if (now + SEND_AGAIN_TIME >= job->deadline || job->sends >= FORWARD_SENDS_MAX)
     return false;
-  if (ran && (!may_repeat (job) || job->runs >= job->route.attempts))
+  if (ran && (!may_repeat (job) || job->runs >= job->route.attempts || job->is_suspected))
     return false;
   if (!job->call.handed)
     return true;
@@ -214,7 +216,10 @@
 answer_within_stream (struct forward_job *job, int64_t now)
 {
   if (is_stream_answer (job) && !ends_inside_event (job))
-    job_end_stream (job);
+    {
+      job_note_whole (job, now);
+      job_end_stream (job);
+    }
   else
     attempt_failed (job, true, FORWARD_BROKEN, now);
 }
@@ -236,7 +241,10 @@
   else if (job->stream.begun)
     answer_within_stream (job, now);
   else if (success && job->is_signed)
-    job_serve (job);
+    {
+      job_note_whole (job, now);
+      job_serve (job);
+    }
   else if (success)
     attempt_failed (job, true, FORWARD_BROKEN, now);
   else
@@ -248,6 +256,7 @@
 abandon_attempt (struct forward_job *job, const char *why, enum forward_reason reason, int64_t now)
 {
   log_attempt (job, why, now);
+  job_note_break (job, H1_END_RESET, now);
   h1_call_cancel (&job->call);
   release_target (job, true, now);
   attempt_failed (job, true, reason, now);
@@ -296,7 +305,7 @@
   struct dialect *dialect = job->forward->config.dialect;
   struct answer_facts facts;
 
-  (void) now;
+  job->heard_at = now;
   dialect->ops->read_answer (dialect, head, &facts);
   if (!is_ours (job, head, &facts))
     return false;
@@ -322,6 +331,7 @@
 {
   struct forward_job *job = CONTAINER_OF (call, struct forward_job, call);
 
+  job->heard_at = now;
   if (job->first_at == 0)
     {
       job->first_at = now;
@@ -364,7 +374,7 @@
     job_digest (job);
   log_attempt (job, end == H1_END_WHOLE ? "answer could not be kept" : h1_end_text (end), now);
   if (broke)
-    job_note_break (job, now);
+    job_note_break (job, end, now);
   release_target (job, true, now);
   if (!call->handed)
     job->runs--;
@@ -427,10 +437,16 @@
   struct bytes message;
   enum status status;
 
+  if (!job_may_run (job, now))
+    return;
   if (job_has_stages (job))
     job_locate_results (job);
-  job->target =
-      balance_choose (config->balance, job->pool, &job->prompt, job->tried, job->n_tried, now);
+  if (job_runs_apart (job, now))
+    job->target = balance_choose_apart (config->balance, job->pool, &job->prompt, job->tried,
+                                        job->n_tried, now);
+  else
+    job->target =
+        balance_choose (config->balance, job->pool, &job->prompt, job->tried, job->n_tried, now);
   if (job->target == NULL)
     {
       job_give_up (job, FORWARD_NO_TARGET, NO_TARGET_RETRY_AFTER);
@@ -444,10 +460,12 @@
   job->send_id = rng_u64 (&job->forward->rng);
   job->runs++;
   job->sent_at = now;
+  job->heard_at = now;
   job->fetched_at = 0;
   job->call.ops = &call_ops;
   job->call.no_body = job->exchange->head->method == HTTP_HEAD;
   balance_started (job->target);
+  job_run_began (job);
   log_choice (job, now);
   if (job->prompt.present)
     engine_news_started (config->news, job->target->id_hash, job->send_id, &job->prompt.prompt,
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -30,6 +30,8 @@
   X (NO_TARGET, "no target")                                                                       \
   X (NO_TIME, "cannot end in time")                                                                \
   X (BUSY, "too much waits to be in time")                                                         \
+  X (HELD, "targets ended under it")                                                               \
+  X (SUSPECTED, "targets ended under it, and a run of it is out")                                  \
   X (STAGE, "a stage could not be made")                                                           \
   X (REFUSED, "targets refused it")                                                                \
   X (FAILED, "target failed")                                                                      \
@@ -108,6 +110,9 @@
   char organisation[ROUTING_NAME_SIZE];
   bool has_digest;
   struct request_digest digest; /* by job_digest() */
+  bool is_try;                  /* let in although targets ended under it */
+  bool is_suspected;            /* when its last run broke, without that break */
+  bool is_counted;              /* its run, among those of a suspect */
   uint64_t version;             /* of the routing that decided */
   int64_t arrived;
   int64_t age;          /* at its arrival, since the client's first try */
@@ -134,6 +139,7 @@
   uint32_t sends;
   uint32_t runs; /* sends that may have run */
   int64_t sent_at;
+  int64_t heard_at;   /* the newest sign of life of the target on this connection */
   int64_t fetched_at; /* the target has the stages' results by then; 0 before a send */
   int64_t first_at;   /* first byte of the answer, 0 while none */
 
@@ -251,13 +257,27 @@
 /* Has the stream's target begun an event that it did not finish? */
 bool job_is_inside_event (const struct forward_job *job);
 
-/* forward_break.c */
+/* forward_quarantine.c: requests that end the targets that run them */
 
 /* What it asks, wherever and however often it is sent; worked out when it is first asked for. */
 const struct request_digest *job_digest (struct forward_job *job);
 
-/* The connection broke while the target may have been running it. */
-void job_note_break (struct forward_job *job, int64_t now);
+/* May it go on to stages and targets?  Where not it is refused, and the job is gone. */
+bool job_is_let_in (struct forward_job *job, int64_t now);
+
+/* May it go to a target now?  Where not it is given up, and the job is gone. */
+bool job_may_run (struct forward_job *job, int64_t now);
+
+/* Is a target to be chosen by what else runs there? */
+bool job_runs_apart (struct forward_job *job, int64_t now);
+void job_run_began (struct forward_job *job);
+void job_run_over (struct forward_job *job);
+
+/* The connection broke, or was given up, while the target may have been running it. */
+void job_note_break (struct forward_job *job, enum h1_end end, int64_t now);
+
+/* A target gave it a whole answer. */
+void job_note_whole (struct forward_job *job, int64_t now);
 
 /* forward_budget.c */
 void forward_earn_retry (struct forward *forward, const char *pool);
--- /dev/null
+++ b/src/forward_quarantine.c
@@ -0,0 +1,114 @@
+/* Requests that end the targets that run them: what this host lets in, sends and learns. */
+#include "forward_private.h"
+#include "text.h"
+
+/* A connection that says nothing for so long before it is reset was given up by this host's system:
+ * its target ended at any moment since. */
+#define SILENCE (2500 * USEC_PER_MSEC)
+
+/* Times to come back, in seconds: after another try of it may be due; when a run may be over. */
+#define HELD_RETRY_AFTER ((double) QUARANTINE_TRIAL / USEC_PER_SEC)
+#define SUSPECTED_RETRY_AFTER 1.0
+
+const struct request_digest *
+job_digest (struct forward_job *job)
+{
+  if (!job->has_digest)
+    request_digest_of (job->exchange->head, job->exchange->body, job->organisation, &job->digest);
+  job->has_digest = true;
+  return &job->digest;
+}
+
+static struct quarantine_entry *
+quarantine_of (const struct forward_job *job)
+{
+  return job->forward->config.quarantine;
+}
+
+static enum quarantine_verdict
+judge_again (struct forward_job *job, int64_t now)
+{
+  if (quarantine_entry_is_empty (quarantine_of (job)))
+    return QUARANTINE_PASS;
+  return quarantine_entry_judge_again (quarantine_of (job), job_digest (job), now);
+}
+
+bool
+job_is_let_in (struct forward_job *job, int64_t now)
+{
+  enum quarantine_verdict verdict = QUARANTINE_PASS;
+
+  if (!quarantine_entry_is_empty (quarantine_of (job)))
+    verdict = quarantine_entry_judge (quarantine_of (job), job_digest (job), now);
+  job->is_try = verdict == QUARANTINE_TRY;
+  if (verdict == QUARANTINE_REFUSE)
+    job_refuse (job, FORWARD_HELD, HELD_RETRY_AFTER);
+  else if (verdict == QUARANTINE_WAIT)
+    job_refuse (job, FORWARD_SUSPECTED, SUSPECTED_RETRY_AFTER);
+  return verdict != QUARANTINE_REFUSE && verdict != QUARANTINE_WAIT;
+}
+
+/* Its stages took a while: what was learnt meanwhile counts. */
+bool
+job_may_run (struct forward_job *job, int64_t now)
+{
+  enum quarantine_verdict verdict = judge_again (job, now);
+
+  if (job->is_try || (verdict != QUARANTINE_REFUSE && verdict != QUARANTINE_WAIT))
+    return true;
+  if (verdict == QUARANTINE_REFUSE)
+    job_give_up (job, FORWARD_HELD, HELD_RETRY_AFTER);
+  else
+    job_give_up (job, FORWARD_SUSPECTED, SUSPECTED_RETRY_AFTER);
+  return false;
+}
+
+bool
+job_runs_apart (struct forward_job *job, int64_t now)
+{
+  return judge_again (job, now) != QUARANTINE_PASS;
+}
+
+void
+job_run_began (struct forward_job *job)
+{
+  if (!quarantine_entry_is_empty (quarantine_of (job)))
+    job->is_counted = quarantine_entry_began (quarantine_of (job), job_digest (job));
+}
+
+void
+job_run_over (struct forward_job *job)
+{
+  if (job->is_counted)
+    quarantine_entry_over (quarantine_of (job), &job->digest);
+  job->is_counted = false;
+}
+
+void
+job_note_break (struct forward_job *job, enum h1_end end, int64_t now)
+{
+  bool silent = end == H1_END_RESET && now - job->heard_at >= SILENCE;
+  int64_t instant = now - QUARANTINE_INSTANT;
+  struct quarantine_suspect suspect = {
+    .digest = *job_digest (job),
+    .seen = now,
+    .n_ends = 1,
+    .ends = { { .incarnation = job->target->id_hash,
+                .from = silent                   ? job->heard_at
+                        : instant > job->sent_at ? instant
+                                                 : job->sent_at,
+                .to = now } },
+  };
+
+  job->is_suspected = judge_again (job, now) != QUARANTINE_PASS;
+  text_copy_cut (suspect.organisation, sizeof suspect.organisation, job->organisation);
+  text_copy_cut (suspect.route, sizeof suspect.route, job->route.name);
+  quarantine_entry_broke (quarantine_of (job), job->target, &suspect, now);
+}
+
+void
+job_note_whole (struct forward_job *job, int64_t now)
+{
+  if (!quarantine_entry_is_empty (quarantine_of (job)))
+    quarantine_entry_whole (quarantine_of (job), job_digest (job), now);
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -18,16 +18,17 @@
 
 /* name, text */
 #define PEER_CHANNEL_LIST(X)                                                                       \
-  X (MEMBER, "member")       /* liveness, load, leaving */                                         \
-  X (DIRECTORY, "directory") /* targets' announcements and leases */                               \
-  X (CONSENSUS, "consensus") /* between voters */                                                  \
-  X (PROPOSAL, "proposal")   /* proposals and reads forwarded to a voter, and their answers */     \
-  X (CONFIG, "config")       /* configuration revisions to followers */                            \
-  X (LIMIT, "limit")         /* shares of organisations' limits */                                 \
-  X (RESULT, "result")       /* stage results handed to another failure domain */                  \
-  X (LOAD, "load")           /* targets' load reports passed on */                                 \
-  X (SYNC, "sync")           /* between entry hosts and controllers */                             \
-  X (WORK, "work")           /* stage work handed to the host that batches it */
+  X (MEMBER, "member")         /* liveness, load, leaving */                                       \
+  X (DIRECTORY, "directory")   /* targets' announcements and leases */                             \
+  X (CONSENSUS, "consensus")   /* between voters */                                                \
+  X (PROPOSAL, "proposal")     /* proposals and reads forwarded to a voter, and their answers */   \
+  X (CONFIG, "config")         /* configuration revisions to followers */                          \
+  X (LIMIT, "limit")           /* shares of organisations' limits */                               \
+  X (RESULT, "result")         /* stage results handed to another failure domain */                \
+  X (LOAD, "load")             /* targets' load reports passed on */                               \
+  X (SYNC, "sync")             /* between entry hosts and controllers */                           \
+  X (WORK, "work")             /* stage work handed to the host that batches it */                 \
+  X (QUARANTINE, "quarantine") /* requests that end the targets that run them */
 
 enum peer_channel
 {
--- /dev/null
+++ b/src/quarantine_control.c
@@ -0,0 +1,446 @@
+/* Wires the table of suspected requests to the peer channel. */
+#include "quarantine_control.h"
+#include "container.h"
+#include "log.h"
+#include "quarantine_wire.h"
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+struct quarantine_control
+{
+  struct quarantine_control_config config;
+  struct quarantine *table;
+  struct peer_listener listener;
+  struct timer timer;
+  uint32_t turn;        /* of the controllers, in comparing */
+  uint32_t sent_from;   /* the first suspect of the next message of all */
+  struct counter *held; /* requests that are not sent any more */
+  struct counter *suspected;
+  struct counter *learnt;
+  struct counter *not_kept;
+  struct counter *messages;
+  struct counter *bytes;
+};
+
+struct quarantine *
+quarantine_control_table (struct quarantine_control *control)
+{
+  return control->table;
+}
+
+/* ---- sending ---- */
+
+static bool
+send_message (struct quarantine_control *control, const char *host, const struct bytes *message)
+{
+  struct peer_port *port = control->config.port;
+
+  if (bytes_failed (message))
+    return false;
+  counter_add (control->messages, 1);
+  counter_add (control->bytes, (double) message->length);
+  return port->ops->send (port, host, PEER_CHANNEL_QUARANTINE, message->data, message->length)
+         == STATUS_OK;
+}
+
+static void
+send_summary (struct quarantine_control *control, enum quarantine_message kind, const char *host)
+{
+  struct bytes message;
+
+  bytes_init (&message, NULL);
+  quarantine_write_summary (kind, quarantine_summary (control->table), &message);
+  send_message (control, host, &message);
+  bytes_clear (&message);
+}
+
+/* As many as one message takes, the next time those behind them. */
+static void
+send_all (struct quarantine_control *control,
+          enum quarantine_message kind,
+          const char *host,
+          int64_t now)
+{
+  struct bytes message;
+  uint32_t n = 0;
+  uint32_t total = 0;
+
+  while (quarantine_at (control->table, total) != NULL)
+    total++;
+  n = total < QUARANTINE_WIRE_MAX ? total : QUARANTINE_WIRE_MAX;
+  bytes_init (&message, NULL);
+  quarantine_write_news (kind, n, &message);
+  for (uint32_t i = 0; i < n; i++)
+    quarantine_write_suspect (quarantine_at (control->table, (control->sent_from + i) % total), now,
+                              &message);
+  control->sent_from = total == 0 ? 0 : (control->sent_from + n) % total;
+  if (n > 0)
+    send_message (control, host, &message);
+  bytes_clear (&message);
+}
+
+/* Of suspects that were written, so many. */
+static void
+write_message (enum quarantine_message kind,
+               const struct bytes *suspects,
+               uint32_t n,
+               struct bytes *out)
+{
+  bytes_init (out, NULL);
+  quarantine_write_news (kind, n, out);
+  bytes_append (out, suspects->data, suspects->length);
+}
+
+/* An entry host's news go to all controllers; the first that takes them passes them on. */
+static void
+tell (struct quarantine_control *control,
+      const struct bytes *suspects,
+      uint32_t n,
+      const char *except,
+      int64_t now)
+{
+  const char *peers[SYNC_HOSTS_MAX];
+  uint32_t n_peers = control->config.peers->ops->list (control->config.peers, peers, now);
+  bool relayed = !control->config.is_entry;
+  struct bytes news;
+  struct bytes relay;
+
+  write_message (QUARANTINE_NEWS, suspects, n, &news);
+  write_message (QUARANTINE_RELAY, suspects, n, &relay);
+  for (uint32_t i = 0; i < n_peers; i++)
+    if (except == NULL || strcmp (peers[i], except) != 0)
+      relayed = send_message (control, peers[i], relayed ? &news : &relay) || relayed;
+  bytes_clear (&news);
+  bytes_clear (&relay);
+}
+
+void
+quarantine_control_tell (struct quarantine_control *control,
+                         struct quarantine_suspect *suspect,
+                         int64_t now)
+{
+  struct bytes written;
+
+  bytes_init (&written, NULL);
+  quarantine_write_suspect (suspect, now, &written);
+  if (!bytes_failed (&written))
+    tell (control, &written, 1, NULL, now);
+  suspect->told = now;
+  bytes_clear (&written);
+}
+
+/* ---- what is believed ---- */
+
+static void
+show_gauges (struct quarantine_control *control)
+{
+  const struct quarantine_suspect *suspect;
+  uint32_t held = 0;
+  uint32_t suspected = 0;
+
+  for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
+    {
+      uint32_t count = quarantine_count (suspect);
+
+      held += count >= QUARANTINE_ENDS ? 1 : 0;
+      suspected += count > 0 && count < QUARANTINE_ENDS ? 1 : 0;
+    }
+  gauge_set (control->held, held);
+  gauge_set (control->suspected, suspected);
+}
+
+static int64_t
+newest_end (const struct quarantine_suspect *suspect)
+{
+  int64_t newest = INT64_MIN;
+
+  for (uint32_t i = 0; i < suspect->n_ends; i++)
+    if (!suspect->ends[i].taken_back && suspect->ends[i].to > newest)
+      newest = suspect->ends[i].to;
+  return newest;
+}
+
+static void
+log_belief (const struct quarantine_suspect *suspect,
+            uint32_t before,
+            const char *source,
+            int64_t now)
+{
+  uint32_t count = quarantine_count (suspect);
+  const char *event = "request-suspected";
+  char content[REQUEST_DIGEST_TEXT];
+
+  if (count == before)
+    return;
+  if (count >= QUARANTINE_ENDS && before < QUARANTINE_ENDS)
+    event = "request-held";
+  else if (count < before)
+    event = count == 0 ? "request-cleared" : "request-suspected-less";
+  request_digest_write (&suspect->digest, content);
+  log_event (LOG_MODULE_FLOW, count >= QUARANTINE_ENDS ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, event,
+             "{s:s,s:s,s:s,s:i,s:i,s:s,s:I,s:I}", "content", content, "organisation",
+             suspect->organisation, "route", suspect->route, "ends", (int) count, "before",
+             (int) before, "source", source, "newest_end_ms",
+             (json_int_t) (count == 0 ? -1 : (now - newest_end (suspect)) / USEC_PER_MSEC),
+             "seen_ms", (json_int_t) ((now - suspect->seen) / USEC_PER_MSEC));
+}
+
+/* NULL: nothing of it was new. */
+static struct quarantine_suspect *
+take (struct quarantine_control *control,
+      const struct quarantine_suspect *from,
+      const char *source,
+      int64_t now)
+{
+  const struct quarantine_suspect *known = quarantine_find (control->table, &from->digest);
+  uint32_t before = known == NULL ? 0 : quarantine_count (known);
+  struct quarantine_suspect *suspect;
+  bool news = quarantine_merge (control->table, from, now, &suspect);
+
+  if (suspect == NULL)
+    {
+      counter_add (control->not_kept, 1);
+      log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "suspect-not-kept", "{s:s,s:s,s:I}",
+                 "organisation", from->organisation, "route", from->route, "seen_ms",
+                 (json_int_t) ((now - from->seen) / USEC_PER_MSEC));
+      return NULL;
+    }
+  if (!news)
+    return NULL;
+  counter_add (control->learnt, 1);
+  log_belief (suspect, before, source, now);
+  show_gauges (control);
+  return suspect;
+}
+
+void
+quarantine_control_learn (struct quarantine_control *control,
+                          const struct quarantine_suspect *learnt,
+                          int64_t now)
+{
+  struct quarantine_suspect *suspect = take (control, learnt, "here", now);
+
+  if (suspect != NULL)
+    quarantine_control_tell (control, suspect, now);
+}
+
+void
+quarantine_control_clear (struct quarantine_control *control,
+                          const struct request_digest *digest,
+                          const char *why,
+                          int64_t now)
+{
+  struct quarantine_suspect *suspect = quarantine_find (control->table, digest);
+  uint32_t before = suspect == NULL ? 0 : quarantine_count (suspect);
+
+  if (suspect == NULL || !quarantine_clear (suspect))
+    return;
+  log_belief (suspect, before, why, now);
+  show_gauges (control);
+  quarantine_control_tell (control, suspect, now);
+}
+
+void
+quarantine_control_take_back (struct quarantine_control *control,
+                              uint64_t incarnation,
+                              const char *why,
+                              int64_t now)
+{
+  struct quarantine_suspect *suspect;
+
+  for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
+    {
+      uint32_t before = quarantine_count (suspect);
+
+      if (!quarantine_take_back (suspect, incarnation))
+        continue;
+      log_belief (suspect, before, why, now);
+      quarantine_control_tell (control, suspect, now);
+    }
+  show_gauges (control);
+}
+
+/* ---- receiving ---- */
+
+/* What is new goes on to whom it was sent to be passed on. */
+static void
+take_news (struct quarantine_control *control,
+           const struct quarantine_said *read,
+           const char *from,
+           int64_t now)
+{
+  struct bytes passed;
+  uint32_t n = 0;
+
+  bytes_init (&passed, NULL);
+  for (uint32_t i = 0; i < read->n; i++)
+    {
+      const struct quarantine_suspect *suspect = take (control, &read->suspects[i], from, now);
+
+      if (suspect == NULL)
+        continue;
+      quarantine_write_suspect (suspect, now, &passed);
+      n++;
+    }
+  if (n > 0 && read->kind == QUARANTINE_RELAY && !control->config.is_entry
+      && !bytes_failed (&passed))
+    tell (control, &passed, n, from, now);
+  bytes_clear (&passed);
+}
+
+static void
+compare (struct quarantine_control *control,
+         const struct quarantine_said *read,
+         const char *from,
+         int64_t now)
+{
+  if (read->summary == quarantine_summary (control->table))
+    return;
+  if (read->kind == QUARANTINE_ANSWER)
+    {
+      send_all (control, QUARANTINE_RELAY, from, now);
+      return;
+    }
+  send_all (control, QUARANTINE_NEWS, from, now);
+  send_summary (control, QUARANTINE_ANSWER, from);
+}
+
+static void
+received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct quarantine_control *control = CONTAINER_OF (listener, struct quarantine_control, listener);
+  struct quarantine_said *read = talloc (control, struct quarantine_said);
+
+  if (read != NULL && quarantine_read (data, length, now, read))
+    {
+      if (read->kind == QUARANTINE_NEWS || read->kind == QUARANTINE_RELAY)
+        take_news (control, read, from, now);
+      else
+        compare (control, read, from, now);
+    }
+  else
+    log_event (LOG_MODULE_PEER, LOG_LEVEL_WARNING, "quarantine-message-refused", "{s:s,s:I}",
+               "from", from, "length", (json_int_t) length);
+  talloc_free (read);
+}
+
+static const struct peer_listener_ops listener_ops = { .received = received };
+
+/* ---- time ---- */
+
+static void
+timer_fired (struct timer *timer, int64_t now)
+{
+  struct quarantine_control *control = CONTAINER_OF (timer, struct quarantine_control, timer);
+  const char *peers[SYNC_HOSTS_MAX];
+  uint32_t n = 0;
+
+  if (!quarantine_is_empty (control->table))
+    {
+      quarantine_expire (control->table, now);
+      show_gauges (control);
+    }
+  if (control->config.is_entry)
+    n = control->config.peers->ops->list (control->config.peers, peers, now);
+  if (n > 0)
+    send_summary (control, QUARANTINE_SUMMARY, peers[control->turn++ % n]);
+  timer_arm (
+      control->config.timers, timer,
+      now + (n == 0 && control->config.is_entry ? QUARANTINE_COMPARE_FIRST : QUARANTINE_COMPARE));
+}
+
+static const struct timer_ops timer_ops = { .fire = timer_fired };
+
+/* ---- dump ---- */
+
+static json_t *
+describe_end (const struct quarantine_end *end, int64_t now)
+{
+  char incarnation[17];
+
+  snprintf (incarnation, sizeof incarnation, "%016llx", (unsigned long long) end->incarnation);
+  return json_pack ("{s:s,s:I,s:b}", "incarnation", incarnation, "ago_ms",
+                    (json_int_t) ((now - end->to) / USEC_PER_MSEC), "taken_back", end->taken_back);
+}
+
+static json_t *
+describe_suspect (const struct quarantine_suspect *suspect, int64_t now)
+{
+  char content[REQUEST_DIGEST_TEXT];
+  json_t *ends = json_array ();
+
+  for (uint32_t i = 0; i < suspect->n_ends; i++)
+    json_array_append_new (ends, describe_end (&suspect->ends[i], now));
+  request_digest_write (&suspect->digest, content);
+  return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:o}", "content", content, "organisation",
+                    suspect->organisation, "route", suspect->route, "verdict",
+                    quarantine_verdict_text (quarantine_judge (suspect, false, now)), "ends",
+                    (int) quarantine_count (suspect), "running", (int) suspect->running, "tries",
+                    (int) suspect->trials, "seen_ms",
+                    (json_int_t) ((now - suspect->seen) / USEC_PER_MSEC), "evidence", ends);
+}
+
+json_t *
+quarantine_control_describe (struct quarantine_control *control, int64_t now)
+{
+  const struct quarantine_suspect *suspect;
+  json_t *out = json_array ();
+
+  for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
+    json_array_append_new (out, describe_suspect (suspect, now));
+  return out;
+}
+
+/* ---- the whole ---- */
+
+static int
+free_control (struct quarantine_control *control)
+{
+  timer_disarm (control->config.timers, &control->timer);
+  return 0;
+}
+
+static void
+take_counters (struct quarantine_control *control)
+{
+  struct counters *counters = control->config.counters;
+
+  control->held = gauge_get (counters, "cherryarch_quarantine_held",
+                             "Requests that are not sent any more.", NULL);
+  control->suspected = gauge_get (counters, "cherryarch_quarantine_suspected",
+                                  "Requests under which a target ended.", NULL);
+  control->learnt = counter_get (counters, "cherryarch_quarantine_learnt_total",
+                                 "Changes of what is known of suspected requests.", NULL);
+  control->not_kept =
+      counter_get (counters, "cherryarch_quarantine_not_kept_total",
+                   "Suspected requests that were too old, or for which there was no room.", NULL);
+  control->messages = counter_get (counters, "cherryarch_quarantine_messages_total",
+                                   "Messages sent about suspected requests.", NULL);
+  control->bytes = counter_get (counters, "cherryarch_quarantine_bytes_total",
+                                "Bytes of messages sent about suspected requests.", NULL);
+}
+
+struct quarantine_control *
+quarantine_control_new (void *parent, const struct quarantine_control_config *config)
+{
+  struct quarantine_control *control = talloc_zero (parent, struct quarantine_control);
+
+  if (control == NULL)
+    return NULL;
+  control->config = *config;
+  control->table = quarantine_new (control);
+  control->listener.ops = &listener_ops;
+  control->timer.ops = &timer_ops;
+  if (control->table == NULL)
+    {
+      talloc_free (control);
+      return NULL;
+    }
+  take_counters (control);
+  config->port->ops->listen (config->port, PEER_CHANNEL_QUARANTINE, &control->listener);
+  timer_arm (config->timers, &control->timer, 0);
+  talloc_set_destructor (control, free_control);
+  return control;
+}
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -12,6 +12,7 @@
 #include "h1_server.h"
 #include "loop.h"
 #include "peer.h"
+#include "quarantine_control.h"
 #include "routing.h"
 
 BEGIN_DECLS
@@ -62,6 +63,7 @@
   struct peer_port *port;
   struct h1_limits limits; /* of our own interfaces; an entry host's clients have the routing's */
   struct h1_handler metrics;
+  struct quarantine_control *quarantine; /* NULL until it is made */
   int exit;
 };
 
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -235,6 +235,17 @@
   subscriber_note_ready (self);
 }
 
+uint32_t
+subscriber_controllers (const struct subscriber *self, const char *out[SYNC_HOSTS_MAX])
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    if (self->controllers[i].in_touch)
+      out[n++] = self->controllers[i].name;
+  return n;
+}
+
 static bool
 any_in_touch (const struct subscriber *self)
 {
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -83,6 +83,11 @@
 /* We are shutting down: tell the controllers now. */
 void subscriber_leave (struct subscriber *subscriber, int64_t now);
 
+/* The controllers in touch, by name; the count.  The names hold until the next message or timer is
+ * handled. */
+uint32_t subscriber_controllers (const struct subscriber *subscriber,
+                                 const char *out[SYNC_HOSTS_MAX]);
+
 /* The entry hosts that may share work, ourselves among them unless we leave.  Holds until the next
  * message or timer is handled. */
 const struct host_view *subscriber_hosts (struct subscriber *subscriber);
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -225,7 +225,7 @@
   struct watched *watched = find (watch, target->id_hash);
 
   /* It has said that it leaves: its connections end with it, whatever ran on them. */
-  if (target->gone)
+  if (target->left)
     return TARGET_FATE_UNKNOWN;
   if (watched == NULL)
     {
@@ -237,7 +237,9 @@
                      "target", target->id, "watched", (int) watch->n);
           return TARGET_FATE_UNKNOWN;
         }
-      begin_probe (watched, now);
+      look_up (watched, now);
+      if (watched->fate == TARGET_FATE_UNKNOWN)
+        begin_probe (watched, now);
       if (!timer_is_armed (&watch->timer))
         timer_arm (loop_timers (watch->config.loop), &watch->timer, now + TARGET_WATCH_PERIOD);
     }
--- /dev/null
+++ b/tests/unit_quarantine.cc
@@ -0,0 +1,348 @@
+// The table of requests that end targets: how what is known merges, and what follows from it.
+#include "quarantine.h"
+#include "quarantine_wire.h"
+#include "rng.h"
+#include <algorithm>
+#include <cstdio>
+#include <gtest/gtest.h>
+#include <string>
+#include <talloc.h>
+#include <vector>
+
+namespace
+{
+
+const int64_t START = 7 * QUARANTINE_KEEP;
+const int64_t RUN = 30 * USEC_PER_MSEC;
+
+// What one host learns of one end: the run before it took so long.
+struct quarantine_suspect
+learnt (int request,
+        uint64_t incarnation,
+        int64_t at,
+        int64_t took = RUN,
+        const char *organisation = "org")
+{
+  struct quarantine_suspect suspect = {};
+
+  memcpy (suspect.digest.bytes, &request, sizeof request);
+  snprintf (suspect.organisation, sizeof suspect.organisation, "%s", organisation);
+  snprintf (suspect.route, sizeof suspect.route, "r");
+  suspect.seen = at;
+  suspect.n_ends = 1;
+  suspect.ends[0].incarnation = incarnation;
+  suspect.ends[0].from = at - std::min (took, QUARANTINE_INSTANT);
+  suspect.ends[0].to = at;
+  return suspect;
+}
+
+class Quarantine : public ::testing::Test
+{
+protected:
+  ~Quarantine () override
+  {
+    talloc_free (parent);
+  }
+
+  struct quarantine *
+  make ()
+  {
+    return quarantine_new (parent);
+  }
+
+  struct quarantine_suspect *
+  add (const struct quarantine_suspect &of)
+  {
+    struct quarantine_suspect *out;
+
+    quarantine_merge (table, &of, of.seen, &out);
+    return out;
+  }
+
+  // Three ends, one after the other; the time of the last.
+  int64_t
+  hold (int request, const char *organisation = "org")
+  {
+    for (int i = 0; i < QUARANTINE_ENDS; i++)
+      add (learnt (request, static_cast<uint64_t> (10 * request + i), START + i * USEC_PER_SEC, RUN,
+                   organisation));
+    return START + (QUARANTINE_ENDS - 1) * USEC_PER_SEC;
+  }
+
+  enum quarantine_verdict
+  judge (int request, int64_t now, bool here = false)
+  {
+    struct quarantine_suspect of = learnt (request, 0, now);
+
+    return quarantine_judge (quarantine_find (table, &of.digest), here, now);
+  }
+
+  uint32_t
+  count (int request)
+  {
+    struct quarantine_suspect of = learnt (request, 0, START);
+    struct quarantine_suspect *suspect = quarantine_find (table, &of.digest);
+
+    return suspect == nullptr ? 0 : quarantine_count (suspect);
+  }
+
+  void *parent = talloc_new (nullptr);
+  struct quarantine *table = quarantine_new (parent);
+};
+
+TEST_F (Quarantine, HoldsARequestUnderWhichThreeTargetsEnded)
+{
+  EXPECT_EQ (judge (1, START), QUARANTINE_PASS);
+  add (learnt (1, 11, START));
+  EXPECT_EQ (judge (1, START), QUARANTINE_APART);
+  struct quarantine_suspect *suspect = add (learnt (1, 12, START + USEC_PER_SEC));
+
+  EXPECT_EQ (judge (1, START + USEC_PER_SEC), QUARANTINE_APART);
+  suspect->running = 1;
+  EXPECT_EQ (judge (1, START + USEC_PER_SEC), QUARANTINE_WAIT);
+  add (learnt (1, 13, START + 2 * USEC_PER_SEC));
+  EXPECT_EQ (judge (1, START + 2 * USEC_PER_SEC), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (2, START + 2 * USEC_PER_SEC), QUARANTINE_PASS);
+}
+
+// One target ends, and several hosts tell of it.
+TEST_F (Quarantine, CountsAnIncarnationOnce)
+{
+  for (int i = 0; i < 9; i++)
+    add (learnt (1, 11, START + i * USEC_PER_SEC));
+  EXPECT_EQ (count (1), 1u);
+}
+
+// A rack loses power while copies of a popular request run on all of its targets: one cause.
+TEST_F (Quarantine, CountsTargetsThatEndTogetherOnce)
+{
+  for (uint64_t i = 0; i < 6; i++)
+    add (learnt (1, 10 + i, START + static_cast<int64_t> (i) * USEC_PER_MSEC, USEC_PER_SEC));
+  EXPECT_EQ (count (1), 1u);
+  EXPECT_EQ (judge (1, START), QUARANTINE_APART);
+}
+
+// A client that comes again at once, to targets that end within milliseconds.
+TEST_F (Quarantine, CountsRunsOneAfterTheOther)
+{
+  for (uint64_t i = 0; i < 3; i++)
+    add (learnt (1, 10 + i, START + static_cast<int64_t> (i) * 2 * USEC_PER_MSEC, USEC_PER_MSEC));
+  EXPECT_EQ (count (1), 3u);
+}
+
+// Runs overlap, and targets end at moments that have nothing to do with each other.
+TEST_F (Quarantine, CountsEndsThatAreFarApart)
+{
+  for (uint64_t i = 0; i < 3; i++)
+    add (learnt (1, 10 + i, START + static_cast<int64_t> (i) * 2 * QUARANTINE_INSTANT,
+                 5 * USEC_PER_SEC));
+  EXPECT_EQ (count (1), 3u);
+}
+
+// A target whose machine is silent is known to have ended some seconds later: at any moment since.
+TEST_F (Quarantine, CountsSilentTargetsOnce)
+{
+  for (uint64_t i = 0; i < 3; i++)
+    {
+      struct quarantine_suspect silent =
+          learnt (1, 10 + i, START + static_cast<int64_t> (i) * USEC_PER_SEC);
+
+      silent.ends[0].from = START - 3 * USEC_PER_SEC;
+      add (silent);
+    }
+  EXPECT_EQ (count (1), 1u);
+}
+
+// What one of several requests beside each other does is put down to all of them until a whole
+// answer clears one; what was learnt before does not come back with late news.
+TEST_F (Quarantine, AWholeAnswerClearsForGood)
+{
+  int64_t now = hold (1);
+  struct quarantine_suspect of = learnt (1, 0, now);
+
+  EXPECT_TRUE (quarantine_clear (quarantine_find (table, &of.digest)));
+  EXPECT_EQ (judge (1, now), QUARANTINE_PASS);
+  hold (1);
+  EXPECT_EQ (judge (1, now), QUARANTINE_PASS);
+  add (learnt (1, 99, now + USEC_PER_SEC));
+  EXPECT_EQ (judge (1, now + USEC_PER_SEC), QUARANTINE_APART);
+}
+
+TEST_F (Quarantine, TakesBackTheEndOfATargetThatLives)
+{
+  int64_t now = hold (1);
+  struct quarantine_suspect of = learnt (1, 0, now);
+
+  EXPECT_TRUE (quarantine_take_back (quarantine_find (table, &of.digest), 11));
+  EXPECT_EQ (count (1), 2u);
+  EXPECT_FALSE (quarantine_take_back (quarantine_find (table, &of.digest), 11));
+}
+
+// Hosts hear the same things in any order, some of them often: they must come to the same belief.
+TEST_F (Quarantine, MergesInAnyOrderAnyNumberOfTimes)
+{
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      struct rng rng;
+      std::vector<struct quarantine_suspect> news;
+
+      rng_init (&rng, seed);
+      for (int i = 0; i < 12; i++)
+        {
+          struct quarantine_suspect one =
+              learnt (static_cast<int> (rng_below (&rng, 3)), 1 + rng_below (&rng, 5),
+                      START + static_cast<int64_t> (rng_below (&rng, 5)) * USEC_PER_SEC);
+
+          // One incarnation has one end, whoever tells of it.
+          one.ends[0].to = START + static_cast<int64_t> (one.ends[0].incarnation) * USEC_PER_SEC;
+          one.ends[0].from = one.ends[0].to - RUN;
+          one.ends[0].taken_back = rng_below (&rng, 4) == 0;
+          news.push_back (one);
+        }
+      std::vector<struct quarantine *> tables = { make (), make () };
+
+      for (struct quarantine *of : tables)
+        {
+          std::vector<struct quarantine_suspect> heard = news;
+
+          for (int i = 0; i < 6; i++)
+            heard.push_back (news[rng_below (&rng, news.size ())]);
+          for (size_t i = heard.size (); i > 1; i--)
+            std::swap (heard[i - 1], heard[rng_below (&rng, i)]);
+          // Each is heard whole in the end.
+          heard.insert (heard.end (), news.begin (), news.end ());
+          for (const auto &one : heard)
+            {
+              struct quarantine_suspect *out;
+
+              quarantine_merge (of, &one, START, &out);
+            }
+        }
+      ASSERT_EQ (quarantine_summary (tables[0]), quarantine_summary (tables[1])) << seed;
+      for (const auto &one : news)
+        ASSERT_EQ (quarantine_count (quarantine_find (tables[0], &one.digest)),
+                   quarantine_count (quarantine_find (tables[1], &one.digest)))
+            << seed;
+    }
+}
+
+// An organisation that invents requests takes nobody else's place, and no place of what is held.
+TEST_F (Quarantine, KeepsWhatIsHeldHoweverManyAreInvented)
+{
+  hold (1, "other");
+  hold (2, "many");
+  for (int i = 0; i < 3 * QUARANTINE_OF_ONE_MAX; i++)
+    add (learnt (100 + i, 5000 + static_cast<uint64_t> (i), START + 3 * USEC_PER_SEC + i, RUN,
+                 "many"));
+  EXPECT_EQ (judge (1, START + 4 * USEC_PER_SEC), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (2, START + 4 * USEC_PER_SEC), QUARANTINE_REFUSE);
+  for (int i = 0; i < 2 * QUARANTINE_SUSPECTS_MAX; i++)
+    add (learnt (1000 + i, 9000 + static_cast<uint64_t> (i), START + 3 * USEC_PER_SEC + i, RUN,
+                 std::to_string (i % 50).c_str ()));
+  EXPECT_EQ (judge (1, START + 4 * USEC_PER_SEC), QUARANTINE_REFUSE);
+  uint32_t n = 0;
+
+  while (quarantine_at (table, n) != nullptr)
+    n++;
+  EXPECT_EQ (n, static_cast<uint32_t> (QUARANTINE_SUSPECTS_MAX));
+}
+
+// What ended targets long ago, by a fault that may be mended, is tried again, twice at most.
+TEST_F (Quarantine, TriesAgainTwice)
+{
+  int64_t now = hold (1);
+
+  EXPECT_EQ (judge (1, now + QUARANTINE_TRIAL - 1, true), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (1, now + QUARANTINE_TRIAL, false), QUARANTINE_REFUSE);
+  for (uint32_t i = 0; i < QUARANTINE_TRIALS_MAX; i++)
+    {
+      now += QUARANTINE_TRIAL << i;
+      ASSERT_EQ (judge (1, now, true), QUARANTINE_TRY);
+      struct quarantine_suspect tried = learnt (1, 10, now);
+
+      tried.trials = i + 1;
+      tried.tried = now;
+      add (tried);
+      EXPECT_EQ (judge (1, now, true), QUARANTINE_REFUSE);
+    }
+  EXPECT_EQ (judge (1, now + 100 * QUARANTINE_TRIAL, true), QUARANTINE_REFUSE);
+}
+
+TEST_F (Quarantine, ForgetsWhatNobodySends)
+{
+  hold (1);
+  quarantine_expire (table, START + QUARANTINE_KEEP - 1);
+  EXPECT_EQ (count (1), 3u);
+  quarantine_at (table, 0)->seen = START + USEC_PER_SEC;
+  quarantine_expire (table, START + QUARANTINE_KEEP);
+  EXPECT_EQ (count (1), 3u);
+  quarantine_expire (table, START + USEC_PER_SEC + QUARANTINE_KEEP);
+  EXPECT_TRUE (quarantine_is_empty (table));
+}
+
+// ---- messages ----
+
+TEST_F (Quarantine, IsReadAsItIsWritten)
+{
+  int64_t now = hold (1) + USEC_PER_SEC;
+  struct quarantine_suspect *suspect = quarantine_at (table, 0);
+  struct quarantine_said read;
+  struct bytes message;
+
+  suspect->ends[1].taken_back = true;
+  suspect->trials = 1;
+  suspect->tried = now - 5;
+  bytes_init (&message, parent);
+  quarantine_write_news (QUARANTINE_RELAY, 1, &message);
+  quarantine_write_suspect (suspect, now, &message);
+  // Read on a host whose clock shows something else.
+  ASSERT_TRUE (quarantine_read (message.data, message.length, now + 77, &read));
+  ASSERT_EQ (read.n, 1u);
+  EXPECT_EQ (read.kind, QUARANTINE_RELAY);
+  EXPECT_TRUE (request_digest_equal (&read.suspects[0].digest, &suspect->digest));
+  EXPECT_STREQ (read.suspects[0].organisation, "org");
+  EXPECT_STREQ (read.suspects[0].route, "r");
+  EXPECT_EQ (read.suspects[0].seen, suspect->seen + 77);
+  EXPECT_EQ (read.suspects[0].trials, 1u);
+  EXPECT_EQ (read.suspects[0].tried, suspect->tried + 77);
+  ASSERT_EQ (read.suspects[0].n_ends, 3u);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (read.suspects[0].ends[i].incarnation, suspect->ends[i].incarnation);
+      EXPECT_EQ (read.suspects[0].ends[i].from, suspect->ends[i].from + 77);
+      EXPECT_EQ (read.suspects[0].ends[i].to, suspect->ends[i].to + 77);
+      EXPECT_EQ (read.suspects[0].ends[i].taken_back, suspect->ends[i].taken_back);
+    }
+}
+
+// A message that was cut or damaged on the way is refused, or reads as some message: never more
+// than was sent, and nothing outside it.
+TEST_F (Quarantine, ReadsNoDamagedMessage)
+{
+  struct quarantine_said read;
+  struct bytes message;
+  struct rng rng;
+
+  hold (1);
+  bytes_init (&message, parent);
+  quarantine_write_news (QUARANTINE_NEWS, 1, &message);
+  quarantine_write_suspect (quarantine_at (table, 0), START, &message);
+  for (size_t i = 0; i < message.length; i++)
+    EXPECT_FALSE (quarantine_read (message.data, i, START, &read)) << i;
+  EXPECT_FALSE (quarantine_read ("\x05\x00", 2, START, &read));
+  rng_init (&rng, 1);
+  for (int i = 0; i < 20000; i++)
+    {
+      std::string damaged (message.data, message.length);
+
+      damaged[rng_below (&rng, damaged.size ())] = static_cast<char> (rng_below (&rng, 256));
+      if (quarantine_read (damaged.data (), damaged.size (), START, &read))
+        {
+          EXPECT_LE (read.n, static_cast<uint32_t> (QUARANTINE_WIRE_MAX));
+          for (uint32_t j = 0; j < read.n; j++)
+            EXPECT_LE (read.suspects[j].n_ends, static_cast<uint32_t> (QUARANTINE_ENDS_KEPT));
+        }
+    }
+}
+
+}
