--- /dev/null
+++ b/bench/cmd_quarantine.c
@@ -0,0 +1,119 @@
+/* quarantine: what requests that end their targets do to fleets of growing size, on virtual time.
+ *
+ *   quarantine [--seconds N] [--seeds N] [--rate N] */
+#include "quarantine_fleet.h"
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct options
+{
+  uint32_t seconds;
+  uint32_t seeds;
+  double rate;
+};
+
+static const struct argp_option argp_options[] = {
+  { "seconds", 's', "N", 0, "virtual time of each play (40)", 0 },
+  { "seeds", 'k', "N", 0, "plays of each kind (10)", 0 },
+  { "rate", 'r', "N", 0, "arrivals a second of each request that ends targets (8)", 0 },
+  { 0 },
+};
+
+static error_t
+parse (int key, char *value, struct argp_state *state)
+{
+  struct options *options = state->input;
+
+  switch (key)
+    {
+    case 's':
+      options->seconds = (uint32_t) strtoul (value, NULL, 10);
+      return 0;
+    case 'k':
+      options->seeds = (uint32_t) strtoul (value, NULL, 10);
+      return 0;
+    case 'r':
+      options->rate = strtod (value, NULL);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct
+{
+  const char *name;
+  struct quarantine_fleet_config config;
+} plays[] = {
+  { "one, not held back", { .bad = 1, .bad_run = 100 * USEC_PER_MSEC } },
+  { "one", { .holds_back = true, .bad = 1, .bad_run = 100 * USEC_PER_MSEC } },
+  { "one, slow to end", { .holds_back = true, .bad = 1, .bad_run = 900 * USEC_PER_MSEC } },
+  { "three, restarts, cuts",
+    { .holds_back = true, .bad = 3, .bad_run = 300 * USEC_PER_MSEC, .restarts = 6, .cuts = 6 } },
+  { "none, power cuts", { .holds_back = true, .power_cuts = 6 } },
+  { "none, runs reset", { .holds_back = true, .resets = 0.6 } },
+};
+
+static const uint32_t sizes[] = { 3, 9, 30, 100, 300 };
+
+static void
+play (const struct options *options, const char *name, struct quarantine_fleet_config config)
+{
+  struct quarantine_fleet_figures sum = { .ends = 0 };
+
+  for (uint32_t i = 1; i <= options->seeds; i++)
+    {
+      struct quarantine_fleet_figures one;
+
+      config.seed = i;
+      if (!quarantine_fleet_play (&config, &one))
+        {
+          fprintf (stderr, "out of memory\n");
+          exit (EXIT_FAILURE);
+        }
+      sum.ends += one.ends;
+      sum.late_most = one.late_most > sum.late_most ? one.late_most : sum.late_most;
+      sum.sound += one.sound;
+      sum.sound_lost += one.sound_lost;
+      sum.sound_held += one.sound_held;
+      sum.sound_asked_to_wait += one.sound_asked_to_wait;
+      sum.messages += one.messages / options->seeds;
+      sum.bytes += one.bytes / options->seeds;
+      sum.burst = one.burst > sum.burst ? one.burst : sum.burst;
+      sum.memory = one.memory > sum.memory ? one.memory : sum.memory;
+    }
+  printf ("%-22s %5u %6.1f %5u %8.4f %5u %5u %7.2f %7.0f %8.0f %7u\n", name, config.hosts,
+          (double) sum.ends / options->seeds, sum.late_most, (double) sum.sound_lost / sum.sound,
+          sum.sound_held, sum.sound_asked_to_wait, sum.messages, sum.bytes, sum.burst, sum.memory);
+}
+
+int
+main (int argc, char **argv)
+{
+  const struct argp parser = { .options = argp_options,
+                               .parser = parse,
+                               .doc =
+                                   "Requests that end their targets, in fleets on virtual time." };
+  struct options options = { .seconds = 40, .seeds = 10, .rate = 8 };
+
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  argp_parse (&parser, argc, argv, 0, NULL, &options);
+  printf ("%-22s %5s %6s %5s %8s %5s %5s %7s %7s %8s %7s\n", "play", "hosts", "ends", "late",
+          "lost", "held", "wait", "msg/s", "B/s", "burst B", "table B");
+  for (size_t i = 0; i < sizeof plays / sizeof plays[0]; i++)
+    for (size_t j = 0; j < sizeof sizes / sizeof sizes[0]; j++)
+      {
+        struct quarantine_fleet_config config = plays[i].config;
+
+        config.hosts = sizes[j];
+        config.controllers = sizes[j] < 100 ? 3 : 9;
+        config.targets = 2 * sizes[j] < 12 ? 12 : 2 * sizes[j];
+        config.span = options.seconds * USEC_PER_SEC;
+        config.bad_rate = options.rate;
+        config.sound_rate = 5.0 * sizes[j];
+        config.popular = 0.1;
+        play (&options, plays[i].name, config);
+      }
+  return EXIT_SUCCESS;
+}
--- a/src/cli.h
+++ b/src/cli.h
@@ -41,6 +41,7 @@
 /* The commands, one a file. */
 enum cli_exit cli_check (int argc, char **argv);
 enum cli_exit cli_dump (int argc, char **argv);
+enum cli_exit cli_quarantine (int argc, char **argv);
 enum cli_exit cli_watch (int argc, char **argv);
 enum cli_exit cli_delete (int argc, char **argv);
 enum cli_exit cli_apply (int argc, char **argv);
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -68,13 +68,13 @@
 /* Of the valid ends that had not begun when `before` was over, the one that is over first; NULL
  * when there is none. */
 static const struct quarantine_end *
-next_end (const struct quarantine_suspect *suspect, const struct quarantine_end *before)
+next_end (const struct quarantine_end *ends, uint32_t n, const struct quarantine_end *before)
 {
   const struct quarantine_end *next = NULL;
 
-  for (uint32_t i = 0; i < suspect->n_ends; i++)
+  for (uint32_t i = 0; i < n; i++)
     {
-      const struct quarantine_end *end = &suspect->ends[i];
+      const struct quarantine_end *end = &ends[i];
       bool meets = before != NULL
                    && (end->from < before->to - QUARANTINE_DATES_DIFFER || end->to <= before->to);
 
@@ -84,18 +84,35 @@
   return next;
 }
 
-/* The most spans of which none meets another: each time the one that is over first. */
-uint32_t
-quarantine_count (const struct quarantine_suspect *suspect)
+/* The most spans from `first` on of which none meets another: each time the one that is over first.
+ */
+static uint32_t
+count_from (const struct quarantine_suspect *suspect, const struct quarantine_end *first)
 {
-  const struct quarantine_end *end = NULL;
+  const struct quarantine_end *end = first;
   uint32_t n = 0;
 
-  while ((end = next_end (suspect, end)) != NULL)
-    n++;
+  for (; end != NULL && end->to - first->to <= QUARANTINE_WINDOW; n++)
+    end = next_end (suspect->ends, suspect->n_ends, end);
   return n;
 }
 
+uint32_t
+quarantine_count (const struct quarantine_suspect *suspect, int64_t now)
+{
+  uint32_t most = 0;
+
+  for (uint32_t i = 0; i < suspect->n_ends; i++)
+    {
+      const struct quarantine_end *first = &suspect->ends[i];
+      uint32_t n = first->taken_back ? 0 : count_from (suspect, first);
+
+      if (n > most && (n >= QUARANTINE_ENDS || now - first->to <= QUARANTINE_WINDOW))
+        most = n;
+    }
+  return most;
+}
+
 static struct quarantine_end *
 find_end (struct quarantine_suspect *suspect, uint64_t incarnation)
 {
@@ -105,19 +122,50 @@
   return NULL;
 }
 
-/* The place for another end: in that of the oldest one that was taken back, where all are taken.
- * More valid ones than are kept would change no verdict. */
-static struct quarantine_end *
-place_for_end (struct quarantine_suspect *suspect)
+/* Which of these ends is needed least: the oldest one that was taken back, else the oldest one that
+ * is not counted.  Whoever knows the same ends gives up the same one. */
+static uint32_t
+least_needed (const struct quarantine_end *ends, uint32_t n)
+{
+  const struct quarantine_end *counted = next_end (ends, n, NULL);
+  const struct quarantine_end *least = NULL;
+
+  for (uint32_t i = 0; i < n; i++)
+    if (ends[i].taken_back && (least == NULL || ends[i].to < least->to))
+      least = &ends[i];
+  if (least != NULL)
+    return (uint32_t) (least - ends);
+  for (; counted != NULL; counted = next_end (ends, n, counted))
+    for (uint32_t i = 0; i < n; i++)
+      {
+        const struct quarantine_end *after = next_end (ends, n, counted);
+        bool between = ends[i].to > counted->to && (after == NULL || ends[i].to < after->to);
+
+        if (between && (least == NULL || ends[i].to < least->to))
+          least = &ends[i];
+      }
+  return least == NULL ? n - 1 : (uint32_t) (least - ends);
+}
+
+/* False when it is the one that is needed least. */
+static bool
+add_end (struct quarantine_suspect *suspect, const struct quarantine_end *from)
 {
-  struct quarantine_end *oldest = NULL;
+  struct quarantine_end ends[QUARANTINE_ENDS_KEPT + 1];
+  uint32_t least;
 
   if (suspect->n_ends < QUARANTINE_ENDS_KEPT)
-    return &suspect->ends[suspect->n_ends++];
-  for (uint32_t i = 0; i < suspect->n_ends; i++)
-    if (suspect->ends[i].taken_back && (oldest == NULL || suspect->ends[i].to < oldest->to))
-      oldest = &suspect->ends[i];
-  return oldest;
+    {
+      suspect->ends[suspect->n_ends++] = *from;
+      return true;
+    }
+  memcpy (ends, suspect->ends, sizeof suspect->ends);
+  ends[QUARANTINE_ENDS_KEPT] = *from;
+  least = least_needed (ends, QUARANTINE_ENDS_KEPT + 1);
+  if (least == QUARANTINE_ENDS_KEPT)
+    return false;
+  suspect->ends[least] = *from;
+  return true;
 }
 
 static bool
@@ -132,13 +180,7 @@
       end->taken_back = end->taken_back || from->taken_back;
       return news;
     }
-  if (from->taken_back && suspect->n_ends == QUARANTINE_ENDS_KEPT)
-    return false;
-  end = place_for_end (suspect);
-  if (end == NULL)
-    return false;
-  *end = *from;
-  return true;
+  return add_end (suspect, from);
 }
 
 bool
@@ -176,7 +218,7 @@
 /* Who gives up its place: of those that may still be sent the one with the fewest ends, and of
  * those the one that was not seen for the longest time. */
 static struct quarantine_suspect *
-least_suspected (struct quarantine *quarantine, const char *organisation)
+least_suspected (struct quarantine *quarantine, const char *organisation, int64_t now)
 {
   struct quarantine_suspect *least = NULL;
   uint32_t least_count = QUARANTINE_ENDS;
@@ -184,7 +226,7 @@
   for (uint32_t i = 0; i < quarantine->n; i++)
     {
       struct quarantine_suspect *suspect = &quarantine->suspects[i];
-      uint32_t count = quarantine_count (suspect);
+      uint32_t count = quarantine_count (suspect, now);
 
       if (organisation != NULL && strcmp (suspect->organisation, organisation) != 0)
         continue;
@@ -225,14 +267,14 @@
 }
 
 static bool
-make_room (struct quarantine *quarantine, const char *organisation)
+make_room (struct quarantine *quarantine, const char *organisation, int64_t now)
 {
   struct quarantine_suspect *least = NULL;
 
   if (count_of (quarantine, organisation) >= QUARANTINE_OF_ONE_MAX)
-    least = least_suspected (quarantine, organisation);
+    least = least_suspected (quarantine, organisation, now);
   else if (quarantine->n >= QUARANTINE_SUSPECTS_MAX)
-    least = least_suspected (quarantine, NULL);
+    least = least_suspected (quarantine, NULL, now);
   else
     return grow (quarantine);
   if (least == NULL)
@@ -243,7 +285,10 @@
 
 /* One that was not suspected, and nothing that is known of it yet. */
 static bool
-add (struct quarantine *quarantine, const struct quarantine_suspect *from, uint32_t *place)
+add (struct quarantine *quarantine,
+     const struct quarantine_suspect *from,
+     int64_t now,
+     uint32_t *place)
 {
   struct quarantine_suspect fresh = *from;
 
@@ -251,7 +296,8 @@
   fresh.trials = 0;
   fresh.running = 0;
   fresh.told = 0;
-  if (!make_room (quarantine, from->organisation))
+  fresh.to_be_told = false;
+  if (!make_room (quarantine, from->organisation, now))
     return false;
   *place = quarantine->n++;
   quarantine->suspects[*place] = fresh;
@@ -270,7 +316,7 @@
 
   *out = NULL;
   if (now - from->seen >= QUARANTINE_KEEP
-      || (place == quarantine->n && !add (quarantine, from, &place)))
+      || (place == quarantine->n && !add (quarantine, from, now, &place)))
     return false;
   suspect = &quarantine->suspects[place];
   for (uint32_t i = 0; i < from->n_ends; i++)
@@ -328,7 +374,7 @@
 enum quarantine_verdict
 quarantine_judge (const struct quarantine_suspect *suspect, bool tries_here, int64_t now)
 {
-  uint32_t count = suspect == NULL ? 0 : quarantine_count (suspect);
+  uint32_t count = suspect == NULL ? 0 : quarantine_count (suspect, now);
 
   if (count == 0)
     return QUARANTINE_PASS;
@@ -341,8 +387,14 @@
 
 /* ---- comparing tables ---- */
 
+bool
+quarantine_is_shared (const struct quarantine_suspect *suspect)
+{
+  return suspect->n_ends >= 2;
+}
+
 uint64_t
-quarantine_summary (const struct quarantine *quarantine)
+quarantine_summary (const struct quarantine *quarantine, int64_t now)
 {
   uint64_t summary = 0;
 
@@ -350,7 +402,7 @@
     {
       const struct quarantine_suspect *suspect = &quarantine->suspects[i];
 
-      for (uint32_t j = 0; j < suspect->n_ends; j++)
+      for (uint32_t j = 0; j < suspect->n_ends && quarantine_count (suspect, now) >= 2; j++)
         if (!suspect->ends[j].taken_back)
           summary ^= XXH3_64bits_withSeed (suspect->digest.bytes, REQUEST_DIGEST_SIZE,
                                            suspect->ends[j].incarnation + suspect->trials);
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -44,6 +44,10 @@
 /* Of a run that began when another one was over, the dates of two hosts may differ by this. */
 #define QUARANTINE_DATES_DIFFER (20 * USEC_PER_MSEC)
 
+/* Ends further apart than this say nothing together: a request that is sent all day is on some
+ * target whenever one ends. */
+#define QUARANTINE_WINDOW (600 * USEC_PER_SEC)
+
 /* One that is not sent any more gets another try so long after its last end or try, doubled with
  * each try; and so many tries in all. */
 #define QUARANTINE_TRIAL (600 * USEC_PER_SEC)
@@ -74,6 +78,7 @@
   /* Not told to others. */
   uint32_t running; /* on this host */
   int64_t told;     /* when others were last told of it */
+  bool to_be_told;  /* soon */
 };
 
 struct quarantine;
@@ -99,8 +104,9 @@
 /* The suspects in turn, from 0; NULL behind the last. */
 struct quarantine_suspect *quarantine_at (struct quarantine *quarantine, uint32_t place);
 
-/* How many of its ends cannot have had one cause. */
-uint32_t quarantine_count (const struct quarantine_suspect *suspect);
+/* How many of its ends cannot have had one cause and lie within QUARANTINE_WINDOW: until now, or,
+ * where it is QUARANTINE_ENDS or more, at any time. */
+uint32_t quarantine_count (const struct quarantine_suspect *suspect, int64_t now);
 
 /* name, text */
 #define QUARANTINE_VERDICT_LIST(X)                                                                 \
@@ -135,8 +141,12 @@
 /* Forget what nobody sends any more. */
 void quarantine_expire (struct quarantine *quarantine, int64_t now);
 
-/* The same for all that know the same valid ends and tries. */
-uint64_t quarantine_summary (const struct quarantine *quarantine);
+/* Is it worth telling every entry host?  When a host of targets loses power, hundreds of requests
+ * have one end each; only controllers, to whom all ends come, need to know of those. */
+bool quarantine_is_shared (const struct quarantine_suspect *suspect);
+
+/* The same for all that know the same of what is worth telling. */
+uint64_t quarantine_summary (const struct quarantine *quarantine, int64_t now);
 
 END_DECLS
 
--- a/src/quarantine_control.c
+++ b/src/quarantine_control.c
@@ -12,9 +12,10 @@
   struct quarantine_control_config config;
   struct quarantine *table;
   struct peer_listener listener;
-  struct timer timer;
+  struct timer timer; /* compares */
+  struct timer tell_timer;
   uint32_t turn;        /* of the controllers, in comparing */
-  uint32_t sent_from;   /* the first suspect of the next message of all */
+  uint32_t next_sent;   /* the first suspect of the next message of all */
   struct counter *held; /* requests that are not sent any more */
   struct counter *suspected;
   struct counter *learnt;
@@ -45,60 +46,65 @@
 }
 
 static void
-send_summary (struct quarantine_control *control, enum quarantine_message kind, const char *host)
+send_summary (struct quarantine_control *control,
+              enum quarantine_message kind,
+              const char *host,
+              int64_t now)
 {
   struct bytes message;
 
   bytes_init (&message, NULL);
-  quarantine_write_summary (kind, quarantine_summary (control->table), &message);
+  quarantine_write_summary (kind, quarantine_summary (control->table, now), &message);
   send_message (control, host, &message);
   bytes_clear (&message);
 }
 
-/* As many as one message takes, the next time those behind them. */
+/* Of suspects that were written, so many. */
+static void
+write_message (enum quarantine_message kind,
+               const struct bytes *suspects,
+               uint32_t n,
+               struct bytes *out)
+{
+  bytes_init (out, NULL);
+  quarantine_write_news (kind, n, out);
+  bytes_append (out, suspects->data, suspects->length);
+}
+
+/* What is worth telling: as much as one message takes, the next time what is behind it. */
 static void
 send_all (struct quarantine_control *control,
           enum quarantine_message kind,
           const char *host,
           int64_t now)
 {
+  struct quarantine_suspect *suspect;
+  struct bytes written;
   struct bytes message;
   uint32_t n = 0;
-  uint32_t total = 0;
 
-  while (quarantine_at (control->table, total) != NULL)
-    total++;
-  n = total < QUARANTINE_WIRE_MAX ? total : QUARANTINE_WIRE_MAX;
-  bytes_init (&message, NULL);
-  quarantine_write_news (kind, n, &message);
-  for (uint32_t i = 0; i < n; i++)
-    quarantine_write_suspect (quarantine_at (control->table, (control->sent_from + i) % total), now,
-                              &message);
-  control->sent_from = total == 0 ? 0 : (control->sent_from + n) % total;
-  if (n > 0)
+  bytes_init (&written, NULL);
+  while (n < QUARANTINE_WIRE_MAX
+         && (suspect = quarantine_at (control->table, control->next_sent)) != NULL)
+    {
+      control->next_sent++;
+      if (!quarantine_is_shared (suspect))
+        continue;
+      quarantine_write_suspect (suspect, now, &written);
+      n++;
+    }
+  if (quarantine_at (control->table, control->next_sent) == NULL)
+    control->next_sent = 0;
+  write_message (kind, &written, n, &message);
+  if (n > 0 && !bytes_failed (&written))
     send_message (control, host, &message);
   bytes_clear (&message);
-}
-
-/* Of suspects that were written, so many. */
-static void
-write_message (enum quarantine_message kind,
-               const struct bytes *suspects,
-               uint32_t n,
-               struct bytes *out)
-{
-  bytes_init (out, NULL);
-  quarantine_write_news (kind, n, out);
-  bytes_append (out, suspects->data, suspects->length);
+  bytes_clear (&written);
 }
 
 /* An entry host's news go to all controllers; the first that takes them passes them on. */
 static void
-tell (struct quarantine_control *control,
-      const struct bytes *suspects,
-      uint32_t n,
-      const char *except,
-      int64_t now)
+tell (struct quarantine_control *control, const struct bytes *suspects, uint32_t n, int64_t now)
 {
   const char *peers[SYNC_HOSTS_MAX];
   uint32_t n_peers = control->config.peers->ops->list (control->config.peers, peers, now);
@@ -109,31 +115,56 @@
   write_message (QUARANTINE_NEWS, suspects, n, &news);
   write_message (QUARANTINE_RELAY, suspects, n, &relay);
   for (uint32_t i = 0; i < n_peers; i++)
-    if (except == NULL || strcmp (peers[i], except) != 0)
-      relayed = send_message (control, peers[i], relayed ? &news : &relay) || relayed;
+    relayed = send_message (control, peers[i], relayed ? &news : &relay) || relayed;
   bytes_clear (&news);
   bytes_clear (&relay);
 }
 
-void
-quarantine_control_tell (struct quarantine_control *control,
-                         struct quarantine_suspect *suspect,
-                         int64_t now)
+/* As much as one message takes. */
+static void
+tell_fired (struct timer *timer, int64_t now)
 {
+  struct quarantine_control *control = CONTAINER_OF (timer, struct quarantine_control, tell_timer);
+  struct quarantine_suspect *suspect;
   struct bytes written;
+  uint32_t n = 0;
 
   bytes_init (&written, NULL);
-  quarantine_write_suspect (suspect, now, &written);
-  if (!bytes_failed (&written))
-    tell (control, &written, 1, NULL, now);
-  suspect->told = now;
+  for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
+    {
+      if (!suspect->to_be_told)
+        continue;
+      if (n == QUARANTINE_WIRE_MAX)
+        {
+          timer_arm (control->config.timers, timer, now + QUARANTINE_TELL);
+          break;
+        }
+      suspect->to_be_told = false;
+      suspect->told = now;
+      quarantine_write_suspect (suspect, now, &written);
+      n++;
+    }
+  if (n > 0 && !bytes_failed (&written))
+    tell (control, &written, n, now);
   bytes_clear (&written);
 }
 
+static const struct timer_ops tell_ops = { .fire = tell_fired };
+
+void
+quarantine_control_tell (struct quarantine_control *control,
+                         struct quarantine_suspect *suspect,
+                         int64_t now)
+{
+  suspect->to_be_told = true;
+  if (!timer_is_armed (&control->tell_timer))
+    timer_arm (control->config.timers, &control->tell_timer, now + QUARANTINE_TELL);
+}
+
 /* ---- what is believed ---- */
 
 static void
-show_gauges (struct quarantine_control *control)
+show_gauges (struct quarantine_control *control, int64_t now)
 {
   const struct quarantine_suspect *suspect;
   uint32_t held = 0;
@@ -141,7 +172,7 @@
 
   for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
     {
-      uint32_t count = quarantine_count (suspect);
+      uint32_t count = quarantine_count (suspect, now);
 
       held += count >= QUARANTINE_ENDS ? 1 : 0;
       suspected += count > 0 && count < QUARANTINE_ENDS ? 1 : 0;
@@ -167,7 +198,7 @@
             const char *source,
             int64_t now)
 {
-  uint32_t count = quarantine_count (suspect);
+  uint32_t count = quarantine_count (suspect, now);
   const char *event = "request-suspected";
   char content[REQUEST_DIGEST_TEXT];
 
@@ -194,7 +225,7 @@
       int64_t now)
 {
   const struct quarantine_suspect *known = quarantine_find (control->table, &from->digest);
-  uint32_t before = known == NULL ? 0 : quarantine_count (known);
+  uint32_t before = known == NULL ? 0 : quarantine_count (known, now);
   struct quarantine_suspect *suspect;
   bool news = quarantine_merge (control->table, from, now, &suspect);
 
@@ -210,7 +241,7 @@
     return NULL;
   counter_add (control->learnt, 1);
   log_belief (suspect, before, source, now);
-  show_gauges (control);
+  show_gauges (control, now);
   return suspect;
 }
 
@@ -232,12 +263,12 @@
                           int64_t now)
 {
   struct quarantine_suspect *suspect = quarantine_find (control->table, digest);
-  uint32_t before = suspect == NULL ? 0 : quarantine_count (suspect);
+  uint32_t before = suspect == NULL ? 0 : quarantine_count (suspect, now);
 
   if (suspect == NULL || !quarantine_clear (suspect))
     return;
   log_belief (suspect, before, why, now);
-  show_gauges (control);
+  show_gauges (control, now);
   quarantine_control_tell (control, suspect, now);
 }
 
@@ -251,59 +282,52 @@
 
   for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
     {
-      uint32_t before = quarantine_count (suspect);
+      uint32_t before = quarantine_count (suspect, now);
 
       if (!quarantine_take_back (suspect, incarnation))
         continue;
       log_belief (suspect, before, why, now);
       quarantine_control_tell (control, suspect, now);
     }
-  show_gauges (control);
+  show_gauges (control, now);
 }
 
 /* ---- receiving ---- */
 
-/* What is new goes on to whom it was sent to be passed on. */
+/* What is new goes on to whom it was sent to be passed on; its sender too may know less than there
+ * is by now. */
 static void
 take_news (struct quarantine_control *control,
-           const struct quarantine_said *read,
+           const struct quarantine_said *said,
            const char *from,
            int64_t now)
 {
-  struct bytes passed;
-  uint32_t n = 0;
+  bool passes_on = said->kind == QUARANTINE_RELAY && !control->config.is_entry;
 
-  bytes_init (&passed, NULL);
-  for (uint32_t i = 0; i < read->n; i++)
+  for (uint32_t i = 0; i < said->n; i++)
     {
-      const struct quarantine_suspect *suspect = take (control, &read->suspects[i], from, now);
+      struct quarantine_suspect *suspect = take (control, &said->suspects[i], from, now);
 
-      if (suspect == NULL)
-        continue;
-      quarantine_write_suspect (suspect, now, &passed);
-      n++;
+      if (suspect != NULL && passes_on && quarantine_is_shared (suspect))
+        quarantine_control_tell (control, suspect, now);
     }
-  if (n > 0 && read->kind == QUARANTINE_RELAY && !control->config.is_entry
-      && !bytes_failed (&passed))
-    tell (control, &passed, n, from, now);
-  bytes_clear (&passed);
 }
 
 static void
 compare (struct quarantine_control *control,
-         const struct quarantine_said *read,
+         const struct quarantine_said *said,
          const char *from,
          int64_t now)
 {
-  if (read->summary == quarantine_summary (control->table))
+  if (said->summary == quarantine_summary (control->table, now))
     return;
-  if (read->kind == QUARANTINE_ANSWER)
+  if (said->kind == QUARANTINE_ANSWER)
     {
       send_all (control, QUARANTINE_RELAY, from, now);
       return;
     }
   send_all (control, QUARANTINE_NEWS, from, now);
-  send_summary (control, QUARANTINE_ANSWER, from);
+  send_summary (control, QUARANTINE_ANSWER, from, now);
 }
 
 static void
@@ -311,19 +335,19 @@
     struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
 {
   struct quarantine_control *control = CONTAINER_OF (listener, struct quarantine_control, listener);
-  struct quarantine_said *read = talloc (control, struct quarantine_said);
+  struct quarantine_said *said = talloc (control, struct quarantine_said);
 
-  if (read != NULL && quarantine_read (data, length, now, read))
+  if (said != NULL && quarantine_read (data, length, now, said))
     {
-      if (read->kind == QUARANTINE_NEWS || read->kind == QUARANTINE_RELAY)
-        take_news (control, read, from, now);
+      if (said->kind == QUARANTINE_NEWS || said->kind == QUARANTINE_RELAY)
+        take_news (control, said, from, now);
       else
-        compare (control, read, from, now);
+        compare (control, said, from, now);
     }
   else
     log_event (LOG_MODULE_PEER, LOG_LEVEL_WARNING, "quarantine-message-refused", "{s:s,s:I}",
                "from", from, "length", (json_int_t) length);
-  talloc_free (read);
+  talloc_free (said);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
@@ -340,12 +364,12 @@
   if (!quarantine_is_empty (control->table))
     {
       quarantine_expire (control->table, now);
-      show_gauges (control);
+      show_gauges (control, now);
     }
   if (control->config.is_entry)
     n = control->config.peers->ops->list (control->config.peers, peers, now);
   if (n > 0)
-    send_summary (control, QUARANTINE_SUMMARY, peers[control->turn++ % n]);
+    send_summary (control, QUARANTINE_SUMMARY, peers[control->turn++ % n], now);
   timer_arm (
       control->config.timers, timer,
       now + (n == 0 && control->config.is_entry ? QUARANTINE_COMPARE_FIRST : QUARANTINE_COMPARE));
@@ -377,8 +401,8 @@
   return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:o}", "content", content, "organisation",
                     suspect->organisation, "route", suspect->route, "verdict",
                     quarantine_verdict_text (quarantine_judge (suspect, false, now)), "ends",
-                    (int) quarantine_count (suspect), "running", (int) suspect->running, "tries",
-                    (int) suspect->trials, "seen_ms",
+                    (int) quarantine_count (suspect, now), "running", (int) suspect->running,
+                    "tries", (int) suspect->trials, "seen_ms",
                     (json_int_t) ((now - suspect->seen) / USEC_PER_MSEC), "evidence", ends);
 }
 
@@ -399,6 +423,7 @@
 free_control (struct quarantine_control *control)
 {
   timer_disarm (control->config.timers, &control->timer);
+  timer_disarm (control->config.timers, &control->tell_timer);
   return 0;
 }
 
@@ -433,6 +458,7 @@
   control->table = quarantine_new (control);
   control->listener.ops = &listener_ops;
   control->timer.ops = &timer_ops;
+  control->tell_timer.ops = &tell_ops;
   if (control->table == NULL)
     {
       talloc_free (control);
--- a/src/quarantine_control.h
+++ b/src/quarantine_control.h
@@ -1,7 +1,8 @@
 /* Wires the table of suspected requests to the peer channel: entry hosts and controllers each hold
  * one, and what one learns all know.
  *
- * A host that learns something tells all controllers; one of them passes it on to all entry hosts.
+ * A host that learns something tells all controllers; one of them passes it on to all entry hosts,
+ * where it is worth telling.
  * Each entry host compares its table with that of one controller each QUARANTINE_COMPARE, in turn,
  * which makes good what was lost and gives a host that starts, or was cut off, all there is.  So a
  * host that reaches the controllers knows what any other has known for QUARANTINE_COMPARE and the
@@ -21,6 +22,9 @@
 
 #define QUARANTINE_COMPARE (1000 * USEC_PER_MSEC)
 
+/* News wait so long for more: all that ran on a target is told of at once. */
+#define QUARANTINE_TELL (5 * USEC_PER_MSEC)
+
 /* Until a first controller is reached. */
 #define QUARANTINE_COMPARE_FIRST (100 * USEC_PER_MSEC)
 
@@ -58,7 +62,7 @@
                                const struct quarantine_suspect *learnt,
                                int64_t now);
 
-/* Tell others of a suspect as it stands. */
+/* Others are told of the suspect soon. */
 void quarantine_control_tell (struct quarantine_control *control,
                               struct quarantine_suspect *suspect,
                               int64_t now);
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -122,7 +122,7 @@
 note_seen (struct quarantine_entry *entry, struct quarantine_suspect *suspect, int64_t now)
 {
   suspect->seen = now;
-  if (quarantine_count (suspect) < QUARANTINE_ENDS || now - suspect->told < TELL_SEEN)
+  if (quarantine_count (suspect, now) < QUARANTINE_ENDS || now - suspect->told < TELL_SEEN)
     return;
   quarantine_control_tell (entry->control, suspect, now);
 }
--- a/src/role_base.c
+++ b/src/role_base.c
@@ -22,22 +22,48 @@
 #define OWN_IDLE_TIMEOUT (30 * USEC_PER_SEC)
 
 static void
-show_metrics (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+reply_json (struct h1_exchange *exchange, json_t *json)
+{
+  char *text = json == NULL ? NULL : json_dumps (json, JSON_INDENT (1));
+
+  h1_reply (exchange, HTTP_STATUS_OK, "Content-Type: application/json\r\n", text,
+            text == NULL ? 0 : strlen (text));
+  free (text);
+  json_decref (json);
+}
+
+static void
+release (struct role_base *base, struct h1_exchange *exchange, const char *content, int64_t now)
+{
+  struct request_digest digest;
+  unsigned status = HTTP_STATUS_OK;
+
+  if (exchange->head->method != HTTP_POST)
+    status = HTTP_STATUS_METHOD_NOT_ALLOWED;
+  else if (!request_digest_read (content, &digest))
+    status = HTTP_STATUS_BAD_REQUEST;
+  else if (quarantine_find (quarantine_control_table (base->quarantine), &digest) == NULL)
+    status = HTTP_STATUS_NOT_FOUND;
+  else
+    quarantine_control_clear (base->quarantine, &digest, "an operator", now);
+  log_event (LOG_MODULE_AUDIT, LOG_LEVEL_INFO, "request-release", "{s:s,s:i}", "content", content,
+             "status", (int) status);
+  h1_reply (exchange, status, NULL, NULL, 0);
+}
+
+static const char *
+behind (const char *text, const char *prefix)
+{
+  size_t length = strlen (prefix);
+
+  return strncmp (text, prefix, length) == 0 ? text + length : NULL;
+}
+
+static void
+show_counters (struct role_base *base, struct h1_exchange *exchange)
 {
-  struct role_base *base = CONTAINER_OF (handler, struct role_base, metrics);
   struct bytes text;
 
-  if (strncmp (exchange->head->target, "/dump", 5) == 0)
-    {
-      json_t *dump = dump_describe (&base->dump, now);
-      char *dumped = dump == NULL ? NULL : json_dumps (dump, JSON_INDENT (1));
-
-      h1_reply (exchange, HTTP_STATUS_OK, "Content-Type: application/json\r\n", dumped,
-                dumped == NULL ? 0 : strlen (dumped));
-      free (dumped);
-      json_decref (dump);
-      return;
-    }
   bytes_init (&text, NULL);
   counters_write (base->counters, &text);
   h1_reply (exchange, HTTP_STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text.data,
@@ -45,6 +71,23 @@
   bytes_clear (&text);
 }
 
+static void
+serve_metrics (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
+{
+  struct role_base *base = CONTAINER_OF (handler, struct role_base, metrics);
+  const char *target = exchange->head->target;
+  const char *content = behind (target, "/quarantine/release/");
+
+  if (content != NULL && base->quarantine != NULL)
+    release (base, exchange, content, now);
+  else if (strcmp (target, "/quarantine") == 0 && base->quarantine != NULL)
+    reply_json (exchange, quarantine_control_describe (base->quarantine, now));
+  else if (behind (target, "/dump") != NULL)
+    reply_json (exchange, dump_describe (&base->dump, now));
+  else
+    show_counters (base, exchange);
+}
+
 static void
 metrics_gone (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
@@ -54,7 +97,7 @@
 }
 
 static const struct h1_handler_ops metrics_ops = {
-  .request = show_metrics,
+  .request = serve_metrics,
   .gone = metrics_gone,
 };
 
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -83,7 +83,7 @@
     struct quarantine_suspect of = learnt (request, 0, START);
     struct quarantine_suspect *suspect = quarantine_find (table, &of.digest);
 
-    return suspect == nullptr ? 0 : quarantine_count (suspect);
+    return suspect == nullptr ? 0 : quarantine_count (suspect, START);
   }
 
   void *parent = talloc_new (nullptr);
@@ -139,6 +139,34 @@
   EXPECT_EQ (count (1), 3u);
 }
 
+// So many runs are out at once that more targets end together than are kept: those that end later
+// must still count.
+TEST_F (Quarantine, CountsLaterEndsHoweverManyCameTogether)
+{
+  for (uint64_t i = 0; i < 30; i++)
+    add (learnt (1, 10 + i, START + static_cast<int64_t> (i) * USEC_PER_MSEC, USEC_PER_SEC));
+  EXPECT_EQ (count (1), 1u);
+  add (learnt (1, 50, START + USEC_PER_SEC));
+  add (learnt (1, 51, START + 2 * USEC_PER_SEC));
+  EXPECT_EQ (count (1), 3u);
+  // What was given up and is heard again is no news.
+  struct quarantine_suspect again = learnt (1, 11, START + USEC_PER_MSEC, USEC_PER_SEC);
+  struct quarantine_suspect *out;
+
+  quarantine_merge (table, &again, START, &out);
+  EXPECT_FALSE (quarantine_merge (table, &again, START, &out));
+  EXPECT_EQ (count (1), 3u);
+}
+
+// A request that is sent all day is on some target whenever one ends.
+TEST_F (Quarantine, CountsNoEndsThatAreLongApart)
+{
+  for (uint64_t i = 0; i < 5; i++)
+    add (learnt (1, 10 + i, START + static_cast<int64_t> (i) * QUARANTINE_WINDOW * 2 / 3));
+  EXPECT_EQ (count (1), 2u);
+  EXPECT_EQ (judge (1, START + 10 * QUARANTINE_WINDOW), QUARANTINE_PASS);
+}
+
 // A target whose machine is silent is known to have ended some seconds later: at any moment since.
 TEST_F (Quarantine, CountsSilentTargetsOnce)
 {
@@ -218,10 +246,11 @@
               quarantine_merge (of, &one, START, &out);
             }
         }
-      ASSERT_EQ (quarantine_summary (tables[0]), quarantine_summary (tables[1])) << seed;
+      ASSERT_EQ (quarantine_summary (tables[0], START), quarantine_summary (tables[1], START))
+          << seed;
       for (const auto &one : news)
-        ASSERT_EQ (quarantine_count (quarantine_find (tables[0], &one.digest)),
-                   quarantine_count (quarantine_find (tables[1], &one.digest)))
+        ASSERT_EQ (quarantine_count (quarantine_find (tables[0], &one.digest), START),
+                   quarantine_count (quarantine_find (tables[1], &one.digest), START))
             << seed;
     }
 }
--- /dev/null
+++ b/tests/unit_quarantine_fleet.cc
@@ -0,0 +1,134 @@
+// Fleets on virtual time in which requests end the targets that run them.
+#include "quarantine_fleet.h"
+#include <gtest/gtest.h>
+
+namespace
+{
+
+// Sends of one request by hosts in touch, after it ended a third target and they should know.
+const uint32_t LATE_MAX = 3;
+
+// Ends by one request of which no two runs are out at once.
+const uint32_t ENDS_MAX = 3;
+
+struct quarantine_fleet_config
+fleet (uint32_t hosts, uint64_t seed)
+{
+  struct quarantine_fleet_config config = {};
+
+  config.hosts = hosts;
+  config.controllers = hosts < 100 ? 3 : 9;
+  config.targets = 2 * hosts < 12 ? 12 : 2 * hosts;
+  config.seed = seed;
+  config.span = 25 * USEC_PER_SEC;
+  config.holds_back = true;
+  config.sound_rate = 5.0 * hosts;
+  config.popular = 0.1;
+  return config;
+}
+
+struct quarantine_fleet_figures
+play (const struct quarantine_fleet_config &config)
+{
+  struct quarantine_fleet_figures figures;
+
+  EXPECT_TRUE (quarantine_fleet_play (&config, &figures));
+  return figures;
+}
+
+// What the tests below guard against does happen where nothing holds a request back.
+TEST (QuarantineFleet, EndsTargetsWhereNothingIsHeldBack)
+{
+  struct quarantine_fleet_config config = fleet (3, 1);
+
+  config.holds_back = false;
+  config.bad = 1;
+  config.bad_rate = 8;
+  config.bad_run = 100 * USEC_PER_MSEC;
+  struct quarantine_fleet_figures figures = play (config);
+
+  EXPECT_GT (figures.ends, 50u);
+  EXPECT_GT (figures.late_most, 50u);
+}
+
+// One request that comes at every host, several times a second.
+TEST (QuarantineFleet, HoldsARequestAtAllHosts)
+{
+  for (uint32_t hosts : { 3u, 30u, 200u })
+    for (uint64_t seed = 1; seed <= (hosts > 100 ? 2u : 10u); seed++)
+      {
+        struct quarantine_fleet_config config = fleet (hosts, seed);
+
+        config.bad = 1;
+        config.bad_rate = 4;
+        config.bad_evenly = true;
+        config.bad_run = 100 * USEC_PER_MSEC;
+        struct quarantine_fleet_figures figures = play (config);
+
+        EXPECT_LE (figures.late_most, LATE_MAX) << hosts << " hosts, seed " << seed;
+        EXPECT_LE (figures.ends, ENDS_MAX) << hosts << " hosts, seed " << seed;
+        EXPECT_EQ (figures.sound_held, 0u) << hosts << " hosts, seed " << seed;
+      }
+}
+
+// The same at any moments, so that two runs may be out when the first target ends.
+TEST (QuarantineFleet, HoldsARequestThatComesInCrowds)
+{
+  for (uint64_t seed = 1; seed <= 30; seed++)
+    {
+      struct quarantine_fleet_config config = fleet (6, seed);
+
+      config.bad = 1;
+      config.bad_rate = 20;
+      config.bad_run = 900 * USEC_PER_MSEC;
+      EXPECT_LE (play (config).late_most, LATE_MAX) << "seed " << seed;
+    }
+}
+
+// Runs that take long before they end their target, so that several are out at once; hosts and
+// controllers that start again with empty tables or are cut off for a while meanwhile.
+TEST (QuarantineFleet, HoldsRequestsThroughRestartsAndCuts)
+{
+  for (uint64_t seed = 1; seed <= 30; seed++)
+    {
+      struct quarantine_fleet_config config = fleet (6, seed);
+
+      config.bad = 3;
+      config.bad_rate = 3;
+      config.bad_run = 900 * USEC_PER_MSEC;
+      config.restarts = 5;
+      config.cuts = 5;
+      struct quarantine_fleet_figures figures = play (config);
+
+      EXPECT_LE (figures.late_most, LATE_MAX) << "seed " << seed;
+    }
+}
+
+// A quarter of the targets lose power at one moment, again and again, with a popular request on all
+// of them: neither it nor any other may be held.
+TEST (QuarantineFleet, HoldsNobodyForTargetsThatEndByThemselves)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct quarantine_fleet_config config = fleet (6, seed);
+
+      config.popular = 0.5;
+      config.power_cuts = 6;
+      EXPECT_EQ (play (config).sound_held, 0u) << "seed " << seed;
+    }
+}
+
+// Most runs of a popular request are reset, and no target ends.
+TEST (QuarantineFleet, HoldsNobodyForConnectionsThatBreak)
+{
+  struct quarantine_fleet_config config = fleet (6, 1);
+
+  config.popular = 0.5;
+  config.resets = 0.6;
+  struct quarantine_fleet_figures figures = play (config);
+
+  EXPECT_EQ (figures.sound_held, 0u);
+  EXPECT_EQ (figures.sound_asked_to_wait, 0u);
+}
+
+}
