Let an order under which targets end go alone, and no further than three

The same class as the requests held back: a broken call was put down to its target, and its pieces went into the next one together.

Now the pool's owner notes on which incarnations an order's calls broke and, a moment later, whether they ended. An order under which one ended shares no call; under the third it comes to nothing, its stages are not made again, and its request is held at all hosts. A reset alone changes nothing but a wait of 20 ms, after which the fate is mostly known.

--- a/src/batch.h
+++ b/src/batch.h
@@ -8,6 +8,7 @@
 #include "decls.h"
 #include "dialect.h"
 #include "h1_client.h"
+#include "target_watch.h"
 #include "timer.h"
 #include <uthash.h>
 
@@ -35,6 +36,13 @@
 /* A piece is tried at most so often. */
 #define BATCH_TRIES_MAX 4
 
+/* Targets that end under calls with pieces of one order: then it comes to nothing. */
+#define BATCH_ENDS_MAX 3
+
+/* After its call broke an order waits so long: by then it is mostly known whether the target ended.
+ */
+#define BATCH_AFTER_BREAK (20 * USEC_PER_MSEC)
+
 /* How fast the usual wait of a pool's orders follows, and the most that one counts for. */
 #define BATCH_WAIT_SMOOTHING 0.1
 #define BATCH_USUAL_WAIT_MAX (600 * USEC_PER_MSEC)
@@ -74,6 +82,9 @@
 
 struct batch *batch_new (void *parent, const struct batch_config *config);
 
+/* Whether targets ended when calls to them broke; NULL, and before it is set: that is not known. */
+void batch_set_watch (struct batch *batch, struct target_watch *watch);
+
 /* The pools' figures; to be told again when a routing comes into force. */
 void batch_set_routing (struct batch *batch, const struct routing *routing);
 
@@ -123,6 +134,10 @@
   uint32_t *pending; /* pieces not in a call and not done */
   uint32_t n_pending;
   uint8_t *tries; /* of each piece */
+  uint64_t
+      broke_on[BATCH_ENDS_MAX]; /* incarnations on which calls with its pieces broke, the newest */
+  uint32_t n_broke;
+  int64_t not_before; /* after a break */
   uint32_t n_done;
   bool begun; /* a piece of it was taken */
   bool queued;
--- /dev/null
+++ b/src/batch_break.c
@@ -0,0 +1,52 @@
+/* Orders under which targets end.
+ *
+ * Load pattern: a piece that ends each target that is given it.  Put into a call with others again
+ * and again it would cost those their tries; so an order under which a target ended goes alone, and
+ * comes to nothing when that happened BATCH_ENDS_MAX times. */
+#include "batch_private.h"
+#include "log.h"
+#include <jansson.h>
+#include <string.h>
+
+void
+batch_set_watch (struct batch *batch, struct target_watch *watch)
+{
+  batch->watch = watch;
+}
+
+/* Of those on which its calls broke, the targets that are known to have ended. */
+static uint32_t
+known_ends (const struct batch_order *order)
+{
+  const struct target_watch *watch = order->batch_pool->batch->watch;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; watch != NULL && i < order->n_broke; i++)
+    n += target_watch_fate (watch, order->broke_on[i]) == TARGET_FATE_ENDED ? 1 : 0;
+  return n;
+}
+
+bool
+batch_goes_alone (const struct batch_order *order)
+{
+  return order->n_broke > 0 && known_ends (order) > 0;
+}
+
+void
+batch_note_break (struct batch_order *order, uint64_t incarnation, int64_t now)
+{
+  uint32_t ends = known_ends (order);
+
+  if (ends >= BATCH_ENDS_MAX - 1)
+    {
+      log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "order-ends-targets", "{s:s,s:i,s:s,s:i}",
+                 "id", order->request, "stage", (int) order->stage, "pool", order->pool, "ends",
+                 (int) ends + 1);
+      batch_end_order (order, PIECE_ENDS_TARGETS, now);
+      return;
+    }
+  order->not_before = now + BATCH_AFTER_BREAK;
+  if (order->n_broke == BATCH_ENDS_MAX)
+    memmove (order->broke_on, order->broke_on + 1, --order->n_broke * sizeof *order->broke_on);
+  order->broke_on[order->n_broke++] = incarnation;
+}
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -40,6 +40,26 @@
     batch_requeue (call->pool, &call->pieces[i], tried, now);
 }
 
+/* The connection broke: the target may have ended under one of the pieces. */
+static void
+note_break (struct batch_call *call, int64_t now)
+{
+  struct batch *batch = call->pool->batch;
+  uint64_t before = 0;
+
+  if (batch->watch == NULL)
+    return;
+  target_watch_broke (batch->watch, call->at, now);
+  for (uint32_t i = 0; i < call->n; i++)
+    {
+      struct batch_order *order = batch_order_of (batch, &call->pieces[i]);
+
+      if (order != NULL && call->pieces[i].serial != before)
+        batch_note_break (order, call->at->id_hash, now);
+      before = call->pieces[i].serial;
+    }
+}
+
 static void
 log_call (const struct batch_call *call, const char *outcome, int64_t now)
 {
@@ -205,6 +225,8 @@
   bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK || bytes_failed (&call->body);
 
   log_call (call, outcome_text (call, end), now);
+  if (base->handed && (end == H1_END_CUT || end == H1_END_RESET))
+    note_break (call, now);
   /* A target that is full says so; that is no failure of it. */
   release (call, failed && !call->not_run, now);
   if (!failed)
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -68,6 +68,7 @@
   struct batch_config config;
   struct batch_pool pools[BATCH_POOLS_MAX];
   uint32_t n_pools;
+  struct target_watch *watch;
   struct batch_order *orders; /* by serial */
   uint64_t last_serial;
   struct counter *calls;
@@ -79,6 +80,14 @@
   struct histogram *call_time;
 };
 
+/* batch_break.c: orders under which targets end */
+
+/* A call with pieces of the order broke on that incarnation.  It may end the order. */
+void batch_note_break (struct batch_order *order, uint64_t incarnation, int64_t now);
+
+/* Has a target ended under it?  Then its pieces go into calls of their own. */
+bool batch_goes_alone (const struct batch_order *order);
+
 /* batch_queue.c */
 void batch_enqueue (struct batch_order *order);
 void batch_dequeue (struct batch_order *order);
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -113,8 +113,9 @@
 /* A call that is being put together. */
 struct draft
 {
-  uint32_t places; /* that it has left */
-  uint64_t size;   /* of the results of its pieces */
+  uint32_t places;                  /* that it has left */
+  uint64_t size;                    /* of the results of its pieces */
+  const struct batch_order *newest; /* whose piece it took last; NULL while it is empty */
 };
 
 /* Room for so many more results of the order.  With nothing under way in the pool an order that was
@@ -199,6 +200,14 @@
   return false;
 }
 
+/* Pieces of an order under which a target ended stand in no call with those of another. */
+static bool
+may_share (const struct batch_order *order, const struct draft *draft)
+{
+  return draft->newest == NULL || draft->newest == order
+         || (!batch_goes_alone (order) && !batch_goes_alone (draft->newest));
+}
+
 static bool
 fits (const struct batch_pool *pool,
       const struct outlook *outlook,
@@ -207,7 +216,8 @@
       const struct draft *draft,
       int64_t now)
 {
-  return has_room (pool, outlook, target, order, draft, 1) && may_begin (pool, outlook, order)
+  return now >= order->not_before && may_share (order, draft)
+         && has_room (pool, outlook, target, order, draft, 1) && may_begin (pool, outlook, order)
          && !would_split (pool, outlook, target, order, draft)
          && (is_near (order, target) || !waits_for_near (pool, order, now));
 }
@@ -309,6 +319,7 @@
             {
               draft.size += order->result_size;
               draft.places--;
+              draft.newest = order;
               take_piece (order, target, outlook, &out[n++]);
             }
           if (draft.places == 0)
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -82,7 +82,8 @@
   X (INPUT_GONE, "input gone")                                                                     \
   X (NO_ROOM, "no room")                                                                           \
   X (FAILED, "failed")                                                                             \
-  X (BUSY, "too much waits before it")
+  X (BUSY, "too much waits before it")                                                             \
+  X (ENDS_TARGETS, "targets ended under it")
 
 enum piece_end
 {
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -192,6 +192,7 @@
   if (host->work == NULL || host->news == NULL || host->quarantine == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   host->base.quarantine = quarantine_entry_control (host->quarantine);
+  batch_set_watch (host->batch, quarantine_entry_watch (host->quarantine));
   return STATUS_OK;
 }
 
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -276,6 +276,10 @@
 /* The connection broke, or was given up, while the target may have been running it. */
 void job_note_break (struct forward_job *job, enum h1_end end, int64_t now);
 
+/* Targets ended under its stage work, one after the other: it is held, at all hosts, and given up;
+ * the job is gone. */
+void job_hold (struct forward_job *job, int64_t now);
+
 /* A target gave it a whole answer. */
 void job_note_whole (struct forward_job *job, int64_t now);
 
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -84,28 +84,56 @@
   job->is_counted = false;
 }
 
+static struct quarantine_suspect
+suspect_of (struct forward_job *job, int64_t now)
+{
+  struct quarantine_suspect suspect = { .digest = *job_digest (job), .seen = now };
+
+  text_copy_cut (suspect.organisation, sizeof suspect.organisation, job->organisation);
+  text_copy_cut (suspect.route, sizeof suspect.route, job->route.name);
+  return suspect;
+}
+
 void
 job_note_break (struct forward_job *job, enum h1_end end, int64_t now)
 {
   bool silent = end == H1_END_RESET && now - job->heard_at >= SILENCE;
   int64_t instant = now - QUARANTINE_INSTANT;
-  struct quarantine_suspect suspect = {
-    .digest = *job_digest (job),
-    .seen = now,
-    .n_ends = 1,
-    .ends = { { .incarnation = job->target->id_hash,
-                .from = silent                   ? job->heard_at
-                        : instant > job->sent_at ? instant
-                                                 : job->sent_at,
-                .to = now } },
-  };
+  struct quarantine_suspect suspect = suspect_of (job, now);
 
+  suspect.n_ends = 1;
+  suspect.ends[0] = (struct quarantine_end){
+    .incarnation = job->target->id_hash,
+    .from = silent                   ? job->heard_at
+            : instant > job->sent_at ? instant
+                                     : job->sent_at,
+    .to = now,
+  };
   job->is_suspected = judge_again (job, now) != QUARANTINE_PASS;
-  text_copy_cut (suspect.organisation, sizeof suspect.organisation, job->organisation);
-  text_copy_cut (suspect.route, sizeof suspect.route, job->route.name);
   quarantine_entry_broke (quarantine_of (job), job->target, &suspect, now);
 }
 
+/* The pool's owner has seen the ends and who shared the calls; here they need but names that no
+ * incarnation has. */
+void
+job_hold (struct forward_job *job, int64_t now)
+{
+  struct quarantine_suspect suspect = suspect_of (job, now);
+
+  for (uint32_t i = 0; i < QUARANTINE_ENDS; i++)
+    {
+      int64_t at = now - (int64_t) i * 2 * QUARANTINE_INSTANT;
+
+      suspect.ends[suspect.n_ends++] = (struct quarantine_end){
+        .incarnation = rng_u64 (&job->forward->rng),
+        .from = at - QUARANTINE_INSTANT,
+        .to = at,
+      };
+    }
+  quarantine_control_learn (quarantine_entry_control (quarantine_of (job)), &suspect, now);
+  job_give_up (job, FORWARD_HELD, HELD_RETRY_AFTER);
+}
+
 void
 job_note_whole (struct forward_job *job, int64_t now)
 {
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -189,6 +189,11 @@
       turn_away (job, now);
       return;
     }
+  if (end == PIECE_ENDS_TARGETS)
+    {
+      job_hold (job, now);
+      return;
+    }
   if (end != PIECE_LATE && job_remake_stages (job, now))
     return;
   job_give_up (job, end == PIECE_LATE ? FORWARD_NO_TIME : FORWARD_STAGE, STAGE_RETRY_AFTER);
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -2,7 +2,6 @@
 #include "quarantine_entry.h"
 #include "container.h"
 #include "log.h"
-#include "target_watch.h"
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -187,6 +186,12 @@
   quarantine_control_clear (entry->control, digest, "a whole answer", now);
 }
 
+struct target_watch *
+quarantine_entry_watch (struct quarantine_entry *entry)
+{
+  return entry->watch;
+}
+
 struct quarantine_control *
 quarantine_entry_control (struct quarantine_entry *entry)
 {
--- a/src/quarantine_entry.h
+++ b/src/quarantine_entry.h
@@ -10,6 +10,7 @@
 #include "peer.h"
 #include "quarantine_control.h"
 #include "subscriber.h"
+#include "target_watch.h"
 
 BEGIN_DECLS
 
@@ -59,6 +60,9 @@
                              const struct quarantine_suspect *suspect,
                              int64_t now);
 
+/* Whether targets ended when connections to them broke. */
+struct target_watch *quarantine_entry_watch (struct quarantine_entry *entry);
+
 /* What it knows, and tells others. */
 struct quarantine_control *quarantine_entry_control (struct quarantine_entry *entry);
 
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -197,6 +197,14 @@
   return NULL;
 }
 
+enum target_fate
+target_watch_fate (const struct target_watch *watch, uint64_t incarnation)
+{
+  const struct watched *watched = find (watch, incarnation);
+
+  return watched == NULL ? TARGET_FATE_UNKNOWN : watched->fate;
+}
+
 static struct watched *
 add (struct target_watch *watch, const struct balance_target *target, int64_t now)
 {
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -76,6 +76,9 @@
 /* Freed with `parent`.  NULL when memory is out. */
 struct target_watch *target_watch_new (void *parent, const struct target_watch_config *config);
 
+/* What is known of an incarnation; UNKNOWN where none of its connections broke lately. */
+enum target_fate target_watch_fate (const struct target_watch *watch, uint64_t incarnation);
+
 /* A connection to the target broke under a request.  What is known of this incarnation already. */
 enum target_fate target_watch_broke (struct target_watch *watch,
                                      const struct balance_target *target,
