--- a/bench/cmd_quarantine.c
+++ b/bench/cmd_quarantine.c
@@ -51,6 +51,8 @@
   { "one, slow to end", { .holds_back = true, .bad = 1, .bad_run = 900 * USEC_PER_MSEC } },
   { "three, restarts, cuts",
     { .holds_back = true, .bad = 3, .bad_run = 300 * USEC_PER_MSEC, .restarts = 6, .cuts = 6 } },
+  { "one, all restart",
+    { .holds_back = true, .bad = 1, .bad_run = 300 * USEC_PER_MSEC, .blackouts = 1 } },
   { "none, power cuts", { .holds_back = true, .power_cuts = 6 } },
   { "none, runs reset", { .holds_back = true, .resets = 0.6 } },
 };
--- a/bench/quarantine_fleet.c
+++ b/bench/quarantine_fleet.c
@@ -283,10 +283,13 @@
   run->fleet = fleet;
   run->request = request;
   run->again = again;
-  do
-    run->host = &fleet->nodes[rng_below (&fleet->rng, fleet->config->hosts)];
-  while (run->host->control == NULL);
+  run->host = &fleet->nodes[rng_below (&fleet->rng, fleet->config->hosts)];
   run->start = run->host->start;
+  if (run->host->control == NULL)
+    {
+      lose (run, now);
+      return;
+    }
   if (fleet->config->holds_back)
     verdict = quarantine_judge (suspect_of (run), false, now);
   if (verdict == QUARANTINE_REFUSE || verdict == QUARANTINE_WAIT)
@@ -341,17 +344,19 @@
 trouble_fired (struct timer *timer, int64_t now)
 {
   struct fleet *fleet = CONTAINER_OF (timer, struct fleet, troubles);
-  uint32_t left = fleet->left[0] + fleet->left[1] + fleet->left[2];
-  uint32_t kind = (uint32_t) rng_below (&fleet->rng, 3);
+  uint32_t left = fleet->left[0] + fleet->left[1] + fleet->left[2] + fleet->left[3];
+  uint32_t kind = (uint32_t) rng_below (&fleet->rng, 4);
 
   fleet->now = now;
   if (left == 0)
     return;
   while (fleet->left[kind] == 0)
-    kind = (kind + 1) % 3;
+    kind = (kind + 1) % 4;
   fleet->left[kind]--;
   if (kind == 0)
     cut_power (fleet, now);
+  else if (kind == 3)
+    fleet_black_out (fleet, now);
   else
     fleet_disturb (fleet, kind == 1, now);
   timer_arm (fleet->timers, timer, now + 2 * fleet_draw (fleet, fleet->config->span / (left + 1)));
@@ -400,6 +405,7 @@
   fleet->left[0] = config->power_cuts;
   fleet->left[1] = config->restarts;
   fleet->left[2] = config->cuts;
+  fleet->left[3] = config->blackouts;
   fleet->troubles.ops = &trouble_ops;
   timer_arm (fleet->timers, &fleet->troubles, fleet->now + USEC_PER_SEC);
   begin_arrivals (fleet);
--- a/bench/quarantine_fleet.h
+++ b/bench/quarantine_fleet.h
@@ -35,6 +35,7 @@
   double popular;      /* share of them that is one request */
   uint32_t power_cuts; /* moments at which a quarter of the targets end together */
   uint32_t restarts;   /* of entry hosts and controllers, which come back empty */
+  uint32_t blackouts;  /* moments at which all entry hosts and controllers start again, empty */
   uint32_t cuts;       /* of entry hosts and controllers, from all others, for 4 s */
   double resets;       /* share of the popular request's runs that break and end nothing */
 };
--- a/bench/quarantine_fleet_node.c
+++ b/bench/quarantine_fleet_node.c
@@ -153,22 +153,39 @@
   return n;
 }
 
+static void
+restart (struct node *node, int64_t now)
+{
+  node->calm_since = now;
+  talloc_free (node->control);
+  node->control = NULL;
+  timer_arm (node->fleet->timers, &node->timer,
+             now + PROCESS_BACK + fleet_draw (node->fleet, PROCESS_BACK));
+}
+
 void
-fleet_disturb (struct fleet *fleet, bool restart, int64_t now)
+fleet_disturb (struct fleet *fleet, bool restarts, int64_t now)
 {
   struct node *node = &fleet->nodes[rng_below (&fleet->rng, fleet->n_nodes)];
 
-  if (node->control == NULL || node->cut || (restart && node->is_entry && hosts_up (fleet) < 2))
+  if (node->control == NULL || node->cut || (restarts && node->is_entry && hosts_up (fleet) < 2))
     return;
-  node->calm_since = now;
-  node->cut = !restart;
-  if (restart)
+  if (restarts)
     {
-      talloc_free (node->control);
-      node->control = NULL;
+      restart (node, now);
+      return;
     }
-  timer_arm (fleet->timers, &node->timer,
-             now + (restart ? PROCESS_BACK + fleet_draw (fleet, PROCESS_BACK) : CUT_FOR));
+  node->calm_since = now;
+  node->cut = true;
+  timer_arm (fleet->timers, &node->timer, now + CUT_FOR);
+}
+
+void
+fleet_black_out (struct fleet *fleet, int64_t now)
+{
+  for (uint32_t i = 0; i < fleet->n_nodes; i++)
+    if (fleet->nodes[i].control != NULL)
+      restart (&fleet->nodes[i], now);
 }
 
 bool
--- a/bench/quarantine_fleet_private.h
+++ b/bench/quarantine_fleet_private.h
@@ -100,7 +100,7 @@
   struct bad_request bad[FLEET_BAD_MAX];
   struct arrivals arrivals[FLEET_BAD_MAX + 1]; /* of each bad request, and of all others */
   struct timer troubles;
-  uint32_t left[3]; /* power cuts, restarts and cuts still to come */
+  uint32_t left[4]; /* power cuts, restarts, cuts and blackouts still to come */
   uint32_t next_request;
   double messages;
   double bytes;
@@ -118,7 +118,10 @@
 bool fleet_build_nodes (struct fleet *fleet);
 
 /* One of them is restarted or cut off, unless that is so already. */
-void fleet_disturb (struct fleet *fleet, bool restart, int64_t now);
+void fleet_disturb (struct fleet *fleet, bool restarts, int64_t now);
+
+/* All of them start again. */
+void fleet_black_out (struct fleet *fleet, int64_t now);
 
 /* The host is in touch: it has run, and reached the others, for the whole of FLEET_CONTACT. */
 bool fleet_is_in_touch (const struct node *node, int64_t now);
--- a/tests/unit_quarantine_fleet.cc
+++ b/tests/unit_quarantine_fleet.cc
@@ -104,6 +104,22 @@
     }
 }
 
+// Entry hosts and controllers all lose power at once, and with it what they know: the request ends
+// three more targets, but not while hosts count as in touch.
+TEST (QuarantineFleet, HoldsARequestAgainAfterAllHaveStartedAgain)
+{
+  for (uint64_t seed = 1; seed <= 30; seed++)
+    {
+      struct quarantine_fleet_config config = fleet (6, seed);
+
+      config.bad = 1;
+      config.bad_rate = 3;
+      config.bad_run = 300 * USEC_PER_MSEC;
+      config.blackouts = 1;
+      EXPECT_LE (play (config).late_most, LATE_MAX) << "seed " << seed;
+    }
+}
+
 // A quarter of the targets lose power at one moment, again and again, with a popular request on all
 // of them: neither it nor any other may be held.
 TEST (QuarantineFleet, HoldsNobodyForTargetsThatEndByThemselves)
