Try a held request again after ten seconds, and let popular ones go

A request that does end targets ends one more; a try is one of the three sends that are allowed. HoldsARequestAtAllHosts asks for three ends as before, until that try.

--- a/bench/quarantine_fleet.c
+++ b/bench/quarantine_fleet.c
@@ -234,12 +234,16 @@
 }
 
 static void
-refuse (struct run *run, enum quarantine_verdict verdict)
+refuse (struct run *run, enum quarantine_verdict verdict, int64_t now)
 {
   struct quarantine_fleet_figures *figures = run->fleet->figures;
+  bool last = now > START + run->fleet->config->span * 3 / 4;
 
   if (!is_bad (run->fleet, run->request) && verdict == QUARANTINE_REFUSE)
-    figures->sound_held++;
+    {
+      figures->sound_held++;
+      figures->sound_held_last += last ? 1 : 0;
+    }
   if (!is_bad (run->fleet, run->request) && verdict == QUARANTINE_WAIT)
     figures->sound_asked_to_wait++;
   talloc_free (run);
@@ -272,6 +276,24 @@
   timer_arm (fleet->timers, &run->timer, now + least + fleet_draw (fleet, spread));
 }
 
+/* One host makes the tries of a request. */
+static enum quarantine_verdict
+judge (struct run *run, int64_t now)
+{
+  struct quarantine_suspect *suspect = suspect_of (run);
+  bool here = run->host == &run->fleet->nodes[run->request % run->fleet->config->hosts];
+  enum quarantine_verdict verdict = quarantine_judge (suspect, here, now);
+  struct quarantine_suspect tried;
+
+  if (verdict != QUARANTINE_TRY)
+    return verdict;
+  tried = *suspect;
+  tried.trials++;
+  tried.tried = now;
+  quarantine_control_learn (run->host->control, &tried, now);
+  return verdict;
+}
+
 static void
 arrive (struct fleet *fleet, uint32_t request, bool again, int64_t now)
 {
@@ -291,11 +313,11 @@
       return;
     }
   if (fleet->config->holds_back)
-    verdict = quarantine_judge (suspect_of (run), false, now);
+    verdict = judge (run, now);
   if (verdict == QUARANTINE_REFUSE || verdict == QUARANTINE_WAIT)
-    refuse (run, verdict);
+    refuse (run, verdict, now);
   else
-    send_run (run, verdict == QUARANTINE_APART, now);
+    send_run (run, verdict != QUARANTINE_PASS, now);
 }
 
 static int64_t
--- a/bench/quarantine_fleet.h
+++ b/bench/quarantine_fleet.h
@@ -47,7 +47,8 @@
       late_most; /* sends of one bad request by hosts in touch, FLEET_CONTACT after its third end */
   uint32_t sound; /* other requests */
   uint32_t sound_lost;
-  uint32_t sound_held; /* refused for good */
+  uint32_t sound_held;      /* refused as held */
+  uint32_t sound_held_last; /* of them, in the last quarter of the play */
   uint32_t sound_asked_to_wait;
   uint32_t popular;
   double messages; /* of a host, a second */
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -6,8 +6,8 @@
  * its target ended at any moment since. */
 #define SILENCE (2500 * USEC_PER_MSEC)
 
-/* Times to come back, in seconds: after another try of it may be due; when a run may be over. */
-#define HELD_RETRY_AFTER ((double) QUARANTINE_TRIAL / USEC_PER_SEC)
+/* Times to come back, in seconds: when it may have been cleared; when a run may be over. */
+#define HELD_RETRY_AFTER 60.0
 #define SUSPECTED_RETRY_AFTER 1.0
 
 const struct request_digest *
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -367,8 +367,11 @@
 static bool
 is_due_for_try (const struct quarantine_suspect *suspect, int64_t now)
 {
+  static const int64_t waits[QUARANTINE_TRIALS_MAX] = { QUARANTINE_FIRST_TRIAL,
+                                                        QUARANTINE_SECOND_TRIAL };
+
   return suspect->trials < QUARANTINE_TRIALS_MAX
-         && now - last_end (suspect) >= QUARANTINE_TRIAL << suspect->trials;
+         && now - last_end (suspect) >= waits[suspect->trials];
 }
 
 enum quarantine_verdict
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -48,9 +48,10 @@
  * target whenever one ends. */
 #define QUARANTINE_WINDOW (600 * USEC_PER_SEC)
 
-/* One that is not sent any more gets another try so long after its last end or try, doubled with
- * each try; and so many tries in all. */
-#define QUARANTINE_TRIAL (600 * USEC_PER_SEC)
+/* One that is not sent any more gets another try so long after its last end, and a second one so
+ * long after that: it may have been beside another that ended its targets each time. */
+#define QUARANTINE_FIRST_TRIAL (10 * USEC_PER_SEC)
+#define QUARANTINE_SECOND_TRIAL (600 * USEC_PER_SEC)
 #define QUARANTINE_TRIALS_MAX 2
 
 /* An incarnation that ended while it ran the request.  What ended it happened between these two
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -276,16 +276,18 @@
   EXPECT_EQ (n, static_cast<uint32_t> (QUARANTINE_SUSPECTS_MAX));
 }
 
-// What ended targets long ago, by a fault that may be mended, is tried again, twice at most.
+// It was beside another request that ended its targets, or what ended them has been mended: it is
+// tried again, twice at most.
 TEST_F (Quarantine, TriesAgainTwice)
 {
+  const int64_t waits[] = { QUARANTINE_FIRST_TRIAL, QUARANTINE_SECOND_TRIAL };
   int64_t now = hold (1);
 
-  EXPECT_EQ (judge (1, now + QUARANTINE_TRIAL - 1, true), QUARANTINE_REFUSE);
-  EXPECT_EQ (judge (1, now + QUARANTINE_TRIAL, false), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (1, now + QUARANTINE_FIRST_TRIAL - 1, true), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (1, now + QUARANTINE_FIRST_TRIAL, false), QUARANTINE_REFUSE);
   for (uint32_t i = 0; i < QUARANTINE_TRIALS_MAX; i++)
     {
-      now += QUARANTINE_TRIAL << i;
+      now += waits[i];
       ASSERT_EQ (judge (1, now, true), QUARANTINE_TRY);
       struct quarantine_suspect tried = learnt (1, 10, now);
 
@@ -294,7 +296,7 @@
       add (tried);
       EXPECT_EQ (judge (1, now, true), QUARANTINE_REFUSE);
     }
-  EXPECT_EQ (judge (1, now + 100 * QUARANTINE_TRIAL, true), QUARANTINE_REFUSE);
+  EXPECT_EQ (judge (1, now + 100 * QUARANTINE_SECOND_TRIAL, true), QUARANTINE_REFUSE);
 }
 
 TEST_F (Quarantine, ForgetsWhatNobodySends)
--- a/tests/unit_quarantine_fleet.cc
+++ b/tests/unit_quarantine_fleet.cc
@@ -1,4 +1,5 @@
 // Fleets on virtual time in which requests end the targets that run them.
+#include "quarantine.h"
 #include "quarantine_fleet.h"
 #include <gtest/gtest.h>
 
@@ -62,6 +63,8 @@
         config.bad = 1;
         config.bad_rate = 4;
         config.bad_evenly = true;
+        // Before it is tried again.
+        config.span = QUARANTINE_FIRST_TRIAL - USEC_PER_SEC;
         config.bad_run = 100 * USEC_PER_MSEC;
         struct quarantine_fleet_figures figures = play (config);
 
@@ -134,6 +137,27 @@
     }
 }
 
+// Three requests end one target after the other, and a popular one is on most of them.  Where it is
+// taken for a fourth it must be let go after a while.
+TEST (QuarantineFleet, LetsGoOfARequestThatWasBesideOthers)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      struct quarantine_fleet_config config = fleet (9, seed);
+
+      config.span = 60 * USEC_PER_SEC;
+      config.bad = 3;
+      config.bad_rate = 8;
+      config.bad_run = 300 * USEC_PER_MSEC;
+      config.restarts = 3;
+      config.cuts = 3;
+      struct quarantine_fleet_figures figures = play (config);
+
+      EXPECT_EQ (figures.sound_held_last, 0u) << "seed " << seed;
+      EXPECT_LE (figures.late_most, LATE_MAX) << "seed " << seed;
+    }
+}
+
 // Most runs of a popular request are reset, and no target ends.
 TEST (QuarantineFleet, HoldsNobodyForConnectionsThatBreak)
 {
