Lose no end while no controller is reached, and forget what led to nothing

By reading: an entry host that reached no controller marked an end as told, and it never merged with others'; and the table stayed full for an hour after any target ended, so that each request was digested. Now news wait for somebody to tell, and ends that led to nothing go after ten minutes, unless the request was held once.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -339,13 +339,34 @@
   return news;
 }
 
+static int64_t
+last_end (const struct quarantine_suspect *suspect)
+{
+  int64_t last = suspect->tried;
+
+  for (uint32_t i = 0; i < suspect->n_ends; i++)
+    if (suspect->ends[i].to > last)
+      last = suspect->ends[i].to;
+  return last;
+}
+
+/* Nothing follows from what is known of it, and nothing will.  What was held once is remembered as
+ * cleared: somebody who was cut off may still hold it. */
+static bool
+is_settled (const struct quarantine_suspect *suspect, int64_t now)
+{
+  return suspect->n_ends < QUARANTINE_ENDS && quarantine_count (suspect, now) == 0
+         && now - last_end (suspect) > QUARANTINE_WINDOW;
+}
+
 void
 quarantine_expire (struct quarantine *quarantine, int64_t now)
 {
   uint32_t i = 0;
 
   while (i < quarantine->n)
-    if (now - quarantine->suspects[i].seen >= QUARANTINE_KEEP)
+    if (now - quarantine->suspects[i].seen >= QUARANTINE_KEEP
+        || is_settled (&quarantine->suspects[i], now))
       drop (quarantine, &quarantine->suspects[i]);
     else
       i++;
@@ -353,17 +374,6 @@
 
 /* ---- verdicts ---- */
 
-static int64_t
-last_end (const struct quarantine_suspect *suspect)
-{
-  int64_t last = suspect->tried;
-
-  for (uint32_t i = 0; i < suspect->n_ends; i++)
-    if (suspect->ends[i].to > last)
-      last = suspect->ends[i].to;
-  return last;
-}
-
 static bool
 is_due_for_try (const struct quarantine_suspect *suspect, int64_t now)
 {
--- a/src/quarantine_control.c
+++ b/src/quarantine_control.c
@@ -104,10 +104,12 @@
 
 /* An entry host's news go to all controllers; the first that takes them passes them on. */
 static void
-tell (struct quarantine_control *control, const struct bytes *suspects, uint32_t n, int64_t now)
+tell (struct quarantine_control *control,
+      const struct bytes *suspects,
+      uint32_t n,
+      const char *const *peers,
+      uint32_t n_peers)
 {
-  const char *peers[SYNC_HOSTS_MAX];
-  uint32_t n_peers = control->config.peers->ops->list (control->config.peers, peers, now);
   bool relayed = !control->config.is_entry;
   struct bytes news;
   struct bytes relay;
@@ -125,10 +127,18 @@
 tell_fired (struct timer *timer, int64_t now)
 {
   struct quarantine_control *control = CONTAINER_OF (timer, struct quarantine_control, tell_timer);
+  const char *peers[SYNC_HOSTS_MAX];
+  uint32_t n_peers = control->config.peers->ops->list (control->config.peers, peers, now);
   struct quarantine_suspect *suspect;
   struct bytes written;
   uint32_t n = 0;
 
+  /* What one host alone knows is told when there is somebody to tell. */
+  if (n_peers == 0 && control->config.is_entry)
+    {
+      timer_arm (control->config.timers, timer, now + QUARANTINE_COMPARE_FIRST);
+      return;
+    }
   bytes_init (&written, NULL);
   for (uint32_t i = 0; (suspect = quarantine_at (control->table, i)) != NULL; i++)
     {
@@ -145,7 +155,7 @@
       n++;
     }
   if (n > 0 && !bytes_failed (&written))
-    tell (control, &written, n, now);
+    tell (control, &written, n, peers, n_peers);
   bytes_clear (&written);
 }
 
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -311,6 +311,27 @@
   EXPECT_TRUE (quarantine_is_empty (table));
 }
 
+// A target ended by itself: once that is long ago no request need be compared with what ran there.
+TEST_F (Quarantine, ForgetsEndsThatLedToNothing)
+{
+  add (learnt (1, 11, START));
+  quarantine_expire (table, START + QUARANTINE_WINDOW);
+  EXPECT_FALSE (quarantine_is_empty (table));
+  quarantine_expire (table, START + QUARANTINE_WINDOW + 1);
+  EXPECT_TRUE (quarantine_is_empty (table));
+}
+
+// A host that was cut off may still hold what was cleared meanwhile.
+TEST_F (Quarantine, RemembersThatWhatWasHeldIsCleared)
+{
+  int64_t now = hold (1);
+
+  quarantine_clear (quarantine_at (table, 0));
+  quarantine_expire (table, now + QUARANTINE_WINDOW + USEC_PER_SEC);
+  hold (1);
+  EXPECT_EQ (count (1), 0u);
+}
+
 // ---- messages ----
 
 TEST_F (Quarantine, IsReadAsItIsWritten)
