Read all HTTP answers by one reader, so that no cut one passes for whole

What callers saw: an answer of a pipeline, or of the command line, with status 200 whose text stops in the middle, and nothing that says so.

Cause: http_client left chunks to libwebsockets, whose reader takes a size line without a digit for 0, the last chunk, and adds the digits of a size to 32 bits. The forwarding path reads the same format with h1.c, which checks it.

Change: http_client is a layer over h1_client; TLS is OpenSSL over memory buffers between h1_client and the socket. h1.c refuses a size with a blank behind it, which is no extension.

A changed check: HttpClient.FailsAnAnswerCutShort asked that an answer with a chunk extension fails, as libwebsockets does not read it. It is whole by RFC 9112; two rows with a damaged extension and without the end stand in its place, and Answers asks that it is read.

--- a/bench/fuzz_decoders.c
+++ b/bench/fuzz_decoders.c
@@ -10,6 +10,8 @@
   &fuzz_answer,
   &fuzz_piece,
   &fuzz_resource,
+  &fuzz_http_answer,
+  &fuzz_http_request,
   /* messages between hosts, and what the log carries */
   &fuzz_raft,
   &fuzz_raft_follower,
--- a/bench/fuzz_parts.h
+++ b/bench/fuzz_parts.h
@@ -15,6 +15,10 @@
 extern const struct fuzz_decoder fuzz_piece;
 extern const struct fuzz_decoder fuzz_resource;
 
+/* fuzz_http.c */
+extern const struct fuzz_decoder fuzz_http_answer;
+extern const struct fuzz_decoder fuzz_http_request;
+
 /* fuzz_message.c */
 extern const struct fuzz_decoder fuzz_raft;
 extern const struct fuzz_decoder fuzz_members;
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -24,6 +24,9 @@
 
 #define DRAIN_LOOK (50 * USEC_PER_MSEC)
 
+/* A target that takes no connection for so long is not tried further. */
+#define TARGET_CONNECT_TIMEOUT (1000 * USEC_PER_MSEC)
+
 struct entry_host
 {
   struct role_base base;
@@ -288,16 +291,22 @@
 {
   const int signals[] = { SIGTERM, SIGINT, SIGHUP };
   enum status status = role_base_build (&host->base, config->settings);
+  struct h1_client_config client;
 
   if (status != STATUS_OK)
     return status;
+  client = (struct h1_client_config){
+    .loop = host->base.loop,
+    .counters = host->base.counters,
+    .connect_timeout = TARGET_CONNECT_TIMEOUT,
+  };
   host->client_limits = host->base.limits;
   host->client_limits.idle_timeout = H1_IDLE_TIMEOUT;
   host->engines = engine_load_new (host);
   if (host->engines == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   balance_init (&host->balance, host->base.settings.domain, host->engines, host->base.seed);
-  host->client = h1_client_new (host, host->base.loop, host->base.counters);
+  host->client = h1_client_new (host, &client);
   if (host->client == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   status = build_batch (host, config->dialect);
--- a/src/h1.c
+++ b/src/h1.c
@@ -291,10 +291,8 @@
 {
   bool after_space = reader->last == ' ' || reader->last == '\t';
 
-  if (byte == '\r')
-    return true;
   if (reader->in_extension)
-    return byte == '\t' || (unsigned char) byte >= ' ';
+    return byte == '\r' || byte == '\t' || (unsigned char) byte >= ' ';
   if (byte == ';')
     reader->in_extension = true;
   return !after_space || byte == ' ' || byte == '\t' || byte == ';';
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -1,8 +1,8 @@
-/* The HTTP/1.1 client of the forwarding path. */
+/* The HTTP/1.1 client. */
 #include "h1_client.h"
+#include "client_stream.h"
 #include "container.h"
 #include "resource.h"
-#include "tcp.h"
 #include "text.h"
 #include <stdlib.h>
 #include <string.h>
@@ -37,7 +37,7 @@
 /* A connection. */
 struct h1_wire
 {
-  struct tcp_stream stream;
+  struct client_stream stream;
   struct timer timer; /* connecting, or idle */
   struct h1_client *client;
   struct h1_place *place;
@@ -57,6 +57,8 @@
 struct h1_client
 {
   struct loop *loop;
+  int64_t connect_timeout;
+  const struct tls_trust *trust;
   struct h1_place *places;
   struct h1_wire *wires;
   struct counter *opened;
@@ -89,7 +91,7 @@
   if (wire->idle)
     DL_DELETE (wire->place->idle, wire);
   DL_DELETE2 (wire->client->wires, wire, all_prev, all_next);
-  tcp_close (&wire->stream, false);
+  client_stream_close (&wire->stream);
   h1_reader_clear (&wire->reader);
   bytes_clear (&wire->message);
   talloc_free (wire);
@@ -183,8 +185,8 @@
 static void
 answer_done (struct h1_wire *wire, bool clean, int64_t now)
 {
-  bool keep = wire->reader.head.keep_alive && clean && wire->stream.open && wire->keep > 0
-              && tcp_unsent (&wire->stream) == 0 && !wire->foreign;
+  bool keep = wire->reader.head.keep_alive && clean && wire->keep > 0
+              && client_stream_is_idle (&wire->stream) && !wire->foreign;
   struct h1_call *call = wire->call;
 
   INVARIANT (wire->reader.done && !wire->skipping);
@@ -201,7 +203,7 @@
 }
 
 static void
-stream_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
+stream_received (struct client_stream *stream, const char *data, size_t length, int64_t now)
 {
   struct h1_wire *wire = CONTAINER_OF (stream, struct h1_wire, stream);
   struct h1_call *call = wire->call;
@@ -243,7 +245,7 @@
 }
 
 static void
-stream_connected (struct tcp_stream *stream, int64_t now)
+stream_connected (struct client_stream *stream, int64_t now)
 {
   struct h1_wire *wire = CONTAINER_OF (stream, struct h1_wire, stream);
 
@@ -252,12 +254,12 @@
   if (wire->call == NULL)
     return;
   wire->call->handed = true;
-  tcp_write (stream, wire->message.data, wire->message.length);
+  client_stream_write (stream, wire->message.data, wire->message.length);
   bytes_clear (&wire->message);
 }
 
 static void
-stream_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
+stream_ended (struct client_stream *stream, enum tcp_end end, int64_t now)
 {
   static const enum h1_end ends[] = {
     [TCP_END_ORDERLY] = H1_END_CUT,     [TCP_END_RESET] = H1_END_RESET,
@@ -278,7 +280,7 @@
   free_wire (wire);
 }
 
-static const struct tcp_stream_ops stream_ops = {
+static const struct client_stream_ops stream_ops = {
   .connected = stream_connected,
   .received = stream_received,
   .ended = stream_ended,
@@ -310,7 +312,9 @@
   wire->timer.ops = &timer_ops;
   bytes_init (&wire->message, wire);
   h1_reader_init (&wire->reader, &reader_ops, HTTP_RESPONSE, H1_HEAD_BYTES_MAX);
-  if (tcp_connect (&wire->stream, &stream_ops, client->loop, place->address) != STATUS_OK)
+  if (client_stream_connect (&wire->stream, &stream_ops, client->loop, client->trust,
+                             place->address)
+      != STATUS_OK)
     {
       h1_reader_clear (&wire->reader);
       talloc_free (wire);
@@ -318,7 +322,7 @@
     }
   DL_APPEND2 (client->wires, wire, all_prev, all_next);
   counter_add (client->opened, 1);
-  timer_arm (loop_timers (client->loop), &wire->timer, now + H1_CONNECT_TIMEOUT);
+  timer_arm (loop_timers (client->loop), &wire->timer, now + client->connect_timeout);
   return wire;
 }
 
@@ -327,7 +331,7 @@
 {
   struct h1_wire *wire;
 
-  while (place->idle != NULL && tcp_has_unread (&place->idle->stream))
+  while (place->idle != NULL && client_stream_has_unread (&place->idle->stream))
     free_wire (place->idle);
   wire = place->idle;
   if (wire == NULL)
@@ -373,13 +377,13 @@
   wire->call = call;
   wire->reader.no_body = call->no_body;
   call->wire = wire;
-  if (wire->stream.connecting)
+  if (!client_stream_is_connected (&wire->stream))
     {
       bytes_append (&wire->message, message->data, message->length);
       return bytes_failed (&wire->message) ? cannot_send (wire) : STATUS_OK;
     }
   call->handed = true;
-  tcp_write (&wire->stream, message->data, message->length);
+  client_stream_write (&wire->stream, message->data, message->length);
   return STATUS_OK;
 }
 
@@ -392,7 +396,7 @@
     return;
   call->wire = NULL;
   wire->call = NULL;
-  tcp_close (&wire->stream, false);
+  client_stream_close (&wire->stream);
   /* The reader may be on the stack: the wire goes from the loop. */
   timer_arm (loop_timers (wire->client->loop), &wire->timer, 0);
 }
@@ -425,15 +429,18 @@
 }
 
 struct h1_client *
-h1_client_new (void *parent, struct loop *loop, struct counters *counters)
+h1_client_new (void *parent, const struct h1_client_config *config)
 {
   struct h1_client *client = talloc_zero (parent, struct h1_client);
+  struct counters *counters = config->counters;
 
   if (client == NULL)
     return NULL;
-  client->loop = loop;
+  client->loop = config->loop;
+  client->connect_timeout = config->connect_timeout;
+  client->trust = config->trust;
   client->opened = counter_get (counters, "cherryarch_h1_connections_opened_total",
-                                "Connections opened to targets.", NULL);
+                                "Connections opened to targets and hosts.", NULL);
   client->reused = counter_get (counters, "cherryarch_h1_connections_reused_total",
                                 "Calls over a kept connection.", NULL);
   client->foreign = counter_get (counters, "cherryarch_h1_foreign_answers_total",
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -1,4 +1,4 @@
-/* The HTTP/1.1 client of the forwarding path: calls to targets over kept connections. */
+/* The HTTP/1.1 client: calls to targets and hosts over kept connections, plain or with TLS. */
 #ifndef H1_CLIENT_H
 #define H1_CLIENT_H
 
@@ -6,12 +6,10 @@
 #include "decls.h"
 #include "h1.h"
 #include "loop.h"
+#include "tls_session.h"
 
 BEGIN_DECLS
 
-/* A target that takes no connection for so long is not tried further. */
-#define H1_CONNECT_TIMEOUT (1000 * USEC_PER_MSEC)
-
 /* An idle connection is kept this long where the target does not say for how long it keeps it. */
 #define H1_IDLE_KEEP (10 * USEC_PER_SEC)
 
@@ -63,7 +61,15 @@
 
 struct h1_client;
 
-struct h1_client *h1_client_new (void *parent, struct loop *loop, struct counters *counters);
+struct h1_client_config
+{
+  struct loop *loop;
+  struct counters *counters;
+  int64_t connect_timeout;       /* a server that takes no connection for so long is given up */
+  const struct tls_trust *trust; /* NULL for plain connections */
+};
+
+struct h1_client *h1_client_new (void *parent, const struct h1_client_config *config);
 
 /* Send `message`, a whole request.  With `fresh` on a new connection.  ended() comes from the loop,
  * unless the call fails at once, which sent nothing. */
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,190 +1,230 @@
-/* The HTTP client: calls started and cancelled, connections kept per address. */
+/* The HTTP client of the product's own calls. */
 #include "http_client.h"
-#include "http_client_private.h"
-#include "text.h"
+#include "container.h"
+#include "h1_client.h"
+#include "http_headers.h"
+#include "inet_address.h"
+#include <ctype.h>
 #include <string.h>
 #include <talloc.h>
 #include <utlist.h>
 
-/* Seconds that an unused connection is kept; below what servers commonly allow, so that it is
- * rarely the other side that closes one just as it is used. */
-#define KEEP_SECONDS 20
+#define ADDRESS_SIZE 64
 
-static const struct lws_protocols client_protocols[] = {
-  { .name = "http-client", .callback = client_on_event },
-  { .name = NULL },
+/* name, text, help */
+#define CLIENT_COUNTER_LIST(X)                                                                     \
+  X (CALLS, "cherryarch_http_client_calls", "Calls started")                                       \
+  X (FAILED, "cherryarch_http_client_failed", "Calls that ended without a whole answer")           \
+  X (CUT, "cherryarch_http_client_cut", "Answers cut short by the other side")
+
+enum client_counter
+{
+#define X(name, text, help) CLIENT_##name,
+  CLIENT_COUNTER_LIST (X)
+#undef X
+      CLIENT_COUNTER_COUNT
+};
+
+struct client
+{
+  struct http_client http;
+  struct http_client_config config;
+  struct timer_service *timers;
+  struct h1_client *h1;
+  struct counter *counters[CLIENT_COUNTER_COUNT];
+  struct http_call *calls;
+  uint32_t n_calls;
+};
+
+struct http_call
+{
+  struct h1_call h1;
+  struct client *client;
+  struct http_call_sink *sink;
+  struct timer timer;
+  char address[ADDRESS_SIZE];
+  size_t max_body_bytes;
+  size_t received; /* bytes of the answer's body */
+  bool head_seen;
+  struct http_call *prev;
+  struct http_call *next;
 };
 
 static void
-free_slot (struct lws_vhost *vhost, void *arg)
+count (struct client *client, enum client_counter counter)
 {
-  (void) vhost;
-  talloc_free (arg);
+  counter_add (client->counters[counter], 1);
 }
 
-/* The slot outlives the client until lws lets go of its vhost. */
-static struct client_slot *
-make_slot (struct client *client)
+/* ---- the end of a call ---- */
+
+static void
+free_call (struct http_call *call)
 {
-  struct client_slot *slot = talloc_zero (NULL, struct client_slot);
-  struct lws_context_creation_info info = {
-    .port = CONTEXT_PORT_NO_LISTEN,
-    .protocols = client_protocols,
-    .vhost_name = "client",
-    .user = slot,
-    .alpn = "http/1.1",
-    .options = client->config.tls_ca == NULL ? 0 : LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT,
-    .client_ssl_ca_filepath = client->config.tls_ca,
-    .finalize = free_slot,
-    .finalize_arg = slot,
-  };
+  struct client *client = call->client;
 
-  if (slot == NULL)
-    return NULL;
-  slot->vhost = lws_create_vhost (loop_context (client->config.loop), &info);
-  if (slot->vhost == NULL)
-    {
-      talloc_free (slot);
-      return NULL;
-    }
-  slot->client = client;
-  DL_APPEND2 (client->slots, slot, all_prev, all_next);
-  return slot;
+  timer_disarm (client->timers, &call->timer);
+  DL_DELETE (client->calls, call);
+  client->n_calls--;
+  h1_call_cancel (&call->h1);
+  talloc_free (call);
 }
 
-/* uthash's macros are long; the functions are not.
- * NOLINTBEGIN(readability-function-size) */
-
-static struct client_endpoint *
-find_endpoint (struct client *client, const char *address, bool make)
+static void
+fail (struct http_call *call, enum status why, int64_t now)
 {
-  struct client_endpoint *endpoint;
+  struct http_call_sink *sink = call->sink;
+  bool sent = call->h1.handed;
 
-  HASH_FIND_STR (client->endpoints, address, endpoint);
-  if (endpoint != NULL || !make)
-    return endpoint;
-  endpoint = talloc_zero (client, struct client_endpoint);
-  if (endpoint == NULL)
-    return NULL;
-  text_copy_cut (endpoint->address, sizeof endpoint->address, address);
-  HASH_ADD_STR (client->endpoints, address, endpoint);
-  return endpoint;
+  count (call->client, CLIENT_FAILED);
+  free_call (call);
+  sink->ops->failed (sink, why, sent, now);
 }
 
 static void
-leave_endpoint (struct client *client, struct client_slot *slot)
+timer_fired (struct timer *timer, int64_t now)
 {
-  struct client_endpoint *endpoint = slot->endpoint;
-
-  slot->endpoint = NULL;
-  DL_DELETE (endpoint->idle, slot);
-  if (endpoint->idle != NULL)
-    return;
-  HASH_DEL (client->endpoints, endpoint);
-  talloc_free (endpoint);
+  struct http_call *call = CONTAINER_OF (timer, struct http_call, timer);
+
+  status_fail (STATUS_TIMEOUT,
+               call->h1.handed ? "no whole answer in time" : "no connection in time");
+  fail (call, STATUS_TIMEOUT, now);
 }
 
-/* NOLINTEND(readability-function-size) */
+static const struct timer_ops call_timer_ops = { .fire = timer_fired };
 
-/* A slot with an idle connection to the address, or one without any. */
-static struct client_slot *
-take_slot (struct client *client, const char *address)
+static enum status
+status_of (const struct http_call *call, enum h1_end end)
 {
-  struct client_endpoint *endpoint = find_endpoint (client, address, false);
-  struct client_slot *slot;
+  if (!call->h1.handed)
+    return status_fail (STATUS_UNAVAILABLE, "cannot connect to %s", call->address);
+  return status_fail (end == H1_END_MALFORMED ? STATUS_MALFORMED : STATUS_IO, "%s",
+                      h1_end_text (end));
+}
 
-  if (endpoint != NULL)
-    {
-      slot = endpoint->idle;
-      leave_endpoint (client, slot);
-      return slot;
-    }
-  slot = client->free;
-  if (slot != NULL)
+static void
+on_ended (struct h1_call *h1, enum h1_end end, int64_t now)
+{
+  struct http_call *call = CONTAINER_OF (h1, struct http_call, h1);
+  struct http_call_sink *sink = call->sink;
+
+  if (end == H1_END_WHOLE)
     {
-      DL_DELETE (client->free, slot);
-      return slot;
+      free_call (call);
+      sink->ops->end (sink, now);
+      return;
     }
-  client_count (client, CLIENT_CONNECTIONS);
-  return make_slot (client);
+  if (call->head_seen)
+    count (call->client, CLIENT_CUT);
+  fail (call, status_of (call, end), now);
+}
+
+/* ---- the answer ---- */
+
+/* An answer that just ends with its connection cannot be told from one cut short. */
+static enum status
+check_head (const struct http_call *call, const struct h1_head *head)
+{
+  if (head->framing == H1_FRAMING_CLOSE)
+    return status_fail (STATUS_MALFORMED, "the answer's end cannot be told");
+  if (head->framing == H1_FRAMING_LENGTH && head->length > call->max_body_bytes)
+    return status_fail (STATUS_TOO_LARGE, "the answer is over %zu bytes", call->max_body_bytes);
+  return STATUS_OK;
 }
 
 static void
-kill_connection (struct lws *wsi)
+to_lower (char *text)
 {
-  lws_set_opaque_user_data (wsi, NULL);
-  lws_set_timeout (wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  for (; *text != '\0'; text++)
+    *text = (char) tolower ((unsigned char) *text);
 }
 
-void
-client_call_free (struct http_call *call, bool keep)
+/* Names in lower case, as sinks look for them.  Values live as long as the head. */
+static struct http_field *
+copy_fields (const struct h1_head *head)
 {
-  struct client *client = call->client;
-  struct client_slot *slot = call->slot;
-  struct client_endpoint *endpoint = NULL;
+  struct http_field *fields = talloc_zero_array (NULL, struct http_field, head->n_fields + 1);
 
-  timer_disarm (client->timers, &call->timer);
-  client->n_calls--;
-  slot->call = NULL;
-  if (slot->wsi != NULL && keep)
-    endpoint = find_endpoint (client, call->address, true);
-  if (endpoint != NULL)
+  for (uint32_t i = 0; fields != NULL && i < head->n_fields; i++)
     {
-      lws_set_opaque_user_data (slot->wsi, NULL);
-      slot->endpoint = endpoint;
-      DL_PREPEND (endpoint->idle, slot);
+      char *name = talloc_strdup (fields, head->fields[i].name);
+
+      if (name == NULL)
+        {
+          talloc_free (fields);
+          return NULL;
+        }
+      to_lower (name);
+      fields[i] = (struct http_field){ .name = name, .value = head->fields[i].value };
     }
-  else if (slot->wsi != NULL)
-    kill_connection (slot->wsi);
-  talloc_free (call);
+  return fields;
 }
 
-void
-client_slot_closed (struct client_slot *slot, struct lws *wsi)
+static bool
+on_head (struct h1_call *h1, const struct h1_head *head, int64_t now)
 {
-  struct client *client = slot->client;
+  struct http_call *call = CONTAINER_OF (h1, struct http_call, h1);
+  enum status status = check_head (call, head);
+  struct http_field *fields = status == STATUS_OK ? copy_fields (head) : NULL;
 
-  /* A connection that was handed on to a new call has a new wsi by now. */
-  if (slot->wsi != wsi)
-    return;
-  slot->wsi = NULL;
-  if (client == NULL)
-    return;
-  if (slot->endpoint != NULL)
-    leave_endpoint (client, slot);
-  DL_PREPEND (client->free, slot);
+  if (status == STATUS_OK && fields == NULL)
+    status = status_fail (STATUS_NO_MEMORY, "no memory for headers");
+  if (status != STATUS_OK)
+    {
+      fail (call, status, now);
+      return true;
+    }
+  call->head_seen = true;
+  call->sink->ops->head (call->sink, (int) head->status, fields, head->n_fields, now);
+  talloc_free (fields);
+  return true;
 }
 
-static bool
-copy_headers (struct http_call *call, const struct http_call_spec *spec)
+static void
+on_data (struct h1_call *h1, const char *data, size_t length, int64_t now)
 {
-  call->headers = talloc_array (call, struct http_field, spec->n_headers);
-  if (call->headers == NULL)
-    return false;
-  for (size_t i = 0; i < spec->n_headers; i++)
-    {
-      char *name = talloc_asprintf (call, "%s:", spec->headers[i].name);
-      char *value = talloc_strdup (call, spec->headers[i].value);
+  struct http_call *call = CONTAINER_OF (h1, struct http_call, h1);
+
+  call->received += length;
+  if (call->received > call->max_body_bytes)
+    fail (call,
+          status_fail (STATUS_TOO_LARGE, "the answer is over %zu bytes", call->max_body_bytes),
+          now);
+  else
+    call->sink->ops->data (call->sink, data, length, now);
+}
 
-      if (name == NULL || value == NULL)
-        return false;
-      call->headers[i] = (struct http_field){ .name = name, .value = value };
-    }
-  call->n_headers = spec->n_headers;
-  return true;
+static const struct h1_call_ops h1_ops = { .head = on_head, .data = on_data, .ended = on_ended };
+
+/* ---- the request ---- */
+
+static void
+write_message (const struct http_call_spec *spec, struct bytes *out)
+{
+  bytes_append_format (out, "%s %s HTTP/1.1\r\n", spec->method, spec->path);
+  h1_write_field (out, "host", spec->address);
+  for (size_t i = 0; i < spec->n_headers; i++)
+    h1_write_field (out, spec->headers[i].name, spec->headers[i].value);
+  if (spec->body_length > 0 || spec->method[0] == 'P')
+    bytes_append_format (out, "content-length: %zu\r\n", spec->body_length);
+  bytes_append_text (out, "\r\n");
+  if (spec->body_length > 0)
+    bytes_append (out, spec->body, spec->body_length);
 }
 
 static enum status
-check_spec (const struct http_call_spec *spec, struct inet_address *address)
+check_spec (const struct http_call_spec *spec)
 {
-  if (strlen (spec->address) >= CLIENT_ADDRESS_SIZE)
+  struct inet_address address;
+
+  if (strlen (spec->address) >= ADDRESS_SIZE)
     return status_fail (STATUS_INVALID, "the address is too long");
   if (!http_headers_clean (spec->path) || strchr (spec->path, ' ') != NULL)
     return status_fail (STATUS_INVALID, "a path must not hold spaces or control characters");
   for (size_t i = 0; i < spec->n_headers; i++)
     if (!http_headers_clean (spec->headers[i].name) || !http_headers_clean (spec->headers[i].value))
       return status_fail (STATUS_INVALID, "a header must not hold control characters");
-  return inet_address_parse (spec->address, address);
+  return inet_address_parse (spec->address, &address);
 }
 
 static struct http_call *
@@ -194,60 +234,30 @@
 
   if (call == NULL)
     return NULL;
+  call->h1.ops = &h1_ops;
+  call->h1.no_body = strcmp (spec->method, "HEAD") == 0;
   call->client = client;
   call->sink = sink;
-  call->timer.ops = &client_call_timer_ops;
-  call->deadline = spec->deadline;
-  text_copy_cut (call->address, sizeof call->address, spec->address);
-  call->method = talloc_strdup (call, spec->method);
-  call->body = talloc_memdup (call, spec->body_length > 0 ? spec->body : "", spec->body_length + 1);
-  call->body_length = spec->body_length;
+  call->timer.ops = &call_timer_ops;
+  memcpy (call->address, spec->address, strlen (spec->address) + 1);
   call->max_body_bytes =
       spec->max_body_bytes > 0 ? spec->max_body_bytes : client->config.answer_bytes_max;
-  if (call->method == NULL || call->body == NULL || !copy_headers (call, spec))
-    {
-      talloc_free (call);
-      return NULL;
-    }
+  DL_APPEND (client->calls, call);
+  client->n_calls++;
   return call;
 }
 
-/* Have lws connect, or use the slot's idle connection; false when neither works. */
-static bool
-connect_call (struct http_call *call, const char *path, const struct inet_address *address)
+static enum status
+send_message (struct http_call *call, const struct http_call_spec *spec, int64_t now)
 {
-  struct client_slot *slot = call->slot;
-  struct lws *idle = slot->wsi;
-  struct lws_client_connect_info info = {
-    .context = loop_context (call->client->config.loop),
-    .address = address->ip,
-    .port = address->port,
-    .path = path,
-    .host = address->ip, /* lws finds the idle connection by this */
-    .method = call->method,
-    .protocol = client_protocols[0].name,
-    .vhost = slot->vhost,
-    .alpn = "http/1.1",
-    .opaque_user_data = call,
-    .pwsi = &slot->wsi,
-    .keep_warm_secs = KEEP_SECONDS,
-    .ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT,
-  };
-
-  /* Addresses are IP numbers, which lws cannot match with a certificate's: whoever the authority
-   * of `tls_ca` certified is trusted. */
-  if (call->client->config.tls_ca != NULL)
-    info.ssl_connection |= LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
-  slot->call = call;
-  call->starting = true;
-  if (lws_client_connect_via_info (&info) == NULL)
-    {
-      if (slot->wsi == NULL || slot->wsi == idle)
-        slot->wsi = NULL;
-      return false;
-    }
-  call->starting = false;
-  return true;
+  struct bytes message;
+  enum status status;
+
+  bytes_init (&message, NULL);
+  write_message (spec, &message);
+  status = h1_call_start (call->client->h1, &call->h1, spec->address, &message, false, now);
+  bytes_clear (&message);
+  return status;
 }
 
 static enum status
@@ -258,36 +268,24 @@
        struct http_call **out)
 {
   struct client *client = (struct client *) http;
-  struct inet_address address;
   struct http_call *call;
-  int64_t connect_until = now + client->config.connect_timeout;
-  enum status status = check_spec (spec, &address);
+  enum status status = check_spec (spec);
 
   if (status != STATUS_OK)
     return status;
   if (client->n_calls >= client->config.calls_max)
     return status_fail (STATUS_LIMIT, "%u calls at one time are the limit", client->n_calls);
   call = make_call (client, spec, sink);
-  if (call != NULL)
-    call->slot = take_slot (client, call->address);
-  if (call == NULL || call->slot == NULL)
-    {
-      talloc_free (call);
-      return status_fail (STATUS_NO_MEMORY, "no memory for a call");
-    }
-  client->n_calls++;
-  timer_arm (client->timers, &call->timer,
-             connect_until < spec->deadline ? connect_until : spec->deadline);
-  if (!connect_call (call, spec->path, &address))
+  if (call == NULL)
+    return status_fail (STATUS_NO_MEMORY, "no memory for a call");
+  status = send_message (call, spec, now);
+  if (status != STATUS_OK)
     {
-      struct client_slot *slot = call->slot;
-
-      client_call_free (call, false);
-      if (slot->wsi == NULL)
-        DL_PREPEND (client->free, slot);
-      return status_fail (STATUS_UNAVAILABLE, "cannot connect to %s", spec->address);
+      free_call (call);
+      return status;
     }
-  client_count (client, CLIENT_CALLS);
+  timer_arm (client->timers, &call->timer, spec->deadline);
+  count (client, CLIENT_CALLS);
   *out = call;
   return STATUS_OK;
 }
@@ -296,31 +294,41 @@
 cancel (struct http_client *http, struct http_call *call)
 {
   (void) http;
-  client_call_free (call, false);
+  free_call (call);
 }
 
 static const struct http_client_ops client_ops = { .start = start, .cancel = cancel };
 
+/* ---- the client ---- */
+
 static int
 destroy_client (struct client *client)
 {
-  struct client_slot *slot;
-  struct client_slot *next;
-
-  DL_FOREACH_SAFE2 (client->slots, slot, next, all_next)
-  {
-    slot->client = NULL;
-    if (slot->call != NULL)
-      timer_disarm (client->timers, &slot->call->timer);
-    slot->call = NULL;
-    if (slot->wsi != NULL)
-      lws_set_opaque_user_data (slot->wsi, NULL);
-    lws_vhost_destroy (slot->vhost);
-  }
-  HASH_CLEAR (hh, client->endpoints);
+  while (client->calls != NULL)
+    free_call (client->calls);
   return 0;
 }
 
+static enum status
+make_h1_client (struct client *client, struct counters *counters)
+{
+  const struct http_client_config *config = &client->config;
+  struct h1_client_config h1 = {
+    .loop = config->loop,
+    .counters = counters,
+    .connect_timeout = config->connect_timeout,
+  };
+
+  if (config->tls_ca != NULL)
+    {
+      h1.trust = tls_trust_new (client, config->tls_ca);
+      if (h1.trust == NULL)
+        return STATUS_INVALID;
+    }
+  client->h1 = h1_client_new (client, &h1);
+  return client->h1 == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
 struct http_client *
 http_client_new (void *parent, const struct http_client_config *config)
 {
@@ -330,15 +338,22 @@
 #undef X
   };
   struct client *client = talloc_zero (parent, struct client);
+  struct counters *counters = config->counters;
 
   if (client == NULL)
     return NULL;
   client->http.ops = &client_ops;
   client->config = *config;
-  client->config.tls_ca = talloc_strdup (client, config->tls_ca);
   client->timers = loop_timers (config->loop);
-  for (int i = 0; i < CLIENT_COUNTER_COUNT && config->counters != NULL; i++)
-    client->counters[i] = counter_get (config->counters, names[i][0], names[i][1], NULL);
+  if (counters == NULL)
+    counters = counters_new (client);
+  if (counters == NULL || make_h1_client (client, counters) != STATUS_OK)
+    {
+      talloc_free (client);
+      return NULL;
+    }
+  for (int i = 0; i < CLIENT_COUNTER_COUNT; i++)
+    client->counters[i] = counter_get (counters, names[i][0], names[i][1], NULL);
   talloc_set_destructor (client, destroy_client);
   return &client->http;
 }
--- a/tests/h1_client_harness.h
+++ b/tests/h1_client_harness.h
@@ -62,12 +62,23 @@
   }
 };
 
+inline struct h1_client *
+make_h1_client (struct loop *loop, struct counters *counters)
+{
+  struct h1_client_config config = {};
+
+  config.loop = loop;
+  config.counters = counters;
+  config.connect_timeout = USEC_PER_SEC;
+  return h1_client_new (loop, &config);
+}
+
 class H1Client : public ::testing::Test
 {
 protected:
   struct loop *loop = loop_new_plain (nullptr, 64);
   struct counters *counters = counters_new (loop);
-  struct h1_client *client = h1_client_new (loop, loop, counters);
+  struct h1_client *client = make_h1_client (loop, counters);
   std::unique_ptr<raw_target> target = std::make_unique<raw_target> (loop);
 
   void
--- a/tests/unit_edges_client.cc
+++ b/tests/unit_edges_client.cc
@@ -104,8 +104,10 @@
     { "negative length", "HTTP/1.1 200 OK\r\ncontent-length: -1\r\n\r\nhello" },
     { "chunk size not a number",
       "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n" },
-    { "chunk with an extension, which lws does not read",
-      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\r\nllo\r\n0\r\n\r\n" },
+    { "chunk with an extension that ends with LF alone",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\nllo\r\n0\r\n\r\n" },
+    { "chunk with an extension, and no last chunk",
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\r\nllo\r\n" },
     { "a redirect",
       "HTTP/1.1 302 Found\r\nlocation: http://127.0.0.1:1/\r\ncontent-length: 5\r\n\r\nhe" },
   };
