Refuse stage work that is known to be late, and nobody else

What callers saw: a request for whose stage a pool has no time waited for about two seconds and then heard 503, the work of its earlier stages thrown away.

It looked at one failure domain's part of a pool, at calls as full as they were lately, and at bookings until they were due, also of orders that had gone to another part.

Evidence: forward_burst.TellsAtOnceWhoCannotBeInTime and .TellsAtOnceWhoseLaterStageCannotBeInTime fail on; so do four of the five tests of WorkParts, with refusing on.

Change: the wait is the least that the work before can take; a part that refuses is left out and the next best is asked; an order that goes elsewhere gives its booking up; a booking that cannot be in time does not count.

Both tests, unchanged, 20 of 20 under the sanitizers.

--- a/src/batch_admit.c
+++ b/src/batch_admit.c
@@ -14,9 +14,6 @@
 #include <talloc.h>
 #include <utlist.h>
 
-/* How fast the fill of calls follows, of calls after which orders still wait. */
-#define FILL_SMOOTHING 0.1
-
 struct batch_booking
 {
   char request[DIALECT_ID_SIZE];
@@ -26,16 +23,6 @@
   struct batch_booking *next;
 };
 
-void
-batch_note_fill (struct batch_pool *pool, uint32_t n_pieces)
-{
-  if (pool->queue == NULL)
-    return;
-  if (pool->fill == 0)
-    pool->fill = pool->spec.pieces;
-  pool->fill += FILL_SMOOTHING * ((double) n_pieces - pool->fill);
-}
-
 static uint32_t
 count_slots (const struct batch_pool *pool)
 {
@@ -47,15 +34,15 @@
   return n;
 }
 
-/* How long so many pieces keep all targets of the pool, calls as full as they were lately. */
+/* How long so many pieces keep all targets of the pool at least: with full calls. */
 static int64_t
 time_of (const struct batch_pool *pool, uint32_t n_pieces)
 {
-  double fill = pool->fill > 0 ? pool->fill : pool->spec.pieces;
+  double calls = (double) n_pieces / pool->spec.pieces;
   uint32_t slots = count_slots (pool);
-  double call = (double) pool->spec.call_time + fill * (double) pool->spec.piece_time;
 
-  return (int64_t) (n_pieces / fill * call / (slots == 0 ? 1 : slots));
+  return (int64_t) (calls * (double) batch_expected (pool, pool->spec.pieces)
+                    / (slots == 0 ? 1 : slots));
 }
 
 /* Pieces that will be taken before the demand's. */
@@ -72,7 +59,7 @@
     if (!batch_is_late (pool, &order->demand, now))
       n += order->n_pending;
   DL_FOREACH (pool->bookings, booking)
-    if (batch_rank (&booking->demand) <= rank)
+    if (batch_rank (&booking->demand) <= rank && !batch_is_late (pool, &booking->demand, now))
       n += booking->demand.n_pieces;
   return n;
 }
@@ -111,10 +98,10 @@
     return false;
   counter_add (pool->batch->turned_away, 1);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "order-turned-away",
-             "{s:s,s:i,s:s,s:s,s:i,s:i,s:I,s:I,s:f}", "id", request, "stage", (int) stage, "pool",
+             "{s:s,s:i,s:s,s:s,s:i,s:i,s:I,s:I}", "id", request, "stage", (int) stage, "pool",
              pool->name, "domain", pool->domain, "pieces", (int) demand->n_pieces, "before",
              (int) before, "wait_us", (json_int_t) wait, "due_in_us",
-             (json_int_t) (demand->due - now), "fill", pool->fill);
+             (json_int_t) (demand->due - now));
   return true;
 }
 
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -54,7 +54,6 @@
   struct batch_order *queue;      /* orders with pending pieces, by rank */
   struct batch_booking *bookings; /* orders to come */
   uint32_t n_pending;             /* their pieces */
-  double fill;                    /* pieces a call while orders wait, smoothed; 0: not known */
   double usual_wait;              /* of orders that came in time, beyond the expected, smoothed */
   uint64_t reserved;              /* bytes that the pending pieces of begun orders will take */
   struct batch_target *targets;
@@ -103,9 +102,6 @@
 
 /* batch_admit.c */
 
-/* A call with so many pieces goes out. */
-void batch_note_fill (struct batch_pool *pool, uint32_t n_pieces);
-
 /* Is it to be ended as it comes?  Says so in the log. */
 bool batch_turns_away (struct batch_pool *pool,
                        const struct batch_demand *demand,
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -359,7 +359,6 @@
       if (target == NULL)
         return;
       n = take_pieces (pool, target, &outlook, now, pieces);
-      batch_note_fill (pool, n);
       if (n > 0 && batch_call_start (pool, target, pieces, n, now))
         {
           tell_taken (pool, pieces, n, now);
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -144,14 +144,11 @@
   return job->objective_at - now - job->path;
 }
 
-/* Off: it serves more on some fleets and fewer on others. */
-#define TURNS_AWAY false
-
 /* Only its first try: one that is turned away a second time does not come again. */
 static bool
 may_turn_away (const struct forward_job *job, int64_t now)
 {
-  return TURNS_AWAY && job->age == 0 && !job->remade && time_to_return (job, now) > RETURN_LEAST;
+  return job->age == 0 && !job->remade && time_to_return (job, now) > RETURN_LEAST;
 }
 
 /* Spread, so that those turned away at one moment do not come back at one. */
--- a/src/work.c
+++ b/src/work.c
@@ -41,6 +41,30 @@
   order->ops->done (order, end, now);
 }
 
+static void dispatch (struct work_order *order, int64_t now);
+
+/* One part of a split pool may be full while another one has room. */
+static bool
+dispatch_elsewhere (struct work_order *order, int64_t now)
+{
+  struct work *work = order->work;
+
+  if (!work_refuse_part (work, order->request, order->pool, order->domain, &order->refused))
+    return false;
+  work_owner_count (work, order->owner, -1);
+  order->owner[0] = '\0';
+  dispatch (order, now);
+  return true;
+}
+
+/* Its owner says how it ended. */
+static void
+answered (struct work_order *order, enum piece_end end, int64_t now)
+{
+  if (end != PIECE_BUSY || !dispatch_elsewhere (order, now))
+    finish (order, end, now);
+}
+
 static void
 local_done (struct batch_order *batch_order, enum piece_end end, int64_t now)
 {
@@ -55,7 +79,7 @@
   order->local = NULL;
   for (uint32_t i = 0; end == PIECE_DONE && i < order->n_pieces; i++)
     order->results[i] = batch_order->results[i].result;
-  finish (order, end, now);
+  answered (order, end, now);
 }
 
 static void
@@ -362,7 +386,7 @@
       || (answer.end == PIECE_DONE && answer.n != order->n_pieces))
     return;
   memcpy (order->results, answer.results, answer.n * sizeof answer.results[0]);
-  finish (order, answer.end, now);
+  answered (order, answer.end, now);
 }
 
 static void
--- a/src/work.h
+++ b/src/work.h
@@ -49,6 +49,15 @@
 /* And of the usual wait at its pool for so long. */
 #define WORK_USUAL_FRESH (3 * USEC_PER_SEC)
 
+/* Parts of one pool that refuse one order; more than so many are not asked. */
+#define WORK_PARTS_MAX 4
+
+struct work_parts
+{
+  uint32_t n;
+  char domains[WORK_PARTS_MAX][ROUTING_NAME_SIZE];
+};
+
 struct work;
 
 struct work_config
@@ -87,6 +96,8 @@
   char near[ROUTING_NAME_SIZE];   /* failure domain from which most would cross; "" for any */
   char home[ROUTING_NAME_SIZE];   /* the request's; a split pool's part there is taken for any */
   char booked[ROUTING_NAME_SIZE]; /* the part where it was booked; "" where it was not */
+  char booked_with[ROUTING_NAME_SIZE]; /* the owner of that part then */
+  struct work_parts refused;           /* parts that could not make it in time */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   const char *inputs; /* NULL with a key; copied */
@@ -134,6 +145,7 @@
   uint64_t number;
   char owner[ROUTING_NAME_SIZE];
   char domain[ROUTING_NAME_SIZE];
+  struct work_parts refused;
   struct work_booking *prev;
   struct work_booking *next;
 };
@@ -144,7 +156,8 @@
 /* Its order will not come. */
 void work_unbook (struct work_booking *booking);
 
-/* Its order comes: it goes to the part of the pool where it was booked. */
+/* Its order comes: it goes to the part of the pool where it was booked, and to none that refused.
+ */
 void work_use_booking (struct work_booking *booking, struct work_order *order);
 
 void work_submit (struct work *work, struct work_order *order, int64_t now);
--- a/src/work_book.c
+++ b/src/work_book.c
@@ -13,9 +13,25 @@
   booking->work = NULL;
 }
 
+static void send_booking (struct work *work, struct work_booking *booking, int64_t now);
+
+/* One part of a split pool may be full while another one has room. */
+static bool
+book_elsewhere (struct work_booking *booking, int64_t now)
+{
+  struct work *work = booking->work;
+
+  if (!work_refuse_part (work, booking->request, booking->pool, booking->domain, &booking->refused))
+    return false;
+  send_booking (work, booking, now);
+  return true;
+}
+
 static void
 refused (struct work_booking *booking, int64_t now)
 {
+  if (book_elsewhere (booking, now))
+    return;
   end_booking (booking->work, booking);
   booking->ops->refused (booking, now);
 }
@@ -38,12 +54,13 @@
 }
 
 static void
-write_name (const struct work_booking *booking, struct bytes *out)
+write_name (
+    const char *pool, const char *domain, const char *request, uint32_t stage, struct bytes *out)
 {
-  pack_text (out, booking->pool);
-  pack_text (out, booking->domain);
-  pack_text (out, booking->request);
-  pack_uint (out, booking->stage);
+  pack_text (out, pool);
+  pack_text (out, domain);
+  pack_text (out, request);
+  pack_uint (out, stage);
 }
 
 /* Where the message is lost nothing is booked, and the order is taken like any other. */
@@ -55,7 +72,7 @@
 
   work_message_begin (WORK_BOOK, &out);
   pack_uint (&out, booking->number);
-  write_name (booking, &out);
+  write_name (booking->pool, booking->domain, booking->request, booking->stage, &out);
   pack_uint (&out, booking->demand.n_pieces);
   pack_uint (&out, booking->demand.urgency);
   pack_uint (&out, due_in > 0 ? (uint64_t) due_in : 0);
@@ -63,40 +80,60 @@
   work_message_send (work, booking->owner, &out);
 }
 
-void
-work_book (struct work *work, struct work_booking *booking, int64_t now)
+static void
+send_booking (struct work *work, struct work_booking *booking, int64_t now)
 {
-  booking->work = work;
   booking->number = ++work->last_number;
-  booking->timer = (struct timer){ .ops = &booking_timer_ops };
-  work_choose_shard (work, booking->pool, booking->home, booking->domain, now);
+  work_choose_shard (work, booking->pool, booking->home, &booking->refused, booking->domain, now);
   text_copy_cut (booking->owner, sizeof booking->owner,
                  work_owner_of (work, booking->pool, booking->domain, now));
-  DL_APPEND (work->bookings, booking);
   if (strcmp (booking->owner, work->config.name) == 0)
     book_here (work, booking, now);
   else
     book_there (work, booking, now);
 }
 
+void
+work_book (struct work *work, struct work_booking *booking, int64_t now)
+{
+  booking->work = work;
+  booking->timer = (struct timer){ .ops = &booking_timer_ops };
+  booking->refused.n = 0;
+  booking->domain[0] = '\0';
+  DL_APPEND (work->bookings, booking);
+  send_booking (work, booking, now);
+}
+
+void
+work_book_cancel (struct work *work,
+                  const char *owner,
+                  const char *pool,
+                  const char *domain,
+                  const char *request,
+                  uint32_t stage)
+{
+  struct bytes out;
+
+  if (strcmp (owner, work->config.name) == 0)
+    {
+      batch_unbook (work->config.batch, pool, domain, request, stage);
+      return;
+    }
+  work_message_begin (WORK_UNBOOK, &out);
+  write_name (pool, domain, request, stage, &out);
+  work_message_send (work, owner, &out);
+}
+
 void
 work_unbook (struct work_booking *booking)
 {
   struct work *work = booking->work;
-  struct bytes out;
 
   if (work == NULL)
     return;
   end_booking (work, booking);
-  if (strcmp (booking->owner, work->config.name) == 0)
-    {
-      batch_unbook (work->config.batch, booking->pool, booking->domain, booking->request,
+  work_book_cancel (work, booking->owner, booking->pool, booking->domain, booking->request,
                     booking->stage);
-      return;
-    }
-  work_message_begin (WORK_UNBOOK, &out);
-  write_name (booking, &out);
-  work_message_send (work, booking->owner, &out);
 }
 
 void
@@ -105,6 +142,8 @@
   if (booking->work == NULL)
     return;
   text_copy_cut (order->booked, sizeof order->booked, booking->domain);
+  text_copy_cut (order->booked_with, sizeof order->booked_with, booking->owner);
+  order->refused = booking->refused;
   end_booking (booking->work, booking);
 }
 
--- a/src/work_owner.c
+++ b/src/work_owner.c
@@ -1,6 +1,8 @@
 /* Which entry host owns a pool, which of them live, and where a split pool's pieces are made. */
+#include "log.h"
 #include "text.h"
 #include "work_private.h"
+#include <jansson.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -147,32 +149,68 @@
   return count_targets (work, pool) >= WORK_SPLIT_TARGETS;
 }
 
-void
+static bool
+is_among (const struct work_parts *parts, const char *domain)
+{
+  for (uint32_t i = 0; i < parts->n; i++)
+    if (strcmp (parts->domains[i], domain) == 0)
+      return true;
+  return false;
+}
+
+bool
 work_choose_shard (struct work *work,
                    const char *pool,
                    const char *wanted,
+                   const struct work_parts *refused,
                    char out[ROUTING_NAME_SIZE],
                    int64_t now)
 {
-  const struct balance_target *at;
-  int64_t best = 0;
+  const struct balance_target *best = NULL;
+  int64_t best_cost = 0;
 
-  out[0] = '\0';
   if (!work_is_split (work, pool))
-    return;
-  for (at = work->config.balance->targets; at != NULL; at = at->next)
+    {
+      out[0] = '\0';
+      return true;
+    }
+  for (const struct balance_target *at = work->config.balance->targets; at != NULL; at = at->next)
     {
       int64_t cost;
 
-      if (!at->usable || strcmp (at->pool, pool) != 0)
+      if (!at->usable || strcmp (at->pool, pool) != 0 || is_among (refused, at->domain))
         continue;
       cost = wait_of (work, pool, at->domain, now)
              + (strcmp (at->domain, wanted) == 0 ? 0 : WORK_CROSSING);
-      if (out[0] != '\0' && cost >= best)
+      if (best != NULL && cost >= best_cost)
         continue;
-      best = cost;
-      text_copy_cut (out, ROUTING_NAME_SIZE, at->domain);
+      best = at;
+      best_cost = cost;
     }
+  if (best == NULL)
+    return false;
+  text_copy_cut (out, ROUTING_NAME_SIZE, best->domain);
+  return true;
+}
+
+bool
+work_refuse_part (struct work *work,
+                  const char *request,
+                  const char *pool,
+                  const char *domain,
+                  struct work_parts *refused)
+{
+  char other[ROUTING_NAME_SIZE];
+  bool has_other;
+
+  if (domain[0] == '\0' || refused->n == WORK_PARTS_MAX)
+    return false;
+  text_copy_cut (refused->domains[refused->n++], ROUTING_NAME_SIZE, domain);
+  has_other = work_is_split (work, pool) && work_choose_shard (work, pool, "", refused, other, 0);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "part-refused", "{s:s,s:s,s:s,s:i,s:b}", "id",
+             request, "pool", pool, "domain", domain, "refused", (int) refused->n, "asks_other",
+             has_other);
+  return has_other;
 }
 
 static bool
@@ -184,18 +222,38 @@
   return false;
 }
 
-/* Where it was booked, unless its inputs lie elsewhere by now. */
+static bool
+goes_where_booked (const struct work *work, const struct work_order *order)
+{
+  return order->booked[0] != '\0' && !is_among (&order->refused, order->booked)
+         && (order->near[0] == '\0' || strcmp (order->near, order->booked) == 0
+             || is_among (&order->refused, order->near))
+         && has_targets (work, order->pool, order->booked);
+}
+
+/* What is booked and not used would turn others away. */
+static void
+give_up_booking (struct work *work, struct work_order *order)
+{
+  if (order->booked[0] == '\0' || strcmp (order->booked, order->domain) == 0)
+    return;
+  work_book_cancel (work, order->booked_with, order->pool, order->booked, order->request,
+                    order->stage);
+  order->booked[0] = '\0';
+}
+
+/* Where it was booked, unless its inputs lie elsewhere by now and may be used there. */
 void
 work_choose_domain (struct work *work, struct work_order *order, int64_t now)
 {
   const char *wanted = order->near[0] != '\0' ? order->near : order->home;
+  const struct work_parts none = { .n = 0 };
 
-  if (order->booked[0] != '\0'
-      && (order->near[0] == '\0' || strcmp (order->near, order->booked) == 0)
-      && has_targets (work, order->pool, order->booked))
+  if (goes_where_booked (work, order))
     text_copy_cut (order->domain, sizeof order->domain, order->booked);
-  else
-    work_choose_shard (work, order->pool, wanted, order->domain, now);
+  else if (!work_choose_shard (work, order->pool, wanted, &order->refused, order->domain, now))
+    work_choose_shard (work, order->pool, wanted, &none, order->domain, now);
+  give_up_booking (work, order);
 }
 
 void
--- a/src/work_private.h
+++ b/src/work_private.h
@@ -79,13 +79,22 @@
 bool work_is_split (const struct work *work, const char *pool);
 
 /* The part of a pool to make pieces in, "" where it is not split: the one that is wanted, unless
- * its queue is longer than what results cost that cross. */
-void work_choose_shard (struct work *work,
+ * its queue is longer than what results cost that cross.  False when all parts have refused; `out`
+ * is as it was then. */
+bool work_choose_shard (struct work *work,
                         const char *pool,
                         const char *wanted,
+                        const struct work_parts *refused,
                         char out[ROUTING_NAME_SIZE],
                         int64_t now);
 
+/* The part refuses.  False when there is no other one to ask. */
+bool work_refuse_part (struct work *work,
+                       const char *request,
+                       const char *pool,
+                       const char *domain,
+                       struct work_parts *refused);
+
 /* Set the order's `domain`: that of the targets which make its pieces. */
 void work_choose_domain (struct work *work, struct work_order *order, int64_t now);
 
@@ -120,6 +129,14 @@
 void work_book_got_busy (struct work *work, struct pack_reader *in, const char *from, int64_t now);
 void work_book_drop_all (struct work *work);
 
+/* What was booked in a part with its owner will not come there. */
+void work_book_cancel (struct work *work,
+                       const char *owner,
+                       const char *pool,
+                       const char *domain,
+                       const char *request,
+                       uint32_t stage);
+
 /* ---- work_remote.c: orders of other hosts, for pools that we own ---- */
 
 void work_remote_run (struct work *work, struct pack_reader *in, const char *from, int64_t now);
