Tell a connection that was not made in time from one that was refused

Cause: h1_client ends both as "no connection". Found by reading who uses the status of a failed call (flow_reply.c); the new test fails on the code before (STATUS_UNAVAILABLE in place of STATUS_TIMEOUT). Ruled out elsewhere: the command line and the load tools do not tell the two apart.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -42,6 +42,7 @@
   struct client *client;
   struct http_call_sink *sink;
   struct timer timer;
+  int64_t connect_until;
   char address[ADDRESS_SIZE];
   size_t max_body_bytes;
   size_t received; /* bytes of the answer's body */
@@ -94,8 +95,10 @@
 static const struct timer_ops call_timer_ops = { .fire = timer_fired };
 
 static enum status
-status_of (const struct http_call *call, enum h1_end end)
+status_of (const struct http_call *call, enum h1_end end, int64_t now)
 {
+  if (!call->h1.handed && now >= call->connect_until)
+    return status_fail (STATUS_TIMEOUT, "no connection to %s in time", call->address);
   if (!call->h1.handed)
     return status_fail (STATUS_UNAVAILABLE, "cannot connect to %s", call->address);
   return status_fail (end == H1_END_MALFORMED ? STATUS_MALFORMED : STATUS_IO, "%s",
@@ -116,7 +119,7 @@
     }
   if (call->head_seen)
     count (call->client, CLIENT_CUT);
-  fail (call, status_of (call, end), now);
+  fail (call, status_of (call, end, now), now);
 }
 
 /* ---- the answer ---- */
@@ -228,7 +231,10 @@
 }
 
 static struct http_call *
-make_call (struct client *client, const struct http_call_spec *spec, struct http_call_sink *sink)
+make_call (struct client *client,
+           const struct http_call_spec *spec,
+           struct http_call_sink *sink,
+           int64_t now)
 {
   struct http_call *call = talloc_zero (client, struct http_call);
 
@@ -239,6 +245,7 @@
   call->client = client;
   call->sink = sink;
   call->timer.ops = &call_timer_ops;
+  call->connect_until = now + client->config.connect_timeout;
   memcpy (call->address, spec->address, strlen (spec->address) + 1);
   call->max_body_bytes =
       spec->max_body_bytes > 0 ? spec->max_body_bytes : client->config.answer_bytes_max;
@@ -275,7 +282,7 @@
     return status;
   if (client->n_calls >= client->config.calls_max)
     return status_fail (STATUS_LIMIT, "%u calls at one time are the limit", client->n_calls);
-  call = make_call (client, spec, sink);
+  call = make_call (client, spec, sink, now);
   if (call == NULL)
     return status_fail (STATUS_NO_MEMORY, "no memory for a call");
   status = send_message (call, spec, now);
--- a/tests/unit_edges_client.cc
+++ b/tests/unit_edges_client.cc
@@ -204,6 +204,35 @@
   talloc_free (loop);
 }
 
+// A target's machine takes no connection and refuses none: its queue of them is full.
+TEST (HttpClient, SaysThatAConnectionWasNotMadeInTime)
+{
+  struct loop *loop = loop_new (nullptr, 200);
+  struct test_client client (loop, 10, 100 * USEC_PER_MSEC);
+  struct raw_server silent (loop);
+  struct sockaddr_in address = {};
+  std::vector<int> waiting;
+  call_probe probe;
+
+  ASSERT_EQ (listen (silent.listener, 0), 0);
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_port = htons (silent.port ());
+  for (int i = 0; i < 4; i++)
+    {
+      waiting.push_back (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void) connect (waiting.back (), reinterpret_cast<struct sockaddr *> (&address),
+                      sizeof address);
+    }
+  client.start (probe, silent.port (), "/x", "body");
+  ASSERT_TRUE (run_until (loop, [&] { return probe.over (); }));
+  EXPECT_EQ (probe.why, STATUS_TIMEOUT);
+  EXPECT_FALSE (probe.sent);
+  for (int fd : waiting)
+    close (fd);
+  talloc_free (loop);
+}
+
 // A target closes the idle connection between two calls.  The second call goes over a new one; and
 // where the close crosses the request on the way, the call fails as sent and is not sent again.
 TEST (HttpClient, GoesOnAfterTheServerClosedAnIdleConnection)
--- a/tests/unit_edges_client.h
+++ b/tests/unit_edges_client.h
@@ -86,7 +86,10 @@
   struct http_client *client;
   struct counters *counters;
 
-  explicit test_client (struct loop *on, uint32_t calls_max = 2000) : loop (on)
+  explicit test_client (struct loop *on,
+                        uint32_t calls_max = 2000,
+                        int64_t connect_timeout = 5 * USEC_PER_SEC)
+      : loop (on)
   {
     struct http_client_config config = {};
 
@@ -95,7 +98,7 @@
     config.counters = counters;
     config.calls_max = calls_max;
     config.answer_bytes_max = 4 << 20;
-    config.connect_timeout = 5 * USEC_PER_SEC;
+    config.connect_timeout = connect_timeout;
     client = http_client_new (loop, &config);
   }
 
