Probe a target again when another connection to it breaks

What callers saw: under a request that ends targets seven or eight of them ended where six are allowed (WholeEnding.HoldsThreeRequestsOfAnyRoute on a busy machine), each with all that ran there.

Cause: a target was probed at its first break. Where a stream had been cut on it a second before, the probe had connected, and its end was believed when the lease lapsed, 2 s later. Found by reading beside it: a renewal settled all breaks of its target, those after it too.

Evidence: logs of a run with eight ends: three of its targets were watched already, "not heard for a lease" 1.7 to 2.6 s after; the others were known at once. Both new tests of TargetWatch fail on the code before.

Ruled out: late news between hosts (10 ms in that run); targets' addresses taken by others (the attempts that follow meet no connection).

Mend: a break after the last probe is probed, once a period at most; a renewal tells of the breaks before it.

--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -42,6 +42,7 @@
 fate (struct target_watch_listener *listener,
       uint64_t incarnation,
       enum target_fate fate,
+      int64_t until,
       int64_t now)
 {
   struct quarantine_entry *entry = CONTAINER_OF (listener, struct quarantine_entry, fates);
@@ -53,7 +54,7 @@
     {
       struct quarantine_suspect *suspect = &entry->pending[i];
 
-      if (suspect->ends[0].incarnation != incarnation)
+      if (suspect->ends[0].incarnation != incarnation || suspect->ends[0].to > until)
         entry->pending[kept++] = *suspect;
       else if (fate == TARGET_FATE_ENDED)
         quarantine_control_learn (entry->control, suspect, now);
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -17,7 +17,9 @@
   char address[ROUTING_NAME_SIZE];
   uint64_t started;
   uint64_t incarnation;
-  int64_t broke; /* the first connection */
+  int64_t broke;      /* the first connection of which it is not known that the target lived on */
+  int64_t last_broke; /* the last one */
+  int64_t probed;     /* the last probe began */
   uint32_t breaks;
   enum target_fate fate;
   struct tcp_stream probe;
@@ -48,19 +50,29 @@
   return fate_texts[fate];
 }
 
+/* Of the breaks until `until`. */
 static void
-set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
+tell_fate (
+    struct watched *watched, enum target_fate fate, const char *by, int64_t until, int64_t now)
 {
   struct target_watch *watch = watched->watch;
 
-  watched->fate = fate;
   counter_add (watch->fates[fate], 1);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-fate", "{s:s,s:s,s:s,s:s,s:i,s:I}", "target",
              watched->id, "address", watched->address, "fate", fate_texts[fate], "by", by, "breaks",
              (int) watched->breaks, "after_ms",
              (json_int_t) ((now - watched->broke) / USEC_PER_MSEC));
   if (watch->config.listener != NULL)
-    watch->config.listener->ops->fate (watch->config.listener, watched->incarnation, fate, now);
+    watch->config.listener->ops->fate (watch->config.listener, watched->incarnation, fate, until,
+                                       now);
+}
+
+/* Of all its breaks. */
+static void
+set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
+{
+  watched->fate = fate;
+  tell_fate (watched, fate, by, watched->last_broke, now);
 }
 
 /* ---- the probe ---- */
@@ -120,6 +132,7 @@
 {
   struct loop *loop = watched->watch->config.loop;
 
+  watched->probed = now;
   if (tcp_connect (&watched->probe, &probe_ops, loop, watched->address) != STATUS_OK)
     {
       log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
@@ -129,8 +142,30 @@
   timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE);
 }
 
+/* A probe shows nothing of a connection that broke after it began. */
+static void
+probe_again (struct watched *watched, int64_t now)
+{
+  if (watched->fate == TARGET_FATE_UNKNOWN && !watched->probe.open
+      && watched->last_broke > watched->probed && now >= watched->probed + TARGET_WATCH_PERIOD)
+    begin_probe (watched, now);
+}
+
 /* ---- what the controllers tell ---- */
 
+/* It lived at `alive`, so what broke before was no end. */
+static void
+note_alive (struct watched *watched, int64_t alive, int64_t now)
+{
+  if (alive >= watched->last_broke)
+    set_fate (watched, TARGET_FATE_LIVES, "it renewed", now);
+  else if (watched->fate == TARGET_FATE_UNKNOWN && alive >= watched->broke)
+    {
+      tell_fate (watched, TARGET_FATE_LIVES, "it renewed", alive, now);
+      watched->broke = alive + 1;
+    }
+}
+
 static void
 look_up (struct watched *watched, int64_t now)
 {
@@ -146,9 +181,8 @@
     ended = "not heard for a lease";
   if (ended != NULL && watched->fate == TARGET_FATE_UNKNOWN)
     set_fate (watched, TARGET_FATE_ENDED, ended, now);
-  if (ended == NULL && watched->fate != TARGET_FATE_LIVES
-      && record->heard > watched->broke + TARGET_WATCH_LIVES)
-    set_fate (watched, TARGET_FATE_LIVES, "it renewed", now);
+  if (ended == NULL && watched->fate != TARGET_FATE_LIVES)
+    note_alive (watched, record->heard - TARGET_WATCH_LIVES - 1, now);
 }
 
 static void
@@ -172,6 +206,7 @@
   DL_FOREACH_SAFE (watch->watched, watched, next)
     {
       look_up (watched, now);
+      probe_again (watched, now);
       if (watched->fate != TARGET_FATE_LIVES && now < watched->broke + TARGET_WATCH_FOR)
         continue;
       if (watched->fate == TARGET_FATE_UNKNOWN)
@@ -245,6 +280,7 @@
                      "target", target->id, "watched", (int) watch->n);
           return TARGET_FATE_UNKNOWN;
         }
+      watched->last_broke = now;
       look_up (watched, now);
       if (watched->fate == TARGET_FATE_UNKNOWN)
         begin_probe (watched, now);
@@ -252,6 +288,8 @@
         timer_arm (loop_timers (watch->config.loop), &watch->timer, now + TARGET_WATCH_PERIOD);
     }
   watched->breaks++;
+  watched->last_broke = now;
+  probe_again (watched, now);
   return watched->fate;
 }
 
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -6,7 +6,7 @@
  * after the break.
  *
  * Load pattern: breaks are rare and come in crowds, all of one target at one moment; so there is
- * one watch and one probe for each incarnation, however many of its connections broke. */
+ * one watch for each incarnation, and one probe a period, however many of its connections broke. */
 #ifndef TARGET_WATCH_H
 #define TARGET_WATCH_H
 
@@ -55,11 +55,12 @@
 
 struct target_watch_listener_ops
 {
-  /* LIVES may follow ENDED: a link that refused connections for its target is whole again.  UNKNOWN
-   * comes at the end of a watch that showed neither. */
+  /* Of the breaks until `until`.  LIVES may follow ENDED: a link that refused connections for its
+   * target is whole again.  UNKNOWN comes at the end of a watch that showed neither. */
   void (*fate) (struct target_watch_listener *listener,
                 uint64_t incarnation,
                 enum target_fate fate,
+                int64_t until,
                 int64_t now);
 };
 
--- a/tests/unit_target_watch.cc
+++ b/tests/unit_target_watch.cc
@@ -3,6 +3,7 @@
 #include "target_watch.h"
 #include "unit_edges_support.h"
 #include <cstdio>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -51,7 +52,7 @@
     static const struct target_watch_listener_ops ops = {
       .fate =
           [] (struct target_watch_listener *base, uint64_t incarnation, enum target_fate fate,
-              int64_t) {
+              int64_t, int64_t) {
             reinterpret_cast<listener *> (base)->fates.emplace_back (incarnation, fate);
           },
     };
@@ -156,6 +157,39 @@
   EXPECT_EQ (there.taken.size (), 1u);
 }
 
+// A connection is reset, and the target ends a little later: its address refuses then.
+TEST_F (TargetWatch, ProbesAgainWhereAnotherConnectionBreaks)
+{
+  auto there = std::make_unique<listening> (loop);
+
+  target_watch_broke (watch, target ("t1", there->address (), 1, now), now);
+  ASSERT_TRUE (run_until (loop, [&] { return !there->taken.empty (); }));
+  loop_once (loop, 0);
+  there.reset ();
+  now += TARGET_WATCH_PERIOD;
+  target_watch_broke (watch, &at, now);
+  ASSERT_TRUE (run_until (loop, [&] { return !heard.fates.empty (); }));
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
+// It renewed between two breaks: that tells of the first one alone.
+TEST_F (TargetWatch, TellsAnEndAfterAConnectionThatItOutlived)
+{
+  const int64_t BETWEEN = TARGET_WATCH_LIVES + USEC_PER_MSEC;
+  listening there (loop);
+
+  target_watch_broke (watch, target ("t1", there.address (), 1, now), now);
+  ASSERT_TRUE (run_until (loop, [&] { return !there.taken.empty (); }));
+  target ("t1", there.address (), 2, now + BETWEEN);
+  now += BETWEEN - USEC_PER_MSEC;
+  target_watch_broke (watch, &at, now);
+  pass (TARGET_WATCH_PERIOD);
+  EXPECT_EQ (last (), TARGET_FATE_LIVES);
+  registry_expire (registry, 3 * USEC_PER_SEC, now + 4 * USEC_PER_SEC);
+  pass (4 * USEC_PER_SEC);
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
 // It is back at the same address before the probe comes: the list tells.
 TEST_F (TargetWatch, TellsAnEndWhereAnotherTookTheAddress)
 {
