Bound what one fast answer says of the reading rate

What callers saw: nothing yet; found by asking what else spoils a sample of the rate. After one prompt whose parts were cached without the host's knowing (a host that starts anew) waits were expected as a fraction of what they are.

Cause: the rate is a mean of tokens a millisecond; a prompt that is not read at all has thousands.

Ruled out: leaving such samples out, as no news tells them from fast reading.

Mend: a sample counts as twice the rate at most. Engines that are truly faster are still believed, a tenth at a time.

--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -14,6 +14,10 @@
 #define RATE_SAMPLE_TOKENS 1000
 #define RATE_SMOOTHING 0.1
 
+/* One sample counts as so many times the rate at most: a prompt that was cached, though nobody told
+ * of it, takes no time at all. */
+#define RATE_SAMPLE_MOST 2.0
+
 /* How slow a target is against the common rate, learned from its own answers. */
 #define SLOWNESS_SMOOTHING 0.25
 #define SLOWNESS_MAX 20.0
@@ -470,6 +474,8 @@
     {
       double rate = request->tokens / ((took - (double) FIRST_TIME) / USEC_PER_MSEC);
 
+      if (rate > RATE_SAMPLE_MOST * load->rate)
+        rate = RATE_SAMPLE_MOST * load->rate;
       load->rate += RATE_SMOOTHING * (rate - load->rate);
     }
   target->slowness = slowness_of (target, now);
--- a/tests/unit_engine_load.cc
+++ b/tests/unit_engine_load.cc
@@ -201,6 +201,22 @@
     }
 }
 
+// One prompt in twenty has parts in the cache that this host knows nothing of.
+TEST_F (EngineLoad, PartsThatItDoesNotKnowToBeCachedAreNotFastReading)
+{
+  struct engine_prompt p = prompt (1, 0, 3000);
+  int64_t reading = cost (2, p).wait;
+
+  for (uint64_t i = 0; i < 400; i++)
+    {
+      engine_load_started (load, 1, i, &p, true, now);
+      now += i % 20 == 0 ? 5 * USEC_PER_MSEC : reading;
+      engine_load_began (load, 1, i, now);
+      engine_load_ended (load, 1, i, now);
+    }
+  EXPECT_GT (cost (2, p).wait, 0.8 * reading);
+}
+
 TEST_F (EngineLoad, DropsTheLeastUsedPartWhenTheCacheIsFull)
 {
   struct engine_prompt a = prompt (1, 1000, 0);
