--- a/src/engine_load.c
+++ b/src/engine_load.c
@@ -1,7 +1,6 @@
-/* What model engines have to read and what they have cached. */
+/* What model engines have to read. */
 #include "engine_load.h"
 #include <math.h>
-#include <string.h>
 #include <talloc.h>
 #include <uthash.h>
 #include <utlist.h>
@@ -43,59 +42,30 @@
   struct engine_request *next;
 };
 
-/* A part in an engine's cache, by last use. */
-struct engine_part
-{
-  uint64_t key;
-  uint32_t tokens;
-  struct engine_part *prev;
-  struct engine_part *next;
-  UT_hash_handle hh;
-};
-
 struct engine_target
 {
   uint64_t id;
   struct engine_request *requests;
-  struct engine_part *parts; /* by key */
-  struct engine_part *used;  /* the last used first */
-  uint64_t cached;           /* tokens */
-  int64_t read_until;        /* it reads what was sent to it, as expected now */
-  int64_t other_began;       /* the answer that began last here, or ended untold */
+  struct engine_cache *cache;
+  int64_t read_until;  /* it reads what was sent to it, as expected now */
+  int64_t other_began; /* the answer that began last here, or ended untold */
   double slowness;
   int64_t slowness_at;
   UT_hash_handle hh;
 };
 
-/* In how many engines a part is. */
-struct engine_place
-{
-  uint64_t key;
-  uint32_t engines;
-  UT_hash_handle hh;
-};
-
 struct engine_load
 {
   struct engine_target *targets;
-  struct engine_place *places;
-  uint64_t cache_tokens;
+  struct engine_caches *caches;
   double rate;                /* tokens a millisecond */
   uint64_t ended[ENDED_KEPT]; /* keys of requests, each in the place that its own bits name */
 };
 
-static int
-free_target (struct engine_target *target)
-{
-  HASH_CLEAR (hh, target->parts);
-  return 0;
-}
-
 static int
 free_load (struct engine_load *load)
 {
   HASH_CLEAR (hh, load->targets);
-  HASH_CLEAR (hh, load->places);
   return 0;
 }
 
@@ -106,15 +76,21 @@
 
   if (load == NULL)
     return NULL;
-  load->rate = ENGINE_FIRST_RATE;
   talloc_set_destructor (load, free_load);
+  load->rate = ENGINE_FIRST_RATE;
+  load->caches = engine_caches_new (load);
+  if (load->caches == NULL)
+    {
+      talloc_free (load);
+      return NULL;
+    }
   return load;
 }
 
 void
 engine_load_set_cache (struct engine_load *load, uint64_t cache_tokens)
 {
-  load->cache_tokens = (uint64_t) (ENGINE_CACHE_SHARE * (double) cache_tokens);
+  engine_caches_set_tokens (load->caches, cache_tokens);
 }
 
 /* uthash's macros are long, and the analyzer does not follow them.
@@ -139,118 +115,18 @@
   target = talloc_zero (load, struct engine_target);
   if (target == NULL)
     return NULL;
-  talloc_set_destructor (target, free_target);
+  target->cache = engine_cache_new (load->caches);
+  if (target->cache == NULL)
+    {
+      talloc_free (target);
+      return NULL;
+    }
   target->id = id;
   target->slowness = 1;
   HASH_ADD (hh, load->targets, id, sizeof target->id, target);
   return target;
 }
 
-/* ---- cached parts ---- */
-
-static void
-count_place (struct engine_load *load, uint64_t key, int change)
-{
-  struct engine_place *place;
-
-  HASH_FIND (hh, load->places, &key, sizeof key, place);
-  if (place == NULL && change > 0)
-    {
-      place = talloc_zero (load, struct engine_place);
-      if (place == NULL)
-        return;
-      place->key = key;
-      HASH_ADD (hh, load->places, key, sizeof place->key, place);
-    }
-  if (place == NULL)
-    return;
-  place->engines += (uint32_t) change;
-  if (place->engines > 0)
-    return;
-  HASH_DEL (load->places, place);
-  talloc_free (place);
-}
-
-static struct engine_part *
-find_part (const struct engine_target *target, uint64_t key)
-{
-  struct engine_part *part;
-
-  HASH_FIND (hh, target->parts, &key, sizeof key, part);
-  return part;
-}
-
-static void
-drop_part (struct engine_load *load, struct engine_target *target, struct engine_part *part)
-{
-  HASH_DEL (target->parts, part);
-  DL_DELETE (target->used, part);
-  target->cached -= part->tokens;
-  count_place (load, part->key, -1);
-  talloc_free (part);
-}
-
-static void
-use_part (struct engine_load *load, struct engine_target *target, uint64_t key, uint32_t tokens)
-{
-  struct engine_part *part = find_part (target, key);
-
-  if (part != NULL)
-    {
-      DL_DELETE (target->used, part);
-      DL_PREPEND (target->used, part);
-      return;
-    }
-  part = talloc_zero (target, struct engine_part);
-  if (part == NULL)
-    return;
-  part->key = key;
-  part->tokens = tokens;
-  HASH_ADD (hh, target->parts, key, sizeof part->key, part);
-  DL_PREPEND (target->used, part);
-  target->cached += tokens;
-  count_place (load, key, 1);
-  while (load->cache_tokens > 0 && target->cached > load->cache_tokens
-         && target->used->prev != target->used)
-    drop_part (load, target, target->used->prev);
-}
-
-/* Shared tokens that the engine would have to read: a part counts as cached only if all before it
- * are. */
-static uint32_t
-tokens_to_read (const struct engine_target *target, const struct engine_prompt *prompt)
-{
-  uint32_t tokens = 0;
-  bool cached = target != NULL;
-
-  for (uint32_t i = 0; i < prompt->n_parts; i++)
-    {
-      cached = cached && find_part (target, prompt->parts[i]) != NULL;
-      if (!cached)
-        tokens += prompt->part_tokens[i];
-    }
-  return tokens;
-}
-
-/* Those of them that some engine holds. */
-static uint32_t
-tokens_held_elsewhere (const struct engine_load *load,
-                       const struct engine_target *target,
-                       const struct engine_prompt *prompt)
-{
-  uint32_t tokens = 0;
-
-  for (uint32_t i = 0; i < prompt->n_parts; i++)
-    {
-      struct engine_place *place;
-
-      HASH_FIND (hh, load->places, &prompt->parts[i], sizeof prompt->parts[i], place);
-      if (place != NULL && (target == NULL || find_part (target, prompt->parts[i]) == NULL))
-        tokens += prompt->part_tokens[i];
-    }
-  return tokens;
-}
-
 /* NOLINTEND(readability-function-size,clang-analyzer-core.NullDereference) */
 
 /* ---- requests ---- */
@@ -363,7 +239,8 @@
                   struct engine_cost *out)
 {
   struct engine_target *target = find_target (load, id);
-  uint32_t shared = tokens_to_read (target, prompt);
+  const struct engine_cache *cache = target == NULL ? NULL : target->cache;
+  uint32_t shared = engine_cache_to_read (cache, prompt);
   int64_t before = 0;
 
   out->running = 0;
@@ -375,7 +252,7 @@
     }
   out->reading = reading_time (load, target, shared + prompt->own_tokens, now);
   out->wait = before + out->reading;
-  out->read_again = tokens_held_elsewhere (load, target, prompt);
+  out->read_again = engine_cache_held_elsewhere (load->caches, cache, prompt);
 }
 
 /* Forget requests whose end was never told. */
@@ -432,7 +309,7 @@
     return;
   engine_load_cost (load, id, prompt, now, &cost);
   request->request = request_id;
-  request->tokens = tokens_to_read (target, prompt) + prompt->own_tokens;
+  request->tokens = engine_cache_to_read (target->cache, prompt) + prompt->own_tokens;
   request->started = now;
   request->expected = cost.wait;
   request->reading = cost.reading;
@@ -440,8 +317,7 @@
   request->told = told;
   target->read_until = (target->read_until > now ? target->read_until : now) + cost.reading;
   DL_APPEND (target->requests, request);
-  for (uint32_t i = 0; i < prompt->n_parts; i++)
-    use_part (load, target, prompt->parts[i], prompt->part_tokens[i]);
+  engine_cache_use (target->cache, prompt);
 }
 
 /* Did it wait for nothing that its host did not know of?  The answer of a prompt that was read
@@ -526,8 +402,7 @@
 
   if (target == NULL)
     return;
-  while (target->used != NULL)
-    drop_part (load, target, target->used);
+  talloc_free (target->cache);
   HASH_DEL (load->targets, target);
   talloc_free (target);
 }
--- a/src/engine_load.h
+++ b/src/engine_load.h
@@ -1,4 +1,4 @@
-/* What model engines have to read and what they have cached, as all entry hosts together know it.
+/* What model engines have to read, as all entry hosts together know it.
  *
  * An engine reads prompts one after another, so the wait for a first byte is the prompts before it;
  * a part that it read lately is not read again.  Each host tells the others what it sends, when the
@@ -10,20 +10,16 @@
 #define ENGINE_LOAD_H
 
 #include "decls.h"
+#include "engine_cache.h"
 #include "usec.h"
 #include <stdbool.h>
 #include <stdint.h>
 
 BEGIN_DECLS
 
-#define ENGINE_PARTS_MAX 8
-
 /* Prompt tokens that an engine reads in a millisecond, until its answers show another rate. */
 #define ENGINE_FIRST_RATE 60.0
 
-/* Of an engine's cache so much is taken to hold shared parts; the rest is running requests. */
-#define ENGINE_CACHE_SHARE 0.6
-
 /* A start without news of its first byte counts as begun after so many times what was expected, and
  * a little: the message may be lost. */
 #define ENGINE_BEGUN_FACTOR 1.3
@@ -32,15 +28,6 @@
 /* And is forgotten after this. */
 #define ENGINE_FORGET (20 * USEC_PER_SEC)
 
-/* A prompt: cumulative keys of the parts that it shares, and all its tokens. */
-struct engine_prompt
-{
-  uint32_t n_parts;
-  uint64_t parts[ENGINE_PARTS_MAX];
-  uint32_t part_tokens[ENGINE_PARTS_MAX];
-  uint32_t own_tokens;
-};
-
 struct engine_load;
 
 /* Freed with `parent`.  `cache_tokens` of one engine, 0 when not known. */
