Take back no end that came after the target was heard last

A request that ends targets could get one of its ends taken back, and end one more target.

Cause: a host that had heard a target renew after an early break took back every end of that incarnation, those that other hosts saw later too.

Ruled out: the same for whole answers, which come from a run and clear all ends by intent.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -197,11 +197,11 @@
 }
 
 bool
-quarantine_take_back (struct quarantine_suspect *suspect, uint64_t incarnation)
+quarantine_take_back (struct quarantine_suspect *suspect, uint64_t incarnation, int64_t alive)
 {
   struct quarantine_end *end = find_end (suspect, incarnation);
 
-  if (end == NULL || end->taken_back)
+  if (end == NULL || end->taken_back || end->to > alive)
     return false;
   end->taken_back = true;
   return true;
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -136,8 +136,9 @@
 /* Take back all ends of a request; false where none was valid. */
 bool quarantine_clear (struct quarantine_suspect *suspect);
 
-/* Take back the end of an incarnation; false where it was not valid. */
-bool quarantine_take_back (struct quarantine_suspect *suspect, uint64_t incarnation);
+/* The incarnation lived at `alive`: take back its end where that is before; false where nothing was
+ * taken back. */
+bool quarantine_take_back (struct quarantine_suspect *suspect, uint64_t incarnation, int64_t alive);
 
 /* Forget what nobody sends any more. */
 void quarantine_expire (struct quarantine *quarantine, int64_t now);
--- a/src/quarantine_control.c
+++ b/src/quarantine_control.c
@@ -285,6 +285,7 @@
 void
 quarantine_control_take_back (struct quarantine_control *control,
                               uint64_t incarnation,
+                              int64_t alive,
                               const char *why,
                               int64_t now)
 {
@@ -294,7 +295,7 @@
     {
       uint32_t before = quarantine_count (suspect, now);
 
-      if (!quarantine_take_back (suspect, incarnation))
+      if (!quarantine_take_back (suspect, incarnation, alive))
         continue;
       log_belief (suspect, before, why, now);
       quarantine_control_tell (control, suspect, now);
--- a/src/quarantine_control.h
+++ b/src/quarantine_control.h
@@ -74,6 +74,7 @@
                                int64_t now);
 void quarantine_control_take_back (struct quarantine_control *control,
                                    uint64_t incarnation,
+                                   int64_t alive,
                                    const char *why,
                                    int64_t now);
 
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -49,7 +49,7 @@
   uint32_t kept = 0;
 
   if (fate == TARGET_FATE_LIVES)
-    quarantine_control_take_back (entry->control, incarnation, "the target lives", now);
+    quarantine_control_take_back (entry->control, incarnation, until, "the target lives", now);
   for (uint32_t i = 0; i < entry->n_pending; i++)
     {
       struct quarantine_suspect *suspect = &entry->pending[i];
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -72,7 +72,7 @@
 set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
 {
   watched->fate = fate;
-  tell_fate (watched, fate, by, watched->last_broke, now);
+  tell_fate (watched, fate, by, now, now);
 }
 
 /* ---- the probe ---- */
@@ -157,13 +157,14 @@
 static void
 note_alive (struct watched *watched, int64_t alive, int64_t now)
 {
-  if (alive >= watched->last_broke)
-    set_fate (watched, TARGET_FATE_LIVES, "it renewed", now);
-  else if (watched->fate == TARGET_FATE_UNKNOWN && alive >= watched->broke)
-    {
-      tell_fate (watched, TARGET_FATE_LIVES, "it renewed", alive, now);
-      watched->broke = alive + 1;
-    }
+  bool all = alive >= watched->last_broke;
+
+  if (!all && (watched->fate != TARGET_FATE_UNKNOWN || alive < watched->broke))
+    return;
+  if (all)
+    watched->fate = TARGET_FATE_LIVES;
+  tell_fate (watched, TARGET_FATE_LIVES, "it renewed", alive, now);
+  watched->broke = alive + 1;
 }
 
 static void
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -201,9 +201,22 @@
   int64_t now = hold (1);
   struct quarantine_suspect of = learnt (1, 0, now);
 
-  EXPECT_TRUE (quarantine_take_back (quarantine_find (table, &of.digest), 11));
+  EXPECT_TRUE (quarantine_take_back (quarantine_find (table, &of.digest), 11, now));
   EXPECT_EQ (count (1), 2u);
-  EXPECT_FALSE (quarantine_take_back (quarantine_find (table, &of.digest), 11));
+  EXPECT_FALSE (quarantine_take_back (quarantine_find (table, &of.digest), 11, now));
+}
+
+// One host heard of the target before another host saw it end.
+TEST_F (Quarantine, TakesBackNoEndAfterTheTargetWasHeardLast)
+{
+  struct quarantine_suspect of = learnt (1, 0, hold (1));
+  struct quarantine_suspect *held = quarantine_find (table, &of.digest);
+  int64_t ended = held->ends[0].to;
+  uint64_t incarnation = held->ends[0].incarnation;
+
+  EXPECT_FALSE (quarantine_take_back (held, incarnation, ended - 1));
+  EXPECT_EQ (count (1), 3u);
+  EXPECT_TRUE (quarantine_take_back (held, incarnation, ended));
 }
 
 // Hosts hear the same things in any order, some of them often: they must come to the same belief.
