--- a/src/quarantine_control.h
+++ b/src/quarantine_control.h
@@ -67,7 +67,8 @@
                               struct quarantine_suspect *suspect,
                               int64_t now);
 
-/* Ends of a request, or all ends of an incarnation, are taken back. */
+/* Ends of a request are taken back, or those of an incarnation that lived at `alive`, where they
+ * are before that. */
 void quarantine_control_clear (struct quarantine_control *control,
                                const struct request_digest *digest,
                                const char *why,
