Log what a denial and a configuration call rest on

The record of the incident could not tell its hypotheses apart: no line said which content a version has, a refusal's line was one of 3,000 lines of information a second, and a state or a request that could not be read was dropped without a count.

No decision changes.

--- a/src/controller.c
+++ b/src/controller.c
@@ -167,7 +167,10 @@
 
   if (!sync_read_request (in, &request) || !pack_read_is_complete (in)
       || strcmp (request.self.name, from) != 0)
-    return;
+    {
+      counter_add (controller->malformed, 1);
+      return;
+    }
   host = find_or_add_host (controller, from, now);
   if (host == NULL)
     {
@@ -292,9 +295,13 @@
 void
 controller_document_changed (struct controller *controller, int64_t now)
 {
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "document-changed", "{s:I,s:I}", "version",
+  const struct bytes *text = document_text (controller->config.document);
+  char digest[DOCUMENT_DIGEST_SIZE];
+
+  document_digest (text->data, text->length, digest);
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "document-changed", "{s:I,s:I,s:s}", "version",
              (json_int_t) document_version (controller->config.document), "bytes",
-             (json_int_t) document_text (controller->config.document)->length);
+             (json_int_t) text->length, "content", digest);
   controller_schedule_push (controller, now);
 }
 
@@ -340,6 +347,8 @@
 
   controller->requests =
       counter_get (counters, "cherryarch_controller_asks_total", "Questions of entry hosts.", NULL);
+  controller->malformed = counter_get (counters, "cherryarch_controller_malformed_total",
+                                       "Requests of entry hosts that could not be read.", NULL);
   controller->pushes = counter_get (counters, "cherryarch_controller_pushes_total",
                                     "Changes pushed to entry hosts.", NULL);
   controller->unconfirmed = counter_get (counters, "cherryarch_controller_unconfirmed_total",
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -36,6 +36,7 @@
   struct controller_wait *waits;
   uint64_t last_wait;
   struct counter *requests;
+  struct counter *malformed;
   struct counter *pushes;
   struct counter *unconfirmed;
   struct counter *hosts_refused;
--- a/src/document.c
+++ b/src/document.c
@@ -4,7 +4,9 @@
 #include "log.h"
 #include "pack.h"
 #include <jansson.h>
+#include <stdio.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 struct document
 {
@@ -121,6 +123,12 @@
   return &document->text;
 }
 
+void
+document_digest (const void *text, size_t length, char out[DOCUMENT_DIGEST_SIZE])
+{
+  snprintf (out, DOCUMENT_DIGEST_SIZE, "%016llx", (unsigned long long) XXH3_64bits (text, length));
+}
+
 void
 document_change_pack (uint64_t version, const void *text, size_t length, struct bytes *out)
 {
--- a/src/document.h
+++ b/src/document.h
@@ -30,6 +30,11 @@
 uint64_t document_version (const struct document *document);
 const struct bytes *document_text (const struct document *document);
 
+/* Identifies a document's content in log lines: operators may send different content under one
+ * version.  Writes 16 hex digits and a NUL. */
+#define DOCUMENT_DIGEST_SIZE 17
+void document_digest (const void *text, size_t length, char out[DOCUMENT_DIGEST_SIZE]);
+
 /* Appends the log entry for a change to `out`. */
 void document_change_pack (uint64_t version, const void *text, size_t length, struct bytes *out);
 
--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -5,6 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#define DENIAL_LINES_PER_SECOND 20
+
 static const char *const reason_texts[] = {
 #define X(name, text) [FORWARD_##name] = text,
   FORWARD_REASON_LIST (X)
@@ -97,10 +99,41 @@
     job_fail (job, reason);
 }
 
+/* States what a denial rests on.  A warning, so that lines about other requests cannot displace it;
+ * bounded, since clients decide how many there are. */
+static void
+log_denial (const struct forward_job *job, enum forward_reason reason)
+{
+  struct forward *forward = job->forward;
+  int64_t now = loop_now (forward->config.loop);
+  int64_t age = subscriber_confirmation_age (forward->config.subscriber);
+  const char *host = h1_field_value (job->exchange->head, "host");
+
+  if (now - forward->denials_since >= USEC_PER_SEC)
+    {
+      forward->denials_since = now;
+      forward->denials_logged = 0;
+    }
+  if (forward->denials_logged >= DENIAL_LINES_PER_SECOND)
+    {
+      forward->denials_omitted++;
+      return;
+    }
+  forward->denials_logged++;
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "request-denied", "{s:s,s:s,s:s,s:I,s:I,s:I}",
+             "id", job->facts.id, "outcome", reason_texts[reason], "host", host == NULL ? "" : host,
+             "version", (json_int_t) job->version, "version_age_ms",
+             (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "omitted",
+             (json_int_t) forward->denials_omitted);
+  forward->denials_omitted = 0;
+}
+
 /* The request is malformed or not allowed by the configuration. */
 void
 job_reject (struct forward_job *job, enum forward_reason reason, unsigned status)
 {
+  if (reason == FORWARD_NO_ROUTE || reason == FORWARD_NO_KEY)
+    log_denial (job, reason);
   reply_without_body (job, reason, status, NULL);
   job_free (job);
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -166,6 +166,9 @@
   uint32_t n_jobs;
   uint64_t arrivals;
   bool refusing;
+  int64_t denials_since;    /* begin of the second that `denials_logged` counts */
+  uint32_t denials_logged;  /* in that second */
+  uint32_t denials_omitted; /* from the log since the last line about one */
   struct retry_budget budgets[FORWARD_POOLS_MAX];
   uint32_t n_budgets;
   struct counter *reasons[FORWARD_REASON_COUNT];
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -114,6 +114,7 @@
   struct routing *routing =
       self->config.codec->ops->decode (self->config.codec, self, text->data, text->length);
   struct routing *before = self->routing;
+  char digest[DOCUMENT_DIGEST_SIZE];
 
   if (routing == NULL)
     {
@@ -123,9 +124,10 @@
     }
   self->routing = routing;
   gauge_set (self->version_gauge, (double) routing->version);
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:i,s:i,s:s}", "version",
-             (json_int_t) routing->version, "routes", (int) routing->n_routes, "pools",
-             (int) routing->n_pools, "from", self->document_from);
+  document_digest (text->data, text->length, digest);
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s}",
+             "version", (json_int_t) routing->version, "content", digest, "routes",
+             (int) routing->n_routes, "pools", (int) routing->n_pools, "from", self->document_from);
   self->config.listener->ops->routing (self->config.listener, routing, self->now);
   talloc_free (before);
 }
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -157,6 +157,15 @@
     self->controllers[i].next_request = 0;
 }
 
+/* This host stays as it is although the controller may hold a newer configuration. */
+static void
+report_malformed (struct subscriber *self, const struct known_controller *controller)
+{
+  counter_add (self->malformed, 1);
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "state-not-read", "{s:s,s:I}", "controller",
+             controller->name, "version", (json_int_t) document_version (self->document));
+}
+
 static void
 handle_state (struct subscriber *self,
               struct known_controller *controller,
@@ -168,12 +177,13 @@
   const void *text = NULL;
   size_t length = 0;
 
-  if (!sync_read_state (in, &state))
-    return;
-  if (state.has_document)
+  if (sync_read_state (in, &state) && state.has_document)
     text = pack_read_binary (in, SYNC_DOCUMENT_MAX, &length);
   if (!pack_read_is_ok (in))
-    return;
+    {
+      report_malformed (self, controller);
+      return;
+    }
   controller->heard = now;
   subscriber_set_reachable (self, controller, true, now);
   self->document_from = controller->name;
@@ -188,7 +198,7 @@
   subscriber_report_changed (self, revision, now);
   if (!pack_read_is_complete (in))
     {
-      counter_add (self->malformed, 1);
+      report_malformed (self, controller);
       return;
     }
   controller->incarnation = state.controller;
