Deny a request only under a configuration confirmed since it came

Cause: admit() answered 404 on whatever routing the host held, and 401 on one whose confirmation was up to 4.5 s old. A host that a new configuration has not reached takes its own ignorance for the fact that the route or key does not exist. Serving under an older configuration has a bound; a denial is final for the client and had none.

Change: a request without a route or key waits until a quorum has confirmed, in answer to a request sent since it came, which configuration is the newest; it is then admitted anew. All that wait share the confirmation; one controller is asked each 50 ms, in turn. Without one in 0.4 s, and at once where the last is older than keys may rest on, the request is refused as not run (503).

Not mended by this: such a host serves no new route until the news reaches it.

--- a/src/forward.c
+++ b/src/forward.c
@@ -29,11 +29,16 @@
  * soon as a start should be over. */
 #define NOT_READY_JITTER_SEC 1.0
 
+/* Longest wait for the confirmation that a denial rests on.  Several controllers can be asked in
+ * this time, and a client that is then refused can still try another host. */
+#define DENIAL_CONFIRM_TIMEOUT (400 * USEC_PER_MSEC)
+
 void
 job_free (struct forward_job *job)
 {
   struct forward *forward = job->forward;
 
+  subscriber_wait_cancel (forward->config.subscriber, &job->confirmation);
   timer_disarm (loop_timers (forward->config.loop), &job->timer);
   timer_disarm (loop_timers (forward->config.loop), &job->fetch_timer);
   job_cancel_call (job);
@@ -74,10 +79,29 @@
   job->prompt.present = true;
 }
 
+/* Answers that the route or key does not exist.  A newer configuration may have it, so the answer
+ * waits until the one in force is known to be the newest since the request arrived; if that cannot
+ * be known, the request is refused. */
+static void
+deny (struct forward_job *job, enum forward_reason reason, unsigned status, int64_t now)
+{
+  struct forward *forward = job->forward;
+
+  if (job->may_be_denied)
+    job_reject (job, reason, status);
+  else if (subscriber_confirmation_age (forward->config.subscriber) > forward->config.confirmed_for)
+    job_refuse (job, FORWARD_STALE, NOT_READY_RETRY_AFTER_SEC);
+  else
+    {
+      timer_arm (loop_timers (forward->config.loop), &job->timer, now + DENIAL_CONFIRM_TIMEOUT);
+      subscriber_wait_start (forward->config.subscriber, &job->confirmation, now);
+    }
+}
+
 /* Finds the organisation whose key the request has.  If false, the request was refused and the job
- * freed. */
+ * freed, or it waits to be denied. */
 static bool
-check_key (struct forward_job *job, const struct routing *routing)
+check_key (struct forward_job *job, const struct routing *routing, int64_t now)
 {
   struct forward *forward = job->forward;
   const struct organisation *organisation;
@@ -94,7 +118,7 @@
   organisation = job->facts.has_key ? routing_organisation (routing, job->facts.key) : NULL;
   if (organisation == NULL)
     {
-      job_reject (job, FORWARD_NO_KEY, HTTP_STATUS_UNAUTHORIZED);
+      deny (job, FORWARD_NO_KEY, HTTP_STATUS_UNAUTHORIZED, now);
       return false;
     }
   text_copy_truncated (job->organisation, sizeof job->organisation, organisation->name);
@@ -144,11 +168,11 @@
   route = routing_match (routing, host == NULL ? "" : host, head->target);
   if (route == NULL)
     {
-      job_reject (job, FORWARD_NO_ROUTE, HTTP_STATUS_NOT_FOUND);
+      deny (job, FORWARD_NO_ROUTE, HTTP_STATUS_NOT_FOUND, now);
       return;
     }
   job->route = *route;
-  if (!check_key (job, routing) || !job_is_admitted (job, now))
+  if (!check_key (job, routing, now) || !job_is_admitted (job, now))
     return;
   text_copy_truncated (job->pool, sizeof job->pool,
                        routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
@@ -172,6 +196,11 @@
 {
   struct forward_job *job = CONTAINER_OF (timer, struct forward_job, timer);
 
+  if (job->confirmation.since != 0)
+    {
+      job_refuse (job, FORWARD_STALE, NOT_READY_RETRY_AFTER_SEC);
+      return;
+    }
   if (now < job->deadline && job->first_byte_at != 0)
     {
       timer_arm (loop_timers (job->forward->config.loop), timer, job->deadline);
@@ -191,6 +220,18 @@
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
 
+static void
+confirmed (struct subscriber_wait *wait, int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (wait, struct forward_job, confirmation);
+
+  timer_disarm (loop_timers (job->forward->config.loop), &job->timer);
+  job->may_be_denied = true;
+  admit (job, now);
+}
+
+static const struct subscriber_wait_ops confirmation_ops = { .confirmed = confirmed };
+
 /* Updates what changes slowly. */
 static void
 update_slow_state (struct forward *forward)
@@ -217,6 +258,7 @@
   job->exchange = exchange;
   job->arrived = exchange->arrived;
   job->timer.ops = &timer_ops;
+  job->confirmation.ops = &confirmation_ops;
   bytes_init (&job->fields, job);
   bytes_init (&job->body, job);
   exchange->user = job;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -113,7 +113,9 @@
   bool is_trial;                /* admitted as a trial although targets crashed while running it */
   bool is_suspected;            /* its last run broke, and it was a suspect even before that */
   bool is_counted;              /* its current run is counted among the runs of a suspect */
-  uint64_t version;             /* of the routing that it was admitted under */
+  struct subscriber_wait confirmation; /* before it is denied */
+  bool may_be_denied; /* the configuration was confirmed as the newest since it arrived */
+  uint64_t version;   /* of the routing that it was admitted under */
   int64_t arrived;
   int64_t age;          /* at its arrival, since the client's first try; us */
   int64_t deadline;     /* the earlier one of the client's and the route's */
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -61,8 +61,8 @@
     }
 }
 
-static void
-send_request (struct subscriber *self, struct known_controller *controller, int64_t now)
+void
+subscriber_send_request (struct subscriber *self, struct known_controller *controller, int64_t now)
 {
   struct sync_request request = {
     .nonce = ++controller->last_nonce,
@@ -159,10 +159,11 @@
       struct known_controller *controller = &self->controllers[i];
 
       if (now >= controller->next_request)
-        send_request (self, controller, now);
+        subscriber_send_request (self, controller, now);
       if (now - controller->heard > SYNC_CONTACT_TIMEOUT)
         subscriber_set_reachable (self, controller, false, now);
     }
+  subscriber_request_confirmation (self, now);
   remove_silent_controllers (self, now);
   expire_targets (self, now);
   subscriber_update_ready (self);
@@ -235,7 +236,7 @@
   self->self.leaving = true;
   self->view_stale = true;
   for (uint32_t i = 0; i < self->n_controllers; i++)
-    send_request (self, &self->controllers[i], now);
+    subscriber_send_request (self, &self->controllers[i], now);
   subscriber_update_ready (self);
 }
 
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -25,6 +25,9 @@
 /* A controller or entry host that sent nothing for this long counts as unreachable. */
 #define SYNC_CONTACT_TIMEOUT (2 * USEC_PER_SEC)
 
+/* While a confirmation is waited for, one controller is asked at this interval. */
+#define SYNC_CONFIRM_REQUEST_PERIOD (50 * USEC_PER_MSEC)
+
 struct subscriber;
 
 struct subscriber_listener
@@ -43,6 +46,21 @@
                   int64_t now);
 };
 
+/* Embedded in its owner, which must cancel it before it is freed. */
+struct subscriber_wait
+{
+  const struct subscriber_wait_ops *ops;
+  struct subscriber_wait *prev;
+  struct subscriber_wait *next;
+  int64_t since; /* on the clock of `boottime`; 0 while not waiting */
+};
+
+struct subscriber_wait_ops
+{
+  /* A quorum confirmed after the wait began that the routing in force is the newest. */
+  void (*confirmed) (struct subscriber_wait *wait, int64_t now);
+};
+
 struct subscriber_config
 {
   struct sync_host self;
@@ -74,6 +92,14 @@
  * USEC_NEVER when none was confirmed since the start. */
 int64_t subscriber_confirmation_age (const struct subscriber *subscriber);
 
+/* Request a confirmation that is newer than this call, and call confirmed() once it arrives. */
+void subscriber_wait_start (struct subscriber *subscriber,
+                            struct subscriber_wait *wait,
+                            int64_t now);
+
+/* No effect while not waiting. */
+void subscriber_wait_cancel (struct subscriber *subscriber, struct subscriber_wait *wait);
+
 /* Whether clients may be sent to this host. */
 bool subscriber_is_ready (const struct subscriber *subscriber);
 
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -46,6 +46,9 @@
   struct host_view view;
   bool view_stale; /* must be merged again; its pointers may be to freed lists */
   bool view_was_full;
+  struct subscriber_wait *waits; /* oldest first */
+  uint32_t confirmer;            /* index of the controller asked last for a wait */
+  int64_t confirm_requested_at;
   bool confirmed;
   bool was_ready;
   int64_t confirmed_at;
@@ -69,6 +72,13 @@
                                struct known_controller *controller,
                                bool reachable,
                                int64_t now);
+void subscriber_send_request (struct subscriber *self,
+                              struct known_controller *controller,
+                              int64_t now);
+
+/* subscriber_wait.c: waits for a confirmation */
+void subscriber_request_confirmation (struct subscriber *self, int64_t now);
+void subscriber_end_waits (struct subscriber *self, int64_t now);
 
 /* subscriber_state.c: handling of controllers' states */
 extern const struct peer_listener_ops subscriber_listener_ops;
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -206,6 +206,7 @@
   controller->hosts = state.hosts;
   apply_confirmation (self, controller, &state);
   subscriber_update_ready (self);
+  subscriber_end_waits (self, now);
 }
 
 static void
