Answer an entry host although it has asked again meanwhile

What callers saw: nothing yet; found by reading the way of a confirmation.

Cause: a quorum read answered a host only if its newest request was the one that the read covers. Where reads take longer than the interval of its requests (500 ms; a read without a quorum takes 800) each answer found a newer request and started over, so the host was never answered: no configuration, no renewals of targets, until reads were fast again.

Change: the request that the read covers is answered, and the newer one waits for the next read.

Result: ControllerTest.AnswersARequestThatANewerOneFollowed failed before (no state is sent) and passes; all of ControllerTest, SubscriberTest and forward_denial pass.

--- a/src/controller.c
+++ b/src/controller.c
@@ -21,7 +21,8 @@
 static void start_quorum_read (struct controller *controller, int64_t now);
 
 /* A quorum read confirms only requests that arrived before it started: its result does not cover
- * what was committed since. */
+ * what was committed since.  Each host is answered even if it has sent a newer request meanwhile:
+ * reads may take longer than the interval of its requests. */
 static void
 answer_requests (struct controller *controller, bool confirmed, int64_t now)
 {
@@ -31,12 +32,13 @@
     {
       struct entry_host_record *host = &controller->hosts[i];
 
-      if (host->nonce == 0)
-        continue;
-      if (host->nonce == host->read_nonce)
-        controller_send_state (controller, host, confirmed, now);
-      else
-        more = true;
+      uint64_t covered = host->read_nonce;
+
+      host->read_nonce = 0;
+      more = more || host->nonce != covered;
+      if (covered != 0 && controller_send_state (controller, host, covered, confirmed, now)
+          && host->nonce == covered)
+        host->nonce = 0;
     }
   if (more)
     start_quorum_read (controller, now);
@@ -271,14 +273,10 @@
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     {
       struct entry_host_record *host = &controller->hosts[i];
-      uint64_t nonce = host->nonce;
 
       if (!controller_host_is_live (host, now))
         continue;
-      host->nonce = 0;
-      controller_send_state (controller, host, false, now);
-      /* Keep the request pending: a push is no confirmation. */
-      host->nonce = nonce;
+      controller_send_state (controller, host, 0, false, now);
       counter_add (controller->pushes, 1);
     }
 }
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -14,8 +14,8 @@
   uint64_t document_version;
   uint64_t targets_revision;
   uint64_t hosts_revision;
-  uint64_t nonce;      /* of a request to be answered; 0: none */
-  uint64_t read_nonce; /* the nonce when the last quorum read started */
+  uint64_t nonce;      /* of the newest request to be answered; 0: none */
+  uint64_t read_nonce; /* of the request that the quorum read in progress covers; 0: none */
   bool listed;         /* in the list that is sent to entry hosts */
 };
 
@@ -50,10 +50,11 @@
 /* Is the host's lease valid? */
 bool controller_host_is_live (const struct entry_host_record *host, int64_t now);
 
-/* Sends what changed since the revisions that the host holds, and answers its pending request, if
- * any. */
-void controller_send_state (struct controller *controller,
+/* Sends what changed since the revisions that the host holds, in answer to the request `nonce`, or
+ * unasked if that is 0.  False if the host has no connection or memory is out. */
+bool controller_send_state (struct controller *controller,
                             struct entry_host_record *host,
+                            uint64_t nonce,
                             bool confirmed,
                             int64_t now);
 
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -92,9 +92,10 @@
     pack_text (out, members[i].name);
 }
 
-void
+bool
 controller_send_state (struct controller *controller,
                        struct entry_host_record *host,
+                       uint64_t nonce,
                        bool confirmed,
                        int64_t now)
 {
@@ -102,7 +103,7 @@
   const struct bytes *text = document_text (document);
   struct sync_state state = {
     .controller = controller->config.incarnation,
-    .nonce = host->nonce,
+    .nonce = nonce,
     .confirmed = confirmed,
     .document = document_version (document),
     .targets = controller->registry->revision,
@@ -111,6 +112,7 @@
     .has_hosts = host->hosts_revision != controller->hosts_revision,
   };
   struct bytes out;
+  bool sent;
 
   bytes_init (&out, NULL);
   sync_write_header (SYNC_STATE, &out);
@@ -122,18 +124,18 @@
   if (state.has_hosts)
     write_hosts (controller, &out);
   write_controllers (controller, &out);
-  if (!bytes_has_failed (&out)
-      && controller->config.port->ops->send (controller->config.port, host->info.name,
-                                             PEER_CHANNEL_SYNC, out.data, out.length)
-             == STATUS_OK)
-    {
-      /* Assume delivery; the next request states what the host holds, so a lost message is sent
-       * again then. */
-      host->renewed_until = now;
-      host->document_version = state.document;
-      host->targets_revision = state.targets;
-      host->hosts_revision = state.hosts;
-      host->nonce = 0;
-    }
+  sent = !bytes_has_failed (&out)
+         && controller->config.port->ops->send (controller->config.port, host->info.name,
+                                                PEER_CHANNEL_SYNC, out.data, out.length)
+                == STATUS_OK;
   bytes_clear (&out);
+  if (!sent)
+    return false;
+  /* Assume delivery; the next request states what the host holds, so a lost message is sent again
+   * then. */
+  host->renewed_until = now;
+  host->document_version = state.document;
+  host->targets_revision = state.targets;
+  host->hosts_revision = state.hosts;
+  return true;
 }
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -299,6 +299,27 @@
   EXPECT_TRUE (state.confirmed);
 }
 
+// Reads that take longer than the interval of an entry host's requests left all of them unanswered.
+TEST_F (ControllerTest, AnswersARequestThatANewerOneFollowed)
+{
+  struct sync_state state;
+
+  send_request ("e1", 11);
+  for (uint64_t nonce = 12; nonce < 15; nonce++)
+    {
+      send_request ("e1", nonce);
+      ASSERT_EQ (log.reads.size (), 1u);
+      log.answer (STATUS_OK, now);
+      ASSERT_TRUE (last_state ("e1", &state));
+      EXPECT_TRUE (state.confirmed);
+      EXPECT_EQ (state.nonce, nonce - 1);
+    }
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_EQ (state.nonce, 14u);
+  EXPECT_TRUE (log.reads.empty ());
+}
+
 TEST_F (ControllerTest, SendsUnconfirmedStateWithoutQuorum)
 {
   struct sync_state state;
