Replace a connection between entry host and controller that delivers nothing

Cause: each side sends on a connection of its own, and only the kernel's time-out (2 s with data unacknowledged) ended a silent one. The two ends noticed one after the other: the controller has nothing unacknowledged until the entry host has connected anew and asked. Something between them that acknowledges and drops would never have been noticed.

Change: an entry host whose requests stay unanswered for 1 s opens a new connection, asks each 250 ms, and tells the controller the first request without an answer (SYNC_UNANSWERED; older controllers ignore it). A controller that answered that request or a later one 200 ms ago or more replaces its own connection to the host. A request that finds no connection is sent again after 100 ms, not 500.

--- a/src/controller.c
+++ b/src/controller.c
@@ -16,6 +16,9 @@
 /* Delay of a push, so that a burst of changes is sent as one message. */
 #define PUSH_DELAY (5 * USEC_PER_MSEC)
 
+/* An answer that an entry host still lacks this long after it was sent is lost. */
+#define ANSWER_TRAVEL_MAX (200 * USEC_PER_MSEC)
+
 /* ---- confirmation by a quorum ---- */
 
 static void start_quorum_read (struct controller *controller, int64_t now);
@@ -36,8 +39,11 @@
 
       host->read_nonce = 0;
       more = more || host->nonce != covered;
-      if (covered != 0 && controller_send_state (controller, host, covered, confirmed, now)
-          && host->nonce == covered)
+      if (covered == 0 || !controller_send_state (controller, host, covered, confirmed, now))
+        continue;
+      host->answered_nonce = covered;
+      host->answered_at = now;
+      if (host->nonce == covered)
         host->nonce = 0;
     }
   if (more)
@@ -187,6 +193,8 @@
       request.hosts = 0;
       host->renewed_until = 0;
     }
+  if (host->info.incarnation != request.self.incarnation)
+    host->answered_nonce = 0;
   host->info = request.self;
   host->heard_at = now;
   host->nonce = request.nonce;
@@ -197,6 +205,31 @@
   start_quorum_read (controller, now);
 }
 
+/* The host sends requests that arrive here, but no answer since that to `nonce` has arrived there:
+ * replaces the connection that the answers were sent on. */
+static void
+handle_unanswered (struct controller *controller,
+                   struct pack_reader *in,
+                   const char *from,
+                   int64_t now)
+{
+  struct entry_host_record *host = find_host (controller, from);
+  uint64_t nonce;
+
+  if (!sync_read_unanswered (in, &nonce))
+    {
+      counter_add (controller->malformed, 1);
+      return;
+    }
+  if (host == NULL || host->answered_nonce < nonce || now - host->answered_at < ANSWER_TRAVEL_MAX)
+    return;
+  counter_add (controller->reconnects, 1);
+  log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, "entry-host-unreached", "{s:s,s:I}", "host",
+             from, "answered_ms", (json_int_t) ((now - host->answered_at) / USEC_PER_MSEC));
+  host->answered_nonce = 0;
+  controller->config.port->ops->remove_host (controller->config.port, from);
+}
+
 uint32_t
 controller_list_live_hosts (const struct controller *controller,
                             const char *out[SYNC_HOSTS_MAX],
@@ -322,6 +355,8 @@
     controller_handle_target (controller, &in, from, now);
   else if (type == SYNC_TARGET_ACK)
     controller_handle_target_ack (controller, &in, from, now);
+  else if (type == SYNC_UNANSWERED)
+    handle_unanswered (controller, &in, from, now);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
@@ -347,6 +382,9 @@
       counter_get (counters, "cherryarch_controller_asks_total", "Questions of entry hosts.", NULL);
   controller->malformed = counter_get (counters, "cherryarch_controller_malformed_total",
                                        "Requests of entry hosts that could not be read.", NULL);
+  controller->reconnects =
+      counter_get (counters, "cherryarch_controller_reconnects_total",
+                   "Connections to entry hosts replaced, as no answer arrived there.", NULL);
   controller->pushes = counter_get (counters, "cherryarch_controller_pushes_total",
                                     "Changes pushed to entry hosts.", NULL);
   controller->unconfirmed = counter_get (counters, "cherryarch_controller_unconfirmed_total",
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -14,7 +14,9 @@
   uint64_t document_version;
   uint64_t targets_revision;
   uint64_t hosts_revision;
-  uint64_t nonce;      /* of the newest request to be answered; 0: none */
+  uint64_t nonce;          /* of the newest request to be answered; 0: none */
+  uint64_t answered_nonce; /* of the newest request answered on the present connection; 0: none */
+  int64_t answered_at;
   uint64_t read_nonce; /* of the request that the quorum read in progress covers; 0: none */
   bool listed;         /* in the list that is sent to entry hosts */
 };
@@ -37,6 +39,7 @@
   uint64_t last_wait;
   struct counter *requests;
   struct counter *malformed;
+  struct counter *reconnects;
   struct counter *pushes;
   struct counter *unconfirmed;
   struct counter *hosts_refused;
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -61,6 +61,62 @@
     }
 }
 
+static enum status
+send_message (struct subscriber *self,
+              const struct known_controller *controller,
+              struct bytes *message)
+{
+  enum status status = STATUS_NO_MEMORY;
+
+  if (!bytes_has_failed (message))
+    status = self->config.port->ops->send (self->config.port, controller->name, PEER_CHANNEL_SYNC,
+                                           message->data, message->length);
+  bytes_clear (message);
+  return status;
+}
+
+static int64_t
+request_period (const struct known_controller *controller, bool sent, bool silent)
+{
+  if (controller->heard == 0 || !sent)
+    return SYNC_FIRST_REQUEST_PERIOD;
+  return silent ? SYNC_SILENT_REQUEST_PERIOD : SYNC_REQUEST_PERIOD;
+}
+
+static bool
+is_silent (const struct known_controller *controller, int64_t now)
+{
+  return controller->unanswered_since != 0
+         && now - controller->unanswered_since > SYNC_SILENCE_TIMEOUT;
+}
+
+/* Requests are sent and not answered: the connection may deliver nothing without showing an error.
+ * Replaces it; without a connection, requests are not sent and the port connects by itself. */
+static void
+reconnect_if_silent (struct subscriber *self, struct known_controller *controller, int64_t now)
+{
+  if (!is_silent (controller, now) || now < controller->next_reconnect)
+    return;
+  controller->next_reconnect = now + SYNC_RECONNECT_PERIOD;
+  controller->next_request = now;
+  counter_add (self->reconnects, 1);
+  log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, "controller-silent", "{s:s,s:I}", "controller",
+             controller->name, "unanswered_ms",
+             (json_int_t) ((now - controller->unanswered_since) / USEC_PER_MSEC));
+  self->config.port->ops->remove_host (self->config.port, controller->name);
+}
+
+static void
+send_unanswered (struct subscriber *self, const struct known_controller *controller)
+{
+  struct bytes out;
+
+  bytes_init (&out, NULL);
+  sync_write_header (SYNC_UNANSWERED, &out);
+  sync_write_unanswered (controller->unanswered_nonce, &out);
+  (void) send_message (self, controller, &out); /* repeated with the next request */
+}
+
 void
 subscriber_send_request (struct subscriber *self, struct known_controller *controller, int64_t now)
 {
@@ -72,20 +128,24 @@
     .hosts = controller->hosts,
     .self = self->self,
   };
+  bool silent = is_silent (controller, now);
+  bool sent;
   struct bytes out;
 
   request.self.ready = subscriber_is_ready (self);
   controller->requests[request.nonce % REQUESTS_KEPT] =
       (struct request_record){ .nonce = request.nonce, .sent_at = self->config.boottime () };
-  controller->next_request =
-      now + (controller->heard == 0 ? SYNC_FIRST_REQUEST_PERIOD : SYNC_REQUEST_PERIOD);
+  if (silent)
+    send_unanswered (self, controller);
   bytes_init (&out, NULL);
   sync_write_header (SYNC_REQUEST, &out);
   sync_write_request (&request, &out);
-  if (!bytes_has_failed (&out))
-    self->config.port->ops->send (self->config.port, controller->name, PEER_CHANNEL_SYNC, out.data,
-                                  out.length);
-  bytes_clear (&out);
+  sent = send_message (self, controller, &out) == STATUS_OK;
+  controller->next_request = now + request_period (controller, sent, silent);
+  if (!sent || controller->unanswered_since != 0)
+    return;
+  controller->unanswered_since = now;
+  controller->unanswered_nonce = request.nonce;
 }
 
 void
@@ -158,6 +218,7 @@
     {
       struct known_controller *controller = &self->controllers[i];
 
+      reconnect_if_silent (self, controller, now);
       if (now >= controller->next_request)
         subscriber_send_request (self, controller, now);
       if (now - controller->heard > SYNC_CONTACT_TIMEOUT)
@@ -323,6 +384,8 @@
                                      "Answers that a quorum confirmed.", NULL);
   self->malformed = counter_get (counters, "cherryarch_subscriber_malformed_total",
                                  "Answers that could not be read.", NULL);
+  self->reconnects = counter_get (counters, "cherryarch_subscriber_reconnects_total",
+                                  "Connections to controllers replaced for want of answers.", NULL);
   self->merges = counter_get (counters, "cherryarch_subscriber_host_merges_total",
                               "Controllers' lists of entry hosts merged into one.", NULL);
   self->left_out = counter_get (counters, "cherryarch_subscriber_hosts_left_out_total",
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -22,6 +22,16 @@
 /* The interval until the first answer. */
 #define SYNC_FIRST_REQUEST_PERIOD (100 * USEC_PER_MSEC)
 
+/* The interval while requests go unanswered. */
+#define SYNC_SILENT_REQUEST_PERIOD (250 * USEC_PER_MSEC)
+
+/* A controller that answers no request for this long is reached by a new connection.  Longer than a
+ * controller without a quorum takes to answer. */
+#define SYNC_SILENCE_TIMEOUT (1000 * USEC_PER_MSEC)
+
+/* Interval between new connections to a controller that stays silent. */
+#define SYNC_RECONNECT_PERIOD (2 * USEC_PER_SEC)
+
 /* A controller or entry host that sent nothing for this long counts as unreachable. */
 #define SYNC_CONTACT_TIMEOUT (2 * USEC_PER_SEC)
 
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -24,8 +24,11 @@
   uint64_t last_nonce;
   struct request_record requests[REQUESTS_KEPT]; /* the latest, by nonce modulo REQUESTS_KEPT */
   int64_t next_request;
-  int64_t heard;    /* 0: never */
-  int64_t named_at; /* last named by another controller */
+  uint64_t unanswered_nonce; /* of the first request sent since a state was received */
+  int64_t unanswered_since;  /* when it was sent; 0: none */
+  int64_t next_reconnect;    /* not before; 0: any time */
+  int64_t heard;             /* 0: never */
+  int64_t named_at;          /* last named by another controller */
   bool reachable;
   uint32_t n_list;
   struct sync_host *list; /* entry hosts that it listed last */
@@ -57,6 +60,7 @@
   int64_t expire_at;
   struct counter *confirmations;
   struct counter *malformed;
+  struct counter *reconnects;
   struct counter *merges;
   struct counter *left_out;
   struct counter *age_gauge;
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -185,6 +185,8 @@
       return;
     }
   controller->heard = now;
+  controller->unanswered_since = 0;
+  controller->next_reconnect = 0;
   subscriber_set_reachable (self, controller, true, now);
   self->document_from = controller->name;
   if (text != NULL)
--- a/src/sync.c
+++ b/src/sync.c
@@ -66,6 +66,19 @@
   return sync_read_host (in, &request->self);
 }
 
+void
+sync_write_unanswered (uint64_t nonce, struct bytes *out)
+{
+  pack_uint (out, nonce);
+}
+
+bool
+sync_read_unanswered (struct pack_reader *in, uint64_t *nonce)
+{
+  *nonce = pack_read_uint (in, UINT64_MAX);
+  return pack_read_is_complete (in);
+}
+
 void
 sync_write_state (const struct sync_state *state, struct bytes *out)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -2,7 +2,12 @@
  *
  * An entry host polls every controller.  Each answer carries what the entry host lacks and, once a
  * quorum has confirmed it, that the configuration is the newest.  Changes are pushed at once in the
- * same format. */
+ * same format.
+ *
+ * Each side sends on connections that it opened itself.  One that delivers nothing may show no
+ * error for seconds or for good, so the entry host watches whether its requests are answered: it
+ * replaces its own connection, and SYNC_UNANSWERED makes the controller replace the other one.
+ * Controllers of releases without this message ignore it. */
 #ifndef SYNC_H
 #define SYNC_H
 
@@ -29,6 +34,7 @@
   SYNC_STATE = 1,      /* controller to entry host */
   SYNC_TARGET = 2,     /* controller to controller: a leaving target, which others must know too */
   SYNC_TARGET_ACK = 3, /* its acknowledgement */
+  SYNC_UNANSWERED = 4, /* entry host to controller: no state arrived since a request */
   SYNC_MESSAGE_COUNT
 };
 
@@ -81,6 +87,9 @@
 bool sync_read_type (struct pack_reader *in, enum sync_message *type);
 void sync_write_request (const struct sync_request *request, struct bytes *out);
 bool sync_read_request (struct pack_reader *in, struct sync_request *request);
+/* `nonce`: of the first request since the last state that arrived. */
+void sync_write_unanswered (uint64_t nonce, struct bytes *out);
+bool sync_read_unanswered (struct pack_reader *in, uint64_t *nonce);
 void sync_write_state (const struct sync_state *state, struct bytes *out);
 bool sync_read_state (struct pack_reader *in, struct sync_state *state);
 void sync_write_host (const struct sync_host *host, struct bytes *out);
--- a/tests/sync_harness.h
+++ b/tests/sync_harness.h
@@ -18,13 +18,17 @@
   std::vector<std::tuple<std::string, enum peer_channel, std::string>> sent;
   std::map<int, struct peer_listener *> listeners;
   std::map<std::string, bool> unreachable;
+  std::vector<std::string> removed; // hosts whose connection was closed
 
   recording_port ()
   {
     static const struct peer_port_ops ops = {
       .set_address = [] (struct peer_port *, const char *, const char *,
                          const char *) { return STATUS_OK; },
-      .remove_host = [] (struct peer_port *, const char *) {},
+      .remove_host =
+          [] (struct peer_port *base, const char *host) {
+            reinterpret_cast<recording_port *> (base)->removed.emplace_back (host);
+          },
       .send =
           [] (struct peer_port *base, const char *host, enum peer_channel channel, const void *data,
               size_t length) {
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -147,6 +147,18 @@
     bytes_clear (&message);
   }
 
+  void
+  send_unanswered (const char *host, uint64_t nonce)
+  {
+    struct bytes message;
+
+    bytes_init (&message, nullptr);
+    sync_write_header (SYNC_UNANSWERED, &message);
+    sync_write_unanswered (nonce, &message);
+    port.deliver (host, PEER_CHANNEL_SYNC, &message, now);
+    bytes_clear (&message);
+  }
+
   // Reads the header of the latest state sent to the host; false when there is none.
   bool
   last_state (const std::string &host, struct sync_state *out)
@@ -320,6 +332,34 @@
   EXPECT_TRUE (log.reads.empty ());
 }
 
+// Answers to an entry host were lost on a connection that showed no error.
+TEST_F (ControllerTest, ReplacesAConnectionOnWhichAnswersAreLost)
+{
+  send_request ("e1", 11);
+  log.answer (STATUS_OK, now);
+  now += 50 * USEC_PER_MSEC;
+  send_unanswered ("e1", 11); // sent before the answer arrived there
+  EXPECT_TRUE (port.removed.empty ());
+  now += 250 * USEC_PER_MSEC;
+  send_unanswered ("e1", 11);
+  EXPECT_EQ (port.removed, std::vector<std::string>{ "e1" });
+  send_unanswered ("e1", 11);
+  EXPECT_EQ (port.removed.size (), 1u);
+}
+
+// Requests that were lost on their way have no answer that could be.
+TEST_F (ControllerTest, KeepsAConnectionOnWhichNoAnswerWasSent)
+{
+  send_request ("e1", 11);
+  now += USEC_PER_SEC;
+  send_unanswered ("e1", 11);
+  send_unanswered ("unknown", 11);
+  log.answer (STATUS_OK, now);
+  now += USEC_PER_SEC;
+  send_unanswered ("e1", 12);
+  EXPECT_TRUE (port.removed.empty ());
+}
+
 TEST_F (ControllerTest, SendsUnconfirmedStateWithoutQuorum)
 {
   struct sync_state state;
