Hold the version of the routing in force, and no other

Cause: an entry host kept the document's version apart from the routing decoded from it, and raised the version first. If decoding failed (no memory, a later release's text) the old routing stayed in force for good: the controllers did not send the text again, and confirmations of the new version counted for the old routing.

Change: the version held is that of the routing in force. A text that cannot be decoded, or whose version is not that of its message, changes nothing: it is asked for again, confirmations of it do not count, so the host stops being ready and refuses what needs a confirmation. The document's copy in entry hosts, which nothing read, is gone.

Result: SubscriberTest.DoesNotHoldAVersionThatItCannotDecode failed before (age 0 s where 1 s is right, version 2 asked with 1 in force) and passes, with all of SubscriberTest and forward_denial.

--- a/src/document.h
+++ b/src/document.h
@@ -38,8 +38,7 @@
 /* Appends the log entry for a change to `out`. */
 void document_change_pack (uint64_t version, const void *text, size_t length, struct bytes *out);
 
-/* Replaces the document with a newer version; false if `version` is not newer or memory is out.
- * Also used directly by hosts that are not members of the log. */
+/* Replaces the document with a newer version; false if `version` is not newer or memory is out. */
 bool document_update (struct document *document, uint64_t version, const void *text, size_t length);
 
 END_DECLS
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -1,5 +1,6 @@
 /* An entry host's view of the system: requests to controllers, and queries of other modules. */
 #include "container.h"
+#include "document.h"
 #include "log.h"
 #include "subscriber_private.h"
 #include "text.h"
@@ -122,7 +123,7 @@
 {
   struct sync_request request = {
     .nonce = ++controller->last_nonce,
-    .document = document_version (self->document),
+    .document = subscriber_version (self),
     .controller = controller->incarnation,
     .targets = controller->targets,
     .hosts = controller->hosts,
@@ -166,34 +167,56 @@
 
 /* ---- the configuration ---- */
 
+uint64_t
+subscriber_version (const struct subscriber *self)
+{
+  return self->routing == NULL ? 0 : self->routing->version;
+}
+
+/* Once per version: it is received again with each answer. */
 static void
-document_changed (struct document_listener *listener, const struct document *document)
+log_not_understood (struct subscriber *self, uint64_t version, const char *message)
+{
+  counter_add (self->malformed, 1);
+  if (self->not_understood == version)
+    return;
+  self->not_understood = version;
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "document-not-understood", "{s:I,s:I,s:s}",
+             "version", (json_int_t) version, "held", (json_int_t) subscriber_version (self),
+             "message", message);
+}
+
+void
+subscriber_apply_document (struct subscriber *self,
+                           const struct known_controller *from,
+                           uint64_t version,
+                           const void *text,
+                           size_t length)
 {
-  struct subscriber *self = CONTAINER_OF (listener, struct subscriber, document_listener);
-  const struct bytes *text = document_text (document);
-  struct routing *routing =
-      self->config.codec->ops->decode (self->config.codec, self, text->data, text->length);
   struct routing *before = self->routing;
+  struct routing *routing;
   char digest[DOCUMENT_DIGEST_SIZE];
 
-  if (routing == NULL)
+  if (version <= subscriber_version (self))
+    return;
+  routing = self->config.codec->ops->decode (self->config.codec, self, text, length);
+  if (routing == NULL || routing->version != version)
     {
-      log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "document-not-understood", "{s:I,s:s}",
-                 "version", (json_int_t) document_version (document), "message", status_message ());
+      log_not_understood (self, version,
+                          routing == NULL ? status_message () : "its text has another version");
+      talloc_free (routing);
       return;
     }
   self->routing = routing;
-  gauge_set (self->version_gauge, (double) routing->version);
-  document_digest (text->data, text->length, digest);
+  gauge_set (self->version_gauge, (double) version);
+  document_digest (text, length, digest);
   log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s}",
-             "version", (json_int_t) routing->version, "content", digest, "routes",
-             (int) routing->n_routes, "pools", (int) routing->n_pools, "from", self->document_from);
+             "version", (json_int_t) version, "content", digest, "routes", (int) routing->n_routes,
+             "pools", (int) routing->n_pools, "from", from->name);
   self->config.listener->ops->routing (self->config.listener, routing, self->now);
   talloc_free (before);
 }
 
-static const struct document_listener_ops document_listener_ops = { .changed = document_changed };
-
 /* ---- time ---- */
 
 static void
@@ -407,11 +430,9 @@
   self->self = config->self;
   self->view_stale = true;
   self->listener.ops = &subscriber_listener_ops;
-  self->document_listener.ops = &document_listener_ops;
   self->tick.ops = &tick_ops;
-  self->document = document_new (self, &self->document_listener);
   self->registry = registry_new (self);
-  if (self->document == NULL || self->registry == NULL)
+  if (self->registry == NULL)
     {
       talloc_free (self);
       return NULL;
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -5,7 +5,6 @@
 
 #include "counter.h"
 #include "decls.h"
-#include "document.h"
 #include "host_view.h"
 #include "peer.h"
 #include "registry.h"
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -38,10 +38,9 @@
 {
   struct subscriber_config config;
   struct peer_listener listener;
-  struct document_listener document_listener;
   struct timer tick;
-  struct document *document;
-  struct routing *routing;
+  struct routing *routing; /* in force once confirmed; its version is the one held */
+  uint64_t not_understood; /* newest version that could not be decoded; 0: none */
   struct registry *registry;
   struct known_controller controllers[SYNC_CONTROLLERS_MAX];
   uint32_t n_controllers;
@@ -56,7 +55,6 @@
   bool was_ready;
   int64_t confirmed_at;
   int64_t now;
-  const char *document_from; /* the controller whose state is being read */
   int64_t expire_at;
   struct counter *confirmations;
   struct counter *malformed;
@@ -80,6 +78,15 @@
                               struct known_controller *controller,
                               int64_t now);
 
+uint64_t subscriber_version (const struct subscriber *self);
+
+/* Puts the document in force if it is newer than the version held and can be decoded. */
+void subscriber_apply_document (struct subscriber *self,
+                                const struct known_controller *from,
+                                uint64_t version,
+                                const void *text,
+                                size_t length);
+
 /* subscriber_wait.c: waits for a confirmation */
 void subscriber_request_confirmation (struct subscriber *self, int64_t now);
 void subscriber_end_waits (struct subscriber *self, int64_t now);
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -132,7 +132,7 @@
   const struct request_record *request = &controller->requests[state->nonce % REQUESTS_KEPT];
 
   if (!state->confirmed || state->nonce == 0 || state->nonce != request->nonce
-      || document_version (self->document) < state->document)
+      || subscriber_version (self) < state->document)
     return;
   counter_add (self->confirmations, 1);
   if (!self->confirmed || request->sent_at > self->confirmed_at)
@@ -152,7 +152,7 @@
       LOG_MODULE_HOST, LOG_LEVEL_INFO, ready ? "ready" : "not-ready", "{s:b,s:I,s:I}", "confirmed",
       self->confirmed, "age_ms",
       (json_int_t) (self->confirmed ? subscriber_confirmation_age (self) / USEC_PER_MSEC : -1),
-      "version", (json_int_t) document_version (self->document));
+      "version", (json_int_t) subscriber_version (self));
   for (uint32_t i = 0; i < self->n_controllers; i++)
     self->controllers[i].next_request = 0;
 }
@@ -163,7 +163,7 @@
 {
   counter_add (self->malformed, 1);
   log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "state-not-read", "{s:s,s:I}", "controller",
-             controller->name, "version", (json_int_t) document_version (self->document));
+             controller->name, "version", (json_int_t) subscriber_version (self));
 }
 
 static void
@@ -188,9 +188,8 @@
   controller->unanswered_since = 0;
   controller->next_reconnect = 0;
   subscriber_set_reachable (self, controller, true, now);
-  self->document_from = controller->name;
   if (text != NULL)
-    document_update (self->document, state.document, text, length);
+    subscriber_apply_document (self, controller, state.document, text, length);
   read_targets (self, in, now);
   read_renewals (self, in, now);
   if (state.has_hosts && pack_read_is_ok (in))
