--- a/src/document.c
+++ b/src/document.c
@@ -16,8 +16,6 @@
   struct bytes text;
 };
 
-#define DOCUMENT_BYTES_MAX (16u << 20)
-
 bool
 document_update (struct document *document, uint64_t version, const void *text, size_t length)
 {
--- a/src/document.h
+++ b/src/document.h
@@ -7,9 +7,13 @@
 
 #include "consensus.h"
 #include "decls.h"
+#include "raft_message.h"
 
 BEGIN_DECLS
 
+/* Largest text that a log entry holds beside its version and length. */
+#define DOCUMENT_BYTES_MAX (RAFT_ENTRY_MAX - 32)
+
 struct document;
 
 struct document_listener
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -1,6 +1,7 @@
 /* Handles the states that controllers send: targets, entry hosts, controllers, the document, and
  * its confirmation. */
 #include "container.h"
+#include "document.h"
 #include "log.h"
 #include "subscriber_private.h"
 #include "text.h"
@@ -178,7 +179,7 @@
   size_t length = 0;
 
   if (sync_read_state (in, &state) && state.has_document)
-    text = pack_read_binary (in, SYNC_DOCUMENT_MAX, &length);
+    text = pack_read_binary (in, DOCUMENT_BYTES_MAX, &length);
   if (!pack_read_is_ok (in))
     {
       report_malformed (self, controller);
--- a/src/sync.h
+++ b/src/sync.h
@@ -25,7 +25,6 @@
 #define SYNC_HOSTS_MAX 1024
 #define SYNC_CONTROLLERS_MAX 16
 #define SYNC_TARGETS_MAX 16384
-#define SYNC_DOCUMENT_MAX (3u << 20)
 
 /* Written into messages: never renumbered. */
 enum sync_message
