Deny callers of pipelines nothing under a configuration that may be old

What callers saw: 403 from a host that has just started and holds no configuration, for a token that is good; 404 or 403 from a host that lost the quorum, for as long as that lasts.

Change: without a configuration all is refused as not-ready (503); where the configuration was not confirmed for CONFIG_CONFIRMATION_TTL (10 s), what would be denied is. What the host knows it serves as before. A denial may still rest on a confirmation of up to 10 s: nothing here waits for a newer one.

The harness of flow confirms its configuration now, as its tests expect denials.

--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -1,4 +1,5 @@
 /* Arrival of a request: parsed, added to the table, claimed if unrepeatable, admitted. */
+#include "config.h"
 #include "flow_private.h"
 #include "text.h"
 #include <sodium.h>
@@ -260,6 +261,21 @@
     start_unrepeatable (request, now);
 }
 
+/* Denies a request whose token or path this host does not know.  While its configuration is not
+ * confirmed, a newer one may know them, and other hosts too. */
+static void
+deny (struct flow *flow,
+      struct http_exchange *exchange,
+      const struct caller_request *caller,
+      const struct caller_error *why,
+      int64_t now)
+{
+  if (config_is_confirmed (flow->config.board, now))
+    refuse_invalid (flow, exchange, why->code, why->field, why->message);
+  else
+    refuse (flow, exchange, caller->id, FLOW_REASON_NOT_READY, FLOW_RETRY_AFTER_DEFAULT);
+}
+
 static void
 handle_request (struct flow *flow,
                 struct http_exchange *exchange,
@@ -274,8 +290,14 @@
   struct flow_request *request;
 
   if (pipeline == NULL || pipeline->spec.service != caller->service)
-    return refuse_invalid (flow, exchange, 404, "path",
-                           caller->service ? "no such service" : "no such pipeline");
+    {
+      struct caller_error why = { .code = 404, .field = "path" };
+
+      text_copy (why.message, sizeof why.message,
+                 caller->service ? "no such service" : "no such pipeline");
+      deny (flow, exchange, caller, &why, now);
+      return;
+    }
   if (caller->id[0] == '\0'
       && (caller->repeatable == CALLER_NO
           || (caller->repeatable == CALLER_UNSET && !pipeline->spec.repeatable)))
@@ -309,11 +331,18 @@
       flow_count_invalid (flow, error.code);
       return flow_answer_invalid (exchange, &error);
     }
-  if (access_authenticate_caller (flow->config.access, exchange, &organisation, name) != STATUS_OK)
-    refuse_invalid (flow, exchange, http_header (exchange, "authorization") == NULL ? 401 : 403,
-                    "authorization", status_message ());
-  else if (!board->config_ready)
+  if (!board->config_ready)
     refuse (flow, exchange, caller.id, FLOW_REASON_NOT_READY, FLOW_RETRY_AFTER_DEFAULT);
+  else if (access_authenticate_caller (flow->config.access, exchange, &organisation, name)
+           != STATUS_OK)
+    {
+      error = (struct caller_error){
+        .code = http_header (exchange, "authorization") == NULL ? 401 : 403,
+        .field = "authorization",
+      };
+      text_copy_truncated (error.message, sizeof error.message, status_message ());
+      deny (flow, exchange, &caller, &error, now);
+    }
   else
     handle_request (flow, exchange, &caller, organisation, name, now);
   caller_clear (&caller);
--- a/tests/flow_harness.h
+++ b/tests/flow_harness.h
@@ -41,6 +41,7 @@
     settings.claim_answer_bytes = 4096;
     board = board_new (memory);
     board->config_ready = true;
+    board->confirmed_at = now;
     timers = timer_service_new (memory);
     counters = counters_new (memory);
     decide = decide_new (memory, board, counters, 7);
--- a/tests/unit_flow.cc
+++ b/tests/unit_flow.cc
@@ -1,4 +1,5 @@
 // Request path: complete answers over several stages, refusals, and the outcome of each.
+#include "config.h"
 #include "flow_harness.h"
 #include <jansson.h>
 
@@ -117,6 +118,26 @@
   expect_nothing_in_flight ();
 }
 
+// A host that has no configuration, or one that may be old, denied pipelines and tokens that it did
+// not know.
+TEST_F (Flow, DeniesNothingUnderAConfigurationThatMayBeOld)
+{
+  fields unknown_token = { { "authorization", "Bearer unknown" } };
+  const char *unknown_path = "/v1/pipelines/none/requests";
+
+  EXPECT_EQ (send (unknown_path, R"({"input": "q"})")->code, 404);
+  EXPECT_EQ (send ("/v1/pipelines/draft/requests", R"({"input": "q"})", unknown_token)->code, 403);
+  board->confirmed_at = now - CONFIG_CONFIRMATION_TTL;
+  EXPECT_EQ (send (unknown_path, R"({"input": "q"})")->code, 503);
+  EXPECT_EQ (send ("/v1/pipelines/draft/requests", R"({"input": "q"})", unknown_token)->code, 503);
+  EXPECT_EQ (send_draft ()->answers, 0); // what it knows is served
+  answer_with_success (call (0));
+  board->config_ready = false;
+  EXPECT_EQ (send (unknown_path, R"({"input": "q"})")->code, 503);
+  EXPECT_EQ (send ("/v1/pipelines/draft/requests", R"({"input": "q"})", unknown_token)->code, 503);
+  expect_nothing_in_flight ();
+}
+
 // The leases of all targets have expired.  Nothing was sent, so the outcome is "not-run" and the
 // caller may resend the request to any host.
 TEST_F (Flow, NoTargetIsNotRun)
