Refuse a denial that cannot be confirmed before the client's time is up

A request whose denial waits is refused after 0.4 s, or earlier if its client waits for less, and is told to come back at once: another host that has not lost the controllers can serve or deny it. It said 2 s, the time of a start of the whole system. Where all hosts lost the quorum the second try is refused as well, at once.

--- a/src/forward.c
+++ b/src/forward.c
@@ -19,9 +19,10 @@
 #define SWEEP_REQUESTS 32
 
 /* Retry-After, in seconds.  NOT_READY: the time that a start of the whole system takes, as a client
- * that retries too soon may not try a third time.  SHUTTING_DOWN: at once, at another host. */
+ * that retries too soon may not try a third time.  OTHER_HOST: at once, at another host, where only
+ * this one shuts down or has lost the controllers. */
 #define NOT_READY_RETRY_AFTER_SEC 2.0
-#define SHUTTING_DOWN_RETRY_AFTER_SEC 0.0
+#define OTHER_HOST_RETRY_AFTER_SEC 0.0
 
 /* Jitter added to NOT_READY_RETRY_AFTER_SEC, in seconds.  Clients that all retried at one moment
  * would fill the stages' queues and delay requests that could still be in time.  Mean worth over 40
@@ -86,16 +87,22 @@
 deny (struct forward_job *job, enum forward_reason reason, unsigned status, int64_t now)
 {
   struct forward *forward = job->forward;
+  int64_t timeout = DENIAL_CONFIRM_TIMEOUT;
 
   if (job->may_be_denied)
-    job_reject (job, reason, status);
-  else if (subscriber_confirmation_age (forward->config.subscriber) > forward->config.confirmed_for)
-    job_refuse (job, FORWARD_STALE, NOT_READY_RETRY_AFTER_SEC);
-  else
     {
-      timer_arm (loop_timers (forward->config.loop), &job->timer, now + DENIAL_CONFIRM_TIMEOUT);
-      subscriber_wait_start (forward->config.subscriber, &job->confirmation, now);
+      job_reject (job, reason, status);
+      return;
     }
+  if (subscriber_confirmation_age (forward->config.subscriber) > forward->config.confirmed_for)
+    {
+      job_refuse (job, FORWARD_STALE, OTHER_HOST_RETRY_AFTER_SEC);
+      return;
+    }
+  if (job->facts.has_deadline && job->facts.time_left < timeout)
+    timeout = job->facts.time_left;
+  timer_arm (loop_timers (forward->config.loop), &job->timer, now + timeout);
+  subscriber_wait_start (forward->config.subscriber, &job->confirmation, now);
 }
 
 /* Finds the organisation whose key the request has.  If false, the request was refused and the job
@@ -156,7 +163,7 @@
 
   if (forward->refusing)
     {
-      job_refuse (job, FORWARD_SHUTTING_DOWN, SHUTTING_DOWN_RETRY_AFTER_SEC);
+      job_refuse (job, FORWARD_SHUTTING_DOWN, OTHER_HOST_RETRY_AFTER_SEC);
       return;
     }
   if (routing == NULL)
@@ -198,7 +205,7 @@
 
   if (job->confirmation.since != 0)
     {
-      job_refuse (job, FORWARD_STALE, NOT_READY_RETRY_AFTER_SEC);
+      job_refuse (job, FORWARD_STALE, OTHER_HOST_RETRY_AFTER_SEC);
       return;
     }
   if (now < job->deadline && job->first_byte_at != 0)
