--- a/src/routing.c
+++ b/src/routing.c
@@ -96,6 +96,11 @@
   return check_stages (route);
 }
 
+struct sorted_route
+{
+  const struct route *route;
+};
+
 static int
 compare_places (const struct route *a, const struct route *b)
 {
@@ -108,8 +113,8 @@
 static int
 compare_routes (const void *a, const void *b)
 {
-  const struct route *left = *(const struct route *const *) a;
-  const struct route *right = *(const struct route *const *) b;
+  const struct route *left = ((const struct sorted_route *) a)->route;
+  const struct route *right = ((const struct sorted_route *) b)->route;
   int by_place = compare_places (left, right);
 
   return by_place != 0 ? by_place : left < right ? -1 : 1;
@@ -120,18 +125,18 @@
 static enum status
 check_places (const struct routing *routing)
 {
-  const struct route **sorted = talloc_array (NULL, const struct route *, routing->n_routes + 1);
+  struct sorted_route *sorted = talloc_array (NULL, struct sorted_route, routing->n_routes + 1);
   enum status status = STATUS_OK;
 
   if (sorted == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   for (uint32_t i = 0; i < routing->n_routes; i++)
-    sorted[i] = &routing->routes[i];
+    sorted[i].route = &routing->routes[i];
   qsort (sorted, routing->n_routes, sizeof sorted[0], compare_routes);
   for (uint32_t i = 1; i < routing->n_routes && status == STATUS_OK; i++)
-    if (compare_places (sorted[i - 1], sorted[i]) == 0)
+    if (compare_places (sorted[i - 1].route, sorted[i].route) == 0)
       status = status_fail (STATUS_INVALID, "routes %s and %s share host and prefix",
-                            sorted[i - 1]->name, sorted[i]->name);
+                            sorted[i - 1].route->name, sorted[i].route->name);
   talloc_free (sorted);
   return status;
 }
