Do not blame connections for the time in which an entry host did not run

A host that was suspended, or got no processor, for a second took all its controllers for silent when it went on, and replaced connections on which the answers already waited. A tick that comes over 0.5 s late starts the count of silence anew.

--- a/src/controller.c
+++ b/src/controller.c
@@ -34,7 +34,6 @@
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     {
       struct entry_host_record *host = &controller->hosts[i];
-
       uint64_t covered = host->read_nonce;
 
       host->read_nonce = 0;
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -16,9 +16,9 @@
   uint64_t hosts_revision;
   uint64_t nonce;          /* of the newest request to be answered; 0: none */
   uint64_t answered_nonce; /* of the newest request answered on the present connection; 0: none */
-  int64_t answered_at;
-  uint64_t read_nonce; /* of the request that the quorum read in progress covers; 0: none */
-  bool listed;         /* in the list that is sent to entry hosts */
+  int64_t answered_at;     /* in us */
+  uint64_t read_nonce;     /* of the request that the quorum read in progress covers; 0: none */
+  bool listed;             /* in the list that is sent to entry hosts */
 };
 
 struct controller
--- a/src/document.c
+++ b/src/document.c
@@ -47,7 +47,7 @@
 
   pack_reader_init (&in, entry, length);
   version = pack_read_uint (&in, UINT64_MAX);
-  text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
+  text = pack_read_binary (&in, RAFT_ENTRY_MAX, &text_length);
   if (!pack_read_is_complete (&in))
     log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "entry-not-read", "{s:I}", "index",
                (json_int_t) index);
@@ -80,7 +80,7 @@
   (void) index;
   pack_reader_init (&in, data, length);
   version = pack_read_uint (&in, UINT64_MAX);
-  text = pack_read_binary (&in, DOCUMENT_BYTES_MAX, &text_length);
+  text = pack_read_binary (&in, RAFT_ENTRY_MAX, &text_length);
   if (!pack_read_is_complete (&in))
     return status_fail (STATUS_CORRUPT, "a snapshot of the document cannot be read");
   if (!document_update (document, version, text, text_length) && document->version < version)
--- a/src/document.h
+++ b/src/document.h
@@ -11,8 +11,11 @@
 
 BEGIN_DECLS
 
-/* Largest text that a log entry holds beside its version and length. */
-#define DOCUMENT_BYTES_MAX (RAFT_ENTRY_MAX - 32)
+/* Most bytes of a log entry for the version and the length of the text. */
+#define DOCUMENT_ENTRY_OVERHEAD 32
+
+/* Largest text of a new document. */
+#define DOCUMENT_BYTES_MAX (RAFT_ENTRY_MAX - DOCUMENT_ENTRY_OVERHEAD)
 
 struct document;
 
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -11,6 +11,9 @@
 
 #define TICK_PERIOD (50 * USEC_PER_MSEC)
 
+/* A longer interval between two ticks shows that this host did not run. */
+#define TICK_LATE_MAX (500 * USEC_PER_MSEC)
+
 /* A controller learned from another one is removed when it neither sent a message nor was named by
  * another for this long. */
 #define CONTROLLER_TTL (30 * USEC_PER_SEC)
@@ -107,6 +110,15 @@
   self->config.port->ops->remove_host (self->config.port, controller->name);
 }
 
+/* Answers may wait to be read after a time in which this host did not run. */
+static void
+restart_silence (struct subscriber *self, int64_t now)
+{
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    if (self->controllers[i].unanswered_since != 0)
+      self->controllers[i].unanswered_since = now;
+}
+
 static void
 send_unanswered (struct subscriber *self, const struct known_controller *controller)
 {
@@ -236,7 +248,10 @@
 {
   struct subscriber *self = CONTAINER_OF (timer, struct subscriber, tick);
 
+  if (now - self->ticked_at > TICK_LATE_MAX)
+    restart_silence (self, now);
   self->now = now;
+  self->ticked_at = now;
   for (uint32_t i = 0; i < self->n_controllers; i++)
     {
       struct known_controller *controller = &self->controllers[i];
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -55,6 +55,7 @@
   bool was_ready;
   int64_t confirmed_at;
   int64_t now;
+  int64_t ticked_at;
   int64_t expire_at;
   struct counter *confirmations;
   struct counter *malformed;
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -1,8 +1,8 @@
 /* Handles the states that controllers send: targets, entry hosts, controllers, the document, and
  * its confirmation. */
 #include "container.h"
-#include "document.h"
 #include "log.h"
+#include "raft_message.h"
 #include "subscriber_private.h"
 #include "text.h"
 #include <jansson.h>
@@ -179,7 +179,7 @@
   size_t length = 0;
 
   if (sync_read_state (in, &state) && state.has_document)
-    text = pack_read_binary (in, DOCUMENT_BYTES_MAX, &length);
+    text = pack_read_binary (in, RAFT_ENTRY_MAX, &length);
   if (!pack_read_is_ok (in))
     {
       report_malformed (self, controller);
