Log each decision on a retry, and count those denied

The lines of one request could not tell whether a further send had drawn on the retry budget, how much was left, or how many entry hosts the host took to share the limit. Each decision is a line now (retry), and what is denied has a counter.

--- a/src/forward.c
+++ b/src/forward.c
@@ -334,6 +334,9 @@
     }
   forward->retries = counter_get (counters, "cherryarch_forward_retries_total",
                                   "Requests sent to another target.", NULL);
+  forward->retries_denied =
+      counter_get (counters, "cherryarch_forward_retries_denied_total",
+                   "Requests not sent to another target, as the retry budget was spent.", NULL);
   forward->first_byte = histogram_get (counters, "cherryarch_forward_first_byte_microseconds",
                                        "From arrival to the answer's first byte.", NULL);
   forward->stage_time = histogram_get (counters, "cherryarch_forward_stages_microseconds",
--- a/src/forward_budget.c
+++ b/src/forward_budget.c
@@ -3,7 +3,9 @@
  * The entry hosts share the limit.  Each has an equal part of the burst allowed at once, and gains
  * tokens with the requests that it receives. */
 #include "forward_private.h"
+#include "log.h"
 #include "text.h"
+#include <jansson.h>
 #include <string.h>
 
 /* Share of the allowed retries that is used.  The rest is a margin for sliding windows and a
@@ -49,13 +51,18 @@
 }
 
 bool
-forward_take_retry (struct forward *forward, const char *pool)
+job_take_retry (struct forward_job *job)
 {
-  struct retry_budget *budget = find_budget (forward, pool);
+  struct forward *forward = job->forward;
+  struct retry_budget *budget = find_budget (forward, job->pool);
+  double left = budget == NULL ? 0 : budget->retries_left;
+  bool granted = left >= 1;
 
-  if (budget == NULL || budget->retries_left < 1)
-    return false;
-  budget->retries_left -= 1;
-  counter_add (forward->retries, 1);
-  return true;
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "retry", "{s:s,s:s,s:b,s:f,s:f,s:i}", "id",
+             job->facts.id, "pool", job->pool, "granted", granted, "left", left, "burst",
+             budget_limit (forward), "hosts", (int) forward->config.balance->n_entry_hosts);
+  counter_add (granted ? forward->retries : forward->retries_denied, 1);
+  if (granted)
+    budget->retries_left -= 1;
+  return granted;
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -175,6 +175,7 @@
   uint32_t n_budgets;
   struct counter *reasons[FORWARD_REASON_COUNT];
   struct counter *retries;
+  struct counter *retries_denied;
   struct histogram *first_byte;
   struct histogram *stage_time;
 };
@@ -294,6 +295,8 @@
 
 /* forward_budget.c */
 void forward_credit_retry (struct forward *forward, const char *pool);
-bool forward_take_retry (struct forward *forward, const char *pool);
+
+/* Takes one more send of the request from the budget of its pool; false if none is left. */
+bool job_take_retry (struct forward_job *job);
 
 #endif
