Grant retries for the requests of the last window, and save up none at a start

Callers' requests to a pool that rejects most were sent again more often than the limit of all entry hosts allows, where hosts were killed and started in series.

Cause: a token bucket that each process kept alone and that began full. Each start granted the burst once more within one window; and a bucket that was full held, beside the requests of its window, those of any time before. With a floor of two retries a host, the sum over a large fleet had no bound at all.

Now a host grants half of the share of the requests that it got in the last window. Those of any window rest on the requests of it and of the one before, so on at most the share of the larger of the two, whatever hosts start or stop. The spare retries are divided by the number of hosts, in buckets that begin empty: rate_part.h and retry_budget.h state the bounds.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -267,8 +267,7 @@
     .counters = host->base.counters,
     .seed = host->base.seed + 1,
     .confirmed_for = settings->confirmed_for,
-    .retry_share = settings->retry_share,
-    .retry_spare = settings->retry_spare,
+    .retries = settings->retries,
   };
   struct h1_server_config server = {
     .loop = host->base.loop,
--- a/src/forward.c
+++ b/src/forward.c
@@ -185,7 +185,7 @@
                        routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
   compute_deadlines (job);
   read_prompt (job);
-  forward_credit_retry (forward, job->pool);
+  forward_count_request (forward, job->pool, now);
   if (job_plan_stages (job, routing) != STATUS_OK)
     {
       job_refuse (job, FORWARD_STAGE, NOT_READY_RETRY_AFTER_SEC);
--- a/src/forward.h
+++ b/src/forward.h
@@ -14,6 +14,7 @@
 #include "h1_client.h"
 #include "h1_server.h"
 #include "quarantine_entry.h"
+#include "retry_budget.h"
 #include "subscriber.h"
 #include "timer.h"
 #include "work.h"
@@ -34,9 +35,8 @@
   struct quarantine_entry *quarantine;
   struct counters *counters;
   uint64_t seed;
-  int64_t confirmed_for; /* with an older confirmation, requests with keys are refused; us */
-  double retry_share;    /* retries allowed, as a share of the requests to a pool */
-  double retry_spare;    /* and this many more per window, for all entry hosts together */
+  int64_t confirmed_for;      /* with an older confirmation, requests with keys are refused; us */
+  struct retry_limit retries; /* to each pool */
 };
 
 /* Freed with `parent`.  Returns NULL when out of memory. */
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -125,7 +125,7 @@
     return false;
   if (!job->call.request_sent)
     return true;
-  return job_take_retry (job);
+  return job_take_retry (job, now);
 }
 
 static void
--- a/src/forward_budget.c
+++ b/src/forward_budget.c
@@ -1,68 +1,63 @@
-/* Retry budget of each pool: a token bucket.
- *
- * The entry hosts share the limit.  Each has an equal part of the burst allowed at once, and gains
- * tokens with the requests that it receives. */
+/* Retry budget of each pool. */
 #include "forward_private.h"
 #include "log.h"
 #include "text.h"
 #include <jansson.h>
 #include <string.h>
 
-/* Share of the allowed retries that is used.  The rest is a margin for sliding windows and a
- * changing number of hosts. */
-#define BUDGET_SAFETY 0.6
-#define BUDGET_MIN_RETRIES 2.0
-
-static double
-budget_limit (const struct forward *forward)
-{
-  uint32_t hosts = forward->config.balance->n_entry_hosts;
-  double part = BUDGET_SAFETY * forward->config.retry_spare / (hosts == 0 ? 1 : hosts);
-
-  return part > BUDGET_MIN_RETRIES ? part : BUDGET_MIN_RETRIES;
-}
-
-static struct retry_budget *
-find_budget (struct forward *forward, const char *pool)
+/* NULL where there are too many pools: their requests are not retried. */
+static struct forward_budget *
+find_budget (struct forward *forward, const char *pool, int64_t now)
 {
-  struct retry_budget *budget;
+  struct forward_budget *entry;
 
   for (uint32_t i = 0; i < forward->n_budgets; i++)
     if (strcmp (forward->budgets[i].pool, pool) == 0)
       return &forward->budgets[i];
   if (forward->n_budgets == FORWARD_POOLS_MAX)
     return NULL;
-  budget = &forward->budgets[forward->n_budgets++];
-  text_copy_truncated (budget->pool, sizeof budget->pool, pool);
-  budget->retries_left = budget_limit (forward);
-  return budget;
+  entry = &forward->budgets[forward->n_budgets++];
+  text_copy_truncated (entry->pool, sizeof entry->pool, pool);
+  entry->budget = retry_budget_new (now);
+  return entry;
 }
 
 void
-forward_credit_retry (struct forward *forward, const char *pool)
+forward_count_request (struct forward *forward, const char *pool, int64_t now)
 {
-  struct retry_budget *budget = find_budget (forward, pool);
+  struct forward_budget *entry = find_budget (forward, pool, now);
 
-  if (budget == NULL)
-    return;
-  budget->retries_left += BUDGET_SAFETY * forward->config.retry_share;
-  if (budget->retries_left > budget_limit (forward))
-    budget->retries_left = budget_limit (forward);
+  if (entry != NULL)
+    retry_budget_add (&entry->budget, &forward->config.retries, now);
+}
+
+static struct rate_limit
+spare_part (const struct forward *forward)
+{
+  struct rate_limit spare = retry_limit_spare (&forward->config.retries);
+
+  return rate_part_of (&spare, forward->config.balance->n_entry_hosts, 0);
 }
 
 bool
-job_take_retry (struct forward_job *job)
+job_take_retry (struct forward_job *job, int64_t now)
 {
   struct forward *forward = job->forward;
-  struct retry_budget *budget = find_budget (forward, job->pool);
-  double left = budget == NULL ? 0 : budget->retries_left;
-  bool granted = left >= 1;
-
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "retry", "{s:s,s:s,s:b,s:f,s:f,s:i}", "id",
-             job->facts.id, "pool", job->pool, "granted", granted, "left", left, "burst",
-             budget_limit (forward), "hosts", (int) forward->config.balance->n_entry_hosts);
+  const struct retry_limit *limit = &forward->config.retries;
+  struct forward_budget *entry = find_budget (forward, job->pool, now);
+  struct rate_limit part = spare_part (forward);
+  double earned;
+  double spare;
+  bool granted;
+
+  if (entry == NULL)
+    return false;
+  earned = retry_budget_earned (&entry->budget, limit, now);
+  spare = retry_budget_spare (&entry->budget, &part, now);
+  granted = retry_budget_take (&entry->budget, limit, &part, now);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "retry", "{s:s,s:s,s:b,s:f,s:f,s:f,s:i}", "id",
+             job->facts.id, "pool", job->pool, "granted", granted, "earned", earned, "spare", spare,
+             "spare_burst", part.burst, "hosts", (int) forward->config.balance->n_entry_hosts);
   counter_add (granted ? forward->retries : forward->retries_denied, 1);
-  if (granted)
-    budget->retries_left -= 1;
   return granted;
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -76,10 +76,10 @@
   struct stage_result *results;
 };
 
-struct retry_budget
+struct forward_budget
 {
   char pool[ROUTING_NAME_SIZE];
-  double retries_left; /* each request to the pool adds a fraction */
+  struct retry_budget budget;
 };
 
 /* The event stream being sent to the client; it may continue over several attempts. */
@@ -171,7 +171,7 @@
   int64_t denials_since;    /* begin of the second that `denials_logged` counts */
   uint32_t denials_logged;  /* in that second */
   uint32_t denials_omitted; /* from the log since the last line about one */
-  struct retry_budget budgets[FORWARD_POOLS_MAX];
+  struct forward_budget budgets[FORWARD_POOLS_MAX];
   uint32_t n_budgets;
   struct counter *reasons[FORWARD_REASON_COUNT];
   struct counter *retries;
@@ -294,9 +294,11 @@
 void job_note_complete_answer (struct forward_job *job, int64_t now);
 
 /* forward_budget.c */
-void forward_credit_retry (struct forward *forward, const char *pool);
+
+/* Counts a request to the pool: it earns a share of a retry. */
+void forward_count_request (struct forward *forward, const char *pool, int64_t now);
 
 /* Takes one more send of the request from the budget of its pool; false if none is left. */
-bool job_take_retry (struct forward_job *job);
+bool job_take_retry (struct forward_job *job, int64_t now);
 
 #endif
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -13,6 +13,7 @@
 #include "loop.h"
 #include "peer.h"
 #include "quarantine_control.h"
+#include "retry_budget.h"
 #include "routing.h"
 
 BEGIN_DECLS
@@ -38,8 +39,7 @@
   int64_t target_lease;
   int64_t confirmed_for; /* maximum age of the confirmation for keyed requests, USEC */
   int64_t ready_for;
-  double retry_share;
-  double retry_spare;
+  struct retry_limit retries;
   int64_t shutdown_timeout;
 
   /* A controller. */
