Divide spare retries by the hosts that are listed, and take none without a list

Callers' requests to a pool that rejects most were sent again more often than the limit of all entry hosts allows: a host that had just started took itself for the only one, and the whole of the spare retries for its own.

Cause: what is not known counted as the best case. The number of hosts began at 1, and was read again only with each 32nd request.

Now a host without a list has no part of the spare retries; it reads the list at each decision; a smaller number counts only after 10 s, as hosts that cannot be reached may still use their parts; and where there are more hosts than whole retries to save up, only the first by rendezvous hash of the pool have a part.

AHostThatKnowsNoListSavesUpNoSpareRetries took 120 retries for 40 requests before, 8 allowed.

--- a/src/balance.c
+++ b/src/balance.c
@@ -27,7 +27,7 @@
               struct engine_load *engines,
               uint64_t seed)
 {
-  *balance = (struct balance){ .domain = domain, .engines = engines, .n_entry_hosts = 1 };
+  *balance = (struct balance){ .domain = domain, .engines = engines };
   rng_init (&balance->rng, seed);
 }
 
--- a/src/balance.h
+++ b/src/balance.h
@@ -91,7 +91,6 @@
   const char *domain; /* failure domain of this host */
   struct rng rng;
   struct engine_load *engines;
-  uint32_t n_entry_hosts; /* entry hosts that share the targets */
 };
 
 void balance_init (struct balance *balance,
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -40,6 +40,7 @@
   struct quarantine_entry *quarantine;
   struct h1_client *client;
   struct subscriber *subscriber;
+  struct rate_share rate_share;
   struct forward *forward;
   struct h1_limits client_limits;
   struct h1_server *clients;
@@ -268,6 +269,7 @@
     .seed = host->base.seed + 1,
     .confirmed_for = settings->confirmed_for,
     .retries = settings->retries,
+    .rate_share = &host->rate_share,
   };
   struct h1_server_config server = {
     .loop = host->base.loop,
@@ -278,6 +280,8 @@
     .label = "clients",
   };
 
+  host->rate_share.subscriber = host->subscriber;
+  host->rate_share.name = host->base.settings.peer_address;
   host->forward = forward_new (host, &config);
   if (host->forward == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
--- a/src/forward.c
+++ b/src/forward.c
@@ -14,8 +14,7 @@
  * A late answer is worth only a fraction of one in time, and the client has to wait for it. */
 #define LATE_WORK_SHARE 0.25
 
-/* Requests between two updates of what changes slowly: the number of entry hosts, and the list of
- * targets without those that are gone. */
+/* Requests between two removals of the targets that are gone. */
 #define SWEEP_REQUESTS 32
 
 /* Retry-After, in seconds.  NOT_READY: the time that a start of the whole system takes, as a client
@@ -239,16 +238,6 @@
 
 static const struct subscriber_wait_ops confirmation_ops = { .confirmed = confirmed };
 
-/* Updates what changes slowly. */
-static void
-update_slow_state (struct forward *forward)
-{
-  struct balance *balance = forward->config.balance;
-
-  balance->n_entry_hosts = subscriber_hosts (forward->config.subscriber)->n;
-  balance_sweep (balance);
-}
-
 static void
 on_request (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
@@ -272,7 +261,7 @@
   DL_APPEND (forward->jobs, job);
   forward->n_jobs++;
   if (forward->arrivals++ % SWEEP_REQUESTS == 0)
-    update_slow_state (forward);
+    balance_sweep (forward->config.balance);
   status = forward->config.dialect->ops->read_request (forward->config.dialect, exchange->head,
                                                        &job->facts);
   if (status == STATUS_OK)
--- a/src/forward.h
+++ b/src/forward.h
@@ -14,6 +14,7 @@
 #include "h1_client.h"
 #include "h1_server.h"
 #include "quarantine_entry.h"
+#include "rate_share.h"
 #include "retry_budget.h"
 #include "subscriber.h"
 #include "timer.h"
@@ -37,6 +38,7 @@
   uint64_t seed;
   int64_t confirmed_for;      /* with an older confirmation, requests with keys are refused; us */
   struct retry_limit retries; /* to each pool */
+  struct rate_share *rate_share;
 };
 
 /* Freed with `parent`.  Returns NULL when out of memory. */
--- a/src/forward_budget.c
+++ b/src/forward_budget.c
@@ -31,21 +31,15 @@
     retry_budget_add (&entry->budget, &forward->config.retries, now);
 }
 
-static struct rate_limit
-spare_part (const struct forward *forward)
-{
-  struct rate_limit spare = retry_limit_spare (&forward->config.retries);
-
-  return rate_part_of (&spare, forward->config.balance->n_entry_hosts, 0);
-}
-
 bool
 job_take_retry (struct forward_job *job, int64_t now)
 {
   struct forward *forward = job->forward;
   const struct retry_limit *limit = &forward->config.retries;
   struct forward_budget *entry = find_budget (forward, job->pool, now);
-  struct rate_limit part = spare_part (forward);
+  struct rate_limit spare_limit = retry_limit_spare (limit);
+  struct rate_limit part =
+      rate_share_part (forward->config.rate_share, &spare_limit, job->pool, now);
   double earned;
   double spare;
   bool granted;
@@ -57,7 +51,8 @@
   granted = retry_budget_take (&entry->budget, limit, &part, now);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "retry", "{s:s,s:s,s:b,s:f,s:f,s:f,s:i}", "id",
              job->facts.id, "pool", job->pool, "granted", granted, "earned", earned, "spare", spare,
-             "spare_burst", part.burst, "hosts", (int) forward->config.balance->n_entry_hosts);
+             "spare_burst", part.burst, "hosts",
+             (int) rate_share_hosts (forward->config.rate_share, now));
   counter_add (granted ? forward->retries : forward->retries_denied, 1);
   return granted;
 }
--- a/src/rate_part.c
+++ b/src/rate_part.c
@@ -57,3 +57,17 @@
     return USEC_NEVER;
   return (int64_t) ((1 - bucket->level) / part->per_sec * USEC_PER_SEC) + 1;
 }
+
+uint32_t
+host_count_update (struct host_count *count, uint32_t n_hosts, int64_t now)
+{
+  if (now - count->since >= HOST_COUNT_HOLD)
+    {
+      count->largest[1] = count->largest[0];
+      count->largest[0] = 0;
+      count->since = now;
+    }
+  if (n_hosts > count->largest[0])
+    count->largest[0] = n_hosts;
+  return count->largest[0] > count->largest[1] ? count->largest[0] : count->largest[1];
+}
--- a/src/rate_part.h
+++ b/src/rate_part.h
@@ -20,6 +20,10 @@
 
 BEGIN_DECLS
 
+/* A smaller number of hosts counts only after this long: hosts that cannot be reached may still
+ * use their parts. */
+#define HOST_COUNT_HOLD (10 * USEC_PER_SEC)
+
 /* A limit, or a host's part of it. */
 struct rate_limit
 {
@@ -54,6 +58,15 @@
 /* Time until one event can be taken, 0 if at once; USEC_NEVER without a part. */
 int64_t rate_bucket_wait (struct rate_bucket *bucket, const struct rate_limit *part, int64_t now);
 
+/* The number of hosts to divide by: the largest one of the last HOST_COUNT_HOLD at least. */
+struct host_count
+{
+  uint32_t largest[2]; /* since `since`, and in the span before */
+  int64_t since;
+};
+
+uint32_t host_count_update (struct host_count *count, uint32_t n_hosts, int64_t now);
+
 END_DECLS
 
 #endif
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -406,6 +406,12 @@
   return &self->view;
 }
 
+bool
+subscriber_knows_hosts (const struct subscriber *self)
+{
+  return self->knows_hosts;
+}
+
 static int
 free_subscriber (struct subscriber *self)
 {
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -127,6 +127,10 @@
  * next message or timer is handled. */
 const struct host_view *subscriber_hosts (struct subscriber *subscriber);
 
+/* Whether a controller has listed the entry hosts since the start.  If not, subscriber_hosts() has
+ * this host alone. */
+bool subscriber_knows_hosts (const struct subscriber *subscriber);
+
 END_DECLS
 
 #endif
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -46,6 +46,7 @@
   uint32_t n_controllers;
   struct sync_host self;
   struct host_view view;
+  bool knows_hosts; /* a controller has listed the entry hosts since the start */
   bool view_stale; /* must be merged again; its pointers may be to freed lists */
   bool view_was_full;
   struct subscriber_wait *waits; /* oldest first */
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -102,6 +102,7 @@
   talloc_free (controller->list);
   controller->list = list;
   controller->n_list = n;
+  self->knows_hosts = self->knows_hosts || n > 0;
   self->view_stale = true;
 }
 
