Draw on the retry budget for a request whose input is gone

A target that cannot fetch an input rejects the request as not run; its stages are made again and it is sent once more.

Without a retry left the request is refused as not run, before its stages are made again in vain.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -170,6 +170,11 @@
   /* The target could not fetch an input: its stages run again. */
   if (job->status == HTTP_STATUS_CONFLICT && job_has_stages (job) && !job->stages_rerun)
     {
+      if (!may_retry (job, false, now))
+        {
+          job_give_up (job, FORWARD_REFUSED, REFUSED_RETRY_AFTER_SEC);
+          return;
+        }
       /* The target itself is sound and may be chosen again. */
       job->n_tried--;
       reset_answer (job);
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -47,7 +47,7 @@
   struct sync_host self;
   struct host_view view;
   bool knows_hosts; /* a controller has listed the entry hosts since the start */
-  bool view_stale; /* must be merged again; its pointers may be to freed lists */
+  bool view_stale;  /* must be merged again; its pointers may be to freed lists */
   bool view_was_full;
   struct subscriber_wait *waits; /* oldest first */
   uint32_t confirmer;            /* index of the controller asked last for a wait */
