Read the rate that a target names, and log it with each attempt

The header is decoded once, in the dialect, and stands in attempt-ended and batch-call as limit_per_sec. No decision uses it yet.

--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -24,6 +24,7 @@
   struct bytes body;
   unsigned status;
   bool not_run;
+  double limit; /* as named in the answer; DIALECT_NO_LIMIT for none */
   int64_t started;
 };
 
@@ -63,11 +64,11 @@
 static void
 log_call (const struct batch_call *call, const char *outcome, int64_t now)
 {
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "batch-call", "{s:s,s:s,s:i,s:s,s:i,s:I,s:I,s:i}",
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "batch-call", "{s:s,s:s,s:i,s:s,s:i,s:I,s:I,s:i,s:f}",
              "pool", call->pool->name, "target", call->at->id, "pieces", (int) call->n, "outcome",
              outcome, "status", (int) call->status, "took_us", (json_int_t) (now - call->started),
              "expected_us", (json_int_t) batch_expected_time (call->pool, call->n), "queued",
-             (int) call->pool->n_pending);
+             (int) call->pool->n_pending, "limit_per_sec", call->limit);
 }
 
 /* The call is over: frees its slot and the room counted for its results. */
@@ -197,6 +198,7 @@
     return false;
   call->status = head->status;
   call->not_run = facts.not_run;
+  call->limit = facts.limit;
   return true;
 }
 
@@ -350,6 +352,7 @@
   call->at = target->target;
   call->n = n;
   call->started = now;
+  call->limit = DIALECT_NO_LIMIT;
   talloc_set_destructor (call, free_call);
   memcpy (call->pieces, pieces, n * sizeof *pieces);
   for (uint32_t i = 0; i < n; i++)
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -19,6 +19,7 @@
 #define DIALECT_HANDLE_SIZE 96
 #define DIALECT_PIECES_MAX 256 /* of one stage of one request */
 #define DIALECT_LOAD_UNKNOWN UINT32_MAX
+#define DIALECT_NO_LIMIT (-1.0)
 
 /* A part of a prompt. */
 struct prompt_part
@@ -62,6 +63,8 @@
   bool is_signed;     /* has the target's signature */
   bool not_run;       /* the target guarantees that the request has not run */
   const char *target; /* identity of the responder; NULL when not given */
+  double limit;       /* requests a second that the target takes from all entry hosts together;
+                         DIALECT_NO_LIMIT when it names none */
 };
 
 /* One piece of stage work. */
--- a/src/forward.c
+++ b/src/forward.c
@@ -255,6 +255,7 @@
   job->arrived = exchange->arrived;
   job->timer.ops = &timer_ops;
   job->confirmation.ops = &confirmation_ops;
+  job->limit = DIALECT_NO_LIMIT;
   bytes_init (&job->fields, job);
   bytes_init (&job->body, job);
   exchange->user = job;
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -104,7 +104,7 @@
   if (job->has_digest)
     request_digest_format (&job->digest, content);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i}", "id",
+             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i,s:f}", "id",
              job->facts.id, "target", job->target->id, "address", job->target->address, "outcome",
              outcome, "status", (int) job->status, "framing", h1_framing_text (job->call.framing),
              "not_run", job->not_run, "sent", job->call.request_sent, "took_us",
@@ -112,7 +112,7 @@
              (json_int_t) ((now - job->target->record->last_heard_at) / USEC_PER_MSEC), "reused",
              job->call.reused, "stream_begun", job->stream.begun, "events",
              (int) job->stream.events, "last_event", job->stream.last_event, "content", content,
-             "in_flight", (int) job->target->in_flight);
+             "in_flight", (int) job->target->in_flight, "limit_per_sec", job->limit);
 }
 
 /* May the request go to another target after this attempt? */
@@ -137,6 +137,7 @@
   job->is_signed = false;
   job->has_events = false;
   job->not_run = false;
+  job->limit = DIALECT_NO_LIMIT;
   job->first_byte_at = 0;
 }
 
@@ -323,6 +324,7 @@
   job->is_signed = facts.is_signed;
   job->has_events = h1_is_event_stream (head);
   job->not_run = is_refusal (job, head, &facts);
+  job->limit = facts.limit;
   if (!job->stream.begun)
     copy_fields (job, head);
   return true;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -150,6 +150,7 @@
   bool is_signed;
   bool has_events; /* its content type is that of an event stream */
   bool not_run;
+  double limit; /* as named in the answer; DIALECT_NO_LIMIT for none */
   struct bytes fields;
   struct bytes body; /* the complete body; of a stream only the incomplete last event */
 
