--- a/src/limit.h
+++ b/src/limit.h
@@ -10,7 +10,8 @@
 
 BEGIN_DECLS
 
-/* A token bucket that may go negative by one request's cost; it then refills before the next. */
+/* A token bucket that may go negative by one request's cost; it then refills before the next.  It
+ * starts full: each start of a process admits this host's share of the burst anew. */
 struct limit_bucket
 {
   double level;
