Tell requests at targets that take none to return later, and bound the waits

Where all targets of a pool take no request from any host, a refused request was asked back after 0.3 s, as if another host could send it; it is 2 s now. A limit near 0 gave a wait that no integer holds: a wait of more than an hour counts as not foreseeable.

--- a/src/balance.h
+++ b/src/balance.h
@@ -143,6 +143,9 @@
  * none came. */
 void balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now);
 
+/* Frees targets that are gone and have no requests in flight. */
+void balance_sweep (struct balance *balance);
+
 /* ---- balance_limit.c ---- */
 
 /* Does the limit that the target names, if any, allow one more call now? */
@@ -161,7 +164,8 @@
 {
   uint32_t n_limited; /* targets that name a limit */
   int64_t wait;       /* until one of the targets may be sent a call; USEC_NEVER: not foreseeable */
-  double per_sec;     /* this host's parts, summed */
+  double per_sec;     /* of this host's parts, summed */
+  double per_sec_all; /* of all hosts, summed */
 };
 
 struct balance_pool_limits balance_read_limits (const struct balance *balance,
@@ -169,9 +173,6 @@
                                                 enum balance_use use,
                                                 int64_t now);
 
-/* Frees targets that are gone and have no requests in flight. */
-void balance_sweep (struct balance *balance);
-
 END_DECLS
 
 #endif
--- a/src/balance_limit.c
+++ b/src/balance_limit.c
@@ -86,6 +86,7 @@
         continue;
       place = place_of (balance, at, use, now);
       state.n_limited++;
+      state.per_sec_all += at->limit.per_sec;
       state.per_sec += target_limit_part (&at->limit, &place).per_sec;
     }
   return state;
--- a/src/forward_limit.c
+++ b/src/forward_limit.c
@@ -1,18 +1,22 @@
 /* Requests to pools whose targets are all at the limit that they name. */
 #include "forward_private.h"
 
-/* Retry-After, in seconds: the longest, and that of a host without a part of any target's limit,
- * where another host may have one. */
+/* Retry-After, in seconds: the longest; where this host may send none and another may; where the
+ * targets take none from any host. */
 #define LIMITED_RETRY_AFTER_MAX_SEC 10.0
 #define OTHER_HOST_RETRY_AFTER_SEC 0.3
+#define NONE_TAKEN_RETRY_AFTER_SEC 2.0
 
-/* Each refused request is told a time of its own, by which this host may send one more. */
+/* Each refused request gets a time of its own, by which this host may send one more. */
 static double
 retry_after (struct forward_job *job, const struct balance_pool_limits *state, int64_t now)
 {
   struct forward_pool *pool = forward_pool_get (job->forward, job->pool, now);
   double seconds;
+  double step;
 
+  if (state->per_sec_all <= 0)
+    return NONE_TAKEN_RETRY_AFTER_SEC;
   if (state->wait == USEC_NEVER || state->per_sec <= 0 || pool == NULL)
     return OTHER_HOST_RETRY_AFTER_SEC;
   if (pool->limited_until < now + state->wait)
@@ -20,7 +24,10 @@
   seconds = (double) (pool->limited_until - now) / USEC_PER_SEC;
   if (seconds >= LIMITED_RETRY_AFTER_MAX_SEC)
     return LIMITED_RETRY_AFTER_MAX_SEC;
-  pool->limited_until += (int64_t) (USEC_PER_SEC / state->per_sec);
+  step = 1 / state->per_sec;
+  if (step > LIMITED_RETRY_AFTER_MAX_SEC)
+    step = LIMITED_RETRY_AFTER_MAX_SEC;
+  pool->limited_until += (int64_t) (step * USEC_PER_SEC);
   return seconds;
 }
 
--- a/src/rate_part.c
+++ b/src/rate_part.c
@@ -57,12 +57,15 @@
 int64_t
 rate_bucket_wait (struct rate_bucket *bucket, const struct rate_limit *part, int64_t now)
 {
+  double wait;
+
   rate_bucket_refill (bucket, part, now);
   if (bucket->level >= 1)
     return 0;
   if (part->per_sec <= 0 || part->burst < 1)
     return USEC_NEVER;
-  return (int64_t) ((1 - bucket->level) / part->per_sec * USEC_PER_SEC) + 1;
+  wait = (1 - bucket->level) / part->per_sec * USEC_PER_SEC;
+  return wait < (double) RATE_WAIT_MAX ? (int64_t) wait + 1 : USEC_NEVER;
 }
 
 uint32_t
--- a/src/rate_part.h
+++ b/src/rate_part.h
@@ -24,6 +24,8 @@
  * use their parts. */
 #define HOST_COUNT_HOLD (10 * USEC_PER_SEC)
 
+#define RATE_WAIT_MAX (3600 * USEC_PER_SEC)
+
 /* A limit, or a host's part of it. */
 struct rate_limit
 {
@@ -58,7 +60,8 @@
 /* Takes one event whether there is one or not. */
 void rate_bucket_spend (struct rate_bucket *bucket, const struct rate_limit *part, int64_t now);
 
-/* Time until one event can be taken, 0 if at once; USEC_NEVER without a part. */
+/* Time until one event can be taken, 0 if at once; USEC_NEVER without a part, or if it is longer
+ * than RATE_WAIT_MAX. */
 int64_t rate_bucket_wait (struct rate_bucket *bucket, const struct rate_limit *part, int64_t now);
 
 /* The number of hosts to divide by: the largest one of the last HOST_COUNT_HOLD at least. */
--- a/src/target_limit.c
+++ b/src/target_limit.c
@@ -42,12 +42,10 @@
 target_limit_wait (struct target_limit *limit, const struct target_limit_place *place, int64_t now)
 {
   struct rate_limit part = target_limit_part (limit, place);
-  int64_t wait;
 
   if (!limit->present || now >= try_again_at (limit, place))
     return 0;
-  wait = rate_bucket_wait (&limit->bucket, &part, now);
-  return wait;
+  return rate_bucket_wait (&limit->bucket, &part, now);
 }
 
 void
