Observe which pools a host reaches, and log it

Cause of the change: that a host reaches no target of a pool could not be seen in logs or metrics; hosts without an attempt there show nothing.

The HTTP client reports which addresses accept, acknowledge or answer, and which do not. A pool is lost when three of its targets (all, where there are fewer) accept no connection for 0.5 s (1.5 s), none was reached meanwhile, and targets of it went on renewing; regained after 0.5 s of successes. pool-lost and pool-regained, cherryarch_reach_lost_pools, cherryarch_reach_probes_total, and lost_pools in the dump. No decision reads it yet.

--- a/src/client_stream.c
+++ b/src/client_stream.c
@@ -146,6 +146,12 @@
   return tcp_has_unread (&stream->tcp);
 }
 
+size_t
+client_stream_unacknowledged (const struct client_stream *stream)
+{
+  return tcp_unacknowledged (&stream->tcp);
+}
+
 void
 client_stream_close (struct client_stream *stream)
 {
--- a/src/client_stream.h
+++ b/src/client_stream.h
@@ -48,6 +48,9 @@
 /* Is there input, or an end of the connection, not yet reported by received() or ended()? */
 bool client_stream_has_unread (const struct client_stream *stream);
 
+/* Bytes that are unsent, or sent and not acknowledged by the peer. */
+size_t client_stream_unacknowledged (const struct client_stream *stream);
+
 void client_stream_close (struct client_stream *stream);
 
 END_DECLS
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -5,6 +5,7 @@
 #include "log.h"
 #include "quarantine_entry.h"
 #include "subscriber.h"
+#include "target_reach.h"
 #include <jansson.h>
 #include <signal.h>
 #include <stddef.h>
@@ -39,6 +40,7 @@
   struct engine_broadcast *news;
   struct limit_news *limit_news;
   struct quarantine_entry *quarantine;
+  struct target_reach *reach;
   struct h1_client *client;
   struct subscriber *subscriber;
   struct rate_share rate_share;
@@ -148,6 +150,18 @@
       (json_int_t) (target->limit.present ? (now - target->limit.heard_at) / USEC_PER_MSEC : -1));
 }
 
+static json_t *
+describe_lost_pools (const struct target_reach *reach)
+{
+  const char *lost[TARGET_REACH_POOLS_MAX];
+  uint32_t n = target_reach_list_lost (reach, lost);
+  json_t *names = json_array ();
+
+  for (uint32_t i = 0; i < n; i++)
+    json_array_append_new (names, json_string (lost[i]));
+  return names;
+}
+
 static json_t *
 describe (struct dump_source *source, int64_t now)
 {
@@ -157,10 +171,11 @@
 
   for (const struct balance_target *at = host->balance.targets; at != NULL; at = at->next)
     json_array_append_new (targets, describe_target (at, now));
-  return json_pack ("{s:s,s:b,s:I,s:i,s:o}", "name", host->base.settings.name, "ready",
+  return json_pack ("{s:s,s:b,s:I,s:i,s:o,s:o}", "name", host->base.settings.name, "ready",
                     subscriber_is_ready (host->subscriber), "version",
                     (json_int_t) (routing == NULL ? 0 : routing->version), "in_flight",
-                    (int) forward_in_flight (host->forward), "targets", targets);
+                    (int) forward_in_flight (host->forward), "lost_pools",
+                    describe_lost_pools (host->reach), "targets", targets);
 }
 
 static const struct dump_source_ops dump_ops = { .describe = describe };
@@ -307,30 +322,45 @@
   return host->clients == NULL ? STATUS_IO : STATUS_OK;
 }
 
+static enum status
+build_client (struct entry_host *host)
+{
+  struct target_reach_config reach = {
+    .loop = host->base.loop,
+    .balance = &host->balance,
+    .counters = host->base.counters,
+  };
+  struct h1_client_config client = {
+    .loop = host->base.loop,
+    .counters = host->base.counters,
+    .connect_timeout = TARGET_CONNECT_TIMEOUT,
+  };
+
+  host->reach = target_reach_new (host, &reach);
+  if (host->reach == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
+  client.paths = target_reach_path_listener (host->reach);
+  host->client = h1_client_new (host, &client);
+  return host->client == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
+}
+
 static enum status
 build (struct entry_host *host, const struct entry_host_config *config)
 {
   const int signals[] = { SIGTERM, SIGINT, SIGHUP };
   enum status status = role_base_build (&host->base, config->settings);
-  struct h1_client_config client;
 
   if (status != STATUS_OK)
     return status;
-  client = (struct h1_client_config){
-    .loop = host->base.loop,
-    .counters = host->base.counters,
-    .connect_timeout = TARGET_CONNECT_TIMEOUT,
-  };
   host->client_limits = host->base.limits;
   host->client_limits.idle_timeout = H1_DEFAULT_IDLE_TIMEOUT;
   host->engines = engine_load_new (host);
   if (host->engines == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   balance_init (&host->balance, host->base.settings.domain, host->engines, host->base.seed);
-  host->client = h1_client_new (host, &client);
-  if (host->client == NULL)
-    return status_fail (STATUS_NO_MEMORY, "out of memory");
-  status = build_batch (host, config->dialect);
+  status = build_client (host);
+  if (status == STATUS_OK)
+    status = build_batch (host, config->dialect);
   if (status == STATUS_OK)
     status = build_subscriber (host, config->codec);
   if (status == STATUS_OK)
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -38,7 +38,7 @@
 struct h1_client_connection
 {
   struct client_stream stream;
-  struct timer timer; /* connect or idle timeout; frees the connection after a cancel */
+  struct timer timer; /* path check, connect or idle timeout; frees the connection after a cancel */
   struct h1_client *client;
   struct h1_endpoint *endpoint;
   struct h1_client_connection *prev; /* in the idle list of its address */
@@ -46,11 +46,12 @@
   struct h1_client_connection *all_prev; /* in the client's list of all connections */
   struct h1_client_connection *all_next;
   struct h1_reader reader;
-  struct h1_call *call; /* NULL while idle */
-  struct bytes message; /* request to send once connected */
-  int64_t idle_timeout; /* microseconds */
-  bool skipping;        /* the current response is interim or belongs to another call */
-  bool foreign;         /* a response to another call was received */
+  struct h1_call *call;  /* NULL while idle */
+  struct bytes message;  /* request to send once connected */
+  int64_t idle_timeout;  /* microseconds */
+  int64_t connect_until; /* end of the connect timeout */
+  bool skipping;         /* the current response is interim or belongs to another call */
+  bool foreign;          /* a response to another call was received */
   bool idle;
 };
 
@@ -59,6 +60,7 @@
   struct loop *loop;
   int64_t connect_timeout;
   const struct tls_trust *trust;
+  struct h1_path_listener *paths;
   struct h1_endpoint *endpoints;
   struct h1_client_connection *connections;
   struct counter *opened;
@@ -84,6 +86,24 @@
 }
 /* NOLINTEND(readability-function-size) */
 
+static void
+report_worked (const struct h1_client_connection *connection, int64_t now)
+{
+  struct h1_path_listener *paths = connection->client->paths;
+
+  if (paths != NULL)
+    paths->ops->worked (paths, connection->endpoint->address, now);
+}
+
+static void
+report_failed (const struct h1_client_connection *connection, bool unreachable, int64_t now)
+{
+  struct h1_path_listener *paths = connection->client->paths;
+
+  if (paths != NULL)
+    paths->ops->failed (paths, connection->endpoint->address, unreachable, now);
+}
+
 static void
 free_connection (struct h1_client_connection *connection)
 {
@@ -221,6 +241,8 @@
       free_connection (connection);
       return;
     }
+  if (!call->answered)
+    report_worked (connection, now);
   while (length > 0)
     {
       call->answered = true;
@@ -250,19 +272,41 @@
     }
 }
 
+static void
+schedule_path_check (struct h1_client_connection *connection, int64_t now)
+{
+  if (connection->client->paths != NULL)
+    timer_arm (loop_timers (connection->client->loop), &connection->timer,
+               now + H1_PATH_CHECK_DELAY);
+}
+
+/* A request that the peer's system has acknowledged was not lost on the way, however long its
+ * answer takes. */
+static void
+check_path (const struct h1_client_connection *connection, int64_t now)
+{
+  if (connection->call->answered)
+    return;
+  if (client_stream_unacknowledged (&connection->stream) > 0)
+    report_failed (connection, false, now);
+  else
+    report_worked (connection, now);
+}
+
 static void
 stream_connected (struct client_stream *stream, int64_t now)
 {
   struct h1_client_connection *connection =
       CONTAINER_OF (stream, struct h1_client_connection, stream);
 
-  (void) now;
   timer_disarm (loop_timers (connection->client->loop), &connection->timer);
+  report_worked (connection, now);
   if (connection->call == NULL)
     return;
   connection->call->request_sent = true;
   client_stream_write (stream, connection->message.data, connection->message.length);
   bytes_clear (&connection->message);
+  schedule_path_check (connection, now);
 }
 
 static void
@@ -284,6 +328,8 @@
       answer_done (connection, false, now);
       return;
     }
+  if (connection->call != NULL && !connection->call->answered)
+    report_failed (connection, end == TCP_END_REFUSED, now);
   end_call (connection, ends[end], now);
   free_connection (connection);
 }
@@ -300,6 +346,18 @@
   struct h1_client_connection *connection =
       CONTAINER_OF (timer, struct h1_client_connection, timer);
 
+  if (connection->call != NULL && client_stream_is_connected (&connection->stream))
+    {
+      check_path (connection, now);
+      return;
+    }
+  if (connection->call != NULL)
+    report_failed (connection, now >= connection->connect_until, now);
+  if (connection->call != NULL && now < connection->connect_until)
+    {
+      timer_arm (loop_timers (connection->client->loop), timer, connection->connect_until);
+      return;
+    }
   end_call (connection, H1_END_REFUSED, now);
   free_connection (connection);
 }
@@ -331,7 +389,11 @@
     }
   DL_APPEND2 (client->connections, connection, all_prev, all_next);
   counter_add (client->opened, 1);
-  timer_arm (loop_timers (client->loop), &connection->timer, now + client->connect_timeout);
+  connection->connect_until = now + client->connect_timeout;
+  timer_arm (loop_timers (client->loop), &connection->timer,
+             client->paths != NULL && client->connect_timeout > H1_PATH_CHECK_DELAY
+                 ? now + H1_PATH_CHECK_DELAY
+                 : connection->connect_until);
   return connection;
 }
 
@@ -395,6 +457,7 @@
     }
   call->request_sent = true;
   client_stream_write (&connection->stream, message->data, message->length);
+  schedule_path_check (connection, now);
   return STATUS_OK;
 }
 
@@ -450,6 +513,7 @@
   client->loop = config->loop;
   client->connect_timeout = config->connect_timeout;
   client->trust = config->trust;
+  client->paths = config->paths;
   client->opened = counter_get (counters, "cherryarch_h1_connections_opened_total",
                                 "Connections opened to targets and hosts.", NULL);
   client->reused = counter_get (counters, "cherryarch_h1_connections_reused_total",
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -60,14 +60,37 @@
   enum h1_framing framing;                 /* of the response, once its head was accepted */
 };
 
+/* Observes whether addresses can be reached. */
+struct h1_path_listener
+{
+  const struct h1_path_listener_ops *ops;
+};
+
+struct h1_path_listener_ops
+{
+  /* The address accepted a connection, acknowledged a request, or answered. */
+  void (*worked) (struct h1_path_listener *listener, const char *address, int64_t now);
+
+  /* A call failed before its answer, or nothing came back H1_PATH_CHECK_DELAY after its start.
+   * `unreachable`: no connection could be made.  May be called twice for a call. */
+  void (*failed) (struct h1_path_listener *listener,
+                  const char *address,
+                  bool unreachable,
+                  int64_t now);
+};
+
+/* An attempt to connect, or a request, is checked this long after its start. */
+#define H1_PATH_CHECK_DELAY (200 * USEC_PER_MSEC)
+
 struct h1_client;
 
 struct h1_client_config
 {
   struct loop *loop;
   struct counters *counters;
-  int64_t connect_timeout;       /* microseconds */
-  const struct tls_trust *trust; /* NULL for plain connections */
+  int64_t connect_timeout;        /* microseconds */
+  const struct tls_trust *trust;  /* NULL for plain connections */
+  struct h1_path_listener *paths; /* NULL for none */
 };
 
 struct h1_client *h1_client_new (void *parent, const struct h1_client_config *config);
--- /dev/null
+++ b/src/pool_reach.c
@@ -0,0 +1,73 @@
+/* Whether this host can reach the targets of a pool. */
+#include "pool_reach.h"
+
+void
+pool_reach_succeeded (struct pool_reach *reach, int64_t now)
+{
+  reach->failing_since = 0;
+  reach->n_unreachable = 0;
+  if (reach->lost && reach->regained_at == 0)
+    reach->regained_at = now;
+}
+
+bool
+pool_reach_is_unreachable (const struct pool_reach *reach, uint64_t target)
+{
+  for (uint32_t i = 0; i < reach->n_unreachable; i++)
+    if (reach->unreachable[i] == target)
+      return true;
+  return false;
+}
+
+void
+pool_reach_failed (struct pool_reach *reach, uint64_t target, bool unreachable, int64_t now)
+{
+  if (reach->failing_since == 0)
+    reach->failing_since = now;
+  if (!unreachable)
+    return;
+  reach->regained_at = 0;
+  if (reach->n_unreachable < POOL_REACH_TARGETS && !pool_reach_is_unreachable (reach, target))
+    reach->unreachable[reach->n_unreachable++] = target;
+}
+
+void
+pool_reach_restart (struct pool_reach *reach)
+{
+  reach->failing_since = 0;
+  reach->n_unreachable = 0;
+  reach->regained_at = 0;
+}
+
+static bool
+is_lost_now (const struct pool_reach *reach, const struct pool_reach_targets *targets, int64_t now)
+{
+  bool few = targets->n < POOL_REACH_TARGETS;
+  uint32_t needed = few ? targets->n : POOL_REACH_TARGETS;
+  int64_t loss_time = few ? POOL_REACH_FEW_LOSS_TIME : POOL_REACH_LOSS_TIME;
+
+  return reach->failing_since != 0 && now - reach->failing_since >= loss_time
+         && reach->n_unreachable >= needed && targets->renewed_at > reach->failing_since;
+}
+
+static bool
+is_regained_now (const struct pool_reach *reach, int64_t now)
+{
+  return reach->regained_at != 0 && now - reach->regained_at >= POOL_REACH_REGAIN_TIME;
+}
+
+bool
+pool_reach_update (struct pool_reach *reach, const struct pool_reach_targets *targets, int64_t now)
+{
+  bool was_lost = reach->lost;
+
+  if (targets->n == 0)
+    reach->lost = false;
+  else if (!was_lost)
+    reach->lost = is_lost_now (reach, targets, now);
+  else
+    reach->lost = !is_regained_now (reach, now);
+  if (reach->lost != was_lost)
+    reach->regained_at = 0;
+  return reach->lost != was_lost;
+}
--- /dev/null
+++ b/tests/unit_pool_reach.cc
@@ -0,0 +1,98 @@
+// Whether a host reaches the targets of a pool.
+#include "pool_reach.h"
+#include <gtest/gtest.h>
+
+namespace
+{
+
+const int64_t MSEC = USEC_PER_MSEC;
+
+class PoolReachTest : public ::testing::Test
+{
+protected:
+  struct pool_reach reach = {};
+  int64_t start = 10 * USEC_PER_SEC;
+
+  void
+  fail (uint32_t first, uint32_t last, int64_t at)
+  {
+    for (uint64_t target = first; target <= last; target++)
+      pool_reach_failed (&reach, target, true, start + at);
+  }
+
+  // Updates with `n` targets, the newest lease of which began at `renewed`.
+  bool
+  is_lost (uint32_t n, int64_t renewed, int64_t at)
+  {
+    struct pool_reach_targets targets = { .n = n, .renewed_at = start + renewed };
+
+    pool_reach_update (&reach, &targets, start + at);
+    return reach.lost;
+  }
+};
+
+TEST_F (PoolReachTest, IsLostWhenSeveralTargetsThatRenewAcceptNoConnection)
+{
+  fail (1, 3, 0);
+  EXPECT_FALSE (is_lost (5, 300 * MSEC, 499 * MSEC));
+  EXPECT_TRUE (is_lost (5, 300 * MSEC, 500 * MSEC));
+}
+
+// Guards against callers sent elsewhere as one target of many is down.
+TEST_F (PoolReachTest, IsNotLostWhileFewerTargetsFail)
+{
+  fail (1, 2, 0);
+  fail (1, 2, 300 * MSEC);
+  EXPECT_FALSE (is_lost (5, 300 * MSEC, 5000 * MSEC));
+}
+
+// Guards against callers sent elsewhere as all targets of a pool are down.
+TEST_F (PoolReachTest, IsNotLostWhileNoTargetRenews)
+{
+  fail (1, 3, 0);
+  EXPECT_FALSE (is_lost (3, 0, 5000 * MSEC));
+}
+
+// Guards against a target that is silent for a second and goes on.
+TEST_F (PoolReachTest, IsNotLostAsItsOnlyTargetIsSilentForASecond)
+{
+  fail (1, 1, 0);
+  EXPECT_FALSE (is_lost (1, 400 * MSEC, 1200 * MSEC));
+  EXPECT_TRUE (is_lost (1, 400 * MSEC, 1500 * MSEC));
+}
+
+TEST_F (PoolReachTest, IsNotLostAfterASuccess)
+{
+  fail (1, 2, 0);
+  pool_reach_succeeded (&reach, start + 100 * MSEC);
+  fail (3, 3, 200 * MSEC);
+  EXPECT_FALSE (is_lost (3, 400 * MSEC, 2000 * MSEC));
+}
+
+TEST_F (PoolReachTest, IsNotLostByRequestsWithoutAcknowledgementAlone)
+{
+  for (uint64_t target = 1; target <= 3; target++)
+    pool_reach_failed (&reach, target, false, start);
+  EXPECT_FALSE (is_lost (3, 400 * MSEC, 2000 * MSEC));
+}
+
+// Guards against a list of hosts that changes with each packet that gets through.
+TEST_F (PoolReachTest, IsRegainedOnlyAfterSuccessesWithoutAFailureBetween)
+{
+  fail (1, 3, 0);
+  ASSERT_TRUE (is_lost (3, 400 * MSEC, 1000 * MSEC));
+  pool_reach_succeeded (&reach, start + 1100 * MSEC);
+  fail (2, 2, 1300 * MSEC);
+  pool_reach_succeeded (&reach, start + 1400 * MSEC);
+  EXPECT_TRUE (is_lost (3, 400 * MSEC, 1800 * MSEC));
+  EXPECT_FALSE (is_lost (3, 400 * MSEC, 1900 * MSEC));
+}
+
+TEST_F (PoolReachTest, IsNotLostWithoutTargets)
+{
+  fail (1, 3, 0);
+  ASSERT_TRUE (is_lost (3, 400 * MSEC, 1000 * MSEC));
+  EXPECT_FALSE (is_lost (0, 0, 1100 * MSEC));
+}
+
+}
