Leave hosts that have lost a pool out of the list of entry hosts, and refuse at once there

Cause: the list rests on contact to controllers and a confirmed configuration. What a host reaches was not known to anyone. Class: a host takes its own view of a target for the target's state, and the fleet has no view of who reaches what.

Each host reports the pools that it has lost to all controllers, at once and with each request while there are any; a report ends with the lease. A host that has lost a pool that takes requests is left out of the list, unless no host serves them all. Controllers tell all hosts who has lost what. At such a host a request to the pool is refused as not run at once, Retry-After 0 where another host may reach it, else 1 s; nothing is tried in vain. Why it works: a loss is known 0.5 to 1.7 s after the cut, and callers drop hosts that are no longer named with their next list.

--- a/src/controller.c
+++ b/src/controller.c
@@ -95,8 +95,8 @@
 
 /* ---- entry hosts ---- */
 
-static struct entry_host_record *
-find_host (struct controller *controller, const char *name)
+struct entry_host_record *
+controller_find_host (struct controller *controller, const char *name)
 {
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     if (strcmp (controller->hosts[i].info.name, name) == 0)
@@ -109,7 +109,7 @@
 static struct entry_host_record *
 find_or_add_host (struct controller *controller, const char *name, int64_t now)
 {
-  struct entry_host_record *host = find_host (controller, name);
+  struct entry_host_record *host = controller_find_host (controller, name);
 
   if (host != NULL)
     return host;
@@ -120,7 +120,7 @@
       if (!controller_host_is_live (&controller->hosts[i], now))
         host = &controller->hosts[i];
   if (host != NULL)
-    *host = (struct entry_host_record){ .heard_at = now };
+    *host = (struct entry_host_record){ .heard_at = now, .reach = host->reach };
   return host;
 }
 
@@ -193,7 +193,10 @@
       host->renewed_until = 0;
     }
   if (host->info.incarnation != request.self.incarnation)
-    host->answered_nonce = 0;
+    {
+      host->answered_nonce = 0;
+      host->reach_at = 0;
+    }
   host->info = request.self;
   host->heard_at = now;
   host->nonce = request.nonce;
@@ -212,7 +215,7 @@
                    const char *from,
                    int64_t now)
 {
-  struct entry_host_record *host = find_host (controller, from);
+  struct entry_host_record *host = controller_find_host (controller, from);
   uint64_t nonce;
 
   if (!sync_read_unanswered (in, &nonce))
@@ -263,6 +266,23 @@
   return strcmp (left->host->name, right->host->name);
 }
 
+static bool
+is_offered (const struct entry_host_record *host, int64_t now)
+{
+  return is_listable (host, now) && host->info.ready;
+}
+
+/* Where no host reaches the targets, clients are no better served anywhere else. */
+static bool
+any_host_serves_requests (const struct controller *controller, int64_t now)
+{
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    if (is_offered (&controller->hosts[i], now)
+        && !controller_host_lost_requests (&controller->hosts[i], now))
+      return true;
+  return false;
+}
+
 uint32_t
 controller_list_entry_hosts (const struct controller *controller,
                              const char *domain,
@@ -272,6 +292,7 @@
 {
   uint64_t seed = XXH3_64bits (domain, strlen (domain));
   struct listed listed[SYNC_HOSTS_MAX];
+  bool any_whole = any_host_serves_requests (controller, now);
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < controller->n_hosts; i++)
@@ -279,7 +300,7 @@
       const struct entry_host_record *host = &controller->hosts[i];
       const char *name = host->info.name;
 
-      if (!controller_host_is_live (host, now) || !host->info.ready || host->info.leaving)
+      if (!is_offered (host, now) || (any_whole && controller_host_lost_requests (host, now)))
         continue;
       listed[n++] = (struct listed){
         .host = &host->info,
@@ -356,6 +377,8 @@
     controller_handle_target_ack (controller, &in, from, now);
   else if (type == SYNC_UNANSWERED)
     handle_unanswered (controller, &in, from, now);
+  else if (type == SYNC_REACH)
+    controller_handle_reach (controller, &in, from, now);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
@@ -407,6 +430,7 @@
 
   timer_disarm (controller->config.timers, &controller->tick);
   timer_disarm (controller->config.timers, &controller->push_timer);
+  timer_disarm (controller->config.timers, &controller->reach_timer);
   if (controller->quorum_read_pending)
     consensus->ops->withdraw (consensus, &controller->quorum_read);
   return 0;
@@ -433,6 +457,7 @@
   controller->listener.ops = &listener_ops;
   controller->hosts_revision = 1;
   init_counters (controller);
+  controller_init_reach (controller);
   config->port->ops->set_listener (config->port, PEER_CHANNEL_SYNC, &controller->listener);
   timer_arm (config->timers, &controller->tick, 0);
   talloc_set_destructor (controller, free_controller);
--- a/src/controller.h
+++ b/src/controller.h
@@ -103,7 +103,9 @@
  * would take all the load and the others none.  Hosts of the clients' own domain come first, so
  * that each host is in some list, then the rest in an order that differs between domains.  The
  * order is the same at all controllers and at all times: a client that got different hosts at each
- * request would drop its connections each time. */
+ * request would drop its connections each time.
+ *
+ * Hosts that have lost a pool that takes requests are left out while there are others. */
 uint32_t controller_list_entry_hosts (const struct controller *controller,
                                       const char *domain,
                                       uint32_t limit,
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -14,11 +14,13 @@
   uint64_t document_version;
   uint64_t targets_revision;
   uint64_t hosts_revision;
-  uint64_t nonce;          /* of the newest request to be answered; 0: none */
-  uint64_t answered_nonce; /* of the newest request answered on the present connection; 0: none */
-  int64_t answered_at;     /* in us */
-  uint64_t read_nonce;     /* of the request that the quorum read in progress covers; 0: none */
-  bool listed;             /* in the list that is sent to entry hosts */
+  uint64_t nonce;           /* of the newest request to be answered; 0: none */
+  uint64_t answered_nonce;  /* of the newest request answered on the present connection; 0: none */
+  int64_t answered_at;      /* in us */
+  uint64_t read_nonce;      /* of the request that the quorum read in progress covers; 0: none */
+  bool listed;              /* in the list that is sent to entry hosts */
+  struct sync_reach *reach; /* as it reported; NULL if it never lost a pool */
+  int64_t reach_at;         /* of that report */
 };
 
 struct controller
@@ -31,6 +33,8 @@
   int64_t started_at;
   struct timer tick;
   struct timer push_timer;
+  struct timer reach_timer; /* sends which hosts have lost pools */
+  bool reach_reported;      /* hosts had lost pools when that was last sent */
   struct registry *registry;
   struct entry_host_record hosts[SYNC_HOSTS_MAX];
   uint32_t n_hosts;
@@ -46,6 +50,7 @@
   struct counter *leave_timeouts;
   struct counter *n_targets;
   struct counter *n_entries;
+  struct counter *n_unreaching;
 };
 
 /* ---- controller_state.c: state updates for entry hosts ---- */
@@ -73,8 +78,22 @@
                                    const char *from,
                                    int64_t now);
 
+/* ---- controller_reach.c: entry hosts that have lost pools ---- */
+
+void controller_init_reach (struct controller *controller);
+void controller_handle_reach (struct controller *controller,
+                              struct pack_reader *in,
+                              const char *from,
+                              int64_t now);
+
+/* Has the host lost a pool that takes requests? */
+bool controller_host_lost_requests (const struct entry_host_record *host, int64_t now);
+
 /* ---- controller.c ---- */
 
+/* NULL if the host never sent a request. */
+struct entry_host_record *controller_find_host (struct controller *controller, const char *name);
+
 /* Schedules a push of changes to the entry hosts after PUSH_DELAY. */
 void controller_schedule_push (struct controller *controller, int64_t now);
 
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -33,6 +33,7 @@
 {
   struct role_base base;
   struct subscriber_listener listener;
+  struct target_reach_listener reach_listener;
   struct balance balance;
   struct batch *batch;
   struct work *work;
@@ -53,6 +54,37 @@
   struct dump_source dump;
 };
 
+/* ---- pools that are lost ---- */
+
+static void
+report_reach (struct entry_host *host)
+{
+  const struct routing *routing = subscriber_routing (host->subscriber);
+  const char *names[TARGET_REACH_POOLS_MAX];
+  struct sync_reach reach = { .n = target_reach_list_lost (host->reach, names) };
+
+  for (uint32_t i = 0; i < reach.n; i++)
+    {
+      memcpy (reach.pools[i], names[i], sizeof reach.pools[i]);
+      reach.requests_lost =
+          reach.requests_lost || (routing != NULL && routing_forwards_to (routing, names[i]));
+    }
+  subscriber_set_reach (host->subscriber, &reach);
+}
+
+static void
+reach_changed (struct target_reach_listener *listener, const char *pool, bool lost, int64_t now)
+{
+  struct entry_host *host = CONTAINER_OF (listener, struct entry_host, reach_listener);
+
+  (void) pool;
+  (void) lost;
+  (void) now;
+  report_reach (host);
+}
+
+static const struct target_reach_listener_ops reach_ops = { .changed = reach_changed };
+
 /* ---- routing and target updates ---- */
 
 static void
@@ -66,6 +98,7 @@
   for (uint32_t i = 0; i < routing->n_pools; i++)
     if (routing->pools[i].engine.present)
       engine_load_set_cache_tokens (host->engines, routing->pools[i].engine.cache_tokens);
+  report_reach (host);
 }
 
 static void
@@ -304,6 +337,7 @@
     .confirmed_for = settings->confirmed_for,
     .retries = settings->retries,
     .rate_share = &host->rate_share,
+    .reach = host->reach,
   };
   struct h1_server_config server = {
     .loop = host->base.loop,
@@ -329,6 +363,7 @@
     .loop = host->base.loop,
     .balance = &host->balance,
     .counters = host->base.counters,
+    .listener = &host->reach_listener,
   };
   struct h1_client_config client = {
     .loop = host->base.loop,
@@ -336,6 +371,7 @@
     .connect_timeout = TARGET_CONNECT_TIMEOUT,
   };
 
+  host->reach_listener.ops = &reach_ops;
   host->reach = target_reach_new (host, &reach);
   if (host->reach == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
--- a/src/forward.h
+++ b/src/forward.h
@@ -18,6 +18,7 @@
 #include "rate_share.h"
 #include "retry_budget.h"
 #include "subscriber.h"
+#include "target_reach.h"
 #include "timer.h"
 #include "work.h"
 
@@ -41,6 +42,7 @@
   int64_t confirmed_for;      /* with an older confirmation, requests with keys are refused; us */
   struct retry_limit retries; /* to each pool */
   struct rate_share *rate_share;
+  const struct target_reach *reach; /* NULL: all pools are reached */
 };
 
 /* Freed with `parent`.  Returns NULL when out of memory. */
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -458,7 +458,7 @@
   struct bytes message;
   enum status status;
 
-  if (!job_may_run (job, now))
+  if (!job_may_run (job, now) || job_give_up_if_cut_off (job, now))
     return;
   if (job_has_stages (job))
     job_locate_results (job);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -29,6 +29,7 @@
   X (BAD_REQUEST, "request cannot be read")                                                        \
   X (NO_TARGET, "no target")                                                                       \
   X (LIMITED, "targets are at their limit")                                                        \
+  X (CUT_OFF, "no target of the pool can be reached from this host")                               \
   X (NO_TIME, "cannot end in time")                                                                \
   X (OVERLOADED, "too much waits to be in time")                                                   \
   X (QUARANTINED, "targets ended under it")                                                        \
@@ -308,6 +309,11 @@
 /* Takes one more send of the request from the budget of its pool; false if none is left. */
 bool job_take_retry (struct forward_job *job, int64_t now);
 
+/* forward_reach.c */
+
+/* Gives the request up if this host has lost its pool: true, and the job is freed. */
+bool job_give_up_if_cut_off (struct forward_job *job, int64_t now);
+
 /* forward_limit.c */
 
 /* Gives the request up if the limits that its pool's targets name allow no request by `deadline`:
--- a/src/pool_reach.c
+++ b/src/pool_reach.c
@@ -6,8 +6,9 @@
 {
   reach->failing_since = 0;
   reach->n_unreachable = 0;
-  if (reach->lost && reach->regained_at == 0)
-    reach->regained_at = now;
+  if (reach->regained_since == 0 || now - reach->succeeded_at > POOL_REACH_REGAIN_GAP)
+    reach->regained_since = now;
+  reach->succeeded_at = now;
 }
 
 bool
@@ -26,7 +27,6 @@
     reach->failing_since = now;
   if (!unreachable)
     return;
-  reach->regained_at = 0;
   if (reach->n_unreachable < POOL_REACH_TARGETS && !pool_reach_is_unreachable (reach, target))
     reach->unreachable[reach->n_unreachable++] = target;
 }
@@ -36,7 +36,7 @@
 {
   reach->failing_since = 0;
   reach->n_unreachable = 0;
-  reach->regained_at = 0;
+  reach->regained_since = 0;
 }
 
 static bool
@@ -51,9 +51,10 @@
 }
 
 static bool
-is_regained_now (const struct pool_reach *reach, int64_t now)
+is_regained (const struct pool_reach *reach)
 {
-  return reach->regained_at != 0 && now - reach->regained_at >= POOL_REACH_REGAIN_TIME;
+  return reach->regained_since != 0
+         && reach->succeeded_at - reach->regained_since >= POOL_REACH_REGAIN_TIME;
 }
 
 bool
@@ -66,8 +67,8 @@
   else if (!was_lost)
     reach->lost = is_lost_now (reach, targets, now);
   else
-    reach->lost = !is_regained_now (reach, now);
-  if (reach->lost != was_lost)
-    reach->regained_at = 0;
+    reach->lost = !is_regained (reach);
+  if (reach->lost && !was_lost)
+    reach->regained_since = 0;
   return reach->lost != was_lost;
 }
--- a/src/pool_reach.h
+++ b/src/pool_reach.h
@@ -24,15 +24,18 @@
 #define POOL_REACH_LOSS_TIME (500 * USEC_PER_MSEC)
 #define POOL_REACH_FEW_LOSS_TIME (1500 * USEC_PER_MSEC)
 
-/* Least time from the first success until a lost pool is regained. */
+/* A lost pool is regained by successes over at least this time, with no longer pause between them
+ * than the second. */
 #define POOL_REACH_REGAIN_TIME (500 * USEC_PER_MSEC)
+#define POOL_REACH_REGAIN_GAP (1 * USEC_PER_SEC)
 
 struct pool_reach
 {
   char pool[ROUTING_NAME_SIZE];
   bool lost;
-  int64_t failing_since; /* first failure after the last success; 0: none */
-  int64_t regained_at;   /* first success of a lost pool after its last failure; 0: none */
+  int64_t failing_since;  /* first failure after the last success; 0: none */
+  int64_t regained_since; /* first of the latest successes of a lost pool; 0: none */
+  int64_t succeeded_at;   /* the last one */
   uint64_t unreachable[POOL_REACH_TARGETS]; /* targets without a connection since `failing_since` */
   uint32_t n_unreachable;
 };
--- a/src/routing.c
+++ b/src/routing.c
@@ -70,6 +70,19 @@
   return -1;
 }
 
+bool
+routing_forwards_to (const struct routing *routing, const char *pool)
+{
+  int number = routing_find_pool (routing, pool);
+
+  for (uint32_t i = 0; i < routing->n_routes; i++)
+    for (uint32_t j = 0; j < routing->routes[i].n_shares; j++)
+      if (routing->routes[i].shares[j].weight > 0
+          && (int) routing->routes[i].shares[j].pool == number)
+        return true;
+  return false;
+}
+
 static enum status
 check_stages (const struct route *route)
 {
--- a/src/routing.h
+++ b/src/routing.h
@@ -144,6 +144,9 @@
  * the route and the field. */
 enum status routing_validate (const struct routing *routing);
 
+/* Whether a route forwards requests to the pool; stage work alone does not count. */
+bool routing_forwards_to (const struct routing *routing, const char *pool);
+
 /* The host's route with the longest matching path prefix; NULL when there is none.  A port in
  * `host` is ignored. */
 const struct route *routing_match (const struct routing *routing,
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -59,16 +59,18 @@
         continue;
       self->config.port->ops->remove_host (self->config.port, controller->name);
       talloc_free (controller->list);
+      talloc_free (controller->lost);
       *controller = self->controllers[--self->n_controllers];
       self->view_stale = true;
       i--;
     }
 }
 
-static enum status
-send_message (struct subscriber *self,
-              const struct known_controller *controller,
-              struct bytes *message)
+/* Sends and frees `message`. */
+enum status
+subscriber_send (struct subscriber *self,
+                 const struct known_controller *controller,
+                 struct bytes *message)
 {
   enum status status = STATUS_NO_MEMORY;
 
@@ -127,7 +129,7 @@
   bytes_init (&out, NULL);
   sync_write_header (SYNC_UNANSWERED, &out);
   sync_write_unanswered (controller->unanswered_nonce, &out);
-  (void) send_message (self, controller, &out); /* repeated with the next request */
+  (void) subscriber_send (self, controller, &out); /* repeated with the next request */
 }
 
 void
@@ -153,8 +155,10 @@
   bytes_init (&out, NULL);
   sync_write_header (SYNC_REQUEST, &out);
   sync_write_request (&request, &out);
-  sent = send_message (self, controller, &out) == STATUS_OK;
+  sent = subscriber_send (self, controller, &out) == STATUS_OK;
   controller->next_request = now + request_period (controller, sent, silent);
+  if (sent)
+    subscriber_send_reach (self, controller);
   if (!sent || controller->unanswered_since != 0)
     return;
   controller->unanswered_since = now;
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -37,6 +37,9 @@
 /* While a confirmation is waited for, one controller is asked at this interval. */
 #define SYNC_CONFIRM_REQUEST_PERIOD (50 * USEC_PER_MSEC)
 
+/* A list of hosts that have lost pools counts for this long.  Controllers repeat it sooner. */
+#define SYNC_REACH_LIST_TTL (2500 * USEC_PER_MSEC)
+
 struct subscriber;
 
 struct subscriber_listener
@@ -123,6 +126,19 @@
 uint32_t subscriber_list_controllers (const struct subscriber *subscriber,
                                       const char *out[SYNC_HOSTS_MAX]);
 
+/* Report the pools that this host has lost to the controllers: now, and while there are any with
+ * each request. */
+void subscriber_set_reach (struct subscriber *subscriber, const struct sync_reach *reach);
+
+/* Whether a controller lists the host as one that has lost the pool. */
+bool subscriber_has_lost (const struct subscriber *subscriber,
+                          const char *host,
+                          const char *pool,
+                          int64_t now);
+
+/* Whether there is another entry host that may reach the pool. */
+bool subscriber_others_reach (struct subscriber *subscriber, const char *pool, int64_t now);
+
 /* The entry hosts that may share work, including this one unless it is leaving.  Valid until the
  * next message or timer is handled. */
 const struct host_view *subscriber_hosts (struct subscriber *subscriber);
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -32,6 +32,10 @@
   bool reachable;
   uint32_t n_list;
   struct sync_host *list; /* entry hosts that it listed last */
+  uint64_t *lost;         /* sorted hashes of the hosts and pools that these have lost */
+  uint32_t n_lost;
+  int64_t lost_at; /* when it sent them */
+  bool reach_due;  /* it is to be sent what this host has lost */
 };
 
 struct subscriber
@@ -45,6 +49,7 @@
   struct known_controller controllers[SYNC_CONTROLLERS_MAX];
   uint32_t n_controllers;
   struct sync_host self;
+  struct sync_reach reach; /* the pools that this host has lost */
   struct host_view view;
   bool knows_hosts; /* a controller has listed the entry hosts since the start */
   bool view_stale;  /* must be merged again; its pointers may be to freed lists */
@@ -89,6 +94,17 @@
                                 const void *text,
                                 size_t length);
 
+enum status subscriber_send (struct subscriber *self,
+                             const struct known_controller *controller,
+                             struct bytes *message);
+
+/* subscriber_reach.c: hosts that have lost pools */
+void subscriber_send_reach (struct subscriber *self, struct known_controller *controller);
+void subscriber_handle_reach_list (struct subscriber *self,
+                                   struct known_controller *controller,
+                                   struct pack_reader *in,
+                                   int64_t now);
+
 /* subscriber_wait.c: waits for a confirmation */
 void subscriber_request_confirmation (struct subscriber *self, int64_t now);
 void subscriber_end_waits (struct subscriber *self, int64_t now);
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -223,8 +223,12 @@
 
   self->now = now;
   pack_reader_init (&in, data, length);
-  if (controller != NULL && sync_read_type (&in, &type) && type == SYNC_STATE)
+  if (controller == NULL || !sync_read_type (&in, &type))
+    return;
+  if (type == SYNC_STATE)
     handle_state (self, controller, &in, now);
+  else if (type == SYNC_REACH_LIST)
+    subscriber_handle_reach_list (self, controller, &in, now);
 }
 
 const struct peer_listener_ops subscriber_listener_ops = { .received = received };
--- a/src/sync.c
+++ b/src/sync.c
@@ -79,6 +79,25 @@
   return pack_read_is_complete (in);
 }
 
+void
+sync_write_reach (const struct sync_reach *reach, struct bytes *out)
+{
+  pack_bool (out, reach->requests_lost);
+  pack_array (out, reach->n);
+  for (uint32_t i = 0; i < reach->n; i++)
+    pack_text (out, reach->pools[i]);
+}
+
+bool
+sync_read_reach (struct pack_reader *in, struct sync_reach *reach)
+{
+  reach->requests_lost = pack_read_bool (in);
+  reach->n = pack_read_array (in, SYNC_LOST_POOLS_MAX);
+  for (uint32_t i = 0; i < reach->n; i++)
+    pack_read_text (in, reach->pools[i], sizeof reach->pools[i]);
+  return pack_read_is_ok (in);
+}
+
 void
 sync_write_state (const struct sync_state *state, struct bytes *out)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -34,6 +34,8 @@
   SYNC_TARGET = 2,     /* controller to controller: a leaving target, which others must know too */
   SYNC_TARGET_ACK = 3, /* its acknowledgement */
   SYNC_UNANSWERED = 4, /* entry host to controller: no state arrived since a request */
+  SYNC_REACH = 5,      /* entry host to controller: the pools that it has lost */
+  SYNC_REACH_LIST = 6, /* controller to entry host: all hosts that have lost pools */
   SYNC_MESSAGE_COUNT
 };
 
@@ -82,6 +84,16 @@
   uint64_t age; /* in us */
 };
 
+#define SYNC_LOST_POOLS_MAX 64
+
+/* The pools of which an entry host reaches no target although these renew their leases. */
+struct sync_reach
+{
+  bool requests_lost; /* one of them takes requests: callers are better served elsewhere */
+  uint32_t n;
+  char pools[SYNC_LOST_POOLS_MAX][ROUTING_NAME_SIZE];
+};
+
 void sync_write_header (enum sync_message type, struct bytes *out);
 bool sync_read_type (struct pack_reader *in, enum sync_message *type);
 void sync_write_request (const struct sync_request *request, struct bytes *out);
@@ -89,6 +101,8 @@
 /* `nonce`: of the first request since the last state that arrived. */
 void sync_write_unanswered (uint64_t nonce, struct bytes *out);
 bool sync_read_unanswered (struct pack_reader *in, uint64_t *nonce);
+void sync_write_reach (const struct sync_reach *reach, struct bytes *out);
+bool sync_read_reach (struct pack_reader *in, struct sync_reach *reach);
 void sync_write_state (const struct sync_state *state, struct bytes *out);
 bool sync_read_state (struct pack_reader *in, struct sync_state *state);
 void sync_write_host (const struct sync_host *host, struct bytes *out);
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -4,6 +4,7 @@
 #include "sync_harness.h"
 #include <cstring>
 #include <gtest/gtest.h>
+#include <set>
 #include <talloc.h>
 
 namespace
@@ -147,6 +148,55 @@
     bytes_clear (&message);
   }
 
+  // The host reports that it has lost the pool; none with "".
+  void
+  send_reach (const char *host, const char *pool, bool requests_lost)
+  {
+    struct sync_reach reach = {};
+    struct bytes message;
+
+    reach.requests_lost = requests_lost;
+    reach.n = pool[0] == '\0' ? 0 : 1;
+    snprintf (reach.pools[0], sizeof reach.pools[0], "%s", pool);
+    bytes_init (&message, nullptr);
+    sync_write_header (SYNC_REACH, &message);
+    sync_write_reach (&reach, &message);
+    port.deliver (host, PEER_CHANNEL_SYNC, &message, now);
+    bytes_clear (&message);
+  }
+
+  std::string
+  listed ()
+  {
+    const struct sync_host *out[SYNC_HOSTS_MAX];
+    uint32_t n = controller_list_entry_hosts (controller, "a", 64, out, now);
+    std::set<std::string> names;
+    std::string text;
+
+    for (uint32_t i = 0; i < n; i++)
+      names.insert (out[i]->name);
+    for (const auto &name : names)
+      text += name + " ";
+    return text;
+  }
+
+  // Number of lists of hosts that have lost pools that were sent to the host.
+  int
+  reach_lists (const std::string &host) const
+  {
+    int n = 0;
+
+    for (const auto &[to, channel, text] : port.sent)
+      {
+        struct pack_reader in;
+        enum sync_message type;
+
+        pack_reader_init (&in, text.data (), text.size ());
+        n += to == host && sync_read_type (&in, &type) && type == SYNC_REACH_LIST ? 1 : 0;
+      }
+    return n;
+  }
+
   void
   send_unanswered (const char *host, uint64_t nonce)
   {
@@ -406,6 +456,65 @@
   EXPECT_EQ (controller_list_entry_hosts (controller, "a", 64, out, now), 0u);
 }
 
+// Guards against callers sent to a host that reaches no target while another host does.
+TEST_F (ControllerTest, LeavesOutHostsThatHaveLostAPoolThatTakesRequests)
+{
+  for (const char *host : { "e1", "e2", "e3" })
+    send_request (host, 11);
+  send_reach ("e1", "p", true);
+  send_reach ("e2", "w", false); // of stage work alone
+  EXPECT_EQ (listed (), "e2 e3 ");
+  send_reach ("e1", "", false);
+  EXPECT_EQ (listed (), "e1 e2 e3 ");
+}
+
+// Guards against an empty list where targets are unreachable from all hosts.
+TEST_F (ControllerTest, ListsAllHostsWhileAllHaveLostAPool)
+{
+  for (const char *host : { "e1", "e2" })
+    {
+      send_request (host, 11);
+      send_reach (host, "p", true);
+    }
+  EXPECT_EQ (listed (), "e1 e2 ");
+}
+
+// Guards against a host that stays left out as the end of its report was lost, or as it restarted.
+TEST_F (ControllerTest, ForgetsAReportThatIsNotRepeated)
+{
+  for (const char *host : { "e1", "e2" })
+    send_request (host, 11);
+  send_reach ("e1", "p", true);
+  now += CONTROLLER_HOST_LEASE;
+  for (const char *host : { "e1", "e2" })
+    send_request (host, 12);
+  EXPECT_EQ (listed (), "e2 ");
+  now++;
+  EXPECT_EQ (listed (), "e1 e2 ");
+}
+
+// Guards against hosts that go on to send work to one that has lost its targets.
+TEST_F (ControllerTest, TellsAllHostsWhichHaveLostPools)
+{
+  for (const char *host : { "e1", "e2" })
+    send_request (host, 11);
+  send_reach ("e1", "w", false);
+  send_reach ("e1", "w", false);
+  now += 10 * USEC_PER_MSEC;
+  timer_service_run (timers, now);
+  EXPECT_EQ (reach_lists ("e2"), 1);
+  now += USEC_PER_SEC;
+  timer_service_run (timers, now);
+  EXPECT_EQ (reach_lists ("e2"), 2);
+  send_reach ("e1", "", false);
+  now += 10 * USEC_PER_MSEC;
+  timer_service_run (timers, now);
+  EXPECT_EQ (reach_lists ("e2"), 3);
+  now += 2 * USEC_PER_SEC;
+  timer_service_run (timers, now);
+  EXPECT_EQ (reach_lists ("e2"), 3);
+}
+
 // There are more entry hosts than a list can hold.  If all clients got the same 64, a third of the
 // hosts would get no client and the rest half as many again.
 TEST_F (ControllerTest, ListsEachEntryHostToSomeDomain)
