Give stage work to an owner that reaches its pool

Cause: an owner was suspected for silence alone. One that answers pings and reaches no target kept the pool; its orders waited there until they were late.

The owner is chosen among the hosts that reach the pool, by the controllers' list and by what this host observes; where none does, among all. An owner that has lost the pool ends its orders with UNREACHED, waiting ones at once, running ones when their calls end; the host that ordered sends them to the next owner, up to three in all, and then fails the request at once. Such an owner takes no bookings and rejects none.

--- a/src/batch.c
+++ b/src/batch.c
@@ -169,6 +169,11 @@
 
   if (order == NULL)
     return;
+  if (target_reach_is_lost (pool->batch->reach, pool->name))
+    {
+      batch_end_order (order, PIECE_UNREACHED, now);
+      return;
+    }
   order->attempts[piece->index] += tried ? 1 : 0;
   if (order->attempts[piece->index] >= BATCH_ATTEMPTS_MAX || now >= order->deadline)
     {
@@ -257,6 +262,20 @@
     }
 }
 
+void
+batch_set_reach (struct batch *batch, const struct target_reach *reach)
+{
+  batch->reach = reach;
+}
+
+void
+batch_end_lost_orders (struct batch *batch, const char *pool_name, int64_t now)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    while (strcmp (batch->pools[i].name, pool_name) == 0 && batch->pools[i].queue != NULL)
+      batch_end_order (batch->pools[i].queue, PIECE_UNREACHED, now);
+}
+
 void
 batch_set_limit_news (struct batch *batch, struct limit_news *limit_news)
 {
@@ -293,6 +312,12 @@
       return;
     }
   batch_unbook (batch, order->pool, order->domain, order->request, order->stage);
+  if (target_reach_is_lost (batch->reach, order->pool))
+    {
+      order->ops->done (order, PIECE_UNREACHED, now);
+      talloc_free (order);
+      return;
+    }
   if (batch_reject_if_late (pool, &order->demand, order->request, order->stage, now))
     {
       order->ops->done (order, PIECE_BUSY, now);
--- a/src/batch.h
+++ b/src/batch.h
@@ -9,6 +9,7 @@
 #include "dialect.h"
 #include "h1_client.h"
 #include "limit_news.h"
+#include "target_reach.h"
 #include "target_watch.h"
 #include "timer.h"
 #include <uthash.h>
@@ -90,6 +91,13 @@
  * with NULL, that is unknown. */
 void batch_set_watch (struct batch *batch, struct target_watch *watch);
 
+/* Sets which pools this host reaches.  Orders of a lost pool end as UNREACHED at once.  Without it,
+ * or with NULL, all are reached. */
+void batch_set_reach (struct batch *batch, const struct target_reach *reach);
+
+/* Ends the waiting orders of a pool that was lost. */
+void batch_end_lost_orders (struct batch *batch, const char *pool, int64_t now);
+
 /* Sets where the limits that targets name are reported.  Without it they are ignored. */
 void batch_set_limit_news (struct batch *batch, struct limit_news *limit_news);
 
--- a/src/batch_admit.c
+++ b/src/batch_admit.c
@@ -144,7 +144,8 @@
   struct batch_pool *pool = batch_get_pool (batch, pool_name, domain);
   struct batch_booking *booking;
 
-  if (pool == NULL || pool->spec.pieces == 0)
+  /* The order of a lost pool will be made by another owner. */
+  if (pool == NULL || pool->spec.pieces == 0 || target_reach_is_lost (batch->reach, pool_name))
     return true;
   if (batch_reject_if_late (pool, demand, request, stage, now))
     return false;
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -68,6 +68,7 @@
   struct batch_pool pools[BATCH_POOLS_MAX];
   uint32_t n_pools;
   struct target_watch *watch;
+  const struct target_reach *reach;
   struct limit_news *limit_news;
   struct batch_order *orders; /* by serial */
   uint64_t last_serial;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -86,7 +86,8 @@
   X (NO_ROOM, "no room")                                                                           \
   X (FAILED, "failed")                                                                             \
   X (BUSY, "too much waits before it")                                                             \
-  X (ENDS_TARGETS, "targets ended under it")
+  X (ENDS_TARGETS, "targets ended under it")                                                       \
+  X (UNREACHED, "its owner reaches no target")
 
 enum piece_outcome
 {
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -77,10 +77,9 @@
 {
   struct entry_host *host = CONTAINER_OF (listener, struct entry_host, reach_listener);
 
-  (void) pool;
-  (void) lost;
-  (void) now;
   report_reach (host);
+  if (lost)
+    batch_end_lost_orders (host->batch, pool, now);
 }
 
 static const struct target_reach_listener_ops reach_ops = { .changed = reach_changed };
@@ -223,6 +222,7 @@
     .subscriber = host->subscriber,
     .batch = host->batch,
     .balance = &host->balance,
+    .reach = host->reach,
     .port = host->base.port,
     .timers = host->base.timers,
     .counters = host->base.counters,
@@ -264,6 +264,7 @@
   host->base.quarantine = quarantine_entry_control (host->quarantine);
   batch_set_watch (host->batch, quarantine_entry_watch (host->quarantine));
   batch_set_limit_news (host->batch, host->limit_news);
+  batch_set_reach (host->batch, host->reach);
   return STATUS_OK;
 }
 
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -195,6 +195,11 @@
       job_quarantine (job, now);
       return;
     }
+  if (end == PIECE_UNREACHED)
+    {
+      job_give_up (job, FORWARD_CUT_OFF, STAGE_RETRY_AFTER_SEC);
+      return;
+    }
   if (end != PIECE_LATE && job_rerun_stages (job, now))
     return;
   job_give_up (job, end == PIECE_LATE ? FORWARD_NO_TIME : FORWARD_STAGE, STAGE_RETRY_AFTER_SEC);
--- a/src/work.c
+++ b/src/work.c
@@ -43,25 +43,34 @@
 
 static void dispatch (struct work_order *order, int64_t now);
 
-/* One shard of a split pool may be full while another has room. */
+static void
+dispatch_again (struct work_order *order, int64_t now)
+{
+  work_owner_add_orders (order->work, order->owner, -1);
+  order->owner[0] = '\0';
+  dispatch (order, now);
+}
+
+/* One shard of a split pool may be full while another has room, and one owner may be cut from
+ * targets that another reaches. */
 static bool
-dispatch_to_other_shard (struct work_order *order, int64_t now)
+can_go_elsewhere (struct work_order *order, enum piece_outcome end, int64_t now)
 {
   struct work *work = order->work;
 
-  if (!work_note_refusal (work, order->request, order->pool, order->domain, &order->refused_shards))
-    return false;
-  work_owner_add_orders (work, order->owner, -1);
-  order->owner[0] = '\0';
-  dispatch (order, now);
-  return true;
+  if (end == PIECE_BUSY)
+    return work_note_refusal (work, order->request, order->pool, order->domain,
+                              &order->refused_shards);
+  return end == PIECE_UNREACHED && work_note_unreaching (work, order, now);
 }
 
 /* The owner reported how the order ended. */
 static void
 handle_end (struct work_order *order, enum piece_outcome end, int64_t now)
 {
-  if (end != PIECE_BUSY || !dispatch_to_other_shard (order, now))
+  if (can_go_elsewhere (order, end, now))
+    dispatch_again (order, now);
+  else
     finish_order (order, end, now);
 }
 
@@ -148,7 +157,7 @@
 
   work_choose_domain (work, order, now);
   text_copy_truncated (order->owner, sizeof order->owner,
-                       work_owner_of (work, order->pool, order->domain, now));
+                       work_owner_of (work, order->pool, order->domain, &order->unreaching, now));
   timer_arm (work->config.timers, &order->timer, order->deadline);
   owner = work_owner_get (work, order->owner);
   if (owner == NULL || strcmp (order->owner, work->config.name) == 0)
@@ -237,7 +246,7 @@
 static void
 warm_owner (struct work *work, const char *pool, const char *domain, int64_t now)
 {
-  const char *name = work_owner_of (work, pool, domain, now);
+  const char *name = work_owner_of (work, pool, domain, NULL, now);
   struct work_owner *owner =
       strcmp (name, work->config.name) == 0 ? NULL : work_owner_get (work, name);
 
@@ -325,7 +334,7 @@
                       uint32_t n,
                       int64_t now)
 {
-  const char *owner = work_owner_of (work, pool, domain, now);
+  const char *owner = work_owner_of (work, pool, domain, NULL, now);
 
   if (strcmp (owner, work->config.name) != 0)
     {
--- a/src/work.h
+++ b/src/work.h
@@ -59,6 +59,15 @@
   char domains[WORK_REFUSED_SHARDS_MAX][ROUTING_NAME_SIZE];
 };
 
+/* Owners that may answer that they do not reach a pool; after these the order fails. */
+#define WORK_UNREACHING_OWNERS_MAX 3
+
+struct work_owner_list
+{
+  uint32_t n;
+  char names[WORK_UNREACHING_OWNERS_MAX][ROUTING_NAME_SIZE];
+};
+
 struct work;
 
 struct work_config
@@ -67,6 +76,7 @@
   struct subscriber *subscriber;
   struct batch *batch; /* runs the orders of the pools that this host owns */
   struct balance *balance;
+  const struct target_reach *reach; /* NULL: all pools are reached */
   struct peer_port *port;
   struct timer_service *timers;
   struct counters *counters;
@@ -99,6 +109,7 @@
   char booked_domain[ROUTING_NAME_SIZE];    /* the shard where it was booked; "" if it was not */
   char booked_owner[ROUTING_NAME_SIZE];     /* the owner of that shard at the time */
   struct work_shard_list refused_shards;    /* shards that could not make it in time */
+  struct work_owner_list unreaching;        /* owners that reach no target of the pool */
   uint64_t result_size;
   char key[DIALECT_ID_SIZE];
   const char *inputs; /* NULL with a key; copied */
--- a/src/work_book.c
+++ b/src/work_book.c
@@ -88,7 +88,7 @@
   work_choose_shard (work, booking->pool, booking->home_domain, &booking->refused_shards,
                      booking->domain, now);
   text_copy_truncated (booking->owner, sizeof booking->owner,
-                       work_owner_of (work, booking->pool, booking->domain, now));
+                       work_owner_of (work, booking->pool, booking->domain, NULL, now));
   if (strcmp (booking->owner, work->config.name) == 0)
     book_locally (work, booking, now);
   else
--- a/src/work_owner.c
+++ b/src/work_owner.c
@@ -53,31 +53,82 @@
   return owner != NULL && now < owner->suspect_until;
 }
 
+static bool
+is_in (const struct work_owner_list *list, const char *name)
+{
+  for (uint32_t i = 0; list != NULL && i < list->n; i++)
+    if (strcmp (list->names[i], name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+has_lost_pool (const struct work *work, const char *name, const char *pool, int64_t now)
+{
+  if (strcmp (name, work->config.name) == 0)
+    return target_reach_is_lost (work->config.reach, pool);
+  return subscriber_has_lost (work->config.subscriber, name, pool, now);
+}
+
+/* A host in another failure domain is used only if there is none in this one, one that does not
+ * reach the pool only if none does. */
+static uint64_t
+rank_owner (struct work *work,
+            const struct sync_host *host,
+            const char *pool,
+            const char *domain,
+            const struct work_owner_list *unreaching,
+            int64_t now)
+{
+  uint64_t rank = owner_score (host->name, pool, domain) >> 2;
+
+  if (strcmp (host->domain, domain) == 0)
+    rank |= UINT64_C (1) << 62;
+  if (!is_in (unreaching, host->name) && !has_lost_pool (work, host->name, pool, now))
+    rank |= UINT64_C (1) << 63;
+  return rank;
+}
+
 const char *
-work_owner_of (struct work *work, const char *pool, const char *domain, int64_t now)
+work_owner_of (struct work *work,
+               const char *pool,
+               const char *domain,
+               const struct work_owner_list *unreaching,
+               int64_t now)
 {
   const struct host_view *view = subscriber_hosts (work->config.subscriber);
   const char *best = work->config.name;
-  uint64_t best_score = 0;
+  uint64_t best_rank = 0;
 
   for (uint32_t i = 0; i < view->n; i++)
     {
       const struct sync_host *host = view->hosts[i];
-      uint64_t score = owner_score (host->name, pool, domain);
-
-      /* A host in another failure domain is used only if there is none in this one. */
-      if (strcmp (host->domain, domain) != 0)
-        score >>= 1;
-      else
-        score |= UINT64_C (1) << 63;
-      if (score < best_score || is_suspect (work, host->name, now))
+      uint64_t rank = rank_owner (work, host, pool, domain, unreaching, now);
+
+      if (rank < best_rank || is_suspect (work, host->name, now))
         continue;
       best = host->name;
-      best_score = score;
+      best_rank = rank;
     }
   return best;
 }
 
+bool
+work_note_unreaching (struct work *work, struct work_order *order, int64_t now)
+{
+  struct work_owner_list *list = &order->unreaching;
+  const char *next;
+
+  if (list->n == WORK_UNREACHING_OWNERS_MAX)
+    return false;
+  text_copy_truncated (list->names[list->n++], ROUTING_NAME_SIZE, order->owner);
+  next = work_owner_of (work, order->pool, order->domain, list, now);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "owner-reaches-no-target", "{s:s,s:i,s:s,s:s,s:s}",
+             "id", order->request, "stage", (int) order->stage, "pool", order->pool, "owner",
+             order->owner, "next", next);
+  return !is_in (list, next);
+}
+
 /* ---- where pieces are made ---- */
 
 static struct work_shard *
--- a/src/work_private.h
+++ b/src/work_private.h
@@ -67,9 +67,18 @@
  * orders; NULL if there is none. */
 struct work_owner *work_owner_get (struct work *work, const char *name);
 
-/* The host with the highest score; if the pool is split, one in the targets' failure domain.  This
- * host if no other is known to be alive. */
-const char *work_owner_of (struct work *work, const char *pool, const char *domain, int64_t now);
+/* The host with the highest score among those that reach the pool, or among all if none does; if
+ * the pool is split, one in the targets' failure domain.  This host if no other is known to be
+ * alive.  `unreaching`: owners that are known not to reach it; NULL for none. */
+const char *work_owner_of (struct work *work,
+                           const char *pool,
+                           const char *domain,
+                           const struct work_owner_list *unreaching,
+                           int64_t now);
+
+/* Records that the order's owner reaches no target of the pool.  Returns false if there is no other
+ * owner to send it to. */
+bool work_note_unreaching (struct work *work, struct work_order *order, int64_t now);
 
 /* Adds `change` to the number of this host's orders at the owner. */
 void work_owner_add_orders (struct work *work, const char *name, int change);
