Bound the lists of hosts that have lost pools in large fleets

Cause, found on reading the change: each report of a host made each controller send the list, names and all, to each host. In a fleet of 191 hosts half of which are cut, that is 95 hosts with five pools within two seconds, some 7 KB a message: worked out to more than the links of entry hosts carry.

The list is an array of hashes of host and pool, 9 bytes each; lists go out 0.25 s apart at least, repeated each 2 s and valid for 5 s. Worked out for that fleet: 4.3 KB a list, 155 KB/s to a host for the first two seconds from nine controllers, then 20 KB/s; not measured.

--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -35,6 +35,7 @@
   struct timer push_timer;
   struct timer reach_timer; /* sends which hosts have lost pools */
   bool reach_reported;      /* hosts had lost pools when that was last sent */
+  int64_t reach_sent_at;    /* 0: never */
   struct registry *registry;
   struct entry_host_record hosts[SYNC_HOSTS_MAX];
   uint32_t n_hosts;
--- a/src/controller_reach.c
+++ b/src/controller_reach.c
@@ -10,9 +10,12 @@
 /* Reports within this time share a message. */
 #define REACH_LIST_DELAY (5 * USEC_PER_MSEC)
 
+/* Least time between two messages: hosts of a large fleet find out one after the other. */
+#define REACH_LIST_GAP (250 * USEC_PER_MSEC)
+
 /* While there are lost pools, the list is sent again at this period: a message may be lost, and an
  * entry host may be new. */
-#define REACH_LIST_PERIOD (1 * USEC_PER_SEC)
+#define REACH_LIST_PERIOD (2 * USEC_PER_SEC)
 
 /* A report counts as long as the lease of its host: the host repeats it with each request. */
 static const struct sync_reach *
@@ -43,20 +46,32 @@
   return n;
 }
 
+static uint32_t
+count_lost (const struct controller *controller, int64_t now)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < controller->n_hosts; i++)
+    {
+      const struct sync_reach *reach = current_reach (&controller->hosts[i], now);
+
+      n += reach == NULL ? 0 : reach->n;
+    }
+  return n;
+}
+
 static void
 write_list (const struct controller *controller, int64_t now, struct bytes *out)
 {
   sync_write_header (SYNC_REACH_LIST, out);
-  pack_array (out, count_unreaching (controller, now));
+  pack_array (out, count_lost (controller, now));
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     {
       const struct entry_host_record *host = &controller->hosts[i];
       const struct sync_reach *reach = current_reach (host, now);
 
-      if (reach == NULL)
-        continue;
-      pack_text (out, host->info.name);
-      sync_write_reach (reach, out);
+      for (uint32_t j = 0; reach != NULL && j < reach->n; j++)
+        pack_uint (out, sync_lost_hash (host->info.name, reach->pools[j]));
     }
 }
 
@@ -74,6 +89,7 @@
   if (n == 0 && !controller->reach_reported)
     return;
   controller->reach_reported = n > 0;
+  controller->reach_sent_at = now;
   bytes_init (&message, NULL);
   write_list (controller, now, &message);
   for (uint32_t i = 0; i < controller->n_hosts && !bytes_has_failed (&message); i++)
@@ -86,6 +102,18 @@
 
 static const struct timer_ops reach_ops = { .fire = reach_fired };
 
+static void
+schedule_list (struct controller *controller, int64_t now)
+{
+  struct timer *timer = &controller->reach_timer;
+  int64_t due = now + REACH_LIST_DELAY;
+
+  if (controller->reach_sent_at != 0 && due < controller->reach_sent_at + REACH_LIST_GAP)
+    due = controller->reach_sent_at + REACH_LIST_GAP;
+  if (!timer_is_armed (timer) || due < timer->due)
+    timer_arm (controller->config.timers, timer, due);
+}
+
 static bool
 is_same (const struct sync_reach *a, const struct sync_reach *b)
 {
@@ -134,7 +162,7 @@
   if (!changed)
     return;
   log_reach (host);
-  timer_arm (controller->config.timers, &controller->reach_timer, now + REACH_LIST_DELAY);
+  schedule_list (controller, now);
 }
 
 void
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -38,7 +38,7 @@
 #define SYNC_CONFIRM_REQUEST_PERIOD (50 * USEC_PER_MSEC)
 
 /* A list of hosts that have lost pools counts for this long.  Controllers repeat it sooner. */
-#define SYNC_REACH_LIST_TTL (2500 * USEC_PER_MSEC)
+#define SYNC_REACH_LIST_TTL (5 * USEC_PER_SEC)
 
 struct subscriber;
 
--- a/src/subscriber_reach.c
+++ b/src/subscriber_reach.c
@@ -3,9 +3,7 @@
 #include "subscriber_private.h"
 #include <jansson.h>
 #include <stdlib.h>
-#include <string.h>
 #include <talloc.h>
-#include <xxhash.h>
 
 /* ---- this host ---- */
 
@@ -37,12 +35,6 @@
 
 /* ---- all hosts ---- */
 
-static uint64_t
-hash_lost (const char *host, const char *pool)
-{
-  return XXH3_64bits_withSeed (host, strlen (host), XXH3_64bits (pool, strlen (pool)));
-}
-
 static int
 compare_hashes (const void *a, const void *b)
 {
@@ -54,25 +46,16 @@
   return *left < *right ? -1 : 1;
 }
 
-/* Reads the list into an array of hashes; NULL if it is malformed or out of memory. */
+/* Reads the list into an array; NULL if it is malformed or out of memory. */
 static uint64_t *
 read_list (struct subscriber *self, struct pack_reader *in, uint32_t *n_lost)
 {
-  uint32_t n = pack_read_array (in, SYNC_HOSTS_MAX);
-  uint64_t *lost = talloc_zero_array (self, uint64_t, n * SYNC_LOST_POOLS_MAX + 1);
+  uint32_t n = pack_read_array (in, SYNC_HOSTS_MAX * SYNC_LOST_POOLS_MAX);
+  uint64_t *lost = talloc_array (self, uint64_t, n + 1);
 
-  *n_lost = 0;
-  for (uint32_t i = 0; i < n && lost != NULL && pack_read_is_ok (in); i++)
-    {
-      char host[ROUTING_NAME_SIZE];
-      struct sync_reach reach = { .n = 0 };
-
-      pack_read_text (in, host, sizeof host);
-      if (!sync_read_reach (in, &reach))
-        break;
-      for (uint32_t j = 0; j < reach.n; j++)
-        lost[(*n_lost)++] = hash_lost (host, reach.pools[j]);
-    }
+  for (uint32_t i = 0; i < n && lost != NULL; i++)
+    lost[i] = pack_read_uint (in, UINT64_MAX);
+  *n_lost = n;
   if (lost != NULL && pack_read_is_complete (in))
     return lost;
   talloc_free (lost);
@@ -114,7 +97,7 @@
       if (controller->n_lost == 0 || now - controller->lost_at > SYNC_REACH_LIST_TTL)
         continue;
       if (hash == 0)
-        hash = hash_lost (host, pool);
+        hash = sync_lost_hash (host, pool);
       if (bsearch (&hash, controller->lost, controller->n_lost, sizeof hash, compare_hashes)
           != NULL)
         return true;
--- a/src/sync.c
+++ b/src/sync.c
@@ -1,5 +1,7 @@
 /* Messages between entry hosts and controllers. */
 #include "sync.h"
+#include <string.h>
+#include <xxhash.h>
 
 #define SYNC_VERSION 1
 
@@ -98,6 +100,12 @@
   return pack_read_is_ok (in);
 }
 
+uint64_t
+sync_lost_hash (const char *host, const char *pool)
+{
+  return XXH3_64bits_withSeed (host, strlen (host), XXH3_64bits (pool, strlen (pool)));
+}
+
 void
 sync_write_state (const struct sync_state *state, struct bytes *out)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -103,6 +103,10 @@
 bool sync_read_unanswered (struct pack_reader *in, uint64_t *nonce);
 void sync_write_reach (const struct sync_reach *reach, struct bytes *out);
 bool sync_read_reach (struct pack_reader *in, struct sync_reach *reach);
+
+/* A host and a pool that it has lost, as lists of them name both: each host gets such a list from
+ * each controller. */
+uint64_t sync_lost_hash (const char *host, const char *pool);
 void sync_write_state (const struct sync_state *state, struct bytes *out);
 bool sync_read_state (struct pack_reader *in, struct sync_state *state);
 void sync_write_host (const struct sync_host *host, struct bytes *out);
