Take back that a refused connection shows nothing while this host may be cut

Cause: while the verdict on a refusal waits for another target to be reached, a request or order that does end its targets goes on to the next one. That is worse for callers than a request that is held until its targets renew.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -238,7 +238,6 @@
 
   struct quarantine_entry_config quarantine = {
     .loop = host->base.loop,
-    .reach = host->reach,
     .subscriber = host->subscriber,
     .port = host->base.port,
     .counters = host->base.counters,
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -242,7 +242,6 @@
     .counters = entry->config.counters,
   };
   struct target_watch_config watch = {
-    .reach = entry->config.reach,
     .loop = entry->config.loop,
     .registry = subscriber_registry (entry->config.subscriber),
     .counters = entry->config.counters,
--- a/src/quarantine_entry.h
+++ b/src/quarantine_entry.h
@@ -10,7 +10,6 @@
 #include "peer.h"
 #include "quarantine_control.h"
 #include "subscriber.h"
-#include "target_reach.h"
 #include "target_watch.h"
 
 BEGIN_DECLS
@@ -23,7 +22,6 @@
 struct quarantine_entry_config
 {
   struct loop *loop;
-  const struct target_reach *reach; /* NULL: this host's path is never cut */
   struct subscriber *subscriber;
   struct peer_port *port;
   struct counters *counters;
--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -350,12 +350,11 @@
 }
 
 bool
-target_reach_may_be_cut (const struct target_reach *reach, const char *pool)
+target_reach_is_in_doubt (const struct target_reach *reach, const char *pool)
 {
   const struct observed_pool *found = reach == NULL ? NULL : find_pool (reach, pool);
 
-  return found != NULL && needs_probes (found)
-         && (found->state.lost || read_targets (reach, pool).n > 1);
+  return found != NULL && needs_probes (found);
 }
 
 uint32_t
--- a/src/target_reach.h
+++ b/src/target_reach.h
@@ -57,10 +57,8 @@
 /* Is the pool lost to this host?  `reach` may be NULL: none is. */
 bool target_reach_is_lost (const struct target_reach *reach, const char *pool);
 
-/* May it be this host's path that is cut, when a target of the pool refuses a connection?  So while
- * calls to the pool failed and no target of it was reached since, if it has others.  `reach` may be
- * NULL: no. */
-bool target_reach_may_be_cut (const struct target_reach *reach, const char *pool);
+/* Has a call to the pool failed since a target of it was last reached?  `reach` may be NULL. */
+bool target_reach_is_in_doubt (const struct target_reach *reach, const char *pool);
 
 /* Stores the names of the lost pools and returns their number.  They stay valid. */
 uint32_t target_reach_list_lost (const struct target_reach *reach,
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -15,14 +15,12 @@
   struct target_watch *watch;
   char id[ROUTING_NAME_SIZE];
   char address[ROUTING_NAME_SIZE];
-  char pool[ROUTING_NAME_SIZE];
   uint64_t started;
   uint64_t incarnation;
   int64_t broke_at;      /* the first break that the target is not known to have outlived */
   int64_t last_broke_at; /* the last break */
   int64_t probed_at;     /* when the last probe began */
   uint32_t breaks;
-  bool inconclusive; /* the last probe was refused while this host's path may have been cut */
   enum target_fate fate;
   struct tcp_stream probe;
   struct timer probe_timer;
@@ -110,8 +108,7 @@
   struct watched *watched = CONTAINER_OF (stream, struct watched, probe);
 
   timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
-  watched->inconclusive = target_reach_may_be_cut (watched->watch->config.reach, watched->pool);
-  if (end == TCP_END_REFUSED && watched->fate == TARGET_FATE_UNKNOWN && !watched->inconclusive)
+  if (end == TCP_END_REFUSED && watched->fate == TARGET_FATE_UNKNOWN)
     set_fate (watched, TARGET_FATE_ENDED, "its address refuses connections", now);
 }
 
@@ -145,12 +142,12 @@
   timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE_TIMEOUT);
 }
 
-/* Probe again if a connection broke after the last probe began, or if that showed nothing. */
+/* Probe again if a connection broke after the last probe began, which shows nothing about it. */
 static void
 probe_again (struct watched *watched, int64_t now)
 {
   if (watched->fate == TARGET_FATE_UNKNOWN && !watched->probe.open
-      && (watched->inconclusive || watched->last_broke_at > watched->probed_at)
+      && watched->last_broke_at > watched->probed_at
       && now >= watched->probed_at + TARGET_WATCH_PERIOD)
     begin_probe (watched, now);
 }
@@ -259,7 +256,6 @@
   watched->watch = watch;
   text_copy_truncated (watched->id, sizeof watched->id, target->id);
   text_copy_truncated (watched->address, sizeof watched->address, target->address);
-  text_copy_truncated (watched->pool, sizeof watched->pool, target->pool);
   watched->started = target->started;
   watched->incarnation = target->id_hash;
   watched->broke_at = now;
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -16,7 +16,6 @@
 #include "decls.h"
 #include "loop.h"
 #include "registry.h"
-#include "target_reach.h"
 
 BEGIN_DECLS
 
@@ -72,7 +71,6 @@
 {
   struct loop *loop;
   struct registry *registry;
-  const struct target_reach *reach; /* NULL: this host's path is never cut */
   struct counters *counters;
   struct target_watch_listener *listener; /* NULL for none */
 };
