Count only renewals of targets that accept no connection for a lost pool

Suspected cause, by reading: a pool whose targets all crash counts as lost when the first replacement registers, since its lease counted as a renewal although nothing had tried to connect to it; then it takes 0.5 s and more to be regained.

--- a/src/pool_reach.h
+++ b/src/pool_reach.h
@@ -44,7 +44,7 @@
 struct pool_reach_targets
 {
   uint32_t n;
-  int64_t renewed_at; /* when the newest lease of one of them began */
+  int64_t renewed_at; /* when the newest lease of one without a connection began; 0: none */
 };
 
 /* A target accepted a connection, acknowledged a request, or answered. */
--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -81,16 +81,17 @@
 }
 
 static struct pool_reach_targets
-read_targets (const struct target_reach *reach, const char *pool)
+read_targets (const struct target_reach *reach, const struct pool_reach *pool)
 {
   struct pool_reach_targets targets = { .n = 0 };
 
   for (const struct balance_target *at = reach->config.balance->targets; at != NULL; at = at->next)
     {
-      if (!at->usable || strcmp (at->pool, pool) != 0)
+      if (!at->usable || strcmp (at->pool, pool->pool) != 0)
         continue;
       targets.n++;
-      if (at->record->last_heard_at > targets.renewed_at)
+      if (pool_reach_is_unreachable (pool, at->id_hash)
+          && at->record->last_heard_at > targets.renewed_at)
         targets.renewed_at = at->record->last_heard_at;
     }
   return targets;
@@ -116,7 +117,7 @@
 static void
 update (struct target_reach *reach, struct pool_reach *pool, int64_t now)
 {
-  struct pool_reach_targets targets = read_targets (reach, pool->pool);
+  struct pool_reach_targets targets = read_targets (reach, pool);
   const char *lost[TARGET_REACH_POOLS_MAX];
 
   if (!pool_reach_update (pool, &targets, now))
