Notice a cut that spares open connections, and use these while they last

Only connections that are made keep a pool from being lost and regain it. A sound pool to which no connection was made for 0.5 s is asked to accept one. While a pool is lost, requests go to targets with an idle connection, as long as answers come over these; without one they are refused at once.

pool-regained logged the age of a renewal that it does not know; -1 now.

--- a/src/batch.c
+++ b/src/batch.c
@@ -169,7 +169,7 @@
 
   if (order == NULL)
     return;
-  if (target_reach_is_lost (pool->batch->reach, pool->name))
+  if (target_reach_is_cut_off (pool->batch->reach, pool->name, now))
     {
       batch_end_order (order, PIECE_UNREACHED, now);
       return;
@@ -312,7 +312,7 @@
       return;
     }
   batch_unbook (batch, order->pool, order->domain, order->request, order->stage);
-  if (target_reach_is_lost (batch->reach, order->pool))
+  if (target_reach_is_cut_off (batch->reach, order->pool, now))
     {
       order->ops->done (order, PIECE_UNREACHED, now);
       talloc_free (order);
--- a/src/batch_admit.c
+++ b/src/batch_admit.c
@@ -145,7 +145,8 @@
   struct batch_booking *booking;
 
   /* The order of a lost pool will be made by another owner. */
-  if (pool == NULL || pool->spec.pieces == 0 || target_reach_is_lost (batch->reach, pool_name))
+  if (pool == NULL || pool->spec.pieces == 0
+      || target_reach_is_cut_off (batch->reach, pool_name, now))
     return true;
   if (batch_reject_if_late (pool, demand, request, stage, now))
     return false;
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -78,7 +78,7 @@
   struct entry_host *host = CONTAINER_OF (listener, struct entry_host, reach_listener);
 
   report_reach (host);
-  if (lost)
+  if (lost && target_reach_is_cut_off (host->reach, pool, now))
     batch_end_lost_orders (host->batch, pool, now);
 }
 
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -462,15 +462,10 @@
     return;
   if (job_has_stages (job))
     job_locate_results (job);
-  if (job_needs_isolation (job, now))
-    job->target = balance_choose_least_running (config->balance, job->pool, &job->prompt,
-                                                job->tried, job->n_tried, now);
-  else
-    job->target =
-        balance_choose (config->balance, job->pool, &job->prompt, job->tried, job->n_tried, now);
+  job->target = job_choose_target (job, now);
   if (job->target == NULL)
     {
-      if (!job_give_up_if_limited (job, now, now))
+      if (!job_give_up_if_lost (job, now) && !job_give_up_if_limited (job, now, now))
         job_give_up (job, FORWARD_NO_TARGET, NO_TARGET_RETRY_AFTER_SEC);
       return;
     }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -311,9 +311,15 @@
 
 /* forward_reach.c */
 
-/* Gives the request up if this host has lost its pool: true, and the job is freed. */
+/* Gives the request up if no request to its pool gets through: true, and the job is freed. */
 bool job_give_up_if_cut_off (struct forward_job *job, int64_t now);
 
+/* The same if this host has lost the pool, when job_choose_target() found no target. */
+bool job_give_up_if_lost (struct forward_job *job, int64_t now);
+
+/* The target of the next run, NULL for none.  Of a lost pool only one with an idle connection. */
+struct balance_target *job_choose_target (struct forward_job *job, int64_t now);
+
 /* forward_limit.c */
 
 /* Gives the request up if the limits that its pool's targets name allow no request by `deadline`:
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -1,21 +1,61 @@
 /* Requests to pools of which this host reaches no target. */
 #include "forward_private.h"
+#include <string.h>
 
 /* Retry-After, in seconds: at once where another host may reach the pool, else when the targets may
  * be reached again. */
 #define OTHER_HOST_RETRY_AFTER_SEC 0.0
 #define NO_HOST_RETRY_AFTER_SEC 1.0
 
+static void
+give_up (struct forward_job *job, int64_t now)
+{
+  bool others_reach = subscriber_others_reach (job->forward->config.subscriber, job->pool, now);
+
+  job_give_up (job, FORWARD_CUT_OFF,
+               others_reach ? OTHER_HOST_RETRY_AFTER_SEC : NO_HOST_RETRY_AFTER_SEC);
+}
+
 bool
 job_give_up_if_cut_off (struct forward_job *job, int64_t now)
 {
   struct forward_config *config = &job->forward->config;
 
-  if (!target_reach_is_lost (config->reach, job->pool))
+  if (!target_reach_is_cut_off (config->reach, job->pool, now))
     return false;
-  job_give_up (job, FORWARD_CUT_OFF,
-               subscriber_others_reach (config->subscriber, job->pool, now)
-                   ? OTHER_HOST_RETRY_AFTER_SEC
-                   : NO_HOST_RETRY_AFTER_SEC);
+  give_up (job, now);
   return true;
 }
+
+bool
+job_give_up_if_lost (struct forward_job *job, int64_t now)
+{
+  if (!target_reach_is_lost (job->forward->config.reach, job->pool))
+    return false;
+  give_up (job, now);
+  return true;
+}
+
+struct balance_target *
+job_choose_target (struct forward_job *job, int64_t now)
+{
+  struct forward_config *config = &job->forward->config;
+  bool isolate = job_needs_isolation (job, now);
+  bool lost = target_reach_is_lost (config->reach, job->pool);
+  struct balance_target *passed[2 * BALANCE_TRIED_MAX];
+  struct balance_target *target;
+  uint32_t n = job->n_tried;
+
+  memcpy (passed, job->tried, sizeof job->tried);
+  for (;;)
+    {
+      target = isolate ? balance_choose_least_running (config->balance, job->pool, &job->prompt,
+                                                       passed, n, now)
+                       : balance_choose (config->balance, job->pool, &job->prompt, passed, n, now);
+      if (!lost || target == NULL || h1_client_has_idle (config->client, target->address))
+        return target;
+      if (n == 2 * BALANCE_TRIED_MAX)
+        return NULL;
+      passed[n++] = target;
+    }
+}
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -87,12 +87,12 @@
 /* NOLINTEND(readability-function-size) */
 
 static void
-report_worked (const struct h1_client_connection *connection, int64_t now)
+report_worked (const struct h1_client_connection *connection, bool connected, int64_t now)
 {
   struct h1_path_listener *paths = connection->client->paths;
 
   if (paths != NULL)
-    paths->ops->worked (paths, connection->endpoint->address, now);
+    paths->ops->worked (paths, connection->endpoint->address, connected, now);
 }
 
 static void
@@ -242,7 +242,7 @@
       return;
     }
   if (!call->answered)
-    report_worked (connection, now);
+    report_worked (connection, false, now);
   while (length > 0)
     {
       call->answered = true;
@@ -290,7 +290,7 @@
   if (client_stream_unacknowledged (&connection->stream) > 0)
     report_failed (connection, false, now);
   else
-    report_worked (connection, now);
+    report_worked (connection, false, now);
 }
 
 static void
@@ -300,7 +300,7 @@
       CONTAINER_OF (stream, struct h1_client_connection, stream);
 
   timer_disarm (loop_timers (connection->client->loop), &connection->timer);
-  report_worked (connection, now);
+  report_worked (connection, true, now);
   if (connection->call == NULL)
     return;
   connection->call->request_sent = true;
@@ -476,6 +476,15 @@
 }
 
 /* uthash: NOLINTBEGIN(readability-function-size) */
+bool
+h1_client_has_idle (const struct h1_client *client, const char *address)
+{
+  const struct h1_endpoint *endpoint;
+
+  HASH_FIND_STR (client->endpoints, address, endpoint);
+  return endpoint != NULL && endpoint->idle != NULL;
+}
+
 void
 h1_client_close_idle (struct h1_client *client, const char *address)
 {
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -68,8 +68,11 @@
 
 struct h1_path_listener_ops
 {
-  /* The address accepted a connection, acknowledged a request, or answered. */
-  void (*worked) (struct h1_path_listener *listener, const char *address, int64_t now);
+  /* The address accepted a connection (`connected`), or it acknowledged or answered a request. */
+  void (*worked) (struct h1_path_listener *listener,
+                  const char *address,
+                  bool connected,
+                  int64_t now);
 
   /* A call failed before its answer, or nothing came back H1_PATH_CHECK_DELAY after its start.
    * `unreachable`: no connection could be made.  May be called twice for a call. */
@@ -108,6 +111,9 @@
  * stop. */
 void h1_call_cancel (struct h1_call *call);
 
+/* Is there an idle connection to the address, so that a call needs no new one? */
+bool h1_client_has_idle (const struct h1_client *client, const char *address);
+
 /* Close the idle connections to the address of a removed target. */
 void h1_client_close_idle (struct h1_client *client, const char *address);
 
--- a/src/pool_reach.c
+++ b/src/pool_reach.c
@@ -2,13 +2,28 @@
 #include "pool_reach.h"
 
 void
-pool_reach_succeeded (struct pool_reach *reach, int64_t now)
+pool_reach_connected (struct pool_reach *reach, int64_t now)
 {
   reach->failing_since = 0;
   reach->n_unreachable = 0;
-  if (reach->regained_since == 0 || now - reach->succeeded_at > POOL_REACH_REGAIN_GAP)
+  if (reach->regained_since == 0 || now - reach->connected_at > POOL_REACH_REGAIN_GAP)
     reach->regained_since = now;
-  reach->succeeded_at = now;
+  reach->connected_at = now;
+}
+
+void
+pool_reach_answered (struct pool_reach *reach, int64_t now)
+{
+  reach->answered_at = now;
+}
+
+bool
+pool_reach_is_cut_off (const struct pool_reach *reach, int64_t now)
+{
+  bool answers = reach->answered_at > reach->failing_since
+                 && now - reach->answered_at <= POOL_REACH_ANSWER_TTL;
+
+  return reach->lost && !answers;
 }
 
 bool
@@ -54,7 +69,7 @@
 is_regained (const struct pool_reach *reach)
 {
   return reach->regained_since != 0
-         && reach->succeeded_at - reach->regained_since >= POOL_REACH_REGAIN_TIME;
+         && reach->connected_at - reach->regained_since >= POOL_REACH_REGAIN_TIME;
 }
 
 bool
--- a/src/pool_reach.h
+++ b/src/pool_reach.h
@@ -1,8 +1,11 @@
 /* Whether this host can reach the targets of a pool.
  *
  * One target that accepts no connection may be down or busy.  A pool counts as lost when several of
- * its targets accept none, no other was reached meanwhile, and targets of the pool went on renewing
- * their leases: then it is this host's path that is cut, and other hosts may reach them.
+ * its targets accept none, no other accepted one meanwhile, and targets of the pool went on
+ * renewing their leases: then it is this host's path that is cut, and other hosts may reach them.
+ *
+ * Connections that are open may live on while no new one can be made.  They end one after the
+ * other, so they do not keep a pool from being lost, but they serve requests as long as they do.
  *
  * No I/O and no clock: the time is an argument. */
 #ifndef POOL_REACH_H
@@ -29,13 +32,17 @@
 #define POOL_REACH_REGAIN_TIME (500 * USEC_PER_MSEC)
 #define POOL_REACH_REGAIN_GAP (1 * USEC_PER_SEC)
 
+/* Open connections count as working this long after the last answer over one of them. */
+#define POOL_REACH_ANSWER_TTL (1 * USEC_PER_SEC)
+
 struct pool_reach
 {
   char pool[ROUTING_NAME_SIZE];
   bool lost;
-  int64_t failing_since;  /* first failure after the last success; 0: none */
-  int64_t regained_since; /* first of the latest successes of a lost pool; 0: none */
-  int64_t succeeded_at;   /* the last one */
+  int64_t failing_since;  /* first failure after the last connection made; 0: none */
+  int64_t regained_since; /* first of the latest connections made to a lost pool; 0: none */
+  int64_t connected_at;   /* the last one */
+  int64_t answered_at;    /* last answer or acknowledgement over an open connection */
   uint64_t unreachable[POOL_REACH_TARGETS]; /* targets without a connection since `failing_since` */
   uint32_t n_unreachable;
 };
@@ -47,8 +54,11 @@
   int64_t renewed_at; /* when the newest lease of one without a connection began; 0: none */
 };
 
-/* A target accepted a connection, acknowledged a request, or answered. */
-void pool_reach_succeeded (struct pool_reach *reach, int64_t now);
+/* A target accepted a connection. */
+void pool_reach_connected (struct pool_reach *reach, int64_t now);
+
+/* A target answered or acknowledged a request. */
+void pool_reach_answered (struct pool_reach *reach, int64_t now);
 
 /* A call to a target failed, or a request is not acknowledged.  `unreachable`: no connection to it
  * could be made. */
@@ -57,6 +67,9 @@
 /* Is the target among those without a connection? */
 bool pool_reach_is_unreachable (const struct pool_reach *reach, uint64_t target);
 
+/* Does no request get through, not even over an open connection? */
+bool pool_reach_is_cut_off (const struct pool_reach *reach, int64_t now);
+
 /* Forget what was observed while this process did not run. */
 void pool_reach_restart (struct pool_reach *reach);
 
--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -37,7 +37,6 @@
   uint32_t n_pools;
   struct probe probes[TARGET_REACH_PROBES_MAX];
   struct timer tick;
-  int64_t ticked_at; /* 0 while the timer is not armed */
   struct counter *n_probed;
   struct counter *n_lost;
 };
@@ -71,6 +70,23 @@
   return pool->state.lost || pool->state.failing_since != 0;
 }
 
+/* Adds the pools of usable targets that no call has failed to yet. */
+static void
+find_pools (struct target_reach *reach)
+{
+  for (const struct balance_target *at = reach->config.balance->targets; at != NULL; at = at->next)
+    if (at->usable)
+      (void) get_pool (reach, at->pool);
+}
+
+static int64_t
+probe_period (const struct observed_pool *pool)
+{
+  if (pool->state.lost)
+    return TARGET_REACH_LOST_PERIOD;
+  return pool->state.failing_since != 0 ? TARGET_REACH_PERIOD : TARGET_REACH_SOUND_PERIOD;
+}
+
 static const struct balance_target *
 find_target (const struct target_reach *reach, const char *address)
 {
@@ -105,11 +121,12 @@
 {
   int64_t since = pool->failing_since == 0 ? now : pool->failing_since;
 
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, pool->lost ? "pool-lost" : "pool-regained",
-             "{s:s,s:i,s:i,s:I,s:I}", "pool", pool->pool, "targets", (int) targets->n,
-             "unreachable", (int) pool->n_unreachable, "failing_ms",
-             (json_int_t) ((now - since) / USEC_PER_MSEC), "renewed_ms",
-             (json_int_t) ((now - targets->renewed_at) / USEC_PER_MSEC));
+  log_event (
+      LOG_MODULE_FLOW, LOG_LEVEL_WARNING, pool->lost ? "pool-lost" : "pool-regained",
+      "{s:s,s:i,s:i,s:I,s:I}", "pool", pool->pool, "targets", (int) targets->n, "unreachable",
+      (int) pool->n_unreachable, "failing_ms", (json_int_t) ((now - since) / USEC_PER_MSEC),
+      "renewed_ms",
+      (json_int_t) (targets->renewed_at == 0 ? -1 : (now - targets->renewed_at) / USEC_PER_MSEC));
   if (reach->config.listener != NULL)
     reach->config.listener->ops->changed (reach->config.listener, pool->pool, pool->lost, now);
 }
@@ -144,7 +161,7 @@
   struct pool_reach *pool = probe->pool;
 
   end_probe (probe);
-  pool_reach_succeeded (pool, now);
+  pool_reach_connected (pool, now);
   update (probe->reach, pool, now);
 }
 
@@ -237,7 +254,7 @@
   struct probe *probe = target == NULL ? NULL : find_free_probe (reach);
   struct loop *loop = reach->config.loop;
 
-  pool->next_probe = now + (pool->state.lost ? TARGET_REACH_LOST_PERIOD : TARGET_REACH_PERIOD);
+  pool->next_probe = now + probe_period (pool);
   if (probe == NULL)
     return;
   pool->n_probes++;
@@ -266,30 +283,36 @@
     pool_reach_restart (&reach->pools[i].state);
 }
 
+static int64_t
+next_probe_at (const struct observed_pool *pool)
+{
+  int64_t sound_until = pool->state.connected_at + TARGET_REACH_SOUND_PERIOD;
+
+  if (!needs_probes (pool) && sound_until > pool->next_probe)
+    return sound_until;
+  return pool->next_probe;
+}
+
 static void
 tick_fired (struct timer *timer, int64_t now)
 {
   struct target_reach *reach = CONTAINER_OF (timer, struct target_reach, tick);
   bool any = false;
 
-  if (now - reach->ticked_at > TICK_LATE_MAX)
+  if (now - timer->due > TICK_LATE_MAX)
     restart (reach);
-  reach->ticked_at = 0;
+  find_pools (reach);
   for (uint32_t i = 0; i < reach->n_pools; i++)
     {
       struct observed_pool *pool = &reach->pools[i];
 
-      if (!needs_probes (pool))
-        continue;
-      any = true;
+      any = any || needs_probes (pool);
       update (reach, &pool->state, now);
-      if (now >= pool->next_probe)
+      if (now >= next_probe_at (pool))
         begin_probe (reach, pool, now);
     }
-  if (!any)
-    return;
-  reach->ticked_at = now;
-  timer_arm (loop_timers (reach->config.loop), timer, now + TARGET_REACH_PERIOD);
+  timer_arm (loop_timers (reach->config.loop), timer,
+             now + (any ? TARGET_REACH_PERIOD : TARGET_REACH_SOUND_PERIOD));
 }
 
 static const struct timer_ops tick_ops = { .fire = tick_fired };
@@ -297,7 +320,7 @@
 /* ---- calls ---- */
 
 static void
-path_worked (struct h1_path_listener *listener, const char *address, int64_t now)
+path_worked (struct h1_path_listener *listener, const char *address, bool connected, int64_t now)
 {
   struct target_reach *reach = CONTAINER_OF (listener, struct target_reach, paths);
   const struct balance_target *target = find_target (reach, address);
@@ -305,11 +328,14 @@
 
   if (pool == NULL)
     return;
-  pool_reach_succeeded (&pool->state, now);
+  if (connected)
+    pool_reach_connected (&pool->state, now);
+  else
+    pool_reach_answered (&pool->state, now);
   update (reach, &pool->state, now);
 }
 
-/* The first probe waits for a period, as a call to another target may succeed before. */
+/* The first probe waits for a period, as a call may connect to another target before. */
 static void
 path_failed (struct h1_path_listener *listener, const char *address, bool unreachable, int64_t now)
 {
@@ -323,10 +349,8 @@
     pool->next_probe = now + TARGET_REACH_PERIOD;
   pool_reach_failed (&pool->state, target->id_hash, unreachable, now);
   update (reach, &pool->state, now);
-  if (timer_is_armed (&reach->tick))
-    return;
-  reach->ticked_at = now;
-  timer_arm (loop_timers (reach->config.loop), &reach->tick, now + TARGET_REACH_PERIOD);
+  if (reach->tick.due > now + TARGET_REACH_PERIOD)
+    timer_arm (loop_timers (reach->config.loop), &reach->tick, now + TARGET_REACH_PERIOD);
 }
 
 static const struct h1_path_listener_ops path_ops = {
@@ -350,6 +374,14 @@
   return found != NULL && found->state.lost;
 }
 
+bool
+target_reach_is_cut_off (const struct target_reach *reach, const char *pool, int64_t now)
+{
+  const struct observed_pool *found = reach == NULL ? NULL : find_pool (reach, pool);
+
+  return found != NULL && pool_reach_is_cut_off (&found->state, now);
+}
+
 bool
 target_reach_is_in_doubt (const struct target_reach *reach, const char *pool)
 {
@@ -400,6 +432,8 @@
                                  "Targets asked to accept a connection, as calls failed.", NULL);
   reach->n_lost = gauge_get (config->counters, "cherryarch_reach_lost_pools",
                              "Pools of which this host reaches no target.", NULL);
+  timer_arm (loop_timers (config->loop), &reach->tick,
+             loop_now (config->loop) + TARGET_REACH_SOUND_PERIOD);
   talloc_set_destructor (reach, free_reach);
   return reach;
 }
--- a/src/target_reach.h
+++ b/src/target_reach.h
@@ -1,7 +1,8 @@
 /* Observes which pools this host reaches, from the calls to their targets and from probes.
  *
- * A pool is probed while a failure is unexplained and while it is lost: a target is only asked to
- * accept a connection.  Calls that succeed make probes unnecessary. */
+ * A pool is probed while a failure is unexplained, while it is lost, and now and then while calls
+ * make no new connection to it, as a cut may spare the open ones: a target is only asked to accept a
+ * connection. */
 #ifndef TARGET_REACH_H
 #define TARGET_REACH_H
 
@@ -21,6 +22,9 @@
 #define TARGET_REACH_PERIOD (100 * USEC_PER_MSEC)
 #define TARGET_REACH_LOST_PERIOD (200 * USEC_PER_MSEC)
 
+/* A sound pool is probed when no connection to it was made for this long. */
+#define TARGET_REACH_SOUND_PERIOD (500 * USEC_PER_MSEC)
+
 #define TARGET_REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
 #define TARGET_REACH_PROBES_MAX 32
 
@@ -54,9 +58,13 @@
 /* To be set in the configuration of the client that makes the calls to targets. */
 struct h1_path_listener *target_reach_path_listener (struct target_reach *reach);
 
-/* Is the pool lost to this host?  `reach` may be NULL: none is. */
+/* Is the pool lost to this host?  Then other hosts are to be asked first.  `reach` may be NULL:
+ * none is. */
 bool target_reach_is_lost (const struct target_reach *reach, const char *pool);
 
+/* Is it lost, and does no open connection work either?  `reach` may be NULL: no. */
+bool target_reach_is_cut_off (const struct target_reach *reach, const char *pool, int64_t now);
+
 /* Has a call to the pool failed since a target of it was last reached?  `reach` may be NULL. */
 bool target_reach_is_in_doubt (const struct target_reach *reach, const char *pool);
 
--- a/tests/unit_pool_reach.cc
+++ b/tests/unit_pool_reach.cc
@@ -61,10 +61,10 @@
   EXPECT_TRUE (is_lost (1, 400 * MSEC, 1500 * MSEC));
 }
 
-TEST_F (PoolReachTest, IsNotLostAfterASuccess)
+TEST_F (PoolReachTest, IsNotLostAfterAConnection)
 {
   fail (1, 2, 0);
-  pool_reach_succeeded (&reach, start + 100 * MSEC);
+  pool_reach_connected (&reach, start + 100 * MSEC);
   fail (3, 3, 200 * MSEC);
   EXPECT_FALSE (is_lost (3, 400 * MSEC, 2000 * MSEC));
 }
@@ -76,15 +76,34 @@
   EXPECT_FALSE (is_lost (3, 400 * MSEC, 2000 * MSEC));
 }
 
+// Guards against requests refused although open connections live on while no new one can be made.
+TEST_F (PoolReachTest, IsLostButNotCutOffWhileOpenConnectionsAnswer)
+{
+  fail (1, 3, 0);
+  pool_reach_answered (&reach, start + 400 * MSEC);
+  ASSERT_TRUE (is_lost (3, 400 * MSEC, 500 * MSEC));
+  EXPECT_FALSE (pool_reach_is_cut_off (&reach, start + 1400 * MSEC));
+  EXPECT_TRUE (pool_reach_is_cut_off (&reach, start + 1401 * MSEC));
+}
+
+// Guards against requests sent over open connections that went silent.
+TEST_F (PoolReachTest, IsCutOffWhenTheLastAnswerCameBeforeTheFailures)
+{
+  pool_reach_answered (&reach, start - 1);
+  fail (1, 3, 0);
+  ASSERT_TRUE (is_lost (3, 400 * MSEC, 500 * MSEC));
+  EXPECT_TRUE (pool_reach_is_cut_off (&reach, start + 500 * MSEC));
+}
+
 // Guards against a list of hosts that changes with each packet that gets through.
-TEST_F (PoolReachTest, IsRegainedOnlyBySuccessesOverSomeTime)
+TEST_F (PoolReachTest, IsRegainedOnlyByConnectionsOverSomeTime)
 {
   fail (1, 3, 0);
   ASSERT_TRUE (is_lost (3, 400 * MSEC, 1000 * MSEC));
-  pool_reach_succeeded (&reach, start + 1100 * MSEC);
-  pool_reach_succeeded (&reach, start + 2200 * MSEC);
+  pool_reach_connected (&reach, start + 1100 * MSEC);
+  pool_reach_connected (&reach, start + 2200 * MSEC);
   EXPECT_TRUE (is_lost (3, 400 * MSEC, 2699 * MSEC));
-  pool_reach_succeeded (&reach, start + 2700 * MSEC);
+  pool_reach_connected (&reach, start + 2700 * MSEC);
   EXPECT_FALSE (is_lost (3, 400 * MSEC, 2700 * MSEC));
 }
 
@@ -93,9 +112,9 @@
 {
   fail (1, 3, 0);
   ASSERT_TRUE (is_lost (3, 400 * MSEC, 1000 * MSEC));
-  pool_reach_succeeded (&reach, start + 1100 * MSEC);
+  pool_reach_connected (&reach, start + 1100 * MSEC);
   fail (2, 2, 1300 * MSEC);
-  pool_reach_succeeded (&reach, start + 1600 * MSEC);
+  pool_reach_connected (&reach, start + 1600 * MSEC);
   EXPECT_FALSE (is_lost (3, 400 * MSEC, 1600 * MSEC));
 }
 
