Take a refused connection for a target's end only if another target is reached

Cause: a refused connection was taken for the end of the target, although all targets refused this host.

With each probe of a target whose connection broke another target is asked to accept a connection: one of the same pool before others, none that is known to have ended. The control is asked in the same moment, so the verdict on a real end waits for one round trip.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -238,6 +238,7 @@
 
   struct quarantine_entry_config quarantine = {
     .loop = host->base.loop,
+    .balance = &host->balance,
     .subscriber = host->subscriber,
     .port = host->base.port,
     .counters = host->base.counters,
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -244,6 +244,7 @@
   struct target_watch_config watch = {
     .loop = entry->config.loop,
     .registry = subscriber_registry (entry->config.subscriber),
+    .balance = entry->config.balance,
     .counters = entry->config.counters,
     .listener = &entry->fate_listener,
   };
--- a/src/quarantine_entry.h
+++ b/src/quarantine_entry.h
@@ -22,6 +22,7 @@
 struct quarantine_entry_config
 {
   struct loop *loop;
+  const struct balance *balance; /* the targets */
   struct subscriber *subscriber;
   struct peer_port *port;
   struct counters *counters;
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -15,6 +15,7 @@
   struct target_watch *watch;
   char id[ROUTING_NAME_SIZE];
   char address[ROUTING_NAME_SIZE];
+  char pool[ROUTING_NAME_SIZE];
   uint64_t started;
   uint64_t incarnation;
   int64_t broke_at;      /* the first break that the target is not known to have outlived */
@@ -22,7 +23,11 @@
   int64_t probed_at;     /* when the last probe began */
   uint32_t breaks;
   enum target_fate fate;
+  bool refused;    /* the address refused the last probe */
+  bool path_works; /* another target accepted a connection since that probe began */
+  uint32_t n_controls;
   struct tcp_stream probe;
+  struct tcp_stream control; /* to another target */
   struct timer probe_timer;
   struct watched *prev;
   struct watched *next;
@@ -50,6 +55,17 @@
   return fate_texts[fate];
 }
 
+static struct watched *
+find (const struct target_watch *watch, uint64_t incarnation)
+{
+  struct watched *watched;
+
+  DL_FOREACH (watch->watched, watched)
+    if (watched->incarnation == incarnation)
+      return watched;
+  return NULL;
+}
+
 /* Report the fate at the breaks up to `until`. */
 static void
 report_fate (
@@ -85,6 +101,20 @@
     tcp_close (&watched->probe, true);
 }
 
+static void
+end_control (struct watched *watched)
+{
+  if (watched->control.open)
+    tcp_close (&watched->control, true);
+}
+
+static void
+conclude (struct watched *watched, int64_t now)
+{
+  if (watched->fate == TARGET_FATE_UNKNOWN && watched->refused && watched->path_works)
+    set_fate (watched, TARGET_FATE_ENDED, "its address refuses connections", now);
+}
+
 /* The address accepts connections: this incarnation listens there, or already the next one. */
 static void
 probe_connected (struct tcp_stream *stream, int64_t now)
@@ -108,8 +138,8 @@
   struct watched *watched = CONTAINER_OF (stream, struct watched, probe);
 
   timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
-  if (end == TCP_END_REFUSED && watched->fate == TARGET_FATE_UNKNOWN)
-    set_fate (watched, TARGET_FATE_ENDED, "its address refuses connections", now);
+  watched->refused = end == TCP_END_REFUSED;
+  conclude (watched, now);
 }
 
 static const struct tcp_stream_ops probe_ops = {
@@ -127,12 +157,93 @@
 
 static const struct timer_ops probe_timer_ops = { .fire = probe_fired };
 
+static void
+control_connected (struct tcp_stream *stream, int64_t now)
+{
+  struct watched *watched = CONTAINER_OF (stream, struct watched, control);
+
+  end_control (watched);
+  watched->path_works = true;
+  conclude (watched, now);
+}
+
+static void
+control_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
+{
+  (void) stream;
+  (void) end;
+  (void) now;
+}
+
+static const struct tcp_stream_ops control_ops = {
+  .connected = control_connected,
+  .received = probe_received,
+  .ended = control_ended,
+};
+
+/* Order in which another target is tried as a control, lowest first; UINT64_MAX: not at all.
+ * Targets of the same pool come first, of these the ones whose connections did not break. */
+static uint64_t
+rank_control (const struct watched *watched, const struct balance_target *target)
+{
+  const struct watched *other = find (watched->watch, target->id_hash);
+  uint64_t rank = (target->id_hash ^ ((uint64_t) watched->n_controls << 48)) >> 3;
+
+  if (!target->usable || target->id_hash == watched->incarnation
+      || (other != NULL && other->fate == TARGET_FATE_ENDED))
+    return UINT64_MAX;
+  if (strcmp (target->pool, watched->pool) != 0)
+    rank |= UINT64_C (1) << 62;
+  if (other != NULL && other->fate == TARGET_FATE_UNKNOWN)
+    rank |= UINT64_C (1) << 61;
+  return rank;
+}
+
+static const struct balance_target *
+choose_control (const struct watched *watched)
+{
+  const struct balance *balance = watched->watch->config.balance;
+  const struct balance_target *at = balance == NULL ? NULL : balance->targets;
+  const struct balance_target *chosen = NULL;
+  uint64_t least = UINT64_MAX;
+
+  for (; at != NULL; at = at->next)
+    {
+      uint64_t rank = rank_control (watched, at);
+
+      if (rank >= least)
+        continue;
+      chosen = at;
+      least = rank;
+    }
+  return chosen;
+}
+
+/* Without another target to compare with, a refusal counts by itself. */
+static void
+begin_control (struct watched *watched)
+{
+  const struct balance_target *control = choose_control (watched);
+
+  end_control (watched);
+  watched->n_controls++;
+  watched->path_works = control == NULL;
+  if (control != NULL
+      && tcp_connect (&watched->control, &control_ops, watched->watch->config.loop,
+                      control->address)
+             != STATUS_OK)
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
+               control->address, "message", status_message ());
+}
+
 static void
 begin_probe (struct watched *watched, int64_t now)
 {
   struct loop *loop = watched->watch->config.loop;
 
   watched->probed_at = now;
+  watched->refused = false;
+  begin_control (watched);
   if (tcp_connect (&watched->probe, &probe_ops, loop, watched->address) != STATUS_OK)
     {
       log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
@@ -142,12 +253,13 @@
   timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE_TIMEOUT);
 }
 
-/* Probe again if a connection broke after the last probe began, which shows nothing about it. */
+/* Probe again if a connection broke after the last probe began, which shows nothing about it, or if
+ * that probe was refused and the control was not accepted either. */
 static void
 probe_again (struct watched *watched, int64_t now)
 {
   if (watched->fate == TARGET_FATE_UNKNOWN && !watched->probe.open
-      && watched->last_broke_at > watched->probed_at
+      && (watched->refused || watched->last_broke_at > watched->probed_at)
       && now >= watched->probed_at + TARGET_WATCH_PERIOD)
     begin_probe (watched, now);
 }
@@ -194,6 +306,7 @@
   struct target_watch *watch = watched->watch;
 
   end_probe (watched);
+  end_control (watched);
   DL_DELETE (watch->watched, watched);
   watch->n--;
   talloc_free (watched);
@@ -224,17 +337,6 @@
 
 /* ---- breaks ---- */
 
-static struct watched *
-find (const struct target_watch *watch, uint64_t incarnation)
-{
-  struct watched *watched;
-
-  DL_FOREACH (watch->watched, watched)
-    if (watched->incarnation == incarnation)
-      return watched;
-  return NULL;
-}
-
 enum target_fate
 target_watch_fate (const struct target_watch *watch, uint64_t incarnation)
 {
@@ -256,6 +358,7 @@
   watched->watch = watch;
   text_copy_truncated (watched->id, sizeof watched->id, target->id);
   text_copy_truncated (watched->address, sizeof watched->address, target->address);
+  text_copy_truncated (watched->pool, sizeof watched->pool, target->pool);
   watched->started = target->started;
   watched->incarnation = target->id_hash;
   watched->broke_at = now;
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -5,6 +5,9 @@
  * has restarted as another incarnation, or if its lease has expired; it lives if the same
  * incarnation renews after the break.
  *
+ * A refusal counts only if another target accepts a connection at the same time: otherwise this
+ * host may be cut from all targets.
+ *
  * Load pattern: breaks are rare and come in bursts, all of one target at one moment; so there is
  * one watch per incarnation, and at most one probe per period, however many of its connections
  * broke. */
@@ -71,6 +74,7 @@
 {
   struct loop *loop;
   struct registry *registry;
+  const struct balance *balance; /* the other targets; NULL for none */
   struct counters *counters;
   struct target_watch_listener *listener; /* NULL for none */
 };
--- a/tests/unit_target_watch.cc
+++ b/tests/unit_target_watch.cc
@@ -351,4 +351,33 @@
   EXPECT_FALSE (request_digest_parse ("zz", &read));
 }
 
+// Guards against requests that are held as if they had ended targets, while this host is cut from
+// all targets.
+TEST_F (TargetWatch, ARefusalCountsOnceAnotherTargetIsReached)
+{
+  struct balance_target other = {};
+  struct balance balance = {};
+  struct target_watch_config config = {};
+  const int64_t start = loop_now (loop);
+
+  balance.targets = &other;
+  config.loop = loop;
+  config.registry = registry;
+  config.balance = &balance;
+  config.counters = counters_new (parent);
+  config.listener = &heard.base;
+  watch = target_watch_new (parent, &config);
+  other.usable = true;
+  snprintf (other.address, sizeof other.address, "127.0.0.2:1");
+  target_watch_connection_broke (watch, target ("t1", "127.0.0.1:1", 1, now), now);
+  run_until (loop, [&] { return loop_now (loop) > start + 3 * TARGET_WATCH_PERIOD; });
+  EXPECT_EQ (last (), TARGET_FATE_UNKNOWN);
+
+  listening reached (loop);
+
+  snprintf (other.address, sizeof other.address, "%s", reached.address ().c_str ());
+  EXPECT_TRUE (run_until (loop, [&] { return !heard.fates.empty (); }));
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
 }
