--- a/src/target_reach.h
+++ b/src/target_reach.h
@@ -1,8 +1,8 @@
 /* Observes which pools this host reaches, from the calls to their targets and from probes.
  *
  * A pool is probed while a failure is unexplained, while it is lost, and now and then while calls
- * make no new connection to it, as a cut may spare the open ones: a target is only asked to accept a
- * connection. */
+ * make no new connection to it, as a cut may spare the open ones: a target is only asked to accept
+ * a connection. */
 #ifndef TARGET_REACH_H
 #define TARGET_REACH_H
 
