Spread the probes of sound pools over their targets

Cause, found on reading the change: the order in which targets are probed mixed the number of the probe into the low bits of a hash that the high bits decide, and was the same on all hosts. The control beside a refused connection was chosen likewise.

The order is a hash seeded with the number of the probe and a random number of the host, or the incarnation that is watched. The control's search skips targets that rank behind the best so far before it looks for their breaks.

--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include <string.h>
 #include <talloc.h>
+#include <xxhash.h>
 
 /* A tick that is later than this shows that the process did not run, and time-outs that passed
  * meanwhile show nothing. */
@@ -36,6 +37,7 @@
   struct observed_pool pools[TARGET_REACH_POOLS_MAX];
   uint32_t n_pools;
   struct probe probes[TARGET_REACH_PROBES_MAX];
+  uint64_t seed; /* of the order in which targets are probed, another one on each host */
   struct timer tick;
   struct counter *n_probed;
   struct counter *n_lost;
@@ -223,7 +225,8 @@
   return false;
 }
 
-/* Targets in an order that changes with each probe, those known to be unreachable last. */
+/* Targets in an order that changes with each probe and differs between hosts, so that these do not
+ * all probe the same one; targets known to be unreachable last. */
 static const struct balance_target *
 choose_target (const struct target_reach *reach, const struct observed_pool *pool)
 {
@@ -232,7 +235,9 @@
 
   for (const struct balance_target *at = reach->config.balance->targets; at != NULL; at = at->next)
     {
-      uint64_t order = (at->id_hash ^ ((uint64_t) pool->n_probes << 48)) >> 1;
+      uint64_t order =
+          XXH3_64bits_withSeed (&at->id_hash, sizeof at->id_hash, reach->seed + pool->n_probes)
+          >> 1;
 
       if (!at->usable || strcmp (at->pool, pool->state.pool) != 0
           || is_being_probed (reach, at->id_hash))
@@ -421,6 +426,7 @@
   if (reach == NULL)
     return NULL;
   reach->config = *config;
+  reach->seed = rng_u64 (&config->balance->rng);
   reach->paths.ops = &path_ops;
   reach->tick.ops = &tick_ops;
   for (uint32_t i = 0; i < TARGET_REACH_PROBES_MAX; i++)
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <talloc.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 /* A watched incarnation. */
 struct watched
@@ -181,19 +182,23 @@
   .ended = control_ended,
 };
 
-/* Order in which another target is tried as a control, lowest first; UINT64_MAX: not at all.
- * Targets of the same pool come first, of these the ones whose connections did not break. */
+/* Order in which another target is tried as a control, lowest first; another one for each control.
+ * Targets of the same pool come first, of these the ones whose connections did not break.
+ * UINT64_MAX: not at all, or not before `worst`. */
 static uint64_t
-rank_control (const struct watched *watched, const struct balance_target *target)
+rank_control (const struct watched *watched, const struct balance_target *target, uint64_t worst)
 {
-  const struct watched *other = find (watched->watch, target->id_hash);
-  uint64_t rank = (target->id_hash ^ ((uint64_t) watched->n_controls << 48)) >> 3;
+  uint64_t seed = watched->incarnation + watched->n_controls;
+  uint64_t rank = XXH3_64bits_withSeed (&target->id_hash, sizeof target->id_hash, seed) >> 3;
+  const struct watched *other;
 
-  if (!target->usable || target->id_hash == watched->incarnation
-      || (other != NULL && other->fate == TARGET_FATE_ENDED))
-    return UINT64_MAX;
   if (strcmp (target->pool, watched->pool) != 0)
     rank |= UINT64_C (1) << 62;
+  if (!target->usable || target->id_hash == watched->incarnation || rank >= worst)
+    return UINT64_MAX;
+  other = find (watched->watch, target->id_hash);
+  if (other != NULL && other->fate == TARGET_FATE_ENDED)
+    return UINT64_MAX;
   if (other != NULL && other->fate == TARGET_FATE_UNKNOWN)
     rank |= UINT64_C (1) << 61;
   return rank;
@@ -209,7 +214,7 @@
 
   for (; at != NULL; at = at->next)
     {
-      uint64_t rank = rank_control (watched, at);
+      uint64_t rank = rank_control (watched, at, least);
 
       if (rank >= least)
         continue;
