Carry the version of targets to entry hosts and log it

No line named the version of a target's software, nor whether a request takes up a stream and which, so a stream that changed its version could not be told from others, nor one that changed within an answer from one that a caller took up.

The version is read from registrations and kept with the target. Records of targets have a fixed length that hosts of earlier releases check, so versions go in messages of their own: an entry host asks for those of the targets that a state lists, and again with each request for those that it does not know.

No decision uses them yet.

--- a/src/controller.c
+++ b/src/controller.c
@@ -379,6 +379,8 @@
     handle_unanswered (controller, &in, from, now);
   else if (type == SYNC_REACH)
     controller_handle_reach (controller, &in, from, now);
+  else if (type == SYNC_VERSION_REQUEST)
+    controller_handle_version_request (controller, &in, from);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -79,6 +79,11 @@
                                    const char *from,
                                    int64_t now);
 
+/* Message of an entry host: sends it the versions that it needs. */
+void controller_handle_version_request (struct controller *controller,
+                                        struct pack_reader *in,
+                                        const char *from);
+
 /* ---- controller_reach.c: entry hosts that have lost pools ---- */
 
 void controller_init_reach (struct controller *controller);
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -11,11 +11,12 @@
 {
   const struct registry_registration *word = &target->registration;
 
-  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:s}",
-             "id", word->id, "started", (json_int_t) word->started_unix_ms, "pool", word->pool,
-             "address", word->address, "state", registry_state_text (word->state), "sequence",
-             (json_int_t) word->sequence, "age_ms",
-             (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "by", by);
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target",
+             "{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:s,s:s?}", "id", word->id, "started",
+             (json_int_t) word->started_unix_ms, "pool", word->pool, "address", word->address,
+             "state", registry_state_text (word->state), "sequence", (json_int_t) word->sequence,
+             "age_ms", (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "by", by,
+             "version", registry_target_version (target));
 }
 
 static struct registry_target *
@@ -211,6 +212,47 @@
   bytes_clear (&out);
 }
 
+static void
+write_version (const struct registry_target *target, struct bytes *out)
+{
+  if (target != NULL && target->registration.version_known)
+    registry_write_version (target, out);
+}
+
+void
+controller_handle_version_request (struct controller *controller,
+                                   struct pack_reader *in,
+                                   const char *from)
+{
+  const struct registry *registry = controller->registry;
+  struct sync_version_request request;
+  struct bytes out;
+  uint32_t n = 0;
+
+  if (!sync_read_version_request (in, &request))
+    {
+      counter_add (controller->malformed, 1);
+      return;
+    }
+  for (uint32_t i = 0; i < request.n; i++)
+    {
+      const struct registry_target *target = registry_find_by_hash (registry, request.id_hashes[i]);
+
+      n += target != NULL && target->registration.version_known ? 1 : 0;
+    }
+  if (n == 0)
+    return;
+  bytes_init (&out, NULL);
+  sync_write_header (SYNC_VERSIONS, &out);
+  pack_array (&out, n);
+  for (uint32_t i = 0; i < request.n; i++)
+    write_version (registry_find_by_hash (registry, request.id_hashes[i]), &out);
+  if (!bytes_has_failed (&out))
+    controller->config.port->ops->send (controller->config.port, from, PEER_CHANNEL_SYNC, out.data,
+                                        out.length);
+  bytes_clear (&out);
+}
+
 /* Records an acknowledgement; true when the host had acknowledged already, as messages may be
  * duplicated. */
 static bool
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -44,6 +44,7 @@
   uint32_t pieces[ROUTING_STAGES_MAX]; /* of each stage; 0 skips the stage */
   char piece_key[DIALECT_ID_SIZE];
   char last_event[DIALECT_ID_SIZE]; /* the last event that the client received; "" for none */
+  char resumes[DIALECT_ID_SIZE];    /* id of the request that began the stream; "" for none */
 };
 
 /* Fields sent to a target in addition to the client's own headers. */
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -104,7 +104,7 @@
   if (job->has_digest)
     request_digest_format (&job->digest, content);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i,s:f}", "id",
+             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i,s:f,s:s?}", "id",
              job->facts.id, "target", job->target->id, "address", job->target->address, "outcome",
              outcome, "status", (int) job->status, "framing", h1_framing_text (job->call.framing),
              "not_run", job->not_run, "sent", job->call.request_sent, "took_us",
@@ -112,7 +112,8 @@
              (json_int_t) ((now - job->target->record->last_heard_at) / USEC_PER_MSEC), "reused",
              job->call.reused, "stream_begun", job->stream.begun, "events",
              (int) job->stream.events, "last_event", job->stream.last_event, "content", content,
-             "in_flight", (int) job->target->in_flight, "limit_per_sec", job->limit);
+             "in_flight", (int) job->target->in_flight, "limit_per_sec", job->limit,
+             "target_version", registry_target_version (job->target->record));
 }
 
 /* May the request go to another target after this attempt? */
@@ -435,20 +436,20 @@
     engine_load_cost (job->forward->config.balance->engines, target->id_hash, &job->prompt.prompt,
                       now, &cost);
 
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
-             "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b}", "id",
-             job->facts.id, "target", target->id, "address", target->address, "pool", job->pool,
-             "in_flight", (int) target->in_flight, "latency_us", (json_int_t) target->latency_us,
-             "renewed_ms", (json_int_t) ((now - target->record->last_heard_at) / USEC_PER_MSEC),
-             "sequence", (json_int_t) target->record->registration.sequence, "send",
-             (int) job->sends, "failing", target->failure_rate, "left_ms",
-             (json_int_t) ((job->deadline - now) / USEC_PER_MSEC), "expected_wait_us",
-             (json_int_t) cost.wait, "read_again_tokens", (int) cost.read_again_tokens,
-             "engine_running", (int) cost.running, "prompt_tokens", (int) job->facts.input_tokens,
-             "limit_per_sec", limit->present ? limit->per_sec : -1.0, "limit_left",
-             limit->bucket.level, "limit_age_ms",
-             (json_int_t) (limit->present ? (now - limit->heard_at) / USEC_PER_MSEC : -1),
-             "limit_direct", limit->is_direct);
+  log_event (
+      LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
+      "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b,s:s?}", "id",
+      job->facts.id, "target", target->id, "address", target->address, "pool", job->pool,
+      "in_flight", (int) target->in_flight, "latency_us", (json_int_t) target->latency_us,
+      "renewed_ms", (json_int_t) ((now - target->record->last_heard_at) / USEC_PER_MSEC),
+      "sequence", (json_int_t) target->record->registration.sequence, "send", (int) job->sends,
+      "failing", target->failure_rate, "left_ms",
+      (json_int_t) ((job->deadline - now) / USEC_PER_MSEC), "expected_wait_us",
+      (json_int_t) cost.wait, "read_again_tokens", (int) cost.read_again_tokens, "engine_running",
+      (int) cost.running, "prompt_tokens", (int) job->facts.input_tokens, "limit_per_sec",
+      limit->present ? limit->per_sec : -1.0, "limit_left", limit->bucket.level, "limit_age_ms",
+      (json_int_t) (limit->present ? (now - limit->heard_at) / USEC_PER_MSEC : -1), "limit_direct",
+      limit->is_direct, "target_version", registry_target_version (target->record));
 }
 
 void
--- a/src/registry.c
+++ b/src/registry.c
@@ -1,10 +1,12 @@
 /* The registry of targets. */
 #include "registry.h"
+#include "text.h"
 #include <string.h>
 #include <talloc.h>
 #include <xxhash.h>
 
 #define REGISTRATION_FIELDS 10
+#define VERSION_FIELDS 4
 
 static const char *const state_texts[] = {
 #define X(name, text) [REGISTRY_##name] = text,
@@ -108,6 +110,7 @@
   target->last_heard_at = now - age;
   target->first_heard_at = now - age;
   target->id_hash = registry_id_hash (registration->id);
+  target->version_sequence = registration->sequence;
   HASH_ADD_STR (registry->targets, registration.id, target);
   HASH_ADD (hh_by_hash, registry->by_hash, id_hash, sizeof target->id_hash, target);
   bump_revision (registry, target);
@@ -138,6 +141,7 @@
                       int64_t now)
 {
   target->registration = *registration;
+  target->version_sequence = registration->sequence;
   target->last_heard_at = now - age;
   target->first_heard_at = now - age;
   target->expired = false;
@@ -147,6 +151,34 @@
   return REGISTRY_MERGE_CHANGED;
 }
 
+/* Whether the version held is replaced by one that a registration with this sequence named; it is
+ * then to be reported as a change. */
+static bool
+set_version (struct registry_target *target, const char *name, uint64_t sequence)
+{
+  struct registry_registration *held = &target->registration;
+  bool changed;
+
+  if (held->version_known && sequence < target->version_sequence)
+    return false;
+  changed = !held->version_known || strcmp (held->version, name) != 0;
+  target->version_sequence = sequence;
+  held->version_known = true;
+  text_copy_truncated (held->version, sizeof held->version, name);
+  return changed;
+}
+
+void
+registry_merge_version (struct registry *registry, const struct registry_version *version)
+{
+  struct registry_target *target = registry_find_by_hash (registry, version->id_hash);
+
+  if (target == NULL || version->started != target->registration.started_unix_ms)
+    return;
+  if (set_version (target, version->name, version->sequence))
+    bump_revision (registry, target);
+}
+
 enum registry_merge_result
 registry_merge (struct registry *registry,
                 const struct registry_registration *registration,
@@ -174,7 +206,10 @@
       && registration->state <= target->registration.state)
     return REGISTRY_MERGE_STALE;
   changed = registration->state > target->registration.state;
-  if (changed)
+  if (registration->version_known
+      && set_version (target, registration->version, registration->sequence))
+    changed = true;
+  if (registration->state > target->registration.state)
     target->registration.state = registration->state;
   if (registration->sequence > target->registration.sequence)
     {
@@ -248,6 +283,8 @@
 bool
 registry_read (struct pack_reader *in, struct registry_registration *registration, int64_t *age)
 {
+  registration->version_known = false;
+  registration->version[0] = '\0';
   if (pack_read_array (in, REGISTRATION_FIELDS) != REGISTRATION_FIELDS)
     in->failed = true;
   pack_read_text (in, registration->id, sizeof registration->id);
@@ -262,3 +299,26 @@
   *age = (int64_t) pack_read_uint (in, INT64_MAX);
   return pack_read_is_ok (in);
 }
+
+void
+registry_write_version (const struct registry_target *target, struct bytes *out)
+{
+  INVARIANT (target->registration.version_known);
+  pack_array (out, VERSION_FIELDS);
+  pack_uint (out, target->id_hash);
+  pack_uint (out, target->registration.started_unix_ms);
+  pack_uint (out, target->version_sequence);
+  pack_text (out, target->registration.version);
+}
+
+bool
+registry_read_version (struct pack_reader *in, struct registry_version *version)
+{
+  if (pack_read_array (in, VERSION_FIELDS) != VERSION_FIELDS)
+    in->failed = true;
+  version->id_hash = pack_read_uint (in, UINT64_MAX);
+  version->started = pack_read_uint (in, UINT64_MAX);
+  version->sequence = pack_read_uint (in, UINT64_MAX);
+  pack_read_text (in, version->name, sizeof version->name);
+  return pack_read_is_ok (in);
+}
--- a/src/registry.h
+++ b/src/registry.h
@@ -22,6 +22,7 @@
 BEGIN_DECLS
 
 #define REGISTRY_NAME_SIZE 64
+#define REGISTRY_VERSION_SIZE 64
 
 /* A target that is GONE or expired is kept for this long after its last renewal, so that a delayed
  * renewal does not bring it back. */
@@ -55,13 +56,29 @@
   uint64_t sequence; /* grows with each renewal of an incarnation */
   uint32_t slots;
   int64_t warmup_remaining; /* how much longer it is slow after its start, in microseconds */
+
+  /* The version of the target's software: a name that is compared for equality only.  Records of
+   * registrations (registry_write()) do not carry it; "" until it is known. */
+  bool version_known;
+  char version[REGISTRY_VERSION_SIZE];
+};
+
+/* The version of a target's software, which is sent apart from its record: hosts of releases that
+ * know no versions cannot read a longer record. */
+struct registry_version
+{
+  uint64_t id_hash;
+  uint64_t started;  /* incarnation that has the version */
+  uint64_t sequence; /* of a registration that named it */
+  char name[REGISTRY_VERSION_SIZE];
 };
 
 /* A target as known to this host. */
 struct registry_target
 {
   struct registry_registration registration;
-  uint64_t id_hash; /* of its identity; short renewals carry it instead of the identity */
+  uint64_t id_hash;          /* of its identity; short renewals carry it instead of the identity */
+  uint64_t version_sequence; /* of the newest registration that named its version */
   int64_t first_heard_at;
   int64_t last_heard_at; /* time of its last renewal with any host, on this host's clock */
   uint64_t revision;     /* of the registry when more than a renewal last changed here */
@@ -109,6 +126,16 @@
                                            int64_t now,
                                            struct registry_target **out);
 
+/* Merge the version of a target; a version of another incarnation is ignored. */
+void registry_merge_version (struct registry *registry, const struct registry_version *version);
+
+/* The target's version; NULL while it is not known. */
+static inline const char *
+registry_target_version (const struct registry_target *target)
+{
+  return target->registration.version_known ? target->registration.version : NULL;
+}
+
 /* Expire targets without a renewal for `lease`, and free those without one for REGISTRY_RETENTION
  * that have no `user`.  Returns the number newly expired. */
 uint32_t registry_expire (struct registry *registry, int64_t lease, int64_t now);
@@ -122,11 +149,17 @@
 
 void registry_write (const struct registry_target *target, int64_t now, struct bytes *out);
 
-/* Reads a registration and its age; false when it is malformed. */
+/* Reads a registration, without its version, and its age; false when it is malformed. */
 bool registry_read (struct pack_reader *in,
                     struct registry_registration *registration,
                     int64_t *age);
 
+/* The version of a target must be known. */
+void registry_write_version (const struct registry_target *target, struct bytes *out);
+
+/* False when it is malformed. */
+bool registry_read_version (struct pack_reader *in, struct registry_version *version);
+
 END_DECLS
 
 #endif
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -158,7 +158,10 @@
   sent = subscriber_send (self, controller, &out) == STATUS_OK;
   controller->next_request = now + request_period (controller, sent, silent);
   if (sent)
-    subscriber_send_reach (self, controller);
+    {
+      subscriber_send_reach (self, controller);
+      subscriber_request_unknown_versions (self, controller);
+    }
   if (!sent || controller->unanswered_since != 0)
     return;
   controller->unanswered_since = now;
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -105,6 +105,27 @@
                                    struct pack_reader *in,
                                    int64_t now);
 
+/* subscriber_version.c: versions of targets */
+
+/* Add a target to the request and send it when it is full. */
+void subscriber_need_version (struct subscriber *self,
+                              const struct known_controller *controller,
+                              struct sync_version_request *request,
+                              uint64_t id_hash);
+
+/* Send the request unless it is empty, and empty it. */
+void subscriber_request_versions (struct subscriber *self,
+                                  const struct known_controller *controller,
+                                  struct sync_version_request *request);
+
+/* Request the versions of all targets whose version is not known. */
+void subscriber_request_unknown_versions (struct subscriber *self,
+                                          const struct known_controller *controller);
+void subscriber_handle_versions (struct subscriber *self,
+                                 const struct known_controller *controller,
+                                 struct pack_reader *in,
+                                 int64_t now);
+
 /* subscriber_wait.c: waits for a confirmation */
 void subscriber_request_confirmation (struct subscriber *self, int64_t now);
 void subscriber_end_waits (struct subscriber *self, int64_t now);
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -15,11 +15,13 @@
 {
   const struct registry_registration *word = &target->registration;
 
-  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target", "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I}",
-             "id", word->id, "started", (json_int_t) word->started_unix_ms, "pool", word->pool,
-             "address", word->address, "state", registry_state_text (word->state), "sequence",
-             (json_int_t) word->sequence, "expired", target->expired, "age_ms",
-             (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC));
+  log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target",
+             "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I,s:s?}", "id", word->id, "started",
+             (json_int_t) word->started_unix_ms, "pool", word->pool, "address", word->address,
+             "state", registry_state_text (word->state), "sequence", (json_int_t) word->sequence,
+             "expired", target->expired, "age_ms",
+             (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "version",
+             registry_target_version (target));
   self->config.listener->ops->target (self->config.listener, target, now);
 }
 
@@ -40,8 +42,12 @@
 }
 
 static void
-read_targets (struct subscriber *self, struct pack_reader *in, int64_t now)
+read_targets (struct subscriber *self,
+              const struct known_controller *controller,
+              struct pack_reader *in,
+              int64_t now)
 {
+  struct sync_version_request versions = { .n = 0 };
   uint32_t n = pack_read_array (in, SYNC_TARGETS_MAX);
 
   for (uint32_t i = 0; i < n; i++)
@@ -53,7 +59,10 @@
       if (!registry_read (in, &word, &age))
         return;
       registry_merge (self->registry, &word, age, now, &target);
+      if (target != NULL)
+        subscriber_need_version (self, controller, &versions, target->id_hash);
     }
+  subscriber_request_versions (self, controller, &versions);
 }
 
 static void
@@ -68,6 +77,7 @@
   word = target->registration;
   word.started_unix_ms = renewal->started;
   word.sequence = renewal->sequence;
+  word.version_known = false; /* a renewal does not name it */
   registry_merge (self->registry, &word, (int64_t) renewal->age, now, &target);
 }
 
@@ -192,7 +202,7 @@
   subscriber_set_reachable (self, controller, true, now);
   if (text != NULL)
     subscriber_apply_document (self, controller, state.document, text, length);
-  read_targets (self, in, now);
+  read_targets (self, controller, in, now);
   read_renewals (self, in, now);
   if (state.has_hosts && pack_read_is_ok (in))
     read_hosts (self, controller, in);
@@ -229,6 +239,8 @@
     handle_state (self, controller, &in, now);
   else if (type == SYNC_REACH_LIST)
     subscriber_handle_reach_list (self, controller, &in, now);
+  else if (type == SYNC_VERSIONS)
+    subscriber_handle_versions (self, controller, &in, now);
 }
 
 const struct peer_listener_ops subscriber_listener_ops = { .received = received };
--- a/src/sync.c
+++ b/src/sync.c
@@ -100,6 +100,23 @@
   return pack_read_is_ok (in);
 }
 
+void
+sync_write_version_request (const struct sync_version_request *request, struct bytes *out)
+{
+  pack_array (out, request->n);
+  for (uint32_t i = 0; i < request->n; i++)
+    pack_uint (out, request->id_hashes[i]);
+}
+
+bool
+sync_read_version_request (struct pack_reader *in, struct sync_version_request *request)
+{
+  request->n = pack_read_array (in, SYNC_VERSIONS_MAX);
+  for (uint32_t i = 0; i < request->n; i++)
+    request->id_hashes[i] = pack_read_uint (in, UINT64_MAX);
+  return pack_read_is_complete (in);
+}
+
 uint64_t
 sync_lost_hash (const char *host, const char *pool)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -7,7 +7,11 @@
  * Each side sends on connections that it opened itself.  One that delivers nothing may show no
  * error for seconds or for good, so the entry host watches whether its requests are answered: it
  * replaces its own connection, and SYNC_UNANSWERED makes the controller replace the other one.
- * Controllers of releases without this message ignore it. */
+ * Controllers of releases without this message ignore it.
+ *
+ * Records of targets do not hold the versions of their software, as hosts of earlier releases read
+ * records of a fixed length.  An entry host asks for the versions of the targets that a state
+ * lists, and with each request for those that it does not know yet. */
 #ifndef SYNC_H
 #define SYNC_H
 
@@ -36,6 +40,8 @@
   SYNC_UNANSWERED = 4, /* entry host to controller: no state arrived since a request */
   SYNC_REACH = 5,      /* entry host to controller: the pools that it has lost */
   SYNC_REACH_LIST = 6, /* controller to entry host: all hosts that have lost pools */
+  SYNC_VERSION_REQUEST = 7, /* entry host to controller: targets whose versions it needs */
+  SYNC_VERSIONS = 8,        /* controller to entry host: versions of targets */
   SYNC_MESSAGE_COUNT
 };
 
@@ -94,6 +100,16 @@
   char pools[SYNC_LOST_POOLS_MAX][ROUTING_NAME_SIZE];
 };
 
+/* Targets in one message of versions, or in one request for them. */
+#define SYNC_VERSIONS_MAX 1024
+
+/* The targets whose versions an entry host needs. */
+struct sync_version_request
+{
+  uint32_t n;
+  uint64_t id_hashes[SYNC_VERSIONS_MAX];
+};
+
 void sync_write_header (enum sync_message type, struct bytes *out);
 bool sync_read_type (struct pack_reader *in, enum sync_message *type);
 void sync_write_request (const struct sync_request *request, struct bytes *out);
@@ -103,6 +119,8 @@
 bool sync_read_unanswered (struct pack_reader *in, uint64_t *nonce);
 void sync_write_reach (const struct sync_reach *reach, struct bytes *out);
 bool sync_read_reach (struct pack_reader *in, struct sync_reach *reach);
+void sync_write_version_request (const struct sync_version_request *request, struct bytes *out);
+bool sync_read_version_request (struct pack_reader *in, struct sync_version_request *request);
 
 /* A host and a pool that it has lost, as lists of them name both: each host gets such a list from
  * each controller. */
--- a/tests/sync_harness.h
+++ b/tests/sync_harness.h
@@ -123,6 +123,44 @@
   return false;
 }
 
+// The versions that a controller sends for targets of one start, by their ids.
+inline void
+write_versions (const std::map<std::string, std::string> &versions, struct bytes *out)
+{
+  bytes_init (out, nullptr);
+  sync_write_header (SYNC_VERSIONS, out);
+  pack_array (out, versions.size ());
+  for (const auto &[id, name] : versions)
+    {
+      struct registry_target target = {};
+
+      target.id_hash = registry_id_hash (id.c_str ());
+      target.registration.version_known = true;
+      snprintf (target.registration.version, sizeof target.registration.version, "%s",
+                name.c_str ());
+      registry_write_version (&target, out);
+    }
+}
+
+// The ids whose versions were requested of a controller last, as hashes.
+inline std::vector<uint64_t>
+last_version_request (const recording_port &port, const std::string &controller)
+{
+  for (auto at = port.sent.rbegin (); at != port.sent.rend (); ++at)
+    {
+      struct sync_version_request request = {};
+      struct pack_reader in;
+      enum sync_message type;
+
+      pack_reader_init (&in, std::get<2> (*at).data (), std::get<2> (*at).size ());
+      if (std::get<0> (*at) == controller && std::get<1> (*at) == PEER_CHANNEL_SYNC
+          && sync_read_type (&in, &type) && type == SYNC_VERSION_REQUEST
+          && sync_read_version_request (&in, &request))
+        return { request.id_hashes, request.id_hashes + request.n };
+    }
+  return {};
+}
+
 inline struct registry_registration
 make_word (const std::string &id,
            const std::string &pool,
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -225,6 +225,39 @@
     return false;
   }
 
+  // Requests the versions of targets, and returns those that the controller sends, by id hash.
+  std::map<uint64_t, std::string>
+  request_versions (const char *host, const std::vector<std::string> &ids)
+  {
+    struct sync_version_request request = {};
+    std::map<uint64_t, std::string> versions;
+    struct bytes message;
+    struct pack_reader in;
+    enum sync_message type;
+
+    for (const auto &id : ids)
+      request.id_hashes[request.n++] = registry_id_hash (id.c_str ());
+    bytes_init (&message, nullptr);
+    sync_write_header (SYNC_VERSION_REQUEST, &message);
+    sync_write_version_request (&request, &message);
+    port.sent.clear ();
+    port.deliver (host, PEER_CHANNEL_SYNC, &message, now);
+    bytes_clear (&message);
+    if (port.sent.empty ())
+      return versions;
+    pack_reader_init (&in, std::get<2> (port.sent[0]).data (), std::get<2> (port.sent[0]).size ());
+    EXPECT_TRUE (sync_read_type (&in, &type) && type == SYNC_VERSIONS);
+    for (uint32_t n = pack_read_array (&in, SYNC_VERSIONS_MAX); n > 0; n--)
+      {
+        struct registry_version version;
+
+        EXPECT_TRUE (registry_read_version (&in, &version));
+        versions[version.id_hash] = version.name;
+      }
+    EXPECT_TRUE (pack_read_is_complete (&in));
+    return versions;
+  }
+
   void
   acknowledge (const char *from)
   {
@@ -250,6 +283,21 @@
   }
 };
 
+// An entry host asks for versions of targets; a controller sends those that it knows.
+TEST_F (ControllerTest, SendsTheVersionsThatItKnows)
+{
+  recording_wait wait;
+  struct registry_registration known = make_word ("i", "p", "a:1", REGISTRY_READY, 1);
+  struct registry_registration unknown = make_word ("j", "p", "a:2", REGISTRY_READY, 1);
+  std::map<uint64_t, std::string> expected = { { registry_id_hash ("i"), "v2" } };
+
+  known.version_known = true;
+  snprintf (known.version, sizeof known.version, "v2");
+  controller_register (controller, &known, &wait.wait, now);
+  controller_register (controller, &unknown, &wait.wait, now);
+  EXPECT_EQ (request_versions ("e1", { "i", "j", "k" }), expected);
+}
+
 TEST_F (ControllerTest, AcceptsARenewalImmediately)
 {
   recording_wait wait;
--- a/tests/unit_registry.cc
+++ b/tests/unit_registry.cc
@@ -138,6 +138,85 @@
   EXPECT_EQ (target->registration.sequence, 1u);
 }
 
+struct registry_registration
+of_version (struct registry_registration sent, const char *version)
+{
+  sent.version_known = true;
+  snprintf (sent.version, sizeof sent.version, "%s", version);
+  return sent;
+}
+
+struct registry_version
+named (uint64_t started, uint64_t sequence, const char *name)
+{
+  struct registry_version version = { registry_id_hash ("i"), started, sequence, "" };
+
+  snprintf (version.name, sizeof version.name, "%s", name);
+  return version;
+}
+
+// The record of a target comes without its version, from a host that knows none: this must not
+// count as a version, nor replace the one that is known.
+TEST_F (RegistryTest, ARecordWithoutAVersionLeavesTheVersionAsItIs)
+{
+  struct registry_version version = named (0, 1, "v2");
+
+  merge (registration ("i", "a:1", REGISTRY_READY, 1));
+  EXPECT_EQ (registry_target_version (target), nullptr);
+  registry_merge_version (registry, &version);
+  EXPECT_STREQ (registry_target_version (target), "v2");
+  merge (registration ("i", "a:1", REGISTRY_READY, 2));
+  EXPECT_STREQ (registry_target_version (target), "v2");
+}
+
+// A target renews with another version: the newest registration counts, and it is a change.
+TEST_F (RegistryTest, TheNewestRegistrationNamesTheVersion)
+{
+  struct registry_version older = named (0, 3, "v1");
+
+  merge (of_version (registration ("i", "a:1", REGISTRY_READY, 2), "v1"));
+  EXPECT_EQ (merge (of_version (registration ("i", "a:1", REGISTRY_READY, 3), "v1")),
+             REGISTRY_MERGE_NONE);
+  EXPECT_EQ (merge (of_version (registration ("i", "a:1", REGISTRY_READY, 4), "v2")),
+             REGISTRY_MERGE_CHANGED);
+  registry_merge_version (registry, &older);
+  EXPECT_STREQ (registry_target_version (target), "v2");
+}
+
+// A target restarts with the same identity: the version of its earlier start is not its own.
+TEST_F (RegistryTest, AVersionBelongsToOneStart)
+{
+  struct registry_version version = named (1000, 9, "v1");
+
+  merge (started (of_version (registration ("i", "a:1", REGISTRY_READY, 9), "v1"), 1000));
+  merge (started (registration ("i", "a:1", REGISTRY_READY, 1), 2000));
+  EXPECT_EQ (registry_target_version (target), nullptr);
+  registry_merge_version (registry, &version);
+  EXPECT_EQ (registry_target_version (target), nullptr);
+  version.started = 2000;
+  registry_merge_version (registry, &version);
+  EXPECT_STREQ (registry_target_version (target), "v1");
+}
+
+TEST_F (RegistryTest, VersionSurvivesEncodingAndDecoding)
+{
+  struct bytes out;
+  struct pack_reader in;
+  struct registry_version read;
+
+  merge (started (of_version (registration ("i", "a:1", REGISTRY_READY, 3), "v1.10"), 77));
+  bytes_init (&out, parent);
+  registry_write_version (target, &out);
+  pack_reader_init (&in, out.data, out.length);
+  ASSERT_TRUE (registry_read_version (&in, &read));
+  EXPECT_EQ (read.id_hash, registry_id_hash ("i"));
+  EXPECT_EQ (read.started, 77u);
+  EXPECT_EQ (read.sequence, 3u);
+  EXPECT_STREQ (read.name, "v1.10");
+  pack_reader_init (&in, out.data, out.length - 1);
+  EXPECT_FALSE (registry_read_version (&in, &read));
+}
+
 TEST_F (RegistryTest, GoneTargetIsKeptForABoundedTime)
 {
   merge (registration ("i", "a:1", REGISTRY_READY, 1));
