Go on within an answer only at the version that began the stream

Callers got streams whose events come from two versions of the targets' software, within one answer: where a target breaks a stream off, the host that passes it on resumes it at another one of the pool.

Cause: the choice of a target knows the pool and the targets tried. What a stream has written binds it to the version of its writer, and nobody kept that.

The first event that goes to the client binds the stream to the version of the incarnation that the attempt was sent to; only targets of that version are chosen from then on, also for the domain of the stages that are made again. Without one, or while the version is not known, the answer breaks off at once: no retry is taken from the budget and no stage is made again. An answer that broke off before its first event binds nothing.

--- a/bench/engine_model.c
+++ b/bench/engine_model.c
@@ -294,6 +294,7 @@
 {
   struct model_request *request = talloc_zero (model, struct model_request);
   struct balance_prompt prompt = { .present = true };
+  struct balance_query query = { .pool = POOL, .prompt = &prompt };
   struct balance_target *target;
   struct engine_cost cost;
   struct model_host *host;
@@ -311,7 +312,7 @@
       1 + (uint32_t) rng_below (&model->rng, 2 * (uint64_t) model->options.own_tokens);
   request->prompt = prompt.prompt;
   host = &model->hosts[request->host];
-  target = balance_choose (&host->balance, POOL, &prompt, NULL, 0, model->now);
+  target = balance_choose (&host->balance, &query, model->now);
   INVARIANT (target != NULL);
   request->engine = engine_number (target);
   engine_load_cost (host->estimates, target->id_hash, &prompt.prompt, model->now, &cost);
--- a/src/balance.c
+++ b/src/balance.c
@@ -125,14 +125,34 @@
   return false;
 }
 
+/* Whether the query allows the target, whatever the target's state now. */
+static bool
+is_allowed (const struct balance_target *target, const struct balance_query *query)
+{
+  const char *version = registry_target_version (target->record);
+
+  if (target->excluded || strcmp (target->pool, query->pool) != 0
+      || was_tried (target, query->tried, query->n_tried))
+    return false;
+  return query->version == NULL || (version != NULL && strcmp (version, query->version) == 0);
+}
+
+uint32_t
+balance_count (const struct balance *balance, const struct balance_query *query)
+{
+  uint32_t n = 0;
+
+  for (const struct balance_target *at = balance->targets; at != NULL; at = at->next)
+    n += is_allowed (at, query) ? 1 : 0;
+  return n;
+}
+
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
  * ones; also those that stopped renewing, which may only be partitioned from the controllers. Never
  * a target beyond the limit that it names. */
 static uint32_t
 collect_candidates (const struct balance *balance,
-                    const char *pool,
-                    struct balance_target *const *tried,
-                    uint32_t n_tried,
+                    const struct balance_query *query,
                     int64_t now,
                     struct balance_target **out)
 {
@@ -142,8 +162,7 @@
 
       for (struct balance_target *target = balance->targets; target != NULL; target = target->next)
         {
-          if (target->excluded || n == CANDIDATES_MAX || strcmp (target->pool, pool) != 0
-              || was_tried (target, tried, n_tried))
+          if (n == CANDIDATES_MAX || !is_allowed (target, query))
             continue;
           if (rank < 2 && !target->usable)
             continue;
@@ -289,21 +308,16 @@
 }
 
 struct balance_target *
-balance_choose (struct balance *balance,
-                const char *pool,
-                const struct balance_prompt *prompt,
-                struct balance_target *const *tried,
-                uint32_t n_tried,
-                int64_t now)
+balance_choose (struct balance *balance, const struct balance_query *query, int64_t now)
 {
   struct balance_target *candidates[CANDIDATES_MAX];
   struct balance_target *chosen = NULL;
-  uint32_t n = collect_candidates (balance, pool, tried, n_tried, now, candidates);
+  uint32_t n = collect_candidates (balance, query, now, candidates);
 
   if (n == 0)
     return NULL;
-  if (prompt != NULL && prompt->present)
-    chosen = cheapest_engine (balance, candidates, n, prompt, now);
+  if (query->prompt != NULL && query->prompt->present)
+    chosen = cheapest_engine (balance, candidates, n, query->prompt, now);
   return chosen != NULL ? chosen : least_loaded (balance, candidates, n, now);
 }
 
@@ -324,20 +338,17 @@
 
 struct balance_target *
 balance_choose_least_running (struct balance *balance,
-                              const char *pool,
-                              const struct balance_prompt *prompt,
-                              struct balance_target *const *tried,
-                              uint32_t n_tried,
+                              const struct balance_query *query,
                               int64_t now)
 {
   struct balance_target *candidates[CANDIDATES_MAX];
-  uint32_t n = collect_candidates (balance, pool, tried, n_tried, now, candidates);
+  uint32_t n = collect_candidates (balance, query, now, candidates);
   struct balance_target *best = NULL;
   uint32_t least = UINT32_MAX;
 
   for (uint32_t i = 0; i < n; i++)
     {
-      uint32_t running = count_running (balance, candidates[i], prompt, now);
+      uint32_t running = count_running (balance, candidates[i], query->prompt, now);
 
       if (running >= least)
         continue;
--- a/src/balance.h
+++ b/src/balance.h
@@ -97,6 +97,16 @@
   uint32_t n_locations;
 };
 
+/* Which targets may be chosen. */
+struct balance_query
+{
+  const char *pool;
+  const char *version; /* of the targets' software; NULL: any, also one that is not known */
+  const struct balance_prompt *prompt; /* NULL: no request to a model engine */
+  struct balance_target *const *tried; /* not to be chosen */
+  uint32_t n_tried;
+};
+
 struct balance
 {
   struct balance_target *targets;
@@ -116,23 +126,20 @@
 
 struct balance_target *balance_find (const struct balance *balance, const char *id);
 
-/* Chooses a target of the pool other than those in `tried`; NULL when there is none. */
+/* Chooses a target; NULL when there is none. */
 struct balance_target *balance_choose (struct balance *balance,
-                                       const char *pool,
-                                       const struct balance_prompt *prompt,
-                                       struct balance_target *const *tried,
-                                       uint32_t n_tried,
+                                       const struct balance_query *query,
                                        int64_t now);
 
 /* Like balance_choose(), for a request that may crash its target: chooses the one with the fewest
  * running requests. */
 struct balance_target *balance_choose_least_running (struct balance *balance,
-                                                     const char *pool,
-                                                     const struct balance_prompt *prompt,
-                                                     struct balance_target *const *tried,
-                                                     uint32_t n_tried,
+                                                     const struct balance_query *query,
                                                      int64_t now);
 
+/* The number of targets that may be chosen, now or when they have room. */
+uint32_t balance_count (const struct balance *balance, const struct balance_query *query);
+
 /* Records the start of a call. */
 void balance_started (struct balance *balance,
                       struct balance_target *target,
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -124,6 +124,8 @@
     return false;
   if (ran && (!is_repeatable (job) || job->runs >= job->route.attempts || job->is_suspected))
     return false;
+  if (job_is_version_gone (job))
+    return false;
   if (!job->call.request_sent)
     return true;
   return job_take_retry (job, now);
@@ -160,6 +162,8 @@
 {
   if (may_retry (job, ran, now))
     resend (job, now);
+  else if (job_is_version_gone (job))
+    job_give_up (job, FORWARD_NO_VERSION, REFUSED_RETRY_AFTER_SEC);
   else
     job_give_up (job, job->runs == 0 ? FORWARD_REFUSED : reason, REFUSED_RETRY_AFTER_SEC);
 }
@@ -467,13 +471,15 @@
   if (job->target == NULL)
     {
       if (!job_give_up_if_lost (job, now) && !job_give_up_if_limited (job, now, now))
-        job_give_up (job, FORWARD_NO_TARGET, NO_TARGET_RETRY_AFTER_SEC);
+        job_give_up (job, job_is_version_gone (job) ? FORWARD_NO_VERSION : FORWARD_NO_TARGET,
+                     NO_TARGET_RETRY_AFTER_SEC);
       return;
     }
   job->tried[job->n_tried % BALANCE_TRIED_MAX] = job->target;
   if (job->n_tried < BALANCE_TRIED_MAX - 1)
     job->n_tried++;
   job->sends++;
+  job_note_version (job);
   /* Random, not the client's id: each retry, and each request of a client that uses an id twice,
    * counts as a send of its own. */
   job->send_id = rng_u64 (&job->forward->rng);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -2,6 +2,7 @@
 #ifndef FORWARD_PRIVATE_H
 #define FORWARD_PRIVATE_H
 
+#include "binding.h"
 #include "forward.h"
 #include "request_age.h"
 #include "request_digest.h"
@@ -28,6 +29,7 @@
   X (NO_KEY, "unknown or missing key")                                                             \
   X (BAD_REQUEST, "request cannot be read")                                                        \
   X (NO_TARGET, "no target")                                                                       \
+  X (NO_VERSION, "no target of the version that began the stream")                                 \
   X (LIMITED, "targets are at their limit")                                                        \
   X (CUT_OFF, "no target of the pool can be reached from this host")                               \
   X (NO_TIME, "cannot end in time")                                                                \
@@ -94,6 +96,8 @@
   uint32_t events;                  /* number sent to the client */
   char last_event[DIALECT_ID_SIZE]; /* id of the newest event with an id; "" for none */
   bool is_unresumable; /* the newest event has no id: no other target can resume after it */
+  bool is_bound;       /* the client has an event, and `binding` is that of its writer */
+  struct binding binding;
 };
 
 /* What the client had received at the end of its request. */
@@ -143,7 +147,9 @@
   struct balance_target *tried[BALANCE_TRIED_MAX];
   uint32_t n_tried;
   uint32_t sends;
-  uint32_t runs; /* sends that may have run */
+  uint32_t runs;                  /* sends that may have run */
+  uint64_t attempt_started;       /* incarnation of the target that the attempt was sent to */
+  struct binding attempt_binding; /* of that incarnation, as known when the attempt was sent */
   int64_t sent_at;
   int64_t heard_at;      /* the newest data from the target; the send before any */
   int64_t fetched_at;    /* when the target has fetched the stages' results; 0 before a send */
@@ -271,6 +277,21 @@
 /* Whether the target has sent the beginning of an event but not its end. */
 bool job_is_inside_event (const struct forward_job *job);
 
+/* forward_binding.c */
+
+/* Records the version of the target that an attempt is sent to. */
+void job_note_version (struct forward_job *job);
+
+/* The target of the current attempt has written an event that the client is sent now: binds the
+ * stream unless it is bound. */
+void job_bind (struct forward_job *job);
+
+/* The version of the targets that may go on with the stream; NULL while any may. */
+const char *job_bound_version (const struct forward_job *job);
+
+/* Whether no target is left that may go on with the stream, nor may be soon. */
+bool job_is_version_gone (const struct forward_job *job);
+
 /* forward_quarantine.c */
 
 /* Digest of the request's content, the same for each send at any host; computed on first use. */
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -44,18 +44,25 @@
   bool lost = target_reach_is_lost (config->reach, job->pool);
   struct balance_target *passed[2 * BALANCE_TRIED_MAX];
   struct balance_target *target;
-  uint32_t n = job->n_tried;
+  struct balance_query query = {
+    .pool = job->pool,
+    .version = job_bound_version (job),
+    .prompt = &job->prompt,
+    .tried = passed,
+    .n_tried = job->n_tried,
+  };
 
+  if (job_is_version_gone (job))
+    return NULL;
   memcpy (passed, job->tried, sizeof job->tried);
   for (;;)
     {
-      target = isolate ? balance_choose_least_running (config->balance, job->pool, &job->prompt,
-                                                       passed, n, now)
-                       : balance_choose (config->balance, job->pool, &job->prompt, passed, n, now);
+      target = isolate ? balance_choose_least_running (config->balance, &query, now)
+                       : balance_choose (config->balance, &query, now);
       if (!lost || target == NULL || h1_client_has_idle (config->client, target->address))
         return target;
-      if (n == 2 * BALANCE_TRIED_MAX)
+      if (query.n_tried == 2 * BALANCE_TRIED_MAX)
         return NULL;
-      passed[n++] = target;
+      passed[query.n_tried++] = target;
     }
 }
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -356,10 +356,15 @@
 void
 job_begin_stages (struct forward_job *job, int64_t now)
 {
+  struct balance_query query = {
+    .pool = job->pool,
+    .version = job_bound_version (job),
+    .prompt = &job->prompt,
+  };
   const struct balance_target *likely;
 
   job->prompt.n_locations = 0;
-  likely = balance_choose (job->forward->config.balance, job->pool, &job->prompt, NULL, 0, now);
+  likely = balance_choose (job->forward->config.balance, &query, now);
   /* All stages should run in one failure domain: that of the engine which would be chosen for the
    * request now. */
   if (likely != NULL && job->engine_domain[0] == '\0')
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -130,6 +130,7 @@
     memcpy (stream->last_event, id, sizeof id);
   stream->is_unresumable = !named;
   stream->events++;
+  job_bind (job);
   return true;
 }
 
--- a/tests/unit_balance.cc
+++ b/tests/unit_balance.cc
@@ -46,7 +46,11 @@
   struct balance_target *
   choose (const struct balance_prompt &prompt)
   {
-    return balance_choose (&balance, POOL, &prompt, nullptr, 0, NOW);
+    struct balance_query query = {
+      .pool = POOL, .version = nullptr, .prompt = &prompt, .tried = nullptr, .n_tried = 0
+    };
+
+    return balance_choose (&balance, &query, NOW);
   }
 
   // Adds a running prompt of `tokens` to the engine's load.
