Take streams up at the version that began them, at any host

Callers that took a broken stream up at another host got events of another version of the targets' software, or, where a route is split, of another pool.

Cause: what binds a stream is made at one host and needed at another, most often because the first one is gone; nothing kept it, and a request that takes a stream up was placed like a new one.

What is not known is never guessed: it is refused as not run with a time to come back, as is a stream whose version has no target left. Keys are digests of organisation, route and id, so nobody finds the streams of others.

--- /dev/null
+++ b/src/binding_store.c
@@ -0,0 +1,403 @@
+/* Bindings of streams at this host and at others. */
+#include "binding_store.h"
+#include "container.h"
+#include "log.h"
+#include "pack.h"
+#include "text.h"
+#include <jansson.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+/* The kind of a message.  Wire format: never renumbered. */
+enum binding_message
+{
+  BINDING_MESSAGE_PUT = 1,    /* key, lifetime in us, pool, version */
+  BINDING_MESSAGE_ASK = 2,    /* number, key */
+  BINDING_MESSAGE_ANSWER = 3, /* number, key, outcome; if known also age in us, pool, version */
+};
+
+struct binding_store
+{
+  struct peer_listener listener; /* must be first: the port passes it to callbacks */
+  struct binding_store_config config;
+  struct binding_table *table;
+  struct binding_question *questions;
+  uint64_t last_number;
+  struct counter *held;
+  struct counter *evicted;
+  struct counter *sent;
+  struct counter *outcomes[BINDING_OUTCOME_COUNT];
+};
+
+static const char *const outcome_texts[] = {
+#define X(name, text) [BINDING_##name] = text,
+  BINDING_OUTCOME_LIST (X)
+#undef X
+};
+
+const char *
+binding_outcome_text (enum binding_outcome outcome)
+{
+  return outcome_texts[outcome];
+}
+
+/* ---- messages ---- */
+
+static void
+pack_key (struct bytes *out, const struct binding_key *key)
+{
+  pack_binary (out, key->bytes, sizeof key->bytes);
+}
+
+static void
+read_key (struct pack_reader *in, struct binding_key *out)
+{
+  size_t length = 0;
+  const void *bytes = pack_read_binary (in, sizeof out->bytes, &length);
+
+  if (length != sizeof out->bytes)
+    in->failed = true;
+  else
+    memcpy (out->bytes, bytes, sizeof out->bytes);
+}
+
+static void
+pack_binding (struct bytes *out, const struct binding *binding)
+{
+  pack_text (out, binding->pool);
+  pack_text (out, binding->version);
+}
+
+static void
+read_binding (struct pack_reader *in, struct binding *out)
+{
+  pack_read_text (in, out->pool, sizeof out->pool);
+  pack_read_text (in, out->version, sizeof out->version);
+  out->version_known = true;
+}
+
+static bool
+send_to (struct binding_store *store, const char *host, const struct bytes *message)
+{
+  struct peer_port *port = store->config.port;
+
+  if (bytes_has_failed (message)
+      || port->ops->send (port, host, PEER_CHANNEL_BINDING, message->data, message->length)
+             != STATUS_OK)
+    return false;
+  counter_add (store->sent, 1);
+  return true;
+}
+
+/* Sends to as many of the hosts as wanted, in their order; the number sent. */
+static uint32_t
+send_to_first (struct binding_store *store,
+               const char *const *hosts,
+               uint32_t n,
+               uint32_t wanted,
+               const struct bytes *message)
+{
+  uint32_t sent = 0;
+
+  for (uint32_t i = 0; i < n && sent < wanted; i++)
+    sent += send_to (store, hosts[i], message) ? 1 : 0;
+  return sent;
+}
+
+static uint32_t
+send_to_peers (struct binding_store *store,
+               const struct binding_key *key,
+               uint32_t hosts_wanted,
+               uint32_t controllers_wanted,
+               const struct bytes *message)
+{
+  struct binding_peers *peers = store->config.peers;
+  const char *hosts[BINDING_ASKED_HOSTS];
+  const char *controllers[BINDING_ASKED_CONTROLLERS];
+  uint32_t n_hosts = peers->ops->list_hosts (peers, key, BINDING_ASKED_HOSTS, hosts);
+  uint32_t n_controllers =
+      peers->ops->list_controllers (peers, key, BINDING_ASKED_CONTROLLERS, controllers);
+
+  return send_to_first (store, hosts, n_hosts, hosts_wanted, message)
+         + send_to_first (store, controllers, n_controllers, controllers_wanted, message);
+}
+
+/* ---- keeping ---- */
+
+static void
+keep (struct binding_store *store,
+      const struct binding_key *key,
+      const struct binding *binding,
+      int64_t lifetime,
+      int64_t now)
+{
+  uint64_t evicted = binding_table_evicted (store->table);
+
+  binding_table_put (store->table, key, binding, lifetime, now);
+  counter_add (store->evicted, (double) (binding_table_evicted (store->table) - evicted));
+  gauge_set (store->held, binding_table_count (store->table));
+}
+
+void
+binding_store_put (struct binding_store *store,
+                   const struct binding_key *key,
+                   const struct binding *binding,
+                   int64_t lifetime,
+                   int64_t now)
+{
+  struct bytes message;
+
+  INVARIANT (binding->version_known);
+  keep (store, key, binding, lifetime, now);
+  bytes_init (&message, NULL);
+  pack_uint (&message, BINDING_MESSAGE_PUT);
+  pack_key (&message, key);
+  pack_uint (&message, (uint64_t) lifetime);
+  pack_binding (&message, binding);
+  send_to_peers (store, key, BINDING_KEEPER_HOSTS, BINDING_KEEPER_CONTROLLERS, &message);
+  bytes_clear (&message);
+}
+
+bool
+binding_store_find (const struct binding_store *store,
+                    const struct binding_key *key,
+                    struct binding_answer *out,
+                    int64_t now)
+{
+  const struct binding_record *record = binding_table_find (store->table, key, now);
+
+  *out = (struct binding_answer){ .outcome = BINDING_UNKNOWN };
+  if (record == NULL)
+    return false;
+  out->outcome = record->is_ambiguous ? BINDING_AMBIGUOUS : BINDING_KNOWN;
+  out->binding = record->binding;
+  out->age = now - record->stored_at;
+  text_copy_truncated (out->from, sizeof out->from, "this host");
+  return true;
+}
+
+/* ---- asking ---- */
+
+void
+binding_store_cancel (struct binding_question *question)
+{
+  if (question->number == 0)
+    return;
+  timer_disarm (question->store->config.timers, &question->timer);
+  DL_DELETE (question->store->questions, question);
+  question->number = 0;
+}
+
+static void
+finish (struct binding_question *question, const struct binding_answer *answer, int64_t now)
+{
+  counter_add (question->store->outcomes[answer->outcome], 1);
+  binding_store_cancel (question);
+  question->ops->answered (question, answer, now);
+}
+
+static void
+send_question (struct binding_question *question)
+{
+  struct bytes message;
+
+  bytes_init (&message, NULL);
+  pack_uint (&message, BINDING_MESSAGE_ASK);
+  pack_uint (&message, question->number);
+  pack_key (&message, &question->key);
+  question->n_sent += send_to_peers (question->store, &question->key, BINDING_ASKED_HOSTS,
+                                     BINDING_ASKED_CONTROLLERS, &message);
+  bytes_clear (&message);
+}
+
+static void
+timer_fired (struct timer *timer, int64_t now)
+{
+  struct binding_question *question = CONTAINER_OF (timer, struct binding_question, timer);
+  struct binding_answer unknown = { .outcome = BINDING_UNKNOWN };
+
+  if (now - question->asked_at >= BINDING_ASK_TIMEOUT)
+    {
+      finish (question, &unknown, now);
+      return;
+    }
+  send_question (question);
+  timer_arm (question->store->config.timers, timer, now + BINDING_ASK_PERIOD);
+}
+
+static const struct timer_ops timer_ops = { .fire = timer_fired };
+
+void
+binding_store_ask (struct binding_store *store,
+                   struct binding_question *question,
+                   const struct binding_key *key,
+                   int64_t now)
+{
+  question->key = *key;
+  question->number = ++store->last_number;
+  question->asked_at = now;
+  question->n_sent = 0;
+  question->n_unknown = 0;
+  question->store = store;
+  question->timer.ops = &timer_ops;
+  DL_APPEND (store->questions, question);
+  send_question (question);
+  timer_arm (store->config.timers, &question->timer, now + BINDING_ASK_PERIOD);
+}
+
+/* ---- receiving ---- */
+
+static void
+handle_put (struct binding_store *store, struct pack_reader *in, int64_t now)
+{
+  struct binding_key key;
+  struct binding binding;
+  int64_t lifetime;
+
+  read_key (in, &key);
+  lifetime = (int64_t) pack_read_uint (in, (uint64_t) INT64_MAX);
+  read_binding (in, &binding);
+  if (pack_read_is_complete (in))
+    keep (store, &key, &binding, lifetime, now);
+}
+
+static void
+handle_ask (struct binding_store *store, struct pack_reader *in, const char *from, int64_t now)
+{
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct binding_answer answer;
+  struct binding_key key;
+  struct bytes message;
+
+  read_key (in, &key);
+  if (!pack_read_is_complete (in))
+    return;
+  binding_store_find (store, &key, &answer, now);
+  bytes_init (&message, NULL);
+  pack_uint (&message, BINDING_MESSAGE_ANSWER);
+  pack_uint (&message, number);
+  pack_key (&message, &key);
+  pack_uint (&message, answer.outcome);
+  if (answer.outcome == BINDING_KNOWN)
+    {
+      pack_uint (&message, (uint64_t) answer.age);
+      pack_binding (&message, &answer.binding);
+    }
+  (void) send_to (store, from, &message); /* the question is repeated */
+  bytes_clear (&message);
+}
+
+static struct binding_question *
+find_question (const struct binding_store *store, uint64_t number, const struct binding_key *key)
+{
+  struct binding_question *question = store->questions;
+
+  while (question != NULL && question->number != number)
+    question = question->next;
+  if (question == NULL || memcmp (&question->key, key, sizeof *key) != 0)
+    return NULL;
+  return question;
+}
+
+static void
+handle_answer (struct binding_store *store, struct pack_reader *in, const char *from, int64_t now)
+{
+  uint64_t number = pack_read_uint (in, UINT64_MAX);
+  struct binding_answer answer = { .outcome = BINDING_UNKNOWN };
+  struct binding_question *question;
+  struct binding_key key;
+
+  read_key (in, &key);
+  answer.outcome = (enum binding_outcome) pack_read_uint (in, BINDING_OUTCOME_COUNT - 1);
+  if (answer.outcome == BINDING_KNOWN)
+    {
+      answer.age = (int64_t) pack_read_uint (in, (uint64_t) INT64_MAX);
+      read_binding (in, &answer.binding);
+    }
+  if (!pack_read_is_complete (in))
+    return;
+  question = find_question (store, number, &key);
+  if (question == NULL)
+    return;
+  text_copy_truncated (answer.from, sizeof answer.from, from);
+  if (answer.outcome == BINDING_UNKNOWN && ++question->n_unknown < question->n_sent)
+    return;
+  finish (question, &answer, now);
+}
+
+static void
+received (
+    struct peer_listener *listener, const char *from, const void *data, size_t length, int64_t now)
+{
+  struct binding_store *store = (struct binding_store *) listener;
+  struct pack_reader in;
+  uint64_t kind;
+
+  pack_reader_init (&in, data, length);
+  kind = pack_read_uint (&in, UINT64_MAX);
+  if (kind == BINDING_MESSAGE_PUT)
+    handle_put (store, &in, now);
+  else if (kind == BINDING_MESSAGE_ASK)
+    handle_ask (store, &in, from, now);
+  else if (kind == BINDING_MESSAGE_ANSWER)
+    handle_answer (store, &in, from, now);
+  if (!pack_read_is_complete (&in))
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "binding-message-not-read", "{s:s,s:I}", "from",
+               from, "kind", (json_int_t) kind);
+}
+
+static const struct peer_listener_ops listener_ops = { .received = received };
+
+/* ---- setup ---- */
+
+static void
+init_counters (struct binding_store *store)
+{
+  struct counters *counters = store->config.counters;
+
+  store->held =
+      gauge_get (counters, "cherryarch_bindings", "Streams whose version this host keeps.", NULL);
+  store->evicted = counter_get (counters, "cherryarch_bindings_evicted_total",
+                                "Streams whose version made room for others early.", NULL);
+  store->sent = counter_get (counters, "cherryarch_binding_messages_total",
+                             "Messages to other hosts about versions of streams.", NULL);
+  for (int i = 0; i < BINDING_OUTCOME_COUNT; i++)
+    {
+      char label[64];
+
+      snprintf (label, sizeof label, "outcome=\"%s\"",
+                binding_outcome_text ((enum binding_outcome) i));
+      store->outcomes[i] = counter_get (counters, "cherryarch_binding_questions_total",
+                                        "Questions to other hosts by what they answered.", label);
+    }
+}
+
+static int
+free_store (struct binding_store *store)
+{
+  while (store->questions != NULL)
+    binding_store_cancel (store->questions);
+  return 0;
+}
+
+struct binding_store *
+binding_store_new (void *parent, const struct binding_store_config *config)
+{
+  struct binding_store *store = talloc_zero (parent, struct binding_store);
+
+  if (store == NULL)
+    return NULL;
+  store->config = *config;
+  store->table = binding_table_new (store);
+  if (store->table == NULL)
+    {
+      talloc_free (store);
+      return NULL;
+    }
+  store->listener.ops = &listener_ops;
+  init_counters (store);
+  config->port->ops->set_listener (config->port, PEER_CHANNEL_BINDING, &store->listener);
+  talloc_set_destructor (store, free_store);
+  return store;
+}
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -1,5 +1,6 @@
 /* A controller's process: log, document and registrations. */
 #include "controller_host.h"
+#include "binding_store.h"
 #include "consensus_voter.h"
 #include "container.h"
 #include "log.h"
@@ -219,6 +220,20 @@
                                        : STATUS_OK;
 }
 
+/* Entry hosts that all end at once find the bindings of their streams here. */
+static enum status
+build_bindings (struct controller_host *host)
+{
+  struct binding_store_config config = {
+    .port = host->base.port,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+  };
+
+  return binding_store_new (host, &config) == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory")
+                                                   : STATUS_OK;
+}
+
 static enum status
 build (struct controller_host *host, const struct controller_host_config *config)
 {
@@ -236,6 +251,8 @@
     status = build_controller (host);
   if (status == STATUS_OK)
     status = build_quarantine (host);
+  if (status == STATUS_OK)
+    status = build_bindings (host);
   if (status == STATUS_OK)
     status = role_base_listen (&host->base, host->base.settings.control_address, config->control,
                                "control", &host->control);
--- a/src/forward.c
+++ b/src/forward.c
@@ -39,6 +39,7 @@
   struct forward *forward = job->forward;
 
   subscriber_wait_cancel (forward->config.subscriber, &job->confirmation);
+  binding_store_cancel (&job->question);
   timer_disarm (loop_timers (forward->config.loop), &job->timer);
   timer_disarm (loop_timers (forward->config.loop), &job->fetch_timer);
   job_cancel_call (job);
@@ -151,6 +152,15 @@
                       + (int64_t) (LATE_WORK_SHARE * (double) (job->deadline - job->objective_at));
 }
 
+static void
+choose_pool (struct forward_job *job, const struct routing *routing)
+{
+  uint32_t drawn = route_draw_pool (&job->route, rng_unit (&job->forward->rng));
+  const char *name = job->stream.is_bound ? job->stream.binding.pool : routing->pools[drawn].name;
+
+  text_copy_truncated (job->pool, sizeof job->pool, name);
+}
+
 static void
 admit (struct forward_job *job, int64_t now)
 {
@@ -178,10 +188,10 @@
       return;
     }
   job->route = *route;
-  if (!check_key (job, routing, now) || !job_is_admitted (job, now))
+  if (!check_key (job, routing, now) || !job_find_binding (job, routing, now)
+      || !job_is_admitted (job, now))
     return;
-  text_copy_truncated (job->pool, sizeof job->pool,
-                       routing->pools[route_draw_pool (route, rng_unit (&forward->rng))].name);
+  choose_pool (job, routing);
   compute_deadlines (job);
   read_prompt (job);
   forward_count_request (forward, job->pool, now);
@@ -242,6 +252,20 @@
 
 static const struct subscriber_wait_ops confirmation_ops = { .confirmed = confirmed };
 
+static void
+binding_answered (struct binding_question *question,
+                  const struct binding_answer *answer,
+                  int64_t now)
+{
+  struct forward_job *job = CONTAINER_OF (question, struct forward_job, question);
+
+  job->binding = *answer;
+  job->has_binding = true;
+  admit (job, now);
+}
+
+static const struct binding_question_ops question_ops = { .answered = binding_answered };
+
 static void
 on_request (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
@@ -259,6 +283,7 @@
   job->arrived = exchange->arrived;
   job->timer.ops = &timer_ops;
   job->confirmation.ops = &confirmation_ops;
+  job->question.ops = &question_ops;
   job->limit = DIALECT_NO_LIMIT;
   bytes_init (&job->fields, job);
   bytes_init (&job->body, job);
@@ -331,6 +356,11 @@
   forward->retries_denied =
       counter_get (counters, "cherryarch_forward_retries_denied_total",
                    "Requests not sent to another target, as the retry budget was spent.", NULL);
+  forward->take_ups = counter_get (counters, "cherryarch_forward_streams_taken_up_total",
+                                   "Requests that go on with a stream of an earlier one.", NULL);
+  forward->take_ups_refused = counter_get (
+      counters, "cherryarch_forward_streams_not_taken_up_total",
+      "Requests refused as their stream's version is not known or has no target.", NULL);
   forward->first_byte = histogram_get (counters, "cherryarch_forward_first_byte_microseconds",
                                        "From arrival to the answer's first byte.", NULL);
   forward->stage_time = histogram_get (counters, "cherryarch_forward_stages_microseconds",
--- a/src/forward.h
+++ b/src/forward.h
@@ -7,6 +7,7 @@
 #define FORWARD_H
 
 #include "balance.h"
+#include "binding_store.h"
 #include "counter.h"
 #include "decls.h"
 #include "dialect.h"
@@ -43,6 +44,7 @@
   struct retry_limit retries; /* to each pool */
   struct rate_share *rate_share;
   const struct target_reach *reach; /* NULL: all pools are reached */
+  struct binding_store *bindings;
 };
 
 /* Freed with `parent`.  Returns NULL when out of memory. */
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -1,9 +1,25 @@
 /* Streams and the versions of the targets that write them: only targets of the version that wrote
  * the first event that the client has may go on with a stream. */
 #include "forward_private.h"
+#include "log.h"
 #include "text.h"
+#include <jansson.h>
 #include <string.h>
 
+/* Least time that a binding is kept.  A caller's own patience may be longer than the route's. */
+#define BINDING_LIFETIME_MIN (60 * USEC_PER_SEC)
+
+/* Retry-After, in seconds: another host may know the binding, or have a target of the version. */
+#define TAKE_UP_RETRY_AFTER_SEC 0.3
+
+/* Whether the request goes on with a stream that an earlier request began. */
+static bool
+takes_up_stream (const struct forward_job *job)
+{
+  return job->route.kind == ROUTE_STREAM && job->route.resumable
+         && job->facts.last_event[0] != '\0';
+}
+
 static void
 read_version (const struct forward_job *job, struct binding *out)
 {
@@ -21,21 +37,133 @@
   read_version (job, &job->attempt_binding);
 }
 
+/* A caller may come back as long as the route allows for a request, and once more. */
+static int64_t
+binding_lifetime (const struct forward_job *job)
+{
+  int64_t lifetime = 2 * job->route.timeout;
+
+  return lifetime > BINDING_LIFETIME_MIN ? lifetime : BINDING_LIFETIME_MIN;
+}
+
+static void
+put_binding (struct forward_job *job, const char *request)
+{
+  struct forward *forward = job->forward;
+  struct binding_key key;
+
+  binding_key_compute (job->organisation, job->route.name, request, &key);
+  binding_store_put (forward->config.bindings, &key, &job->stream.binding, binding_lifetime (job),
+                     loop_now (forward->config.loop));
+}
+
 void
 job_bind (struct forward_job *job)
 {
   struct forward_stream *stream = &job->stream;
 
-  if (stream->is_bound)
-    return;
   /* The version may have become known since.  Not of another incarnation: it has not written
    * this. */
-  if (!job->attempt_binding.version_known && job->target->started == job->attempt_started)
+  if (!stream->is_bound && !job->attempt_binding.version_known
+      && job->target->started == job->attempt_started)
     read_version (job, &job->attempt_binding);
+  if (!stream->is_bound)
+    stream->binding = job->attempt_binding;
   stream->is_bound = true;
-  stream->binding = job->attempt_binding;
+  if (!job->route.resumable || !stream->binding.version_known)
+    return;
+  put_binding (job, job->facts.id);
+  /* The hosts that kept it may be gone. */
+  if (takes_up_stream (job) && job->facts.resumes[0] != '\0')
+    put_binding (job, job->facts.resumes);
+}
+
+/* ---- streams that are taken up ---- */
+
+static bool
+has_pool (const struct forward_job *job, const struct routing *routing, const char *name)
+{
+  for (uint32_t i = 0; i < job->route.n_shares; i++)
+    if (strcmp (routing->pools[job->route.shares[i].pool].name, name) == 0)
+      return true;
+  return false;
 }
 
+static void
+log_take_up (const struct forward_job *job, enum forward_reason reason)
+{
+  const struct binding_answer *answer = &job->binding;
+  const struct balance *balance = job->forward->config.balance;
+  struct balance_query any = { .pool = answer->binding.pool };
+  struct balance_query same = { .pool = answer->binding.pool, .version = answer->binding.version };
+  bool known = answer->outcome == BINDING_KNOWN;
+  int64_t asked_at = job->question.asked_at;
+
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "stream-taken-up",
+             "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:i}", "id", job->facts.id, "resumes",
+             job->facts.resumes, "after", job->facts.last_event, "outcome",
+             reason == FORWARD_SERVED ? "goes on" : forward_reason_text (reason), "binding",
+             binding_outcome_text (answer->outcome), "pool", answer->binding.pool, "target_version",
+             answer->binding.version, "from", answer->from, "age_ms",
+             (json_int_t) (answer->age / USEC_PER_MSEC), "asked_us",
+             (json_int_t) (asked_at == 0 ? 0 : loop_now (job->forward->config.loop) - asked_at),
+             "of_version", known ? (int) balance_count (balance, &same) : 0, "of_pool",
+             known ? (int) balance_count (balance, &any) : 0);
+}
+
+static void
+refuse_take_up (struct forward_job *job, enum forward_reason reason)
+{
+  counter_add (job->forward->take_ups_refused, 1);
+  log_take_up (job, reason);
+  job_refuse (job, reason, TAKE_UP_RETRY_AFTER_SEC);
+}
+
+/* Binds the request to what was found out; false if it was refused and the job freed. */
+static bool
+take_up (struct forward_job *job, const struct routing *routing)
+{
+  const struct binding *binding = &job->binding.binding;
+  struct balance_query query = { .pool = binding->pool, .version = binding->version };
+
+  if (job->binding.outcome != BINDING_KNOWN)
+    {
+      refuse_take_up (job, FORWARD_UNKNOWN_VERSION);
+      return false;
+    }
+  if (!has_pool (job, routing, binding->pool)
+      || balance_count (job->forward->config.balance, &query) == 0)
+    {
+      refuse_take_up (job, FORWARD_NO_VERSION);
+      return false;
+    }
+  job->stream.is_bound = true;
+  job->stream.binding = *binding;
+  counter_add (job->forward->take_ups, 1);
+  log_take_up (job, FORWARD_SERVED);
+  return true;
+}
+
+bool
+job_find_binding (struct forward_job *job, const struct routing *routing, int64_t now)
+{
+  struct binding_store *store = job->forward->config.bindings;
+  struct binding_key key;
+
+  if (!takes_up_stream (job))
+    return true;
+  binding_key_compute (job->organisation, job->route.name, job->facts.resumes, &key);
+  if (!job->has_binding && job->facts.resumes[0] != '\0'
+      && !binding_store_find (store, &key, &job->binding, now))
+    {
+      binding_store_ask (store, &job->question, &key, now);
+      return false;
+    }
+  return take_up (job, routing);
+}
+
+/* ---- choice of targets ---- */
+
 const char *
 job_bound_version (const struct forward_job *job)
 {
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -30,6 +30,7 @@
   X (BAD_REQUEST, "request cannot be read")                                                        \
   X (NO_TARGET, "no target")                                                                       \
   X (NO_VERSION, "no target of the version that began the stream")                                 \
+  X (UNKNOWN_VERSION, "the version that began the stream is not known")                            \
   X (LIMITED, "targets are at their limit")                                                        \
   X (CUT_OFF, "no target of the pool can be reached from this host")                               \
   X (NO_TIME, "cannot end in time")                                                                \
@@ -122,6 +123,9 @@
   bool is_suspected;            /* its last run broke, and it was a suspect even before that */
   bool is_counted;              /* its current run is counted among the runs of a suspect */
   struct subscriber_wait confirmation; /* before it is denied */
+  struct binding_question question;    /* what the stream that it takes up is bound to */
+  struct binding_answer binding;       /* the answer to it */
+  bool has_binding;                    /* that answer came */
   bool may_be_denied; /* the configuration was confirmed as the newest since it arrived */
   uint64_t version;   /* of the routing that it was admitted under */
   int64_t arrived;
@@ -187,6 +191,8 @@
   struct counter *reasons[FORWARD_REASON_COUNT];
   struct counter *retries;
   struct counter *retries_denied;
+  struct counter *take_ups;
+  struct counter *take_ups_refused;
   struct histogram *first_byte;
   struct histogram *stage_time;
 };
@@ -282,10 +288,15 @@
 /* Records the version of the target that an attempt is sent to. */
 void job_note_version (struct forward_job *job);
 
-/* The target of the current attempt has written an event that the client is sent now: binds the
- * stream unless it is bound. */
+/* The target of the current attempt has written the first event that the client is about to be
+ * sent: binds the stream unless it is bound, and tells other hosts. */
 void job_bind (struct forward_job *job);
 
+/* Whether the request may go on to its pool.  If it takes up a stream, it first has to be known
+ * what that one is bound to; false then if it waits for an answer or was refused and the job freed.
+ */
+bool job_find_binding (struct forward_job *job, const struct routing *routing, int64_t now);
+
 /* The version of the targets that may go on with the stream; NULL while any may. */
 const char *job_bound_version (const struct forward_job *job);
 
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -129,8 +129,8 @@
   if (named)
     memcpy (stream->last_event, id, sizeof id);
   stream->is_unresumable = !named;
-  stream->events++;
-  job_bind (job);
+  if (stream->events++ == 0)
+    job_bind (job);
   return true;
 }
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -29,7 +29,8 @@
   X (SYNC, "sync")             /* between entry hosts and controllers */                           \
   X (WORK, "work")             /* stage work sent to the host that batches it */                   \
   X (QUARANTINE, "quarantine") /* requests that crash their targets */                             \
-  X (TARGET_LIMIT, "target-limit") /* rates that targets name in their answers */
+  X (TARGET_LIMIT, "target-limit") /* rates that targets name in their answers */                  \
+  X (BINDING, "binding")           /* versions that streams are bound to */
 
 enum peer_channel
 {
