Take up streams without a known binding where only one version can have begun them

Callers that name no earlier request, streams begun at a host of the release before, and streams whose keepers are all gone were refused, though most pools have had one version for as long as any stream lives.

Such a stream goes on if the route has had this one pool for two of its timeouts, as this host has seen, all controllers are heard, and all targets of the pool that the registry remembers, those that ended within its retention too, have the same known version and had no other. Anything less is refused as before.

--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -6,6 +6,9 @@
 #include <jansson.h>
 #include <string.h>
 
+/* Longest life of a stream over all its requests, in multiples of the route's timeout. */
+#define STREAM_LIFE_TIMEOUTS 2
+
 /* Least time that a binding is kept.  A caller's own patience may be longer than the route's. */
 #define BINDING_LIFETIME_MIN (60 * USEC_PER_SEC)
 
@@ -37,11 +40,10 @@
   read_version (job, &job->attempt_binding);
 }
 
-/* A caller may come back as long as the route allows for a request, and once more. */
 static int64_t
 binding_lifetime (const struct forward_job *job)
 {
-  int64_t lifetime = 2 * job->route.timeout;
+  int64_t lifetime = STREAM_LIFE_TIMEOUTS * job->route.timeout;
 
   return lifetime > BINDING_LIFETIME_MIN ? lifetime : BINDING_LIFETIME_MIN;
 }
@@ -119,13 +121,36 @@
   job_refuse (job, reason, TAKE_UP_RETRY_AFTER_SEC);
 }
 
+/* Binds the stream to the only version that any target had for as long as it may live, by what this
+ * host has seen. */
+static void
+bind_to_single_version (struct forward_job *job, const struct routing *routing, int64_t now)
+{
+  const struct subscriber *subscriber = job->forward->config.subscriber;
+  const char *pool = routing->pools[job->route.shares[0].pool].name;
+  const char *version = registry_single_version (subscriber_registry (subscriber), pool, now);
+  int64_t longest = STREAM_LIFE_TIMEOUTS * job->route.timeout;
+
+  if (job->binding.outcome != BINDING_UNKNOWN || job->route.n_shares != 1 || version == NULL
+      || longest > REGISTRY_RETENTION || now - job->route.shares_since < longest
+      || !subscriber_hears_all_controllers (subscriber))
+    return;
+  job->binding.outcome = BINDING_KNOWN;
+  job->binding.binding = (struct binding){ .version_known = true };
+  job->binding.age = now - job->route.shares_since;
+  text_copy_truncated (job->binding.binding.pool, ROUTING_NAME_SIZE, pool);
+  text_copy_truncated (job->binding.binding.version, REGISTRY_VERSION_SIZE, version);
+  text_copy_truncated (job->binding.from, sizeof job->binding.from, "the only version");
+}
+
 /* Binds the request to what was found out; false if it was refused and the job freed. */
 static bool
-take_up (struct forward_job *job, const struct routing *routing)
+take_up (struct forward_job *job, const struct routing *routing, int64_t now)
 {
   const struct binding *binding = &job->binding.binding;
   struct balance_query query = { .pool = binding->pool, .version = binding->version };
 
+  bind_to_single_version (job, routing, now);
   if (job->binding.outcome != BINDING_KNOWN)
     {
       refuse_take_up (job, FORWARD_UNKNOWN_VERSION);
@@ -159,7 +184,7 @@
       binding_store_ask (store, &job->question, &key, now);
       return false;
     }
-  return take_up (job, routing);
+  return take_up (job, routing, now);
 }
 
 /* ---- choice of targets ---- */
--- a/src/registry.c
+++ b/src/registry.c
@@ -142,6 +142,7 @@
 {
   target->registration = *registration;
   target->version_sequence = registration->sequence;
+  target->other_version_until = now;
   target->last_heard_at = now - age;
   target->first_heard_at = now - age;
   target->expired = false;
@@ -154,7 +155,7 @@
 /* Whether the version held is replaced by one that a registration with this sequence named; it is
  * then to be reported as a change. */
 static bool
-set_version (struct registry_target *target, const char *name, uint64_t sequence)
+set_version (struct registry_target *target, const char *name, uint64_t sequence, int64_t now)
 {
   struct registry_registration *held = &target->registration;
   bool changed;
@@ -162,6 +163,8 @@
   if (held->version_known && sequence < target->version_sequence)
     return false;
   changed = !held->version_known || strcmp (held->version, name) != 0;
+  if (held->version_known && changed)
+    target->other_version_until = now;
   target->version_sequence = sequence;
   held->version_known = true;
   text_copy_truncated (held->version, sizeof held->version, name);
@@ -169,16 +172,38 @@
 }
 
 void
-registry_merge_version (struct registry *registry, const struct registry_version *version)
+registry_merge_version (struct registry *registry,
+                        const struct registry_version *version,
+                        int64_t now)
 {
   struct registry_target *target = registry_find_by_hash (registry, version->id_hash);
 
   if (target == NULL || version->started != target->registration.started_unix_ms)
     return;
-  if (set_version (target, version->name, version->sequence))
+  if (set_version (target, version->name, version->sequence, now))
     bump_revision (registry, target);
 }
 
+const char *
+registry_single_version (const struct registry *registry, const char *pool, int64_t now)
+{
+  const char *single = NULL;
+
+  for (const struct registry_target *at = registry->targets; at != NULL; at = at->hh.next)
+    {
+      const char *version = registry_target_version (at);
+      bool changed =
+          at->other_version_until != 0 && now - at->other_version_until <= REGISTRY_RETENTION;
+
+      if (strcmp (at->registration.pool, pool) != 0)
+        continue;
+      if (version == NULL || changed || (single != NULL && strcmp (version, single) != 0))
+        return NULL;
+      single = version;
+    }
+  return single;
+}
+
 enum registry_merge_result
 registry_merge (struct registry *registry,
                 const struct registry_registration *registration,
@@ -207,7 +232,7 @@
     return REGISTRY_MERGE_STALE;
   changed = registration->state > target->registration.state;
   if (registration->version_known
-      && set_version (target, registration->version, registration->sequence))
+      && set_version (target, registration->version, registration->sequence, now))
     changed = true;
   if (registration->state > target->registration.state)
     target->registration.state = registration->state;
--- a/src/registry.h
+++ b/src/registry.h
@@ -79,6 +79,7 @@
   struct registry_registration registration;
   uint64_t id_hash;          /* of its identity; short renewals carry it instead of the identity */
   uint64_t version_sequence; /* of the newest registration that named its version */
+  int64_t other_version_until; /* it had another version, or may have had, up to then; 0: never */
   int64_t first_heard_at;
   int64_t last_heard_at; /* time of its last renewal with any host, on this host's clock */
   uint64_t revision;     /* of the registry when more than a renewal last changed here */
@@ -127,7 +128,15 @@
                                            struct registry_target **out);
 
 /* Merge the version of a target; a version of another incarnation is ignored. */
-void registry_merge_version (struct registry *registry, const struct registry_version *version);
+void registry_merge_version (struct registry *registry,
+                             const struct registry_version *version,
+                             int64_t now);
+
+/* The one version of all targets that the pool has had for REGISTRY_RETENTION, or since the first
+ * of them was heard of here; NULL if there is none, they had several, or one is not known. */
+const char *registry_single_version (const struct registry *registry,
+                                     const char *pool,
+                                     int64_t now);
 
 /* The target's version; NULL while it is not known. */
 static inline const char *
--- a/src/routing.h
+++ b/src/routing.h
@@ -69,6 +69,7 @@
   uint32_t n_shares;
   struct route_share shares[ROUTING_SPLIT_MAX];
   uint32_t total_weight; /* sum of the shares' weights */
+  int64_t shares_since;  /* since when this host knows it to have these pools; 0 elsewhere */
   uint32_t n_stages;
   struct route_stage stages[ROUTING_STAGES_MAX];
 };
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -205,6 +205,46 @@
              "message", message);
 }
 
+/* The route of that name; most often it has the place that it had before. */
+static const struct route *
+find_route (const struct routing *routing, uint32_t place, const char *name)
+{
+  if (place < routing->n_routes && strcmp (routing->routes[place].name, name) == 0)
+    return &routing->routes[place];
+  for (uint32_t i = 0; i < routing->n_routes; i++)
+    if (strcmp (routing->routes[i].name, name) == 0)
+      return &routing->routes[i];
+  return NULL;
+}
+
+static bool
+have_same_pools (const struct routing *before,
+                 const struct route *old,
+                 const struct routing *routing,
+                 const struct route *route)
+{
+  if (old->n_shares != route->n_shares)
+    return false;
+  for (uint32_t i = 0; i < route->n_shares; i++)
+    if (strcmp (before->pools[old->shares[i].pool].name, routing->pools[route->shares[i].pool].name)
+        != 0)
+      return false;
+  return true;
+}
+
+static void
+note_shares_since (const struct routing *before, struct routing *routing, int64_t now)
+{
+  for (uint32_t i = 0; i < routing->n_routes; i++)
+    {
+      struct route *route = &routing->routes[i];
+      const struct route *old = before == NULL ? NULL : find_route (before, i, route->name);
+
+      route->shares_since =
+          old != NULL && have_same_pools (before, old, routing, route) ? old->shares_since : now;
+    }
+}
+
 void
 subscriber_apply_document (struct subscriber *self,
                            const struct known_controller *from,
@@ -226,6 +266,7 @@
       talloc_free (routing);
       return;
     }
+  note_shares_since (before, routing, self->now);
   self->routing = routing;
   gauge_set (self->version_gauge, (double) version);
   document_digest (text, length, digest);
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -126,6 +126,10 @@
 uint32_t subscriber_list_controllers (const struct subscriber *subscriber,
                                       const char *out[SYNC_HOSTS_MAX]);
 
+/* Whether each controller that is known can be reached, so that this host knows all targets that
+ * any other host does. */
+bool subscriber_hears_all_controllers (const struct subscriber *subscriber);
+
 /* Report the pools that this host has lost to the controllers: now, and while there are any with
  * each request. */
 void subscriber_set_reach (struct subscriber *subscriber, const struct sync_reach *reach);
--- a/src/subscriber_version.c
+++ b/src/subscriber_version.c
@@ -43,6 +43,15 @@
   subscriber_request_versions (self, controller, &request);
 }
 
+bool
+subscriber_hears_all_controllers (const struct subscriber *self)
+{
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    if (!self->controllers[i].reachable)
+      return false;
+  return self->n_controllers > 0;
+}
+
 void
 subscriber_handle_versions (struct subscriber *self,
                             const struct known_controller *controller,
@@ -58,7 +67,7 @@
 
       if (!registry_read_version (in, &version))
         break;
-      registry_merge_version (self->registry, &version);
+      registry_merge_version (self->registry, &version, now);
     }
   subscriber_report_changed (self, revision, now);
   if (pack_read_is_complete (in))
--- a/tests/unit_registry.cc
+++ b/tests/unit_registry.cc
@@ -163,7 +163,7 @@
 
   merge (registration ("i", "a:1", REGISTRY_READY, 1));
   EXPECT_EQ (registry_target_version (target), nullptr);
-  registry_merge_version (registry, &version);
+  registry_merge_version (registry, &version, now);
   EXPECT_STREQ (registry_target_version (target), "v2");
   merge (registration ("i", "a:1", REGISTRY_READY, 2));
   EXPECT_STREQ (registry_target_version (target), "v2");
@@ -179,7 +179,7 @@
              REGISTRY_MERGE_NONE);
   EXPECT_EQ (merge (of_version (registration ("i", "a:1", REGISTRY_READY, 4), "v2")),
              REGISTRY_MERGE_CHANGED);
-  registry_merge_version (registry, &older);
+  registry_merge_version (registry, &older, now);
   EXPECT_STREQ (registry_target_version (target), "v2");
 }
 
@@ -191,13 +191,39 @@
   merge (started (of_version (registration ("i", "a:1", REGISTRY_READY, 9), "v1"), 1000));
   merge (started (registration ("i", "a:1", REGISTRY_READY, 1), 2000));
   EXPECT_EQ (registry_target_version (target), nullptr);
-  registry_merge_version (registry, &version);
+  registry_merge_version (registry, &version, now);
   EXPECT_EQ (registry_target_version (target), nullptr);
   version.started = 2000;
-  registry_merge_version (registry, &version);
+  registry_merge_version (registry, &version, now);
   EXPECT_STREQ (registry_target_version (target), "v1");
 }
 
+// Targets that ended count as long as they are remembered: a stream may have begun there.
+TEST_F (RegistryTest, APoolHasASingleVersionWhileAllItsTargetsHadIt)
+{
+  EXPECT_EQ (registry_single_version (registry, "p", now), nullptr);
+  merge (of_version (registration ("i", "a:1", REGISTRY_READY, 1), "v1"));
+  EXPECT_STREQ (registry_single_version (registry, "p", now), "v1");
+  EXPECT_EQ (registry_single_version (registry, "q", now), nullptr);
+  merge (of_version (registration ("j", "a:2", REGISTRY_GONE, 1), "v2"));
+  EXPECT_EQ (registry_single_version (registry, "p", now), nullptr);
+  now += REGISTRY_RETENTION + 1;
+  merge (of_version (registration ("i", "a:1", REGISTRY_READY, 2), "v1"));
+  registry_expire (registry, USEC_PER_SEC, now);
+  EXPECT_STREQ (registry_single_version (registry, "p", now), "v1");
+  merge (registration ("k", "a:3", REGISTRY_READY, 1));
+  EXPECT_EQ (registry_single_version (registry, "p", now), nullptr);
+}
+
+TEST_F (RegistryTest, ATargetThatChangedItsVersionHadSeveral)
+{
+  merge (of_version (registration ("i", "a:1", REGISTRY_READY, 1), "v1"));
+  merge (of_version (registration ("i", "a:1", REGISTRY_READY, 2), "v2"));
+  EXPECT_EQ (registry_single_version (registry, "p", now), nullptr);
+  now += REGISTRY_RETENTION + 1;
+  EXPECT_STREQ (registry_single_version (registry, "p", now), "v2");
+}
+
 TEST_F (RegistryTest, VersionSurvivesEncodingAndDecoding)
 {
   struct bytes out;
