Go on at the writer of a stream while versions are not known

A binding now names the incarnation that wrote the first event as well. Where its version is not known, the stream goes on at that very incarnation, whose version is its own; once the version becomes known, here or at another host, all targets of it may go on.

--- a/src/balance.c
+++ b/src/balance.c
@@ -129,12 +129,10 @@
 static bool
 is_allowed (const struct balance_target *target, const struct balance_query *query)
 {
-  const char *version = registry_target_version (target->record);
-
   if (target->excluded || strcmp (target->pool, query->pool) != 0
       || was_tried (target, query->tried, query->n_tried))
     return false;
-  return query->version == NULL || (version != NULL && strcmp (version, query->version) == 0);
+  return query->binding == NULL || binding_allows (query->binding, &target->record->registration);
 }
 
 uint32_t
--- a/src/balance.h
+++ b/src/balance.h
@@ -4,6 +4,7 @@
 #ifndef BALANCE_H
 #define BALANCE_H
 
+#include "binding.h"
 #include "decls.h"
 #include "engine_load.h"
 #include "rate_share.h"
@@ -101,7 +102,7 @@
 struct balance_query
 {
   const char *pool;
-  const char *version; /* of the targets' software; NULL: any, also one that is not known */
+  const struct binding *binding;       /* of the stream that they go on with; NULL: none */
   const struct balance_prompt *prompt; /* NULL: no request to a model engine */
   struct balance_target *const *tried; /* not to be chosen */
   uint32_t n_tried;
--- a/src/binding.c
+++ b/src/binding.c
@@ -1,5 +1,6 @@
 /* Bindings of streams to the versions of the targets that began them. */
 #include "binding.h"
+#include "text.h"
 #include <sodium.h>
 #include <string.h>
 #include <talloc.h>
@@ -16,11 +17,36 @@
   uint64_t evicted;
 };
 
+void
+binding_to (const struct registry_registration *writer, struct binding *out)
+{
+  *out = (struct binding){
+    .started = writer->started_unix_ms,
+    .version_known = writer->version_known,
+  };
+  text_copy_truncated (out->pool, sizeof out->pool, writer->pool);
+  text_copy_truncated (out->target, sizeof out->target, writer->id);
+  text_copy_truncated (out->version, sizeof out->version, writer->version);
+}
+
+bool
+binding_allows (const struct binding *binding, const struct registry_registration *target)
+{
+  if (strcmp (binding->pool, target->pool) != 0)
+    return false;
+  if (binding->version_known && target->version_known)
+    return strcmp (binding->version, target->version) == 0;
+  return binding->started == target->started_unix_ms && strcmp (binding->target, target->id) == 0;
+}
+
 bool
 binding_equal (const struct binding *a, const struct binding *b)
 {
-  return a->version_known && b->version_known && strcmp (a->pool, b->pool) == 0
-         && strcmp (a->version, b->version) == 0;
+  if (strcmp (a->pool, b->pool) != 0)
+    return false;
+  if (a->version_known && b->version_known)
+    return strcmp (a->version, b->version) == 0;
+  return a->started == b->started && strcmp (a->target, b->target) == 0;
 }
 
 /* The NUL is hashed as well, so that different lists of texts never give the same bytes. */
@@ -135,6 +161,8 @@
     }
   if (!binding_equal (&record->binding, binding))
     record->is_ambiguous = true;
+  if (!record->binding.version_known)
+    record->binding = *binding;
   record->expires_at = now + (lifetime < BINDING_LIFETIME_MAX ? lifetime : BINDING_LIFETIME_MAX);
 }
 
--- a/src/binding.h
+++ b/src/binding.h
@@ -26,10 +26,20 @@
 struct binding
 {
   char pool[ROUTING_NAME_SIZE];
-  bool version_known; /* if not, no target is of the same version */
+  char target[REGISTRY_NAME_SIZE]; /* identity of the writer; "" if not known */
+  uint64_t started;                /* incarnation of the writer */
+  bool version_known;              /* if not, the stream goes on at its writer alone */
   char version[REGISTRY_VERSION_SIZE];
 };
 
+/* Binds to the writer with its version as known now. */
+void binding_to (const struct registry_registration *writer, struct binding *out);
+
+/* Whether the target may go on with the stream: it is of the same version, or the same
+ * incarnation. */
+bool binding_allows (const struct binding *binding, const struct registry_registration *target);
+
+/* Whether two bindings may be of one stream. */
 bool binding_equal (const struct binding *a, const struct binding *b);
 
 /* Identifies a request: a digest of its organisation, its route and its id, so that a request finds
--- a/src/binding_store.c
+++ b/src/binding_store.c
@@ -12,9 +12,9 @@
 /* The kind of a message.  Wire format: never renumbered. */
 enum binding_message
 {
-  BINDING_MESSAGE_PUT = 1,    /* key, lifetime in us, pool, version */
+  BINDING_MESSAGE_PUT = 1,    /* key, lifetime in us, binding */
   BINDING_MESSAGE_ASK = 2,    /* number, key */
-  BINDING_MESSAGE_ANSWER = 3, /* number, key, outcome; if known also age in us, pool, version */
+  BINDING_MESSAGE_ANSWER = 3, /* number, key, outcome; if known also age in us, binding */
 };
 
 struct binding_store
@@ -66,6 +66,9 @@
 pack_binding (struct bytes *out, const struct binding *binding)
 {
   pack_text (out, binding->pool);
+  pack_text (out, binding->target);
+  pack_uint (out, binding->started);
+  pack_bool (out, binding->version_known);
   pack_text (out, binding->version);
 }
 
@@ -73,8 +76,10 @@
 read_binding (struct pack_reader *in, struct binding *out)
 {
   pack_read_text (in, out->pool, sizeof out->pool);
+  pack_read_text (in, out->target, sizeof out->target);
+  out->started = pack_read_uint (in, UINT64_MAX);
+  out->version_known = pack_read_bool (in);
   pack_read_text (in, out->version, sizeof out->version);
-  out->version_known = true;
 }
 
 static bool
@@ -148,7 +153,6 @@
 {
   struct bytes message;
 
-  INVARIANT (binding->version_known);
   keep (store, key, binding, lifetime, now);
   bytes_init (&message, NULL);
   pack_uint (&message, BINDING_MESSAGE_PUT);
--- a/src/binding_store.h
+++ b/src/binding_store.h
@@ -120,7 +120,7 @@
 /* Listens on PEER_CHANNEL_BINDING.  Freed with `parent`.  NULL when out of memory. */
 struct binding_store *binding_store_new (void *parent, const struct binding_store_config *config);
 
-/* Keeps a binding here and sends it to others.  Its version must be known. */
+/* Keeps a binding here and sends it to others. */
 void binding_store_put (struct binding_store *store,
                         const struct binding_key *key,
                         const struct binding *binding,
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -23,21 +23,22 @@
          && job->facts.last_event[0] != '\0';
 }
 
-static void
-read_version (const struct forward_job *job, struct binding *out)
+void
+job_note_version (struct forward_job *job)
 {
-  const char *version = registry_target_version (job->target->record);
-
-  *out = (struct binding){ .version_known = version != NULL };
-  memcpy (out->pool, job->pool, sizeof out->pool);
-  text_copy_truncated (out->version, sizeof out->version, version == NULL ? "" : version);
+  binding_to (&job->target->record->registration, &job->attempt_binding);
 }
 
-void
-job_note_version (struct forward_job *job)
+/* Adds the version of the writer to a binding if it has become known since. */
+static void
+complete_binding (const struct forward_job *job, struct binding *binding)
 {
-  job->attempt_started = job->target->started;
-  read_version (job, &job->attempt_binding);
+  const struct registry *registry = subscriber_registry (job->forward->config.subscriber);
+  const struct registry_target *writer = registry_find (registry, binding->target);
+
+  if (!binding->version_known && writer != NULL
+      && writer->registration.started_unix_ms == binding->started)
+    binding_to (&writer->registration, binding);
 }
 
 static int64_t
@@ -64,15 +65,13 @@
 {
   struct forward_stream *stream = &job->stream;
 
-  /* The version may have become known since.  Not of another incarnation: it has not written
-   * this. */
-  if (!stream->is_bound && !job->attempt_binding.version_known
-      && job->target->started == job->attempt_started)
-    read_version (job, &job->attempt_binding);
   if (!stream->is_bound)
-    stream->binding = job->attempt_binding;
-  stream->is_bound = true;
-  if (!job->route.resumable || !stream->binding.version_known)
+    {
+      complete_binding (job, &job->attempt_binding);
+      stream->binding = job->attempt_binding;
+      stream->is_bound = true;
+    }
+  if (!job->route.resumable)
     return;
   put_binding (job, job->facts.id);
   /* The hosts that kept it may be gone. */
@@ -97,17 +96,18 @@
   const struct binding_answer *answer = &job->binding;
   const struct balance *balance = job->forward->config.balance;
   struct balance_query any = { .pool = answer->binding.pool };
-  struct balance_query same = { .pool = answer->binding.pool, .version = answer->binding.version };
+  struct balance_query same = { .pool = answer->binding.pool, .binding = &answer->binding };
   bool known = answer->outcome == BINDING_KNOWN;
   int64_t asked_at = job->question.asked_at;
 
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "stream-taken-up",
-             "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:i}", "id", job->facts.id, "resumes",
-             job->facts.resumes, "after", job->facts.last_event, "outcome",
+             "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s?,s:s,s:I,s:I,s:i,s:i}", "id", job->facts.id,
+             "resumes", job->facts.resumes, "after", job->facts.last_event, "outcome",
              reason == FORWARD_SERVED ? "goes on" : forward_reason_text (reason), "binding",
-             binding_outcome_text (answer->outcome), "pool", answer->binding.pool, "target_version",
-             answer->binding.version, "from", answer->from, "age_ms",
-             (json_int_t) (answer->age / USEC_PER_MSEC), "asked_us",
+             binding_outcome_text (answer->outcome), "pool", answer->binding.pool, "writer",
+             answer->binding.target, "target_version",
+             answer->binding.version_known ? answer->binding.version : NULL, "from", answer->from,
+             "age_ms", (json_int_t) (answer->age / USEC_PER_MSEC), "asked_us",
              (json_int_t) (asked_at == 0 ? 0 : loop_now (job->forward->config.loop) - asked_at),
              "of_version", known ? (int) balance_count (balance, &same) : 0, "of_pool",
              known ? (int) balance_count (balance, &any) : 0);
@@ -147,9 +147,10 @@
 static bool
 take_up (struct forward_job *job, const struct routing *routing, int64_t now)
 {
-  const struct binding *binding = &job->binding.binding;
-  struct balance_query query = { .pool = binding->pool, .version = binding->version };
+  struct binding *binding = &job->binding.binding;
+  struct balance_query query = { .pool = binding->pool, .binding = binding };
 
+  complete_binding (job, binding);
   bind_to_single_version (job, routing, now);
   if (job->binding.outcome != BINDING_KNOWN)
     {
@@ -189,10 +190,10 @@
 
 /* ---- choice of targets ---- */
 
-const char *
-job_bound_version (const struct forward_job *job)
+const struct binding *
+job_binding (const struct forward_job *job)
 {
-  return job->stream.is_bound ? job->stream.binding.version : NULL;
+  return job->stream.is_bound ? &job->stream.binding : NULL;
 }
 
 bool
@@ -200,13 +201,10 @@
 {
   struct balance_query query = {
     .pool = job->pool,
-    .version = job_bound_version (job),
+    .binding = job_binding (job),
     .tried = job->tried,
     .n_tried = job->n_tried,
   };
 
-  if (!job->stream.is_bound)
-    return false;
-  return !job->stream.binding.version_known
-         || balance_count (job->forward->config.balance, &query) == 0;
+  return job->stream.is_bound && balance_count (job->forward->config.balance, &query) == 0;
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -152,8 +152,7 @@
   uint32_t n_tried;
   uint32_t sends;
   uint32_t runs;                  /* sends that may have run */
-  uint64_t attempt_started;       /* incarnation of the target that the attempt was sent to */
-  struct binding attempt_binding; /* of that incarnation, as known when the attempt was sent */
+  struct binding attempt_binding; /* to its target, as known when it was sent */
   int64_t sent_at;
   int64_t heard_at;      /* the newest data from the target; the send before any */
   int64_t fetched_at;    /* when the target has fetched the stages' results; 0 before a send */
@@ -297,8 +296,8 @@
  */
 bool job_find_binding (struct forward_job *job, const struct routing *routing, int64_t now);
 
-/* The version of the targets that may go on with the stream; NULL while any may. */
-const char *job_bound_version (const struct forward_job *job);
+/* What targets that go on with the stream are bound to; NULL while any may. */
+const struct binding *job_binding (const struct forward_job *job);
 
 /* Whether no target is left that may go on with the stream, nor may be soon. */
 bool job_is_version_gone (const struct forward_job *job);
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -46,7 +46,7 @@
   struct balance_target *target;
   struct balance_query query = {
     .pool = job->pool,
-    .version = job_bound_version (job),
+    .binding = job_binding (job),
     .prompt = &job->prompt,
     .tried = passed,
     .n_tried = job->n_tried,
--- a/src/forward_stage.c
+++ b/src/forward_stage.c
@@ -358,7 +358,7 @@
 {
   struct balance_query query = {
     .pool = job->pool,
-    .version = job_bound_version (job),
+    .binding = job_binding (job),
     .prompt = &job->prompt,
   };
   const struct balance_target *likely;
--- a/tests/unit_balance.cc
+++ b/tests/unit_balance.cc
@@ -47,7 +47,7 @@
   choose (const struct balance_prompt &prompt)
   {
     struct balance_query query = {
-      .pool = POOL, .version = nullptr, .prompt = &prompt, .tried = nullptr, .n_tried = 0
+      .pool = POOL, .binding = nullptr, .prompt = &prompt, .tried = nullptr, .n_tried = 0
     };
 
     return balance_choose (&balance, &query, NOW);
--- a/tests/unit_binding.cc
+++ b/tests/unit_binding.cc
@@ -29,6 +29,47 @@
   return binding;
 }
 
+struct registry_registration
+target_of (const char *id, uint64_t started, const char *version)
+{
+  struct registry_registration target = make_word (id, "p", "a:1", REGISTRY_READY, 1);
+
+  target.started_unix_ms = started;
+  target.version_known = version != nullptr;
+  snprintf (target.version, sizeof target.version, "%s", version == nullptr ? "" : version);
+  return target;
+}
+
+// Whether a stream that `writer` began may go on at `target`.
+bool
+may_go_on (const struct registry_registration &writer, const struct registry_registration &target)
+{
+  struct binding binding;
+
+  binding_to (&writer, &binding);
+  return binding_allows (&binding, &target);
+}
+
+TEST (Binding, AllowsTheSameVersionOrTheSameIncarnation)
+{
+  struct registry_registration writer = target_of ("i", 1, "v1");
+  struct registry_registration unknown = target_of ("i", 1, nullptr);
+  struct registry_registration other_pool = target_of ("j", 2, "v1");
+
+  EXPECT_TRUE (may_go_on (writer, target_of ("j", 2, "v1")));
+  EXPECT_FALSE (may_go_on (writer, target_of ("j", 2, "v1.0")));
+  EXPECT_FALSE (may_go_on (writer, target_of ("j", 2, nullptr)));
+  EXPECT_TRUE (may_go_on (writer, unknown));
+  EXPECT_TRUE (may_go_on (unknown, unknown));
+  EXPECT_TRUE (may_go_on (unknown, writer));
+  EXPECT_FALSE (may_go_on (unknown, target_of ("j", 1, nullptr)));
+  EXPECT_FALSE (may_go_on (unknown, target_of ("i", 2, nullptr)));
+  EXPECT_FALSE (may_go_on (unknown, target_of ("j", 1, "")));
+  EXPECT_TRUE (may_go_on (target_of ("i", 1, ""), target_of ("j", 2, "")));
+  snprintf (other_pool.pool, sizeof other_pool.pool, "q");
+  EXPECT_FALSE (may_go_on (writer, other_pool));
+}
+
 class BindingTableTest : public ::testing::Test
 {
 protected:
@@ -93,6 +134,23 @@
   EXPECT_TRUE (find ("b")->is_ambiguous);
 }
 
+// A host that does not know the version yet, and one that does, keep the same stream.
+TEST_F (BindingTableTest, AVersionThatBecomesKnownReplacesNone)
+{
+  struct registry_registration writer = target_of ("i", 1, "v1");
+  struct registry_registration unknown = target_of ("i", 1, nullptr);
+  struct binding with;
+  struct binding without;
+
+  binding_to (&writer, &with);
+  binding_to (&unknown, &without);
+  put ("a", without);
+  put ("a", with);
+  put ("a", without);
+  EXPECT_FALSE (find ("a")->is_ambiguous);
+  EXPECT_TRUE (find ("a")->binding.version_known);
+}
+
 TEST_F (BindingTableTest, TheOldestMakesRoom)
 {
   put ("kept", binding_of ("p", "v1"), 60 * USEC_PER_SEC);
