Tell the answer about a binding from the binding of a stream by name

A job had `binding`, what another host answered, and `stream.binding`, what its stream is bound to; now `binding_answer`. An attempt notes its writer, not its version alone. The analyzer took the oldest binding of a full table for one that may be missing; it is asked for. No change of behaviour.

--- a/src/binding.c
+++ b/src/binding.c
@@ -84,6 +84,7 @@
 static void
 free_record (struct binding_table *table, struct binding_record *record)
 {
+  INVARIANT (table->records != NULL);
   HASH_DEL (table->records, record);
   DL_DELETE (table->oldest, record);
   talloc_free (record);
@@ -125,7 +126,7 @@
 {
   while (table->oldest != NULL && now >= table->oldest->expires_at)
     free_record (table, table->oldest);
-  if (binding_table_count (table) < BINDINGS_MAX)
+  if (table->oldest == NULL || binding_table_count (table) < BINDINGS_MAX)
     return;
   free_record (table, table->oldest);
   table->evicted++;
--- a/src/forward.c
+++ b/src/forward.c
@@ -259,8 +259,8 @@
 {
   struct forward_job *job = CONTAINER_OF (question, struct forward_job, question);
 
-  job->binding = *answer;
-  job->has_binding = true;
+  job->binding_answer = *answer;
+  job->has_binding_answer = true;
   admit (job, now);
 }
 
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -479,7 +479,7 @@
   if (job->n_tried < BALANCE_TRIED_MAX - 1)
     job->n_tried++;
   job->sends++;
-  job_note_version (job);
+  job_note_writer (job);
   /* Random, not the client's id: each retry, and each request of a client that uses an id twice,
    * counts as a send of its own. */
   job->send_id = rng_u64 (&job->forward->rng);
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -24,7 +24,7 @@
 }
 
 void
-job_note_version (struct forward_job *job)
+job_note_writer (struct forward_job *job)
 {
   binding_to (&job->target->record->registration, &job->attempt_binding);
 }
@@ -93,7 +93,7 @@
 static void
 log_take_up (const struct forward_job *job, enum forward_reason reason)
 {
-  const struct binding_answer *answer = &job->binding;
+  const struct binding_answer *answer = &job->binding_answer;
   const struct balance *balance = job->forward->config.balance;
   struct balance_query any = { .pool = answer->binding.pool };
   struct balance_query same = { .pool = answer->binding.pool, .binding = &answer->binding };
@@ -131,28 +131,29 @@
   const char *version = registry_single_version (subscriber_registry (subscriber), pool, now);
   int64_t longest = STREAM_LIFE_TIMEOUTS * job->route.timeout;
 
-  if (job->binding.outcome != BINDING_UNKNOWN || job->route.n_shares != 1 || version == NULL
+  if (job->binding_answer.outcome != BINDING_UNKNOWN || job->route.n_shares != 1 || version == NULL
       || longest > REGISTRY_RETENTION || now - job->route.shares_since < longest
       || !subscriber_hears_all_controllers (subscriber))
     return;
-  job->binding.outcome = BINDING_KNOWN;
-  job->binding.binding = (struct binding){ .version_known = true };
-  job->binding.age = now - job->route.shares_since;
-  text_copy_truncated (job->binding.binding.pool, ROUTING_NAME_SIZE, pool);
-  text_copy_truncated (job->binding.binding.version, REGISTRY_VERSION_SIZE, version);
-  text_copy_truncated (job->binding.from, sizeof job->binding.from, "the only version");
+  job->binding_answer.outcome = BINDING_KNOWN;
+  job->binding_answer.binding = (struct binding){ .version_known = true };
+  job->binding_answer.age = now - job->route.shares_since;
+  text_copy_truncated (job->binding_answer.binding.pool, ROUTING_NAME_SIZE, pool);
+  text_copy_truncated (job->binding_answer.binding.version, REGISTRY_VERSION_SIZE, version);
+  text_copy_truncated (job->binding_answer.from, sizeof job->binding_answer.from,
+                       "the only version");
 }
 
 /* Binds the request to what was found out; false if it was refused and the job freed. */
 static bool
 take_up (struct forward_job *job, const struct routing *routing, int64_t now)
 {
-  struct binding *binding = &job->binding.binding;
+  struct binding *binding = &job->binding_answer.binding;
   struct balance_query query = { .pool = binding->pool, .binding = binding };
 
   complete_binding (job, binding);
   bind_to_single_version (job, routing, now);
-  if (job->binding.outcome != BINDING_KNOWN)
+  if (job->binding_answer.outcome != BINDING_KNOWN)
     {
       refuse_take_up (job, FORWARD_UNKNOWN_VERSION);
       return false;
@@ -179,8 +180,8 @@
   if (!takes_up_stream (job))
     return true;
   binding_key_compute (job->organisation, job->route.name, job->facts.resumes, &key);
-  if (!job->has_binding && job->facts.resumes[0] != '\0'
-      && !binding_store_find (store, &key, &job->binding, now))
+  if (!job->has_binding_answer && job->facts.resumes[0] != '\0'
+      && !binding_store_find (store, &key, &job->binding_answer, now))
     {
       binding_store_ask (store, &job->question, &key, now);
       return false;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -122,10 +122,10 @@
   bool is_trial;                /* admitted as a trial although targets crashed while running it */
   bool is_suspected;            /* its last run broke, and it was a suspect even before that */
   bool is_counted;              /* its current run is counted among the runs of a suspect */
-  struct subscriber_wait confirmation; /* before it is denied */
-  struct binding_question question;    /* what the stream that it takes up is bound to */
-  struct binding_answer binding;       /* the answer to it */
-  bool has_binding;                    /* that answer came */
+  struct subscriber_wait confirmation;  /* before it is denied */
+  struct binding_question question;     /* what the stream that it takes up is bound to */
+  struct binding_answer binding_answer; /* to that question */
+  bool has_binding_answer;              /* that answer came */
   bool may_be_denied; /* the configuration was confirmed as the newest since it arrived */
   uint64_t version;   /* of the routing that it was admitted under */
   int64_t arrived;
@@ -284,8 +284,8 @@
 
 /* forward_binding.c */
 
-/* Records the version of the target that an attempt is sent to. */
-void job_note_version (struct forward_job *job);
+/* Records the target that an attempt is sent to, with its version. */
+void job_note_writer (struct forward_job *job);
 
 /* The target of the current attempt has written the first event that the client is about to be
  * sent: binds the stream unless it is bound, and tells other hosts. */
