Name bindings by the usual terms: lookup, replica, resume

The code spoke of questions, keepers and streams that are taken up, the last from the users' pages. Now a lookup finds a binding at hosts that hold a replica, and a request resumes a stream: `stream-resumed`, `forward_streams_resumed_total`, `forward_streams_not_resumed_total`, `binding_lookups_total`. No change of behaviour.

--- a/src/binding_order.c
+++ b/src/binding_order.c
@@ -64,13 +64,13 @@
                      uint32_t max,
                      const char **out)
 {
-  const struct sync_host *chosen[BINDING_ASKED_HOSTS];
+  const struct sync_host *chosen[BINDING_LOOKUP_HOSTS];
   uint64_t scores[SYNC_HOSTS_MAX];
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < view->n; i++)
     scores[i] = score (key, view->hosts[i]->name);
-  while (n < max && n < BINDING_ASKED_HOSTS)
+  while (n < max && n < BINDING_LOOKUP_HOSTS)
     {
       const struct sync_host *host = next_host (view, self, scores, chosen, n);
 
--- a/src/binding_store.c
+++ b/src/binding_store.c
@@ -13,7 +13,7 @@
 enum binding_message
 {
   BINDING_MESSAGE_PUT = 1,    /* key, lifetime in us, binding */
-  BINDING_MESSAGE_ASK = 2,    /* number, key */
+  BINDING_MESSAGE_LOOKUP = 2, /* number, key */
   BINDING_MESSAGE_ANSWER = 3, /* number, key, outcome; if known also age in us, binding */
 };
 
@@ -22,7 +22,7 @@
   struct peer_listener listener; /* must be first: the port passes it to callbacks */
   struct binding_store_config config;
   struct binding_table *table;
-  struct binding_question *questions;
+  struct binding_lookup *lookups;
   uint64_t last_number;
   struct counter *held;
   struct counter *evicted;
@@ -118,11 +118,11 @@
                const struct bytes *message)
 {
   struct binding_peers *peers = store->config.peers;
-  const char *hosts[BINDING_ASKED_HOSTS];
-  const char *controllers[BINDING_ASKED_CONTROLLERS];
-  uint32_t n_hosts = peers->ops->list_hosts (peers, key, BINDING_ASKED_HOSTS, hosts);
+  const char *hosts[BINDING_LOOKUP_HOSTS];
+  const char *controllers[BINDING_LOOKUP_CONTROLLERS];
+  uint32_t n_hosts = peers->ops->list_hosts (peers, key, BINDING_LOOKUP_HOSTS, hosts);
   uint32_t n_controllers =
-      peers->ops->list_controllers (peers, key, BINDING_ASKED_CONTROLLERS, controllers);
+      peers->ops->list_controllers (peers, key, BINDING_LOOKUP_CONTROLLERS, controllers);
 
   return send_to_first (store, hosts, n_hosts, hosts_wanted, message)
          + send_to_first (store, controllers, n_controllers, controllers_wanted, message);
@@ -159,7 +159,7 @@
   pack_key (&message, key);
   pack_uint (&message, (uint64_t) lifetime);
   pack_binding (&message, binding);
-  send_to_peers (store, key, BINDING_KEEPER_HOSTS, BINDING_KEEPER_CONTROLLERS, &message);
+  send_to_peers (store, key, BINDING_REPLICA_HOSTS, BINDING_REPLICA_CONTROLLERS, &message);
   bytes_clear (&message);
 }
 
@@ -181,73 +181,73 @@
   return true;
 }
 
-/* ---- asking ---- */
+/* ---- lookups ---- */
 
 void
-binding_store_cancel (struct binding_question *question)
+binding_store_cancel (struct binding_lookup *lookup)
 {
-  if (question->number == 0)
+  if (lookup->number == 0)
     return;
-  timer_disarm (question->store->config.timers, &question->timer);
-  DL_DELETE (question->store->questions, question);
-  question->number = 0;
+  timer_disarm (lookup->store->config.timers, &lookup->timer);
+  DL_DELETE (lookup->store->lookups, lookup);
+  lookup->number = 0;
 }
 
 static void
-finish (struct binding_question *question, const struct binding_answer *answer, int64_t now)
+finish (struct binding_lookup *lookup, const struct binding_answer *answer, int64_t now)
 {
-  counter_add (question->store->outcomes[answer->outcome], 1);
-  binding_store_cancel (question);
-  question->ops->answered (question, answer, now);
+  counter_add (lookup->store->outcomes[answer->outcome], 1);
+  binding_store_cancel (lookup);
+  lookup->ops->answered (lookup, answer, now);
 }
 
 static void
-send_question (struct binding_question *question)
+send_lookup (struct binding_lookup *lookup)
 {
   struct bytes message;
 
   bytes_init (&message, NULL);
-  pack_uint (&message, BINDING_MESSAGE_ASK);
-  pack_uint (&message, question->number);
-  pack_key (&message, &question->key);
-  question->n_sent += send_to_peers (question->store, &question->key, BINDING_ASKED_HOSTS,
-                                     BINDING_ASKED_CONTROLLERS, &message);
+  pack_uint (&message, BINDING_MESSAGE_LOOKUP);
+  pack_uint (&message, lookup->number);
+  pack_key (&message, &lookup->key);
+  lookup->n_sent += send_to_peers (lookup->store, &lookup->key, BINDING_LOOKUP_HOSTS,
+                                   BINDING_LOOKUP_CONTROLLERS, &message);
   bytes_clear (&message);
 }
 
 static void
 timer_fired (struct timer *timer, int64_t now)
 {
-  struct binding_question *question = CONTAINER_OF (timer, struct binding_question, timer);
+  struct binding_lookup *lookup = CONTAINER_OF (timer, struct binding_lookup, timer);
   struct binding_answer unknown = { .outcome = BINDING_UNKNOWN };
 
-  if (now - question->asked_at >= BINDING_ASK_TIMEOUT)
+  if (now - lookup->started_at >= BINDING_LOOKUP_TIMEOUT)
     {
-      finish (question, &unknown, now);
+      finish (lookup, &unknown, now);
       return;
     }
-  send_question (question);
-  timer_arm (question->store->config.timers, timer, now + BINDING_ASK_PERIOD);
+  send_lookup (lookup);
+  timer_arm (lookup->store->config.timers, timer, now + BINDING_LOOKUP_PERIOD);
 }
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
 
 void
-binding_store_ask (struct binding_store *store,
-                   struct binding_question *question,
-                   const struct binding_key *key,
-                   int64_t now)
+binding_store_look_up (struct binding_store *store,
+                       struct binding_lookup *lookup,
+                       const struct binding_key *key,
+                       int64_t now)
 {
-  question->key = *key;
-  question->number = ++store->last_number;
-  question->asked_at = now;
-  question->n_sent = 0;
-  question->n_unknown = 0;
-  question->store = store;
-  question->timer.ops = &timer_ops;
-  DL_APPEND (store->questions, question);
-  send_question (question);
-  timer_arm (store->config.timers, &question->timer, now + BINDING_ASK_PERIOD);
+  lookup->key = *key;
+  lookup->number = ++store->last_number;
+  lookup->started_at = now;
+  lookup->n_sent = 0;
+  lookup->n_unknown = 0;
+  lookup->store = store;
+  lookup->timer.ops = &timer_ops;
+  DL_APPEND (store->lookups, lookup);
+  send_lookup (lookup);
+  timer_arm (store->config.timers, &lookup->timer, now + BINDING_LOOKUP_PERIOD);
 }
 
 /* ---- receiving ---- */
@@ -267,7 +267,7 @@
 }
 
 static void
-handle_ask (struct binding_store *store, struct pack_reader *in, const char *from, int64_t now)
+handle_lookup (struct binding_store *store, struct pack_reader *in, const char *from, int64_t now)
 {
   uint64_t number = pack_read_uint (in, UINT64_MAX);
   struct binding_answer answer;
@@ -288,20 +288,20 @@
       pack_uint (&message, (uint64_t) answer.age);
       pack_binding (&message, &answer.binding);
     }
-  (void) send_to (store, from, &message); /* the question is repeated */
+  (void) send_to (store, from, &message); /* the lookup is repeated */
   bytes_clear (&message);
 }
 
-static struct binding_question *
-find_question (const struct binding_store *store, uint64_t number, const struct binding_key *key)
+static struct binding_lookup *
+find_lookup (const struct binding_store *store, uint64_t number, const struct binding_key *key)
 {
-  struct binding_question *question = store->questions;
+  struct binding_lookup *lookup = store->lookups;
 
-  while (question != NULL && question->number != number)
-    question = question->next;
-  if (question == NULL || memcmp (&question->key, key, sizeof *key) != 0)
+  while (lookup != NULL && lookup->number != number)
+    lookup = lookup->next;
+  if (lookup == NULL || memcmp (&lookup->key, key, sizeof *key) != 0)
     return NULL;
-  return question;
+  return lookup;
 }
 
 static void
@@ -309,7 +309,7 @@
 {
   uint64_t number = pack_read_uint (in, UINT64_MAX);
   struct binding_answer answer = { .outcome = BINDING_UNKNOWN };
-  struct binding_question *question;
+  struct binding_lookup *lookup;
   struct binding_key key;
 
   read_key (in, &key);
@@ -321,13 +321,13 @@
     }
   if (!pack_read_is_complete (in))
     return;
-  question = find_question (store, number, &key);
-  if (question == NULL)
+  lookup = find_lookup (store, number, &key);
+  if (lookup == NULL)
     return;
   text_copy_truncated (answer.from, sizeof answer.from, from);
-  if (answer.outcome == BINDING_UNKNOWN && ++question->n_unknown < question->n_sent)
+  if (answer.outcome == BINDING_UNKNOWN && ++lookup->n_unknown < lookup->n_sent)
     return;
-  finish (question, &answer, now);
+  finish (lookup, &answer, now);
 }
 
 static void
@@ -342,8 +342,8 @@
   kind = pack_read_uint (&in, UINT64_MAX);
   if (kind == BINDING_MESSAGE_PUT)
     handle_put (store, &in, now);
-  else if (kind == BINDING_MESSAGE_ASK)
-    handle_ask (store, &in, from, now);
+  else if (kind == BINDING_MESSAGE_LOOKUP)
+    handle_lookup (store, &in, from, now);
   else if (kind == BINDING_MESSAGE_ANSWER)
     handle_answer (store, &in, from, now);
   if (!pack_read_is_complete (&in))
@@ -372,16 +372,16 @@
 
       snprintf (label, sizeof label, "outcome=\"%s\"",
                 binding_outcome_text ((enum binding_outcome) i));
-      store->outcomes[i] = counter_get (counters, "cherryarch_binding_questions_total",
-                                        "Questions to other hosts by what they answered.", label);
+      store->outcomes[i] = counter_get (counters, "cherryarch_binding_lookups_total",
+                                        "Lookups at other hosts by their outcome.", label);
     }
 }
 
 static int
 free_store (struct binding_store *store)
 {
-  while (store->questions != NULL)
-    binding_store_cancel (store->questions);
+  while (store->lookups != NULL)
+    binding_store_cancel (store->lookups);
   return 0;
 }
 
--- a/src/binding_store.h
+++ b/src/binding_store.h
@@ -18,17 +18,17 @@
 BEGIN_DECLS
 
 /* Hosts that are sent a binding. */
-#define BINDING_KEEPER_HOSTS 3
-#define BINDING_KEEPER_CONTROLLERS 1
+#define BINDING_REPLICA_HOSTS 3
+#define BINDING_REPLICA_CONTROLLERS 1
 
 /* Hosts that are asked for one: more, as the order changes when hosts come and go. */
-#define BINDING_ASKED_HOSTS 6
-#define BINDING_ASKED_CONTROLLERS 3
+#define BINDING_LOOKUP_HOSTS 6
+#define BINDING_LOOKUP_CONTROLLERS 3
 
-/* A question is repeated at this period, and given up after the timeout: a host that was just
+/* A lookup is repeated at this period, and given up after the timeout: a host that was just
  * started has no connections yet. */
-#define BINDING_ASK_PERIOD (50 * USEC_PER_MSEC)
-#define BINDING_ASK_TIMEOUT (250 * USEC_PER_MSEC)
+#define BINDING_LOOKUP_PERIOD (50 * USEC_PER_MSEC)
+#define BINDING_LOOKUP_TIMEOUT (250 * USEC_PER_MSEC)
 
 /* name, text */
 #define BINDING_OUTCOME_LIST(X)                                                                    \
@@ -56,23 +56,23 @@
 };
 
 /* Embedded in its owner, which must cancel it before it is freed. */
-struct binding_question
+struct binding_lookup
 {
-  const struct binding_question_ops *ops;
+  const struct binding_lookup_ops *ops;
   struct binding_key key;
-  uint64_t number; /* 0: not asked */
-  int64_t asked_at;
+  uint64_t number; /* 0: not under way */
+  int64_t started_at;
   uint32_t n_sent;
   uint32_t n_unknown; /* answers that it is not known */
   struct binding_store *store;
   struct timer timer;
-  struct binding_question *prev;
-  struct binding_question *next;
+  struct binding_lookup *prev;
+  struct binding_lookup *next;
 };
 
-struct binding_question_ops
+struct binding_lookup_ops
 {
-  void (*answered) (struct binding_question *question,
+  void (*answered) (struct binding_lookup *lookup,
                     const struct binding_answer *answer,
                     int64_t now);
 };
@@ -134,13 +134,13 @@
                          int64_t now);
 
 /* Asks other hosts; answered() is called once, not from within this call. */
-void binding_store_ask (struct binding_store *store,
-                        struct binding_question *question,
-                        const struct binding_key *key,
-                        int64_t now);
+void binding_store_look_up (struct binding_store *store,
+                            struct binding_lookup *lookup,
+                            const struct binding_key *key,
+                            int64_t now);
 
-/* No effect when it was not asked or was answered. */
-void binding_store_cancel (struct binding_question *question);
+/* No effect unless it is under way. */
+void binding_store_cancel (struct binding_lookup *lookup);
 
 END_DECLS
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -39,7 +39,7 @@
   struct forward *forward = job->forward;
 
   subscriber_wait_cancel (forward->config.subscriber, &job->confirmation);
-  binding_store_cancel (&job->question);
+  binding_store_cancel (&job->lookup);
   timer_disarm (loop_timers (forward->config.loop), &job->timer);
   timer_disarm (loop_timers (forward->config.loop), &job->fetch_timer);
   job_cancel_call (job);
@@ -253,18 +253,16 @@
 static const struct subscriber_wait_ops confirmation_ops = { .confirmed = confirmed };
 
 static void
-binding_answered (struct binding_question *question,
-                  const struct binding_answer *answer,
-                  int64_t now)
+binding_answered (struct binding_lookup *lookup, const struct binding_answer *answer, int64_t now)
 {
-  struct forward_job *job = CONTAINER_OF (question, struct forward_job, question);
+  struct forward_job *job = CONTAINER_OF (lookup, struct forward_job, lookup);
 
   job->binding_answer = *answer;
   job->has_binding_answer = true;
   admit (job, now);
 }
 
-static const struct binding_question_ops question_ops = { .answered = binding_answered };
+static const struct binding_lookup_ops lookup_ops = { .answered = binding_answered };
 
 static void
 on_request (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
@@ -283,7 +281,7 @@
   job->arrived = exchange->arrived;
   job->timer.ops = &timer_ops;
   job->confirmation.ops = &confirmation_ops;
-  job->question.ops = &question_ops;
+  job->lookup.ops = &lookup_ops;
   job->limit = DIALECT_NO_LIMIT;
   bytes_init (&job->fields, job);
   bytes_init (&job->body, job);
@@ -356,10 +354,10 @@
   forward->retries_denied =
       counter_get (counters, "cherryarch_forward_retries_denied_total",
                    "Requests not sent to another target, as the retry budget was spent.", NULL);
-  forward->take_ups = counter_get (counters, "cherryarch_forward_streams_taken_up_total",
-                                   "Requests that go on with a stream of an earlier one.", NULL);
-  forward->take_ups_refused = counter_get (
-      counters, "cherryarch_forward_streams_not_taken_up_total",
+  forward->resumptions = counter_get (counters, "cherryarch_forward_streams_resumed_total",
+                                      "Requests that go on with a stream of an earlier one.", NULL);
+  forward->resumptions_refused = counter_get (
+      counters, "cherryarch_forward_streams_not_resumed_total",
       "Requests refused as their stream's version is not known or has no target.", NULL);
   forward->first_byte = histogram_get (counters, "cherryarch_forward_first_byte_microseconds",
                                        "From arrival to the answer's first byte.", NULL);
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -13,11 +13,11 @@
 #define BINDING_LIFETIME_MIN (60 * USEC_PER_SEC)
 
 /* Retry-After, in seconds: another host may know the binding, or have a target of the version. */
-#define TAKE_UP_RETRY_AFTER_SEC 0.3
+#define RESUME_RETRY_AFTER_SEC 0.3
 
 /* Whether the request goes on with a stream that an earlier request began. */
 static bool
-takes_up_stream (const struct forward_job *job)
+resumes_stream (const struct forward_job *job)
 {
   return job->route.kind == ROUTE_STREAM && job->route.resumable
          && job->facts.last_event[0] != '\0';
@@ -75,11 +75,11 @@
     return;
   put_binding (job, job->facts.id);
   /* The hosts that kept it may be gone. */
-  if (takes_up_stream (job) && job->facts.resumes[0] != '\0')
+  if (resumes_stream (job) && job->facts.resumes[0] != '\0')
     put_binding (job, job->facts.resumes);
 }
 
-/* ---- streams that are taken up ---- */
+/* ---- resumed streams ---- */
 
 static bool
 has_pool (const struct forward_job *job, const struct routing *routing, const char *name)
@@ -91,34 +91,34 @@
 }
 
 static void
-log_take_up (const struct forward_job *job, enum forward_reason reason)
+log_resumption (const struct forward_job *job, enum forward_reason reason)
 {
   const struct binding_answer *answer = &job->binding_answer;
   const struct balance *balance = job->forward->config.balance;
   struct balance_query any = { .pool = answer->binding.pool };
   struct balance_query same = { .pool = answer->binding.pool, .binding = &answer->binding };
   bool known = answer->outcome == BINDING_KNOWN;
-  int64_t asked_at = job->question.asked_at;
+  int64_t started_at = job->lookup.started_at;
 
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "stream-taken-up",
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "stream-resumed",
              "{s:s,s:s,s:s,s:s,s:s,s:s,s:s,s:s?,s:s,s:I,s:I,s:i,s:i}", "id", job->facts.id,
              "resumes", job->facts.resumes, "after", job->facts.last_event, "outcome",
              reason == FORWARD_SERVED ? "goes on" : forward_reason_text (reason), "binding",
              binding_outcome_text (answer->outcome), "pool", answer->binding.pool, "writer",
              answer->binding.target, "target_version",
              answer->binding.version_known ? answer->binding.version : NULL, "from", answer->from,
-             "age_ms", (json_int_t) (answer->age / USEC_PER_MSEC), "asked_us",
-             (json_int_t) (asked_at == 0 ? 0 : loop_now (job->forward->config.loop) - asked_at),
+             "age_ms", (json_int_t) (answer->age / USEC_PER_MSEC), "lookup_us",
+             (json_int_t) (started_at == 0 ? 0 : loop_now (job->forward->config.loop) - started_at),
              "of_version", known ? (int) balance_count (balance, &same) : 0, "of_pool",
              known ? (int) balance_count (balance, &any) : 0);
 }
 
 static void
-refuse_take_up (struct forward_job *job, enum forward_reason reason)
+refuse_resumption (struct forward_job *job, enum forward_reason reason)
 {
-  counter_add (job->forward->take_ups_refused, 1);
-  log_take_up (job, reason);
-  job_refuse (job, reason, TAKE_UP_RETRY_AFTER_SEC);
+  counter_add (job->forward->resumptions_refused, 1);
+  log_resumption (job, reason);
+  job_refuse (job, reason, RESUME_RETRY_AFTER_SEC);
 }
 
 /* Binds the stream to the only version that any target had for as long as it may live, by what this
@@ -146,7 +146,7 @@
 
 /* Binds the request to what was found out; false if it was refused and the job freed. */
 static bool
-take_up (struct forward_job *job, const struct routing *routing, int64_t now)
+resume (struct forward_job *job, const struct routing *routing, int64_t now)
 {
   struct binding *binding = &job->binding_answer.binding;
   struct balance_query query = { .pool = binding->pool, .binding = binding };
@@ -155,19 +155,19 @@
   bind_to_single_version (job, routing, now);
   if (job->binding_answer.outcome != BINDING_KNOWN)
     {
-      refuse_take_up (job, FORWARD_UNKNOWN_VERSION);
+      refuse_resumption (job, FORWARD_UNKNOWN_VERSION);
       return false;
     }
   if (!has_pool (job, routing, binding->pool)
       || balance_count (job->forward->config.balance, &query) == 0)
     {
-      refuse_take_up (job, FORWARD_NO_VERSION);
+      refuse_resumption (job, FORWARD_NO_VERSION);
       return false;
     }
   job->stream.is_bound = true;
   job->stream.binding = *binding;
-  counter_add (job->forward->take_ups, 1);
-  log_take_up (job, FORWARD_SERVED);
+  counter_add (job->forward->resumptions, 1);
+  log_resumption (job, FORWARD_SERVED);
   return true;
 }
 
@@ -177,16 +177,16 @@
   struct binding_store *store = job->forward->config.bindings;
   struct binding_key key;
 
-  if (!takes_up_stream (job))
+  if (!resumes_stream (job))
     return true;
   binding_key_compute (job->organisation, job->route.name, job->facts.resumes, &key);
   if (!job->has_binding_answer && job->facts.resumes[0] != '\0'
       && !binding_store_find (store, &key, &job->binding_answer, now))
     {
-      binding_store_ask (store, &job->question, &key, now);
+      binding_store_look_up (store, &job->lookup, &key, now);
       return false;
     }
-  return take_up (job, routing, now);
+  return resume (job, routing, now);
 }
 
 /* ---- choice of targets ---- */
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -123,8 +123,8 @@
   bool is_suspected;            /* its last run broke, and it was a suspect even before that */
   bool is_counted;              /* its current run is counted among the runs of a suspect */
   struct subscriber_wait confirmation;  /* before it is denied */
-  struct binding_question question;     /* what the stream that it takes up is bound to */
-  struct binding_answer binding_answer; /* to that question */
+  struct binding_lookup lookup;         /* of the stream that it resumes */
+  struct binding_answer binding_answer; /* to that lookup */
   bool has_binding_answer;              /* that answer came */
   bool may_be_denied; /* the configuration was confirmed as the newest since it arrived */
   uint64_t version;   /* of the routing that it was admitted under */
@@ -190,8 +190,8 @@
   struct counter *reasons[FORWARD_REASON_COUNT];
   struct counter *retries;
   struct counter *retries_denied;
-  struct counter *take_ups;
-  struct counter *take_ups_refused;
+  struct counter *resumptions;
+  struct counter *resumptions_refused;
   struct histogram *first_byte;
   struct histogram *stage_time;
 };
@@ -291,8 +291,8 @@
  * sent: binds the stream unless it is bound, and tells other hosts. */
 void job_bind (struct forward_job *job);
 
-/* Whether the request may go on to its pool.  If it takes up a stream, it first has to be known
- * what that one is bound to; false then if it waits for an answer or was refused and the job freed.
+/* Whether the request may go on to its pool.  If it resumes a stream, that one's binding has
+ * to be known first; false then if it waits for an answer or was refused and the job freed.
  */
 bool job_find_binding (struct forward_job *job, const struct routing *routing, int64_t now);
 
--- a/tests/unit_binding.cc
+++ b/tests/unit_binding.cc
@@ -1,4 +1,4 @@
-// What streams are bound to: the table, the hosts that keep bindings, and questions to them.
+// What streams are bound to: the table, the hosts that keep bindings, and lookups at them.
 #include "binding_store.h"
 #include "sync_harness.h"
 #include <gtest/gtest.h>
@@ -207,14 +207,14 @@
   order (const std::string &id, const std::string &self, uint32_t max)
   {
     struct binding_key key = key_of (id);
-    const char *out[BINDING_ASKED_HOSTS];
+    const char *out[BINDING_LOOKUP_HOSTS];
     uint32_t n = binding_order_hosts (&view, self.c_str (), &key, max, out);
 
     return { out, out + n };
   }
 };
 
-TEST_F (BindingOrderTest, KeepersAreOtherHostsInDifferentDomains)
+TEST_F (BindingOrderTest, ReplicasAreOnOtherHostsInDifferentDomains)
 {
   make (9, 3);
   for (int i = 0; i < 200; i++)
@@ -222,7 +222,7 @@
       std::string self = hosts[(size_t) i % 9]->name;
       std::set<std::string> domains;
 
-      for (const auto &name : order ("s" + std::to_string (i), self, BINDING_KEEPER_HOSTS))
+      for (const auto &name : order ("s" + std::to_string (i), self, BINDING_REPLICA_HOSTS))
         {
           EXPECT_NE (name, self);
           domains.insert (host_view_find (&view, name.c_str ())->domain);
@@ -231,16 +231,16 @@
     }
 }
 
-TEST_F (BindingOrderTest, FewHostsAreAllKeepers)
+TEST_F (BindingOrderTest, FewHostsAllHoldReplicas)
 {
   make (2, 2);
-  EXPECT_EQ (order ("s", hosts[0]->name, BINDING_KEEPER_HOSTS),
+  EXPECT_EQ (order ("s", hosts[0]->name, BINDING_REPLICA_HOSTS),
              std::vector<std::string>{ hosts[1]->name });
 }
 
 // Hosts that end, with the one that began the stream among them, share of the streams of which a
-// keeper is left and is asked by a host that has another view.
-TEST_F (BindingOrderTest, MostStreamsHaveAKeeperLeftWhenSixInTenHostsEnd)
+// replica is left and is found by a host that has another view.
+TEST_F (BindingOrderTest, MostStreamsHaveAReplicaLeftWhenSixInTenHostsEnd)
 {
   const int STREAMS = 1000;
   int found = 0;
@@ -251,13 +251,13 @@
       auto is_left = [i] (size_t host) { return (host * 7 + (size_t) i) % 10 >= 6; };
       std::string id = "s" + std::to_string (i);
       std::string began_at;
-      std::string taken_up_at;
+      std::string resumed_at;
       std::set<std::string> kept;
       struct host_view all = view;
 
       for (size_t host = 0; host < hosts.size (); host++)
-        (is_left (host) ? taken_up_at : began_at) = hosts[host]->name;
-      for (const auto &name : order (id, began_at, BINDING_KEEPER_HOSTS))
+        (is_left (host) ? resumed_at : began_at) = hosts[host]->name;
+      for (const auto &name : order (id, began_at, BINDING_REPLICA_HOSTS))
         kept.insert (name);
       for (size_t host = 0; host < hosts.size (); host++)
         if (!is_left (host))
@@ -265,9 +265,9 @@
             kept.erase (hosts[host]->name);
             host_view_remove (&view, hosts[host]->name);
           }
-      bool known = kept.count (taken_up_at) > 0;
+      bool known = kept.count (resumed_at) > 0;
 
-      for (const auto &name : order (id, taken_up_at, BINDING_ASKED_HOSTS))
+      for (const auto &name : order (id, resumed_at, BINDING_LOOKUP_HOSTS))
         known = known || kept.count (name) > 0;
       found += known ? 1 : 0;
       view = all;
@@ -293,9 +293,9 @@
     struct binding_store *store = nullptr;
   };
 
-  struct asker
+  struct lookup_client
   {
-    struct binding_question question; // must be first: cast to asker
+    struct binding_lookup lookup; // must be first: cast to lookup_client
     std::vector<struct binding_answer> answers;
   };
 
@@ -305,17 +305,19 @@
   std::map<std::string, host> hosts;
   int64_t now = 10 * USEC_PER_SEC;
   struct binding_key key = key_of ("r1");
-  asker question = {};
+  lookup_client client = {};
 
   void
   SetUp () override
   {
-    static const struct binding_question_ops ops = {
-      .answered = [] (struct binding_question *base, const struct binding_answer *answer,
-                      int64_t) { reinterpret_cast<asker *> (base)->answers.push_back (*answer); },
+    static const struct binding_lookup_ops ops = {
+      .answered =
+          [] (struct binding_lookup *base, const struct binding_answer *answer, int64_t) {
+            reinterpret_cast<lookup_client *> (base)->answers.push_back (*answer);
+          },
     };
 
-    question.question.ops = &ops;
+    client.lookup.ops = &ops;
   }
 
   void
@@ -398,9 +400,9 @@
   }
 
   void
-  ask (const std::string &name)
+  look_up (const std::string &name)
   {
-    binding_store_ask (hosts[name].store, &question.question, &key, now);
+    binding_store_look_up (hosts[name].store, &client.lookup, &key, now);
   }
 
   void
@@ -420,16 +422,16 @@
   deliver ();
   hosts.erase ("a");
   now += 5 * USEC_PER_SEC;
-  ask ("c");
-  EXPECT_TRUE (question.answers.empty ());
+  look_up ("c");
+  EXPECT_TRUE (client.answers.empty ());
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_KNOWN);
-  EXPECT_STREQ (question.answers[0].binding.pool, "p");
-  EXPECT_STREQ (question.answers[0].binding.version, "v2");
-  EXPECT_TRUE (question.answers[0].binding.version_known);
-  EXPECT_STREQ (question.answers[0].from, "b");
-  EXPECT_EQ (question.answers[0].age, 5 * USEC_PER_SEC);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
+  EXPECT_STREQ (client.answers[0].binding.pool, "p");
+  EXPECT_STREQ (client.answers[0].binding.version, "v2");
+  EXPECT_TRUE (client.answers[0].binding.version_known);
+  EXPECT_STREQ (client.answers[0].from, "b");
+  EXPECT_EQ (client.answers[0].age, 5 * USEC_PER_SEC);
 }
 
 // A controller keeps bindings for the case that all entry hosts end at once.
@@ -441,10 +443,10 @@
   deliver ();
   hosts.erase ("a");
   add ("b", {}).peers.controllers = { "controller" };
-  ask ("b");
+  look_up ("b");
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_KNOWN);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
 }
 
 // One host that knows is enough, whatever others say and whether they say anything.
@@ -456,12 +458,12 @@
   put ("a", binding_of ("p", "v2"));
   deliver ();
   add ("d", { "c", "dead", "b" });
-  ask ("d");
+  look_up ("d");
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_KNOWN);
-  advance (BINDING_ASK_TIMEOUT);
-  EXPECT_EQ (question.answers.size (), 1u);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
+  advance (BINDING_LOOKUP_TIMEOUT);
+  EXPECT_EQ (client.answers.size (), 1u);
 }
 
 TEST_F (BindingStoreTest, EndsAtOnceWhenAllSayThatTheyDoNotKnow)
@@ -469,53 +471,53 @@
   add ("a", { "b", "c" });
   add ("b", {});
   add ("c", {});
-  ask ("a");
+  look_up ("a");
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_UNKNOWN);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_UNKNOWN);
 }
 
-// A host that was just started has no connection at first; the question is repeated.
-TEST_F (BindingStoreTest, RepeatsTheQuestion)
+// A host that was just started has no connection at first; the lookup is repeated.
+TEST_F (BindingStoreTest, RepeatsTheLookup)
 {
   add ("a", { "b" });
   add ("b", {});
   put ("b", binding_of ("p", "v1"));
   hosts["a"].port.unreachable["b"] = true;
-  ask ("a");
+  look_up ("a");
   deliver ();
-  EXPECT_TRUE (question.answers.empty ());
+  EXPECT_TRUE (client.answers.empty ());
   hosts["a"].port.unreachable["b"] = false;
-  advance (BINDING_ASK_PERIOD);
+  advance (BINDING_LOOKUP_PERIOD);
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_KNOWN);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
 }
 
 TEST_F (BindingStoreTest, GivesUpWhenNobodyAnswers)
 {
   add ("a", { "dead" });
-  ask ("a");
-  for (int64_t waited = 0; waited < BINDING_ASK_TIMEOUT; waited += BINDING_ASK_PERIOD)
+  look_up ("a");
+  for (int64_t waited = 0; waited < BINDING_LOOKUP_TIMEOUT; waited += BINDING_LOOKUP_PERIOD)
     {
-      EXPECT_TRUE (question.answers.empty ());
-      advance (BINDING_ASK_PERIOD);
+      EXPECT_TRUE (client.answers.empty ());
+      advance (BINDING_LOOKUP_PERIOD);
     }
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_UNKNOWN);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_UNKNOWN);
 }
 
-// An answer to a question that its owner has withdrawn, or to another one, reaches nobody.
-TEST_F (BindingStoreTest, IgnoresAnswersToOtherQuestions)
+// An answer to a lookup that its owner has withdrawn, or to another one, reaches nobody.
+TEST_F (BindingStoreTest, IgnoresAnswersToOtherLookups)
 {
   add ("a", { "b" });
   add ("b", {});
   put ("b", binding_of ("p", "v1"));
-  ask ("a");
-  binding_store_cancel (&question.question);
+  look_up ("a");
+  binding_store_cancel (&client.lookup);
   deliver ();
-  advance (BINDING_ASK_TIMEOUT);
-  EXPECT_TRUE (question.answers.empty ());
+  advance (BINDING_LOOKUP_TIMEOUT);
+  EXPECT_TRUE (client.answers.empty ());
 }
 
 TEST_F (BindingStoreTest, SaysThatAnIdIsOfSeveralStreams)
@@ -524,10 +526,10 @@
   add ("b", {});
   put ("b", binding_of ("p", "v1"));
   put ("b", binding_of ("p", "v2"));
-  ask ("a");
+  look_up ("a");
   deliver ();
-  ASSERT_EQ (question.answers.size (), 1u);
-  EXPECT_EQ (question.answers[0].outcome, BINDING_AMBIGUOUS);
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_AMBIGUOUS);
 }
 
 // Messages cut at any byte, or with any byte changed, are read or ignored.
@@ -536,7 +538,7 @@
   add ("a", { "b" });
   add ("b", {});
   put ("a", binding_of ("p", "v1"));
-  ask ("a");
+  look_up ("a");
   auto sent = hosts["a"].port.sent;
 
   for (const auto &[to, channel, text] : sent)
