Split four files that did two things each

- forward_attempt.c chose and sent, and read answers: sending is forward_send.c.
- subscriber.c held the configuration beside contact to controllers: that is subscriber_document.c; whether all controllers are reached stands beside the list of those that are.
- entry_host.c listed the hosts that hold replicas: binding_peers.c.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -1,5 +1,6 @@
 /* An entry host: takes requests from clients and forwards them. */
 #include "entry_host.h"
+#include "binding_peers.h"
 #include "container.h"
 #include "forward.h"
 #include "log.h"
@@ -34,7 +35,7 @@
   struct role_base base;
   struct subscriber_listener listener;
   struct target_reach_listener reach_listener;
-  struct binding_peers binding_peers;
+  struct binding_peers_view binding_peers;
   struct binding_store *bindings;
   struct balance balance;
   struct batch *batch;
@@ -118,41 +119,6 @@
   .target = target_changed,
 };
 
-/* ---- bindings of streams ---- */
-
-static uint32_t
-list_binding_hosts (struct binding_peers *peers,
-                    const struct binding_key *key,
-                    uint32_t max,
-                    const char **out)
-{
-  struct entry_host *host = CONTAINER_OF (peers, struct entry_host, binding_peers);
-
-  return binding_order_hosts (subscriber_hosts (host->subscriber), host->base.settings.peer_address,
-                              key, max, out);
-}
-
-static uint32_t
-list_binding_controllers (struct binding_peers *peers,
-                          const struct binding_key *key,
-                          uint32_t max,
-                          const char **out)
-{
-  struct entry_host *host = CONTAINER_OF (peers, struct entry_host, binding_peers);
-  const char *names[SYNC_HOSTS_MAX];
-  uint32_t n = subscriber_list_controllers (host->subscriber, names);
-
-  binding_order_names (key, names, n);
-  n = n < max ? n : max;
-  memcpy (out, names, n * sizeof *names);
-  return n;
-}
-
-static const struct binding_peers_ops binding_peers_ops = {
-  .list_hosts = list_binding_hosts,
-  .list_controllers = list_binding_controllers,
-};
-
 /* ---- shutdown ---- */
 
 static void
@@ -362,13 +328,13 @@
 build_bindings (struct entry_host *host)
 {
   struct binding_store_config config = {
-    .peers = &host->binding_peers,
+    .peers = &host->binding_peers.peers,
     .port = host->base.port,
     .timers = host->base.timers,
     .counters = host->base.counters,
   };
 
-  host->binding_peers.ops = &binding_peers_ops;
+  binding_peers_init (&host->binding_peers, host->subscriber, host->base.settings.peer_address);
   host->bindings = binding_store_new (host, &config);
   return host->bindings == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
 }
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -133,7 +133,7 @@
 
   if (job->binding_answer.outcome != BINDING_UNKNOWN || job->route.n_shares != 1 || version == NULL
       || longest > REGISTRY_RETENTION || now - job->route.shares_since < longest
-      || !subscriber_hears_all_controllers (subscriber))
+      || !subscriber_reaches_all_controllers (subscriber))
     return;
   job->binding_answer.outcome = BINDING_KNOWN;
   job->binding_answer.binding = (struct binding){ .version_known = true };
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -219,8 +219,18 @@
 /* For a request that ends before its answer is complete. */
 struct forward_client_answer job_answer_so_far (const struct forward_job *job);
 
-/* forward_attempt.c */
+/* forward_send.c */
+
+/* Sends the request to a target, or gives it up if there is none. */
 void job_send (struct forward_job *job, int64_t now);
+
+/* forward_attempt.c */
+
+/* Of the call to a target. */
+extern const struct h1_call_ops job_call_ops;
+
+/* The call could not be started, so the request has not run there. */
+void job_send_failed (struct forward_job *job, const char *why, int64_t now);
 void job_cancel_call (struct forward_job *job);
 void job_time_out_attempt (struct forward_job *job, int64_t now);
 
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -1,6 +1,5 @@
 /* An entry host's view of the system: requests to controllers, and queries of other modules. */
 #include "container.h"
-#include "document.h"
 #include "log.h"
 #include "subscriber_private.h"
 #include "text.h"
@@ -184,99 +183,6 @@
       (json_int_t) (controller->heard == 0 ? -1 : (now - controller->heard) / USEC_PER_MSEC));
 }
 
-/* ---- the configuration ---- */
-
-uint64_t
-subscriber_version (const struct subscriber *self)
-{
-  return self->routing == NULL ? 0 : self->routing->version;
-}
-
-/* Once per version: it is received again with each answer. */
-static void
-log_not_understood (struct subscriber *self, uint64_t version, const char *message)
-{
-  counter_add (self->malformed, 1);
-  if (self->not_understood == version)
-    return;
-  self->not_understood = version;
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_ERROR, "document-not-understood", "{s:I,s:I,s:s}",
-             "version", (json_int_t) version, "held", (json_int_t) subscriber_version (self),
-             "message", message);
-}
-
-/* The route of that name; most often it has the place that it had before. */
-static const struct route *
-find_route (const struct routing *routing, uint32_t place, const char *name)
-{
-  if (place < routing->n_routes && strcmp (routing->routes[place].name, name) == 0)
-    return &routing->routes[place];
-  for (uint32_t i = 0; i < routing->n_routes; i++)
-    if (strcmp (routing->routes[i].name, name) == 0)
-      return &routing->routes[i];
-  return NULL;
-}
-
-static bool
-have_same_pools (const struct routing *before,
-                 const struct route *old,
-                 const struct routing *routing,
-                 const struct route *route)
-{
-  if (old->n_shares != route->n_shares)
-    return false;
-  for (uint32_t i = 0; i < route->n_shares; i++)
-    if (strcmp (before->pools[old->shares[i].pool].name, routing->pools[route->shares[i].pool].name)
-        != 0)
-      return false;
-  return true;
-}
-
-static void
-note_shares_since (const struct routing *before, struct routing *routing, int64_t now)
-{
-  for (uint32_t i = 0; i < routing->n_routes; i++)
-    {
-      struct route *route = &routing->routes[i];
-      const struct route *old = before == NULL ? NULL : find_route (before, i, route->name);
-
-      route->shares_since =
-          old != NULL && have_same_pools (before, old, routing, route) ? old->shares_since : now;
-    }
-}
-
-void
-subscriber_apply_document (struct subscriber *self,
-                           const struct known_controller *from,
-                           uint64_t version,
-                           const void *text,
-                           size_t length)
-{
-  struct routing *before = self->routing;
-  struct routing *routing;
-  char digest[DOCUMENT_DIGEST_SIZE];
-
-  if (version <= subscriber_version (self))
-    return;
-  routing = self->config.codec->ops->decode (self->config.codec, self, text, length);
-  if (routing == NULL || routing->version != version)
-    {
-      log_not_understood (self, version,
-                          routing == NULL ? status_message () : "its text has another version");
-      talloc_free (routing);
-      return;
-    }
-  note_shares_since (before, routing, self->now);
-  self->routing = routing;
-  gauge_set (self->version_gauge, (double) version);
-  document_digest (text, length, digest);
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s}",
-             "version", (json_int_t) version, "content", digest, "routes", (int) routing->n_routes,
-             "pools", (int) routing->n_pools, "from", from->name);
-  self->config.listener->ops->routing (self->config.listener, routing, self->now);
-  talloc_free (before);
-}
-
 /* ---- time ---- */
 
 static void
@@ -398,6 +304,15 @@
   return n;
 }
 
+bool
+subscriber_reaches_all_controllers (const struct subscriber *self)
+{
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    if (!self->controllers[i].reachable)
+      return false;
+  return self->n_controllers > 0;
+}
+
 static bool
 has_reachable_controller (const struct subscriber *self)
 {
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -128,7 +128,7 @@
 
 /* Whether each controller that is known can be reached, so that this host knows all targets that
  * any other host does. */
-bool subscriber_hears_all_controllers (const struct subscriber *subscriber);
+bool subscriber_reaches_all_controllers (const struct subscriber *subscriber);
 
 /* Report the pools that this host has lost to the controllers: now, and while there are any with
  * each request. */
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -1,4 +1,4 @@
-/* Declarations shared by subscriber.c and subscriber_state.c. */
+/* Declarations shared by the subscriber_*.c files. */
 #ifndef SUBSCRIBER_PRIVATE_H
 #define SUBSCRIBER_PRIVATE_H
 
@@ -85,6 +85,11 @@
                               struct known_controller *controller,
                               int64_t now);
 
+enum status subscriber_send (struct subscriber *self,
+                             const struct known_controller *controller,
+                             struct bytes *message);
+
+/* subscriber_document.c: the configuration */
 uint64_t subscriber_version (const struct subscriber *self);
 
 /* Puts the document in force if it is newer than the version held and can be decoded. */
@@ -94,10 +99,6 @@
                                 const void *text,
                                 size_t length);
 
-enum status subscriber_send (struct subscriber *self,
-                             const struct known_controller *controller,
-                             struct bytes *message);
-
 /* subscriber_reach.c: hosts that have lost pools */
 void subscriber_send_reach (struct subscriber *self, struct known_controller *controller);
 void subscriber_handle_reach_list (struct subscriber *self,
--- a/src/subscriber_version.c
+++ b/src/subscriber_version.c
@@ -43,15 +43,6 @@
   subscriber_request_versions (self, controller, &request);
 }
 
-bool
-subscriber_hears_all_controllers (const struct subscriber *self)
-{
-  for (uint32_t i = 0; i < self->n_controllers; i++)
-    if (!self->controllers[i].reachable)
-      return false;
-  return self->n_controllers > 0;
-}
-
 void
 subscriber_handle_versions (struct subscriber *self,
                             const struct known_controller *controller,
