Look a binding up at all hosts that may hold it before it is not known

Callers that came to a host just after its start were refused a stream whose version a controller knew: 8 of 108 and 6 of 105 streams that were resumed after all entry hosts had been killed at once (stream-resumed: "the version that began the stream is not known", in less than 5 ms).

Cause: a lookup ended as soon as all hosts that it had been sent to said no. A host that was just started reaches one other, as empty as itself, and has no controller yet.

A lookup ends early only if it was sent to each peer that is listed, the list of hosts is known and all controllers are reached; else it is repeated each 50 ms, 250 ms at most, as before. Ruled out: lost replicas (all 213 were at the controller that the later tries found them at) and evictions (none).

BindingStoreTest.WaitsForHostsThatItDoesNotReachYet and .WaitsForListsThatItDoesNot- HaveYet failed before.

--- a/src/binding_peers.c
+++ b/src/binding_peers.c
@@ -29,9 +29,18 @@
   return n;
 }
 
+static bool
+is_complete (struct binding_peers *peers)
+{
+  const struct subscriber *subscriber = ((struct binding_peers_view *) peers)->subscriber;
+
+  return subscriber_knows_hosts (subscriber) && subscriber_reaches_all_controllers (subscriber);
+}
+
 static const struct binding_peers_ops peers_ops = {
   .list_hosts = list_hosts,
   .list_controllers = list_controllers,
+  .is_complete = is_complete,
 };
 
 void
--- a/src/binding_store.c
+++ b/src/binding_store.c
@@ -110,12 +110,14 @@
   return sent;
 }
 
+/* Sets `to_all` to whether it was sent to each peer that is listed. */
 static uint32_t
 send_to_peers (struct binding_store *store,
                const struct binding_key *key,
                uint32_t hosts_wanted,
                uint32_t controllers_wanted,
-               const struct bytes *message)
+               const struct bytes *message,
+               bool *to_all)
 {
   struct binding_peers *peers = store->config.peers;
   const char *hosts[BINDING_LOOKUP_HOSTS];
@@ -124,8 +126,11 @@
   uint32_t n_controllers =
       peers->ops->list_controllers (peers, key, BINDING_LOOKUP_CONTROLLERS, controllers);
 
-  return send_to_first (store, hosts, n_hosts, hosts_wanted, message)
-         + send_to_first (store, controllers, n_controllers, controllers_wanted, message);
+  uint32_t sent = send_to_first (store, hosts, n_hosts, hosts_wanted, message);
+
+  sent += send_to_first (store, controllers, n_controllers, controllers_wanted, message);
+  *to_all = sent == n_hosts + n_controllers;
+  return sent;
 }
 
 /* ---- keeping ---- */
@@ -152,6 +157,7 @@
                    int64_t now)
 {
   struct bytes message;
+  bool to_all;
 
   keep (store, key, binding, lifetime, now);
   bytes_init (&message, NULL);
@@ -159,7 +165,7 @@
   pack_key (&message, key);
   pack_uint (&message, (uint64_t) lifetime);
   pack_binding (&message, binding);
-  send_to_peers (store, key, BINDING_REPLICA_HOSTS, BINDING_REPLICA_CONTROLLERS, &message);
+  send_to_peers (store, key, BINDING_REPLICA_HOSTS, BINDING_REPLICA_CONTROLLERS, &message, &to_all);
   bytes_clear (&message);
 }
 
@@ -204,14 +210,17 @@
 static void
 send_lookup (struct binding_lookup *lookup)
 {
+  struct binding_peers *peers = lookup->store->config.peers;
   struct bytes message;
+  bool to_all;
 
   bytes_init (&message, NULL);
   pack_uint (&message, BINDING_MESSAGE_LOOKUP);
   pack_uint (&message, lookup->number);
   pack_key (&message, &lookup->key);
   lookup->n_sent += send_to_peers (lookup->store, &lookup->key, BINDING_LOOKUP_HOSTS,
-                                   BINDING_LOOKUP_CONTROLLERS, &message);
+                                   BINDING_LOOKUP_CONTROLLERS, &message, &to_all);
+  lookup->sent_to_all = to_all && peers->ops->is_complete (peers);
   bytes_clear (&message);
 }
 
@@ -325,7 +334,8 @@
   if (lookup == NULL)
     return;
   text_copy_truncated (answer.from, sizeof answer.from, from);
-  if (answer.outcome == BINDING_UNKNOWN && ++lookup->n_unknown < lookup->n_sent)
+  if (answer.outcome == BINDING_UNKNOWN
+      && (++lookup->n_unknown < lookup->n_sent || !lookup->sent_to_all))
     return;
   finish (lookup, &answer, now);
 }
--- a/src/binding_store.h
+++ b/src/binding_store.h
@@ -64,6 +64,7 @@
   int64_t started_at;
   uint32_t n_sent;
   uint32_t n_unknown; /* answers that it is not known */
+  bool sent_to_all;   /* the last time, to each host that may hold a replica */
   struct binding_store *store;
   struct timer timer;
   struct binding_lookup *prev;
@@ -94,6 +95,10 @@
                                 const struct binding_key *key,
                                 uint32_t max,
                                 const char **out);
+
+  /* Whether all hosts and controllers that there are may be listed.  If not, one that holds a
+   * replica may be missing. */
+  bool (*is_complete) (struct binding_peers *peers);
 };
 
 /* Orders the hosts other than `self` for a key by rendezvous hashing, and so that as many different
--- a/tests/unit_binding.cc
+++ b/tests/unit_binding.cc
@@ -284,6 +284,7 @@
   {
     std::vector<std::string> hosts;
     std::vector<std::string> controllers;
+    bool complete = true; // it has all lists
   };
 
   struct host
@@ -340,6 +341,8 @@
               const char **out) {
             return list (static_cast<struct peers *> (base)->controllers, max, out);
           },
+      .is_complete =
+          [] (struct binding_peers *base) { return static_cast<struct peers *> (base)->complete; },
     };
     host &made = hosts[name];
     struct binding_store_config config = {
@@ -494,6 +497,43 @@
   EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
 }
 
+// Guards against a host that takes the answer of the one host that it reaches so far for that of
+// all.
+TEST_F (BindingStoreTest, WaitsForHostsThatItDoesNotReachYet)
+{
+  add ("a", { "b", "c" });
+  add ("b", {});
+  add ("c", {});
+  put ("c", binding_of ("p", "v1"));
+  hosts["a"].port.unreachable["c"] = true;
+  look_up ("a");
+  deliver ();
+  EXPECT_TRUE (client.answers.empty ());
+  hosts["a"].port.unreachable["c"] = false;
+  advance (BINDING_LOOKUP_PERIOD);
+  deliver ();
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
+}
+
+// The same where it does not know yet which hosts there are.
+TEST_F (BindingStoreTest, WaitsForListsThatItDoesNotHaveYet)
+{
+  add ("a", { "b" }).peers.complete = false;
+  add ("b", {});
+  add ("c", {});
+  put ("c", binding_of ("p", "v1"));
+  look_up ("a");
+  deliver ();
+  EXPECT_TRUE (client.answers.empty ());
+  hosts["a"].peers.hosts = { "b", "c" };
+  hosts["a"].peers.complete = true;
+  advance (BINDING_LOOKUP_PERIOD);
+  deliver ();
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
+}
+
 TEST_F (BindingStoreTest, GivesUpWhenNobodyAnswers)
 {
   add ("a", { "dead" });
