Log which parts the prompt of a request had whose target may have ended

It now names the parts where a connection broke, and where an answer ended with its connection, as such an answer looks complete when its target ends. No logic changes.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -55,15 +55,19 @@
   job->target = NULL;
 }
 
+/* `broke`: the target may have ended, and its log line names what it ran. */
 static void
-log_attempt (const struct forward_job *job, const char *outcome, int64_t now)
+log_attempt (const struct forward_job *job, const char *outcome, bool broke, int64_t now)
 {
   char content[REQUEST_DIGEST_TEXT_SIZE] = "";
+  char parts[FORWARD_PARTS_TEXT_SIZE] = "";
 
   if (job->has_digest)
     request_digest_format (&job->digest, content);
+  if (broke || job->call.framing == H1_FRAMING_CLOSE)
+    job_format_parts (job, parts);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
-             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:i,s:f,s:s?}", "id",
+             "{s:s,s:s,s:s,s:s,s:i,s:s,s:b,s:b,s:I,s:I,s:b,s:b,s:i,s:s,s:s,s:s,s:i,s:f,s:s?}", "id",
              job->facts.id, "target", job->target->id, "address", job->target->address, "outcome",
              outcome, "status", (int) job->status, "framing", h1_framing_text (job->call.framing),
              "not_run", job->not_run, "sent", job->call.request_sent, "took_us",
@@ -71,7 +75,7 @@
              (json_int_t) ((now - job->target->record->last_heard_at) / USEC_PER_MSEC), "reused",
              job->call.reused, "stream_begun", job->stream.begun, "events",
              (int) job->stream.events, "last_event", job->stream.last_event, "content", content,
-             "in_flight", (int) job->target->in_flight, "limit_per_sec", job->limit,
+             "parts", parts, "in_flight", (int) job->target->in_flight, "limit_per_sec", job->limit,
              "target_version", registry_target_version (job->target->record));
 }
 
@@ -206,7 +210,7 @@
   bool cut = ends_inside_event (job);
   bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed) || cut);
 
-  log_attempt (job, cut ? "ended inside an event" : "answered", now);
+  log_attempt (job, cut ? "ended inside an event" : "answered", cut, now);
   /* A different incarnation has that address. */
   if (job->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     job->target->ejected_until = now + BALANCE_EJECTION_MIN;
@@ -230,7 +234,7 @@
 static void
 abandon_attempt (struct forward_job *job, const char *why, enum forward_reason reason, int64_t now)
 {
-  log_attempt (job, why, now);
+  log_attempt (job, why, true, now);
   job_note_break (job, H1_END_RESET, now);
   h1_call_cancel (&job->call);
   release_target (job, true, now);
@@ -351,7 +355,7 @@
   if (broke)
     job_digest (job);
   log_attempt (job, end == H1_END_WHOLE ? "answer too large or out of memory" : h1_end_text (end),
-               now);
+               broke, now);
   if (broke)
     job_note_break (job, end, now);
   release_target (job, true, now);
@@ -369,7 +373,7 @@
 void
 job_send_failed (struct forward_job *job, const char *why, int64_t now)
 {
-  log_attempt (job, why, now);
+  log_attempt (job, why, false, now);
   release_target (job, true, now);
   job->runs--;
   attempt_failed (job, false, FORWARD_REFUSED, now);
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -19,6 +19,10 @@
 /* Most sends of one request, including those that a target refused. */
 #define FORWARD_SENDS_MAX 4
 
+/* Parts of a prompt that a log line names, and the size of their text. */
+#define FORWARD_LOGGED_PARTS_MAX 32
+#define FORWARD_PARTS_TEXT_SIZE (17 * FORWARD_LOGGED_PARTS_MAX + 16)
+
 /* name, text */
 #define FORWARD_REASON_LIST(X)                                                                     \
   X (SERVED, "served")                                                                             \
@@ -320,6 +324,10 @@
 /* Digest of the request's content, the same for each send at any host; computed on first use. */
 const struct request_digest *job_digest (struct forward_job *job);
 
+/* The ids of the prompt's parts in hexadecimal, separated by commas: the first
+ * FORWARD_LOGGED_PARTS_MAX, then "+" and the number of the others. */
+void job_format_parts (const struct forward_job *job, char out[FORWARD_PARTS_TEXT_SIZE]);
+
 /* Whether the request may go on to stages and targets.  If false, it was refused and the job
  * freed. */
 bool job_is_admitted (struct forward_job *job, int64_t now);
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -1,6 +1,7 @@
 /* Requests that crash the targets that run them: what this host admits, sends and reports. */
 #include "forward_private.h"
 #include "text.h"
+#include <stdio.h>
 
 /* A connection that was silent for at least this long before its reset was timed out by this host's
  * kernel: its target may have ended at any time since data last arrived from it. */
@@ -21,6 +22,21 @@
   return &job->digest;
 }
 
+void
+job_format_parts (const struct forward_job *job, char out[FORWARD_PARTS_TEXT_SIZE])
+{
+  uint32_t n = job->facts.n_parts;
+  uint32_t logged = n < FORWARD_LOGGED_PARTS_MAX ? n : FORWARD_LOGGED_PARTS_MAX;
+  size_t length = 0;
+
+  out[0] = '\0';
+  for (uint32_t i = 0; i < logged; i++)
+    length += (size_t) snprintf (out + length, FORWARD_PARTS_TEXT_SIZE - length, "%s%llx",
+                                 i == 0 ? "" : ",", (unsigned long long) job->facts.parts[i].id);
+  if (logged < n)
+    snprintf (out + length, FORWARD_PARTS_TEXT_SIZE - length, "+%u", n - logged);
+}
+
 static struct quarantine_entry *
 quarantine_of (const struct forward_job *job)
 {
