Do not keep breaks whose target's fate is never told

Callers saw targets end under one request again and again: a host keeps 256 broken runs whose target's fate is not known, and none of those on targets that are leaving was ever dropped, as such targets are not watched. A rolling change of targets filled the table for good, and from then on a break counted only if its target was known to have ended in that moment. Breaks are now kept only where the fate will be told.

--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -87,9 +87,11 @@
 
   if (known == TARGET_FATE_ENDED)
     quarantine_control_learn (entry->control, suspect, now);
-  else if (known == TARGET_FATE_UNKNOWN && entry->n_pending < QUARANTINE_PENDING_MAX)
+  else if (known != TARGET_FATE_UNKNOWN || !target_watch_is_watched (entry->watch, target->id_hash))
+    return;
+  else if (entry->n_pending < QUARANTINE_PENDING_MAX)
     entry->pending[entry->n_pending++] = *suspect;
-  else if (known == TARGET_FATE_UNKNOWN)
+  else
     log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "break-not-kept", "{s:s,s:i}", "target",
                target->id, "pending", (int) entry->n_pending);
 }
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -350,6 +350,12 @@
   return watched == NULL ? TARGET_FATE_UNKNOWN : watched->fate;
 }
 
+bool
+target_watch_is_watched (const struct target_watch *watch, uint64_t incarnation)
+{
+  return find (watch, incarnation) != NULL;
+}
+
 static struct watched *
 add (struct target_watch *watch, const struct balance_target *target, int64_t now)
 {
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -87,6 +87,10 @@
 /* The known fate of an incarnation; UNKNOWN also if none of its connections broke lately. */
 enum target_fate target_watch_fate (const struct target_watch *watch, uint64_t incarnation);
 
+/* Whether the fate of the incarnation will be reported.  It is not if connections to it broke while
+ * it was leaving, or while too many others were watched. */
+bool target_watch_is_watched (const struct target_watch *watch, uint64_t incarnation);
+
 /* A connection to the target broke during a request.  Returns the fate that is known already. */
 enum target_fate target_watch_connection_broke (struct target_watch *watch,
                                                 const struct balance_target *target,
