--- a/src/dialect.h
+++ b/src/dialect.h
@@ -15,7 +15,7 @@
 BEGIN_DECLS
 
 #define DIALECT_ID_SIZE 64
-#define DIALECT_PARTS_MAX 32
+#define DIALECT_PARTS_MAX 128
 #define DIALECT_HANDLE_SIZE 96
 #define DIALECT_PIECES_MAX 256 /* of one stage of one request */
 #define DIALECT_LOAD_UNKNOWN UINT32_MAX
@@ -39,6 +39,7 @@
   uint32_t input_tokens;
   uint32_t output_tokens; /* at most */
   uint32_t n_parts;
+  bool has_more_parts; /* than DIALECT_PARTS_MAX; these are not read */
   struct prompt_part parts[DIALECT_PARTS_MAX];
   uint32_t n_stages;
   uint32_t pieces[ROUTING_STAGES_MAX]; /* of each stage; 0 skips the stage */
