--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -267,7 +267,8 @@
       || host->quarantine == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   host->base.quarantine = quarantine_entry_control (host->quarantine);
-  batch_set_watch (host->batch, quarantine_entry_watch (host->quarantine));
+  batch_set_watch (host->batch,
+                   quarantine_evidence_watch (quarantine_entry_evidence (host->quarantine)));
   batch_set_limit_news (host->batch, host->limit_news);
   batch_set_reach (host->batch, host->reach);
   return STATUS_OK;
--- a/src/forward.c
+++ b/src/forward.c
@@ -188,10 +188,11 @@
       return;
     }
   job->route = *route;
-  if (!check_key (job, routing, now) || !job_find_binding (job, routing, now)
-      || !job_is_admitted (job, now))
+  if (!check_key (job, routing, now) || !job_find_binding (job, routing, now))
     return;
   choose_pool (job, routing);
+  if (!job_is_admitted (job, now))
+    return;
   compute_deadlines (job);
   read_prompt (job);
   forward_count_request (forward, job->pool, now);
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -62,8 +62,7 @@
   char content[REQUEST_DIGEST_TEXT_SIZE] = "";
   char parts[FORWARD_PARTS_TEXT_SIZE] = "";
 
-  if (job->has_digest)
-    request_digest_format (&job->digest, content);
+  job_format_content (job, content);
   if (broke || job->call.framing == H1_FRAMING_CLOSE)
     job_format_parts (job, parts);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "attempt-ended",
@@ -195,10 +194,7 @@
 handle_answer_within_stream (struct forward_job *job, int64_t now)
 {
   if (is_stream_answer (job) && !ends_inside_event (job))
-    {
-      job_note_complete_answer (job, now);
-      job_end_stream (job);
-    }
+    job_end_stream (job);
   else
     attempt_failed (job, true, FORWARD_BROKEN, now);
 }
@@ -211,6 +207,8 @@
   bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed) || cut);
 
   log_attempt (job, cut ? "ended inside an event" : "answered", cut, now);
+  if (!cut && success && job->is_signed && !job->not_run)
+    job_note_complete_answer (job, now);
   /* A different incarnation has that address. */
   if (job->status == HTTP_STATUS_MISDIRECTED_REQUEST)
     job->target->ejected_until = now + BALANCE_EJECTION_MIN;
@@ -220,10 +218,7 @@
   else if (job->stream.begun)
     handle_answer_within_stream (job, now);
   else if (success && job->is_signed)
-    {
-      job_note_complete_answer (job, now);
-      job_serve (job);
-    }
+    job_serve (job);
   else if (success)
     attempt_failed (job, true, FORWARD_BROKEN, now);
   else
@@ -353,11 +348,9 @@
     }
   broke = call->request_sent && (end == H1_END_TRUNCATED || end == H1_END_RESET);
   if (broke)
-    job_digest (job);
+    job_note_break (job, end, now);
   log_attempt (job, end == H1_END_WHOLE ? "answer too large or out of memory" : h1_end_text (end),
                broke, now);
-  if (broke)
-    job_note_break (job, end, now);
   release_target (job, true, now);
   if (!call->request_sent)
     job->runs--;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -121,11 +121,11 @@
   struct route route; /* a copy: the routing may be replaced while the request runs */
   char pool[ROUTING_NAME_SIZE];
   char organisation[ROUTING_NAME_SIZE];
-  bool has_digest;
-  struct request_digest digest; /* set by job_digest() */
-  bool is_trial;                /* admitted as a trial although targets crashed while running it */
-  bool is_suspected;            /* its last run broke, and it was a suspect even before that */
-  bool is_counted;              /* its current run is counted among the runs of a suspect */
+  struct request_feature *features; /* its content, then the parts of its prompt; NULL: not read */
+  uint32_t n_features;
+  bool has_digest;   /* the first feature is set */
+  bool is_trial;     /* admitted as a trial although targets crashed while running it */
+  bool is_suspected; /* its last run broke, and it was a suspect even before that */
   struct subscriber_wait confirmation;  /* before it is denied */
   struct binding_lookup lookup;         /* of the stream that it resumes */
   struct binding_answer binding_answer; /* to that lookup */
@@ -321,8 +321,9 @@
 
 /* forward_quarantine.c */
 
-/* Digest of the request's content, the same for each send at any host; computed on first use. */
-const struct request_digest *job_digest (struct forward_job *job);
+/* Hexadecimal digest of the request's content, the same for each send at any host; "" unless it was
+ * needed. */
+void job_format_content (const struct forward_job *job, char out[REQUEST_DIGEST_TEXT_SIZE]);
 
 /* The ids of the prompt's parts in hexadecimal, separated by commas: the first
  * FORWARD_LOGGED_PARTS_MAX, then "+" and the number of the others. */
@@ -347,7 +348,7 @@
  * hosts, gives it up and frees the job. */
 void job_quarantine (struct forward_job *job, int64_t now);
 
-/* A target gave it a complete answer. */
+/* The target gave it a complete answer. */
 void job_note_complete_answer (struct forward_job *job, int64_t now);
 
 /* forward_budget.c */
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -2,6 +2,7 @@
 #include "forward_private.h"
 #include "text.h"
 #include <stdio.h>
+#include <talloc.h>
 
 /* A connection that was silent for at least this long before its reset was timed out by this host's
  * kernel: its target may have ended at any time since data last arrived from it. */
@@ -12,14 +13,55 @@
 #define QUARANTINED_RETRY_AFTER_SEC 60.0
 #define SUSPECTED_RETRY_AFTER_SEC 1.0
 
-const struct request_digest *
-job_digest (struct forward_job *job)
+static bool
+has_part (const struct forward_job *job, uint32_t n, uint64_t id)
 {
+  for (uint32_t i = 0; i < n; i++)
+    if (job->facts.parts[i].id == id)
+      return true;
+  return false;
+}
+
+/* Reads the parts of the prompt, each once.  The last one is the request's own. */
+static void
+read_parts (struct forward_job *job)
+{
+  uint32_t n = job->facts.n_parts;
+
+  if (job->features != NULL)
+    return;
+  if (n > 0 && !job->facts.has_more_parts)
+    n--;
+  job->features = talloc_zero_array (job, struct request_feature, 1 + n);
+  if (job->features == NULL)
+    return;
+  job->n_features = 1;
+  for (uint32_t i = 0; i < n; i++)
+    if (!has_part (job, i, job->facts.parts[i].id))
+      request_part_digest (job->pool, job->facts.parts[i].id,
+                           &job->features[job->n_features++].digest);
+}
+
+/* False if memory is out: then nothing is known of the request. */
+static bool
+read_features (struct forward_job *job)
+{
+  read_parts (job);
+  if (job->features == NULL)
+    return false;
   if (!job->has_digest)
     request_digest_compute (job->exchange->head, job->exchange->body, job->organisation,
-                            &job->digest);
+                            &job->features[0].digest);
   job->has_digest = true;
-  return &job->digest;
+  return true;
+}
+
+void
+job_format_content (const struct forward_job *job, char out[REQUEST_DIGEST_TEXT_SIZE])
+{
+  out[0] = '\0';
+  if (job->has_digest)
+    request_digest_format (&job->features[0].digest, out);
 }
 
 void
@@ -43,12 +85,18 @@
   return job->forward->config.quarantine;
 }
 
+static struct quarantine_evidence *
+evidence_of (const struct forward_job *job)
+{
+  return quarantine_entry_evidence (quarantine_of (job));
+}
+
 static enum quarantine_verdict
 judge_again (struct forward_job *job, int64_t now)
 {
-  if (quarantine_entry_is_empty (quarantine_of (job)))
+  if (quarantine_entry_is_empty (quarantine_of (job)) || !read_features (job))
     return QUARANTINE_PASS;
-  return quarantine_entry_get_verdict (quarantine_of (job), job_digest (job), now);
+  return quarantine_entry_get_verdict (quarantine_of (job), job->features, job->n_features, now);
 }
 
 bool
@@ -56,8 +104,9 @@
 {
   enum quarantine_verdict verdict = QUARANTINE_PASS;
 
-  if (!quarantine_entry_is_empty (quarantine_of (job)))
-    verdict = quarantine_entry_admit (quarantine_of (job), job_digest (job), now);
+  if (!quarantine_entry_is_empty (quarantine_of (job)) && read_features (job))
+    verdict = quarantine_entry_admit (quarantine_of (job), job->facts.id, job->features,
+                                      job->n_features, now);
   job->is_trial = verdict == QUARANTINE_TRIAL;
   if (verdict == QUARANTINE_REFUSE)
     job_refuse (job, FORWARD_QUARANTINED, QUARANTINED_RETRY_AFTER_SEC);
@@ -90,45 +139,43 @@
 void
 job_run_began (struct forward_job *job)
 {
-  if (!quarantine_entry_is_empty (quarantine_of (job)))
-    job->is_counted = quarantine_entry_run_started (quarantine_of (job), job_digest (job));
+  if (!quarantine_entry_is_empty (quarantine_of (job)) && read_features (job))
+    quarantine_entry_run_started (quarantine_of (job), job->features, job->n_features);
 }
 
 void
 job_run_ended (struct forward_job *job)
 {
-  if (job->is_counted)
-    quarantine_entry_run_finished (quarantine_of (job), &job->digest);
-  job->is_counted = false;
+  quarantine_entry_run_finished (quarantine_of (job), job->features, job->n_features);
 }
 
-static struct quarantine_suspect
-suspect_of (struct forward_job *job, int64_t now)
+/* The newest run.  A target that ended did so between `from` and `now`. */
+static struct quarantine_run
+run_of (struct forward_job *job, int64_t from, int64_t now)
 {
-  struct quarantine_suspect suspect = { .digest = *job_digest (job), .last_seen = now };
-
-  text_copy_truncated (suspect.organisation, sizeof suspect.organisation, job->organisation);
-  text_copy_truncated (suspect.route, sizeof suspect.route, job->route.name);
-  return suspect;
+  return (struct quarantine_run){
+    .features = job->features,
+    .n_features = job->n_features,
+    .organisation = job->organisation,
+    .route = job->route.name,
+    .pool = job->pool,
+    .from = from > job->sent_at ? from : job->sent_at,
+    .to = now,
+  };
 }
 
 void
 job_note_break (struct forward_job *job, enum h1_end end, int64_t now)
 {
   bool silent = end == H1_END_RESET && now - job->heard_at >= TIMEOUT_RESET_SILENCE;
-  int64_t instant = now - QUARANTINE_COMMON_CAUSE_SPAN;
-  struct quarantine_suspect suspect = suspect_of (job, now);
-
-  suspect.n_crashes = 1;
-  suspect.crashes[0] = (struct quarantine_crash){
-    .incarnation = job->target->id_hash,
-    .from = silent                   ? job->heard_at
-            : instant > job->sent_at ? instant
-                                     : job->sent_at,
-    .to = now,
-  };
+  int64_t from = silent ? job->heard_at : now - QUARANTINE_COMMON_CAUSE_SPAN;
+  struct quarantine_run run;
+
   job->is_suspected = judge_again (job, now) != QUARANTINE_PASS;
-  quarantine_entry_connection_broke (quarantine_of (job), job->target, &suspect, now);
+  if (!read_features (job))
+    return;
+  run = run_of (job, from, now);
+  quarantine_evidence_connection_broke (evidence_of (job), job->target, &run, now);
 }
 
 /* The pool's owner has observed the crashes of the targets and which requests shared their calls.
@@ -137,7 +184,7 @@
 void
 job_quarantine (struct forward_job *job, int64_t now)
 {
-  struct quarantine_suspect suspect = suspect_of (job, now);
+  struct quarantine_suspect suspect = { .last_seen = now };
 
   for (uint32_t i = 0; i < QUARANTINE_CRASH_THRESHOLD; i++)
     {
@@ -149,13 +196,24 @@
         .to = at,
       };
     }
-  quarantine_control_learn (quarantine_entry_control (quarantine_of (job)), &suspect, now);
+  text_copy_truncated (suspect.organisation, sizeof suspect.organisation, job->organisation);
+  text_copy_truncated (suspect.route, sizeof suspect.route, job->route.name);
+  if (read_features (job))
+    {
+      suspect.digest = job->features[0].digest;
+      quarantine_control_learn (quarantine_entry_control (quarantine_of (job)), &suspect, now);
+    }
   job_give_up (job, FORWARD_QUARANTINED, QUARANTINED_RETRY_AFTER_SEC);
 }
 
 void
 job_note_complete_answer (struct forward_job *job, int64_t now)
 {
-  if (!quarantine_entry_is_empty (quarantine_of (job)))
-    quarantine_entry_answer_completed (quarantine_of (job), job_digest (job), now);
+  read_parts (job);
+  if (job->features == NULL)
+    return;
+  quarantine_evidence_parts_proven (evidence_of (job), job->pool, job->features + 1,
+                                    job->n_features - 1, now);
+  if (!quarantine_entry_is_empty (quarantine_of (job)) && read_features (job))
+    quarantine_evidence_answer_completed (evidence_of (job), job->features, job->n_features, now);
 }
--- /dev/null
+++ b/src/proven_parts.c
@@ -0,0 +1,83 @@
+/* Parts of prompts, and pools, to which targets gave complete answers lately. */
+#include "proven_parts.h"
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+struct proven_entry
+{
+  uint64_t key;
+  int64_t at; /* 0: free */
+};
+
+struct proven_parts
+{
+  struct proven_entry entries[PROVEN_PARTS_SETS][PROVEN_PARTS_WAYS];
+};
+
+struct proven_parts *
+proven_parts_new (void *parent)
+{
+  return talloc_zero (parent, struct proven_parts);
+}
+
+static uint64_t
+key_of_part (const struct request_digest *part)
+{
+  return XXH3_64bits (part->bytes, REQUEST_DIGEST_SIZE);
+}
+
+static uint64_t
+key_of_pool (const char *pool)
+{
+  return XXH3_64bits (pool, strlen (pool));
+}
+
+static void
+note (struct proven_parts *proven, uint64_t key, int64_t at)
+{
+  struct proven_entry *set = proven->entries[key % PROVEN_PARTS_SETS];
+  struct proven_entry *entry = &set[0];
+
+  for (int i = 0; i < PROVEN_PARTS_WAYS && entry->key != key; i++)
+    if (set[i].key == key || set[i].at < entry->at)
+      entry = &set[i];
+  if (entry->key == key && entry->at >= at)
+    return;
+  *entry = (struct proven_entry){ .key = key, .at = at };
+}
+
+static int64_t
+last (const struct proven_parts *proven, uint64_t key)
+{
+  const struct proven_entry *set = proven->entries[key % PROVEN_PARTS_SETS];
+
+  for (int i = 0; i < PROVEN_PARTS_WAYS; i++)
+    if (set[i].key == key)
+      return set[i].at;
+  return 0;
+}
+
+void
+proven_parts_note (struct proven_parts *proven, const struct request_digest *part, int64_t at)
+{
+  note (proven, key_of_part (part), at);
+}
+
+void
+proven_parts_note_pool (struct proven_parts *proven, const char *pool, int64_t at)
+{
+  note (proven, key_of_pool (pool), at);
+}
+
+int64_t
+proven_parts_last (const struct proven_parts *proven, const struct request_digest *part)
+{
+  return last (proven, key_of_part (part));
+}
+
+int64_t
+proven_parts_last_of_pool (const struct proven_parts *proven, const char *pool)
+{
+  return last (proven, key_of_pool (pool));
+}
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -1,4 +1,4 @@
-/* Table of poison requests. */
+/* Table of features that crash targets. */
 #include "quarantine.h"
 #include <string.h>
 #include <talloc.h>
@@ -16,18 +16,6 @@
   uint32_t capacity;
 };
 
-static const char *const verdict_texts[] = {
-#define X(name, text) [QUARANTINE_##name] = text,
-  QUARANTINE_VERDICT_LIST (X)
-#undef X
-};
-
-const char *
-quarantine_verdict_text (enum quarantine_verdict verdict)
-{
-  return verdict_texts[verdict];
-}
-
 struct quarantine *
 quarantine_new (void *parent)
 {
@@ -218,10 +206,21 @@
   *suspect = quarantine->suspects[--quarantine->n];
 }
 
-/* The suspect to evict: of those that may still be sent, the one with the fewest counted crashes;
- * among equals the least recently seen.  NULL if there is none. */
+static bool
+is_part (const struct quarantine_suspect *suspect)
+{
+  uint64_t part;
+
+  return request_digest_is_part (&suspect->digest, &part);
+}
+
+/* The suspect to evict for `from`: of those of its kind that may still be sent, the one with the
+ * fewest counted crashes; among equals the least recently seen.  NULL if there is none. */
 static struct quarantine_suspect *
-select_suspect_to_evict (struct quarantine *quarantine, const char *organisation, int64_t now)
+select_suspect_to_evict (struct quarantine *quarantine,
+                         const struct quarantine_suspect *from,
+                         bool of_its_organisation,
+                         int64_t now)
 {
   struct quarantine_suspect *least = NULL;
   uint32_t least_count = QUARANTINE_CRASH_THRESHOLD;
@@ -231,7 +230,8 @@
       struct quarantine_suspect *suspect = &quarantine->suspects[i];
       uint32_t count = quarantine_count_crashes (suspect, now);
 
-      if (organisation != NULL && strcmp (suspect->organisation, organisation) != 0)
+      if (is_part (suspect) != is_part (from)
+          || (of_its_organisation && strcmp (suspect->organisation, from->organisation) != 0))
         continue;
       if (count < least_count
           || (least != NULL && count == least_count && suspect->last_seen < least->last_seen))
@@ -243,14 +243,24 @@
   return least;
 }
 
-static uint32_t
-count_organisation_suspects (const struct quarantine *quarantine, const char *organisation)
+/* Counts the suspects of the same kind, and those of them of the same organisation. */
+static void
+count_like (const struct quarantine *quarantine,
+            const struct quarantine_suspect *from,
+            uint32_t *n,
+            uint32_t *n_of_its_organisation)
 {
-  uint32_t n = 0;
-
+  *n = 0;
+  *n_of_its_organisation = 0;
   for (uint32_t i = 0; i < quarantine->n; i++)
-    n += strcmp (quarantine->suspects[i].organisation, organisation) == 0 ? 1 : 0;
-  return n;
+    {
+      const struct quarantine_suspect *suspect = &quarantine->suspects[i];
+
+      if (is_part (suspect) != is_part (from))
+        continue;
+      *n += 1;
+      *n_of_its_organisation += strcmp (suspect->organisation, from->organisation) == 0 ? 1 : 0;
+    }
 }
 
 static bool
@@ -270,15 +280,17 @@
 }
 
 static bool
-make_room (struct quarantine *quarantine, const char *organisation, int64_t now)
+make_room (struct quarantine *quarantine, const struct quarantine_suspect *from, int64_t now)
 {
   struct quarantine_suspect *least = NULL;
+  uint32_t n;
+  uint32_t n_of_its_organisation;
 
-  if (count_organisation_suspects (quarantine, organisation)
-      >= QUARANTINE_ORGANISATION_SUSPECTS_MAX)
-    least = select_suspect_to_evict (quarantine, organisation, now);
-  else if (quarantine->n >= QUARANTINE_SUSPECTS_MAX)
-    least = select_suspect_to_evict (quarantine, NULL, now);
+  count_like (quarantine, from, &n, &n_of_its_organisation);
+  if (n_of_its_organisation >= QUARANTINE_ORGANISATION_SUSPECTS_MAX)
+    least = select_suspect_to_evict (quarantine, from, true, now);
+  else if (n >= QUARANTINE_SUSPECTS_MAX)
+    least = select_suspect_to_evict (quarantine, from, false, now);
   else
     return grow_table (quarantine);
   if (least == NULL)
@@ -301,7 +313,7 @@
   fresh.n_running = 0;
   fresh.last_announced = 0;
   fresh.announce_due = false;
-  if (!make_room (quarantine, from->organisation, now))
+  if (!make_room (quarantine, from, now))
     return false;
   *place = quarantine->n++;
   quarantine->suspects[*place] = fresh;
@@ -343,8 +355,8 @@
   return changed;
 }
 
-static int64_t
-last_crash_or_trial (const struct quarantine_suspect *suspect)
+int64_t
+quarantine_last_event (const struct quarantine_suspect *suspect)
 {
   int64_t last = suspect->last_trial;
 
@@ -361,7 +373,7 @@
 {
   return suspect->n_crashes < QUARANTINE_CRASH_THRESHOLD
          && quarantine_count_crashes (suspect, now) == 0
-         && now - last_crash_or_trial (suspect) > QUARANTINE_WINDOW;
+         && now - quarantine_last_event (suspect) > QUARANTINE_WINDOW;
 }
 
 void
@@ -377,32 +389,6 @@
       i++;
 }
 
-/* ---- verdicts ---- */
-
-static bool
-is_due_for_trial (const struct quarantine_suspect *suspect, int64_t now)
-{
-  static const int64_t waits[QUARANTINE_TRIALS_MAX] = { QUARANTINE_FIRST_TRIAL_DELAY,
-                                                        QUARANTINE_SECOND_TRIAL_DELAY };
-
-  return suspect->n_trials < QUARANTINE_TRIALS_MAX
-         && now - last_crash_or_trial (suspect) >= waits[suspect->n_trials];
-}
-
-enum quarantine_verdict
-quarantine_get_verdict (const struct quarantine_suspect *suspect, bool is_trial_host, int64_t now)
-{
-  uint32_t count = suspect == NULL ? 0 : quarantine_count_crashes (suspect, now);
-
-  if (count == 0)
-    return QUARANTINE_PASS;
-  if (count >= QUARANTINE_CRASH_THRESHOLD)
-    return is_trial_host && is_due_for_trial (suspect, now) ? QUARANTINE_TRIAL : QUARANTINE_REFUSE;
-  if (count == QUARANTINE_CRASH_THRESHOLD - 1 && suspect->n_running > 0)
-    return QUARANTINE_WAIT;
-  return QUARANTINE_ISOLATE;
-}
-
 /* ---- comparing tables ---- */
 
 bool
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -1,14 +1,18 @@
-/* Table of poison requests: requests whose runs crash the targets that execute them, with the
- * evidence against each and the verdict that follows from it.
+/* Table of what crashes targets: features of requests, that is, their whole content or single parts
+ * of their prompts, whose runs crash the targets that execute them, with the evidence against each
+ * and the verdict that follows from it.
  *
- * A crash is the end of an incarnation, for whatever reason, while it ran the request.
+ * A crash is the end of an incarnation, for whatever reason, while it ran a request with the
+ * feature.
  *
- * Load pattern: one request is repeated at any host, and each run crashes a target and fails
- * everything else that runs there.  Every request that ran on a target when it crashed becomes a
- * suspect.  A complete answer clears a suspect, so that only the request that is present at every
- * crash stays one.
+ * Load pattern: requests with one feature come at any host, and each run crashes a target and fails
+ * everything else that runs there.  Every feature of every request that ran on a target when it
+ * crashed becomes a suspect.  A complete answer clears a suspect, so that only the feature that is
+ * present at every crash stays one.  Where several features are present at the same crashes, one
+ * explains those of the others: a request is refused only for crashes that no feature explains
+ * which it does not have.
  *
- * The evidence against a request is a set of crashes, each valid or retracted.  Sets may be merged
+ * The evidence against a feature is a set of crashes, each valid or retracted.  Sets may be merged
  * in any order, any number of times, and the verdict is a function of the set.  Only crashes that
  * cannot share one cause are counted separately: several targets that lose power together count
  * once.
@@ -26,16 +30,17 @@
 
 BEGIN_DECLS
 
-/* A request is not sent any more once this many of its crashes are counted. */
+/* Requests with a feature are not sent any more once this many of its crashes are counted. */
 #define QUARANTINE_CRASH_THRESHOLD 3
 
-/* Crashes stored per request, retracted ones included. */
+/* Crashes stored per feature, retracted ones included. */
 #define QUARANTINE_CRASHES_MAX 8
 
+/* Suspects of one kind: whole requests, or parts. */
 #define QUARANTINE_SUSPECTS_MAX 512
 
-/* Suspects per organisation, so that one that sends invented requests cannot evict the suspects of
- * others. */
+/* Suspects of one kind per organisation, so that one that sends invented requests cannot evict the
+ * suspects of others. */
 #define QUARANTINE_ORGANISATION_SUSPECTS_MAX 64
 
 /* A suspect that no client has sent for this long is dropped. */
@@ -59,8 +64,12 @@
 #define QUARANTINE_SECOND_TRIAL_DELAY (600 * USEC_PER_SEC)
 #define QUARANTINE_TRIALS_MAX 2
 
-/* A crash of the incarnation while it ran the request.  The cause lies between `from` and `to`,
- * and within the run. */
+/* A part that was answered completely is not blamed for crashes up to this long after that, nor is
+ * any part for crashes in a pool that gave no complete answer in this time before. */
+#define QUARANTINE_PROOF_TTL (60 * USEC_PER_SEC)
+
+/* A crash of the incarnation while it ran a request with the feature.  The cause lies between
+ * `from` and `to`, and within the run. */
 struct quarantine_crash
 {
   uint64_t incarnation;
@@ -69,14 +78,14 @@
   bool retracted; /* the incarnation lives, or a complete answer followed */
 };
 
-/* A request and the evidence against it. */
+/* A feature and the evidence against it. */
 struct quarantine_suspect
 {
   struct request_digest digest;
-  char organisation[ROUTING_NAME_SIZE];
-  char route[ROUTING_NAME_SIZE]; /* by which it first came; for display only */
-  int64_t last_seen;             /* last known time at which a client sent it */
-  int64_t last_trial;            /* time of the last trial; 0 if this host knows of none */
+  char organisation[ROUTING_NAME_SIZE]; /* whose request had it first */
+  char route[ROUTING_NAME_SIZE];        /* by which it first came; for display only */
+  int64_t last_seen;                    /* last known time at which a client sent it */
+  int64_t last_trial;                   /* time of the last trial; 0 if this host knows of none */
   uint32_t n_trials;
   uint32_t n_crashes;
   struct quarantine_crash crashes[QUARANTINE_CRASHES_MAX];
@@ -132,12 +141,46 @@
 
 const char *quarantine_verdict_text (enum quarantine_verdict verdict);
 
-/* Whether and how a request may be sent now.  `is_trial_host`: this host makes its trials.  WAIT:
- * not while another run of it is in flight.  NULL stands for a request that is not suspected. */
+/* Whether and how a request may be sent now of which this is the only suspected feature.
+ * `is_trial_host`: this host makes its trials.  WAIT: not while another run of it is in flight.
+ * NULL stands for a feature that is not suspected. */
 enum quarantine_verdict quarantine_get_verdict (const struct quarantine_suspect *suspect,
                                                 bool is_trial_host,
                                                 int64_t now);
 
+/* What the host that judges knows besides the table. */
+struct quarantine_view
+{
+  const struct quarantine_view_ops *ops;
+};
+
+struct quarantine_view_ops
+{
+  /* Crashes up to this time are no evidence against the feature. */
+  int64_t (*cleared_until) (struct quarantine_view *view, const struct request_digest *feature);
+
+  /* Whether this host makes the trials of the feature. */
+  bool (*is_trial_host) (struct quarantine_view *view, const struct request_digest *feature);
+};
+
+struct quarantine_judgement
+{
+  enum quarantine_verdict verdict;
+  const struct quarantine_suspect *suspect; /* what decided it; NULL for PASS */
+  uint32_t n_crashes;                       /* that count against that */
+};
+
+/* Whether and how a request with these features may be sent now.  The suspect stays valid until the
+ * next call that modifies the table. */
+struct quarantine_judgement quarantine_judge (struct quarantine *quarantine,
+                                              const struct request_feature *features,
+                                              uint32_t n_features,
+                                              struct quarantine_view *view,
+                                              int64_t now);
+
+/* The time of its newest crash or trial. */
+int64_t quarantine_last_event (const struct quarantine_suspect *suspect);
+
 /* Retracts all crashes of a request; false if none was valid. */
 bool quarantine_clear (struct quarantine_suspect *suspect);
 
--- a/src/quarantine_control.c
+++ b/src/quarantine_control.c
@@ -1,4 +1,4 @@
-/* Replicates the table of suspected requests over the peer channel. */
+/* Replicates the table of suspects over the peer channel. */
 #include "quarantine_control.h"
 #include "container.h"
 #include "log.h"
@@ -214,6 +214,7 @@
   uint32_t count = quarantine_count_crashes (suspect, now);
   const char *event = "request-suspected";
   char content[REQUEST_DIGEST_TEXT_SIZE];
+  char part[REQUEST_PART_TEXT_SIZE];
 
   if (count == before)
     return;
@@ -222,11 +223,12 @@
   else if (count < before)
     event = count == 0 ? "request-cleared" : "request-suspected-less";
   request_digest_format (&suspect->digest, content);
+  request_digest_format_part (&suspect->digest, part);
   log_event (LOG_MODULE_FLOW,
              count >= QUARANTINE_CRASH_THRESHOLD ? LOG_LEVEL_WARNING : LOG_LEVEL_INFO, event,
-             "{s:s,s:s,s:s,s:i,s:i,s:s,s:I,s:I}", "content", content, "organisation",
-             suspect->organisation, "route", suspect->route, "ends", (int) count, "before",
-             (int) before, "source", source, "newest_end_ms",
+             "{s:s,s:s,s:s,s:s,s:i,s:i,s:s,s:I,s:I}", "content", content, "part", part,
+             "organisation", suspect->organisation, "route", suspect->route, "ends", (int) count,
+             "before", (int) before, "source", source, "newest_end_ms",
              (json_int_t) (count == 0 ? -1 : (now - newest_crash (suspect)) / USEC_PER_MSEC),
              "seen_ms", (json_int_t) ((now - suspect->last_seen) / USEC_PER_MSEC));
 }
@@ -411,13 +413,15 @@
 describe_suspect (const struct quarantine_suspect *suspect, int64_t now)
 {
   char content[REQUEST_DIGEST_TEXT_SIZE];
+  char part[REQUEST_PART_TEXT_SIZE];
   json_t *ends = json_array ();
 
   for (uint32_t i = 0; i < suspect->n_crashes; i++)
     json_array_append_new (ends, describe_crash (&suspect->crashes[i], now));
   request_digest_format (&suspect->digest, content);
-  return json_pack ("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:o}", "content", content, "organisation",
-                    suspect->organisation, "route", suspect->route, "verdict",
+  request_digest_format_part (&suspect->digest, part);
+  return json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:o}", "content", content, "part", part,
+                    "organisation", suspect->organisation, "route", suspect->route, "verdict",
                     quarantine_verdict_text (quarantine_get_verdict (suspect, false, now)), "ends",
                     (int) quarantine_count_crashes (suspect, now), "running",
                     (int) suspect->n_running, "tries", (int) suspect->n_trials, "seen_ms",
@@ -451,18 +455,19 @@
   struct counters *counters = control->config.counters;
 
   control->held = gauge_get (counters, "cherryarch_quarantine_held",
-                             "Requests that are not sent any more.", NULL);
-  control->suspected = gauge_get (counters, "cherryarch_quarantine_suspected",
-                                  "Requests under which a target ended.", NULL);
+                             "Requests and parts of prompts that are not sent any more.", NULL);
+  control->suspected =
+      gauge_get (counters, "cherryarch_quarantine_suspected",
+                 "Requests and parts of prompts under which a target ended.", NULL);
   control->learnt = counter_get (counters, "cherryarch_quarantine_learnt_total",
-                                 "Changes of what is known of suspected requests.", NULL);
+                                 "Changes of what is known of suspects.", NULL);
   control->not_kept =
       counter_get (counters, "cherryarch_quarantine_not_kept_total",
-                   "Suspected requests that were too old, or for which there was no room.", NULL);
+                   "Suspects that were too old, or for which there was no room.", NULL);
   control->messages = counter_get (counters, "cherryarch_quarantine_messages_total",
-                                   "Messages sent about suspected requests.", NULL);
+                                   "Messages sent about suspects.", NULL);
   control->bytes = counter_get (counters, "cherryarch_quarantine_bytes_total",
-                                "Bytes of messages sent about suspected requests.", NULL);
+                                "Bytes of messages sent about suspects.", NULL);
 }
 
 struct quarantine_control *
--- a/src/quarantine_control.h
+++ b/src/quarantine_control.h
@@ -1,4 +1,4 @@
-/* Replicates the table of suspected requests over the peer channel.  Entry hosts and controllers
+/* Replicates the table of suspects over the peer channel.  Entry hosts and controllers
  * each hold a copy.
  *
  * A host sends new evidence to all controllers; one of them relays it to all entry hosts if these
@@ -70,7 +70,7 @@
                                   struct quarantine_suspect *suspect,
                                   int64_t now);
 
-/* Retract all crashes of a request, or the crashes of an incarnation that was alive at `alive`
+/* Retract all crashes of a feature, or the crashes of an incarnation that was alive at `alive`
  * unless they are later, and announce the change.  `why` is logged. */
 void quarantine_control_clear (struct quarantine_control *control,
                                const struct request_digest *digest,
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -2,6 +2,7 @@
 #include "quarantine_entry.h"
 #include "container.h"
 #include "log.h"
+#include <jansson.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -15,12 +16,11 @@
 {
   struct quarantine_entry_config config;
   struct quarantine_peers peers;
-  struct target_watch_listener fate_listener;
+  struct quarantine_view view;
   struct quarantine_control *control;
+  struct quarantine_evidence *evidence;
   struct quarantine *table;
-  struct target_watch *watch;
-  struct quarantine_suspect *pending; /* QUARANTINE_PENDING_MAX, each with one crash */
-  uint32_t n_pending;
+  bool allows_trials; /* in the judgement that is being made */
   struct counter *verdicts[QUARANTINE_VERDICT_COUNT];
 };
 
@@ -37,78 +37,20 @@
 
 static const struct quarantine_peers_ops peers_ops = { .list = list_controllers };
 
-/* ---- breaks ---- */
-
-static void
-fate (struct target_watch_listener *listener,
-      uint64_t incarnation,
-      enum target_fate fate,
-      int64_t until,
-      int64_t now)
-{
-  struct quarantine_entry *entry = CONTAINER_OF (listener, struct quarantine_entry, fate_listener);
-  uint32_t kept = 0;
-
-  if (fate == TARGET_FATE_LIVES)
-    quarantine_control_retract (entry->control, incarnation, until, "the target lives", now);
-  for (uint32_t i = 0; i < entry->n_pending; i++)
-    {
-      struct quarantine_suspect *suspect = &entry->pending[i];
-
-      if (suspect->crashes[0].incarnation != incarnation || suspect->crashes[0].to > until)
-        entry->pending[kept++] = *suspect;
-      else if (fate == TARGET_FATE_ENDED)
-        quarantine_control_learn (entry->control, suspect, now);
-    }
-  entry->n_pending = kept;
-}
-
-/* After a complete answer the fate of the targets is no evidence against the request. */
-static void
-drop_pending (struct quarantine_entry *entry, const struct request_digest *digest)
-{
-  uint32_t kept = 0;
-
-  for (uint32_t i = 0; i < entry->n_pending; i++)
-    if (!request_digest_equal (&entry->pending[i].digest, digest))
-      entry->pending[kept++] = entry->pending[i];
-  entry->n_pending = kept;
-}
-
-static const struct target_watch_listener_ops fate_ops = { .fate = fate };
-
-void
-quarantine_entry_connection_broke (struct quarantine_entry *entry,
-                                   const struct balance_target *target,
-                                   const struct quarantine_suspect *suspect,
-                                   int64_t now)
-{
-  enum target_fate known = target_watch_connection_broke (entry->watch, target, now);
-
-  if (known == TARGET_FATE_ENDED)
-    quarantine_control_learn (entry->control, suspect, now);
-  else if (known != TARGET_FATE_UNKNOWN || !target_watch_is_watched (entry->watch, target->id_hash))
-    return;
-  else if (entry->n_pending < QUARANTINE_PENDING_MAX)
-    entry->pending[entry->n_pending++] = *suspect;
-  else
-    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "break-not-kept", "{s:s,s:i}", "target",
-               target->id, "pending", (int) entry->n_pending);
-}
-
 /* ---- verdicts ---- */
 
-/* All trials of a request are made by one host, so that there is at most one at a time: the host
- * with the highest rendezvous hash of its name and the request. */
+/* All trials of a feature are made by one host, so that there is at most one at a time: the host
+ * with the highest rendezvous hash of its name and the feature. */
 static bool
-is_trial_host (const struct quarantine_entry *entry, const struct request_digest *digest)
+is_trial_host (struct quarantine_view *base, const struct request_digest *digest)
 {
+  const struct quarantine_entry *entry = CONTAINER_OF (base, struct quarantine_entry, view);
   const struct host_view *view = subscriber_hosts (entry->config.subscriber);
   uint64_t seed = XXH3_64bits (digest->bytes, REQUEST_DIGEST_SIZE);
   const struct sync_host *best = NULL;
   uint64_t best_score = 0;
 
-  for (uint32_t i = 0; i < view->n; i++)
+  for (uint32_t i = 0; entry->allows_trials && i < view->n; i++)
     {
       const struct sync_host *host = view->hosts[i];
       uint64_t score = XXH3_64bits_withSeed (host->name, strlen (host->name), seed);
@@ -121,12 +63,30 @@
   return best != NULL && subscriber_is_self (entry->config.subscriber, best);
 }
 
+static int64_t
+cleared_until (struct quarantine_view *view, const struct request_digest *feature)
+{
+  const struct quarantine_entry *entry = CONTAINER_OF (view, struct quarantine_entry, view);
+
+  return quarantine_evidence_cleared_until (entry->evidence, feature);
+}
+
+static const struct quarantine_view_ops view_ops = {
+  .cleared_until = cleared_until,
+  .is_trial_host = is_trial_host,
+};
+
 /* Announces the trial before the request itself is sent. */
 static void
-record_trial (struct quarantine_entry *entry, const struct quarantine_suspect *suspect, int64_t now)
+record_trial (struct quarantine_entry *entry, const struct request_digest *digest, int64_t now)
 {
-  struct quarantine_suspect tried = *suspect;
+  const struct quarantine_suspect *suspect = quarantine_find (entry->table, digest);
+  struct quarantine_suspect tried;
 
+  if (suspect == NULL || quarantine_count_crashes (suspect, now) < QUARANTINE_CRASH_THRESHOLD
+      || suspect->n_trials == QUARANTINE_TRIALS_MAX)
+    return;
+  tried = *suspect;
   tried.n_trials++;
   tried.last_trial = now;
   tried.last_seen = now;
@@ -134,8 +94,12 @@
 }
 
 static void
-record_seen (struct quarantine_entry *entry, struct quarantine_suspect *suspect, int64_t now)
+record_seen (struct quarantine_entry *entry, const struct request_digest *digest, int64_t now)
 {
+  struct quarantine_suspect *suspect = quarantine_find (entry->table, digest);
+
+  if (suspect == NULL)
+    return;
   suspect->last_seen = now;
   if (quarantine_count_crashes (suspect, now) < QUARANTINE_CRASH_THRESHOLD
       || now - suspect->last_announced < SEEN_ANNOUNCE_INTERVAL)
@@ -146,68 +110,94 @@
 bool
 quarantine_entry_is_empty (const struct quarantine_entry *entry)
 {
-  return entry->n_pending == 0 && quarantine_is_empty (entry->table);
+  return !quarantine_evidence_is_pending (entry->evidence) && quarantine_is_empty (entry->table);
 }
 
 enum quarantine_verdict
-quarantine_entry_get_verdict (const struct quarantine_entry *entry,
-                              const struct request_digest *digest,
+quarantine_entry_get_verdict (struct quarantine_entry *entry,
+                              const struct request_feature *features,
+                              uint32_t n_features,
                               int64_t now)
 {
-  return quarantine_get_verdict (quarantine_find (entry->table, digest), false, now);
+  return quarantine_judge (entry->table, features, n_features, &entry->view, now).verdict;
 }
 
-enum quarantine_verdict
-quarantine_entry_admit (struct quarantine_entry *entry,
-                        const struct request_digest *digest,
-                        int64_t now)
+static void
+log_judgement (const char *id, const struct quarantine_judgement *judgement, int64_t now)
 {
-  struct quarantine_suspect *suspect = quarantine_find (entry->table, digest);
-  enum quarantine_verdict verdict;
+  const struct quarantine_suspect *suspect = judgement->suspect;
+  char content[REQUEST_DIGEST_TEXT_SIZE];
+  char part[REQUEST_PART_TEXT_SIZE];
 
-  if (suspect == NULL)
-    return QUARANTINE_PASS;
-  verdict = quarantine_get_verdict (suspect, is_trial_host (entry, digest), now);
-  counter_add (entry->verdicts[verdict], 1);
-  if (verdict == QUARANTINE_TRIAL)
-    record_trial (entry, suspect, now);
-  else
-    record_seen (entry, suspect, now);
-  return verdict;
+  if (suspect == NULL || judgement->verdict == QUARANTINE_ISOLATE)
+    return;
+  request_digest_format (&suspect->digest, content);
+  request_digest_format_part (&suspect->digest, part);
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-judged", "{s:s,s:s,s:s,s:s,s:i,s:I,s:i,s:i}",
+             "id", id, "verdict", quarantine_verdict_text (judgement->verdict), "content", content,
+             "part", part, "ends", (int) judgement->n_crashes, "newest_ms",
+             (json_int_t) ((now - quarantine_last_event (suspect)) / USEC_PER_MSEC), "tries",
+             (int) suspect->n_trials, "running", (int) suspect->n_running);
 }
 
-bool
-quarantine_entry_run_started (struct quarantine_entry *entry, const struct request_digest *digest)
+enum quarantine_verdict
+quarantine_entry_admit (struct quarantine_entry *entry,
+                        const char *id,
+                        const struct request_feature *features,
+                        uint32_t n_features,
+                        int64_t now)
 {
-  struct quarantine_suspect *suspect = quarantine_find (entry->table, digest);
-
-  if (suspect != NULL)
-    suspect->n_running++;
-  return suspect != NULL;
+  struct quarantine_judgement judgement;
+
+  entry->allows_trials = true;
+  judgement = quarantine_judge (entry->table, features, n_features, &entry->view, now);
+  entry->allows_trials = false;
+  if (judgement.suspect != NULL)
+    counter_add (entry->verdicts[judgement.verdict], 1);
+  log_judgement (id, &judgement, now);
+  for (uint32_t i = 0; i < n_features; i++)
+    if (judgement.verdict == QUARANTINE_TRIAL)
+      record_trial (entry, &features[i].digest, now);
+    else
+      record_seen (entry, &features[i].digest, now);
+  return judgement.verdict;
 }
 
 void
-quarantine_entry_run_finished (struct quarantine_entry *entry, const struct request_digest *digest)
+quarantine_entry_run_started (struct quarantine_entry *entry,
+                              struct request_feature *features,
+                              uint32_t n_features)
 {
-  struct quarantine_suspect *suspect = quarantine_find (entry->table, digest);
+  for (uint32_t i = 0; i < n_features; i++)
+    {
+      struct quarantine_suspect *suspect = quarantine_find (entry->table, &features[i].digest);
 
-  if (suspect != NULL && suspect->n_running > 0)
-    suspect->n_running--;
+      features[i].is_counted = suspect != NULL;
+      if (suspect != NULL)
+        suspect->n_running++;
+    }
 }
 
 void
-quarantine_entry_answer_completed (struct quarantine_entry *entry,
-                                   const struct request_digest *digest,
-                                   int64_t now)
+quarantine_entry_run_finished (struct quarantine_entry *entry,
+                               struct request_feature *features,
+                               uint32_t n_features)
 {
-  drop_pending (entry, digest);
-  quarantine_control_clear (entry->control, digest, "a whole answer", now);
+  for (uint32_t i = 0; i < n_features; i++)
+    {
+      struct quarantine_suspect *suspect =
+          features[i].is_counted ? quarantine_find (entry->table, &features[i].digest) : NULL;
+
+      features[i].is_counted = false;
+      if (suspect != NULL && suspect->n_running > 0)
+        suspect->n_running--;
+    }
 }
 
-struct target_watch *
-quarantine_entry_watch (struct quarantine_entry *entry)
+struct quarantine_evidence *
+quarantine_entry_evidence (struct quarantine_entry *entry)
 {
-  return entry->watch;
+  return entry->evidence;
 }
 
 struct quarantine_control *
@@ -243,22 +233,23 @@
     .timers = loop_timers (entry->config.loop),
     .counters = entry->config.counters,
   };
-  struct target_watch_config watch = {
+  struct quarantine_evidence_config evidence = {
     .loop = entry->config.loop,
     .registry = subscriber_registry (entry->config.subscriber),
     .balance = entry->config.balance,
     .counters = entry->config.counters,
-    .listener = &entry->fate_listener,
   };
 
   entry->peers.ops = &peers_ops;
-  entry->fate_listener.ops = &fate_ops;
+  entry->view.ops = &view_ops;
   entry->control = quarantine_control_new (entry, &control);
-  entry->watch = target_watch_new (entry, &watch);
-  entry->pending = talloc_array (entry, struct quarantine_suspect, QUARANTINE_PENDING_MAX);
-  if (entry->control == NULL || entry->watch == NULL || entry->pending == NULL)
+  if (entry->control == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   entry->table = quarantine_control_table (entry->control);
+  evidence.control = entry->control;
+  entry->evidence = quarantine_evidence_new (entry, &evidence);
+  if (entry->evidence == NULL)
+    return status_fail (STATUS_NO_MEMORY, "out of memory");
   return STATUS_OK;
 }
 
--- a/src/quarantine_entry.h
+++ b/src/quarantine_entry.h
@@ -1,5 +1,4 @@
-/* Quarantine on an entry host: which requests broke, whether their targets crashed, and what may
- * be sent. */
+/* Quarantine on an entry host: what may be sent to targets. */
 #ifndef QUARANTINE_ENTRY_H
 #define QUARANTINE_ENTRY_H
 
@@ -8,15 +7,11 @@
 #include "decls.h"
 #include "loop.h"
 #include "peer.h"
-#include "quarantine_control.h"
+#include "quarantine_evidence.h"
 #include "subscriber.h"
-#include "target_watch.h"
 
 BEGIN_DECLS
 
-/* Broken requests whose target's fate is not known yet. */
-#define QUARANTINE_PENDING_MAX 256
-
 struct quarantine_entry;
 
 struct quarantine_entry_config
@@ -35,39 +30,30 @@
 /* A request need not be digested while nothing is suspected. */
 bool quarantine_entry_is_empty (const struct quarantine_entry *entry);
 
-/* Verdict on a request that a client sends.  QUARANTINE_TRIAL is returned once and recorded as a
- * trial. */
+/* Verdict on a request that a client sends, named by `id` in the log.  QUARANTINE_TRIAL is returned
+ * once and recorded as a trial of all its held features. */
 enum quarantine_verdict quarantine_entry_admit (struct quarantine_entry *entry,
-                                                const struct request_digest *digest,
+                                                const char *id,
+                                                const struct request_feature *features,
+                                                uint32_t n_features,
                                                 int64_t now);
 
 /* Verdict on a request that was admitted, just before it is sent to a target. */
-enum quarantine_verdict quarantine_entry_get_verdict (const struct quarantine_entry *entry,
-                                                      const struct request_digest *digest,
+enum quarantine_verdict quarantine_entry_get_verdict (struct quarantine_entry *entry,
+                                                      const struct request_feature *features,
+                                                      uint32_t n_features,
                                                       int64_t now);
 
-/* Count a run in and out.  False: the request is not suspected, and
- * quarantine_entry_run_finished() need not be called. */
-bool quarantine_entry_run_started (struct quarantine_entry *entry,
-                                   const struct request_digest *digest);
+/* Count a run in and out with each feature that is suspected when it starts. */
+void quarantine_entry_run_started (struct quarantine_entry *entry,
+                                   struct request_feature *features,
+                                   uint32_t n_features);
 void quarantine_entry_run_finished (struct quarantine_entry *entry,
-                                    const struct request_digest *digest);
-
-/* The request has had a complete answer, which clears it also of breaks whose target's fate is not
- * known yet. */
-void quarantine_entry_answer_completed (struct quarantine_entry *entry,
-                                        const struct request_digest *digest,
-                                        int64_t now);
-
-/* The connection to the target broke while it ran `suspect`, which has one crash: the span in
- * which the target ended, if it did. */
-void quarantine_entry_connection_broke (struct quarantine_entry *entry,
-                                        const struct balance_target *target,
-                                        const struct quarantine_suspect *suspect,
-                                        int64_t now);
+                                    struct request_feature *features,
+                                    uint32_t n_features);
 
-/* The watch that finds out whether targets ended when connections to them broke. */
-struct target_watch *quarantine_entry_watch (struct quarantine_entry *entry);
+/* What the ends of runs show. */
+struct quarantine_evidence *quarantine_entry_evidence (struct quarantine_entry *entry);
 
 /* The replicated table. */
 struct quarantine_control *quarantine_entry_control (struct quarantine_entry *entry);
--- /dev/null
+++ b/src/quarantine_judge.c
@@ -0,0 +1,166 @@
+/* Verdicts on requests by their features. */
+#include "quarantine.h"
+
+static const char *const verdict_texts[] = {
+#define X(name, text) [QUARANTINE_##name] = text,
+  QUARANTINE_VERDICT_LIST (X)
+#undef X
+};
+
+const char *
+quarantine_verdict_text (enum quarantine_verdict verdict)
+{
+  return verdict_texts[verdict];
+}
+
+static bool
+is_due_for_trial (const struct quarantine_suspect *suspect, int64_t now)
+{
+  static const int64_t waits[QUARANTINE_TRIALS_MAX] = { QUARANTINE_FIRST_TRIAL_DELAY,
+                                                        QUARANTINE_SECOND_TRIAL_DELAY };
+
+  return suspect->n_trials < QUARANTINE_TRIALS_MAX
+         && now - quarantine_last_event (suspect) >= waits[suspect->n_trials];
+}
+
+/* By the number of its crashes, while it may be sent. */
+static enum quarantine_verdict
+verdict_below_threshold (const struct quarantine_suspect *suspect, uint32_t count)
+{
+  if (count == 0)
+    return QUARANTINE_PASS;
+  return count >= QUARANTINE_CRASH_THRESHOLD - 1 && suspect->n_running > 0 ? QUARANTINE_WAIT
+                                                                           : QUARANTINE_ISOLATE;
+}
+
+enum quarantine_verdict
+quarantine_get_verdict (const struct quarantine_suspect *suspect, bool is_trial_host, int64_t now)
+{
+  uint32_t count = suspect == NULL ? 0 : quarantine_count_crashes (suspect, now);
+
+  if (count < QUARANTINE_CRASH_THRESHOLD)
+    return verdict_below_threshold (suspect, count);
+  return is_trial_host && is_due_for_trial (suspect, now) ? QUARANTINE_TRIAL : QUARANTINE_REFUSE;
+}
+
+/* ---- several features ---- */
+
+/* What a judgement is made from. */
+struct question
+{
+  struct quarantine *quarantine;
+  const struct request_feature *features;
+  uint32_t n_features;
+  struct quarantine_view *view;
+  int64_t now;
+};
+
+static bool
+has_feature (const struct question *question, const struct request_digest *digest)
+{
+  for (uint32_t i = 0; i < question->n_features; i++)
+    if (request_digest_equal (&question->features[i].digest, digest))
+      return true;
+  return false;
+}
+
+/* The suspect without the crashes that are no evidence to this host. */
+static struct quarantine_suspect
+as_viewed (const struct question *question, const struct quarantine_suspect *suspect)
+{
+  int64_t until = question->view->ops->cleared_until (question->view, &suspect->digest);
+  struct quarantine_suspect viewed = *suspect;
+
+  for (uint32_t i = 0; i < viewed.n_crashes; i++)
+    viewed.crashes[i].retracted = viewed.crashes[i].retracted || viewed.crashes[i].to <= until;
+  return viewed;
+}
+
+static void
+retract_shared (struct quarantine_suspect *suspect, const struct quarantine_suspect *other)
+{
+  for (uint32_t i = 0; i < other->n_crashes; i++)
+    if (!other->crashes[i].retracted)
+      (void) quarantine_retract (suspect, other->crashes[i].incarnation, INT64_MAX);
+}
+
+/* Retracts the crashes at which a feature was present that the request does not have, and that
+ * explains at least as many. */
+static void
+retract_explained (const struct question *question, struct quarantine_suspect *suspect)
+{
+  uint32_t count = quarantine_count_crashes (suspect, question->now);
+  const struct quarantine_suspect *at;
+
+  for (uint32_t i = 0; (at = quarantine_at (question->quarantine, i)) != NULL; i++)
+    {
+      struct quarantine_suspect other;
+
+      if (at->n_crashes < QUARANTINE_CRASH_THRESHOLD || has_feature (question, &at->digest))
+        continue;
+      other = as_viewed (question, at);
+      if (quarantine_count_crashes (&other, question->now) >= count)
+        retract_shared (suspect, &other);
+    }
+}
+
+static enum quarantine_verdict
+judge_feature (const struct question *question,
+               const struct quarantine_suspect *suspect,
+               uint32_t *n_crashes)
+{
+  struct quarantine_suspect viewed = as_viewed (question, suspect);
+  bool is_trial_host;
+
+  *n_crashes = quarantine_count_crashes (&viewed, question->now);
+  if (*n_crashes < QUARANTINE_CRASH_THRESHOLD)
+    return verdict_below_threshold (&viewed, *n_crashes);
+  retract_explained (question, &viewed);
+  if (quarantine_count_crashes (&viewed, question->now) < QUARANTINE_CRASH_THRESHOLD)
+    return verdict_below_threshold (&viewed, *n_crashes);
+  is_trial_host = question->view->ops->is_trial_host (question->view, &suspect->digest);
+  return is_trial_host && is_due_for_trial (suspect, question->now) ? QUARANTINE_TRIAL
+                                                                    : QUARANTINE_REFUSE;
+}
+
+/* The verdict that stands where features of a request get several. */
+static uint32_t
+rank (enum quarantine_verdict verdict)
+{
+  static const uint32_t ranks[QUARANTINE_VERDICT_COUNT] = {
+    [QUARANTINE_PASS] = 0,  [QUARANTINE_ISOLATE] = 1, [QUARANTINE_WAIT] = 2,
+    [QUARANTINE_TRIAL] = 3, [QUARANTINE_REFUSE] = 4,
+  };
+
+  return ranks[verdict];
+}
+
+struct quarantine_judgement
+quarantine_judge (struct quarantine *quarantine,
+                  const struct request_feature *features,
+                  uint32_t n_features,
+                  struct quarantine_view *view,
+                  int64_t now)
+{
+  const struct question question = {
+    .quarantine = quarantine,
+    .features = features,
+    .n_features = n_features,
+    .view = view,
+    .now = now,
+  };
+  struct quarantine_judgement judgement = { .verdict = QUARANTINE_PASS };
+
+  for (uint32_t i = 0; i < n_features; i++)
+    {
+      const struct quarantine_suspect *suspect = quarantine_find (quarantine, &features[i].digest);
+      enum quarantine_verdict verdict = QUARANTINE_PASS;
+      uint32_t n_crashes = 0;
+
+      if (suspect != NULL)
+        verdict = judge_feature (&question, suspect, &n_crashes);
+      if (rank (verdict) > rank (judgement.verdict))
+        judgement = (struct quarantine_judgement){ verdict, suspect, n_crashes };
+    }
+  return judgement;
+}
--- a/src/quarantine_wire.c
+++ b/src/quarantine_wire.c
@@ -1,4 +1,4 @@
-/* Messages about poison requests. */
+/* Messages about suspects. */
 #include "quarantine_wire.h"
 #include "pack.h"
 #include <string.h>
--- a/src/quarantine_wire.h
+++ b/src/quarantine_wire.h
@@ -1,4 +1,4 @@
-/* Messages about poison requests (PEER_CHANNEL_QUARANTINE).
+/* Messages about suspects (PEER_CHANNEL_QUARANTINE).
  *
  * Times are sent as ages, because the clocks of hosts differ. */
 #ifndef QUARANTINE_WIRE_H
--- a/src/request_digest.c
+++ b/src/request_digest.c
@@ -1,12 +1,22 @@
-/* Digest that identifies equal requests. */
+/* Digest that identifies equal requests, and keys of parts of prompts. */
 #include "request_digest.h"
 #include <sodium.h>
+#include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 _Static_assert(REQUEST_DIGEST_SIZE >= crypto_generichash_BYTES_MIN
                    && REQUEST_DIGEST_SIZE <= crypto_generichash_BYTES_MAX,
                "REQUEST_DIGEST_SIZE is not a valid size of a BLAKE2b digest");
 
+/* A key of a part: the mark, the number of the part, and a hash of the pool's name. */
+#define REQUEST_PART_MARK "part\0\0\0"
+#define MARK_SIZE (sizeof REQUEST_PART_MARK)
+#define NUMBER_SIZE (sizeof (uint64_t))
+
+_Static_assert(MARK_SIZE + NUMBER_SIZE + sizeof (XXH128_canonical_t) == REQUEST_DIGEST_SIZE,
+               "a key of a part does not fill a digest");
+
 /* Hashes the length first, so that different lists of parts never give the same bytes. */
 static void
 hash_part (crypto_generichash_state *state, const void *part, size_t length)
@@ -48,12 +58,47 @@
   return memcmp (a->bytes, b->bytes, REQUEST_DIGEST_SIZE) == 0;
 }
 
+void
+request_part_digest (const char *pool, uint64_t part, struct request_digest *out)
+{
+  XXH64_canonical_t number;
+  XXH128_canonical_t space;
+
+  XXH64_canonicalFromHash (&number, part);
+  XXH128_canonicalFromHash (&space, XXH3_128bits (pool, strlen (pool)));
+  memcpy (out->bytes, REQUEST_PART_MARK, MARK_SIZE);
+  memcpy (out->bytes + MARK_SIZE, &number, NUMBER_SIZE);
+  memcpy (out->bytes + MARK_SIZE + NUMBER_SIZE, &space, sizeof space);
+}
+
+bool
+request_digest_is_part (const struct request_digest *digest, uint64_t *part)
+{
+  XXH64_canonical_t number;
+
+  if (memcmp (digest->bytes, REQUEST_PART_MARK, MARK_SIZE) != 0)
+    return false;
+  memcpy (&number, digest->bytes + MARK_SIZE, NUMBER_SIZE);
+  *part = XXH64_hashFromCanonical (&number);
+  return true;
+}
+
 void
 request_digest_format (const struct request_digest *digest, char out[REQUEST_DIGEST_TEXT_SIZE])
 {
   sodium_bin2hex (out, REQUEST_DIGEST_TEXT_SIZE, digest->bytes, REQUEST_DIGEST_SIZE);
 }
 
+void
+request_digest_format_part (const struct request_digest *digest, char out[REQUEST_PART_TEXT_SIZE])
+{
+  uint64_t part;
+
+  out[0] = '\0';
+  if (request_digest_is_part (digest, &part))
+    snprintf (out, REQUEST_PART_TEXT_SIZE, "%llx", (unsigned long long) part);
+}
+
 bool
 request_digest_parse (const char *text, struct request_digest *out)
 {
