Take a stream that ends inside an event for one whose target may have ended

The end of its connection, in order, ends such an answer, and only the half event shows that it broke off. The caller's stream was broken off, but the break was no evidence. It is now like any other.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -207,7 +207,9 @@
   bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed) || cut);
 
   log_attempt (job, cut ? "ended inside an event" : "answered", cut, now);
-  if (!cut && success && job->is_signed && !job->not_run)
+  if (cut)
+    job_note_break (job, H1_END_TRUNCATED, now);
+  else if (success && job->is_signed && !job->not_run)
     job_note_complete_answer (job, now);
   /* A different incarnation has that address. */
   if (job->status == HTTP_STATUS_MISDIRECTED_REQUEST)
