Take an answer that only its connection ends for complete if its target lives

Such an answer was taken for complete, so that the end of a target cleared the part that had caused it.

Such a run is now kept until it is known whether its target lived on: a later answer of the incarnation or a renewal shows that it did, and only then is the answer a proof; a refused connection, or a feature that is suspected already, has the target asked. Targets whose answers only end are not probed, as that would cost a connection an answer.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -290,6 +290,8 @@
   job->has_events = h1_is_event_stream (head);
   job->not_run = is_refusal (job, head, &facts);
   job->limit = facts.limit;
+  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
+    job_note_target_answers (job, now);
   if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     limit_news_heard (job->forward->config.limit_news, job->target, facts.limit, now);
   if (!job->stream.begun)
@@ -353,6 +355,8 @@
     job_note_break (job, end, now);
   log_attempt (job, end == H1_END_WHOLE ? "answer too large or out of memory" : h1_end_text (end),
                broke, now);
+  if (end == H1_END_REFUSED)
+    job_note_target_refuses (job, now);
   release_target (job, true, now);
   if (!call->request_sent)
     job->runs--;
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -348,9 +348,14 @@
  * hosts, gives it up and frees the job. */
 void job_quarantine (struct forward_job *job, int64_t now);
 
-/* The target gave it a complete answer. */
+/* The target gave it a complete answer.  One that only the end of its connection completes is
+ * complete if the target lives on. */
 void job_note_complete_answer (struct forward_job *job, int64_t now);
 
+/* The target has begun an answer, or it refused a connection. */
+void job_note_target_answers (struct forward_job *job, int64_t now);
+void job_note_target_refuses (struct forward_job *job, int64_t now);
+
 /* forward_budget.c */
 
 /* Created on first use; NULL where there are too many pools. */
--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -209,6 +209,16 @@
 void
 job_note_complete_answer (struct forward_job *job, int64_t now)
 {
+  struct quarantine_run run;
+
+  if (job->call.framing == H1_FRAMING_CLOSE)
+    {
+      if (!read_features (job))
+        return;
+      run = run_of (job, now - QUARANTINE_COMMON_CAUSE_SPAN, now);
+      quarantine_evidence_connection_ended (evidence_of (job), job->target, &run, now);
+      return;
+    }
   read_parts (job);
   if (job->features == NULL)
     return;
@@ -217,3 +227,15 @@
   if (!quarantine_entry_is_empty (quarantine_of (job)) && read_features (job))
     quarantine_evidence_answer_completed (evidence_of (job), job->features, job->n_features, now);
 }
+
+void
+job_note_target_answers (struct forward_job *job, int64_t now)
+{
+  quarantine_evidence_target_answered (evidence_of (job), job->target, now);
+}
+
+void
+job_note_target_refuses (struct forward_job *job, int64_t now)
+{
+  quarantine_evidence_connection_refused (evidence_of (job), job->target, now);
+}
--- a/src/quarantine_evidence.c
+++ b/src/quarantine_evidence.c
@@ -14,7 +14,8 @@
   uint64_t incarnation;
   int64_t from;
   int64_t to;
-  bool is_answered; /* its content has had a complete answer since */
+  bool looks_complete; /* its answer is complete if the target lives on */
+  bool is_answered;    /* its content has had a complete answer since */
   char organisation[ROUTING_NAME_SIZE];
   char route[ROUTING_NAME_SIZE];
   char pool[ROUTING_NAME_SIZE];
@@ -103,6 +104,15 @@
     }
 }
 
+/* The run's answer was complete after all. */
+static void
+note_answer (struct quarantine_evidence *evidence, const struct pending_run *run, int64_t now)
+{
+  quarantine_evidence_parts_proven (evidence, run->pool, run->features + 1, run->n_features - 1,
+                                    run->to);
+  quarantine_evidence_answer_completed (evidence, run->features, run->n_features, now);
+}
+
 static void
 drop_pending (struct quarantine_evidence *evidence, struct pending_run *run)
 {
@@ -132,6 +142,8 @@
         continue;
       if (fate == TARGET_FATE_ENDED)
         learn_crash (evidence, run, now);
+      else if (fate == TARGET_FATE_LIVES && run->looks_complete)
+        note_answer (evidence, run, now);
       drop_pending (evidence, run);
     }
 }
@@ -162,12 +174,14 @@
   return NULL;
 }
 
+/* Answers that end with their connection are frequent where targets send no other kind. */
 static void
 note_not_kept (struct quarantine_evidence *evidence, const struct pending_run *run)
 {
   counter_add (evidence->not_kept, 1);
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "break-not-kept", "{s:s,s:s,s:i}", "route",
-             run->route, "pool", run->pool, "pending", (int) evidence->n_pending);
+  if (!run->looks_complete)
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "break-not-kept", "{s:s,s:s,s:i}", "route",
+               run->route, "pool", run->pool, "pending", (int) evidence->n_pending);
 }
 
 /* The run ended with its connection to the target, whose fate is `known`. */
@@ -204,6 +218,55 @@
     judge_run (evidence, copy, known, now);
 }
 
+static bool
+is_suspected (struct quarantine_evidence *evidence, const struct quarantine_run *run, int64_t now)
+{
+  const struct quarantine_suspect *suspect;
+  bool found = false;
+
+  for (uint32_t i = 0; i < run->n_features && !found; i++)
+    {
+      suspect = quarantine_find (evidence->table, &run->features[i].digest);
+      found = suspect != NULL && quarantine_count_crashes (suspect, now) > 0;
+    }
+  return found;
+}
+
+/* A suspect's target is asked at once whether it lives, others' only where something else tells
+ * that it may not. */
+void
+quarantine_evidence_connection_ended (struct quarantine_evidence *evidence,
+                                      const struct balance_target *target,
+                                      const struct quarantine_run *run,
+                                      int64_t now)
+{
+  struct pending_run *copy = copy_run (evidence, target, run);
+  enum target_fate known = is_suspected (evidence, run, now)
+                               ? target_watch_connection_broke (evidence->watch, target, now)
+                               : target_watch_connection_ended (evidence->watch, target, now);
+
+  if (copy == NULL)
+    return;
+  copy->looks_complete = true;
+  judge_run (evidence, copy, known, now);
+}
+
+void
+quarantine_evidence_target_answered (struct quarantine_evidence *evidence,
+                                     const struct balance_target *target,
+                                     int64_t now)
+{
+  target_watch_answered (evidence->watch, target->id_hash, now);
+}
+
+void
+quarantine_evidence_connection_refused (struct quarantine_evidence *evidence,
+                                        const struct balance_target *target,
+                                        int64_t now)
+{
+  target_watch_connection_refused (evidence->watch, target, now);
+}
+
 /* After a complete answer the fate of targets is no evidence against a content.  For parts, the
  * time of the answer tells. */
 static void
@@ -264,8 +327,8 @@
       talloc_free (evidence);
       return NULL;
     }
-  evidence->not_kept =
-      counter_get (config->counters, "cherryarch_quarantine_runs_not_kept_total",
-                   "Runs that broke, whose target's fate could not be awaited.", NULL);
+  evidence->not_kept = counter_get (
+      config->counters, "cherryarch_quarantine_runs_not_kept_total",
+      "Runs that ended with their connection, whose target's fate could not be awaited.", NULL);
   return evidence;
 }
--- a/src/quarantine_evidence.h
+++ b/src/quarantine_evidence.h
@@ -1,7 +1,8 @@
 /* What the ends of runs show of the features of their requests.
  *
- * A run whose connection broke is kept until it is known whether its target crashed.  If it did,
- * that is evidence against each of its features.
+ * A run whose connection broke, or whose answer nothing but the end of its connection completes, is
+ * kept until it is known whether its target crashed.  If it did, that is evidence against each of
+ * its features; else an answer that looked complete was complete.
  *
  * A complete answer shows that the parts of its prompt crash no target.  They are not blamed for
  * crashes soon after it, so that a part which all prompts share is no suspect while targets crash
@@ -19,7 +20,8 @@
 
 BEGIN_DECLS
 
-/* Runs that broke whose target's fate is not known yet. */
+/* Runs that broke, and such that ended with their connection, whose target's fate is not known
+ * yet. */
 #define QUARANTINE_PENDING_MAX 512
 
 struct quarantine_evidence;
@@ -70,6 +72,23 @@
                                            const struct quarantine_run *run,
                                            int64_t now);
 
+/* The answer ended in order with its connection and nothing else: it is complete if the target
+ * lives on. */
+void quarantine_evidence_connection_ended (struct quarantine_evidence *evidence,
+                                           const struct balance_target *target,
+                                           const struct quarantine_run *run,
+                                           int64_t now);
+
+/* The target has begun an answer. */
+void quarantine_evidence_target_answered (struct quarantine_evidence *evidence,
+                                          const struct balance_target *target,
+                                          int64_t now);
+
+/* The target refused a connection. */
+void quarantine_evidence_connection_refused (struct quarantine_evidence *evidence,
+                                             const struct balance_target *target,
+                                             int64_t now);
+
 /* Crashes up to this time are no evidence against the feature. */
 int64_t quarantine_evidence_cleared_until (const struct quarantine_evidence *evidence,
                                            const struct request_digest *feature);
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -1,48 +1,12 @@
 /* Determines whether a target ended when a connection to it broke. */
-#include "target_watch.h"
 #include "container.h"
 #include "log.h"
-#include "tcp.h"
+#include "target_watch_private.h"
 #include "text.h"
 #include <jansson.h>
 #include <string.h>
 #include <talloc.h>
 #include <utlist.h>
-#include <xxhash.h>
-
-/* A watched incarnation. */
-struct watched
-{
-  struct target_watch *watch;
-  char id[ROUTING_NAME_SIZE];
-  char address[ROUTING_NAME_SIZE];
-  char pool[ROUTING_NAME_SIZE];
-  uint64_t started;
-  uint64_t incarnation;
-  int64_t broke_at;      /* the first break that the target is not known to have outlived */
-  int64_t last_broke_at; /* the last break */
-  int64_t probed_at;     /* when the last probe began */
-  uint32_t breaks;
-  enum target_fate fate;
-  bool refused;    /* the address refused the last probe */
-  bool path_works; /* another target accepted a connection since that probe began */
-  uint32_t n_controls;
-  struct tcp_stream probe;
-  struct tcp_stream control; /* to another target */
-  struct timer probe_timer;
-  struct watched *prev;
-  struct watched *next;
-};
-
-struct target_watch
-{
-  struct target_watch_config config;
-  struct watched *watched;
-  uint32_t n;
-  struct timer timer;
-  struct counter *fates[TARGET_FATE_COUNT];
-  struct counter *unwatched;
-};
 
 static const char *const fate_texts[] = {
 #define X(name, text) [TARGET_FATE_##name] = text,
@@ -56,8 +20,8 @@
   return fate_texts[fate];
 }
 
-static struct watched *
-find (const struct target_watch *watch, uint64_t incarnation)
+struct watched *
+watched_find (const struct target_watch *watch, uint64_t incarnation)
 {
   struct watched *watched;
 
@@ -67,213 +31,43 @@
   return NULL;
 }
 
-/* Report the fate at the breaks up to `until`. */
 static void
-report_fate (
-    struct watched *watched, enum target_fate fate, const char *by, int64_t until, int64_t now)
+log_fate (const struct watched *watched, enum target_fate fate, const char *by, int64_t now)
 {
-  struct target_watch *watch = watched->watch;
-
-  counter_add (watch->fates[fate], 1);
+  counter_add (watched->watch->fates[fate], 1);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-fate", "{s:s,s:s,s:s,s:s,s:i,s:I}", "target",
              watched->id, "address", watched->address, "fate", fate_texts[fate], "by", by, "breaks",
              (int) watched->breaks, "after_ms",
              (json_int_t) ((now - watched->broke_at) / USEC_PER_MSEC));
-  if (watch->config.listener != NULL)
-    watch->config.listener->ops->fate (watch->config.listener, watched->incarnation, fate, until,
-                                       now);
-}
-
-/* Set the fate and report it for all breaks so far. */
-static void
-set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
-{
-  watched->fate = fate;
-  report_fate (watched, fate, by, now, now);
-}
-
-/* ---- the probe ---- */
-
-static void
-end_probe (struct watched *watched)
-{
-  timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
-  if (watched->probe.open)
-    tcp_close (&watched->probe, true);
-}
-
-static void
-end_control (struct watched *watched)
-{
-  if (watched->control.open)
-    tcp_close (&watched->control, true);
-}
-
-static void
-conclude (struct watched *watched, int64_t now)
-{
-  if (watched->fate == TARGET_FATE_UNKNOWN && watched->refused && watched->path_works)
-    set_fate (watched, TARGET_FATE_ENDED, "its address refuses connections", now);
-}
-
-/* The address accepts connections: this incarnation listens there, or already the next one. */
-static void
-probe_connected (struct tcp_stream *stream, int64_t now)
-{
-  (void) now;
-  end_probe (CONTAINER_OF (stream, struct watched, probe));
-}
-
-static void
-probe_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
-{
-  (void) stream;
-  (void) data;
-  (void) length;
-  (void) now;
-}
-
-static void
-probe_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
-{
-  struct watched *watched = CONTAINER_OF (stream, struct watched, probe);
-
-  timer_disarm (loop_timers (watched->watch->config.loop), &watched->probe_timer);
-  watched->refused = end == TCP_END_REFUSED;
-  conclude (watched, now);
-}
-
-static const struct tcp_stream_ops probe_ops = {
-  .connected = probe_connected,
-  .received = probe_received,
-  .ended = probe_ended,
-};
-
-static void
-probe_fired (struct timer *timer, int64_t now)
-{
-  (void) now;
-  end_probe (CONTAINER_OF (timer, struct watched, probe_timer));
-}
-
-static const struct timer_ops probe_timer_ops = { .fire = probe_fired };
-
-static void
-control_connected (struct tcp_stream *stream, int64_t now)
-{
-  struct watched *watched = CONTAINER_OF (stream, struct watched, control);
-
-  end_control (watched);
-  watched->path_works = true;
-  conclude (watched, now);
-}
-
-static void
-control_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
-{
-  (void) stream;
-  (void) end;
-  (void) now;
-}
-
-static const struct tcp_stream_ops control_ops = {
-  .connected = control_connected,
-  .received = probe_received,
-  .ended = control_ended,
-};
-
-/* Order in which another target is tried as a control, lowest first; another one for each control.
- * Targets of the same pool come first, of these the ones whose connections did not break.
- * UINT64_MAX: not at all, or not before `worst`. */
-static uint64_t
-rank_control (const struct watched *watched, const struct balance_target *target, uint64_t worst)
-{
-  uint64_t seed = watched->incarnation + watched->n_controls;
-  uint64_t rank = XXH3_64bits_withSeed (&target->id_hash, sizeof target->id_hash, seed) >> 3;
-  const struct watched *other;
-
-  if (strcmp (target->pool, watched->pool) != 0)
-    rank |= UINT64_C (1) << 62;
-  if (!target->usable || target->id_hash == watched->incarnation || rank >= worst)
-    return UINT64_MAX;
-  other = find (watched->watch, target->id_hash);
-  if (other != NULL && other->fate == TARGET_FATE_ENDED)
-    return UINT64_MAX;
-  if (other != NULL && other->fate == TARGET_FATE_UNKNOWN)
-    rank |= UINT64_C (1) << 61;
-  return rank;
-}
-
-static const struct balance_target *
-choose_control (const struct watched *watched)
-{
-  const struct balance *balance = watched->watch->config.balance;
-  const struct balance_target *at = balance == NULL ? NULL : balance->targets;
-  const struct balance_target *chosen = NULL;
-  uint64_t least = UINT64_MAX;
-
-  for (; at != NULL; at = at->next)
-    {
-      uint64_t rank = rank_control (watched, at, least);
-
-      if (rank >= least)
-        continue;
-      chosen = at;
-      least = rank;
-    }
-  return chosen;
-}
-
-/* Without another target to compare with, a refusal counts by itself. */
-static void
-begin_control (struct watched *watched)
-{
-  const struct balance_target *control = choose_control (watched);
-
-  end_control (watched);
-  watched->n_controls++;
-  watched->path_works = control == NULL;
-  if (control != NULL
-      && tcp_connect (&watched->control, &control_ops, watched->watch->config.loop,
-                      control->address)
-             != STATUS_OK)
-    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
-               control->address, "message", status_message ());
 }
 
+/* Report the fate at the breaks up to `until`.  That a target lives on whose answers only ended is
+ * no news. */
 static void
-begin_probe (struct watched *watched, int64_t now)
+report_fate (
+    struct watched *watched, enum target_fate fate, const char *by, int64_t until, int64_t now)
 {
-  struct loop *loop = watched->watch->config.loop;
+  struct target_watch *watch = watched->watch;
 
-  watched->probed_at = now;
-  watched->refused = false;
-  begin_control (watched);
-  if (tcp_connect (&watched->probe, &probe_ops, loop, watched->address) != STATUS_OK)
-    {
-      log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "probe-failed", "{s:s,s:s}", "address",
-                 watched->address, "message", status_message ());
-      return;
-    }
-  timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE_TIMEOUT);
+  if (watched->asked_at != 0 || fate == TARGET_FATE_ENDED)
+    log_fate (watched, fate, by, now);
+  if (watch->config.listener != NULL)
+    watch->config.listener->ops->fate (watch->config.listener, watched->incarnation, fate, until,
+                                       now);
 }
 
-/* Probe again if a connection broke after the last probe began, which shows nothing about it, or if
- * that probe was refused and the control was not accepted either. */
-static void
-probe_again (struct watched *watched, int64_t now)
+void
+watched_set_fate (struct watched *watched, enum target_fate fate, const char *by, int64_t now)
 {
-  if (watched->fate == TARGET_FATE_UNKNOWN && !watched->probe.open
-      && (watched->refused || watched->last_broke_at > watched->probed_at)
-      && now >= watched->probed_at + TARGET_WATCH_PERIOD)
-    begin_probe (watched, now);
+  watched->fate = fate;
+  report_fate (watched, fate, by, now, now);
 }
 
 /* ---- the registry ---- */
 
 /* The target was alive at `alive`, so it did not end at the breaks before. */
 static void
-note_alive (struct watched *watched, int64_t alive, int64_t now)
+note_alive (struct watched *watched, int64_t alive, const char *by, int64_t now)
 {
   bool all = alive >= watched->last_broke_at;
 
@@ -281,7 +75,7 @@
     return;
   if (all)
     watched->fate = TARGET_FATE_LIVES;
-  report_fate (watched, TARGET_FATE_LIVES, "it renewed its registration", alive, now);
+  report_fate (watched, TARGET_FATE_LIVES, by, alive, now);
   watched->broke_at = alive + 1;
 }
 
@@ -300,9 +94,10 @@
   else if (record->expired)
     ended = "its lease has expired";
   if (ended != NULL && watched->fate == TARGET_FATE_UNKNOWN)
-    set_fate (watched, TARGET_FATE_ENDED, ended, now);
+    watched_set_fate (watched, TARGET_FATE_ENDED, ended, now);
   if (ended == NULL && watched->fate != TARGET_FATE_LIVES)
-    note_alive (watched, record->last_heard_at - TARGET_WATCH_RENEWAL_DELAY_MAX - 1, now);
+    note_alive (watched, record->last_heard_at - TARGET_WATCH_RENEWAL_DELAY_MAX - 1,
+                "it renewed its registration", now);
 }
 
 static void
@@ -310,8 +105,7 @@
 {
   struct target_watch *watch = watched->watch;
 
-  end_probe (watched);
-  end_control (watched);
+  watched_end_probe (watched);
   DL_DELETE (watch->watched, watched);
   watch->n--;
   talloc_free (watched);
@@ -327,11 +121,12 @@
   DL_FOREACH_SAFE (watch->watched, watched, next)
     {
       check_registry (watched, now);
-      probe_again (watched, now);
+      watched_probe (watched, now);
       if (watched->fate != TARGET_FATE_LIVES && now < watched->broke_at + TARGET_WATCH_DURATION)
         continue;
       if (watched->fate == TARGET_FATE_UNKNOWN)
-        set_fate (watched, TARGET_FATE_UNKNOWN, "neither shown before the watch ended", now);
+        watched_set_fate (watched, TARGET_FATE_UNKNOWN, "neither shown before the watch ended",
+                          now);
       drop_watched (watched);
     }
   if (watch->watched != NULL)
@@ -345,7 +140,7 @@
 enum target_fate
 target_watch_fate (const struct target_watch *watch, uint64_t incarnation)
 {
-  const struct watched *watched = find (watch, incarnation);
+  const struct watched *watched = watched_find (watch, incarnation);
 
   return watched == NULL ? TARGET_FATE_UNKNOWN : watched->fate;
 }
@@ -353,7 +148,7 @@
 bool
 target_watch_is_watched (const struct target_watch *watch, uint64_t incarnation)
 {
-  return find (watch, incarnation) != NULL;
+  return watched_find (watch, incarnation) != NULL;
 }
 
 static struct watched *
@@ -373,45 +168,95 @@
   watched->started = target->started;
   watched->incarnation = target->id_hash;
   watched->broke_at = now;
-  watched->probe_timer.ops = &probe_timer_ops;
+  watched->probe_timer.ops = &watched_probe_timer_ops;
   DL_APPEND (watch->watched, watched);
   watch->n++;
   return watched;
 }
 
+/* The watch of the target, which begins now unless it is watched already.  NULL if it is not
+ * watched: a leaving target ends all its connections, whatever requests run on them. */
+static struct watched *
+get_watched (struct target_watch *watch, const struct balance_target *target, int64_t now)
+{
+  struct watched *watched = watched_find (watch, target->id_hash);
+
+  if (target->leaving)
+    return NULL;
+  if (watched != NULL)
+    return watched;
+  watched = add (watch, target, now);
+  if (watched == NULL)
+    {
+      counter_add (watch->unwatched, 1);
+      return NULL;
+    }
+  watched->last_broke_at = now;
+  check_registry (watched, now);
+  if (!timer_is_armed (&watch->timer))
+    timer_arm (loop_timers (watch->config.loop), &watch->timer, now + TARGET_WATCH_PERIOD);
+  return watched;
+}
+
+/* Probe it now, or when it may be probed again. */
+static void
+ask (struct watched *watched, int64_t now)
+{
+  watched->asked_at = now;
+  watched_probe (watched, now);
+}
+
 enum target_fate
 target_watch_connection_broke (struct target_watch *watch,
                                const struct balance_target *target,
                                int64_t now)
 {
-  struct watched *watched = find (watch, target->id_hash);
+  struct watched *watched = get_watched (watch, target, now);
 
-  /* A leaving target ends all its connections, whatever requests run on them. */
-  if (target->leaving)
-    return TARGET_FATE_UNKNOWN;
+  if (watched == NULL && !target->leaving)
+    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "target-not-watched", "{s:s,s:i}", "target",
+               target->id, "watched", (int) watch->n);
   if (watched == NULL)
-    {
-      watched = add (watch, target, now);
-      if (watched == NULL)
-        {
-          counter_add (watch->unwatched, 1);
-          log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "target-not-watched", "{s:s,s:i}",
-                     "target", target->id, "watched", (int) watch->n);
-          return TARGET_FATE_UNKNOWN;
-        }
-      watched->last_broke_at = now;
-      check_registry (watched, now);
-      if (watched->fate == TARGET_FATE_UNKNOWN)
-        begin_probe (watched, now);
-      if (!timer_is_armed (&watch->timer))
-        timer_arm (loop_timers (watch->config.loop), &watch->timer, now + TARGET_WATCH_PERIOD);
-    }
+    return TARGET_FATE_UNKNOWN;
   watched->breaks++;
   watched->last_broke_at = now;
-  probe_again (watched, now);
+  ask (watched, now);
   return watched->fate;
 }
 
+enum target_fate
+target_watch_connection_ended (struct target_watch *watch,
+                               const struct balance_target *target,
+                               int64_t now)
+{
+  struct watched *watched = get_watched (watch, target, now);
+
+  if (watched == NULL)
+    return TARGET_FATE_UNKNOWN;
+  watched->last_broke_at = now;
+  return watched->fate;
+}
+
+void
+target_watch_answered (struct target_watch *watch, uint64_t incarnation, int64_t now)
+{
+  struct watched *watched = watched_find (watch, incarnation);
+
+  if (watched != NULL && watched->fate != TARGET_FATE_LIVES)
+    note_alive (watched, now - TARGET_WATCH_ANSWER_DELAY_MAX, "it answers", now);
+}
+
+void
+target_watch_connection_refused (struct target_watch *watch,
+                                 const struct balance_target *target,
+                                 int64_t now)
+{
+  struct watched *watched = watched_find (watch, target->id_hash);
+
+  if (watched != NULL)
+    ask (watched, now);
+}
+
 static int
 free_watch (struct target_watch *watch)
 {
--- a/src/target_watch.h
+++ b/src/target_watch.h
@@ -22,7 +22,7 @@
 
 BEGIN_DECLS
 
-#define TARGET_WATCHES_MAX 64
+#define TARGET_WATCHES_MAX 256
 
 /* Timeout of a probe that is neither accepted nor refused. */
 #define TARGET_WATCH_PROBE_TIMEOUT (1000 * USEC_PER_MSEC)
@@ -31,6 +31,9 @@
  * renewals may be delayed. */
 #define TARGET_WATCH_RENEWAL_DELAY_MAX (1000 * USEC_PER_MSEC)
 
+/* What a target sent before it ended may be read up to this long after that it ended. */
+#define TARGET_WATCH_ANSWER_DELAY_MAX (200 * USEC_PER_MSEC)
+
 /* While a target is watched, its registry record is checked this often, and it is probed at most
  * this often. */
 #define TARGET_WATCH_PERIOD (100 * USEC_PER_MSEC)
@@ -96,6 +99,22 @@
                                                 const struct balance_target *target,
                                                 int64_t now);
 
+/* An answer from the target ended in order with its connection.  Like a break, but the target is
+ * asked only if it is watched for another reason, or refuses a connection. */
+enum target_fate target_watch_connection_ended (struct target_watch *watch,
+                                                const struct balance_target *target,
+                                                int64_t now);
+
+/* The incarnation has begun an answer, so it outlived what ended TARGET_WATCH_ANSWER_DELAY_MAX
+ * before. */
+void target_watch_answered (struct target_watch *watch, uint64_t incarnation, int64_t now);
+
+/* The target refused a connection: if answers from it ended with theirs, it is asked whether it
+ * lives. */
+void target_watch_connection_refused (struct target_watch *watch,
+                                      const struct balance_target *target,
+                                      int64_t now);
+
 END_DECLS
 
 #endif
--- a/tests/unit_target_watch.cc
+++ b/tests/unit_target_watch.cc
@@ -254,6 +254,48 @@
   EXPECT_EQ (last (), TARGET_FATE_UNKNOWN);
 }
 
+// Where targets end all answers with their connections, a probe for each would cost as much as the
+// requests.
+TEST_F (TargetWatch, DoesNotProbeATargetWhoseAnswersEnd)
+{
+  listening there (loop);
+
+  for (int i = 0; i < 5; i++)
+    {
+      target_watch_connection_ended (watch, target ("t1", there.address (), 1, now), now);
+      pass (TARGET_WATCH_PERIOD);
+      loop_run_once (loop, 0);
+    }
+  EXPECT_TRUE (there.taken.empty ());
+  EXPECT_TRUE (heard.fates.empty ());
+}
+
+TEST_F (TargetWatch, ProbesATargetWhoseAnswersEndOnceItRefusesAConnection)
+{
+  std::string address;
+
+  {
+    listening was (loop);
+
+    address = was.address ();
+  }
+  loop_run_once (loop, 0);
+  target_watch_connection_ended (watch, target ("t1", address, 1, now), now);
+  target_watch_connection_refused (watch, &at, now);
+  ASSERT_TRUE (run_until (loop, [&] { return !heard.fates.empty (); }));
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
+// What a target sent before it ended may be read after the end of its connections.
+TEST_F (TargetWatch, TakesALaterAnswerForASignOfLife)
+{
+  target_watch_connection_ended (watch, target ("t1", "127.0.0.1:9", 1, now), now);
+  target_watch_answered (watch, at.id_hash, now + TARGET_WATCH_ANSWER_DELAY_MAX - 1);
+  EXPECT_TRUE (heard.fates.empty ());
+  target_watch_answered (watch, at.id_hash, now + TARGET_WATCH_ANSWER_DELAY_MAX);
+  EXPECT_EQ (last (), TARGET_FATE_LIVES);
+}
+
 // ---- request digests ----
 
 class RequestDigest : public ::testing::Test
