--- a/src/cli_quarantine.c
+++ b/src/cli_quarantine.c
@@ -1,5 +1,5 @@
-/* `cherryarch quarantine`: lists the requests whose targets crashed while running them, and
- * releases one so that it may be sent again. */
+/* `cherryarch quarantine`: lists the requests and parts of prompts whose targets crashed while
+ * running them, and releases one so that it may be sent again. */
 #include "cli_object.h"
 #include "request_digest.h"
 #include <stdio.h>
@@ -9,7 +9,7 @@
 struct quarantine_options
 {
   struct cli_options common;
-  const char *release; /* request digest in hex; NULL to list */
+  const char *release; /* digest of a request, or key of a part, in hex; NULL to list */
 };
 
 static error_t
@@ -39,17 +39,18 @@
 print_suspect (const json_t *suspect)
 {
   const char *content = "";
+  const char *part = "";
   const char *organisation = "";
   const char *route = "";
   const char *verdict = "";
   json_int_t seen = 0;
   int ends = 0;
 
-  json_unpack ((json_t *) suspect, "{s:s,s:s,s:s,s:s,s:i,s:I}", "content", &content, "organisation",
-               &organisation, "route", &route, "verdict", &verdict, "ends", &ends, "seen_ms",
-               &seen);
-  printf ("%-64s  %4d  %8lld  %-28s  %s  %s\n", content, ends, (long long) (seen / 1000), verdict,
-          organisation, route);
+  json_unpack ((json_t *) suspect, "{s:s,s:s,s:s,s:s,s:s,s:i,s:I}", "content", &content, "part",
+               &part, "organisation", &organisation, "route", &route, "verdict", &verdict, "ends",
+               &ends, "seen_ms", &seen);
+  printf ("%-64s  %-16s  %4d  %8lld  %-28s  %s  %s\n", content, part[0] == '\0' ? "-" : part, ends,
+          (long long) (seen / 1000), verdict, organisation, route);
 }
 
 static enum cli_exit
@@ -65,8 +66,8 @@
     cli_print_json (list, JSON_COMPACT);
   else
     {
-      printf ("%-64s  %4s  %8s  %-28s  %s  %s\n", "CONTENT", "ENDS", "SEEN S", "VERDICT",
-              "ORGANISATION", "ROUTE");
+      printf ("%-64s  %-16s  %4s  %8s  %-28s  %s  %s\n", "CONTENT", "PART", "ENDS", "SEEN S",
+              "VERDICT", "ORGANISATION", "ROUTE");
       json_array_foreach (list, place, suspect)
         {
           print_suspect (suspect);
@@ -80,14 +81,14 @@
 cli_quarantine (int argc, char **argv)
 {
   static const struct argp_option options_table[] = {
-    { "release", 'r', "CONTENT", 0, "This request may be sent again, at all hosts", 0 },
+    { "release", 'r', "CONTENT", 0, "This request or part may be sent again, at all hosts", 0 },
     { 0 },
   };
   static const struct argp_child children[] = { { &cli_argp, 0, NULL, 0 }, { 0 } };
   const struct argp parser = {
     .options = options_table,
     .parser = parse_option,
-    .doc = "List the requests under which targets ended, or release one.\v"
+    .doc = "List the requests and parts of prompts under which targets ended, or release one.\v"
            "--host names the metrics address of an entry host or a controller.",
     .children = children,
   };
