--- a/src/forward_quarantine.c
+++ b/src/forward_quarantine.c
@@ -225,7 +225,9 @@
     return;
   quarantine_evidence_parts_proven (evidence_of (job), job->pool, job->features + 1,
                                     job->n_features - 1, now);
-  if (!quarantine_entry_is_empty (quarantine_of (job)) && read_features (job))
+  if ((!quarantine_entry_is_empty (quarantine_of (job))
+       || quarantine_evidence_is_pending (evidence_of (job)))
+      && read_features (job))
     quarantine_evidence_answer_completed (evidence_of (job), job->features, job->n_features, now);
 }
 
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -119,7 +119,7 @@
 bool
 quarantine_entry_is_empty (const struct quarantine_entry *entry)
 {
-  return !quarantine_evidence_is_pending (entry->evidence) && quarantine_is_empty (entry->table);
+  return quarantine_is_empty (entry->table);
 }
 
 enum quarantine_verdict
