Watch a target anew whose connection breaks right after a sign of life

A later answer shows that a target lives, and its watch is dropped within 100 ms. A break in that time was told that the target lives, and the end of the target was evidence against nothing. Found on reading; TargetWatch.ReportsAnEndRightAfterASignOfLife failed before.

--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -174,6 +174,17 @@
   return watched;
 }
 
+/* The target was shown to live, and the watch not dropped yet: that tells nothing of what follows.
+ */
+static void
+begin_again (struct watched *watched, int64_t now)
+{
+  watched->fate = TARGET_FATE_UNKNOWN;
+  watched->broke_at = now;
+  watched->breaks = 0;
+  watched->asked_at = 0;
+}
+
 /* The watch of the target, which begins now unless it is watched already.  NULL if it is not
  * watched: a leaving target ends all its connections, whatever requests run on them. */
 static struct watched *
@@ -183,6 +194,8 @@
 
   if (target->leaving)
     return NULL;
+  if (watched != NULL && watched->fate == TARGET_FATE_LIVES)
+    begin_again (watched, now);
   if (watched != NULL)
     return watched;
   watched = add (watch, target, now);
--- a/tests/unit_target_watch.cc
+++ b/tests/unit_target_watch.cc
@@ -296,6 +296,21 @@
   EXPECT_EQ (last (), TARGET_FATE_LIVES);
 }
 
+// The target ends right after it has answered: the sign of life tells nothing of that.
+TEST_F (TargetWatch, ReportsAnEndRightAfterASignOfLife)
+{
+  auto there = std::make_unique<listening> (loop);
+
+  target_watch_connection_ended (watch, target ("t1", there->address (), 1, now), now);
+  now += TARGET_WATCH_ANSWER_DELAY_MAX;
+  target_watch_answered (watch, at.id_hash, now);
+  ASSERT_EQ (last (), TARGET_FATE_LIVES);
+  there.reset ();
+  EXPECT_EQ (target_watch_connection_broke (watch, &at, now), TARGET_FATE_UNKNOWN);
+  ASSERT_TRUE (run_until (loop, [&] { return heard.fates.size () > 1; }));
+  EXPECT_EQ (last (), TARGET_FATE_ENDED);
+}
+
 // ---- request digests ----
 
 class RequestDigest : public ::testing::Test
