--- a/tests/unit_quarantine_control.cc
+++ b/tests/unit_quarantine_control.cc
@@ -25,7 +25,7 @@
   }
 
   void
-  start (bool is_entry)
+  start (bool is_entry, struct quarantine_view *view = nullptr)
   {
     static const struct quarantine_peers_ops ops = {
       .list =
@@ -42,6 +42,7 @@
     peers.base.ops = &ops;
     config.peers = &peers.base;
     config.is_entry = is_entry;
+    config.view = view;
     config.port = &port.port;
     config.timers = timers;
     config.counters = counters_new (parent);
@@ -152,6 +153,56 @@
   EXPECT_EQ (announcements ().size (), 2u);
 }
 
+// Another host tells of crashes under a part that this host has seen answered since: it takes them
+// back for all.
+TEST_F (QuarantineControl, RefutesCrashesOfWhatItSawAnswered)
+{
+  struct seen : quarantine_view
+  {
+    int64_t until;
+  } view;
+  static const struct quarantine_view_ops ops = {
+    .cleared_until =
+        [] (struct quarantine_view *base, const struct request_digest *) {
+          return static_cast<seen *> (base)->until;
+        },
+    .pool_answers = [] (struct quarantine_view *, const char *, int64_t) { return true; },
+    .is_trial_host = [] (struct quarantine_view *, const struct request_digest *) { return false; },
+  };
+
+  view.ops = &ops;
+  view.until = now;
+  start (true, &view);
+  peers.names = { "c1:1" };
+  receive (QUARANTINE_UPDATE, make_evidence (11));
+  advance (QUARANTINE_ANNOUNCE_DELAY);
+  EXPECT_EQ (announcements (), (std::vector<std::string>{ "c1:1 relay 1" }));
+  EXPECT_EQ (quarantine_count_crashes (quarantine_at (quarantine_control_table (control), 0), now),
+             0u);
+  // Later crashes stand.
+  now += USEC_PER_SEC;
+  receive (QUARANTINE_UPDATE, make_evidence (12));
+  EXPECT_EQ (quarantine_count_crashes (quarantine_at (quarantine_control_table (control), 0), now),
+             1u);
+}
+
+// What the command line lists tells parts from requests.
+TEST_F (QuarantineControl, DescribesAPartByItsNumber)
+{
+  struct quarantine_suspect suspect = make_evidence (11);
+
+  start (true);
+  request_part_digest ("p", 0xbad, &suspect.digest);
+  quarantine_control_learn (control, &suspect, now);
+  suspect = make_evidence (11);
+  quarantine_control_learn (control, &suspect, now);
+  json_t *list = quarantine_control_describe (control, now);
+
+  EXPECT_STREQ (json_string_value (json_object_get (json_array_get (list, 0), "part")), "bad");
+  EXPECT_STREQ (json_string_value (json_object_get (json_array_get (list, 1), "part")), "");
+  json_decref (list);
+}
+
 // Tables differ: the host that is asked replies with its suspects and the hash of its table.
 TEST_F (QuarantineControl, SendsItsTableToAHostWhoseTableDiffers)
 {
