--- a/src/registry.h
+++ b/src/registry.h
@@ -84,6 +84,8 @@
   int64_t last_heard_at; /* time of its last renewal with any host, on this host's clock */
   uint64_t revision;     /* of the registry when more than a renewal last changed here */
   bool expired;          /* no renewal for a lease */
+  bool evacuated;        /* its failure domain is evacuated: it gets no work */
+  int64_t restored_at;   /* when the last evacuation of its domain was reverted; 0: never */
   void *user;            /* state of the load balancer, owned by it */
   UT_hash_handle hh;
   UT_hash_handle hh_by_hash;
@@ -153,7 +155,7 @@
 static inline bool
 registry_target_is_usable (const struct registry_target *target)
 {
-  return target->registration.state == REGISTRY_READY && !target->expired;
+  return target->registration.state == REGISTRY_READY && !target->expired && !target->evacuated;
 }
 
 void registry_write (const struct registry_target *target, int64_t now, struct bytes *out);
