Probe pools that a host does not use ten times less often

A pool that no call has used for 5 s is probed each 5 s. A pool in use is probed as before, so a cut that spares open connections shows as soon.

--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -26,7 +26,8 @@
 struct observed_pool
 {
   struct pool_reach state; /* must be first: probes point to it */
-  int64_t next_probe;
+  int64_t probed_at;       /* or a call failed, which takes the place of the first probe */
+  int64_t used_at;         /* when a call last connected, was answered or failed; 0: never */
   uint32_t n_probes;
 };
 
@@ -82,11 +83,19 @@
 }
 
 static int64_t
-probe_period (const struct observed_pool *pool)
+sound_period (const struct observed_pool *pool, int64_t now)
+{
+  bool used = pool->used_at != 0 && now - pool->used_at <= TARGET_REACH_USE_TTL;
+
+  return used ? TARGET_REACH_SOUND_PERIOD : TARGET_REACH_UNUSED_PERIOD;
+}
+
+static int64_t
+probe_period (const struct observed_pool *pool, int64_t now)
 {
   if (pool->state.lost)
     return TARGET_REACH_LOST_PERIOD;
-  return pool->state.failing_since != 0 ? TARGET_REACH_PERIOD : TARGET_REACH_SOUND_PERIOD;
+  return pool->state.failing_since != 0 ? TARGET_REACH_PERIOD : sound_period (pool, now);
 }
 
 static const struct balance_target *
@@ -259,7 +268,7 @@
   struct probe *probe = target == NULL ? NULL : find_free_probe (reach);
   struct loop *loop = reach->config.loop;
 
-  pool->next_probe = now + probe_period (pool);
+  pool->probed_at = now;
   if (probe == NULL)
     return;
   pool->n_probes++;
@@ -289,13 +298,13 @@
 }
 
 static int64_t
-next_probe_at (const struct observed_pool *pool)
+next_probe_at (const struct observed_pool *pool, int64_t now)
 {
-  int64_t sound_until = pool->state.connected_at + TARGET_REACH_SOUND_PERIOD;
+  int64_t since = pool->probed_at;
 
-  if (!needs_probes (pool) && sound_until > pool->next_probe)
-    return sound_until;
-  return pool->next_probe;
+  if (!needs_probes (pool) && pool->state.connected_at > since)
+    since = pool->state.connected_at;
+  return since + probe_period (pool, now);
 }
 
 static void
@@ -313,7 +322,7 @@
 
       any = any || needs_probes (pool);
       update (reach, &pool->state, now);
-      if (now >= next_probe_at (pool))
+      if (now >= next_probe_at (pool, now))
         begin_probe (reach, pool, now);
     }
   timer_arm (loop_timers (reach->config.loop), timer,
@@ -333,6 +342,7 @@
 
   if (pool == NULL)
     return;
+  pool->used_at = now;
   if (connected)
     pool_reach_connected (&pool->state, now);
   else
@@ -350,8 +360,9 @@
 
   if (pool == NULL)
     return;
+  pool->used_at = now;
   if (!needs_probes (pool))
-    pool->next_probe = now + TARGET_REACH_PERIOD;
+    pool->probed_at = now;
   pool_reach_failed (&pool->state, target->id_hash, unreachable, now);
   update (reach, &pool->state, now);
   if (reach->tick.due > now + TARGET_REACH_PERIOD)
@@ -435,7 +446,7 @@
       reach->probes[i].timer.ops = &probe_timer_ops;
     }
   reach->n_probed = counter_get (config->counters, "cherryarch_reach_probes_total",
-                                 "Targets asked to accept a connection, as calls failed.", NULL);
+                                 "Targets asked to accept a connection.", NULL);
   reach->n_lost = gauge_get (config->counters, "cherryarch_reach_lost_pools",
                              "Pools of which this host reaches no target.", NULL);
   timer_arm (loop_timers (config->loop), &reach->tick,
--- a/src/target_reach.h
+++ b/src/target_reach.h
@@ -25,6 +25,11 @@
 /* A sound pool is probed when no connection to it was made for this long. */
 #define TARGET_REACH_SOUND_PERIOD (500 * USEC_PER_MSEC)
 
+/* The same for a pool that no call of this host has used for TARGET_REACH_USE_TTL: a cut shows
+ * before the host has much use for it, and connections cost the targets. */
+#define TARGET_REACH_UNUSED_PERIOD (5 * USEC_PER_SEC)
+#define TARGET_REACH_USE_TTL (5 * USEC_PER_SEC)
+
 #define TARGET_REACH_PROBE_TIMEOUT (400 * USEC_PER_MSEC)
 #define TARGET_REACH_PROBES_MAX 32
 
