Evacuate failure domains on an operator's order

Operators had no way to keep work from all targets of a failure domain at once. An order (begin or finish) is a document entry with version 0, so the replicated log keeps the set beside the configuration and controllers of earlier releases pass over it. Controllers push the set (SYNC_EVACUATIONS) on a change and before each state that answers a request; entry hosts mark targets, and everything that chooses, probes or frees at targets respects the mark. A host that is not confirmed yet uses no target at all.

--- a/src/balance.c
+++ b/src/balance.c
@@ -88,7 +88,9 @@
   if (target->started != record->registration.started_unix_ms)
     reset_incarnation (balance, target);
   target->usable = registry_target_is_usable (record);
-  target->excluded = record->registration.state != REGISTRY_READY;
+  target->evacuated = record->evacuated;
+  target->excluded =
+      record->registration.state != REGISTRY_READY || record->evacuated || record->unconfirmed;
   target->leaving = target->leaving || record->registration.state == REGISTRY_LEAVING;
   if (record->registration.state == REGISTRY_GONE)
     engine_load_remove_target (balance->engines, target->id_hash);
@@ -145,6 +147,22 @@
   return n;
 }
 
+bool
+balance_pool_is_evacuated (const struct balance *balance, const char *pool)
+{
+  bool any = false;
+
+  for (const struct balance_target *at = balance->targets; at != NULL; at = at->next)
+    {
+      if (strcmp (at->pool, pool) != 0)
+        continue;
+      if (!at->excluded)
+        return false;
+      any = any || (at->evacuated && at->record->registration.state == REGISTRY_READY);
+    }
+  return any;
+}
+
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
  * ones; also those that stopped renewing, which may only be partitioned from the controllers. Never
  * a target beyond the limit that it names. */
--- a/src/balance.h
+++ b/src/balance.h
@@ -50,7 +50,8 @@
   uint64_t started; /* incarnation that the fields below describe */
   uint64_t id_hash; /* of id and incarnation: excludes loads of an earlier one */
   bool usable;      /* registered, ready, and renewed recently */
-  bool excluded;    /* not ready: must get no new requests */
+  bool excluded;    /* not ready, or evacuated or perhaps so: must get no new requests */
+  bool evacuated;   /* its failure domain is evacuated */
   bool leaving;     /* this incarnation has announced that it leaves */
   uint32_t in_flight;
   uint32_t failures;   /* consecutive */
@@ -141,6 +142,9 @@
 /* The number of targets that may be chosen, now or when they have room. */
 uint32_t balance_count (const struct balance *balance, const struct balance_query *query);
 
+/* Whether the pool has targets, and all of them are evacuated. */
+bool balance_pool_is_evacuated (const struct balance *balance, const char *pool);
+
 /* Records the start of a call. */
 void balance_started (struct balance *balance,
                       struct balance_target *target,
--- a/src/batch.c
+++ b/src/batch.c
@@ -276,6 +276,32 @@
       batch_end_order (batch->pools[i].queue, PIECE_UNREACHED, now);
 }
 
+/* Whether no target can run the pool's pieces, as all are evacuated. */
+static bool
+is_evacuated (const struct batch_pool *pool)
+{
+  bool any = false;
+
+  for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
+       at = at->next)
+    {
+      if (!batch_is_in_pool (pool, at))
+        continue;
+      if (at->usable)
+        return false;
+      any = any || at->evacuated;
+    }
+  return any;
+}
+
+void
+batch_end_evacuated_orders (struct batch *batch, int64_t now)
+{
+  for (uint32_t i = 0; i < batch->n_pools; i++)
+    while (batch->pools[i].queue != NULL && is_evacuated (&batch->pools[i]))
+      batch_end_order (batch->pools[i].queue, PIECE_BUSY, now);
+}
+
 void
 batch_set_limit_news (struct batch *batch, struct limit_news *limit_news)
 {
@@ -318,7 +344,8 @@
       talloc_free (order);
       return;
     }
-  if (batch_reject_if_late (pool, &order->demand, order->request, order->stage, now))
+  if (is_evacuated (pool)
+      || batch_reject_if_late (pool, &order->demand, order->request, order->stage, now))
     {
       order->ops->done (order, PIECE_BUSY, now);
       talloc_free (order);
--- a/src/batch.h
+++ b/src/batch.h
@@ -98,6 +98,10 @@
 /* Ends the waiting orders of a pool that was lost. */
 void batch_end_lost_orders (struct batch *batch, const char *pool, int64_t now);
 
+/* Ends the waiting orders of pools, and parts of pools, whose targets are all evacuated, as BUSY:
+ * another part may have targets. */
+void batch_end_evacuated_orders (struct batch *batch, int64_t now);
+
 /* Sets where the limits that targets name are reported.  Without it they are ignored. */
 void batch_set_limit_news (struct batch *batch, struct limit_news *limit_news);
 
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -216,6 +216,7 @@
                 > BATCH_EVICTION_THRESHOLD * (double) pool->spec.result_bytes_max;
 }
 
+/* An evacuated target is sent nothing: its results stay until that is reverted or they expire. */
 static void
 sweep_target (struct batch_pool *pool, struct batch_target *target, int64_t now)
 {
@@ -229,10 +230,11 @@
   DL_FOREACH_SAFE (target->results, result, next)
     {
       bool drop = result->unneeded || (result->evictable && short_of_room);
+      bool held = target->target != NULL && target->target->evacuated;
 
       if (now >= result->expires || (drop && target->target == NULL))
         remove_result (target, result);
-      else if (drop && n < FREED_AT_ONCE)
+      else if (drop && !held && n < FREED_AT_ONCE)
         {
           handles[n] = result->handle;
           freed[n++] = result;
--- a/src/cli.h
+++ b/src/cli.h
@@ -42,6 +42,8 @@
 enum cli_exit cli_check (int argc, char **argv);
 enum cli_exit cli_dump (int argc, char **argv);
 enum cli_exit cli_quarantine (int argc, char **argv);
+enum cli_exit cli_evacuate (int argc, char **argv);
+enum cli_exit cli_evacuations (int argc, char **argv);
 enum cli_exit cli_watch (int argc, char **argv);
 enum cli_exit cli_delete (int argc, char **argv);
 enum cli_exit cli_apply (int argc, char **argv);
--- a/src/cli_commands.c
+++ b/src/cli_commands.c
@@ -13,6 +13,8 @@
   { "watch", "print changes of resources as they come", cli_watch },
   { "dump", "print the state of a host's process", cli_dump },
   { "quarantine", "list or release requests under which targets ended", cli_quarantine },
+  { "evacuate", "take a failure domain out of use, or revert that", cli_evacuate },
+  { "evacuations", "list evacuated failure domains", cli_evacuations },
   { "entry", "run an entry host on the users' platform", platform_entry_command },
   { "controller", "run a controller on the users' platform", platform_controller_command },
   { NULL, NULL, NULL },
--- a/src/controller.c
+++ b/src/controller.c
@@ -460,6 +460,7 @@
   controller->hosts_revision = 1;
   init_counters (controller);
   controller_init_reach (controller);
+  controller_init_evacuations (controller);
   config->port->ops->set_listener (config->port, PEER_CHANNEL_SYNC, &controller->listener);
   timer_arm (config->timers, &controller->tick, 0);
   talloc_set_destructor (controller, free_controller);
--- a/src/controller.h
+++ b/src/controller.h
@@ -121,6 +121,13 @@
 /* Logs the new document version and schedules a push to the entry hosts. */
 void controller_document_changed (struct controller *controller, int64_t now);
 
+/* Sends the evacuated failure domains to the entry hosts at once. */
+void controller_evacuations_changed (struct controller *controller, int64_t now);
+const struct evacuation_view *controller_evacuations (const struct controller *controller);
+
+/* Does a registered target, an entry host or an earlier order of evacuation name the domain? */
+bool controller_knows_domain (const struct controller *controller, const char *domain);
+
 END_DECLS
 
 #endif
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -62,7 +62,20 @@
     controller_document_changed (host->controller, loop_now (host->base.loop));
 }
 
-static const struct document_listener_ops listener_ops = { .changed = document_changed };
+static void
+document_evacuated (struct document_listener *listener, const struct document *document)
+{
+  struct controller_host *host = CONTAINER_OF (listener, struct controller_host, listener);
+
+  (void) document;
+  if (host->controller != NULL)
+    controller_evacuations_changed (host->controller, loop_now (host->base.loop));
+}
+
+static const struct document_listener_ops listener_ops = {
+  .changed = document_changed,
+  .evacuated = document_evacuated,
+};
 
 static uint32_t
 members (void *context, struct controller_member out[SYNC_CONTROLLERS_MAX])
@@ -134,10 +147,10 @@
 {
   struct controller_host *host = CONTAINER_OF (source, struct controller_host, dump);
 
-  (void) now;
-  return json_pack ("{s:s,s:I,s:o}", "name", host->base.settings.name, "version",
-                    (json_int_t) document_version (host->document), "consensus",
-                    host->consensus->ops->describe (host->consensus));
+  return json_pack ("{s:s,s:I,s:o,s:o}", "name", host->base.settings.name, "version",
+                    (json_int_t) document_version (host->document), "evacuations",
+                    evacuation_view_describe (controller_evacuations (host->controller), now),
+                    "consensus", host->consensus->ops->describe (host->consensus));
 }
 
 static const struct dump_source_ops dump_ops = { .describe = describe };
@@ -204,6 +217,24 @@
   return host->controller == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory") : STATUS_OK;
 }
 
+static enum status
+build_evacuations (struct controller_host *host)
+{
+  const struct role_settings *settings = &host->base.settings;
+  struct evacuation_control_config config = {
+    .consensus = host->consensus,
+    .document = host->document,
+    .controller = host->controller,
+    .domains = settings->domains,
+    .n_domains = settings->n_domains,
+    .now = loop_now (host->base.loop),
+  };
+
+  host->base.evacuations = evacuation_control_new (host, &config);
+  return host->base.evacuations == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory")
+                                        : STATUS_OK;
+}
+
 static enum status
 build_quarantine (struct controller_host *host)
 {
@@ -249,6 +280,8 @@
   status = build_consensus (host);
   if (status == STATUS_OK)
     status = build_controller (host);
+  if (status == STATUS_OK)
+    status = build_evacuations (host);
   if (status == STATUS_OK)
     status = build_quarantine (host);
   if (status == STATUS_OK)
@@ -303,6 +336,12 @@
   return host->consensus;
 }
 
+struct evacuation_control *
+controller_host_evacuations (struct controller_host *host)
+{
+  return host->base.evacuations;
+}
+
 struct document *
 controller_host_document (struct controller_host *host)
 {
--- a/src/controller_host.h
+++ b/src/controller_host.h
@@ -28,6 +28,7 @@
 struct controller *controller_host_controller (struct controller_host *host);
 struct consensus *controller_host_consensus (struct controller_host *host);
 struct document *controller_host_document (struct controller_host *host);
+struct evacuation_control *controller_host_evacuations (struct controller_host *host);
 
 END_DECLS
 
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -52,6 +52,8 @@
   struct counter *n_targets;
   struct counter *n_entries;
   struct counter *n_unreaching;
+  struct evacuation_view evacuations;
+  struct counter *evacuated_domains;
 };
 
 /* ---- controller_state.c: state updates for entry hosts ---- */
@@ -95,6 +97,15 @@
 /* Has the host lost a pool that takes requests? */
 bool controller_host_lost_requests (const struct entry_host_record *host, int64_t now);
 
+/* ---- controller_evacuation.c: evacuated failure domains ---- */
+
+void controller_init_evacuations (struct controller *controller);
+
+/* Sends the set to the host if an order was ever given; false if it could not be sent. */
+bool controller_send_evacuations (struct controller *controller,
+                                  const struct entry_host_record *host,
+                                  int64_t now);
+
 /* ---- controller.c ---- */
 
 /* NULL if the host never sent a request. */
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -114,6 +114,8 @@
   struct bytes out;
   bool sent;
 
+  if (nonce != 0 && !controller_send_evacuations (controller, host, now))
+    return false;
   bytes_init (&out, NULL);
   sync_write_header (SYNC_STATE, &out);
   sync_write_state (&state, &out);
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -110,13 +110,20 @@
 
   (void) now;
   balance_update (&host->balance, host, target);
-  if (target->registration.state == REGISTRY_GONE)
+  if (target->registration.state == REGISTRY_GONE || target->evacuated)
     h1_client_close_idle (host->client, target->registration.address);
 }
 
+static void
+evacuated (struct subscriber_listener *listener, int64_t now)
+{
+  batch_end_evacuated_orders (CONTAINER_OF (listener, struct entry_host, listener)->batch, now);
+}
+
 static const struct subscriber_listener_ops listener_ops = {
   .routing = routing_changed,
   .target = target_changed,
+  .evacuated = evacuated,
 };
 
 /* ---- shutdown ---- */
@@ -174,10 +181,10 @@
 describe_target (const struct balance_target *target, int64_t now)
 {
   return json_pack (
-      "{s:s,s:s,s:s,s:s,s:b,s:i,s:f,s:f,s:I,s:f,s:f,s:I,s:s?}", "id", target->id, "pool",
+      "{s:s,s:s,s:s,s:s,s:b,s:b,s:i,s:f,s:f,s:I,s:f,s:f,s:I,s:s?}", "id", target->id, "pool",
       target->pool, "address", target->address, "domain", target->domain, "usable", target->usable,
-      "in_flight", (int) target->in_flight, "latency_us", target->latency_us, "failing",
-      target->failure_rate, "ejected_ms",
+      "evacuated", target->evacuated, "in_flight", (int) target->in_flight, "latency_us",
+      target->latency_us, "failing", target->failure_rate, "ejected_ms",
       (json_int_t) (target->ejected_until > now ? (target->ejected_until - now) / USEC_PER_MSEC
                                                 : 0),
       "limit_per_sec", target->limit.present ? target->limit.per_sec : -1.0, "limit_left",
@@ -207,11 +214,13 @@
 
   for (const struct balance_target *at = host->balance.targets; at != NULL; at = at->next)
     json_array_append_new (targets, describe_target (at, now));
-  return json_pack ("{s:s,s:b,s:I,s:i,s:o,s:o}", "name", host->base.settings.name, "ready",
+  return json_pack ("{s:s,s:b,s:I,s:i,s:o,s:o,s:o}", "name", host->base.settings.name, "ready",
                     subscriber_is_ready (host->subscriber), "version",
                     (json_int_t) (routing == NULL ? 0 : routing->version), "in_flight",
                     (int) forward_in_flight (host->forward), "lost_pools",
-                    describe_lost_pools (host->reach), "targets", targets);
+                    describe_lost_pools (host->reach), "evacuations",
+                    evacuation_view_describe (subscriber_evacuations (host->subscriber), now),
+                    "targets", targets);
 }
 
 static const struct dump_source_ops dump_ops = { .describe = describe };
--- a/src/forward.c
+++ b/src/forward.c
@@ -201,7 +201,7 @@
       job_refuse (job, FORWARD_STAGE, NOT_READY_RETRY_AFTER_SEC);
       return;
     }
-  if (job_give_up_if_cut_off (job, now))
+  if (job_give_up_if_cut_off (job, now) || job_give_up_if_evacuated (job))
     return;
   timer_arm (loop_timers (forward->config.loop), &job->timer, job->deadline);
   if (job_has_stages (job) && job_give_up_if_limited (job, job->deadline, now))
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -372,6 +372,9 @@
 /* Gives the request up if no request to its pool gets through: true, and the job is freed. */
 bool job_give_up_if_cut_off (struct forward_job *job, int64_t now);
 
+/* The same if all targets of its pool, or of the pool of one of its stages, are evacuated. */
+bool job_give_up_if_evacuated (struct forward_job *job);
+
 /* The same if this host has lost the pool, when job_choose_target() found no target. */
 bool job_give_up_if_lost (struct forward_job *job, int64_t now);
 
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -1,4 +1,4 @@
-/* Requests to pools of which this host reaches no target. */
+/* Requests to pools of which this host reaches no target, or may use none. */
 #include "forward_private.h"
 #include <string.h>
 
@@ -7,6 +7,10 @@
 #define OTHER_HOST_RETRY_AFTER_SEC 0.0
 #define NO_HOST_RETRY_AFTER_SEC 1.0
 
+/* Retry-After, in seconds, where all targets are evacuated: operators revert that after seconds or
+ * minutes, and callers come back a third of their time later at most. */
+#define EVACUATED_RETRY_AFTER_SEC 1.0
+
 static void
 give_up (struct forward_job *job, int64_t now)
 {
@@ -27,6 +31,26 @@
   return true;
 }
 
+static bool
+needs_evacuated_pool (const struct forward_job *job)
+{
+  const struct balance *balance = job->forward->config.balance;
+
+  for (uint32_t i = 0; i < job->route.n_stages; i++)
+    if (job_pieces (job, i) > 0 && balance_pool_is_evacuated (balance, job->stages[i].pool))
+      return true;
+  return balance_pool_is_evacuated (balance, job->pool);
+}
+
+bool
+job_give_up_if_evacuated (struct forward_job *job)
+{
+  if (!needs_evacuated_pool (job))
+    return false;
+  job_give_up (job, FORWARD_NO_TARGET, EVACUATED_RETRY_AFTER_SEC);
+  return true;
+}
+
 bool
 job_give_up_if_lost (struct forward_job *job, int64_t now)
 {
--- a/src/pool_reach.c
+++ b/src/pool_reach.c
@@ -46,6 +46,14 @@
     reach->unreachable[reach->n_unreachable++] = target;
 }
 
+void
+pool_reach_forget (struct pool_reach *reach, uint64_t target)
+{
+  for (uint32_t i = 0; i < reach->n_unreachable; i++)
+    if (reach->unreachable[i] == target)
+      reach->unreachable[i--] = reach->unreachable[--reach->n_unreachable];
+}
+
 void
 pool_reach_restart (struct pool_reach *reach)
 {
--- a/src/pool_reach.h
+++ b/src/pool_reach.h
@@ -67,6 +67,9 @@
 /* Is the target among those without a connection? */
 bool pool_reach_is_unreachable (const struct pool_reach *reach, uint64_t target);
 
+/* The target is no longer in use: what was observed of it does not count. */
+void pool_reach_forget (struct pool_reach *reach, uint64_t target);
+
 /* Does no request get through, not even over an open connection? */
 bool pool_reach_is_cut_off (const struct pool_reach *reach, int64_t now);
 
--- a/src/registry.h
+++ b/src/registry.h
@@ -85,6 +85,7 @@
   uint64_t revision;     /* of the registry when more than a renewal last changed here */
   bool expired;          /* no renewal for a lease */
   bool evacuated;        /* its failure domain is evacuated: it gets no work */
+  bool unconfirmed;      /* it is not known yet whether it is evacuated: it gets no work */
   int64_t restored_at;   /* when the last evacuation of its domain was reverted; 0: never */
   void *user;            /* state of the load balancer, owned by it */
   UT_hash_handle hh;
@@ -155,7 +156,8 @@
 static inline bool
 registry_target_is_usable (const struct registry_target *target)
 {
-  return target->registration.state == REGISTRY_READY && !target->expired && !target->evacuated;
+  return target->registration.state == REGISTRY_READY && !target->expired && !target->evacuated
+         && !target->unconfirmed;
 }
 
 void registry_write (const struct registry_target *target, int64_t now, struct bytes *out);
--- a/src/role_base.c
+++ b/src/role_base.c
@@ -1,6 +1,7 @@
 /* The common part of entry hosts and controllers. */
 #include "role_base.h"
 #include "container.h"
+#include "evacuation_api.h"
 #include "log.h"
 #include "peer_direct.h"
 #include "peer_zmq.h"
@@ -85,6 +86,9 @@
     release_request (base, exchange, content, now);
   else if (strcmp (target, "/quarantine") == 0 && base->quarantine != NULL)
     reply_json (exchange, quarantine_control_describe (base->quarantine, now));
+  else if (base->evacuations != NULL
+           && evacuation_api_serve_metrics (base->evacuations, exchange, now))
+    ;
   else if (skip_prefix (target, "/dump") != NULL)
     reply_json (exchange, dump_describe (&base->dump, now));
   else
@@ -95,8 +99,7 @@
 metrics_gone (struct h1_handler *handler, struct h1_exchange *exchange, int64_t now)
 {
   (void) handler;
-  (void) exchange;
-  (void) now;
+  evacuation_api_gone (exchange, now);
 }
 
 static const struct h1_handler_ops metrics_ops = {
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -9,6 +9,7 @@
 #include "counter.h"
 #include "decls.h"
 #include "dump.h"
+#include "evacuation_control.h"
 #include "h1_server.h"
 #include "loop.h"
 #include "peer.h"
@@ -18,8 +19,10 @@
 
 BEGIN_DECLS
 
-/* Maximum number of seeds, and the size of a path in bytes, in the settings. */
+/* Maximum number of seeds and of failure domains, and the size of a path in bytes, in the
+ * settings. */
 #define ROLE_SEEDS_MAX 8
+#define ROLE_DOMAINS_MAX 256
 #define ROLE_PATH_SIZE 256
 
 struct role_settings
@@ -45,6 +48,8 @@
   /* A controller. */
   char control_address[ROUTING_NAME_SIZE];
   char entries_address[ROUTING_NAME_SIZE];
+  uint32_t n_domains;
+  char domains[ROLE_DOMAINS_MAX][ROUTING_NAME_SIZE]; /* failure domains of the site */
   char data_folder[ROLE_PATH_SIZE];
   uint32_t tolerated_failures; /* of controllers at the same time; n need 2n + 1 voters */
   bool may_bootstrap;          /* first start of the system: a new group may be formed */
@@ -63,7 +68,8 @@
   struct peer_port *port;
   struct h1_limits limits; /* of this host's own interfaces; the routing sets those of clients */
   struct h1_handler metrics;
-  struct quarantine_control *quarantine; /* NULL until it is made */
+  struct quarantine_control *quarantine;  /* NULL until it is made */
+  struct evacuation_control *evacuations; /* of a controller; NULL until it is made */
   int exit;
 };
 
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -401,6 +401,8 @@
                                "Since the newest confirmed question was asked.", NULL);
   self->version_gauge = gauge_get (counters, "cherryarch_subscriber_version",
                                    "Version of the configuration in force.", NULL);
+  self->evacuated_domains = gauge_get (counters, "cherryarch_evacuated_domains",
+                                       "Failure domains that are evacuated.", NULL);
 }
 
 struct subscriber *
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -5,6 +5,7 @@
 
 #include "counter.h"
 #include "decls.h"
+#include "evacuation.h"
 #include "host_view.h"
 #include "peer.h"
 #include "registry.h"
@@ -56,6 +57,10 @@
   void (*target) (struct subscriber_listener *listener,
                   struct registry_target *target,
                   int64_t now);
+
+  /* The marks of evacuated targets have changed; each was reported by target() before.  May be
+   * NULL. */
+  void (*evacuated) (struct subscriber_listener *listener, int64_t now);
 };
 
 /* Embedded in its owner, which must cancel it before it is freed. */
@@ -147,6 +152,9 @@
  * next message or timer is handled. */
 const struct host_view *subscriber_hosts (struct subscriber *subscriber);
 
+/* The evacuated failure domains, as far as this host knows. */
+const struct evacuation_view *subscriber_evacuations (const struct subscriber *subscriber);
+
 /* Whether a controller has listed the entry hosts since the start.  If not, subscriber_hosts() has
  * this host alone. */
 bool subscriber_knows_hosts (const struct subscriber *subscriber);
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -46,6 +46,7 @@
   struct routing *routing; /* in force once confirmed; its version is the one held */
   uint64_t not_understood; /* newest version that could not be decoded; 0: none */
   struct registry *registry;
+  struct evacuation_view evacuations;
   struct known_controller controllers[SYNC_CONTROLLERS_MAX];
   uint32_t n_controllers;
   struct sync_host self;
@@ -70,6 +71,7 @@
   struct counter *left_out;
   struct counter *age_gauge;
   struct counter *version_gauge;
+  struct counter *evacuated_domains;
 };
 
 /* subscriber.c: known controllers */
@@ -127,6 +129,18 @@
                                  struct pack_reader *in,
                                  int64_t now);
 
+/* subscriber_evacuation.c: evacuated failure domains */
+
+/* Sets the mark of a target; true if it changed. */
+bool subscriber_mark_target (const struct subscriber *self, struct registry_target *target);
+
+/* Sets the marks of all targets and reports those that changed. */
+void subscriber_mark_targets (struct subscriber *self, int64_t now);
+void subscriber_handle_evacuations (struct subscriber *self,
+                                    const struct known_controller *controller,
+                                    struct pack_reader *in,
+                                    int64_t now);
+
 /* subscriber_wait.c: waits for a confirmation */
 void subscriber_request_confirmation (struct subscriber *self, int64_t now);
 void subscriber_end_waits (struct subscriber *self, int64_t now);
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -59,8 +59,10 @@
       if (!registry_read (in, &word, &age))
         return;
       registry_merge (self->registry, &word, age, now, &target);
-      if (target != NULL)
-        subscriber_need_version (self, controller, &versions, target->id_hash);
+      if (target == NULL)
+        continue;
+      (void) subscriber_mark_target (self, target);
+      subscriber_need_version (self, controller, &versions, target->id_hash);
     }
   subscriber_request_versions (self, controller, &versions);
 }
@@ -139,9 +141,11 @@
 static void
 apply_confirmation (struct subscriber *self,
                     const struct known_controller *controller,
-                    const struct sync_state *state)
+                    const struct sync_state *state,
+                    int64_t now)
 {
   const struct request_record *request = &controller->requests[state->nonce % REQUESTS_KEPT];
+  bool first = !self->confirmed;
 
   if (!state->confirmed || state->nonce == 0 || state->nonce != request->nonce
       || subscriber_version (self) < state->document)
@@ -150,6 +154,8 @@
   if (!self->confirmed || request->sent_at > self->confirmed_at)
     self->confirmed_at = request->sent_at;
   self->confirmed = true;
+  if (first)
+    subscriber_mark_targets (self, now);
 }
 
 void
@@ -217,7 +223,7 @@
   controller->incarnation = state.controller;
   controller->targets = state.targets;
   controller->hosts = state.hosts;
-  apply_confirmation (self, controller, &state);
+  apply_confirmation (self, controller, &state, now);
   subscriber_update_ready (self);
   subscriber_end_waits (self, now);
 }
@@ -241,6 +247,8 @@
     subscriber_handle_reach_list (self, controller, &in, now);
   else if (type == SYNC_VERSIONS)
     subscriber_handle_versions (self, controller, &in, now);
+  else if (type == SYNC_EVACUATIONS)
+    subscriber_handle_evacuations (self, controller, &in, now);
 }
 
 const struct peer_listener_ops subscriber_listener_ops = { .received = received };
--- a/src/sync.h
+++ b/src/sync.h
@@ -11,7 +11,11 @@
  *
  * Records of targets do not hold the versions of their software, as hosts of earlier releases read
  * records of a fixed length.  An entry host asks for the versions of the targets that a state
- * lists, and with each request for those that it does not know yet. */
+ * lists, and with each request for those that it does not know yet.
+ *
+ * SYNC_EVACUATIONS goes before each state that answers a request, so that a confirmation does not
+ * arrive without the set that it covers, and at once on a change; never if no order was ever
+ * given.  Entry hosts of releases without this message ignore it. */
 #ifndef SYNC_H
 #define SYNC_H
 
@@ -42,6 +46,7 @@
   SYNC_REACH_LIST = 6, /* controller to entry host: all hosts that have lost pools */
   SYNC_VERSION_REQUEST = 7, /* entry host to controller: targets whose versions it needs */
   SYNC_VERSIONS = 8,        /* controller to entry host: versions of targets */
+  SYNC_EVACUATIONS = 9,     /* controller to entry host: evacuated failure domains */
   SYNC_MESSAGE_COUNT
 };
 
--- a/src/target_reach.c
+++ b/src/target_reach.c
@@ -99,13 +99,17 @@
 }
 
 static struct pool_reach_targets
-read_targets (const struct target_reach *reach, const struct pool_reach *pool)
+read_targets (const struct target_reach *reach, struct pool_reach *pool)
 {
   struct pool_reach_targets targets = { .n = 0 };
 
   for (const struct balance_target *at = reach->config.balance->targets; at != NULL; at = at->next)
     {
-      if (!at->usable || strcmp (at->pool, pool->pool) != 0)
+      if (strcmp (at->pool, pool->pool) != 0)
+        continue;
+      if (at->evacuated)
+        pool_reach_forget (pool, at->id_hash);
+      if (!at->usable)
         continue;
       targets.n++;
       if (pool_reach_is_unreachable (pool, at->id_hash)
--- a/src/target_watch.c
+++ b/src/target_watch.c
@@ -186,13 +186,14 @@
 }
 
 /* The watch of the target, which begins now unless it is watched already.  NULL if it is not
- * watched: a leaving target ends all its connections, whatever requests run on them. */
+ * watched: a leaving target ends all its connections, whatever requests run on them, and the
+ * machines of an evacuated one may be switched off. */
 static struct watched *
 get_watched (struct target_watch *watch, const struct balance_target *target, int64_t now)
 {
   struct watched *watched = watched_find (watch, target->id_hash);
 
-  if (target->leaving)
+  if (target->leaving || target->evacuated)
     return NULL;
   if (watched != NULL && watched->fate == TARGET_FATE_LIVES)
     begin_again (watched, now);
@@ -226,7 +227,7 @@
 {
   struct watched *watched = get_watched (watch, target, now);
 
-  if (watched == NULL && !target->leaving)
+  if (watched == NULL && !target->leaving && !target->evacuated)
     log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "target-not-watched", "{s:s,s:i}", "target",
                target->id, "watched", (int) watch->n);
   if (watched == NULL)
--- a/src/target_watch_probe.c
+++ b/src/target_watch_probe.c
@@ -171,9 +171,20 @@
   timer_arm (loop_timers (loop), &watched->probe_timer, now + TARGET_WATCH_PROBE_TIMEOUT);
 }
 
+static bool
+is_evacuated (const struct watched *watched)
+{
+  const struct registry_target *record =
+      registry_find (watched->watch->config.registry, watched->id);
+
+  return record != NULL && record->evacuated;
+}
+
 void
 watched_probe (struct watched *watched, int64_t now)
 {
+  if (is_evacuated (watched))
+    return;
   if (watched->fate == TARGET_FATE_UNKNOWN && !watched->probe.open
       && (watched->refused || watched->asked_at > watched->probed_at)
       && now >= watched->probed_at + TARGET_WATCH_PERIOD)
