Bound the requests to cold targets

A target that was just started, or whose domain was restored, crashes above ColdPerS x ColdOverrun + ColdSlack requests in any second over all entry hosts, and nothing limited what hosts send to it.

Each host now keeps its part of half of the bound for a target known to be cold, and passes over a target not known to be cold once half of the bound was started on it within a second. Warm targets come first; requests that find only cold targets without room are refused at once with the time at which this host has a part again. A target that turns cold counts as a change of the registry, so its full record is pushed. Pools without ColdPerS are served as before.

--- a/src/balance.c
+++ b/src/balance.c
@@ -41,6 +41,32 @@
   return target;
 }
 
+/* uthash: NOLINTBEGIN(readability-function-size) */
+static void
+remove_hash (struct balance *balance, struct balance_target *target)
+{
+  if (target->id_hash != 0)
+    HASH_DELETE (hh, balance->by_hash, target);
+  target->id_hash = 0;
+}
+
+static void
+set_hash (struct balance *balance, struct balance_target *target, uint64_t id_hash)
+{
+  remove_hash (balance, target);
+  target->id_hash = id_hash;
+  if (id_hash != 0)
+    HASH_ADD (hh, balance->by_hash, id_hash, sizeof target->id_hash, target);
+}
+/* NOLINTEND(readability-function-size) */
+
+static int
+free_target (struct balance_target *target)
+{
+  remove_hash (target->owner, target);
+  return 0;
+}
+
 /* Resets the state for a new incarnation of the target: its cache is empty, and observations of the
  * previous one do not apply.  Calls to the previous one stay in flight until their connections
  * end. */
@@ -52,7 +78,8 @@
   if (target->id_hash != 0)
     engine_load_remove_target (balance->engines, target->id_hash);
   target->started = word->started_unix_ms;
-  target->id_hash = XXH3_64bits_withSeed (target->id, strlen (target->id), target->started);
+  set_hash (balance, target,
+            XXH3_64bits_withSeed (target->id, strlen (target->id), target->started));
   text_copy_truncated (target->pool, sizeof target->pool, word->pool);
   text_copy_truncated (target->domain, sizeof target->domain, word->domain);
   text_copy_truncated (target->address, sizeof target->address, word->address);
@@ -64,6 +91,7 @@
   target->ejection_time = 0;
   target->limit = (struct target_limit){ .present = false };
   target->limit_news_due = false;
+  balance_reset_cold (balance, target);
 }
 
 void
@@ -80,6 +108,8 @@
         return;
       text_copy_truncated (target->id, sizeof target->id, record->registration.id);
       target->record = record;
+      target->owner = balance;
+      talloc_set_destructor (target, free_target);
       reset_incarnation (balance, target);
       target->next = balance->targets;
       balance->targets = target;
@@ -147,15 +177,16 @@
 
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
  * ones; also those that stopped renewing, which may only be partitioned from the controllers. Never
- * a target beyond the limit that it names. */
+ * a target beyond the limit that it names, or a cold one without room. */
 static uint32_t
-collect_candidates (const struct balance *balance,
+collect_candidates (struct balance *balance,
                     const struct balance_query *query,
                     int64_t now,
                     struct balance_target **out)
 {
   for (int rank = 0; rank < 3; rank++)
     {
+      struct balance_cold_pool *withheld = NULL;
       uint32_t n = 0;
 
       for (struct balance_target *target = balance->targets; target != NULL; target = target->next)
@@ -167,11 +198,16 @@
           if (rank < 1 && now < target->ejected_until)
             continue;
           if (!balance_may_send (balance, target, BALANCE_REQUEST, now))
-            continue;
+            {
+              withheld = target->cold.cold ? target->cold_pool : withheld;
+              continue;
+            }
           out[n++] = target;
         }
+      if (withheld != NULL)
+        withheld->withheld++;
       if (n > 0)
-        return n;
+        return balance_spread_starts (out, n, now);
     }
   return 0;
 }
@@ -199,7 +235,8 @@
       struct balance_target *target = candidates[i];
       bool near = strcmp (target->domain, balance->domain) == 0;
       double cost = (target->in_flight + 1 + (near ? 0 : BALANCE_DOMAIN_BONUS))
-                    * latency_of (target, now) * (1 + 0.1 * rng_unit (&balance->rng));
+                    * latency_of (target, now) * (1 + 0.1 * rng_unit (&balance->rng))
+                    * (target->cold.cold ? BALANCE_COLD_FACTOR : 1);
 
       if (best == NULL || cost < best_cost)
         {
@@ -232,7 +269,7 @@
 
   engine_load_cost (balance->engines, target->id_hash, &prompt->prompt, now, &cost);
   return (double) cost.wait + BALANCE_REPEATED_PREFILL_US * cost.read_again_tokens
-         + BALANCE_CROSS_DOMAIN_US * crossing;
+         + BALANCE_CROSS_DOMAIN_US * crossing + (target->cold.cold ? BALANCE_COLD_COST_US : 0);
 }
 
 /* Rendezvous hash of target and prompt, 0 to 1, the same on every host: for a prompt that no engine
@@ -347,8 +384,10 @@
   for (uint32_t i = 0; i < n; i++)
     {
       uint32_t running = count_running (balance, candidates[i], query->prompt, now);
+      bool warmer = best != NULL && best->cold.cold && !candidates[i]->cold.cold;
+      bool colder = best != NULL && !best->cold.cold && candidates[i]->cold.cold;
 
-      if (running >= least)
+      if (colder || (!warmer && running >= least))
         continue;
       best = candidates[i];
       least = running;
--- a/src/balance.h
+++ b/src/balance.h
@@ -5,6 +5,7 @@
 #define BALANCE_H
 
 #include "binding.h"
+#include "cold_limit.h"
 #include "decls.h"
 #include "engine_load.h"
 #include "rate_share.h"
@@ -12,6 +13,7 @@
 #include "rng.h"
 #include "routing.h"
 #include "target_limit.h"
+#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -39,6 +41,20 @@
 /* Targets in our failure domain are preferred with up to this many more requests in flight. */
 #define BALANCE_DOMAIN_BONUS 0.5
 
+/* A cold target may be slow, so warm ones come first: a cold one is chosen where every warm one
+ * costs this many times as much, or, of model engines, this much more.  Not measured. */
+#define BALANCE_COLD_FACTOR 4.0
+#define BALANCE_COLD_COST_US 300000.0
+
+/* A pool that has cold targets. */
+struct balance_cold_pool
+{
+  char name[ROUTING_NAME_SIZE];
+  struct cold_rule rule;
+  uint64_t sent;     /* requests to cold targets */
+  uint64_t withheld; /* choices for which a cold target had no room */
+};
+
 /* This host's state of a target. */
 struct balance_target
 {
@@ -58,10 +74,17 @@
   double latency_us;   /* mean time to the first byte, in microseconds; 0: no sample */
   int64_t latency_at;  /* of the last sample */
   int64_t ejected_until;
-  int64_t ejection_time;     /* duration of the last ejection, microseconds; 0: none */
-  struct target_limit limit; /* that this incarnation names */
-  bool limit_news_due;       /* the other entry hosts are to be told of the limit */
-  int64_t limit_told_at;     /* when they were last told */
+  int64_t ejection_time;               /* duration of the last ejection, microseconds; 0: none */
+  struct target_limit limit;           /* that this incarnation names */
+  bool limit_news_due;                 /* the other entry hosts are to be told of the limit */
+  int64_t limit_told_at;               /* when they were last told */
+  struct balance_cold_pool *cold_pool; /* NULL: its pool has no cold targets */
+  struct cold_limit cold;
+  bool reported_cold; /* by cold_watch */
+  uint32_t cold_rank; /* of this host, as of revision `cold_ranked` of the list of hosts */
+  uint64_t cold_ranked;
+  struct balance *owner;
+  UT_hash_handle hh; /* in `by_hash` */
   struct balance_target *next;
 };
 
@@ -114,7 +137,11 @@
   const char *domain; /* failure domain of this host */
   struct rng rng;
   struct engine_load *engines;
-  struct rate_share *rate_share; /* parts of targets' limits; NULL: this host is the only one */
+  struct rate_share *rate_share;  /* parts of targets' limits; NULL: this host is the only one */
+  struct registry *registry;      /* takes what targets' answers say of them; NULL: nothing does */
+  struct balance_target *by_hash; /* by `id_hash` */
+  uint32_t n_cold_pools;
+  struct balance_cold_pool cold_pools[ROUTING_POOLS_MAX];
 };
 
 void balance_init (struct balance *balance,
@@ -154,14 +181,64 @@
 /* Frees targets that are gone and have no requests in flight. */
 void balance_sweep (struct balance *balance);
 
+/* ---- balance_cold.c ---- */
+
+/* Applies which pools have cold targets. */
+void balance_set_cold_pools (struct balance *balance,
+                             const struct routing *routing,
+                             const struct cold_bounds *bounds);
+
+/* Sets the target's pool; to be called when that or its incarnation has changed. */
+void balance_reset_cold (struct balance *balance, struct balance_target *target);
+
+/* How much longer the target counts as cold; 0 when it does not. */
+int64_t balance_cold_left (const struct balance_target *target, int64_t now);
+
+/* Time until this host may start a request on the target, as it is cold: until it has room or is
+ * warm; USEC_NEVER when not foreseeable, 0 if it is warm. */
+int64_t balance_cold_wait (const struct balance *balance,
+                           struct balance_target *target,
+                           enum balance_use use,
+                           int64_t now);
+
+/* This host's part of what a cold target is sent. */
+struct rate_limit balance_cold_part (const struct balance *balance,
+                                     struct balance_target *target,
+                                     enum balance_use use,
+                                     int64_t now);
+
+/* The target answered to a request sent at `asked_at` that it is cold for `left` from now. */
+void balance_heard_cold (struct balance *balance,
+                         struct balance_target *target,
+                         int64_t left,
+                         int64_t asked_at,
+                         int64_t now);
+
+/* Another host started a request. */
+void balance_started_elsewhere (struct balance *balance, uint64_t id_hash, int64_t now);
+
+/* Of candidates of one pool, leaves out warm ones at which B / 2 requests were started within the
+ * last second (cold_limit.h), for the load of targets that turn cold unannounced.  If all warm ones
+ * are there, those with about the fewest starts stay.  Returns their number. */
+uint32_t balance_spread_starts (struct balance_target **candidates, uint32_t n, int64_t now);
+
+/* ---- balance_dump.c ---- */
+
+/* A new reference. */
+json_t *balance_describe_targets (const struct balance *balance, int64_t now);
+
 /* ---- balance_limit.c ---- */
 
-/* Does the limit that the target names, if any, allow one more call now? */
+/* Do the limit that the target names, if any, and its state if it is cold allow one more call now?
+ */
 bool balance_may_send (const struct balance *balance,
                        struct balance_target *target,
                        enum balance_use use,
                        int64_t now);
 
+/* The calls a second that may be sent to the target for stage work; INFINITY without a limit. */
+double balance_stage_rate (const struct balance_target *target, int64_t now);
+
 /* This host's part of the limit for requests. */
 struct rate_limit balance_limit_part (const struct balance *balance,
                                       const struct balance_target *target,
@@ -170,7 +247,7 @@
 /* The limits of a pool's usable targets. */
 struct balance_pool_limits
 {
-  uint32_t n_limited; /* targets that name a limit */
+  uint32_t n_limited; /* targets that name a limit or are cold */
   int64_t wait;       /* until one of the targets may be sent a call; USEC_NEVER: not foreseeable */
   double per_sec;     /* of this host's parts, summed */
   double per_sec_all; /* of all hosts, summed */
--- a/src/balance_limit.c
+++ b/src/balance_limit.c
@@ -1,5 +1,6 @@
 /* Targets that name the rate they take from all entry hosts. */
 #include "balance.h"
+#include <math.h>
 #include <string.h>
 
 /* Requests are sent by every entry host, the stage work of a pool by its owner alone. */
@@ -26,11 +27,12 @@
   return target_limit_part (&target->limit, &place);
 }
 
+/* Until the limit that the target names allows a call. */
 static int64_t
-wait_of (const struct balance *balance,
-         struct balance_target *target,
-         enum balance_use use,
-         int64_t now)
+limit_wait (const struct balance *balance,
+            struct balance_target *target,
+            enum balance_use use,
+            int64_t now)
 {
   struct target_limit_place place;
 
@@ -40,6 +42,18 @@
   return target_limit_wait (&target->limit, &place, now);
 }
 
+static int64_t
+wait_of (const struct balance *balance,
+         struct balance_target *target,
+         enum balance_use use,
+         int64_t now)
+{
+  int64_t limit = limit_wait (balance, target, use, now);
+  int64_t cold = balance_cold_wait (balance, target, use, now);
+
+  return limit > cold ? limit : cold;
+}
+
 bool
 balance_may_send (const struct balance *balance,
                   struct balance_target *target,
@@ -58,12 +72,28 @@
   struct target_limit_place place;
 
   target->in_flight++;
+  if (target->cold_pool != NULL)
+    {
+      (void) balance_cold_wait (balance, target, use, now);
+      cold_limit_started (&target->cold, now);
+      target->cold_pool->sent += target->cold.cold ? 1 : 0;
+    }
   if (!target->limit.present)
     return;
   place = place_of (balance, target, use, now);
   target_limit_sent (&target->limit, &place, now);
 }
 
+double
+balance_stage_rate (const struct balance_target *target, int64_t now)
+{
+  double rate = target->limit.present ? target->limit.per_sec : INFINITY;
+
+  if (balance_cold_left (target, now) == 0)
+    return rate;
+  return fmin (rate, cold_rule_share (&target->cold_pool->rule).per_sec);
+}
+
 struct balance_pool_limits
 balance_read_limits (const struct balance *balance,
                      const char *pool,
@@ -82,6 +112,13 @@
       wait = wait_of (balance, at, use, now);
       if (wait < state.wait)
         state.wait = wait;
+      if (at->cold.cold)
+        {
+          state.n_limited++;
+          state.per_sec_all += cold_rule_share (&at->cold_pool->rule).per_sec;
+          state.per_sec += at->cold.part.per_sec;
+          continue;
+        }
       if (!at->limit.present)
         continue;
       place = place_of (balance, at, use, now);
--- a/src/batch_admit.c
+++ b/src/batch_admit.c
@@ -23,34 +23,34 @@
   struct batch_booking *next;
 };
 
-/* The slots that a target can fill: fewer where it names a limit on calls. */
+/* The slots that a target can fill: fewer where it names a limit on calls or is cold. */
 static double
-usable_slots (const struct batch_pool *pool, const struct balance_target *target)
+usable_slots (const struct batch_pool *pool, const struct balance_target *target, int64_t now)
 {
   double call_time = (double) batch_expected_time (pool, pool->spec.pieces) / USEC_PER_SEC;
-  double limited = target->limit.per_sec * call_time;
+  double limited = balance_stage_rate (target, now) * call_time;
 
-  return target->limit.present && limited < pool->spec.slots ? limited : pool->spec.slots;
+  return limited < pool->spec.slots ? limited : pool->spec.slots;
 }
 
 static double
-count_slots (const struct batch_pool *pool)
+count_slots (const struct batch_pool *pool, int64_t now)
 {
   double n = 0;
 
   for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
        at = at->next)
-    n += at->usable && batch_is_in_pool (pool, at) ? usable_slots (pool, at) : 0;
+    n += at->usable && batch_is_in_pool (pool, at) ? usable_slots (pool, at, now) : 0;
   return n;
 }
 
 /* The least time, in microseconds, in which all targets of the pool make that many pieces: with
  * full calls. */
 static int64_t
-estimate_time (const struct batch_pool *pool, uint32_t n_pieces)
+estimate_time (const struct batch_pool *pool, uint32_t n_pieces, int64_t now)
 {
   double calls = (double) n_pieces / pool->spec.pieces;
-  double slots = count_slots (pool);
+  double slots = count_slots (pool, now);
 
   return (int64_t) (calls * (double) batch_expected_time (pool, pool->spec.pieces)
                     / (slots == 0 ? 1 : slots));
@@ -115,7 +115,7 @@
 
   drop_expired_bookings (pool, now);
   pieces_ahead = count_pieces_ahead (pool, demand, now);
-  wait = estimate_time (pool, pieces_ahead);
+  wait = estimate_time (pool, pieces_ahead, now);
   limit_wait = limits_wait (pool, now);
   if (limit_wait > wait)
     wait = limit_wait;
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -199,6 +199,9 @@
   call->status = head->status;
   call->not_run = facts.not_run;
   call->limit = facts.limit;
+  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST && facts.cold_left != DIALECT_NO_COLD)
+    balance_heard_cold (call->pool->batch->config.balance, call->at, facts.cold_left, call->started,
+                        now);
   if (limit_news != NULL && head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     limit_news_heard (limit_news, call->at, facts.limit, now);
   return true;
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -70,9 +70,11 @@
 }
 
 /* The idle targets and the room of a pool, computed anew for each call that is assembled. */
+#define CAPACITY_IDLE_MAX 64
+
 struct capacity
 {
-  struct batch_target *idle[64];
+  struct batch_target *idle[CAPACITY_IDLE_MAX];
   uint32_t n_idle;
   uint32_t calls; /* running */
   uint64_t room;
@@ -88,6 +90,31 @@
          && balance_may_send (pool->batch->config.balance, target->target, BALANCE_STAGE_WORK, now);
 }
 
+/* Cold targets get stage work only if no warm one is idle; of warm ones, those to which little was
+ * sent lately come first (balance_spread_starts()). */
+static void
+prefer_warm (struct capacity *capacity, int64_t now)
+{
+  struct balance_target *targets[CAPACITY_IDLE_MAX];
+  uint32_t n_warm = 0;
+  uint32_t kept = 0;
+  uint32_t next = 0;
+
+  for (uint32_t i = 0; i < capacity->n_idle; i++)
+    if (!capacity->idle[i]->target->cold.cold)
+      targets[n_warm++] = capacity->idle[i]->target;
+  if (n_warm == 0 || targets[0]->cold_pool == NULL)
+    return;
+  n_warm = balance_spread_starts (targets, n_warm, now);
+  for (uint32_t i = 0; i < capacity->n_idle && next < n_warm; i++)
+    if (capacity->idle[i]->target == targets[next])
+      {
+        capacity->idle[kept++] = capacity->idle[i];
+        next++;
+      }
+  capacity->n_idle = kept;
+}
+
 static void
 read_capacity (struct batch_pool *pool, int64_t now, struct capacity *out)
 {
@@ -110,6 +137,7 @@
       if (out->n_idle < sizeof out->idle / sizeof out->idle[0] && can_take (pool, target, now))
         out->idle[out->n_idle++] = target;
     }
+  prefer_warm (out, now);
 }
 
 /* A call being assembled. */
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -12,11 +12,12 @@
   const struct registry_registration *word = &target->registration;
 
   log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target",
-             "{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:s,s:s?}", "id", word->id, "started",
+             "{s:s,s:I,s:s,s:s,s:s,s:I,s:I,s:s,s:I,s:s?}", "id", word->id, "started",
              (json_int_t) word->started_unix_ms, "pool", word->pool, "address", word->address,
              "state", registry_state_text (word->state), "sequence", (json_int_t) word->sequence,
              "age_ms", (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "by", by,
-             "version", registry_target_version (target));
+             "cold_ms", (json_int_t) registry_cold_left (target, now) / USEC_PER_MSEC, "version",
+             registry_target_version (target));
 }
 
 static struct registry_target *
@@ -170,6 +171,7 @@
   else
     text_copy_truncated (word.id, sizeof word.id, id);
   word.state = REGISTRY_GONE;
+  word.is_short = true;
   if (started != 0)
     word.started_unix_ms = started;
   return controller_register (controller, &word, wait, now);
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -20,6 +20,7 @@
 #define DIALECT_PIECES_MAX 256 /* of one stage of one request */
 #define DIALECT_LOAD_UNKNOWN UINT32_MAX
 #define DIALECT_NO_LIMIT (-1.0)
+#define DIALECT_NO_COLD (-1)
 
 /* A part of a prompt. */
 struct prompt_part
@@ -67,6 +68,7 @@
   const char *target; /* identity of the responder; NULL when not given */
   double limit;       /* requests a second that the target takes from all entry hosts together;
                          DIALECT_NO_LIMIT when it names none */
+  int64_t cold_left;  /* how much longer the target is cold, USEC; DIALECT_NO_COLD when not given */
 };
 
 /* One piece of stage work. */
--- a/src/engine_broadcast.c
+++ b/src/engine_broadcast.c
@@ -312,6 +312,8 @@
       if (!read_prompt (in, &prompt))
         return false;
       engine_load_started (broadcast->config.load, target, request, &prompt, expects_begin, now);
+      if (broadcast->config.balance != NULL)
+        balance_started_elsewhere (broadcast->config.balance, target, now);
     }
   else if (event == ENGINE_EVENT_BEGAN)
     engine_load_began (broadcast->config.load, target, request, now);
--- a/src/engine_broadcast.h
+++ b/src/engine_broadcast.h
@@ -3,6 +3,7 @@
 #ifndef ENGINE_BROADCAST_H
 #define ENGINE_BROADCAST_H
 
+#include "balance.h"
 #include "counter.h"
 #include "decls.h"
 #include "engine_load.h"
@@ -37,6 +38,7 @@
 struct engine_broadcast_config
 {
   struct engine_load *load;
+  struct balance *balance; /* counts what other hosts start; NULL: nothing does */
   struct subscriber *subscriber;
   struct peer_port *port;
   struct timer_service *timers;
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -1,6 +1,7 @@
 /* An entry host: takes requests from clients and forwards them. */
 #include "entry_host.h"
 #include "binding_peers.h"
+#include "cold_watch.h"
 #include "container.h"
 #include "forward.h"
 #include "log.h"
@@ -43,6 +44,7 @@
   struct engine_load *engines;
   struct engine_broadcast *news;
   struct limit_news *limit_news;
+  struct cold_watch *cold_watch;
   struct quarantine_entry *quarantine;
   struct target_reach *reach;
   struct h1_client *client;
@@ -94,8 +96,9 @@
 {
   struct entry_host *host = CONTAINER_OF (listener, struct entry_host, listener);
 
-  (void) now;
   host->client_limits = routing->limits;
+  balance_set_cold_pools (&host->balance, routing, &host->base.settings.cold);
+  cold_watch_pools_changed (host->cold_watch, now);
   batch_set_routing (host->batch, routing);
   for (uint32_t i = 0; i < routing->n_pools; i++)
     if (routing->pools[i].engine.present)
@@ -170,22 +173,6 @@
 
 /* ---- dump ---- */
 
-static json_t *
-describe_target (const struct balance_target *target, int64_t now)
-{
-  return json_pack (
-      "{s:s,s:s,s:s,s:s,s:b,s:i,s:f,s:f,s:I,s:f,s:f,s:I,s:s?}", "id", target->id, "pool",
-      target->pool, "address", target->address, "domain", target->domain, "usable", target->usable,
-      "in_flight", (int) target->in_flight, "latency_us", target->latency_us, "failing",
-      target->failure_rate, "ejected_ms",
-      (json_int_t) (target->ejected_until > now ? (target->ejected_until - now) / USEC_PER_MSEC
-                                                : 0),
-      "limit_per_sec", target->limit.present ? target->limit.per_sec : -1.0, "limit_left",
-      target->limit.bucket.level, "limit_age_ms",
-      (json_int_t) (target->limit.present ? (now - target->limit.heard_at) / USEC_PER_MSEC : -1),
-      "target_version", registry_target_version (target->record));
-}
-
 static json_t *
 describe_lost_pools (const struct target_reach *reach)
 {
@@ -203,15 +190,13 @@
 {
   struct entry_host *host = CONTAINER_OF (source, struct entry_host, dump);
   const struct routing *routing = subscriber_routing (host->subscriber);
-  json_t *targets = json_array ();
 
-  for (const struct balance_target *at = host->balance.targets; at != NULL; at = at->next)
-    json_array_append_new (targets, describe_target (at, now));
   return json_pack ("{s:s,s:b,s:I,s:i,s:o,s:o}", "name", host->base.settings.name, "ready",
                     subscriber_is_ready (host->subscriber), "version",
                     (json_int_t) (routing == NULL ? 0 : routing->version), "in_flight",
                     (int) forward_in_flight (host->forward), "lost_pools",
-                    describe_lost_pools (host->reach), "targets", targets);
+                    describe_lost_pools (host->reach), "targets",
+                    balance_describe_targets (&host->balance, now));
 }
 
 static const struct dump_source_ops dump_ops = { .describe = describe };
@@ -234,6 +219,7 @@
   };
   struct engine_broadcast_config news = {
     .load = host->engines,
+    .balance = &host->balance,
     .subscriber = host->subscriber,
     .port = host->base.port,
     .timers = host->base.timers,
@@ -256,15 +242,23 @@
     .counters = host->base.counters,
   };
 
+  struct cold_watch_config cold_watch = {
+    .balance = &host->balance,
+    .timers = host->base.timers,
+    .counters = host->base.counters,
+  };
+
+  host->balance.registry = subscriber_registry (host->subscriber);
   host->rate_share.subscriber = host->subscriber;
   host->rate_share.name = host->base.settings.peer_address;
   host->balance.rate_share = &host->rate_share;
   host->work = work_new (host, &work);
   host->news = engine_broadcast_new (host, &news);
   host->limit_news = limit_news_new (host, &limit_news);
+  host->cold_watch = cold_watch_new (host, &cold_watch);
   host->quarantine = quarantine_entry_new (host, &quarantine);
   if (host->work == NULL || host->news == NULL || host->limit_news == NULL
-      || host->quarantine == NULL)
+      || host->cold_watch == NULL || host->quarantine == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   host->base.quarantine = quarantine_entry_control (host->quarantine);
   batch_set_watch (host->batch,
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -24,7 +24,7 @@
 static void
 report_call_end (struct forward_job *job, int64_t now)
 {
-  if (job->prompt.present)
+  if (job->is_announced)
     engine_broadcast_ended (job->forward->config.news, job->target->id_hash, job->send_id, now);
 }
 
@@ -292,6 +292,9 @@
   job->limit = facts.limit;
   if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     job_note_target_answers (job, now);
+  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST && facts.cold_left != DIALECT_NO_COLD)
+    balance_heard_cold (job->forward->config.balance, job->target, facts.cold_left, job->sent_at,
+                        now);
   if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     limit_news_heard (job->forward->config.limit_news, job->target, facts.limit, now);
   if (!job->stream.begun)
@@ -319,7 +322,7 @@
       histogram_record (job->forward->first_byte, (double) (now - job->arrived));
       if (job->status == HTTP_STATUS_OK)
         job_cancel_stages (job, now);
-      if (job->prompt.present)
+      if (job->is_announced)
         engine_broadcast_began (job->forward->config.news, job->target->id_hash, job->send_id, now);
     }
   if (!is_stream_answer (job))
--- a/src/forward_limit.c
+++ b/src/forward_limit.c
@@ -1,9 +1,10 @@
-/* Requests to pools whose targets are all at the limit that they name. */
+/* Requests to pools whose targets are all at the limit that they name, or cold and without room. */
 #include "forward_private.h"
 
 /* Retry-After, in seconds: the longest; where this host may send none and another may; where the
  * targets take none from any host. */
 #define LIMITED_RETRY_AFTER_MAX_SEC 10.0
+#define LIMITED_WAIT_MAX ((int64_t) (LIMITED_RETRY_AFTER_MAX_SEC * USEC_PER_SEC))
 #define OTHER_HOST_RETRY_AFTER_SEC 0.3
 #define NONE_TAKEN_RETRY_AFTER_SEC 2.0
 
@@ -16,7 +17,8 @@
   double step;
 
   if (state->per_sec_all <= 0)
-    return NONE_TAKEN_RETRY_AFTER_SEC;
+    return state->wait >= LIMITED_WAIT_MAX ? NONE_TAKEN_RETRY_AFTER_SEC
+                                           : (double) state->wait / USEC_PER_SEC;
   if (state->wait == USEC_NEVER || state->per_sec <= 0 || pool == NULL)
     return OTHER_HOST_RETRY_AFTER_SEC;
   if (pool->limited_until < now + state->wait)
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -141,6 +141,7 @@
   struct timer fetch_timer; /* fires when inputs should have been fetched */
   struct balance_prompt prompt;
   char engine_domain[ROUTING_NAME_SIZE]; /* of the likely engine; "" without stages */
+  bool is_announced;                     /* the newest send, in engine_broadcast */
   uint64_t send_id;                      /* identifies the newest send in engine_broadcast */
 
   /* Stages. */
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -76,8 +76,8 @@
 
   log_event (
       LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
-      "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b,s:s?}", "id",
-      job->facts.id, "target", target->id, "address", target->address, "pool", job->pool,
+      "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b,s:b,s:I,s:s?}",
+      "id", job->facts.id, "target", target->id, "address", target->address, "pool", job->pool,
       "in_flight", (int) target->in_flight, "latency_us", (json_int_t) target->latency_us,
       "renewed_ms", (json_int_t) ((now - target->record->last_heard_at) / USEC_PER_MSEC),
       "sequence", (json_int_t) target->record->registration.sequence, "send", (int) job->sends,
@@ -87,7 +87,9 @@
       (int) cost.running, "prompt_tokens", (int) job->facts.input_tokens, "limit_per_sec",
       limit->present ? limit->per_sec : -1.0, "limit_left", limit->bucket.level, "limit_age_ms",
       (json_int_t) (limit->present ? (now - limit->heard_at) / USEC_PER_MSEC : -1), "limit_direct",
-      limit->is_direct, "target_version", registry_target_version (target->record));
+      limit->is_direct, "cold", target->cold.cold, "cold_ms",
+      (json_int_t) (balance_cold_left (target, now) / USEC_PER_MSEC), "target_version",
+      registry_target_version (target->record));
 }
 
 void
@@ -126,7 +128,9 @@
   balance_started (config->balance, job->target, BALANCE_REQUEST, now);
   job_run_began (job);
   log_choice (job, now);
-  if (job->prompt.present)
+  /* Of pools with cold targets all hosts know all starts. */
+  job->is_announced = job->prompt.present || job->target->cold_pool != NULL;
+  if (job->is_announced)
     engine_broadcast_started (config->news, job->target->id_hash, job->send_id, &job->prompt.prompt,
                               now);
   bytes_init (&message, NULL);
--- a/src/host_view.c
+++ b/src/host_view.c
@@ -7,6 +7,7 @@
 {
   view->n = 0;
   view->n_omitted = 0;
+  view->revision++;
 }
 
 /* Index of the first host whose name is not less than `name`. */
--- a/src/host_view.h
+++ b/src/host_view.h
@@ -16,6 +16,7 @@
   const struct sync_host *hosts[SYNC_HOSTS_MAX]; /* sorted by name; owned by the lists */
   uint32_t n;
   uint32_t n_omitted; /* hosts beyond SYNC_HOSTS_MAX */
+  uint64_t revision;  /* changes each time the view is rebuilt */
 };
 
 void host_view_clear (struct host_view *view);
--- a/src/registry.c
+++ b/src/registry.c
@@ -93,6 +93,73 @@
     }
 }
 
+/* ---- cold targets ---- */
+
+/* An instant that is later by `left`, which may be any number. */
+static int64_t
+add_time (int64_t from, int64_t left)
+{
+  return from < 0 || left < INT64_MAX - from ? from + left : INT64_MAX;
+}
+
+/* Takes the cold time of the first registration of an incarnation, received at `heard_at`. */
+static void
+begin_cold (struct registry_target *target, int64_t heard_at)
+{
+  const struct registry_registration *held = &target->registration;
+
+  target->cold_sequence = held->sequence;
+  target->cold_heard_at = heard_at;
+  target->cold_answered_at = 0;
+  target->cold_until = held->warmup_remaining > 0 ? add_time (heard_at, held->warmup_remaining) : 0;
+  target->cold_pushed_until = target->cold_until;
+}
+
+/* Whether the target is cold anew, or for longer, than when that last counted as a change. */
+static bool
+is_colder (struct registry_target *target, int64_t heard_at)
+{
+  if (target->cold_until <= heard_at
+      || target->cold_until - target->cold_pushed_until <= REGISTRY_COLD_SLACK)
+    return false;
+  target->cold_pushed_until = target->cold_until;
+  return true;
+}
+
+/* A registration that was under way longer than a newer one still counts if no other is known. */
+static bool
+merge_cold (struct registry_target *target,
+            const struct registry_registration *registration,
+            int64_t heard_at)
+{
+  if (registration->is_short || registration->sequence <= target->cold_sequence)
+    return false;
+  target->cold_sequence = registration->sequence;
+  target->cold_heard_at = heard_at;
+  if (heard_at < target->cold_answered_at)
+    return false;
+  target->cold_until = add_time (heard_at, registration->warmup_remaining);
+  return is_colder (target, heard_at);
+}
+
+void
+registry_hear_cold (struct registry *registry,
+                    struct registry_target *target,
+                    int64_t left,
+                    int64_t asked_at,
+                    int64_t now)
+{
+  int64_t until = add_time (now, left);
+
+  if ((asked_at < target->cold_heard_at || asked_at < target->cold_answered_at)
+      && until <= target->cold_until)
+    return;
+  target->cold_answered_at = asked_at;
+  target->cold_until = until;
+  if (is_colder (target, now))
+    bump_revision (registry, target);
+}
+
 /* uthash: NOLINTBEGIN(readability-function-size) */
 static enum registry_merge_result
 add (struct registry *registry,
@@ -111,6 +178,7 @@
   target->first_heard_at = now - age;
   target->id_hash = registry_id_hash (registration->id);
   target->version_sequence = registration->sequence;
+  begin_cold (target, now - age);
   HASH_ADD_STR (registry->targets, registration.id, target);
   HASH_ADD (hh_by_hash, registry->by_hash, id_hash, sizeof target->id_hash, target);
   bump_revision (registry, target);
@@ -146,6 +214,7 @@
   target->last_heard_at = now - age;
   target->first_heard_at = now - age;
   target->expired = false;
+  begin_cold (target, now - age);
   bump_revision (registry, target);
   if (registration->state != REGISTRY_GONE)
     resolve_address (registry, target);
@@ -225,12 +294,13 @@
     target->registration.started_unix_ms = registration->started_unix_ms;
   if (now - age > target->last_heard_at && registration->sequence >= target->registration.sequence)
     target->last_heard_at = now - age;
+  changed = merge_cold (target, registration, now - age);
   /* The state only moves forward, whatever the sequence: the end of a target may be reported
    * without a new sequence. */
   if (registration->sequence < target->registration.sequence
-      && registration->state <= target->registration.state)
+      && registration->state <= target->registration.state && !changed)
     return REGISTRY_MERGE_STALE;
-  changed = registration->state > target->registration.state;
+  changed = changed || registration->state > target->registration.state;
   if (registration->version_known
       && set_version (target, registration->version, registration->sequence, now))
     changed = true;
@@ -300,8 +370,10 @@
   pack_uint (out, registration->state);
   pack_uint (out, registration->sequence);
   pack_uint (out, registration->slots);
-  pack_uint (out,
-             registration->warmup_remaining < 0 ? 0 : (uint64_t) registration->warmup_remaining);
+  /* The receiver counts it from the age that follows. */
+  pack_uint (out, target->cold_until <= target->last_heard_at
+                      ? 0
+                      : (uint64_t) (target->cold_until - target->last_heard_at));
   pack_uint (out, now < target->last_heard_at ? 0 : (uint64_t) (now - target->last_heard_at));
 }
 
@@ -309,6 +381,7 @@
 registry_read (struct pack_reader *in, struct registry_registration *registration, int64_t *age)
 {
   registration->version_known = false;
+  registration->is_short = false;
   registration->version[0] = '\0';
   if (pack_read_array (in, REGISTRATION_FIELDS) != REGISTRATION_FIELDS)
     in->failed = true;
--- a/src/registry.h
+++ b/src/registry.h
@@ -28,6 +28,10 @@
  * renewal does not bring it back. */
 #define REGISTRY_RETENTION (60 * USEC_PER_SEC)
 
+/* A target that stays cold for this much longer than was announced before counts as a change;
+ * heartbeats that are late by less do not. */
+#define REGISTRY_COLD_SLACK (250 * USEC_PER_MSEC)
+
 /* name, text; within an incarnation the state only moves down this list */
 #define REGISTRY_STATE_LIST(X)                                                                     \
   X (READY, "ready")                                                                               \
@@ -55,7 +59,11 @@
   enum registry_state state;
   uint64_t sequence; /* grows with each renewal of an incarnation */
   uint32_t slots;
-  int64_t warmup_remaining; /* how much longer it is slow after its start, in microseconds */
+  int64_t warmup_remaining; /* how much longer it is slow after its start, in microseconds; counts
+                               from when the registration was received */
+
+  /* Only the sequence, the state and the age are news; the rest repeats the registration held. */
+  bool is_short;
 
   /* The version of the target's software: a name that is compared for equality only.  Records of
    * registrations (registry_write()) do not carry it; "" until it is known. */
@@ -81,12 +89,17 @@
   uint64_t version_sequence; /* of the newest registration that named its version */
   int64_t other_version_until; /* it had another version, or may have had, up to then; 0: never */
   int64_t first_heard_at;
-  int64_t last_heard_at; /* time of its last renewal with any host, on this host's clock */
-  uint64_t revision;     /* of the registry when more than a renewal last changed here */
-  bool expired;          /* no renewal for a lease */
-  bool evacuated;        /* its failure domain is evacuated: it gets no work */
-  int64_t restored_at;   /* when the last evacuation of its domain was reverted; 0: never */
-  void *user;            /* state of the load balancer, owned by it */
+  int64_t last_heard_at;     /* time of its last renewal with any host, on this host's clock */
+  int64_t cold_until;        /* it is cold up to then */
+  int64_t cold_heard_at;     /* when the newest full registration was received */
+  int64_t cold_answered_at;  /* request of the newest answer that named a cold time; 0: none */
+  uint64_t cold_sequence;    /* of the newest full registration */
+  int64_t cold_pushed_until; /* `cold_until` when it last counted as a change */
+  uint64_t revision;         /* of the registry when more than a renewal last changed here */
+  bool expired;              /* no renewal for a lease */
+  bool evacuated;            /* its failure domain is evacuated: it gets no work */
+  int64_t restored_at;       /* when the last evacuation of its domain was reverted; 0: never */
+  void *user;                /* state of the load balancer, owned by it */
   UT_hash_handle hh;
   UT_hash_handle hh_by_hash;
 };
@@ -96,7 +109,7 @@
   X (NONE)  /* only a renewal */                                                                   \
   X (STALE) /* older than the registration held */                                                 \
   X (ADDED)                                                                                        \
-  X (CHANGED) /* new state or incarnation, or no longer expired */
+  X (CHANGED) /* new state or incarnation, no longer expired, or cold anew or for longer */
 
 enum registry_merge_result
 {
@@ -129,6 +142,14 @@
                                            int64_t now,
                                            struct registry_target **out);
 
+/* Records an answer of the target to a request sent at `asked_at`: it is cold for `left` from now,
+ * 0 if it is not. */
+void registry_hear_cold (struct registry *registry,
+                         struct registry_target *target,
+                         int64_t left,
+                         int64_t asked_at,
+                         int64_t now);
+
 /* Merge the version of a target; a version of another incarnation is ignored. */
 void registry_merge_version (struct registry *registry,
                              const struct registry_version *version,
@@ -158,6 +179,13 @@
   return target->registration.state == REGISTRY_READY && !target->expired && !target->evacuated;
 }
 
+/* How much longer the target is cold by its own word; 0 when it is not. */
+static inline int64_t
+registry_cold_left (const struct registry_target *target, int64_t now)
+{
+  return target->cold_until > now ? target->cold_until - now : 0;
+}
+
 void registry_write (const struct registry_target *target, int64_t now, struct bytes *out);
 
 /* Reads a registration, without its version, and its age; false when it is malformed. */
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -6,6 +6,7 @@
 #ifndef ROLE_BASE_H
 #define ROLE_BASE_H
 
+#include "cold_limit.h"
 #include "counter.h"
 #include "decls.h"
 #include "dump.h"
@@ -40,6 +41,7 @@
   int64_t confirmed_for; /* maximum age of the confirmation for keyed requests, USEC */
   int64_t ready_for;
   struct retry_limit retries;
+  struct cold_bounds cold;
   int64_t shutdown_timeout;
 
   /* A controller. */
--- a/src/routing.h
+++ b/src/routing.h
@@ -94,11 +94,19 @@
   uint64_t cache_tokens;
 };
 
+/* Targets of a pool after their start. */
+struct cold_spec
+{
+  double per_sec;     /* requests a second that a cold target can handle; 0: none are cold */
+  int64_t start_time; /* how long a target stays cold after a start, microseconds */
+};
+
 struct pool
 {
   char name[ROUTING_NAME_SIZE];
   char health_path[ROUTING_PATH_SIZE];
   uint32_t connections_max; /* of a target, over all callers */
+  struct cold_spec cold;
   struct batch_spec batch;
   struct engine_spec engine;
 };
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -16,11 +16,12 @@
   const struct registry_registration *word = &target->registration;
 
   log_event (LOG_MODULE_DIRECTORY, LOG_LEVEL_INFO, "target",
-             "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I,s:s?}", "id", word->id, "started",
+             "{s:s,s:I,s:s,s:s,s:s,s:I,s:b,s:I,s:I,s:s?}", "id", word->id, "started",
              (json_int_t) word->started_unix_ms, "pool", word->pool, "address", word->address,
              "state", registry_state_text (word->state), "sequence", (json_int_t) word->sequence,
              "expired", target->expired, "age_ms",
-             (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "version",
+             (json_int_t) ((now - target->last_heard_at) / USEC_PER_MSEC), "cold_ms",
+             (json_int_t) registry_cold_left (target, now) / USEC_PER_MSEC, "version",
              registry_target_version (target));
   self->config.listener->ops->target (self->config.listener, target, now);
 }
@@ -78,6 +79,7 @@
   word.started_unix_ms = renewal->started;
   word.sequence = renewal->sequence;
   word.version_known = false; /* a renewal does not name it */
+  word.is_short = true;
   registry_merge (self->registry, &word, (int64_t) renewal->age, now, &target);
 }
 
--- a/tests/unit_registry.cc
+++ b/tests/unit_registry.cc
@@ -278,4 +278,101 @@
   EXPECT_FALSE (registry_read (&in, &read, &age));
 }
 
+struct registry_registration
+cold_registration (uint64_t sequence, int64_t left)
+{
+  struct registry_registration out = registration ("i", "a:1", REGISTRY_READY, sequence);
+
+  out.warmup_remaining = left;
+  return out;
+}
+
+// Renewals repeat what is left; counted anew from each, a target would never be warm.
+TEST_F (RegistryTest, ColdTimeCountsFromWhenItWasHeard)
+{
+  const int64_t until = now + 3 * USEC_PER_SEC;
+
+  merge (cold_registration (1, 3 * USEC_PER_SEC));
+  now += USEC_PER_SEC;
+  EXPECT_EQ (merge (cold_registration (2, 2 * USEC_PER_SEC)), REGISTRY_MERGE_NONE);
+  EXPECT_EQ (target->cold_until, until);
+  now += USEC_PER_SEC;
+  EXPECT_EQ (merge (cold_registration (3, USEC_PER_SEC + 200 * USEC_PER_MSEC), 0),
+             REGISTRY_MERGE_NONE);
+  struct registry_registration renewal = cold_registration (4, 3 * USEC_PER_SEC);
+  renewal.is_short = true;
+  now += USEC_PER_SEC / 2;
+  EXPECT_EQ (merge (renewal), REGISTRY_MERGE_NONE);
+  EXPECT_EQ (target->cold_until, until + 200 * USEC_PER_MSEC);
+}
+
+// A target that turns cold again is pushed as a full record, also if its short renewal, of the next
+// sequence and from another controller, came first; and if it stays cold longer by small steps.
+TEST_F (RegistryTest, ATargetThatTurnsColdCountsAsAChange)
+{
+  struct registry_registration renewal = cold_registration (8, 0);
+  uint64_t revision;
+
+  merge (cold_registration (1, 0));
+  now += 20 * USEC_PER_SEC;
+  renewal.is_short = true;
+  EXPECT_EQ (merge (renewal), REGISTRY_MERGE_NONE);
+  revision = target->revision;
+  EXPECT_EQ (merge (cold_registration (7, 2 * USEC_PER_SEC), USEC_PER_SEC), REGISTRY_MERGE_CHANGED);
+  EXPECT_GT (target->revision, revision);
+  EXPECT_EQ (registry_cold_left (target, now), USEC_PER_SEC);
+  EXPECT_EQ (target->registration.sequence, 8u);
+  EXPECT_EQ (merge (cold_registration (9, USEC_PER_SEC + 200 * USEC_PER_MSEC)),
+             REGISTRY_MERGE_NONE);
+  EXPECT_EQ (merge (cold_registration (10, USEC_PER_SEC + 400 * USEC_PER_MSEC)),
+             REGISTRY_MERGE_CHANGED);
+  EXPECT_EQ (merge (cold_registration (9, 9 * USEC_PER_SEC)), REGISTRY_MERGE_STALE);
+}
+
+// The record that is passed on holds the age of the last renewal beside what is left.
+TEST_F (RegistryTest, ARecordCarriesWhatIsLeft)
+{
+  void *memory = talloc_new (nullptr);
+  struct registry *other = registry_new (memory);
+  struct registry_registration read;
+  struct registry_target *copy;
+  struct pack_reader in;
+  struct bytes out;
+  int64_t age;
+
+  merge (cold_registration (1, 3 * USEC_PER_SEC));
+  now += USEC_PER_SEC;
+  merge (cold_registration (2, 2 * USEC_PER_SEC));
+  bytes_init (&out, memory);
+  registry_write (target, now + USEC_PER_SEC / 2, &out);
+  pack_reader_init (&in, out.data, out.length);
+  ASSERT_TRUE (registry_read (&in, &read, &age));
+  registry_merge (other, &read, age, 7 * USEC_PER_SEC, &copy);
+  EXPECT_EQ (registry_cold_left (copy, 7 * USEC_PER_SEC), 3 * USEC_PER_SEC / 2);
+  talloc_free (memory);
+}
+
+// An answer to a request that was sent before the announcement must not end the cold time that this
+// one began; a later one does.  A longer time always counts.
+TEST_F (RegistryTest, TheNewerOfAnswerAndAnnouncementCounts)
+{
+  merge (cold_registration (1, 2 * USEC_PER_SEC));
+  registry_hear_cold (registry, target, 0, now - 1, now + 10);
+  EXPECT_EQ (target->cold_until, now + 2 * USEC_PER_SEC);
+  registry_hear_cold (registry, target, 0, now + 5, now + 10);
+  EXPECT_EQ (registry_cold_left (target, now + 10), 0);
+  EXPECT_EQ (merge (cold_registration (2, 2 * USEC_PER_SEC), 10), REGISTRY_MERGE_NONE);
+  EXPECT_EQ (registry_cold_left (target, now + 10), 0);
+  registry_hear_cold (registry, target, USEC_PER_SEC, now - 9, now + 20);
+  EXPECT_EQ (registry_cold_left (target, now + 20), USEC_PER_SEC);
+}
+
+// A time or an age that is out of range, from a controller of another release, must not overflow.
+TEST_F (RegistryTest, AnyColdTimeIsKept)
+{
+  merge (cold_registration (1, INT64_MAX));
+  EXPECT_EQ (target->cold_until, INT64_MAX);
+  EXPECT_EQ (merge (cold_registration (2, 0), INT64_MAX), REGISTRY_MERGE_NONE);
+}
+
 }
