--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -490,6 +490,39 @@
   EXPECT_FALSE (state.confirmed);
 }
 
+// Entry hosts do not read from a renewal that a target turned cold; until they are sent its full
+// record they take it for warm.
+TEST_F (ControllerTest, PushesATargetThatTurnsCold)
+{
+  recording_wait wait;
+  struct registry_registration word = make_word ("i", "p", "a:1", REGISTRY_READY, 1);
+  struct sync_state state;
+  uint64_t before;
+
+  controller_register (controller, &word, &wait.wait, now);
+  send_request ("e1", 11);
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  before = state.targets;
+  word.sequence++;
+  word.warmup_remaining = 3 * USEC_PER_SEC;
+  controller_register (controller, &word, &wait.wait, now);
+  now += 10 * USEC_PER_MSEC;
+  timer_service_run (timers, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_EQ (state.nonce, 0u);
+  EXPECT_GT (state.targets, before);
+  // What is left of it, counted from each heartbeat, is no news.
+  port.sent.clear ();
+  now += USEC_PER_SEC;
+  word.sequence++;
+  word.warmup_remaining = 2 * USEC_PER_SEC;
+  controller_register (controller, &word, &wait.wait, now);
+  now += 10 * USEC_PER_MSEC;
+  timer_service_run (timers, now);
+  EXPECT_FALSE (last_state ("e1", &state));
+}
+
 TEST_F (ControllerTest, ListsOnlyLiveEntryHosts)
 {
   const struct sync_host *out[SYNC_HOSTS_MAX];
