--- a/src/evacuation_control.c
+++ b/src/evacuation_control.c
@@ -44,12 +44,14 @@
 {
   struct consensus *consensus = call->control->config.consensus;
   const struct evacuation_set *set = document_evacuations (call->control->config.document);
+  json_t *position = consensus->ops->position (consensus);
 
-  log_event (LOG_MODULE_AUDIT, LOG_LEVEL_INFO, "evacuation", "{s:s,s:s,s:s,s:I,s:I,s:i,s:o}",
+  log_event (LOG_MODULE_AUDIT, LOG_LEVEL_INFO, "evacuation", "{s:s,s:s,s:s,s:I,s:I,s:i,s:O}",
              "order", call->order.begins ? "begin" : "finish", "domain", call->order.domain,
              "outcome", outcome, "revision", (json_int_t) set->revision, "age_ms",
              (json_int_t) ((now - call->started_at) / USEC_PER_MSEC), "evacuated",
-             (int) evacuation_count (set), "position", consensus->ops->position (consensus));
+             (int) evacuation_count (set), "position", position);
+  json_decref (position);
 }
 
 static void
