Bound what a target may send before, around and beside a body

Informational responses, answers to other calls and extensions of chunks were read until the deadline of the call; the memory of all answers of a host had no limit in sum.

--- a/src/h1.c
+++ b/src/h1.c
@@ -1,6 +1,7 @@
 /* HTTP/1.1 messages over libhttp-parser. */
 #include "h1.h"
 #include "container.h"
+#include <inttypes.h>
 #include <string.h>
 #include <strings.h>
 
@@ -282,6 +283,9 @@
   reader->in_extension = false;
   reader->part = H1_PART_HEAD;
   reader->last_byte = '\0';
+  reader->part_bytes = 0;
+  reader->framing_bytes = 0;
+  reader->body_bytes = 0;
   http_parser_init (&reader->parser, (enum http_parser_type) reader->parser.type);
 }
 
@@ -316,37 +320,69 @@
   return reader->part != H1_PART_SIZE || size_byte_is_valid (reader, byte);
 }
 
-/* Checks the bytes that were parsed: all after the piece of body are framing. */
-static bool
-framing_is_valid (struct h1_reader *reader, const char *data, size_t length)
-{
-  if (reader->part == H1_PART_BODY)
-    return true;
-  for (size_t i = reader->piece_length; i < length; i++)
-    {
-      if (!framing_byte_is_valid (reader, data[i]))
-        return false;
-      reader->last_byte = data[i];
-    }
-  return true;
-}
-
 static void
 enter_part (struct h1_reader *reader, enum h1_part part)
 {
   reader->part = part;
   reader->last_byte = '\0';
   reader->in_extension = false;
+  reader->part_bytes = 0;
 }
 
-/* ---- reading ---- */
-
 static enum status
 malformed (const char *why)
 {
   return status_fail (STATUS_MALFORMED, "not HTTP/1.1: %s", why);
 }
 
+/* Framing bytes are not delivered, so the limits of the body's user do not bound them. */
+static enum status
+check_framing_size (const struct h1_reader *reader)
+{
+  static const uint64_t limits[] = {
+    [H1_PART_HEAD] = H1_HEAD_WIRE_BYTES_MAX,
+    [H1_PART_SIZE] = H1_CHUNK_LINE_BYTES_MAX,
+    [H1_PART_CHUNK] = H1_CHUNK_LINE_BYTES_MAX,
+    [H1_PART_TRAILER] = H1_TRAILER_BYTES_MAX,
+    [H1_PART_BODY] = UINT64_MAX,
+  };
+  static const char *const names[] = {
+    [H1_PART_HEAD] = "a head",       [H1_PART_SIZE] = "a chunk-size line",
+    [H1_PART_CHUNK] = "a chunk end", [H1_PART_TRAILER] = "trailers",
+    [H1_PART_BODY] = "a body",
+  };
+
+  if (reader->part_bytes > limits[reader->part])
+    return status_fail (STATUS_TOO_LARGE, "%s over %" PRIu64 " bytes", names[reader->part],
+                        limits[reader->part]);
+  if (reader->framing_bytes > H1_FRAMING_BYTES_MAX + H1_FRAMING_SHARE * reader->body_bytes)
+    return status_fail (STATUS_TOO_LARGE,
+                        "%" PRIu64 " bytes in chunk-size lines for %" PRIu64 " bytes of body",
+                        reader->framing_bytes, reader->body_bytes);
+  return STATUS_OK;
+}
+
+/* Checks the bytes that were parsed: all after the piece of body are framing. */
+static enum status
+check_framing (struct h1_reader *reader, const char *data, size_t length)
+{
+  reader->body_bytes += reader->piece_length;
+  if (reader->part == H1_PART_BODY)
+    return STATUS_OK;
+  for (size_t i = reader->piece_length; i < length; i++)
+    {
+      if (!framing_byte_is_valid (reader, data[i]))
+        return malformed ("unsound framing");
+      reader->last_byte = data[i];
+    }
+  reader->part_bytes += length - reader->piece_length;
+  if (reader->part == H1_PART_SIZE)
+    reader->framing_bytes += length - reader->piece_length;
+  return check_framing_size (reader);
+}
+
+/* ---- reading ---- */
+
 static enum status
 refused (void)
 {
@@ -367,9 +403,11 @@
     http_parser_pause (&reader->parser, 0);
   else if (reader->too_large)
     return status_fail (STATUS_TOO_LARGE, "headers over %zu bytes", reader->header_max);
+  else if (error == HPE_HEADER_OVERFLOW)
+    return status_fail (STATUS_TOO_LARGE, "headers over the parser's limit");
   else if (error != HPE_OK)
     return malformed (http_errno_description (error));
-  return framing_is_valid (reader, data, *used) ? STATUS_OK : malformed ("unsound framing");
+  return check_framing (reader, data, *used);
 }
 
 /* The parser reports a head before it has consumed its last byte; parse that byte too. */
--- a/src/h1.h
+++ b/src/h1.h
@@ -18,6 +18,19 @@
 #define H1_FIELDS_MAX 128
 #define H1_HEAD_BYTES_MAX 65536 /* upper bound of any configured header limit */
 
+/* Bytes of a head as it is sent, with what is not kept: separators, spaces around values, empty
+ * lines before it. */
+#define H1_HEAD_WIRE_BYTES_MAX (H1_HEAD_BYTES_MAX + 16384)
+
+/* Bytes of one chunk-size line with its extensions, and of all trailer fields of a message. */
+#define H1_CHUNK_LINE_BYTES_MAX 4096
+#define H1_TRAILER_BYTES_MAX 16384
+
+/* Bytes of all chunk-size lines of a message: this many, and H1_FRAMING_SHARE for each byte of
+ * body. A chunk of one byte takes 6 bytes, an extension with a signature about 90. */
+#define H1_FRAMING_BYTES_MAX 65536
+#define H1_FRAMING_SHARE 128
+
 /* name, text: how the end of a body is determined (RFC 9112, 6.3) */
 #define H1_FRAMING_LIST(X)                                                                         \
   X (UNKNOWN, "no head yet")                                                                       \
@@ -111,7 +124,10 @@
   bool in_extension; /* of a chunk-size line */
   bool part_ended;
   enum h1_part part;
-  char last_byte;    /* previous framing byte of this part; NUL before the first */
+  char last_byte;         /* previous framing byte of this part; NUL before the first */
+  uint64_t part_bytes;    /* framing bytes of this part */
+  uint64_t framing_bytes; /* of all chunk-size lines */
+  uint64_t body_bytes;
   const char *piece; /* of the body, not delivered yet */
   size_t piece_length;
   uint32_t offsets[H1_FIELDS_MAX][2]; /* of name and value in head.text, which may still move */
@@ -128,8 +144,8 @@
 void h1_reader_next (struct h1_reader *reader);
 
 /* Parse bytes up to the end of one message; `used` is set to the number of bytes consumed.
- * STATUS_MALFORMED, STATUS_TOO_LARGE for headers over the limit, STATUS_CANCELLED when a callback
- * rejected the message. */
+ * STATUS_MALFORMED, STATUS_TOO_LARGE for headers, chunk-size lines or trailers over their limit,
+ * STATUS_CANCELLED when a callback rejected the message. */
 enum status h1_read (struct h1_reader *reader, const char *data, size_t length, size_t *used);
 
 /* Report an orderly end of the connection, which completes a response without a length.  True when
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -13,6 +13,18 @@
 /* Idle timeout of a connection, in microseconds, when the target sends no keep-alive timeout. */
 #define H1_DEFAULT_KEEP_ALIVE (10 * USEC_PER_SEC)
 
+/* Responses that may precede the one to a call: informational ones, and late ones to other calls;
+ * and the bytes of their bodies, which are not kept. */
+#define H1_SKIPPED_RESPONSES_MAX 32
+#define H1_SKIPPED_BYTES_MAX (16u << 20)
+
+/* Bytes of responses that the users of a client hold in sum over all running calls.  Above it, the
+ * call with the largest response is ended with H1_END_TOO_LARGE. */
+#define H1_HELD_BYTES_MAX (256u << 20)
+
+/* Log lines per second about rejected responses. */
+#define H1_REJECTIONS_LOGGED_PER_SECOND 20
+
 /* name, text.  WHOLE is the only success: the response is complete by its framing. */
 #define H1_END_LIST(X)                                                                             \
   X (WHOLE, "whole")                                                                               \
@@ -21,7 +33,8 @@
   X (RESET, "connection reset")                                                                    \
   X (OVERFLOW, "target does not read")                                                             \
   X (MEMORY, "out of memory")                                                                      \
-  X (MALFORMED, "not an answer")
+  X (MALFORMED, "not an answer")                                                                   \
+  X (TOO_LARGE, "answer over a limit of size")
 
 enum h1_end
 {
@@ -58,6 +71,7 @@
   bool reused;                             /* the connection was kept from an earlier call */
   bool answered;                           /* bytes of a response were received */
   enum h1_framing framing;                 /* of the response, once its head was accepted */
+  size_t held;                             /* bytes of the response that the user holds */
 };
 
 /* Observes whether addresses can be reached. */
@@ -111,6 +125,16 @@
  * stop. */
 void h1_call_cancel (struct h1_call *call);
 
+/* As h1_call_cancel(), because of what the target sent: counts and logs it with the reason. */
+void h1_call_reject (struct h1_call *call, const char *why, int64_t now);
+
+/* The user holds so many bytes of the response now.  If all users together hold too many, the event
+ * loop ends calls, this one maybe. */
+void h1_call_set_held (struct h1_call *call, size_t bytes, int64_t now);
+
+/* Has a part of a head arrived, but not its end? */
+bool h1_call_is_inside_head (const struct h1_call *call);
+
 /* Is there an idle connection to the address, so that a call needs no new one? */
 bool h1_client_has_idle (const struct h1_client *client, const char *address);
 
