End attempts at endless answers at once on the forwarding path and in stage work

An answer over its size limit was read on until the deadline, after which the target did not count as failing. Comments and events without data were passed on without end, and an event in many small chunks was scanned from its beginning for each of them. Such attempts end at the limit, the target counts as failing and the request is sent on where its route allows. Calls that free results had neither a time-out nor a limit.

--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -8,7 +8,6 @@
 #include <utlist.h>
 #include <xxhash.h>
 
-#define ANSWER_BYTES_MAX (1u << 20)
 #define SLOWNESS_SMOOTHING 0.3
 
 struct batch_call
@@ -204,22 +203,11 @@
   return true;
 }
 
-static void
-on_data (struct h1_call *base, const char *data, size_t length, int64_t now)
-{
-  struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
-
-  (void) now;
-  bytes_append_limited (&call->body, data, length, ANSWER_BYTES_MAX);
-}
-
 static const char *
 outcome_text (const struct batch_call *call, enum h1_end end)
 {
   if (end != H1_END_WHOLE)
     return h1_end_text (end);
-  if (bytes_has_failed (&call->body))
-    return "answer could not be kept";
   return call->not_run ? "not run" : "answered";
 }
 
@@ -228,8 +216,7 @@
 {
   struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
   struct batch_pool *pool = call->pool;
-  bool failed =
-      end != H1_END_WHOLE || call->status != HTTP_STATUS_OK || bytes_has_failed (&call->body);
+  bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK;
 
   log_call (call, outcome_text (call, end), now);
   if (base->request_sent && (end == H1_END_TRUNCATED || end == H1_END_RESET))
@@ -249,6 +236,23 @@
   batch_dispatch (pool, now);
 }
 
+static void
+on_data (struct h1_call *base, const char *data, size_t length, int64_t now)
+{
+  struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
+
+  bytes_append_limited (&call->body, data, length, BATCH_ANSWER_BYTES_MAX);
+  if (!bytes_has_failed (&call->body))
+    {
+      h1_call_set_held (base, call->body.capacity, now);
+      return;
+    }
+  /* A statement that nothing was run counts only with the end of the answer. */
+  call->not_run = false;
+  h1_call_reject (base, "answer too large or out of memory", now);
+  on_ended (base, H1_END_TOO_LARGE, now);
+}
+
 static const struct h1_call_ops call_ops = {
   .head = on_head,
   .data = on_data,
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -7,6 +7,14 @@
 #define BATCH_POOLS_MAX 64
 #define BATCH_CALL_PIECES_MAX 256
 
+/* Largest answer to a call with pieces, in bytes; it is buffered completely. */
+#define BATCH_ANSWER_BYTES_MAX (1u << 20)
+
+/* Calls that free results: the time for an answer, and its largest size, in bytes; it is not kept.
+ */
+#define BATCH_FREE_TIMEOUT (2 * USEC_PER_SEC)
+#define BATCH_FREE_ANSWER_BYTES_MAX (64u << 10)
+
 /* One piece in a call.  Its order is known by serial alone: the order may be withdrawn meanwhile
  * and its memory reused. */
 struct batch_piece
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -137,7 +137,10 @@
 struct free_call
 {
   struct h1_call call;
+  struct timer timer;
+  struct batch *batch;
   struct balance_target *at;
+  size_t received; /* bytes of the answer */
 };
 
 static bool
@@ -149,25 +152,31 @@
   return true;
 }
 
+/* The outcome is ignored: results that were not freed expire.  Only an answer that is none counts
+ * as a failure of the target. */
 static void
-on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
+on_ended (struct h1_call *base, enum h1_end end, int64_t now)
 {
-  (void) call;
-  (void) data;
-  (void) length;
-  (void) now;
+  struct free_call *call = CONTAINER_OF (base, struct free_call, call);
+
+  if (end == H1_END_MALFORMED || end == H1_END_TOO_LARGE)
+    balance_ended (call->at, true, -1, now);
+  else
+    call->at->in_flight--;
+  talloc_free (call);
 }
 
-/* The outcome is ignored: results that were not freed expire. */
 static void
-on_ended (struct h1_call *base, enum h1_end end, int64_t now)
+on_data (struct h1_call *base, const char *data, size_t length, int64_t now)
 {
   struct free_call *call = CONTAINER_OF (base, struct free_call, call);
 
-  (void) end;
-  (void) now;
-  call->at->in_flight--;
-  talloc_free (call);
+  (void) data;
+  call->received += length;
+  if (call->received <= BATCH_FREE_ANSWER_BYTES_MAX)
+    return;
+  h1_call_reject (base, "answer too large", now);
+  on_ended (base, H1_END_TOO_LARGE, now);
 }
 
 static const struct h1_call_ops free_ops = {
@@ -176,9 +185,22 @@
   .ended = on_ended,
 };
 
+static void
+free_timed_out (struct timer *timer, int64_t now)
+{
+  struct free_call *call = CONTAINER_OF (timer, struct free_call, timer);
+
+  (void) now;
+  call->at->in_flight--;
+  talloc_free (call);
+}
+
+static const struct timer_ops free_timer_ops = { .fire = free_timed_out };
+
 static int
 end_free_call (struct free_call *call)
 {
+  timer_disarm (loop_timers (call->batch->config.loop), &call->timer);
   h1_call_cancel (&call->call);
   return 0;
 }
@@ -197,12 +219,17 @@
   if (call == NULL)
     return;
   call->call.ops = &free_ops;
+  call->timer.ops = &free_timer_ops;
+  call->batch = pool->batch;
   call->at = at;
   talloc_set_destructor (call, end_free_call);
   bytes_init (&message, NULL);
   config->dialect->ops->write_free (config->dialect, at->address, at->id, handles, n, &message);
   if (h1_call_start (config->client, &call->call, at->address, &message, false, now) == STATUS_OK)
-    balance_started (config->balance, at, BALANCE_STAGE_WORK, now);
+    {
+      balance_started (config->balance, at, BALANCE_STAGE_WORK, now);
+      timer_arm (loop_timers (config->loop), &call->timer, now + BATCH_FREE_TIMEOUT);
+    }
   else
     talloc_free (call);
   bytes_clear (&message);
--- a/src/forward.c
+++ b/src/forward.c
@@ -235,7 +235,7 @@
   /* A request that was never written to a target's connection cannot have run. */
   if (job->target != NULL && !job->call.request_sent)
     job->runs--;
-  job_cancel_call (job);
+  job_end_late_call (job, now);
   job_give_up (job, FORWARD_TIMEOUT, NOT_READY_RETRY_AFTER_SEC);
 }
 
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -98,6 +98,8 @@
 {
   bytes_clear (&job->fields);
   bytes_clear (&job->body);
+  job->stream.scanned = 0;
+  job->stream.skipped = 0;
   job->status = 0;
   job->is_signed = false;
   job->has_events = false;
@@ -238,6 +240,30 @@
   attempt_failed (job, true, reason, now);
 }
 
+void
+job_end_late_call (struct forward_job *job, int64_t now)
+{
+  if (job->target == NULL || !h1_call_is_inside_head (&job->call))
+    {
+      job_cancel_call (job);
+      return;
+    }
+  log_attempt (job, "head not complete at the deadline", false, now);
+  h1_call_reject (&job->call, "head not complete at the deadline", now);
+  release_target (job, true, now);
+}
+
+/* Closes the connection because of what the target sent on it.  Not noted as a break: the target
+ * runs, so the request did not end it. */
+static void
+reject_answer (struct forward_job *job, const char *why, int64_t now)
+{
+  log_attempt (job, why, false, now);
+  h1_call_reject (&job->call, why, now);
+  release_target (job, true, now);
+  attempt_failed (job, true, FORWARD_BROKEN, now);
+}
+
 /* ---- calls of the client ---- */
 
 static bool
@@ -307,6 +333,42 @@
   h1_reply_begin (job->exchange, job->status, job->fields.data, -1);
 }
 
+static void
+set_held (struct forward_job *job, int64_t now)
+{
+  h1_call_set_held (&job->call, job->body.capacity + job->fields.capacity, now);
+}
+
+/* Of an answer that is not a stream. */
+static void
+hold_data (struct forward_job *job, const char *data, size_t length, int64_t now)
+{
+  bytes_append_limited (&job->body, data, length, FORWARD_ANSWER_MAX_BYTES);
+  if (bytes_has_failed (&job->body))
+    reject_answer (job, "answer too large or out of memory", now);
+  else
+    set_held (job, now);
+}
+
+static void
+pass_data (struct forward_job *job, const char *data, size_t length, int64_t now)
+{
+  const char *why;
+
+  if (bytes_has_failed (&job->fields))
+    {
+      abandon_attempt (job, "out of memory for the answer's header", FORWARD_BROKEN, now);
+      return;
+    }
+  if (!job->stream.begun)
+    begin_stream (job);
+  why = job_pass_events (job, data, length);
+  if (why != NULL)
+    reject_answer (job, why, now);
+  else
+    set_held (job, now);
+}
+
 static void
 on_data (struct h1_call *call, const char *data, size_t length, int64_t now)
 {
@@ -323,19 +385,9 @@
         engine_broadcast_began (job->forward->config.news, job->target->id_hash, job->send_id, now);
     }
   if (!is_stream_answer (job))
-    {
-      bytes_append_limited (&job->body, data, length, FORWARD_ANSWER_MAX_BYTES);
-      return;
-    }
-  if (bytes_has_failed (&job->fields))
-    {
-      abandon_attempt (job, "out of memory for the answer's header", FORWARD_BROKEN, now);
-      return;
-    }
-  if (!job->stream.begun)
-    begin_stream (job);
-  if (!job_pass_events (job, data, length))
-    abandon_attempt (job, "event id out of order or event too large", FORWARD_BROKEN, now);
+    hold_data (job, data, length, now);
+  else
+    pass_data (job, data, length, now);
 }
 
 static void
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -16,6 +16,10 @@
 /* Largest event of a stream, in bytes.  An event is buffered until it is complete. */
 #define FORWARD_EVENT_MAX_BYTES (1u << 20)
 
+/* Bytes of a stream between two events with data: comments and empty lines, which are passed on to
+ * the client. */
+#define FORWARD_SKIPPED_BYTES_MAX (256u << 10)
+
 /* Most sends of one request, including those that a target refused. */
 #define FORWARD_SENDS_MAX 4
 
@@ -101,6 +105,8 @@
   uint32_t events;                  /* number sent to the client */
   char last_event[DIALECT_ID_SIZE]; /* id of the newest event with an id; "" for none */
   bool is_unresumable; /* the newest event has no id: no other target can resume after it */
+  size_t scanned;      /* bytes of the incomplete event that hold no end of it */
+  size_t skipped;      /* bytes without data since the last event with data, of this attempt */
   bool is_bound;       /* the client has an event, and `binding` is that of its writer */
   struct binding binding;
 };
@@ -236,6 +242,10 @@
 /* The call could not be started, so the request has not run there. */
 void job_send_failed (struct forward_job *job, const char *why, int64_t now);
 void job_cancel_call (struct forward_job *job);
+
+/* As job_cancel_call(), at the deadline.  A head that has begun but not ended by then counts as a
+ * failure of the target: a sound one sends its head at once. */
+void job_end_late_call (struct forward_job *job, int64_t now);
 void job_time_out_attempt (struct forward_job *job, int64_t now);
 
 /* forward_stage.c */
@@ -286,9 +296,9 @@
 
 /* forward_stream.c */
 
-/* False: the data do not continue the stream that the client has the beginning of, or an event is
- * too large to buffer. */
-bool job_pass_events (struct forward_job *job, const char *data, size_t length);
+/* The reason if the data do not continue the stream that the client has the beginning of, or exceed
+ * a limit; else NULL. */
+const char *job_pass_events (struct forward_job *job, const char *data, size_t length);
 
 /* The id of the newest event with an id that the client has; NULL: none. */
 const char *job_last_event (const struct forward_job *job);
--- a/src/forward_stream.c
+++ b/src/forward_stream.c
@@ -7,11 +7,13 @@
 #include "text.h"
 #include <string.h>
 
-/* The length of the first complete event with its empty line; 0 if there is none. */
+/* The length of the first complete event with its empty line; 0 if there is none.  Its end is known
+ * not to begin before `from`: an event that arrives in many small pieces is not scanned from its
+ * beginning for each of them. */
 static size_t
-event_length (const char *data, size_t length)
+event_length (const char *data, size_t length, size_t from)
 {
-  for (size_t i = 0; i + 1 < length; i++)
+  for (size_t i = from; i + 1 < length; i++)
     {
       if (data[i] != '\n')
         continue;
@@ -41,6 +43,24 @@
   return false;
 }
 
+/* Whether the data hold a line with data, without which a client makes no event of them. */
+static bool
+holds_data (const char *data, size_t length)
+{
+  const char *end = data + length;
+  const char *next;
+
+  for (const char *line = data; line < end; line = next)
+    {
+      const char *newline = memchr (line, '\n', (size_t) (end - line));
+
+      next = newline == NULL ? end : newline + 1;
+      if (next - line >= 4 && memcmp (line, "data", 4) == 0)
+        return true;
+    }
+  return false;
+}
+
 bool
 job_is_inside_event (const struct forward_job *job)
 {
@@ -112,9 +132,17 @@
   return found;
 }
 
-/* False if the event's id does not follow the last one: a target that starts over, or whose ids go
- * back, generates a different text from the one that the client has the beginning of. */
+/* A target that sends bytes but no data makes no progress, however long it goes on. */
 static bool
+is_stalled (struct forward_stream *stream, const char *event, size_t length)
+{
+  stream->skipped = holds_data (event, length) ? 0 : stream->skipped + length;
+  return stream->skipped > FORWARD_SKIPPED_BYTES_MAX;
+}
+
+/* The reason if the event cannot be passed on.  A target that starts over, or whose ids go back,
+ * generates a different text from the one that the client has the beginning of. */
+static const char *
 accept_event (struct forward_job *job, const char *event, size_t length)
 {
   struct forward_stream *stream = &job->stream;
@@ -122,35 +150,54 @@
   char id[DIALECT_ID_SIZE];
   bool named = read_id (event, length, id);
 
+  if (is_stalled (stream, event, length))
+    return "too many bytes without an event";
   if (!holds_event (event, length))
-    return true;
+    return NULL;
   if (named && last != NULL && !id_may_follow (last, id))
-    return false;
+    return "event id out of order";
   if (named)
     memcpy (stream->last_event, id, sizeof id);
   stream->is_unresumable = !named;
   if (stream->events++ == 0)
     job_bind (job);
-  return true;
+  return NULL;
 }
 
-bool
-job_pass_events (struct forward_job *job, const char *data, size_t length)
+/* Accepts the complete events that are held; the length of those accepted. */
+static size_t
+accept_events (struct forward_job *job, const char **why)
 {
+  const struct bytes *held = &job->body;
   size_t whole = 0;
+  size_t from = job->stream.scanned;
   size_t event;
-  bool follows = true;
 
-  bytes_append_limited (&job->body, data, length, FORWARD_EVENT_MAX_BYTES);
-  if (bytes_has_failed (&job->body))
-    return false;
-  while (follows && (event = event_length (job->body.data + whole, job->body.length - whole)) > 0)
+  while ((event = event_length (held->data + whole, held->length - whole, from)) > 0)
     {
-      follows = accept_event (job, job->body.data + whole, event);
-      whole += follows ? event : 0;
+      *why = accept_event (job, held->data + whole, event);
+      if (*why != NULL)
+        return whole;
+      whole += event;
+      from = 0;
     }
+  /* An end takes up to three bytes, of which two may have arrived. */
+  job->stream.scanned = held->length - whole < 2 ? 0 : held->length - whole - 2;
+  return whole;
+}
+
+const char *
+job_pass_events (struct forward_job *job, const char *data, size_t length)
+{
+  const char *why = NULL;
+  size_t whole;
+
+  bytes_append_limited (&job->body, data, length, FORWARD_EVENT_MAX_BYTES);
+  if (bytes_has_failed (&job->body))
+    return "event too large or out of memory";
+  whole = accept_events (job, &why);
   if (whole > 0)
     h1_reply_data (job->exchange, job->body.data, whole);
   bytes_consume (&job->body, whole);
-  return follows;
+  return why;
 }
