End generations of pipelines that send bytes without events

Comments, empty lines and events without data kept an attempt until its deadline or 16 MiB. The decoder limits them between two events; calls of http_client report what they hold and log what they reject.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -82,6 +82,14 @@
   sink->ops->failed (sink, why, sent, now);
 }
 
+/* The call ends because of what the other side sent. */
+static void
+reject (struct http_call *call, enum status why, int64_t now)
+{
+  h1_call_reject (&call->h1, status_message (), now);
+  fail (call, why, now);
+}
+
 static void
 timer_fired (struct timer *timer, int64_t now)
 {
@@ -101,6 +109,8 @@
     return status_fail (STATUS_TIMEOUT, "no connection to %s in time", call->address);
   if (!call->h1.request_sent)
     return status_fail (STATUS_UNAVAILABLE, "cannot connect to %s", call->address);
+  if (end == H1_END_TOO_LARGE)
+    return status_fail (STATUS_TOO_LARGE, "%s", h1_end_text (end));
   return status_fail (end == H1_END_MALFORMED ? STATUS_MALFORMED : STATUS_IO, "%s",
                       h1_end_text (end));
 }
@@ -172,11 +182,14 @@
   enum status status = check_head (call, head);
   struct http_field *fields = status == STATUS_OK ? copy_fields (head) : NULL;
 
-  if (status == STATUS_OK && fields == NULL)
-    status = status_fail (STATUS_NO_MEMORY, "no memory for headers");
   if (status != STATUS_OK)
     {
-      fail (call, status, now);
+      reject (call, status, now);
+      return true;
+    }
+  if (fields == NULL)
+    {
+      fail (call, status_fail (STATUS_NO_MEMORY, "no memory for headers"), now);
       return true;
     }
   call->head_seen = true;
@@ -192,11 +205,16 @@
 
   call->received += length;
   if (call->received > call->max_body_bytes)
-    fail (call,
-          status_fail (STATUS_TOO_LARGE, "the answer is over %zu bytes", call->max_body_bytes),
-          now);
-  else
-    call->sink->ops->data (call->sink, data, length, now);
+    {
+      reject (call,
+              status_fail (STATUS_TOO_LARGE, "the answer is over %zu bytes", call->max_body_bytes),
+              now);
+      return;
+    }
+  /* A sink without a limit keeps nothing of the answer. */
+  if (call->max_body_bytes != SIZE_MAX)
+    h1_call_set_held (h1, call->received, now);
+  call->sink->ops->data (call->sink, data, length, now);
 }
 
 static const struct h1_call_ops h1_ops = { .head = on_head, .data = on_data, .ended = on_ended };
--- a/src/sse.c
+++ b/src/sse.c
@@ -10,6 +10,7 @@
   bytes_init (&decoder->data, parent);
   decoder->name[0] = '\0';
   decoder->max_event_bytes = max_event_bytes;
+  decoder->skipped_bytes = 0;
 }
 
 void
@@ -18,6 +19,7 @@
   bytes_clear (&decoder->line);
   bytes_clear (&decoder->data);
   decoder->name[0] = '\0';
+  decoder->skipped_bytes = 0;
 }
 
 /* The value of "field: value" when `line` has that field, else NULL. */
@@ -39,11 +41,6 @@
   char name[SSE_NAME_SIZE];
   bool go_on;
 
-  if (data.length == 0)
-    {
-      decoder->name[0] = '\0';
-      return STATUS_OK;
-    }
   text_copy_truncated (name, sizeof name, decoder->name);
   decoder->name[0] = '\0';
   /* The newline of the last line is not part of the data. */
@@ -52,6 +49,17 @@
   if (!go_on)
     return STATUS_CANCELLED;
   bytes_consume (&decoder->data, decoder->data.length);
+  decoder->skipped_bytes = 0;
+  return STATUS_OK;
+}
+
+/* Such a line holds no memory, so only this limit ends an endless run of them. */
+static enum status
+skip_line (struct sse_decoder *decoder, size_t length)
+{
+  decoder->skipped_bytes += length + 1;
+  if (decoder->skipped_bytes > SSE_SKIPPED_BYTES_MAX)
+    return status_fail (STATUS_TOO_LARGE, "over %u bytes without an event", SSE_SKIPPED_BYTES_MAX);
   return STATUS_OK;
 }
 
@@ -60,14 +68,16 @@
 {
   const char *value;
 
-  if (line[0] == '\0')
+  if (line[0] == '\0' && decoder->data.length > 0)
     return end_event (decoder, sink);
+  if (line[0] == '\0')
+    decoder->name[0] = '\0';
   value = field_value (line, "event");
   if (value != NULL)
     text_copy_truncated (decoder->name, sizeof decoder->name, value);
   value = field_value (line, "data");
   if (value == NULL)
-    return STATUS_OK;
+    return skip_line (decoder, strlen (line));
   bytes_append_text (&decoder->data, value);
   bytes_append (&decoder->data, "\n", 1);
   return STATUS_OK;
