--- a/src/balance.c
+++ b/src/balance.c
@@ -1,7 +1,6 @@
 /* Load balancing over the targets of a pool. */
 #include "balance.h"
 #include "text.h"
-#include <math.h>
 #include <string.h>
 #include <talloc.h>
 #include <xxhash.h>
@@ -60,6 +59,8 @@
   target->failures = 0;
   target->failure_rate = 0;
   target->latency_us = 0;
+  target->slow = (struct slow_target){ .waiting = target->slow.waiting,
+                                       .silent_since = target->slow.silent_since };
   target->ejected_until = 0;
   target->ejection_time = 0;
   target->limit = (struct target_limit){ .present = false };
@@ -145,6 +146,15 @@
   return n;
 }
 
+/* Ejected, or being probed: after an ejection one request at a time is sent until one is
+ * answered. */
+static bool
+is_out (const struct balance_target *target, int64_t now)
+{
+  return now < target->ejected_until
+         || (target->failures >= BALANCE_FAILURES && target->slow.waiting > 0);
+}
+
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
  * ones; also those that stopped renewing, which may only be partitioned from the controllers. Never
  * a target beyond the limit that it names. */
@@ -164,7 +174,7 @@
             continue;
           if (rank < 2 && !target->usable)
             continue;
-          if (rank < 1 && now < target->ejected_until)
+          if (rank < 1 && is_out (target, now))
             continue;
           if (!balance_may_send (balance, target, BALANCE_REQUEST, now))
             continue;
@@ -176,30 +186,20 @@
   return 0;
 }
 
-static double
-latency_of (const struct balance_target *target, int64_t now)
-{
-  double age = (double) (now - target->latency_at) / (double) BALANCE_LATENCY_HALF_LIFE;
-
-  if (target->latency_us <= BALANCE_DEFAULT_LATENCY_US)
-    return target->latency_us > 0 ? target->latency_us : BALANCE_DEFAULT_LATENCY_US;
-  return BALANCE_DEFAULT_LATENCY_US
-         + (target->latency_us - BALANCE_DEFAULT_LATENCY_US) * exp2 (-age);
-}
-
 /* Minimizes requests in flight times latency, with a bonus for our failure domain. */
 static struct balance_target *
 least_loaded (struct balance *balance, struct balance_target **candidates, uint32_t n, int64_t now)
 {
   struct balance_target *best = NULL;
   double best_cost = 0;
+  double usual = balance_pool_latency (candidates, n);
 
   for (uint32_t i = 0; i < n; i++)
     {
       struct balance_target *target = candidates[i];
       bool near = strcmp (target->domain, balance->domain) == 0;
       double cost = (target->in_flight + 1 + (near ? 0 : BALANCE_DOMAIN_BONUS))
-                    * latency_of (target, now) * (1 + 0.1 * rng_unit (&balance->rng));
+                    * balance_latency (target, usual, now) * (1 + 0.1 * rng_unit (&balance->rng));
 
       if (best == NULL || cost < best_cost)
         {
@@ -368,18 +368,10 @@
   target->ejected_until = now + target->ejection_time;
 }
 
-void
-balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now)
+static void
+count_outcome (struct balance_target *target, bool failed, int64_t now)
 {
-  target->in_flight--;
   target->failure_rate += BALANCE_SMOOTHING * ((failed ? 1.0 : 0.0) - target->failure_rate);
-  if (first >= 0)
-    target->latency_at = now;
-  if (first >= 0)
-    target->latency_us =
-        target->latency_us == 0
-            ? (double) first
-            : target->latency_us + BALANCE_SMOOTHING * ((double) first - target->latency_us);
   if (!failed)
     {
       target->failures = 0;
@@ -391,3 +383,23 @@
   if (target->failures >= BALANCE_FAILURES || target->failure_rate > FAILURE_RATE_MAX)
     eject (target, now);
 }
+
+void
+balance_note_late (struct balance_target *target, int64_t now)
+{
+  count_outcome (target, true, now);
+}
+
+void
+balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now)
+{
+  target->in_flight--;
+  if (first >= 0)
+    target->latency_at = now;
+  if (first >= 0)
+    target->latency_us =
+        target->latency_us == 0
+            ? (double) first
+            : target->latency_us + BALANCE_SMOOTHING * ((double) first - target->latency_us);
+  count_outcome (target, failed, now);
+}
--- a/src/balance.h
+++ b/src/balance.h
@@ -11,6 +11,7 @@
 #include "registry.h"
 #include "rng.h"
 #include "routing.h"
+#include "slow_attempt.h"
 #include "target_limit.h"
 #include <stdbool.h>
 #include <stdint.h>
@@ -29,10 +30,11 @@
 /* Weight of a new sample in a target's mean latency. */
 #define BALANCE_SMOOTHING 0.2
 
-/* Mean latency assumed for a target without samples, in microseconds. */
+/* Least mean latency of a pool, in microseconds.  A target without samples is assumed to have the
+ * pool's mean: with less, one that never answers would attract the requests of a slow pool. */
 #define BALANCE_DEFAULT_LATENCY_US 15000.0
 
-/* Half-life of a latency above the default: a slow target gets little work and so few samples, and
+/* Half-life of a latency above the pool's: a slow target gets little work and so few samples, and
  * without the decay it would not be tried again. */
 #define BALANCE_LATENCY_HALF_LIFE (2 * USEC_PER_SEC)
 
@@ -53,10 +55,11 @@
   bool excluded;    /* not ready: must get no new requests */
   bool leaving;     /* this incarnation has announced that it leaves */
   uint32_t in_flight;
-  uint32_t failures;   /* consecutive */
-  double failure_rate; /* share of recent calls that failed, smoothed */
-  double latency_us;   /* mean time to the first byte, in microseconds; 0: no sample */
-  int64_t latency_at;  /* of the last sample */
+  uint32_t failures;       /* consecutive */
+  double failure_rate;     /* share of recent calls that failed, smoothed */
+  double latency_us;       /* mean time to the first byte, in microseconds; 0: no sample */
+  int64_t latency_at;      /* of the last sample */
+  struct slow_target slow; /* what its answers to requests take */
   int64_t ejected_until;
   int64_t ejection_time;     /* duration of the last ejection, microseconds; 0: none */
   struct target_limit limit; /* that this incarnation names */
@@ -151,9 +154,30 @@
  * none came. */
 void balance_ended (struct balance_target *target, bool failed, int64_t first, int64_t now);
 
+/* A request without an answer is late (slow_attempt.h): a failure of the target, though the call
+ * may go on. */
+void balance_note_late (struct balance_target *target, int64_t now);
+
 /* Frees targets that are gone and have no requests in flight. */
 void balance_sweep (struct balance *balance);
 
+/* ---- balance_slow.c ---- */
+
+/* Judges a request sent to `target` at `sent_at` that has no answer yet, by the other targets of
+ * the pool that are in use.  `least`: see slow_attempt.h. */
+struct slow_judgement balance_judge (const struct balance *balance,
+                                     const struct balance_target *target,
+                                     int64_t sent_at,
+                                     int64_t least,
+                                     int64_t now);
+
+/* The latency that targets of the pool have, or are assumed to have, in microseconds. */
+double balance_pool_latency (struct balance_target *const *targets, uint32_t n);
+
+/* Expected latency of the target, in microseconds.  Not less than the time for which it has owed
+ * an answer. */
+double balance_latency (const struct balance_target *target, double pool_latency, int64_t now);
+
 /* ---- balance_limit.c ---- */
 
 /* Does the limit that the target names, if any, allow one more call now? */
--- a/src/forward.c
+++ b/src/forward.c
@@ -229,7 +229,7 @@
     }
   if (now < job->deadline)
     {
-      job_time_out_attempt (job, now);
+      job_judge_attempt (job, now);
       return;
     }
   /* A request that was never written to a target's connection cannot have run. */
@@ -355,6 +355,19 @@
   forward->retries_denied =
       counter_get (counters, "cherryarch_forward_retries_denied_total",
                    "Requests not sent to another target, as the retry budget was spent.", NULL);
+  for (int verdict = 0; verdict < SLOW_VERDICT_COUNT; verdict++)
+    {
+      char label[96];
+
+      snprintf (label, sizeof label, "verdict=\"%s\"",
+                slow_verdict_text ((enum slow_verdict) verdict));
+      forward->slow[verdict] =
+          counter_get (counters, "cherryarch_forward_slow_attempts_total",
+                       "Verdicts on attempts without an answer, by what other targets do.", label);
+    }
+  forward->slow_left =
+      counter_get (counters, "cherryarch_forward_slow_attempts_left_total",
+                   "Attempts without an answer that were left for another target.", NULL);
   forward->resumptions = counter_get (counters, "cherryarch_forward_streams_resumed_total",
                                       "Requests that go on with a stream of an earlier one.", NULL);
   forward->resumptions_refused = counter_get (
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -28,6 +28,13 @@
     engine_broadcast_ended (job->forward->config.news, job->target->id_hash, job->send_id, now);
 }
 
+static void
+note_silence_ended (struct forward_job *job)
+{
+  if (!job->has_head)
+    slow_target_ended (&job->target->slow);
+}
+
 static void
 release_target (struct forward_job *job, bool failed, int64_t now)
 {
@@ -37,6 +44,9 @@
     return;
   report_call_end (job, now);
   job_run_ended (job);
+  note_silence_ended (job);
+  if (!failed && first >= 0)
+    slow_target_learn (&job->target->slow, job->sent_at, first);
   balance_ended (job->target, failed, failed ? -1 : first, now);
   job->target = NULL;
 }
@@ -51,13 +61,14 @@
     return;
   report_call_end (job, loop_now (job->forward->config.loop));
   job_run_ended (job);
+  note_silence_ended (job);
   job->target->in_flight--;
   job->target = NULL;
 }
 
 /* `broke`: the target may have ended, and its log line names what it ran. */
-static void
-log_attempt (const struct forward_job *job, const char *outcome, bool broke, int64_t now)
+void
+job_log_attempt (const struct forward_job *job, const char *outcome, bool broke, int64_t now)
 {
   char content[REQUEST_DIGEST_TEXT_SIZE] = "";
   char parts[FORWARD_PARTS_TEXT_SIZE] = "";
@@ -78,9 +89,8 @@
              "target_version", registry_target_version (job->target->record));
 }
 
-/* May the request go to another target after this attempt? */
-static bool
-may_retry (struct forward_job *job, bool ran, int64_t now)
+bool
+job_may_retry (struct forward_job *job, bool ran, int64_t now)
 {
   if (now + RETRY_MIN_TIME_LEFT >= job->deadline || job->sends >= FORWARD_SENDS_MAX)
     return false;
@@ -104,12 +114,13 @@
   job->not_run = false;
   job->limit = DIALECT_NO_LIMIT;
   job->first_byte_at = 0;
+  job->has_head = false;
+  job->is_judged = false;
+  job->is_late = false;
 }
 
-/* Sends the request to another target.  If stage results were freed already, the stages run again
- * first. */
-static void
-resend (struct forward_job *job, int64_t now)
+void
+job_resend (struct forward_job *job, int64_t now)
 {
   reset_answer (job);
   if (!job_lacks_results (job))
@@ -122,8 +133,8 @@
 static void
 attempt_failed (struct forward_job *job, bool ran, enum forward_reason reason, int64_t now)
 {
-  if (may_retry (job, ran, now))
-    resend (job, now);
+  if (job_may_retry (job, ran, now))
+    job_resend (job, now);
   else if (job_is_version_gone (job))
     job_give_up (job, FORWARD_NO_VERSION, REFUSED_RETRY_AFTER_SEC);
   else
@@ -138,7 +149,7 @@
   /* The target could not fetch an input: its stages run again. */
   if (job->status == HTTP_STATUS_CONFLICT && job_has_stages (job) && !job->stages_rerun)
     {
-      if (!may_retry (job, false, now))
+      if (!job_may_retry (job, false, now))
         {
           job_give_up (job, FORWARD_REFUSED, REFUSED_RETRY_AFTER_SEC);
           return;
@@ -162,9 +173,9 @@
                 && job->status != HTTP_STATUS_REQUEST_TIMEOUT
                 && job->status != HTTP_STATUS_MISDIRECTED_REQUEST;
 
-  if (job->status >= 500 && may_retry (job, true, now))
+  if (job->status >= 500 && job_may_retry (job, true, now))
     {
-      resend (job, now);
+      job_resend (job, now);
       return;
     }
   if (passes)
@@ -206,7 +217,7 @@
   bool cut = ends_inside_event (job);
   bool failed = !job->not_run && (job->status >= 500 || (success && !job->is_signed) || cut);
 
-  log_attempt (job, cut ? "ended inside an event" : "answered", cut, now);
+  job_log_attempt (job, cut ? "ended inside an event" : "answered", cut, now);
   if (cut)
     job_note_break (job, H1_END_TRUNCATED, now);
   else if (success && job->is_signed && !job->not_run)
@@ -227,11 +238,13 @@
     handle_failure (job, now);
 }
 
-/* Cancels the call, counts it as a failure of the target and retries or gives up. */
-static void
-abandon_attempt (struct forward_job *job, const char *why, enum forward_reason reason, int64_t now)
+void
+job_abandon_attempt (struct forward_job *job,
+                     const char *why,
+                     enum forward_reason reason,
+                     int64_t now)
 {
-  log_attempt (job, why, true, now);
+  job_log_attempt (job, why, true, now);
   job_note_break (job, H1_END_RESET, now);
   h1_call_cancel (&job->call);
   release_target (job, true, now);
@@ -285,6 +298,9 @@
   dialect->ops->read_response (dialect, head, &facts);
   if (!answers_this_request (job, head, &facts))
     return false;
+  if (!job->has_head)
+    slow_target_answers (&job->target->slow, now);
+  job->has_head = true;
   job->status = head->status;
   job->is_signed = facts.is_signed;
   job->has_events = h1_is_event_stream (head);
@@ -329,13 +345,13 @@
     }
   if (bytes_has_failed (&job->fields))
     {
-      abandon_attempt (job, "out of memory for the answer's header", FORWARD_BROKEN, now);
+      job_abandon_attempt (job, "out of memory for the answer's header", FORWARD_BROKEN, now);
       return;
     }
   if (!job->stream.begun)
     begin_stream (job);
   if (!job_pass_events (job, data, length))
-    abandon_attempt (job, "event id out of order or event too large", FORWARD_BROKEN, now);
+    job_abandon_attempt (job, "event id out of order or event too large", FORWARD_BROKEN, now);
 }
 
 static void
@@ -353,8 +369,9 @@
   broke = call->request_sent && (end == H1_END_TRUNCATED || end == H1_END_RESET);
   if (broke)
     job_note_break (job, end, now);
-  log_attempt (job, end == H1_END_WHOLE ? "answer too large or out of memory" : h1_end_text (end),
-               broke, now);
+  job_log_attempt (job,
+                   end == H1_END_WHOLE ? "answer too large or out of memory" : h1_end_text (end),
+                   broke, now);
   if (end == H1_END_REFUSED)
     job_note_target_refuses (job, now);
   release_target (job, true, now);
@@ -372,15 +389,8 @@
 void
 job_send_failed (struct forward_job *job, const char *why, int64_t now)
 {
-  log_attempt (job, why, false, now);
+  job_log_attempt (job, why, false, now);
   release_target (job, true, now);
   job->runs--;
   attempt_failed (job, false, FORWARD_REFUSED, now);
 }
-
-/* The first-byte time-out passed: the target may be dead. */
-void
-job_time_out_attempt (struct forward_job *job, int64_t now)
-{
-  abandon_attempt (job, "no first byte within the time-out", FORWARD_TIMEOUT, now);
-}
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -161,6 +161,10 @@
   int64_t heard_at;      /* the newest data from the target; the send before any */
   int64_t fetched_at;    /* when the target has fetched the stages' results; 0 before a send */
   int64_t first_byte_at; /* when the first byte of the answer arrived; 0: not yet */
+  bool has_head;         /* the target has begun an answer */
+  bool is_judged;        /* it was judged, as follows */
+  enum slow_verdict slow_verdict;
+  bool is_late; /* the attempt was counted as a failure of its target */
 
   /* The answer of the current attempt. */
   unsigned status;
@@ -194,6 +198,8 @@
   struct counter *reasons[FORWARD_REASON_COUNT];
   struct counter *retries;
   struct counter *retries_denied;
+  struct counter *slow[SLOW_VERDICT_COUNT]; /* verdicts on attempts without an answer */
+  struct counter *slow_left;
   struct counter *resumptions;
   struct counter *resumptions_refused;
   struct histogram *first_byte;
@@ -236,7 +242,29 @@
 /* The call could not be started, so the request has not run there. */
 void job_send_failed (struct forward_job *job, const char *why, int64_t now);
 void job_cancel_call (struct forward_job *job);
-void job_time_out_attempt (struct forward_job *job, int64_t now);
+
+/* Calls the attempt off, counts it as a failure of the target and retries or gives up. */
+void job_abandon_attempt (struct forward_job *job,
+                          const char *why,
+                          enum forward_reason reason,
+                          int64_t now);
+
+/* May the request go to another target after this attempt?  If so, the retry is taken. */
+bool job_may_retry (struct forward_job *job, bool ran, int64_t now);
+
+/* Sends the request to another target.  If stage results were freed already, the stages run again
+ * first. */
+void job_resend (struct forward_job *job, int64_t now);
+void job_log_attempt (const struct forward_job *job, const char *outcome, bool broke, int64_t now);
+
+/* forward_slow.c */
+
+/* Arms the timer for the attempt that was just sent. */
+void job_expect_answer (struct forward_job *job, int64_t now);
+
+/* The attempt has no byte of an answer although one may be expected by now: keeps it, or leaves
+ * it for another target. */
+void job_judge_attempt (struct forward_job *job, int64_t now);
 
 /* forward_stage.c */
 bool job_has_stages (const struct forward_job *job);
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -3,11 +3,6 @@
 #include "log.h"
 #include <jansson.h>
 
-/* An idempotent request without a first byte is sent to another target after this multiple of the
- * target's recent mean latency, but not before this share of its objective. */
-#define FIRST_BYTE_TIMEOUT_FACTOR 4.0
-#define FIRST_BYTE_TIMEOUT_OBJECTIVE_SHARE 0.5
-
 /* Retry-After, in seconds: targets may have registered by then. */
 #define NO_TARGET_RETRY_AFTER_SEC 0.3
 
@@ -43,26 +38,6 @@
   bytes_clear (&inputs);
 }
 
-static int64_t
-first_byte_timeout (const struct forward_job *job)
-{
-  int64_t least = (int64_t) (FIRST_BYTE_TIMEOUT_OBJECTIVE_SHARE * (double) job->route.objective);
-  int64_t usual = (int64_t) (FIRST_BYTE_TIMEOUT_FACTOR * job->target->latency_us);
-
-  return usual > least ? usual : least;
-}
-
-static void
-arm_timer (struct forward_job *job, int64_t now)
-{
-  int64_t due = job->deadline;
-
-  if (job->route.kind == ROUTE_IDEMPOTENT && job->runs < job->route.attempts
-      && now + first_byte_timeout (job) < due)
-    due = now + first_byte_timeout (job);
-  timer_arm (loop_timers (job->forward->config.loop), &job->timer, due);
-}
-
 static void
 log_choice (const struct forward_job *job, int64_t now)
 {
@@ -124,6 +99,7 @@
   job->call.ops = &job_call_ops;
   job->call.no_body = job->exchange->head->method == HTTP_HEAD;
   balance_started (config->balance, job->target, BALANCE_REQUEST, now);
+  slow_target_sent (&job->target->slow, now);
   job_run_began (job);
   log_choice (job, now);
   if (job->prompt.present)
@@ -135,7 +111,7 @@
   bytes_clear (&message);
   if (status == STATUS_OK)
     {
-      arm_timer (job, now);
+      job_expect_answer (job, now);
       if (job_has_stages (job))
         job_expect_fetch (job, &job->fetched_at, now);
       return;
