--- a/tests/unit_h1_endless.cc
+++ b/tests/unit_h1_endless.cc
@@ -178,6 +178,25 @@
       run_until (loop, [&] { return !h1_client_has_idle (client, target->address ().c_str ()); }));
 }
 
+// Guards against a keep-alive time that no integer holds: the connection is kept for a bounded
+// time, or not at all.
+TEST_F (H1Endless, KeepAliveTimesOutOfRangeAreNotBelieved)
+{
+  for (const char *time : { "1e300", "inf", "nan", "-1e300", "-5" })
+    {
+      h1_probe probe (loop);
+      bool keeps = time[0] == '1' || time[0] == 'i';
+
+      start (probe, true);
+      target->say (std::string ("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=") + time
+                   + "\r\nContent-Length: 2\r\n\r\nab");
+      ASSERT_TRUE (probe.wait ()) << time;
+      EXPECT_EQ (probe.end, H1_END_WHOLE) << time;
+      EXPECT_EQ (h1_client_has_idle (client, target->address ().c_str ()), keeps) << time;
+      h1_client_close_idle (client, target->address ().c_str ());
+    }
+}
+
 // Guards against limits that hurt valid answers: informational responses before a slow answer,
 // small chunks with extensions, a trailer.
 TEST_F (H1Endless, ValidAnswersAreNotLimited)
