--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -31,6 +31,10 @@
 /* Timeout of a connection attempt to a target. */
 #define TARGET_CONNECT_TIMEOUT (1000 * USEC_PER_MSEC)
 
+/* Share of the host's memory that incomplete answers of targets may take; the rest is for requests,
+ * connections and answers on their way to clients. */
+#define HELD_MEMORY_SHARE 0.25
+
 struct entry_host
 {
   struct role_base base;
@@ -394,6 +398,7 @@
     .loop = host->base.loop,
     .counters = host->base.counters,
     .connect_timeout = TARGET_CONNECT_TIMEOUT,
+    .held_max = (uint64_t) (HELD_MEMORY_SHARE * (double) host->base.settings.memory_bytes),
   };
 
   host->reach_listener.ops = &reach_ops;
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -364,6 +364,9 @@
   if (client == NULL)
     return NULL;
   client->loop = config->loop;
+  client->held_max = config->held_max == 0 || config->held_max > H1_HELD_BYTES_MAX
+                         ? H1_HELD_BYTES_MAX
+                         : config->held_max;
   client->connect_timeout = config->connect_timeout;
   client->trust = config->trust;
   client->paths = config->paths;
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -108,6 +108,7 @@
   int64_t connect_timeout;        /* microseconds */
   const struct tls_trust *trust;  /* NULL for plain connections */
   struct h1_path_listener *paths; /* NULL for none */
+  uint64_t held_max;              /* bytes, at most H1_HELD_BYTES_MAX; 0: that */
 };
 
 struct h1_client *h1_client_new (void *parent, const struct h1_client_config *config);
--- a/src/h1_client_answer.c
+++ b/src/h1_client_answer.c
@@ -108,7 +108,7 @@
 {
   client->held = client->held - *held + bytes;
   *held = bytes;
-  while (client->held > H1_HELD_BYTES_MAX)
+  while (client->held > client->held_max)
     end_later (find_largest (client), now);
   gauge_set (client->held_gauge, (double) client->held);
 }
--- a/src/h1_client_private.h
+++ b/src/h1_client_private.h
@@ -53,6 +53,7 @@
   struct counter *opened;
   struct counter *reused;
   size_t held; /* by all running calls, with their heads; bytes */
+  size_t held_max;
   struct counter *foreign;
   struct counter *rejected;
   struct counter *overdrawn;
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -36,6 +36,7 @@
   uint32_t n_seeds;
   char seeds[ROLE_SEEDS_MAX][ROUTING_NAME_SIZE]; /* peer addresses of controllers */
   uint32_t connections_max;
+  uint64_t memory_bytes; /* that the process may use; 0: not stated */
 
   /* An entry host. */
   char client_address[ROUTING_NAME_SIZE];
