Play slow answers on real processes; refusals are no answers

A refusal ends in far less time than an answer takes, so it no longer counts as one where a target's silence is judged.

--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -45,7 +45,8 @@
   report_call_end (job, now);
   job_run_ended (job);
   note_silence_ended (job);
-  if (!failed && first >= 0)
+  /* A refusal shows nothing of the time that answers take. */
+  if (!failed && !job->not_run && first >= 0)
     slow_target_learn (&job->target->slow, job->sent_at, first);
   balance_ended (job->target, failed, failed ? -1 : first, now);
   job->target = NULL;
