--- a/tests/unit_pool_reach.cc
+++ b/tests/unit_pool_reach.cc
@@ -46,6 +46,17 @@
   EXPECT_FALSE (is_lost (5, 300 * MSEC, 5000 * MSEC));
 }
 
+// Guards against a pool that is lost by targets that are no longer in use, as evacuated ones.
+TEST_F (PoolReachTest, ForgetsTargetsThatAreNotInUse)
+{
+  fail (1, 3, 0);
+  pool_reach_forget (&reach, 1);
+  pool_reach_forget (&reach, 3);
+  EXPECT_FALSE (pool_reach_is_unreachable (&reach, 1));
+  EXPECT_TRUE (pool_reach_is_unreachable (&reach, 2));
+  EXPECT_FALSE (is_lost (5, 300 * MSEC, 5000 * MSEC));
+}
+
 // Guards against callers sent elsewhere as all targets of a pool are down.
 TEST_F (PoolReachTest, IsNotLostWhileNoTargetRenews)
 {
--- a/tests/unit_target_watch.cc
+++ b/tests/unit_target_watch.cc
@@ -141,6 +141,22 @@
   EXPECT_EQ (heard.fates.size (), 1u);
 }
 
+// Guards against probes of a target whose failure domain is evacuated while it is watched.
+TEST_F (TargetWatch, ProbesNoEvacuatedTarget)
+{
+  const struct balance_target *watched = target ("t1", "127.0.0.1:1", 1, now);
+
+  registry_find (registry, "t1")->evacuated = true;
+  target_watch_connection_broke (watch, watched, now);
+  for (int i = 0; i < 10; i++)
+    {
+      loop_run_once (loop, 0);
+      pass (TARGET_WATCH_PERIOD);
+    }
+  EXPECT_TRUE (target_watch_is_watched (watch, watched->id_hash));
+  EXPECT_TRUE (heard.fates.empty ());
+}
+
 // Connections are reset while their target keeps running: that does not count as its end, however
 // many there are.
 TEST_F (TargetWatch, ReportsNoEndOfATargetThatGoesOn)
