--- a/tests/unit_cold_limit.cc
+++ b/tests/unit_cold_limit.cc
@@ -192,7 +192,7 @@
   EXPECT_GT (all.n_cold, 100u);
   EXPECT_GT (all.n_refused, 100u);
   for (struct balance_target *at = balance->targets; at != nullptr; at = at->next)
-    while (balance_may_send (balance, at, BALANCE_REQUEST, all.now))
+    for (int i = 0; i < 10 && balance_may_send (balance, at, BALANCE_REQUEST, all.now); i++)
       balance_started (balance, at, BALANCE_REQUEST, all.now);
   struct balance_pool_limits limits =
       balance_read_limits (balance, cold::POOL, BALANCE_REQUEST, all.now);
