Leave out only outliers of starts under overload

Where all warm targets were at the limit of starts, hosts chose those with about the fewest. Hosts that did not know a target to be cold saw it as the one with the fewest, since those that knew sent it less, and turned to it: with 48 of 140 targets cold and 3,000 requests a second up to 42 in a second at a cold target. The replays run at loads at which they fail if a part is left out.

--- a/src/balance.h
+++ b/src/balance.h
@@ -218,8 +218,15 @@
 void balance_started_elsewhere (struct balance *balance, uint64_t id_hash, int64_t now);
 
 /* Of candidates of one pool, leaves out warm ones at which B / 2 requests were started within the
- * last second (cold_limit.h), for the load of targets that turn cold unannounced.  If all warm ones
- * are there, those with about the fewest starts stay.  Returns their number. */
+ * last second (cold_limit.h), for the load of targets that turn cold unannounced.  Returns their
+ * number.
+ *
+ * If more than half of the warm ones are there, only those with a quarter more than the mean are
+ * left out, for the load of an overload: hosts learn
+ * of each other's starts 15 to 45 ms late and would all turn to the few that are left, and those
+ * are the ones that hosts which know them to be cold send less to.  With 48 of 140 targets cold and
+ * 3,000 requests a second, choosing those with the fewest starts gave up to 42 in a second at a
+ * cold one, choosing by cost 15. */
 uint32_t balance_spread_starts (struct balance_target **candidates, uint32_t n, int64_t now);
 
 /* ---- balance_dump.c ---- */
--- a/src/balance_cold.c
+++ b/src/balance_cold.c
@@ -3,10 +3,9 @@
 #include "text.h"
 #include <string.h>
 
-/* Of targets that are all at the limit of starts, those with this many more than the fewest may be
- * chosen: hosts that learn of each other's starts 15 to 45 ms late would all take the one with the
- * fewest. */
-#define STARTS_TOLERANCE 2
+/* Where more than half of the warm targets are at the limit of starts, those that have this many
+ * times the mean are left out. */
+#define STARTS_OVER_MEAN 1.25
 
 static struct balance_cold_pool *
 find_pool (struct balance *balance, const char *name)
@@ -165,45 +164,40 @@
 /* NOLINTEND(readability-function-size) */
 
 /* The number of starts up to which warm candidates stay. */
-static uint32_t
+static double
 starts_allowed (struct balance_target **candidates, uint32_t n, int64_t now)
 {
-  uint32_t fewest = UINT32_MAX;
+  double half = candidates[0]->cold_pool->rule.bound / 2;
+  double sum = 0;
+  uint32_t n_warm = 0;
+  uint32_t n_reached = 0;
 
   for (uint32_t i = 0; i < n; i++)
     {
-      struct balance_target *target = candidates[i];
-      uint32_t starts = cold_limit_starts (&target->cold, now);
+      uint32_t starts = cold_limit_starts (&candidates[i]->cold, now);
 
-      if (!target->cold.cold && starts < fewest)
-        fewest = starts;
+      if (candidates[i]->cold.cold)
+        continue;
+      n_warm++;
+      sum += starts;
+      n_reached += starts + 1 > half ? 1 : 0;
     }
-  return fewest > UINT32_MAX - STARTS_TOLERANCE ? fewest : fewest + STARTS_TOLERANCE;
+  if (2 * n_reached <= n_warm)
+    return half - 1;
+  return STARTS_OVER_MEAN * sum / n_warm;
 }
 
 uint32_t
 balance_spread_starts (struct balance_target **candidates, uint32_t n, int64_t now)
 {
-  const struct balance_cold_pool *pool = candidates[0]->cold_pool;
-  uint32_t allowed = UINT32_MAX;
+  double allowed;
   uint32_t kept = 0;
-  bool any_below = false;
 
-  if (pool == NULL)
+  if (candidates[0]->cold_pool == NULL)
     return n;
-  for (uint32_t i = 0; i < n && !any_below; i++)
-    any_below = !candidates[i]->cold.cold
-                && !cold_limit_is_reached (&candidates[i]->cold, &pool->rule, now);
-  if (!any_below)
-    allowed = starts_allowed (candidates, n, now);
+  allowed = starts_allowed (candidates, n, now);
   for (uint32_t i = 0; i < n; i++)
-    {
-      struct balance_target *target = candidates[i];
-      bool stays = any_below ? !cold_limit_is_reached (&target->cold, &pool->rule, now)
-                             : cold_limit_starts (&target->cold, now) <= allowed;
-
-      if (target->cold.cold || stays)
-        candidates[kept++] = target;
-    }
+    if (candidates[i]->cold.cold || cold_limit_starts (&candidates[i]->cold, now) <= allowed)
+      candidates[kept++] = candidates[i];
   return kept;
 }
--- a/src/cold_limit.c
+++ b/src/cold_limit.c
@@ -95,9 +95,3 @@
   advance (&limit->starts, now);
   return limit->starts.total;
 }
-
-bool
-cold_limit_is_reached (struct cold_limit *limit, const struct cold_rule *rule, int64_t now)
-{
-  return cold_limit_starts (limit, now) + 1 > rule->bound / 2;
-}
--- a/src/cold_limit.h
+++ b/src/cold_limit.h
@@ -88,9 +88,6 @@
 /* The starts of the last COLD_WINDOW. */
 uint32_t cold_limit_starts (struct cold_limit *limit, int64_t now);
 
-/* Whether one more start would exceed half of the bound. */
-bool cold_limit_is_reached (struct cold_limit *limit, const struct cold_rule *rule, int64_t now);
-
 END_DECLS
 
 #endif
--- a/tests/unit_cold_limit.cc
+++ b/tests/unit_cold_limit.cc
@@ -12,6 +12,11 @@
 // A usual load is 6 requests a second for each of 140 targets.
 constexpr double LOAD = 840;
 
+// Near half of the bound at each target, and one at which warm targets have queues that make cold
+// ones attractive: with these the tests fail if a limit is left out.
+constexpr double RAISED_LOAD = 1050;
+constexpr double HIGH_LOAD = 3000;
+
 // Guards against a bound so small that one request of each of two sets of hosts exceeds it.
 TEST (ColdLimit, NoBoundBelowTwoHasParts)
 {
@@ -73,10 +78,10 @@
     {
       fleet all (seed, 70, 140);
 
-      all.play (2 * USEC_PER_SEC, LOAD);
+      all.play (2 * USEC_PER_SEC, HIGH_LOAD);
       for (size_t i = 0; i < 48; i++)
         all.turn_cold (all.targets[i], 3 * USEC_PER_SEC, 1, 600 * USEC_PER_MSEC);
-      all.play (4 * USEC_PER_SEC, LOAD);
+      all.play (4 * USEC_PER_SEC, HIGH_LOAD);
       EXPECT_LE (static_cast<double> (all.most ()), BOUND) << seed;
       EXPECT_EQ (all.n_refused, 0u) << seed;
       printf ("seed %d: most in a second %zu, %zu of %zu at cold targets\n", (int) seed,
@@ -141,11 +146,11 @@
     {
       fleet all (seed, 70, 140);
 
-      all.play (2 * USEC_PER_SEC, LOAD);
+      all.play (2 * USEC_PER_SEC, RAISED_LOAD);
       for (size_t i = 0; i < 20; i++)
         all.turn_cold (all.targets[i], 4 * USEC_PER_SEC, 1500 * USEC_PER_MSEC,
                        2000 * USEC_PER_MSEC);
-      all.play (4 * USEC_PER_SEC, LOAD);
+      all.play (4 * USEC_PER_SEC, RAISED_LOAD);
       EXPECT_LE (static_cast<double> (all.most ()), BOUND) << seed;
       EXPECT_EQ (all.n_refused, 0u) << seed;
       printf ("seed %d: most in a second %zu\n", (int) seed, all.most ());
