Refuse a held part of prompts also where a pool has been silent at this host

Now a host refuses held parts of a silent pool unless more than eight are held (its targets then crash under anything), and none of a pool that has given it no answer since its start. The test of pools that answer nothing is replaced by one for each of the two states.

--- a/bench/quarantine_fleet_feature.c
+++ b/bench/quarantine_fleet_feature.c
@@ -71,15 +71,15 @@
   return node->allows_trials && node == &node->fleet->nodes[hash % node->fleet->config->hosts];
 }
 
-static bool
-pool_answers (struct quarantine_view *view, const char *pool, int64_t now)
+static enum proven_pool
+get_pool (struct quarantine_view *view, const char *pool, int64_t now)
 {
-  return proven_parts_pool_answers (CONTAINER_OF (view, struct node, view)->proven, pool, now);
+  return proven_parts_pool (CONTAINER_OF (view, struct node, view)->proven, pool, now);
 }
 
 const struct quarantine_view_ops fleet_view_ops = {
   .cleared_until = cleared_until,
-  .pool_answers = pool_answers,
+  .pool = get_pool,
   .is_trial_host = is_trial_host,
 };
 
@@ -159,8 +159,12 @@
   for (uint32_t i = 0; table_of (run) != NULL && i < run->n_features; i++)
     {
       const struct request_digest *digest = &run->features[i].digest;
+      const struct proven_parts *proven = run->host->proven;
+      uint64_t part;
 
-      if (!proven_parts_may_blame (run->host->proven, FLEET_POOL, digest, run->broke_at))
+      if (run->broke_at <= proven_parts_cleared_until (proven, digest)
+          || (request_digest_is_part (digest, &part)
+              && !proven_parts_may_blame (proven, FLEET_POOL, digest, run->broke_at)))
         continue;
       learnt.digest = *digest;
       quarantine_control_learn (run->host->control, &learnt, now);
--- a/src/proven_parts.c
+++ b/src/proven_parts.c
@@ -91,10 +91,12 @@
          && (answered == 0 || at - answered <= PROVEN_PARTS_TTL);
 }
 
-bool
-proven_parts_pool_answers (const struct proven_parts *proven, const char *pool, int64_t now)
+enum proven_pool
+proven_parts_pool (const struct proven_parts *proven, const char *pool, int64_t now)
 {
   int64_t answered = last (proven, key_of_pool (pool));
 
-  return answered != 0 && now - answered <= PROVEN_PARTS_TTL;
+  if (answered == 0)
+    return PROVEN_POOL_UNKNOWN;
+  return now - answered <= PROVEN_PARTS_TTL ? PROVEN_POOL_ANSWERS : PROVEN_POOL_SILENT;
 }
--- a/src/proven_parts.h
+++ b/src/proven_parts.h
@@ -41,9 +41,17 @@
                              const struct request_digest *part,
                              int64_t at);
 
-/* Whether targets of the pool have answered lately, so that crashes under a part tell of the part.
- */
-bool proven_parts_pool_answers (const struct proven_parts *proven, const char *pool, int64_t now);
+/* What this host knows of a pool. */
+enum proven_pool
+{
+  PROVEN_POOL_UNKNOWN, /* it has given no answer since this host started */
+  PROVEN_POOL_SILENT,  /* nor has it for PROVEN_PARTS_TTL */
+  PROVEN_POOL_ANSWERS,
+};
+
+enum proven_pool proven_parts_pool (const struct proven_parts *proven,
+                                    const char *pool,
+                                    int64_t now);
 
 END_DECLS
 
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -22,6 +22,7 @@
 #define QUARANTINE_H
 
 #include "decls.h"
+#include "proven_parts.h"
 #include "request_digest.h"
 #include "routing.h"
 #include "usec.h"
@@ -36,6 +37,10 @@
 /* A feature whose crashes another one explains is held all the same from this many on. */
 #define QUARANTINE_EXPLAINED_CRASHES_MAX 6
 
+/* Where this host sees a pool answer nothing, it refuses no part of its prompts while more of them
+ * than this are held: its targets crash under anything. */
+#define QUARANTINE_HELD_PARTS_MAX 8
+
 /* Crashes stored per feature, retracted ones included. */
 #define QUARANTINE_CRASHES_MAX 8
 
@@ -158,9 +163,7 @@
   /* Crashes up to this time are no evidence against the feature. */
   int64_t (*cleared_until) (struct quarantine_view *view, const struct request_digest *feature);
 
-  /* Whether targets of the pool have answered lately.  Where they do not, no part is refused: they
-   * may crash under any. */
-  bool (*pool_answers) (struct quarantine_view *view, const char *pool, int64_t now);
+  enum proven_pool (*pool) (struct quarantine_view *view, const char *pool, int64_t now);
 
   /* Whether this host makes the trials of the feature. */
   bool (*is_trial_host) (struct quarantine_view *view, const struct request_digest *feature);
--- a/src/quarantine_entry.c
+++ b/src/quarantine_entry.c
@@ -71,17 +71,17 @@
   return quarantine_evidence_cleared_until (entry->evidence, feature);
 }
 
-static bool
-pool_answers (struct quarantine_view *view, const char *pool, int64_t now)
+static enum proven_pool
+get_pool (struct quarantine_view *view, const char *pool, int64_t now)
 {
   const struct quarantine_entry *entry = CONTAINER_OF (view, struct quarantine_entry, view);
 
-  return quarantine_evidence_pool_answers (entry->evidence, pool, now);
+  return quarantine_evidence_pool (entry->evidence, pool, now);
 }
 
 static const struct quarantine_view_ops view_ops = {
   .cleared_until = cleared_until,
-  .pool_answers = pool_answers,
+  .pool = get_pool,
   .is_trial_host = is_trial_host,
 };
 
--- a/src/quarantine_evidence.c
+++ b/src/quarantine_evidence.c
@@ -65,12 +65,10 @@
   return proven_parts_cleared_until (evidence->proven, feature);
 }
 
-bool
-quarantine_evidence_pool_answers (const struct quarantine_evidence *evidence,
-                                  const char *pool,
-                                  int64_t now)
+enum proven_pool
+quarantine_evidence_pool (const struct quarantine_evidence *evidence, const char *pool, int64_t now)
 {
-  return proven_parts_pool_answers (evidence->proven, pool, now);
+  return proven_parts_pool (evidence->proven, pool, now);
 }
 
 /* Whether a crash is evidence against a feature of the run. */
--- a/src/quarantine_evidence.h
+++ b/src/quarantine_evidence.h
@@ -92,10 +92,9 @@
 int64_t quarantine_evidence_cleared_until (const struct quarantine_evidence *evidence,
                                            const struct request_digest *feature);
 
-/* Whether targets of the pool have answered lately. */
-bool quarantine_evidence_pool_answers (const struct quarantine_evidence *evidence,
-                                       const char *pool,
-                                       int64_t now);
+enum proven_pool quarantine_evidence_pool (const struct quarantine_evidence *evidence,
+                                           const char *pool,
+                                           int64_t now);
 
 /* Whether the fate of some run's target is not known yet. */
 bool quarantine_evidence_is_pending (const struct quarantine_evidence *evidence);
--- a/src/quarantine_judge.c
+++ b/src/quarantine_judge.c
@@ -117,6 +117,36 @@
     }
 }
 
+/* The parts of the pool's prompts that are held, `part` among them. */
+static uint32_t
+count_held_parts (const struct question *question, const struct quarantine_suspect *part)
+{
+  const struct quarantine_suspect *at;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; (at = quarantine_at (question->quarantine, i)) != NULL; i++)
+    n += is_part (at) && request_parts_share_pool (&at->digest, &part->digest)
+                 && quarantine_count_crashes (at, question->now) >= QUARANTINE_CRASH_THRESHOLD
+             ? 1
+             : 0;
+  return n;
+}
+
+/* Targets that answer nothing may crash under any part. */
+static bool
+may_be_refused (const struct question *question, const struct quarantine_suspect *suspect)
+{
+  struct quarantine_view *view = question->view;
+  enum proven_pool pool;
+
+  if (!is_part (suspect))
+    return true;
+  pool = view->ops->pool (view, question->pool, question->now);
+  if (pool == PROVEN_POOL_SILENT)
+    return count_held_parts (question, suspect) <= QUARANTINE_HELD_PARTS_MAX;
+  return pool == PROVEN_POOL_ANSWERS;
+}
+
 static enum quarantine_verdict
 judge_feature (const struct question *question,
                const struct quarantine_suspect *suspect,
@@ -127,8 +157,7 @@
   bool is_trial_host;
 
   *n_crashes = quarantine_count_crashes (&viewed, question->now);
-  if (*n_crashes < QUARANTINE_CRASH_THRESHOLD
-      || (is_part (suspect) && !view->ops->pool_answers (view, question->pool, question->now)))
+  if (*n_crashes < QUARANTINE_CRASH_THRESHOLD || !may_be_refused (question, suspect))
     return verdict_below_threshold (&viewed, *n_crashes);
   retract_explained (question, &viewed);
   if (quarantine_count_crashes (&viewed, question->now) < QUARANTINE_CRASH_THRESHOLD)
--- a/src/request_digest.c
+++ b/src/request_digest.c
@@ -89,6 +89,14 @@
   sodium_bin2hex (out, REQUEST_DIGEST_TEXT_SIZE, digest->bytes, REQUEST_DIGEST_SIZE);
 }
 
+bool
+request_parts_share_pool (const struct request_digest *a, const struct request_digest *b)
+{
+  size_t pool = MARK_SIZE + NUMBER_SIZE;
+
+  return memcmp (a->bytes + pool, b->bytes + pool, REQUEST_DIGEST_SIZE - pool) == 0;
+}
+
 void
 request_digest_format_part (const struct request_digest *digest, char out[REQUEST_PART_TEXT_SIZE])
 {
--- a/src/request_digest.h
+++ b/src/request_digest.h
@@ -51,6 +51,9 @@
 void request_digest_format (const struct request_digest *digest,
                             char out[REQUEST_DIGEST_TEXT_SIZE]);
 
+/* Whether two keys of parts are of one pool. */
+bool request_parts_share_pool (const struct request_digest *a, const struct request_digest *b);
+
 /* The number of a part in hexadecimal digits; "" for the digest of a request. */
 void request_digest_format_part (const struct request_digest *digest,
                                  char out[REQUEST_PART_TEXT_SIZE]);
--- a/tests/unit_quarantine_control.cc
+++ b/tests/unit_quarantine_control.cc
@@ -166,7 +166,7 @@
         [] (struct quarantine_view *base, const struct request_digest *) {
           return static_cast<seen *> (base)->until;
         },
-    .pool_answers = [] (struct quarantine_view *, const char *, int64_t) { return true; },
+    .pool = [] (struct quarantine_view *, const char *, int64_t) { return PROVEN_POOL_ANSWERS; },
     .is_trial_host = [] (struct quarantine_view *, const struct request_digest *) { return false; },
   };
 
--- a/tests/unit_quarantine_judge.cc
+++ b/tests/unit_quarantine_judge.cc
@@ -46,7 +46,7 @@
   struct test_view : quarantine_view
   {
     std::map<std::string, int64_t> cleared_until;
-    bool pool_answers = true;
+    enum proven_pool pool = PROVEN_POOL_ANSWERS;
     std::vector<std::string> trials; // features whose trials this host makes
   } view;
   void *parent = talloc_new (nullptr);
@@ -64,8 +64,8 @@
 
             return found == self->cleared_until.end () ? INT64_MIN : found->second;
           },
-      .pool_answers = [] (struct quarantine_view *base, const char *,
-                          int64_t) { return static_cast<test_view *> (base)->pool_answers; },
+      .pool = [] (struct quarantine_view *base, const char *,
+                  int64_t) { return static_cast<test_view *> (base)->pool; },
       .is_trial_host =
           [] (struct quarantine_view *base, const struct request_digest *feature) {
             auto *self = static_cast<test_view *> (base);
@@ -228,18 +228,34 @@
   EXPECT_EQ (verdict ({ 9, BAD }), QUARANTINE_PASS);
 }
 
-// Targets may crash under any request there.
-TEST_F (QuarantineJudge, RefusesNoPartWhereThePoolAnswersNothing)
+// Its targets may crash under any request.
+TEST_F (QuarantineJudge, RefusesNoPartWhereThePoolIsNotKnownToAnswer)
 {
   for (int i = 0; i < QUARANTINE_CRASH_THRESHOLD; i++)
     crash ({ 1, A });
-  view.pool_answers = false;
+  view.pool = PROVEN_POOL_UNKNOWN;
   EXPECT_EQ (verdict ({ 9, A }), QUARANTINE_ISOLATE);
   suspect (A)->n_running = 1;
   EXPECT_EQ (verdict ({ 9, A }), QUARANTINE_WAIT);
   EXPECT_EQ (verdict ({ 1, A }), QUARANTINE_REFUSE);
 }
 
+// A host that seldom has requests for the pool refuses a held part, unless the pool's targets crash
+// under anything.
+TEST_F (QuarantineJudge, RefusesAPartOfASilentPoolUnlessManyAreHeld)
+{
+  view.pool = PROVEN_POOL_SILENT;
+  for (int part = 200; part < 200 + QUARANTINE_HELD_PARTS_MAX; part++)
+    for (int i = 0; i < QUARANTINE_CRASH_THRESHOLD; i++)
+      crash ({ part });
+  EXPECT_EQ (verdict ({ 9, 200 }), QUARANTINE_REFUSE);
+  for (int i = 0; i < QUARANTINE_CRASH_THRESHOLD; i++)
+    crash ({ 300 });
+  EXPECT_EQ (verdict ({ 9, 200 }), QUARANTINE_ISOLATE);
+  view.pool = PROVEN_POOL_ANSWERS;
+  EXPECT_EQ (verdict ({ 9, 200 }), QUARANTINE_REFUSE);
+}
+
 // Two requests crash targets by their content, often the same ones.
 TEST_F (QuarantineJudge, RefusesRequestsThatCrashTheSameTargets)
 {
@@ -403,13 +419,13 @@
   struct request_digest a = digest_of (A);
 
   EXPECT_TRUE (proven_parts_may_blame (proven, "p", &a, START));
-  EXPECT_FALSE (proven_parts_pool_answers (proven, "p", START));
+  EXPECT_EQ (proven_parts_pool (proven, "p", START), PROVEN_POOL_UNKNOWN);
   proven_parts_note_pool (proven, "p", START);
   EXPECT_TRUE (proven_parts_may_blame (proven, "p", &a, START + PROVEN_PARTS_TTL));
-  EXPECT_TRUE (proven_parts_pool_answers (proven, "p", START + PROVEN_PARTS_TTL));
+  EXPECT_EQ (proven_parts_pool (proven, "p", START + PROVEN_PARTS_TTL), PROVEN_POOL_ANSWERS);
   EXPECT_FALSE (proven_parts_may_blame (proven, "p", &a, START + PROVEN_PARTS_TTL + 1));
-  EXPECT_FALSE (proven_parts_pool_answers (proven, "p", START + PROVEN_PARTS_TTL + 1));
-  EXPECT_FALSE (proven_parts_pool_answers (proven, "q", START));
+  EXPECT_EQ (proven_parts_pool (proven, "p", START + PROVEN_PARTS_TTL + 1), PROVEN_POOL_SILENT);
+  EXPECT_EQ (proven_parts_pool (proven, "q", START), PROVEN_POOL_UNKNOWN);
 }
 
 // Prompts bring ever new parts: those that come again stay.
