--- a/src/evacuation_api.c
+++ b/src/evacuation_api.c
@@ -16,7 +16,7 @@
 {
   struct evacuation_call call;
   struct h1_exchange *exchange;
-  evacuation_reply *reply;
+  const struct evacuation_api_ops *ops;
 };
 
 static void
@@ -32,9 +32,9 @@
 
   (void) now;
   order->exchange->user = NULL;
-  order->reply (order->exchange, statuses[result],
-                result == EVACUATION_RESULT_UNAVAILABLE ? RETRY_AFTER_FIELD : NULL,
-                result == EVACUATION_RESULT_DONE ? NULL : evacuation_result_text (result));
+  order->ops->reply (order->exchange, statuses[result],
+                     result == EVACUATION_RESULT_UNAVAILABLE ? RETRY_AFTER_FIELD : NULL,
+                     result == EVACUATION_RESULT_DONE ? NULL : evacuation_result_text (result));
   talloc_free (order);
 }
 
@@ -56,7 +56,7 @@
                       const char *name,
                       size_t length,
                       bool begins,
-                      evacuation_reply *reply,
+                      const struct evacuation_api_ops *ops,
                       int64_t now)
 {
   char domain[ROUTING_NAME_SIZE];
@@ -64,30 +64,30 @@
 
   if (exchange->head->method != HTTP_POST)
     {
-      reply (exchange, HTTP_STATUS_METHOD_NOT_ALLOWED, ALLOW_FIELD, "only POST");
+      ops->reply (exchange, HTTP_STATUS_METHOD_NOT_ALLOWED, ALLOW_FIELD, "only POST");
       return;
     }
   if (exchange->body->length > 0)
     {
-      reply (exchange, HTTP_STATUS_BAD_REQUEST, NULL, "the call has no body");
+      ops->reply (exchange, HTTP_STATUS_BAD_REQUEST, NULL, "the call has no body");
       return;
     }
   if (!copy_name (name, length, domain))
     {
-      reply (exchange, HTTP_STATUS_BAD_REQUEST, NULL,
-             "the name of a domain is expected, not encoded");
+      ops->reply (exchange, HTTP_STATUS_BAD_REQUEST, NULL,
+                  "the name of a domain is expected, not encoded");
       return;
     }
   order = control == NULL ? NULL : talloc_zero (control, struct order_call);
   if (order == NULL)
     {
-      reply (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_FIELD,
-             evacuation_result_text (EVACUATION_RESULT_UNAVAILABLE));
+      ops->reply (exchange, HTTP_STATUS_SERVICE_UNAVAILABLE, RETRY_AFTER_FIELD,
+                  evacuation_result_text (EVACUATION_RESULT_UNAVAILABLE));
       return;
     }
   order->call.ops = &order_ops;
   order->exchange = exchange;
-  order->reply = reply;
+  order->ops = ops;
   exchange->user = order;
   evacuation_control_order (control, &order->call, domain, begins, now);
 }
@@ -123,6 +123,8 @@
                               : json_pack ("{s:{s:s}}", "error", "message", message));
 }
 
+static const struct evacuation_api_ops metrics_ops = { .reply = reply_order };
+
 bool
 evacuation_api_serve_metrics (struct evacuation_control *control,
                               struct h1_exchange *exchange,
@@ -139,7 +141,7 @@
   else if (begins || finishes)
     {
       name = target + strlen (begins ? PATH_BEGIN : PATH_FINISH);
-      evacuation_api_order (control, exchange, name, strlen (name), begins, reply_order, now);
+      evacuation_api_order (control, exchange, name, strlen (name), begins, &metrics_ops, now);
     }
   else
     return false;
--- a/src/evacuation_api.h
+++ b/src/evacuation_api.h
@@ -8,12 +8,16 @@
 
 BEGIN_DECLS
 
-/* Answers a call in the format of its interface.  `fields` are header lines or NULL; `message` is
- * NULL for a success. */
-typedef void evacuation_reply (struct h1_exchange *exchange,
-                               unsigned status,
-                               const char *fields,
-                               const char *message);
+/* An interface that takes orders. */
+struct evacuation_api_ops
+{
+  /* Answers a call in the format of the interface.  `fields` are header lines or NULL; `message` is
+   * NULL for a success. */
+  void (*reply) (struct h1_exchange *exchange,
+                 unsigned status,
+                 const char *fields,
+                 const char *message);
+};
 
 /* Takes the call of an order for the domain that `name`, of `length` bytes, names.  `control` may
  * be NULL while the controller starts. */
@@ -22,7 +26,7 @@
                            const char *name,
                            size_t length,
                            bool begins,
-                           evacuation_reply *reply,
+                           const struct evacuation_api_ops *ops,
                            int64_t now);
 
 /* The caller of an order disconnected. */
