--- a/src/engine_broadcast.c
+++ b/src/engine_broadcast.c
@@ -120,9 +120,9 @@
   return &relay_hosts[(*n)++];
 }
 
-/* Send the starts to the hosts with which this host does not exchange all events: to one host of
- * each domain.  Only that host gets a relay message: if all hosts of a domain got one, each would
- * send it to all others. */
+/* Send the starts to the hosts of other domains.  In a large fleet they go to one host of each
+ * domain, as messages to every host grow with the square of the number of hosts.  Only that host
+ * gets a relay message: if all hosts of a domain got one, each would send it to all others. */
 static void
 send_far (struct engine_broadcast *broadcast)
 {
@@ -143,7 +143,9 @@
       if (subscriber_is_self (broadcast->config.subscriber, host)
           || exchanges_all_events (broadcast, view, host))
         continue;
-      relay_host = relay_host_of (relay_hosts, &n, host->domain);
+      relay_host = view->n <= ENGINE_BROADCAST_DIRECT_HOSTS_MAX
+                       ? NULL
+                       : relay_host_of (relay_hosts, &n, host->domain);
       if (relay_host == NULL)
         send_to (broadcast, host, &single);
       else if (relay_host->host == NULL || score > relay_host->score)
--- a/src/engine_broadcast.h
+++ b/src/engine_broadcast.h
@@ -17,11 +17,16 @@
  * for each event would cost more than it is worth. */
 #define ENGINE_BROADCAST_DELAY (15 * USEC_PER_MSEC)
 
-/* Up to this many entry hosts, all events go to all hosts.  Messages grow with the square of the
- * number of hosts, so beyond it beginnings and ends go to the hosts of the same failure domain, and
- * a start goes to these and to one host of each other domain, which relays it.  The other hosts
- * estimate beginnings and ends from the expected waits. */
-#define ENGINE_BROADCAST_ALL_EVENTS_HOSTS_MAX 96
+/* Up to this many entry hosts, all events go to all hosts.  Beyond it only starts do, so that all
+ * know which engine holds a shared part; beginnings and ends go to the hosts of the same failure
+ * domain, as messages grow with the square of the number of hosts.  Hosts to which they are not
+ * sent estimate them from the expected waits. */
+#define ENGINE_BROADCAST_ALL_EVENTS_HOSTS_MAX 24
+
+/* Up to this many entry hosts, a start goes to every host.  Beyond it a start goes to the hosts of
+ * the same domain and to one host of each other domain, which relays it: sent to every host, starts
+ * alone would be most of a host's work. */
+#define ENGINE_BROADCAST_DIRECT_HOSTS_MAX 96
 
 /* Starts to relay are batched for this long: one message then carries those of all hosts of other
  * domains.  Until the controllers announce that a relaying host has left or died, its domain misses
