Log how late the loop goes on, and how late requests end

The logs could not tell a host out of processor time from one that waits for something: nothing said how late the loop was, nor by how much a request missed its deadline.

Now loop-late lines (timers that run 250 ms late or more) and late_ms in request-ended.

--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -37,7 +37,7 @@
   counter_add (forward->reasons[reason], 1);
   log_event (
       LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-ended",
-      "{s:s,s:s,s:s,s:s,s:i,s:b,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:i,s:s,s:s}", "id", job->facts.id,
+      "{s:s,s:s,s:s,s:s,s:i,s:b,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:s,s:s}", "id", job->facts.id,
       "route", job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
       (int) client_response.status, "whole", client_response.whole, "age_ms",
       (json_int_t) (job->age / USEC_PER_MSEC), "version", (json_int_t) job->version,
@@ -45,7 +45,11 @@
       (int) job->sends, "runs", (int) job->runs, "stages_us",
       (json_int_t) (job->stages_done == 0 ? -1 : job->stages_done - job->arrived), "first_us",
       (json_int_t) (job->first_byte_at == 0 ? -1 : job->first_byte_at - job->arrived), "took_us",
-      (json_int_t) (now - job->arrived), "events", (int) job->stream.events, "resumes",
+      (json_int_t) (now - job->arrived), "late_ms",
+      (json_int_t) (job->deadline != 0 && now > job->deadline
+                        ? (now - job->deadline) / USEC_PER_MSEC
+                        : 0),
+      "events", (int) job->stream.events, "resumes",
       job->facts.resumes, "resumes_after", job->facts.last_event);
 }
 
--- a/src/loop.c
+++ b/src/loop.c
@@ -1,7 +1,9 @@
 /* Event loop of the process: the libwebsockets poll loop, woken in time for the earliest timer. */
 #include "loop.h"
 #include "container.h"
+#include "log.h"
 #include <errno.h>
+#include <jansson.h>
 #include <libwebsockets.h>
 #include <signal.h>
 #include <string.h>
@@ -28,6 +30,9 @@
 /* Timeout of lws for an incomplete handshake or header. */
 #define LOOP_HANDSHAKE_TIMEOUT_SECONDS 10
 
+/* Timers that run later than this are logged. */
+#define LOOP_LATE_MIN (250 * USEC_PER_MSEC)
+
 struct loop
 {
   struct lws_context *context;
@@ -397,11 +402,23 @@
     }
 }
 
+/* `due`: when the process was to go on at the latest.  While it is late, answers and messages of
+ * other hosts wait as well: too much work for the processor that it gets, or one long computation.
+ */
+static void
+log_if_late (int64_t due, int64_t now)
+{
+  if (now - due >= LOOP_LATE_MIN)
+    log_event (LOG_MODULE_HOST, LOG_LEVEL_WARNING, "loop-late", "{s:I}", "late_ms",
+               (json_int_t) ((now - due) / USEC_PER_MSEC));
+}
+
 static void
 run_once (struct loop *loop, int64_t latest)
 {
   int64_t next = timer_service_next_due (loop->timers);
   int64_t now = loop_now (loop);
+  int64_t due = next > now ? next : now;
 
   if (next > latest)
     next = latest;
@@ -412,7 +429,9 @@
   if (lws_service (loop->context, 0) < 0)
     loop->stopped = true;
   request_deferred_writable (loop);
-  timer_service_run (loop->timers, loop_now (loop));
+  now = loop_now (loop);
+  log_if_late (due, now);
+  timer_service_run (loop->timers, now);
 }
 
 void
