Test that entry hosts are told of a leave before it is acknowledged

Fails on this code: a controller acknowledges that a target leaves as soon as a majority of controllers holds that (1 to 3 ms), and tells entry hosts up to 5 ms after it learned of it. Leaves are held in memory. If all controllers end in between, entry hosts that live on send to the target until its lease expires, 4.8 s with heartbeats of 1.2 s, where 2 to 2.5 s are allowed; one that only deregisters sends no further heartbeat that would tell them.

--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -281,6 +281,39 @@
         bytes_clear (&message);
       }
   }
+
+  // Registers a target, and that it leaves; expects that "e1" was told when that is acknowledged.
+  void
+  leave (const std::string &id, enum registry_state state)
+  {
+    recording_wait wait;
+    std::string address = "a:" + id;
+    struct registry_registration word =
+        make_word (id.c_str (), "p", address.c_str (), REGISTRY_READY, 1);
+    struct sync_state ready = {};
+    struct sync_state left = {};
+    bool acknowledged;
+
+    controller_register (controller, &word, &wait.wait, now);
+    now += 10 * USEC_PER_MSEC;
+    timer_service_run (timers, now);
+    ASSERT_TRUE (last_state ("e1", &ready));
+    word.state = state;
+    word.sequence++;
+    acknowledged = controller_register (controller, &word, &wait.wait, now);
+    for (int i = 0; i < 20 && !acknowledged; i++)
+      {
+        if (i == 0)
+          acknowledge ("c2");
+        else
+          timer_service_run (timers, now += USEC_PER_MSEC);
+        acknowledged = wait.done > 0;
+      }
+    ASSERT_TRUE (acknowledged);
+    EXPECT_EQ (wait.status, STATUS_OK);
+    ASSERT_TRUE (last_state ("e1", &left));
+    EXPECT_GT (left.targets, ready.targets) << id;
+  }
 };
 
 // An entry host asks for versions of targets; a controller sends those that it knows.
@@ -323,6 +356,21 @@
   EXPECT_EQ (wait.done, 1);
 }
 
+// Guards against requests to a target whose leave was acknowledged right before all controllers
+// ended: entry hosts that were not told use it until its lease expires.
+TEST_F (ControllerTest, TellsEntryHostsThatATargetLeavesBeforeItAcknowledgesThat)
+{
+  const std::vector<struct controller_member> groups[] = { members, { { "c1", true } } };
+
+  for (const auto &group : groups)
+    for (enum registry_state state : { REGISTRY_LEAVING, REGISTRY_GONE })
+      {
+        members = group;
+        send_request ("e1", 11);
+        leave ("i" + std::to_string (group.size ()) + std::to_string (state), state);
+      }
+}
+
 // A controller in the minority side of a partition must not acknowledge, so that the target tries
 // another one.
 TEST_F (ControllerTest, DoesNotAcknowledgeALeavingTargetAlone)
