Tell entry hosts that a target leaves before that is acknowledged

What callers saw: requests and stage work at a target whose leave had been acknowledged, until its lease ended, if all controllers ended within 5 ms of the acknowledgement and the entry hosts lived on.

Cause: the acknowledgement waited for a majority of controllers alone, which hold leaves in memory; the message to entry hosts waited for more changes.

Now a scheduled push is sent before the acknowledgement. It does not wait for entry hosts: one that is slow or cut off would hold up all leaves. Pushes are still one message a burst, or one for each leave that a majority holds before its 5 ms have passed.

--- a/src/controller.c
+++ b/src/controller.c
@@ -319,10 +319,8 @@
 /* ---- pushes ---- */
 
 static void
-push_fired (struct timer *timer, int64_t now)
+push (struct controller *controller, int64_t now)
 {
-  struct controller *controller = CONTAINER_OF (timer, struct controller, push_timer);
-
   for (uint32_t i = 0; i < controller->n_hosts; i++)
     {
       struct entry_host_record *host = &controller->hosts[i];
@@ -334,6 +332,12 @@
     }
 }
 
+static void
+push_fired (struct timer *timer, int64_t now)
+{
+  push (CONTAINER_OF (timer, struct controller, push_timer), now);
+}
+
 static const struct timer_ops push_ops = { .fire = push_fired };
 
 void
@@ -343,6 +347,15 @@
     timer_arm (controller->config.timers, &controller->push_timer, now + PUSH_DELAY);
 }
 
+void
+controller_push_pending (struct controller *controller, int64_t now)
+{
+  if (!timer_is_armed (&controller->push_timer))
+    return;
+  timer_disarm (controller->config.timers, &controller->push_timer);
+  push (controller, now);
+}
+
 void
 controller_document_changed (struct controller *controller, int64_t now)
 {
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -114,4 +114,7 @@
 /* Schedules a push of changes to the entry hosts after PUSH_DELAY. */
 void controller_schedule_push (struct controller *controller, int64_t now);
 
+/* Pushes now if a push is scheduled. */
+void controller_push_pending (struct controller *controller, int64_t now);
+
 #endif
--- a/src/controller_target.c
+++ b/src/controller_target.c
@@ -119,7 +119,10 @@
       port->ops->send (port, members[i].name, PEER_CHANNEL_SYNC, out.data, out.length);
   bytes_clear (&out);
   if (wait->acks_needed == 0 && n > 0)
-    return true;
+    {
+      controller_push_pending (controller, now);
+      return true;
+    }
   wait->timer.ops = &wait_ops;
   wait->next = controller->waits;
   controller->waits = wait;
@@ -141,8 +144,9 @@
   return n == 1 || now - controller->started_at < CONTROLLER_START_GRACE;
 }
 
-/* A leaving target must get no new work even if this host fails right after the acknowledgement, so
- * the registration is replicated to a majority first.  A lost renewal is repeated by the target. */
+/* A leaving target must get no new work even if all controllers fail right after the
+ * acknowledgement, so the registration is replicated to a majority, and sent to the entry hosts,
+ * first.  A lost renewal is repeated by the target. */
 bool
 controller_register (struct controller *controller,
                      const struct registry_registration *word,
@@ -287,5 +291,6 @@
   if (wait == NULL || !is_voter (members, n, from) || record_ack (wait, from)
       || wait->n_acks < wait->acks_needed)
     return;
+  controller_push_pending (controller, now);
   finish_wait (wait, STATUS_OK, now);
 }
