--- a/src/forward_end.c
+++ b/src/forward_end.c
@@ -37,9 +37,9 @@
   counter_add (forward->reasons[reason], 1);
   log_event (
       LOG_MODULE_FLOW, LOG_LEVEL_INFO, "request-ended",
-      "{s:s,s:s,s:s,s:s,s:i,s:b,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:s,s:s}", "id", job->facts.id,
-      "route", job->route.name, "pool", job->pool, "outcome", reason_texts[reason], "status",
-      (int) client_response.status, "whole", client_response.whole, "age_ms",
+      "{s:s,s:s,s:s,s:s,s:i,s:b,s:I,s:I,s:I,s:i,s:i,s:I,s:I,s:I,s:I,s:i,s:s,s:s}", "id",
+      job->facts.id, "route", job->route.name, "pool", job->pool, "outcome", reason_texts[reason],
+      "status", (int) client_response.status, "whole", client_response.whole, "age_ms",
       (json_int_t) (job->age / USEC_PER_MSEC), "version", (json_int_t) job->version,
       "version_age_ms", (json_int_t) (age == USEC_NEVER ? -1 : age / USEC_PER_MSEC), "sends",
       (int) job->sends, "runs", (int) job->runs, "stages_us",
@@ -49,8 +49,8 @@
       (json_int_t) (job->deadline != 0 && now > job->deadline
                         ? (now - job->deadline) / USEC_PER_MSEC
                         : 0),
-      "events", (int) job->stream.events, "resumes",
-      job->facts.resumes, "resumes_after", job->facts.last_event);
+      "events", (int) job->stream.events, "resumes", job->facts.resumes, "resumes_after",
+      job->facts.last_event);
 }
 
 /* Sends an answer of this host, without a body.  The exchange is valid until the job is freed. */
