Send nothing to a target that asked for a rest

Cause: Retry-After of a target's 503 was not read.

Now each way to a target passes the heads of its answers to target_notices, and balance_may_send(), which limits and cold targets have, also knows rests: for requests, retries, attempts that leave a slow target, streams that go on, stage work. Frees of results wait for the end of the rest. What waits for a connection asks again before it is sent (may_send of h1_call_ops). The rank of targets that nobody vouches for is not tried while one that renews rests.

Where all rest, a request that can still be in time waits for the first one, spread over a quarter of the wait; others are refused with that time, spread too. An order of stage work that cannot begin before its deadline ends at once.

--- a/src/balance.c
+++ b/src/balance.c
@@ -26,7 +26,7 @@
               struct engine_load *engines,
               uint64_t seed)
 {
-  *balance = (struct balance){ .domain = domain, .engines = engines };
+  *balance = (struct balance){ .domain = domain, .engines = engines, .rest_max = USEC_NEVER };
   rng_init (&balance->rng, seed);
 }
 
@@ -92,6 +92,7 @@
   target->ejection_time = 0;
   target->limit = (struct target_limit){ .present = false };
   target->limit_news_due = false;
+  target->rests_until = 0;
   balance_reset_cold (balance, target);
 }
 
@@ -178,6 +179,27 @@
   return n;
 }
 
+int64_t
+balance_rest_wait (const struct balance *balance, const struct balance_query *query, int64_t now)
+{
+  struct balance_query any = *query;
+  int64_t least = USEC_NEVER;
+
+  any.n_tried = 0;
+  for (const struct balance_target *at = balance->targets; at != NULL; at = at->next)
+    {
+      int64_t rest = balance_rest_left (at, now);
+
+      if (!at->usable || !is_allowed (at, &any))
+        continue;
+      if (rest == 0 && !was_tried (at, query->tried, query->n_tried))
+        return 0;
+      if (rest > 0 && rest < least)
+        least = rest;
+    }
+  return least == USEC_NEVER ? 0 : least;
+}
+
 bool
 balance_pool_is_evacuated (const struct balance *balance, const char *pool)
 {
@@ -204,8 +226,9 @@
 }
 
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
- * ones; also those that stopped renewing, which may only be partitioned from the controllers. Never
- * a target beyond the limit that it names, or a cold one without room. */
+ * ones; also those that stopped renewing, which may only be partitioned from the controllers,
+ * unless one that renews rests.  Never a target beyond the limit that it names, a cold one without
+ * room, or one that rests. */
 static uint32_t
 collect_candidates (struct balance *balance,
                     const struct balance_query *query,
@@ -217,6 +240,8 @@
       struct balance_cold_pool *withheld = NULL;
       uint32_t n = 0;
 
+      if (rank == 2 && balance_rest_wait (balance, query, now) > 0)
+        return 0;
       for (struct balance_target *target = balance->targets; target != NULL; target = target->next)
         {
           if (n == CANDIDATES_MAX || !is_allowed (target, query))
--- a/src/balance_dump.c
+++ b/src/balance_dump.c
@@ -18,17 +18,17 @@
 describe_target (const struct balance_target *target, int64_t now)
 {
   return json_pack (
-      "{s:s,s:s,s:s,s:s,s:b,s:b,s:i,s:f,s:f,s:I,s:f,s:f,s:I,s:s?,s:o*}", "id", target->id, "pool",
-      target->pool, "address", target->address, "domain", target->domain, "usable", target->usable,
-      "evacuated", target->evacuated, "in_flight", (int) target->in_flight, "latency_us",
-      target->latency_us, "failing", target->failure_rate, "ejected_ms",
+      "{s:s,s:s,s:s,s:s,s:b,s:b,s:i,s:f,s:f,s:I,s:f,s:f,s:I,s:I,s:s?,s:o*}", "id", target->id,
+      "pool", target->pool, "address", target->address, "domain", target->domain, "usable",
+      target->usable, "evacuated", target->evacuated, "in_flight", (int) target->in_flight,
+      "latency_us", target->latency_us, "failing", target->failure_rate, "ejected_ms",
       (json_int_t) (target->ejected_until > now ? (target->ejected_until - now) / USEC_PER_MSEC
                                                 : 0),
       "limit_per_sec", target->limit.present ? target->limit.per_sec : -1.0, "limit_left",
       target->limit.bucket.level, "limit_age_ms",
       (json_int_t) (target->limit.present ? (now - target->limit.heard_at) / USEC_PER_MSEC : -1),
-      "target_version", registry_target_version (target->record), "cold",
-      describe_cold (target, now));
+      "rest_ms", (json_int_t) (balance_rest_left (target, now) / USEC_PER_MSEC), "target_version",
+      registry_target_version (target->record), "cold", describe_cold (target, now));
 }
 
 json_t *
--- a/src/batch.c
+++ b/src/batch.c
@@ -308,9 +308,9 @@
 }
 
 void
-batch_set_limit_news (struct batch *batch, struct limit_news *limit_news)
+batch_set_notices (struct batch *batch, struct target_notices *notices)
 {
-  batch->limit_news = limit_news;
+  batch->notices = notices;
 }
 
 /* The part of a pool in one failure domain is created on first use. */
--- a/src/batch.h
+++ b/src/batch.h
@@ -8,7 +8,7 @@
 #include "decls.h"
 #include "dialect.h"
 #include "h1_client.h"
-#include "limit_news.h"
+#include "target_notices.h"
 #include "target_reach.h"
 #include "target_watch.h"
 #include "timer.h"
@@ -103,7 +103,7 @@
 void batch_end_evacuated_orders (struct batch *batch, int64_t now);
 
 /* Sets where the limits that targets name are reported.  Without it they are ignored. */
-void batch_set_limit_news (struct batch *batch, struct limit_news *limit_news);
+void batch_set_notices (struct batch *batch, struct target_notices *notices);
 
 /* Loads the batch settings of the pools.  To be called again when a new routing takes effect. */
 void batch_set_routing (struct batch *batch, const struct routing *routing);
--- a/src/batch_call.c
+++ b/src/batch_call.c
@@ -188,7 +188,7 @@
 {
   struct batch_call *call = CONTAINER_OF (base, struct batch_call, call);
   struct dialect *dialect = call->pool->batch->config.dialect;
-  struct limit_news *limit_news = call->pool->batch->limit_news;
+  struct target_notices *notices = call->pool->batch->notices;
   struct response_fields facts;
 
   dialect->ops->read_response (dialect, head, &facts);
@@ -198,11 +198,8 @@
   call->status = head->status;
   call->not_run = facts.not_run;
   call->limit = facts.limit;
-  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST && facts.cold_left != DIALECT_NO_COLD)
-    balance_heard_cold (call->pool->batch->config.balance, call->at, facts.cold_left, call->started,
-                        now);
-  if (limit_news != NULL && head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
-    limit_news_heard (limit_news, call->at, facts.limit, now);
+  if (notices != NULL)
+    target_notices_take (notices, call->at, head->status, &facts, call->started, now);
   return true;
 }
 
@@ -214,6 +211,12 @@
   return call->not_run ? "not run" : "answered";
 }
 
+static bool
+may_send (struct h1_call *base, int64_t now)
+{
+  return balance_may_still_send (CONTAINER_OF (base, struct batch_call, call)->at, now);
+}
+
 static void
 on_ended (struct h1_call *base, enum h1_end end, int64_t now)
 {
@@ -222,6 +225,7 @@
   bool failed = end != H1_END_WHOLE || call->status != HTTP_STATUS_OK;
 
   log_call (call, outcome_text (call, end), now);
+  call->not_run = call->not_run || end == H1_END_WITHDRAWN;
   if (base->request_sent && (end == H1_END_TRUNCATED || end == H1_END_RESET))
     note_break (call, now);
   /* A target that reports that it is full has not failed. */
@@ -257,6 +261,7 @@
 }
 
 static const struct h1_call_ops call_ops = {
+  .may_send = may_send,
   .head = on_head,
   .data = on_data,
   .ended = on_ended,
--- a/src/batch_private.h
+++ b/src/batch_private.h
@@ -77,7 +77,7 @@
   uint32_t n_pools;
   struct target_watch *watch;
   const struct target_reach *reach;
-  struct limit_news *limit_news;
+  struct target_notices *notices;
   struct batch_order *orders; /* by serial */
   uint64_t last_serial;
   struct counter *calls;
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -48,22 +48,42 @@
     pool->reserved_bytes -= order->n_pending * order->result_size;
 }
 
+/* When a call can begin at the earliest, as all targets rest; now if one does not, or none is
+ * usable.
+ */
+static int64_t
+earliest_begin (const struct batch_pool *pool, int64_t now)
+{
+  int64_t least = USEC_NEVER;
+
+  for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
+       at = at->next)
+    {
+      int64_t rest = balance_rest_left (at, now);
+
+      if (at->usable && !at->excluded && rest < least && batch_is_in_pool (pool, at))
+        least = rest;
+    }
+  return least == USEC_NEVER ? now : now + least;
+}
+
 /* Ends orders that can no longer meet their deadline, before they cost a target's time. */
 static void
 end_late_orders (struct batch_pool *pool, int64_t now)
 {
+  int64_t begin = earliest_begin (pool, now);
   struct batch_order *order = pool->queue;
 
   while (order != NULL)
     {
       struct batch_order *next = order->next;
 
-      if (now + batch_expected_time (pool, 1) < order->deadline)
+      if (begin + batch_expected_time (pool, 1) < order->deadline)
         {
           order = next;
           continue;
         }
-      batch_end_order (order, PIECE_LATE, now);
+      batch_end_order (order, begin > now ? PIECE_BUSY : PIECE_LATE, now);
       /* Ending an order may end others: restart the scan. */
       order = pool->queue;
     }
@@ -230,6 +250,7 @@
     return false;
   for (const struct batch_target *target = pool->targets; target != NULL; target = target->next)
     if (target->target != NULL && target->target->usable
+        && balance_rest_left (target->target, now) == 0
         && strcmp (target->target->domain, order->preferred_domain) == 0)
       return true;
   return false;
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -140,15 +140,26 @@
   struct timer timer;
   struct batch *batch;
   struct balance_target *at;
+  int64_t sent_at;
   size_t received; /* bytes of the answer */
 };
 
 static bool
-on_head (struct h1_call *call, const struct h1_head *head, int64_t now)
+may_send (struct h1_call *base, int64_t now)
 {
-  (void) call;
-  (void) head;
-  (void) now;
+  return balance_may_still_send (CONTAINER_OF (base, struct free_call, call)->at, now);
+}
+
+static bool
+on_head (struct h1_call *base, const struct h1_head *head, int64_t now)
+{
+  struct free_call *call = CONTAINER_OF (base, struct free_call, call);
+  struct dialect *dialect = call->batch->config.dialect;
+  struct response_fields fields;
+
+  dialect->ops->read_response (dialect, head, &fields);
+  if (call->batch->notices != NULL)
+    target_notices_take (call->batch->notices, call->at, head->status, &fields, call->sent_at, now);
   return true;
 }
 
@@ -180,6 +191,7 @@
 }
 
 static const struct h1_call_ops free_ops = {
+  .may_send = may_send,
   .head = on_head,
   .data = on_data,
   .ended = on_ended,
@@ -222,6 +234,7 @@
   call->timer.ops = &free_timer_ops;
   call->batch = pool->batch;
   call->at = at;
+  call->sent_at = now;
   talloc_set_destructor (call, end_free_call);
   bytes_init (&message, NULL);
   config->dialect->ops->write_free (config->dialect, at->address, at->id, handles, n, &message);
@@ -243,7 +256,8 @@
                 > BATCH_EVICTION_THRESHOLD * (double) pool->spec.result_bytes_max;
 }
 
-/* An evacuated target is sent nothing: its results stay until that is reverted or they expire. */
+/* An evacuated target, or one that rests, is sent nothing: its results stay until that ends or they
+ * expire. */
 static void
 sweep_target (struct batch_pool *pool, struct batch_target *target, int64_t now)
 {
@@ -257,7 +271,8 @@
   DL_FOREACH_SAFE (target->results, result, next)
     {
       bool drop = result->unneeded || (result->evictable && short_of_room);
-      bool held = target->target != NULL && target->target->evacuated;
+      bool held = target->target != NULL
+                  && (target->target->evacuated || balance_rest_left (target->target, now) > 0);
 
       if (now >= result->expires || (drop && target->target == NULL))
         remove_result (target, result);
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -48,6 +48,7 @@
   struct engine_load *engines;
   struct engine_broadcast *news;
   struct limit_news *limit_news;
+  struct target_notices *notices;
   struct cold_watch *cold_watch;
   struct quarantine_entry *quarantine;
   struct target_reach *reach;
@@ -252,6 +253,10 @@
     .counters = host->base.counters,
   };
 
+  struct target_notices_config notices = {
+    .balance = &host->balance,
+    .counters = host->base.counters,
+  };
   struct cold_watch_config cold_watch = {
     .balance = &host->balance,
     .timers = host->base.timers,
@@ -265,15 +270,17 @@
   host->work = work_new (host, &work);
   host->news = engine_broadcast_new (host, &news);
   host->limit_news = limit_news_new (host, &limit_news);
+  notices.limit_news = host->limit_news;
+  host->notices = target_notices_new (host, &notices);
   host->cold_watch = cold_watch_new (host, &cold_watch);
   host->quarantine = quarantine_entry_new (host, &quarantine);
-  if (host->work == NULL || host->news == NULL || host->limit_news == NULL
+  if (host->work == NULL || host->news == NULL || host->limit_news == NULL || host->notices == NULL
       || host->cold_watch == NULL || host->quarantine == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   host->base.quarantine = quarantine_entry_control (host->quarantine);
   batch_set_watch (host->batch,
                    quarantine_evidence_watch (quarantine_entry_evidence (host->quarantine)));
-  batch_set_limit_news (host->batch, host->limit_news);
+  batch_set_notices (host->batch, host->notices);
   batch_set_reach (host->batch, host->reach);
   return STATUS_OK;
 }
@@ -356,7 +363,7 @@
     .dialect = dialect,
     .work = host->work,
     .news = host->news,
-    .limit_news = host->limit_news,
+    .notices = host->notices,
     .quarantine = host->quarantine,
     .counters = host->base.counters,
     .seed = host->base.seed + 1,
@@ -422,6 +429,7 @@
   if (host->engines == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   balance_init (&host->balance, host->base.settings.domain, host->engines, host->base.seed);
+  host->balance.rest_max = host->base.settings.rest_max;
   status = build_client (host);
   if (status == STATUS_OK)
     status = build_batch (host, config->dialect);
--- a/src/forward.h
+++ b/src/forward.h
@@ -14,11 +14,11 @@
 #include "engine_broadcast.h"
 #include "h1_client.h"
 #include "h1_server.h"
-#include "limit_news.h"
 #include "quarantine_entry.h"
 #include "rate_share.h"
 #include "retry_budget.h"
 #include "subscriber.h"
+#include "target_notices.h"
 #include "target_reach.h"
 #include "timer.h"
 #include "work.h"
@@ -36,7 +36,7 @@
   struct dialect *dialect;
   struct work *work;
   struct engine_broadcast *news;
-  struct limit_news *limit_news;
+  struct target_notices *notices;
   struct quarantine_entry *quarantine;
   struct counters *counters;
   uint64_t seed;
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -140,7 +140,7 @@
     job_resend (job, now);
   else if (job_is_version_gone (job))
     job_give_up (job, FORWARD_NO_VERSION, REFUSED_RETRY_AFTER_SEC);
-  else
+  else if (!job_give_up_if_resting (job, now, now))
     job_give_up (job, job->runs == 0 ? FORWARD_REFUSED : reason, REFUSED_RETRY_AFTER_SEC);
 }
 
@@ -341,11 +341,8 @@
   job->limit = facts.limit;
   if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
     job_note_target_answers (job, now);
-  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST && facts.cold_left != DIALECT_NO_COLD)
-    balance_heard_cold (job->forward->config.balance, job->target, facts.cold_left, job->sent_at,
-                        now);
-  if (head->status != HTTP_STATUS_MISDIRECTED_REQUEST)
-    limit_news_heard (job->forward->config.limit_news, job->target, facts.limit, now);
+  target_notices_take (job->forward->config.notices, job->target, head->status, &facts,
+                       job->sent_at, now);
   if (!job->stream.begun)
     copy_fields (job, head);
   set_held (job, now);
@@ -411,6 +408,22 @@
     pass_data (job, data, length, now);
 }
 
+static bool
+may_send (struct h1_call *call, int64_t now)
+{
+  return balance_may_still_send (CONTAINER_OF (call, struct forward_job, call)->target, now);
+}
+
+/* The target wants no calls any more; that is no failure of it. */
+static void
+handle_withdrawn (struct forward_job *job, int64_t now)
+{
+  job_log_attempt (job, h1_end_text (H1_END_WITHDRAWN), false, now);
+  job_cancel_call (job);
+  job->runs--;
+  attempt_failed (job, false, FORWARD_BROKEN, now);
+}
+
 static void
 on_ended (struct h1_call *call, enum h1_end end, int64_t now)
 {
@@ -423,6 +436,11 @@
       handle_complete_answer (job, now);
       return;
     }
+  if (end == H1_END_WITHDRAWN)
+    {
+      handle_withdrawn (job, now);
+      return;
+    }
   broke = call->request_sent && (end == H1_END_TRUNCATED || end == H1_END_RESET);
   if (broke)
     job_note_break (job, end, now);
@@ -438,6 +456,7 @@
 }
 
 const struct h1_call_ops job_call_ops = {
+  .may_send = may_send,
   .head = on_head,
   .data = on_data,
   .ended = on_ended,
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -219,5 +219,6 @@
 bool
 job_may_go_on (const struct forward_job *job)
 {
-  return !job->stream.is_bound || has_target (job, job->n_tried);
+  return !job->stream.is_bound || has_target (job, job->n_tried)
+         || job_rest_wait (job, loop_now (job->forward->config.loop)) > 0;
 }
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -132,6 +132,17 @@
     report_worked (connection, false, now);
 }
 
+static void
+withdraw (struct h1_client_connection *connection, int64_t now)
+{
+  struct h1_call *call = connection->call;
+
+  bytes_clear (&connection->message);
+  h1_client_detach (connection);
+  h1_client_go_idle (connection, now);
+  call->ops->ended (call, H1_END_WITHDRAWN, now);
+}
+
 static void
 stream_connected (struct client_stream *stream, int64_t now)
 {
@@ -142,6 +153,12 @@
   report_worked (connection, true, now);
   if (connection->call == NULL)
     return;
+  if (connection->call->ops->may_send != NULL
+      && !connection->call->ops->may_send (connection->call, now))
+    {
+      withdraw (connection, now);
+      return;
+    }
   connection->call->request_sent = true;
   client_stream_write (stream, connection->message.data, connection->message.length);
   bytes_clear (&connection->message);
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -34,7 +34,8 @@
   X (OVERFLOW, "target does not read")                                                             \
   X (MEMORY, "out of memory")                                                                      \
   X (MALFORMED, "not an answer")                                                                   \
-  X (TOO_LARGE, "answer over a limit of size")
+  X (TOO_LARGE, "answer over a limit of size")                                                     \
+  X (WITHDRAWN, "withdrawn before it was sent")
 
 enum h1_end
 {
@@ -50,6 +51,10 @@
 
 struct h1_call_ops
 {
+  /* A connection was opened for the call; the request is sent now, unless this returns false: then
+   * the call ends as withdrawn.  NULL: it is sent. */
+  bool (*may_send) (struct h1_call *call, int64_t now);
+
   /* The head of a response.  Return false if it belongs to another call; it is skipped and the next
    * response is tried. */
   bool (*head) (struct h1_call *call, const struct h1_head *head, int64_t now);
--- a/src/h1_client_answer.c
+++ b/src/h1_client_answer.c
@@ -215,8 +215,8 @@
   .complete = on_complete,
 };
 
-static void
-go_idle (struct h1_client_connection *connection, int64_t now)
+void
+h1_client_go_idle (struct h1_client_connection *connection, int64_t now)
 {
   connection->idle = true;
   DL_PREPEND (connection->endpoint->idle, connection);
@@ -241,7 +241,7 @@
   if (keep)
     {
       h1_reader_next (&connection->reader);
-      go_idle (connection, now);
+      h1_client_go_idle (connection, now);
     }
   else
     h1_client_free_connection (connection);
--- a/src/h1_client_private.h
+++ b/src/h1_client_private.h
@@ -73,6 +73,9 @@
 /* h1_client_answer.c */
 extern const struct h1_reader_ops h1_client_reader_ops;
 
+/* Keeps the connection for a later call. */
+void h1_client_go_idle (struct h1_client_connection *connection, int64_t now);
+
 /* Reads bytes of responses; frees the connection if it cannot be used again. */
 void h1_client_read (struct h1_client_connection *connection,
                      const char *data,
--- a/tests/h1_client_harness.h
+++ b/tests/h1_client_harness.h
@@ -28,6 +28,7 @@
   explicit h1_probe (struct loop *on) : loop (on)
   {
     static const struct h1_call_ops ops = {
+      .may_send = nullptr,
       .head =
           [] (struct h1_call *base, const struct h1_head *head, int64_t) {
             of (base)->heads++;
