Send nothing to a target that says in an answer that it leaves

Cause: only registrations said that a target leaves.

Now the head of any answer (of requests, streams, stage work, frees, whatever its status but 421, which is by another process) sets the state that a registration sets, for this incarnation: renewals on their way do not take that back, and all that respects a leaving target respects this one. Other entry hosts are told at once on a channel of their own, which hosts of the release before ignore; they are not bound by it, but their callers gain.

--- a/src/dialect.h
+++ b/src/dialect.h
@@ -72,6 +72,7 @@
   int64_t cold_left;  /* how much longer the target is cold, USEC; DIALECT_NO_COLD when not given */
   int64_t rest;       /* for how long the target, which turned this call away, wants none of this
                          host, USEC; DIALECT_NO_REST when not given */
+  bool leaving;       /* the target is about to end and wants no new calls */
 };
 
 /* One piece of stage work. */
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -255,6 +255,8 @@
 
   struct target_notices_config notices = {
     .balance = &host->balance,
+    .subscriber = host->subscriber,
+    .port = host->base.port,
     .counters = host->base.counters,
   };
   struct cold_watch_config cold_watch = {
--- a/src/peer.h
+++ b/src/peer.h
@@ -30,7 +30,8 @@
   X (WORK, "work")             /* stage work sent to the host that batches it */                   \
   X (QUARANTINE, "quarantine") /* requests that crash their targets */                             \
   X (TARGET_LIMIT, "target-limit") /* rates that targets name in their answers */                  \
-  X (BINDING, "binding")           /* versions that streams are bound to */
+  X (BINDING, "binding")           /* versions that streams are bound to */                        \
+  X (TARGET_LEAVE, "target-leave") /* targets that say in their answers that they leave */
 
 enum peer_channel
 {
--- a/src/registry.c
+++ b/src/registry.c
@@ -160,6 +160,16 @@
     bump_revision (registry, target);
 }
 
+bool
+registry_hear_leaving (struct registry *registry, struct registry_target *target)
+{
+  if (target->registration.state != REGISTRY_READY)
+    return false;
+  target->registration.state = REGISTRY_LEAVING;
+  bump_revision (registry, target);
+  return true;
+}
+
 /* uthash: NOLINTBEGIN(readability-function-size) */
 static enum registry_merge_result
 add (struct registry *registry,
--- a/src/registry.h
+++ b/src/registry.h
@@ -151,6 +151,10 @@
                          int64_t asked_at,
                          int64_t now);
 
+/* The target said in an answer that this incarnation leaves; later renewals do not take that back.
+ * Returns whether that is news. */
+bool registry_hear_leaving (struct registry *registry, struct registry_target *target);
+
 /* Merge the version of a target; a version of another incarnation is ignored. */
 void registry_merge_version (struct registry *registry,
                              const struct registry_version *version,
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -105,6 +105,11 @@
 const struct routing *subscriber_routing (const struct subscriber *subscriber);
 struct registry *subscriber_registry (const struct subscriber *subscriber);
 
+/* As registry_hear_leaving(), and reports the change to the listener. */
+bool subscriber_hear_leaving (struct subscriber *subscriber,
+                              struct registry_target *target,
+                              int64_t now);
+
 /* Time in us since the newest confirmed request was sent, on a clock that includes system suspend;
  * USEC_NEVER when none was confirmed since the start. */
 int64_t subscriber_confirmation_age (const struct subscriber *subscriber);
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -42,6 +42,17 @@
     }
 }
 
+bool
+subscriber_hear_leaving (struct subscriber *self, struct registry_target *target, int64_t now)
+{
+  uint64_t since = self->registry->revision;
+
+  if (!registry_hear_leaving (self->registry, target))
+    return false;
+  subscriber_report_changed (self, since, now);
+  return true;
+}
+
 static void
 read_targets (struct subscriber *self,
               const struct known_controller *controller,
--- a/src/target_notices.h
+++ b/src/target_notices.h
@@ -1,5 +1,9 @@
 /* What targets say of themselves in the heads of their answers: the rate that they take, that they
- * are cold, that they want a rest.  Each way to a target passes its answers' heads here. */
+ * are cold, that they want a rest, that they leave.  Each way to a target passes its answers' heads
+ * here.
+ *
+ * Other entry hosts are told at once of a target that leaves: it may not have told a controller
+ * yet. A host that misses the message learns of it from the target, as this one did. */
 #ifndef TARGET_NOTICES_H
 #define TARGET_NOTICES_H
 
@@ -8,6 +12,8 @@
 #include "decls.h"
 #include "dialect.h"
 #include "limit_news.h"
+#include "peer.h"
+#include "subscriber.h"
 
 BEGIN_DECLS
 
@@ -16,11 +22,13 @@
 struct target_notices_config
 {
   struct balance *balance;
+  struct subscriber *subscriber;
+  struct peer_port *port;
   struct limit_news *limit_news;
   struct counters *counters;
 };
 
-/* Freed with `parent`.  NULL when out of memory. */
+/* Listens on PEER_CHANNEL_TARGET_LEAVE.  Freed with `parent`.  NULL when out of memory. */
 struct target_notices *target_notices_new (void *parent,
                                            const struct target_notices_config *config);
 
