Let targets of pipelines ask for a rest or say that they leave

What callers saw: pipelines sent on to targets that had refused and named a time, and to those about to end; where all had, refusals named 1 s whatever was asked.

Cause: retry-after of a target's 503 was dropped, and only announcements said that a target leaves.

--- a/src/flow_arrive.c
+++ b/src/flow_arrive.c
@@ -225,6 +225,8 @@
   if (flow->config.board->targets_unknown)
     return flow_end_with_reason (request, FLOW_REASON_NOT_READY, FLOW_RETRY_AFTER_DEFAULT, now);
   admission = decide_admit (flow->config.decide, &request->decide, now);
+  if (admission.reason == DECIDE_NO_TARGET)
+    return flow_end_without_target (request, now);
   if (admission.reason != DECIDE_ADMITTED)
     return flow_end_with_reason (request, reason_of_admission (admission.reason),
                                  admission.retry_after, now);
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -171,8 +171,10 @@
   if (attempt->call != NULL)
     {
       close_call (attempt);
-      /* No cancel for an unrepeatable call: cancelling cannot undo its effect. */
-      if (request->decide.repeatable)
+      /* No cancel for an unrepeatable call, as cancelling cannot undo its effect, nor to a target
+       * that wants no calls. */
+      if (request->decide.repeatable
+          && flow_notice_may_send (attempt->flow, attempt->choice.target, now))
         flow_cancel_send (attempt->flow, attempt->address, request->id, attempt->number, now);
     }
   flow_attempt_finish (attempt, end, now);
--- a/src/flow_count.c
+++ b/src/flow_count.c
@@ -32,6 +32,7 @@
   struct counter *hedges;
   struct counter *slow[SLOW_VERDICT_COUNT]; /* verdicts on attempts without an answer */
   struct counter *slow_left;
+  struct counter *rests;
   struct counter *resumes;
   struct counter *cancels;
   struct counter *cancels_dropped;
@@ -65,6 +66,8 @@
                    "Attempts without an answer that were left for another target.", NULL);
   counts->hedges =
       counter_get (counters, "cherryarch_hedges_total", "Attempts beside a slow one.", NULL);
+  counts->rests = counter_get (counters, "cherryarch_target_rests_total",
+                               "Answers in which targets asked for a rest.", NULL);
   counts->resumes = counter_get (counters, "cherryarch_resumes_total",
                                  "Generations taken up where another attempt broke.", NULL);
   counts->cancels =
@@ -222,6 +225,12 @@
   counter_add (flow->counts->hedges, 1);
 }
 
+void
+flow_count_rest (struct flow *flow)
+{
+  counter_add (flow->counts->rests, 1);
+}
+
 void
 flow_count_resume (struct flow *flow)
 {
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -310,6 +310,23 @@
 
 extern const struct http_call_sink_ops flow_reply_ops;
 
+/* ---- flow_notice.c ---- */
+
+/* The head of an answer of this target came, with these fields; NULL for one that is not there. */
+void flow_notice_take (struct flow *flow,
+                       struct handle target,
+                       int code,
+                       const char *retry_after,
+                       const char *leaving,
+                       int64_t now);
+
+/* Whether a call that waited for a connection may still be sent. */
+bool flow_notice_may_send (const struct flow *flow, struct handle target, int64_t now);
+
+/* Ends a request for want of a target of its stage or a later one; where all targets of one rest,
+ * until the first of them is free. */
+void flow_end_without_target (struct flow_request *request, int64_t now);
+
 /* ---- flow_stream.c ---- */
 
 void flow_stream_data (struct flow_attempt *attempt, const void *data, size_t length, int64_t now);
@@ -398,6 +415,7 @@
 void flow_count_slow (struct flow *flow, enum slow_verdict verdict, bool left);
 void flow_count_hedge (struct flow *flow);
 void flow_count_resume (struct flow *flow);
+void flow_count_rest (struct flow *flow);
 void flow_count_cancel (struct flow *flow, bool sent);
 void flow_count_wasted (struct flow *flow, double seconds);
 
--- a/src/flow_reply.c
+++ b/src/flow_reply.c
@@ -60,6 +60,9 @@
       flow_count_dropped (attempt->flow);
       return flow_attempt_fail (attempt, DECIDE_END_WRONG, false, false, now);
     }
+  flow_notice_take (attempt->flow, attempt->choice.target, code,
+                    find_header (headers, n_headers, "retry-after"),
+                    find_header (headers, n_headers, "x-leaving"), now);
   attempt->code = code;
   if (code == 200)
     return;
@@ -144,7 +147,17 @@
   flow_attempt_fail (attempt, end, !sent, false, now);
 }
 
+/* The target may have asked for a rest while the connection was opened. */
+static bool
+may_send (struct http_call_sink *sink, int64_t now)
+{
+  const struct flow_attempt *attempt = CONTAINER_OF (sink, struct flow_attempt, sink);
+
+  return flow_notice_may_send (attempt->flow, attempt->choice.target, now);
+}
+
 const struct http_call_sink_ops flow_reply_ops = {
+  .may_send = may_send,
   .head = handle_head,
   .data = handle_data,
   .end = handle_end,
--- a/src/flow_stage.c
+++ b/src/flow_stage.c
@@ -106,7 +106,7 @@
   else if (reason == DECIDE_FULL)
     flow_end_with_reason (request, FLOW_REASON_FULL, FLOW_RETRY_AFTER_DEFAULT, now);
   else
-    flow_end_with_reason (request, FLOW_REASON_NO_TARGET, FLOW_RETRY_AFTER_DEFAULT, now);
+    flow_end_without_target (request, now);
 }
 
 /* An attempt that certainly did not run used no capacity, so its retry is not charged to the retry
--- a/src/http.h
+++ b/src/http.h
@@ -153,6 +153,10 @@
 
 struct http_call_sink_ops
 {
+  /* A connection was opened for the call; the request is sent now, unless this returns false: then
+   * the call fails with STATUS_UNAVAILABLE, not sent.  NULL: it is sent. */
+  bool (*may_send) (struct http_call_sink *sink, int64_t now);
+
   void (*head) (struct http_call_sink *sink,
                 int code,
                 const struct http_field *headers,
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -105,6 +105,8 @@
 static enum status
 status_of (const struct http_call *call, enum h1_end end, int64_t now)
 {
+  if (end == H1_END_WITHDRAWN)
+    return status_fail (STATUS_UNAVAILABLE, "%s", h1_end_text (end));
   if (!call->h1.request_sent && now >= call->connect_deadline)
     return status_fail (STATUS_TIMEOUT, "no connection to %s in time", call->address);
   if (!call->h1.request_sent)
@@ -217,7 +219,20 @@
   call->sink->ops->data (call->sink, data, length, now);
 }
 
-static const struct h1_call_ops h1_ops = { .head = on_head, .data = on_data, .ended = on_ended };
+static bool
+may_send (struct h1_call *h1, int64_t now)
+{
+  struct http_call_sink *sink = CONTAINER_OF (h1, struct http_call, h1)->sink;
+
+  return sink->ops->may_send == NULL || sink->ops->may_send (sink, now);
+}
+
+static const struct h1_call_ops h1_ops = {
+  .may_send = may_send,
+  .head = on_head,
+  .data = on_data,
+  .ended = on_ended,
+};
 
 /* ---- the request ---- */
 
--- a/tests/unit_edges_client.cc
+++ b/tests/unit_edges_client.cc
@@ -181,6 +181,32 @@
   talloc_free (loop);
 }
 
+// Guards against a request that is sent although it was withdrawn while its connection was opened.
+TEST (HttpClient, DoesNotSendACallWithdrawnWhileItsConnectionWasOpened)
+{
+  struct test_server server;
+  struct test_client client (server.loop);
+  call_probe withdrawn;
+  call_probe next;
+  int requests = 0;
+
+  server.on_request = [&] (struct http_exchange *exchange) {
+    requests++;
+    exchange->ops->reply (exchange, 200, nullptr, 0, "x", 1);
+  };
+  client.start (withdrawn, server.port (), "/a");
+  withdrawn.withdrawn = true;
+  ASSERT_TRUE (run_until (server.loop, [&] { return withdrawn.over (); }));
+  EXPECT_EQ (withdrawn.failures, 1);
+  EXPECT_EQ (withdrawn.why, STATUS_UNAVAILABLE);
+  EXPECT_FALSE (withdrawn.sent);
+  client.start (next, server.port (), "/b");
+  ASSERT_TRUE (run_until (server.loop, [&] { return next.over (); }));
+  EXPECT_EQ (next.ends, 1);
+  EXPECT_EQ (requests, 1);
+  EXPECT_EQ (server.counted ("cherryarch_http_connections_accepted"), 1);
+}
+
 // Nothing listens at the address.  Nothing was sent, so the request may be retried at another
 // target.
 TEST (HttpClient, ReportsNothingSentWhenTheConnectionIsRefused)
--- a/tests/unit_edges_client.h
+++ b/tests/unit_edges_client.h
@@ -61,10 +61,18 @@
     of (to)->sent = was_sent;
   }
 
+  bool withdrawn = false; // set before the connection is open: the call is not sent
+
+  static bool
+  may_send (struct http_call_sink *to, int64_t)
+  {
+    return !of (to)->withdrawn;
+  }
+
   call_probe ()
   {
     static const struct http_call_sink_ops ops = {
-      .head = on_head, .data = on_bytes, .end = on_end, .failed = on_failed
+      .may_send = may_send, .head = on_head, .data = on_bytes, .end = on_end, .failed = on_failed
     };
 
     sink.ops = &ops;
--- a/tests/unit_edges_tls.cc
+++ b/tests/unit_edges_tls.cc
@@ -39,7 +39,7 @@
 }
 
 const struct http_call_sink_ops sink_ops = {
-  .head = on_head, .data = on_data, .end = on_end, .failed = on_failed
+  .may_send = nullptr, .head = on_head, .data = on_data, .end = on_end, .failed = on_failed
 };
 
 void
