Call what targets ask for a backoff; look tried targets up before they are read

Two faults of the code under that name, found by reading it again: a request that waited read targets that it had tried earlier, which may have been freed meanwhile; and frees of results were withdrawn from targets that leave if they needed a new connection, which they were not before.

--- a/src/balance.c
+++ b/src/balance.c
@@ -26,7 +26,7 @@
               struct engine_load *engines,
               uint64_t seed)
 {
-  *balance = (struct balance){ .domain = domain, .engines = engines, .rest_max = USEC_NEVER };
+  *balance = (struct balance){ .domain = domain, .engines = engines, .backoff_max = USEC_NEVER };
   rng_init (&balance->rng, seed);
 }
 
@@ -92,7 +92,7 @@
   target->ejection_time = 0;
   target->limit = (struct target_limit){ .present = false };
   target->limit_news_due = false;
-  target->rests_until = 0;
+  target->backoff_until = 0;
   balance_reset_cold (balance, target);
 }
 
@@ -180,7 +180,7 @@
 }
 
 int64_t
-balance_rest_wait (const struct balance *balance, const struct balance_query *query, int64_t now)
+balance_backoff_wait (const struct balance *balance, const struct balance_query *query, int64_t now)
 {
   struct balance_query any = *query;
   int64_t least = USEC_NEVER;
@@ -188,14 +188,14 @@
   any.n_tried = 0;
   for (const struct balance_target *at = balance->targets; at != NULL; at = at->next)
     {
-      int64_t rest = balance_rest_left (at, now);
+      int64_t backoff = balance_backoff_left (at, now);
 
       if (!at->usable || !is_allowed (at, &any))
         continue;
-      if (rest == 0 && !was_tried (at, query->tried, query->n_tried))
+      if (backoff == 0 && !was_tried (at, query->tried, query->n_tried))
         return 0;
-      if (rest > 0 && rest < least)
-        least = rest;
+      if (backoff > 0 && backoff < least)
+        least = backoff;
     }
   return least == USEC_NEVER ? 0 : least;
 }
@@ -227,8 +227,8 @@
 
 /* Collects the candidates of the best of three ranks that has any: usable targets; also ejected
  * ones; also those that stopped renewing, which may only be partitioned from the controllers,
- * unless one that renews rests.  Never a target beyond the limit that it names, a cold one without
- * room, or one that rests. */
+ * unless one that renews is in backoff.  Never a target beyond the limit that it names, a cold one
+ * without room, or one in backoff. */
 static uint32_t
 collect_candidates (struct balance *balance,
                     const struct balance_query *query,
@@ -240,7 +240,7 @@
       struct balance_cold_pool *withheld = NULL;
       uint32_t n = 0;
 
-      if (rank == 2 && balance_rest_wait (balance, query, now) > 0)
+      if (rank == 2 && balance_backoff_wait (balance, query, now) > 0)
         return 0;
       for (struct balance_target *target = balance->targets; target != NULL; target = target->next)
         {
--- a/src/balance.h
+++ b/src/balance.h
@@ -87,7 +87,7 @@
   bool reported_cold; /* by cold_watch */
   uint32_t cold_rank; /* of this host, as of revision `cold_ranked` of the list of hosts */
   uint64_t cold_ranked;
-  int64_t rests_until; /* it asked this host for no calls until then; 0: never */
+  int64_t backoff_until; /* it asked this host for no calls until then; 0: never */
   struct balance *owner;
   UT_hash_handle hh; /* in `by_hash` */
   struct balance_target *next;
@@ -144,7 +144,7 @@
   struct engine_load *engines;
   struct rate_share *rate_share;  /* parts of targets' limits; NULL: this host is the only one */
   struct registry *registry;      /* takes what targets' answers say of them; NULL: nothing does */
-  int64_t rest_max;               /* longer rests are cut to this; USEC_NEVER: none are */
+  int64_t backoff_max;            /* longer backoffs are cut to this; USEC_NEVER: none are */
   struct balance_target *by_hash; /* by `id_hash` */
   uint32_t n_cold_pools;
   struct balance_cold_pool cold_pools[ROUTING_POOLS_MAX];
@@ -242,23 +242,23 @@
  * cold one, choosing by cost 15. */
 uint32_t balance_spread_starts (struct balance_target **candidates, uint32_t n, int64_t now);
 
-/* ---- balance_rest.c ---- */
+/* ---- balance_backoff.c ---- */
 
-/* The target turned a call of this host away and wants none for `span` from now.  A rest is never
- * cut short by a later answer: calls that were under way get answers in any order. */
-void balance_heard_rest (struct balance *balance,
-                         struct balance_target *target,
-                         int64_t span,
-                         int64_t now);
+/* The target turned a call of this host away and wants none for `span` from now.  A backoff is
+ * never cut short by a later answer: calls that were under way get answers in any order. */
+void balance_heard_backoff (struct balance *balance,
+                            struct balance_target *target,
+                            int64_t span,
+                            int64_t now);
 
-/* How much longer the target rests; 0 when it does not. */
-int64_t balance_rest_left (const struct balance_target *target, int64_t now);
+/* How much longer the target is in backoff; 0 when it does not. */
+int64_t balance_backoff_left (const struct balance_target *target, int64_t now);
 
-/* Time until the first of the targets that the query allows, tried ones among them, ends its rest.
- * 0 if none rests, or one that was not tried does not. */
-int64_t balance_rest_wait (const struct balance *balance,
-                           const struct balance_query *query,
-                           int64_t now);
+/* Time until the first of the targets that the query allows, tried ones among them, ends its
+ * backoff. 0 if none is in backoff, or one that was not tried is not. */
+int64_t balance_backoff_wait (const struct balance *balance,
+                              const struct balance_query *query,
+                              int64_t now);
 
 /* Whether a call that is under way, but not sent yet, may still be sent. */
 bool balance_may_still_send (const struct balance_target *target, int64_t now);
@@ -287,7 +287,7 @@
 
 /* ---- balance_limit.c ---- */
 
-/* Do the limit that the target names, if any, its state if it is cold and the rest that it asked
+/* Do the limit that the target names, if any, its state if it is cold and the backoff that it asked
  * for allow one more call now? */
 bool balance_may_send (const struct balance *balance,
                        struct balance_target *target,
--- a/src/balance_dump.c
+++ b/src/balance_dump.c
@@ -27,8 +27,9 @@
       "limit_per_sec", target->limit.present ? target->limit.per_sec : -1.0, "limit_left",
       target->limit.bucket.level, "limit_age_ms",
       (json_int_t) (target->limit.present ? (now - target->limit.heard_at) / USEC_PER_MSEC : -1),
-      "rest_ms", (json_int_t) (balance_rest_left (target, now) / USEC_PER_MSEC), "target_version",
-      registry_target_version (target->record), "cold", describe_cold (target, now));
+      "backoff_ms", (json_int_t) (balance_backoff_left (target, now) / USEC_PER_MSEC),
+      "target_version", registry_target_version (target->record), "cold",
+      describe_cold (target, now));
 }
 
 json_t *
--- a/src/balance_limit.c
+++ b/src/balance_limit.c
@@ -1,4 +1,5 @@
-/* When targets may be sent a call: the rate that they name, whether they are cold, their rests. */
+/* When targets may be sent a call: the rate that they name, whether they are cold, their backoffs.
+ */
 #include "balance.h"
 #include <math.h>
 #include <string.h>
@@ -50,10 +51,10 @@
 {
   int64_t limit = limit_wait (balance, target, use, now);
   int64_t cold = balance_cold_wait (balance, target, use, now);
-  int64_t rest = balance_rest_left (target, now);
+  int64_t backoff = balance_backoff_left (target, now);
   int64_t wait = limit > cold ? limit : cold;
 
-  return wait > rest ? wait : rest;
+  return wait > backoff ? wait : backoff;
 }
 
 bool
--- a/src/batch_queue.c
+++ b/src/batch_queue.c
@@ -48,8 +48,8 @@
     pool->reserved_bytes -= order->n_pending * order->result_size;
 }
 
-/* When a call can begin at the earliest, as all targets rest; now if one does not, or none is
- * usable.
+/* When a call can begin at the earliest, as all targets are in backoff; now if one does not, or
+ * none is usable.
  */
 static int64_t
 earliest_begin (const struct batch_pool *pool, int64_t now)
@@ -59,10 +59,10 @@
   for (const struct balance_target *at = pool->batch->config.balance->targets; at != NULL;
        at = at->next)
     {
-      int64_t rest = balance_rest_left (at, now);
+      int64_t backoff = balance_backoff_left (at, now);
 
-      if (at->usable && !at->excluded && rest < least && batch_is_in_pool (pool, at))
-        least = rest;
+      if (at->usable && !at->excluded && backoff < least && batch_is_in_pool (pool, at))
+        least = backoff;
     }
   return least == USEC_NEVER ? now : now + least;
 }
@@ -250,7 +250,7 @@
     return false;
   for (const struct batch_target *target = pool->targets; target != NULL; target = target->next)
     if (target->target != NULL && target->target->usable
-        && balance_rest_left (target->target, now) == 0
+        && balance_backoff_left (target->target, now) == 0
         && strcmp (target->target->domain, order->preferred_domain) == 0)
       return true;
   return false;
--- a/src/batch_result.c
+++ b/src/batch_result.c
@@ -147,7 +147,9 @@
 static bool
 may_send (struct h1_call *base, int64_t now)
 {
-  return balance_may_still_send (CONTAINER_OF (base, struct free_call, call)->at, now);
+  const struct balance_target *at = CONTAINER_OF (base, struct free_call, call)->at;
+
+  return !at->evacuated && balance_backoff_left (at, now) == 0;
 }
 
 static bool
@@ -256,7 +258,7 @@
                 > BATCH_EVICTION_THRESHOLD * (double) pool->spec.result_bytes_max;
 }
 
-/* An evacuated target, or one that rests, is sent nothing: its results stay until that ends or they
+/* An evacuated target, or one in backoff, is sent nothing: its results stay until that ends or they
  * expire. */
 static void
 sweep_target (struct batch_pool *pool, struct batch_target *target, int64_t now)
@@ -272,7 +274,7 @@
     {
       bool drop = result->unneeded || (result->evictable && short_of_room);
       bool held = target->target != NULL
-                  && (target->target->evacuated || balance_rest_left (target->target, now) > 0);
+                  && (target->target->evacuated || balance_backoff_left (target->target, now) > 0);
 
       if (now >= result->expires || (drop && target->target == NULL))
         remove_result (target, result);
--- a/src/board.h
+++ b/src/board.h
@@ -110,7 +110,7 @@
   int64_t lease_until; /* USEC; no new work after this, whatever its state */
   struct load_report report;
   uint32_t in_flight;           /* this host's attempts in progress on it.  Writer: flow.c */
-  int64_t rests_until;          /* it asked for no calls until then; 0: never.  Writer: flow.c */
+  int64_t backoff_until;        /* it asked for no calls until then; 0: never.  Writer: flow.c */
   bool says_it_leaves;          /* in an answer, whatever its state.  Writer: flow.c */
   struct decide_target *decide; /* learned routing state.  Writer: decide.c */
   struct handle pool_handle;    /* none while the pool is not declared */
@@ -208,7 +208,7 @@
                                                     const char *name,
                                                     struct handle *out);
 
-/* Could work be sent to this target, if it did not rest? */
+/* Could work be sent to this target, if it were not in backoff? */
 static inline bool
 board_target_is_alive (const struct board_target *target, int64_t now)
 {
@@ -219,7 +219,7 @@
 static inline bool
 board_target_is_usable (const struct board_target *target, int64_t now)
 {
-  return board_target_is_alive (target, now) && now >= target->rests_until;
+  return board_target_is_alive (target, now) && now >= target->backoff_until;
 }
 
 END_DECLS
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -21,7 +21,7 @@
 #define DIALECT_LOAD_UNKNOWN UINT32_MAX
 #define DIALECT_NO_LIMIT (-1.0)
 #define DIALECT_NO_COLD (-1)
-#define DIALECT_NO_REST (-1)
+#define DIALECT_NO_BACKOFF (-1)
 
 /* A part of a prompt. */
 struct prompt_part
@@ -70,8 +70,8 @@
   double limit;       /* requests a second that the target takes from all entry hosts together;
                          DIALECT_NO_LIMIT when it names none */
   int64_t cold_left;  /* how much longer the target is cold, USEC; DIALECT_NO_COLD when not given */
-  int64_t rest;       /* for how long the target, which turned this call away, wants none of this
-                         host, USEC; DIALECT_NO_REST when not given */
+  int64_t backoff;    /* for how long the target, which turned this call away, wants none of this
+                      host, USEC; DIALECT_NO_BACKOFF when not given */
   bool leaving;       /* the target is about to end and wants no new calls */
 };
 
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -431,7 +431,7 @@
   if (host->engines == NULL)
     return status_fail (STATUS_NO_MEMORY, "out of memory");
   balance_init (&host->balance, host->base.settings.domain, host->engines, host->base.seed);
-  host->balance.rest_max = host->base.settings.rest_max;
+  host->balance.backoff_max = host->base.settings.backoff_max;
   status = build_client (host);
   if (status == STATUS_OK)
     status = build_batch (host, config->dialect);
--- a/src/flow.h
+++ b/src/flow.h
@@ -46,7 +46,7 @@
   X (PRIORITY, "priority", 503, "overloaded and priority too low")                                 \
   X (WINDOW, "window", 503, "cannot end inside its window")                                        \
   X (NO_TARGET, "no-target", 503, "no usable target for a stage")                                  \
-  X (TARGETS_REST, "targets-rest", 503, "all targets of a stage asked for a rest")                 \
+  X (TARGETS_BACKOFF, "targets-backoff", 503, "all targets of a stage asked for a backoff")        \
   X (FULL, "full", 503, "host is full")                                                            \
   X (BUDGET, "retry-budget", 503, "an attempt failed and the retry budget is spent")               \
   X (LEAVING, "leaving", 503, "host is leaving")                                                   \
--- a/src/flow_count.c
+++ b/src/flow_count.c
@@ -32,7 +32,7 @@
   struct counter *hedges;
   struct counter *slow[SLOW_VERDICT_COUNT]; /* verdicts on attempts without an answer */
   struct counter *slow_left;
-  struct counter *rests;
+  struct counter *backoffs;
   struct counter *resumes;
   struct counter *cancels;
   struct counter *cancels_dropped;
@@ -66,8 +66,8 @@
                    "Attempts without an answer that were left for another target.", NULL);
   counts->hedges =
       counter_get (counters, "cherryarch_hedges_total", "Attempts beside a slow one.", NULL);
-  counts->rests = counter_get (counters, "cherryarch_target_rests_total",
-                               "Answers in which targets asked for a rest.", NULL);
+  counts->backoffs = counter_get (counters, "cherryarch_target_backoffs_total",
+                                  "Answers in which targets asked for a backoff.", NULL);
   counts->resumes = counter_get (counters, "cherryarch_resumes_total",
                                  "Generations taken up where another attempt broke.", NULL);
   counts->cancels =
@@ -226,9 +226,9 @@
 }
 
 void
-flow_count_rest (struct flow *flow)
+flow_count_backoff (struct flow *flow)
 {
-  counter_add (flow->counts->rests, 1);
+  counter_add (flow->counts->backoffs, 1);
 }
 
 void
--- a/src/flow_private.h
+++ b/src/flow_private.h
@@ -323,8 +323,8 @@
 /* Whether a call that waited for a connection may still be sent. */
 bool flow_notice_may_send (const struct flow *flow, struct handle target, int64_t now);
 
-/* Ends a request for want of a target of its stage or a later one; where all targets of one rest,
- * until the first of them is free. */
+/* Ends a request for want of a target of its stage or a later one; where all targets of one are in
+ * backoff, until the first of them is free. */
 void flow_end_without_target (struct flow_request *request, int64_t now);
 
 /* ---- flow_stream.c ---- */
@@ -415,7 +415,7 @@
 void flow_count_slow (struct flow *flow, enum slow_verdict verdict, bool left);
 void flow_count_hedge (struct flow *flow);
 void flow_count_resume (struct flow *flow);
-void flow_count_rest (struct flow *flow);
+void flow_count_backoff (struct flow *flow);
 void flow_count_cancel (struct flow *flow, bool sent);
 void flow_count_wasted (struct flow *flow, double seconds);
 
--- a/src/flow_reply.c
+++ b/src/flow_reply.c
@@ -147,7 +147,7 @@
   flow_attempt_fail (attempt, end, !sent, false, now);
 }
 
-/* The target may have asked for a rest while the connection was opened. */
+/* The target may have asked for a backoff while the connection was opened. */
 static bool
 may_send (struct http_call_sink *sink, int64_t now)
 {
--- a/src/forward.c
+++ b/src/forward.c
@@ -205,7 +205,7 @@
     return;
   timer_arm (loop_timers (forward->config.loop), &job->timer, job->deadline);
   if (job_has_stages (job)
-      && (job_give_up_if_resting (job, job->deadline, now)
+      && (job_give_up_if_in_backoff (job, job->deadline, now)
           || job_give_up_if_limited (job, job->deadline, now)))
     return;
   if (job_has_stages (job))
@@ -229,9 +229,9 @@
       timer_arm (loop_timers (job->forward->config.loop), timer, job->deadline);
       return;
     }
-  if (now < job->deadline && job->waits_for_rest)
+  if (now < job->deadline && job->waits_for_backoff)
     {
-      job->waits_for_rest = false;
+      job->waits_for_backoff = false;
       job_send (job, now);
       return;
     }
@@ -376,9 +376,9 @@
   forward->slow_left =
       counter_get (counters, "cherryarch_forward_slow_attempts_left_total",
                    "Attempts without an answer that were left for another target.", NULL);
-  forward->rests_awaited =
-      counter_get (counters, "cherryarch_forward_rests_awaited_total",
-                   "Times that a request waited as the targets it may go to rest.", NULL);
+  forward->backoffs_awaited =
+      counter_get (counters, "cherryarch_forward_backoffs_awaited_total",
+                   "Times that a request waited as the targets it may go to are in backoff.", NULL);
   forward->resumptions = counter_get (counters, "cherryarch_forward_streams_resumed_total",
                                       "Requests that go on with a stream of an earlier one.", NULL);
   forward->resumptions_refused = counter_get (
--- a/src/forward_attempt.c
+++ b/src/forward_attempt.c
@@ -140,7 +140,7 @@
     job_resend (job, now);
   else if (job_is_version_gone (job))
     job_give_up (job, FORWARD_NO_VERSION, REFUSED_RETRY_AFTER_SEC);
-  else if (!job_give_up_if_resting (job, now, now))
+  else if (!job_give_up_if_in_backoff (job, now, now))
     job_give_up (job, job->runs == 0 ? FORWARD_REFUSED : reason, REFUSED_RETRY_AFTER_SEC);
 }
 
--- a/src/forward_rest.c
+++ b/src/forward_backoff.c
@@ -1,4 +1,4 @@
-/* Requests to pools whose targets have all asked for a rest. */
+/* Requests to pools whose targets have all asked for a backoff. */
 #include "forward_private.h"
 #include "log.h"
 #include <jansson.h>
@@ -17,7 +17,7 @@
 #define STREAM_WAIT_MAX (1000 * USEC_PER_MSEC)
 
 int64_t
-job_rest_wait (const struct forward_job *job, int64_t now)
+job_backoff_wait (const struct forward_job *job, int64_t now)
 {
   const struct balance_query query = {
     .pool = job->pool,
@@ -26,7 +26,7 @@
     .n_tried = job->n_tried,
   };
 
-  return balance_rest_wait (job->forward->config.balance, &query, now);
+  return balance_backoff_wait (job->forward->config.balance, &query, now);
 }
 
 static int64_t
@@ -49,53 +49,59 @@
   return (int64_t) (WAIT_SHARE * (double) (job->objective_at - now));
 }
 
-/* A target that was tried may be tried again once its rest has ended. */
+/* A target that was tried may be tried again once its backoff has ended.  Tried targets may be gone
+ * by now, so they are looked up among those there are. */
 static void
-forget_resting (struct forward_job *job, int64_t now)
+forget_in_backoff (struct forward_job *job, int64_t now)
 {
-  uint32_t kept = 0;
+  const struct balance_target *at = job->forward->config.balance->targets;
 
-  for (uint32_t i = 0; i < job->n_tried; i++)
-    if (balance_rest_left (job->tried[i], now) == 0)
-      job->tried[kept++] = job->tried[i];
-  job->n_tried = kept;
+  for (; at != NULL; at = at->next)
+    {
+      uint32_t i = 0;
+
+      while (i < job->n_tried && job->tried[i] != at)
+        i++;
+      if (i < job->n_tried && balance_backoff_left (at, now) > 0)
+        job->tried[i] = job->tried[--job->n_tried];
+    }
 }
 
 static void
 log_wait (const struct forward_job *job, const char *decision, int64_t wait, int64_t until)
 {
-  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "pool-rests", "{s:s,s:s,s:s,s:I,s:I,s:i}", "id",
+  log_event (LOG_MODULE_FLOW, LOG_LEVEL_INFO, "pool-in-backoff", "{s:s,s:s,s:s,s:I,s:I,s:i}", "id",
              job->facts.id, "pool", job->pool, "decision", decision, "wait_ms",
              (json_int_t) (wait / USEC_PER_MSEC), "returns_ms",
              (json_int_t) (until / USEC_PER_MSEC), "tried", (int) job->n_tried);
 }
 
 bool
-job_wait_for_rest (struct forward_job *job, int64_t now)
+job_wait_for_backoff (struct forward_job *job, int64_t now)
 {
-  int64_t wait = job_rest_wait (job, now);
+  int64_t wait = job_backoff_wait (job, now);
   int64_t until = wait + draw_spread (job, wait);
 
   if (wait == 0 || until > longest_wait (job, now) || now + until >= job->deadline)
     return false;
   log_wait (job, "wait", wait, until);
-  counter_add (job->forward->rests_awaited, 1);
-  forget_resting (job, now);
-  job->waits_for_rest = true;
+  counter_add (job->forward->backoffs_awaited, 1);
+  forget_in_backoff (job, now);
+  job->waits_for_backoff = true;
   timer_arm (loop_timers (job->forward->config.loop), &job->timer, now + until);
   return true;
 }
 
 bool
-job_give_up_if_resting (struct forward_job *job, int64_t latest, int64_t now)
+job_give_up_if_in_backoff (struct forward_job *job, int64_t latest, int64_t now)
 {
-  int64_t wait = job_rest_wait (job, now);
+  int64_t wait = job_backoff_wait (job, now);
   int64_t until;
 
   if (wait == 0 || now + wait <= latest)
     return false;
   until = wait + draw_spread (job, wait);
   log_wait (job, "refuse", wait, until);
-  job_give_up (job, FORWARD_RESTING, (double) until / USEC_PER_SEC);
+  job_give_up (job, FORWARD_BACKOFF, (double) until / USEC_PER_SEC);
   return true;
 }
--- a/src/forward_binding.c
+++ b/src/forward_binding.c
@@ -220,5 +220,5 @@
 job_may_go_on (const struct forward_job *job)
 {
   return !job->stream.is_bound || has_target (job, job->n_tried)
-         || job_rest_wait (job, loop_now (job->forward->config.loop)) > 0;
+         || job_backoff_wait (job, loop_now (job->forward->config.loop)) > 0;
 }
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -40,7 +40,7 @@
   X (NO_VERSION, "no target of the version that began the stream")                                 \
   X (UNKNOWN_VERSION, "the version that began the stream is not known")                            \
   X (LIMITED, "targets are at their limit")                                                        \
-  X (RESTING, "targets asked for a rest")                                                          \
+  X (BACKOFF, "targets asked for a backoff")                                                       \
   X (CUT_OFF, "no target of the pool can be reached from this host")                               \
   X (NO_TIME, "cannot end in time")                                                                \
   X (OVERLOADED, "too much waits to be in time")                                                   \
@@ -172,8 +172,8 @@
   bool has_head;         /* the target has begun an answer */
   bool is_judged;        /* it was judged, as follows */
   enum slow_verdict slow_verdict;
-  bool is_late;        /* the attempt was counted as a failure of its target */
-  bool waits_for_rest; /* it is sent again when the timer fires */
+  bool is_late;           /* the attempt was counted as a failure of its target */
+  bool waits_for_backoff; /* it is sent again when the timer fires */
 
   /* The answer of the current attempt. */
   unsigned status;
@@ -209,7 +209,7 @@
   struct counter *retries_denied;
   struct counter *slow[SLOW_VERDICT_COUNT]; /* verdicts on attempts without an answer */
   struct counter *slow_left;
-  struct counter *rests_awaited;
+  struct counter *backoffs_awaited;
   struct counter *resumptions;
   struct counter *resumptions_refused;
   struct histogram *first_byte;
@@ -358,7 +358,7 @@
 /* Whether the pool has no target that may go on with the stream, be it tried or not. */
 bool job_is_version_gone (const struct forward_job *job);
 
-/* Whether a target that was not tried yet, or will be free after its rest, may go on with the
+/* Whether a target that was not tried yet, or will be free after its backoff, may go on with the
  * stream. */
 bool job_may_go_on (const struct forward_job *job);
 
@@ -424,19 +424,19 @@
 /* The target of the next run, NULL for none.  Of a lost pool only one with an idle connection. */
 struct balance_target *job_choose_target (struct forward_job *job, int64_t now);
 
-/* forward_rest.c */
+/* forward_backoff.c */
 
-/* Time until the first of the targets that it may go to ends its rest; 0 if one does not rest, or
- * none rests. */
-int64_t job_rest_wait (const struct forward_job *job, int64_t now);
+/* Time until the first of the targets that it may go to ends its backoff; 0 if one is not in
+ * backoff, or none is in backoff. */
+int64_t job_backoff_wait (const struct forward_job *job, int64_t now);
 
-/* If the targets that it may go to all rest, and it can still be in time after that: sends it again
- * then. */
-bool job_wait_for_rest (struct forward_job *job, int64_t now);
+/* If the targets that it may go to are all in backoff, and it can still be in time after that:
+ * sends it again then. */
+bool job_wait_for_backoff (struct forward_job *job, int64_t now);
 
-/* If they all rest beyond `latest`: gives the request up until the first of them is free.  True:
- * the job is freed. */
-bool job_give_up_if_resting (struct forward_job *job, int64_t latest, int64_t now);
+/* If they are all in backoff beyond `latest`: gives the request up until the first of them is free.
+ * True: the job is freed. */
+bool job_give_up_if_in_backoff (struct forward_job *job, int64_t latest, int64_t now);
 
 /* forward_limit.c */
 
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -81,8 +81,8 @@
   job->target = job_choose_target (job, now);
   if (job->target == NULL)
     {
-      if (!job_give_up_if_lost (job, now) && !job_wait_for_rest (job, now)
-          && !job_give_up_if_resting (job, now, now) && !job_give_up_if_limited (job, now, now))
+      if (!job_give_up_if_lost (job, now) && !job_wait_for_backoff (job, now)
+          && !job_give_up_if_in_backoff (job, now, now) && !job_give_up_if_limited (job, now, now))
         job_give_up (job, job_is_version_gone (job) ? FORWARD_NO_VERSION : FORWARD_NO_TARGET,
                      NO_TARGET_RETRY_AFTER_SEC);
       return;
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -46,7 +46,7 @@
   int64_t ready_for;
   struct retry_limit retries;
   struct cold_bounds cold;
-  int64_t rest_max; /* the longest rest that a target is given, USEC */
+  int64_t backoff_max; /* the longest backoff that a target is granted, USEC */
   int64_t shutdown_timeout;
 
   /* A controller. */
--- a/src/settings.h
+++ b/src/settings.h
@@ -66,9 +66,9 @@
   int64_t body_timeout; /* microseconds in which a whole request must arrive; limits slow senders */
 
   /* [entry] */
-  int64_t target_rest_max; /* the longest rest that a target is given, microseconds */
-  int64_t list_keep;       /* how long a caller may cache the list of hosts, microseconds */
-  int64_t drain_bound;     /* time limit of a graceful shutdown, microseconds */
+  int64_t target_backoff_max; /* the longest backoff that a target is granted, microseconds */
+  int64_t list_keep;          /* how long a caller may cache the list of hosts, microseconds */
+  int64_t drain_bound;        /* time limit of a graceful shutdown, microseconds */
 
   /* [claims] */
   int64_t claim_retention; /* microseconds */
--- a/src/target_notices.c
+++ b/src/target_notices.c
@@ -13,7 +13,7 @@
 {
   struct peer_listener listener; /* must be first: the port passes it to callbacks */
   struct target_notices_config config;
-  struct counter *rests;
+  struct counter *backoffs;
   struct counter *leaves;
 };
 
@@ -94,10 +94,10 @@
     return;
   if (fields->cold_left != DIALECT_NO_COLD)
     balance_heard_cold (balance, target, fields->cold_left, sent_at, now);
-  if (fields->rest != DIALECT_NO_REST)
+  if (fields->backoff != DIALECT_NO_BACKOFF)
     {
-      balance_heard_rest (balance, target, fields->rest, now);
-      counter_add (notices->rests, 1);
+      balance_heard_backoff (balance, target, fields->backoff, now);
+      counter_add (notices->backoffs, 1);
     }
   limit_news_heard (notices->config.limit_news, target, fields->limit, now);
   if (fields->leaving && hear_leaving (notices, target->record, "answer", now))
@@ -113,8 +113,8 @@
     return NULL;
   notices->config = *config;
   notices->listener.ops = &listener_ops;
-  notices->rests = counter_get (config->counters, "cherryarch_target_rests_total",
-                                "Answers in which targets asked for a rest.", NULL);
+  notices->backoffs = counter_get (config->counters, "cherryarch_target_backoffs_total",
+                                   "Answers in which targets asked for a backoff.", NULL);
   notices->leaves = counter_get (config->counters, "cherryarch_target_leaves_heard_total",
                                  "Targets that said in an answer that they leave.", NULL);
   config->port->ops->set_listener (config->port, PEER_CHANNEL_TARGET_LEAVE, &notices->listener);
--- a/src/target_notices.h
+++ b/src/target_notices.h
@@ -1,6 +1,6 @@
 /* What targets say of themselves in the heads of their answers: the rate that they take, that they
- * are cold, that they want a rest, that they leave.  Each way to a target passes its answers' heads
- * here.
+ * are cold, that they want a backoff, that they leave.  Each way to a target passes its answers'
+ * heads here.
  *
  * Other entry hosts are told at once of a target that leaves: it may not have told a controller
  * yet. A host that misses the message learns of it from the target, as this one did. */
--- a/tests/flow_harness.h
+++ b/tests/flow_harness.h
@@ -38,7 +38,7 @@
     claims.base.ops = &claims_ops;
     settings.json_depth = 16;
     settings.requests_in_flight = 8;
-    settings.target_rest_max = USEC_NEVER;
+    settings.target_backoff_max = USEC_NEVER;
     settings.claim_answer_bytes = 4096;
     board = board_new (memory);
     board->config_ready = true;
--- a/tests/unit_flow_rest.cc
+++ b/tests/unit_flow_backoff.cc
@@ -1,4 +1,4 @@
-// Pipelines: targets that ask for a rest, or say that they leave, in their answers.
+// Pipelines: targets that ask for a backoff, or say that they leave, in their answers.
 #include "flow_harness.h"
 #include <set>
 
@@ -8,11 +8,11 @@
 using flow_harness::fake_call;
 using flow_harness::fields;
 
-class FlowRest : public flow_harness::flow_fixture
+class FlowBackoff : public flow_harness::flow_fixture
 {
 protected:
   static fields
-  rest (const char *seconds)
+  backoff (const char *seconds)
   {
     return { { "x-not-run", "yes" }, { "retry-after", seconds } };
   }
@@ -35,48 +35,48 @@
   }
 };
 
-// Guards against requests and retries at a target that asked for a rest.
-TEST_F (FlowRest, ATargetThatRestsGetsNothing)
+// Guards against requests and retries at a target that asked for a backoff.
+TEST_F (FlowBackoff, ATargetInBackoffGetsNothing)
 {
   send ("/v1/services/orders/requests", "{}");
-  std::string resting = last_call ().address;
+  std::string refusing = last_call ().address;
 
-  head (last_call (), 503, rest ("60"));
+  head (last_call (), 503, backoff ("60"));
   answer_with_success (last_call ());
-  EXPECT_EQ (serve_orders (40).count (resting), 0u);
+  EXPECT_EQ (serve_orders (40).count (refusing), 0u);
   advance (61 * USEC_PER_SEC);
-  EXPECT_EQ (serve_orders (60).count (resting), 1u);
+  EXPECT_EQ (serve_orders (60).count (refusing), 1u);
 }
 
-// Guards against words that are no time, or not of a refusal, and a rest without an end.
-TEST_F (FlowRest, OnlyARefusalWithSecondsAsksForARest)
+// Guards against words that are no time, or not of a refusal, and a backoff without an end.
+TEST_F (FlowBackoff, OnlyARefusalWithSecondsAsksForABackoff)
 {
   for (const char *value : { "-1", "soon", "", "nan" })
     {
       send ("/v1/services/orders/requests", "{}");
       std::string refusing = last_call ().address;
 
-      head (last_call (), 503, rest (value));
+      head (last_call (), 503, backoff (value));
       answer_with_success (last_call ());
       EXPECT_EQ (serve_orders (60).count (refusing), 1u) << value;
     }
-  settings.target_rest_max = 30 * USEC_PER_SEC;
+  settings.target_backoff_max = 30 * USEC_PER_SEC;
   send ("/v1/services/orders/requests", "{}");
-  std::string resting = last_call ().address;
+  std::string refusing = last_call ().address;
 
-  head (last_call (), 503, rest ("1e300"));
+  head (last_call (), 503, backoff ("1e300"));
   answer_with_success (last_call ());
-  EXPECT_EQ (serve_orders (40).count (resting), 0u);
+  EXPECT_EQ (serve_orders (40).count (refusing), 0u);
   advance (31 * USEC_PER_SEC);
-  EXPECT_EQ (serve_orders (60).count (resting), 1u);
+  EXPECT_EQ (serve_orders (60).count (refusing), 1u);
 }
 
-// Guards against refusals that name a time at which all targets still rest.
-TEST_F (FlowRest, RequestsAreRefusedUntilTheFirstTargetIsFree)
+// Guards against refusals that name a time at which all targets are still in backoff.
+TEST_F (FlowBackoff, RequestsAreRefusedUntilTheFirstTargetIsFree)
 {
   send ("/v1/services/orders/requests", "{}");
   for (const char *seconds : { "60", "40", "50" })
-    head (last_call (), 503, rest (seconds));
+    head (last_call (), 503, backoff (seconds));
   size_t calls = client.calls.size ();
   auto *x = send ("/v1/services/orders/requests", "{}");
 
@@ -86,23 +86,23 @@
   EXPECT_EQ (client.calls.size (), calls);
 }
 
-// Guards against a generation that goes on at a target that rests.
-TEST_F (FlowRest, AGenerationGoesOnAtATargetThatDoesNotRest)
+// Guards against a generation that goes on at a target in backoff.
+TEST_F (FlowBackoff, AGenerationGoesOnAtATargetNotInBackoff)
 {
   send_draft ();
-  std::string resting = last_call ().address;
+  std::string refusing = last_call ().address;
 
-  head (last_call (), 503, rest ("60"));
+  head (last_call (), 503, backoff ("60"));
   answer_with_success (last_call ());
   for (int i = 0; i < 12; i++)
     {
       auto *x = send_draft ();
 
-      EXPECT_NE (last_call ().address, resting);
+      EXPECT_NE (last_call ().address, refusing);
       head (last_call ());
       data (last_call (), piece (0, "a") + "data: {\"cho");
       fail (last_call ());
-      EXPECT_NE (last_call ().address, resting);
+      EXPECT_NE (last_call ().address, refusing);
       answer (last_call (), piece (1, "b") + last_piece (2));
       EXPECT_EQ (x->outcome (), "whole");
       advance (2 * USEC_PER_SEC);
@@ -110,7 +110,7 @@
 }
 
 // Guards against requests at a target that says that it leaves, from the head of an answer on.
-TEST_F (FlowRest, ATargetThatSaysThatItLeavesGetsNothing)
+TEST_F (FlowBackoff, ATargetThatSaysThatItLeavesGetsNothing)
 {
   auto *x = send_draft ();
   fake_call &open = last_call ();
