--- a/tests/unit_flow_backoff.cc
+++ b/tests/unit_flow_backoff.cc
@@ -127,6 +127,9 @@
   if (open.open)
     end (open);
   EXPECT_EQ (x->outcome (), "whole");
+  for (size_t i = 1; i < client.calls.size (); i++)
+    answer_with_success (call (i));
+  expect_nothing_in_flight ();
 }
 
 } // namespace
