--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,55 +1,53 @@
-/* Many callers come at once.  Their bodies are within MaxBodyBytes; the targets take their time.
- * The platform ends a process that uses more than MemoryMb, and with it all that it had passed
- * on. */
+/* The final fault: right after a change was acknowledged, all processes are killed, in the middle of
+ * streams that targets of two versions write.  Callers take their streams up again when the hosts
+ * are in touch.  Without the fault, their own connections break at that moment. */
 #include "../lib/stand.h"
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
-#define ENTRIES 2
-#define MEMORY_MB 260
-#define BODY_BYTES 4000000 /* MaxBodyBytes is 4194304 */
-#define USUAL_CALLERS 24   /* of each entry host */
-#define BURST 2.5
-#define BURST_MS 6000
-#define BETWEEN_MS 6000
-#define ROUNDS 4
-#define WORK_MS 2500
-#define PLAIN_CLIENTS 6 /* of each entry host */
-#define PLAIN_WORK_MS 250
-#define IDS_MAX 100000
+#define ENTRIES 3
+#define TARGETS 6 /* half of them of each version */
+#define DOWN_MS 600
+#define CONTACT_MS 3000
+#define EVENTS 100
+#define EVENT_MS 80
+#define PERIOD_MS 300 /* between two streams at one entry host */
+#define GAP_MS 7600   /* after which callers abandon a stream: four times the objective */
+#define TAKEN_UP_MIN 12
+#define STREAMS_MAX 10000
 
 static const char config[] =
-    "{\"Version\":1,\"Routes\":["
-    "{\"Name\":\"scan\",\"Host\":\"h.example\",\"PathPrefix\":\"/scan/\",\"Type\":\"idempotent\","
-    "\"TimeoutMs\":8000,\"ObjectiveMs\":4000,\"Priority\":2,\"Service\":\"scan\","
-    "\"MaxAttempts\":1,\"Public\":false},"
-    "{\"Name\":\"look\",\"Host\":\"h.example\",\"PathPrefix\":\"/look/\",\"Type\":\"idempotent\","
-    "\"TimeoutMs\":4000,\"ObjectiveMs\":1000,\"Priority\":2,\"Service\":\"desk\","
-    "\"MaxAttempts\":1,\"Public\":false}],"
+    "{\"Version\":%d,\"Routes\":["
+    "{\"Name\":\"chat\",\"Host\":\"h.example\",\"PathPrefix\":\"/chat/\",\"Type\":\"streaming\","
+    "\"TimeoutMs\":20000,\"ObjectiveMs\":1900,\"Priority\":0,\"Service\":\"llm\","
+    "\"MaxAttempts\":2,\"Public\":false,\"Sticky\":true,\"Resumable\":true,"
+    "\"GapObjectiveMs\":300}],"
     "\"Services\":["
-    "{\"Name\":\"scan\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Protocol\":\"h1\","
-    "\"Tls\":false},"
-    "{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Protocol\":\"h1\","
-    "\"Tls\":false}],"
+    "{\"Name\":\"llm\",\"HealthPath\":\"/healthz\",\"MaxConns\":370,\"Protocol\":\"h1\","
+    "\"Tls\":false,\"Engine\":{\"Slots\":64,\"KvCapacity\":564688,\"KvBytes\":327680,"
+    "\"LinkMbps\":320000.0,\"Stride\":4,\"Models\":[{\"Name\":\"m\"}]}}],"
     "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
     "\"IdleTimeoutMs\":15000},"
     "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"key1\"],\"Priority\":1}]}";
 
 static atomic_int n_ids;
 static atomic_bool stopping;
-static atomic_bool bursting;
-static atomic_int n_scans;
-static atomic_int n_plain;
-static atomic_int n_refused;
-static atomic_int lost[ENTRIES];
-static atomic_int killed[ENTRIES];
-static int peak_mb[ENTRIES];
-static atomic_bool ran[IDS_MAX];
-static char *large;
+static _Atomic int64_t fault_at;    /* 0: not yet */
+static _Atomic int64_t in_touch_at; /* 0: not yet */
+static atomic_int n_taken_up;
+static atomic_int n_gone_on;
+static atomic_int n_new;
+static atomic_int n_new_begun;
+static atomic_int n_mixed;
+static atomic_int n_early;         /* tries to go on before the hosts are in touch */
+static atomic_int n_early_gone_on; /* of these */
+static int fds[STREAMS_MAX];
+static pthread_mutex_t fds_lock = PTHREAD_MUTEX_INITIALIZER;
 
 /* ---- targets ---- */
 
@@ -57,230 +55,235 @@
 serve (struct target *target, struct conn *conn, const struct message *request)
 {
   char id[64];
+  char last[32];
   char text[512];
-  int number;
+  char event[256];
+  int from = 0;
 
   if (!target_is_addressed (target, conn, request))
     return;
   field (request, "x-attempt-id", id, sizeof id);
-  number = atoi (id + 1);
-  if (number > 0 && number < IDS_MAX)
-    ran[number] = true;
-  record ("run %s at %s, a body of %zu bytes", id, target->id, request->length);
-  sleep_ms (target->service[0] == 's' ? WORK_MS : PLAIN_WORK_MS);
+  if (field (request, "last-event-id", last, sizeof last) != NULL)
+    from = atoi (last);
+  record ("run %s at %s of %s from event %d", id, target->id, target->version, from + 1);
   snprintf (text, sizeof text,
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: %s\r\n"
-            "Content-Length: %zu\r\n\r\n%s",
-            id, target->id, strlen (id), id);
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            id, target->id);
   send_all (conn->fd, text, strlen (text));
+  for (int i = from + 1; i <= EVENTS; i++)
+    {
+      sleep_ms (EVENT_MS);
+      snprintf (event, sizeof event, "id: %d\ndata: %s of %s for %s\n\n", i, target->version,
+                target->id, id);
+      snprintf (text, sizeof text, "%zx\r\n%s\r\n", strlen (event), event);
+      if (!send_all (conn->fd, text, strlen (text)))
+        return;
+    }
+  send_all (conn->fd, "0\r\n\r\n", 5);
 }
 
 /* ---- callers ---- */
 
-struct caller
+/* What a caller has of its stream. */
+struct stream
 {
-  struct host *host;
   int number;
+  char first_id[32]; /* of the attempt that brought its first event */
+  int last_event;
+  bool of_v1;
+  bool of_v2;
 };
 
-/* Callers beyond the usual ones call only during the burst. */
-static void *
-call_scan (void *argument)
+/* Notes the complete events of an answer; how many there are. */
+static int
+take_events (struct stream *stream, const char *body, const char *id)
 {
-  struct caller *caller = argument;
-  struct conn *conn = calloc (1, sizeof *conn);
-  struct message *answer = calloc (1, sizeof *answer);
+  int n = 0;
 
-  while (!stopping)
+  for (const char *at = body; at != NULL && (at = strstr (at, "id: ")) != NULL; at += 4)
     {
-      char text[512];
-      bool whole;
-      int number;
+      const char *data = strstr (at, "data: ");
 
-      if (caller->number >= USUAL_CALLERS && !bursting)
-        {
-          sleep_ms (50);
-          continue;
-        }
-      conn->used = 0;
-      conn->fd = dial (caller->host->ip, FRONT_PORT, 1000);
-      if (conn->fd < 0)
-        {
-          sleep_ms (500);
-          continue;
-        }
-      number = atomic_fetch_add (&n_ids, 1);
-      snprintf (text, sizeof text,
-                "POST /scan/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: s%d\r\n"
-                "X-Deadline-Ms: 8000\r\nX-Credential: key1\r\nConnection: close\r\n"
-                "Content-Length: %d\r\n\r\n",
-                number, BODY_BYTES);
-      record ("sent s%d to %s", number, caller->host->name);
-      whole = send_all (conn->fd, text, strlen (text)) && send_all (conn->fd, large, BODY_BYTES)
-              && read_head (conn, answer, true, 9000) && read_body (conn, answer, true, 9000);
-      record ("answer s%d from %s: %d", number, caller->host->name, whole ? answer->status : 0);
-      if (whole && answer->status == 200)
-        atomic_fetch_add (&n_scans, 1);
-      else
-        {
-          atomic_fetch_add (&n_refused, 1);
-          sleep_ms (500);
-        }
-      message_clear (answer);
-      close (conn->fd);
+      if (data == NULL || strstr (data, "\n\n") == NULL)
+        break;
+      if (stream->first_id[0] == '\0')
+        snprintf (stream->first_id, sizeof stream->first_id, "%s", id);
+      stream->last_event = atoi (at + 4);
+      stream->of_v1 = stream->of_v1 || strncmp (data + 6, "v1", 2) == 0;
+      stream->of_v2 = stream->of_v2 || strncmp (data + 6, "v2", 2) == 0;
+      n++;
     }
-  return NULL;
+  return n;
 }
 
-static bool
-look_once (struct host *host, int place, struct conn *conn, struct message *answer, bool kept)
+/* One attempt; the number of events that it brought.  `tail`: it need not be read to its end. */
+static int
+attempt (struct stream *stream, struct host *host, int try, bool tail)
 {
-  int number = atomic_fetch_add (&n_ids, 1);
-  char text[512];
-  bool whole;
+  struct conn *conn = calloc (1, sizeof *conn);
+  struct message *answer = calloc (1, sizeof *answer);
+  char resume[128] = "";
+  char text[640];
+  char id[32];
+  int n;
 
+  snprintf (id, sizeof id, "c%d-%d", stream->number, try);
+  if (stream->last_event > 0)
+    snprintf (resume, sizeof resume, "Last-Event-Id: %d\r\nResumes: %s\r\n", stream->last_event,
+              stream->first_id);
   snprintf (text, sizeof text,
-            "GET /look/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: l%d\r\n"
-            "X-Deadline-Ms: 4000\r\nX-Credential: key1\r\n\r\n",
-            number);
-  record ("sent l%d to %s on a %s connection", number, host->name, kept ? "kept" : "new");
-  whole = send_all (conn->fd, text, strlen (text)) && read_head (conn, answer, true, 6000)
-          && read_body (conn, answer, true, 6000);
-  record ("answer l%d from %s: %d%s", number, host->name, answer->status, whole ? "" : ", none");
-  if (whole && answer->status == 200)
-    atomic_fetch_add (&n_plain, 1);
-  if (!whole && kept && !stopping && number < IDS_MAX && ran[number])
+            "POST /chat/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Model: m\r\n"
+            "X-Token-Usage: 1460,80\r\nX-Prefix-Hash: 5c1e07a2:800,%x:410,%x:250\r\n"
+            "X-Deadline-Ms: 20000\r\nX-Credential: key1\r\n%sConnection: close\r\n"
+            "Content-Length: 4\r\n\r\nbody",
+            id, 0x91 + stream->number % 16, 0x1000 + stream->number, resume);
+  record ("sent %s to %s%s", id, host->name, resume[0] != '\0' ? " to go on" : "");
+  conn->fd = dial (host->ip, FRONT_PORT, 1000);
+  pthread_mutex_lock (&fds_lock);
+  fds[stream->number % STREAMS_MAX] = conn->fd;
+  pthread_mutex_unlock (&fds_lock);
+  if (conn->fd >= 0 && send_all (conn->fd, text, strlen (text))
+      && read_head (conn, answer, true, 5000))
+    read_body (conn, answer, true, tail ? 1500 : 20000);
+  pthread_mutex_lock (&fds_lock);
+  fds[stream->number % STREAMS_MAX] = -1;
+  if (conn->fd >= 0)
+    close (conn->fd);
+  pthread_mutex_unlock (&fds_lock);
+  n = answer->status == 200 ? take_events (stream, answer->body, id) : 0;
+  record ("answer %s from %s: %d, %d events, newest %d%s", id, host->name, answer->status, n,
+          stream->last_event, stream->of_v1 && stream->of_v2 ? ", MIXED" : "");
+  message_clear (answer);
+  free (answer);
+  free (conn);
+  return n;
+}
+
+static struct host *
+next_host (int number)
+{
+  return entry_host (number % ENTRIES);
+}
+
+/* Takes the stream up again: twice while the hosts are not in touch, and then once more. */
+static void
+take_up (struct stream *stream)
+{
+  int64_t broke_at = now_ms ();
+  int n = 0;
+
+  for (int try = 1; try <= 2 && n == 0; try++)
     {
-      record ("LOST l%d: passed on by %s, closed without an answer", number, host->name);
-      atomic_fetch_add (&lost[place], 1);
+      sleep_ms (1200);
+      n = attempt (stream, next_host (stream->number + try), try, true);
+      atomic_fetch_add (&n_early, 1);
+      atomic_fetch_add (&n_early_gone_on, n > 0 ? 1 : 0);
     }
-  return whole && !answer->close;
+  while (n == 0 && (in_touch_at == 0 || now_ms () < in_touch_at))
+    sleep_ms (20);
+  if (n > 0 || now_ms () - broke_at > GAP_MS)
+    return;
+  n = attempt (stream, next_host (stream->number), 3, true);
+  atomic_fetch_add (&n_taken_up, 1);
+  atomic_fetch_add (&n_gone_on, n > 0 ? 1 : 0);
 }
 
 static void *
-look (void *argument)
+call_chat (void *argument)
 {
-  struct caller *caller = argument;
-  struct conn *conn = calloc (1, sizeof *conn);
-  struct message *answer = calloc (1, sizeof *answer);
+  struct stream stream = { .number = atomic_fetch_add (&n_ids, 1) };
+  bool is_new = in_touch_at != 0 && now_ms () >= in_touch_at;
+  bool before = fault_at == 0;
+  int n = attempt (&stream, argument, 0, is_new);
 
-  while (!stopping)
+  if (is_new)
     {
-      bool kept = false;
-
-      conn->used = 0;
-      conn->fd = dial (caller->host->ip, FRONT_PORT, 1000);
-      if (conn->fd < 0)
-        {
-          sleep_ms (200);
-          continue;
-        }
-      while (!stopping && look_once (caller->host, caller->number, conn, answer, kept))
-        {
-          kept = true;
-          if (answer->status != 200)
-            sleep_ms (250);
-          message_clear (answer);
-        }
-      message_clear (answer);
-      close (conn->fd);
+      atomic_fetch_add (&n_new, 1);
+      atomic_fetch_add (&n_new_begun, n > 0 ? 1 : 0);
     }
+  if (before && fault_at != 0 && n > 0 && stream.last_event < EVENTS && !stopping)
+    take_up (&stream);
+  atomic_fetch_add (&n_mixed, stream.of_v1 && stream.of_v2 ? 1 : 0);
   return NULL;
 }
 
-/* ---- the platform ---- */
-
-/* Ends a process that uses more than MemoryMb, and starts it again. */
 static void *
-bound_memory (void *unused)
+send_chats (void *argument)
 {
-  (void) unused;
   while (!stopping)
     {
-      for (int i = 0; i < ENTRIES; i++)
-        {
-          struct host *host = entry_host (i);
-          int mb = (int) ((double) host_memory_mb (host) * 1000 / 1024 * 1000 / 1024);
-
-          if (mb > peak_mb[i])
-            peak_mb[i] = mb;
-          if (mb <= MEMORY_MB || host->pid <= 0)
-            continue;
-          record ("%s uses %d MiB of %d and is ended", host->name, mb, MEMORY_MB);
-          atomic_fetch_add (&killed[i], 1);
-          kill (host->pid, SIGKILL);
-          sleep_ms (100);
-        }
-      sleep_ms (10);
+      start_thread (call_chat, argument);
+      sleep_ms (PERIOD_MS);
     }
   return NULL;
 }
 
+/* ---- the day ---- */
+
 static void
-start_callers (int place)
+kill_all (void)
 {
-  struct host *host = entry_host (place);
-
-  for (int i = 0; i < (int) (USUAL_CALLERS * BURST); i++)
-    {
-      struct caller *caller = calloc (1, sizeof *caller);
-
-      *caller = (struct caller){ .host = host, .number = i };
-      start_thread (call_scan, caller);
-    }
-  for (int i = 0; i < PLAIN_CLIENTS; i++)
-    {
-      struct caller *caller = calloc (1, sizeof *caller);
+  for (int i = 0; i < n_hosts; i++)
+    host_signal (&hosts[i], SIGKILL);
+  sleep_ms (DOWN_MS);
+  for (int i = 0; i < n_hosts; i++)
+    host_start (&hosts[i]);
+}
 
-      *caller = (struct caller){ .host = host, .number = place };
-      start_thread (look, caller);
-    }
+static void
+break_connections (void)
+{
+  pthread_mutex_lock (&fds_lock);
+  for (int i = 0; i < STREAMS_MAX; i++)
+    if (fds[i] > 0)
+      shutdown (fds[i], SHUT_RDWR);
+  pthread_mutex_unlock (&fds_lock);
+  record ("all callers' connections break");
+  sleep_ms (DOWN_MS);
 }
 
 int
 main (int argc, char **argv)
 {
   static const char *const zones[] = { "a", "b", "c" };
-  int broken = 0;
+  char text[8192];
   char id[32];
+  double going_on;
+  double beginning;
 
   stand_begin (argc > 1 ? argv[1] : ".");
   atomic_store (&n_ids, 1);
-  large = malloc (BODY_BYTES);
-  memset (large, 'x', BODY_BYTES);
   stand_start_hosts (3, ENTRIES);
-  operator_replace (config, 20000);
-  for (int i = 0; i < 3; i++)
+  snprintf (text, sizeof text, config, 1);
+  operator_replace (text, 20000);
+  for (int i = 0; i < TARGETS; i++)
     {
-      snprintf (id, sizeof id, "scan%d", i);
-      target_new (id, "scan", "v1", zones[i], serve);
-      snprintf (id, sizeof id, "desk%d", i);
-      target_new (id, "desk", "v1", zones[i], serve);
+      snprintf (id, sizeof id, "llm%d", i);
+      target_new (id, "llm", i % 2 == 0 ? "v1" : "v2", zones[i % 3], serve);
     }
   sleep_ms (5000);
-  start_thread (bound_memory, NULL);
   for (int i = 0; i < ENTRIES; i++)
-    start_callers (i);
-  sleep_ms (BETWEEN_MS);
-  for (int i = 0; i < ROUNDS; i++)
-    {
-      bursting = stand_has_trouble ();
-      sleep_ms (BURST_MS);
-      bursting = false;
-      sleep_ms (BETWEEN_MS);
-    }
+    start_thread (send_chats, entry_host (i));
+  sleep_ms (10000);
+  snprintf (text, sizeof text, config, 2);
+  operator_replace (text, 5000);
+  fault_at = now_ms ();
+  if (stand_has_trouble ())
+    kill_all ();
+  else
+    break_connections ();
+  in_touch_at = now_ms () + 2 * CONTACT_MS;
+  sleep_ms (2 * CONTACT_MS + 4000);
   stopping = true;
-  sleep_ms (500);
-  for (int i = 0; i < ENTRIES; i++)
-    {
-      record ("%s: %d requests lost; %d MiB at its peak, ended for that %d times",
-              entry_host (i)->name, (int) lost[i], peak_mb[i], (int) killed[i]);
-      if (lost[i] > 3)
-        broken = 1;
-    }
-  record ("SUM plain requests served: %d; large ones served: %d, not served: %d", (int) n_plain,
-          (int) n_scans, (int) n_refused);
-  if (n_plain < 100 || n_scans < 20)
+  sleep_ms (2000);
+  going_on = n_taken_up == 0 ? 1 : (double) n_gone_on / n_taken_up;
+  beginning = n_new == 0 ? 0 : (double) n_new_begun / n_new;
+  record ("SUM taken up again in touch: %d, gone on: %d; new in touch: %d, begun: %d; of two "
+          "versions: %d; taken up before: %d, gone on: %d",
+          (int) n_taken_up, (int) n_gone_on, (int) n_new, (int) n_new_begun, (int) n_mixed,
+          (int) n_early, (int) n_early_gone_on);
+  if (n_new < 10 || beginning < 0.5)
     stand_cannot_run ("too little was served");
-  stand_finish (broken);
+  stand_finish (n_taken_up >= TAKEN_UP_MIN && going_on < beginning / 2 ? 1 : 0);
 }
