--- a/review/2/case.c
+++ b/review/2/case.c
@@ -17,7 +17,7 @@
 #define STAGE_TARGETS 4 /* of each stage service */
 #define PIECES 3
 #define PIPELINE_PERIOD_MS 50 /* of each entry host's callers */
-#define PLAIN_CLIENTS 6        /* of each entry host */
+#define PLAIN_CLIENTS 6       /* of each entry host */
 #define PLAIN_WORK_MS 250
 
 static const char config[] =
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -9,8 +9,8 @@
 
 #define ENTRIES 6
 #define SERVICES 12
-#define TARGETS 2 /* of each service, with one slot each */
-#define FAULTY 1  /* of the targets of each service */
+#define TARGETS 2        /* of each service, with one slot each */
+#define FAULTY 1         /* of the targets of each service */
 #define EXTRA_SHARE 0.03 /* of the answers of a faulty target, while it is faulty */
 #define FAULTY_MS 5000
 #define SOUND_MS 200
@@ -51,8 +51,7 @@
 reply (const struct target *target, struct conn *conn, const char *text)
 {
   send_all (conn->fd, text, strlen (text));
-  if (faulty && number_of (target) < FAULTY
-      && (double) random () / (double) RAND_MAX < EXTRA_SHARE)
+  if (faulty && number_of (target) < FAULTY && (double) random () / (double) RAND_MAX < EXTRA_SHARE)
     snprintf (extra, sizeof extra, "%s", text);
 }
 
@@ -187,10 +186,9 @@
              "%s{\"Name\":\"desk%d\",\"HealthPath\":\"/healthz\",\"MaxConns\":110,"
              "\"Protocol\":\"h1\",\"Tls\":false}",
              i == 0 ? "" : ",", i);
-  strcat (text,
-          "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
-          "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
-          "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"key1\"],\"Priority\":1}]}");
+  strcat (text, "],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,"
+                "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
+                "\"Tenants\":[{\"Name\":\"t\",\"ApiKeys\":[\"key1\"],\"Priority\":1}]}");
   return text;
 }
 
--- a/review/5/case.c
+++ b/review/5/case.c
@@ -1,6 +1,6 @@
-/* The final fault: right after a change was acknowledged, all processes are killed, in the middle of
- * streams that targets of two versions write.  Callers take their streams up again when the hosts
- * are in touch.  Without the fault, their own connections break at that moment. */
+/* The final fault: right after a change was acknowledged, all processes are killed, in the middle
+ * of streams that targets of two versions write.  Callers take their streams up again when the
+ * hosts are in touch.  Without the fault, their own connections break at that moment. */
 #include "../lib/stand.h"
 #include <signal.h>
 #include <stdatomic.h>
--- a/review/lib/stand.c
+++ b/review/lib/stand.c
@@ -229,8 +229,8 @@
            host->controller ? "core" : "edge",
            host->controller ? "\"control_plane\",\"registry\"" : "\"edge\"", host->ip, host->zone);
   if (host->controller)
-    fprintf (out, "\"Control\":\"%s:%d\",\"Directory\":\"%s:%d\"", host->ip, CONTROL_PORT,
-             host->ip, LIST_PORT);
+    fprintf (out, "\"Control\":\"%s:%d\",\"Directory\":\"%s:%d\"", host->ip, CONTROL_PORT, host->ip,
+             LIST_PORT);
   else
     fprintf (out, "\"Frontend\":\"%s:%d\",\"Ready\":\"%s:%d\"", host->ip, FRONT_PORT, host->ip,
              READY_PORT);
--- a/review/lib/stand.h
+++ b/review/lib/stand.h
@@ -41,10 +41,10 @@
   bool controller;
   pid_t pid; /* 0: ended or not started */
   bool started_before;
-  int ended_by_itself;      /* how often it ended though nobody ended it */
-  int64_t ended_at;         /* the newest such end */
-  int64_t disturbed_until;  /* signals were sent to it until then */
-  bool ending;              /* it is being ended by the platform */
+  int ended_by_itself;     /* how often it ended though nobody ended it */
+  int64_t ended_at;        /* the newest such end */
+  int64_t disturbed_until; /* signals were sent to it until then */
+  bool ending;             /* it is being ended by the platform */
 };
 
 extern struct host hosts[HOSTS_MAX];
@@ -91,11 +91,12 @@
 /* Reads the rest of the message whose head was read. */
 bool read_body (struct conn *conn, struct message *out, bool response, int64_t timeout);
 void message_clear (struct message *message);
-/* Reads one line of a chunked body, without its end; false at the end (`*ended`) or on a failure. */
+/* Reads one line of a chunked body, without its end; false at the end (`*ended`) or on a failure.
+ */
 const char *field (const struct message *message, const char *name, char *out, size_t size);
 /* One call on a new connection; the status, 0 without a whole answer.  `body` may be NULL. */
-int call_once (const char *ip, int port, const char *text, int64_t timeout, char *body,
-               size_t size);
+int call_once (
+    const char *ip, int port, const char *text, int64_t timeout, char *body, size_t size);
 int post_json (const char *ip, int port, const char *path, const char *json, int64_t timeout);
 
 /* ---- targets ---- */
@@ -119,13 +120,16 @@
   pthread_mutex_t lock;
 };
 
-struct target *target_new (const char *id, const char *service, const char *version,
+struct target *target_new (const char *id,
+                           const char *service,
+                           const char *version,
                            const char *zone,
                            void (*serve) (struct target *, struct conn *, const struct message *));
 /* Closes all its connections with a reset, as a process that ends does. */
 void target_reset_all (struct target *target);
 bool target_heartbeat (struct target *target);
-bool target_is_addressed (const struct target *target, struct conn *conn,
+bool target_is_addressed (const struct target *target,
+                          struct conn *conn,
                           const struct message *request);
 
 /* ---- the operator ---- */
