Dispatch orders of a silent owner from their timers

Cause: resend_orders() went through the list of orders and dispatched each. Where this host becomes the owner of the pool, an order may end as it is dispatched; its request is given up and its other orders are freed, among them the one that the loop had kept as the next. The loop round it also kept a pointer to the record of the owner, which dispatch() may give to another owner once it has no orders.

Evidence: WorkResendTest, before the change under AddressSanitizer: heap-use-after-free in resend_orders(), freed by way of dispatch(), where the order that ends frees the next one, both neighbours or all others; the two other tests of the suite (an order is added; counts by owner) passed before as well. After it all 22 tests of Work* pass.

Why it works: the loop only marks the orders as without an owner and arms their timers, as work_submit() does; nothing that may call out runs in it. A timer of an order that is freed is disarmed with it, so no pointer outlives what it points to, and an order that is dispatched again is not seen again by the same loop.

--- a/src/work.c
+++ b/src/work.c
@@ -195,14 +195,14 @@
 }
 
 /* The owner may be dead, or the message was lost with its connection: the pieces are made again, by
- * the owner that is now known. */
+ * the owner that is now known.  The orders are dispatched by their timers: an order may end as it
+ * is dispatched, which frees others, and changes the table of owners. */
 static void
 resend_orders (struct work *work, struct work_owner *owner, int64_t now)
 {
   struct work_order *order;
-  struct work_order *next;
 
-  DL_FOREACH_SAFE (work->orders, order, next)
+  DL_FOREACH (work->orders, order)
     {
       if (strcmp (order->owner, owner->name) != 0)
         continue;
@@ -211,9 +211,10 @@
                  "id", order->request, "stage", (int) order->stage, "pool", order->pool, "owner",
                  order->owner, "silent_ms",
                  (json_int_t) ((now - owner->last_heard) / USEC_PER_MSEC));
-      owner->n_orders--;
-      dispatch (order, now);
+      order->owner[0] = '\0';
+      timer_arm (work->config.timers, &order->timer, now);
     }
+  owner->n_orders = 0;
 }
 
 static void
