End waits for a revision one by one, from a list that is read anew

An operator's change that is waited for may end while others wait: its answer is sent from within the loop over all waits, and what that ends or begins changed the list under it.

Evidence: ConfigWaits, before the change under AddressSanitizer: heap-use-after-free in check_rounds() where the wait that ends cancels the next one or all others; a wait that begins another one as it ends kept the loop running until the test was ended after 60 s. All three pass now, with the 19 other tests of ConfigWait* and Operator*.

Why it works: after each end the list is searched from its head, so no pointer is kept across a callback, and only waits that had begun before the check are ended by it.

--- a/src/config_wait.c
+++ b/src/config_wait.c
@@ -151,18 +151,31 @@
       send_message (wait, CONFIG_WAIT_REQUEST, round->hosts[i].name, round->id, round->revision);
 }
 
+/* The first round up to id `newest` that has to end now; NULL for none. */
+static struct wait_round *
+find_ended (const struct config_wait *wait, uint64_t newest, int64_t now)
+{
+  struct wait_round *round;
+
+  DL_FOREACH (wait->rounds, round)
+    if (round->id <= newest && (is_complete (wait, round, now) || now >= round->deadline))
+      break;
+  return round;
+}
+
+/* The end of a round may begin rounds and cancel others, so the list is searched anew after each;
+ * what begins meanwhile is checked the next time. */
 static void
 check_rounds (struct timer *timer, int64_t now)
 {
   struct config_wait *wait = CONTAINER_OF (timer, struct config_wait, timer);
+  uint64_t newest = wait->last_id;
   struct wait_round *round;
-  struct wait_round *following;
 
-  DL_FOREACH_SAFE (wait->rounds, round, following)
-    if (is_complete (wait, round, now) || now >= round->deadline)
-      finish (wait, round, now);
-    else
-      request_missing (wait, round);
+  while ((round = find_ended (wait, newest, now)) != NULL)
+    finish (wait, round, now);
+  DL_FOREACH (wait->rounds, round)
+    request_missing (wait, round);
   if (wait->rounds != NULL)
     timer_arm (wait->config.timers, timer, now + WAIT_REPEAT_INTERVAL);
 }
