Send a request again only over a connection that carried no answer to it

Cause: a target may repeat an answer late, at the next request on the same connection, and the id of the request is all that tells whose answer it is. A request that a target turned away may be sent there again: after the target's backoff, and after its stage results were lost. The second send has the same id and went over the connection of the first one, where a copy of the refusal was taken for the answer to the run.

Evidence: forward_repeats.*, before the change: ARunIsNotReportedAsRefusedByTheRefusalBeforeIt failed with two runs of an unrepeatable request, AnAnswerIsNotReplacedByTheFailureBeforeIt with a failure in place of the answer; ARequestRefusedTwiceRunsOnce passed by the number of copies alone, and OtherRequestsShareAConnection passed.

Why it works: a copy can only come on a connection that carried the answer. Each send after the first to an address opens a new connection, whatever the first answer was and however the target came to be chosen again; the first send to an address still takes a kept one. In a pool that this host has lost, where only kept connections work, a target that was sent the request before is passed over. The new connections are counted (cherryarch_forward_fresh_connections_total), and "target-chosen" says "fresh".

Ruled out by reading: requests between hosts of pipelines name their attempt, which tells sends apart; cancels ignore their answer; a client's tries have an id each. Calls without an id (stage work, frees, orders to engines) are not changed here.

--- a/src/forward.c
+++ b/src/forward.c
@@ -379,6 +379,9 @@
   forward->backoffs_awaited =
       counter_get (counters, "cherryarch_forward_backoffs_awaited_total",
                    "Times that a request waited as the targets it may go to are in backoff.", NULL);
+  forward->fresh_connections = counter_get (
+      counters, "cherryarch_forward_fresh_connections_total",
+      "Sends over a new connection as the target was sent the same request before.", NULL);
   forward->resumptions = counter_get (counters, "cherryarch_forward_streams_resumed_total",
                                       "Requests that go on with a stream of an earlier one.", NULL);
   forward->resumptions_refused = counter_get (
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -163,8 +163,9 @@
   struct balance_target *tried[BALANCE_TRIED_MAX];
   uint32_t n_tried;
   uint32_t sends;
-  uint32_t runs;                  /* sends that may have run */
-  struct binding attempt_binding; /* to its target, as known when it was sent */
+  uint64_t sent_to[FORWARD_SENDS_MAX]; /* hashes of the addresses that it was sent to */
+  uint32_t runs;                       /* sends that may have run */
+  struct binding attempt_binding;      /* to its target, as known when it was sent */
   int64_t sent_at;
   int64_t heard_at;      /* the newest data from the target; the send before any */
   int64_t fetched_at;    /* when the target has fetched the stages' results; 0 before a send */
@@ -210,6 +211,7 @@
   struct counter *slow[SLOW_VERDICT_COUNT]; /* verdicts on attempts without an answer */
   struct counter *slow_left;
   struct counter *backoffs_awaited;
+  struct counter *fresh_connections;
   struct counter *resumptions;
   struct counter *resumptions_refused;
   struct histogram *first_byte;
@@ -244,6 +246,11 @@
 /* Sends the request to a target, or gives it up if there is none. */
 void job_send (struct forward_job *job, int64_t now);
 
+/* Whether the request was sent to the target's address before.  A target may repeat an answer late,
+ * on the connection that carried it, and all sends have the same id: another one has to go over a
+ * connection that carried none of them. */
+bool job_was_sent_to (const struct forward_job *job, const struct balance_target *target);
+
 /* forward_attempt.c */
 
 /* Of the call to a target. */
@@ -421,7 +428,8 @@
 /* The same if this host has lost the pool, when job_choose_target() found no target. */
 bool job_give_up_if_lost (struct forward_job *job, int64_t now);
 
-/* The target of the next run, NULL for none.  Of a lost pool only one with an idle connection. */
+/* The target of the next run, NULL for none.  Of a lost pool only one with an idle connection that
+ * the request may use. */
 struct balance_target *job_choose_target (struct forward_job *job, int64_t now);
 
 /* forward_backoff.c */
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -81,7 +81,9 @@
     {
       target = isolate ? balance_choose_least_running (config->balance, &query, now)
                        : balance_choose (config->balance, &query, now);
-      if (!lost || target == NULL || h1_client_has_idle (config->client, target->address))
+      if (!lost || target == NULL
+          || (h1_client_has_idle (config->client, target->address)
+              && !job_was_sent_to (job, target)))
         return target;
       if (query.n_tried == 2 * BALANCE_TRIED_MAX)
         return NULL;
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -2,6 +2,8 @@
 #include "forward_private.h"
 #include "log.h"
 #include <jansson.h>
+#include <string.h>
+#include <xxhash.h>
 
 /* Retry-After, in seconds: targets may have registered by then. */
 #define NO_TARGET_RETRY_AFTER_SEC 0.3
@@ -38,8 +40,25 @@
   bytes_clear (&inputs);
 }
 
+static uint64_t
+hash_address (const struct balance_target *target)
+{
+  return XXH3_64bits (target->address, strlen (target->address));
+}
+
+bool
+job_was_sent_to (const struct forward_job *job, const struct balance_target *target)
+{
+  uint64_t hash = hash_address (target);
+
+  for (uint32_t i = 0; i < job->sends; i++)
+    if (job->sent_to[i % FORWARD_SENDS_MAX] == hash)
+      return true;
+  return false;
+}
+
 static void
-log_choice (const struct forward_job *job, int64_t now)
+log_choice (const struct forward_job *job, bool fresh, int64_t now)
 {
   const struct balance_target *target = job->target;
   const struct target_limit *limit = &target->limit;
@@ -51,12 +70,13 @@
 
   log_event (
       LOG_MODULE_FLOW, LOG_LEVEL_INFO, "target-chosen",
-      "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b,s:b,s:I,s:s?}",
+      "{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:I,s:i,s:b,s:f,s:I,s:I,s:i,s:i,s:i,s:f,s:f,s:I,s:b,s:b,s:I,s:"
+      "s?}",
       "id", job->facts.id, "target", target->id, "address", target->address, "pool", job->pool,
       "in_flight", (int) target->in_flight, "latency_us", (json_int_t) target->latency_us,
       "renewed_ms", (json_int_t) ((now - target->record->last_heard_at) / USEC_PER_MSEC),
       "sequence", (json_int_t) target->record->registration.sequence, "send", (int) job->sends,
-      "failing", target->failure_rate, "left_ms",
+      "fresh", fresh, "failing", target->failure_rate, "left_ms",
       (json_int_t) ((job->deadline - now) / USEC_PER_MSEC), "expected_wait_us",
       (json_int_t) cost.wait, "read_again_tokens", (int) cost.read_again_tokens, "engine_running",
       (int) cost.running, "prompt_tokens", (int) job->facts.input_tokens, "limit_per_sec",
@@ -73,6 +93,7 @@
   struct forward_config *config = &job->forward->config;
   struct bytes message;
   enum status status;
+  bool fresh;
 
   if (!job_may_run (job, now) || job_give_up_if_cut_off (job, now))
     return;
@@ -90,7 +111,10 @@
   job->tried[job->n_tried % BALANCE_TRIED_MAX] = job->target;
   if (job->n_tried < BALANCE_TRIED_MAX - 1)
     job->n_tried++;
-  job->sends++;
+  fresh = job_was_sent_to (job, job->target);
+  if (fresh)
+    counter_add (job->forward->fresh_connections, 1);
+  job->sent_to[job->sends++ % FORWARD_SENDS_MAX] = hash_address (job->target);
   job_note_writer (job);
   /* Random, not the client's id: each retry, and each request of a client that uses an id twice,
    * counts as a send of its own. */
@@ -104,7 +128,7 @@
   balance_started (config->balance, job->target, BALANCE_REQUEST, now);
   slow_target_sent (&job->target->slow, now);
   job_run_began (job);
-  log_choice (job, now);
+  log_choice (job, fresh, now);
   /* Of pools with cold targets all hosts know all starts. */
   job->is_announced = job->prompt.present || job->target->cold_pool != NULL;
   if (job->is_announced)
@@ -112,7 +136,7 @@
                               now);
   bytes_init (&message, NULL);
   write_request (job, now, &message);
-  status = h1_call_start (config->client, &job->call, job->target->address, &message, false, now);
+  status = h1_call_start (config->client, &job->call, job->target->address, &message, fresh, now);
   bytes_clear (&message);
   if (status == STATUS_OK)
     {
