Remember tried targets by serial number, not by pointer

A request keeps pointers to the targets that it tried. One of those may be gone by its next attempt, and a new target may stand at the same address in memory: it counted as tried, and the request was refused although the new target could serve it.

Evidence: Balance.ATargetIsNotTakenForOneThatWasTriedAndIsGone, run on the code before with a pointer in place of the number: balance_choose() finds no target.

Why it works: a serial number is given once, so that of a target that is gone matches none.

--- a/src/balance.c
+++ b/src/balance.c
@@ -111,6 +111,7 @@
       text_copy_truncated (target->id, sizeof target->id, record->registration.id);
       target->record = record;
       target->owner = balance;
+      target->serial = ++balance->last_serial;
       talloc_set_destructor (target, free_target);
       reset_incarnation (balance, target);
       target->next = balance->targets;
@@ -149,12 +150,10 @@
 }
 
 static bool
-was_tried (const struct balance_target *target,
-           struct balance_target *const *tried,
-           uint32_t n_tried)
+was_tried (const struct balance_target *target, const uint64_t *tried, uint32_t n_tried)
 {
   for (uint32_t i = 0; i < n_tried; i++)
-    if (tried[i] == target)
+    if (tried[i] == target->serial)
       return true;
   return false;
 }
--- a/src/balance.h
+++ b/src/balance.h
@@ -65,6 +65,7 @@
   char domain[ROUTING_NAME_SIZE];
   char address[ROUTING_NAME_SIZE];
   char id[ROUTING_NAME_SIZE];
+  uint64_t serial;  /* tells it from all others, also from those that are gone */
   uint64_t started; /* incarnation that the fields below describe */
   uint64_t id_hash; /* of id and incarnation: excludes loads of an earlier one */
   bool usable;      /* registered, ready, and renewed recently */
@@ -132,13 +133,14 @@
   const char *pool;
   const struct binding *binding;       /* of the stream that they go on with; NULL: none */
   const struct balance_prompt *prompt; /* NULL: no request to a model engine */
-  struct balance_target *const *tried; /* not to be chosen */
+  const uint64_t *tried;               /* serials of targets not to be chosen */
   uint32_t n_tried;
 };
 
 struct balance
 {
   struct balance_target *targets;
+  uint64_t last_serial;
   const char *domain; /* failure domain of this host */
   struct rng rng;
   struct engine_load *engines;
--- a/src/forward_backoff.c
+++ b/src/forward_backoff.c
@@ -49,8 +49,7 @@
   return (int64_t) (WAIT_SHARE * (double) (job->objective_at - now));
 }
 
-/* A target that was tried may be tried again once its backoff has ended.  Tried targets may be gone
- * by now, so they are looked up among those there are. */
+/* A target that was tried may be tried again once its backoff has ended. */
 static void
 forget_in_backoff (struct forward_job *job, int64_t now)
 {
@@ -60,7 +59,7 @@
     {
       uint32_t i = 0;
 
-      while (i < job->n_tried && job->tried[i] != at)
+      while (i < job->n_tried && job->tried[i] != at->serial)
         i++;
       if (i < job->n_tried && balance_backoff_left (at, now) > 0)
         job->tried[i] = job->tried[--job->n_tried];
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -159,8 +159,8 @@
 
   /* The current attempt and the earlier ones. */
   struct h1_call call;
-  struct balance_target *target; /* NULL while no attempt is under way */
-  struct balance_target *tried[BALANCE_TRIED_MAX];
+  struct balance_target *target;     /* NULL while no attempt is under way */
+  uint64_t tried[BALANCE_TRIED_MAX]; /* serials of targets not to be chosen again */
   uint32_t n_tried;
   uint32_t sends;
   uint64_t sent_to[FORWARD_SENDS_MAX]; /* hashes of the addresses that it was sent to */
--- a/src/forward_reach.c
+++ b/src/forward_reach.c
@@ -66,7 +66,7 @@
   struct forward_config *config = &job->forward->config;
   bool isolate = job_needs_isolation (job, now);
   bool lost = target_reach_is_lost (config->reach, job->pool);
-  struct balance_target *passed[2 * BALANCE_TRIED_MAX];
+  uint64_t passed[2 * BALANCE_TRIED_MAX];
   struct balance_target *target;
   struct balance_query query = {
     .pool = job->pool,
@@ -87,6 +87,6 @@
         return target;
       if (query.n_tried == 2 * BALANCE_TRIED_MAX)
         return NULL;
-      passed[query.n_tried++] = target;
+      passed[query.n_tried++] = target->serial;
     }
 }
--- a/src/forward_send.c
+++ b/src/forward_send.c
@@ -108,7 +108,7 @@
                      NO_TARGET_RETRY_AFTER_SEC);
       return;
     }
-  job->tried[job->n_tried % BALANCE_TRIED_MAX] = job->target;
+  job->tried[job->n_tried % BALANCE_TRIED_MAX] = job->target->serial;
   if (job->n_tried < BALANCE_TRIED_MAX - 1)
     job->n_tried++;
   fresh = job_was_sent_to (job, job->target);
--- a/tests/unit_balance.cc
+++ b/tests/unit_balance.cc
@@ -104,6 +104,39 @@
   EXPECT_EQ (cost.running, 0u);
 }
 
+// Guards against a new target that counts as tried, as it has the memory of one that is gone.
+TEST (Balance, ATargetIsNotTakenForOneThatWasTriedAndIsGone)
+{
+  void *memory = talloc_pool (nullptr, 1 << 16); // hands the same memory out again
+  struct registry_target records[2] = {};
+  struct balance balance;
+
+  balance_init (&balance, "a", nullptr, 1);
+  for (auto &record : records)
+    {
+      snprintf (record.registration.id, sizeof record.registration.id, "t%d",
+                static_cast<int> (&record - records));
+      snprintf (record.registration.pool, sizeof record.registration.pool, "%s", POOL);
+      record.registration.state = REGISTRY_READY;
+    }
+  balance_update (&balance, memory, &records[0]);
+  const struct balance_target *first = balance.targets;
+  uint64_t tried = first->serial;
+
+  records[0].registration.state = REGISTRY_LEAVING;
+  balance_update (&balance, memory, &records[0]);
+  records[0].registration.state = REGISTRY_GONE;
+  balance_sweep (&balance);
+  balance_update (&balance, memory, &records[1]);
+  ASSERT_EQ (balance.targets, first);
+  struct balance_query query = {
+    .pool = POOL, .binding = nullptr, .prompt = nullptr, .tried = &tried, .n_tried = 1
+  };
+
+  EXPECT_NE (balance_choose (&balance, &query, NOW), nullptr);
+  talloc_free (memory);
+}
+
 // Most of a request's stage results are in one failure domain, whose engines have a slightly longer
 // queue.  The results must not cross domains to save a delay that the request can afford.
 TEST (Balance, PrefersTheDomainOfMostResults)
