Write bindings of streams to the disks of two controllers

Cause: what binds a stream to the version that began it was kept in memory alone, by three entry hosts and one controller. After the end of all nobody knew it, and a stream of unknown version in a pool of several is refused.

Each binding goes to two controllers in place of one, so a wiped disk loses none. After a start, lookups are not answered "unknown" before the log is read. A loss of power loses what is not synced, a kill what the worker does not have yet: the callers of streams that began in that moment are refused at once, as before.

--- a/src/binding.c
+++ b/src/binding.c
@@ -132,12 +132,14 @@
   table->evicted++;
 }
 
-void
-binding_table_put (struct binding_table *table,
-                   const struct binding_key *key,
-                   const struct binding *binding,
-                   int64_t lifetime,
-                   int64_t now)
+/* Keeps what began `stored_at` under the key until `expires_at`, at least. */
+static void
+keep (struct binding_table *table,
+      const struct binding_key *key,
+      const struct binding *binding,
+      int64_t stored_at,
+      int64_t expires_at,
+      int64_t now)
 {
   struct binding_record *record = find (table, key);
 
@@ -153,7 +155,7 @@
       if (record == NULL)
         return;
       record->binding = *binding;
-      record->stored_at = now;
+      record->stored_at = stored_at;
     }
   else
     {
@@ -164,7 +166,40 @@
     record->is_ambiguous = true;
   if (!record->binding.version_known)
     record->binding = *binding;
-  record->expires_at = now + (lifetime < BINDING_LIFETIME_MAX ? lifetime : BINDING_LIFETIME_MAX);
+  if (stored_at < record->stored_at)
+    record->stored_at = stored_at;
+  if (expires_at > record->expires_at)
+    record->expires_at = expires_at;
+}
+
+int64_t
+binding_bound_lifetime (int64_t lifetime)
+{
+  return lifetime < BINDING_LIFETIME_MAX ? lifetime : BINDING_LIFETIME_MAX;
+}
+
+void
+binding_table_put (struct binding_table *table,
+                   const struct binding_key *key,
+                   const struct binding *binding,
+                   int64_t lifetime,
+                   int64_t now)
+{
+  keep (table, key, binding, now, now + binding_bound_lifetime (lifetime), now);
+}
+
+void
+binding_table_restore (struct binding_table *table,
+                       const struct binding_key *key,
+                       const struct binding *binding,
+                       int64_t age,
+                       int64_t lifetime,
+                       int64_t now)
+{
+  int64_t expires_at = now - age + binding_bound_lifetime (lifetime);
+
+  if (expires_at > now)
+    keep (table, key, binding, now - age, expires_at, now);
 }
 
 const struct binding_record *
--- a/src/binding.h
+++ b/src/binding.h
@@ -66,6 +66,9 @@
   UT_hash_handle hh;
 };
 
+/* The lifetime, or BINDING_LIFETIME_MAX if that is shorter; microseconds. */
+int64_t binding_bound_lifetime (int64_t lifetime);
+
 struct binding_table;
 
 /* Freed with `parent`.  NULL when out of memory. */
@@ -78,6 +81,14 @@
                         int64_t lifetime,
                         int64_t now);
 
+/* As binding_table_put() did it `age` microseconds ago. */
+void binding_table_restore (struct binding_table *table,
+                            const struct binding_key *key,
+                            const struct binding *binding,
+                            int64_t age,
+                            int64_t lifetime,
+                            int64_t now);
+
 /* Valid until the next call that changes the table; NULL if there is none. */
 const struct binding_record *binding_table_find (const struct binding_table *table,
                                                  const struct binding_key *key,
--- a/src/binding_store.c
+++ b/src/binding_store.c
@@ -1,8 +1,9 @@
 /* Bindings of streams at this host and at others. */
 #include "binding_store.h"
+#include "binding_log.h"
+#include "binding_wire.h"
 #include "container.h"
 #include "log.h"
-#include "pack.h"
 #include "text.h"
 #include <jansson.h>
 #include <string.h>
@@ -22,6 +23,8 @@
   struct peer_listener listener; /* must be first: the port passes it to callbacks */
   struct binding_store_config config;
   struct binding_table *table;
+  struct binding_log_listener log_listener;
+  struct binding_log *log; /* NULL: bindings are kept in memory alone */
   struct binding_lookup *lookups;
   uint64_t last_number;
   struct counter *held;
@@ -44,44 +47,6 @@
 
 /* ---- messages ---- */
 
-static void
-pack_key (struct bytes *out, const struct binding_key *key)
-{
-  pack_binary (out, key->bytes, sizeof key->bytes);
-}
-
-static void
-read_key (struct pack_reader *in, struct binding_key *out)
-{
-  size_t length = 0;
-  const void *bytes = pack_read_binary (in, sizeof out->bytes, &length);
-
-  if (length != sizeof out->bytes)
-    in->failed = true;
-  else
-    memcpy (out->bytes, bytes, sizeof out->bytes);
-}
-
-static void
-pack_binding (struct bytes *out, const struct binding *binding)
-{
-  pack_text (out, binding->pool);
-  pack_text (out, binding->target);
-  pack_uint (out, binding->started);
-  pack_bool (out, binding->version_known);
-  pack_text (out, binding->version);
-}
-
-static void
-read_binding (struct pack_reader *in, struct binding *out)
-{
-  pack_read_text (in, out->pool, sizeof out->pool);
-  pack_read_text (in, out->target, sizeof out->target);
-  out->started = pack_read_uint (in, UINT64_MAX);
-  out->version_known = pack_read_bool (in);
-  pack_read_text (in, out->version, sizeof out->version);
-}
-
 static bool
 send_to (struct binding_store *store, const char *host, const struct bytes *message)
 {
@@ -162,9 +127,9 @@
   keep (store, key, binding, lifetime, now);
   bytes_init (&message, NULL);
   pack_uint (&message, BINDING_MESSAGE_PUT);
-  pack_key (&message, key);
+  binding_write_key (&message, key);
   pack_uint (&message, (uint64_t) lifetime);
-  pack_binding (&message, binding);
+  binding_write (&message, binding);
   send_to_peers (store, key, BINDING_REPLICA_HOSTS, BINDING_REPLICA_CONTROLLERS, &message, &to_all);
   bytes_clear (&message);
 }
@@ -217,7 +182,7 @@
   bytes_init (&message, NULL);
   pack_uint (&message, BINDING_MESSAGE_LOOKUP);
   pack_uint (&message, lookup->number);
-  pack_key (&message, &lookup->key);
+  binding_write_key (&message, &lookup->key);
   lookup->n_sent += send_to_peers (lookup->store, &lookup->key, BINDING_LOOKUP_HOSTS,
                                    BINDING_LOOKUP_CONTROLLERS, &message, &to_all);
   lookup->sent_to_all = to_all && peers->ops->is_complete (peers);
@@ -264,15 +229,25 @@
 static void
 handle_put (struct binding_store *store, struct pack_reader *in, int64_t now)
 {
-  struct binding_key key;
-  struct binding binding;
-  int64_t lifetime;
-
-  read_key (in, &key);
-  lifetime = (int64_t) pack_read_uint (in, (uint64_t) INT64_MAX);
-  read_binding (in, &binding);
-  if (pack_read_is_complete (in))
-    keep (store, &key, &binding, lifetime, now);
+  struct binding_log_entry entry;
+
+  binding_read_key (in, &entry.key);
+  entry.lifetime = (int64_t) pack_read_uint (in, (uint64_t) INT64_MAX);
+  binding_read (in, &entry.binding);
+  if (!pack_read_is_complete (in))
+    return;
+  keep (store, &entry.key, &entry.binding, entry.lifetime, now);
+  if (store->log != NULL)
+    binding_log_add (store->log, &entry, now);
+}
+
+/* A lookup that comes before all is restored is not answered that the binding is unknown: it is
+ * repeated. */
+static bool
+may_be_restored (const struct binding_store *store, const struct binding_answer *answer)
+{
+  return answer->outcome == BINDING_UNKNOWN && store->log != NULL
+         && binding_log_is_loading (store->log);
 }
 
 static void
@@ -283,19 +258,21 @@
   struct binding_key key;
   struct bytes message;
 
-  read_key (in, &key);
+  binding_read_key (in, &key);
   if (!pack_read_is_complete (in))
     return;
   binding_store_find (store, &key, &answer, now);
+  if (may_be_restored (store, &answer))
+    return;
   bytes_init (&message, NULL);
   pack_uint (&message, BINDING_MESSAGE_ANSWER);
   pack_uint (&message, number);
-  pack_key (&message, &key);
+  binding_write_key (&message, &key);
   pack_uint (&message, answer.outcome);
   if (answer.outcome == BINDING_KNOWN)
     {
       pack_uint (&message, (uint64_t) answer.age);
-      pack_binding (&message, &answer.binding);
+      binding_write (&message, &answer.binding);
     }
   (void) send_to (store, from, &message); /* the lookup is repeated */
   bytes_clear (&message);
@@ -321,12 +298,12 @@
   struct binding_lookup *lookup;
   struct binding_key key;
 
-  read_key (in, &key);
+  binding_read_key (in, &key);
   answer.outcome = (enum binding_outcome) pack_read_uint (in, BINDING_OUTCOME_COUNT - 1);
   if (answer.outcome == BINDING_KNOWN)
     {
       answer.age = (int64_t) pack_read_uint (in, (uint64_t) INT64_MAX);
-      read_binding (in, &answer.binding);
+      binding_read (in, &answer.binding);
     }
   if (!pack_read_is_complete (in))
     return;
@@ -363,8 +340,45 @@
 
 static const struct peer_listener_ops listener_ops = { .received = received };
 
+/* ---- restoring ---- */
+
+static void
+restored (struct binding_log_listener *listener,
+          const struct binding_log_entry *entry,
+          int64_t age,
+          int64_t now)
+{
+  struct binding_store *store = CONTAINER_OF (listener, struct binding_store, log_listener);
+
+  binding_table_restore (store->table, &entry->key, &entry->binding, age, entry->lifetime, now);
+}
+
+static void
+loaded (struct binding_log_listener *listener, int64_t now)
+{
+  struct binding_store *store = CONTAINER_OF (listener, struct binding_store, log_listener);
+
+  (void) now;
+  gauge_set (store->held, binding_table_count (store->table));
+}
+
+static const struct binding_log_listener_ops log_ops = { .restored = restored, .loaded = loaded };
+
 /* ---- setup ---- */
 
+static enum status
+open_log (struct binding_store *store)
+{
+  struct binding_log_config config = *store->config.log;
+
+  store->log_listener.ops = &log_ops;
+  config.listener = &store->log_listener;
+  config.timers = store->config.timers;
+  config.counters = store->config.counters;
+  store->log = binding_log_new (store, &config);
+  return store->log == NULL ? STATUS_NO_MEMORY : STATUS_OK;
+}
+
 static void
 init_counters (struct binding_store *store)
 {
@@ -404,7 +418,7 @@
     return NULL;
   store->config = *config;
   store->table = binding_table_new (store);
-  if (store->table == NULL)
+  if (store->table == NULL || (config->log != NULL && open_log (store) != STATUS_OK))
     {
       talloc_free (store);
       return NULL;
--- a/src/binding_store.h
+++ b/src/binding_store.h
@@ -4,7 +4,8 @@
  * often because that one ended.  So a binding is sent, before the first event goes to the caller,
  * to a few entry hosts in different failure domains and to a controller.  Which ones follows from
  * the key, so any host knows whom to ask, and a stream costs the same in a fleet of any size.
- * Nothing is stored on disk. */
+ * Controllers write them to their disks (binding_log.h): they are found again after all processes
+ * have ended, unless the stream began in the last moment before. */
 #ifndef BINDING_STORE_H
 #define BINDING_STORE_H
 
@@ -19,7 +20,7 @@
 
 /* Hosts that are sent a binding. */
 #define BINDING_REPLICA_HOSTS 3
-#define BINDING_REPLICA_CONTROLLERS 1
+#define BINDING_REPLICA_CONTROLLERS 2
 
 /* Hosts that are asked for one: more, as the order changes when hosts come and go. */
 #define BINDING_LOOKUP_HOSTS 6
@@ -113,6 +114,7 @@
 void binding_order_names (const struct binding_key *key, const char **names, uint32_t n);
 
 struct binding_store;
+struct binding_log_config;
 
 struct binding_store_config
 {
@@ -120,6 +122,10 @@
   struct peer_port *port;
   struct timer_service *timers;
   struct counters *counters;
+
+  /* What others send is written there; its listener, timers and counters are set by the store.
+   * NULL: it is kept in memory alone. */
+  const struct binding_log_config *log;
 };
 
 /* Listens on PEER_CHANNEL_BINDING.  Freed with `parent`.  NULL when out of memory. */
--- a/src/controller_host.c
+++ b/src/controller_host.c
@@ -1,5 +1,6 @@
 /* A controller's process: log, document and registrations. */
 #include "controller_host.h"
+#include "binding_log.h"
 #include "binding_store.h"
 #include "consensus_voter.h"
 #include "container.h"
@@ -9,6 +10,7 @@
 #include <signal.h>
 #include <string.h>
 #include <talloc.h>
+#include <time.h>
 
 /* Raft timing.  The election timeout must cover the leader's sync to a slow disk and a process that
  * gets a seventh of a core: a heartbeat every 80 ms allows for four lost or late ones.  After a
@@ -35,9 +37,14 @@
 #define DRAIN_MIN (400 * USEC_PER_MSEC)
 #define DRAIN_POLL_PERIOD (50 * USEC_PER_MSEC)
 
+/* Bindings of streams are removed from a disk with less free space, before proposals are refused.
+ */
+#define BINDINGS_FREE_BYTES_MIN (2 * RESERVE_BYTES)
+
 struct controller_host
 {
   struct role_base base;
+  struct disk *disk;
   struct document_listener listener;
   struct document *document;
   struct consensus *consensus;
@@ -165,7 +172,7 @@
   enum status status = STATUS_OK;
   struct consensus_voter_config config = {
     .name = settings->peer_address,
-    .disk = disk_posix_new (host, settings->data_folder, &status),
+    .disk = host->disk = disk_posix_new (host, settings->data_folder, &status),
     .worker = disk_thread_new (host, host->base.loop),
     .voters = voters,
     .n_voters = settings->n_seeds,
@@ -254,16 +261,35 @@
                                        : STATUS_OK;
 }
 
-/* Entry hosts that all end at once find the bindings of their streams here. */
+static int64_t
+wall_clock (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return now.tv_sec * USEC_PER_SEC + now.tv_nsec / 1000;
+}
+
+/* Entry hosts that all end at once find the bindings of their streams here.  Their writes have a
+ * worker of their own, so that the log of the configuration does not wait for them. */
 static enum status
 build_bindings (struct controller_host *host)
 {
-  struct binding_store_config config = {
+  const struct binding_log_config log = {
+    .disk = host->disk,
+    .worker = disk_thread_new (host, host->base.loop),
+    .free_bytes_min = BINDINGS_FREE_BYTES_MIN,
+    .wall_clock = wall_clock,
+  };
+  const struct binding_store_config config = {
     .port = host->base.port,
     .timers = host->base.timers,
     .counters = host->base.counters,
+    .log = &log,
   };
 
+  if (log.worker == NULL)
+    return STATUS_IO;
   return binding_store_new (host, &config) == NULL ? status_fail (STATUS_NO_MEMORY, "out of memory")
                                                    : STATUS_OK;
 }
--- a/tests/unit_binding.cc
+++ b/tests/unit_binding.cc
@@ -1,5 +1,8 @@
 // What streams are bound to: the table, the hosts that keep bindings, and lookups at them.
+#include "binding_log.h"
 #include "binding_store.h"
+#include "disk_fake.h"
+#include "held_worker.h"
 #include "sync_harness.h"
 #include <gtest/gtest.h>
 #include <memory>
@@ -328,7 +331,9 @@
   }
 
   host &
-  add (const std::string &name, const std::vector<std::string> &others)
+  add (const std::string &name,
+       const std::vector<std::string> &others,
+       const struct binding_log_config *log = nullptr)
   {
     static const struct binding_peers_ops ops = {
       .list_hosts =
@@ -350,6 +355,7 @@
       .port = &made.port.port,
       .timers = timers,
       .counters = counters,
+      .log = log,
     };
 
     made.peers.ops = &ops;
@@ -414,6 +420,14 @@
     now += span;
     timer_service_run (timers, now);
   }
+
+  // Enough turns of the loop for a log to be read or written.
+  void
+  settle ()
+  {
+    for (int i = 0; i < 5; i++)
+      advance (BINDING_LOG_WRITE_PERIOD / 4);
+  }
 };
 
 TEST_F (BindingStoreTest, AnotherHostAnswersAfterTheFirstOneEnded)
@@ -452,6 +466,42 @@
   EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
 }
 
+// Guards against a controller that forgets what it keeps for others when it ends, or says that it
+// does not know a stream before it has read its disk.
+TEST_F (BindingStoreTest, AControllerAnswersFromItsDiskAfterARestart)
+{
+  held_worker worker;
+  struct binding_log_config log = {};
+  struct disk *disk = disk_fake_new (parent, 1);
+
+  log.disk = disk;
+  log.worker = &worker.worker;
+  log.wall_clock = [] { return INT64_C (0); };
+  add ("controller", {}, &log);
+  add ("a", {}).peers.controllers = { "controller" };
+  settle ();
+  put ("a", binding_of ("p", "v2"));
+  deliver ();
+  settle ();
+  talloc_free (hosts["controller"].store);
+  hosts.erase ("a");
+  worker.holds = true;
+  add ("controller", {}, &log);
+  add ("b", {}).peers.controllers = { "controller" };
+  look_up ("b");
+  advance (BINDING_LOOKUP_PERIOD);
+  deliver ();
+  EXPECT_TRUE (client.answers.empty ());
+  worker.release (now);
+  settle ();
+  advance (BINDING_LOOKUP_PERIOD);
+  deliver ();
+  ASSERT_EQ (client.answers.size (), 1u);
+  EXPECT_EQ (client.answers[0].outcome, BINDING_KNOWN);
+  EXPECT_STREQ (client.answers[0].binding.version, "v2");
+  talloc_free (hosts["controller"].store);
+}
+
 // One host that knows is enough, whatever others say and whether they say anything.
 TEST_F (BindingStoreTest, OneThatKnowsIsEnough)
 {
