--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 WHOLE_OBJ = $(WHOLE:%.cc=$(BUILD)/%.o)
 PROGRAMS = $(BENCH_PROGRAMS:%=$(BUILD)/bin/%)
 
-.PHONY: target known-red all demo test unit whole soak bench format lint clean packages programs format-check tidy
+.PHONY: target sanitized known-red all demo test unit whole soak bench format lint clean packages programs format-check tidy
 .SECONDARY:
 
 all: cherryarch programs
@@ -124,12 +124,16 @@
 	$(MAKE) BUILD=build/asan OPT="$(SAN)" build/asan/bin/unit
 	@seq 0 $$(($(SHARDS) - 1)) | xargs -P $(SHARDS) -I {} sh -c '$(UNIT_SHARD)'
 
-whole:
+# The programs that tests play under the sanitizers.
+sanitized:
+	$(MAKE) BUILD=build/asan OPT="$(SAN)" build/asan/bin/cherryarch
+
+whole: sanitized
 	$(MAKE) all
 	$(MAKE) build/release/bin/whole
 	build/release/bin/whole --gtest_brief=1 $(RED_FILTER)
 
-soak:
+soak: sanitized
 	$(MAKE) all
 	$(MAKE) build/release/bin/whole
 	build/release/bin/whole --gtest_filter='Soak.*'
