Leave the disk alone after a failed write of bindings

A batch that found no memory could have been written in part.

Evidence: BindingLogTest.WhatWaitsDuringAFailedWriteIsNotWrittenAtOnce failed before and passes now, with the other tests of Binding*.

Why it works: what waits when a write fails is counted as not written, and dropped with it; a batch without memory is dropped whole.

--- a/src/binding_log.c
+++ b/src/binding_log.c
@@ -102,6 +102,14 @@
   counter_add (log->lost, n);
 }
 
+static void
+drop_pending (struct binding_log *log)
+{
+  count_lost (log, log->n_pending);
+  log->n_pending = 0;
+  bytes_clear (&log->pending);
+}
+
 /* Arms the timer for the next write, or for the removal of files that have expired. */
 static void
 schedule (struct binding_log *log, int64_t now)
@@ -145,6 +153,13 @@
       binding_log_write_header (&job->batch, &header);
     }
   bytes_append (&job->batch, log->pending.data, log->pending.length);
+  if (bytes_has_failed (&job->batch))
+    {
+      /* A part of it would make the rest of the file unreadable. */
+      bytes_clear (&job->batch);
+      drop_pending (log);
+      log->has_file = false;
+    }
   job->n_records = log->n_pending;
   job->number = log->last_number;
   memcpy (job->removed, log->removed, log->n_removed * sizeof *log->removed);
@@ -159,14 +174,17 @@
 static void
 write_failed (struct binding_log *log, enum status status, int64_t now)
 {
+  uint32_t n_lost = log->job->n_records + log->n_pending;
+
   counter_add (log->failures, 1);
   count_lost (log, log->job->n_records);
+  drop_pending (log);
   log->has_file = false;
   log->paused_until = now + BINDING_LOG_PAUSE;
   if (status == STATUS_DISK_FULL)
     drop_all_files (log);
   log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "bindings-not-written", "{s:i,s:s,s:I,s:b}",
-             "bindings", (int) log->job->n_records, "message", status_message (), "pause_ms",
+             "bindings", (int) n_lost, "message", status_message (), "pause_ms",
              (json_int_t) (BINDING_LOG_PAUSE / USEC_PER_MSEC), "removed",
              status == STATUS_DISK_FULL);
 }
@@ -206,9 +224,8 @@
   binding_log_write_record (&log->pending, &record);
   if (bytes_has_failed (&log->pending))
     {
-      count_lost (log, ++log->n_pending);
-      log->n_pending = 0;
-      bytes_clear (&log->pending);
+      log->n_pending++;
+      drop_pending (log);
       return;
     }
   log->n_pending++;
--- a/tests/unit_binding_log.cc
+++ b/tests/unit_binding_log.cc
@@ -333,6 +333,28 @@
   EXPECT_EQ (versions (), std::vector<std::string>{ "v5" });
 }
 
+// Guards against a disk that is not left alone after a failure, for bindings that came meanwhile.
+TEST_F (BindingLogTest, WhatWaitsDuringAFailedWriteIsNotWrittenAtOnce)
+{
+  advance (SEC);
+  worker->holds = true;
+  add (0);
+  advance (SEC / 10);
+  add (1);
+  disk_fake_fail_sync (fake);
+  worker->release (now);
+  worker->holds = false;
+  uint64_t before = disk_fake_changes (fake);
+
+  advance (BINDING_LOG_PAUSE - SEC);
+  EXPECT_EQ (disk_fake_changes (fake), before);
+  advance (2 * SEC);
+  add (2);
+  advance (SEC);
+  restart (0);
+  EXPECT_EQ (versions ().back (), "v2");
+}
+
 // Guards against memory without bound, and a loop that waits, while the disk stalls.
 TEST_F (BindingLogTest, AStalledDiskKeepsABoundedNumberWaiting)
 {
