Write no bindings where the files of earlier runs cannot be listed

Found by reading the diff: a controller whose data folder could not be listed at its start took the first number for its file, which may be that of an earlier run; what it appended there could not be read, and removing its own file would remove the other.

Why it works: such a process keeps bindings in memory alone and counts them as not written; another controller has them, and the next start finds the files of before.

--- a/src/binding_log.c
+++ b/src/binding_log.c
@@ -352,8 +352,12 @@
   int64_t downtime;
 
   if (status != STATUS_OK)
-    log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "bindings-not-read", "{s:s}", "message",
-               status_message ());
+    {
+      log_event (LOG_MODULE_FLOW, LOG_LEVEL_WARNING, "bindings-not-read", "{s:s}", "message",
+                 status_message ());
+      /* The numbers of the files are not known, and a write might go to one of them. */
+      log->paused_until = USEC_NEVER;
+    }
   log->was_read = true;
   log->newest_wall = find_newest (job);
   downtime = log->config.wall_clock () - log->newest_wall;
--- a/src/binding_log.h
+++ b/src/binding_log.h
@@ -38,7 +38,8 @@
 #define BINDING_LOG_BYTES_MAX (2u << 20)
 #define BINDING_LOG_FILES_MAX 64
 
-/* Nothing is written for so long after the disk has failed or was found full. */
+/* Nothing is written for so long after the disk has failed or was found full; nothing at all where
+ * the files could not be listed at the start. */
 #define BINDING_LOG_PAUSE (5 * USEC_PER_SEC)
 
 /* The wall clock shows how long the controllers were down.  It may have been set meanwhile, so
--- a/tests/unit_binding_log.cc
+++ b/tests/unit_binding_log.cc
@@ -355,6 +355,31 @@
   EXPECT_EQ (versions ().back (), "v2");
 }
 
+// Guards against a write to a file of an earlier run that could not be listed.
+TEST_F (BindingLogTest, NothingIsWrittenWhereTheFilesCannotBeListed)
+{
+  const struct disk_ops *sound = disk->ops;
+  struct disk_ops failing = *sound;
+
+  failing.list = [] (struct disk *, void (*) (void *, const char *), void *) {
+    return status_fail (STATUS_IO, "list");
+  };
+  advance (SEC);
+  add (0);
+  advance (SEC);
+  disk->ops = &failing;
+  restart (0);
+  EXPECT_EQ (found->loaded, 1);
+  disk->ops = sound;
+  uint64_t before = disk_fake_used (fake);
+
+  add (1);
+  advance (2 * BINDING_LOG_PAUSE);
+  EXPECT_EQ (disk_fake_used (fake), before);
+  restart (0);
+  EXPECT_EQ (versions (), std::vector<std::string>{ "v0" });
+}
+
 // Guards against memory without bound, and a loop that waits, while the disk stalls.
 TEST_F (BindingLogTest, AStalledDiskKeepsABoundedNumberWaiting)
 {
