Tell how far an entry host's configuration is behind, and what was sent

Requests were handled by configurations that were superseded 3 s before, and no line or counter told copies of the document from connections that lost packets. Entry hosts now note when they learn of a version that they lack: routing-in-force has known_ms, routing-behind is logged once after 0.5 s, and a gauge has the seconds. Counters tell documents and bytes received, those received though not newer, and documents and bytes sent by a controller. No decision changes.

--- a/src/controller.c
+++ b/src/controller.c
@@ -424,6 +424,10 @@
                    "Connections to entry hosts replaced, as no answer arrived there.", NULL);
   controller->pushes = counter_get (counters, "cherryarch_controller_pushes_total",
                                     "Changes pushed to entry hosts.", NULL);
+  controller->documents = counter_get (counters, "cherryarch_controller_documents_total",
+                                       "Configurations sent to entry hosts.", NULL);
+  controller->document_bytes =
+      counter_get (counters, "cherryarch_controller_document_bytes_total", "Bytes of these.", NULL);
   controller->unconfirmed = counter_get (counters, "cherryarch_controller_unconfirmed_total",
                                          "Questions that no quorum answered in time.", NULL);
   controller->hosts_refused =
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -46,6 +46,8 @@
   struct counter *malformed;
   struct counter *reconnects;
   struct counter *pushes;
+  struct counter *documents;
+  struct counter *document_bytes;
   struct counter *unconfirmed;
   struct counter *hosts_refused;
   struct counter *leave_timeouts;
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -133,6 +133,11 @@
   bytes_clear (&out);
   if (!sent)
     return false;
+  if (state.has_document)
+    {
+      counter_add (controller->documents, 1);
+      counter_add (controller->document_bytes, (double) text->length);
+    }
   /* Assume delivery; the next request states what the host holds, so a lost message is sent again
    * then. */
   host->renewed_until = now;
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -220,6 +220,7 @@
   remove_silent_controllers (self, now);
   expire_targets (self, now);
   subscriber_update_ready (self);
+  subscriber_report_lag (self);
   if (self->confirmed)
     gauge_set (self->age_gauge,
                (double) subscriber_confirmation_age (self) / (double) USEC_PER_SEC);
@@ -397,6 +398,15 @@
                               "Controllers' lists of entry hosts merged into one.", NULL);
   self->left_out = counter_get (counters, "cherryarch_subscriber_hosts_left_out_total",
                                 "Entry hosts named beyond what one host can keep.", NULL);
+  self->documents = counter_get (counters, "cherryarch_subscriber_documents_total",
+                                 "Configurations received from controllers.", NULL);
+  self->document_bytes =
+      counter_get (counters, "cherryarch_subscriber_document_bytes_total", "Bytes of these.", NULL);
+  self->superseded = counter_get (counters, "cherryarch_subscriber_documents_superseded_total",
+                                  "Those that were not newer than the one in force.", NULL);
+  self->behind_gauge =
+      gauge_get (counters, "cherryarch_subscriber_behind_seconds",
+                 "Since this host learned of the first configuration that it lacks.", NULL);
   self->age_gauge = gauge_get (counters, "cherryarch_subscriber_age_seconds",
                                "Since the newest confirmed question was asked.", NULL);
   self->version_gauge = gauge_get (counters, "cherryarch_subscriber_version",
--- a/src/subscriber_document.c
+++ b/src/subscriber_document.c
@@ -6,12 +6,50 @@
 #include <string.h>
 #include <talloc.h>
 
+/* A newer version that is known for this long and not in force is logged. */
+#define LAG_LOGGED_AFTER (500 * USEC_PER_MSEC)
+
 uint64_t
 subscriber_version (const struct subscriber *self)
 {
   return self->routing == NULL ? 0 : self->routing->version;
 }
 
+void
+subscriber_learn_version (struct subscriber *self, uint64_t version)
+{
+  if (version > subscriber_version (self))
+    version_lag_learn (&self->lag, version, self->config.boottime ());
+}
+
+/* In us; 0 if this host knows of no newer version. */
+static int64_t
+time_behind (const struct subscriber *self)
+{
+  int64_t since = version_lag_since (&self->lag);
+
+  return since == USEC_NEVER ? 0 : self->config.boottime () - since;
+}
+
+void
+subscriber_report_lag (struct subscriber *self)
+{
+  int64_t behind = time_behind (self);
+
+  gauge_set (self->behind_gauge, (double) behind / (double) USEC_PER_SEC);
+  if (behind < LAG_LOGGED_AFTER)
+    self->lag_logged = false;
+  if (behind < LAG_LOGGED_AFTER || self->lag_logged)
+    return;
+  self->lag_logged = true;
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_WARNING, "routing-behind", "{s:I,s:I,s:I,s:I,s:I}", "held",
+             (json_int_t) subscriber_version (self), "newest",
+             (json_int_t) version_lag_newest (&self->lag), "known_ms",
+             (json_int_t) (behind / USEC_PER_MSEC), "documents",
+             (json_int_t) self->documents->value, "superseded",
+             (json_int_t) self->superseded->value);
+}
+
 /* Once per version: it is received again with each answer. */
 static void
 log_not_understood (struct subscriber *self, uint64_t version, const char *message)
@@ -74,10 +112,16 @@
 {
   struct routing *before = self->routing;
   struct routing *routing;
+  int64_t behind = time_behind (self);
   char digest[DOCUMENT_DIGEST_SIZE];
 
+  counter_add (self->documents, 1);
+  counter_add (self->document_bytes, (double) length);
   if (version <= subscriber_version (self))
-    return;
+    {
+      counter_add (self->superseded, 1);
+      return;
+    }
   routing = self->config.codec->ops->decode (self->config.codec, self, text, length);
   if (routing == NULL || routing->version != version)
     {
@@ -88,11 +132,13 @@
     }
   note_shares_since (before, routing, self->now);
   self->routing = routing;
+  version_lag_hold (&self->lag, version);
   gauge_set (self->version_gauge, (double) version);
   document_digest (text, length, digest);
-  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s}",
+  log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s,s:I}",
              "version", (json_int_t) version, "content", digest, "routes", (int) routing->n_routes,
-             "pools", (int) routing->n_pools, "from", from->name);
+             "pools", (int) routing->n_pools, "from", from->name, "known_ms",
+             (json_int_t) (behind / USEC_PER_MSEC));
   self->config.listener->ops->routing (self->config.listener, routing, self->now);
   talloc_free (before);
 }
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -4,6 +4,7 @@
 
 #include "host_view.h"
 #include "subscriber.h"
+#include "version_lag.h"
 
 /* Requests whose answers still count; the next request is sent before a slow answer arrives. */
 #define REQUESTS_KEPT 8
@@ -45,6 +46,8 @@
   struct timer tick;
   struct routing *routing; /* in force once confirmed; its version is the one held */
   uint64_t not_understood; /* newest version that could not be decoded; 0: none */
+  struct version_lag lag;  /* of the configuration, on a clock that includes system suspend */
+  bool lag_logged;
   struct registry *registry;
   struct evacuation_view evacuations;
   struct known_controller controllers[SYNC_CONTROLLERS_MAX];
@@ -69,7 +72,11 @@
   struct counter *reconnects;
   struct counter *merges;
   struct counter *left_out;
+  struct counter *documents;
+  struct counter *document_bytes;
+  struct counter *superseded;
   struct counter *age_gauge;
+  struct counter *behind_gauge;
   struct counter *version_gauge;
   struct counter *evacuated_domains;
 };
@@ -94,6 +101,12 @@
 /* subscriber_document.c: the configuration */
 uint64_t subscriber_version (const struct subscriber *self);
 
+/* Notes that a controller holds the version. */
+void subscriber_learn_version (struct subscriber *self, uint64_t version);
+
+/* Updates the gauge of the time behind, and logs once when it grows long. */
+void subscriber_report_lag (struct subscriber *self);
+
 /* Puts the document in force if it is newer than the version held and can be decoded. */
 void subscriber_apply_document (struct subscriber *self,
                                 const struct known_controller *from,
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -219,6 +219,7 @@
   controller->unanswered_since = 0;
   controller->next_reconnect = 0;
   subscriber_set_reachable (self, controller, true, now);
+  subscriber_learn_version (self, state.document);
   if (text != NULL)
     subscriber_apply_document (self, controller, state.document, text, length);
   read_targets (self, controller, in, now);
