Send the configuration to an entry host once, as a difference

Callers saw requests handled by configurations that were superseded 3 s before, hosts that were not ready, and, after a loss of power, 11 s of full links.

Cause: each controller sent each version whole to each entry host, unasked, and again with each answer while the host stated that it lacked it. Nothing bounded what was on its way and nothing dropped what a newer version superseded. With 228 KB and six controllers a version is 1.4 MB a host, 1.5 s of a link of 7.5 Mbit/s; confirmations and the versions that callers waited for stood behind, the host asked again, and got more copies.

Evidence: all links full from 22 to 38 s, 19 versions in 4.8 s, idle processors; weak hosts put version 38 in force 8 s late.

Change: states only name the version. An entry host requests the text of one controller at a time, by the version that it holds, and after a time-out of another one; it gets the newest version, as a difference from the one it holds where the controller keeps that (zstd; libzstd is a new package). So at most one text is on its way to a host, whatever the number of controllers and changes. A confirmation that arrives before its version counts once that is held. Hosts and controllers of earlier releases get and send texts as before.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 BUILD ?= build/release
 JOBS ?= -j$(shell nproc)
 VERSION := $(shell cat VERSION)
-PACKAGES := libwebsockets libzmq log4c inih jansson mpack talloc libxxhash libsodium libssl libcrypto
+PACKAGES := libwebsockets libzmq log4c inih jansson mpack talloc libxxhash libsodium libssl libcrypto libzstd
 WARN := -Wall -Wextra -Werror -Wno-unused-parameter -Wshadow -Wvla -Wformat=2
 CWARN := $(WARN) -Wstrict-prototypes -Wmissing-prototypes
 OPT ?= -O2 -g
--- a/src/controller.c
+++ b/src/controller.c
@@ -2,6 +2,7 @@
 #include "container.h"
 #include "controller_private.h"
 #include "log.h"
+#include "text.h"
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
@@ -104,10 +105,9 @@
   return NULL;
 }
 
-/* Finds or creates the record of a host; when all records are in use, replaces one whose lease has
- * expired.  NULL when there is none. */
-static struct entry_host_record *
-find_or_add_host (struct controller *controller, const char *name, int64_t now)
+/* When all records are in use, replaces one whose lease has expired. */
+struct entry_host_record *
+controller_add_host (struct controller *controller, const char *name, int64_t now)
 {
   struct entry_host_record *host = controller_find_host (controller, name);
 
@@ -119,8 +119,14 @@
     for (uint32_t i = 0; i < controller->n_hosts && host == NULL; i++)
       if (!controller_host_is_live (&controller->hosts[i], now))
         host = &controller->hosts[i];
-  if (host != NULL)
-    *host = (struct entry_host_record){ .heard_at = now, .reach = host->reach };
+  if (host == NULL)
+    return NULL;
+  /* Its lease begins with its first request. */
+  *host = (struct entry_host_record){
+    .heard_at = now - CONTROLLER_HOST_LEASE - 1,
+    .reach = host->reach,
+  };
+  text_copy_truncated (host->info.name, sizeof host->info.name, name);
   return host;
 }
 
@@ -178,7 +184,7 @@
       counter_add (controller->malformed, 1);
       return;
     }
-  host = find_or_add_host (controller, from, now);
+  host = controller_add_host (controller, from, now);
   if (host == NULL)
     {
       reject_host (controller, from);
@@ -362,6 +368,7 @@
   const struct bytes *text = document_text (controller->config.document);
   char digest[DOCUMENT_DIGEST_SIZE];
 
+  controller_keep_document (controller);
   document_digest (text->data, text->length, digest);
   log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "document-changed", "{s:I,s:I,s:s}", "version",
              (json_int_t) document_version (controller->config.document), "bytes",
@@ -394,6 +401,8 @@
     controller_handle_reach (controller, &in, from, now);
   else if (type == SYNC_VERSION_REQUEST)
     controller_handle_version_request (controller, &in, from);
+  else if (type == SYNC_DOCUMENT_REQUEST)
+    controller_handle_document_request (controller, &in, from, now);
 }
 
 static const struct peer_listener_ops listener_ops = { .received = received };
@@ -465,7 +474,8 @@
   controller->config = *config;
   controller->started_at = config->now;
   controller->registry = registry_new (controller);
-  if (controller->registry == NULL)
+  controller->history = document_history_new (controller);
+  if (controller->registry == NULL || controller->history == NULL)
     {
       talloc_free (controller);
       return NULL;
@@ -476,6 +486,7 @@
   controller->listener.ops = &listener_ops;
   controller->hosts_revision = 1;
   init_counters (controller);
+  controller_keep_document (controller);
   controller_init_reach (controller);
   controller_init_evacuations (controller);
   config->port->ops->set_listener (config->port, PEER_CHANNEL_SYNC, &controller->listener);
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -3,6 +3,7 @@
 #define CONTROLLER_PRIVATE_H
 
 #include "controller.h"
+#include "document_history.h"
 #include "pack.h"
 
 /* An entry host and the revisions that it holds. */
@@ -12,6 +13,7 @@
   int64_t heard_at;
   int64_t renewed_until; /* renewals up to this time have been sent */
   uint64_t document_version;
+  uint64_t requests_documents; /* incarnation of the host that requests them itself; 0: none */
   uint64_t targets_revision;
   uint64_t hosts_revision;
   uint64_t nonce;           /* of the newest request to be answered; 0: none */
@@ -37,6 +39,7 @@
   bool reach_reported;      /* hosts had lost pools when that was last sent */
   int64_t reach_sent_at;    /* 0: never */
   struct registry *registry;
+  struct document_history *history;
   struct entry_host_record hosts[SYNC_HOSTS_MAX];
   uint32_t n_hosts;
   uint64_t hosts_revision;
@@ -88,6 +91,18 @@
                                         struct pack_reader *in,
                                         const char *from);
 
+/* ---- controller_document.c: the configuration ---- */
+
+/* Adds the document in force to the history. */
+void controller_keep_document (struct controller *controller);
+
+/* Does the host request documents itself? */
+bool controller_host_requests_documents (const struct entry_host_record *host);
+void controller_handle_document_request (struct controller *controller,
+                                         struct pack_reader *in,
+                                         const char *from,
+                                         int64_t now);
+
 /* ---- controller_reach.c: entry hosts that have lost pools ---- */
 
 void controller_init_reach (struct controller *controller);
@@ -113,6 +128,11 @@
 /* NULL if the host never sent a request. */
 struct entry_host_record *controller_find_host (struct controller *controller, const char *name);
 
+/* Finds or creates the record of a host; NULL when there is no room. */
+struct entry_host_record *controller_add_host (struct controller *controller,
+                                               const char *name,
+                                               int64_t now);
+
 /* Schedules a push of changes to the entry hosts after PUSH_DELAY. */
 void controller_schedule_push (struct controller *controller, int64_t now);
 
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -108,7 +108,8 @@
     .document = document_version (document),
     .targets = controller->registry->revision,
     .hosts = controller->hosts_revision,
-    .has_document = document_version (document) > host->document_version,
+    .has_document = document_version (document) > host->document_version
+                    && !controller_host_requests_documents (host),
     .has_hosts = host->hosts_revision != controller->hosts_revision,
   };
   struct bytes out;
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -143,12 +143,19 @@
     .self = self->self,
   };
   bool silent = is_silent (controller, now);
+  bool introduces =
+      controller->introduced == 0 || controller->introduced != controller->incarnation;
   bool sent;
   struct bytes out;
 
   request.self.ready = subscriber_is_ready (self);
-  controller->requests[request.nonce % REQUESTS_KEPT] =
-      (struct request_record){ .nonce = request.nonce, .sent_at = self->config.boottime () };
+  controller->requests[request.nonce % REQUESTS_KEPT] = (struct request_record){
+    .nonce = request.nonce,
+    .sent_at = self->config.boottime (),
+    .introduced = introduces,
+  };
+  if (introduces)
+    subscriber_introduce (self, controller);
   if (silent)
     send_unanswered (self, controller);
   bytes_init (&out, NULL);
@@ -216,6 +223,7 @@
       if (now - controller->heard > SYNC_CONTACT_TIMEOUT)
         subscriber_set_reachable (self, controller, false, now);
     }
+  subscriber_fetch_document (self, now);
   subscriber_request_confirmation (self, now);
   remove_silent_controllers (self, now);
   expire_targets (self, now);
@@ -404,6 +412,9 @@
       counter_get (counters, "cherryarch_subscriber_document_bytes_total", "Bytes of these.", NULL);
   self->superseded = counter_get (counters, "cherryarch_subscriber_documents_superseded_total",
                                   "Those that were not newer than the one in force.", NULL);
+  self->fetch_timeouts =
+      counter_get (counters, "cherryarch_subscriber_document_timeouts_total",
+                   "Requests for the configuration that a controller left unanswered.", NULL);
   self->behind_gauge =
       gauge_get (counters, "cherryarch_subscriber_behind_seconds",
                  "Since this host learned of the first configuration that it lacks.", NULL);
@@ -425,6 +436,7 @@
   self->config = *config;
   self->self = config->self;
   self->view_stale = true;
+  bytes_init (&self->document, self);
   self->listener.ops = &subscriber_listener_ops;
   self->tick.ops = &tick_ops;
   self->registry = registry_new (self);
--- a/src/subscriber_document.c
+++ b/src/subscriber_document.c
@@ -103,6 +103,31 @@
     }
 }
 
+/* A confirmation is as good as on its arrival: the version held is not older than the one that was
+ * the newest then. */
+static void
+apply_early_confirmations (struct subscriber *self)
+{
+  for (uint32_t i = 0; i < self->n_controllers; i++)
+    {
+      struct early_confirmation *early = &self->controllers[i].early;
+
+      if (early->document == 0 || early->document > subscriber_version (self))
+        continue;
+      subscriber_confirm (self, early->requested_at);
+      early->document = 0;
+    }
+}
+
+static void
+keep_text (struct subscriber *self, const void *text, size_t length)
+{
+  bytes_clear (&self->document);
+  bytes_append (&self->document, text, length);
+  if (bytes_has_failed (&self->document))
+    bytes_clear (&self->document);
+}
+
 void
 subscriber_apply_document (struct subscriber *self,
                            const struct known_controller *from,
@@ -115,8 +140,6 @@
   int64_t behind = time_behind (self);
   char digest[DOCUMENT_DIGEST_SIZE];
 
-  counter_add (self->documents, 1);
-  counter_add (self->document_bytes, (double) length);
   if (version <= subscriber_version (self))
     {
       counter_add (self->superseded, 1);
@@ -132,7 +155,9 @@
     }
   note_shares_since (before, routing, self->now);
   self->routing = routing;
+  keep_text (self, text, length);
   version_lag_hold (&self->lag, version);
+  self->fetch.out = self->fetch.out && version_lag_newest (&self->lag) != 0;
   gauge_set (self->version_gauge, (double) version);
   document_digest (text, length, digest);
   log_event (LOG_MODULE_STORE, LOG_LEVEL_INFO, "routing-in-force", "{s:I,s:s,s:i,s:i,s:s,s:I}",
@@ -141,4 +166,5 @@
              (json_int_t) (behind / USEC_PER_MSEC));
   self->config.listener->ops->routing (self->config.listener, routing, self->now);
   talloc_free (before);
+  apply_early_confirmations (self);
 }
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -13,6 +13,26 @@
 {
   uint64_t nonce;
   int64_t sent_at; /* on a clock that includes system suspend */
+  bool introduced; /* after a message that this host requests documents */
+};
+
+/* A quorum's confirmation of a version that this host does not hold yet. */
+struct early_confirmation
+{
+  uint64_t document; /* 0: none */
+  int64_t requested_at;
+};
+
+/* The request for the configuration. */
+struct document_fetch
+{
+  bool out;         /* sent, and neither answered nor given up */
+  uint64_t number;  /* of the newest request */
+  uint32_t turn;    /* place of the controller to be asked first */
+  int64_t timeout;  /* of the request that is out */
+  int64_t retry_at; /* when it is given up; if none is out, when a version that could not be decoded
+                       is requested again */
+  bool wants_whole; /* the last answer was no difference from the version held */
 };
 
 struct known_controller
@@ -20,6 +40,9 @@
   char name[ROUTING_NAME_SIZE];
   bool seed;
   uint64_t incarnation;
+  uint64_t introduced; /* incarnation that was told that this host requests documents; 0: none */
+  uint64_t document;   /* version that it holds, as it said */
+  struct early_confirmation early;
   uint64_t targets; /* revisions held */
   uint64_t hosts;
   uint64_t last_nonce;
@@ -45,6 +68,8 @@
   struct peer_listener listener;
   struct timer tick;
   struct routing *routing; /* in force once confirmed; its version is the one held */
+  struct bytes document;   /* its text */
+  struct document_fetch fetch;
   uint64_t not_understood; /* newest version that could not be decoded; 0: none */
   struct version_lag lag;  /* of the configuration, on a clock that includes system suspend */
   bool lag_logged;
@@ -75,6 +100,7 @@
   struct counter *documents;
   struct counter *document_bytes;
   struct counter *superseded;
+  struct counter *fetch_timeouts;
   struct counter *age_gauge;
   struct counter *behind_gauge;
   struct counter *version_gauge;
@@ -107,13 +133,26 @@
 /* Updates the gauge of the time behind, and logs once when it grows long. */
 void subscriber_report_lag (struct subscriber *self);
 
-/* Puts the document in force if it is newer than the version held and can be decoded. */
+/* Puts the document in force if it is newer than the version held and can be decoded. Confirmations
+ * that waited for it count then. */
 void subscriber_apply_document (struct subscriber *self,
                                 const struct known_controller *from,
                                 uint64_t version,
                                 const void *text,
                                 size_t length);
 
+/* subscriber_fetch.c: requests for the configuration */
+
+/* Requests it of a controller if it is lacked and no request is out. */
+void subscriber_fetch_document (struct subscriber *self, int64_t now);
+void subscriber_handle_document (struct subscriber *self,
+                                 const struct known_controller *controller,
+                                 struct pack_reader *in,
+                                 int64_t now);
+
+/* Tells the controller that this host requests documents itself. */
+void subscriber_introduce (struct subscriber *self, const struct known_controller *controller);
+
 /* subscriber_reach.c: hosts that have lost pools */
 void subscriber_send_reach (struct subscriber *self, struct known_controller *controller);
 void subscriber_handle_reach_list (struct subscriber *self,
@@ -159,6 +198,10 @@
 void subscriber_end_waits (struct subscriber *self, int64_t now);
 
 /* subscriber_state.c: handling of controllers' states */
+
+/* A quorum confirmed, after a request that was sent at `requested_at`, that the version held is the
+ * newest. */
+void subscriber_confirm (struct subscriber *self, int64_t requested_at);
 extern const struct peer_listener_ops subscriber_listener_ops;
 void subscriber_update_ready (struct subscriber *self);
 
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -153,22 +153,38 @@
 /* A confirmation counts from when its request was sent, so a delayed one extends nothing. */
 static void
 apply_confirmation (struct subscriber *self,
-                    const struct known_controller *controller,
-                    const struct sync_state *state,
-                    int64_t now)
+                    struct known_controller *controller,
+                    const struct sync_state *state)
 {
   const struct request_record *request = &controller->requests[state->nonce % REQUESTS_KEPT];
-  bool first = !self->confirmed;
 
-  if (!state->confirmed || state->nonce == 0 || state->nonce != request->nonce
-      || subscriber_version (self) < state->document)
+  if (state->nonce == 0 || state->nonce != request->nonce)
+    return;
+  if (request->introduced)
+    controller->introduced = state->controller;
+  if (!state->confirmed)
     return;
+  if (subscriber_version (self) >= state->document)
+    subscriber_confirm (self, request->sent_at);
+  /* The earliest is kept: while versions follow each other, later ones would wait for each next. */
+  else if (controller->early.document == 0)
+    controller->early = (struct early_confirmation){
+      .document = state->document,
+      .requested_at = request->sent_at,
+    };
+}
+
+void
+subscriber_confirm (struct subscriber *self, int64_t requested_at)
+{
+  bool first = !self->confirmed;
+
   counter_add (self->confirmations, 1);
-  if (!self->confirmed || request->sent_at > self->confirmed_at)
-    self->confirmed_at = request->sent_at;
+  if (first || requested_at > self->confirmed_at)
+    self->confirmed_at = requested_at;
   self->confirmed = true;
   if (first)
-    subscriber_mark_targets (self, now);
+    subscriber_mark_targets (self, self->now);
 }
 
 void
@@ -219,9 +235,14 @@
   controller->unanswered_since = 0;
   controller->next_reconnect = 0;
   subscriber_set_reachable (self, controller, true, now);
+  controller->document = state.document;
   subscriber_learn_version (self, state.document);
   if (text != NULL)
-    subscriber_apply_document (self, controller, state.document, text, length);
+    {
+      counter_add (self->documents, 1);
+      counter_add (self->document_bytes, (double) length);
+      subscriber_apply_document (self, controller, state.document, text, length);
+    }
   read_targets (self, controller, in, now);
   read_renewals (self, in, now);
   if (state.has_hosts && pack_read_is_ok (in))
@@ -237,7 +258,8 @@
   controller->incarnation = state.controller;
   controller->targets = state.targets;
   controller->hosts = state.hosts;
-  apply_confirmation (self, controller, &state, now);
+  apply_confirmation (self, controller, &state);
+  subscriber_fetch_document (self, now);
   subscriber_update_ready (self);
   subscriber_end_waits (self, now);
 }
@@ -263,6 +285,8 @@
     subscriber_handle_versions (self, controller, &in, now);
   else if (type == SYNC_EVACUATIONS)
     subscriber_handle_evacuations (self, controller, &in, now);
+  else if (type == SYNC_DOCUMENT)
+    subscriber_handle_document (self, controller, &in, now);
 }
 
 const struct peer_listener_ops subscriber_listener_ops = { .received = received };
--- a/src/sync.c
+++ b/src/sync.c
@@ -117,6 +117,42 @@
   return pack_read_is_complete (in);
 }
 
+void
+sync_write_document_request (const struct sync_document_request *request, struct bytes *out)
+{
+  pack_uint (out, request->incarnation);
+  pack_uint (out, request->number);
+  pack_bool (out, request->wanted);
+  pack_uint (out, request->held);
+}
+
+bool
+sync_read_document_request (struct pack_reader *in, struct sync_document_request *request)
+{
+  request->incarnation = pack_read_uint (in, UINT64_MAX);
+  request->number = pack_read_uint (in, UINT64_MAX);
+  request->wanted = pack_read_bool (in);
+  request->held = pack_read_uint (in, UINT64_MAX);
+  return pack_read_is_complete (in);
+}
+
+void
+sync_write_document (const struct sync_document *document, struct bytes *out)
+{
+  pack_uint (out, document->number);
+  pack_uint (out, document->version);
+  pack_uint (out, document->base);
+}
+
+bool
+sync_read_document (struct pack_reader *in, struct sync_document *document)
+{
+  document->number = pack_read_uint (in, UINT64_MAX);
+  document->version = pack_read_uint (in, UINT64_MAX);
+  document->base = pack_read_uint (in, UINT64_MAX);
+  return pack_read_is_ok (in);
+}
+
 uint64_t
 sync_lost_hash (const char *host, const char *pool)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -4,6 +4,13 @@
  * quorum has confirmed it, that the configuration is the newest.  Changes are pushed at once in the
  * same format.
  *
+ * The configuration may be large, and an entry host's link slow.  A state therefore only names its
+ * version.  The entry host requests the text from one controller at a time, and its next request is
+ * for the version that is the newest then; so at most one text is on its way, whatever the number
+ * of controllers and changes.  SYNC_DOCUMENT_REQUEST also tells a controller that its sender does
+ * this: entry hosts of earlier releases get the text with each state.  Controllers of earlier
+ * releases ignore the message and send the text with each state to all.
+ *
  * Each side sends on connections that it opened itself.  One that delivers nothing may show no
  * error for seconds or for good, so the entry host watches whether its requests are answered: it
  * replaces its own connection, and SYNC_UNANSWERED makes the controller replace the other one.
@@ -44,9 +51,11 @@
   SYNC_UNANSWERED = 4, /* entry host to controller: no state arrived since a request */
   SYNC_REACH = 5,      /* entry host to controller: the pools that it has lost */
   SYNC_REACH_LIST = 6, /* controller to entry host: all hosts that have lost pools */
-  SYNC_VERSION_REQUEST = 7, /* entry host to controller: targets whose versions it needs */
-  SYNC_VERSIONS = 8,        /* controller to entry host: versions of targets */
-  SYNC_EVACUATIONS = 9,     /* controller to entry host: evacuated failure domains */
+  SYNC_VERSION_REQUEST = 7,   /* entry host to controller: targets whose versions it needs */
+  SYNC_VERSIONS = 8,          /* controller to entry host: versions of targets */
+  SYNC_EVACUATIONS = 9,       /* controller to entry host: evacuated failure domains */
+  SYNC_DOCUMENT_REQUEST = 10, /* entry host to controller: the configuration */
+  SYNC_DOCUMENT = 11,         /* its answer */
   SYNC_MESSAGE_COUNT
 };
 
@@ -72,6 +81,22 @@
   struct sync_host self;
 };
 
+struct sync_document_request
+{
+  uint64_t incarnation; /* of the sender */
+  uint64_t number;      /* that the answer repeats */
+  bool wanted;          /* else the sender only tells that it requests documents */
+  uint64_t held;        /* version that the answer may be a difference from; 0: none */
+};
+
+/* Followed by the document in the format of patch.h. */
+struct sync_document
+{
+  uint64_t number;
+  uint64_t version;
+  uint64_t base; /* version that it is a difference from; 0: none */
+};
+
 /* The header of a state.  It is followed by the document if `has_document`, target records,
  * renewals, entry hosts if `has_hosts`, and controllers. */
 struct sync_state
@@ -132,6 +157,10 @@
 uint64_t sync_lost_hash (const char *host, const char *pool);
 void sync_write_state (const struct sync_state *state, struct bytes *out);
 bool sync_read_state (struct pack_reader *in, struct sync_state *state);
+void sync_write_document_request (const struct sync_document_request *request, struct bytes *out);
+bool sync_read_document_request (struct pack_reader *in, struct sync_document_request *request);
+void sync_write_document (const struct sync_document *document, struct bytes *out);
+bool sync_read_document (struct pack_reader *in, struct sync_document *document);
 void sync_write_host (const struct sync_host *host, struct bytes *out);
 bool sync_read_host (struct pack_reader *in, struct sync_host *host);
 void sync_write_renewal (const struct sync_renewal *renewal, struct bytes *out);
--- a/tests/unit_controller.cc
+++ b/tests/unit_controller.cc
@@ -129,7 +129,8 @@
                 uint64_t nonce,
                 uint64_t version = 0,
                 bool leaving = false,
-                const char *domain = "a")
+                const char *domain = "a",
+                uint64_t incarnation = 0)
   {
     struct sync_request request = {};
     struct bytes message;
@@ -140,6 +141,7 @@
     snprintf (request.self.address, sizeof request.self.address, "%s-clients", host);
     snprintf (request.self.domain, sizeof request.self.domain, "%s", domain);
     request.self.ready = true;
+    request.self.incarnation = incarnation;
     request.self.leaving = leaving;
     bytes_init (&message, nullptr);
     sync_write_header (SYNC_REQUEST, &message);
@@ -538,6 +540,43 @@
   EXPECT_FALSE (state.confirmed);
 }
 
+// Guards against a copy of the configuration from each controller with each state.
+TEST_F (ControllerTest, SendsNoTextWithAStateToAHostThatRequestsTexts)
+{
+  const struct sync_document_request request = { 0xe1, 4, true, 0 };
+  struct sync_state state;
+  struct bytes message;
+  int texts = 0;
+
+  bytes_init (&message, nullptr);
+  sync_write_header (SYNC_DOCUMENT_REQUEST, &message);
+  sync_write_document_request (&request, &message);
+  document_update (document, 4, "text", 4);
+  controller_document_changed (controller, now);
+  port.deliver ("e1", PEER_CHANNEL_SYNC, &message, now);
+  bytes_clear (&message);
+  for (const auto &[host, channel, text] : port.sent)
+    {
+      struct pack_reader in;
+      enum sync_message type;
+
+      pack_reader_init (&in, text.data (), text.size ());
+      texts += host == "e1" && sync_read_type (&in, &type) && type == SYNC_DOCUMENT ? 1 : 0;
+    }
+  EXPECT_EQ (texts, 1);
+  EXPECT_EQ (controller_list_entry_hosts (controller, "a", 64, nullptr, now), 0u);
+  send_request ("e1", 11, 0, false, "a", 0xe1);
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_EQ (state.document, 4u);
+  EXPECT_FALSE (state.has_document);
+  // Another start of the host, of a release that requests none.
+  send_request ("e1", 12, 0, false, "a", 0xe2);
+  log.answer (STATUS_OK, now);
+  ASSERT_TRUE (last_state ("e1", &state));
+  EXPECT_TRUE (state.has_document);
+}
+
 // Entry hosts do not read from a renewal that a target turned cold; until they are sent its full
 // record they take it for warm.
 TEST_F (ControllerTest, PushesATargetThatTurnsCold)
