Refuse requests once a newer configuration is lacked for long

Callers could be served by a configuration that their host knew to be superseded. A host judged what it holds by the age of its confirmation alone, which may be 0.9 of the time in which a revoked key has to be refused (4.5 s of 5), where a configuration has to be in force after 2.5 s.

A host that is told of nothing is cut off from the controllers: it goes on as before, as no bound of its age says that a newer version exists, and refusing would cost callers each loss of the quorum.

forward_plain.RefusesRequestsOnceANewerConfigurationIsLackedForLong failed before (200 in place of 503 after 2 s).

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -327,6 +327,7 @@
     .listener = &host->listener,
     .target_lease = settings->target_lease,
     .ready_for = settings->ready_for,
+    .outdated_after = settings->outdated_after,
     .boottime = loop_boottime,
   };
 
--- a/src/forward.c
+++ b/src/forward.c
@@ -180,6 +180,11 @@
       job_refuse (job, FORWARD_NOT_READY, not_ready_retry_after (forward));
       return;
     }
+  if (subscriber_is_outdated (forward->config.subscriber))
+    {
+      job_refuse (job, FORWARD_OUTDATED, OTHER_HOST_RETRY_AFTER_SEC);
+      return;
+    }
   job->version = routing->version;
   route = routing_match (routing, host == NULL ? "" : host, head->target);
   if (route == NULL)
--- a/src/forward_private.h
+++ b/src/forward_private.h
@@ -32,6 +32,7 @@
   X (SERVED, "served")                                                                             \
   X (NOT_READY, "no confirmed configuration yet")                                                  \
   X (STALE, "configuration not confirmed lately")                                                  \
+  X (OUTDATED, "a newer configuration has not arrived")                                            \
   X (SHUTTING_DOWN, "shutting down")                                                               \
   X (NO_ROUTE, "no route")                                                                         \
   X (NO_KEY, "unknown or missing key")                                                             \
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -44,6 +44,8 @@
   int64_t target_lease;
   int64_t confirmed_for; /* maximum age of the confirmation for keyed requests, USEC */
   int64_t ready_for;
+  int64_t outdated_after; /* a host that has lacked a configuration that it knows of for this long
+                             serves nothing, USEC */
   struct retry_limit retries;
   struct cold_bounds cold;
   int64_t backoff_max; /* the longest backoff that a target is granted, USEC */
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -276,7 +276,7 @@
 bool
 subscriber_is_ready (const struct subscriber *self)
 {
-  return self->routing != NULL && !self->self.leaving
+  return self->routing != NULL && !self->self.leaving && !subscriber_is_outdated (self)
          && subscriber_confirmation_age (self) <= self->config.ready_for;
 }
 
--- a/src/subscriber.h
+++ b/src/subscriber.h
@@ -88,8 +88,10 @@
   struct counters *counters;
   struct routing_codec *codec;
   struct subscriber_listener *listener;
-  int64_t target_lease; /* in us; a target without a renewal for this long gets no new work */
-  int64_t ready_for;    /* in us; this host is ready for this long after a confirmation */
+  int64_t target_lease;   /* in us; a target without a renewal for this long gets no new work */
+  int64_t ready_for;      /* in us; this host is ready for this long after a confirmation */
+  int64_t outdated_after; /* in us; this host serves nothing once it has known of a newer
+                             configuration for this long and does not hold it */
   int64_t (*boottime) (void);
 };
 
@@ -114,6 +116,9 @@
  * USEC_NEVER when none was confirmed since the start. */
 int64_t subscriber_confirmation_age (const struct subscriber *subscriber);
 
+/* Whether this host has known for too long of a configuration that is newer than its own. */
+bool subscriber_is_outdated (const struct subscriber *subscriber);
+
 /* Request a confirmation that is newer than this call, and call confirmed() once it arrives. */
 void subscriber_wait_start (struct subscriber *subscriber,
                             struct subscriber_wait *wait,
--- a/src/subscriber_document.c
+++ b/src/subscriber_document.c
@@ -31,6 +31,12 @@
   return since == USEC_NEVER ? 0 : self->config.boottime () - since;
 }
 
+bool
+subscriber_is_outdated (const struct subscriber *self)
+{
+  return time_behind (self) > self->config.outdated_after;
+}
+
 void
 subscriber_report_lag (struct subscriber *self)
 {
