Send the records of targets that an entry host has missed

A target may get no requests from some entry hosts for good, as they never learn of it. A controller takes each state for delivered and sends from then on what changed since; a state that is lost with its connection, followed by one that arrives before the host's next request, moved the host's revision past the lost records, and renewals of a target whose record is not known are dropped.

A state now tells which revision its records follow; a host that holds less keeps its revision, so that the answer to its next request brings both. Only hosts that request documents themselves are told: earlier releases read states of a fixed form. A counter tells missed states.

--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -127,6 +127,8 @@
   if (state.has_hosts)
     write_hosts (controller, &out);
   write_controllers (controller, &out);
+  if (controller_host_requests_documents (host))
+    pack_uint (&out, host->targets_revision);
   sent = !bytes_has_failed (&out)
          && controller->config.port->ops->send (controller->config.port, host->info.name,
                                                 PEER_CHANNEL_SYNC, out.data, out.length)
--- a/src/subscriber.c
+++ b/src/subscriber.c
@@ -415,6 +415,9 @@
   self->fetch_timeouts =
       counter_get (counters, "cherryarch_subscriber_document_timeouts_total",
                    "Requests for the configuration that a controller left unanswered.", NULL);
+  self->missed_states =
+      counter_get (counters, "cherryarch_subscriber_missed_states_total",
+                   "States received after one with records of targets that was lost.", NULL);
   self->behind_gauge =
       gauge_get (counters, "cherryarch_subscriber_behind_seconds",
                  "Since this host learned of the first configuration that it lacks.", NULL);
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -101,6 +101,7 @@
   struct counter *document_bytes;
   struct counter *superseded;
   struct counter *fetch_timeouts;
+  struct counter *missed_states;
   struct counter *age_gauge;
   struct counter *behind_gauge;
   struct counter *version_gauge;
--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -150,6 +150,24 @@
     }
 }
 
+/* The revision of the controller's targets that this host holds after the message: it may have
+ * missed an earlier one. */
+static uint64_t
+read_targets_revision (struct subscriber *self,
+                       const struct known_controller *controller,
+                       const struct sync_state *state,
+                       struct pack_reader *in)
+{
+  uint64_t held = controller->incarnation == state->controller ? controller->targets : 0;
+  /* Controllers of earlier releases do not tell what the records follow. */
+  uint64_t base = pack_read_is_complete (in) ? held : pack_read_uint (in, UINT64_MAX);
+
+  if (base <= held)
+    return state->targets;
+  counter_add (self->missed_states, 1);
+  return held;
+}
+
 /* A confirmation counts from when its request was sent, so a delayed one extends nothing. */
 static void
 apply_confirmation (struct subscriber *self,
@@ -220,6 +238,7 @@
               int64_t now)
 {
   uint64_t revision = self->registry->revision;
+  uint64_t targets;
   struct sync_state state;
   const void *text = NULL;
   size_t length = 0;
@@ -249,6 +268,7 @@
     read_hosts (self, controller, in);
   if (pack_read_is_ok (in))
     read_controllers (self, in, now);
+  targets = read_targets_revision (self, controller, &state, in);
   subscriber_report_changed (self, revision, now);
   if (!pack_read_is_complete (in))
     {
@@ -256,7 +276,7 @@
       return;
     }
   controller->incarnation = state.controller;
-  controller->targets = state.targets;
+  controller->targets = targets;
   controller->hosts = state.hosts;
   apply_confirmation (self, controller, &state);
   subscriber_fetch_document (self, now);
--- a/src/sync.h
+++ b/src/sync.h
@@ -98,7 +98,9 @@
 };
 
 /* The header of a state.  It is followed by the document if `has_document`, target records,
- * renewals, entry hosts if `has_hosts`, and controllers. */
+ * renewals, entry hosts if `has_hosts`, and controllers; for an entry host that requests documents
+ * also by the revision that the target records follow.  A host that holds less has missed a state:
+ * it keeps the revision that it holds, so that the next answer brings both. */
 struct sync_state
 {
   uint64_t controller;
