Do not send an entry host again what is on its way

An entry host that starts, or whose link is full, is sent all records of targets and the list of hosts again with each answer, by each controller: a request tells what the host holds, and what was sent before and has not arrived counted as lost.

DocumentSpread.AHostThatStartsIsSentTheTargetsOnce failed before: a host on a weak link received 419 KB from 5 controllers and 1,312 KB from 9 where a host on a fast one received 179 and 346 KB. It holds now (1.25 times at most).

A controller now keeps which state a host may still lack. A request that tells less within 0.6 s of it changes nothing; then the state counts as lost, and the time doubles, up to 4.8 s, with each one until the host holds it. A connection that is replaced and a host that restarts end the wait.

--- a/src/controller.c
+++ b/src/controller.c
@@ -196,19 +196,18 @@
     {
       request.targets = 0;
       request.hosts = 0;
-      host->renewed_until = 0;
     }
   if (host->info.incarnation != request.self.incarnation)
     {
       host->answered_nonce = 0;
       host->reach_at = 0;
+      host->unheld.sent_at = 0;
     }
   host->info = request.self;
   host->heard_at = now;
   host->nonce = request.nonce;
   host->document_version = request.document;
-  host->targets_revision = request.targets;
-  host->hosts_revision = request.hosts;
+  controller_note_held (host, request.targets, request.hosts, now);
   update_host_list (controller, now);
   start_quorum_read (controller, now);
 }
@@ -235,6 +234,7 @@
   log_event (LOG_MODULE_MEMBER, LOG_LEVEL_WARNING, "entry-host-unreached", "{s:s,s:I}", "host",
              from, "answered_ms", (json_int_t) ((now - host->answered_at) / USEC_PER_MSEC));
   host->answered_nonce = 0;
+  host->unheld.sent_at = 0;
   controller->config.port->ops->remove_host (controller->config.port, from);
 }
 
--- a/src/controller_private.h
+++ b/src/controller_private.h
@@ -6,7 +6,16 @@
 #include "document_history.h"
 #include "pack.h"
 
-/* An entry host and the revisions that it holds. */
+/* A state that was sent to an entry host, which has not said yet that it holds it. */
+struct unheld_state
+{
+  int64_t sent_at; /* in us; 0: there is none */
+  uint64_t targets;
+  uint64_t hosts;
+  int64_t resend_after; /* in us; it counts as lost then */
+};
+
+/* An entry host and the revisions that it holds, or will once what was sent has arrived. */
 struct entry_host_record
 {
   struct sync_host info;
@@ -16,7 +25,8 @@
   uint64_t requests_documents; /* incarnation of the host that requests them itself; 0: none */
   uint64_t targets_revision;
   uint64_t hosts_revision;
-  uint64_t nonce;           /* of the newest request to be answered; 0: none */
+  struct unheld_state unheld; /* the first that it may lack */
+  uint64_t nonce;             /* of the newest request to be answered; 0: none */
   uint64_t answered_nonce;  /* of the newest request answered on the present connection; 0: none */
   int64_t answered_at;      /* in us */
   uint64_t read_nonce;      /* of the request that the quorum read in progress covers; 0: none */
@@ -66,6 +76,13 @@
 /* Is the host's lease valid? */
 bool controller_host_is_live (const struct entry_host_record *host, int64_t now);
 
+/* Notes the revisions that the host says it holds, 0 for none of this incarnation.  What was sent
+ * and may be on its way counts as held. */
+void controller_note_held (struct entry_host_record *host,
+                           uint64_t targets,
+                           uint64_t hosts,
+                           int64_t now);
+
 /* Sends what changed since the revisions that the host holds, in answer to the request `nonce`, or
  * unasked if that is 0.  False if the host has no connection or memory is out. */
 bool controller_send_state (struct controller *controller,
--- a/src/controller_state.c
+++ b/src/controller_state.c
@@ -8,6 +8,44 @@
   return now - host->heard_at <= CONTROLLER_HOST_LEASE;
 }
 
+/* A state that a host still lacks this long after it was sent is lost; the time doubles with each
+ * one, as states take longer over a slow link. */
+#define RESEND_AFTER (600 * USEC_PER_MSEC)
+#define RESEND_AFTER_MAX (8 * RESEND_AFTER)
+
+static void
+await_state (struct entry_host_record *host, int64_t now)
+{
+  host->unheld.sent_at = now;
+  host->unheld.targets = host->targets_revision;
+  host->unheld.hosts = host->hosts_revision;
+}
+
+void
+controller_note_held (struct entry_host_record *host, uint64_t targets, uint64_t hosts, int64_t now)
+{
+  struct unheld_state *unheld = &host->unheld;
+  bool arrived = unheld->sent_at != 0 && targets >= unheld->targets && hosts >= unheld->hosts;
+  bool lost = !arrived && unheld->sent_at != 0 && now - unheld->sent_at >= unheld->resend_after;
+
+  if (unheld->sent_at != 0 && !arrived && !lost)
+    return;
+  if (lost && unheld->resend_after < RESEND_AFTER_MAX)
+    unheld->resend_after *= 2;
+  if (!lost)
+    unheld->resend_after = RESEND_AFTER;
+  unheld->sent_at = 0;
+  if (arrived && (host->targets_revision > targets || host->hosts_revision > hosts))
+    {
+      await_state (host, now);
+      return;
+    }
+  if (targets < host->targets_revision || targets == 0)
+    host->renewed_until = 0;
+  host->targets_revision = targets;
+  host->hosts_revision = hosts;
+}
+
 static void
 write_targets (struct controller *controller,
                const struct entry_host_record *host,
@@ -112,6 +150,7 @@
                     && !controller_host_requests_documents (host),
     .has_hosts = host->hosts_revision != controller->hosts_revision,
   };
+  bool changed = state.targets != host->targets_revision || state.hosts != host->hosts_revision;
   struct bytes out;
   bool sent;
 
@@ -141,11 +180,12 @@
       counter_add (controller->documents, 1);
       counter_add (controller->document_bytes, (double) text->length);
     }
-  /* Assume delivery; the next request states what the host holds, so a lost message is sent again
-   * then. */
+  /* Assume delivery until the host has had the time to say what it holds. */
   host->renewed_until = now;
   host->document_version = state.document;
   host->targets_revision = state.targets;
   host->hosts_revision = state.hosts;
+  if (changed && host->unheld.sent_at == 0)
+    await_state (host, now);
   return true;
 }
