--- a/bench/fuzz_decoders.c
+++ b/bench/fuzz_decoders.c
@@ -28,5 +28,6 @@
   &fuzz_claim_result,
   &fuzz_claim_snapshot,
   &fuzz_member,
+  &fuzz_document,
   NULL,
 };
--- a/bench/fuzz_parts.h
+++ b/bench/fuzz_parts.h
@@ -41,6 +41,9 @@
 extern const struct fuzz_decoder fuzz_claim_result;
 extern const struct fuzz_decoder fuzz_claim_snapshot;
 
+/* fuzz_document.c */
+extern const struct fuzz_decoder fuzz_document;
+
 /* fuzz_member.c */
 extern const struct fuzz_decoder fuzz_member;
 
