Count the objective of a resumed stream from its resumption

Cause: the time in which stage work may end is computed from the objective, which counts from the caller's first try. For a stream that is resumed that was the time of its first event, long ago: with 10 s in all, 4 s left and an objective of 0.4 s, stage work would have had to end 3.2 s before the request came, so it was refused as "cannot end in time" before any call. The caller has its first event, so its objective is not at stake.

Evidence: forward_resume.GivesAStreamThatWasBegunLongAgoTheTimeOfANewOne failed before with that refusal.

A resumed stream now counts its objective from the request that resumes it.

--- a/src/forward.c
+++ b/src/forward.c
@@ -138,6 +138,7 @@
 compute_deadlines (struct forward_job *job)
 {
   int64_t patience = job->route.timeout;
+  int64_t counted_from;
 
   if (job->facts.has_deadline && job->facts.time_left < patience)
     patience = job->facts.time_left;
@@ -145,7 +146,9 @@
     job->age =
         request_age_estimate (job->forward->request_age, job->route.name, job->facts.time_left);
   job->deadline = job->arrived + patience;
-  job->objective_at = job->arrived - job->age + job->route.objective;
+  /* The objective is that of the first event, which the client of a resumed stream has already. */
+  counted_from = job->stream.is_bound ? job->arrived : job->arrived - job->age;
+  job->objective_at = counted_from + job->route.objective;
   job->give_up_at = job->deadline;
   if (job->objective_at < job->deadline)
     job->give_up_at = job->objective_at
