Pause between configurations that take long to put in force

With texts that arrive at once, an entry host with 0.09 of a core put each of ten versions a second in force and had no time left for its callers.

Reading a document of 1,132 routes takes 5.5 ms of a core here, 60 ms of 0.09.

A host now waits four times as long as the last one took before it requests the next, so that it spends a fifth of its time on configurations.

--- a/src/subscriber_fetch.c
+++ b/src/subscriber_fetch.c
@@ -13,6 +13,10 @@
 /* Until a version that could not be decoded is requested again. */
 #define FETCH_AFTER_MALFORMED (5 * USEC_PER_SEC)
 
+/* Share of its time that this host spends on putting configurations in force while versions follow
+ * each other; requests from callers wait meanwhile. */
+#define FETCH_WORK_SHARE 0.2
+
 static enum status
 send_request (struct subscriber *self,
               const struct known_controller *controller,
@@ -76,7 +80,7 @@
 {
   uint64_t newest = version_lag_newest (&self->lag);
 
-  if (newest == 0)
+  if (newest == 0 || now < self->fetch.earliest)
     return false;
   return now >= self->fetch.retry_at || (!self->fetch.out && newest != self->not_understood);
 }
@@ -121,6 +125,7 @@
               size_t length)
 {
   const struct bytes *base = header->base == 0 ? NULL : &self->document;
+  int64_t begun = self->config.boottime ();
   struct bytes text;
   enum status status;
 
@@ -134,6 +139,9 @@
   else
     log_not_read (self, controller, header, status_message ());
   bytes_clear (&text);
+  self->fetch.earliest =
+      self->now
+      + (int64_t) ((double) (self->config.boottime () - begun) * (1 / FETCH_WORK_SHARE - 1));
   return status == STATUS_OK;
 }
 
--- a/src/subscriber_private.h
+++ b/src/subscriber_private.h
@@ -30,6 +30,7 @@
   uint64_t number;  /* of the newest request */
   uint32_t turn;    /* place of the controller to be asked first */
   int64_t timeout;  /* of the request that is out */
+  int64_t earliest; /* not before; see FETCH_WORK_SHARE */
   int64_t retry_at; /* when it is given up; if none is out, when a version that could not be decoded
                        is requested again */
   bool wants_whole; /* the last answer was no difference from the version held */
