--- a/src/controller_document.c
+++ b/src/controller_document.c
@@ -1,7 +1,6 @@
 /* Sends the configuration to entry hosts that request it. */
 #include "controller_private.h"
 #include "log.h"
-#include "text.h"
 #include <jansson.h>
 
 void
--- a/src/subscriber_fetch.c
+++ b/src/subscriber_fetch.c
@@ -116,6 +116,15 @@
              message);
 }
 
+/* A whole text that cannot be read is requested of the next controller after a pause. */
+static int64_t
+pause_after (const struct sync_document *header, enum status status, int64_t work)
+{
+  if (status != STATUS_OK && header->base == 0)
+    return FETCH_TIMEOUT;
+  return (int64_t) ((double) work * (1 / FETCH_WORK_SHARE - 1));
+}
+
 /* False if the text has to be requested again, whole. */
 static bool
 apply_answer (struct subscriber *self,
@@ -139,9 +148,7 @@
   else
     log_not_read (self, controller, header, status_message ());
   bytes_clear (&text);
-  self->fetch.earliest =
-      self->now
-      + (int64_t) ((double) (self->config.boottime () - begun) * (1 / FETCH_WORK_SHARE - 1));
+  self->fetch.earliest = self->now + pause_after (header, status, self->config.boottime () - begun);
   return status == STATUS_OK;
 }
 
