Take a list of hosts for held only once it is received

Cause: an entry host took the revision of hosts in each state for what it holds, also where the state has no list. A list that was lost had been sent again with the answer to the next request. Since that answer comes without it, the host said it held the list, and it was never sent again: the host computed other owners of stage work than the rest, and stages lost their inputs.

DocumentSpread.ALostListOfHostsIsSentAgain failed before (1 host known of 2). A host now keeps the revision of the list that it received.

--- a/src/subscriber_state.c
+++ b/src/subscriber_state.c
@@ -275,9 +275,13 @@
       report_malformed (self, controller);
       return;
     }
-  controller->incarnation = state.controller;
   controller->targets = targets;
-  controller->hosts = state.hosts;
+  /* Without a list the revision is that of one that this host may have missed. */
+  if (state.has_hosts)
+    controller->hosts = state.hosts;
+  else if (controller->incarnation != state.controller)
+    controller->hosts = 0;
+  controller->incarnation = state.controller;
   apply_confirmation (self, controller, &state);
   subscriber_fetch_document (self, now);
   subscriber_update_ready (self);
