--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Exits with 1 if LIMIT was broken, 0 if it held, 2 if the case could not run.  TROUBLE=0: without
+# Exits with 1 if CONFIG was broken, 0 if it held, 2 if the case could not run.  TROUBLE=0: without
 # the disruption.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$here/../.." || exit 2
--- a/review/lib-2/stand.c
+++ b/review/lib-2/stand.c
@@ -88,13 +88,13 @@
 }
 
 static void
-remove_folder (void)
+remove_tree (const char *path)
 {
   pid_t pid = fork ();
 
   if (pid == 0)
     {
-      execlp ("rm", "rm", "-rf", folder, (char *) NULL);
+      execlp ("rm", "rm", "-rf", path, (char *) NULL);
       _exit (1);
     }
   if (pid > 0)
@@ -116,7 +116,7 @@
   fflush (stdout);
   end_children ();
   if (folder[0] != '\0' && getenv ("KEEP") == NULL)
-    remove_folder ();
+    remove_tree (folder);
   _exit (code);
 }
 
@@ -378,6 +378,19 @@
   stand_start_all (system);
 }
 
+void
+stand_wipe (struct stand_system *system, struct stand_process *controller, int64_t down_ms)
+{
+  char data[2 * STAND_TEXT];
+
+  stand_kill (controller);
+  snprintf (data, sizeof data, "%s/%s.data", folder, controller->name);
+  remove_tree (data);
+  stand_note ("platform: the disk of %s is lost", controller->name);
+  stand_sleep_ms (down_ms);
+  stand_start_process (system, controller);
+}
+
 long
 stand_resident_kb (const struct stand_process *process)
 {
--- a/review/lib-2/stand.h
+++ b/review/lib-2/stand.h
@@ -77,6 +77,9 @@
 void stand_kill_all (struct stand_system *system);
 void stand_start_all (struct stand_system *system);
 
+/* Kills a controller, removes its data and starts it again after that time. */
+void stand_wipe (struct stand_system *system, struct stand_process *controller, int64_t down_ms);
+
 /* Resident memory of the process in kB; 0 if it has ended. */
 long stand_resident_kb (const struct stand_process *process);
 
