--- a/bench/launch.c
+++ b/bench/launch.c
@@ -76,6 +76,7 @@
       return NULL;
     }
   *slash = '\0';
+  launch->connections = LAUNCH_CONNECTIONS;
   talloc_set_destructor (launch, free_launch);
   launch->caller = caller_new (launch);
   if (launch->caller)
@@ -145,8 +146,9 @@
     fprintf (file, "\n[data]\nfolder = %s/%s\n", launch->folder, host->process.name);
   if (launch->keys)
     fprintf (file, "\n[keys]\nfile = %s/%s.key\n", launch->folder, host->process.name);
-  fprintf (file, "\n[limits]\nbody_bytes = 4194304\nconnections = 4096\n"
-                 "connections_per_caller = 4096\n");
+  fprintf (file,
+           "\n[limits]\nbody_bytes = 4194304\nconnections = %u\nconnections_per_caller = %u\n",
+           launch->connections, launch->connections);
   fprintf (file, "\n[log]\nfile = %s/%s.log\n", launch->folder, host->process.name);
   fputs (launch->extra_settings, file);
   return fclose (file) == 0 ? STATUS_OK : status_fail (STATUS_IO, "%s: writing failed", path);
--- a/bench/launch.h
+++ b/bench/launch.h
@@ -18,6 +18,7 @@
 #define LAUNCH_HOSTS_MAX 40
 #define LAUNCH_POOLS_MAX 48
 #define LAUNCH_VOTERS 3
+#define LAUNCH_CONNECTIONS 4096
 #define LAUNCH_PATH_SIZE 256
 
 /* name, settings key */
@@ -69,7 +70,8 @@
   struct launch_pool pools[LAUNCH_POOLS_MAX];
   uint32_t n_pools;
   char extra_settings[1024]; /* appended to every host's settings file */
-  bool keys;                 /* set before launch_add_hosts(): hosts pin each other's keys */
+  uint32_t connections; /* of each host, also of one IP address; set before launch_add_hosts() */
+  bool keys;            /* set before launch_add_hosts(): hosts pin each other's keys */
 };
 
 /* Options of a process of fake targets. */
--- a/tests/whole_launch.h
+++ b/tests/whole_launch.h
@@ -24,12 +24,13 @@
   static constexpr uint32_t all_targets = 6;
 
   void
-  start (uint32_t hosts, const char *extra_settings = "")
+  start (uint32_t hosts, const char *extra_settings = "", uint32_t connections = LAUNCH_CONNECTIONS)
   {
     const struct site *site = site_demo ();
 
     launch_ = launch_new (nullptr);
     ASSERT_NE (launch_, nullptr) << status_message ();
+    launch_->connections = connections;
     snprintf (launch_->extra_settings, sizeof launch_->extra_settings, "%s", extra_settings);
     check (launch_add_hosts (launch_, hosts, site->domains, SITE_DOMAINS));
     check (launch_start_hosts (launch_));
