Bound the memory of all clients of an entry host or controller

Callers saw a process end for want of memory, with all that it had passed on, while clients sent many bodies at once and stopped just short of their end, or sent bodies over the limit.

Cause: the limits of header and body hold for one connection, and there may be thousands; buffers double as they grow, the body of a refused request was kept until its connection closed, and a body is copied once more for its target.

An announced body is counted whole at its head and gets a buffer of just its size; one in chunks when its buffer grows. What finds no room is refused at once: 503 with Retry-After, as nothing ran. Room is made by ending requests that are being received: those that hold most and have moved least, never one that was handed on; a part is kept for small requests. After a refusal the rest of a request is read for two seconds as before, and now for at most the length of one request.

A limit for each connection was ruled out: 3,500 connections would have 20 KB each.

--- a/src/bytes.c
+++ b/src/bytes.c
@@ -20,13 +20,27 @@
   bytes_init (bytes, bytes->parent);
 }
 
+static bool
+set_capacity (struct bytes *bytes, size_t capacity)
+{
+  char *data = talloc_realloc (bytes->parent, bytes->data, char, capacity);
+
+  if (data == NULL)
+    {
+      bytes->failed = true;
+      return false;
+    }
+  bytes->data = data;
+  bytes->capacity = capacity;
+  return true;
+}
+
 /* Ensures capacity for `length` more bytes and the NUL. */
 static bool
 ensure_capacity (struct bytes *bytes, size_t length)
 {
   size_t wanted = bytes->length + length + 1;
   size_t capacity = bytes->capacity == 0 ? BYTES_FIRST_CAPACITY : bytes->capacity;
-  char *data;
 
   if (bytes->failed)
     return false;
@@ -34,15 +48,14 @@
     return true;
   while (capacity < wanted)
     capacity *= 2;
-  data = talloc_realloc (bytes->parent, bytes->data, char, capacity);
-  if (data == NULL)
-    {
-      bytes->failed = true;
-      return false;
-    }
-  bytes->data = data;
-  bytes->capacity = capacity;
-  return true;
+  return set_capacity (bytes, capacity);
+}
+
+void
+bytes_reserve (struct bytes *bytes, size_t capacity)
+{
+  if (!bytes->failed && capacity + 1 > bytes->capacity && set_capacity (bytes, capacity + 1))
+    bytes->data[bytes->length] = '\0';
 }
 
 void
--- a/src/bytes.h
+++ b/src/bytes.h
@@ -22,6 +22,9 @@
 
 void bytes_init (struct bytes *bytes, void *parent);
 void bytes_clear (struct bytes *bytes); /* frees the content and resets the failure */
+
+/* Makes room for exactly `capacity` bytes and the NUL, if there is less; on failure as a write. */
+void bytes_reserve (struct bytes *bytes, size_t capacity);
 void bytes_append (struct bytes *bytes, const void *data, size_t length);
 
 /* Appends, unless the buffer would exceed `max` bytes: then it fails and takes no further data,
--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -380,6 +380,8 @@
     .loop = host->base.loop,
     .listen = settings->client_address,
     .limits = &host->client_limits,
+    .quota = host->base.quota,
+    .body_copies = 1, /* the message to a target */
     .connections_max = settings->connections_max,
     .counters = host->base.counters,
     .label = "clients",
--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -18,6 +18,7 @@
   struct h1_server *server = connection->server;
 
   timer_disarm (h1_connection_timers (connection), &connection->timer);
+  quota_leave (&connection->member);
   tcp_close (&connection->stream, false);
   h1_reader_clear (&connection->reader);
   bytes_clear (&connection->body);
@@ -38,6 +39,17 @@
   return connection->state == CONNECTION_WAITING || connection->state == CONNECTION_ANSWERING;
 }
 
+void
+h1_connection_drop (struct h1_connection *connection, bool reset)
+{
+  connection->state = CONNECTION_CLOSING;
+  quota_leave (&connection->member);
+  bytes_clear (&connection->body);
+  bytes_clear (&connection->input);
+  tcp_close (&connection->stream, reset);
+  timer_arm (h1_connection_timers (connection), &connection->timer, 0);
+}
+
 static void
 stream_ended (struct tcp_stream *stream, enum tcp_end end, int64_t now)
 {
@@ -56,19 +68,61 @@
   free_connection (connection);
 }
 
+/* ---- memory ---- */
+
+bool
+h1_connection_hold (struct h1_connection *connection, size_t more, int64_t now)
+{
+  size_t bodies = (connection->body.capacity + more) * (1 + connection->server->config.body_copies);
+
+  return quota_hold (&connection->member,
+                     bodies + connection->input.capacity + connection->reader.head.text.capacity,
+                     now);
+}
+
+/* Make room for a body of `length` bytes.  One in chunks may grow further, so its buffer grows by
+ * more, up to the limit. */
+static bool
+reserve_body (struct h1_connection *connection, size_t length, int64_t now)
+{
+  size_t capacity = connection->body.capacity;
+  size_t limit = connection->server->config.limits->body_bytes;
+  size_t wanted = length;
+
+  if (length < capacity)
+    return true;
+  if (!connection->reader.head.has_length)
+    wanted = length > 2 * capacity ? length : 2 * capacity;
+  if (wanted > limit && length <= limit)
+    wanted = limit;
+  if (!h1_connection_hold (connection, wanted + 1 - capacity, now))
+    return false;
+  bytes_reserve (&connection->body, wanted);
+  return !bytes_has_failed (&connection->body);
+}
+
 /* ---- requests ---- */
 
-/* Reject a request that is malformed, too large or late; no part of it has run. */
+static const char *
+fields_of_refusal (unsigned status)
+{
+  return status == HTTP_STATUS_SERVICE_UNAVAILABLE ? "Retry-After: " QUOTA_RETRY_AFTER_TEXT "\r\n"
+                                                   : NULL;
+}
+
+/* Reject a request that is malformed, too large or late, or that finds no room; no part of it has
+ * run. */
 static void
 reject_request (struct h1_connection *connection, unsigned status)
 {
   connection->keep = false;
   connection->state = CONNECTION_WAITING;
+  bytes_clear (&connection->body);
   connection->server->pending++;
   counter_add (connection->server->refused, 1);
   log_event (LOG_MODULE_HTTP, LOG_LEVEL_INFO, "request-refused", "{s:s,s:i}", "listener",
              connection->server->config.label, "status", (int) status);
-  h1_reply (&connection->exchange, status, NULL, NULL, 0);
+  h1_reply (&connection->exchange, status, fields_of_refusal (status), NULL, 0);
 }
 
 static bool
@@ -92,14 +146,18 @@
 on_head (struct h1_reader *reader)
 {
   struct h1_connection *connection = CONTAINER_OF (reader, struct h1_connection, reader);
+  const struct h1_server *server = connection->server;
   const struct h1_head *head = &reader->head;
+  int64_t now = loop_now (server->config.loop);
   const char *expect = h1_field_value (head, "expect");
 
   connection->keep = head->keep_alive;
   if (!head_is_valid (head))
     connection->reject_status = HTTP_STATUS_BAD_REQUEST;
-  else if (head->has_length && head->length > connection->server->config.limits->body_bytes)
+  else if (head->has_length && head->length > server->config.limits->body_bytes)
     connection->reject_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
+  else if (head->has_length && head->length > 0 && !reserve_body (connection, head->length, now))
+    connection->reject_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
   if (connection->reject_status != 0)
     return false;
   if (expect != NULL && strcasecmp (expect, "100-continue") == 0 && head->minor >= 1)
@@ -117,8 +175,14 @@
       connection->reject_status = HTTP_STATUS_PAYLOAD_TOO_LARGE;
       return false;
     }
+  if (!reserve_body (connection, connection->body.length + length,
+                     loop_now (connection->server->config.loop)))
+    {
+      connection->reject_status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+      return false;
+    }
   bytes_append (&connection->body, data, length);
-  return !bytes_has_failed (&connection->body);
+  return true;
 }
 
 static void
@@ -154,6 +218,7 @@
 
   if (!connection->reader.begun)
     {
+      quota_set_state (&connection->member, QUOTA_RECEIVING, now);
       connection->exchange.arrived = now;
       connection->reader.header_max = server->config.limits->header_bytes;
       timer_arm (h1_connection_timers (connection), &connection->timer,
@@ -169,12 +234,21 @@
     return used;
   timer_disarm (h1_connection_timers (connection), &connection->timer);
   connection->state = CONNECTION_WAITING;
+  quota_set_state (&connection->member, QUOTA_RUNNING, now);
   server->pending++;
   counter_add (server->requests, 1);
   handler->ops->request (handler, &connection->exchange, now);
   return used;
 }
 
+/* Later requests on the connection are not read, so it closes after the current response. */
+static void
+drop_input (struct h1_connection *connection)
+{
+  bytes_clear (&connection->input);
+  connection->keep = false;
+}
+
 /* Requests are handled one at a time; pipelined bytes are buffered. */
 static void
 feed (struct h1_connection *connection, const char *data, size_t length, int64_t now)
@@ -194,10 +268,15 @@
     }
   connection->in_feed = false;
   if (connection->input.length > PIPELINED_BYTES_MAX && answer_is_due (connection))
-    {
-      connection->input.length = 0;
-      connection->keep = false;
-    }
+    drop_input (connection);
+  if (connection->input.length == 0)
+    bytes_clear (&connection->input);
+  if (connection->state == CONNECTION_CLOSING || h1_connection_hold (connection, 0, now))
+    return;
+  if (connection->state == CONNECTION_READING)
+    reject_request (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  else
+    drop_input (connection);
 }
 
 void
@@ -208,6 +287,8 @@
   bytes_clear (&connection->body);
   h1_reader_next (&connection->reader);
   connection->state = CONNECTION_READING;
+  quota_set_state (&connection->member, QUOTA_IDLE, now);
+  (void) h1_connection_hold (connection, 0, now);
   connection->reject_status = 0;
   connection->exchange.user = NULL;
   timer_arm (h1_connection_timers (connection), &connection->timer,
@@ -217,13 +298,28 @@
     feed (connection, "", 0, now);
 }
 
+/* The client may send the rest of a refused request before it reads the response, but not without
+ * end. */
+static void
+discard (struct h1_connection *connection, size_t length)
+{
+  const struct h1_limits *limits = connection->server->config.limits;
+
+  connection->discarded += length;
+  if (connection->discarded > limits->body_bytes + limits->header_bytes)
+    h1_connection_drop (connection, true);
+}
+
 static void
 stream_received (struct tcp_stream *stream, const char *data, size_t length, int64_t now)
 {
   struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
 
+  quota_note_progress (&connection->member, length, now);
   /* On a failed stream a request could not be answered. */
-  if (connection->state != CONNECTION_CLOSING && !stream->failed)
+  if (connection->state == CONNECTION_CLOSING)
+    discard (connection, length);
+  else if (!stream->failed)
     feed (connection, data, length, now);
 }
 
@@ -266,6 +362,22 @@
 
 static const struct timer_ops timer_ops = { .fire = timer_fired };
 
+/* Other clients need the room. */
+static void
+end_member (struct quota_member *member, bool keep, int64_t now)
+{
+  struct h1_connection *connection = CONTAINER_OF (member, struct h1_connection, member);
+
+  (void) now;
+  bytes_clear (&connection->input);
+  if (keep)
+    reject_request (connection, HTTP_STATUS_SERVICE_UNAVAILABLE);
+  else
+    h1_connection_drop (connection, true);
+}
+
+static const struct quota_member_ops member_ops = { .end = end_member };
+
 static void
 on_accepted (struct tcp_listener *listener, int fd, int64_t now)
 {
@@ -283,6 +395,8 @@
     }
   connection->server = server;
   connection->timer.ops = &timer_ops;
+  connection->member.ops = &member_ops;
+  connection->member.label = server->config.label;
   connection->exchange.connection = connection;
   connection->exchange.head = &connection->reader.head;
   connection->exchange.body = &connection->body;
@@ -301,6 +415,7 @@
     server->connections->previous = connection;
   server->connections = connection;
   server->n_connections++;
+  quota_join (server->config.quota, &connection->member, now);
   timer_arm (h1_connection_timers (connection), &connection->timer,
              now + server->config.limits->idle_timeout);
 }
@@ -348,6 +463,14 @@
   server->config = *config;
   server->listener.fd = -1;
   take_counters (server);
+  if (config->quota == NULL)
+    server->config.quota =
+        quota_new (server, &(struct quota_config){ .counters = config->counters });
+  if (server->config.quota == NULL)
+    {
+      talloc_free (server);
+      return NULL;
+    }
   if (tcp_listen (&server->listener, &listener_ops, config->loop, config->listen) != STATUS_OK)
     {
       talloc_free (server);
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -81,6 +81,10 @@
       return;
     }
   connection->state = CONNECTION_CLOSING;
+  bytes_clear (&connection->body);
+  bytes_clear (&connection->input);
+  quota_set_state (&connection->member, QUOTA_SENDING, loop_now (connection->server->config.loop));
+  (void) h1_connection_hold (connection, 0, loop_now (connection->server->config.loop));
   tcp_close_when_sent (&connection->stream);
   timer_arm (h1_connection_timers (connection), &connection->timer,
              loop_now (connection->server->config.loop) + H1_LINGER_TIMEOUT);
@@ -188,8 +192,5 @@
 
   connection->server->pending--;
   counter_add (connection->server->dropped, 1);
-  connection->state = CONNECTION_CLOSING;
-  tcp_close (&connection->stream, true);
-  /* The connection may be on the call stack, so the timer frees it from the event loop. */
-  timer_arm (h1_connection_timers (connection), &connection->timer, 0);
+  h1_connection_drop (connection, true);
 }
--- a/src/h1_server_private.h
+++ b/src/h1_server_private.h
@@ -23,6 +23,7 @@
 struct h1_connection
 {
   struct tcp_stream stream;
+  struct quota_member member;
   struct timer timer;
   struct h1_server *server;
   struct h1_connection *previous;
@@ -38,6 +39,7 @@
   int64_t remaining;      /* bytes missing from the announced length; negative: none announced */
   bool keep;              /* keep the connection open after the response */
   bool in_feed;
+  size_t discarded;      /* bytes received since the connection is to close */
   size_t unacknowledged; /* response bytes not acknowledged by the client at the last check */
 };
 
@@ -64,4 +66,11 @@
 /* The response ended and the connection stays open: read the next request. */
 void h1_connection_next (struct h1_connection *connection, int64_t now);
 
+/* Count the memory that the connection holds, with `more` bytes to come.  False if all clients
+ * together would hold too much. */
+bool h1_connection_hold (struct h1_connection *connection, size_t more, int64_t now);
+
+/* Close the connection.  It may be on the call stack, so the timer frees it from the event loop. */
+void h1_connection_drop (struct h1_connection *connection, bool reset);
+
 #endif
--- a/src/role_base.c
+++ b/src/role_base.c
@@ -140,6 +140,7 @@
     .listen = address,
     .handler = handler,
     .limits = &base->limits,
+    .quota = base->quota,
     .connections_max = base->settings.connections_max,
     .counters = base->counters,
     .label = label,
@@ -173,6 +174,12 @@
   if (base->loop == NULL || base->counters == NULL)
     return STATUS_NO_MEMORY;
   base->timers = loop_timers (base->loop);
+  base->quota = quota_new (base, &(struct quota_config){
+                                     .bytes_max = settings->client_memory_bytes,
+                                     .counters = base->counters,
+                                 });
+  if (base->quota == NULL)
+    return STATUS_NO_MEMORY;
   status = build_port (base);
   base->metrics.ops = &metrics_ops;
   if (status == STATUS_OK && settings->metrics_address[0] != '\0')
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -36,7 +36,8 @@
   uint32_t n_seeds;
   char seeds[ROLE_SEEDS_MAX][ROUTING_NAME_SIZE]; /* peer addresses of controllers */
   uint32_t connections_max;
-  uint64_t memory_bytes; /* that the process may use; 0: not stated */
+  uint64_t memory_bytes;        /* that the process may use; 0: not stated */
+  uint64_t client_memory_bytes; /* that all clients together may hold of it */
 
   /* An entry host. */
   char client_address[ROUTING_NAME_SIZE];
@@ -72,6 +73,7 @@
   struct counters *counters;
   struct dump dump;
   struct peer_port *port;
+  struct quota *quota;     /* of the clients of all interfaces */
   struct h1_limits limits; /* of this host's own interfaces; the routing sets those of clients */
   struct h1_handler metrics;
   struct quarantine_control *quarantine;  /* NULL until it is made */
