Bound the memory of all clients of a host of pipelines

Callers, operators and targets saw a host end for want of memory, while clients announced many bodies, sent all but the last byte of each and kept their connections open: up to 256 connections of one caller and 2,048 in all, with a body of 1 MiB each by default.

Cause: as with entry hosts, `body_bytes` holds for one request alone, on each of the three listeners, and a buffer that doubles takes up to twice the body.

What finds no room is refused at its head with 503 and `retry-after`; a body has a buffer of its announced size.

--- a/src/host_io.c
+++ b/src/host_io.c
@@ -71,6 +71,12 @@
   };
   int listener;
 
+  config.quota = quota_new (host, &(struct quota_config){
+                                      .bytes_max = (uint64_t) settings->client_memory_mb << 20,
+                                      .counters = host->counters,
+                                  });
+  if (config.quota == NULL)
+    return host_no_memory ();
   host->server = http_server_new (host, &config);
   if (host->server == NULL)
     return STATUS_IO;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -30,6 +30,12 @@
 #undef X
 };
 
+const char *
+server_listener_text (enum http_listener listener)
+{
+  return listener_texts[listener];
+}
+
 struct http_route *
 server_find_route (struct http_server *server, enum http_listener listener, const char *path)
 {
@@ -356,6 +362,9 @@
   server->loop = config->loop;
   server->timers = loop_timers (config->loop);
   server->limits = config->limits;
+  server->quota = config->quota != NULL
+                      ? config->quota
+                      : quota_new (server, &(struct quota_config){ .counters = config->counters });
   server->socket_fd = -1;
   for (int i = 0; i < SERVER_COUNTER_COUNT && config->counters != NULL; i++)
     server->counters[i] = counter_get (config->counters, names[i][0], names[i][1], NULL);
@@ -363,7 +372,7 @@
     server->listeners[i] =
         (struct server_listener){ .server = server, .id = (enum http_listener) i, .fd = -1 };
   talloc_set_destructor (server, destroy_server);
-  if (open_server (server, config) != STATUS_OK)
+  if (server->quota == NULL || open_server (server, config) != STATUS_OK)
     {
       talloc_free (server);
       return NULL;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -6,6 +6,7 @@
 #include "decls.h"
 #include "http.h"
 #include "loop.h"
+#include "quota.h"
 
 BEGIN_DECLS
 
@@ -26,6 +27,7 @@
 {
   struct loop *loop;
   struct counters *counters;
+  struct quota *quota;                     /* of all clients; NULL for one of its own */
   const char *listen[HTTP_LISTENER_COUNT]; /* "ip:port"; NULL for none */
   struct http_limits limits;
   const char *tls_certificate; /* file, for callers and operators; NULL for plain HTTP */
--- a/src/http_server_answer.c
+++ b/src/http_server_answer.c
@@ -47,11 +47,14 @@
 {
   struct server_connection *connection = request->connection;
 
-  if (bytes_has_failed (&request->out))
+  if (bytes_has_failed (&request->out)
+      || !server_connection_hold (connection, 0, loop_now (connection->server->loop)))
     {
       server_connection_kill (connection);
       return;
     }
+  if (request->finished)
+    quota_set_state (&connection->member, QUOTA_SENDING, loop_now (connection->server->loop));
   if (connection->phase != SERVER_ANSWERING)
     {
       connection->phase = SERVER_ANSWERING;
@@ -241,6 +244,8 @@
   if (connection->close_after)
     return -1;
   connection->phase = SERVER_IDLE;
+  quota_set_state (&connection->member, QUOTA_IDLE, now);
+  (void) quota_hold (&connection->member, 0, now);
   connection->read_before = server_connection_bytes_read (connection);
   timer_arm (server->timers, &connection->timer, now + server->limits.idle_timeout);
   server_connection_set_reading (connection, true);
@@ -312,6 +317,7 @@
           < 0)
         return -1;
       request->out_sent += length;
+      quota_note_progress (&connection->member, length, now);
       if (request->out_sent >= CONSUME_BYTES)
         {
           bytes_consume (&request->out, request->out_sent);
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -116,6 +116,52 @@
   http_reply_error (&request->exchange, code, field, message);
 }
 
+/* Send 503 for want of memory; nothing ran. */
+static void
+reject_for_room (struct server_connection *connection)
+{
+  static const struct http_field fields[] = {
+    { "content-type", "application/json" },
+    { "retry-after", QUOTA_RETRY_AFTER_TEXT },
+  };
+  static const char text[] = "{\"error\":{\"code\":503,\"message\":\"not run: the requests of all "
+                             "callers take too much memory\"}}";
+  struct server_request *request = connection->request;
+
+  server_count (connection->server, SERVER_REJECTED);
+  connection->close_after = true;
+  request->dispatched = true;
+  bytes_clear (&request->body);
+  request->exchange.ops->reply (&request->exchange, 503, fields, 2, text, sizeof text - 1);
+}
+
+bool
+server_connection_hold (struct server_connection *connection, size_t more, int64_t now)
+{
+  const struct server_request *request = connection->request;
+  size_t held = more;
+
+  if (request != NULL)
+    held += REQUEST_POOL_BYTES + request->headers.bytes + request->body.capacity
+            + request->out.capacity;
+  return quota_hold (&connection->member, held, now);
+}
+
+/* Others need the room. */
+static void
+end_member (struct quota_member *member, bool keep, int64_t now)
+{
+  struct server_connection *connection = CONTAINER_OF (member, struct server_connection, member);
+
+  (void) now;
+  if (keep)
+    reject_for_room (connection);
+  else
+    server_connection_kill (connection);
+}
+
+static const struct quota_member_ops member_ops = { .end = end_member };
+
 /* Timeout: a request whose body is late gets a 408, any other connection is closed. */
 static void
 on_timeout (struct timer *timer, int64_t now)
@@ -159,11 +205,14 @@
   connection->listener = listener;
   connection->caller = caller;
   connection->timer.ops = &timer_ops;
+  connection->member.ops = &member_ops;
+  connection->member.label = server_listener_text (listener);
   connection->reading = true;
   text_copy_truncated (connection->peer, sizeof connection->peer, peer);
   enter_phase (connection, SERVER_IDLE, server->limits.idle_timeout, loop_now (server->loop));
   DL_APPEND (server->connections, connection);
   server->n_connections++;
+  quota_join (server->quota, &connection->member, loop_now (server->loop));
   return connection;
 }
 
@@ -195,6 +244,7 @@
   struct http_server *server = connection->server;
 
   timer_disarm (server->timers, &connection->timer);
+  quota_leave (&connection->member);
   DL_DELETE (server->connections, connection);
   server->n_connections--;
   close_request (connection, now);
@@ -219,6 +269,7 @@
   /* The request timeout of lws must not end a request that is being handled. */
   lws_set_timeout (connection->wsi, NO_PENDING_TIMEOUT, 0);
   connection->phase = SERVER_HANDLING;
+  quota_set_state (&connection->member, QUOTA_RUNNING, now);
   exchange->body = request->body.data == NULL ? "" : request->body.data;
   exchange->body_length = request->body.length;
   server_connection_set_reading (connection, false);
@@ -386,10 +437,14 @@
     reject (connection, 400, "content-length", "content-length must be one decimal number");
   else if (request->body_expected > server->limits.body_bytes)
     reject (connection, 413, "content-length", "the body is too large");
+  else if (!server_connection_hold (connection, request->body_expected + 1, now))
+    reject_for_room (connection);
   else if (request->body_expected == 0)
     dispatch_request (connection, now);
   else
     {
+      bytes_reserve (&request->body, request->body_expected);
+      quota_set_state (&connection->member, QUOTA_RECEIVING, now);
       enter_phase (connection, SERVER_BODY, server->limits.body_timeout, now);
       if (http_header (&request->exchange, "expect") != NULL
           && lws_write (wsi, (unsigned char *) continue_response, sizeof continue_response - 1,
@@ -420,6 +475,7 @@
     return 0;
   if (request->body.length + length > request->body_expected)
     return -1;
+  quota_note_progress (&connection->member, length, loop_now (connection->server->loop));
   bytes_append (&request->body, data, length);
   return bytes_has_failed (&request->body) ? -1 : 0;
 }
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -51,6 +51,7 @@
 {
   struct loop *loop;
   struct timer_service *timers;
+  struct quota *quota;
   struct http_limits limits;
   struct counter *counters[SERVER_COUNTER_COUNT];
   struct lws_vhost *plain;
@@ -80,6 +81,7 @@
   struct http_server *server;
   enum http_listener listener;
   struct lws *wsi;
+  struct quota_member member;
   struct server_caller *caller; /* NULL where connections are not counted */
   struct timer timer;
   enum server_phase phase;
@@ -122,6 +124,7 @@
 }
 
 /* http_server.c */
+const char *server_listener_text (enum http_listener listener);
 struct http_route *server_find_route (struct http_server *server,
                                       enum http_listener listener,
                                       const char *path);
@@ -132,6 +135,10 @@
 void server_connection_socket_event (struct server_connection *connection,
                                      bool hung_up,
                                      int64_t now);
+
+/* Count the memory of the connection's request, with `more` bytes to come.  False if all clients
+ * together would hold too much. */
+bool server_connection_hold (struct server_connection *connection, size_t more, int64_t now);
 struct server_connection *server_connection_new (struct http_server *server,
                                                  enum http_listener listener,
                                                  struct server_caller *caller,
--- a/src/settings.h
+++ b/src/settings.h
@@ -61,6 +61,7 @@
   uint32_t json_depth;
   uint32_t connections;            /* total */
   uint32_t connections_per_caller; /* per IP address */
+  uint32_t client_memory_mb;       /* of all clients together, MiB */
   uint32_t requests_in_flight;
   int64_t idle_timeout; /* microseconds */
   int64_t body_timeout; /* microseconds in which a whole request must arrive; limits slow senders */
--- a/src/settings_rules.c
+++ b/src/settings_rules.c
@@ -124,6 +124,10 @@
     settings_report_problem (parser, settings_key_line (parser, "limits", "connections_per_caller"),
                              "[limits] connections_per_caller: expected at most `connections`, %u",
                              out->connections);
+  if (out->body_bytes >= ((uint64_t) out->client_memory_mb << 20) / 2)
+    settings_report_problem (parser, settings_key_line (parser, "limits", "client_memory_mb"),
+                             "[limits] client_memory_mb: expected more than twice body_bytes, %u",
+                             out->body_bytes);
   /* A host that shuts down keeps serving for as long as callers may cache an old list, then
    * finishes the requests in flight. */
   if (out->drain_bound <= out->list_keep)
