Read no further request while the client has not taken its answers

Callers saw a controller end for want of memory, while clients sent requests one after the other on a connection and read none of the answers: 64 clients with 400 reads of a configuration of 128 KB each took 813 to 1,098 MB.

Cause: a request was read as soon as the answer to the one before was written, however much of it was still to be sent; up to 16 MiB a connection were kept.

Now the next request is read when the kernel has taken the answer before it, which `tcp_stream_ops.sent` tells, and what is unsent counts in the memory of all clients. An answer that finds no room there is cut by a reset; one whose client has taken nothing for two seconds makes room for others. So a connection holds one answer at most, and all together have a bound.

--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -76,7 +76,8 @@
   size_t bodies = (connection->body.capacity + more) * (1 + connection->server->config.body_copies);
 
   return quota_hold (&connection->member,
-                     bodies + connection->input.capacity + connection->reader.head.text.capacity,
+                     bodies + connection->input.capacity + connection->reader.head.text.capacity
+                         + tcp_unsent_memory (&connection->stream),
                      now);
 }
 
@@ -241,6 +242,14 @@
   return used;
 }
 
+/* May the next bytes be parsed?  A client that does not read its responses gets no further ones. */
+static bool
+may_parse (const struct h1_connection *connection)
+{
+  return connection->state == CONNECTION_READING && connection->input.length > 0
+         && (connection->reader.begun || tcp_unsent (&connection->stream) == 0);
+}
+
 /* Later requests on the connection are not read, so it closes after the current response. */
 static void
 drop_input (struct h1_connection *connection)
@@ -260,15 +269,19 @@
       return;
     }
   connection->in_feed = true;
-  while (connection->state == CONNECTION_READING && connection->input.length > 0)
+  while (may_parse (connection))
     {
       size_t used = parse_input (connection, connection->input.data, connection->input.length, now);
 
       bytes_consume (&connection->input, used);
     }
   connection->in_feed = false;
-  if (connection->input.length > PIPELINED_BYTES_MAX && answer_is_due (connection))
-    drop_input (connection);
+  if (connection->input.length > PIPELINED_BYTES_MAX)
+    {
+      drop_input (connection);
+      if (connection->state == CONNECTION_READING)
+        h1_connection_close_when_sent (connection, now);
+    }
   if (connection->input.length == 0)
     bytes_clear (&connection->input);
   if (connection->state == CONNECTION_CLOSING || h1_connection_hold (connection, 0, now))
@@ -287,7 +300,8 @@
   bytes_clear (&connection->body);
   h1_reader_next (&connection->reader);
   connection->state = CONNECTION_READING;
-  quota_set_state (&connection->member, QUOTA_IDLE, now);
+  quota_set_state (&connection->member,
+                   tcp_unsent (&connection->stream) > 0 ? QUOTA_SENDING : QUOTA_IDLE, now);
   (void) h1_connection_hold (connection, 0, now);
   connection->reject_status = 0;
   connection->exchange.user = NULL;
@@ -330,10 +344,27 @@
   (void) now;
 }
 
+/* The client took a part of its responses. */
+static void
+stream_sent (struct tcp_stream *stream, int64_t now)
+{
+  struct h1_connection *connection = CONTAINER_OF (stream, struct h1_connection, stream);
+
+  quota_note_progress (&connection->member, QUOTA_PROGRESS_BYTES, now);
+  (void) h1_connection_hold (connection, 0, now);
+  if (connection->state != CONNECTION_READING || connection->reader.begun
+      || tcp_unsent (stream) > 0)
+    return;
+  quota_set_state (&connection->member, QUOTA_IDLE, now);
+  if (connection->input.length > 0)
+    feed (connection, "", 0, now);
+}
+
 static const struct tcp_stream_ops stream_ops = {
   .connected = stream_connected,
   .received = stream_received,
   .ended = stream_ended,
+  .sent = stream_sent,
 };
 
 /* Has the client read part of the unsent data since the last check? */
--- a/src/h1_server_answer.c
+++ b/src/h1_server_answer.c
@@ -70,24 +70,38 @@
   write_text (connection, &out);
 }
 
+void
+h1_connection_close_when_sent (struct h1_connection *connection, int64_t now)
+{
+  connection->state = CONNECTION_CLOSING;
+  bytes_clear (&connection->body);
+  bytes_clear (&connection->input);
+  quota_set_state (&connection->member, QUOTA_SENDING, now);
+  (void) h1_connection_hold (connection, 0, now);
+  tcp_close_when_sent (&connection->stream);
+  timer_arm (h1_connection_timers (connection), &connection->timer, now + H1_LINGER_TIMEOUT);
+}
+
 static void
 answer_ended (struct h1_connection *connection)
 {
+  int64_t now = loop_now (connection->server->config.loop);
+
   connection->server->pending--;
   connection->unacknowledged = tcp_unacknowledged (&connection->stream);
   if (connection->keep && !connection->stream.failed)
-    {
-      h1_connection_next (connection, loop_now (connection->server->config.loop));
-      return;
-    }
-  connection->state = CONNECTION_CLOSING;
-  bytes_clear (&connection->body);
-  bytes_clear (&connection->input);
-  quota_set_state (&connection->member, QUOTA_SENDING, loop_now (connection->server->config.loop));
-  (void) h1_connection_hold (connection, 0, loop_now (connection->server->config.loop));
-  tcp_close_when_sent (&connection->stream);
-  timer_arm (h1_connection_timers (connection), &connection->timer,
-             loop_now (connection->server->config.loop) + H1_LINGER_TIMEOUT);
+    h1_connection_next (connection, now);
+  else
+    h1_connection_close_when_sent (connection, now);
+}
+
+/* If all clients together hold too much, the rest of this response is lost. */
+static void
+hold_response (struct h1_connection *connection)
+{
+  if (tcp_unsent (&connection->stream) > 0 && !connection->stream.failed
+      && !h1_connection_hold (connection, 0, loop_now (connection->server->config.loop)))
+    tcp_fail (&connection->stream, TCP_END_OVERFLOW);
 }
 
 void
@@ -103,6 +117,7 @@
   write_head (connection, status, fields, (int64_t) length);
   if (!connection->bodiless)
     tcp_write (&connection->stream, body, length);
+  hold_response (connection);
   answer_ended (connection);
 }
 
@@ -154,6 +169,7 @@
   if (!connection->chunked)
     {
       tcp_write (&connection->stream, data, length);
+      hold_response (connection);
       return;
     }
   snprintf (head, sizeof head, "%zx\r\n", length);
@@ -162,6 +178,7 @@
   bytes_append (&out, data, length);
   bytes_append (&out, "\r\n", 2);
   write_text (connection, &out);
+  hold_response (connection);
 }
 
 void
--- a/src/h1_server_private.h
+++ b/src/h1_server_private.h
@@ -70,6 +70,9 @@
  * together would hold too much. */
 bool h1_connection_hold (struct h1_connection *connection, size_t more, int64_t now);
 
+/* Send the rest of the last response, then close. */
+void h1_connection_close_when_sent (struct h1_connection *connection, int64_t now);
+
 /* Close the connection.  It may be on the call stack, so the timer frees it from the event loop. */
 void h1_connection_drop (struct h1_connection *connection, bool reset);
 
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -157,6 +157,7 @@
         }
       bytes_consume (stream->unsent, (size_t) sent);
     }
+  drop_unsent (stream);
   if (stream->closing && !stream->failed)
     send_end (stream);
 }
@@ -182,9 +183,14 @@
 {
   struct tcp_stream *stream = CONTAINER_OF (watch, struct tcp_stream, watch);
 
+  size_t before;
+
   if (stream->connecting && !finish_connect (stream, now))
     return;
+  before = buffered_bytes (stream);
   send_rest (stream);
+  if (stream->ops->sent != NULL && buffered_bytes (stream) < before && !stream->failed)
+    stream->ops->sent (stream, now);
 }
 
 /* Read and deliver some bytes.  False at the end or on an error, with `errno` set; 0 means an
@@ -359,6 +365,12 @@
   return buffered_bytes (stream) + (stream->failed ? 1 : 0);
 }
 
+size_t
+tcp_unsent_memory (const struct tcp_stream *stream)
+{
+  return stream->unsent == NULL ? 0 : stream->unsent->capacity;
+}
+
 size_t
 tcp_unacknowledged (const struct tcp_stream *stream)
 {
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -52,6 +52,9 @@
 
   /* The connection ended; the stream may be freed or reopened.  Not called after tcp_close(). */
   void (*ended) (struct tcp_stream *stream, enum tcp_end end, int64_t now);
+
+  /* Buffered bytes were sent, all of them if tcp_unsent() is 0; NULL where that does not matter. */
+  void (*sent) (struct tcp_stream *stream, int64_t now);
 };
 
 /* Embedded by its user, which zeroes it before tcp_connect() or tcp_accept(). */
@@ -89,6 +92,9 @@
 /* Bytes in the send buffer; never 0 on a stream that failed. */
 size_t tcp_unsent (const struct tcp_stream *stream);
 
+/* Memory that the send buffer takes, in bytes. */
+size_t tcp_unsent_memory (const struct tcp_stream *stream);
+
 /* Is there input, or an end of the connection, not yet reported by received() or ended()? */
 bool tcp_has_unread (const struct tcp_stream *stream);
 
--- a/tests/unit_edges_tcp.cc
+++ b/tests/unit_edges_tcp.cc
@@ -15,6 +15,7 @@
   .connected = [] (struct tcp_stream *, int64_t) {},
   .received = [] (struct tcp_stream *, const char *, size_t, int64_t) {},
   .ended = [] (struct tcp_stream *, enum tcp_end, int64_t) {},
+  .sent = nullptr,
 };
 
 // A configuration of some hundred routes is read over a link whose buffers hold half of it.  The
@@ -147,6 +148,7 @@
           test_of (stream)->end = how;
           test_of (stream)->n_ends++;
         },
+    .sent = nullptr,
   };
 };
 
