Share the connections of a process between its listeners

Ordinary callers got no answer while other clients kept connections open, without a request or with a part of one, until those were idle for 15 to 30 s: new connections were closed at once. At two listeners of a host of pipelines more connections were accepted than its settings allow.

Cause: whoever came first kept a place; each listener of an entry host or controller had the whole limit for itself, so that all together exceeded the descriptors of the process, and connections to targets were not counted; at hosts of pipelines `[limits] connections` was checked against the size of the loop, which has 256 more.

Now `quota` counts the connections of all listeners, and at entry hosts those to targets. With all places taken, a new connection ends the one that has made no progress for longest and runs no request; it is refused only if each runs one.

--- a/src/entry_host.c
+++ b/src/entry_host.c
@@ -382,7 +382,6 @@
     .limits = &host->client_limits,
     .quota = host->base.quota,
     .body_copies = 1, /* the message to a target */
-    .connections_max = settings->connections_max,
     .counters = host->base.counters,
     .label = "clients",
   };
@@ -408,6 +407,7 @@
     .loop = host->base.loop,
     .counters = host->base.counters,
     .connect_timeout = TARGET_CONNECT_TIMEOUT,
+    .quota = host->base.quota,
     .held_max = (uint64_t) (HELD_MEMORY_SHARE * (double) host->base.settings.memory_bytes),
   };
 
--- a/src/h1_client.c
+++ b/src/h1_client.c
@@ -61,6 +61,8 @@
   if (connection->idle)
     DL_DELETE (connection->endpoint->idle, connection);
   DL_DELETE2 (connection->client->connections, connection, all_prev, all_next);
+  if (connection->client->quota != NULL)
+    quota_count_own (connection->client->quota, -1);
   client_stream_close (&connection->stream);
   h1_reader_clear (&connection->reader);
   bytes_clear (&connection->message);
@@ -246,6 +248,8 @@
       return NULL;
     }
   DL_APPEND2 (client->connections, connection, all_prev, all_next);
+  if (client->quota != NULL)
+    quota_count_own (client->quota, 1);
   counter_add (client->opened, 1);
   connection->connect_until = now + client->connect_timeout;
   timer_arm (loop_timers (client->loop), &connection->timer,
@@ -387,6 +391,7 @@
   client->connect_timeout = config->connect_timeout;
   client->trust = config->trust;
   client->paths = config->paths;
+  client->quota = config->quota;
   client->opened = counter_get (counters, "cherryarch_h1_connections_opened_total",
                                 "Connections opened to targets and hosts.", NULL);
   client->reused = counter_get (counters, "cherryarch_h1_connections_reused_total",
--- a/src/h1_client.h
+++ b/src/h1_client.h
@@ -6,6 +6,7 @@
 #include "decls.h"
 #include "h1.h"
 #include "loop.h"
+#include "quota.h"
 #include "tls_session.h"
 
 BEGIN_DECLS
@@ -113,6 +114,7 @@
   int64_t connect_timeout;        /* microseconds */
   const struct tls_trust *trust;  /* NULL for plain connections */
   struct h1_path_listener *paths; /* NULL for none */
+  struct quota *quota;            /* counts the client's connections; NULL for none */
   uint64_t held_max;              /* bytes, at most H1_HELD_BYTES_MAX; 0: that */
 };
 
--- a/src/h1_client_private.h
+++ b/src/h1_client_private.h
@@ -48,6 +48,7 @@
   int64_t connect_timeout;
   const struct tls_trust *trust;
   struct h1_path_listener *paths;
+  struct quota *quota;
   struct h1_endpoint *endpoints;
   struct h1_client_connection *connections;
   struct counter *opened;
--- a/src/h1_server.c
+++ b/src/h1_server.c
@@ -409,21 +409,13 @@
 
 static const struct quota_member_ops member_ops = { .end = end_member };
 
-static void
-on_accepted (struct tcp_listener *listener, int fd, int64_t now)
+static struct h1_connection *
+new_connection (struct h1_server *server)
 {
-  struct h1_server *server = CONTAINER_OF (listener, struct h1_server, listener);
-  struct h1_connection *connection = NULL;
+  struct h1_connection *connection = talloc_zero (server, struct h1_connection);
 
-  if (server->n_connections < server->config.connections_max)
-    connection = talloc_zero (server, struct h1_connection);
   if (connection == NULL)
-    {
-      log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, "connection-refused", "{s:s,s:i}", "listener",
-                 server->config.label, "connections", (int) server->n_connections);
-      close (fd);
-      return;
-    }
+    return NULL;
   connection->server = server;
   connection->timer.ops = &timer_ops;
   connection->member.ops = &member_ops;
@@ -435,9 +427,24 @@
                   server->config.limits->header_bytes);
   bytes_init (&connection->body, connection);
   bytes_init (&connection->input, connection);
+  return connection;
+}
+
+static void
+on_accepted (struct tcp_listener *listener, int fd, int64_t now)
+{
+  struct h1_server *server = CONTAINER_OF (listener, struct h1_server, listener);
+  struct h1_connection *connection = new_connection (server);
+
+  if (connection == NULL || !quota_join (server->config.quota, &connection->member, now))
+    {
+      talloc_free (connection);
+      close (fd);
+      return;
+    }
   if (tcp_accept (&connection->stream, &stream_ops, server->config.loop, fd) != STATUS_OK)
     {
-      h1_reader_clear (&connection->reader);
+      quota_leave (&connection->member);
       talloc_free (connection);
       return;
     }
@@ -446,7 +453,6 @@
     server->connections->previous = connection;
   server->connections = connection;
   server->n_connections++;
-  quota_join (server->config.quota, &connection->member, now);
   timer_arm (h1_connection_timers (connection), &connection->timer,
              now + server->config.limits->idle_timeout);
 }
@@ -495,8 +501,10 @@
   server->listener.fd = -1;
   take_counters (server);
   if (config->quota == NULL)
-    server->config.quota =
-        quota_new (server, &(struct quota_config){ .counters = config->counters });
+    server->config.quota = quota_new (server, &(struct quota_config){
+                                                  .connections_max = config->connections_max,
+                                                  .counters = config->counters,
+                                              });
   if (server->config.quota == NULL)
     {
       talloc_free (server);
--- a/src/h1_server.h
+++ b/src/h1_server.h
@@ -61,9 +61,9 @@
   const char *listen;
   struct h1_handler *handler;
   const struct h1_limits *limits; /* read at each request; outlives the server */
-  struct quota *quota;      /* of all clients of the process; NULL for one of its own */
-  uint32_t body_copies;     /* of each request, that its handler makes while it runs */
-  uint32_t connections_max; /* of this server */
+  struct quota *quota;            /* of all clients of the process; NULL for one of its own */
+  uint32_t body_copies;           /* of each request, that its handler makes while it runs */
+  uint32_t connections_max;       /* where `quota` is NULL */
   struct counters *counters;
   const char *label; /* of the counters: which listener */
 };
--- a/src/host_io.c
+++ b/src/host_io.c
@@ -73,6 +73,7 @@
 
   config.quota = quota_new (host, &(struct quota_config){
                                       .bytes_max = (uint64_t) settings->client_memory_mb << 20,
+                                      .connections_max = settings->connections,
                                       .counters = host->counters,
                                   });
   if (config.quota == NULL)
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -362,9 +362,13 @@
   server->loop = config->loop;
   server->timers = loop_timers (config->loop);
   server->limits = config->limits;
-  server->quota = config->quota != NULL
-                      ? config->quota
-                      : quota_new (server, &(struct quota_config){ .counters = config->counters });
+  server->quota =
+      config->quota != NULL
+          ? config->quota
+          : quota_new (server, &(struct quota_config){
+                                   .connections_max = loop_connections_max (config->loop),
+                                   .counters = config->counters,
+                               });
   server->socket_fd = -1;
   for (int i = 0; i < SERVER_COUNTER_COUNT && config->counters != NULL; i++)
     server->counters[i] = counter_get (config->counters, names[i][0], names[i][1], NULL);
--- a/src/http_server_connection.c
+++ b/src/http_server_connection.c
@@ -194,10 +194,7 @@
                        struct server_caller *caller,
                        const char *peer)
 {
-  struct server_connection *connection =
-      server->n_connections >= loop_connections_max (server->loop)
-          ? NULL
-          : talloc_zero (server, struct server_connection);
+  struct server_connection *connection = talloc_zero (server, struct server_connection);
 
   if (connection == NULL)
     return NULL;
@@ -207,12 +204,16 @@
   connection->timer.ops = &timer_ops;
   connection->member.ops = &member_ops;
   connection->member.label = server_listener_text (listener);
+  if (!quota_join (server->quota, &connection->member, loop_now (server->loop)))
+    {
+      talloc_free (connection);
+      return NULL;
+    }
   connection->reading = true;
   text_copy_truncated (connection->peer, sizeof connection->peer, peer);
   enter_phase (connection, SERVER_IDLE, server->limits.idle_timeout, loop_now (server->loop));
   DL_APPEND (server->connections, connection);
   server->n_connections++;
-  quota_join (server->quota, &connection->member, loop_now (server->loop));
   return connection;
 }
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -1,4 +1,4 @@
-/* Memory of all clients. */
+/* Memory and connections of all clients. */
 #include "quota.h"
 #include "log.h"
 #include "usec.h"
@@ -9,6 +9,25 @@
 /* Added to the time without progress, so that size decides between connections that all receive. */
 #define STALL_OFFSET USEC_PER_MSEC
 
+/* name, text */
+#define SHORTAGE_LIST(X)                                                                           \
+  X (MEMORY, "memory")                                                                             \
+  X (CONNECTIONS, "connections")
+
+enum shortage
+{
+#define X(name, text) SHORTAGE_##name,
+  SHORTAGE_LIST (X)
+#undef X
+      SHORTAGE_COUNT
+};
+
+static const char *const shortage_texts[] = {
+#define X(name, text) text,
+  SHORTAGE_LIST (X)
+#undef X
+};
+
 static const char *const state_texts[] = {
   [QUOTA_IDLE] = "idle",
   [QUOTA_RECEIVING] = "receiving",
@@ -23,10 +42,11 @@
   uint64_t bytes;
   uint64_t peak;
   uint32_t n_members;
+  uint32_t n_own; /* connections to targets */
   struct counter *held_gauge;
   struct counter *peak_gauge;
-  struct counter *ended;
-  struct counter *refused;
+  struct counter *ended[SHORTAGE_COUNT];
+  struct counter *refused[SHORTAGE_COUNT];
   int64_t logged_since; /* begin of the second that `logged` counts */
   uint32_t logged;
   uint32_t omitted; /* since the last line */
@@ -41,11 +61,18 @@
       gauge_get (counters, "cherryarch_clients_held_bytes", "Memory that all clients hold.", NULL);
   quota->peak_gauge = gauge_get (counters, "cherryarch_clients_held_peak_bytes",
                                  "The most memory that all clients held.", NULL);
-  quota->ended =
+  quota->ended[SHORTAGE_MEMORY] =
       counter_get (counters, "cherryarch_clients_ended_total",
                    "Connections of clients ended as others needed the room.", "for=\"memory\"");
-  quota->refused = counter_get (counters, "cherryarch_clients_refused_total",
-                                "Requests of clients refused for want of room.", "for=\"memory\"");
+  quota->ended[SHORTAGE_CONNECTIONS] = counter_get (
+      counters, "cherryarch_clients_ended_total",
+      "Connections of clients ended as others needed the room.", "for=\"connections\"");
+  quota->refused[SHORTAGE_MEMORY] = counter_get (
+      counters, "cherryarch_clients_refused_total",
+      "Requests and connections of clients refused for want of room.", "for=\"memory\"");
+  quota->refused[SHORTAGE_CONNECTIONS] = counter_get (
+      counters, "cherryarch_clients_refused_total",
+      "Requests and connections of clients refused for want of room.", "for=\"connections\"");
 }
 
 struct quota *
@@ -58,6 +85,8 @@
   quota->config = *config;
   if (quota->config.bytes_max == 0)
     quota->config.bytes_max = QUOTA_DEFAULT_BYTES;
+  if (quota->config.connections_max == 0)
+    quota->config.connections_max = UINT32_MAX;
   register_counters (quota);
   return quota;
 }
@@ -67,6 +96,7 @@
 log_shortage (struct quota *quota,
               const char *event,
               const struct quota_member *member,
+              enum shortage shortage,
               size_t bytes,
               int64_t now)
 {
@@ -81,11 +111,12 @@
       return;
     }
   quota->logged++;
-  log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, event, "{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i}",
-             "listener", member->label, "for", "memory", "state", state_texts[member->state],
-             "bytes", (json_int_t) bytes, "held", (json_int_t) quota->bytes, "limit",
-             (json_int_t) quota->config.bytes_max, "connections", (int) quota->n_members, "omitted",
-             (int) quota->omitted);
+  log_event (LOG_MODULE_HTTP, LOG_LEVEL_WARNING, event, "{s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:i,s:i}",
+             "listener", member->label, "for", shortage_texts[shortage], "state",
+             state_texts[member->state], "bytes", (json_int_t) bytes, "held",
+             (json_int_t) quota->bytes, "limit", (json_int_t) quota->config.bytes_max,
+             "connections", (int) quota->n_members, "own_connections", (int) quota->n_own,
+             "omitted", (int) quota->omitted);
   quota->omitted = 0;
 }
 
@@ -160,8 +191,8 @@
 {
   bool keep = member->state == QUOTA_RECEIVING;
 
-  counter_add (quota->ended, 1);
-  log_shortage (quota, "client-ended", member, member->bytes, now);
+  counter_add (quota->ended[SHORTAGE_MEMORY], 1);
+  log_shortage (quota, "client-ended", member, SHORTAGE_MEMORY, member->bytes, now);
   if (keep)
     set_bytes (member, 0);
   else
@@ -190,8 +221,8 @@
 
       if (other == NULL || quota->bytes - member->bytes - sum + bytes > limit)
         {
-          counter_add (quota->refused, 1);
-          log_shortage (quota, "client-refused", member, bytes, now);
+          counter_add (quota->refused[SHORTAGE_MEMORY], 1);
+          log_shortage (quota, "client-refused", member, SHORTAGE_MEMORY, bytes, now);
           return false;
         }
       end_for_memory (quota, other, now);
@@ -200,18 +231,52 @@
   return true;
 }
 
-/* ---- members ---- */
+/* ---- connections ---- */
 
-void
+/* The connection without progress for longest that may be ended; NULL for none. */
+static struct quota_member *
+find_stalled (const struct quota *quota, int64_t now)
+{
+  struct quota_member *best = NULL;
+  struct quota_member *at;
+
+  DL_FOREACH (quota->members, at)
+    {
+      if (at->state == QUOTA_RUNNING
+          || (at->state == QUOTA_SENDING && now - at->moved_at < QUOTA_SEND_STALL))
+        continue;
+      if (best == NULL || at->moved_at < best->moved_at)
+        best = at;
+    }
+  return best;
+}
+
+bool
 quota_join (struct quota *quota, struct quota_member *member, int64_t now)
 {
-  member->quota = quota;
   member->state = QUOTA_IDLE;
   member->bytes = 0;
   member->received = 0;
   member->moved_at = now;
+  while (quota->n_members + quota->n_own >= quota->config.connections_max)
+    {
+      struct quota_member *other = find_stalled (quota, now);
+
+      if (other == NULL)
+        {
+          counter_add (quota->refused[SHORTAGE_CONNECTIONS], 1);
+          log_shortage (quota, "client-refused", member, SHORTAGE_CONNECTIONS, 0, now);
+          return false;
+        }
+      counter_add (quota->ended[SHORTAGE_CONNECTIONS], 1);
+      log_shortage (quota, "client-ended", other, SHORTAGE_CONNECTIONS, other->bytes, now);
+      quota_leave (other);
+      other->ops->end (other, false, now);
+    }
+  member->quota = quota;
   DL_APPEND (quota->members, member);
   quota->n_members++;
+  return true;
 }
 
 void
@@ -247,6 +312,12 @@
   member->moved_at = now;
 }
 
+void
+quota_count_own (struct quota *quota, int change)
+{
+  quota->n_own += (uint32_t) change;
+}
+
 uint64_t
 quota_bytes (const struct quota *quota)
 {
--- a/src/quota.h
+++ b/src/quota.h
@@ -1,4 +1,4 @@
-/* Memory that all clients of the process may take together.
+/* Memory and connections that all clients of the process may take together.
  *
  * A limit for each connection does not bound the process: it is multiplied by their number.  Where
  * the sum is short, the connection that holds much and receives little is ended, so that clients
@@ -52,7 +52,7 @@
 
 struct quota_member_ops
 {
-  /* Others need the memory.  Of RECEIVING with `keep` the request may be
+  /* Others need the memory or the connection.  Of RECEIVING with `keep` the request may be
    * answered, but what it holds is dropped; else the connection is closed.  The member counts as
    * holding nothing; without `keep` it has left. */
   void (*end) (struct quota_member *member, bool keep, int64_t now);
@@ -74,15 +74,17 @@
 
 struct quota_config
 {
-  uint64_t bytes_max; /* 0: QUOTA_DEFAULT_BYTES */
+  uint64_t bytes_max;       /* 0: QUOTA_DEFAULT_BYTES */
+  uint32_t connections_max; /* of clients and to targets; 0: no limit */
   struct counters *counters;
 };
 
 /* Freed with `parent`.  NULL when out of memory. */
 struct quota *quota_new (void *parent, const struct quota_config *config);
 
-/* A new connection, which is idle. */
-void quota_join (struct quota *quota, struct quota_member *member, int64_t now);
+/* A new connection, which is idle.  If there are too many, the one without progress for longest is
+ * ended; false if none can be. */
+bool quota_join (struct quota *quota, struct quota_member *member, int64_t now);
 void quota_leave (struct quota_member *member);
 
 void quota_set_state (struct quota_member *member, enum quota_state state, int64_t now);
@@ -97,6 +99,9 @@
 /* Could a connection hold so much if there were no others? */
 bool quota_fits (const struct quota *quota, size_t bytes);
 
+/* Connections of this process to others, which use the same descriptors: `change` is 1 or -1. */
+void quota_count_own (struct quota *quota, int change);
+
 uint64_t quota_bytes (const struct quota *quota);
 uint32_t quota_connections (const struct quota *quota);
 
--- a/src/role_base.c
+++ b/src/role_base.c
@@ -141,7 +141,6 @@
     .handler = handler,
     .limits = &base->limits,
     .quota = base->quota,
-    .connections_max = base->settings.connections_max,
     .counters = base->counters,
     .label = label,
   };
@@ -176,6 +175,7 @@
   base->timers = loop_timers (base->loop);
   base->quota = quota_new (base, &(struct quota_config){
                                      .bytes_max = settings->client_memory_bytes,
+                                     .connections_max = settings->connections_max,
                                      .counters = base->counters,
                                  });
   if (base->quota == NULL)
--- a/src/role_base.h
+++ b/src/role_base.h
@@ -73,7 +73,7 @@
   struct counters *counters;
   struct dump dump;
   struct peer_port *port;
-  struct quota *quota;     /* of the clients of all interfaces */
+  struct quota *quota;     /* of the clients of all interfaces, and connections to targets */
   struct h1_limits limits; /* of this host's own interfaces; the routing sets those of clients */
   struct h1_handler metrics;
   struct quarantine_control *quarantine;  /* NULL until it is made */
--- a/tests/unit_quota.cc
+++ b/tests/unit_quota.cc
@@ -1,4 +1,4 @@
-// Memory of all clients: who is refused, and who is ended for whom.
+// Memory and connections of all clients: who is refused, and who is ended for whom.
 #include "quota.h"
 #include "usec.h"
 #include <algorithm>
@@ -12,6 +12,7 @@
 
 const size_t LIMIT = 8u << 20;
 const size_t LARGE = 1u << 20;
+const uint32_t CONNECTIONS = 32;
 const int64_t NOW = 100 * USEC_PER_SEC;
 
 struct test_member
@@ -44,6 +45,7 @@
     struct quota_config config = {};
 
     config.bytes_max = LIMIT;
+    config.connections_max = CONNECTIONS;
     config.counters = counters_new (parent_);
     quota_ = quota_new (parent_, &config);
   }
@@ -60,7 +62,7 @@
     members_.push_back (std::make_unique<test_member> ());
     test_member *made = members_.back ().get ();
 
-    quota_join (quota_, &made->member, since);
+    EXPECT_TRUE (quota_join (quota_, &made->member, since));
     quota_set_state (&made->member, state, since);
     EXPECT_TRUE (quota_hold (&made->member, bytes, since));
     return made;
@@ -200,4 +202,50 @@
   EXPECT_FALSE (quota_hold (&member->member, 1, NOW));
 }
 
+// Failure: idle connections that fill the table shut out others.
+TEST_F (Quota, ConnectionIdleForLongestIsEndedForANewOne)
+{
+  test_member *oldest = nullptr;
+  test_member newcomer;
+
+  for (uint32_t i = 0; i < CONNECTIONS; i++)
+    {
+      test_member *made = add (i % 2 == 0 ? QUOTA_IDLE : QUOTA_RECEIVING, 0,
+                               NOW - (i == 7 ? USEC_PER_SEC : USEC_PER_MSEC));
+
+      oldest = i == 7 ? made : oldest;
+    }
+  EXPECT_TRUE (quota_join (quota_, &newcomer.member, NOW));
+  EXPECT_EQ (oldest->ended, 1);
+  EXPECT_FALSE (oldest->kept);
+  EXPECT_EQ (count_ended (), 1);
+  EXPECT_EQ (quota_connections (quota_), CONNECTIONS);
+}
+
+// Failure: a request that a target runs is ended for a new connection.
+TEST_F (Quota, ConnectionWithARunningRequestIsNotEndedForANewOne)
+{
+  test_member newcomer;
+
+  for (uint32_t i = 0; i < CONNECTIONS; i++)
+    add (QUOTA_RUNNING, 1, NOW - 100 * USEC_PER_SEC);
+  EXPECT_FALSE (quota_join (quota_, &newcomer.member, NOW));
+  EXPECT_EQ (newcomer.member.quota, nullptr);
+  EXPECT_EQ (count_ended (), 0);
+}
+
+// Failure: connections to targets and of clients together exceed the descriptors.
+TEST_F (Quota, OwnConnectionsLeaveFewerForClients)
+{
+  test_member newcomer;
+
+  for (uint32_t i = 0; i < CONNECTIONS - 4; i++)
+    add (QUOTA_IDLE, 0);
+  for (int i = 0; i < 4; i++)
+    quota_count_own (quota_, 1);
+  EXPECT_TRUE (quota_join (quota_, &newcomer.member, NOW));
+  EXPECT_EQ (count_ended (), 1);
+  EXPECT_EQ (quota_connections (quota_), CONNECTIONS - 4);
+}
+
 }
