--- a/src/quota.c
+++ b/src/quota.c
@@ -87,6 +87,13 @@
     quota->config.bytes_max = QUOTA_DEFAULT_BYTES;
   if (quota->config.connections_max == 0)
     quota->config.connections_max = UINT32_MAX;
+  if (quota->config.counters == NULL)
+    quota->config.counters = counters_new (quota);
+  if (quota->config.counters == NULL)
+    {
+      talloc_free (quota);
+      return NULL;
+    }
   register_counters (quota);
   return quota;
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -74,9 +74,9 @@
 
 struct quota_config
 {
-  uint64_t bytes_max;       /* 0: QUOTA_DEFAULT_BYTES */
-  uint32_t connections_max; /* of clients and to targets; 0: no limit */
-  struct counters *counters;
+  uint64_t bytes_max;        /* 0: QUOTA_DEFAULT_BYTES */
+  uint32_t connections_max;  /* of clients and to targets; 0: no limit */
+  struct counters *counters; /* NULL for some of its own, which nobody reads */
 };
 
 /* Freed with `parent`.  NULL when out of memory. */
