Refuse connections for which no descriptor is left

Clients that connected while a process had no descriptor left waited until their own time-out, and the process took a whole core meanwhile.

Cause: accept() fails with EMFILE and leaves the connection in the backlog, so the listening socket stays readable and wakes the loop at once.

Now each listener keeps a spare descriptor, closes it to accept such a connection, and closes that at once. A burst of connections is accepted in turns of 64, so that those being served are not delayed.

It does not mend WholeClients.ConnectionsOfOtherHosts: there ZeroMQ's own thread takes every descriptor, the spare one too, and clients still wait.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -195,10 +195,8 @@
   for (int i = 0; i < most; i++)
     {
       struct sockaddr_storage from = { 0 };
-      socklen_t length = sizeof from;
       char ip[INET6_ADDRSTRLEN];
-      int fd =
-          accept4 (listener->fd, (struct sockaddr *) &from, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = tcp_accept_next (listener->fd, &listener->spare_fd, &from);
 
       if (fd < 0)
         return;
@@ -239,6 +237,7 @@
     return status_fail (STATUS_IO, "%s address %s: %s", listener_texts[listener->id], text,
                         strerror (errno));
   listener->port = inet_address_bound_port (listener->fd);
+  listener->spare_fd = tcp_open_spare ();
   listener->watch.ops = &accept_ops;
   return loop_watch_fd (listener->server->loop, &listener->watch, listener->fd);
 }
@@ -257,6 +256,9 @@
       shutdown (listener->fd, SHUT_RD);
       close (listener->fd);
       listener->fd = -1;
+      if (listener->spare_fd >= 0)
+        close (listener->spare_fd);
+      listener->spare_fd = -1;
     }
 }
 
@@ -373,8 +375,9 @@
   for (int i = 0; i < SERVER_COUNTER_COUNT && config->counters != NULL; i++)
     server->counters[i] = counter_get (config->counters, names[i][0], names[i][1], NULL);
   for (int i = 0; i < HTTP_LISTENER_COUNT; i++)
-    server->listeners[i] =
-        (struct server_listener){ .server = server, .id = (enum http_listener) i, .fd = -1 };
+    server->listeners[i] = (struct server_listener){
+      .server = server, .id = (enum http_listener) i, .fd = -1, .spare_fd = -1
+    };
   talloc_set_destructor (server, destroy_server);
   if (server->quota == NULL || open_server (server, config) != STATUS_OK)
     {
--- a/src/http_server_private.h
+++ b/src/http_server_private.h
@@ -7,6 +7,7 @@
 #include "http_headers.h"
 #include "http_server.h"
 #include "inet_address.h"
+#include "tcp.h"
 #include "timer.h"
 #include <libwebsockets.h>
 #include <uthash.h>
@@ -24,7 +25,8 @@
   struct loop_watch watch;
   struct http_server *server;
   enum http_listener id;
-  int fd; /* -1 when not listening */
+  int fd;       /* -1 when not listening */
+  int spare_fd; /* of tcp_accept_next() */
   uint16_t port;
 };
 
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -4,6 +4,7 @@
 #include "container.h"
 #include "log.h"
 #include <errno.h>
+#include <fcntl.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -14,6 +15,7 @@
 
 #define READ_BYTES 32768
 #define LISTEN_BACKLOG 512
+#define ACCEPT_BATCH 64
 #define KEEPALIVE_IDLE_SEC 2
 #define KEEPALIVE_INTERVAL_SEC 1
 #define KEEPALIVE_PROBES 3
@@ -420,14 +422,49 @@
 
 /* ---- listeners ---- */
 
+int
+tcp_open_spare (void)
+{
+  return open ("/dev/null", O_RDONLY | O_CLOEXEC);
+}
+
+static int
+accept_one (int listener, struct sockaddr_storage *from)
+{
+  socklen_t length = sizeof *from;
+
+  return accept4 (listener, (struct sockaddr *) from, from == NULL ? NULL : &length,
+                  SOCK_NONBLOCK | SOCK_CLOEXEC);
+}
+
+int
+tcp_accept_next (int listener, int *spare, struct sockaddr_storage *from)
+{
+  int fd = accept_one (listener, from);
+
+  while (fd < 0 && (errno == EMFILE || errno == ENFILE) && *spare >= 0)
+    {
+      close (*spare);
+      fd = accept_one (listener, NULL);
+      if (fd >= 0)
+        close (fd);
+      *spare = tcp_open_spare ();
+      if (fd < 0)
+        return -1;
+      fd = accept_one (listener, from);
+    }
+  return fd;
+}
+
+/* The rest of a burst waits for the next turn of the loop, so that open connections are served. */
 static void
 on_acceptable (struct loop_watch *watch, int64_t now)
 {
   struct tcp_listener *listener = CONTAINER_OF (watch, struct tcp_listener, watch);
 
-  for (;;)
+  for (int i = 0; i < ACCEPT_BATCH; i++)
     {
-      int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = tcp_accept_next (listener->fd, &listener->spare_fd, NULL);
 
       if (fd < 0)
         return;
@@ -451,6 +488,7 @@
     return status;
   listener->ops = ops;
   listener->loop = loop;
+  listener->spare_fd = -1;
   listener->watch = (struct loop_watch){ .ops = &listener_watch_ops };
   listener->fd = socket (at.socket.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (listener->fd < 0)
@@ -464,6 +502,7 @@
       listener->fd = -1;
       return status;
     }
+  listener->spare_fd = tcp_open_spare ();
   return loop_adopt_socket (loop, &listener->watch, listener->fd);
 }
 
@@ -473,5 +512,8 @@
   if (listener->fd < 0 || listener->loop == NULL)
     return;
   loop_unwatch (listener->loop, &listener->watch);
+  if (listener->spare_fd >= 0)
+    close (listener->spare_fd);
+  listener->spare_fd = -1;
   listener->fd = -1;
 }
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -132,8 +132,17 @@
   struct loop *loop;
   struct loop_watch watch;
   int fd;
+  int spare_fd; /* of tcp_accept_next() */
 };
 
+/* The spare descriptor for tcp_accept_next(); -1 if there is none left. */
+int tcp_open_spare (void);
+
+/* Accepts a connection, non-blocking, whose address is set in `from` unless that is NULL; -1 when
+ * there is none.  Where no descriptor is left, connections are refused in the place of `spare`:
+ * in the backlog they would wake the loop without end, and their clients would wait. */
+int tcp_accept_next (int listener, int *spare, struct sockaddr_storage *from);
+
 enum status tcp_listen (struct tcp_listener *listener,
                         const struct tcp_listener_ops *ops,
                         struct loop *loop,
--- a/tests/unit_edges_tcp.cc
+++ b/tests/unit_edges_tcp.cc
@@ -4,6 +4,7 @@
 #include "unit_edges_support.h"
 #include <gtest/gtest.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -299,4 +300,36 @@
   EXPECT_EQ (tcp_unsent (&ours.stream), 0u);
 }
 
-} // namespace
+// Failure: a connection stays in the backlog and wakes the loop without end where no descriptor is
+// left, and its client waits.
+TEST (TcpListener, RefusesConnectionsWhenNoDescriptorIsLeft)
+{
+  static const struct tcp_listener_ops ops = {
+    .accepted = [] (struct tcp_listener *, int fd, int64_t) { close (fd); },
+  };
+  struct loop *loop = loop_new_without_tls (nullptr, 16);
+  struct tcp_listener listener = {};
+  struct rlimit own;
+  std::vector<int> taken;
+
+  ASSERT_EQ (tcp_listen (&listener, &ops, loop, "127.0.0.1:0"), STATUS_OK);
+  ASSERT_EQ (getrlimit (RLIMIT_NOFILE, &own), 0);
+  {
+    // Its connection is in the backlog.
+    raw_caller caller (loop, inet_address_bound_port (listener.fd));
+    struct rlimit low = own;
+
+    low.rlim_cur = static_cast<rlim_t> (caller.fd) + 8;
+    ASSERT_EQ (setrlimit (RLIMIT_NOFILE, &low), 0);
+    for (int fd = dup (0); fd >= 0; fd = dup (0))
+      taken.push_back (fd);
+    EXPECT_TRUE (caller.wait_closed ());
+    for (int fd : taken)
+      close (fd);
+    EXPECT_EQ (setrlimit (RLIMIT_NOFILE, &own), 0);
+  }
+  tcp_listener_close (&listener);
+  talloc_free (loop);
+}
+
+}
