Open the spare descriptor of a listener again once there is one

Where another part of the process took the spare descriptor while it was closed, later shortages found none and connections waited again. Seen in a run of WholeClients.ConnectionsOfOtherHosts, where ZeroMQ's thread takes all descriptors; that test is not mended by this.

--- a/src/tcp.c
+++ b/src/tcp.c
@@ -442,6 +442,8 @@
 {
   int fd = accept_one (listener, from);
 
+  if (*spare < 0)
+    *spare = tcp_open_spare ();
   while (fd < 0 && (errno == EMFILE || errno == ENFILE) && *spare >= 0)
     {
       close (*spare);
